--- /dev/null
+++ b/crates/control/src/control.rs
@@ -0,0 +1,447 @@
+//! One daemon's part in the control of one service.
+
+use std::sync::Arc;
+
+use document::{Document, Kind, Name, Revision};
+use lease::{Authority, Quorum, Term, Vote, Voter};
+
+use crate::lead::{Lead, Standing, Start};
+use crate::message::{PromiseAsk, PromiseReply, RecordCopy};
+use crate::voters::{candidate_rank, choose_voters};
+use crate::{Action, Event, Instance, Record, Status, Table, Tuning, WriteOutcome};
+
+/// One daemon's part in the control of one service: a voter, and at times the controller.
+#[derive(Debug)]
+pub struct Control {
+    service: Name,
+    me: Name,
+    tuning: Tuning,
+    document: Option<(Revision, Arc<Document>)>,
+    known: Option<RecordCopy>,
+    instances: Vec<Instance>,
+    voter: Voter,
+    /// Whether the record was read, or told by a controller, since the process started.
+    is_synced: bool,
+    role: Role,
+    table: Option<Arc<Table>>,
+    next_read_ms: u64,
+}
+
+#[derive(Debug)]
+enum Role {
+    Follower { elect_at_ms: Option<u64> },
+    Creator { deadline_ms: u64 },
+    Candidate(Candidate),
+    Lead(Box<Lead>),
+    Stopped,
+}
+
+#[derive(Debug)]
+struct Candidate {
+    term: Term,
+    deadline_ms: u64,
+    authority: Authority,
+    quorum: Quorum,
+}
+
+/// What follows from a promise.
+enum Outcome {
+    Nothing,
+    Elected,
+    StepDown(Term),
+}
+
+const READ_EVERY_MS: u64 = 1_000;
+
+impl Control {
+    /// Creates the control part of a daemon process that starts now.
+    #[must_use]
+    pub fn new(now_ms: u64, service: Name, me: Name, tuning: Tuning) -> Self {
+        Self {
+            service,
+            me,
+            tuning,
+            document: None,
+            known: None,
+            instances: Vec::new(),
+            voter: Voter::new(now_ms, tuning.promise_ms),
+            is_synced: false,
+            role: Role::Follower { elect_at_ms: None },
+            table: None,
+            next_read_ms: now_ms,
+        }
+    }
+
+    /// Returns the newest table that was seen.
+    #[must_use]
+    pub fn table(&self) -> Option<&Arc<Table>> {
+        self.table.as_ref()
+    }
+
+    /// Returns whether this daemon is the service's controller, by what it knows.
+    #[must_use]
+    pub fn is_controller(&self) -> bool {
+        matches!(self.role, Role::Lead(_))
+    }
+
+    /// Returns what the controller knows of the service, where this daemon is the controller.
+    #[must_use]
+    pub fn status(&self, now_ms: u64) -> Option<Status> {
+        match &self.role {
+            Role::Lead(lead) => Some(lead.to_status(now_ms)),
+            _ => None,
+        }
+    }
+
+    /// Returns the newest record that is known here.
+    #[must_use]
+    pub fn record(&self) -> Option<&RecordCopy> {
+        self.known.as_ref()
+    }
+
+    /// Takes an event and returns what is to be done.
+    pub fn step(&mut self, now_ms: u64, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        match event {
+            Event::Tick => self.on_tick(now_ms, &mut out),
+            Event::Document(revision, document) => self.on_document(now_ms, revision, document),
+            Event::Instances(instances) => self.on_instances(instances),
+            Event::RecordRead(copy) => self.on_record_read(now_ms, copy),
+            Event::Written(outcome) => self.on_written(now_ms, &outcome, &mut out),
+            Event::PromiseAsked(ask) => self.on_promise_asked(now_ms, ask, &mut out),
+            Event::PromiseReplied(reply) => self.on_promise_replied(now_ms, &reply),
+            Event::PromiseReturned(candidate) => self.on_promise_returned(&candidate),
+            Event::Reported(server, report) => {
+                let standing = self.lead_mut().map(|lead| lead.on_report(now_ms, &server, &report));
+                self.apply_standing(standing);
+            }
+            Event::Unanswered(server) => {
+                if let Some(lead) = self.lead_mut() {
+                    lead.on_unanswered(&server);
+                }
+            }
+            Event::Beat(beat) => {
+                if let Some(lead) = self.lead_mut() {
+                    lead.on_beat(now_ms, &beat, &mut out);
+                }
+            }
+            Event::Table(table) => self.on_table(table),
+            Event::Stop => self.on_stop(&mut out),
+        }
+        self.settle(now_ms, &mut out);
+        out
+    }
+
+    fn settle(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        let Role::Lead(lead) = &mut self.role else { return };
+        if !lead.is_authorized(now_ms) {
+            self.step_down(None);
+            return;
+        }
+        lead.settle(now_ms, out);
+        self.known = Some(lead.known.clone());
+        if let Some(table) = &lead.table {
+            self.table = Some(Arc::clone(table));
+        }
+    }
+
+    fn on_tick(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        let Some((_, document)) = &self.document else { return };
+        if document.kind != Kind::Keyed {
+            return;
+        }
+        match &self.role {
+            Role::Follower { elect_at_ms } => {
+                let elect_at_ms = *elect_at_ms;
+                self.follow(now_ms, elect_at_ms, out);
+            }
+            Role::Creator { deadline_ms } if now_ms >= *deadline_ms => self.step_down(None),
+            Role::Candidate(candidate) if now_ms >= candidate.deadline_ms => self.step_down(None),
+            Role::Creator { .. } | Role::Candidate(_) | Role::Lead(_) | Role::Stopped => {}
+        }
+    }
+
+    /// Looks whether there is a controller, and becomes a candidate where there is none.
+    fn follow(&mut self, now_ms: u64, elect_at_ms: Option<u64>, out: &mut Vec<Action>) {
+        if !self.is_synced && now_ms >= self.next_read_ms {
+            self.next_read_ms = now_ms + READ_EVERY_MS;
+            out.push(Action::ReadRecord);
+        }
+        let Some(rank) = self.rank(now_ms) else {
+            self.role = Role::Follower { elect_at_ms: None };
+            return;
+        };
+        let elect_at_ms = elect_at_ms.unwrap_or(now_ms + rank * self.tuning.stagger_ms);
+        if now_ms < elect_at_ms {
+            self.role = Role::Follower { elect_at_ms: Some(elect_at_ms) };
+            return;
+        }
+        match self.known.clone() {
+            Some(known) => self.stand_for_election(now_ms, &known, out),
+            None => self.create_record(now_ms, out),
+        }
+    }
+
+    /// Returns this instance's place among the candidates, if it may be one now.
+    fn rank(&self, now_ms: u64) -> Option<u64> {
+        if !self.is_synced || self.voter.is_silent(now_ms) || self.voter.bound_to(now_ms).is_some() {
+            return None;
+        }
+        match &self.known {
+            Some(known) => {
+                candidate_rank(&self.service, &known.record.quorum().members(), &self.me)
+            }
+            None => {
+                let names: Vec<Name> = self.instances.iter().map(|i| i.name.clone()).collect();
+                candidate_rank(&self.service, &names, &self.me)
+            }
+        }
+    }
+
+    fn stand_for_election(&mut self, now_ms: u64, known: &RecordCopy, out: &mut Vec<Action>) {
+        let term = self.voter.highest_term().max(known.record.term).next();
+        let quorum = known.record.quorum();
+        for voter in quorum.members() {
+            let ask = PromiseAsk {
+                candidate: self.me.clone(),
+                term,
+                is_leading: false,
+                asked_ms: now_ms,
+                record_revision: known.revision,
+                record: None,
+            };
+            out.push(Action::AskPromise(voter, ask));
+        }
+        let deadline_ms = now_ms + self.tuning.candidacy_ms;
+        let authority = Authority::default();
+        self.role = Role::Candidate(Candidate { term, deadline_ms, authority, quorum });
+    }
+
+    fn create_record(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        let Some((_, document)) = &self.document else { return };
+        let voters = choose_voters(&self.service, &self.instances, &[]);
+        if voters.is_empty() {
+            return;
+        }
+        let record = Arc::new(Record::first(document, voters));
+        self.role = Role::Creator { deadline_ms: now_ms + self.tuning.write_timeout_ms };
+        self.is_synced = false;
+        self.next_read_ms = now_ms + READ_EVERY_MS;
+        out.push(Action::WriteRecord { expected: None, record });
+    }
+
+    fn on_document(&mut self, now_ms: u64, revision: Revision, document: Arc<Document>) {
+        if self.document.as_ref().is_some_and(|(known, _)| *known >= revision) {
+            return;
+        }
+        self.document = Some((revision, Arc::clone(&document)));
+        if let Some(lead) = self.lead_mut() {
+            lead.set_document(now_ms, revision, document);
+        }
+    }
+
+    fn on_instances(&mut self, instances: Vec<Instance>) {
+        if let Some(lead) = self.lead_mut() {
+            lead.instances.clone_from(&instances);
+        }
+        self.instances = instances;
+    }
+
+    fn on_record_read(&mut self, now_ms: u64, copy: Option<RecordCopy>) {
+        self.is_synced = true;
+        let revision = copy.as_ref().map_or(Revision(0), |copy| copy.revision);
+        let later_term =
+            copy.as_ref().map_or(Term(0), |copy| copy.record.term);
+        if let Role::Lead(lead) = &mut self.role {
+            let is_newer = revision > lead.known.revision;
+            lead.writer.note_read(now_ms, is_newer);
+            let is_foreign = copy.as_ref().is_some_and(|copy| {
+                copy.record.controller.as_ref().is_some_and(|name| *name != self.me)
+            });
+            let is_outdated = later_term > lead.term || (later_term == lead.term && is_foreign);
+            if let Some(copy) = copy.clone() {
+                lead.adopt_record(now_ms, copy);
+            }
+            if is_outdated {
+                self.step_down(Some(later_term));
+            }
+        }
+        if let Some(copy) = copy {
+            self.learn(copy);
+        }
+    }
+
+    fn on_written(&mut self, now_ms: u64, outcome: &WriteOutcome, out: &mut Vec<Action>) {
+        match &mut self.role {
+            Role::Lead(lead) => match outcome {
+                WriteOutcome::Done(revision) => {
+                    if let Some(record) = lead.writer.note_done() {
+                        lead.adopt_record(now_ms, RecordCopy { revision: *revision, record });
+                    }
+                }
+                WriteOutcome::Conflict | WriteOutcome::Unknown => {
+                    if lead.writer.note_unclear(now_ms) {
+                        out.push(Action::ReadRecord);
+                    }
+                }
+            },
+            Role::Creator { .. } => {
+                self.step_down(None);
+                out.push(Action::ReadRecord);
+            }
+            Role::Follower { .. } | Role::Candidate(_) | Role::Stopped => {}
+        }
+    }
+
+    fn on_promise_asked(&mut self, now_ms: u64, ask: PromiseAsk, out: &mut Vec<Action>) {
+        let had = self.known_revision();
+        if let Some(copy) = ask.record.clone() {
+            self.learn(copy);
+        }
+        let known_revision = self.known_revision();
+        self.is_synced |= ask.is_leading && known_revision >= ask.record_revision;
+        let is_rival = self.is_controller() && ask.candidate != self.me && ask.term > self.voter.highest_term();
+        let vote = if self.is_synced {
+            self.voter.ask(now_ms, &ask.candidate, ask.term)
+        } else {
+            Vote::Bound
+        };
+        let lacks = ask.record_revision < known_revision && had >= known_revision;
+        let reply = PromiseReply {
+            voter: self.me.clone(),
+            term: ask.term,
+            asked_ms: ask.asked_ms,
+            vote,
+            record_revision: if self.is_synced { known_revision } else { Revision(0) },
+            record: if lacks { self.known.clone() } else { None },
+        };
+        out.push(Action::ReplyPromise(ask.candidate, reply));
+        if is_rival && vote == Vote::Promised {
+            self.step_down(None);
+        }
+    }
+
+    fn on_promise_replied(&mut self, now_ms: u64, reply: &PromiseReply) {
+        if let Some(copy) = reply.record.clone() {
+            self.learn(copy);
+        }
+        let outcome = match &mut self.role {
+            Role::Lead(lead) => match lead.on_promise(now_ms, reply) {
+                Standing::InOffice => Outcome::Nothing,
+                Standing::Over(term) => Outcome::StepDown(term),
+            },
+            Role::Candidate(candidate) => {
+                let is_newer =
+                    self.known.as_ref().is_some_and(|k| k.record.quorum() != candidate.quorum);
+                candidate.on_promise(now_ms, reply, self.tuning.promise_ms, is_newer)
+            }
+            Role::Follower { .. } | Role::Creator { .. } | Role::Stopped => Outcome::Nothing,
+        };
+        match outcome {
+            Outcome::Nothing => {}
+            Outcome::StepDown(term) => self.step_down(Some(term)),
+            Outcome::Elected => self.take_office(now_ms),
+        }
+    }
+
+    fn take_office(&mut self, now_ms: u64) {
+        let (Some((revision, document)), Some(known)) = (&self.document, &self.known) else {
+            return;
+        };
+        let Role::Candidate(candidate) = &self.role else { return };
+        let start = Start {
+            me: self.me.clone(),
+            service: self.service.clone(),
+            tuning: self.tuning,
+            term: candidate.term,
+            document: Arc::clone(document),
+            document_revision: *revision,
+            known: known.clone(),
+            instances: self.instances.clone(),
+            authority: candidate.authority.clone(),
+            inherited: self.table.clone(),
+        };
+        self.role = Role::Lead(Box::new(Lead::new(now_ms, start)));
+    }
+
+    fn on_promise_returned(&mut self, candidate: &Name) {
+        self.voter.release(candidate);
+        if let Role::Follower { elect_at_ms } = &mut self.role {
+            *elect_at_ms = None;
+        }
+    }
+
+    fn on_table(&mut self, table: Arc<Table>) {
+        self.voter.note_term(table.term);
+        if self.table.as_ref().is_none_or(|known| table.is_after(known)) {
+            self.table = Some(table);
+        }
+    }
+
+    fn on_stop(&mut self, out: &mut Vec<Action>) {
+        if let Role::Lead(lead) = &self.role {
+            for voter in lead.known.record.quorum().members() {
+                out.push(Action::ReturnPromise(voter));
+            }
+        }
+        self.role = Role::Stopped;
+    }
+
+    fn step_down(&mut self, later: Option<Term>) {
+        if let Some(term) = later {
+            self.voter.note_term(term);
+        }
+        if !matches!(self.role, Role::Stopped) {
+            self.role = Role::Follower { elect_at_ms: None };
+        }
+    }
+
+    fn apply_standing(&mut self, standing: Option<Standing>) {
+        if let Some(Standing::Over(term)) = standing {
+            self.step_down(Some(term));
+        }
+    }
+
+    fn learn(&mut self, copy: RecordCopy) {
+        if copy.revision > self.known_revision() {
+            self.known = Some(copy);
+        }
+    }
+
+    fn known_revision(&self) -> Revision {
+        self.known.as_ref().map_or(Revision(0), |known| known.revision)
+    }
+
+    fn lead_mut(&mut self) -> Option<&mut Lead> {
+        match &mut self.role {
+            Role::Lead(lead) => Some(lead),
+            _ => None,
+        }
+    }
+}
+
+impl Candidate {
+    fn on_promise(
+        &mut self,
+        now_ms: u64,
+        reply: &PromiseReply,
+        promise_ms: u64,
+        has_newer_voters: bool,
+    ) -> Outcome {
+        if let Vote::Outdated(term) = reply.vote {
+            return if term >= self.term { Outcome::StepDown(term) } else { Outcome::Nothing };
+        }
+        if reply.term != self.term || reply.vote != Vote::Promised {
+            return Outcome::Nothing;
+        }
+        if has_newer_voters {
+            return Outcome::StepDown(self.term);
+        }
+        self.authority.note(&reply.voter, reply.asked_ms, promise_ms);
+        if self.authority.is_held(now_ms, &self.quorum) {
+            Outcome::Elected
+        } else {
+            Outcome::Nothing
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/lead.rs
@@ -0,0 +1,383 @@
+//! The state of a service's controller.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use document::{Document, Name, Revision};
+use lease::{Authority, Order, Report, ShardEpoch, Term, Verdict, slower_ms};
+
+use crate::link::{Change, DaemonLink, ServerLink};
+use crate::message::{Beat, BeatReply, PromiseAsk, PromiseReply, RecordCopy};
+use crate::shard::{Phase, Shard};
+use crate::writer::Writer;
+use crate::{Action, Instance, Table, Tuning};
+
+/// What the instance that controls a service knows and does.
+#[derive(Debug)]
+pub(crate) struct Lead {
+    pub(crate) me: Name,
+    pub(crate) service: Name,
+    pub(crate) tuning: Tuning,
+    pub(crate) term: Term,
+    pub(crate) started_ms: u64,
+    pub(crate) document: Arc<Document>,
+    pub(crate) document_revision: Revision,
+    pub(crate) known: RecordCopy,
+    pub(crate) instances: Vec<Instance>,
+    pub(crate) servers: BTreeMap<Name, ServerLink>,
+    pub(crate) daemons: BTreeMap<Name, DaemonLink>,
+    pub(crate) shards: Vec<Shard>,
+    pub(crate) wanted: Vec<Option<Name>>,
+    pub(crate) standby: Vec<Option<Name>>,
+    pub(crate) loads: Vec<f64>,
+    pub(crate) lost: BTreeSet<Name>,
+    pub(crate) is_plan_due: bool,
+    pub(crate) next_plan_ms: u64,
+    pub(crate) writer: Writer,
+    pub(crate) table: Option<Arc<Table>>,
+    pub(crate) sequence: u64,
+    pub(crate) inherited: Option<Arc<Table>>,
+    authority: Authority,
+    voters: BTreeMap<Name, VoterLink>,
+    next_ask_ms: u64,
+}
+
+/// What a new controller starts from.
+#[derive(Debug)]
+pub(crate) struct Start {
+    pub(crate) me: Name,
+    pub(crate) service: Name,
+    pub(crate) tuning: Tuning,
+    pub(crate) term: Term,
+    pub(crate) document: Arc<Document>,
+    pub(crate) document_revision: Revision,
+    pub(crate) known: RecordCopy,
+    pub(crate) instances: Vec<Instance>,
+    pub(crate) authority: Authority,
+    pub(crate) inherited: Option<Arc<Table>>,
+}
+
+/// Whether a controller may go on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Standing {
+    /// It may.
+    InOffice,
+    /// A later term was seen, or the promises are over.
+    Over(Term),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct VoterLink {
+    acked: Revision,
+    last_reply_ms: u64,
+}
+
+impl Lead {
+    pub(crate) fn new(now_ms: u64, start: Start) -> Self {
+        let count = start.known.record.shards.len();
+        let shards = start
+            .known
+            .record
+            .shards
+            .iter()
+            .map(|record| {
+                if record.is_unassigned() {
+                    Shard::Free { not_before_ms: now_ms }
+                } else {
+                    Shard::Unknown
+                }
+            })
+            .collect();
+        let mut lead = Self {
+            me: start.me,
+            service: start.service,
+            tuning: start.tuning,
+            term: start.term,
+            started_ms: now_ms,
+            document: start.document,
+            document_revision: start.document_revision,
+            known: start.known,
+            instances: start.instances,
+            servers: BTreeMap::new(),
+            daemons: BTreeMap::new(),
+            shards,
+            wanted: vec![None; count],
+            standby: vec![None; count],
+            loads: vec![0.0; count],
+            lost: BTreeSet::new(),
+            is_plan_due: true,
+            next_plan_ms: now_ms + start.tuning.plan_every_ms,
+            writer: Writer::new(now_ms),
+            table: None,
+            sequence: 0,
+            inherited: start.inherited,
+            authority: start.authority,
+            voters: BTreeMap::new(),
+            next_ask_ms: now_ms,
+        };
+        lead.connect_servers(now_ms);
+        lead
+    }
+
+    /// Returns the time from which no grant of an earlier controller can stand.
+    pub(crate) fn inheritance_over_ms(&self) -> u64 {
+        self.started_ms + slower_ms(self.known.record.grant_ms)
+    }
+
+    /// Returns how long grants may be: as the document says, but never longer than recorded.
+    pub(crate) fn grant_ms(&self) -> u64 {
+        self.document.timing.grant_ms.min(self.known.record.grant_ms)
+    }
+
+    pub(crate) fn is_authorized(&self, now_ms: u64) -> bool {
+        self.authority.is_held(now_ms, &self.known.record.quorum())
+    }
+
+    /// Returns whether a majority of the voters knows the newest record.
+    pub(crate) fn is_record_acknowledged(&self) -> bool {
+        let revision = self.known.revision;
+        self.known.record.quorum().is_reached(|voter| {
+            self.voters.get(voter).is_some_and(|link| link.acked >= revision)
+        })
+    }
+
+    /// Returns the voters that have been silent for long.
+    pub(crate) fn silent_voters(&self, now_ms: u64) -> Vec<Name> {
+        let silence_ms = self.tuning.voter_silence_ms;
+        let last_ms = |voter: &Name| {
+            self.voters.get(voter).map_or(self.started_ms, |link| link.last_reply_ms)
+        };
+        let members = self.known.record.quorum().members();
+        members.into_iter().filter(|voter| now_ms >= last_ms(voter) + silence_ms).collect()
+    }
+
+    pub(crate) fn set_document(&mut self, now_ms: u64, revision: Revision, document: Arc<Document>) {
+        self.document = document;
+        self.document_revision = revision;
+        self.is_plan_due = true;
+        self.connect_servers(now_ms);
+    }
+
+    /// Takes over a record that the store holds.
+    pub(crate) fn adopt_record(&mut self, now_ms: u64, copy: RecordCopy) {
+        if copy.revision <= self.known.revision {
+            return;
+        }
+        self.known = copy;
+        self.next_ask_ms = now_ms;
+        self.connect_servers(now_ms);
+    }
+
+    pub(crate) fn on_promise(&mut self, now_ms: u64, reply: &PromiseReply) -> Standing {
+        match reply.vote {
+            lease::Vote::Outdated(term) if term > self.term => return Standing::Over(term),
+            lease::Vote::Promised if reply.term == self.term => {
+                self.authority.note(&reply.voter, reply.asked_ms, self.tuning.promise_ms);
+            }
+            _ => {}
+        }
+        let link = self
+            .voters
+            .entry(reply.voter.clone())
+            .or_insert(VoterLink { acked: Revision(0), last_reply_ms: now_ms });
+        // The newest reply counts: a restarted voter knows less than it did.
+        link.acked = reply.record_revision;
+        link.last_reply_ms = now_ms;
+        Standing::InOffice
+    }
+
+    pub(crate) fn on_report(&mut self, now_ms: u64, server: &Name, report: &Report) -> Standing {
+        if report.verdict == Verdict::Outdated {
+            return if report.term >= self.term {
+                Standing::Over(report.term)
+            } else {
+                Standing::InOffice
+            };
+        }
+        if report.term != self.term {
+            return Standing::InOffice;
+        }
+        let Some(link) = self.servers.get_mut(server) else { return Standing::InOffice };
+        if link.note_report(now_ms, report) == Change::Restarted {
+            self.free_shards_of(now_ms, server);
+        }
+        Standing::InOffice
+    }
+
+    pub(crate) fn on_unanswered(&mut self, server: &Name) {
+        if let Some(link) = self.servers.get_mut(server) {
+            link.note_unanswered();
+        }
+    }
+
+    pub(crate) fn on_beat(&mut self, now_ms: u64, beat: &Beat, out: &mut Vec<Action>) {
+        let link = self.daemons.entry(beat.instance.clone()).or_default();
+        link.note_beat(now_ms, beat);
+        for (shard, requests) in &beat.loads {
+            if let Some(load) = usize::try_from(shard.0).ok().and_then(|at| self.loads.get_mut(at)) {
+                *load += f64::from(*requests);
+            }
+        }
+        let Some(table) = &self.table else { return };
+        let has_table = beat.term == self.term && beat.sequence == self.sequence;
+        if !has_table && !self.is_table_on_its_way(now_ms) {
+            out.push(Action::Publish(Arc::clone(table)));
+        }
+        let lease = self.route_deadline(now_ms, &beat.instance);
+        if let Some(deadline_ms) = lease {
+            let reply = BeatReply { term: self.term, sequence: self.sequence, deadline_ms };
+            out.push(Action::ReplyBeat(beat.instance.clone(), reply));
+        }
+    }
+
+    /// Extends the route lease of a daemon whose table closes what must be closed.
+    fn route_deadline(&mut self, now_ms: u64, daemon: &Name) -> Option<u64> {
+        if !self.is_authorized(now_ms) {
+            return None;
+        }
+        let needed = self.unfenced_close_sequence();
+        let grant_ms = self.grant_ms();
+        let link = self.daemons.get_mut(daemon)?;
+        if !link.has_table(self.term, needed) {
+            return None;
+        }
+        link.bound.extend(grant_ms)
+    }
+
+    /// Returns the newest table that closes a shard of a server that checks no fence.
+    fn unfenced_close_sequence(&self) -> u64 {
+        self.shards
+            .iter()
+            .filter_map(|shard| match shard {
+                Shard::Moving { server, phase: Phase::Closing { sequence, .. }, .. }
+                    if !self.checks_fence(server) =>
+                {
+                    Some(*sequence)
+                }
+                _ => None,
+            })
+            .max()
+            .unwrap_or(0)
+    }
+
+    fn is_table_on_its_way(&self, now_ms: u64) -> bool {
+        now_ms < self.writer.published_ms + self.tuning.order_every_ms
+    }
+
+    pub(crate) fn checks_fence(&self, server: &Name) -> bool {
+        self.servers.get(server).is_some_and(|link| link.checks_fence)
+    }
+
+    /// Returns when no daemon can still send to a server that checks no fence.
+    pub(crate) fn routes_over_ms(&self) -> u64 {
+        self.daemons.values().map(|link| link.bound.over_ms()).max().unwrap_or(0)
+    }
+
+    /// Frees what a server process held that is gone for sure.
+    pub(crate) fn free_shards_of(&mut self, now_ms: u64, server: &Name) {
+        let not_before_ms =
+            if self.checks_fence(server) { now_ms } else { now_ms.max(self.routes_over_ms()) };
+        for shard in &mut self.shards {
+            if shard.holder().is_some_and(|(holder, _)| holder == server) {
+                *shard = Shard::Free { not_before_ms };
+            }
+        }
+    }
+
+    pub(crate) fn ask_promises(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        if now_ms < self.next_ask_ms {
+            return;
+        }
+        self.next_ask_ms = now_ms + self.tuning.ask_every_ms;
+        for voter in self.known.record.quorum().members() {
+            let acked = self.voters.get(&voter).map_or(Revision(0), |link| link.acked);
+            let ask = PromiseAsk {
+                candidate: self.me.clone(),
+                term: self.term,
+                is_leading: true,
+                asked_ms: now_ms,
+                record_revision: self.known.revision,
+                record: (acked < self.known.revision).then(|| self.known.clone()),
+            };
+            out.push(Action::AskPromise(voter, ask));
+        }
+    }
+
+    pub(crate) fn send_orders(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        if !self.is_authorized(now_ms) {
+            return;
+        }
+        let grant_ms = self.grant_ms();
+        let due: Vec<Name> = self
+            .servers
+            .iter()
+            .filter(|(_, link)| link.is_order_due(now_ms))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in due {
+            let mut order = self.to_order(&name);
+            let Some(link) = self.servers.get_mut(&name) else { continue };
+            order.incarnation = link.incarnation;
+            let is_empty = order.grants.is_empty();
+            let deadline_ms = if is_empty { None } else { link.bound.extend(grant_ms) };
+            order.deadline_ms = deadline_ms.unwrap_or(0);
+            link.note_sent(now_ms, &self.tuning);
+            out.push(Action::Order(name, link.address, order));
+        }
+    }
+
+    fn to_order(&self, server: &Name) -> Order {
+        let mut order = Order {
+            service: self.service.clone(),
+            term: self.term,
+            controller: self.me.clone(),
+            incarnation: None,
+            deadline_ms: 0,
+            grants: Vec::new(),
+            releases: Vec::new(),
+            prepares: Vec::new(),
+        };
+        for (shard, record) in self.shards.iter().zip(&self.known.record.shards) {
+            if let Some((holder, epoch)) = shard.holder()
+                && holder == server
+            {
+                let target = ShardEpoch { shard: record.id, epoch };
+                let is_releasing = matches!(shard, Shard::Moving { phase: Phase::Releasing, .. });
+                if is_releasing { &mut order.releases } else { &mut order.grants }.push(target);
+            }
+            if let Shard::Moving { target, phase, .. } = shard
+                && target == server
+                && *phase != Phase::Releasing
+            {
+                order.prepares.push(record.id);
+            }
+        }
+        order
+    }
+
+    /// Opens a link to each server that the document or the record names.
+    fn connect_servers(&mut self, now_ms: u64) {
+        let mut wanted: BTreeMap<Name, ServerLink> = BTreeMap::new();
+        for (name, address) in &self.known.record.servers {
+            wanted.insert(name.clone(), ServerLink::new(now_ms, *address, false));
+        }
+        for server in &self.document.servers {
+            let link = ServerLink::new(now_ms, server.address, server.checks_fence);
+            wanted.insert(server.name.clone(), link);
+        }
+        let document = Arc::clone(&self.document);
+        for (name, fresh) in wanted {
+            match self.servers.get_mut(&name) {
+                Some(link) => {
+                    link.address = fresh.address;
+                    if document.server(&name).is_some() {
+                        link.checks_fence = fresh.checks_fence;
+                    }
+                }
+                None => {
+                    self.servers.insert(name, fresh);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/link.rs
@@ -0,0 +1,158 @@
+//! What a controller knows of one server and of one daemon.
+
+use std::net::SocketAddr;
+
+use document::{HashMap, HashSet, Revision};
+use lease::{Epoch, GrantBound, Held, Report, ShardId, Term};
+
+use crate::Tuning;
+
+/// A controller's connection to one server.
+#[derive(Debug)]
+pub(crate) struct ServerLink {
+    pub(crate) address: SocketAddr,
+    pub(crate) checks_fence: bool,
+    pub(crate) incarnation: Option<u64>,
+    pub(crate) bound: GrantBound,
+    pub(crate) is_dirty: bool,
+    /// What the server last reported, by shard.
+    pub(crate) held: HashMap<ShardId, Held>,
+    pub(crate) prepared: HashSet<ShardId>,
+    last_reply_ms: Option<u64>,
+    added_ms: u64,
+    answer_deadline_ms: Option<u64>,
+    next_order_ms: u64,
+}
+
+/// What a report changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Change {
+    /// The same server process answered.
+    Same,
+    /// Another process answered; what the earlier one held is free.
+    Restarted,
+}
+
+impl ServerLink {
+    pub(crate) fn new(now_ms: u64, address: SocketAddr, checks_fence: bool) -> Self {
+        Self {
+            address,
+            checks_fence,
+            incarnation: None,
+            bound: GrantBound::default(),
+            is_dirty: true,
+            held: HashMap::default(),
+            prepared: HashSet::default(),
+            last_reply_ms: None,
+            added_ms: now_ms,
+            answer_deadline_ms: None,
+            next_order_ms: now_ms,
+        }
+    }
+
+    /// Returns whether the server answered lately.
+    pub(crate) fn is_reachable(&self, now_ms: u64, tuning: &Tuning) -> bool {
+        self.last_reply_ms.is_some_and(|at_ms| now_ms < at_ms + tuning.server_silence_ms)
+    }
+
+    /// Returns whether the server has been silent for too long to be given work.
+    pub(crate) fn is_lost(&self, now_ms: u64, tuning: &Tuning) -> bool {
+        now_ms >= self.last_reply_ms.unwrap_or(self.added_ms) + tuning.server_silence_ms
+    }
+
+    /// Returns whether an order should be sent now.
+    pub(crate) fn is_order_due(&self, now_ms: u64) -> bool {
+        let is_waiting = self.answer_deadline_ms.is_some_and(|deadline_ms| now_ms < deadline_ms);
+        !is_waiting && (self.is_dirty || now_ms >= self.next_order_ms)
+    }
+
+    pub(crate) fn note_sent(&mut self, now_ms: u64, tuning: &Tuning) {
+        self.is_dirty = false;
+        self.answer_deadline_ms = Some(now_ms + tuning.order_timeout_ms);
+        self.next_order_ms = now_ms + tuning.order_every_ms;
+    }
+
+    pub(crate) fn note_unanswered(&mut self) {
+        self.answer_deadline_ms = None;
+    }
+
+    pub(crate) fn note_report(&mut self, now_ms: u64, report: &Report) -> Change {
+        self.answer_deadline_ms = None;
+        self.last_reply_ms = Some(now_ms);
+        let is_known = self.incarnation == Some(report.incarnation);
+        let change =
+            if is_known || self.incarnation.is_none() { Change::Same } else { Change::Restarted };
+        if !is_known {
+            self.bound.reset();
+            self.incarnation = Some(report.incarnation);
+            self.is_dirty = true;
+        }
+        self.bound.observe_clock(report.clock_ms, now_ms);
+        self.held = report.shards.iter().map(|held| (held.shard, *held)).collect();
+        self.prepared = report.prepared.iter().copied().collect();
+        change
+    }
+
+    /// Returns whether the server reported that it serves a shard with an epoch.
+    pub(crate) fn is_live(&self, shard: ShardId, epoch: Epoch) -> bool {
+        self.held.get(&shard).is_some_and(|held| held.is_live && held.epoch == epoch)
+    }
+
+    /// Returns whether the server gave a shard up that it held with an epoch.
+    pub(crate) fn is_released(&self, shard: ShardId, epoch: Epoch) -> bool {
+        self.held.get(&shard).is_some_and(|held| {
+            held.epoch > epoch || (held.epoch == epoch && held.is_released)
+        })
+    }
+
+    /// Returns the highest epoch that the server reported for a shard.
+    ///
+    /// Returns `None` when the server has not reported at all.
+    pub(crate) fn epoch_seen(&self, shard: ShardId) -> Option<Epoch> {
+        self.incarnation?;
+        Some(self.held.get(&shard).map_or(Epoch(0), |held| held.epoch))
+    }
+}
+
+/// A controller's connection to one daemon.
+#[derive(Debug, Default)]
+pub(crate) struct DaemonLink {
+    pub(crate) incarnation: u64,
+    pub(crate) bound: GrantBound,
+    pub(crate) document: Revision,
+    pub(crate) last_beat_ms: u64,
+    term: Term,
+    sequence: u64,
+    drained: u64,
+}
+
+impl DaemonLink {
+    pub(crate) fn note_beat(&mut self, now_ms: u64, beat: &crate::Beat) {
+        if self.incarnation != beat.incarnation {
+            self.bound.reset();
+            self.incarnation = beat.incarnation;
+            self.drained = 0;
+        }
+        self.bound.observe_clock(beat.clock_ms, now_ms);
+        self.last_beat_ms = now_ms;
+        self.document = beat.document;
+        if self.term != beat.term {
+            self.drained = 0;
+        }
+        self.term = beat.term;
+        self.sequence = beat.sequence;
+        if beat.is_drained {
+            self.drained = self.drained.max(beat.sequence);
+        }
+    }
+
+    /// Returns whether the daemon routes by a table at least this new.
+    pub(crate) fn has_table(&self, term: Term, sequence: u64) -> bool {
+        self.term == term && self.sequence >= sequence
+    }
+
+    /// Returns whether the daemon sends nothing more to what a table closes.
+    pub(crate) fn is_drained(&self, term: Term, sequence: u64) -> bool {
+        self.term == term && self.drained >= sequence
+    }
+}
--- /dev/null
+++ b/crates/control/src/message.rs
@@ -0,0 +1,84 @@
+//! What the control parts of two daemons tell each other.
+
+use std::sync::Arc;
+
+use document::{Name, Revision};
+use lease::{ShardId, Term, Vote};
+
+use crate::Record;
+
+/// A record together with the revision that the store gave it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RecordCopy {
+    /// The revision.
+    pub revision: Revision,
+    /// The record.
+    pub record: Arc<Record>,
+}
+
+/// A candidate or controller asks a voter for its promise.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PromiseAsk {
+    /// The instance that asks.
+    pub candidate: Name,
+    /// The term it asks for.
+    pub term: Term,
+    /// Whether it already has the promises of a majority.
+    pub is_leading: bool,
+    /// When it asked, on its own clock; comes back in the reply.
+    pub asked_ms: u64,
+    /// The newest record that it knows.
+    pub record_revision: Revision,
+    /// That record, where the voter seems to lack it.
+    pub record: Option<RecordCopy>,
+}
+
+/// A voter's answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PromiseReply {
+    /// The instance that answers.
+    pub voter: Name,
+    /// The term that was asked for.
+    pub term: Term,
+    /// The ask's time, on the asker's clock.
+    pub asked_ms: u64,
+    /// The answer.
+    pub vote: Vote,
+    /// The newest record that the voter knows.
+    pub record_revision: Revision,
+    /// That record, where the asker lacks it.
+    pub record: Option<RecordCopy>,
+}
+
+/// A daemon tells a controller what it routes by, and asks for a route lease.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Beat {
+    /// The instance that sends it.
+    pub instance: Name,
+    /// The daemon process.
+    pub incarnation: u64,
+    /// The daemon's clock.
+    pub clock_ms: u64,
+    /// The term of the table in force there.
+    pub term: Term,
+    /// The sequence of the table in force there.
+    pub sequence: u64,
+    /// Whether no request is in flight to a shard that this table closes.
+    pub is_drained: bool,
+    /// The revision of the document in force there.
+    pub document: Revision,
+    /// Requests by shard since the last beat, for shards with any.
+    pub loads: Vec<(ShardId, u32)>,
+}
+
+/// A controller's answer to a beat.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BeatReply {
+    /// The controller's term.
+    pub term: Term,
+    /// The table that the daemon should have.
+    pub sequence: u64,
+    /// Until when the daemon may forward, on the daemon's clock.
+    pub deadline_ms: u64,
+}
+
--- /dev/null
+++ b/crates/document/src/diff.rs
@@ -0,0 +1,36 @@
+//! What two texts of a document differ in.
+
+use std::collections::BTreeMap;
+
+/// Returns the headers of the sections that differ between two texts, in order of name.
+#[must_use]
+pub fn changed_sections(before: &str, after: &str) -> Vec<String> {
+    let before = sections(before);
+    let after = sections(after);
+    let mut headers: Vec<&str> = before.keys().chain(after.keys()).copied().collect();
+    headers.sort_unstable();
+    headers.dedup();
+    headers
+        .into_iter()
+        .filter(|header| before.get(header) != after.get(header))
+        .map(str::to_owned)
+        .collect()
+}
+
+fn sections(text: &str) -> BTreeMap<&str, Vec<&str>> {
+    let mut sections: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    let mut current = "";
+    for line in text.lines().map(str::trim).filter(|line| !is_ignored(line)) {
+        if line.starts_with('[') {
+            current = line;
+            sections.entry(current).or_default();
+        } else {
+            sections.entry(current).or_default().push(line);
+        }
+    }
+    sections
+}
+
+fn is_ignored(line: &str) -> bool {
+    line.is_empty() || line.starts_with([';', '#'])
+}
--- /dev/null
+++ b/crates/document/src/form.rs
@@ -0,0 +1,65 @@
+//! The forms a value can have.
+
+use std::net::SocketAddr;
+
+use crate::Name;
+
+/// How a value is read, and what to tell somebody who wrote another.
+#[derive(Debug)]
+pub struct Form<T> {
+    /// Reads the value, or returns `None` when it has another form.
+    pub read: fn(&str) -> Option<T>,
+    /// The end of the sentence "expected ...".
+    pub expected: &'static str,
+}
+
+/// Any text that is not empty.
+pub const TEXT: Form<Name> = Form { read: read_text, expected: "a text that is not empty" };
+
+/// A whole number from 0.
+pub const COUNT: Form<u32> = Form { read: |text| text.parse().ok(), expected: "a whole number" };
+
+/// `yes` or `no`.
+pub const YES_NO: Form<bool> = Form { read: read_yes_no, expected: "yes or no" };
+
+/// An IP address with a port.
+pub const ADDRESS: Form<SocketAddr> =
+    Form { read: |text| text.parse().ok(), expected: "an IP address with a port, as 10.0.0.7:9000" };
+
+/// A length of time in milliseconds.
+pub const DURATION: Form<u64> =
+    Form { read: read_duration, expected: "a duration with a unit: 250ms, 3s, 10m or 1h" };
+
+/// A size in bytes.
+pub const SIZE: Form<u64> =
+    Form { read: read_size, expected: "a size with a unit: 512B, 16KB or 1MB" };
+
+const DURATION_UNITS: [(&str, u64); 4] = [("ms", 1), ("s", 1_000), ("m", 60_000), ("h", 3_600_000)];
+const SIZE_UNITS: [(&str, u64); 3] = [("KB", 1 << 10), ("MB", 1 << 20), ("B", 1)];
+
+fn read_text(text: &str) -> Option<Name> {
+    (!text.is_empty()).then(|| Name::from(text))
+}
+
+fn read_yes_no(text: &str) -> Option<bool> {
+    match text {
+        "yes" => Some(true),
+        "no" => Some(false),
+        _ => None,
+    }
+}
+
+fn read_duration(text: &str) -> Option<u64> {
+    read_with_unit(text, &DURATION_UNITS)
+}
+
+fn read_size(text: &str) -> Option<u64> {
+    read_with_unit(text, &SIZE_UNITS)
+}
+
+fn read_with_unit(text: &str, units: &[(&str, u64)]) -> Option<u64> {
+    let digits = text.len() - text.trim_start_matches(|c: char| c.is_ascii_digit()).len();
+    let (number, unit) = text.split_at(digits);
+    let factor = units.iter().find(|(name, _)| *name == unit.trim_start())?.1;
+    number.parse::<u64>().ok()?.checked_mul(factor)
+}
--- /dev/null
+++ b/crates/placement/src/rendezvous.rs
@@ -0,0 +1,28 @@
+//! The baseline: rendezvous hashing, which knows neither owners nor load.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{Plan, Policy, Request};
+
+/// Gives each shard to the servers with the highest hash of shard and name.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Rendezvous;
+
+impl Policy for Rendezvous {
+    fn plan(&self, request: &Request) -> Plan {
+        let mut plan = Plan::default();
+        for shard in &request.shards {
+            let mut ranked: Vec<(u64, usize)> = request
+                .servers
+                .iter()
+                .enumerate()
+                .filter(|(_, server)| server.may_take(shard.group))
+                .map(|(at, server)| (xxh3_64_with_seed(server.name.as_bytes(), u64::from(shard.id)), at))
+                .collect();
+            ranked.sort_unstable_by(|a, b| b.cmp(a));
+            plan.owners.push(ranked.first().map(|(_, at)| *at));
+            plan.successors.push(ranked.get(1).map(|(_, at)| *at));
+        }
+        plan
+    }
+}
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
