Check the safety rules under random schedules

Cause: four faults found by the schedules. A voter that restarted stood for election while a controller was alive; a restarted successor forgot that it had been granted a shard, so the earlier owner was granted it again; a record drafted before the first plan dropped successors; a daemon without a table never got one. Change: candidates probe before they stand, the record keeps the successor's process, drafts wait for a plan, beats go to everybody while nobody answers. Before: rules epochs-rise and settling broken within 96 schedules. After: 2 x 96 schedules pass.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -6,7 +6,7 @@
 use lease::{Authority, Quorum, Term, Vote, Voter};
 
 use crate::lead::{Lead, Standing, Start};
-use crate::message::{PromiseAsk, PromiseReply, RecordCopy};
+use crate::message::{BeatReply, PromiseAsk, PromiseReply, RecordCopy, Stage};
 use crate::voters::{candidate_rank, choose_voters};
 use crate::{Action, Event, Instance, Record, Status, Table, Tuning, WriteOutcome};
 
@@ -25,6 +25,10 @@
     role: Role,
     table: Option<Arc<Table>>,
     next_read_ms: u64,
+    /// Until when there is a controller, by the last ask that was seen.
+    led_until_ms: u64,
+    /// Until when the controller of the table counts as answering beats.
+    answered_until_ms: u64,
 }
 
 #[derive(Debug)]
@@ -38,6 +42,8 @@
 
 #[derive(Debug)]
 struct Candidate {
+    stage: Stage,
+    promised: Vec<Name>,
     term: Term,
     deadline_ms: u64,
     authority: Authority,
@@ -47,6 +53,7 @@
 /// What follows from a promise.
 enum Outcome {
     Nothing,
+    Eligible,
     Elected,
     StepDown(Term),
 }
@@ -69,6 +76,8 @@
             role: Role::Follower { elect_at_ms: None },
             table: None,
             next_read_ms: now_ms,
+            led_until_ms: 0,
+            answered_until_ms: 0,
         }
     }
 
@@ -99,6 +108,17 @@
         self.known.as_ref()
     }
 
+    /// Returns the instances that this daemon's next beat should go to.
+    ///
+    /// That is the controller, or everybody while no controller answers.
+    #[must_use]
+    pub fn beat_targets(&self, now_ms: u64) -> Vec<Name> {
+        match &self.table {
+            Some(table) if now_ms < self.answered_until_ms => vec![table.controller.clone()],
+            _ => self.instances.iter().map(|instance| instance.name.clone()).collect(),
+        }
+    }
+
     /// Takes an event and returns what is to be done.
     pub fn step(&mut self, now_ms: u64, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
@@ -109,7 +129,7 @@
             Event::RecordRead(copy) => self.on_record_read(now_ms, copy),
             Event::Written(outcome) => self.on_written(now_ms, &outcome, &mut out),
             Event::PromiseAsked(ask) => self.on_promise_asked(now_ms, ask, &mut out),
-            Event::PromiseReplied(reply) => self.on_promise_replied(now_ms, &reply),
+            Event::PromiseReplied(reply) => self.on_promise_replied(now_ms, &reply, &mut out),
             Event::PromiseReturned(candidate) => self.on_promise_returned(&candidate),
             Event::Reported(server, report) => {
                 let standing = self.lead_mut().map(|lead| lead.on_report(now_ms, &server, &report));
@@ -125,6 +145,7 @@
                     lead.on_beat(now_ms, &beat, &mut out);
                 }
             }
+            Event::BeatReplied(reply) => self.on_beat_replied(now_ms, &reply),
             Event::Table(table) => self.on_table(table),
             Event::Stop => self.on_stop(&mut out),
         }
@@ -177,14 +198,15 @@
             return;
         }
         match self.known.clone() {
-            Some(known) => self.stand_for_election(now_ms, &known, out),
+            Some(known) => self.ask_voters(now_ms, Stage::Probing, &known, out),
             None => self.create_record(now_ms, out),
         }
     }
 
     /// Returns this instance's place among the candidates, if it may be one now.
     fn rank(&self, now_ms: u64) -> Option<u64> {
-        if !self.is_synced || self.voter.is_silent(now_ms) || self.voter.bound_to(now_ms).is_some() {
+        let is_led = now_ms < self.led_until_ms || self.voter.bound_to(now_ms).is_some();
+        if !self.is_synced || self.voter.is_silent(now_ms) || is_led {
             return None;
         }
         match &self.known {
@@ -198,14 +220,20 @@
         }
     }
 
-    fn stand_for_election(&mut self, now_ms: u64, known: &RecordCopy, out: &mut Vec<Action>) {
+    fn ask_voters(
+        &mut self,
+        now_ms: u64,
+        stage: Stage,
+        known: &RecordCopy,
+        out: &mut Vec<Action>,
+    ) {
         let term = self.voter.highest_term().max(known.record.term).next();
         let quorum = known.record.quorum();
         for voter in quorum.members() {
             let ask = PromiseAsk {
                 candidate: self.me.clone(),
                 term,
-                is_leading: false,
+                stage,
                 asked_ms: now_ms,
                 record_revision: known.revision,
                 record: None,
@@ -214,7 +242,9 @@
         }
         let deadline_ms = now_ms + self.tuning.candidacy_ms;
         let authority = Authority::default();
-        self.role = Role::Candidate(Candidate { term, deadline_ms, authority, quorum });
+        let promised = Vec::new();
+        self.role =
+            Role::Candidate(Candidate { stage, promised, term, deadline_ms, authority, quorum });
     }
 
     fn create_record(&mut self, now_ms: u64, out: &mut Vec<Action>) {
@@ -299,29 +329,41 @@
             self.learn(copy);
         }
         let known_revision = self.known_revision();
-        self.is_synced |= ask.is_leading && known_revision >= ask.record_revision;
+        let is_leading = ask.stage == Stage::Leading;
+        self.is_synced |= is_leading && known_revision >= ask.record_revision;
+        if is_leading && ask.term >= self.voter.highest_term() {
+            self.led_until_ms = now_ms + self.tuning.promise_ms;
+        }
         let is_rival = self.is_controller() && ask.candidate != self.me && ask.term > self.voter.highest_term();
-        let vote = if self.is_synced {
-            self.voter.ask(now_ms, &ask.candidate, ask.term)
-        } else {
-            Vote::Bound
+        let vote = match ask.stage {
+            _ if !self.is_synced => Vote::Bound,
+            Stage::Probing => self.voter.probe(now_ms, &ask.candidate, ask.term),
+            Stage::Standing | Stage::Leading => {
+                self.voter.ask(now_ms, &ask.candidate, ask.term)
+            }
         };
         let lacks = ask.record_revision < known_revision && had >= known_revision;
         let reply = PromiseReply {
             voter: self.me.clone(),
             term: ask.term,
+            stage: ask.stage,
             asked_ms: ask.asked_ms,
             vote,
             record_revision: if self.is_synced { known_revision } else { Revision(0) },
             record: if lacks { self.known.clone() } else { None },
         };
         out.push(Action::ReplyPromise(ask.candidate, reply));
-        if is_rival && vote == Vote::Promised {
+        if is_rival && vote == Vote::Promised && ask.stage != Stage::Probing {
             self.step_down(None);
         }
     }
 
-    fn on_promise_replied(&mut self, now_ms: u64, reply: &PromiseReply) {
+    fn on_promise_replied(
+        &mut self,
+        now_ms: u64,
+        reply: &PromiseReply,
+        out: &mut Vec<Action>,
+    ) {
         if let Some(copy) = reply.record.clone() {
             self.learn(copy);
         }
@@ -340,6 +382,11 @@
         match outcome {
             Outcome::Nothing => {}
             Outcome::StepDown(term) => self.step_down(Some(term)),
+            Outcome::Eligible => {
+                if let Some(known) = self.known.clone() {
+                    self.ask_voters(now_ms, Stage::Standing, &known, out);
+                }
+            }
             Outcome::Elected => self.take_office(now_ms),
         }
     }
@@ -366,11 +413,18 @@
 
     fn on_promise_returned(&mut self, candidate: &Name) {
         self.voter.release(candidate);
+        self.led_until_ms = 0;
         if let Role::Follower { elect_at_ms } = &mut self.role {
             *elect_at_ms = None;
         }
     }
 
+    fn on_beat_replied(&mut self, now_ms: u64, reply: &BeatReply) {
+        if self.table.as_ref().is_some_and(|table| table.term == reply.term) {
+            self.answered_until_ms = now_ms + self.tuning.daemon_silence_ms;
+        }
+    }
+
     fn on_table(&mut self, table: Arc<Table>) {
         self.voter.note_term(table.term);
         if self.table.as_ref().is_none_or(|known| table.is_after(known)) {
@@ -431,11 +485,17 @@
         if let Vote::Outdated(term) = reply.vote {
             return if term >= self.term { Outcome::StepDown(term) } else { Outcome::Nothing };
         }
-        if reply.term != self.term || reply.vote != Vote::Promised {
+        let is_mine = reply.term == self.term && reply.stage == self.stage;
+        if !is_mine || reply.vote != Vote::Promised {
             return Outcome::Nothing;
         }
         if has_newer_voters {
-            return Outcome::StepDown(self.term);
+            return Outcome::StepDown(Term(0));
+        }
+        if self.stage == Stage::Probing {
+            self.promised.push(reply.voter.clone());
+            let is_eligible = self.quorum.is_reached(|voter| self.promised.contains(voter));
+            return if is_eligible { Outcome::Eligible } else { Outcome::Nothing };
         }
         self.authority.note(&reply.voter, reply.asked_ms, promise_ms);
         if self.authority.is_held(now_ms, &self.quorum) {
--- a/crates/control/src/draft.rs
+++ b/crates/control/src/draft.rs
@@ -30,6 +30,7 @@
             return;
         }
         self.is_plan_due = false;
+        self.is_planned = true;
         self.next_plan_ms = now_ms + self.tuning.plan_every_ms;
         let request = self.to_placement();
         let plan = match self.document.placement {
@@ -50,7 +51,7 @@
         let record = &self.known.record.shards[at];
         if let Some(owner) = &record.owner
             && self.is_usable(now_ms, owner)
-            && self.is_untouched(record)
+            && self.is_untouched(at, record)
             && !self.servers[owner].is_released(record.id, record.epoch)
         {
             return Heir::Recorded(owner.clone(), record.epoch);
@@ -86,15 +87,16 @@
                 shard.owner = Some(server.clone());
                 shard.epoch = *epoch;
                 let next = self.wanted[at].as_ref().filter(|wanted| *wanted != server);
-                let next = next.or(self.standby[at].as_ref());
-                self.draft_successor(at, next.cloned(), record);
+                let next = next.or(self.standby[at].as_ref()).cloned();
+                if self.is_planned {
+                    self.draft_successor(at, next, record);
+                }
             }
             Shard::Free { .. } if self.heir(now_ms, at) == Heir::Unrecorded => {
                 let heir = self.wanted[at].clone().filter(|name| self.is_usable(now_ms, name));
                 if let Some(heir) = heir {
-                    let epoch = record.reserve_epoch();
-                    record.shards[at].successor = Some(heir);
-                    record.shards[at].successor_epoch = epoch;
+                    self.note_last_owner(at, &mut record.shards[at]);
+                    self.reserve(at, heir, record);
                 }
             }
             _ => {}
@@ -105,13 +107,26 @@
         let shard = &record.shards[at];
         let is_kept = shard.successor == next
             && shard.successor_epoch > shard.epoch
-            && self.is_untouched(shard);
-        if is_kept {
-            return;
+            && self.is_untouched(at, shard);
+        match next {
+            _ if is_kept => {}
+            Some(next) => self.reserve(at, next, record),
+            None => record.shards[at].successor = None,
         }
-        let epoch = if next.is_some() { record.reserve_epoch() } else { Epoch(0) };
-        record.shards[at].successor = next;
-        record.shards[at].successor_epoch = epoch;
+    }
+
+    /// Names the successor as the last owner, where it may have been granted the shard.
+    fn note_last_owner(&self, at: usize, shard: &mut ShardRecord) {
+        if !self.is_untouched(at, shard) {
+            shard.owner = shard.successor.take();
+            shard.epoch = shard.successor_epoch;
+        }
+    }
+
+    fn reserve(&self, at: usize, successor: Name, record: &mut Record) {
+        let epoch = record.reserve_epoch();
+        let incarnation = self.servers.get(&successor).and_then(|link| link.incarnation);
+        record.shards[at].reserve(successor, epoch, incarnation);
     }
 
     /// Voters change in two steps, with the majorities of both sets in between.
@@ -155,11 +170,16 @@
             .collect()
     }
 
-    /// Returns whether the successor was never granted the shard with its epoch.
-    fn is_untouched(&self, record: &ShardRecord) -> bool {
+    /// Returns whether the successor was surely never granted the shard with its epoch.
+    fn is_untouched(&self, at: usize, record: &ShardRecord) -> bool {
         let Some(successor) = &record.successor else { return true };
-        let seen = self.servers.get(successor).and_then(|link| link.epoch_seen(record.id));
-        seen.is_some_and(|seen| seen < record.successor_epoch)
+        let Some(link) = self.servers.get(successor) else { return false };
+        let is_same_process =
+            link.incarnation.is_some() && link.incarnation == record.successor_incarnation;
+        let seen = link.epoch_seen(record.id);
+        is_same_process
+            && self.granted[at] < record.successor_epoch
+            && seen.is_some_and(|seen| seen < record.successor_epoch)
     }
 
     /// Returns whether a server may be given work now.
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -33,6 +33,8 @@
     Unanswered(Name),
     /// A daemon sent a beat.
     Beat(Beat),
+    /// The controller answered this daemon's beat.
+    BeatReplied(BeatReply),
     /// Another controller's table arrived.
     Table(Arc<Table>),
     /// The daemon is about to stop.
@@ -72,6 +74,8 @@
     Order(Name, SocketAddr, Order),
     /// Put a table in force on every live instance, this one too.
     Publish(Arc<Table>),
+    /// Send the table in force to a daemon that lacks it.
+    SendTable(Name, Arc<Table>),
     /// Answer a daemon's beat.
     ReplyBeat(Name, BeatReply),
 }
--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 
 use document::{Document, Name, Revision};
-use lease::{Authority, Order, Report, ShardEpoch, Term, Verdict, slower_ms};
+use lease::{Authority, Epoch, Order, Report, ShardEpoch, Term, Verdict, slower_ms};
 
 use crate::link::{Change, DaemonLink, ServerLink};
-use crate::message::{Beat, BeatReply, PromiseAsk, PromiseReply, RecordCopy};
+use crate::message::{Beat, BeatReply, PromiseAsk, PromiseReply, RecordCopy, Stage};
 use crate::shard::{Phase, Shard};
 use crate::writer::Writer;
 use crate::{Action, Instance, Table, Tuning};
@@ -30,7 +30,10 @@
     pub(crate) wanted: Vec<Option<Name>>,
     pub(crate) standby: Vec<Option<Name>>,
     pub(crate) loads: Vec<f64>,
+    /// By shard, the highest epoch that this controller granted.
+    pub(crate) granted: Vec<Epoch>,
     pub(crate) lost: BTreeSet<Name>,
+    pub(crate) is_planned: bool,
     pub(crate) is_plan_due: bool,
     pub(crate) next_plan_ms: u64,
     pub(crate) writer: Writer,
@@ -104,7 +107,9 @@
             wanted: vec![None; count],
             standby: vec![None; count],
             loads: vec![0.0; count],
+            granted: vec![Epoch(0); count],
             lost: BTreeSet::new(),
+            is_planned: false,
             is_plan_due: true,
             next_plan_ms: now_ms + start.tuning.plan_every_ms,
             writer: Writer::new(now_ms),
@@ -171,7 +176,7 @@
     pub(crate) fn on_promise(&mut self, now_ms: u64, reply: &PromiseReply) -> Standing {
         match reply.vote {
             lease::Vote::Outdated(term) if term > self.term => return Standing::Over(term),
-            lease::Vote::Promised if reply.term == self.term => {
+            lease::Vote::Promised if reply.term == self.term && reply.stage != Stage::Probing => {
                 self.authority.note(&reply.voter, reply.asked_ms, self.tuning.promise_ms);
             }
             _ => {}
@@ -219,9 +224,9 @@
             }
         }
         let Some(table) = &self.table else { return };
-        let has_table = beat.term == self.term && beat.sequence == self.sequence;
-        if !has_table && !self.is_table_on_its_way(now_ms) {
-            out.push(Action::Publish(Arc::clone(table)));
+        if link.is_table_due(now_ms, self.term, self.sequence) {
+            link.next_table_ms = now_ms + self.tuning.order_every_ms;
+            out.push(Action::SendTable(beat.instance.clone(), Arc::clone(table)));
         }
         let lease = self.route_deadline(now_ms, &beat.instance);
         if let Some(deadline_ms) = lease {
@@ -260,10 +265,6 @@
             .unwrap_or(0)
     }
 
-    fn is_table_on_its_way(&self, now_ms: u64) -> bool {
-        now_ms < self.writer.published_ms + self.tuning.order_every_ms
-    }
-
     pub(crate) fn checks_fence(&self, server: &Name) -> bool {
         self.servers.get(server).is_some_and(|link| link.checks_fence)
     }
@@ -294,7 +295,7 @@
             let ask = PromiseAsk {
                 candidate: self.me.clone(),
                 term: self.term,
-                is_leading: true,
+                stage: Stage::Leading,
                 asked_ms: now_ms,
                 record_revision: self.known.revision,
                 record: (acked < self.known.revision).then(|| self.known.clone()),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -33,7 +33,7 @@
 
 pub use control::Control;
 pub use event::{Action, Event, WriteOutcome};
-pub use message::{Beat, BeatReply, PromiseAsk, PromiseReply, RecordCopy};
+pub use message::{Beat, BeatReply, PromiseAsk, PromiseReply, RecordCopy, Stage};
 pub use record::{GroupRecord, Record, ShardRecord};
 pub use status::{ServerStatus, Status, Unsettled};
 pub use table::{Route, Table};
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -121,6 +121,7 @@
     pub(crate) bound: GrantBound,
     pub(crate) document: Revision,
     pub(crate) last_beat_ms: u64,
+    pub(crate) next_table_ms: u64,
     term: Term,
     sequence: u64,
     drained: u64,
@@ -146,6 +147,11 @@
         }
     }
 
+    /// Returns whether the daemon lacks a table that is not on its way.
+    pub(crate) fn is_table_due(&self, now_ms: u64, term: Term, sequence: u64) -> bool {
+        !self.has_table(term, sequence) && now_ms >= self.next_table_ms
+    }
+
     /// Returns whether the daemon routes by a table at least this new.
     pub(crate) fn has_table(&self, term: Term, sequence: u64) -> bool {
         self.term == term && self.sequence >= sequence
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -16,6 +16,17 @@
     pub record: Arc<Record>,
 }
 
+/// How far somebody who asks for a promise is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stage {
+    /// It asks whether it would get the promise, so as not to disturb a controller.
+    Probing,
+    /// It asks for the promise.
+    Standing,
+    /// It has the promises of a majority and renews them.
+    Leading,
+}
+
 /// A candidate or controller asks a voter for its promise.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PromiseAsk {
@@ -23,8 +34,8 @@
     pub candidate: Name,
     /// The term it asks for.
     pub term: Term,
-    /// Whether it already has the promises of a majority.
-    pub is_leading: bool,
+    /// How far the asker is.
+    pub stage: Stage,
     /// When it asked, on its own clock; comes back in the reply.
     pub asked_ms: u64,
     /// The newest record that it knows.
@@ -40,6 +51,8 @@
     pub voter: Name,
     /// The term that was asked for.
     pub term: Term,
+    /// The stage that was asked in.
+    pub stage: Stage,
     /// The ask's time, on the asker's clock.
     pub asked_ms: u64,
     /// The answer.
--- a/crates/control/src/record.rs
+++ b/crates/control/src/record.rs
@@ -63,6 +63,11 @@
     pub successor: Option<Name>,
     /// The epoch reserved for the successor.
     pub successor_epoch: Epoch,
+    /// The successor's process when the epoch was reserved.
+    ///
+    /// Only that process can tell that it was never granted the shard.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub successor_incarnation: Option<u64>,
 }
 
 impl Record {
@@ -128,9 +133,17 @@
             epoch: Epoch(0),
             successor: None,
             successor_epoch: Epoch(0),
+            successor_incarnation: None,
         }
     }
 
+    /// Names a successor with an epoch that was never used.
+    pub(crate) fn reserve(&mut self, successor: Name, epoch: Epoch, incarnation: Option<u64>) {
+        self.successor = Some(successor);
+        self.successor_epoch = epoch;
+        self.successor_incarnation = incarnation;
+    }
+
     /// Returns whether no server was ever meant to hold the shard.
     #[must_use]
     pub fn is_unassigned(&self) -> bool {
--- a/crates/control/src/settle.rs
+++ b/crates/control/src/settle.rs
@@ -236,6 +236,7 @@
                 continue;
             }
             if let Heir::Recorded(server, epoch) = self.heir(now_ms, at) {
+                self.granted[at] = self.granted[at].max(epoch);
                 let next = Shard::Granting { server, epoch };
                 self.note_dirty(&next);
                 self.shards[at] = next;
@@ -249,7 +250,9 @@
             return;
         }
         self.sequence = table.sequence;
-        self.writer.published_ms = now_ms;
+        for link in self.daemons.values_mut() {
+            link.next_table_ms = now_ms + self.tuning.order_every_ms;
+        }
         let table = Arc::new(table);
         self.table = Some(Arc::clone(&table));
         out.push(Action::Publish(table));
--- a/crates/control/src/writer.rs
+++ b/crates/control/src/writer.rs
@@ -7,8 +7,6 @@
 /// The state of the controller's writes.
 #[derive(Debug)]
 pub(crate) struct Writer {
-    /// When the last table was published.
-    pub(crate) published_ms: u64,
     /// How many writes were asked for.
     pub(crate) writes: u64,
     state: State,
@@ -38,7 +36,7 @@
 
 impl Writer {
     pub(crate) fn new(now_ms: u64) -> Self {
-        Self { published_ms: 0, writes: 0, state: State::Idle, next_write_ms: now_ms }
+        Self { writes: 0, state: State::Idle, next_write_ms: now_ms }
     }
 
     pub(crate) fn next(&mut self, now_ms: u64, is_urgent: bool) -> Next {
--- a/crates/control/tests/random_schedules.rs
+++ b/crates/control/tests/random_schedules.rs
@@ -5,7 +5,7 @@
 mod world;
 
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use proptest::test_runner::{Config, RngAlgorithm, TestError, TestRng, TestRunner};
 use world::{World, document_text};
 
 const DEFAULT_CASES: u32 = 96;
@@ -149,7 +149,13 @@
         Ok(())
     });
     if let Err(error) = outcome {
-        panic!("VERBENA_SEED={seed} VERBENA_CASES={cases}: {error}");
+        let found = match error {
+            TestError::Fail(reason, (world_seed, steps)) => {
+                format!("{reason}; world seed {world_seed}, steps {steps:?}")
+            }
+            TestError::Abort(reason) => reason.to_string(),
+        };
+        panic!("VERBENA_SEED={seed} VERBENA_CASES={cases}: {found}");
     }
 }
 
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use control::{
-    Action, Beat, BeatReply, Control, Event, Instance, Record, RecordCopy, Table, Tuning,
+    Action, Beat, BeatReply, Control, Event, Instance, Record, RecordCopy, Stage, Table, Tuning,
     WriteOutcome,
 };
 use document::{Document, Name, Revision};
@@ -424,6 +424,9 @@
                 if daemon.incarnation == incarnation && has_table {
                     daemon.route_deadline_ms = daemon.route_deadline_ms.max(reply.deadline_ms);
                 }
+                if daemon.incarnation == incarnation {
+                    self.deliver(at, Event::BeatReplied(reply));
+                }
             }
             Delivery::ToServer { server, from, order } => self.order(server, from, &order),
             Delivery::StoreRead { from } => self.read_store(from),
@@ -485,19 +488,24 @@
     }
 
     fn send_beat(&mut self, at: usize) {
-        let Some(table) = self.tables[at].clone() else { return };
+        let (term, sequence) =
+            self.tables[at].as_ref().map_or((lease::Term(0), 0), |t| (t.term, t.sequence));
         let daemon = &self.daemons[at];
         let beat = Beat {
             instance: daemon.name.clone(),
             incarnation: daemon.incarnation,
             clock_ms: daemon.clock.read(self.now_ms),
-            term: table.term,
-            sequence: table.sequence,
+            term,
+            sequence,
             is_drained: true,
             document: daemon.has_document,
             loads: Vec::new(),
         };
-        self.send_event(at, &table.controller.clone(), Event::Beat(beat));
+        let local_ms = daemon.clock.read(self.now_ms);
+        let targets = daemon.control.as_ref().map_or(Vec::new(), |c| c.beat_targets(local_ms));
+        for to in targets {
+            self.send_event(at, &to, Event::Beat(beat.clone()));
+        }
     }
 
     fn send_event(&mut self, from: usize, to: &Name, event: Event) {
@@ -562,6 +570,7 @@
                     self.send_event(at, &to, Event::Table(Arc::clone(&table)));
                 }
             }
+            Action::SendTable(to, table) => self.send_event(at, &to, Event::Table(table)),
             Action::ReplyBeat(to, reply) => {
                 let to = self.daemons.iter().position(|d| d.name == to).expect("a daemon");
                 let there = self.daemons[to].data_centre.clone();
@@ -588,7 +597,9 @@
         for shard in &order.prepares {
             server.prepare_ready_ms.entry(*shard).or_insert(self.now_ms + PREPARE_MS);
         }
-        report.prepared.retain(|shard| server.prepare_ready_ms[shard] <= self.now_ms);
+        let now_ms = self.now_ms;
+        let ready = &server.prepare_ready_ms;
+        report.prepared.retain(|shard| ready.get(shard).is_some_and(|at_ms| *at_ms <= now_ms));
         let event = Event::Reported(server.name.clone(), report);
         let here = server.data_centre.clone();
         let there = self.daemons[from].data_centre.clone();
@@ -732,7 +743,7 @@
                 let expected = expected.map_or(0, |revision| revision.0);
                 format!("write record over {expected}: {}", describe_record(record))
             }
-            Action::AskPromise(to, ask) if !ask.is_leading => {
+            Action::AskPromise(to, ask) if ask.stage == Stage::Standing => {
                 format!("ask {to} for term {}", ask.term)
             }
             Action::Order(server, _, order) => match describe_order(order) {
--- a/crates/lease/src/voter.rs
+++ b/crates/lease/src/voter.rs
@@ -60,8 +60,9 @@
         now_ms < self.silent_until_ms
     }
 
-    /// Answers a candidate.
-    pub fn ask(&mut self, now_ms: u64, candidate: &Name, term: Term) -> Vote {
+    /// Tells what the answer to a candidate would be, without a promise.
+    #[must_use]
+    pub fn probe(&self, now_ms: u64, candidate: &Name, term: Term) -> Vote {
         if term < self.highest_term {
             return Vote::Outdated(self.highest_term);
         }
@@ -76,12 +77,20 @@
         if term == self.highest_term && self.promise.is_some() && !is_renewal {
             return Vote::Outdated(self.highest_term);
         }
-        self.highest_term = term;
-        let deadline_ms = now_ms + self.promise_ms;
-        self.promise = Some(Promise { candidate: candidate.clone(), deadline_ms });
         Vote::Promised
     }
 
+    /// Answers a candidate.
+    pub fn ask(&mut self, now_ms: u64, candidate: &Name, term: Term) -> Vote {
+        let vote = self.probe(now_ms, candidate, term);
+        if vote == Vote::Promised {
+            self.highest_term = term;
+            let deadline_ms = now_ms + self.promise_ms;
+            self.promise = Some(Promise { candidate: candidate.clone(), deadline_ms });
+        }
+        vote
+    }
+
     /// Notes a term that was seen elsewhere.
     pub fn note_term(&mut self, term: Term) {
         if term > self.highest_term {
