--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -4,11 +4,12 @@
 
 use document::{Document, Kind, Name, Revision};
 use lease::{Authority, Quorum, Term, Vote, Voter};
+use route::Table;
 
 use crate::lead::{Lead, Standing, Start};
-use crate::message::{BeatReply, PromiseAsk, PromiseReply, RecordCopy, Stage};
+use crate::message::{BeatReply, Intent, PromiseAsk, PromiseReply, RecordCopy, Stage};
 use crate::voters::{candidate_rank, choose_voters};
-use crate::{Action, Event, Instance, Record, Status, Table, Tuning, WriteOutcome};
+use crate::{Action, Event, Instance, Record, Status, Tuning, WriteOutcome};
 
 /// One daemon's part in the control of one service: a voter, and at times the controller.
 #[derive(Debug)]
@@ -22,6 +23,12 @@
     voter: Voter,
     /// Whether the record was read, or told by a controller, since the process started.
     is_synced: bool,
+    /// Whether the process remembers all that a controller told it.
+    is_sure: bool,
+    /// The writes over the known record that may take effect.
+    intents: Vec<Intent>,
+    /// The newest write that was told of, with its term.
+    newest_intent: (Term, u64),
     role: Role,
     table: Option<Arc<Table>>,
     next_read_ms: u64,
@@ -44,6 +51,8 @@
 struct Candidate {
     stage: Stage,
     promised: Vec<Name>,
+    /// The voters that promised and remember all that they were told.
+    sure: Vec<Name>,
     term: Term,
     deadline_ms: u64,
     authority: Authority,
@@ -73,6 +82,9 @@
             instances: Vec::new(),
             voter: Voter::new(now_ms, tuning.promise_ms),
             is_synced: false,
+            is_sure: false,
+            intents: Vec::new(),
+            newest_intent: (Term(0), 0),
             role: Role::Follower { elect_at_ms: None },
             table: None,
             next_read_ms: now_ms,
@@ -115,7 +127,11 @@
     pub fn beat_targets(&self, now_ms: u64) -> Vec<Name> {
         match &self.table {
             Some(table) if now_ms < self.answered_until_ms => vec![table.controller.clone()],
-            _ => self.instances.iter().map(|instance| instance.name.clone()).collect(),
+            _ => self
+                .instances
+                .iter()
+                .map(|instance| instance.name.clone())
+                .collect(),
         }
     }
 
@@ -132,7 +148,9 @@
             Event::PromiseReplied(reply) => self.on_promise_replied(now_ms, &reply, &mut out),
             Event::PromiseReturned(candidate) => self.on_promise_returned(&candidate),
             Event::Reported(server, report) => {
-                let standing = self.lead_mut().map(|lead| lead.on_report(now_ms, &server, &report));
+                let standing = self
+                    .lead_mut()
+                    .map(|lead| lead.on_report(now_ms, &server, &report));
                 self.apply_standing(standing);
             }
             Event::Unanswered(server) => {
@@ -154,20 +172,25 @@
     }
 
     fn settle(&mut self, now_ms: u64, out: &mut Vec<Action>) {
-        let Role::Lead(lead) = &mut self.role else { return };
+        let Role::Lead(lead) = &mut self.role else {
+            return;
+        };
         if !lead.is_authorized(now_ms) {
             self.step_down(None);
             return;
         }
         lead.settle(now_ms, out);
-        self.known = Some(lead.known.clone());
+        let known = lead.known.clone();
         if let Some(table) = &lead.table {
             self.table = Some(Arc::clone(table));
         }
+        self.learn(known);
     }
 
     fn on_tick(&mut self, now_ms: u64, out: &mut Vec<Action>) {
-        let Some((_, document)) = &self.document else { return };
+        let Some((_, document)) = &self.document else {
+            return;
+        };
         if document.kind != Kind::Keyed {
             return;
         }
@@ -194,7 +217,9 @@
         };
         let elect_at_ms = elect_at_ms.unwrap_or(now_ms + rank * self.tuning.stagger_ms);
         if now_ms < elect_at_ms {
-            self.role = Role::Follower { elect_at_ms: Some(elect_at_ms) };
+            self.role = Role::Follower {
+                elect_at_ms: Some(elect_at_ms),
+            };
             return;
         }
         match self.known.clone() {
@@ -220,13 +245,7 @@
         }
     }
 
-    fn ask_voters(
-        &mut self,
-        now_ms: u64,
-        stage: Stage,
-        known: &RecordCopy,
-        out: &mut Vec<Action>,
-    ) {
+    fn ask_voters(&mut self, now_ms: u64, stage: Stage, known: &RecordCopy, out: &mut Vec<Action>) {
         let term = self.voter.highest_term().max(known.record.term).next();
         let quorum = known.record.quorum();
         for voter in quorum.members() {
@@ -237,31 +256,49 @@
                 asked_ms: now_ms,
                 record_revision: known.revision,
                 record: None,
+                intent: None,
             };
             out.push(Action::AskPromise(voter, ask));
         }
         let deadline_ms = now_ms + self.tuning.candidacy_ms;
         let authority = Authority::default();
-        let promised = Vec::new();
-        self.role =
-            Role::Candidate(Candidate { stage, promised, term, deadline_ms, authority, quorum });
+        self.role = Role::Candidate(Candidate {
+            stage,
+            promised: Vec::new(),
+            sure: Vec::new(),
+            term,
+            deadline_ms,
+            authority,
+            quorum,
+        });
     }
 
     fn create_record(&mut self, now_ms: u64, out: &mut Vec<Action>) {
-        let Some((_, document)) = &self.document else { return };
+        let Some((_, document)) = &self.document else {
+            return;
+        };
         let voters = choose_voters(&self.service, &self.instances, &[]);
         if voters.is_empty() {
             return;
         }
         let record = Arc::new(Record::first(document, voters));
-        self.role = Role::Creator { deadline_ms: now_ms + self.tuning.write_timeout_ms };
+        self.role = Role::Creator {
+            deadline_ms: now_ms + self.tuning.write_timeout_ms,
+        };
         self.is_synced = false;
         self.next_read_ms = now_ms + READ_EVERY_MS;
-        out.push(Action::WriteRecord { expected: None, record });
+        out.push(Action::WriteRecord {
+            expected: None,
+            record,
+        });
     }
 
     fn on_document(&mut self, now_ms: u64, revision: Revision, document: Arc<Document>) {
-        if self.document.as_ref().is_some_and(|(known, _)| *known >= revision) {
+        if self
+            .document
+            .as_ref()
+            .is_some_and(|(known, _)| *known >= revision)
+        {
             return;
         }
         self.document = Some((revision, Arc::clone(&document)));
@@ -280,13 +317,15 @@
     fn on_record_read(&mut self, now_ms: u64, copy: Option<RecordCopy>) {
         self.is_synced = true;
         let revision = copy.as_ref().map_or(Revision(0), |copy| copy.revision);
-        let later_term =
-            copy.as_ref().map_or(Term(0), |copy| copy.record.term);
+        let later_term = copy.as_ref().map_or(Term(0), |copy| copy.record.term);
         if let Role::Lead(lead) = &mut self.role {
             let is_newer = revision > lead.known.revision;
             lead.writer.note_read(now_ms, is_newer);
             let is_foreign = copy.as_ref().is_some_and(|copy| {
-                copy.record.controller.as_ref().is_some_and(|name| *name != self.me)
+                copy.record
+                    .controller
+                    .as_ref()
+                    .is_some_and(|name| *name != self.me)
             });
             let is_outdated = later_term > lead.term || (later_term == lead.term && is_foreign);
             if let Some(copy) = copy.clone() {
@@ -306,7 +345,13 @@
             Role::Lead(lead) => match outcome {
                 WriteOutcome::Done(revision) => {
                     if let Some(record) = lead.writer.note_done() {
-                        lead.adopt_record(now_ms, RecordCopy { revision: *revision, record });
+                        lead.adopt_record(
+                            now_ms,
+                            RecordCopy {
+                                revision: *revision,
+                                record,
+                            },
+                        );
                     }
                 }
                 WriteOutcome::Conflict | WriteOutcome::Unknown => {
@@ -329,18 +374,25 @@
             self.learn(copy);
         }
         let known_revision = self.known_revision();
+        if let Some(intent) = ask.intent.clone()
+            && intent.over <= self.known_revision()
+        {
+            self.newest_intent = (ask.term, intent.number);
+            self.learn_intent(intent);
+        }
         let is_leading = ask.stage == Stage::Leading;
         self.is_synced |= is_leading && known_revision >= ask.record_revision;
         if is_leading && ask.term >= self.voter.highest_term() {
             self.led_until_ms = now_ms + self.tuning.promise_ms;
+            self.is_sure |= self.is_synced;
         }
-        let is_rival = self.is_controller() && ask.candidate != self.me && ask.term > self.voter.highest_term();
+        let is_rival = self.is_controller()
+            && ask.candidate != self.me
+            && ask.term > self.voter.highest_term();
         let vote = match ask.stage {
             _ if !self.is_synced => Vote::Bound,
             Stage::Probing => self.voter.probe(now_ms, &ask.candidate, ask.term),
-            Stage::Standing | Stage::Leading => {
-                self.voter.ask(now_ms, &ask.candidate, ask.term)
-            }
+            Stage::Standing | Stage::Leading => self.voter.ask(now_ms, &ask.candidate, ask.term),
         };
         let lacks = ask.record_revision < known_revision && had >= known_revision;
         let reply = PromiseReply {
@@ -349,8 +401,22 @@
             stage: ask.stage,
             asked_ms: ask.asked_ms,
             vote,
-            record_revision: if self.is_synced { known_revision } else { Revision(0) },
+            record_revision: if self.is_synced {
+                known_revision
+            } else {
+                Revision(0)
+            },
             record: if lacks { self.known.clone() } else { None },
+            intent_number: match self.newest_intent {
+                (term, number) if term == ask.term => number,
+                _ => 0,
+            },
+            intents: if is_leading {
+                Vec::new()
+            } else {
+                self.intents.clone()
+            },
+            is_sure: self.is_sure,
         };
         out.push(Action::ReplyPromise(ask.candidate, reply));
         if is_rival && vote == Vote::Promised && ask.stage != Stage::Probing {
@@ -358,23 +424,23 @@
         }
     }
 
-    fn on_promise_replied(
-        &mut self,
-        now_ms: u64,
-        reply: &PromiseReply,
-        out: &mut Vec<Action>,
-    ) {
+    fn on_promise_replied(&mut self, now_ms: u64, reply: &PromiseReply, out: &mut Vec<Action>) {
         if let Some(copy) = reply.record.clone() {
             self.learn(copy);
         }
+        for intent in reply.intents.clone() {
+            self.learn_intent(intent);
+        }
         let outcome = match &mut self.role {
             Role::Lead(lead) => match lead.on_promise(now_ms, reply) {
                 Standing::InOffice => Outcome::Nothing,
                 Standing::Over(term) => Outcome::StepDown(term),
             },
             Role::Candidate(candidate) => {
-                let is_newer =
-                    self.known.as_ref().is_some_and(|k| k.record.quorum() != candidate.quorum);
+                let is_newer = self
+                    .known
+                    .as_ref()
+                    .is_some_and(|k| k.record.quorum() != candidate.quorum);
                 candidate.on_promise(now_ms, reply, self.tuning.promise_ms, is_newer)
             }
             Role::Follower { .. } | Role::Creator { .. } | Role::Stopped => Outcome::Nothing,
@@ -395,8 +461,15 @@
         let (Some((revision, document)), Some(known)) = (&self.document, &self.known) else {
             return;
         };
-        let Role::Candidate(candidate) = &self.role else { return };
+        let Role::Candidate(candidate) = &self.role else {
+            return;
+        };
+        let is_sure = candidate
+            .quorum
+            .is_reached(|voter| candidate.sure.contains(voter));
         let start = Start {
+            intents: self.intents.clone(),
+            is_sure,
             me: self.me.clone(),
             service: self.service.clone(),
             tuning: self.tuning,
@@ -420,14 +493,22 @@
     }
 
     fn on_beat_replied(&mut self, now_ms: u64, reply: &BeatReply) {
-        if self.table.as_ref().is_some_and(|table| table.term == reply.term) {
+        if self
+            .table
+            .as_ref()
+            .is_some_and(|table| table.term == reply.term)
+        {
             self.answered_until_ms = now_ms + self.tuning.daemon_silence_ms;
         }
     }
 
     fn on_table(&mut self, table: Arc<Table>) {
         self.voter.note_term(table.term);
-        if self.table.as_ref().is_none_or(|known| table.is_after(known)) {
+        if self
+            .table
+            .as_ref()
+            .is_none_or(|known| table.is_after(known))
+        {
             self.table = Some(table);
         }
     }
@@ -459,11 +540,20 @@
     fn learn(&mut self, copy: RecordCopy) {
         if copy.revision > self.known_revision() {
             self.known = Some(copy);
+            self.intents.clear();
+        }
+    }
+
+    fn learn_intent(&mut self, intent: Intent) {
+        if intent.over == self.known_revision() && !self.intents.contains(&intent) {
+            self.intents.push(intent);
         }
     }
 
     fn known_revision(&self) -> Revision {
-        self.known.as_ref().map_or(Revision(0), |known| known.revision)
+        self.known
+            .as_ref()
+            .map_or(Revision(0), |known| known.revision)
     }
 
     fn lead_mut(&mut self) -> Option<&mut Lead> {
@@ -483,7 +573,11 @@
         has_newer_voters: bool,
     ) -> Outcome {
         if let Vote::Outdated(term) = reply.vote {
-            return if term >= self.term { Outcome::StepDown(term) } else { Outcome::Nothing };
+            return if term >= self.term {
+                Outcome::StepDown(term)
+            } else {
+                Outcome::Nothing
+            };
         }
         let is_mine = reply.term == self.term && reply.stage == self.stage;
         if !is_mine || reply.vote != Vote::Promised {
@@ -494,10 +588,20 @@
         }
         if self.stage == Stage::Probing {
             self.promised.push(reply.voter.clone());
-            let is_eligible = self.quorum.is_reached(|voter| self.promised.contains(voter));
-            return if is_eligible { Outcome::Eligible } else { Outcome::Nothing };
+            let is_eligible = self
+                .quorum
+                .is_reached(|voter| self.promised.contains(voter));
+            return if is_eligible {
+                Outcome::Eligible
+            } else {
+                Outcome::Nothing
+            };
+        }
+        self.authority
+            .note(&reply.voter, reply.asked_ms, promise_ms);
+        if reply.is_sure {
+            self.sure.push(reply.voter.clone());
         }
-        self.authority.note(&reply.voter, reply.asked_ms, promise_ms);
         if self.authority.is_held(now_ms, &self.quorum) {
             Outcome::Elected
         } else {
--- a/crates/control/src/draft.rs
+++ b/crates/control/src/draft.rs
@@ -49,6 +49,9 @@
     /// Returns who should be granted a free shard.
     pub(crate) fn heir(&self, now_ms: u64, at: usize) -> Heir {
         let record = &self.known.record.shards[at];
+        if self.is_disputed(at) {
+            return Heir::Unrecorded;
+        }
         if let Some(owner) = &record.owner
             && self.is_usable(now_ms, owner)
             && self.is_untouched(at, record)
@@ -65,6 +68,15 @@
         Heir::Unrecorded
     }
 
+    /// Returns whether a write that may take effect says something else of a shard.
+    pub(crate) fn is_disputed(&self, at: usize) -> bool {
+        let known = &self.known.record.shards[at];
+        self.writer
+            .unresolved()
+            .iter()
+            .any(|record| record.shards[at] != *known)
+    }
+
     /// Returns the record that describes the present state and the plan.
     pub(crate) fn to_record(&self, now_ms: u64) -> Record {
         let mut record = (*self.known.record).clone();
@@ -82,7 +94,12 @@
     fn draft_shard(&self, now_ms: u64, at: usize, record: &mut Record) {
         match &self.shards[at] {
             Shard::Held { server, epoch }
-            | Shard::Moving { server, epoch, phase: Phase::Preparing { .. }, .. } => {
+            | Shard::Moving {
+                server,
+                epoch,
+                phase: Phase::Preparing { .. },
+                ..
+            } => {
                 let shard = &mut record.shards[at];
                 shard.owner = Some(server.clone());
                 shard.epoch = *epoch;
@@ -93,7 +110,9 @@
                 }
             }
             Shard::Free { .. } if self.heir(now_ms, at) == Heir::Unrecorded => {
-                let heir = self.wanted[at].clone().filter(|name| self.is_usable(now_ms, name));
+                let heir = self.wanted[at]
+                    .clone()
+                    .filter(|name| self.is_usable(now_ms, name));
                 if let Some(heir) = heir {
                     self.note_last_owner(at, &mut record.shards[at]);
                     self.reserve(at, heir, record);
@@ -125,7 +144,10 @@
 
     fn reserve(&self, at: usize, successor: Name, record: &mut Record) {
         let epoch = record.reserve_epoch();
-        let incarnation = self.servers.get(&successor).and_then(|link| link.incarnation);
+        let incarnation = self
+            .servers
+            .get(&successor)
+            .and_then(|link| link.incarnation);
         record.shards[at].reserve(successor, epoch, incarnation);
     }
 
@@ -138,8 +160,12 @@
             return;
         }
         let silent = self.silent_voters(now_ms);
-        let live: Vec<_> =
-            self.instances.iter().filter(|i| !silent.contains(&i.name)).cloned().collect();
+        let live: Vec<_> = self
+            .instances
+            .iter()
+            .filter(|i| !silent.contains(&i.name))
+            .cloned()
+            .collect();
         let chosen = choose_voters(&self.service, &live, &record.voters);
         if chosen.len() >= record.voters.len() && chosen != record.voters {
             record.old_voters = std::mem::replace(&mut record.voters, chosen);
@@ -157,7 +183,11 @@
         let server_bounds = self.servers.values().map(|link| &link.bound);
         let bounds = server_bounds.chain(self.daemons.values().map(|link| &link.bound));
         let is_over = bounds.into_iter().all(|bound| bound.over_ms() <= limit_ms);
-        if is_over && now_ms >= self.inheritance_over_ms() { wanted_ms } else { recorded_ms }
+        if is_over && now_ms >= self.inheritance_over_ms() {
+            wanted_ms
+        } else {
+            recorded_ms
+        }
     }
 
     fn named_servers(&self, record: &Record) -> BTreeMap<Name, std::net::SocketAddr> {
@@ -172,8 +202,12 @@
 
     /// Returns whether the successor was surely never granted the shard with its epoch.
     fn is_untouched(&self, at: usize, record: &ShardRecord) -> bool {
-        let Some(successor) = &record.successor else { return true };
-        let Some(link) = self.servers.get(successor) else { return false };
+        let Some(successor) = &record.successor else {
+            return true;
+        };
+        let Some(link) = self.servers.get(successor) else {
+            return false;
+        };
         let is_same_process =
             link.incarnation.is_some() && link.incarnation == record.successor_incarnation;
         let seen = link.epoch_seen(record.id);
@@ -184,9 +218,15 @@
 
     /// Returns whether a server may be given work now.
     pub(crate) fn is_usable(&self, now_ms: u64, server: &Name) -> bool {
-        let is_reachable =
-            self.servers.get(server).is_some_and(|link| link.is_reachable(now_ms, &self.tuning));
-        is_reachable && self.document.server(server).is_some_and(document::Server::is_welcome)
+        let is_reachable = self
+            .servers
+            .get(server)
+            .is_some_and(|link| link.is_reachable(now_ms, &self.tuning));
+        is_reachable
+            && self
+                .document
+                .server(server)
+                .is_some_and(document::Server::is_welcome)
     }
 
     fn to_placement(&self) -> Request {
@@ -200,7 +240,9 @@
                 data_centre: server.data_centre.clone(),
                 slots: server.slots,
                 groups: Some(
-                    (0..groups.len()).filter(|at| server.may_hold(&groups[*at].name)).collect(),
+                    (0..groups.len())
+                        .filter(|at| server.may_hold(&groups[*at].name))
+                        .collect(),
                 ),
                 accepts: server.is_welcome() && !self.lost.contains(&server.name),
             })
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -5,8 +5,9 @@
 
 use document::{Document, Name, Revision};
 use lease::{Order, Report};
+use route::Table;
 
-use crate::{Beat, BeatReply, Instance, PromiseAsk, PromiseReply, Record, RecordCopy, Table};
+use crate::{Beat, BeatReply, Instance, PromiseAsk, PromiseReply, Record, RecordCopy};
 
 /// Something that happened.
 #[derive(Clone, Debug)]
--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -5,12 +5,13 @@
 
 use document::{Document, Name, Revision};
 use lease::{Authority, Epoch, Order, Report, ShardEpoch, Term, Verdict, slower_ms};
+use route::Table;
 
 use crate::link::{Change, DaemonLink, ServerLink};
-use crate::message::{Beat, BeatReply, PromiseAsk, PromiseReply, RecordCopy, Stage};
+use crate::message::{Beat, BeatReply, Intent, PromiseAsk, PromiseReply, RecordCopy, Stage};
 use crate::shard::{Phase, Shard};
 use crate::writer::Writer;
-use crate::{Action, Instance, Table, Tuning};
+use crate::{Action, Instance, Tuning};
 
 /// What the instance that controls a service knows and does.
 #[derive(Debug)]
@@ -39,10 +40,19 @@
     pub(crate) writer: Writer,
     pub(crate) table: Option<Arc<Table>>,
     pub(crate) sequence: u64,
+    /// The newest table that takes a shard from a server that checks no fence.
+    ///
+    /// A daemon with an older one gets no route lease.
+    pub(crate) unfenced_sequence: u64,
     pub(crate) inherited: Option<Arc<Table>>,
+    /// Whether all writes that may take effect are known.
+    is_sure: bool,
+    /// The longest grant that a majority of the voters knows of.
+    usable_grant_ms: u64,
     authority: Authority,
     voters: BTreeMap<Name, VoterLink>,
     next_ask_ms: u64,
+    next_number: u64,
 }
 
 /// What a new controller starts from.
@@ -58,6 +68,10 @@
     pub(crate) instances: Vec<Instance>,
     pub(crate) authority: Authority,
     pub(crate) inherited: Option<Arc<Table>>,
+    /// The writes of earlier controllers that may take effect.
+    pub(crate) intents: Vec<Intent>,
+    /// Whether these are surely all of them.
+    pub(crate) is_sure: bool,
 }
 
 /// Whether a controller may go on.
@@ -72,6 +86,7 @@
 #[derive(Clone, Copy, Debug)]
 struct VoterLink {
     acked: Revision,
+    intent_number: u64,
     last_reply_ms: u64,
 }
 
@@ -85,12 +100,19 @@
             .iter()
             .map(|record| {
                 if record.is_unassigned() {
-                    Shard::Free { not_before_ms: now_ms }
+                    Shard::Free {
+                        not_before_ms: now_ms,
+                    }
                 } else {
                     Shard::Unknown
                 }
             })
             .collect();
+        let unresolved = start
+            .intents
+            .into_iter()
+            .map(|intent| intent.record)
+            .collect();
         let mut lead = Self {
             me: start.me,
             service: start.service,
@@ -112,13 +134,17 @@
             is_planned: false,
             is_plan_due: true,
             next_plan_ms: now_ms + start.tuning.plan_every_ms,
-            writer: Writer::new(now_ms),
+            writer: Writer::new(now_ms, unresolved),
+            is_sure: start.is_sure,
+            usable_grant_ms: MIN_GRANT_MS,
             table: None,
             sequence: 0,
+            unfenced_sequence: 0,
             inherited: start.inherited,
             authority: start.authority,
             voters: BTreeMap::new(),
             next_ask_ms: now_ms,
+            next_number: 1,
         };
         lead.connect_servers(now_ms);
         lead
@@ -131,7 +157,33 @@
 
     /// Returns how long grants may be: as the document says, but never longer than recorded.
     pub(crate) fn grant_ms(&self) -> u64 {
-        self.document.timing.grant_ms.min(self.known.record.grant_ms)
+        self.document.timing.grant_ms.min(self.usable_grant_ms)
+    }
+
+    /// Returns whether the record may be acted on.
+    ///
+    /// A controller that may not know every write of the earlier ones must first make
+    /// a write of its own, after which none of theirs can succeed.
+    pub(crate) fn may_grant(&self) -> bool {
+        let is_fenced = self.is_sure || self.known.record.term == self.term;
+        is_fenced && self.is_record_acknowledged()
+    }
+
+    /// Returns whether a majority of the voters knows of the announced write.
+    pub(crate) fn is_intent_acknowledged(&self) -> bool {
+        let Some(intent) = self.writer.announced() else {
+            return false;
+        };
+        self.known.record.quorum().is_reached(|voter| {
+            self.voters
+                .get(voter)
+                .is_some_and(|link| link.intent_number >= intent.number)
+        })
+    }
+
+    /// Makes the next ask for promises happen at this time.
+    pub(crate) fn ask_promises_at(&mut self, at_ms: u64) {
+        self.next_ask_ms = self.next_ask_ms.min(at_ms);
     }
 
     pub(crate) fn is_authorized(&self, now_ms: u64) -> bool {
@@ -142,7 +194,9 @@
     pub(crate) fn is_record_acknowledged(&self) -> bool {
         let revision = self.known.revision;
         self.known.record.quorum().is_reached(|voter| {
-            self.voters.get(voter).is_some_and(|link| link.acked >= revision)
+            self.voters
+                .get(voter)
+                .is_some_and(|link| link.acked >= revision)
         })
     }
 
@@ -150,13 +204,23 @@
     pub(crate) fn silent_voters(&self, now_ms: u64) -> Vec<Name> {
         let silence_ms = self.tuning.voter_silence_ms;
         let last_ms = |voter: &Name| {
-            self.voters.get(voter).map_or(self.started_ms, |link| link.last_reply_ms)
+            self.voters
+                .get(voter)
+                .map_or(self.started_ms, |link| link.last_reply_ms)
         };
         let members = self.known.record.quorum().members();
-        members.into_iter().filter(|voter| now_ms >= last_ms(voter) + silence_ms).collect()
+        members
+            .into_iter()
+            .filter(|voter| now_ms >= last_ms(voter) + silence_ms)
+            .collect()
     }
 
-    pub(crate) fn set_document(&mut self, now_ms: u64, revision: Revision, document: Arc<Document>) {
+    pub(crate) fn set_document(
+        &mut self,
+        now_ms: u64,
+        revision: Revision,
+        document: Arc<Document>,
+    ) {
         self.document = document;
         self.document_revision = revision;
         self.is_plan_due = true;
@@ -169,7 +233,8 @@
             return;
         }
         self.known = copy;
-        self.next_ask_ms = now_ms;
+        self.writer.note_newer();
+        self.ask_promises_at(now_ms);
         self.connect_servers(now_ms);
     }
 
@@ -177,17 +242,25 @@
         match reply.vote {
             lease::Vote::Outdated(term) if term > self.term => return Standing::Over(term),
             lease::Vote::Promised if reply.term == self.term && reply.stage != Stage::Probing => {
-                self.authority.note(&reply.voter, reply.asked_ms, self.tuning.promise_ms);
+                self.authority
+                    .note(&reply.voter, reply.asked_ms, self.tuning.promise_ms);
             }
             _ => {}
         }
-        let link = self
-            .voters
-            .entry(reply.voter.clone())
-            .or_insert(VoterLink { acked: Revision(0), last_reply_ms: now_ms });
+        let link = self.voters.entry(reply.voter.clone()).or_insert(VoterLink {
+            acked: Revision(0),
+            intent_number: 0,
+            last_reply_ms: now_ms,
+        });
         // The newest reply counts: a restarted voter knows less than it did.
         link.acked = reply.record_revision;
         link.last_reply_ms = now_ms;
+        if reply.term == self.term {
+            link.intent_number = reply.intent_number;
+        }
+        if self.is_record_acknowledged() {
+            self.usable_grant_ms = self.known.record.grant_ms;
+        }
         Standing::InOffice
     }
 
@@ -202,7 +275,9 @@
         if report.term != self.term {
             return Standing::InOffice;
         }
-        let Some(link) = self.servers.get_mut(server) else { return Standing::InOffice };
+        let Some(link) = self.servers.get_mut(server) else {
+            return Standing::InOffice;
+        };
         if link.note_report(now_ms, report) == Change::Restarted {
             self.free_shards_of(now_ms, server);
         }
@@ -219,7 +294,10 @@
         let link = self.daemons.entry(beat.instance.clone()).or_default();
         link.note_beat(now_ms, beat);
         for (shard, requests) in &beat.loads {
-            if let Some(load) = usize::try_from(shard.0).ok().and_then(|at| self.loads.get_mut(at)) {
+            if let Some(load) = usize::try_from(shard.0)
+                .ok()
+                .and_then(|at| self.loads.get_mut(at))
+            {
                 *load += f64::from(*requests);
             }
         }
@@ -230,17 +308,21 @@
         }
         let lease = self.route_deadline(now_ms, &beat.instance);
         if let Some(deadline_ms) = lease {
-            let reply = BeatReply { term: self.term, sequence: self.sequence, deadline_ms };
+            let reply = BeatReply {
+                term: self.term,
+                sequence: self.sequence,
+                deadline_ms,
+            };
             out.push(Action::ReplyBeat(beat.instance.clone(), reply));
         }
     }
 
-    /// Extends the route lease of a daemon whose table closes what must be closed.
+    /// Extends the route lease of a daemon, unless its table names an earlier unfenced owner.
     fn route_deadline(&mut self, now_ms: u64, daemon: &Name) -> Option<u64> {
         if !self.is_authorized(now_ms) {
             return None;
         }
-        let needed = self.unfenced_close_sequence();
+        let needed = self.unfenced_sequence;
         let grant_ms = self.grant_ms();
         let link = self.daemons.get_mut(daemon)?;
         if !link.has_table(self.term, needed) {
@@ -249,35 +331,28 @@
         link.bound.extend(grant_ms)
     }
 
-    /// Returns the newest table that closes a shard of a server that checks no fence.
-    fn unfenced_close_sequence(&self) -> u64 {
-        self.shards
-            .iter()
-            .filter_map(|shard| match shard {
-                Shard::Moving { server, phase: Phase::Closing { sequence, .. }, .. }
-                    if !self.checks_fence(server) =>
-                {
-                    Some(*sequence)
-                }
-                _ => None,
-            })
-            .max()
-            .unwrap_or(0)
-    }
-
     pub(crate) fn checks_fence(&self, server: &Name) -> bool {
-        self.servers.get(server).is_some_and(|link| link.checks_fence)
+        self.servers
+            .get(server)
+            .is_some_and(|link| link.checks_fence)
     }
 
     /// Returns when no daemon can still send to a server that checks no fence.
     pub(crate) fn routes_over_ms(&self) -> u64 {
-        self.daemons.values().map(|link| link.bound.over_ms()).max().unwrap_or(0)
+        self.daemons
+            .values()
+            .map(|link| link.bound.over_ms())
+            .max()
+            .unwrap_or(0)
     }
 
     /// Frees what a server process held that is gone for sure.
     pub(crate) fn free_shards_of(&mut self, now_ms: u64, server: &Name) {
-        let not_before_ms =
-            if self.checks_fence(server) { now_ms } else { now_ms.max(self.routes_over_ms()) };
+        let not_before_ms = if self.checks_fence(server) {
+            now_ms
+        } else {
+            now_ms.max(self.routes_over_ms())
+        };
         for shard in &mut self.shards {
             if shard.holder().is_some_and(|(holder, _)| holder == server) {
                 *shard = Shard::Free { not_before_ms };
@@ -291,7 +366,13 @@
         }
         self.next_ask_ms = now_ms + self.tuning.ask_every_ms;
         for voter in self.known.record.quorum().members() {
-            let acked = self.voters.get(&voter).map_or(Revision(0), |link| link.acked);
+            let link = self.voters.get(&voter);
+            let acked = link.map_or(Revision(0), |link| link.acked);
+            let known_number = link.map_or(0, |link| link.intent_number);
+            let intent = self
+                .writer
+                .announced()
+                .filter(|intent| intent.number > known_number);
             let ask = PromiseAsk {
                 candidate: self.me.clone(),
                 term: self.term,
@@ -299,6 +380,7 @@
                 asked_ms: now_ms,
                 record_revision: self.known.revision,
                 record: (acked < self.known.revision).then(|| self.known.clone()),
+                intent: intent.cloned(),
             };
             out.push(Action::AskPromise(voter, ask));
         }
@@ -309,6 +391,7 @@
             return;
         }
         let grant_ms = self.grant_ms();
+        let mut next_number = self.next_number;
         let due: Vec<Name> = self
             .servers
             .iter()
@@ -317,14 +400,23 @@
             .collect();
         for name in due {
             let mut order = self.to_order(&name);
-            let Some(link) = self.servers.get_mut(&name) else { continue };
+            let Some(link) = self.servers.get_mut(&name) else {
+                continue;
+            };
             order.incarnation = link.incarnation;
+            order.number = next_number;
+            next_number += 1;
             let is_empty = order.grants.is_empty();
-            let deadline_ms = if is_empty { None } else { link.bound.extend(grant_ms) };
+            let deadline_ms = if is_empty {
+                None
+            } else {
+                link.bound.extend(grant_ms)
+            };
             order.deadline_ms = deadline_ms.unwrap_or(0);
             link.note_sent(now_ms, &self.tuning);
             out.push(Action::Order(name, link.address, order));
         }
+        self.next_number = next_number;
     }
 
     fn to_order(&self, server: &Name) -> Order {
@@ -332,6 +424,7 @@
             service: self.service.clone(),
             term: self.term,
             controller: self.me.clone(),
+            number: 0,
             incarnation: None,
             deadline_ms: 0,
             grants: Vec::new(),
@@ -342,9 +435,23 @@
             if let Some((holder, epoch)) = shard.holder()
                 && holder == server
             {
-                let target = ShardEpoch { shard: record.id, epoch };
-                let is_releasing = matches!(shard, Shard::Moving { phase: Phase::Releasing, .. });
-                if is_releasing { &mut order.releases } else { &mut order.grants }.push(target);
+                let target = ShardEpoch {
+                    shard: record.id,
+                    epoch,
+                };
+                let is_releasing = matches!(
+                    shard,
+                    Shard::Moving {
+                        phase: Phase::Releasing,
+                        ..
+                    }
+                );
+                if is_releasing {
+                    &mut order.releases
+                } else {
+                    &mut order.grants
+                }
+                .push(target);
             }
             if let Shard::Moving { target, phase, .. } = shard
                 && target == server
@@ -382,3 +489,6 @@
         }
     }
 }
+
+/// The shortest grant that a document may ask for.
+const MIN_GRANT_MS: u64 = 1_000;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -26,15 +26,13 @@
 mod settle;
 mod shard;
 mod status;
-mod table;
 mod tuning;
 mod voters;
 mod writer;
 
 pub use control::Control;
 pub use event::{Action, Event, WriteOutcome};
-pub use message::{Beat, BeatReply, PromiseAsk, PromiseReply, RecordCopy, Stage};
-pub use record::{GroupRecord, Record, ShardRecord};
+pub use message::{Beat, BeatReply, Intent, PromiseAsk, PromiseReply, RecordCopy, Stage};
+pub use record::{Record, ShardRecord};
 pub use status::{ServerStatus, Status, Unsettled};
-pub use table::{Route, Table};
 pub use tuning::{Instance, Tuning};
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -18,6 +18,7 @@
     /// What the server last reported, by shard.
     pub(crate) held: HashMap<ShardId, Held>,
     pub(crate) prepared: HashSet<ShardId>,
+    last_number: u64,
     last_reply_ms: Option<u64>,
     added_ms: u64,
     answer_deadline_ms: Option<u64>,
@@ -43,6 +44,7 @@
             is_dirty: true,
             held: HashMap::default(),
             prepared: HashSet::default(),
+            last_number: 0,
             last_reply_ms: None,
             added_ms: now_ms,
             answer_deadline_ms: None,
@@ -52,7 +54,8 @@
 
     /// Returns whether the server answered lately.
     pub(crate) fn is_reachable(&self, now_ms: u64, tuning: &Tuning) -> bool {
-        self.last_reply_ms.is_some_and(|at_ms| now_ms < at_ms + tuning.server_silence_ms)
+        self.last_reply_ms
+            .is_some_and(|at_ms| now_ms < at_ms + tuning.server_silence_ms)
     }
 
     /// Returns whether the server has been silent for too long to be given work.
@@ -62,7 +65,9 @@
 
     /// Returns whether an order should be sent now.
     pub(crate) fn is_order_due(&self, now_ms: u64) -> bool {
-        let is_waiting = self.answer_deadline_ms.is_some_and(|deadline_ms| now_ms < deadline_ms);
+        let is_waiting = self
+            .answer_deadline_ms
+            .is_some_and(|deadline_ms| now_ms < deadline_ms);
         !is_waiting && (self.is_dirty || now_ms >= self.next_order_ms)
     }
 
@@ -77,32 +82,46 @@
     }
 
     pub(crate) fn note_report(&mut self, now_ms: u64, report: &Report) -> Change {
+        // A late report tells of a process or a state that may be gone.
+        if report.number <= self.last_number {
+            return Change::Same;
+        }
+        self.last_number = report.number;
         self.answer_deadline_ms = None;
         self.last_reply_ms = Some(now_ms);
         let is_known = self.incarnation == Some(report.incarnation);
-        let change =
-            if is_known || self.incarnation.is_none() { Change::Same } else { Change::Restarted };
+        let change = if is_known || self.incarnation.is_none() {
+            Change::Same
+        } else {
+            Change::Restarted
+        };
         if !is_known {
             self.bound.reset();
             self.incarnation = Some(report.incarnation);
             self.is_dirty = true;
         }
         self.bound.observe_clock(report.clock_ms, now_ms);
-        self.held = report.shards.iter().map(|held| (held.shard, *held)).collect();
+        self.held = report
+            .shards
+            .iter()
+            .map(|held| (held.shard, *held))
+            .collect();
         self.prepared = report.prepared.iter().copied().collect();
         change
     }
 
     /// Returns whether the server reported that it serves a shard with an epoch.
     pub(crate) fn is_live(&self, shard: ShardId, epoch: Epoch) -> bool {
-        self.held.get(&shard).is_some_and(|held| held.is_live && held.epoch == epoch)
+        self.held
+            .get(&shard)
+            .is_some_and(|held| held.is_live && held.epoch == epoch)
     }
 
     /// Returns whether the server gave a shard up that it held with an epoch.
     pub(crate) fn is_released(&self, shard: ShardId, epoch: Epoch) -> bool {
-        self.held.get(&shard).is_some_and(|held| {
-            held.epoch > epoch || (held.epoch == epoch && held.is_released)
-        })
+        self.held
+            .get(&shard)
+            .is_some_and(|held| held.epoch > epoch || (held.epoch == epoch && held.is_released))
     }
 
     /// Returns the highest epoch that the server reported for a shard.
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -16,6 +16,17 @@
     pub record: Arc<Record>,
 }
 
+/// A write of the record that may take effect at any time until another one does.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Intent {
+    /// The number of the write in its term.
+    pub number: u64,
+    /// The revision that the write replaces.
+    pub over: Revision,
+    /// What is written.
+    pub record: Arc<Record>,
+}
+
 /// How far somebody who asks for a promise is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Stage {
@@ -42,6 +53,8 @@
     pub record_revision: Revision,
     /// That record, where the voter seems to lack it.
     pub record: Option<RecordCopy>,
+    /// The newest write that is about to be tried, where the voter seems to lack it.
+    pub intent: Option<Intent>,
 }
 
 /// A voter's answer.
@@ -61,6 +74,12 @@
     pub record_revision: Revision,
     /// That record, where the asker lacks it.
     pub record: Option<RecordCopy>,
+    /// The newest write of the asker's that the voter knows.
+    pub intent_number: u64,
+    /// The writes over that record that may take effect, for a new candidate.
+    pub intents: Vec<Intent>,
+    /// Whether the voter remembers all that a controller told it.
+    pub is_sure: bool,
 }
 
 /// A daemon tells a controller what it routes by, and asks for a route lease.
@@ -94,4 +113,3 @@
     /// Until when the daemon may forward, on the daemon's clock.
     pub deadline_ms: u64,
 }
-
--- a/crates/control/src/record.rs
+++ b/crates/control/src/record.rs
@@ -5,6 +5,7 @@
 
 use document::{Document, Name};
 use lease::{Epoch, Quorum, ShardId, Term};
+use route::Group;
 use serde::{Deserialize, Serialize};
 
 /// What the store keeps of one service's assignment.
@@ -12,8 +13,7 @@
 /// No grant is sent before a record that covers it is written: a server is only
 /// ever granted a shard as its owner or as its successor, with the epoch that
 /// stands here.
-#[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Record {
     /// The term of the controller that wrote it.
     pub term: Term,
@@ -28,26 +28,15 @@
     /// The longest time that a server may hold its keys unheard.
     pub grant_ms: u64,
     /// The key groups, fixed when the service is first placed.
-    pub groups: Vec<GroupRecord>,
+    pub groups: Vec<Group>,
     /// The addresses of the servers that shards name.
     pub servers: BTreeMap<Name, SocketAddr>,
     /// The shards, by group and start.
     pub shards: Vec<ShardRecord>,
 }
 
-/// One key group, as it was when the service was first placed.
-#[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub struct GroupRecord {
-    /// The name in the document.
-    pub name: Name,
-    /// What the group's keys start with.
-    pub prefix: Name,
-}
-
 /// One shard: a range of hashes of one key group.
-#[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct ShardRecord {
     /// The identity.
     pub id: ShardId,
@@ -77,13 +66,20 @@
         let groups = document
             .key_groups
             .iter()
-            .map(|group| GroupRecord { name: group.name.clone(), prefix: group.prefix.clone() })
+            .map(|group| Group {
+                name: group.name.clone(),
+                prefix: group.prefix.clone(),
+            })
             .collect();
         let mut shards = Vec::new();
         for (group, key_group) in (0..).zip(&document.key_groups) {
             for number in 0..key_group.shards {
                 let id = ShardId(u32::try_from(shards.len()).unwrap_or(u32::MAX));
-                shards.push(ShardRecord::new(id, group, range_start(number, key_group.shards)));
+                shards.push(ShardRecord::new(
+                    id,
+                    group,
+                    range_start(number, key_group.shards),
+                ));
             }
         }
         Self {
@@ -102,7 +98,10 @@
     /// Returns the instances whose majority makes a controller.
     #[must_use]
     pub fn quorum(&self) -> Quorum {
-        Quorum { voters: self.voters.clone(), old_voters: self.old_voters.clone() }
+        Quorum {
+            voters: self.voters.clone(),
+            old_voters: self.old_voters.clone(),
+        }
     }
 
     /// Reserves an epoch that was never used in this service.
--- a/crates/control/src/settle.rs
+++ b/crates/control/src/settle.rs
@@ -4,12 +4,13 @@
 
 use document::{HashMap, Name};
 use lease::{Epoch, ShardId};
+use route::{Route, Table};
 
+use crate::Action;
 use crate::draft::Heir;
 use crate::lead::Lead;
 use crate::shard::{Phase, Shard};
 use crate::writer::Next;
-use crate::{Action, Route, Table};
 
 impl Lead {
     /// Does all that can be done now.
@@ -61,16 +62,21 @@
             let id = self.known.record.shards[at].id;
             let next = match &self.shards[at] {
                 Shard::Unknown => match live.get(&id) {
-                    Some((server, epoch)) => {
-                        Some(Shard::Held { server: server.clone(), epoch: *epoch })
-                    }
-                    None if is_inheritance_over => Some(Shard::Free { not_before_ms: now_ms }),
+                    Some((server, epoch)) => Some(Shard::Held {
+                        server: server.clone(),
+                        epoch: *epoch,
+                    }),
+                    None if is_inheritance_over => Some(Shard::Free {
+                        not_before_ms: now_ms,
+                    }),
                     None => None,
                 },
                 Shard::Granting { server, epoch } => self.read_grant(now_ms, id, server, *epoch),
-                Shard::Held { server, epoch } | Shard::Moving { server, epoch, .. } => self
-                    .is_given_up(id, server, *epoch)
-                    .then_some(Shard::Free { not_before_ms: now_ms }),
+                Shard::Held { server, epoch } | Shard::Moving { server, epoch, .. } => {
+                    self.is_given_up(id, server, *epoch).then_some(Shard::Free {
+                        not_before_ms: now_ms,
+                    })
+                }
                 Shard::Free { .. } => None,
             };
             if let Some(next) = next {
@@ -81,14 +87,21 @@
 
     fn read_grant(&self, now_ms: u64, id: ShardId, server: &Name, epoch: Epoch) -> Option<Shard> {
         if self.is_given_up(id, server, epoch) {
-            return Some(Shard::Free { not_before_ms: now_ms });
+            return Some(Shard::Free {
+                not_before_ms: now_ms,
+            });
         }
         let link = self.servers.get(server)?;
-        link.is_live(id, epoch).then(|| Shard::Held { server: server.clone(), epoch })
+        link.is_live(id, epoch).then(|| Shard::Held {
+            server: server.clone(),
+            epoch,
+        })
     }
 
     fn is_given_up(&self, id: ShardId, server: &Name, epoch: Epoch) -> bool {
-        self.servers.get(server).is_some_and(|link| link.is_released(id, epoch))
+        self.servers
+            .get(server)
+            .is_some_and(|link| link.is_released(id, epoch))
     }
 
     /// Returns what servers that check fences reported to serve, where it is not known yet.
@@ -112,23 +125,31 @@
     fn advance_moves(&mut self, now_ms: u64) {
         let limit = usize::try_from(self.document.timing.moves_at_once).unwrap_or(usize::MAX);
         let mut moving = self.shards.iter().filter(|shard| shard.is_moving()).count();
-        let is_acknowledged = self.is_record_acknowledged();
+        let may_grant = self.may_grant();
         for at in 0..self.shards.len() {
             let next = match &self.shards[at] {
-                Shard::Held { server, epoch } if is_acknowledged && moving < limit => {
+                Shard::Held { server, epoch } if may_grant && moving < limit => {
                     self.start_move(now_ms, at, server, *epoch)
                 }
-                Shard::Moving { server, epoch, target, phase } => {
-                    self.next_phase(now_ms, at, target, *phase, server).map(|step| match step {
+                Shard::Moving {
+                    server,
+                    epoch,
+                    target,
+                    phase,
+                } => self
+                    .next_phase(now_ms, at, target, *phase, server)
+                    .map(|step| match step {
                         Step::Enter(phase) => Shard::Moving {
                             server: server.clone(),
                             epoch: *epoch,
                             target: target.clone(),
                             phase,
                         },
-                        Step::Cancel => Shard::Held { server: server.clone(), epoch: *epoch },
-                    })
-                }
+                        Step::Cancel => Shard::Held {
+                            server: server.clone(),
+                            epoch: *epoch,
+                        },
+                    }),
                 _ => None,
             };
             if let Some(next) = next {
@@ -140,7 +161,9 @@
     }
 
     fn start_move(&self, now_ms: u64, at: usize, server: &Name, epoch: Epoch) -> Option<Shard> {
-        let target = self.wanted[at].as_ref().filter(|wanted| *wanted != server)?;
+        let target = self.wanted[at]
+            .as_ref()
+            .filter(|wanted| *wanted != server)?;
         if !self.is_move_possible(now_ms, at, target) {
             return None;
         }
@@ -176,14 +199,18 @@
         match phase {
             Phase::Preparing { deadline_ms } => {
                 let is_prepared = self.servers[target].prepared.contains(&id);
+                let is_due = (is_prepared || now_ms >= deadline_ms) && !self.is_disputed(at);
                 let sequence = self.sequence + 1;
                 let close_deadline_ms = now_ms + self.tuning.close_ms;
-                (is_prepared || now_ms >= deadline_ms).then_some(Step::Enter(Phase::Closing {
+                is_due.then_some(Step::Enter(Phase::Closing {
                     sequence,
                     deadline_ms: close_deadline_ms,
                 }))
             }
-            Phase::Closing { sequence, deadline_ms } => {
+            Phase::Closing {
+                sequence,
+                deadline_ms,
+            } => {
                 let is_closed = if self.checks_fence(server) {
                     now_ms >= deadline_ms || self.are_daemons_drained(now_ms, sequence)
                 } else {
@@ -207,16 +234,25 @@
     /// Returns whether no daemon can send to a closed shard any more.
     fn are_routes_closed(&self, now_ms: u64, sequence: u64) -> bool {
         now_ms >= self.inheritance_over_ms()
-            && self.daemons.values().all(|link| {
-                link.is_drained(self.term, sequence) || link.bound.is_over(now_ms)
-            })
+            && self
+                .daemons
+                .values()
+                .all(|link| link.is_drained(self.term, sequence) || link.bound.is_over(now_ms))
     }
 
     /// Makes the servers that a step concerns hear of it at once.
     fn note_dirty(&mut self, shard: &Shard) {
         let concerned = match shard {
-            Shard::Moving { target, phase: Phase::Preparing { .. }, .. } => target,
-            Shard::Moving { server, phase: Phase::Releasing, .. }
+            Shard::Moving {
+                target,
+                phase: Phase::Preparing { .. },
+                ..
+            } => target,
+            Shard::Moving {
+                server,
+                phase: Phase::Releasing,
+                ..
+            }
             | Shard::Granting { server, .. } => server,
             _ => return,
         };
@@ -227,11 +263,13 @@
 
     /// Grants free shards that the record lets somebody hold.
     fn grant_free(&mut self, now_ms: u64) {
-        if !self.is_record_acknowledged() {
+        if !self.may_grant() {
             return;
         }
         for at in 0..self.shards.len() {
-            let Shard::Free { not_before_ms } = self.shards[at] else { continue };
+            let Shard::Free { not_before_ms } = self.shards[at] else {
+                continue;
+            };
             if now_ms < not_before_ms {
                 continue;
             }
@@ -246,9 +284,20 @@
 
     fn publish(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         let table = self.to_table();
-        if self.table.as_ref().is_some_and(|known| known.is_same_content(&table)) {
+        if self
+            .table
+            .as_ref()
+            .is_some_and(|known| known.is_same_content(&table))
+        {
             return;
         }
+        if self
+            .table
+            .as_ref()
+            .is_some_and(|known| self.takes_from_unfenced(known, &table))
+        {
+            self.unfenced_sequence = table.sequence;
+        }
         self.sequence = table.sequence;
         for link in self.daemons.values_mut() {
             link.next_table_ms = now_ms + self.tuning.order_every_ms;
@@ -258,6 +307,21 @@
         out.push(Action::Publish(table));
     }
 
+    /// Returns whether a table takes a shard from a server that checks no fence.
+    fn takes_from_unfenced(&self, known: &Table, next: &Table) -> bool {
+        let mut pairs = known.routes.iter().zip(&next.routes);
+        pairs.any(|(before, after)| {
+            let is_kept = before.is_open == after.is_open
+                && before.epoch == after.epoch
+                && known.server_of(before) == next.server_of(after);
+            before.is_open
+                && !is_kept
+                && known
+                    .server_of(before)
+                    .is_some_and(|server| !self.checks_fence(server))
+        })
+    }
+
     fn to_table(&self) -> Table {
         let servers: Vec<Name> = self.servers.keys().cloned().collect();
         let positions: HashMap<&Name, u32> = servers.iter().zip(0..).collect();
@@ -304,27 +368,40 @@
         let table = self.inherited.as_ref()?;
         let route = table.routes.get(at)?;
         let server = table.server_of(route)?;
-        self.checks_fence(server)
-            .then(|| Route { server: positions.get(server).copied(), ..*route })
+        self.checks_fence(server).then(|| Route {
+            server: positions.get(server).copied(),
+            ..*route
+        })
     }
 
     fn write_record(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         let is_urgent = self.known.record.term == self.term
             && self.is_record_acknowledged()
             && (0..self.shards.len()).any(|at| self.is_waiting_for_record(now_ms, at));
-        match self.writer.next(now_ms, is_urgent) {
+        match self
+            .writer
+            .next(now_ms, is_urgent, self.is_intent_acknowledged())
+        {
             Next::Wait => {}
             Next::Read => out.push(Action::ReadRecord),
-            Next::Write => {
+            Next::Try => {
+                if let Some(intent) = self.writer.note_try(now_ms, &self.tuning) {
+                    let expected = Some(intent.over);
+                    out.push(Action::WriteRecord {
+                        expected,
+                        record: intent.record,
+                    });
+                }
+            }
+            Next::Draft => {
                 let record = self.to_record(now_ms);
-                let is_current =
-                    record.term == self.known.record.term && record.is_same_assignment(&self.known.record);
+                let is_current = record.term == self.known.record.term
+                    && record.is_same_assignment(&self.known.record);
                 if is_current || !self.is_authorized(now_ms) {
                     return;
                 }
-                let record = Arc::new(record);
-                self.writer.note_write(now_ms, Arc::clone(&record), &self.tuning);
-                out.push(Action::WriteRecord { expected: Some(self.known.revision), record });
+                self.writer.announce(Arc::new(record), self.known.revision);
+                self.ask_promises_at(now_ms);
             }
         }
     }
@@ -332,7 +409,9 @@
     fn is_waiting_for_record(&self, now_ms: u64, at: usize) -> bool {
         matches!(self.shards[at], Shard::Free { .. })
             && self.heir(now_ms, at) == Heir::Unrecorded
-            && self.wanted[at].as_ref().is_some_and(|name| self.is_usable(now_ms, name))
+            && self.wanted[at]
+                .as_ref()
+                .is_some_and(|name| self.is_usable(now_ms, name))
     }
 }
 
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -10,8 +10,7 @@
 use crate::shard::{Phase, Shard};
 
 /// The state of one service, as its controller sees it.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Status {
     /// The controller's instance.
     pub controller: Option<Name>,
@@ -34,8 +33,7 @@
 }
 
 /// One server, as the controller sees it.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct ServerStatus {
     /// How many shards it holds.
     pub shards: u32,
@@ -46,8 +44,7 @@
 }
 
 /// Shards that are not where the document wants them.
-#[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Unsettled {
     /// Why.
     pub reason: String,
@@ -102,13 +99,17 @@
         for (at, shard) in draft.shards.iter().enumerate() {
             let is_recorded = *shard == self.known.record.shards[at];
             let unrecorded = || {
-                (!is_recorded).then(|| "waiting for the record to name owner and successor".to_owned())
+                (!is_recorded)
+                    .then(|| "waiting for the record to name owner and successor".to_owned())
             };
             if let Some(reason) = self.reason(now_ms, at).or_else(unrecorded) {
                 *counts.entry(reason).or_default() += 1;
             }
         }
-        counts.into_iter().map(|(reason, shards)| Unsettled { reason, shards }).collect()
+        counts
+            .into_iter()
+            .map(|(reason, shards)| Unsettled { reason, shards })
+            .collect()
     }
 
     fn reason(&self, now_ms: u64, at: usize) -> Option<String> {
@@ -121,15 +122,20 @@
             Shard::Free { .. } if wanted.is_none() => Some("no server may hold it".to_owned()),
             Shard::Free { .. } => Some("waiting for the record to be written".to_owned()),
             Shard::Granting { server, .. } => Some(format!("granted, {server} has not confirmed")),
-            Shard::Moving { target, phase: Phase::Preparing { .. }, .. } => {
-                Some(format!("{target} is preparing"))
-            }
-            Shard::Moving { phase: Phase::Closing { .. }, .. } => {
-                Some("daemons are closing the route".to_owned())
-            }
-            Shard::Moving { server, phase: Phase::Releasing, .. } => {
-                Some(format!("{server} finishes its requests"))
-            }
+            Shard::Moving {
+                target,
+                phase: Phase::Preparing { .. },
+                ..
+            } => Some(format!("{target} is preparing")),
+            Shard::Moving {
+                phase: Phase::Closing { .. },
+                ..
+            } => Some("daemons are closing the route".to_owned()),
+            Shard::Moving {
+                server,
+                phase: Phase::Releasing,
+                ..
+            } => Some(format!("{server} finishes its requests")),
             Shard::Held { server, .. } if wanted.is_some_and(|wanted| wanted != server) => {
                 Some("waiting for its turn to move".to_owned())
             }
--- a/crates/control/src/writer.rs
+++ b/crates/control/src/writer.rs
@@ -2,13 +2,16 @@
 
 use std::sync::Arc;
 
-use crate::{Record, Tuning};
+use document::Revision;
+
+use crate::{Intent, Record, Tuning};
 
 /// The state of the controller's writes.
 #[derive(Debug)]
 pub(crate) struct Writer {
     /// How many writes were asked for.
     pub(crate) writes: u64,
+    unresolved: Vec<Arc<Record>>,
     state: State,
     next_write_ms: u64,
 }
@@ -16,15 +19,24 @@
 #[derive(Debug)]
 enum State {
     Idle,
-    Writing { record: Arc<Record>, deadline_ms: u64 },
-    ReadingBack { next_read_ms: u64 },
+    /// Voters are told of the write before it is tried.
+    Announcing(Intent),
+    Writing {
+        record: Arc<Record>,
+        deadline_ms: u64,
+    },
+    ReadingBack {
+        next_read_ms: u64,
+    },
 }
 
 /// What to do about the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Next {
-    /// A write may start.
-    Write,
+    /// A write may be drafted.
+    Draft,
+    /// The announced write may be tried.
+    Try,
     /// The record must be read, to learn what became of a write.
     Read,
     /// Nothing now.
@@ -35,15 +47,23 @@
 const RETRY_WRITE_MS: u64 = 500;
 
 impl Writer {
-    pub(crate) fn new(now_ms: u64) -> Self {
-        Self { writes: 0, state: State::Idle, next_write_ms: now_ms }
+    pub(crate) fn new(now_ms: u64, unresolved: Vec<Arc<Record>>) -> Self {
+        Self {
+            writes: 0,
+            unresolved,
+            state: State::Idle,
+            next_write_ms: now_ms,
+        }
     }
 
-    pub(crate) fn next(&mut self, now_ms: u64, is_urgent: bool) -> Next {
+    pub(crate) fn next(&mut self, now_ms: u64, is_urgent: bool, is_announced: bool) -> Next {
         match &mut self.state {
-            State::Idle if is_urgent || now_ms >= self.next_write_ms => Next::Write,
+            State::Idle if is_urgent || now_ms >= self.next_write_ms => Next::Draft,
+            State::Announcing(_) if is_announced => Next::Try,
             State::Writing { deadline_ms, .. } if now_ms >= *deadline_ms => {
-                self.state = State::ReadingBack { next_read_ms: now_ms + READ_BACK_EVERY_MS };
+                self.state = State::ReadingBack {
+                    next_read_ms: now_ms + READ_BACK_EVERY_MS,
+                };
                 Next::Read
             }
             State::ReadingBack { next_read_ms } if now_ms >= *next_read_ms => {
@@ -54,26 +74,69 @@
         }
     }
 
-    pub(crate) fn note_write(&mut self, now_ms: u64, record: Arc<Record>, tuning: &Tuning) {
+    /// Starts to announce a write.
+    pub(crate) fn announce(&mut self, record: Arc<Record>, over: Revision) {
         self.writes += 1;
+        self.unresolved.push(Arc::clone(&record));
+        self.state = State::Announcing(Intent {
+            number: self.writes,
+            over,
+            record,
+        });
+    }
+
+    /// Returns the write that is being announced.
+    pub(crate) fn announced(&self) -> Option<&Intent> {
+        match &self.state {
+            State::Announcing(intent) => Some(intent),
+            _ => None,
+        }
+    }
+
+    /// Starts to try the announced write.
+    pub(crate) fn note_try(&mut self, now_ms: u64, tuning: &Tuning) -> Option<Intent> {
+        let State::Announcing(intent) = std::mem::replace(&mut self.state, State::Idle) else {
+            return None;
+        };
         self.next_write_ms = now_ms + tuning.write_gap_ms;
         let deadline_ms = now_ms + tuning.write_timeout_ms;
-        self.state = State::Writing { record, deadline_ms };
+        self.state = State::Writing {
+            record: Arc::clone(&intent.record),
+            deadline_ms,
+        };
+        Some(intent)
+    }
+
+    /// Returns the writes that may take effect at any time.
+    pub(crate) fn unresolved(&self) -> &[Arc<Record>] {
+        &self.unresolved
+    }
+
+    /// Notes that the record has a newer revision, over which no earlier write can succeed.
+    pub(crate) fn note_newer(&mut self) {
+        self.unresolved.clear();
+        if let State::Announcing(_) = self.state {
+            self.state = State::Idle;
+        }
     }
 
     /// Notes that the write is done; returns what was written.
     pub(crate) fn note_done(&mut self) -> Option<Arc<Record>> {
-        match std::mem::replace(&mut self.state, State::Idle) {
-            State::Writing { record, .. } => Some(record),
-            State::Idle | State::ReadingBack { .. } => None,
-        }
+        let State::Writing { record, .. } = &self.state else {
+            return None;
+        };
+        let record = Arc::clone(record);
+        self.state = State::Idle;
+        Some(record)
     }
 
     /// Notes that it is not known what the record is; returns whether to read it now.
     pub(crate) fn note_unclear(&mut self, now_ms: u64) -> bool {
         let was_writing = matches!(self.state, State::Writing { .. });
         if was_writing {
-            self.state = State::ReadingBack { next_read_ms: now_ms + READ_BACK_EVERY_MS };
+            self.state = State::ReadingBack {
+                next_read_ms: now_ms + READ_BACK_EVERY_MS,
+            };
         }
         was_writing
     }
@@ -83,7 +146,11 @@
         if let State::ReadingBack { .. } = self.state {
             self.state = State::Idle;
             // A write that has not taken effect may still do so; the next one competes with it.
-            self.next_write_ms = if is_newer { now_ms } else { now_ms + RETRY_WRITE_MS };
+            self.next_write_ms = if is_newer {
+                now_ms
+            } else {
+                now_ms + RETRY_WRITE_MS
+            };
         }
     }
 }
--- /dev/null
+++ b/crates/control/tests/regressions.rs
@@ -0,0 +1,151 @@
+//! Schedules that once broke a rule, each named after its cause.
+mod world;
+
+use world::schedule::Step::{
+    Cut, Edit, KillDaemon, KillServer, Late, Loss, PauseDaemon, PauseServer, Run, StartDaemon,
+    StartServer, StoreDown,
+};
+use world::schedule::run_schedule;
+
+#[test]
+fn restarted_successor_forgets() {
+    let steps = [
+        PauseServer(0, 10),
+        KillServer(1),
+        Run(270),
+        Run(1),
+        PauseServer(5, 1131),
+        Run(898),
+        PauseServer(4, 1510),
+        StoreDown(true),
+        Run(363),
+        Run(1150),
+        StartServer(0),
+    ];
+    run_schedule(426_188_806_563_896_158, true, &steps);
+}
+
+#[test]
+fn restarted_voter_stands() {
+    let steps = [
+        Loss(31),
+        PauseServer(5, 908),
+        StartServer(0),
+        KillServer(1),
+        Run(52),
+        Late(4, 460),
+        KillDaemon(1),
+        StartDaemon(0),
+        PauseServer(0, 10),
+        Run(1160),
+        Late(0, 1),
+        PauseServer(0, 10),
+        Run(131),
+        KillServer(0),
+        KillServer(0),
+    ];
+    run_schedule(455_689_036_704_238_157, true, &steps);
+}
+
+#[test]
+fn daemon_without_table() {
+    let steps = [
+        Run(1),
+        Run(1),
+        StartDaemon(0),
+        KillDaemon(0),
+        PauseServer(0, 10),
+    ];
+    run_schedule(6_034_494_147_437_918_398, false, &steps);
+}
+
+#[test]
+fn released_owner_returns() {
+    let steps = [
+        Edit(26),
+        Cut(1, 1),
+        StartServer(2),
+        PauseServer(0, 522),
+        PauseServer(2, 2760),
+        Run(141),
+        Loss(70),
+        PauseDaemon(2, 2049),
+        Run(627),
+        Run(772),
+        Run(1164),
+        Edit(32),
+        Run(1),
+        Run(1),
+        KillServer(5),
+        StartServer(0),
+    ];
+    run_schedule(115_307_799_788_624_141, true, &steps);
+}
+
+#[test]
+fn lease_with_old_table() {
+    let steps = [Run(249), Run(154), Cut(1, 0), Run(1097), Run(857), Run(908)];
+    run_schedule(1_357_435_864_018_239_861, false, &steps);
+}
+
+#[test]
+fn late_report_of_old_process() {
+    let steps = [
+        Late(48, 1828),
+        PauseDaemon(2, 1487),
+        Run(1101),
+        StartServer(4),
+        Edit(80),
+        Run(48),
+        Edit(124),
+        Run(886),
+        KillDaemon(1),
+        Run(502),
+        Edit(172),
+        Run(1245),
+        Run(693),
+        Run(272),
+        Edit(104),
+        Run(492),
+        StartServer(2),
+        PauseDaemon(1, 10),
+        Run(188),
+        Edit(172),
+        Run(621),
+        Run(1),
+        Run(1),
+    ];
+    run_schedule(8_552_287_634_165_495_542, false, &steps);
+}
+
+#[test]
+fn grant_under_replaced_record() {
+    let steps = [
+        PauseDaemon(3, 2391),
+        Loss(84),
+        PauseServer(0, 734),
+        Late(43, 2683),
+        PauseServer(3, 1122),
+        Run(729),
+        KillServer(2),
+        Edit(82),
+        PauseServer(0, 1106),
+        PauseDaemon(0, 227),
+        Run(554),
+        Cut(1, 0),
+        StartServer(1),
+        Run(1),
+        PauseServer(0, 136),
+        Run(1),
+        Run(1),
+        Run(1),
+        KillDaemon(3),
+        Run(1),
+        Run(1),
+        Run(1),
+        Run(663),
+        PauseServer(0, 10),
+        KillDaemon(1),
+    ];
+    run_schedule(16_494_242_978_765_911_191, true, &steps);
+}
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -3,19 +3,24 @@
 //! Time is a number. Messages wait in a queue ordered by time. After every order that
 //! a server follows, the safety rules are checked by name.
 
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+pub mod schedule;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use control::{
-    Action, Beat, BeatReply, Control, Event, Instance, Record, RecordCopy, Stage, Table, Tuning,
+    Action, Beat, BeatReply, Control, Event, Instance, Record, RecordCopy, Stage, Tuning,
     WriteOutcome,
 };
 use document::{Document, Name, Revision};
 use lease::{Epoch, Holder, Order, Report, ShardId};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use route::Table;
 
 const TICK_MS: u64 = 20;
 const BEAT_MS: u64 = 250;
@@ -106,9 +111,19 @@
     Beat(usize),
     ToDaemon(usize, u64, Box<Event>),
     RouteLease(usize, u64, BeatReply),
-    ToServer { server: usize, from: usize, order: Order },
-    StoreRead { from: usize },
-    StoreWrite { from: usize, expected: Option<Revision>, record: Arc<Record> },
+    ToServer {
+        server: usize,
+        from: usize,
+        order: Order,
+    },
+    StoreRead {
+        from: usize,
+    },
+    StoreWrite {
+        from: usize,
+        expected: Option<Revision>,
+        record: Arc<Record>,
+    },
 }
 
 struct Item {
@@ -204,7 +219,10 @@
         let instances = self
             .daemons
             .iter()
-            .map(|d| Instance { name: d.name.clone(), data_centre: d.data_centre.clone() })
+            .map(|d| Instance {
+                name: d.name.clone(),
+                data_centre: d.data_centre.clone(),
+            })
             .collect();
         let clock = self.random_clock();
         let now_ms = self.now_ms;
@@ -217,8 +235,12 @@
         daemon.has_document = Revision(0);
         let local_ms = clock.read(now_ms);
         let tuning = Tuning::default();
-        daemon.control =
-            Some(Control::new(local_ms, name("ledger"), daemon.name.clone(), tuning));
+        daemon.control = Some(Control::new(
+            local_ms,
+            name("ledger"),
+            daemon.name.clone(),
+            tuning,
+        ));
         self.tables[at] = None;
         self.deliver(at, Event::Instances(instances));
         self.queue_in(1, Delivery::Tick(at));
@@ -285,7 +307,8 @@
             }
         }
         self.store.revision += 1;
-        self.documents.push((Revision(self.store.revision), document));
+        self.documents
+            .push((Revision(self.store.revision), document));
     }
 
     pub fn run_for(&mut self, length_ms: u64) {
@@ -320,21 +343,41 @@
     }
 
     pub fn is_settled(&self) -> bool {
-        let Some((revision, document)) = self.documents.last() else { return false };
-        let Some(controller) = self.controller() else { return false };
+        let Some((revision, document)) = self.documents.last() else {
+            return false;
+        };
+        let Some(controller) = self.controller() else {
+            return false;
+        };
         let daemon = &self.daemons[controller];
         let local_ms = daemon.clock.read(self.now_ms);
-        let status = daemon.control.as_ref().and_then(|c| c.status(local_ms)).unwrap();
+        let status = daemon
+            .control
+            .as_ref()
+            .and_then(|c| c.status(local_ms))
+            .unwrap();
         let newest = daemon.control.as_ref().and_then(Control::table).unwrap();
-        let is_routed = self.daemons.iter().zip(&self.tables).all(|(daemon, table)| {
-            daemon.control.is_none()
-                || table.as_ref().is_some_and(|t| t.sequence == newest.sequence && t.term == newest.term)
-        });
+        let is_routed = self
+            .daemons
+            .iter()
+            .zip(&self.tables)
+            .all(|(daemon, table)| {
+                daemon.control.is_none()
+                    || table
+                        .as_ref()
+                        .is_some_and(|t| t.sequence == newest.sequence && t.term == newest.term)
+            });
         let is_in_force = status.document == *revision
-            && self.daemons.iter().all(|d| d.control.is_none() || d.has_document == *revision);
+            && self
+                .daemons
+                .iter()
+                .all(|d| d.control.is_none() || d.has_document == *revision);
         let all_open = newest.routes.iter().all(|route| route.is_open);
         let leaving_is_empty = status.servers.iter().all(|(server, status)| {
-            status.shards == 0 || document.server(server).is_some_and(document::Server::is_welcome)
+            status.shards == 0
+                || document
+                    .server(server)
+                    .is_some_and(document::Server::is_welcome)
         });
         status.unsettled.is_empty() && is_routed && is_in_force && all_open && leaving_is_empty
     }
@@ -354,14 +397,21 @@
     }
 
     pub fn shards_of(&self, server: &str) -> Vec<u32> {
-        let count = self.store.record.as_ref().map_or(0, |copy| copy.record.shards.len());
+        let count = self
+            .store
+            .record
+            .as_ref()
+            .map_or(0, |copy| copy.record.shards.len());
         (0..u32::try_from(count).unwrap())
             .filter(|shard| self.owner(*shard).as_deref() == Some(server))
             .collect()
     }
 
     pub fn server_at(&self, server: &str) -> usize {
-        self.servers.iter().position(|s| s.name == *server).expect("a known server")
+        self.servers
+            .iter()
+            .position(|s| s.name == *server)
+            .expect("a known server")
     }
 
     fn describe(&self) -> String {
@@ -370,8 +420,9 @@
             let local_ms = daemon.clock.read(self.now_ms);
             let status = daemon.control.as_ref().and_then(|c| c.status(local_ms));
             let table = table.as_ref().map(|t| (t.term, t.sequence));
+            let lease_ms = daemon.route_deadline_ms.saturating_sub(local_ms);
             text.push_str(&format!(
-                "{} document {} table {table:?} status {status:?}\n",
+                "{} document {} table {table:?} route lease {lease_ms} ms status {status:?}\n",
                 daemon.name, daemon.has_document
             ));
         }
@@ -387,7 +438,11 @@
 
     fn queue_in(&mut self, delay_ms: u64, delivery: Delivery) {
         self.sequence += 1;
-        let item = Item { at_ms: self.now_ms + delay_ms, sequence: self.sequence, delivery };
+        let item = Item {
+            at_ms: self.now_ms + delay_ms,
+            sequence: self.sequence,
+            delivery,
+        };
         self.queue.push(Reverse(item));
     }
 
@@ -420,7 +475,9 @@
             }
             Delivery::RouteLease(at, incarnation, reply) => {
                 let daemon = &mut self.daemons[at];
-                let has_table = self.tables[at].as_ref().is_some_and(|t| t.term == reply.term);
+                let has_table = self.tables[at]
+                    .as_ref()
+                    .is_some_and(|t| t.term == reply.term);
                 if daemon.incarnation == incarnation && has_table {
                     daemon.route_deadline_ms = daemon.route_deadline_ms.max(reply.deadline_ms);
                 }
@@ -428,9 +485,17 @@
                     self.deliver(at, Event::BeatReplied(reply));
                 }
             }
-            Delivery::ToServer { server, from, order } => self.order(server, from, &order),
+            Delivery::ToServer {
+                server,
+                from,
+                order,
+            } => self.order(server, from, &order),
             Delivery::StoreRead { from } => self.read_store(from),
-            Delivery::StoreWrite { from, expected, record } => {
+            Delivery::StoreWrite {
+                from,
+                expected,
+                record,
+            } => {
                 self.write_store(from, expected, record);
             }
         }
@@ -488,8 +553,9 @@
     }
 
     fn send_beat(&mut self, at: usize) {
-        let (term, sequence) =
-            self.tables[at].as_ref().map_or((lease::Term(0), 0), |t| (t.term, t.sequence));
+        let (term, sequence) = self.tables[at]
+            .as_ref()
+            .map_or((lease::Term(0), 0), |t| (t.term, t.sequence));
         let daemon = &self.daemons[at];
         let beat = Beat {
             instance: daemon.name.clone(),
@@ -502,24 +568,39 @@
             loads: Vec::new(),
         };
         let local_ms = daemon.clock.read(self.now_ms);
-        let targets = daemon.control.as_ref().map_or(Vec::new(), |c| c.beat_targets(local_ms));
+        let targets = daemon
+            .control
+            .as_ref()
+            .map_or(Vec::new(), |c| c.beat_targets(local_ms));
         for to in targets {
             self.send_event(at, &to, Event::Beat(beat.clone()));
         }
     }
 
     fn send_event(&mut self, from: usize, to: &Name, event: Event) {
-        let Some(to) = self.daemons.iter().position(|d| d.name == *to) else { return };
+        let Some(to) = self.daemons.iter().position(|d| d.name == *to) else {
+            return;
+        };
         let incarnation = self.daemons[to].incarnation;
         let from = self.daemons[from].data_centre.clone();
         let to_centre = self.daemons[to].data_centre.clone();
-        self.send(&from, &to_centre, Delivery::ToDaemon(to, incarnation, Box::new(event)));
+        self.send(
+            &from,
+            &to_centre,
+            Delivery::ToDaemon(to, incarnation, Box::new(event)),
+        );
     }
 
     fn deliver(&mut self, at: usize, event: Event) {
         let local_ms = self.daemons[at].clock.read(self.now_ms);
-        let table = if let Event::Table(table) = &event { Some(Arc::clone(table)) } else { None };
-        let Some(control) = self.daemons[at].control.as_mut() else { return };
+        let table = if let Event::Table(table) = &event {
+            Some(Arc::clone(table))
+        } else {
+            None
+        };
+        let Some(control) = self.daemons[at].control.as_mut() else {
+            return;
+        };
         let actions = control.step(local_ms, event);
         if let Some(table) = table {
             self.put_in_force(at, table);
@@ -531,10 +612,16 @@
 
     /// A daemon routes by the newest table that it got, and tells the controller.
     fn put_in_force(&mut self, at: usize, table: Arc<Table>) {
-        if self.tables[at].as_ref().is_some_and(|known| !table.is_after(known)) {
+        if self.tables[at]
+            .as_ref()
+            .is_some_and(|known| !table.is_after(known))
+        {
             return;
         }
-        if self.tables[at].as_ref().is_some_and(|known| known.term != table.term) {
+        if self.tables[at]
+            .as_ref()
+            .is_some_and(|known| known.term != table.term)
+        {
             self.daemons[at].route_deadline_ms = 0;
         }
         self.daemons[at].acknowledged = (table.term, table.sequence);
@@ -546,9 +633,15 @@
         self.note_trace(at, &action);
         let here = self.daemons[at].data_centre.clone();
         match action {
-            Action::ReadRecord => self.send(&here, &name("store"), Delivery::StoreRead { from: at }),
+            Action::ReadRecord => {
+                self.send(&here, &name("store"), Delivery::StoreRead { from: at })
+            }
             Action::WriteRecord { expected, record } => {
-                let delivery = Delivery::StoreWrite { from: at, expected, record };
+                let delivery = Delivery::StoreWrite {
+                    from: at,
+                    expected,
+                    record,
+                };
                 self.send(&here, &name("store"), delivery);
             }
             Action::AskPromise(to, ask) => self.send_event(at, &to, Event::PromiseAsked(ask)),
@@ -562,7 +655,15 @@
             Action::Order(server, _, order) => {
                 let server = self.server_at(&server);
                 let there = self.servers[server].data_centre.clone();
-                self.send(&here, &there, Delivery::ToServer { server, from: at, order });
+                self.send(
+                    &here,
+                    &there,
+                    Delivery::ToServer {
+                        server,
+                        from: at,
+                        order,
+                    },
+                );
             }
             Action::Publish(table) => {
                 for to in 0..self.daemons.len() {
@@ -572,7 +673,11 @@
             }
             Action::SendTable(to, table) => self.send_event(at, &to, Event::Table(table)),
             Action::ReplyBeat(to, reply) => {
-                let to = self.daemons.iter().position(|d| d.name == to).expect("a daemon");
+                let to = self
+                    .daemons
+                    .iter()
+                    .position(|d| d.name == to)
+                    .expect("a daemon");
                 let there = self.daemons[to].data_centre.clone();
                 let incarnation = self.daemons[to].incarnation;
                 self.send(&here, &there, Delivery::RouteLease(to, incarnation, reply));
@@ -588,24 +693,42 @@
         if self.now_ms < server.paused_until_ms {
             let delay_ms = server.paused_until_ms - self.now_ms;
             let order = order.clone();
-            self.queue_in(delay_ms, Delivery::ToServer { server: at, from, order });
+            self.queue_in(
+                delay_ms,
+                Delivery::ToServer {
+                    server: at,
+                    from,
+                    order,
+                },
+            );
             return;
         }
         let local_ms = server.clock.read(self.now_ms);
         let mut report: Report = server.holder.follow(local_ms, order);
-        server.prepare_ready_ms.retain(|shard, _| order.prepares.contains(shard));
+        server
+            .prepare_ready_ms
+            .retain(|shard, _| order.prepares.contains(shard));
         for shard in &order.prepares {
-            server.prepare_ready_ms.entry(*shard).or_insert(self.now_ms + PREPARE_MS);
+            server
+                .prepare_ready_ms
+                .entry(*shard)
+                .or_insert(self.now_ms + PREPARE_MS);
         }
         let now_ms = self.now_ms;
         let ready = &server.prepare_ready_ms;
-        report.prepared.retain(|shard| ready.get(shard).is_some_and(|at_ms| *at_ms <= now_ms));
+        report
+            .prepared
+            .retain(|shard| ready.get(shard).is_some_and(|at_ms| *at_ms <= now_ms));
         let event = Event::Reported(server.name.clone(), report);
         let here = server.data_centre.clone();
         let there = self.daemons[from].data_centre.clone();
         let incarnation = self.daemons[from].incarnation;
         self.check(at);
-        self.send(&here, &there, Delivery::ToDaemon(from, incarnation, Box::new(event)));
+        self.send(
+            &here,
+            &there,
+            Delivery::ToDaemon(from, incarnation, Box::new(event)),
+        );
     }
 
     fn read_store(&mut self, from: usize) {
@@ -626,7 +749,14 @@
         if self.store.is_down {
             // A slow store: the write may take effect when it comes back.
             if self.rng.random_range(0..4) == 0 {
-                self.queue_in(1_000, Delivery::StoreWrite { from, expected, record });
+                self.queue_in(
+                    1_000,
+                    Delivery::StoreWrite {
+                        from,
+                        expected,
+                        record,
+                    },
+                );
             }
             return;
         }
@@ -642,7 +772,11 @@
             WriteOutcome::Conflict
         };
         let is_lost = self.rng.random_range(0..1000) < self.store.lost_reply_permille;
-        let outcome = if is_lost { WriteOutcome::Unknown } else { outcome };
+        let outcome = if is_lost {
+            WriteOutcome::Unknown
+        } else {
+            outcome
+        };
         let there = self.daemons[from].data_centre.clone();
         let incarnation = self.daemons[from].incarnation;
         let event = Event::Written(outcome);
@@ -655,9 +789,10 @@
 
     fn cover(&mut self, record: &Record) {
         for shard in &record.shards {
-            for (server, epoch) in
-                [(&shard.owner, shard.epoch), (&shard.successor, shard.successor_epoch)]
-            {
+            for (server, epoch) in [
+                (&shard.owner, shard.epoch),
+                (&shard.successor, shard.successor_epoch),
+            ] {
                 if let Some(server) = server {
                     self.covered.insert((shard.id, server.clone(), epoch));
                 }
@@ -667,12 +802,16 @@
 
     /// Checks the safety rules after a server followed an order.
     fn check(&mut self, at: usize) {
-        let Some(copy) = self.store.record.clone() else { return };
+        let Some(copy) = self.store.record.clone() else {
+            return;
+        };
         for shard in &copy.record.shards {
             self.check_one_owner(shard.id);
             let server = &self.servers[at];
             let local_ms = server.clock.read(self.now_ms);
-            let Some(epoch) = server.holder.is_owner(local_ms, shard.id) else { continue };
+            let Some(epoch) = server.holder.is_owner(local_ms, shard.id) else {
+                continue;
+            };
             let highest = self.highest.entry(shard.id).or_default();
             assert!(
                 epoch >= *highest,
@@ -681,7 +820,8 @@
             );
             *highest = epoch;
             assert!(
-                self.covered.contains(&(shard.id, server.name.clone(), epoch)),
+                self.covered
+                    .contains(&(shard.id, server.name.clone(), epoch)),
                 "rule record-before-grant: shard {} epoch {epoch} on {}",
                 shard.id,
                 server.name
@@ -711,20 +851,28 @@
         }
         assert!(
             owners.len() <= 1,
-            "rule one-owner: shard {shard} has {owners:?} at {} ms",
-            self.now_ms
+            "rule one-owner: shard {shard} has {owners:?} at {} ms\n{}",
+            self.now_ms,
+            self.describe()
         );
     }
 
     /// Measures how long shards have no owner that daemons could reach.
     fn update_gaps(&mut self) {
-        let count = self.store.record.as_ref().map_or(0, |copy| copy.record.shards.len());
+        let count = self
+            .store
+            .record
+            .as_ref()
+            .map_or(0, |copy| copy.record.shards.len());
         for shard in 0..u32::try_from(count).unwrap() {
             let id = ShardId(shard);
             let is_owned = self.servers.iter().any(|server| {
                 server.is_alive
                     && self.now_ms >= server.paused_until_ms
-                    && server.holder.is_owner(server.clock.read(self.now_ms), id).is_some()
+                    && server
+                        .holder
+                        .is_owner(server.clock.read(self.now_ms), id)
+                        .is_some()
             });
             if is_owned {
                 if let Some(since_ms) = self.gaps.since_ms.remove(&id) {
@@ -736,6 +884,14 @@
         }
     }
 
+    /// Adds a line to the trace.
+    pub fn note(&mut self, text: &str) {
+        let line = format!("{:>6} ms {text}", self.now_ms);
+        if let Some(trace) = &mut self.trace {
+            trace.push(line);
+        }
+    }
+
     fn note_trace(&mut self, at: usize, action: &Action) {
         let text = match action {
             Action::ReadRecord => "read record".to_owned(),
@@ -756,10 +912,7 @@
             }
             _ => return,
         };
-        let line = format!("{:>6} ms {}: {text}", self.now_ms, self.daemons[at].name);
-        if let Some(trace) = &mut self.trace {
-            trace.push(line);
-        }
+        self.note(&format!("{}: {text}", self.daemons[at].name.clone()));
     }
 }
 
@@ -775,14 +928,24 @@
             place(&shard.successor, shard.successor_epoch)
         )
     });
-    format!("term {} {}", record.term, shards.collect::<Vec<_>>().join(" "))
+    format!(
+        "term {} {}",
+        record.term,
+        shards.collect::<Vec<_>>().join(" ")
+    )
 }
 
 fn describe_order(order: &Order) -> Option<String> {
-    let grants: Vec<String> =
-        order.grants.iter().map(|g| format!("{}@{}", g.shard, g.epoch)).collect();
-    let releases: Vec<String> =
-        order.releases.iter().map(|g| format!("{}@{}", g.shard, g.epoch)).collect();
+    let grants: Vec<String> = order
+        .grants
+        .iter()
+        .map(|g| format!("{}@{}", g.shard, g.epoch))
+        .collect();
+    let releases: Vec<String> = order
+        .releases
+        .iter()
+        .map(|g| format!("{}@{}", g.shard, g.epoch))
+        .collect();
     let prepares: Vec<String> = order.prepares.iter().map(ToString::to_string).collect();
     if releases.is_empty() && prepares.is_empty() && grants.is_empty() {
         return None;
--- a/crates/document/src/document.rs
+++ b/crates/document/src/document.rs
@@ -4,9 +4,7 @@
 
 use crate::class::Class;
 use crate::key::{KEY_SOURCE, KeyGroup, KeySource};
-use crate::{
-    Category, Error, Form, HashSet, Name, Result, Section, Sections, Server, form,
-};
+use crate::{Category, Error, Form, HashSet, Name, Result, Section, Sections, Server, form};
 
 /// What the operators want of one service.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -71,11 +69,22 @@
     pub moves_at_once: u32,
 }
 
-const KIND: Form<Kind> = Form { read: read_kind, expected: "keyed or pooled" };
-const POLICY: Form<PlacementPolicy> =
-    Form { read: read_policy, expected: "balanced or rendezvous" };
-const GRANT: Form<u64> = Form { read: read_grant, expected: "a duration from 1s to 1h" };
-const MOVES: Form<u32> = Form { read: read_moves, expected: "a whole number from 1" };
+const KIND: Form<Kind> = Form {
+    read: read_kind,
+    expected: "keyed or pooled",
+};
+const POLICY: Form<PlacementPolicy> = Form {
+    read: read_policy,
+    expected: "balanced or rendezvous",
+};
+const GRANT: Form<u64> = Form {
+    read: read_grant,
+    expected: "a duration from 1s to 1h",
+};
+const MOVES: Form<u32> = Form {
+    read: read_moves,
+    expected: "a whole number from 1",
+};
 
 const DEFAULT_GRANT_MS: u64 = 1_500;
 const MIN_GRANT_MS: u64 = 1_000;
@@ -100,7 +109,9 @@
         let service_line = service.line();
         let mut document = Self::from_service(service)?;
         for (name, section) in sections.take_named("key-group") {
-            document.key_groups.push(KeyGroup::from_section(name, section)?);
+            document
+                .key_groups
+                .push(KeyGroup::from_section(name, section)?);
         }
         let mut server_lines = Vec::new();
         for (name, section) in sections.take_named("server") {
@@ -145,9 +156,13 @@
                 .optional("placement", &POLICY)?
                 .unwrap_or(PlacementPolicy::Balanced),
             weights: Weights {
-                unavailable: section.optional("weight_unavailable", &form::COUNT)?.unwrap_or(1),
+                unavailable: section
+                    .optional("weight_unavailable", &form::COUNT)?
+                    .unwrap_or(1),
                 churn: section.optional("weight_churn", &form::COUNT)?.unwrap_or(1),
-                imbalance: section.optional("weight_imbalance", &form::COUNT)?.unwrap_or(1),
+                imbalance: section
+                    .optional("weight_imbalance", &form::COUNT)?
+                    .unwrap_or(1),
             },
             timing: Timing {
                 grant_ms: section
@@ -156,7 +171,9 @@
                 prepare_ms: section
                     .optional("prepare", &form::DURATION)?
                     .unwrap_or(DEFAULT_PREPARE_MS),
-                moves_at_once: section.optional("moves_at_once", &MOVES)?.unwrap_or(DEFAULT_MOVES),
+                moves_at_once: section
+                    .optional("moves_at_once", &MOVES)?
+                    .unwrap_or(DEFAULT_MOVES),
             },
             key_groups: Vec::new(),
             servers: Vec::new(),
@@ -185,7 +202,8 @@
                 return contradiction(file, *line, message);
             }
             if let Some(group) = self.unknown_group(server) {
-                let message = format!("key group {group} is unknown, expected a [key-group {group}]");
+                let message =
+                    format!("key group {group} is unknown, expected a [key-group {group}]");
                 return contradiction(file, *line, message);
             }
         }
@@ -209,7 +227,12 @@
 }
 
 fn contradiction(file: &str, line: u32, message: String) -> Result<()> {
-    Err(Report::new(Error::new(Category::Consistency, file, line, message)))
+    Err(Report::new(Error::new(
+        Category::Consistency,
+        file,
+        line,
+        message,
+    )))
 }
 
 fn read_kind(text: &str) -> Option<Kind> {
--- a/crates/document/src/name.rs
+++ b/crates/document/src/name.rs
@@ -8,8 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 /// An immutable, cheaply cloned name of a service, server, instance or data centre.
-#[derive(Clone, Eq, Hash, Ord, PartialEq, PartialOrd)]
-#[derive(Deserialize, Serialize)]
+#[derive(Clone, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct Name(Arc<str>);
 
@@ -72,8 +71,9 @@
 }
 
 /// The store's revision of a value; it only rises.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
-#[derive(Deserialize, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+)]
 #[serde(transparent)]
 pub struct Revision(pub u64);
 
--- a/crates/lease/src/epoch.rs
+++ b/crates/lease/src/epoch.rs
@@ -5,20 +5,23 @@
 use serde::{Deserialize, Serialize};
 
 /// A fence epoch: which of a shard's owners, in order, is meant.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
-#[derive(Deserialize, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+)]
 #[serde(transparent)]
 pub struct Epoch(pub u64);
 
 /// A controller's term: which of a service's controllers, in order, is meant.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
-#[derive(Deserialize, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+)]
 #[serde(transparent)]
 pub struct Term(pub u64);
 
 /// The identity of a shard, unique in its service for good.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
-#[derive(Deserialize, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+)]
 #[serde(transparent)]
 pub struct ShardId(pub u32);
 
--- a/crates/lease/src/holder.rs
+++ b/crates/lease/src/holder.rs
@@ -64,7 +64,7 @@
         if verdict == Verdict::Followed {
             self.apply(now_ms, order);
         }
-        self.to_report(now_ms, verdict)
+        self.to_report(now_ms, verdict, order.number)
     }
 
     /// Decides whether a request with an epoch may run.
@@ -86,7 +86,9 @@
     ///
     /// The result must be dropped when the grant ended while the request ran.
     pub fn end(&mut self, now_ms: u64, target: ShardEpoch) -> bool {
-        let Some(slot) = self.shards.get_mut(&target.shard) else { return false };
+        let Some(slot) = self.shards.get_mut(&target.shard) else {
+            return false;
+        };
         if slot.epoch != target.epoch {
             return false;
         }
@@ -112,11 +114,18 @@
     }
 
     fn judge(&self, order: &Order) -> Verdict {
-        let is_other = self.controller.as_ref().is_some_and(|known| *known != order.controller);
+        let is_other = self
+            .controller
+            .as_ref()
+            .is_some_and(|known| *known != order.controller);
         if order.term < self.term || (order.term == self.term && is_other) {
             return Verdict::Outdated;
         }
-        if order.incarnation == Some(self.incarnation) { Verdict::Followed } else { Verdict::Reported }
+        if order.incarnation == Some(self.incarnation) {
+            Verdict::Followed
+        } else {
+            Verdict::Reported
+        }
     }
 
     fn apply(&mut self, now_ms: u64, order: &Order) {
@@ -132,8 +141,12 @@
     }
 
     fn accept(&mut self, grant: ShardEpoch, deadline_ms: u64) {
-        let fresh =
-            Slot { epoch: grant.epoch, deadline_ms, state: SlotState::Granted, in_flight: 0 };
+        let fresh = Slot {
+            epoch: grant.epoch,
+            deadline_ms,
+            state: SlotState::Granted,
+            in_flight: 0,
+        };
         match self.shards.get_mut(&grant.shard) {
             Some(slot) if slot.epoch > grant.epoch => {}
             Some(slot) if slot.epoch == grant.epoch => {
@@ -147,15 +160,20 @@
     }
 
     fn close(&mut self, release: ShardEpoch) {
-        let Some(slot) = self.shards.get_mut(&release.shard) else { return };
+        let Some(slot) = self.shards.get_mut(&release.shard) else {
+            return;
+        };
         if slot.epoch != release.epoch || slot.state == SlotState::Released {
             return;
         }
-        slot.state =
-            if slot.in_flight == 0 { SlotState::Released } else { SlotState::Closing };
+        slot.state = if slot.in_flight == 0 {
+            SlotState::Released
+        } else {
+            SlotState::Closing
+        };
     }
 
-    fn to_report(&self, now_ms: u64, verdict: Verdict) -> Report {
+    fn to_report(&self, now_ms: u64, verdict: Verdict, number: u64) -> Report {
         let mut shards: Vec<Held> = self
             .shards
             .iter()
@@ -170,6 +188,7 @@
         shards.sort_unstable_by_key(|held| held.shard);
         Report {
             verdict,
+            number,
             incarnation: self.incarnation,
             clock_ms: now_ms,
             term: self.term,
--- a/crates/lease/src/order.rs
+++ b/crates/lease/src/order.rs
@@ -6,8 +6,7 @@
 use crate::{Epoch, ShardId, Term};
 
 /// A shard with the fence epoch of one of its owners.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-#[derive(Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 pub struct ShardEpoch {
     /// The shard.
     pub shard: ShardId,
@@ -16,8 +15,7 @@
 }
 
 /// What a controller wants of one server; an order may be sent again.
-#[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Order {
     /// The service.
     pub service: Name,
@@ -25,6 +23,8 @@
     pub term: Term,
     /// The controller's instance.
     pub controller: Name,
+    /// The number of the order in its term; the report repeats it.
+    pub number: u64,
     /// The server process that is meant; `None` only asks for a report.
     pub incarnation: Option<u64>,
     /// When the grants end, on the server's clock.
@@ -38,11 +38,12 @@
 }
 
 /// What a server answers to an order.
-#[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Report {
     /// Whether the order was followed.
     pub verdict: Verdict,
+    /// The number of the order.
+    pub number: u64,
     /// The server process that answers.
     pub incarnation: u64,
     /// The server's clock.
@@ -56,8 +57,7 @@
 }
 
 /// Whether an order was followed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Verdict {
     /// The order was followed.
@@ -69,8 +69,7 @@
 }
 
 /// One shard, as a server knows it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Held {
     /// The shard.
     pub shard: ShardId,
--- a/crates/placement/src/rendezvous.rs
+++ b/crates/placement/src/rendezvous.rs
@@ -17,7 +17,12 @@
                 .iter()
                 .enumerate()
                 .filter(|(_, server)| server.may_take(shard.group))
-                .map(|(at, server)| (xxh3_64_with_seed(server.name.as_bytes(), u64::from(shard.id)), at))
+                .map(|(at, server)| {
+                    (
+                        xxh3_64_with_seed(server.name.as_bytes(), u64::from(shard.id)),
+                        at,
+                    )
+                })
                 .collect();
             ranked.sort_unstable_by(|a, b| b.cmp(a));
             plan.owners.push(ranked.first().map(|(_, at)| *at));
--- /dev/null
+++ b/crates/route/src/refusal.rs
@@ -0,0 +1,163 @@
+//! What a caller is told when its request is not answered by a server.
+
+use std::fmt;
+
+/// Whether a request may have run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// It certainly did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// Why a request was not answered by a server.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Reason {
+    /// The path names no service.
+    UnknownService,
+    /// The request carries no key where the document expects it.
+    NoKey,
+    /// The key belongs to no key group.
+    UnknownKeyGroup,
+    /// The body is longer than the limit.
+    BodyTooLarge,
+    /// The body did not arrive whole.
+    BodyIncomplete,
+    /// The framing headers contradict each other.
+    BadFraming,
+    /// No server holds the key now.
+    NoOwner,
+    /// Too many requests wait.
+    Overloaded,
+    /// The deadline passed before the request was sent.
+    Expired,
+    /// The server could not be reached.
+    Unreachable,
+    /// The server refused the request.
+    RefusedByServer,
+    /// The connection broke after the request was sent.
+    Broken,
+    /// The server did not answer before the deadline.
+    TimedOut,
+    /// The request has crashed servers that ran it.
+    Crashing,
+    /// The daemon is stopping.
+    Stopping,
+}
+
+/// The answer to a caller whose request no server answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Whether the request may have run.
+    pub outcome: Outcome,
+    /// Why it was refused.
+    pub reason: Reason,
+    /// When it is worth asking again.
+    pub retry_after_s: Option<u32>,
+}
+
+/// When a caller should come back after a refusal that passes by itself.
+const RETRY_AFTER_S: u32 = 1;
+
+impl Refusal {
+    /// Creates the refusal of a request that certainly did not run.
+    #[must_use]
+    pub fn not_run(reason: Reason) -> Self {
+        let retry_after_s = if reason.is_passing() {
+            Some(RETRY_AFTER_S)
+        } else {
+            None
+        };
+        Self {
+            outcome: Outcome::NotRun,
+            reason,
+            retry_after_s,
+        }
+    }
+
+    /// Creates the answer for a request that may have run.
+    #[must_use]
+    pub fn unknown(reason: Reason) -> Self {
+        Self {
+            outcome: Outcome::Unknown,
+            reason,
+            retry_after_s: None,
+        }
+    }
+
+    /// Returns the HTTP status.
+    #[must_use]
+    pub fn status(&self) -> u16 {
+        match self.reason {
+            Reason::UnknownService => 404,
+            Reason::NoKey
+            | Reason::UnknownKeyGroup
+            | Reason::BodyIncomplete
+            | Reason::BadFraming => 400,
+            Reason::BodyTooLarge => 413,
+            Reason::NoOwner
+            | Reason::Overloaded
+            | Reason::RefusedByServer
+            | Reason::Crashing
+            | Reason::Stopping
+            | Reason::Unreachable => 503,
+            Reason::Broken => 502,
+            Reason::Expired | Reason::TimedOut => 504,
+        }
+    }
+}
+
+impl Reason {
+    /// Returns whether asking again later may help.
+    fn is_passing(self) -> bool {
+        matches!(
+            self,
+            Self::NoOwner
+                | Self::Overloaded
+                | Self::Expired
+                | Self::Unreachable
+                | Self::RefusedByServer
+                | Self::Stopping
+        )
+    }
+
+    /// Returns the machine-readable name.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::UnknownService => "unknown-service",
+            Self::NoKey => "no-key",
+            Self::UnknownKeyGroup => "unknown-key-group",
+            Self::BodyTooLarge => "body-too-large",
+            Self::BodyIncomplete => "body-incomplete",
+            Self::BadFraming => "bad-framing",
+            Self::NoOwner => "no-owner",
+            Self::Overloaded => "overloaded",
+            Self::Expired => "expired",
+            Self::Unreachable => "unreachable",
+            Self::RefusedByServer => "refused-by-server",
+            Self::Broken => "broken",
+            Self::TimedOut => "timed-out",
+            Self::Crashing => "crashing",
+            Self::Stopping => "stopping",
+        }
+    }
+}
+
+impl Outcome {
+    /// Returns the value of the outcome header.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.outcome.as_str(), self.reason.as_str())
+    }
+}
--- a/crates/control/src/table.rs
+++ b/crates/route/src/table.rs
@@ -2,15 +2,12 @@
 
 use document::{Name, Revision, hash_key};
 use lease::{Epoch, ShardId, Term};
-use serde::Serialize;
-
-use crate::record::GroupRecord;
+use serde::{Deserialize, Serialize};
 
 /// Who serves which shard of a service.
 ///
 /// Tables are ordered by term, then by sequence; only a later one replaces another.
-#[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Table {
     /// The service.
     pub service: Name,
@@ -23,16 +20,24 @@
     /// The revision of the document that the controller acts on.
     pub document: Revision,
     /// The key groups.
-    pub groups: Vec<GroupRecord>,
+    pub groups: Vec<Group>,
     /// The servers that routes name by position.
     pub servers: Vec<Name>,
     /// The routes, by group and start.
     pub routes: Vec<Route>,
 }
 
+/// One key group, as it was when the service was first placed.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Group {
+    /// The name in the document.
+    pub name: Name,
+    /// What the group's keys start with.
+    pub prefix: Name,
+}
+
 /// Who serves one shard.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[derive(Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 pub struct Route {
     /// The shard.
     pub shard: ShardId,
@@ -56,7 +61,8 @@
     }
 
     /// Returns whether two tables say the same, whatever their numbers are.
-    pub(crate) fn is_same_content(&self, other: &Self) -> bool {
+    #[must_use]
+    pub fn is_same_content(&self, other: &Self) -> bool {
         self.term == other.term
             && self.document == other.document
             && self.servers == other.servers
@@ -68,7 +74,9 @@
     pub fn find(&self, key: &str) -> Option<(usize, &Route)> {
         let group = self.group_of(key)?;
         let hash = hash_key(key);
-        let end = self.routes.partition_point(|route| (route.group, route.start) <= (group, hash));
+        let end = self
+            .routes
+            .partition_point(|route| (route.group, route.start) <= (group, hash));
         let at = end.checked_sub(1)?;
         let route = &self.routes[at];
         (route.group == group).then_some((at, route))
