--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -127,11 +127,7 @@
     pub fn beat_targets(&self, now_ms: u64) -> Vec<Name> {
         match &self.table {
             Some(table) if now_ms < self.answered_until_ms => vec![table.controller.clone()],
-            _ => self
-                .instances
-                .iter()
-                .map(|instance| instance.name.clone())
-                .collect(),
+            _ => self.instances.iter().map(|instance| instance.name.clone()).collect(),
         }
     }
 
@@ -143,14 +139,14 @@
             Event::Document(revision, document) => self.on_document(now_ms, revision, document),
             Event::Instances(instances) => self.on_instances(instances),
             Event::RecordRead(copy) => self.on_record_read(now_ms, copy),
-            Event::Written(outcome) => self.on_written(now_ms, &outcome, &mut out),
+            Event::Written(number, outcome) => {
+                self.on_written(now_ms, number, &outcome, &mut out);
+            }
             Event::PromiseAsked(ask) => self.on_promise_asked(now_ms, ask, &mut out),
             Event::PromiseReplied(reply) => self.on_promise_replied(now_ms, &reply, &mut out),
             Event::PromiseReturned(candidate) => self.on_promise_returned(&candidate),
             Event::Reported(server, report) => {
-                let standing = self
-                    .lead_mut()
-                    .map(|lead| lead.on_report(now_ms, &server, &report));
+                let standing = self.lead_mut().map(|lead| lead.on_report(now_ms, &server, &report));
                 self.apply_standing(standing);
             }
             Event::Unanswered(server) => {
@@ -217,9 +213,7 @@
         };
         let elect_at_ms = elect_at_ms.unwrap_or(now_ms + rank * self.tuning.stagger_ms);
         if now_ms < elect_at_ms {
-            self.role = Role::Follower {
-                elect_at_ms: Some(elect_at_ms),
-            };
+            self.role = Role::Follower { elect_at_ms: Some(elect_at_ms) };
             return;
         }
         match self.known.clone() {
@@ -282,23 +276,14 @@
             return;
         }
         let record = Arc::new(Record::first(document, voters));
-        self.role = Role::Creator {
-            deadline_ms: now_ms + self.tuning.write_timeout_ms,
-        };
+        self.role = Role::Creator { deadline_ms: now_ms + self.tuning.write_timeout_ms };
         self.is_synced = false;
         self.next_read_ms = now_ms + READ_EVERY_MS;
-        out.push(Action::WriteRecord {
-            expected: None,
-            record,
-        });
+        out.push(Action::WriteRecord { number: 0, expected: None, record });
     }
 
     fn on_document(&mut self, now_ms: u64, revision: Revision, document: Arc<Document>) {
-        if self
-            .document
-            .as_ref()
-            .is_some_and(|(known, _)| *known >= revision)
-        {
+        if self.document.as_ref().is_some_and(|(known, _)| *known >= revision) {
             return;
         }
         self.document = Some((revision, Arc::clone(&document)));
@@ -322,10 +307,7 @@
             let is_newer = revision > lead.known.revision;
             lead.writer.note_read(now_ms, is_newer);
             let is_foreign = copy.as_ref().is_some_and(|copy| {
-                copy.record
-                    .controller
-                    .as_ref()
-                    .is_some_and(|name| *name != self.me)
+                copy.record.controller.as_ref().is_some_and(|name| *name != self.me)
             });
             let is_outdated = later_term > lead.term || (later_term == lead.term && is_foreign);
             if let Some(copy) = copy.clone() {
@@ -340,22 +322,22 @@
         }
     }
 
-    fn on_written(&mut self, now_ms: u64, outcome: &WriteOutcome, out: &mut Vec<Action>) {
+    fn on_written(
+        &mut self,
+        now_ms: u64,
+        number: u64,
+        outcome: &WriteOutcome,
+        out: &mut Vec<Action>,
+    ) {
         match &mut self.role {
             Role::Lead(lead) => match outcome {
                 WriteOutcome::Done(revision) => {
-                    if let Some(record) = lead.writer.note_done() {
-                        lead.adopt_record(
-                            now_ms,
-                            RecordCopy {
-                                revision: *revision,
-                                record,
-                            },
-                        );
+                    if let Some(record) = lead.writer.note_done(number) {
+                        lead.adopt_record(now_ms, RecordCopy { revision: *revision, record });
                     }
                 }
                 WriteOutcome::Conflict | WriteOutcome::Unknown => {
-                    if lead.writer.note_unclear(now_ms) {
+                    if lead.writer.note_unclear(now_ms, number) {
                         out.push(Action::ReadRecord);
                     }
                 }
@@ -401,21 +383,13 @@
             stage: ask.stage,
             asked_ms: ask.asked_ms,
             vote,
-            record_revision: if self.is_synced {
-                known_revision
-            } else {
-                Revision(0)
-            },
+            record_revision: if self.is_synced { known_revision } else { Revision(0) },
             record: if lacks { self.known.clone() } else { None },
             intent_number: match self.newest_intent {
                 (term, number) if term == ask.term => number,
                 _ => 0,
             },
-            intents: if is_leading {
-                Vec::new()
-            } else {
-                self.intents.clone()
-            },
+            intents: if is_leading { Vec::new() } else { self.intents.clone() },
             is_sure: self.is_sure,
         };
         out.push(Action::ReplyPromise(ask.candidate, reply));
@@ -437,10 +411,8 @@
                 Standing::Over(term) => Outcome::StepDown(term),
             },
             Role::Candidate(candidate) => {
-                let is_newer = self
-                    .known
-                    .as_ref()
-                    .is_some_and(|k| k.record.quorum() != candidate.quorum);
+                let is_newer =
+                    self.known.as_ref().is_some_and(|k| k.record.quorum() != candidate.quorum);
                 candidate.on_promise(now_ms, reply, self.tuning.promise_ms, is_newer)
             }
             Role::Follower { .. } | Role::Creator { .. } | Role::Stopped => Outcome::Nothing,
@@ -464,9 +436,7 @@
         let Role::Candidate(candidate) = &self.role else {
             return;
         };
-        let is_sure = candidate
-            .quorum
-            .is_reached(|voter| candidate.sure.contains(voter));
+        let is_sure = candidate.quorum.is_reached(|voter| candidate.sure.contains(voter));
         let start = Start {
             intents: self.intents.clone(),
             is_sure,
@@ -493,22 +463,14 @@
     }
 
     fn on_beat_replied(&mut self, now_ms: u64, reply: &BeatReply) {
-        if self
-            .table
-            .as_ref()
-            .is_some_and(|table| table.term == reply.term)
-        {
+        if self.table.as_ref().is_some_and(|table| table.term == reply.term) {
             self.answered_until_ms = now_ms + self.tuning.daemon_silence_ms;
         }
     }
 
     fn on_table(&mut self, table: Arc<Table>) {
         self.voter.note_term(table.term);
-        if self
-            .table
-            .as_ref()
-            .is_none_or(|known| table.is_after(known))
-        {
+        if self.table.as_ref().is_none_or(|known| table.is_after(known)) {
             self.table = Some(table);
         }
     }
@@ -551,9 +513,7 @@
     }
 
     fn known_revision(&self) -> Revision {
-        self.known
-            .as_ref()
-            .map_or(Revision(0), |known| known.revision)
+        self.known.as_ref().map_or(Revision(0), |known| known.revision)
     }
 
     fn lead_mut(&mut self) -> Option<&mut Lead> {
@@ -573,11 +533,7 @@
         has_newer_voters: bool,
     ) -> Outcome {
         if let Vote::Outdated(term) = reply.vote {
-            return if term >= self.term {
-                Outcome::StepDown(term)
-            } else {
-                Outcome::Nothing
-            };
+            return if term >= self.term { Outcome::StepDown(term) } else { Outcome::Nothing };
         }
         let is_mine = reply.term == self.term && reply.stage == self.stage;
         if !is_mine || reply.vote != Vote::Promised {
@@ -588,17 +544,10 @@
         }
         if self.stage == Stage::Probing {
             self.promised.push(reply.voter.clone());
-            let is_eligible = self
-                .quorum
-                .is_reached(|voter| self.promised.contains(voter));
-            return if is_eligible {
-                Outcome::Eligible
-            } else {
-                Outcome::Nothing
-            };
+            let is_eligible = self.quorum.is_reached(|voter| self.promised.contains(voter));
+            return if is_eligible { Outcome::Eligible } else { Outcome::Nothing };
         }
-        self.authority
-            .note(&reply.voter, reply.asked_ms, promise_ms);
+        self.authority.note(&reply.voter, reply.asked_ms, promise_ms);
         if reply.is_sure {
             self.sure.push(reply.voter.clone());
         }
--- a/crates/control/src/draft.rs
+++ b/crates/control/src/draft.rs
@@ -55,12 +55,14 @@
         if let Some(owner) = &record.owner
             && self.is_usable(now_ms, owner)
             && self.is_untouched(at, record)
+            && self.released[at] < record.epoch
             && !self.servers[owner].is_released(record.id, record.epoch)
         {
             return Heir::Recorded(owner.clone(), record.epoch);
         }
         if let Some(successor) = &record.successor
             && self.is_usable(now_ms, successor)
+            && self.released[at] < record.successor_epoch
             && !self.servers[successor].is_released(record.id, record.successor_epoch)
         {
             return Heir::Recorded(successor.clone(), record.successor_epoch);
@@ -71,10 +73,7 @@
     /// Returns whether a write that may take effect says something else of a shard.
     pub(crate) fn is_disputed(&self, at: usize) -> bool {
         let known = &self.known.record.shards[at];
-        self.writer
-            .unresolved()
-            .iter()
-            .any(|record| record.shards[at] != *known)
+        self.writer.unresolved().iter().any(|record| record.shards[at] != *known)
     }
 
     /// Returns the record that describes the present state and the plan.
@@ -94,12 +93,7 @@
     fn draft_shard(&self, now_ms: u64, at: usize, record: &mut Record) {
         match &self.shards[at] {
             Shard::Held { server, epoch }
-            | Shard::Moving {
-                server,
-                epoch,
-                phase: Phase::Preparing { .. },
-                ..
-            } => {
+            | Shard::Moving { server, epoch, phase: Phase::Preparing { .. }, .. } => {
                 let shard = &mut record.shards[at];
                 shard.owner = Some(server.clone());
                 shard.epoch = *epoch;
@@ -110,9 +104,7 @@
                 }
             }
             Shard::Free { .. } if self.heir(now_ms, at) == Heir::Unrecorded => {
-                let heir = self.wanted[at]
-                    .clone()
-                    .filter(|name| self.is_usable(now_ms, name));
+                let heir = self.wanted[at].clone().filter(|name| self.is_usable(now_ms, name));
                 if let Some(heir) = heir {
                     self.note_last_owner(at, &mut record.shards[at]);
                     self.reserve(at, heir, record);
@@ -144,10 +136,7 @@
 
     fn reserve(&self, at: usize, successor: Name, record: &mut Record) {
         let epoch = record.reserve_epoch();
-        let incarnation = self
-            .servers
-            .get(&successor)
-            .and_then(|link| link.incarnation);
+        let incarnation = self.servers.get(&successor).and_then(|link| link.incarnation);
         record.shards[at].reserve(successor, epoch, incarnation);
     }
 
@@ -160,12 +149,8 @@
             return;
         }
         let silent = self.silent_voters(now_ms);
-        let live: Vec<_> = self
-            .instances
-            .iter()
-            .filter(|i| !silent.contains(&i.name))
-            .cloned()
-            .collect();
+        let live: Vec<_> =
+            self.instances.iter().filter(|i| !silent.contains(&i.name)).cloned().collect();
         let chosen = choose_voters(&self.service, &live, &record.voters);
         if chosen.len() >= record.voters.len() && chosen != record.voters {
             record.old_voters = std::mem::replace(&mut record.voters, chosen);
@@ -183,11 +168,7 @@
         let server_bounds = self.servers.values().map(|link| &link.bound);
         let bounds = server_bounds.chain(self.daemons.values().map(|link| &link.bound));
         let is_over = bounds.into_iter().all(|bound| bound.over_ms() <= limit_ms);
-        if is_over && now_ms >= self.inheritance_over_ms() {
-            wanted_ms
-        } else {
-            recorded_ms
-        }
+        if is_over && now_ms >= self.inheritance_over_ms() { wanted_ms } else { recorded_ms }
     }
 
     fn named_servers(&self, record: &Record) -> BTreeMap<Name, std::net::SocketAddr> {
@@ -218,15 +199,9 @@
 
     /// Returns whether a server may be given work now.
     pub(crate) fn is_usable(&self, now_ms: u64, server: &Name) -> bool {
-        let is_reachable = self
-            .servers
-            .get(server)
-            .is_some_and(|link| link.is_reachable(now_ms, &self.tuning));
-        is_reachable
-            && self
-                .document
-                .server(server)
-                .is_some_and(document::Server::is_welcome)
+        let is_reachable =
+            self.servers.get(server).is_some_and(|link| link.is_reachable(now_ms, &self.tuning));
+        is_reachable && self.document.server(server).is_some_and(document::Server::is_welcome)
     }
 
     fn to_placement(&self) -> Request {
@@ -240,9 +215,7 @@
                 data_centre: server.data_centre.clone(),
                 slots: server.slots,
                 groups: Some(
-                    (0..groups.len())
-                        .filter(|at| server.may_hold(&groups[*at].name))
-                        .collect(),
+                    (0..groups.len()).filter(|at| server.may_hold(&groups[*at].name)).collect(),
                 ),
                 accepts: server.is_welcome() && !self.lost.contains(&server.name),
             })
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -20,8 +20,8 @@
     Instances(Vec<Instance>),
     /// The store answered a read of the record; `None` when there is no record.
     RecordRead(Option<RecordCopy>),
-    /// A write of the record ended.
-    Written(WriteOutcome),
+    /// The write of the record with this number ended.
+    Written(u64, WriteOutcome),
     /// A candidate or controller asks for a promise.
     PromiseAsked(PromiseAsk),
     /// A voter answered.
@@ -60,6 +60,8 @@
     ReadRecord,
     /// Write the record if it still has the expected revision.
     WriteRecord {
+        /// The number of the write, which its outcome repeats.
+        number: u64,
         /// The expected revision; `None` when there must be no record.
         expected: Option<Revision>,
         /// The record.
--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -33,6 +33,8 @@
     pub(crate) loads: Vec<f64>,
     /// By shard, the highest epoch that this controller granted.
     pub(crate) granted: Vec<Epoch>,
+    /// By shard, the highest epoch that this controller told a server to give up.
+    pub(crate) released: Vec<Epoch>,
     pub(crate) lost: BTreeSet<Name>,
     pub(crate) is_planned: bool,
     pub(crate) is_plan_due: bool,
@@ -100,19 +102,13 @@
             .iter()
             .map(|record| {
                 if record.is_unassigned() {
-                    Shard::Free {
-                        not_before_ms: now_ms,
-                    }
+                    Shard::Free { not_before_ms: now_ms }
                 } else {
                     Shard::Unknown
                 }
             })
             .collect();
-        let unresolved = start
-            .intents
-            .into_iter()
-            .map(|intent| intent.record)
-            .collect();
+        let unresolved = start.intents.into_iter().map(|intent| intent.record).collect();
         let mut lead = Self {
             me: start.me,
             service: start.service,
@@ -130,6 +126,7 @@
             standby: vec![None; count],
             loads: vec![0.0; count],
             granted: vec![Epoch(0); count],
+            released: vec![Epoch(0); count],
             lost: BTreeSet::new(),
             is_planned: false,
             is_plan_due: true,
@@ -175,9 +172,7 @@
             return false;
         };
         self.known.record.quorum().is_reached(|voter| {
-            self.voters
-                .get(voter)
-                .is_some_and(|link| link.intent_number >= intent.number)
+            self.voters.get(voter).is_some_and(|link| link.intent_number >= intent.number)
         })
     }
 
@@ -193,26 +188,20 @@
     /// Returns whether a majority of the voters knows the newest record.
     pub(crate) fn is_record_acknowledged(&self) -> bool {
         let revision = self.known.revision;
-        self.known.record.quorum().is_reached(|voter| {
-            self.voters
-                .get(voter)
-                .is_some_and(|link| link.acked >= revision)
-        })
+        self.known
+            .record
+            .quorum()
+            .is_reached(|voter| self.voters.get(voter).is_some_and(|link| link.acked >= revision))
     }
 
     /// Returns the voters that have been silent for long.
     pub(crate) fn silent_voters(&self, now_ms: u64) -> Vec<Name> {
         let silence_ms = self.tuning.voter_silence_ms;
         let last_ms = |voter: &Name| {
-            self.voters
-                .get(voter)
-                .map_or(self.started_ms, |link| link.last_reply_ms)
+            self.voters.get(voter).map_or(self.started_ms, |link| link.last_reply_ms)
         };
         let members = self.known.record.quorum().members();
-        members
-            .into_iter()
-            .filter(|voter| now_ms >= last_ms(voter) + silence_ms)
-            .collect()
+        members.into_iter().filter(|voter| now_ms >= last_ms(voter) + silence_ms).collect()
     }
 
     pub(crate) fn set_document(
@@ -242,8 +231,7 @@
         match reply.vote {
             lease::Vote::Outdated(term) if term > self.term => return Standing::Over(term),
             lease::Vote::Promised if reply.term == self.term && reply.stage != Stage::Probing => {
-                self.authority
-                    .note(&reply.voter, reply.asked_ms, self.tuning.promise_ms);
+                self.authority.note(&reply.voter, reply.asked_ms, self.tuning.promise_ms);
             }
             _ => {}
         }
@@ -294,9 +282,7 @@
         let link = self.daemons.entry(beat.instance.clone()).or_default();
         link.note_beat(now_ms, beat);
         for (shard, requests) in &beat.loads {
-            if let Some(load) = usize::try_from(shard.0)
-                .ok()
-                .and_then(|at| self.loads.get_mut(at))
+            if let Some(load) = usize::try_from(shard.0).ok().and_then(|at| self.loads.get_mut(at))
             {
                 *load += f64::from(*requests);
             }
@@ -309,6 +295,7 @@
         let lease = self.route_deadline(now_ms, &beat.instance);
         if let Some(deadline_ms) = lease {
             let reply = BeatReply {
+                incarnation: beat.incarnation,
                 term: self.term,
                 sequence: self.sequence,
                 deadline_ms,
@@ -332,27 +319,22 @@
     }
 
     pub(crate) fn checks_fence(&self, server: &Name) -> bool {
-        self.servers
-            .get(server)
-            .is_some_and(|link| link.checks_fence)
+        self.servers.get(server).is_some_and(|link| link.checks_fence)
     }
 
     /// Returns when no daemon can still send to a server that checks no fence.
     pub(crate) fn routes_over_ms(&self) -> u64 {
-        self.daemons
-            .values()
-            .map(|link| link.bound.over_ms())
-            .max()
-            .unwrap_or(0)
+        self.daemons.values().map(|link| link.bound.over_ms()).max().unwrap_or(0)
+    }
+
+    /// Returns from when on nobody sends to a server that has lost a shard.
+    pub(crate) fn free_from_ms(&self, now_ms: u64, server: &Name) -> u64 {
+        if self.checks_fence(server) { now_ms } else { now_ms.max(self.routes_over_ms()) }
     }
 
     /// Frees what a server process held that is gone for sure.
     pub(crate) fn free_shards_of(&mut self, now_ms: u64, server: &Name) {
-        let not_before_ms = if self.checks_fence(server) {
-            now_ms
-        } else {
-            now_ms.max(self.routes_over_ms())
-        };
+        let not_before_ms = self.free_from_ms(now_ms, server);
         for shard in &mut self.shards {
             if shard.holder().is_some_and(|(holder, _)| holder == server) {
                 *shard = Shard::Free { not_before_ms };
@@ -369,10 +351,7 @@
             let link = self.voters.get(&voter);
             let acked = link.map_or(Revision(0), |link| link.acked);
             let known_number = link.map_or(0, |link| link.intent_number);
-            let intent = self
-                .writer
-                .announced()
-                .filter(|intent| intent.number > known_number);
+            let intent = self.writer.announced().filter(|intent| intent.number > known_number);
             let ask = PromiseAsk {
                 candidate: self.me.clone(),
                 term: self.term,
@@ -407,11 +386,7 @@
             order.number = next_number;
             next_number += 1;
             let is_empty = order.grants.is_empty();
-            let deadline_ms = if is_empty {
-                None
-            } else {
-                link.bound.extend(grant_ms)
-            };
+            let deadline_ms = if is_empty { None } else { link.bound.extend(grant_ms) };
             order.deadline_ms = deadline_ms.unwrap_or(0);
             link.note_sent(now_ms, &self.tuning);
             out.push(Action::Order(name, link.address, order));
@@ -435,23 +410,9 @@
             if let Some((holder, epoch)) = shard.holder()
                 && holder == server
             {
-                let target = ShardEpoch {
-                    shard: record.id,
-                    epoch,
-                };
-                let is_releasing = matches!(
-                    shard,
-                    Shard::Moving {
-                        phase: Phase::Releasing,
-                        ..
-                    }
-                );
-                if is_releasing {
-                    &mut order.releases
-                } else {
-                    &mut order.grants
-                }
-                .push(target);
+                let target = ShardEpoch { shard: record.id, epoch };
+                let is_releasing = matches!(shard, Shard::Moving { phase: Phase::Releasing, .. });
+                if is_releasing { &mut order.releases } else { &mut order.grants }.push(target);
             }
             if let Shard::Moving { target, phase, .. } = shard
                 && target == server
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -54,8 +54,7 @@
 
     /// Returns whether the server answered lately.
     pub(crate) fn is_reachable(&self, now_ms: u64, tuning: &Tuning) -> bool {
-        self.last_reply_ms
-            .is_some_and(|at_ms| now_ms < at_ms + tuning.server_silence_ms)
+        self.last_reply_ms.is_some_and(|at_ms| now_ms < at_ms + tuning.server_silence_ms)
     }
 
     /// Returns whether the server has been silent for too long to be given work.
@@ -65,9 +64,7 @@
 
     /// Returns whether an order should be sent now.
     pub(crate) fn is_order_due(&self, now_ms: u64) -> bool {
-        let is_waiting = self
-            .answer_deadline_ms
-            .is_some_and(|deadline_ms| now_ms < deadline_ms);
+        let is_waiting = self.answer_deadline_ms.is_some_and(|deadline_ms| now_ms < deadline_ms);
         !is_waiting && (self.is_dirty || now_ms >= self.next_order_ms)
     }
 
@@ -90,31 +87,22 @@
         self.answer_deadline_ms = None;
         self.last_reply_ms = Some(now_ms);
         let is_known = self.incarnation == Some(report.incarnation);
-        let change = if is_known || self.incarnation.is_none() {
-            Change::Same
-        } else {
-            Change::Restarted
-        };
+        let change =
+            if is_known || self.incarnation.is_none() { Change::Same } else { Change::Restarted };
         if !is_known {
             self.bound.reset();
             self.incarnation = Some(report.incarnation);
             self.is_dirty = true;
         }
         self.bound.observe_clock(report.clock_ms, now_ms);
-        self.held = report
-            .shards
-            .iter()
-            .map(|held| (held.shard, *held))
-            .collect();
+        self.held = report.shards.iter().map(|held| (held.shard, *held)).collect();
         self.prepared = report.prepared.iter().copied().collect();
         change
     }
 
     /// Returns whether the server reported that it serves a shard with an epoch.
     pub(crate) fn is_live(&self, shard: ShardId, epoch: Epoch) -> bool {
-        self.held
-            .get(&shard)
-            .is_some_and(|held| held.is_live && held.epoch == epoch)
+        self.held.get(&shard).is_some_and(|held| held.is_live && held.epoch == epoch)
     }
 
     /// Returns whether the server gave a shard up that it held with an epoch.
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -104,8 +104,10 @@
 }
 
 /// A controller's answer to a beat.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct BeatReply {
+    /// The daemon process whose clock the deadline is on.
+    pub incarnation: u64,
     /// The controller's term.
     pub term: Term,
     /// The table that the daemon should have.
--- a/crates/control/src/record.rs
+++ b/crates/control/src/record.rs
@@ -66,20 +66,13 @@
         let groups = document
             .key_groups
             .iter()
-            .map(|group| Group {
-                name: group.name.clone(),
-                prefix: group.prefix.clone(),
-            })
+            .map(|group| Group { name: group.name.clone(), prefix: group.prefix.clone() })
             .collect();
         let mut shards = Vec::new();
         for (group, key_group) in (0..).zip(&document.key_groups) {
             for number in 0..key_group.shards {
                 let id = ShardId(u32::try_from(shards.len()).unwrap_or(u32::MAX));
-                shards.push(ShardRecord::new(
-                    id,
-                    group,
-                    range_start(number, key_group.shards),
-                ));
+                shards.push(ShardRecord::new(id, group, range_start(number, key_group.shards)));
             }
         }
         Self {
@@ -95,13 +88,29 @@
         }
     }
 
+    /// Reads a record that the store holds.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text is not the JSON of a record.
+    pub fn from_json(json: &[u8]) -> serde_json::Result<Self> {
+        serde_json::from_slice(json)
+    }
+
+    /// Returns the text that the store holds.
+    ///
+    /// # Panics
+    ///
+    /// Never: a record has only keys that are strings.
+    #[must_use]
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(self).expect("a record has only string keys")
+    }
+
     /// Returns the instances whose majority makes a controller.
     #[must_use]
     pub fn quorum(&self) -> Quorum {
-        Quorum {
-            voters: self.voters.clone(),
-            old_voters: self.old_voters.clone(),
-        }
+        Quorum { voters: self.voters.clone(), old_voters: self.old_voters.clone() }
     }
 
     /// Reserves an epoch that was never used in this service.
--- a/crates/control/src/settle.rs
+++ b/crates/control/src/settle.rs
@@ -62,21 +62,19 @@
             let id = self.known.record.shards[at].id;
             let next = match &self.shards[at] {
                 Shard::Unknown => match live.get(&id) {
-                    Some((server, epoch)) => Some(Shard::Held {
-                        server: server.clone(),
-                        epoch: *epoch,
-                    }),
-                    None if is_inheritance_over => Some(Shard::Free {
-                        not_before_ms: now_ms,
-                    }),
+                    Some((server, epoch)) => {
+                        Some(Shard::Held { server: server.clone(), epoch: *epoch })
+                    }
+                    None if is_inheritance_over => Some(Shard::Free { not_before_ms: now_ms }),
                     None => None,
                 },
                 Shard::Granting { server, epoch } => self.read_grant(now_ms, id, server, *epoch),
-                Shard::Held { server, epoch } | Shard::Moving { server, epoch, .. } => {
-                    self.is_given_up(id, server, *epoch).then_some(Shard::Free {
-                        not_before_ms: now_ms,
-                    })
-                }
+                Shard::Moving { server, epoch, phase: Phase::Releasing, .. } => self
+                    .is_given_up(id, server, *epoch)
+                    .then_some(Shard::Free { not_before_ms: now_ms }),
+                Shard::Held { server, epoch } | Shard::Moving { server, epoch, .. } => self
+                    .is_given_up(id, server, *epoch)
+                    .then(|| Shard::Free { not_before_ms: self.free_from_ms(now_ms, server) }),
                 Shard::Free { .. } => None,
             };
             if let Some(next) = next {
@@ -87,21 +85,14 @@
 
     fn read_grant(&self, now_ms: u64, id: ShardId, server: &Name, epoch: Epoch) -> Option<Shard> {
         if self.is_given_up(id, server, epoch) {
-            return Some(Shard::Free {
-                not_before_ms: now_ms,
-            });
+            return Some(Shard::Free { not_before_ms: now_ms });
         }
         let link = self.servers.get(server)?;
-        link.is_live(id, epoch).then(|| Shard::Held {
-            server: server.clone(),
-            epoch,
-        })
+        link.is_live(id, epoch).then(|| Shard::Held { server: server.clone(), epoch })
     }
 
     fn is_given_up(&self, id: ShardId, server: &Name, epoch: Epoch) -> bool {
-        self.servers
-            .get(server)
-            .is_some_and(|link| link.is_released(id, epoch))
+        self.servers.get(server).is_some_and(|link| link.is_released(id, epoch))
     }
 
     /// Returns what servers that check fences reported to serve, where it is not known yet.
@@ -131,29 +122,24 @@
                 Shard::Held { server, epoch } if may_grant && moving < limit => {
                     self.start_move(now_ms, at, server, *epoch)
                 }
-                Shard::Moving {
-                    server,
-                    epoch,
-                    target,
-                    phase,
-                } => self
-                    .next_phase(now_ms, at, target, *phase, server)
-                    .map(|step| match step {
+                Shard::Moving { server, epoch, target, phase } => {
+                    self.next_phase(now_ms, at, target, *phase, server).map(|step| match step {
                         Step::Enter(phase) => Shard::Moving {
                             server: server.clone(),
                             epoch: *epoch,
                             target: target.clone(),
                             phase,
                         },
-                        Step::Cancel => Shard::Held {
-                            server: server.clone(),
-                            epoch: *epoch,
-                        },
-                    }),
+                        Step::Cancel => Shard::Held { server: server.clone(), epoch: *epoch },
+                    })
+                }
                 _ => None,
             };
             if let Some(next) = next {
                 moving += usize::from(!self.shards[at].is_moving() && next.is_moving());
+                if let Shard::Moving { epoch, phase: Phase::Releasing, .. } = &next {
+                    self.released[at] = self.released[at].max(*epoch);
+                }
                 self.note_dirty(&next);
                 self.shards[at] = next;
             }
@@ -161,9 +147,7 @@
     }
 
     fn start_move(&self, now_ms: u64, at: usize, server: &Name, epoch: Epoch) -> Option<Shard> {
-        let target = self.wanted[at]
-            .as_ref()
-            .filter(|wanted| *wanted != server)?;
+        let target = self.wanted[at].as_ref().filter(|wanted| *wanted != server)?;
         if !self.is_move_possible(now_ms, at, target) {
             return None;
         }
@@ -207,10 +191,7 @@
                     deadline_ms: close_deadline_ms,
                 }))
             }
-            Phase::Closing {
-                sequence,
-                deadline_ms,
-            } => {
+            Phase::Closing { sequence, deadline_ms } => {
                 let is_closed = if self.checks_fence(server) {
                     now_ms >= deadline_ms || self.are_daemons_drained(now_ms, sequence)
                 } else {
@@ -243,16 +224,8 @@
     /// Makes the servers that a step concerns hear of it at once.
     fn note_dirty(&mut self, shard: &Shard) {
         let concerned = match shard {
-            Shard::Moving {
-                target,
-                phase: Phase::Preparing { .. },
-                ..
-            } => target,
-            Shard::Moving {
-                server,
-                phase: Phase::Releasing,
-                ..
-            }
+            Shard::Moving { target, phase: Phase::Preparing { .. }, .. } => target,
+            Shard::Moving { server, phase: Phase::Releasing, .. }
             | Shard::Granting { server, .. } => server,
             _ => return,
         };
@@ -284,18 +257,10 @@
 
     fn publish(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         let table = self.to_table();
-        if self
-            .table
-            .as_ref()
-            .is_some_and(|known| known.is_same_content(&table))
-        {
+        if self.table.as_ref().is_some_and(|known| known.is_same_content(&table)) {
             return;
         }
-        if self
-            .table
-            .as_ref()
-            .is_some_and(|known| self.takes_from_unfenced(known, &table))
-        {
+        if self.table.as_ref().is_some_and(|known| self.takes_from_unfenced(known, &table)) {
             self.unfenced_sequence = table.sequence;
         }
         self.sequence = table.sequence;
@@ -316,9 +281,7 @@
                 && known.server_of(before) == next.server_of(after);
             before.is_open
                 && !is_kept
-                && known
-                    .server_of(before)
-                    .is_some_and(|server| !self.checks_fence(server))
+                && known.server_of(before).is_some_and(|server| !self.checks_fence(server))
         })
     }
 
@@ -368,29 +331,22 @@
         let table = self.inherited.as_ref()?;
         let route = table.routes.get(at)?;
         let server = table.server_of(route)?;
-        self.checks_fence(server).then(|| Route {
-            server: positions.get(server).copied(),
-            ..*route
-        })
+        self.checks_fence(server)
+            .then(|| Route { server: positions.get(server).copied(), ..*route })
     }
 
     fn write_record(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         let is_urgent = self.known.record.term == self.term
             && self.is_record_acknowledged()
             && (0..self.shards.len()).any(|at| self.is_waiting_for_record(now_ms, at));
-        match self
-            .writer
-            .next(now_ms, is_urgent, self.is_intent_acknowledged())
-        {
+        match self.writer.next(now_ms, is_urgent, self.is_intent_acknowledged()) {
             Next::Wait => {}
             Next::Read => out.push(Action::ReadRecord),
             Next::Try => {
                 if let Some(intent) = self.writer.note_try(now_ms, &self.tuning) {
                     let expected = Some(intent.over);
-                    out.push(Action::WriteRecord {
-                        expected,
-                        record: intent.record,
-                    });
+                    let (number, record) = (intent.number, intent.record);
+                    out.push(Action::WriteRecord { number, expected, record });
                 }
             }
             Next::Draft => {
@@ -409,9 +365,7 @@
     fn is_waiting_for_record(&self, now_ms: u64, at: usize) -> bool {
         matches!(self.shards[at], Shard::Free { .. })
             && self.heir(now_ms, at) == Heir::Unrecorded
-            && self.wanted[at]
-                .as_ref()
-                .is_some_and(|name| self.is_usable(now_ms, name))
+            && self.wanted[at].as_ref().is_some_and(|name| self.is_usable(now_ms, name))
     }
 }
 
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -15,12 +15,7 @@
     /// A server holds it.
     Held { server: Name, epoch: Epoch },
     /// A server holds it and is about to hand it over.
-    Moving {
-        server: Name,
-        epoch: Epoch,
-        target: Name,
-        phase: Phase,
-    },
+    Moving { server: Name, epoch: Epoch, target: Name, phase: Phase },
 }
 
 /// How far a planned handover is.
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -106,10 +106,7 @@
                 *counts.entry(reason).or_default() += 1;
             }
         }
-        counts
-            .into_iter()
-            .map(|(reason, shards)| Unsettled { reason, shards })
-            .collect()
+        counts.into_iter().map(|(reason, shards)| Unsettled { reason, shards }).collect()
     }
 
     fn reason(&self, now_ms: u64, at: usize) -> Option<String> {
@@ -122,20 +119,15 @@
             Shard::Free { .. } if wanted.is_none() => Some("no server may hold it".to_owned()),
             Shard::Free { .. } => Some("waiting for the record to be written".to_owned()),
             Shard::Granting { server, .. } => Some(format!("granted, {server} has not confirmed")),
-            Shard::Moving {
-                target,
-                phase: Phase::Preparing { .. },
-                ..
-            } => Some(format!("{target} is preparing")),
-            Shard::Moving {
-                phase: Phase::Closing { .. },
-                ..
-            } => Some("daemons are closing the route".to_owned()),
-            Shard::Moving {
-                server,
-                phase: Phase::Releasing,
-                ..
-            } => Some(format!("{server} finishes its requests")),
+            Shard::Moving { target, phase: Phase::Preparing { .. }, .. } => {
+                Some(format!("{target} is preparing"))
+            }
+            Shard::Moving { phase: Phase::Closing { .. }, .. } => {
+                Some("daemons are closing the route".to_owned())
+            }
+            Shard::Moving { server, phase: Phase::Releasing, .. } => {
+                Some(format!("{server} finishes its requests"))
+            }
             Shard::Held { server, .. } if wanted.is_some_and(|wanted| wanted != server) => {
                 Some("waiting for its turn to move".to_owned())
             }
--- a/crates/control/src/writer.rs
+++ b/crates/control/src/writer.rs
@@ -22,6 +22,7 @@
     /// Voters are told of the write before it is tried.
     Announcing(Intent),
     Writing {
+        number: u64,
         record: Arc<Record>,
         deadline_ms: u64,
     },
@@ -48,12 +49,7 @@
 
 impl Writer {
     pub(crate) fn new(now_ms: u64, unresolved: Vec<Arc<Record>>) -> Self {
-        Self {
-            writes: 0,
-            unresolved,
-            state: State::Idle,
-            next_write_ms: now_ms,
-        }
+        Self { writes: 0, unresolved, state: State::Idle, next_write_ms: now_ms }
     }
 
     pub(crate) fn next(&mut self, now_ms: u64, is_urgent: bool, is_announced: bool) -> Next {
@@ -61,9 +57,7 @@
             State::Idle if is_urgent || now_ms >= self.next_write_ms => Next::Draft,
             State::Announcing(_) if is_announced => Next::Try,
             State::Writing { deadline_ms, .. } if now_ms >= *deadline_ms => {
-                self.state = State::ReadingBack {
-                    next_read_ms: now_ms + READ_BACK_EVERY_MS,
-                };
+                self.state = State::ReadingBack { next_read_ms: now_ms + READ_BACK_EVERY_MS };
                 Next::Read
             }
             State::ReadingBack { next_read_ms } if now_ms >= *next_read_ms => {
@@ -78,11 +72,7 @@
     pub(crate) fn announce(&mut self, record: Arc<Record>, over: Revision) {
         self.writes += 1;
         self.unresolved.push(Arc::clone(&record));
-        self.state = State::Announcing(Intent {
-            number: self.writes,
-            over,
-            record,
-        });
+        self.state = State::Announcing(Intent { number: self.writes, over, record });
     }
 
     /// Returns the write that is being announced.
@@ -100,10 +90,8 @@
         };
         self.next_write_ms = now_ms + tuning.write_gap_ms;
         let deadline_ms = now_ms + tuning.write_timeout_ms;
-        self.state = State::Writing {
-            record: Arc::clone(&intent.record),
-            deadline_ms,
-        };
+        let record = Arc::clone(&intent.record);
+        self.state = State::Writing { number: intent.number, record, deadline_ms };
         Some(intent)
     }
 
@@ -120,23 +108,23 @@
         }
     }
 
-    /// Notes that the write is done; returns what was written.
-    pub(crate) fn note_done(&mut self) -> Option<Arc<Record>> {
-        let State::Writing { record, .. } = &self.state else {
+    /// Notes that a write is done; returns what was written, unless it was an earlier write.
+    pub(crate) fn note_done(&mut self, done: u64) -> Option<Arc<Record>> {
+        let State::Writing { number, record, .. } = &self.state else { return None };
+        if *number != done {
             return None;
-        };
+        }
         let record = Arc::clone(record);
         self.state = State::Idle;
         Some(record)
     }
 
     /// Notes that it is not known what the record is; returns whether to read it now.
-    pub(crate) fn note_unclear(&mut self, now_ms: u64) -> bool {
-        let was_writing = matches!(self.state, State::Writing { .. });
+    pub(crate) fn note_unclear(&mut self, now_ms: u64, unclear: u64) -> bool {
+        let was_writing =
+            matches!(&self.state, State::Writing { number, .. } if *number == unclear);
         if was_writing {
-            self.state = State::ReadingBack {
-                next_read_ms: now_ms + READ_BACK_EVERY_MS,
-            };
+            self.state = State::ReadingBack { next_read_ms: now_ms + READ_BACK_EVERY_MS };
         }
         was_writing
     }
@@ -146,11 +134,7 @@
         if let State::ReadingBack { .. } = self.state {
             self.state = State::Idle;
             // A write that has not taken effect may still do so; the next one competes with it.
-            self.next_write_ms = if is_newer {
-                now_ms
-            } else {
-                now_ms + RETRY_WRITE_MS
-            };
+            self.next_write_ms = if is_newer { now_ms } else { now_ms + RETRY_WRITE_MS };
         }
     }
 }
--- a/crates/control/tests/random_schedules.rs
+++ b/crates/control/tests/random_schedules.rs
@@ -31,10 +31,7 @@
 }
 
 fn from_env(key: &str, default: u64) -> u64 {
-    std::env::var(key)
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(default)
+    std::env::var(key).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
 fn run_cases(all_check: bool) {
--- a/crates/control/tests/regressions.rs
+++ b/crates/control/tests/regressions.rs
@@ -49,13 +49,7 @@
 
 #[test]
 fn daemon_without_table() {
-    let steps = [
-        Run(1),
-        Run(1),
-        StartDaemon(0),
-        KillDaemon(0),
-        PauseServer(0, 10),
-    ];
+    let steps = [Run(1), Run(1), StartDaemon(0), KillDaemon(0), PauseServer(0, 10)];
     run_schedule(6_034_494_147_437_918_398, false, &steps);
 }
 
@@ -149,3 +143,34 @@
     ];
     run_schedule(16_494_242_978_765_911_191, true, &steps);
 }
+
+#[test]
+fn late_release_of_unfenced_server() {
+    let steps = [
+        Edit(32),
+        PauseServer(4, 2784),
+        Run(1),
+        Run(1142),
+        PauseDaemon(2, 1886),
+        Run(282),
+        Edit(32),
+    ];
+    run_schedule(0, false, &steps);
+}
+
+#[test]
+fn late_reply_of_earlier_write() {
+    let steps = [
+        StartServer(3),
+        PauseServer(5, 911),
+        StoreDown(true),
+        Loss(70),
+        PauseDaemon(0, 1984),
+        PauseServer(4, 1271),
+        Run(667),
+        StartServer(5),
+        Run(1304),
+        Run(198),
+    ];
+    run_schedule(12_994_508_197_981_739_434, true, &steps);
+}
--- a/crates/control/tests/server_loss.rs
+++ b/crates/control/tests/server_loss.rs
@@ -23,20 +23,14 @@
     let start_ms = world.now_ms;
     while shards.iter().any(|shard| world.owner(*shard).is_none()) {
         world.run_for(10);
-        assert!(
-            world.now_ms - start_ms <= LIMIT_MS,
-            "a shard had no owner for {LIMIT_MS} ms"
-        );
+        assert!(world.now_ms - start_ms <= LIMIT_MS, "a shard had no owner for {LIMIT_MS} ms");
     }
 }
 
 #[test]
 fn starts_from_nothing() {
     let world = settled_world(1);
-    let held: usize = SERVERS
-        .iter()
-        .map(|(server, ..)| world.shards_of(server).len())
-        .sum();
+    let held: usize = SERVERS.iter().map(|(server, ..)| world.shards_of(server).len()).sum();
     assert_eq!(held, 12);
 }
 
@@ -66,10 +60,7 @@
     world.reset_gaps();
     world.kill_daemon(controller);
     world.run_for(5_000);
-    assert_eq!(
-        world.gaps.longest_ms, 0,
-        "a change of controller must not stop a server"
-    );
+    assert_eq!(world.gaps.longest_ms, 0, "a change of controller must not stop a server");
     assert!(world.controller().is_some_and(|next| next != controller));
 }
 
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -111,19 +111,9 @@
     Beat(usize),
     ToDaemon(usize, u64, Box<Event>),
     RouteLease(usize, u64, BeatReply),
-    ToServer {
-        server: usize,
-        from: usize,
-        order: Order,
-    },
-    StoreRead {
-        from: usize,
-    },
-    StoreWrite {
-        from: usize,
-        expected: Option<Revision>,
-        record: Arc<Record>,
-    },
+    ToServer { server: usize, from: usize, order: Order },
+    StoreRead { from: usize },
+    StoreWrite { from: usize, number: u64, expected: Option<Revision>, record: Arc<Record> },
 }
 
 struct Item {
@@ -219,10 +209,7 @@
         let instances = self
             .daemons
             .iter()
-            .map(|d| Instance {
-                name: d.name.clone(),
-                data_centre: d.data_centre.clone(),
-            })
+            .map(|d| Instance { name: d.name.clone(), data_centre: d.data_centre.clone() })
             .collect();
         let clock = self.random_clock();
         let now_ms = self.now_ms;
@@ -235,12 +222,7 @@
         daemon.has_document = Revision(0);
         let local_ms = clock.read(now_ms);
         let tuning = Tuning::default();
-        daemon.control = Some(Control::new(
-            local_ms,
-            name("ledger"),
-            daemon.name.clone(),
-            tuning,
-        ));
+        daemon.control = Some(Control::new(local_ms, name("ledger"), daemon.name.clone(), tuning));
         self.tables[at] = None;
         self.deliver(at, Event::Instances(instances));
         self.queue_in(1, Delivery::Tick(at));
@@ -307,8 +289,7 @@
             }
         }
         self.store.revision += 1;
-        self.documents
-            .push((Revision(self.store.revision), document));
+        self.documents.push((Revision(self.store.revision), document));
     }
 
     pub fn run_for(&mut self, length_ms: u64) {
@@ -351,41 +332,25 @@
         };
         let daemon = &self.daemons[controller];
         let local_ms = daemon.clock.read(self.now_ms);
-        let status = daemon
-            .control
-            .as_ref()
-            .and_then(|c| c.status(local_ms))
-            .unwrap();
+        let status = daemon.control.as_ref().and_then(|c| c.status(local_ms)).unwrap();
         let newest = daemon.control.as_ref().and_then(Control::table).unwrap();
-        let is_routed = self
-            .daemons
-            .iter()
-            .zip(&self.tables)
-            .all(|(daemon, table)| {
-                daemon.control.is_none()
-                    || table
-                        .as_ref()
-                        .is_some_and(|t| t.sequence == newest.sequence && t.term == newest.term)
-            });
+        let is_routed = self.daemons.iter().zip(&self.tables).all(|(daemon, table)| {
+            daemon.control.is_none()
+                || table
+                    .as_ref()
+                    .is_some_and(|t| t.sequence == newest.sequence && t.term == newest.term)
+        });
         let is_in_force = status.document == *revision
-            && self
-                .daemons
-                .iter()
-                .all(|d| d.control.is_none() || d.has_document == *revision);
+            && self.daemons.iter().all(|d| d.control.is_none() || d.has_document == *revision);
         let all_open = newest.routes.iter().all(|route| route.is_open);
         let leaving_is_empty = status.servers.iter().all(|(server, status)| {
-            status.shards == 0
-                || document
-                    .server(server)
-                    .is_some_and(document::Server::is_welcome)
+            status.shards == 0 || document.server(server).is_some_and(document::Server::is_welcome)
         });
         status.unsettled.is_empty() && is_routed && is_in_force && all_open && leaving_is_empty
     }
 
     pub fn controller(&self) -> Option<usize> {
-        self.daemons
-            .iter()
-            .position(|d| d.control.as_ref().is_some_and(Control::is_controller))
+        self.daemons.iter().position(|d| d.control.as_ref().is_some_and(Control::is_controller))
     }
 
     pub fn owner(&self, shard: u32) -> Option<Name> {
@@ -397,21 +362,14 @@
     }
 
     pub fn shards_of(&self, server: &str) -> Vec<u32> {
-        let count = self
-            .store
-            .record
-            .as_ref()
-            .map_or(0, |copy| copy.record.shards.len());
+        let count = self.store.record.as_ref().map_or(0, |copy| copy.record.shards.len());
         (0..u32::try_from(count).unwrap())
             .filter(|shard| self.owner(*shard).as_deref() == Some(server))
             .collect()
     }
 
     pub fn server_at(&self, server: &str) -> usize {
-        self.servers
-            .iter()
-            .position(|s| s.name == *server)
-            .expect("a known server")
+        self.servers.iter().position(|s| s.name == *server).expect("a known server")
     }
 
     fn describe(&self) -> String {
@@ -438,11 +396,7 @@
 
     fn queue_in(&mut self, delay_ms: u64, delivery: Delivery) {
         self.sequence += 1;
-        let item = Item {
-            at_ms: self.now_ms + delay_ms,
-            sequence: self.sequence,
-            delivery,
-        };
+        let item = Item { at_ms: self.now_ms + delay_ms, sequence: self.sequence, delivery };
         self.queue.push(Reverse(item));
     }
 
@@ -475,28 +429,18 @@
             }
             Delivery::RouteLease(at, incarnation, reply) => {
                 let daemon = &mut self.daemons[at];
-                let has_table = self.tables[at]
-                    .as_ref()
-                    .is_some_and(|t| t.term == reply.term);
-                if daemon.incarnation == incarnation && has_table {
+                let has_table = self.tables[at].as_ref().is_some_and(|t| t.term == reply.term);
+                if daemon.incarnation == reply.incarnation && has_table {
                     daemon.route_deadline_ms = daemon.route_deadline_ms.max(reply.deadline_ms);
                 }
                 if daemon.incarnation == incarnation {
                     self.deliver(at, Event::BeatReplied(reply));
                 }
             }
-            Delivery::ToServer {
-                server,
-                from,
-                order,
-            } => self.order(server, from, &order),
+            Delivery::ToServer { server, from, order } => self.order(server, from, &order),
             Delivery::StoreRead { from } => self.read_store(from),
-            Delivery::StoreWrite {
-                from,
-                expected,
-                record,
-            } => {
-                self.write_store(from, expected, record);
+            Delivery::StoreWrite { from, number, expected, record } => {
+                self.write_store(from, number, expected, record);
             }
         }
     }
@@ -553,9 +497,8 @@
     }
 
     fn send_beat(&mut self, at: usize) {
-        let (term, sequence) = self.tables[at]
-            .as_ref()
-            .map_or((lease::Term(0), 0), |t| (t.term, t.sequence));
+        let (term, sequence) =
+            self.tables[at].as_ref().map_or((lease::Term(0), 0), |t| (t.term, t.sequence));
         let daemon = &self.daemons[at];
         let beat = Beat {
             instance: daemon.name.clone(),
@@ -568,10 +511,7 @@
             loads: Vec::new(),
         };
         let local_ms = daemon.clock.read(self.now_ms);
-        let targets = daemon
-            .control
-            .as_ref()
-            .map_or(Vec::new(), |c| c.beat_targets(local_ms));
+        let targets = daemon.control.as_ref().map_or(Vec::new(), |c| c.beat_targets(local_ms));
         for to in targets {
             self.send_event(at, &to, Event::Beat(beat.clone()));
         }
@@ -584,20 +524,12 @@
         let incarnation = self.daemons[to].incarnation;
         let from = self.daemons[from].data_centre.clone();
         let to_centre = self.daemons[to].data_centre.clone();
-        self.send(
-            &from,
-            &to_centre,
-            Delivery::ToDaemon(to, incarnation, Box::new(event)),
-        );
+        self.send(&from, &to_centre, Delivery::ToDaemon(to, incarnation, Box::new(event)));
     }
 
     fn deliver(&mut self, at: usize, event: Event) {
         let local_ms = self.daemons[at].clock.read(self.now_ms);
-        let table = if let Event::Table(table) = &event {
-            Some(Arc::clone(table))
-        } else {
-            None
-        };
+        let table = if let Event::Table(table) = &event { Some(Arc::clone(table)) } else { None };
         let Some(control) = self.daemons[at].control.as_mut() else {
             return;
         };
@@ -612,16 +544,10 @@
 
     /// A daemon routes by the newest table that it got, and tells the controller.
     fn put_in_force(&mut self, at: usize, table: Arc<Table>) {
-        if self.tables[at]
-            .as_ref()
-            .is_some_and(|known| !table.is_after(known))
-        {
+        if self.tables[at].as_ref().is_some_and(|known| !table.is_after(known)) {
             return;
         }
-        if self.tables[at]
-            .as_ref()
-            .is_some_and(|known| known.term != table.term)
-        {
+        if self.tables[at].as_ref().is_some_and(|known| known.term != table.term) {
             self.daemons[at].route_deadline_ms = 0;
         }
         self.daemons[at].acknowledged = (table.term, table.sequence);
@@ -636,12 +562,8 @@
             Action::ReadRecord => {
                 self.send(&here, &name("store"), Delivery::StoreRead { from: at })
             }
-            Action::WriteRecord { expected, record } => {
-                let delivery = Delivery::StoreWrite {
-                    from: at,
-                    expected,
-                    record,
-                };
+            Action::WriteRecord { number, expected, record } => {
+                let delivery = Delivery::StoreWrite { from: at, number, expected, record };
                 self.send(&here, &name("store"), delivery);
             }
             Action::AskPromise(to, ask) => self.send_event(at, &to, Event::PromiseAsked(ask)),
@@ -655,15 +577,7 @@
             Action::Order(server, _, order) => {
                 let server = self.server_at(&server);
                 let there = self.servers[server].data_centre.clone();
-                self.send(
-                    &here,
-                    &there,
-                    Delivery::ToServer {
-                        server,
-                        from: at,
-                        order,
-                    },
-                );
+                self.send(&here, &there, Delivery::ToServer { server, from: at, order });
             }
             Action::Publish(table) => {
                 for to in 0..self.daemons.len() {
@@ -673,11 +587,7 @@
             }
             Action::SendTable(to, table) => self.send_event(at, &to, Event::Table(table)),
             Action::ReplyBeat(to, reply) => {
-                let to = self
-                    .daemons
-                    .iter()
-                    .position(|d| d.name == to)
-                    .expect("a daemon");
+                let to = self.daemons.iter().position(|d| d.name == to).expect("a daemon");
                 let there = self.daemons[to].data_centre.clone();
                 let incarnation = self.daemons[to].incarnation;
                 self.send(&here, &there, Delivery::RouteLease(to, incarnation, reply));
@@ -693,42 +603,24 @@
         if self.now_ms < server.paused_until_ms {
             let delay_ms = server.paused_until_ms - self.now_ms;
             let order = order.clone();
-            self.queue_in(
-                delay_ms,
-                Delivery::ToServer {
-                    server: at,
-                    from,
-                    order,
-                },
-            );
+            self.queue_in(delay_ms, Delivery::ToServer { server: at, from, order });
             return;
         }
         let local_ms = server.clock.read(self.now_ms);
         let mut report: Report = server.holder.follow(local_ms, order);
-        server
-            .prepare_ready_ms
-            .retain(|shard, _| order.prepares.contains(shard));
+        server.prepare_ready_ms.retain(|shard, _| order.prepares.contains(shard));
         for shard in &order.prepares {
-            server
-                .prepare_ready_ms
-                .entry(*shard)
-                .or_insert(self.now_ms + PREPARE_MS);
+            server.prepare_ready_ms.entry(*shard).or_insert(self.now_ms + PREPARE_MS);
         }
         let now_ms = self.now_ms;
         let ready = &server.prepare_ready_ms;
-        report
-            .prepared
-            .retain(|shard| ready.get(shard).is_some_and(|at_ms| *at_ms <= now_ms));
+        report.prepared.retain(|shard| ready.get(shard).is_some_and(|at_ms| *at_ms <= now_ms));
         let event = Event::Reported(server.name.clone(), report);
         let here = server.data_centre.clone();
         let there = self.daemons[from].data_centre.clone();
         let incarnation = self.daemons[from].incarnation;
         self.check(at);
-        self.send(
-            &here,
-            &there,
-            Delivery::ToDaemon(from, incarnation, Box::new(event)),
-        );
+        self.send(&here, &there, Delivery::ToDaemon(from, incarnation, Box::new(event)));
     }
 
     fn read_store(&mut self, from: usize) {
@@ -738,25 +630,20 @@
         let event = Event::RecordRead(self.store.record.clone());
         let there = self.daemons[from].data_centre.clone();
         let incarnation = self.daemons[from].incarnation;
-        self.send(
-            &name("store"),
-            &there,
-            Delivery::ToDaemon(from, incarnation, Box::new(event)),
-        );
+        self.send(&name("store"), &there, Delivery::ToDaemon(from, incarnation, Box::new(event)));
     }
 
-    fn write_store(&mut self, from: usize, expected: Option<Revision>, record: Arc<Record>) {
+    fn write_store(
+        &mut self,
+        from: usize,
+        number: u64,
+        expected: Option<Revision>,
+        record: Arc<Record>,
+    ) {
         if self.store.is_down {
             // A slow store: the write may take effect when it comes back.
             if self.rng.random_range(0..4) == 0 {
-                self.queue_in(
-                    1_000,
-                    Delivery::StoreWrite {
-                        from,
-                        expected,
-                        record,
-                    },
-                );
+                self.queue_in(1_000, Delivery::StoreWrite { from, number, expected, record });
             }
             return;
         }
@@ -772,27 +659,18 @@
             WriteOutcome::Conflict
         };
         let is_lost = self.rng.random_range(0..1000) < self.store.lost_reply_permille;
-        let outcome = if is_lost {
-            WriteOutcome::Unknown
-        } else {
-            outcome
-        };
+        let outcome = if is_lost { WriteOutcome::Unknown } else { outcome };
         let there = self.daemons[from].data_centre.clone();
         let incarnation = self.daemons[from].incarnation;
-        let event = Event::Written(outcome);
-        self.send(
-            &name("store"),
-            &there,
-            Delivery::ToDaemon(from, incarnation, Box::new(event)),
-        );
+        let event = Event::Written(number, outcome);
+        self.send(&name("store"), &there, Delivery::ToDaemon(from, incarnation, Box::new(event)));
     }
 
     fn cover(&mut self, record: &Record) {
         for shard in &record.shards {
-            for (server, epoch) in [
-                (&shard.owner, shard.epoch),
-                (&shard.successor, shard.successor_epoch),
-            ] {
+            for (server, epoch) in
+                [(&shard.owner, shard.epoch), (&shard.successor, shard.successor_epoch)]
+            {
                 if let Some(server) = server {
                     self.covered.insert((shard.id, server.clone(), epoch));
                 }
@@ -820,8 +698,7 @@
             );
             *highest = epoch;
             assert!(
-                self.covered
-                    .contains(&(shard.id, server.name.clone(), epoch)),
+                self.covered.contains(&(shard.id, server.name.clone(), epoch)),
                 "rule record-before-grant: shard {} epoch {epoch} on {}",
                 shard.id,
                 server.name
@@ -859,20 +736,13 @@
 
     /// Measures how long shards have no owner that daemons could reach.
     fn update_gaps(&mut self) {
-        let count = self
-            .store
-            .record
-            .as_ref()
-            .map_or(0, |copy| copy.record.shards.len());
+        let count = self.store.record.as_ref().map_or(0, |copy| copy.record.shards.len());
         for shard in 0..u32::try_from(count).unwrap() {
             let id = ShardId(shard);
             let is_owned = self.servers.iter().any(|server| {
                 server.is_alive
                     && self.now_ms >= server.paused_until_ms
-                    && server
-                        .holder
-                        .is_owner(server.clock.read(self.now_ms), id)
-                        .is_some()
+                    && server.holder.is_owner(server.clock.read(self.now_ms), id).is_some()
             });
             if is_owned {
                 if let Some(since_ms) = self.gaps.since_ms.remove(&id) {
@@ -895,7 +765,7 @@
     fn note_trace(&mut self, at: usize, action: &Action) {
         let text = match action {
             Action::ReadRecord => "read record".to_owned(),
-            Action::WriteRecord { expected, record } => {
+            Action::WriteRecord { expected, record, .. } => {
                 let expected = expected.map_or(0, |revision| revision.0);
                 format!("write record over {expected}: {}", describe_record(record))
             }
@@ -928,24 +798,14 @@
             place(&shard.successor, shard.successor_epoch)
         )
     });
-    format!(
-        "term {} {}",
-        record.term,
-        shards.collect::<Vec<_>>().join(" ")
-    )
+    format!("term {} {}", record.term, shards.collect::<Vec<_>>().join(" "))
 }
 
 fn describe_order(order: &Order) -> Option<String> {
-    let grants: Vec<String> = order
-        .grants
-        .iter()
-        .map(|g| format!("{}@{}", g.shard, g.epoch))
-        .collect();
-    let releases: Vec<String> = order
-        .releases
-        .iter()
-        .map(|g| format!("{}@{}", g.shard, g.epoch))
-        .collect();
+    let grants: Vec<String> =
+        order.grants.iter().map(|g| format!("{}@{}", g.shard, g.epoch)).collect();
+    let releases: Vec<String> =
+        order.releases.iter().map(|g| format!("{}@{}", g.shard, g.epoch)).collect();
     let prepares: Vec<String> = order.prepares.iter().map(ToString::to_string).collect();
     if releases.is_empty() && prepares.is_empty() && grants.is_empty() {
         return None;
--- a/crates/document/src/class.rs
+++ b/crates/document/src/class.rs
@@ -32,10 +32,8 @@
     Rest,
 }
 
-const PATTERN: Form<PathPattern> = Form {
-    read: PathPattern::read,
-    expected: "a path such as /ledger/{key}/balance or /sheets/*",
-};
+const PATTERN: Form<PathPattern> =
+    Form { read: PathPattern::read, expected: "a path such as /ledger/{key}/balance or /sheets/*" };
 
 const DEFAULT_PRIORITY: u32 = 1;
 const DEFAULT_TIMEOUT_MS: u64 = 5_000;
@@ -55,15 +53,11 @@
             method: section.required("method", &form::TEXT)?,
             path: section.required("path", &PATTERN)?,
             idempotent: section.required("idempotent", &form::YES_NO)?,
-            priority: section
-                .optional("priority", &form::COUNT)?
-                .unwrap_or(DEFAULT_PRIORITY),
+            priority: section.optional("priority", &form::COUNT)?.unwrap_or(DEFAULT_PRIORITY),
             timeout_ms: section
                 .optional("deadline", &form::DURATION)?
                 .unwrap_or(DEFAULT_TIMEOUT_MS),
-            queue: section
-                .optional("queue", &form::COUNT)?
-                .unwrap_or(DEFAULT_QUEUE),
+            queue: section.optional("queue", &form::COUNT)?.unwrap_or(DEFAULT_QUEUE),
         };
         section.finish(KEYS)?;
         Ok(class)
@@ -102,12 +96,8 @@
     fn read(text: &str) -> Option<Self> {
         let rest = text.strip_prefix('/')?;
         let segments: Vec<Segment> = rest.split('/').map(Segment::read).collect::<Option<_>>()?;
-        let rest_at = segments
-            .iter()
-            .position(|segment| *segment == Segment::Rest);
-        rest_at
-            .is_none_or(|at| at + 1 == segments.len())
-            .then_some(Self(segments))
+        let rest_at = segments.iter().position(|segment| *segment == Segment::Rest);
+        rest_at.is_none_or(|at| at + 1 == segments.len()).then_some(Self(segments))
     }
 }
 
--- a/crates/document/src/document.rs
+++ b/crates/document/src/document.rs
@@ -69,22 +69,11 @@
     pub moves_at_once: u32,
 }
 
-const KIND: Form<Kind> = Form {
-    read: read_kind,
-    expected: "keyed or pooled",
-};
-const POLICY: Form<PlacementPolicy> = Form {
-    read: read_policy,
-    expected: "balanced or rendezvous",
-};
-const GRANT: Form<u64> = Form {
-    read: read_grant,
-    expected: "a duration from 1s to 1h",
-};
-const MOVES: Form<u32> = Form {
-    read: read_moves,
-    expected: "a whole number from 1",
-};
+const KIND: Form<Kind> = Form { read: read_kind, expected: "keyed or pooled" };
+const POLICY: Form<PlacementPolicy> =
+    Form { read: read_policy, expected: "balanced or rendezvous" };
+const GRANT: Form<u64> = Form { read: read_grant, expected: "a duration from 1s to 1h" };
+const MOVES: Form<u32> = Form { read: read_moves, expected: "a whole number from 1" };
 
 const DEFAULT_GRANT_MS: u64 = 1_500;
 const MIN_GRANT_MS: u64 = 1_000;
@@ -109,9 +98,7 @@
         let service_line = service.line();
         let mut document = Self::from_service(service)?;
         for (name, section) in sections.take_named("key-group") {
-            document
-                .key_groups
-                .push(KeyGroup::from_section(name, section)?);
+            document.key_groups.push(KeyGroup::from_section(name, section)?);
         }
         let mut server_lines = Vec::new();
         for (name, section) in sections.take_named("server") {
@@ -152,17 +139,11 @@
             name: section.required("name", &form::TEXT)?,
             kind: section.required("kind", &KIND)?,
             key: section.optional("key", &KEY_SOURCE)?,
-            placement: section
-                .optional("placement", &POLICY)?
-                .unwrap_or(PlacementPolicy::Balanced),
+            placement: section.optional("placement", &POLICY)?.unwrap_or(PlacementPolicy::Balanced),
             weights: Weights {
-                unavailable: section
-                    .optional("weight_unavailable", &form::COUNT)?
-                    .unwrap_or(1),
+                unavailable: section.optional("weight_unavailable", &form::COUNT)?.unwrap_or(1),
                 churn: section.optional("weight_churn", &form::COUNT)?.unwrap_or(1),
-                imbalance: section
-                    .optional("weight_imbalance", &form::COUNT)?
-                    .unwrap_or(1),
+                imbalance: section.optional("weight_imbalance", &form::COUNT)?.unwrap_or(1),
             },
             timing: Timing {
                 grant_ms: section
@@ -171,9 +152,7 @@
                 prepare_ms: section
                     .optional("prepare", &form::DURATION)?
                     .unwrap_or(DEFAULT_PREPARE_MS),
-                moves_at_once: section
-                    .optional("moves_at_once", &MOVES)?
-                    .unwrap_or(DEFAULT_MOVES),
+                moves_at_once: section.optional("moves_at_once", &MOVES)?.unwrap_or(DEFAULT_MOVES),
             },
             key_groups: Vec::new(),
             servers: Vec::new(),
@@ -227,12 +206,7 @@
 }
 
 fn contradiction(file: &str, line: u32, message: String) -> Result<()> {
-    Err(Report::new(Error::new(
-        Category::Consistency,
-        file,
-        line,
-        message,
-    )))
+    Err(Report::new(Error::new(Category::Consistency, file, line, message)))
 }
 
 fn read_kind(text: &str) -> Option<Kind> {
--- a/crates/document/src/error.rs
+++ b/crates/document/src/error.rs
@@ -33,12 +33,7 @@
     /// Creates an error at a line of a file; line 0 stands for the whole file.
     #[must_use]
     pub fn new(category: Category, file: &str, line: u32, message: impl Into<Box<str>>) -> Self {
-        Self {
-            category,
-            file: file.into(),
-            line,
-            message: message.into(),
-        }
+        Self { category, file: file.into(), line, message: message.into() }
     }
 
     /// Returns the kind of fault.
--- a/crates/document/src/form.rs
+++ b/crates/document/src/form.rs
@@ -14,22 +14,13 @@
 }
 
 /// Any text that is not empty.
-pub const TEXT: Form<Name> = Form {
-    read: read_text,
-    expected: "a text that is not empty",
-};
+pub const TEXT: Form<Name> = Form { read: read_text, expected: "a text that is not empty" };
 
 /// A whole number from 0.
-pub const COUNT: Form<u32> = Form {
-    read: |text| text.parse().ok(),
-    expected: "a whole number",
-};
+pub const COUNT: Form<u32> = Form { read: |text| text.parse().ok(), expected: "a whole number" };
 
 /// `yes` or `no`.
-pub const YES_NO: Form<bool> = Form {
-    read: read_yes_no,
-    expected: "yes or no",
-};
+pub const YES_NO: Form<bool> = Form { read: read_yes_no, expected: "yes or no" };
 
 /// An IP address with a port.
 pub const ADDRESS: Form<SocketAddr> = Form {
@@ -38,16 +29,12 @@
 };
 
 /// A length of time in milliseconds.
-pub const DURATION: Form<u64> = Form {
-    read: read_duration,
-    expected: "a duration with a unit: 250ms, 3s, 10m or 1h",
-};
+pub const DURATION: Form<u64> =
+    Form { read: read_duration, expected: "a duration with a unit: 250ms, 3s, 10m or 1h" };
 
 /// A size in bytes.
-pub const SIZE: Form<u64> = Form {
-    read: read_size,
-    expected: "a size with a unit: 512B, 16KB or 1MB",
-};
+pub const SIZE: Form<u64> =
+    Form { read: read_size, expected: "a size with a unit: 512B, 16KB or 1MB" };
 
 const DURATION_UNITS: [(&str, u64); 4] = [("ms", 1), ("s", 1_000), ("m", 60_000), ("h", 3_600_000)];
 const SIZE_UNITS: [(&str, u64); 3] = [("KB", 1 << 10), ("MB", 1 << 20), ("B", 1)];
--- a/crates/document/src/key.rs
+++ b/crates/document/src/key.rs
@@ -26,21 +26,13 @@
     pub shards: u32,
 }
 
-pub(crate) const KEY_SOURCE: Form<KeySource> = Form {
-    read: read_source,
-    expected: "segment 2, header NAME or query NAME",
-};
+pub(crate) const KEY_SOURCE: Form<KeySource> =
+    Form { read: read_source, expected: "segment 2, header NAME or query NAME" };
 
 const DEFAULT_SHARDS: u32 = 512;
 const MAX_SHARDS: u32 = 8_192;
-const SHARDS: Form<u32> = Form {
-    read: read_shards,
-    expected: "a number of shards from 1 to 8192",
-};
-const PREFIX: Form<Name> = Form {
-    read: |text| Some(Name::from(text)),
-    expected: "a prefix",
-};
+const SHARDS: Form<u32> = Form { read: read_shards, expected: "a number of shards from 1 to 8192" };
+const PREFIX: Form<Name> = Form { read: |text| Some(Name::from(text)), expected: "a prefix" };
 const KEYS: &str = "prefix, shards";
 
 /// Returns the position of a key in the hash space.
@@ -74,9 +66,7 @@
         let group = Self {
             name,
             prefix: section.required("prefix", &PREFIX)?,
-            shards: section
-                .optional("shards", &SHARDS)?
-                .unwrap_or(DEFAULT_SHARDS),
+            shards: section.optional("shards", &SHARDS)?.unwrap_or(DEFAULT_SHARDS),
         };
         section.finish(KEYS)?;
         Ok(group)
@@ -84,11 +74,7 @@
 
     /// The group of all keys, for a document that divides them no further.
     pub(crate) fn all() -> Self {
-        Self {
-            name: Name::from("all"),
-            prefix: Name::from(""),
-            shards: DEFAULT_SHARDS,
-        }
+        Self { name: Name::from("all"), prefix: Name::from(""), shards: DEFAULT_SHARDS }
     }
 
     /// Returns the group of a key: the one with the longest matching prefix.
@@ -104,11 +90,7 @@
     let (kind, name) = text.split_once(' ')?;
     let name = name.trim();
     match kind {
-        "segment" => name
-            .parse()
-            .ok()
-            .filter(|number| *number > 0)
-            .map(KeySource::Segment),
+        "segment" => name.parse().ok().filter(|number| *number > 0).map(KeySource::Segment),
         "header" => (form::TEXT.read)(name)
             .map(|name| KeySource::Header(Name::from(name.to_ascii_lowercase()))),
         "query" => (form::TEXT.read)(name).map(KeySource::Query),
@@ -117,7 +99,5 @@
 }
 
 fn read_shards(text: &str) -> Option<u32> {
-    text.parse()
-        .ok()
-        .filter(|shards| (1..=MAX_SHARDS).contains(shards))
+    text.parse().ok().filter(|shards| (1..=MAX_SHARDS).contains(shards))
 }
--- a/crates/document/src/section.rs
+++ b/crates/document/src/section.rs
@@ -37,11 +37,8 @@
     /// Fails when the text is not INI, when an entry stands before the first
     /// section, or when a section stands twice.
     pub fn from_ini(file: &str, text: &str) -> Result<Self> {
-        let options = ParseOption {
-            enabled_quote: false,
-            enabled_escape: false,
-            ..ParseOption::default()
-        };
+        let options =
+            ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
         let ini = Ini::load_from_str_opt(text, options).map_err(|error| {
             let line = u32::try_from(error.line + 1).unwrap_or(u32::MAX);
             let message = format!("{}, expected [section] or key = value", error.msg);
@@ -52,33 +49,18 @@
             let Some(header) = header else {
                 if let Some((key, _)) = properties.iter().next() {
                     let message = format!("{key} stands before the first section");
-                    return fail(
-                        Category::Structure,
-                        file,
-                        find_key(text, None, key, 0),
-                        message,
-                    );
+                    return fail(Category::Structure, file, find_key(text, None, key, 0), message);
                 }
                 continue;
             };
             let line = find_section(text, header);
             if sections.iter().any(|known| known.header() == header) {
                 let message = format!("section [{header}] stands twice, expected it once");
-                return fail(
-                    Category::Structure,
-                    file,
-                    find_section_again(text, header),
-                    message,
-                );
+                return fail(Category::Structure, file, find_section_again(text, header), message);
             }
-            sections.push(Section::from_properties(
-                file, text, header, line, properties,
-            ));
+            sections.push(Section::from_properties(file, text, header, line, properties));
         }
-        Ok(Self {
-            file: Name::from(file),
-            sections,
-        })
+        Ok(Self { file: Name::from(file), sections })
     }
 
     /// Returns the name of the text that was read.
@@ -101,10 +83,7 @@
 
     /// Takes the only section of a kind that has no name, if there is one.
     pub fn take_optional(&mut self, kind: &str) -> Option<Section> {
-        let at = self
-            .sections
-            .iter()
-            .position(|s| s.kind == kind && s.name.is_none())?;
+        let at = self.sections.iter().position(|s| s.kind == kind && s.name.is_none())?;
         Some(self.sections.remove(at))
     }
 
@@ -131,10 +110,8 @@
         match self.sections.first() {
             None => Ok(()),
             Some(section) => {
-                let message = format!(
-                    "unknown section [{}], expected {expected}",
-                    section.header()
-                );
+                let message =
+                    format!("unknown section [{}], expected {expected}", section.header());
                 fail(Category::Structure, &self.file, section.line, message)
             }
         }
@@ -157,11 +134,8 @@
         match self.optional(key, form)? {
             Some(value) => Ok(value),
             None => {
-                let message = format!(
-                    "{key} is missing in [{}], expected {}",
-                    self.header(),
-                    form.expected
-                );
+                let message =
+                    format!("{key} is missing in [{}], expected {}", self.header(), form.expected);
                 fail(Category::Structure, &self.file, self.line, message)
             }
         }
@@ -178,10 +152,7 @@
         };
         let entry = self.entries.remove(at);
         if let Some(again) = self.entries.iter().find(|entry| entry.key == key) {
-            let message = format!(
-                "{key} stands twice in [{}], expected it once",
-                self.header()
-            );
+            let message = format!("{key} stands twice in [{}], expected it once", self.header());
             return fail(Category::Structure, &self.file, again.line, message);
         }
         match (form.read)(&entry.value) {
@@ -227,19 +198,9 @@
         for (key, value) in properties {
             let seen = entries.iter().filter(|entry| entry.key == key).count();
             let line = find_key(text, Some(header), key, seen);
-            entries.push(Entry {
-                key: Name::from(key),
-                value: Name::from(value.trim()),
-                line,
-            });
-        }
-        Self {
-            file: Name::from(file),
-            kind: Name::from(kind),
-            name,
-            line,
-            entries,
+            entries.push(Entry { key: Name::from(key), value: Name::from(value.trim()), line });
         }
+        Self { file: Name::from(file), kind: Name::from(kind), name, line, entries }
     }
 
     fn header(&self) -> String {
@@ -259,10 +220,7 @@
     let mut section = None;
     text.lines().zip(1..).map(move |(line, number)| {
         let line = line.trim();
-        if let Some(header) = line
-            .strip_prefix('[')
-            .and_then(|rest| rest.strip_suffix(']'))
-        {
+        if let Some(header) = line.strip_prefix('[').and_then(|rest| rest.strip_suffix(']')) {
             section = Some(header.trim());
         }
         (number, section, line)
--- a/crates/document/src/server.rs
+++ b/crates/document/src/server.rs
@@ -36,15 +36,11 @@
     Leaving,
 }
 
-const STATE: Form<ServerState> = Form {
-    read: read_state,
-    expected: "serving, arriving or leaving",
-};
+const STATE: Form<ServerState> =
+    Form { read: read_state, expected: "serving, arriving or leaving" };
 
-const NAMES: Form<Vec<Name>> = Form {
-    read: read_names,
-    expected: "names with commas between them",
-};
+const NAMES: Form<Vec<Name>> =
+    Form { read: read_names, expected: "names with commas between them" };
 
 const DEFAULT_SLOTS: u32 = 4;
 const DEFAULT_CONNECTIONS: u32 = 64;
@@ -68,19 +64,13 @@
             name,
             address: section.required("address", &form::ADDRESS)?,
             data_centre: section.required("data_centre", &form::TEXT)?,
-            slots: section
-                .optional("slots", &form::COUNT)?
-                .unwrap_or(DEFAULT_SLOTS),
+            slots: section.optional("slots", &form::COUNT)?.unwrap_or(DEFAULT_SLOTS),
             connections: section
                 .optional("connections", &form::COUNT)?
                 .unwrap_or(DEFAULT_CONNECTIONS),
             key_groups: section.optional("key_groups", &NAMES)?.unwrap_or_default(),
-            state: section
-                .optional("state", &STATE)?
-                .unwrap_or(ServerState::Serving),
-            checks_fence: section
-                .optional("checks_fence", &form::YES_NO)?
-                .unwrap_or(true),
+            state: section.optional("state", &STATE)?.unwrap_or(ServerState::Serving),
+            checks_fence: section.optional("checks_fence", &form::YES_NO)?.unwrap_or(true),
         };
         section.finish(KEYS)?;
         Ok(server)
@@ -98,10 +88,6 @@
 
 fn read_names(text: &str) -> Option<Vec<Name>> {
     text.split(',')
-        .map(|part| {
-            Some(part.trim())
-                .filter(|part| !part.is_empty())
-                .map(Name::from)
-        })
+        .map(|part| Some(part.trim()).filter(|part| !part.is_empty()).map(Name::from))
         .collect()
 }
--- a/crates/lease/src/authority.rs
+++ b/crates/lease/src/authority.rs
@@ -30,12 +30,7 @@
     #[must_use]
     pub fn members(&self) -> Vec<Name> {
         let mut members = self.voters.clone();
-        members.extend(
-            self.old_voters
-                .iter()
-                .filter(|name| !self.voters.contains(name))
-                .cloned(),
-        );
+        members.extend(self.old_voters.iter().filter(|name| !self.voters.contains(name)).cloned());
         members
     }
 
@@ -63,9 +58,7 @@
     /// Returns whether one voter's promise stands.
     #[must_use]
     pub fn has_promise(&self, now_ms: u64, voter: &Name) -> bool {
-        self.promised_until_ms
-            .get(voter)
-            .is_some_and(|until_ms| now_ms < *until_ms)
+        self.promised_until_ms.get(voter).is_some_and(|until_ms| now_ms < *until_ms)
     }
 }
 
--- a/crates/lease/src/grant.rs
+++ b/crates/lease/src/grant.rs
@@ -24,10 +24,7 @@
     pub fn observe_clock(&mut self, server_ms: u64, now_ms: u64) {
         let is_newer = self.clock.is_none_or(|clock| clock.server_ms <= server_ms);
         if is_newer {
-            self.clock = Some(Reading {
-                server_ms,
-                received_ms: now_ms,
-            });
+            self.clock = Some(Reading { server_ms, received_ms: now_ms });
         }
     }
 
--- a/crates/lease/src/holder.rs
+++ b/crates/lease/src/holder.rs
@@ -114,10 +114,7 @@
     }
 
     fn judge(&self, order: &Order) -> Verdict {
-        let is_other = self
-            .controller
-            .as_ref()
-            .is_some_and(|known| *known != order.controller);
+        let is_other = self.controller.as_ref().is_some_and(|known| *known != order.controller);
         if order.term < self.term || (order.term == self.term && is_other) {
             return Verdict::Outdated;
         }
@@ -141,12 +138,8 @@
     }
 
     fn accept(&mut self, grant: ShardEpoch, deadline_ms: u64) {
-        let fresh = Slot {
-            epoch: grant.epoch,
-            deadline_ms,
-            state: SlotState::Granted,
-            in_flight: 0,
-        };
+        let fresh =
+            Slot { epoch: grant.epoch, deadline_ms, state: SlotState::Granted, in_flight: 0 };
         match self.shards.get_mut(&grant.shard) {
             Some(slot) if slot.epoch > grant.epoch => {}
             Some(slot) if slot.epoch == grant.epoch => {
@@ -166,11 +159,7 @@
         if slot.epoch != release.epoch || slot.state == SlotState::Released {
             return;
         }
-        slot.state = if slot.in_flight == 0 {
-            SlotState::Released
-        } else {
-            SlotState::Closing
-        };
+        slot.state = if slot.in_flight == 0 { SlotState::Released } else { SlotState::Closing };
     }
 
     fn to_report(&self, now_ms: u64, verdict: Verdict, number: u64) -> Report {
--- a/crates/lease/src/voter.rs
+++ b/crates/lease/src/voter.rs
@@ -38,12 +38,7 @@
     #[must_use]
     pub fn new(now_ms: u64, promise_ms: u64) -> Self {
         let silent_until_ms = now_ms + slower_ms(promise_ms);
-        Self {
-            promise_ms,
-            silent_until_ms,
-            highest_term: Term(0),
-            promise: None,
-        }
+        Self { promise_ms, silent_until_ms, highest_term: Term(0), promise: None }
     }
 
     /// Returns the highest term that was seen.
@@ -74,10 +69,7 @@
         if self.is_silent(now_ms) {
             return Vote::Bound;
         }
-        if self
-            .bound_to(now_ms)
-            .is_some_and(|bound| bound != candidate)
-        {
+        if self.bound_to(now_ms).is_some_and(|bound| bound != candidate) {
             return Vote::Bound;
         }
         // A promise is renewed in its own term; any other promise needs a later term.
@@ -94,10 +86,7 @@
         if vote == Vote::Promised {
             self.highest_term = term;
             let deadline_ms = now_ms + self.promise_ms;
-            self.promise = Some(Promise {
-                candidate: candidate.clone(),
-                deadline_ms,
-            });
+            self.promise = Some(Promise { candidate: candidate.clone(), deadline_ms });
         }
         vote
     }
@@ -111,11 +100,7 @@
 
     /// Ends the promise to a candidate that gave it back.
     pub fn release(&mut self, candidate: &Name) {
-        if self
-            .promise
-            .as_ref()
-            .is_some_and(|promise| promise.candidate == *candidate)
-        {
+        if self.promise.as_ref().is_some_and(|promise| promise.candidate == *candidate) {
             self.promise = None;
         }
     }
--- /dev/null
+++ b/crates/peer/src/convert.rs
@@ -0,0 +1,336 @@
+//! Between packets and their wire form.
+
+use std::sync::Arc;
+
+use control::{Beat, BeatReply, Intent, PromiseAsk, PromiseReply, Record, RecordCopy, Stage};
+use document::{Name, Revision};
+use error_stack::Report;
+use lease::{Epoch, ShardId, Term, Vote};
+use route::{Group, Route, Table};
+use wire::envelope::Message as WireMessage;
+
+use crate::packet::{DocumentText, Message, Packet, Presence};
+use crate::{Error, Result, wire};
+
+impl From<&Packet> for wire::Envelope {
+    fn from(packet: &Packet) -> Self {
+        let message = match &packet.message {
+            Message::Ask(ask) => WireMessage::Ask(ask.into()),
+            Message::Reply(reply) => WireMessage::Reply(reply.into()),
+            Message::ReturnPromise => WireMessage::ReturnPromise(wire::ReturnPromise {}),
+            Message::Beat(beat) => WireMessage::Beat(beat.into()),
+            Message::BeatReply(reply) => WireMessage::BeatReply(reply.into()),
+            Message::Table(table) => WireMessage::Table((&**table).into()),
+            Message::DocumentAsk => WireMessage::DocumentAsk(wire::DocumentAsk {}),
+            Message::Document(document) => WireMessage::Document(wire::Document {
+                revision: document.revision.0,
+                text: document.text.to_string(),
+            }),
+            Message::Presence(presence) => WireMessage::Presence(presence.into()),
+            Message::StatusAsk(number) => {
+                WireMessage::StatusAsk(wire::StatusAsk { number: *number })
+            }
+            Message::StatusReply(number, json) => WireMessage::StatusReply(wire::StatusReply {
+                number: *number,
+                status_json: json.to_vec(),
+            }),
+        };
+        Self {
+            from: packet.from.to_string(),
+            service: packet.service.to_string(),
+            message: Some(message),
+        }
+    }
+}
+
+impl TryFrom<wire::Envelope> for Packet {
+    type Error = Report<Error>;
+
+    fn try_from(envelope: wire::Envelope) -> Result<Self> {
+        let from = Name::from(envelope.from);
+        let message = envelope
+            .message
+            .ok_or_else(|| Error::report("packet has a message of no known kind"))?;
+        let message = match message {
+            WireMessage::Ask(ask) => Message::Ask(to_ask(from.clone(), ask)?),
+            WireMessage::Reply(reply) => Message::Reply(to_reply(from.clone(), reply)?),
+            WireMessage::ReturnPromise(_) => Message::ReturnPromise,
+            WireMessage::Beat(beat) => Message::Beat(to_beat(from.clone(), beat)),
+            WireMessage::BeatReply(reply) => Message::BeatReply(to_beat_reply(reply)),
+            WireMessage::Table(table) => {
+                let service = Name::from(envelope.service.as_str());
+                Message::Table(Arc::new(to_table(service, table)?))
+            }
+            WireMessage::DocumentAsk(_) => Message::DocumentAsk,
+            WireMessage::Document(document) => Message::Document(DocumentText {
+                revision: Revision(document.revision),
+                text: Name::from(document.text),
+            }),
+            WireMessage::Presence(presence) => Message::Presence(to_presence(presence)?),
+            WireMessage::StatusAsk(ask) => Message::StatusAsk(ask.number),
+            WireMessage::StatusReply(reply) => {
+                Message::StatusReply(reply.number, reply.status_json.into())
+            }
+        };
+        Ok(Self { from, service: Name::from(envelope.service), message })
+    }
+}
+
+impl From<&PromiseAsk> for wire::Ask {
+    fn from(ask: &PromiseAsk) -> Self {
+        Self {
+            term: ask.term.0,
+            stage: from_stage(ask.stage).into(),
+            asked_ms: ask.asked_ms,
+            record_revision: ask.record_revision.0,
+            record: ask.record.as_ref().map(Into::into),
+            intent: ask.intent.as_ref().map(Into::into),
+        }
+    }
+}
+
+impl From<&PromiseReply> for wire::Reply {
+    fn from(reply: &PromiseReply) -> Self {
+        let (vote, later_term) = match reply.vote {
+            Vote::Bound => (wire::Vote::Bound, 0),
+            Vote::Promised => (wire::Vote::Promised, 0),
+            Vote::Outdated(term) => (wire::Vote::Outdated, term.0),
+        };
+        Self {
+            term: reply.term.0,
+            stage: from_stage(reply.stage).into(),
+            asked_ms: reply.asked_ms,
+            vote: vote.into(),
+            later_term,
+            record_revision: reply.record_revision.0,
+            record: reply.record.as_ref().map(Into::into),
+            intent_number: reply.intent_number,
+            intents: reply.intents.iter().map(Into::into).collect(),
+            is_sure: reply.is_sure,
+        }
+    }
+}
+
+impl From<&RecordCopy> for wire::RecordCopy {
+    fn from(copy: &RecordCopy) -> Self {
+        Self { revision: copy.revision.0, record_json: copy.record.to_json().into_bytes() }
+    }
+}
+
+impl From<&Intent> for wire::Intent {
+    fn from(intent: &Intent) -> Self {
+        Self {
+            number: intent.number,
+            over: intent.over.0,
+            record_json: intent.record.to_json().into_bytes(),
+        }
+    }
+}
+
+impl From<&Beat> for wire::Beat {
+    fn from(beat: &Beat) -> Self {
+        let load =
+            |(shard, requests): &(ShardId, u32)| wire::Load { shard: shard.0, requests: *requests };
+        Self {
+            incarnation: beat.incarnation,
+            clock_ms: beat.clock_ms,
+            term: beat.term.0,
+            sequence: beat.sequence,
+            is_drained: beat.is_drained,
+            document_revision: beat.document.0,
+            loads: beat.loads.iter().map(load).collect(),
+        }
+    }
+}
+
+impl From<&BeatReply> for wire::BeatReply {
+    fn from(reply: &BeatReply) -> Self {
+        Self {
+            incarnation: reply.incarnation,
+            term: reply.term.0,
+            sequence: reply.sequence,
+            deadline_ms: reply.deadline_ms,
+        }
+    }
+}
+
+impl From<&Table> for wire::Table {
+    fn from(table: &Table) -> Self {
+        let group = |group: &Group| wire::Group {
+            name: group.name.to_string(),
+            prefix: group.prefix.to_string(),
+        };
+        let routes = &table.routes;
+        Self {
+            term: table.term.0,
+            controller: table.controller.to_string(),
+            sequence: table.sequence,
+            document_revision: table.document.0,
+            groups: table.groups.iter().map(group).collect(),
+            servers: table.servers.iter().map(ToString::to_string).collect(),
+            shards: routes.iter().map(|route| route.shard.0).collect(),
+            shard_groups: routes.iter().map(|route| route.group).collect(),
+            starts: routes.iter().map(|route| route.start).collect(),
+            owners: routes.iter().map(|route| route.server.map_or(0, |at| at + 1)).collect(),
+            epochs: routes.iter().map(|route| route.epoch.0).collect(),
+            open: routes.iter().map(|route| route.is_open).collect(),
+        }
+    }
+}
+
+impl From<&Presence> for wire::Presence {
+    fn from(presence: &Presence) -> Self {
+        let in_force = |(service, revision): &(Name, Revision)| wire::InForce {
+            service: service.to_string(),
+            revision: revision.0,
+        };
+        Self {
+            data_centre: presence.data_centre.to_string(),
+            address: presence.address.to_string(),
+            in_force: presence.in_force.iter().map(in_force).collect(),
+        }
+    }
+}
+
+fn to_ask(candidate: Name, ask: wire::Ask) -> Result<PromiseAsk> {
+    Ok(PromiseAsk {
+        candidate,
+        term: Term(ask.term),
+        stage: to_stage(ask.stage()),
+        asked_ms: ask.asked_ms,
+        record_revision: Revision(ask.record_revision),
+        record: ask.record.map(to_record_copy).transpose()?,
+        intent: ask.intent.map(to_intent).transpose()?,
+    })
+}
+
+fn to_reply(voter: Name, reply: wire::Reply) -> Result<PromiseReply> {
+    let vote = match reply.vote() {
+        wire::Vote::Bound => Vote::Bound,
+        wire::Vote::Promised => Vote::Promised,
+        wire::Vote::Outdated => Vote::Outdated(Term(reply.later_term)),
+    };
+    Ok(PromiseReply {
+        voter,
+        term: Term(reply.term),
+        stage: to_stage(reply.stage()),
+        asked_ms: reply.asked_ms,
+        vote,
+        record_revision: Revision(reply.record_revision),
+        record: reply.record.map(to_record_copy).transpose()?,
+        intent_number: reply.intent_number,
+        intents: reply.intents.into_iter().map(to_intent).collect::<Result<_>>()?,
+        is_sure: reply.is_sure,
+    })
+}
+
+fn to_record_copy(copy: wire::RecordCopy) -> Result<RecordCopy> {
+    Ok(RecordCopy { revision: Revision(copy.revision), record: to_record(&copy.record_json)? })
+}
+
+fn to_intent(intent: wire::Intent) -> Result<Intent> {
+    Ok(Intent {
+        number: intent.number,
+        over: Revision(intent.over),
+        record: to_record(&intent.record_json)?,
+    })
+}
+
+fn to_record(json: &[u8]) -> Result<Arc<Record>> {
+    Record::from_json(json)
+        .map(Arc::new)
+        .map_err(|error| Error::report(format!("record is not valid: {error}")))
+}
+
+fn to_beat(instance: Name, beat: wire::Beat) -> Beat {
+    let load = |load: wire::Load| (ShardId(load.shard), load.requests);
+    Beat {
+        instance,
+        incarnation: beat.incarnation,
+        clock_ms: beat.clock_ms,
+        term: Term(beat.term),
+        sequence: beat.sequence,
+        is_drained: beat.is_drained,
+        document: Revision(beat.document_revision),
+        loads: beat.loads.into_iter().map(load).collect(),
+    }
+}
+
+fn to_beat_reply(reply: wire::BeatReply) -> BeatReply {
+    BeatReply {
+        incarnation: reply.incarnation,
+        term: Term(reply.term),
+        sequence: reply.sequence,
+        deadline_ms: reply.deadline_ms,
+    }
+}
+
+fn to_table(service: Name, table: wire::Table) -> Result<Table> {
+    let count = table.shards.len();
+    let lengths = [
+        table.shard_groups.len(),
+        table.starts.len(),
+        table.owners.len(),
+        table.epochs.len(),
+        table.open.len(),
+    ];
+    if lengths.iter().any(|length| *length != count) {
+        return Err(Error::report(format!("table has columns of lengths {count} and {lengths:?}")));
+    }
+    let routes = (0..count)
+        .map(|at| Route {
+            shard: ShardId(table.shards[at]),
+            group: table.shard_groups[at],
+            start: table.starts[at],
+            server: table.owners[at].checked_sub(1),
+            epoch: Epoch(table.epochs[at]),
+            is_open: table.open[at],
+        })
+        .collect();
+    let group = |group: wire::Group| Group {
+        name: Name::from(group.name),
+        prefix: Name::from(group.prefix),
+    };
+    Ok(Table {
+        service,
+        term: Term(table.term),
+        controller: Name::from(table.controller),
+        sequence: table.sequence,
+        document: Revision(table.document_revision),
+        groups: table.groups.into_iter().map(group).collect(),
+        servers: table.servers.into_iter().map(Name::from).collect(),
+        routes,
+    })
+}
+
+fn to_presence(presence: wire::Presence) -> Result<Presence> {
+    let address = presence
+        .address
+        .parse()
+        .map_err(|_invalid| Error::report(format!("address {} is not valid", presence.address)))?;
+    Ok(Presence {
+        data_centre: Name::from(presence.data_centre),
+        address,
+        in_force: presence
+            .in_force
+            .into_iter()
+            .map(|entry| (Name::from(entry.service), Revision(entry.revision)))
+            .collect(),
+    })
+}
+
+fn from_stage(stage: Stage) -> wire::Stage {
+    match stage {
+        Stage::Probing => wire::Stage::Probing,
+        Stage::Standing => wire::Stage::Standing,
+        Stage::Leading => wire::Stage::Leading,
+    }
+}
+
+fn to_stage(stage: wire::Stage) -> Stage {
+    match stage {
+        wire::Stage::Probing => Stage::Probing,
+        wire::Stage::Standing => Stage::Standing,
+        wire::Stage::Leading => Stage::Leading,
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,1 +1,31 @@
-//! Placeholder.
+//! What daemons tell each other, and the connections that carry it.
+//!
+//! A [`Packet`] names its sender, a service and a [`Message`]. Packets travel as
+//! protobuf messages in length-delimited frames over TCP. [`Links`] keeps one
+//! connection to each peer and drops what a slow peer does not take; [`listen`]
+//! receives. Everything that is sent may be lost, and the control protocol expects it.
+//!
+//! ```
+//! use document::Name;
+//! use peer::{Message, Packet};
+//!
+//! let packet =
+//!     Packet::new(Name::from("entry-1"), Name::from("ledger"), Message::ReturnPromise);
+//! let frame = packet.to_bytes();
+//! assert_eq!(Packet::from_bytes(frame)?, packet);
+//! # Ok::<(), error_stack::Report<peer::Error>>(())
+//! ```
+
+mod convert;
+mod error;
+mod link;
+mod packet;
+
+#[expect(clippy::pedantic, reason = "generated from proto/peer.proto")]
+#[rustfmt::skip]
+#[path = "generated/peer.rs"]
+mod wire;
+
+pub use error::{Error, Result};
+pub use link::{Links, MAX_FRAME_BYTES, listen};
+pub use packet::{DocumentText, Message, Packet, Presence};
--- a/crates/placement/src/balanced.rs
+++ b/crates/placement/src/balanced.rs
@@ -22,9 +22,7 @@
 
 impl Default for Balanced {
     fn default() -> Self {
-        Self {
-            load_trigger: EAGER_TRIGGER,
-        }
+        Self { load_trigger: EAGER_TRIGGER }
     }
 }
 
@@ -32,21 +30,11 @@
     /// Creates the policy for a document's weights.
     #[must_use]
     pub fn from_weights(churn: u32, imbalance: u32) -> Self {
-        Self {
-            load_trigger: if churn > imbalance {
-                CALM_TRIGGER
-            } else {
-                EAGER_TRIGGER
-            },
-        }
+        Self { load_trigger: if churn > imbalance { CALM_TRIGGER } else { EAGER_TRIGGER } }
     }
 
     fn trigger(self, sizes: &Sizes) -> f64 {
-        if sizes.is_measured() {
-            self.load_trigger
-        } else {
-            TARGET
-        }
+        if sizes.is_measured() { self.load_trigger } else { TARGET }
     }
 }
 
@@ -59,10 +47,7 @@
             draft.even_out();
         }
         let successors = choose_successors(request, &draft.owners);
-        Plan {
-            owners: draft.owners,
-            successors,
-        }
+        Plan { owners: draft.owners, successors }
     }
 }
 
@@ -78,32 +63,22 @@
         let mut shares = Shares::from_request(request);
         let mut owners = Vec::with_capacity(request.shards.len());
         for (at, shard) in request.shards.iter().enumerate() {
-            let owner = shard
-                .owner
-                .filter(|owner| request.servers[*owner].may_take(shard.group));
+            let owner = shard.owner.filter(|owner| request.servers[*owner].may_take(shard.group));
             if let Some(owner) = owner {
                 shares.add(owner, sizes.of(at));
             }
             owners.push(owner);
         }
-        Self {
-            request,
-            sizes,
-            shares,
-            owners,
-        }
+        Self { request, sizes, shares, owners }
     }
 
     /// Gives the shards without an owner away, the largest first.
     fn place_orphans(&mut self) {
-        let mut orphans: Vec<usize> = (0..self.owners.len())
-            .filter(|shard| self.owners[*shard].is_none())
-            .collect();
+        let mut orphans: Vec<usize> =
+            (0..self.owners.len()).filter(|shard| self.owners[*shard].is_none()).collect();
         orphans.sort_by(|a, b| self.sizes.of(*b).total_cmp(&self.sizes.of(*a)));
         for shard in orphans {
-            let owner = self
-                .successor_with_room(shard)
-                .or_else(|| self.least_used(shard));
+            let owner = self.successor_with_room(shard).or_else(|| self.least_used(shard));
             if let Some(owner) = owner {
                 self.shares.add(owner, self.sizes.of(shard));
             }
@@ -142,10 +117,8 @@
         held.filter_map(|shard| {
             let target = self.least_used(shard).filter(|target| *target != donor)?;
             let size = self.sizes.of(shard);
-            let after = self
-                .shares
-                .ratio_with(donor, -size)
-                .max(self.shares.ratio_with(target, size));
+            let after =
+                self.shares.ratio_with(donor, -size).max(self.shares.ratio_with(target, size));
             Some((after, shard, target))
         })
         .filter(|(after, ..)| *after < self.shares.ratio(donor) - f64::EPSILON)
@@ -164,13 +137,9 @@
     fn least_used(&self, shard: usize) -> Option<usize> {
         let group = self.request.shards[shard].group;
         let size = self.sizes.of(shard);
-        self.accepting()
-            .filter(|server| self.request.servers[*server].may_take(group))
-            .min_by(|a, b| {
-                self.shares
-                    .ratio_with(*a, size)
-                    .total_cmp(&self.shares.ratio_with(*b, size))
-            })
+        self.accepting().filter(|server| self.request.servers[*server].may_take(group)).min_by(
+            |a, b| self.shares.ratio_with(*a, size).total_cmp(&self.shares.ratio_with(*b, size)),
+        )
     }
 
     fn accepting(&self) -> impl Iterator<Item = usize> + use<'_, 'a> {
--- a/crates/placement/src/rendezvous.rs
+++ b/crates/placement/src/rendezvous.rs
@@ -18,10 +18,7 @@
                 .enumerate()
                 .filter(|(_, server)| server.may_take(shard.group))
                 .map(|(at, server)| {
-                    (
-                        xxh3_64_with_seed(server.name.as_bytes(), u64::from(shard.id)),
-                        at,
-                    )
+                    (xxh3_64_with_seed(server.name.as_bytes(), u64::from(shard.id)), at)
                 })
                 .collect();
             ranked.sort_unstable_by(|a, b| b.cmp(a));
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -45,13 +45,7 @@
     /// Creates a shard that nobody holds.
     #[must_use]
     pub fn new(id: u32, group: usize) -> Self {
-        Self {
-            id,
-            group,
-            load: 0.0,
-            owner: None,
-            successor: None,
-        }
+        Self { id, group, load: 0.0, owner: None, successor: None }
     }
 }
 
@@ -59,22 +53,12 @@
     /// Creates a server that may hold every key group.
     #[must_use]
     pub fn new(name: Name, data_centre: Name, slots: u32) -> Self {
-        Self {
-            name,
-            data_centre,
-            slots,
-            groups: None,
-            accepts: true,
-        }
+        Self { name, data_centre, slots, groups: None, accepts: true }
     }
 
     /// Returns whether the server may be given a shard of a key group.
     #[must_use]
     pub fn may_take(&self, group: usize) -> bool {
-        self.accepts
-            && self
-                .groups
-                .as_ref()
-                .is_none_or(|groups| groups.contains(&group))
+        self.accepts && self.groups.as_ref().is_none_or(|groups| groups.contains(&group))
     }
 }
--- a/crates/placement/src/share.rs
+++ b/crates/placement/src/share.rs
@@ -25,20 +25,9 @@
         let even = 1.0 / to_float(request.shards.len().max(1));
         let measured = total > 0.0;
         let size = |load: f64| {
-            if measured {
-                COUNT_PART * even + (1.0 - COUNT_PART) * load / total
-            } else {
-                even
-            }
+            if measured { COUNT_PART * even + (1.0 - COUNT_PART) * load / total } else { even }
         };
-        Self {
-            sizes: request
-                .shards
-                .iter()
-                .map(|shard| size(shard.load))
-                .collect(),
-            measured,
-        }
+        Self { sizes: request.shards.iter().map(|shard| size(shard.load)).collect(), measured }
     }
 
     pub(crate) fn of(&self, shard: usize) -> f64 {
@@ -55,24 +44,12 @@
     /// Creates empty shares; a server's fair share follows its slots.
     pub(crate) fn from_request(request: &Request) -> Self {
         let slots = |accepts: bool, slots: u32| {
-            if accepts {
-                f64::from(slots.max(1))
-            } else {
-                0.0
-            }
+            if accepts { f64::from(slots.max(1)) } else { 0.0 }
         };
-        let total: f64 = request
-            .servers
-            .iter()
-            .map(|s| slots(s.accepts, s.slots))
-            .sum();
+        let total: f64 = request.servers.iter().map(|s| slots(s.accepts, s.slots)).sum();
         Self {
             used: vec![0.0; request.servers.len()],
-            fair: request
-                .servers
-                .iter()
-                .map(|s| slots(s.accepts, s.slots) / total)
-                .collect(),
+            fair: request.servers.iter().map(|s| slots(s.accepts, s.slots) / total).collect(),
         }
     }
 
@@ -96,9 +73,7 @@
 
     /// Returns the largest distance of a server from its fair share.
     pub(crate) fn spread(&self, servers: impl Iterator<Item = usize>) -> f64 {
-        servers
-            .map(|server| (self.ratio(server) - 1.0).abs())
-            .fold(0.0, f64::max)
+        servers.map(|server| (self.ratio(server) - 1.0).abs()).fold(0.0, f64::max)
     }
 }
 
--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -55,13 +55,7 @@
     /// Creates the record of a request that was not sent yet.
     #[must_use]
     pub fn new(is_idempotent: bool, deadline_ms: u64) -> Self {
-        Self {
-            is_idempotent,
-            deadline_ms,
-            failed: 0,
-            may_have_run: false,
-            last: None,
-        }
+        Self { is_idempotent, deadline_ms, failed: 0, may_have_run: false, last: None }
     }
 
     /// Notes a failed attempt and says what to do.
@@ -85,11 +79,7 @@
     pub fn attempt_deadline_ms(&self, now_ms: u64) -> u64 {
         let left_ms = self.deadline_ms.saturating_sub(now_ms);
         let is_last = self.failed + 1 >= MAX_ATTEMPTS;
-        if self.is_idempotent && !is_last {
-            now_ms + left_ms / 2
-        } else {
-            self.deadline_ms
-        }
+        if self.is_idempotent && !is_last { now_ms + left_ms / 2 } else { self.deadline_ms }
     }
 
     /// Returns the answer for the caller, given why the last step failed.
@@ -121,10 +111,6 @@
     /// Returns whether the request may have run.
     #[must_use]
     pub fn outcome(&self) -> Outcome {
-        if self.may_have_run {
-            Outcome::Unknown
-        } else {
-            Outcome::NotRun
-        }
+        if self.may_have_run { Outcome::Unknown } else { Outcome::NotRun }
     }
 }
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -17,9 +17,7 @@
 
 impl Default for Budget {
     fn default() -> Self {
-        Self {
-            tenths: AtomicU32::new(MOST_TENTHS),
-        }
+        Self { tenths: AtomicU32::new(MOST_TENTHS) }
     }
 }
 
--- a/crates/route/src/gate.rs
+++ b/crates/route/src/gate.rs
@@ -40,13 +40,7 @@
     /// Creates the gate of one server.
     #[must_use]
     pub fn new(limit: Limit, most_waiting: usize) -> Self {
-        Self {
-            limit,
-            in_flight: 0,
-            waiting: BTreeMap::new(),
-            next_number: 0,
-            most_waiting,
-        }
+        Self { limit, in_flight: 0, waiting: BTreeMap::new(), next_number: 0, most_waiting }
     }
 
     /// Returns how many requests are in flight.
@@ -78,10 +72,7 @@
             self.in_flight += 1;
             return Admission::Enter;
         }
-        let ticket = Ticket {
-            priority,
-            number: self.next_number,
-        };
+        let ticket = Ticket { priority, number: self.next_number };
         self.next_number += 1;
         if self.waiting.len() < self.most_waiting {
             self.waiting.insert(ticket, waker);
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -20,11 +20,7 @@
     pub fn new(slots: u32, daemons: u32) -> Self {
         let most = f64::from(slots.max(1));
         let share = (most / f64::from(daemons.max(1))).ceil();
-        Self {
-            current: share,
-            least: 1.0,
-            most,
-        }
+        Self { current: share, least: 1.0, most }
     }
 
     /// Changes the number of slots or daemons; what was learned is kept.
--- a/crates/route/src/refusal.rs
+++ b/crates/route/src/refusal.rs
@@ -64,26 +64,14 @@
     /// Creates the refusal of a request that certainly did not run.
     #[must_use]
     pub fn not_run(reason: Reason) -> Self {
-        let retry_after_s = if reason.is_passing() {
-            Some(RETRY_AFTER_S)
-        } else {
-            None
-        };
-        Self {
-            outcome: Outcome::NotRun,
-            reason,
-            retry_after_s,
-        }
+        let retry_after_s = if reason.is_passing() { Some(RETRY_AFTER_S) } else { None };
+        Self { outcome: Outcome::NotRun, reason, retry_after_s }
     }
 
     /// Creates the answer for a request that may have run.
     #[must_use]
     pub fn unknown(reason: Reason) -> Self {
-        Self {
-            outcome: Outcome::Unknown,
-            reason,
-            retry_after_s: None,
-        }
+        Self { outcome: Outcome::Unknown, reason, retry_after_s: None }
     }
 
     /// Returns the HTTP status.
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -85,21 +85,9 @@
             .filter_map(|server| servers.get(&server.name).map(Arc::clone))
             .collect();
         let table_servers = table.as_ref().map_or_else(Vec::new, |table| {
-            table
-                .servers
-                .iter()
-                .map(|name| servers.get(name).map(Arc::clone))
-                .collect()
+            table.servers.iter().map(|name| servers.get(name).map(Arc::clone)).collect()
         });
-        Self {
-            revision,
-            document,
-            table,
-            in_flight,
-            servers,
-            table_servers,
-            pool,
-        }
+        Self { revision, document, table, in_flight, servers, table_servers, pool }
     }
 
     /// Returns the shell's state of each server.
@@ -146,16 +134,8 @@
         let first = &self.pool[draw.0 % self.pool.len()];
         let second = &self.pool[draw.1 % self.pool.len()];
         let relative = |state: &S| f64::from(state.load()) / f64::from(state.server().slots.max(1));
-        let server = if relative(second) < relative(first) {
-            second
-        } else {
-            first
-        };
-        Decision::Forward(Target {
-            server: Arc::clone(server),
-            fence: None,
-            position: None,
-        })
+        let server = if relative(second) < relative(first) { second } else { first };
+        Decision::Forward(Target { server: Arc::clone(server), fence: None, position: None })
     }
 
     fn decide_keyed(&self, now_ms: u64, key: &str) -> Decision<S> {
@@ -169,9 +149,7 @@
             return Decision::Wait;
         }
         let server = route.server.and_then(|at| usize::try_from(at).ok());
-        let server = server
-            .and_then(|at| self.table_servers.get(at))
-            .and_then(Option::as_ref);
+        let server = server.and_then(|at| self.table_servers.get(at)).and_then(Option::as_ref);
         match server {
             Some(server) if self.may_send(now_ms, server) => Decision::Forward(Target {
                 server: Arc::clone(server),
@@ -233,14 +211,8 @@
     /// Returns whether no request is on its way to a shard that the table closes.
     #[must_use]
     pub fn is_drained(&self, table: &Table) -> bool {
-        let closed = self
-            .shards
-            .iter()
-            .zip(&table.routes)
-            .filter(|(_, route)| !route.is_open);
-        closed
-            .into_iter()
-            .all(|(count, _)| count.load(Ordering::SeqCst) == 0)
+        let closed = self.shards.iter().zip(&table.routes).filter(|(_, route)| !route.is_open);
+        closed.into_iter().all(|(count, _)| count.load(Ordering::SeqCst) == 0)
     }
 
     /// Takes the requests by shard since the last call, for shards with any.
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -74,9 +74,7 @@
     pub fn find(&self, key: &str) -> Option<(usize, &Route)> {
         let group = self.group_of(key)?;
         let hash = hash_key(key);
-        let end = self
-            .routes
-            .partition_point(|route| (route.group, route.start) <= (group, hash));
+        let end = self.routes.partition_point(|route| (route.group, route.start) <= (group, hash));
         let at = end.checked_sub(1)?;
         let route = &self.routes[at];
         (route.group == group).then_some((at, route))
--- /dev/null
+++ b/crates/telemetry/src/counter.rs
@@ -0,0 +1,103 @@
+//! The counters of a daemon.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Something that is counted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Counter {
+    /// Requests that arrived.
+    Requests,
+    /// Requests that a server answered.
+    Answered,
+    /// Requests refused that certainly did not run.
+    RefusedNotRun,
+    /// Requests whose outcome is not known.
+    RefusedUnknown,
+    /// Attempts after the first one.
+    Retries,
+    /// Attempts that a server refused because of the fence epoch.
+    Fenced,
+    /// Attempts that a server shed.
+    Shed,
+    /// Requests that waited for a shard to open.
+    WaitedForOwner,
+    /// Requests that waited for a slot.
+    WaitedForSlot,
+    /// Connections opened to servers.
+    Connections,
+    /// Answers cut off in the middle.
+    CutOff,
+    /// Tables put in force.
+    Tables,
+    /// Documents put in force.
+    Documents,
+    /// Documents from the store that were refused.
+    DocumentsRefused,
+    /// Times that this daemon became the controller of a service.
+    Elections,
+    /// Calls to the store.
+    StoreCalls,
+    /// Calls to the store that failed.
+    StoreFailures,
+    /// Orders sent to servers.
+    Orders,
+    /// Orders that stayed unanswered.
+    OrdersFailed,
+    /// Packets from other daemons.
+    Packets,
+}
+
+/// All counters with their names and meanings, in the order of [`Counter`].
+const COUNTERS: [(Counter, &str, &str); 20] = [
+    (Counter::Requests, "verbena_requests", "requests that arrived"),
+    (Counter::Answered, "verbena_answered", "requests that a server answered"),
+    (Counter::RefusedNotRun, "verbena_refused_not_run", "requests that certainly did not run"),
+    (Counter::RefusedUnknown, "verbena_refused_unknown", "requests whose outcome is not known"),
+    (Counter::Retries, "verbena_retries", "attempts after the first one"),
+    (Counter::Fenced, "verbena_fenced", "attempts refused because of the fence epoch"),
+    (Counter::Shed, "verbena_shed", "attempts that a server shed"),
+    (Counter::WaitedForOwner, "verbena_waited_for_owner", "requests that waited for an owner"),
+    (Counter::WaitedForSlot, "verbena_waited_for_slot", "requests that waited for a slot"),
+    (Counter::Connections, "verbena_connections", "connections opened to servers"),
+    (Counter::CutOff, "verbena_cut_off", "answers cut off in the middle"),
+    (Counter::Tables, "verbena_tables", "routing tables put in force"),
+    (Counter::Documents, "verbena_documents", "documents put in force"),
+    (Counter::DocumentsRefused, "verbena_documents_refused", "documents that were refused"),
+    (Counter::Elections, "verbena_elections", "times this daemon became a controller"),
+    (Counter::StoreCalls, "verbena_store_calls", "calls to the store"),
+    (Counter::StoreFailures, "verbena_store_failures", "calls to the store that failed"),
+    (Counter::Orders, "verbena_orders", "orders sent to servers"),
+    (Counter::OrdersFailed, "verbena_orders_failed", "orders that stayed unanswered"),
+    (Counter::Packets, "verbena_packets", "packets from other daemons"),
+];
+
+/// The counters of one daemon.
+#[derive(Debug, Default)]
+pub struct Counters {
+    values: [AtomicU64; COUNTERS.len()],
+}
+
+impl Counter {
+    /// Returns every counter with its metric's name and meaning.
+    pub fn all() -> impl Iterator<Item = (Self, &'static str, &'static str)> {
+        COUNTERS.into_iter()
+    }
+}
+
+impl Counters {
+    /// Adds to a counter.
+    pub fn add(&self, counter: Counter, amount: u64) {
+        self.values[counter as usize].fetch_add(amount, Ordering::Relaxed);
+    }
+
+    /// Adds one to a counter.
+    pub fn count(&self, counter: Counter) {
+        self.add(counter, 1);
+    }
+
+    /// Returns the value of a counter.
+    #[must_use]
+    pub fn get(&self, counter: Counter) -> u64 {
+        self.values[counter as usize].load(Ordering::Relaxed)
+    }
+}
