--- /dev/null
+++ b/crates/lab/src/store_server.rs
@@ -0,0 +1,121 @@
+//! The stand-in for the platform's service, over HTTP.
+
+use std::collections::HashMap;
+
+use document::Revision;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use serde_json::json;
+use store::{Category, Expect, Faults, LeaseId, MemoryStore, Store};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+type Answer = Response<Full<bytes::Bytes>>;
+
+/// Serves a store over HTTP until the token is cancelled.
+///
+/// Besides what the platform's service offers, `PUT /lab/faults` sets its faults and
+/// `GET /lab/usage` returns how many calls were made.
+pub async fn serve_store(store: MemoryStore, listener: TcpListener, stop: CancellationToken) {
+    web::serve(listener, stop, move |request| answer(store.clone(), request)).await;
+}
+
+async fn answer(store: MemoryStore, request: Request<Incoming>) -> Answer {
+    let path = request.uri().path().to_owned();
+    let query = parse_query(request.uri().query().unwrap_or(""));
+    let method = request.method().clone();
+    if let Some(key) = path.strip_prefix("/v1/values/") {
+        return answer_value(&store, &method, key, &query, request).await;
+    }
+    match (&method, path.as_str()) {
+        (&Method::GET, "/v1/watch") => {
+            let prefix = query.get("prefix").map_or("", String::as_str);
+            let after = Revision(number(&query, "after").unwrap_or(0));
+            let wait_ms = number(&query, "ms").unwrap_or(0);
+            to_answer(store.watch(prefix, after, wait_ms).await)
+        }
+        (&Method::POST, "/v1/leases") => {
+            let length_ms = number(&query, "ms").unwrap_or(0);
+            let opened = store.open_lease(length_ms).await;
+            to_answer(opened.map(|lease| json!({ "lease": lease })))
+        }
+        (&Method::PUT, path) if path.starts_with("/v1/leases/") => {
+            let id = path.trim_start_matches("/v1/leases/").parse().unwrap_or(0);
+            to_answer(store.keep_lease(LeaseId(id)).await)
+        }
+        (&Method::PUT, "/lab/faults") => {
+            match serde_json::from_slice::<Faults>(&web::read(request).await) {
+                Ok(faults) => {
+                    store.set_faults(faults);
+                    web::json("{}")
+                }
+                Err(error) => web::status(StatusCode::BAD_REQUEST, error.to_string()),
+            }
+        }
+        (&Method::GET, "/lab/usage") => to_answer(Ok(store.usage())),
+        _ => web::status(StatusCode::NOT_FOUND, "no such path\n"),
+    }
+}
+
+async fn answer_value(
+    store: &MemoryStore,
+    method: &Method,
+    key: &str,
+    query: &HashMap<String, String>,
+    request: Request<Incoming>,
+) -> Answer {
+    match *method {
+        Method::GET => match store.read(key).await {
+            Ok(None) => web::status(StatusCode::NOT_FOUND, "no such value\n"),
+            other => to_answer(other),
+        },
+        Method::DELETE => to_answer(store.remove(key).await),
+        Method::PUT => {
+            let expect = match query.get("expect").map(String::as_str) {
+                None | Some("") => Expect::Anything,
+                Some("missing") => Expect::Missing,
+                Some(revision) => match revision.parse() {
+                    Ok(revision) => Expect::At(Revision(revision)),
+                    Err(_) => {
+                        let text = "expect is not valid, expected missing or a revision\n";
+                        return web::status(StatusCode::BAD_REQUEST, text);
+                    }
+                },
+            };
+            let lease = number(query, "lease").map(LeaseId);
+            let text = String::from_utf8_lossy(&web::read(request).await).into_owned();
+            let written = store.write(key, expect, &text, lease).await;
+            to_answer(written.map(|revision| json!({ "revision": revision })))
+        }
+        _ => web::status(StatusCode::METHOD_NOT_ALLOWED, "expected GET, PUT or DELETE\n"),
+    }
+}
+
+fn to_answer<T: serde::Serialize>(result: store::Result<T>) -> Answer {
+    match result {
+        Ok(value) => web::json(serde_json::to_vec(&value).unwrap_or_default()),
+        Err(report) => {
+            let status = match report.current_context().category() {
+                Category::Conflict => StatusCode::CONFLICT,
+                Category::Missing => StatusCode::NOT_FOUND,
+                Category::Refused => StatusCode::SERVICE_UNAVAILABLE,
+                // The caller is left without a usable answer, as it would be by a lost reply.
+                Category::Unclear => StatusCode::GATEWAY_TIMEOUT,
+            };
+            web::status(status, report.to_string())
+        }
+    }
+}
+
+fn parse_query(query: &str) -> HashMap<String, String> {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(key, value)| (key.to_owned(), value.to_owned()))
+        .collect()
+}
+
+fn number(query: &HashMap<String, String>, key: &str) -> Option<u64> {
+    query.get(key)?.parse().ok()
+}
--- a/crates/lease/src/holder.rs
+++ b/crates/lease/src/holder.rs
@@ -107,6 +107,13 @@
         slot.is_live(now_ms).then_some(slot.epoch)
     }
 
+    /// Returns the shards that the server serves now, with their epochs.
+    #[must_use]
+    pub fn live(&self, now_ms: u64) -> Vec<ShardEpoch> {
+        let live = self.shards.iter().filter(|(_, slot)| slot.is_live(now_ms));
+        live.map(|(shard, slot)| ShardEpoch { shard: *shard, epoch: slot.epoch }).collect()
+    }
+
     /// Returns the shards that are loaded in advance.
     #[must_use]
     pub fn prepared(&self) -> &[ShardId] {
--- /dev/null
+++ b/crates/proxy/src/clock.rs
@@ -0,0 +1,32 @@
+//! The monotonic clock of a process.
+
+use tokio::time::{Duration, Instant};
+
+/// Milliseconds since shortly before the process started.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin: Instant,
+}
+
+/// The reading at the start, so that no reading is zero.
+const START_MS: u64 = 1_000;
+
+impl Clock {
+    /// Starts a clock.
+    #[must_use]
+    pub fn start() -> Self {
+        Self { origin: Instant::now() }
+    }
+
+    /// Reads the clock.
+    #[must_use]
+    pub fn now_ms(&self) -> u64 {
+        START_MS + u64::try_from(self.origin.elapsed().as_millis()).unwrap_or(u64::MAX / 2)
+    }
+
+    /// Returns the instant of a reading.
+    #[must_use]
+    pub fn to_instant(&self, at_ms: u64) -> Instant {
+        self.origin + Duration::from_millis(at_ms.saturating_sub(START_MS))
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/forward.rs
@@ -0,0 +1,326 @@
+//! The way of one request.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use document::Class;
+use http::header::{HOST, HeaderValue, RETRY_AFTER};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use route::{
+    Attempts, Decision, Failure, Next, Outcome, Reason, Refusal, ServerState, Service, Target,
+};
+use telemetry::Counter;
+use tokio::time::{Instant, timeout_at};
+
+use crate::answer::{AnswerBody, Held, ShardPlace};
+use crate::head;
+use crate::upstream::{Permit, Refused};
+use crate::{Traffic, Upstream};
+
+/// Answers one request of a caller.
+pub(crate) async fn answer(
+    traffic: Arc<Traffic>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let started = Instant::now();
+    traffic.counters.count(Counter::Requests);
+    let result = forward(&traffic, request).await;
+    traffic.metrics.record_latency(started.elapsed().as_secs_f64() * 1_000.0);
+    match result {
+        Ok(response) => {
+            traffic.counters.count(Counter::Answered);
+            response
+        }
+        Err(refusal) => {
+            traffic.counters.count(match refusal.outcome {
+                Outcome::NotRun => Counter::RefusedNotRun,
+                Outcome::Unknown => Counter::RefusedUnknown,
+            });
+            to_response(&refusal)
+        }
+    }
+}
+
+/// A caller's request, read whole.
+struct Call {
+    head: http::request::Parts,
+    body: Bytes,
+    key: Option<String>,
+    class: Class,
+    deadline_ms: u64,
+}
+
+/// What came of one attempt.
+enum Attempt {
+    Answered(Response<AnswerBody>),
+    Failed(Failure),
+}
+
+async fn forward(
+    traffic: &Traffic,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let service_name = request.uri().path().trim_start_matches('/').split('/').next();
+    let service = service_name.and_then(|name| traffic.service(name));
+    let service = service.ok_or(Refusal::not_run(Reason::UnknownService))?;
+    let call = read(traffic, &service, request).await?;
+    service.in_flight.budget.earn();
+    run(traffic, service, &call).await
+}
+
+/// Reads a request whole and finds its class and key.
+async fn read(
+    traffic: &Traffic,
+    service: &Service<Upstream>,
+    request: Request<Incoming>,
+) -> Result<Call, Refusal> {
+    let (mut head, body) = request.into_parts();
+    head::check_framing(head.version, &head.headers)?;
+    let class = service.document.class(head.method.as_str(), head.uri.path()).1.clone();
+    let deadline_ms = traffic.clock.now_ms() + class.timeout_ms;
+    let key = service.document.key.as_ref().and_then(|source| {
+        let header = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+        source.find(head.uri.path(), head.uri.query(), header).map(str::to_owned)
+    });
+    if service.document.key.is_some() && key.is_none() {
+        return Err(Refusal::not_run(Reason::NoKey));
+    }
+    head::strip_request(&mut head.headers);
+    let body = read_body(traffic, body, deadline_ms).await?;
+    Ok(Call { head, body, key, class, deadline_ms })
+}
+
+async fn read_body(traffic: &Traffic, body: Incoming, deadline_ms: u64) -> Result<Bytes, Refusal> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let most = traffic.limits.body_bytes;
+    let is_too_long = body.size_hint().lower() > u64::try_from(most).unwrap_or(u64::MAX);
+    if is_too_long {
+        return Err(Refusal::not_run(Reason::BodyTooLarge));
+    }
+    let deadline = traffic.clock.to_instant(deadline_ms);
+    match timeout_at(deadline, Limited::new(body, most).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(Refusal::not_run(Reason::BodyTooLarge))
+        }
+        Ok(Err(_)) | Err(_) => Err(Refusal::not_run(Reason::BodyIncomplete)),
+    }
+}
+
+/// Sends a request until it is answered or given up.
+async fn run(
+    traffic: &Traffic,
+    mut service: Arc<Service<Upstream>>,
+    call: &Call,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let mut attempts = Attempts::new(call.class.idempotent, call.deadline_ms);
+    loop {
+        let target = find_target(traffic, &mut service, call, &attempts).await?;
+        let permit = enter(traffic, &target, call, &attempts).await?;
+        let place = target.position.map(|at| ShardPlace::new(&service.in_flight, at));
+        // The request is counted now; a shard that closed before this must not get it.
+        let current = traffic.service(&service.document.name);
+        let is_current = current
+            .as_ref()
+            .is_some_and(|current| current.is_current(traffic.clock.now_ms(), &target));
+        if !is_current {
+            drop((place, permit));
+            if traffic.clock.now_ms() >= call.deadline_ms {
+                return Err(attempts.to_refusal(Reason::Expired));
+            }
+            continue;
+        }
+        let failure = match attempt(traffic, &target, call, &attempts, permit, place).await {
+            Attempt::Answered(response) => return Ok(response),
+            Attempt::Failed(failure) => failure,
+        };
+        note_failure(traffic, &target, failure);
+        match attempts.next(traffic.clock.now_ms(), failure) {
+            Next::GiveUp => return Err(attempts.to_last_refusal()),
+            Next::Reroute => wait_for_change(traffic, call, REROUTE_WAIT_MS).await,
+            Next::Retry if service.in_flight.budget.spend() => {
+                traffic.counters.count(Counter::Retries);
+                if failure == Failure::NotSent {
+                    wait_for_change(traffic, call, RETRY_WAIT_MS).await;
+                }
+            }
+            Next::Retry => return Err(attempts.to_last_refusal()),
+        }
+    }
+}
+
+/// How long a fenced request waits for a newer table.
+const REROUTE_WAIT_MS: u64 = 50;
+/// How long a request waits before it tries an unreachable server again.
+const RETRY_WAIT_MS: u64 = 20;
+
+/// Finds the server for a request, and waits while its shard is between two owners.
+async fn find_target(
+    traffic: &Traffic,
+    service: &mut Arc<Service<Upstream>>,
+    call: &Call,
+    attempts: &Attempts,
+) -> Result<Target<Upstream>, Refusal> {
+    let mut place = None;
+    let name = service.document.name.clone();
+    loop {
+        let changed = traffic.changed().notified();
+        let mut changed = std::pin::pin!(changed);
+        changed.as_mut().enable();
+        *service =
+            traffic.service(&name).ok_or_else(|| attempts.to_refusal(Reason::UnknownService))?;
+        let draw = (rand::random(), rand::random());
+        match service.decide(traffic.clock.now_ms(), call.key.as_deref(), draw) {
+            Decision::Forward(target) => return Ok(target),
+            Decision::Refuse(refusal) => return Err(attempts.to_refusal(refusal.reason)),
+            Decision::Wait => {}
+        }
+        if place.is_none() {
+            place = traffic.wait_place();
+            traffic.counters.count(Counter::WaitedForOwner);
+            if place.is_none() {
+                return Err(attempts.to_refusal(Reason::Overloaded));
+            }
+        }
+        let deadline = traffic.clock.to_instant(call.deadline_ms);
+        if timeout_at(deadline, changed).await.is_err() {
+            return Err(attempts.to_refusal(Reason::NoOwner));
+        }
+    }
+}
+
+async fn enter(
+    traffic: &Traffic,
+    target: &Target<Upstream>,
+    call: &Call,
+    attempts: &Attempts,
+) -> Result<Permit, Refusal> {
+    let deadline = traffic.clock.to_instant(call.deadline_ms);
+    match target.server.enter(call.class.priority, deadline).await {
+        Ok((permit, has_waited)) => {
+            if has_waited {
+                traffic.counters.count(Counter::WaitedForSlot);
+            }
+            Ok(permit)
+        }
+        Err(Refused::Full) => Err(attempts.to_refusal(Reason::Overloaded)),
+        Err(Refused::Expired) => Err(attempts.to_refusal(Reason::Expired)),
+    }
+}
+
+/// Sends a request once.
+async fn attempt(
+    traffic: &Traffic,
+    target: &Target<Upstream>,
+    call: &Call,
+    attempts: &Attempts,
+    permit: Permit,
+    place: Option<ShardPlace>,
+) -> Attempt {
+    let now_ms = traffic.clock.now_ms();
+    let deadline = traffic.clock.to_instant(attempts.attempt_deadline_ms(now_ms));
+    let Ok(Ok(connection)) = timeout_at(deadline, target.server.connect(true)).await else {
+        return Attempt::Failed(Failure::NotSent);
+    };
+    if connection.is_fresh {
+        traffic.counters.count(Counter::Connections);
+    }
+    let mut sender = connection.sender;
+    let Some(request) = to_request(traffic, target, call) else {
+        return Attempt::Failed(Failure::NotSent);
+    };
+    let response = match timeout_at(deadline, sender.try_send_request(request)).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(mut error)) => {
+            let is_unsent = error.take_message().is_some();
+            return Attempt::Failed(if is_unsent { Failure::NotSent } else { Failure::Broken });
+        }
+        // The connection goes with the sender: a late answer has nowhere to go.
+        Err(_elapsed) => return Attempt::Failed(Failure::TimedOut),
+    };
+    let (mut head, body) = response.into_parts();
+    let held = Held { sender, upstream: Arc::clone(&target.server), permit, place };
+    let counters = Arc::clone(&traffic.counters);
+    let body = AnswerBody::passed(body, traffic.limits.progress_timeout_ms, counters, held);
+    if let Some(failure) = to_failure(&head) {
+        return Attempt::Failed(failure);
+    }
+    target.server.note_answer();
+    head::strip(&mut head.headers);
+    Attempt::Answered(Response::from_parts(head, body))
+}
+
+/// Returns the failure that a server's refusal stands for.
+fn to_failure(head: &http::response::Parts) -> Option<Failure> {
+    match (head.status, head::refused(&head.headers)?) {
+        (StatusCode::MISDIRECTED_REQUEST, _) => Some(Failure::Fenced),
+        (StatusCode::SERVICE_UNAVAILABLE, _) => Some(Failure::Shed),
+        _ => None,
+    }
+}
+
+fn to_request(
+    traffic: &Traffic,
+    target: &Target<Upstream>,
+    call: &Call,
+) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.head.method.clone();
+    *request.uri_mut() = call.head.uri.path_and_query()?.as_str().parse().ok()?;
+    *request.headers_mut() = call.head.headers.clone();
+    let headers = request.headers_mut();
+    let address = target.server.server().address.to_string();
+    headers.insert(HOST, HeaderValue::from_str(&address).ok()?);
+    if let Some((shard, epoch)) = target.fence {
+        headers.insert(head::SHARD, HeaderValue::from(shard.0));
+        headers.insert(head::EPOCH, HeaderValue::from(epoch.0));
+    }
+    let left_ms = call.deadline_ms.saturating_sub(traffic.clock.now_ms());
+    headers.insert(head::TIME_LEFT_MS, HeaderValue::from(left_ms));
+    Some(request)
+}
+
+fn note_failure(traffic: &Traffic, target: &Target<Upstream>, failure: Failure) {
+    match failure {
+        Failure::Fenced => traffic.counters.count(Counter::Fenced),
+        Failure::Shed => {
+            traffic.counters.count(Counter::Shed);
+            target.server.note_overload();
+        }
+        Failure::TimedOut => {
+            target.server.note_overload();
+            target.server.close_idle();
+        }
+        Failure::NotSent | Failure::Broken => target.server.close_idle(),
+    }
+}
+
+/// Waits for newer services, but not for long.
+async fn wait_for_change(traffic: &Traffic, call: &Call, most_ms: u64) {
+    let until_ms = call.deadline_ms.min(traffic.clock.now_ms() + most_ms);
+    let until = traffic.clock.to_instant(until_ms);
+    // Whether a change came or the time ran out, the next step looks again.
+    drop(timeout_at(until, traffic.changed().notified()).await);
+}
+
+fn to_response(refusal: &Refusal) -> Response<AnswerBody> {
+    let status = StatusCode::from_u16(refusal.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = Response::new(AnswerBody::own(format!("{refusal}\n")));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(head::OUTCOME, HeaderValue::from_static(refusal.outcome.as_str()));
+    headers.insert(head::REASON, HeaderValue::from_static(refusal.reason.as_str()));
+    if let Some(retry_after_s) = refusal.retry_after_s {
+        headers.insert(RETRY_AFTER, HeaderValue::from(retry_after_s));
+    }
+    response
+}
+
+/// Returns whether a method makes a connection into something else than requests.
+pub(crate) fn is_tunnel(method: &Method) -> bool {
+    *method == Method::CONNECT
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,1 +1,32 @@
-//! Placeholder.
+//! The shell of the request path: HTTP on both sides.
+//!
+//! [`Traffic`] holds what the request path reads: the [`Services`] in force, as one
+//! immutable snapshot that the control thread replaces. [`serve`] accepts callers'
+//! connections and forwards their requests by the decisions of the `route` crate.
+//!
+//! ```
+//! use std::sync::Arc;
+//! use proxy::{Clock, Services, Traffic};
+//! use telemetry::{Counters, Metrics};
+//!
+//! let counters = Arc::new(Counters::default());
+//! let metrics = Metrics::new(&counters)?;
+//! let traffic = Traffic::new(Clock::start(), counters, metrics, Default::default());
+//! traffic.replace(Services::default());
+//! assert!(traffic.services().is_empty());
+//! # Ok::<(), error_stack::Report<telemetry::Error>>(())
+//! ```
+
+mod answer;
+mod clock;
+mod forward;
+mod head;
+mod serve;
+mod traffic;
+mod upstream;
+
+pub use answer::AnswerBody;
+pub use clock::Clock;
+pub use serve::serve;
+pub use traffic::{Services, Traffic, TrafficLimits};
+pub use upstream::Upstream;
--- a/crates/route/src/refusal.rs
+++ b/crates/route/src/refusal.rs
@@ -42,8 +42,6 @@
     TimedOut,
     /// The request has crashed servers that ran it.
     Crashing,
-    /// The daemon is stopping.
-    Stopping,
 }
 
 /// The answer to a caller whose request no server answered.
@@ -88,7 +86,6 @@
             | Reason::Overloaded
             | Reason::RefusedByServer
             | Reason::Crashing
-            | Reason::Stopping
             | Reason::Unreachable => 503,
             Reason::Broken => 502,
             Reason::Expired | Reason::TimedOut => 504,
@@ -106,7 +103,6 @@
                 | Self::Expired
                 | Self::Unreachable
                 | Self::RefusedByServer
-                | Self::Stopping
         )
     }
 
@@ -128,7 +124,6 @@
             Self::Broken => "broken",
             Self::TimedOut => "timed-out",
             Self::Crashing => "crashing",
-            Self::Stopping => "stopping",
         }
     }
 }
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -101,7 +101,7 @@
     /// `draw` are two numbers that pick two servers of a pool, of which the less busy
     /// one is taken.
     #[must_use]
-    pub fn decide(&self, now_ms: u64, key: Option<&str>, draw: (usize, usize)) -> Decision<S> {
+    pub fn decide(&self, now_ms: u64, key: Option<&str>, draw: (u32, u32)) -> Decision<S> {
         match self.document.kind {
             Kind::Pooled => self.decide_pooled(draw),
             Kind::Keyed => match key {
@@ -127,12 +127,12 @@
         is_same && route.is_open && self.may_send(now_ms, &target.server)
     }
 
-    fn decide_pooled(&self, draw: (usize, usize)) -> Decision<S> {
+    fn decide_pooled(&self, draw: (u32, u32)) -> Decision<S> {
         if self.pool.is_empty() {
             return Decision::Refuse(Refusal::not_run(Reason::NoOwner));
         }
-        let first = &self.pool[draw.0 % self.pool.len()];
-        let second = &self.pool[draw.1 % self.pool.len()];
+        let first = &self.pool[pick(draw.0, self.pool.len())];
+        let second = &self.pool[pick(draw.1, self.pool.len())];
         let relative = |state: &S| f64::from(state.load()) / f64::from(state.server().slots.max(1));
         let server = if relative(second) < relative(first) { second } else { first };
         Decision::Forward(Target { server: Arc::clone(server), fence: None, position: None })
@@ -237,3 +237,8 @@
         self.route_deadline_ms.store(deadline_ms, Ordering::Release);
     }
 }
+
+/// Picks one of `count` by a random number.
+fn pick(draw: u32, count: usize) -> usize {
+    usize::try_from(draw).unwrap_or(0) % count
+}
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -6,29 +6,22 @@
 //! returns changes. Bodies are JSON but for values, which are plain text.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use bytes::Bytes;
 use document::Revision;
 use error_stack::Report;
-use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper::{Method, Request, StatusCode};
-use hyper_util::rt::TokioIo;
+use http::{Method, StatusCode};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpStream;
-use tokio::sync::Mutex;
-use tokio::time::{Duration, timeout};
+use web::{Call, Client};
 
 use crate::{Category, Changes, Error, Expect, LeaseId, Result, Store, Value};
 
 /// A client of the platform's service; clones share a few connections.
 #[derive(Clone, Debug)]
 pub struct HttpStore {
-    address: SocketAddr,
+    client: Client,
     timeout_ms: u64,
-    idle: Arc<Mutex<Vec<SendRequest<Full<Bytes>>>>>,
 }
 
 #[derive(Deserialize)]
@@ -41,14 +34,11 @@
     lease: LeaseId,
 }
 
-/// How many unused connections are kept.
-const MOST_IDLE: usize = 4;
-
 impl HttpStore {
     /// Creates a client; calls fail after `timeout_ms`, watches that much after their wait.
     #[must_use]
     pub fn new(address: SocketAddr, timeout_ms: u64) -> Self {
-        Self { address, timeout_ms, idle: Arc::default() }
+        Self { client: Client::new(address), timeout_ms }
     }
 
     async fn call(
@@ -58,46 +48,16 @@
         body: &str,
         wait_ms: u64,
     ) -> Result<(StatusCode, Bytes)> {
-        // Until the request is written, nothing can have taken effect.
-        let limit = Duration::from_millis(self.timeout_ms + wait_ms);
-        let mut sender = timeout(limit, self.connect())
-            .await
-            .map_err(|_elapsed| refused("the store did not accept a connection"))??;
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", self.address.to_string())
-            .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))
-            .map_err(|error| refused(&error.to_string()))?;
-        let exchange = async {
-            let response = sender.send_request(request).await?;
-            let status = response.status();
-            let body = response.into_body().collect().await?.to_bytes();
-            Ok::<_, hyper::Error>((status, body))
-        };
-        let answer = timeout(limit, exchange)
-            .await
-            .map_err(|_elapsed| unclear("the store did not answer in time"))?
-            .map_err(|error| unclear(&error.to_string()))?;
-        let mut idle = self.idle.lock().await;
-        if idle.len() < MOST_IDLE {
-            idle.push(sender);
-        }
-        Ok(answer)
-    }
-
-    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>> {
-        while let Some(sender) = self.idle.lock().await.pop() {
-            if sender.is_ready() {
-                return Ok(sender);
-            }
-        }
-        let stream =
-            TcpStream::connect(self.address).await.map_err(|error| refused(&error.to_string()))?;
-        let (sender, connection) =
-            handshake(TokioIo::new(stream)).await.map_err(|error| refused(&error.to_string()))?;
-        tokio::spawn(connection);
-        Ok(sender)
+        let body = Bytes::copy_from_slice(body.as_bytes());
+        let call = Call::new(method, path).body(body).limit_ms(self.timeout_ms + wait_ms);
+        let answer = self.client.call(call).await.map_err(|report| {
+            let category = match report.current_context().category() {
+                web::Category::NotSent => Category::Refused,
+                web::Category::Unclear => Category::Unclear,
+            };
+            report.change_context(Error::new(category, "the store did not answer"))
+        })?;
+        Ok((answer.status(), answer.into_body()))
     }
 }
 
@@ -173,10 +133,6 @@
     serde_json::from_slice(body).map_err(|error| unclear(&error.to_string()))
 }
 
-fn refused(message: &str) -> Report<Error> {
-    Report::new(Error::new(Category::Refused, message))
-}
-
 fn unclear(message: &str) -> Report<Error> {
     Report::new(Error::new(Category::Unclear, message))
 }
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -25,12 +25,10 @@
 /// cannot be used.
 pub fn init_logs(level: &str, format: LogFormat) -> Result<()> {
     let level = to_level(level)?;
-    let formatter: Box<dyn Formatter> = match format {
-        LogFormat::Text => Box::new(FullFormatter::new()),
-        LogFormat::Json => Box::new(JsonFormatter::new()),
+    let sink = match format {
+        LogFormat::Text => to_sink(FullFormatter::new())?,
+        LogFormat::Json => to_sink(JsonFormatter::new())?,
     };
-    let sink = StdStreamSink::builder().stderr().formatter(formatter).build();
-    let sink: Arc<dyn Sink> = Arc::new(sink.map_err(Error::report)?);
     let mut logger = Logger::builder();
     logger.sink(sink).level_filter(LevelFilter::MoreSevereEqual(level));
     let logger = logger.flush_level_filter(LevelFilter::All).build().map_err(Error::report)?;
@@ -38,6 +36,11 @@
     Ok(())
 }
 
+fn to_sink(formatter: impl Formatter + 'static) -> Result<Arc<dyn Sink>> {
+    let sink = StdStreamSink::builder().stderr().formatter(formatter).build();
+    Ok(Arc::new(sink.map_err(Error::report)?))
+}
+
 fn to_level(level: &str) -> Result<Level> {
     match level {
         "debug" => Ok(Level::Debug),
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -30,7 +30,7 @@
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
-            .without_scope_info()
+            .without_target_info()
             .build()
             .map_err(Error::report)?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
--- /dev/null
+++ b/crates/verbenad/src/admin.rs
@@ -0,0 +1,52 @@
+//! Metrics, health and dumps over HTTP.
+
+use std::sync::Arc;
+
+use http::{Response, StatusCode};
+use proxy::Traffic;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
+
+use crate::input::{Input, Question};
+
+type Answer = Response<http_body_util::Full<tokio_util::bytes::Bytes>>;
+
+/// Serves administrators until the token is cancelled.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    stop: CancellationToken,
+    traffic: Arc<Traffic>,
+    inputs: mpsc::Sender<Input>,
+) {
+    let handler = move |request: http::Request<_>| {
+        let (traffic, inputs) = (Arc::clone(&traffic), inputs.clone());
+        async move { answer(request.uri().path(), &traffic, &inputs).await }
+    };
+    web::serve(listener, stop, handler).await;
+}
+
+async fn answer(path: &str, traffic: &Traffic, inputs: &mpsc::Sender<Input>) -> Answer {
+    match path {
+        "/metrics" => web::status(StatusCode::OK, traffic.metrics.to_text()),
+        "/live" => web::status(StatusCode::OK, "live\n"),
+        "/ready" => match ask(inputs, Question::Ready).await {
+            Some(true) => web::status(StatusCode::OK, "ready\n"),
+            _ => web::status(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        },
+        "/dump" => match ask(inputs, Question::Dump).await {
+            Some(dump) => web::json(dump),
+            None => web::status(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
+        },
+        _ => web::status(StatusCode::NOT_FOUND, "expected /metrics, /live, /ready or /dump\n"),
+    }
+}
+
+async fn ask<T>(
+    inputs: &mpsc::Sender<Input>,
+    question: impl FnOnce(oneshot::Sender<T>) -> Question,
+) -> Option<T> {
+    let (answer, answered) = oneshot::channel();
+    inputs.send(Input::Question(question(answer))).await.ok()?;
+    answered.await.ok()
+}
--- /dev/null
+++ b/crates/verbenad/src/dump.rs
@@ -0,0 +1,104 @@
+//! The whole state of a daemon.
+
+use std::collections::BTreeMap;
+
+use document::{Name, Revision};
+use route::{ServerState, Table};
+use serde::Serialize;
+use store::Store;
+use telemetry::Counter;
+
+use crate::entry::Entry;
+use crate::node::Node;
+
+#[derive(Serialize)]
+struct Dump<'a> {
+    instance: &'a Name,
+    data_centre: &'a Name,
+    incarnation: u64,
+    clock_ms: u64,
+    is_stopping: bool,
+    instances: BTreeMap<&'a Name, &'a Name>,
+    counters: BTreeMap<&'static str, u64>,
+    peers: PeerDump,
+    services: BTreeMap<&'a Name, ServiceDump<'a>>,
+}
+
+#[derive(Serialize)]
+struct PeerDump {
+    sent_bytes: u64,
+    sent_packets: u64,
+    dropped_packets: u64,
+}
+
+#[derive(Serialize)]
+struct ServiceDump<'a> {
+    document: Revision,
+    record: Option<&'a control::Record>,
+    record_revision: Revision,
+    route_deadline_ms: u64,
+    table: Option<&'a Table>,
+    control: Option<control::Status>,
+    upstreams: BTreeMap<&'a Name, UpstreamDump>,
+}
+
+#[derive(Serialize)]
+struct UpstreamDump {
+    address: String,
+    in_flight: u32,
+    waiting: usize,
+    limit: u32,
+}
+
+impl<S: Store> Node<S> {
+    /// Returns the whole state as JSON.
+    pub(crate) fn to_dump(&self) -> String {
+        let now_ms = self.now_ms();
+        let (sent_bytes, sent_packets, dropped_packets) = self.links.counts();
+        let dump = Dump {
+            instance: &self.settings.instance,
+            data_centre: &self.settings.data_centre,
+            incarnation: self.incarnation,
+            clock_ms: now_ms,
+            is_stopping: self.is_stopping,
+            instances: self
+                .members
+                .live(now_ms)
+                .map(|(name, member)| (name, &member.data_centre))
+                .collect(),
+            counters: Counter::all()
+                .map(|(counter, name, _)| (name, self.traffic.counters.get(counter)))
+                .collect(),
+            peers: PeerDump { sent_bytes, sent_packets, dropped_packets },
+            services: self
+                .services
+                .iter()
+                .map(|(name, entry)| (name, ServiceDump::from_entry(now_ms, entry)))
+                .collect(),
+        };
+        serde_json::to_string_pretty(&dump).unwrap_or_default()
+    }
+}
+
+impl<'a> ServiceDump<'a> {
+    fn from_entry(now_ms: u64, entry: &'a Entry) -> Self {
+        let copy = entry.control.record();
+        Self {
+            document: entry.revision,
+            record: copy.map(|copy| &*copy.record),
+            record_revision: copy.map(|copy| copy.revision).unwrap_or_default(),
+            route_deadline_ms: entry.in_flight.route_deadline_ms(),
+            table: entry.table.as_deref(),
+            control: entry.control.status(now_ms),
+            upstreams: entry
+                .upstreams
+                .iter()
+                .map(|(name, upstream)| {
+                    let (in_flight, waiting, limit) = upstream.occupancy();
+                    let address = upstream.server().address.to_string();
+                    (name, UpstreamDump { address, in_flight, waiting, limit })
+                })
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenad/src/node.rs
@@ -0,0 +1,503 @@
+//! The control thread: it owns all control state and carries out what that decides.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use control::{Action, Beat, Event, RecordCopy, WriteOutcome};
+use document::{Document, Name, Revision};
+use lease::Order;
+use peer::{DocumentText, Links, Message, Packet, Presence};
+use proxy::{Services, Traffic};
+use spdlog::{info, warn};
+use store::{Category, Changes, Expect, Store};
+use telemetry::Counter;
+use tokio::sync::mpsc;
+use tokio::time::{Duration, MissedTickBehavior, interval};
+use tokio_util::sync::CancellationToken;
+
+use crate::Settings;
+use crate::entry::Entry;
+use crate::input::{Input, Question};
+use crate::members::Members;
+use crate::orders::{self, Orders};
+use crate::status::StatusCollector;
+
+/// The state of the control thread.
+#[derive(Debug)]
+pub(crate) struct Node<S> {
+    pub(crate) settings: Settings,
+    pub(crate) store: S,
+    pub(crate) traffic: Arc<Traffic>,
+    pub(crate) incarnation: u64,
+    pub(crate) members: Members,
+    pub(crate) services: BTreeMap<Name, Entry>,
+    pub(crate) links: Links,
+    pub(crate) collector: StatusCollector,
+    inputs: mpsc::Sender<Input>,
+    own: VecDeque<Input>,
+    orders: Orders,
+    instances: Vec<control::Instance>,
+    is_changed: bool,
+    pub(crate) has_documents: bool,
+    pub(crate) is_stopping: bool,
+    next_presence_ms: u64,
+}
+
+const TICK_MS: u64 = 10;
+const BEAT_MS: u64 = 250;
+const PRESENCE_MS: u64 = 500;
+
+impl<S: Store> Node<S> {
+    pub(crate) fn new(
+        settings: Settings,
+        store: S,
+        traffic: Arc<Traffic>,
+        incarnation: u64,
+        inputs: mpsc::Sender<Input>,
+    ) -> Self {
+        Self {
+            members: Members::new(&settings),
+            settings,
+            store,
+            traffic,
+            incarnation,
+            services: BTreeMap::new(),
+            links: Links::default(),
+            collector: StatusCollector::default(),
+            inputs,
+            own: VecDeque::new(),
+            orders: Orders::default(),
+            instances: Vec::new(),
+            is_changed: false,
+            has_documents: false,
+            is_stopping: false,
+            next_presence_ms: 0,
+        }
+    }
+
+    /// Runs until `stop`, then gives up its offices and runs on until `end`.
+    pub(crate) async fn run(
+        mut self,
+        mut inputs: mpsc::Receiver<Input>,
+        stop: CancellationToken,
+        end: CancellationToken,
+    ) {
+        let mut ticks = interval(Duration::from_millis(TICK_MS));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                biased;
+                () = end.cancelled() => return,
+                () = stop.cancelled(), if !self.is_stopping => self.give_up_offices(),
+                _ = ticks.tick() => self.tick(),
+                input = inputs.recv() => match input {
+                    Some(input) => self.take(input),
+                    None => return,
+                },
+            }
+            while let Some(input) = self.own.pop_front() {
+                self.take(input);
+            }
+            if self.is_changed {
+                self.is_changed = false;
+                self.put_in_force();
+            }
+        }
+    }
+
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.traffic.clock.now_ms()
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Packet(packet) => self.take_packet(packet),
+            Input::Report { service, server, report } => {
+                let event = match report {
+                    Some(report) => Event::Reported(server, report),
+                    None => {
+                        self.traffic.counters.count(Counter::OrdersFailed);
+                        Event::Unanswered(server)
+                    }
+                };
+                self.step(&service, event);
+            }
+            Input::RecordRead { service, copy } => self.step(&service, Event::RecordRead(copy)),
+            Input::Written { service, number, outcome } => {
+                self.step(&service, Event::Written(number, outcome));
+            }
+            Input::Documents(changes) => self.take_documents(changes),
+            Input::Instances(changes) => {
+                for entry in &changes.entries {
+                    self.members.note_entry(entry);
+                }
+            }
+            Input::Question(question) => self.answer(question),
+        }
+    }
+
+    fn tick(&mut self) {
+        let now_ms = self.now_ms();
+        self.note_instances(now_ms);
+        let names: Vec<Name> = self.services.keys().cloned().collect();
+        for name in names {
+            self.step(&name, Event::Tick);
+            self.beat_if_due(now_ms, &name);
+        }
+        if now_ms >= self.next_presence_ms {
+            self.next_presence_ms = now_ms + PRESENCE_MS;
+            self.tell_presence();
+        }
+        self.collector.expire(now_ms);
+    }
+
+    fn note_instances(&mut self, now_ms: u64) {
+        let instances = self.members.instances(now_ms);
+        if instances == self.instances {
+            return;
+        }
+        info!("live instances changed", kv: { count = instances.len() });
+        self.instances.clone_from(&instances);
+        for name in self.services.keys().cloned().collect::<Vec<_>>() {
+            self.step(&name, Event::Instances(instances.clone()));
+        }
+    }
+
+    fn take_packet(&mut self, packet: Packet) {
+        self.traffic.counters.count(Counter::Packets);
+        let Packet { from, service, message } = packet;
+        match message {
+            Message::Ask(ask) => self.step(&service, Event::PromiseAsked(ask)),
+            Message::Reply(reply) => self.step(&service, Event::PromiseReplied(reply)),
+            Message::ReturnPromise => self.step(&service, Event::PromiseReturned(from)),
+            Message::Beat(beat) => self.step(&service, Event::Beat(beat)),
+            Message::BeatReply(reply) => self.take_beat_reply(&service, reply),
+            Message::Table(table) => self.step(&service, Event::Table(table)),
+            Message::DocumentAsk => self.send_document(&from, &service),
+            Message::Document(text) => self.accept(&service, text.revision, text.text),
+            Message::Presence(presence) => self.take_presence(&from, &presence),
+            Message::StatusAsk(number) => {
+                let json = self.own_status();
+                self.send(&from, &service, Message::StatusReply(number, json));
+            }
+            Message::StatusReply(number, json) => self.collector.note_reply(number, &from, &json),
+        }
+    }
+
+    /// Takes an event to a service's control part and carries out what it wants.
+    fn step(&mut self, service: &Name, event: Event) {
+        let now_ms = self.now_ms();
+        let Some(entry) = self.services.get_mut(service) else { return };
+        let was_controller = entry.control.is_controller();
+        let actions = entry.control.step(now_ms, event);
+        let is_controller = entry.control.is_controller();
+        let has_new_table = entry.take_table();
+        if is_controller != was_controller {
+            self.note_office(service, is_controller);
+        }
+        for action in actions {
+            self.carry_out(service, action);
+        }
+        if has_new_table {
+            self.traffic.counters.count(Counter::Tables);
+            self.is_changed = true;
+        }
+    }
+
+    fn note_office(&self, service: &Name, is_controller: bool) {
+        if is_controller {
+            self.traffic.counters.count(Counter::Elections);
+            info!("became the controller", kv: { service = service.as_str() });
+        } else {
+            info!("is not the controller any more", kv: { service = service.as_str() });
+        }
+    }
+
+    fn carry_out(&mut self, service: &Name, action: Action) {
+        match action {
+            Action::ReadRecord => self.read_record(service.clone()),
+            Action::WriteRecord { number, expected, record } => {
+                let expect = expected.map_or(Expect::Missing, Expect::At);
+                self.write_record(service.clone(), number, expect, record.to_json());
+            }
+            Action::AskPromise(to, ask) => self.send(&to, service, Message::Ask(ask)),
+            Action::ReplyPromise(to, reply) => self.send(&to, service, Message::Reply(reply)),
+            Action::ReturnPromise(to) => self.send(&to, service, Message::ReturnPromise),
+            Action::Order(server, address, order) => {
+                self.send_order(service.clone(), server, address, order);
+            }
+            Action::Publish(table) => {
+                let names: Vec<Name> =
+                    self.instances.iter().map(|instance| instance.name.clone()).collect();
+                for to in names {
+                    if to != self.settings.instance {
+                        self.send(&to, service, Message::Table(Arc::clone(&table)));
+                    }
+                }
+            }
+            Action::SendTable(to, table) => self.send(&to, service, Message::Table(table)),
+            Action::ReplyBeat(to, reply) => self.send(&to, service, Message::BeatReply(reply)),
+        }
+    }
+
+    /// Sends a message to an instance, or takes it at once if that is this one.
+    pub(crate) fn send(&mut self, to: &Name, service: &Name, message: Message) {
+        let packet = Packet::new(self.settings.instance.clone(), service.clone(), message);
+        if *to == self.settings.instance {
+            self.own.push_back(Input::Packet(packet));
+            return;
+        }
+        if let Some(address) = self.members.address(to) {
+            self.links.send(address, &packet);
+        }
+    }
+
+    fn read_record(&self, service: Name) {
+        self.traffic.counters.count(Counter::StoreCalls);
+        let (store, inputs) = (self.store.clone(), self.inputs.clone());
+        let counters = Arc::clone(&self.traffic.counters);
+        tokio::spawn(async move {
+            let Ok(value) = store.read(&record_key(&service)).await else {
+                counters.count(Counter::StoreFailures);
+                return;
+            };
+            let copy = match value.map(|value| to_copy(&value)) {
+                None => None,
+                Some(Some(copy)) => Some(copy),
+                // A record that cannot be read must not be taken for a missing one.
+                Some(None) => {
+                    warn!("record of the assignment cannot be read",
+                          kv: { service = service.as_str() });
+                    return;
+                }
+            };
+            drop(inputs.send(Input::RecordRead { service, copy }).await);
+        });
+    }
+
+    fn write_record(&self, service: Name, number: u64, expect: Expect, json: String) {
+        self.traffic.counters.count(Counter::StoreCalls);
+        let (store, inputs) = (self.store.clone(), self.inputs.clone());
+        let counters = Arc::clone(&self.traffic.counters);
+        tokio::spawn(async move {
+            let written = store.write(&record_key(&service), expect, &json, None).await;
+            let outcome = match written {
+                Ok(revision) => WriteOutcome::Done(revision),
+                Err(report) => match report.current_context().category() {
+                    Category::Conflict => WriteOutcome::Conflict,
+                    Category::Missing | Category::Refused | Category::Unclear => {
+                        counters.count(Counter::StoreFailures);
+                        WriteOutcome::Unknown
+                    }
+                },
+            };
+            drop(inputs.send(Input::Written { service, number, outcome }).await);
+        });
+    }
+
+    fn send_order(
+        &mut self,
+        service: Name,
+        server: Name,
+        address: std::net::SocketAddr,
+        order: Order,
+    ) {
+        self.traffic.counters.count(Counter::Orders);
+        let (client, inputs) = (self.orders.client(address), self.inputs.clone());
+        tokio::spawn(async move {
+            let report = orders::send(client, &order).await;
+            drop(inputs.send(Input::Report { service, server, report }).await);
+        });
+    }
+
+    fn take_documents(&mut self, changes: Changes) {
+        self.has_documents = true;
+        for entry in changes.entries {
+            let Some(service) = entry.key.rsplit('/').next().map(Name::from) else { continue };
+            match entry.text {
+                Some(text) => self.accept(&service, entry.revision, Name::from(text)),
+                None => warn!("document was removed; the one in force stays",
+                              kv: { service = service.as_str() }),
+            }
+        }
+    }
+
+    /// Puts a document in force, unless a newer one is.
+    pub(crate) fn accept(&mut self, service: &Name, revision: Revision, text: Name) {
+        let known = self.services.get(service).map_or(Revision(0), |entry| entry.revision);
+        if revision <= known {
+            return;
+        }
+        let document = match Document::from_ini(service, &text) {
+            Ok(document) if document.name == *service => Arc::new(document),
+            Ok(_) | Err(_) => {
+                self.traffic.counters.count(Counter::DocumentsRefused);
+                warn!("document is not valid; the one in force stays",
+                      kv: { service = service.as_str(), revision = revision.0 });
+                return;
+            }
+        };
+        let now_ms = self.now_ms();
+        let daemons = u32::try_from(self.instances.len().max(1)).unwrap_or(u32::MAX);
+        let instances = self.instances.clone();
+        let me = self.settings.instance.clone();
+        let is_new = !self.services.contains_key(service);
+        let entry = self
+            .services
+            .entry(service.clone())
+            .or_insert_with(|| Entry::new(now_ms, service.clone(), me));
+        entry.set_document(revision, text, Arc::clone(&document), daemons);
+        self.is_changed = true;
+        self.traffic.counters.count(Counter::Documents);
+        info!("document is in force",
+              kv: { service = service.as_str(), revision = revision.0 });
+        if is_new {
+            self.step(service, Event::Instances(instances));
+        }
+        self.step(service, Event::Document(revision, document));
+    }
+
+    fn send_document(&mut self, to: &Name, service: &Name) {
+        let Some(entry) = self.services.get(service) else { return };
+        let text = DocumentText { revision: entry.revision, text: entry.text.clone() };
+        self.send(to, service, Message::Document(text));
+    }
+
+    fn tell_presence(&mut self) {
+        let in_force: BTreeMap<Name, Revision> = self
+            .services
+            .iter()
+            .map(|(service, entry)| (service.clone(), entry.revision))
+            .collect();
+        self.members.note_own(in_force.clone());
+        let presence = Presence {
+            data_centre: self.settings.data_centre.clone(),
+            address: self.settings.listen.peer,
+            in_force: in_force.into_iter().collect(),
+        };
+        let nothing = Name::from("");
+        for name in self.others() {
+            self.send(&name, &nothing, Message::Presence(presence.clone()));
+        }
+    }
+
+    /// Returns the live instances but this one.
+    pub(crate) fn others(&self) -> Vec<Name> {
+        let names = self.members.live(self.now_ms()).map(|(name, _)| name.clone());
+        names.filter(|name| *name != self.settings.instance).collect()
+    }
+
+    /// Notes that an instance lives, and asks it for documents that are newer there.
+    fn take_presence(&mut self, from: &Name, presence: &Presence) {
+        self.members.note_presence(self.now_ms(), from, presence);
+        for (service, revision) in &presence.in_force {
+            let known = self.services.get(service).map_or(Revision(0), |entry| entry.revision);
+            if *revision > known {
+                self.send(from, service, Message::DocumentAsk);
+            }
+        }
+    }
+
+    fn beat_if_due(&mut self, now_ms: u64, service: &Name) {
+        let Some(entry) = self.services.get(service) else { return };
+        let is_drain_news = !entry.is_drain_told && entry.is_drained();
+        let is_keyed = entry.document.as_ref().is_some_and(|document| document.key.is_some());
+        if is_keyed && (now_ms >= entry.next_beat_ms || is_drain_news) {
+            self.beat(now_ms, service);
+        }
+    }
+
+    /// Tells the controller what this daemon routes by.
+    fn beat(&mut self, now_ms: u64, service: &Name) {
+        let Some(entry) = self.services.get_mut(service) else { return };
+        entry.next_beat_ms = now_ms + BEAT_MS;
+        let is_drained = entry.is_drained();
+        entry.is_drain_told = is_drained;
+        let table = entry.table.as_ref();
+        let beat = Beat {
+            instance: self.settings.instance.clone(),
+            incarnation: self.incarnation,
+            clock_ms: now_ms,
+            term: table.map_or(lease::Term(0), |table| table.term),
+            sequence: table.map_or(0, |table| table.sequence),
+            is_drained,
+            document: entry.revision,
+            loads: table.map_or_else(Vec::new, |table| entry.in_flight.take_requests(table)),
+        };
+        for to in entry.control.beat_targets(now_ms) {
+            self.send(&to, service, Message::Beat(beat.clone()));
+        }
+    }
+
+    fn take_beat_reply(&mut self, service: &Name, reply: control::BeatReply) {
+        let now_ms = self.now_ms();
+        let Some(entry) = self.services.get_mut(service) else { return };
+        let is_mine = reply.incarnation == self.incarnation
+            && entry.table.as_ref().is_some_and(|table| table.term == reply.term);
+        if is_mine {
+            let known_ms = entry.in_flight.route_deadline_ms();
+            entry.in_flight.set_route_deadline_ms(known_ms.max(reply.deadline_ms));
+            if known_ms <= now_ms {
+                self.traffic.wake();
+            }
+        }
+        self.step(service, Event::BeatReplied(reply));
+    }
+
+    /// Gives the request path a snapshot of all services, and tells the controllers.
+    fn put_in_force(&mut self) {
+        let services: Services = self
+            .services
+            .iter()
+            .filter_map(|(name, entry)| Some((name.clone(), Arc::new(entry.to_service()?))))
+            .collect();
+        self.traffic.replace(services);
+        let now_ms = self.now_ms();
+        for name in self.services.keys().cloned().collect::<Vec<_>>() {
+            if self.services.get(&name).is_some_and(|entry| !entry.is_drain_told) {
+                self.beat(now_ms, &name);
+            }
+        }
+    }
+
+    fn give_up_offices(&mut self) {
+        self.is_stopping = true;
+        for name in self.services.keys().cloned().collect::<Vec<_>>() {
+            self.step(&name, Event::Stop);
+        }
+        info!("stopping");
+    }
+
+    fn answer(&mut self, question: Question) {
+        // Somebody who asked and went away needs no answer.
+        match question {
+            Question::Explain { service, key, answer } => {
+                drop(answer.send(self.explain(&service, key)));
+            }
+            Question::Status(answer) => self.collect_status(answer),
+            Question::Dump(answer) => drop(answer.send(self.to_dump())),
+            Question::Ready(answer) => drop(answer.send(self.is_ready())),
+            Question::Accepted { service, revision, text } => {
+                self.accept(&service, revision, text);
+            }
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        let is_routed = |entry: &Entry| {
+            let is_keyed = entry.document.as_ref().is_some_and(|document| document.key.is_some());
+            !is_keyed || entry.table.is_some()
+        };
+        self.has_documents && !self.is_stopping && self.services.values().all(is_routed)
+    }
+}
+
+/// Returns the key of a service's record.
+fn record_key(service: &Name) -> String {
+    format!("assign/{service}")
+}
+
+fn to_copy(value: &store::Value) -> Option<RecordCopy> {
+    let record = control::Record::from_json(value.text.as_bytes()).ok()?;
+    Some(RecordCopy { revision: value.revision, record: Arc::new(record) })
+}
--- /dev/null
+++ b/crates/verbenad/src/status.rs
@@ -0,0 +1,185 @@
+//! Answers to operators from the control state.
+
+use std::collections::BTreeMap;
+
+use control::Status;
+use document::{Name, hash_key};
+use operator::{Explanation, Fault, FaultKind, InstanceStatus, ServiceStatus, StatusAnswer};
+use peer::Message;
+use store::Store;
+use tokio::sync::oneshot;
+use tokio_util::bytes::Bytes;
+
+use crate::node::Node;
+
+/// What each service's controller says, by service.
+type Statuses = BTreeMap<Name, Status>;
+
+/// Collects what controllers on other instances say.
+#[derive(Debug, Default)]
+pub(crate) struct StatusCollector {
+    next_number: u64,
+    open: Vec<Collection>,
+}
+
+#[derive(Debug)]
+struct Collection {
+    number: u64,
+    deadline_ms: u64,
+    waiting_for: Vec<Name>,
+    answer: StatusAnswer,
+    asker: oneshot::Sender<StatusAnswer>,
+}
+
+/// How long other instances may take to say what they control.
+const COLLECT_MS: u64 = 400;
+
+impl StatusCollector {
+    pub(crate) fn note_reply(&mut self, number: u64, from: &Name, json: &[u8]) {
+        let Some(at) = self.open.iter().position(|open| open.number == number) else { return };
+        // A reply that cannot be read is as good as none.
+        let statuses: Statuses = serde_json::from_slice(json).unwrap_or_default();
+        let open = &mut self.open[at];
+        open.waiting_for.retain(|name| name != from);
+        note_statuses(&mut open.answer, statuses);
+        if open.waiting_for.is_empty() {
+            finish(self.open.remove(at));
+        }
+    }
+
+    /// Answers the questions whose time is over with what has come.
+    pub(crate) fn expire(&mut self, now_ms: u64) {
+        let (over, open) =
+            std::mem::take(&mut self.open).into_iter().partition(|c| now_ms >= c.deadline_ms);
+        self.open = open;
+        let over: Vec<Collection> = over;
+        over.into_iter().for_each(finish);
+    }
+}
+
+impl<S: Store> Node<S> {
+    /// Asks all instances what they control, and answers when they have.
+    pub(crate) fn collect_status(&mut self, asker: oneshot::Sender<StatusAnswer>) {
+        self.collector.next_number += 1;
+        let number = self.collector.next_number;
+        let waiting_for = self.others();
+        let mut answer = self.base_status();
+        note_statuses(&mut answer, self.own_statuses());
+        for name in &waiting_for {
+            self.ask_status(name, number);
+        }
+        let deadline_ms = self.now_ms() + COLLECT_MS;
+        let collection = Collection { number, deadline_ms, waiting_for, answer, asker };
+        if collection.waiting_for.is_empty() {
+            finish(collection);
+        } else {
+            self.collector.open.push(collection);
+        }
+    }
+
+    /// Returns what this daemon controls, as JSON.
+    pub(crate) fn own_status(&self) -> Bytes {
+        serde_json::to_vec(&self.own_statuses()).unwrap_or_default().into()
+    }
+
+    fn ask_status(&mut self, to: &Name, number: u64) {
+        let nothing = Name::from("");
+        self.send(to, &nothing, Message::StatusAsk(number));
+    }
+
+    pub(crate) fn own_statuses(&self) -> Statuses {
+        let now_ms = self.now_ms();
+        self.services
+            .iter()
+            .filter_map(|(name, entry)| Some((name.clone(), entry.control.status(now_ms)?)))
+            .collect()
+    }
+
+    fn base_status(&self) -> StatusAnswer {
+        let instances = self
+            .members
+            .live(self.now_ms())
+            .map(|(name, member)| {
+                let status = InstanceStatus {
+                    data_centre: member.data_centre.clone(),
+                    in_force: member.in_force.clone(),
+                };
+                (name.clone(), status)
+            })
+            .collect();
+        let services = self
+            .services
+            .iter()
+            .map(|(name, entry)| {
+                let status = ServiceStatus { document: entry.revision, ..Default::default() };
+                (name.clone(), status)
+            })
+            .collect();
+        StatusAnswer { instance: Some(self.settings.instance.clone()), instances, services }
+    }
+
+    /// Returns where a key's requests go, and why.
+    pub(crate) fn explain(&self, service: &Name, key: String) -> Result<Explanation, Fault> {
+        let missing = |message: String| Fault::new(FaultKind::Missing, message);
+        let entry = self
+            .services
+            .get(service)
+            .ok_or_else(|| missing(format!("service {service} is not known")))?;
+        let table = entry.table.as_ref().ok_or_else(|| {
+            missing(format!("service {service} has no routing table, it is pooled or new"))
+        })?;
+        let (_, route) = table
+            .find(&key)
+            .ok_or_else(|| missing(format!("key {key} belongs to no key group")))?;
+        let owner = table.server_of(route).cloned();
+        let why = match &owner {
+            Some(owner) if route.is_open => format!("{owner} holds a grant for the shard"),
+            Some(owner) => format!("the shard is closed while {owner} hands it over or takes it"),
+            None => "no server holds the shard; the controller waits or writes".to_owned(),
+        };
+        let group = usize::try_from(route.group).unwrap_or(usize::MAX);
+        Ok(Explanation {
+            service: service.clone(),
+            hash: hash_key(&key),
+            key,
+            group: table.groups.get(group).map_or_else(|| Name::from(""), |g| g.name.clone()),
+            shard: route.shard,
+            owner,
+            epoch: route.epoch,
+            term: table.term,
+            controller: table.controller.clone(),
+            why,
+        })
+    }
+}
+
+fn note_statuses(answer: &mut StatusAnswer, statuses: Statuses) {
+    for (name, status) in statuses {
+        let service = answer.services.entry(name).or_default();
+        let known = service.control.as_ref().map(|known| known.term);
+        if known.is_none_or(|known| known < status.term) {
+            service.control = Some(status);
+        }
+    }
+}
+
+/// Works out what has not settled, and answers.
+fn finish(collection: Collection) {
+    let mut answer = collection.answer;
+    for (name, service) in &mut answer.services {
+        for (instance, status) in &answer.instances {
+            let in_force = status.in_force.get(name).copied().unwrap_or_default();
+            if in_force < service.document {
+                service.unsettled.push(format!(
+                    "{instance} has revision {in_force} in force, not {}",
+                    service.document
+                ));
+            }
+        }
+        for unsettled in service.control.iter().flat_map(|status| &status.unsettled) {
+            service.unsettled.push(format!("{} shards: {}", unsettled.shards, unsettled.reason));
+        }
+    }
+    // Somebody who asked and went away needs no answer.
+    drop(collection.asker.send(answer));
+}
--- /dev/null
+++ b/crates/web/src/client.rs
@@ -0,0 +1,141 @@
+//! The client side of an exchange.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::Bytes;
+use http::{Method, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::{Duration, Instant, timeout_at};
+
+use crate::{Category, Error, Result};
+
+/// A client of one address; clones share a few connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    address: SocketAddr,
+    idle: Arc<Mutex<Vec<SendRequest<Full<Bytes>>>>>,
+}
+
+/// One request.
+#[derive(Clone, Debug)]
+pub struct Call {
+    method: Method,
+    path: String,
+    headers: Vec<(&'static str, String)>,
+    body: Bytes,
+    limit_ms: u64,
+}
+
+/// How many unused connections are kept.
+const MOST_IDLE: usize = 8;
+const DEFAULT_LIMIT_MS: u64 = 1_000;
+
+impl Call {
+    /// Creates a request without a body.
+    #[must_use]
+    pub fn new(method: Method, path: impl Into<String>) -> Self {
+        Self {
+            method,
+            path: path.into(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+            limit_ms: DEFAULT_LIMIT_MS,
+        }
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn header(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    /// Sets the body.
+    #[must_use]
+    pub fn body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Sets how long the whole exchange may take.
+    #[must_use]
+    pub fn limit_ms(mut self, limit_ms: u64) -> Self {
+        self.limit_ms = limit_ms;
+        self
+    }
+}
+
+impl Client {
+    /// Creates a client; nothing is connected yet.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, idle: Arc::default() }
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Category::NotSent`] when no connection could be made, and with
+    /// [`Category::Unclear`] when no whole answer came in time.
+    pub async fn call(&self, call: Call) -> Result<Response<Bytes>> {
+        let deadline = Instant::now() + Duration::from_millis(call.limit_ms);
+        let mut sender = timeout_at(deadline, self.connect())
+            .await
+            .map_err(|_elapsed| Error::report(Category::NotSent, "connecting took too long"))??;
+        let mut request = Request::builder()
+            .method(call.method)
+            .uri(call.path)
+            .header("host", self.address.to_string());
+        for (name, value) in &call.headers {
+            request = request.header(*name, value);
+        }
+        let request = request
+            .body(Full::new(call.body))
+            .map_err(|error| Error::report(Category::NotSent, error))?;
+        let exchange = async {
+            let response = sender.send_request(request).await?;
+            let (head, body) = response.into_parts();
+            let body = body.collect().await?.to_bytes();
+            Ok::<_, hyper::Error>(Response::from_parts(head, body))
+        };
+        let answer = timeout_at(deadline, exchange)
+            .await
+            .map_err(|_elapsed| Error::report(Category::Unclear, "no answer came in time"))?
+            .map_err(|error| Error::report(Category::Unclear, error))?;
+        self.keep(sender);
+        Ok(answer)
+    }
+
+    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>> {
+        while let Some(mut sender) = self.pop() {
+            if sender.ready().await.is_ok() {
+                return Ok(sender);
+            }
+        }
+        let stream = TcpStream::connect(self.address)
+            .await
+            .map_err(|error| Error::report(Category::NotSent, error))?;
+        stream.set_nodelay(true).map_err(|error| Error::report(Category::NotSent, error))?;
+        let (sender, connection) = handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| Error::report(Category::NotSent, error))?;
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+
+    fn pop(&self) -> Option<SendRequest<Full<Bytes>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).pop()
+    }
+
+    fn keep(&self, sender: SendRequest<Full<Bytes>>) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        if idle.len() < MOST_IDLE && !sender.is_closed() {
+            idle.push(sender);
+        }
+    }
+}
