--- /dev/null
+++ b/crates/lab/src/job.rs
@@ -0,0 +1,395 @@
+//! The main job: most servers leave and others arrive, under load.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use document::{Name, ServerState};
+use serde::Serialize;
+use tokio::time::{Duration, Instant, sleep};
+
+use crate::availability::{Availability, Gaps};
+use crate::load::{Load, LoadOptions, LoadReport, Targets};
+use crate::plot::Timeline;
+use crate::site::{Plan, Result, ServerPlan, ServicePlan, Site};
+use crate::witness::Broken;
+
+/// What the main job is run with.
+#[derive(Clone, Debug)]
+pub struct MoveOptions {
+    /// How long load runs.
+    pub length_ms: u64,
+    /// Requests a second.
+    pub rate_per_s: f64,
+    /// The seed of all choices.
+    pub seed: u64,
+    /// Whether a live view is printed.
+    pub is_live: bool,
+}
+
+/// What came of the main job.
+#[derive(Clone, Debug, Serialize)]
+pub struct MoveReport {
+    /// The seed.
+    pub seed: u64,
+    /// From the accepted edit until no shard is where it should not be.
+    pub settled_ms: u64,
+    /// From the accepted edit until every daemon has it in force.
+    pub in_force_ms: u64,
+    /// How many shards the keyed service has.
+    pub shards: usize,
+    /// The least possible number of changes of owner.
+    pub least_changes: u64,
+    /// Changes of owner in parts of the least possible.
+    pub churn_ratio: f64,
+    /// The most shards of a server in parts of the fair share, after settling.
+    pub imbalance_shards: f64,
+    /// The most requests of a server in parts of the mean, after settling.
+    pub imbalance_requests: f64,
+    /// How long keys had no serving owner.
+    pub unavailable: Gaps,
+    /// The requests by outcome.
+    pub load: LoadReport,
+    /// How often each rule was broken.
+    pub broken: Broken,
+    /// What was seen over time.
+    pub timeline: Timeline,
+}
+
+const CENTRES: [&str; 3] = ["zurich", "bern", "basel"];
+const LEDGER_SERVERS: usize = 20;
+const ARCHIVE_SERVERS: usize = 10;
+const SHARDS: usize = 512;
+const KEYS: u32 = 20_000;
+const SKEW: f64 = 0.6;
+const OPEN_LIMIT_MS: u64 = 20_000;
+const SETTLE_LIMIT_MS: u64 = 30_000;
+const SAMPLE_MS: u64 = 100;
+
+/// Runs the main job in this process.
+///
+/// # Errors
+///
+/// Fails when the site does not start, or does not settle in time.
+pub async fn run_move(options: &MoveOptions) -> Result<MoveReport> {
+    let site = Site::start(&plan()).await?;
+    site.edit(0, |server| server.state).await?;
+    site.edit(1, |server| server.state).await?;
+    let open_ms = site.wait_until_open(OPEN_LIMIT_MS).await?;
+    say(options, &format!("all shards open after {open_ms} ms"));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let watcher = watch(&site, Arc::clone(&is_over));
+    let targets = Targets::default();
+    targets.set(&site.callers_addresses());
+    let load = Load::new(load_options(options), targets, Some(Arc::clone(&site.witness)));
+    let sending = tokio::spawn(Arc::clone(&load).run());
+    let start = Instant::now();
+    let sampler = sample(&site, start, &is_over);
+    sleep(Duration::from_millis(options.length_ms / 4)).await;
+    let moved = move_servers(&site, options).await?;
+    site.witness.take_commits();
+    let report = sending.await.unwrap_or_default();
+    is_over.store(true, Ordering::Relaxed);
+    let unavailable = tokio::task::spawn_blocking(move || watcher.join().unwrap_or_default());
+    let unavailable = unavailable.await.unwrap_or_default();
+    let timeline = sampler.await.unwrap_or_default();
+    let report = to_report(options, &site, &moved, report, unavailable, timeline);
+    site.end().await;
+    Ok(report)
+}
+
+struct Moved {
+    settled_ms: u64,
+    in_force_ms: u64,
+    least_changes: u64,
+}
+
+/// Accepts the edit that makes servers leave and arrive, and waits until it has settled.
+async fn move_servers(site: &Site, options: &MoveOptions) -> Result<Moved> {
+    let least_changes = site
+        .shards_by_server("ledger")
+        .iter()
+        .filter(|(name, _)| leaves(name))
+        .map(|(_, shards)| u64::try_from(*shards).unwrap_or(0))
+        .sum();
+    let start = Instant::now();
+    let revision = site.edit(0, |server| Some(state_after(server))).await?;
+    site.edit(1, |server| Some(state_after(server))).await?;
+    let ms = |start: Instant| u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX);
+    site.wait_until(SETTLE_LIMIT_MS, "the edit is in force everywhere", || {
+        site.daemons.iter().flatten().all(|daemon| {
+            let services = daemon.traffic().services();
+            services.get("ledger").is_some_and(|service| service.revision >= revision)
+        })
+    })
+    .await?;
+    let in_force_ms = ms(start);
+    say(options, &format!("edit in force everywhere after {in_force_ms} ms"));
+    site.wait_until(SETTLE_LIMIT_MS, "no shard is on a leaving server", || {
+        site.shards_by_server("ledger").iter().all(|(name, count)| *count == 0 || !leaves(name))
+    })
+    .await?;
+    site.wait_until_open(SETTLE_LIMIT_MS).await?;
+    let settled_ms = ms(start);
+    say(options, &format!("settled after {settled_ms} ms"));
+    Ok(Moved { settled_ms, in_force_ms, least_changes })
+}
+
+fn watch(site: &Site, is_over: Arc<AtomicBool>) -> std::thread::JoinHandle<Gaps> {
+    let servers = site.servers[0].1.iter().map(|server| Arc::clone(&server.stand_in)).collect();
+    let daemons = site.daemons.iter().flatten().map(|d| Arc::clone(d.traffic())).collect();
+    let availability = Availability::new(Name::from("ledger"), servers, daemons);
+    std::thread::spawn(move || availability.watch(&is_over))
+}
+
+/// Samples how far the move is, for the timeline and the live view.
+fn sample(
+    site: &Site,
+    start: Instant,
+    is_over: &Arc<AtomicBool>,
+) -> tokio::task::JoinHandle<Timeline> {
+    let daemons: Vec<_> =
+        site.daemons.iter().flatten().map(|daemon| Arc::clone(daemon.traffic())).collect();
+    let is_over = Arc::clone(is_over);
+    tokio::spawn(async move {
+        let mut timeline =
+            Timeline::new(&["shards on leaving servers", "closed shards", "shards on arrived"]);
+        while !is_over.load(Ordering::Relaxed) {
+            let counts = daemons.first().map_or([0.0; 3], |traffic| {
+                let services = traffic.services();
+                let table = services.get("ledger").and_then(|service| service.table.clone());
+                table.map_or([0.0; 3], |table| count_routes(&table))
+            });
+            timeline.push(start.elapsed().as_secs_f64(), &counts);
+            sleep(Duration::from_millis(SAMPLE_MS)).await;
+        }
+        timeline
+    })
+}
+
+fn count_routes(table: &route::Table) -> [f64; 3] {
+    let mut counts = [0_u32; 3];
+    for route in &table.routes {
+        if let Some(server) = table.server_of(route) {
+            counts[0] += u32::from(leaves(server));
+            counts[2] += u32::from(arrives(server));
+        }
+        counts[1] += u32::from(!route.is_open);
+    }
+    counts.map(f64::from)
+}
+
+fn to_report(
+    options: &MoveOptions,
+    site: &Site,
+    moved: &Moved,
+    load: LoadReport,
+    unavailable: Gaps,
+    timeline: Timeline,
+) -> MoveReport {
+    let shards = site.shards_by_server("ledger");
+    let staying: Vec<f64> = shards
+        .iter()
+        .filter(|(name, _)| !leaves(name))
+        .map(|(_, count)| to_float(*count))
+        .collect();
+    let commits = site.witness.take_commits();
+    let requests: Vec<f64> = shards
+        .iter()
+        .filter(|(name, _)| !leaves(name))
+        .map(|(name, _)| commits.get(name).map_or(0.0, |count| to_float(to_usize(*count))))
+        .collect();
+    let least = to_float(to_usize(moved.least_changes.max(1)));
+    MoveReport {
+        seed: options.seed,
+        settled_ms: moved.settled_ms,
+        in_force_ms: moved.in_force_ms,
+        shards: SHARDS,
+        least_changes: moved.least_changes,
+        churn_ratio: to_float(to_usize(unavailable.owner_changes)) / least,
+        imbalance_shards: imbalance(&staying),
+        imbalance_requests: imbalance(&requests),
+        unavailable,
+        load,
+        broken: site.witness.broken(),
+        timeline,
+    }
+}
+
+/// Returns the largest value in parts of the mean.
+fn imbalance(values: &[f64]) -> f64 {
+    let sum: f64 = values.iter().sum();
+    let largest = values.iter().copied().fold(0.0, f64::max);
+    if sum > 0.0 { largest * to_float(values.len()) / sum } else { 0.0 }
+}
+
+fn load_options(options: &MoveOptions) -> LoadOptions {
+    LoadOptions {
+        rate_per_s: options.rate_per_s,
+        length_ms: options.length_ms,
+        keys: KEYS,
+        skew: SKEW,
+        seed: options.seed,
+        keyed: Some("ledger".to_owned()),
+        pooled: Some("archive".to_owned()),
+    }
+}
+
+/// Four daemons in three data centres; three quarters of the servers move to new ones.
+fn plan() -> Plan {
+    let ledger = ServicePlan {
+        name: Name::from("ledger"),
+        head: LEDGER.to_owned(),
+        is_keyed: true,
+        servers: servers("ledger", LEDGER_SERVERS),
+        run_ms: 2,
+        cold_ms: 50,
+        prepare_ms: 40,
+    };
+    let archive = ServicePlan {
+        name: Name::from("archive"),
+        head: ARCHIVE.to_owned(),
+        is_keyed: false,
+        servers: servers("archive", ARCHIVE_SERVERS),
+        run_ms: 10,
+        cold_ms: 0,
+        prepare_ms: 0,
+    };
+    let daemons = ["zurich", "zurich", "bern", "basel"].map(Name::from).to_vec();
+    Plan { services: vec![ledger, archive], daemons, threads: 1 }
+}
+
+const LEDGER: &str = "[service]\nname = ledger\nkind = keyed\nkey = segment 2\n\
+    weight_unavailable = 3\nweight_churn = 1\nweight_imbalance = 1\nmoves_at_once = 32\n\
+    [key-group accounts]\nprefix =\nshards = 512\n\
+    [class balance]\nmethod = GET\npath = /ledger/{key}/balance\nidempotent = yes\n\
+    priority = 0\ndeadline = 1s\n\
+    [class swap]\nmethod = POST\npath = /ledger/{key}/swaps\nidempotent = no\n\
+    priority = 1\ndeadline = 2s\n";
+const ARCHIVE: &str = "[service]\nname = archive\nkind = pooled\n\
+    [class sheet]\nmethod = GET\npath = /archive/sheets/{id}\nidempotent = yes\n\
+    priority = 2\ndeadline = 5s\n";
+
+/// The servers of a service: those of today, then the ones that replace most of them.
+fn servers(service: &str, count: usize) -> Vec<ServerPlan> {
+    let staying = count / 4;
+    let server = |name: String, at: usize, state| ServerPlan {
+        name: Name::from(name),
+        data_centre: Name::from(CENTRES[at % CENTRES.len()]),
+        slots: 4,
+        connections: 120,
+        state,
+        checks_fence: true,
+    };
+    let old = (0..count).map(|at| {
+        let kind = if at < staying { "stay" } else { "old" };
+        server(format!("{service}-{kind}-{at}"), at, Some(ServerState::Serving))
+    });
+    let new = (staying..count).map(|at| server(format!("{service}-new-{at}"), at, None));
+    old.chain(new).collect()
+}
+
+fn state_after(server: &ServerPlan) -> ServerState {
+    match () {
+        () if leaves(&server.name) => ServerState::Leaving,
+        () if arrives(&server.name) => ServerState::Arriving,
+        () => ServerState::Serving,
+    }
+}
+
+fn leaves(server: &Name) -> bool {
+    server.contains("-old-")
+}
+
+fn arrives(server: &Name) -> bool {
+    server.contains("-new-")
+}
+
+fn say(options: &MoveOptions, text: &str) {
+    if options.is_live {
+        println!("{text}");
+    }
+}
+
+fn to_float(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+fn to_usize(count: u64) -> usize {
+    usize::try_from(count).unwrap_or(usize::MAX)
+}
+
+impl fmt::Display for MoveReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "seed {}", self.seed)?;
+        writeln!(
+            f,
+            "in force everywhere after {} ms, settled after {} ms",
+            self.in_force_ms, self.settled_ms
+        )?;
+        writeln!(f, "\nthe three measures")?;
+        writeln!(
+            f,
+            "  imbalance         {:.3} of the fair share by shards, {:.3} of the mean by requests",
+            self.imbalance_shards, self.imbalance_requests
+        )?;
+        writeln!(
+            f,
+            "  churn             {} changes of owner, {} at least: {:.3}",
+            self.unavailable.owner_changes, self.least_changes, self.churn_ratio
+        )?;
+        writeln!(
+            f,
+            "  unavailable time  {} gaps, p50 {:.1} ms, p99 {:.1} ms, max {:.1} ms",
+            self.unavailable.count,
+            self.unavailable.p50_ms,
+            self.unavailable.p99_ms,
+            self.unavailable.max_ms
+        )?;
+        writeln!(f, "\n{}", self.load)?;
+        writeln!(f, "rules, and how often each was broken")?;
+        write!(f, "{}", self.broken)
+    }
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "requests: {} sent, {} held back", self.sent, self.held_back)?;
+        for (name, class) in &self.classes {
+            writeln!(
+                f,
+                "  {name:<8} answered {:>7}  not run {:>5}  unknown {:>5}  \
+                 p50 {:>6.1} ms  p99 {:>6.1} ms  max {:>7.1} ms",
+                class.answered,
+                class.not_run,
+                class.unknown,
+                class.p50_ms,
+                class.p99_ms,
+                class.max_ms
+            )?;
+            for (reason, count) in &class.reasons {
+                writeln!(f, "           {count} x {reason}")?;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let rows = [
+            ("one owner at a time", self.two_owners),
+            ("non-idempotent requests run once", self.double_runs),
+            ("no work for a leaving server after 5 s", self.late_work),
+            ("not run means not run", self.false_not_run),
+            ("each caller gets its own answer", self.foreign_answers),
+            ("whole answers only", self.short_answers),
+            ("no answer cut off", self.cut_off),
+        ];
+        for (rule, count) in rows {
+            let mark = if count == 0 { "kept  " } else { "BROKEN" };
+            writeln!(f, "  {mark} {rule}: {count}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/lab/src/upstream.rs
+++ b/crates/lab/src/upstream.rs
@@ -57,8 +57,7 @@
 }
 
 /// What goes wrong with a server.
-#[derive(Clone, Copy, Debug, Default)]
-#[derive(Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
 pub struct StandInFaults {
     /// How long it does nothing.
--- a/crates/lab/src/witness.rs
+++ b/crates/lab/src/witness.rs
@@ -14,8 +14,7 @@
 }
 
 /// How often each rule was broken.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-#[derive(Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct Broken {
     /// Requests committed by a server after another one took the shard over.
     pub two_owners: u64,
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -47,6 +47,12 @@
         }
     }
 
+    /// Returns the path.
+    #[must_use]
+    pub fn path(&self) -> &str {
+        &self.path
+    }
+
     /// Adds a header.
     #[must_use]
     pub fn header(mut self, name: &'static str, value: impl Into<String>) -> Self {
