Keep a silent server's successors, and place planned orphans evenly

Cause: a plan made while a server is silent renamed the successors of its shards; with the store down that write stays open and blocks the very grants that repair the loss. Placement also preferred successors for planned moves, and so needed more moves than 1.1 of the least to even out after a leave. After: placement tests (leave, join, whole move within 1.1) and schedules pass.

--- a/crates/control/src/draft.rs
+++ b/crates/control/src/draft.rs
@@ -92,6 +92,9 @@
 
     fn draft_shard(&self, now_ms: u64, at: usize, record: &mut Record) {
         match &self.shards[at] {
+            // The successor of a silent server may be needed any moment.
+            Shard::Held { server, .. }
+                if self.lost.contains(server) && self.has_usable_successor(now_ms, at) => {}
             Shard::Held { server, epoch }
             | Shard::Moving { server, epoch, phase: Phase::Preparing { .. }, .. } => {
                 let shard = &mut record.shards[at];
@@ -114,6 +117,11 @@
         }
     }
 
+    fn has_usable_successor(&self, now_ms: u64, at: usize) -> bool {
+        let successor = self.known.record.shards[at].successor.as_ref();
+        successor.is_some_and(|successor| self.is_usable(now_ms, successor))
+    }
+
     fn draft_successor(&self, at: usize, next: Option<Name>, record: &mut Record) {
         let shard = &record.shards[at];
         let is_kept = shard.successor == next
@@ -240,10 +248,11 @@
 
     /// Returns the server that holds a shard, or that a started handover gives it to.
     fn planned_owner(&self, at: usize) -> Option<&Name> {
-        match &self.shards[at] {
-            Shard::Moving { target, .. } => Some(target),
-            shard => shard.holder().map(|(server, _)| server),
-        }
+        let owner = match &self.shards[at] {
+            Shard::Moving { target, .. } => target,
+            shard => shard.holder()?.0,
+        };
+        Some(owner).filter(|owner| !self.lost.contains(*owner))
     }
 
     fn note_plan(&mut self, request: &Request, plan: &Plan) {
--- a/crates/placement/src/balanced.rs
+++ b/crates/placement/src/balanced.rs
@@ -78,7 +78,7 @@
             (0..self.owners.len()).filter(|shard| self.owners[*shard].is_none()).collect();
         orphans.sort_by(|a, b| self.sizes.of(*b).total_cmp(&self.sizes.of(*a)));
         for shard in orphans {
-            let owner = self.successor_with_room(shard).or_else(|| self.least_used(shard));
+            let owner = self.heir(shard).or_else(|| self.least_used(shard));
             if let Some(owner) = owner {
                 self.shares.add(owner, self.sizes.of(shard));
             }
@@ -126,12 +126,11 @@
         .map(|(_, shard, target)| (shard, target))
     }
 
-    fn successor_with_room(&self, shard: usize) -> Option<usize> {
+    /// Returns the successor of a shard that nobody holds: it is granted the shard anyway.
+    fn heir(&self, shard: usize) -> Option<usize> {
         let record = &self.request.shards[shard];
-        record.successor.filter(|successor| {
-            self.request.servers[*successor].may_take(record.group)
-                && self.shares.ratio_with(*successor, self.sizes.of(shard)) <= 1.0 + TARGET
-        })
+        let successor = record.successor.filter(|_| record.owner.is_none())?;
+        self.request.servers[successor].may_take(record.group).then_some(successor)
     }
 
     fn least_used(&self, shard: usize) -> Option<usize> {
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -20,7 +20,7 @@
     pub group: usize,
     /// The measured load, in requests a second; 0 when there is no measurement.
     pub load: f64,
-    /// The position of the server that holds it.
+    /// The position of the server that holds it; `None` when that one is lost.
     pub owner: Option<usize>,
     /// The position of the server that takes it when the owner is lost.
     pub successor: Option<usize>,
