Tell controllers of the same term apart by their tenure

Change: a tenure is unique to a controller in a term; orders, tables, beats, promises and records carry it. A beat with another tenure's table of the same term makes the controller take a later term. A late beat of a process that is gone is dropped. Offices that end return their promises.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use document::{Document, Kind, Name, Revision};
-use lease::{Authority, Quorum, Term, Vote, Voter};
+use lease::{Authority, Quorum, Tenure, Term, Vote, Voter};
 use route::Table;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::lead::{Lead, Standing, Start};
 use crate::message::{BeatReply, Intent, PromiseAsk, PromiseReply, RecordCopy, Stage};
@@ -28,8 +29,12 @@
     /// The writes over the known record that may take effect.
     intents: Vec<Intent>,
     /// The newest write that was told of, with its term.
-    newest_intent: (Term, u64),
+    newest_intent: (Tenure, u64),
     role: Role,
+    incarnation: u64,
+    candidacies: u64,
+    /// What is to be done because of the end of an office.
+    farewell: Vec<Action>,
     table: Option<Arc<Table>>,
     next_read_ms: u64,
     /// Until when there is a controller, by the last ask that was seen.
@@ -54,6 +59,7 @@
     /// The voters that promised and remember all that they were told.
     sure: Vec<Name>,
     term: Term,
+    tenure: Tenure,
     deadline_ms: u64,
     authority: Authority,
     quorum: Quorum,
@@ -71,8 +77,16 @@
 
 impl Control {
     /// Creates the control part of a daemon process that starts now.
+    ///
+    /// No other process may ever have the same incarnation.
     #[must_use]
-    pub fn new(now_ms: u64, service: Name, me: Name, tuning: Tuning) -> Self {
+    pub fn new(
+        now_ms: u64,
+        incarnation: u64,
+        service: Name,
+        me: Name,
+        tuning: Tuning,
+    ) -> Self {
         Self {
             service,
             me,
@@ -84,8 +98,11 @@
             is_synced: false,
             is_sure: false,
             intents: Vec::new(),
-            newest_intent: (Term(0), 0),
+            newest_intent: (Tenure(0), 0),
             role: Role::Follower { elect_at_ms: None },
+            incarnation,
+            candidacies: 0,
+            farewell: Vec::new(),
             table: None,
             next_read_ms: now_ms,
             led_until_ms: 0,
@@ -144,7 +161,7 @@
             }
             Event::PromiseAsked(ask) => self.on_promise_asked(now_ms, ask, &mut out),
             Event::PromiseReplied(reply) => self.on_promise_replied(now_ms, &reply, &mut out),
-            Event::PromiseReturned(candidate) => self.on_promise_returned(&candidate),
+            Event::PromiseReturned(tenure) => self.on_promise_returned(tenure),
             Event::Reported(server, report) => {
                 let standing = self.lead_mut().map(|lead| lead.on_report(now_ms, &server, &report));
                 self.apply_standing(standing);
@@ -155,15 +172,15 @@
                 }
             }
             Event::Beat(beat) => {
-                if let Some(lead) = self.lead_mut() {
-                    lead.on_beat(now_ms, &beat, &mut out);
-                }
+                let standing = self.lead_mut().map(|lead| lead.on_beat(now_ms, &beat, &mut out));
+                self.apply_standing(standing);
             }
             Event::BeatReplied(reply) => self.on_beat_replied(now_ms, &reply),
             Event::Table(table) => self.on_table(table),
-            Event::Stop => self.on_stop(&mut out),
+            Event::Stop => self.on_stop(),
         }
         self.settle(now_ms, &mut out);
+        out.append(&mut self.farewell);
         out
     }
 
@@ -228,23 +245,22 @@
         if !self.is_synced || self.voter.is_silent(now_ms) || is_led {
             return None;
         }
-        match &self.known {
-            Some(known) => {
-                candidate_rank(&self.service, &known.record.quorum().members(), &self.me)
-            }
-            None => {
-                let names: Vec<Name> = self.instances.iter().map(|i| i.name.clone()).collect();
-                candidate_rank(&self.service, &names, &self.me)
-            }
+        if let Some(known) = &self.known {
+            candidate_rank(&self.service, &known.record.quorum().members(), &self.me)
+        } else {
+            let names: Vec<Name> = self.instances.iter().map(|i| i.name.clone()).collect();
+            candidate_rank(&self.service, &names, &self.me)
         }
     }
 
     fn ask_voters(&mut self, now_ms: u64, stage: Stage, known: &RecordCopy, out: &mut Vec<Action>) {
         let term = self.voter.highest_term().max(known.record.term).next();
+        let tenure = self.next_tenure();
         let quorum = known.record.quorum();
         for voter in quorum.members() {
             let ask = PromiseAsk {
                 candidate: self.me.clone(),
+                tenure,
                 term,
                 stage,
                 asked_ms: now_ms,
@@ -261,12 +277,19 @@
             promised: Vec::new(),
             sure: Vec::new(),
             term,
+            tenure,
             deadline_ms,
             authority,
             quorum,
         });
     }
 
+    fn next_tenure(&mut self) -> Tenure {
+        self.candidacies += 1;
+        let seed = xxh3_64_with_seed(self.me.as_bytes(), self.incarnation);
+        Tenure(xxh3_64_with_seed(self.service.as_bytes(), seed ^ self.candidacies))
+    }
+
     fn create_record(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         let Some((_, document)) = &self.document else {
             return;
@@ -306,9 +329,7 @@
         if let Role::Lead(lead) = &mut self.role {
             let is_newer = revision > lead.known.revision;
             lead.writer.note_read(now_ms, is_newer);
-            let is_foreign = copy.as_ref().is_some_and(|copy| {
-                copy.record.controller.as_ref().is_some_and(|name| *name != self.me)
-            });
+            let is_foreign = copy.as_ref().is_some_and(|c| c.record.tenure != lead.tenure);
             let is_outdated = later_term > lead.term || (later_term == lead.term && is_foreign);
             if let Some(copy) = copy.clone() {
                 lead.adopt_record(now_ms, copy);
@@ -359,7 +380,7 @@
         if let Some(intent) = ask.intent.clone()
             && intent.over <= self.known_revision()
         {
-            self.newest_intent = (ask.term, intent.number);
+            self.newest_intent = (ask.tenure, intent.number);
             self.learn_intent(intent);
         }
         let is_leading = ask.stage == Stage::Leading;
@@ -373,12 +394,13 @@
             && ask.term > self.voter.highest_term();
         let vote = match ask.stage {
             _ if !self.is_synced => Vote::Bound,
-            Stage::Probing => self.voter.probe(now_ms, &ask.candidate, ask.term),
-            Stage::Standing | Stage::Leading => self.voter.ask(now_ms, &ask.candidate, ask.term),
+            Stage::Probing => self.voter.probe(now_ms, ask.tenure, ask.term),
+            Stage::Standing | Stage::Leading => self.voter.ask(now_ms, ask.tenure, ask.term),
         };
         let lacks = ask.record_revision < known_revision && had >= known_revision;
         let reply = PromiseReply {
             voter: self.me.clone(),
+            tenure: ask.tenure,
             term: ask.term,
             stage: ask.stage,
             asked_ms: ask.asked_ms,
@@ -386,7 +408,7 @@
             record_revision: if self.is_synced { known_revision } else { Revision(0) },
             record: if lacks { self.known.clone() } else { None },
             intent_number: match self.newest_intent {
-                (term, number) if term == ask.term => number,
+                (tenure, number) if tenure == ask.tenure => number,
                 _ => 0,
             },
             intents: if is_leading { Vec::new() } else { self.intents.clone() },
@@ -444,6 +466,7 @@
             service: self.service.clone(),
             tuning: self.tuning,
             term: candidate.term,
+            tenure: candidate.tenure,
             document: Arc::clone(document),
             document_revision: *revision,
             known: known.clone(),
@@ -454,8 +477,8 @@
         self.role = Role::Lead(Box::new(Lead::new(now_ms, start)));
     }
 
-    fn on_promise_returned(&mut self, candidate: &Name) {
-        self.voter.release(candidate);
+    fn on_promise_returned(&mut self, tenure: Tenure) {
+        self.voter.release(tenure);
         self.led_until_ms = 0;
         if let Role::Follower { elect_at_ms } = &mut self.role {
             *elect_at_ms = None;
@@ -463,7 +486,7 @@
     }
 
     fn on_beat_replied(&mut self, now_ms: u64, reply: &BeatReply) {
-        if self.table.as_ref().is_some_and(|table| table.term == reply.term) {
+        if self.table.as_ref().is_some_and(|table| table.tenure == reply.tenure) {
             self.answered_until_ms = now_ms + self.tuning.daemon_silence_ms;
         }
     }
@@ -475,12 +498,8 @@
         }
     }
 
-    fn on_stop(&mut self, out: &mut Vec<Action>) {
-        if let Role::Lead(lead) = &self.role {
-            for voter in lead.known.record.quorum().members() {
-                out.push(Action::ReturnPromise(voter));
-            }
-        }
+    fn on_stop(&mut self) {
+        self.step_down(None);
         self.role = Role::Stopped;
     }
 
@@ -488,6 +507,16 @@
         if let Some(term) = later {
             self.voter.note_term(term);
         }
+        // Nothing is done in this tenure any more, so others need not wait for its end.
+        let ended = match &self.role {
+            Role::Lead(lead) => Some((lead.known.record.quorum(), lead.tenure)),
+            Role::Candidate(candidate) => Some((candidate.quorum.clone(), candidate.tenure)),
+            Role::Follower { .. } | Role::Creator { .. } | Role::Stopped => None,
+        };
+        for voter in ended.iter().flat_map(|(quorum, _)| quorum.members()) {
+            let tenure = ended.as_ref().map_or(Tenure(0), |(_, tenure)| *tenure);
+            self.farewell.push(Action::ReturnPromise(voter, tenure));
+        }
         if !matches!(self.role, Role::Stopped) {
             self.role = Role::Follower { elect_at_ms: None };
         }
@@ -532,11 +561,13 @@
         promise_ms: u64,
         has_newer_voters: bool,
     ) -> Outcome {
+        if reply.tenure != self.tenure {
+            return Outcome::Nothing;
+        }
         if let Vote::Outdated(term) = reply.vote {
             return if term >= self.term { Outcome::StepDown(term) } else { Outcome::Nothing };
         }
-        let is_mine = reply.term == self.term && reply.stage == self.stage;
-        if !is_mine || reply.vote != Vote::Promised {
+        if reply.stage != self.stage || reply.vote != Vote::Promised {
             return Outcome::Nothing;
         }
         if has_newer_voters {
--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 
 use document::{Document, Name, Revision};
-use lease::{Authority, Epoch, Order, Report, ShardEpoch, Term, Verdict, slower_ms};
+use lease::{Authority, Epoch, Order, Report, ShardEpoch, Tenure, Term, Verdict, slower_ms};
 use route::Table;
 
-use crate::link::{Change, DaemonLink, ServerLink};
+use crate::link::{BeatNews, Change, DaemonLink, ServerLink};
 use crate::message::{Beat, BeatReply, Intent, PromiseAsk, PromiseReply, RecordCopy, Stage};
 use crate::shard::{Phase, Shard};
 use crate::writer::Writer;
@@ -20,6 +20,7 @@
     pub(crate) service: Name,
     pub(crate) tuning: Tuning,
     pub(crate) term: Term,
+    pub(crate) tenure: Tenure,
     pub(crate) started_ms: u64,
     pub(crate) document: Arc<Document>,
     pub(crate) document_revision: Revision,
@@ -64,6 +65,7 @@
     pub(crate) service: Name,
     pub(crate) tuning: Tuning,
     pub(crate) term: Term,
+    pub(crate) tenure: Tenure,
     pub(crate) document: Arc<Document>,
     pub(crate) document_revision: Revision,
     pub(crate) known: RecordCopy,
@@ -114,6 +116,7 @@
             service: start.service,
             tuning: start.tuning,
             term: start.term,
+            tenure: start.tenure,
             started_ms: now_ms,
             document: start.document,
             document_revision: start.document_revision,
@@ -228,9 +231,12 @@
     }
 
     pub(crate) fn on_promise(&mut self, now_ms: u64, reply: &PromiseReply) -> Standing {
+        if reply.tenure != self.tenure {
+            return Standing::InOffice;
+        }
         match reply.vote {
             lease::Vote::Outdated(term) if term > self.term => return Standing::Over(term),
-            lease::Vote::Promised if reply.term == self.term && reply.stage != Stage::Probing => {
+            lease::Vote::Promised if reply.stage != Stage::Probing => {
                 self.authority.note(&reply.voter, reply.asked_ms, self.tuning.promise_ms);
             }
             _ => {}
@@ -243,9 +249,7 @@
         // The newest reply counts: a restarted voter knows less than it did.
         link.acked = reply.record_revision;
         link.last_reply_ms = now_ms;
-        if reply.term == self.term {
-            link.intent_number = reply.intent_number;
-        }
+        link.intent_number = reply.intent_number;
         if self.is_record_acknowledged() {
             self.usable_grant_ms = self.known.record.grant_ms;
         }
@@ -278,17 +282,28 @@
         }
     }
 
-    pub(crate) fn on_beat(&mut self, now_ms: u64, beat: &Beat, out: &mut Vec<Action>) {
+    pub(crate) fn on_beat(
+        &mut self,
+        now_ms: u64,
+        beat: &Beat,
+        out: &mut Vec<Action>,
+    ) -> Standing {
+        // A table of another controller in this term or a later one: this term is taken.
+        if beat.term >= self.term && beat.tenure != self.tenure {
+            return Standing::Over(beat.term);
+        }
         let link = self.daemons.entry(beat.instance.clone()).or_default();
-        link.note_beat(now_ms, beat);
+        if link.note_beat(now_ms, beat) == BeatNews::Stale {
+            return Standing::InOffice;
+        }
         for (shard, requests) in &beat.loads {
             if let Some(load) = usize::try_from(shard.0).ok().and_then(|at| self.loads.get_mut(at))
             {
                 *load += f64::from(*requests);
             }
         }
-        let Some(table) = &self.table else { return };
-        if link.is_table_due(now_ms, self.term, self.sequence) {
+        let Some(table) = &self.table else { return Standing::InOffice };
+        if link.is_table_due(now_ms, self.tenure, self.sequence) {
             link.next_table_ms = now_ms + self.tuning.order_every_ms;
             out.push(Action::SendTable(beat.instance.clone(), Arc::clone(table)));
         }
@@ -296,12 +311,13 @@
         if let Some(deadline_ms) = lease {
             let reply = BeatReply {
                 incarnation: beat.incarnation,
-                term: self.term,
+                tenure: self.tenure,
                 sequence: self.sequence,
                 deadline_ms,
             };
             out.push(Action::ReplyBeat(beat.instance.clone(), reply));
         }
+        Standing::InOffice
     }
 
     /// Extends the route lease of a daemon, unless its table names an earlier unfenced owner.
@@ -312,7 +328,7 @@
         let needed = self.unfenced_sequence;
         let grant_ms = self.grant_ms();
         let link = self.daemons.get_mut(daemon)?;
-        if !link.has_table(self.term, needed) {
+        if !link.has_table(self.tenure, needed) {
             return None;
         }
         link.bound.extend(grant_ms)
@@ -354,6 +370,7 @@
             let intent = self.writer.announced().filter(|intent| intent.number > known_number);
             let ask = PromiseAsk {
                 candidate: self.me.clone(),
+                tenure: self.tenure,
                 term: self.term,
                 stage: Stage::Leading,
                 asked_ms: now_ms,
@@ -398,7 +415,7 @@
         let mut order = Order {
             service: self.service.clone(),
             term: self.term,
-            controller: self.me.clone(),
+            tenure: self.tenure,
             number: 0,
             incarnation: None,
             deadline_ms: 0,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,7 +12,7 @@
 //! use control::{Control, Event, Tuning};
 //! use document::Name;
 //!
-//! let mut control = Control::new(0, Name::from("ledger"), Name::from("entry-1"), Tuning::default());
+//! let mut control = Control::new(0, 1, Name::from("ledger"), Name::from("entry-1"), Tuning::default());
 //! assert!(control.step(10, Event::Tick).is_empty());
 //! ```
 
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use document::{HashMap, HashSet, Revision};
-use lease::{Epoch, GrantBound, Held, Report, ShardId, Term};
+use lease::{Epoch, GrantBound, Held, Report, ShardId, Tenure};
 
 use crate::Tuning;
 
@@ -129,43 +129,59 @@
     pub(crate) document: Revision,
     pub(crate) last_beat_ms: u64,
     pub(crate) next_table_ms: u64,
-    term: Term,
+    retired: Vec<u64>,
+    tenure: Tenure,
     sequence: u64,
     drained: u64,
 }
 
+/// Whether a beat says something of the present process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum BeatNews {
+    /// It does.
+    Fresh,
+    /// It comes from a process that is gone.
+    Stale,
+}
+
 impl DaemonLink {
-    pub(crate) fn note_beat(&mut self, now_ms: u64, beat: &crate::Beat) {
+    pub(crate) fn note_beat(&mut self, now_ms: u64, beat: &crate::Beat) -> BeatNews {
         if self.incarnation != beat.incarnation {
-            self.bound.reset();
+            // A late beat of an earlier process says nothing of the present one.
+            if self.retired.contains(&beat.incarnation) {
+                return BeatNews::Stale;
+            }
+            self.retired.push(self.incarnation);
+            self.bound.change_clock();
             self.incarnation = beat.incarnation;
             self.drained = 0;
         }
         self.bound.observe_clock(beat.clock_ms, now_ms);
         self.last_beat_ms = now_ms;
         self.document = beat.document;
-        if self.term != beat.term {
+        if self.tenure != beat.tenure {
             self.drained = 0;
         }
-        self.term = beat.term;
+        self.tenure = beat.tenure;
         self.sequence = beat.sequence;
         if beat.is_drained {
             self.drained = self.drained.max(beat.sequence);
         }
+        BeatNews::Fresh
     }
 
     /// Returns whether the daemon lacks a table that is not on its way.
-    pub(crate) fn is_table_due(&self, now_ms: u64, term: Term, sequence: u64) -> bool {
-        !self.has_table(term, sequence) && now_ms >= self.next_table_ms
+    pub(crate) fn is_table_due(&self, now_ms: u64, tenure: Tenure, sequence: u64) -> bool {
+        !self.has_table(tenure, sequence) && now_ms >= self.next_table_ms
     }
 
     /// Returns whether the daemon routes by a table at least this new.
-    pub(crate) fn has_table(&self, term: Term, sequence: u64) -> bool {
-        self.term == term && self.sequence >= sequence
+    pub(crate) fn has_table(&self, tenure: Tenure, sequence: u64) -> bool {
+        self.tenure == tenure && self.sequence >= sequence
     }
 
     /// Returns whether the daemon sends nothing more to what a table closes.
-    pub(crate) fn is_drained(&self, term: Term, sequence: u64) -> bool {
-        self.term == term && self.drained >= sequence
+    pub(crate) fn is_drained(&self, tenure: Tenure, sequence: u64) -> bool {
+        self.tenure == tenure && self.drained >= sequence
     }
 }
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use document::{Name, Revision};
-use lease::{ShardId, Term, Vote};
+use lease::{ShardId, Tenure, Term, Vote};
 
 use crate::Record;
 
@@ -43,6 +43,8 @@
 pub struct PromiseAsk {
     /// The instance that asks.
     pub candidate: Name,
+    /// The tenure that it asks for.
+    pub tenure: Tenure,
     /// The term it asks for.
     pub term: Term,
     /// How far the asker is.
@@ -62,6 +64,8 @@
 pub struct PromiseReply {
     /// The instance that answers.
     pub voter: Name,
+    /// The tenure that was asked for.
+    pub tenure: Tenure,
     /// The term that was asked for.
     pub term: Term,
     /// The stage that was asked in.
@@ -93,6 +97,8 @@
     pub clock_ms: u64,
     /// The term of the table in force there.
     pub term: Term,
+    /// The tenure of that table.
+    pub tenure: Tenure,
     /// The sequence of the table in force there.
     pub sequence: u64,
     /// Whether no request is in flight to a shard that this table closes.
@@ -108,8 +114,8 @@
 pub struct BeatReply {
     /// The daemon process whose clock the deadline is on.
     pub incarnation: u64,
-    /// The controller's term.
-    pub term: Term,
+    /// The controller's tenure.
+    pub tenure: Tenure,
     /// The table that the daemon should have.
     pub sequence: u64,
     /// Until when the daemon may forward, on the daemon's clock.
--- a/crates/control/src/settle.rs
+++ b/crates/control/src/settle.rs
@@ -209,7 +209,7 @@
         self.daemons
             .values()
             .filter(|link| now_ms < link.last_beat_ms + silence_ms)
-            .all(|link| link.is_drained(self.term, sequence))
+            .all(|link| link.is_drained(self.tenure, sequence))
     }
 
     /// Returns whether no daemon can send to a closed shard any more.
@@ -218,7 +218,7 @@
             && self
                 .daemons
                 .values()
-                .all(|link| link.is_drained(self.term, sequence) || link.bound.is_over(now_ms))
+                .all(|link| link.is_drained(self.tenure, sequence) || link.bound.is_over(now_ms))
     }
 
     /// Makes the servers that a step concerns hear of it at once.
@@ -317,6 +317,7 @@
         Table {
             service: self.service.clone(),
             term: self.term,
+            tenure: self.tenure,
             controller: self.me.clone(),
             sequence: self.sequence + 1,
             document: self.document_revision,
--- a/crates/control/tests/regressions.rs
+++ b/crates/control/tests/regressions.rs
@@ -47,6 +47,24 @@
     run_schedule(455_689_036_704_238_157, true, &steps);
 }
 
+#[test]
+fn tmp_three() {
+    let steps = [
+        Late(0, 1),
+        Run(79),
+        PauseDaemon(1, 675),
+        Run(7),
+        KillDaemon(2),
+        StoreDown(true),
+        Run(447),
+        Run(1487),
+        Run(510),
+        KillDaemon(1),
+        KillDaemon(3),
+    ];
+    run_schedule(7_920_817_414_343_817_465, false, &steps);
+}
+
 #[test]
 fn daemon_without_table() {
     let steps = [Run(1), Run(1), StartDaemon(0), KillDaemon(0), PauseServer(0, 10)];
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -222,7 +222,8 @@
         daemon.has_document = Revision(0);
         let local_ms = clock.read(now_ms);
         let tuning = Tuning::default();
-        daemon.control = Some(Control::new(local_ms, name("ledger"), daemon.name.clone(), tuning));
+        let incarnation = daemon.incarnation;
+        daemon.control = Some(Control::new(local_ms, incarnation, name("ledger"), daemon.name.clone(), tuning));
         self.tables[at] = None;
         self.deliver(at, Event::Instances(instances));
         self.queue_in(1, Delivery::Tick(at));
@@ -429,7 +430,7 @@
             }
             Delivery::RouteLease(at, incarnation, reply) => {
                 let daemon = &mut self.daemons[at];
-                let has_table = self.tables[at].as_ref().is_some_and(|t| t.term == reply.term);
+                let has_table = self.tables[at].as_ref().is_some_and(|t| t.tenure == reply.tenure);
                 if daemon.incarnation == reply.incarnation && has_table {
                     daemon.route_deadline_ms = daemon.route_deadline_ms.max(reply.deadline_ms);
                 }
@@ -497,14 +498,16 @@
     }
 
     fn send_beat(&mut self, at: usize) {
-        let (term, sequence) =
-            self.tables[at].as_ref().map_or((lease::Term(0), 0), |t| (t.term, t.sequence));
+        let table = self.tables[at].as_ref();
+        let (term, tenure, sequence) = table
+            .map_or((lease::Term(0), lease::Tenure(0), 0), |t| (t.term, t.tenure, t.sequence));
         let daemon = &self.daemons[at];
         let beat = Beat {
             instance: daemon.name.clone(),
             incarnation: daemon.incarnation,
             clock_ms: daemon.clock.read(self.now_ms),
             term,
+            tenure,
             sequence,
             is_drained: true,
             document: daemon.has_document,
@@ -547,7 +550,7 @@
         if self.tables[at].as_ref().is_some_and(|known| !table.is_after(known)) {
             return;
         }
-        if self.tables[at].as_ref().is_some_and(|known| known.term != table.term) {
+        if self.tables[at].as_ref().is_some_and(|known| known.tenure != table.tenure) {
             self.daemons[at].route_deadline_ms = 0;
         }
         self.daemons[at].acknowledged = (table.term, table.sequence);
@@ -560,7 +563,7 @@
         let here = self.daemons[at].data_centre.clone();
         match action {
             Action::ReadRecord => {
-                self.send(&here, &name("store"), Delivery::StoreRead { from: at })
+                self.send(&here, &name("store"), Delivery::StoreRead { from: at });
             }
             Action::WriteRecord { number, expected, record } => {
                 let delivery = Delivery::StoreWrite { from: at, number, expected, record };
@@ -570,9 +573,8 @@
             Action::ReplyPromise(to, reply) => {
                 self.send_event(at, &to, Event::PromiseReplied(reply));
             }
-            Action::ReturnPromise(to) => {
-                let me = self.daemons[at].name.clone();
-                self.send_event(at, &to, Event::PromiseReturned(me));
+            Action::ReturnPromise(to, tenure) => {
+                self.send_event(at, &to, Event::PromiseReturned(tenure));
             }
             Action::Order(server, _, order) => {
                 let server = self.server_at(&server);
--- a/crates/document/src/key.rs
+++ b/crates/document/src/key.rs
@@ -78,6 +78,7 @@
     }
 
     /// Returns the group of a key: the one with the longest matching prefix.
+    #[must_use]
     pub fn find<'a>(groups: &'a [Self], key: &str) -> Option<&'a Self> {
         groups
             .iter()
--- a/crates/document/src/section.rs
+++ b/crates/document/src/section.rs
@@ -131,13 +131,12 @@
     ///
     /// Fails when the key is missing, stands twice, or has a value of another form.
     pub fn required<T>(&mut self, key: &str, form: &Form<T>) -> Result<T> {
-        match self.optional(key, form)? {
-            Some(value) => Ok(value),
-            None => {
-                let message =
-                    format!("{key} is missing in [{}], expected {}", self.header(), form.expected);
-                fail(Category::Structure, &self.file, self.line, message)
-            }
+        if let Some(value) = self.optional(key, form)? {
+            Ok(value)
+        } else {
+            let message =
+                format!("{key} is missing in [{}], expected {}", self.header(), form.expected);
+            fail(Category::Structure, &self.file, self.line, message)
         }
     }
 
@@ -155,12 +154,11 @@
             let message = format!("{key} stands twice in [{}], expected it once", self.header());
             return fail(Category::Structure, &self.file, again.line, message);
         }
-        match (form.read)(&entry.value) {
-            Some(value) => Ok(Some(value)),
-            None => {
-                let message = format!("{key} = {}, expected {}", entry.value, form.expected);
-                fail(Category::Value, &self.file, entry.line, message)
-            }
+        if let Some(value) = (form.read)(&entry.value) {
+            Ok(Some(value))
+        } else {
+            let message = format!("{key} = {}, expected {}", entry.value, form.expected);
+            fail(Category::Value, &self.file, entry.line, message)
         }
     }
 
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -213,14 +213,12 @@
                 let outcome = header("verbena-outcome").unwrap_or("none").to_owned();
                 let why = header("verbena-reason").unwrap_or("server").to_owned();
                 reason = Some(format!("{} {why}", answer.status().as_u16()));
-                if outcome == "not-run" {
+                (outcome == "not-run").then(|| {
                     if let Some(witness) = &self.witness {
                         witness.note_not_run(shot.id);
                     }
-                    Some(false)
-                } else {
-                    None
-                }
+                    false
+                })
             }
             Err(report) => {
                 let category = report.current_context().category();
--- a/crates/lab/src/store_server.rs
+++ b/crates/lab/src/store_server.rs
@@ -75,13 +75,14 @@
             let expect = match query.get("expect").map(String::as_str) {
                 None | Some("") => Expect::Anything,
                 Some("missing") => Expect::Missing,
-                Some(revision) => match revision.parse() {
-                    Ok(revision) => Expect::At(Revision(revision)),
-                    Err(_) => {
+                Some(revision) => {
+                    if let Ok(revision) = revision.parse() {
+                        Expect::At(Revision(revision))
+                    } else {
                         let text = "expect is not valid, expected missing or a revision\n";
                         return web::status(StatusCode::BAD_REQUEST, text);
                     }
-                },
+                }
             };
             let lease = number(query, "lease").map(LeaseId);
             let text = String::from_utf8_lossy(&web::read(request).await).into_owned();
--- a/crates/lease/src/epoch.rs
+++ b/crates/lease/src/epoch.rs
@@ -18,6 +18,15 @@
 #[serde(transparent)]
 pub struct Term(pub u64);
 
+/// One controller in one of its terms: no two have the same, in whatever process.
+///
+/// Terms order controllers; but voters without disks can forget a term, and then it
+/// comes up again. The tenure tells such controllers apart.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+#[serde(transparent)]
+pub struct Tenure(pub u64);
+
 /// The identity of a shard, unique in its service for good.
 #[derive(
     Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
--- a/crates/lease/src/grant.rs
+++ b/crates/lease/src/grant.rs
@@ -33,6 +33,11 @@
         *self = Self::default();
     }
 
+    /// Forgets the clock of a process, but not when its grants end.
+    pub fn change_clock(&mut self) {
+        self.clock = None;
+    }
+
     /// Returns the deadline for a grant sent now, on the server's clock.
     ///
     /// Returns `None` until a reading of that clock was received.
--- a/crates/lease/src/holder.rs
+++ b/crates/lease/src/holder.rs
@@ -1,16 +1,16 @@
 //! The server's side of a grant.
 
-use document::{HashMap, Name};
+use document::HashMap;
 
 use crate::order::{Held, Order, Report, ShardEpoch, Verdict};
-use crate::{Epoch, ShardId, Term};
+use crate::{Epoch, ShardId, Tenure, Term};
 
 /// What one server process holds of one service.
 #[derive(Debug)]
 pub struct Holder {
     incarnation: u64,
     term: Term,
-    controller: Option<Name>,
+    tenure: Option<Tenure>,
     shards: HashMap<ShardId, Slot>,
     prepared: Vec<ShardId>,
 }
@@ -48,7 +48,7 @@
         Self {
             incarnation,
             term: Term(0),
-            controller: None,
+            tenure: None,
             shards: HashMap::default(),
             prepared: Vec::new(),
         }
@@ -59,7 +59,7 @@
         let verdict = self.judge(order);
         if verdict != Verdict::Outdated {
             self.term = order.term;
-            self.controller = Some(order.controller.clone());
+            self.tenure = Some(order.tenure);
         }
         if verdict == Verdict::Followed {
             self.apply(now_ms, order);
@@ -121,7 +121,7 @@
     }
 
     fn judge(&self, order: &Order) -> Verdict {
-        let is_other = self.controller.as_ref().is_some_and(|known| *known != order.controller);
+        let is_other = self.tenure.is_some_and(|known| known != order.tenure);
         if order.term < self.term || (order.term == self.term && is_other) {
             return Verdict::Outdated;
         }
--- a/crates/lease/src/voter.rs
+++ b/crates/lease/src/voter.rs
@@ -1,8 +1,6 @@
 //! The promises that one instance gives.
 
-use document::Name;
-
-use crate::{Term, slower_ms};
+use crate::{Tenure, Term, slower_ms};
 
 /// Gives promises to candidates, one at a time.
 ///
@@ -29,7 +27,7 @@
 
 #[derive(Clone, Debug)]
 struct Promise {
-    candidate: Name,
+    tenure: Tenure,
     deadline_ms: u64,
 }
 
@@ -47,11 +45,11 @@
         self.highest_term
     }
 
-    /// Returns the candidate that holds this voter's promise.
+    /// Returns the tenure that holds this voter's promise.
     #[must_use]
-    pub fn bound_to(&self, now_ms: u64) -> Option<&Name> {
+    pub fn bound_to(&self, now_ms: u64) -> Option<Tenure> {
         let promise = self.promise.as_ref()?;
-        (now_ms < promise.deadline_ms).then_some(&promise.candidate)
+        (now_ms < promise.deadline_ms).then_some(promise.tenure)
     }
 
     /// Returns whether the voter still waits for forgotten promises to end.
@@ -62,18 +60,18 @@
 
     /// Tells what the answer to a candidate would be, without a promise.
     #[must_use]
-    pub fn probe(&self, now_ms: u64, candidate: &Name, term: Term) -> Vote {
+    pub fn probe(&self, now_ms: u64, tenure: Tenure, term: Term) -> Vote {
         if term < self.highest_term {
             return Vote::Outdated(self.highest_term);
         }
         if self.is_silent(now_ms) {
             return Vote::Bound;
         }
-        if self.bound_to(now_ms).is_some_and(|bound| bound != candidate) {
+        if self.bound_to(now_ms).is_some_and(|bound| bound != tenure) {
             return Vote::Bound;
         }
         // A promise is renewed in its own term; any other promise needs a later term.
-        let is_renewal = self.bound_to(now_ms) == Some(candidate);
+        let is_renewal = self.bound_to(now_ms) == Some(tenure);
         if term == self.highest_term && self.promise.is_some() && !is_renewal {
             return Vote::Outdated(self.highest_term);
         }
@@ -81,12 +79,12 @@
     }
 
     /// Answers a candidate.
-    pub fn ask(&mut self, now_ms: u64, candidate: &Name, term: Term) -> Vote {
-        let vote = self.probe(now_ms, candidate, term);
+    pub fn ask(&mut self, now_ms: u64, tenure: Tenure, term: Term) -> Vote {
+        let vote = self.probe(now_ms, tenure, term);
         if vote == Vote::Promised {
             self.highest_term = term;
             let deadline_ms = now_ms + self.promise_ms;
-            self.promise = Some(Promise { candidate: candidate.clone(), deadline_ms });
+            self.promise = Some(Promise { tenure, deadline_ms });
         }
         vote
     }
@@ -99,9 +97,9 @@
     }
 
     /// Ends the promise to a candidate that gave it back.
-    pub fn release(&mut self, candidate: &Name) {
-        if self.promise.as_ref().is_some_and(|promise| promise.candidate == *candidate) {
-            self.promise = None;
+    pub fn release(&mut self, tenure: Tenure) {
+        if let Some(promise) = self.promise.as_mut().filter(|promise| promise.tenure == tenure) {
+            promise.deadline_ms = 0;
         }
     }
 }
--- a/crates/peer/src/convert.rs
+++ b/crates/peer/src/convert.rs
@@ -5,7 +5,7 @@
 use control::{Beat, BeatReply, Intent, PromiseAsk, PromiseReply, Record, RecordCopy, Stage};
 use document::{Name, Revision};
 use error_stack::Report;
-use lease::{Epoch, ShardId, Term, Vote};
+use lease::{Epoch, ShardId, Tenure, Term, Vote};
 use route::{Group, Route, Table};
 use wire::envelope::Message as WireMessage;
 
@@ -17,7 +17,9 @@
         let message = match &packet.message {
             Message::Ask(ask) => WireMessage::Ask(ask.into()),
             Message::Reply(reply) => WireMessage::Reply(reply.into()),
-            Message::ReturnPromise => WireMessage::ReturnPromise(wire::ReturnPromise {}),
+            Message::ReturnPromise(tenure) => {
+                WireMessage::ReturnPromise(wire::ReturnPromise { tenure: tenure.0 })
+            }
             Message::Beat(beat) => WireMessage::Beat(beat.into()),
             Message::BeatReply(reply) => WireMessage::BeatReply(reply.into()),
             Message::Table(table) => WireMessage::Table((&**table).into()),
@@ -54,7 +56,9 @@
         let message = match message {
             WireMessage::Ask(ask) => Message::Ask(to_ask(from.clone(), ask)?),
             WireMessage::Reply(reply) => Message::Reply(to_reply(from.clone(), reply)?),
-            WireMessage::ReturnPromise(_) => Message::ReturnPromise,
+            WireMessage::ReturnPromise(message) => {
+                Message::ReturnPromise(Tenure(message.tenure))
+            }
             WireMessage::Beat(beat) => Message::Beat(to_beat(from.clone(), beat)),
             WireMessage::BeatReply(reply) => Message::BeatReply(to_beat_reply(reply)),
             WireMessage::Table(table) => {
@@ -85,6 +89,7 @@
             record_revision: ask.record_revision.0,
             record: ask.record.as_ref().map(Into::into),
             intent: ask.intent.as_ref().map(Into::into),
+            tenure: ask.tenure.0,
         }
     }
 }
@@ -107,6 +112,7 @@
             intent_number: reply.intent_number,
             intents: reply.intents.iter().map(Into::into).collect(),
             is_sure: reply.is_sure,
+            tenure: reply.tenure.0,
         }
     }
 }
@@ -139,6 +145,7 @@
             is_drained: beat.is_drained,
             document_revision: beat.document.0,
             loads: beat.loads.iter().map(load).collect(),
+            tenure: beat.tenure.0,
         }
     }
 }
@@ -147,7 +154,7 @@
     fn from(reply: &BeatReply) -> Self {
         Self {
             incarnation: reply.incarnation,
-            term: reply.term.0,
+            tenure: reply.tenure.0,
             sequence: reply.sequence,
             deadline_ms: reply.deadline_ms,
         }
@@ -174,6 +181,7 @@
             owners: routes.iter().map(|route| route.server.map_or(0, |at| at + 1)).collect(),
             epochs: routes.iter().map(|route| route.epoch.0).collect(),
             open: routes.iter().map(|route| route.is_open).collect(),
+            tenure: table.tenure.0,
         }
     }
 }
@@ -195,6 +203,7 @@
 fn to_ask(candidate: Name, ask: wire::Ask) -> Result<PromiseAsk> {
     Ok(PromiseAsk {
         candidate,
+        tenure: Tenure(ask.tenure),
         term: Term(ask.term),
         stage: to_stage(ask.stage()),
         asked_ms: ask.asked_ms,
@@ -212,6 +221,7 @@
     };
     Ok(PromiseReply {
         voter,
+        tenure: Tenure(reply.tenure),
         term: Term(reply.term),
         stage: to_stage(reply.stage()),
         asked_ms: reply.asked_ms,
@@ -249,6 +259,7 @@
         incarnation: beat.incarnation,
         clock_ms: beat.clock_ms,
         term: Term(beat.term),
+        tenure: Tenure(beat.tenure),
         sequence: beat.sequence,
         is_drained: beat.is_drained,
         document: Revision(beat.document_revision),
@@ -259,7 +270,7 @@
 fn to_beat_reply(reply: wire::BeatReply) -> BeatReply {
     BeatReply {
         incarnation: reply.incarnation,
-        term: Term(reply.term),
+        tenure: Tenure(reply.tenure),
         sequence: reply.sequence,
         deadline_ms: reply.deadline_ms,
     }
@@ -294,6 +305,7 @@
     Ok(Table {
         service,
         term: Term(table.term),
+        tenure: Tenure(table.tenure),
         controller: Name::from(table.controller),
         sequence: table.sequence,
         document: Revision(table.document_revision),
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -10,7 +10,7 @@
 //! use peer::{Message, Packet};
 //!
 //! let packet =
-//!     Packet::new(Name::from("entry-1"), Name::from("ledger"), Message::ReturnPromise);
+//!     Packet::new(Name::from("entry-1"), Name::from("ledger"), Message::DocumentAsk);
 //! let frame = packet.to_bytes();
 //! assert_eq!(Packet::from_bytes(frame)?, packet);
 //! # Ok::<(), error_stack::Report<peer::Error>>(())
--- a/crates/peer/src/packet.rs
+++ b/crates/peer/src/packet.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use control::{Beat, BeatReply, PromiseAsk, PromiseReply};
 use document::{Name, Revision};
+use lease::Tenure;
 use prost::Message as _;
 use route::Table;
 
@@ -30,7 +31,7 @@
     /// Answers such an ask.
     Reply(PromiseReply),
     /// Gives a promise back.
-    ReturnPromise,
+    ReturnPromise(Tenure),
     /// Tells what the sender routes by.
     Beat(Beat),
     /// Answers a beat.
--- a/crates/route/src/refusal.rs
+++ b/crates/route/src/refusal.rs
@@ -62,7 +62,7 @@
     /// Creates the refusal of a request that certainly did not run.
     #[must_use]
     pub fn not_run(reason: Reason) -> Self {
-        let retry_after_s = if reason.is_passing() { Some(RETRY_AFTER_S) } else { None };
+        let retry_after_s = reason.is_passing().then_some(RETRY_AFTER_S);
         Self { outcome: Outcome::NotRun, reason, retry_after_s }
     }
 
--- a/crates/verbenactl/src/show.rs
+++ b/crates/verbenactl/src/show.rs
@@ -34,7 +34,7 @@
             "  controller {controller}, term {}, record {}, voters {}",
             control.term,
             control.record,
-            control.voters.iter().map(|name| name.as_str()).collect::<Vec<_>>().join(" ")
+            control.voters.iter().map(document::Name::as_str).collect::<Vec<_>>().join(" ")
         );
         for (server, status) in &control.servers {
             let state = if status.is_reachable { "answers" } else { "silent" };
--- a/crates/verbenad/src/entry.rs
+++ b/crates/verbenad/src/entry.rs
@@ -23,9 +23,9 @@
 }
 
 impl Entry {
-    pub(crate) fn new(now_ms: u64, service: Name, me: Name) -> Self {
+    pub(crate) fn new(now_ms: u64, incarnation: u64, service: Name, me: Name) -> Self {
         Self {
-            control: Control::new(now_ms, service, me, Tuning::default()),
+            control: Control::new(now_ms, incarnation, service, me, Tuning::default()),
             revision: Revision(0),
             text: Name::from(""),
             document: None,
@@ -68,7 +68,7 @@
         if is_same {
             return false;
         }
-        if self.table.as_ref().is_none_or(|known| known.term != newest.term) {
+        if self.table.as_ref().is_none_or(|known| known.tenure != newest.tenure) {
             self.in_flight.set_route_deadline_ms(0);
         }
         if self.in_flight.len() != newest.routes.len() {
--- a/crates/verbenad/src/node.rs
+++ b/crates/verbenad/src/node.rs
@@ -113,12 +113,11 @@
         match input {
             Input::Packet(packet) => self.take_packet(packet),
             Input::Report { service, server, report } => {
-                let event = match report {
-                    Some(report) => Event::Reported(server, report),
-                    None => {
-                        self.traffic.counters.count(Counter::OrdersFailed);
-                        Event::Unanswered(server)
-                    }
+                let event = if let Some(report) = report {
+                    Event::Reported(server, report)
+                } else {
+                    self.traffic.counters.count(Counter::OrdersFailed);
+                    Event::Unanswered(server)
                 };
                 self.step(&service, event);
             }
@@ -169,7 +168,9 @@
         match message {
             Message::Ask(ask) => self.step(&service, Event::PromiseAsked(ask)),
             Message::Reply(reply) => self.step(&service, Event::PromiseReplied(reply)),
-            Message::ReturnPromise => self.step(&service, Event::PromiseReturned(from)),
+            Message::ReturnPromise(tenure) => {
+                self.step(&service, Event::PromiseReturned(tenure));
+            }
             Message::Beat(beat) => self.step(&service, Event::Beat(beat)),
             Message::BeatReply(reply) => self.take_beat_reply(&service, reply),
             Message::Table(table) => self.step(&service, Event::Table(table)),
@@ -222,7 +223,9 @@
             }
             Action::AskPromise(to, ask) => self.send(&to, service, Message::Ask(ask)),
             Action::ReplyPromise(to, reply) => self.send(&to, service, Message::Reply(reply)),
-            Action::ReturnPromise(to) => self.send(&to, service, Message::ReturnPromise),
+            Action::ReturnPromise(to, tenure) => {
+                self.send(&to, service, Message::ReturnPromise(tenure));
+            }
             Action::Order(server, address, order) => {
                 self.send_order(service.clone(), server, address, order);
             }
@@ -314,10 +317,11 @@
         self.has_documents = true;
         for entry in changes.entries {
             let Some(service) = entry.key.rsplit('/').next().map(Name::from) else { continue };
-            match entry.text {
-                Some(text) => self.accept(&service, entry.revision, Name::from(text)),
-                None => warn!("document was removed; the one in force stays",
-                              kv: { service = service.as_str() }),
+            if let Some(text) = entry.text {
+                self.accept(&service, entry.revision, Name::from(text))
+            } else {
+                warn!("document was removed; the one in force stays",
+            kv: { service = service.as_str() });
             }
         }
     }
@@ -340,12 +344,12 @@
         let now_ms = self.now_ms();
         let daemons = u32::try_from(self.instances.len().max(1)).unwrap_or(u32::MAX);
         let instances = self.instances.clone();
-        let me = self.settings.instance.clone();
+        let (me, incarnation) = (self.settings.instance.clone(), self.incarnation);
         let is_new = !self.services.contains_key(service);
         let entry = self
             .services
             .entry(service.clone())
-            .or_insert_with(|| Entry::new(now_ms, service.clone(), me));
+            .or_insert_with(|| Entry::new(now_ms, incarnation, service.clone(), me));
         entry.set_document(revision, text, Arc::clone(&document), daemons);
         self.is_changed = true;
         self.traffic.counters.count(Counter::Documents);
@@ -419,6 +423,7 @@
             incarnation: self.incarnation,
             clock_ms: now_ms,
             term: table.map_or(lease::Term(0), |table| table.term),
+            tenure: table.map_or(lease::Tenure(0), |table| table.tenure),
             sequence: table.map_or(0, |table| table.sequence),
             is_drained,
             document: entry.revision,
@@ -433,7 +438,7 @@
         let now_ms = self.now_ms();
         let Some(entry) = self.services.get_mut(service) else { return };
         let is_mine = reply.incarnation == self.incarnation
-            && entry.table.as_ref().is_some_and(|table| table.term == reply.term);
+            && entry.table.as_ref().is_some_and(|table| table.tenure == reply.tenure);
         if is_mine {
             let known_ms = entry.in_flight.route_deadline_ms();
             entry.in_flight.set_route_deadline_ms(known_ms.max(reply.deadline_ms));
