--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -80,13 +80,7 @@
     ///
     /// No other process may ever have the same incarnation.
     #[must_use]
-    pub fn new(
-        now_ms: u64,
-        incarnation: u64,
-        service: Name,
-        me: Name,
-        tuning: Tuning,
-    ) -> Self {
+    pub fn new(now_ms: u64, incarnation: u64, service: Name, me: Name, tuning: Tuning) -> Self {
         Self {
             service,
             me,
@@ -266,7 +260,8 @@
                 asked_ms: now_ms,
                 record_revision: known.revision,
                 record: None,
-                intent: None,
+                intents: Vec::new(),
+                voter_incarnation: 0,
             };
             out.push(Action::AskPromise(voter, ask));
         }
@@ -377,17 +372,21 @@
             self.learn(copy);
         }
         let known_revision = self.known_revision();
-        if let Some(intent) = ask.intent.clone()
-            && intent.over <= self.known_revision()
-        {
-            self.newest_intent = (ask.tenure, intent.number);
-            self.learn_intent(intent);
+        for intent in ask.intents.clone() {
+            if intent.over <= self.known_revision() {
+                self.newest_intent = (ask.tenure, intent.number);
+                self.learn_intent(intent);
+            }
         }
         let is_leading = ask.stage == Stage::Leading;
-        self.is_synced |= is_leading && known_revision >= ask.record_revision;
+        // Only an ask that was sent since this process started can bring it up to date.
+        let is_told = is_leading
+            && ask.voter_incarnation == self.incarnation
+            && known_revision >= ask.record_revision;
+        self.is_synced |= is_told;
+        self.is_sure |= is_told;
         if is_leading && ask.term >= self.voter.highest_term() {
             self.led_until_ms = now_ms + self.tuning.promise_ms;
-            self.is_sure |= self.is_synced;
         }
         let is_rival = self.is_controller()
             && ask.candidate != self.me
@@ -413,6 +412,7 @@
             },
             intents: if is_leading { Vec::new() } else { self.intents.clone() },
             is_sure: self.is_sure,
+            voter_incarnation: self.incarnation,
         };
         out.push(Action::ReplyPromise(ask.candidate, reply));
         if is_rival && vote == Vote::Promised && ask.stage != Stage::Probing {
--- a/crates/control/src/draft.rs
+++ b/crates/control/src/draft.rs
@@ -73,7 +73,7 @@
     /// Returns whether a write that may take effect says something else of a shard.
     pub(crate) fn is_disputed(&self, at: usize) -> bool {
         let known = &self.known.record.shards[at];
-        self.writer.unresolved().iter().any(|record| record.shards[at] != *known)
+        self.writer.unresolved().iter().any(|intent| intent.record.shards[at] != *known)
     }
 
     /// Returns the record that describes the present state and the plan.
--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -87,11 +87,13 @@
     Over(Term),
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct VoterLink {
+    incarnation: u64,
     acked: Revision,
     intent_number: u64,
     last_reply_ms: u64,
+    retired: Vec<u64>,
 }
 
 impl Lead {
@@ -110,7 +112,6 @@
                 }
             })
             .collect();
-        let unresolved = start.intents.into_iter().map(|intent| intent.record).collect();
         let mut lead = Self {
             me: start.me,
             service: start.service,
@@ -134,7 +135,7 @@
             is_planned: false,
             is_plan_due: true,
             next_plan_ms: now_ms + start.tuning.plan_every_ms,
-            writer: Writer::new(now_ms, unresolved),
+            writer: Writer::new(now_ms, start.intents),
             is_sure: start.is_sure,
             usable_grant_ms: MIN_GRANT_MS,
             table: None,
@@ -234,22 +235,31 @@
         if reply.tenure != self.tenure {
             return Standing::InOffice;
         }
-        match reply.vote {
-            lease::Vote::Outdated(term) if term > self.term => return Standing::Over(term),
-            lease::Vote::Promised if reply.stage != Stage::Probing => {
-                self.authority.note(&reply.voter, reply.asked_ms, self.tuning.promise_ms);
-            }
-            _ => {}
-        }
-        let link = self.voters.entry(reply.voter.clone()).or_insert(VoterLink {
+        let link = self.voters.entry(reply.voter.clone()).or_insert_with(|| VoterLink {
+            incarnation: reply.voter_incarnation,
             acked: Revision(0),
             intent_number: 0,
             last_reply_ms: now_ms,
+            retired: Vec::new(),
         });
-        // The newest reply counts: a restarted voter knows less than it did.
+        if link.incarnation != reply.voter_incarnation {
+            // A restarted voter has forgotten; a late reply of its earlier process is void.
+            if link.retired.contains(&reply.voter_incarnation) {
+                return Standing::InOffice;
+            }
+            link.retired.push(link.incarnation);
+            link.incarnation = reply.voter_incarnation;
+        }
         link.acked = reply.record_revision;
         link.last_reply_ms = now_ms;
         link.intent_number = reply.intent_number;
+        match reply.vote {
+            lease::Vote::Outdated(term) if term > self.term => return Standing::Over(term),
+            lease::Vote::Promised if reply.stage != Stage::Probing => {
+                self.authority.note(&reply.voter, reply.asked_ms, self.tuning.promise_ms);
+            }
+            _ => {}
+        }
         if self.is_record_acknowledged() {
             self.usable_grant_ms = self.known.record.grant_ms;
         }
@@ -282,12 +292,7 @@
         }
     }
 
-    pub(crate) fn on_beat(
-        &mut self,
-        now_ms: u64,
-        beat: &Beat,
-        out: &mut Vec<Action>,
-    ) -> Standing {
+    pub(crate) fn on_beat(&mut self, now_ms: u64, beat: &Beat, out: &mut Vec<Action>) -> Standing {
         // A table of another controller in this term or a later one: this term is taken.
         if beat.term >= self.term && beat.tenure != self.tenure {
             return Standing::Over(beat.term);
@@ -367,7 +372,8 @@
             let link = self.voters.get(&voter);
             let acked = link.map_or(Revision(0), |link| link.acked);
             let known_number = link.map_or(0, |link| link.intent_number);
-            let intent = self.writer.announced().filter(|intent| intent.number > known_number);
+            let unresolved = self.writer.unresolved().iter();
+            let intents = unresolved.filter(|intent| intent.number > known_number);
             let ask = PromiseAsk {
                 candidate: self.me.clone(),
                 tenure: self.tenure,
@@ -376,7 +382,8 @@
                 asked_ms: now_ms,
                 record_revision: self.known.revision,
                 record: (acked < self.known.revision).then(|| self.known.clone()),
-                intent: intent.cloned(),
+                intents: intents.cloned().collect(),
+                voter_incarnation: link.map_or(0, |link| link.incarnation),
             };
             out.push(Action::AskPromise(voter, ask));
         }
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -55,8 +55,10 @@
     pub record_revision: Revision,
     /// That record, where the voter seems to lack it.
     pub record: Option<RecordCopy>,
-    /// The newest write that is about to be tried, where the voter seems to lack it.
-    pub intent: Option<Intent>,
+    /// The writes that may take effect, where the voter seems to lack them.
+    pub intents: Vec<Intent>,
+    /// The voter's process that last answered the asker; 0 for none.
+    pub voter_incarnation: u64,
 }
 
 /// A voter's answer.
@@ -84,6 +86,8 @@
     pub intents: Vec<Intent>,
     /// Whether the voter remembers all that a controller told it.
     pub is_sure: bool,
+    /// The voter's process.
+    pub voter_incarnation: u64,
 }
 
 /// A daemon tells a controller what it routes by, and asks for a route lease.
--- a/crates/control/src/writer.rs
+++ b/crates/control/src/writer.rs
@@ -11,7 +11,7 @@
 pub(crate) struct Writer {
     /// How many writes were asked for.
     pub(crate) writes: u64,
-    unresolved: Vec<Arc<Record>>,
+    unresolved: Vec<Intent>,
     state: State,
     next_write_ms: u64,
 }
@@ -48,8 +48,12 @@
 const RETRY_WRITE_MS: u64 = 500;
 
 impl Writer {
-    pub(crate) fn new(now_ms: u64, unresolved: Vec<Arc<Record>>) -> Self {
-        Self { writes: 0, unresolved, state: State::Idle, next_write_ms: now_ms }
+    pub(crate) fn new(now_ms: u64, inherited: Vec<Intent>) -> Self {
+        // Voters that lack them are told of them as of this controller's own.
+        let unresolved: Vec<Intent> =
+            (1..).zip(inherited).map(|(number, intent)| Intent { number, ..intent }).collect();
+        let writes = unresolved.last().map_or(0, |intent| intent.number);
+        Self { writes, unresolved, state: State::Idle, next_write_ms: now_ms }
     }
 
     pub(crate) fn next(&mut self, now_ms: u64, is_urgent: bool, is_announced: bool) -> Next {
@@ -71,8 +75,9 @@
     /// Starts to announce a write.
     pub(crate) fn announce(&mut self, record: Arc<Record>, over: Revision) {
         self.writes += 1;
-        self.unresolved.push(Arc::clone(&record));
-        self.state = State::Announcing(Intent { number: self.writes, over, record });
+        let intent = Intent { number: self.writes, over, record };
+        self.unresolved.push(intent.clone());
+        self.state = State::Announcing(intent);
     }
 
     /// Returns the write that is being announced.
@@ -96,7 +101,7 @@
     }
 
     /// Returns the writes that may take effect at any time.
-    pub(crate) fn unresolved(&self) -> &[Arc<Record>] {
+    pub(crate) fn unresolved(&self) -> &[Intent] {
         &self.unresolved
     }
 
--- a/crates/control/tests/regressions.rs
+++ b/crates/control/tests/regressions.rs
@@ -48,7 +48,7 @@
 }
 
 #[test]
-fn tmp_three() {
+fn reused_term() {
     let steps = [
         Late(0, 1),
         Run(79),
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -9,6 +9,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -17,11 +18,13 @@
     WriteOutcome,
 };
 use document::{Document, Name, Revision};
-use lease::{Epoch, Holder, Order, Report, ShardId};
+use lease::{Epoch, Holder, Order, ShardId};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use route::Table;
 
+/// Stands for whatever daemon process there is when a message arrives.
+const ANY_PROCESS: u64 = 0;
 const TICK_MS: u64 = 20;
 const BEAT_MS: u64 = 250;
 const PREPARE_MS: u64 = 30;
@@ -151,11 +154,13 @@
     );
     for (number, (server, data_centre, state, checks)) in servers.iter().enumerate() {
         let checks = if *checks { "yes" } else { "no" };
-        text.push_str(&format!(
+        write!(
+            text,
             "[server {server}]\naddress = 127.0.0.1:{}\ndata_centre = {data_centre}\n\
              state = {state}\nchecks_fence = {checks}\n",
             9000 + number
-        ));
+        )
+        .expect("a string takes all text");
     }
     text
 }
@@ -223,7 +228,8 @@
         let local_ms = clock.read(now_ms);
         let tuning = Tuning::default();
         let incarnation = daemon.incarnation;
-        daemon.control = Some(Control::new(local_ms, incarnation, name("ledger"), daemon.name.clone(), tuning));
+        daemon.control =
+            Some(Control::new(local_ms, incarnation, name("ledger"), daemon.name.clone(), tuning));
         self.tables[at] = None;
         self.deliver(at, Event::Instances(instances));
         self.queue_in(1, Delivery::Tick(at));
@@ -380,10 +386,12 @@
             let status = daemon.control.as_ref().and_then(|c| c.status(local_ms));
             let table = table.as_ref().map(|t| (t.term, t.sequence));
             let lease_ms = daemon.route_deadline_ms.saturating_sub(local_ms);
-            text.push_str(&format!(
+            write!(
+                text,
                 "{} document {} table {table:?} route lease {lease_ms} ms status {status:?}\n",
                 daemon.name, daemon.has_document
-            ));
+            )
+            .expect("a string takes all text");
         }
         text
     }
@@ -424,7 +432,7 @@
                 if self.defer_daemon(at, &Delivery::ToDaemon(at, incarnation, event.clone())) {
                     return;
                 }
-                if self.daemons[at].incarnation == incarnation {
+                if incarnation == ANY_PROCESS || self.daemons[at].incarnation == incarnation {
                     self.deliver(at, *event);
                 }
             }
@@ -499,8 +507,8 @@
 
     fn send_beat(&mut self, at: usize) {
         let table = self.tables[at].as_ref();
-        let (term, tenure, sequence) = table
-            .map_or((lease::Term(0), lease::Tenure(0), 0), |t| (t.term, t.tenure, t.sequence));
+        let (term, tenure, sequence) =
+            table.map_or((lease::Term(0), lease::Tenure(0), 0), |t| (t.term, t.tenure, t.sequence));
         let daemon = &self.daemons[at];
         let beat = Beat {
             instance: daemon.name.clone(),
@@ -524,7 +532,8 @@
         let Some(to) = self.daemons.iter().position(|d| d.name == *to) else {
             return;
         };
-        let incarnation = self.daemons[to].incarnation;
+        // A peer's message may reach a later process at the same place.
+        let incarnation = ANY_PROCESS;
         let from = self.daemons[from].data_centre.clone();
         let to_centre = self.daemons[to].data_centre.clone();
         self.send(&from, &to_centre, Delivery::ToDaemon(to, incarnation, Box::new(event)));
@@ -609,7 +618,7 @@
             return;
         }
         let local_ms = server.clock.read(self.now_ms);
-        let mut report: Report = server.holder.follow(local_ms, order);
+        let mut report = server.holder.follow(local_ms, order);
         server.prepare_ready_ms.retain(|shard, _| order.prepares.contains(shard));
         for shard in &order.prepares {
             server.prepare_ready_ms.entry(*shard).or_insert(self.now_ms + PREPARE_MS);
--- a/crates/control/tests/world/schedule.rs
+++ b/crates/control/tests/world/schedule.rs
@@ -49,10 +49,8 @@
         Step::PauseServer(at, ms) => world.pause_server(SERVERS[*at], *ms),
         Step::KillDaemon(at) => world.kill_daemon(*at),
         Step::StartDaemon(at) if world.daemons[*at].control.is_none() => world.start_daemon(*at),
-        Step::StartDaemon(_) => {}
         Step::PauseDaemon(at, ms) => world.pause_daemon(*at, *ms),
         Step::Cut(a, b) if a != b => world.cut(PLACES[*a], PLACES[*b]),
-        Step::Cut(..) => {}
         Step::Heal => world.heal(),
         Step::StoreDown(is_down) => world.store.is_down = *is_down,
         Step::LostReplies(permille) => world.store.lost_reply_permille = *permille,
@@ -62,7 +60,7 @@
             world.late_ms = *ms;
         }
         Step::Edit(leaving) if !world.store.is_down => world.edit(&text(*leaving, all_check)),
-        Step::Edit(_) => {}
+        Step::StartDaemon(_) | Step::Cut(..) | Step::Edit(_) => {}
     }
 }
 
--- a/crates/lease/src/authority.rs
+++ b/crates/lease/src/authority.rs
@@ -63,6 +63,6 @@
 }
 
 fn has_majority(voters: &[Name], agrees: impl Fn(&Name) -> bool) -> bool {
-    let agreed = voters.iter().filter(|voter| agrees(voter)).count();
-    agreed > voters.len() / 2
+    let count = voters.iter().filter(|voter| agrees(voter)).count();
+    count > voters.len() / 2
 }
--- a/crates/lease/src/epoch.rs
+++ b/crates/lease/src/epoch.rs
@@ -22,8 +22,9 @@
 ///
 /// Terms order controllers; but voters without disks can forget a term, and then it
 /// comes up again. The tenure tells such controllers apart.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
-#[derive(Deserialize, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+)]
 #[serde(transparent)]
 pub struct Tenure(pub u64);
 
--- a/crates/peer/src/convert.rs
+++ b/crates/peer/src/convert.rs
@@ -54,11 +54,9 @@
             .message
             .ok_or_else(|| Error::report("packet has a message of no known kind"))?;
         let message = match message {
-            WireMessage::Ask(ask) => Message::Ask(to_ask(from.clone(), ask)?),
-            WireMessage::Reply(reply) => Message::Reply(to_reply(from.clone(), reply)?),
-            WireMessage::ReturnPromise(message) => {
-                Message::ReturnPromise(Tenure(message.tenure))
-            }
+            WireMessage::Ask(ask) => Message::Ask(to_ask(from.clone(), &ask)?),
+            WireMessage::Reply(reply) => Message::Reply(to_reply(from.clone(), &reply)?),
+            WireMessage::ReturnPromise(message) => Message::ReturnPromise(Tenure(message.tenure)),
             WireMessage::Beat(beat) => Message::Beat(to_beat(from.clone(), beat)),
             WireMessage::BeatReply(reply) => Message::BeatReply(to_beat_reply(reply)),
             WireMessage::Table(table) => {
@@ -88,8 +86,9 @@
             asked_ms: ask.asked_ms,
             record_revision: ask.record_revision.0,
             record: ask.record.as_ref().map(Into::into),
-            intent: ask.intent.as_ref().map(Into::into),
+            intents: ask.intents.iter().map(Into::into).collect(),
             tenure: ask.tenure.0,
+            voter_incarnation: ask.voter_incarnation,
         }
     }
 }
@@ -113,6 +112,7 @@
             intents: reply.intents.iter().map(Into::into).collect(),
             is_sure: reply.is_sure,
             tenure: reply.tenure.0,
+            voter_incarnation: reply.voter_incarnation,
         }
     }
 }
@@ -200,7 +200,7 @@
     }
 }
 
-fn to_ask(candidate: Name, ask: wire::Ask) -> Result<PromiseAsk> {
+fn to_ask(candidate: Name, ask: &wire::Ask) -> Result<PromiseAsk> {
     Ok(PromiseAsk {
         candidate,
         tenure: Tenure(ask.tenure),
@@ -208,12 +208,13 @@
         stage: to_stage(ask.stage()),
         asked_ms: ask.asked_ms,
         record_revision: Revision(ask.record_revision),
-        record: ask.record.map(to_record_copy).transpose()?,
-        intent: ask.intent.map(to_intent).transpose()?,
+        record: ask.record.as_ref().map(to_record_copy).transpose()?,
+        intents: ask.intents.iter().map(to_intent).collect::<Result<_>>()?,
+        voter_incarnation: ask.voter_incarnation,
     })
 }
 
-fn to_reply(voter: Name, reply: wire::Reply) -> Result<PromiseReply> {
+fn to_reply(voter: Name, reply: &wire::Reply) -> Result<PromiseReply> {
     let vote = match reply.vote() {
         wire::Vote::Bound => Vote::Bound,
         wire::Vote::Promised => Vote::Promised,
@@ -227,18 +228,19 @@
         asked_ms: reply.asked_ms,
         vote,
         record_revision: Revision(reply.record_revision),
-        record: reply.record.map(to_record_copy).transpose()?,
+        record: reply.record.as_ref().map(to_record_copy).transpose()?,
         intent_number: reply.intent_number,
-        intents: reply.intents.into_iter().map(to_intent).collect::<Result<_>>()?,
+        intents: reply.intents.iter().map(to_intent).collect::<Result<_>>()?,
         is_sure: reply.is_sure,
+        voter_incarnation: reply.voter_incarnation,
     })
 }
 
-fn to_record_copy(copy: wire::RecordCopy) -> Result<RecordCopy> {
+fn to_record_copy(copy: &wire::RecordCopy) -> Result<RecordCopy> {
     Ok(RecordCopy { revision: Revision(copy.revision), record: to_record(&copy.record_json)? })
 }
 
-fn to_intent(intent: wire::Intent) -> Result<Intent> {
+fn to_intent(intent: &wire::Intent) -> Result<Intent> {
     Ok(Intent {
         number: intent.number,
         over: Revision(intent.over),
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -21,7 +21,7 @@
 mod link;
 mod packet;
 
-#[expect(clippy::pedantic, reason = "generated from proto/peer.proto")]
+#[expect(clippy::pedantic, clippy::empty_structs_with_brackets, reason = "generated from proto/peer.proto")]
 #[rustfmt::skip]
 #[path = "generated/peer.rs"]
 mod wire;
--- a/crates/placement/tests/balance.rs
+++ b/crates/placement/tests/balance.rs
@@ -1,4 +1,6 @@
 //! Shares, churn and load bounds of the balanced policy, beside rendezvous hashing.
+#![expect(clippy::cast_precision_loss, reason = "counts are small")]
+
 use document::Name;
 use placement::{Balanced, Candidate, Plan, Policy, Rendezvous, Request, Shard};
 
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -98,18 +98,18 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, CutOff>>> {
         let passed = match &mut *self {
             Self::Own(body) => {
                 return Pin::new(body)
-                    .poll_frame(context)
+                    .poll_frame(cx)
                     .map_err(|_infallible| CutOff("own body failed"));
             }
             Self::Passed(passed) => passed,
         };
-        let Poll::Ready(frame) = Pin::new(&mut passed.body).poll_frame(context) else {
-            ready!(passed.progress.as_mut().poll(context));
+        let Poll::Ready(frame) = Pin::new(&mut passed.body).poll_frame(cx) else {
+            ready!(passed.progress.as_mut().poll(cx));
             return passed.cut_off("the server sent nothing for too long");
         };
         match frame {
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -140,7 +140,6 @@
         };
         note_failure(traffic, &target, failure);
         match attempts.next(traffic.clock.now_ms(), failure) {
-            Next::GiveUp => return Err(attempts.to_last_refusal()),
             Next::Reroute => wait_for_change(traffic, call, REROUTE_WAIT_MS).await,
             Next::Retry if service.in_flight.budget.spend() => {
                 traffic.counters.count(Counter::Retries);
@@ -148,7 +147,8 @@
                     wait_for_change(traffic, call, RETRY_WAIT_MS).await;
                 }
             }
-            Next::Retry => return Err(attempts.to_last_refusal()),
+            // Without a budget a retry is as good as none.
+            Next::Retry | Next::GiveUp => return Err(attempts.to_last_refusal()),
         }
     }
 }
@@ -243,9 +243,9 @@
         Err(_elapsed) => return Attempt::Failed(Failure::TimedOut),
     };
     let (mut head, body) = response.into_parts();
-    let held = Held { sender, upstream: Arc::clone(&target.server), permit, place };
+    let holds = Held { sender, upstream: Arc::clone(&target.server), permit, place };
     let counters = Arc::clone(&traffic.counters);
-    let body = AnswerBody::passed(body, traffic.limits.progress_timeout_ms, counters, held);
+    let body = AnswerBody::passed(body, traffic.limits.progress_timeout_ms, counters, holds);
     if let Some(failure) = to_failure(&head) {
         return Attempt::Failed(failure);
     }
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -197,12 +197,12 @@
         self.admit(Call::Read).await?;
         let deadline = Instant::now() + Duration::from_millis(wait_ms);
         loop {
-            let changed = self.shared.changed.notified();
+            let woken = self.shared.changed.notified();
             let changes = self.lock().changes(prefix, after);
             if !changes.entries.is_empty() || Instant::now() >= deadline {
                 return Ok(changes);
             }
-            if timeout_at(deadline, changed).await.is_err() {
+            if timeout_at(deadline, woken).await.is_err() {
                 return Ok(self.lock().changes(prefix, after));
             }
             if self.lock().faults.is_down {
--- a/crates/verbenactl/src/main.rs
+++ b/crates/verbenactl/src/main.rs
@@ -132,7 +132,7 @@
     let changed = changed_sections(&stored.text, &text);
     let end = if changed.is_empty() { End::Done } else { End::Different };
     print(matches, &changed, |changed| {
-        changed.iter().map(|section| format!("{section}\n")).collect()
+        if changed.is_empty() { String::new() } else { changed.join("\n") + "\n" }
     });
     Ok(end)
 }
--- a/crates/verbenad/src/daemon.rs
+++ b/crates/verbenad/src/daemon.rs
@@ -56,7 +56,7 @@
     /// Fails when an address is in use or a thread cannot be started.
     pub fn start(settings: Settings) -> Result<Self> {
         let store = HttpStore::new(settings.store, settings.store_timeout_ms);
-        Self::start_with(settings, store)
+        Self::start_with(&settings, &store)
     }
 
     /// Starts a daemon with another client of the platform's service.
@@ -64,8 +64,8 @@
     /// # Errors
     ///
     /// Fails when an address is in use or a thread cannot be started.
-    pub fn start_with<S: Store + std::fmt::Debug>(settings: Settings, store: S) -> Result<Self> {
-        let sockets = Sockets::open(&settings)?;
+    pub fn start_with<S: Store + std::fmt::Debug>(settings: &Settings, store: &S) -> Result<Self> {
+        let sockets = Sockets::open(settings)?;
         let counters = Arc::new(Counters::default());
         let metrics =
             Metrics::new(&counters).change_context_lazy(|| Error::new("metrics cannot start"))?;
@@ -73,9 +73,9 @@
         let tokens = Tokens::default();
         let Sockets { http, peer, operator, admin } = sockets;
         let control = {
-            let (settings, traffic, tokens) =
-                (settings.clone(), Arc::clone(&traffic), tokens.clone());
-            move || run_control(settings, store, &traffic, &tokens, (peer, operator, admin))
+            let (settings, store) = (settings.clone(), store.clone());
+            let (traffic, tokens) = (Arc::clone(&traffic), tokens.clone());
+            move || run_control(settings, &store, &traffic, &tokens, (peer, operator, admin))
         };
         let carry = {
             let (threads, traffic, tokens) =
@@ -154,7 +154,7 @@
 
 fn run_control<S: Store + std::fmt::Debug>(
     settings: Settings,
-    store: S,
+    store: &S,
     traffic: &Arc<Traffic>,
     tokens: &Tokens,
     (peer, operator, admin): (std::net::TcpListener, std::net::TcpListener, std::net::TcpListener),
--- a/crates/verbenad/src/operators.rs
+++ b/crates/verbenad/src/operators.rs
@@ -192,8 +192,8 @@
         let key = history_key(service, revision);
         drop(self.store.write(&key, Expect::Anything, &text, None).await);
         let prefix = format!("{HISTORY}{service}/");
-        let Ok(changes) = self.store.watch(&prefix, Revision(0), 0).await else { return };
-        let mut kept: Vec<_> = changes.entries.iter().filter(|e| e.text.is_some()).collect();
+        let Ok(known) = self.store.watch(&prefix, Revision(0), 0).await else { return };
+        let mut kept: Vec<_> = known.entries.iter().filter(|e| e.text.is_some()).collect();
         kept.sort_by_key(|entry| std::cmp::Reverse(entry.revision));
         for entry in kept.into_iter().skip(MOST_PAST) {
             drop(self.store.remove(&entry.key).await);
