--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -386,9 +386,9 @@
             let status = daemon.control.as_ref().and_then(|c| c.status(local_ms));
             let table = table.as_ref().map(|t| (t.term, t.sequence));
             let lease_ms = daemon.route_deadline_ms.saturating_sub(local_ms);
-            write!(
+            writeln!(
                 text,
-                "{} document {} table {table:?} route lease {lease_ms} ms status {status:?}\n",
+                "{} document {} table {table:?} route lease {lease_ms} ms status {status:?}",
                 daemon.name, daemon.has_document
             )
             .expect("a string takes all text");
--- a/crates/lab/src/availability.rs
+++ b/crates/lab/src/availability.rs
@@ -47,6 +47,10 @@
 
 impl Availability {
     /// Creates the measurement of one service.
+    ///
+    /// # Panics
+    ///
+    /// Never: the bounds of the histogram are constants.
     #[must_use]
     pub fn new(service: Name, servers: Vec<Arc<StandIn>>, daemons: Vec<Arc<Traffic>>) -> Self {
         let gaps_us = Histogram::new_with_max(LONGEST_GAP_US, 3)
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -313,7 +313,7 @@
 }
 
 async fn start_daemon(settings: Settings) -> Result<Daemon> {
-    let started = tokio::task::spawn_blocking(move || Daemon::start(settings)).await;
+    let started = tokio::task::spawn_blocking(move || Daemon::start(&settings)).await;
     started
         .change_context_lazy(|| Error::new("a daemon panicked"))?
         .change_context_lazy(|| Error::new("a daemon did not start"))
--- a/crates/lab/src/upstream.rs
+++ b/crates/lab/src/upstream.rs
@@ -1,6 +1,6 @@
 //! The stand-in for a server: a ledger that owns keys, or an archive.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -9,7 +9,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use lease::{Admission, Epoch, Holder, Order, Report, ShardEpoch, ShardId};
+use lease::{Admission, Epoch, Holder, Order, ShardEpoch, ShardId};
 use proxy::Clock;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
@@ -70,7 +70,7 @@
 struct State {
     holder: Holder,
     prepared_at: BTreeMap<ShardId, Instant>,
-    warm: BTreeMap<ShardId, ()>,
+    warm: BTreeSet<ShardId>,
     frozen_until: Instant,
     runs: u64,
     shed: u64,
@@ -94,7 +94,7 @@
             state: Mutex::new(State {
                 holder: Holder::new(rand::random()),
                 prepared_at: BTreeMap::new(),
-                warm: BTreeMap::new(),
+                warm: BTreeSet::new(),
                 frozen_until: Instant::now(),
                 runs: 0,
                 shed: 0,
@@ -173,7 +173,7 @@
             return web::status(StatusCode::BAD_REQUEST, "another service's order\n");
         }
         let mut state = self.lock();
-        let mut report: Report = state.holder.follow(self.clock.now_ms(), &order);
+        let mut report = state.holder.follow(self.clock.now_ms(), &order);
         let now = Instant::now();
         let ready = now + Duration::from_millis(self.config.prepare_ms);
         state.prepared_at.retain(|shard, _| order.prepares.contains(shard));
@@ -183,7 +183,7 @@
         let prepared = state.prepared_at.clone();
         report.prepared.retain(|shard| prepared.get(shard).is_some_and(|at| *at <= now));
         for shard in &report.prepared {
-            state.warm.insert(*shard, ());
+            state.warm.insert(*shard);
         }
         web::json(serde_json::to_vec(&report).unwrap_or_default())
     }
@@ -267,7 +267,7 @@
             state.runs -= 1;
             return None;
         }
-        Some(state.warm.insert(target.shard, ()).is_none())
+        Some(state.warm.insert(target.shard))
     }
 
     /// Ends a request; returns whether its result counts.
--- /dev/null
+++ b/crates/route/tests/path_decisions.rs
@@ -0,0 +1,92 @@
+//! Retries, limits and admission.
+use route::{Admission, Attempts, Budget, Failure, Gate, Limit, Next, Outcome, Reason};
+
+#[test]
+fn booking_runs_once() {
+    let mut attempts = Attempts::new(false, 1_000);
+    assert_eq!(attempts.next(0, Failure::NotSent), Next::Retry);
+    assert_eq!(attempts.next(0, Failure::Fenced), Next::Reroute);
+    assert_eq!(attempts.next(0, Failure::TimedOut), Next::GiveUp);
+    assert_eq!(attempts.to_last_refusal().outcome, Outcome::Unknown);
+}
+
+#[test]
+fn idempotent_is_repeated() {
+    let mut attempts = Attempts::new(true, 1_000);
+    assert_eq!(attempts.next(0, Failure::Broken), Next::Retry);
+    assert_eq!(attempts.next(0, Failure::TimedOut), Next::Retry);
+    assert_eq!(attempts.next(996, Failure::TimedOut), Next::GiveUp);
+}
+
+#[test]
+fn unknown_stays_unknown() {
+    let mut attempts = Attempts::new(true, 1_000);
+    attempts.next(0, Failure::Broken);
+    attempts.next(0, Failure::Shed);
+    assert_eq!(attempts.to_refusal(Reason::NoOwner).outcome, Outcome::Unknown);
+}
+
+#[test]
+fn refused_means_not_run() {
+    let mut attempts = Attempts::new(false, 10);
+    assert_eq!(attempts.next(9, Failure::Shed), Next::GiveUp);
+    let refusal = attempts.to_last_refusal();
+    assert_eq!((refusal.outcome, refusal.status()), (Outcome::NotRun, 503));
+    assert_eq!(refusal.retry_after_s, Some(1));
+}
+
+#[test]
+fn first_attempt_leaves_time() {
+    let attempts = Attempts::new(true, 1_000);
+    assert_eq!(attempts.attempt_deadline_ms(0), 500);
+    assert_eq!(Attempts::new(false, 1_000).attempt_deadline_ms(0), 1_000);
+}
+
+#[test]
+fn retries_are_a_part_of_requests() {
+    let budget = Budget::default();
+    while budget.spend() {}
+    for _ in 0..50 {
+        budget.earn();
+    }
+    let retries = std::iter::from_fn(|| budget.spend().then_some(())).count();
+    assert_eq!(retries, 10);
+}
+
+#[test]
+fn limit_follows_the_server() {
+    let mut limit = Limit::new(8, 4);
+    assert_eq!(limit.get(), 2);
+    for _ in 0..100 {
+        limit.on_answer(limit.get());
+    }
+    assert_eq!(limit.get(), 8);
+    for _ in 0..20 {
+        limit.on_overload();
+    }
+    assert_eq!(limit.get(), 1);
+}
+
+#[test]
+fn urgent_goes_first() {
+    let mut gate = Gate::new(Limit::new(1, 1), 2);
+    assert!(matches!(gate.arrive(0, "first"), Admission::Enter));
+    assert!(matches!(gate.arrive(2, "sheet"), Admission::Wait(_)));
+    assert!(matches!(gate.arrive(1, "swap"), Admission::Wait(_)));
+    assert!(matches!(gate.arrive(2, "late sheet"), Admission::Refuse));
+    assert!(matches!(gate.arrive(0, "balance"), Admission::WaitInstead(_, "sheet")));
+    assert_eq!(gate.leave(), ["balance"]);
+    assert_eq!(gate.leave(), ["swap"]);
+    assert!(gate.leave().is_empty());
+    assert_eq!(gate.in_flight(), 0);
+}
+
+#[test]
+fn abandoned_place_is_free() {
+    let mut gate = Gate::new(Limit::new(1, 1), 1);
+    gate.arrive(0, 1);
+    let Admission::Wait(ticket) = gate.arrive(0, 2) else { panic!("there is room to wait") };
+    assert!(gate.abandon(ticket));
+    assert!(!gate.abandon(ticket));
+    assert!(gate.leave().is_empty());
+}
--- a/crates/verbenad/src/daemon.rs
+++ b/crates/verbenad/src/daemon.rs
@@ -54,9 +54,9 @@
     /// # Errors
     ///
     /// Fails when an address is in use or a thread cannot be started.
-    pub fn start(settings: Settings) -> Result<Self> {
+    pub fn start(settings: &Settings) -> Result<Self> {
         let store = HttpStore::new(settings.store, settings.store_timeout_ms);
-        Self::start_with(&settings, &store)
+        Self::start_with(settings, &store)
     }
 
     /// Starts a daemon with another client of the platform's service.
--- a/crates/verbenad/src/main.rs
+++ b/crates/verbenad/src/main.rs
@@ -72,7 +72,7 @@
     let settings =
         Settings::from_ini(&path.display().to_string(), &text).change_context(BadSettings)?;
     telemetry::init_logs(&settings.log.level, settings.log.format).change_context(BadSettings)?;
-    let daemon = Daemon::start(settings.clone())
+    let daemon = Daemon::start(&settings)
         .attach_with(|| path.display().to_string())
         .change_context(BadSettings)?;
     Ok((settings, daemon))
--- a/crates/verbenad/src/node.rs
+++ b/crates/verbenad/src/node.rs
@@ -318,7 +318,7 @@
         for entry in changes.entries {
             let Some(service) = entry.key.rsplit('/').next().map(Name::from) else { continue };
             if let Some(text) = entry.text {
-                self.accept(&service, entry.revision, Name::from(text))
+                self.accept(&service, entry.revision, Name::from(text));
             } else {
                 warn!("document was removed; the one in force stays",
             kv: { service = service.as_str() });
