--- a/crates/lab/src/job.rs
+++ b/crates/lab/src/job.rs
@@ -65,6 +65,7 @@
 const OPEN_LIMIT_MS: u64 = 20_000;
 const SETTLE_LIMIT_MS: u64 = 30_000;
 const SAMPLE_MS: u64 = 100;
+const WARM_UP_MS: u64 = 3_000;
 
 /// Runs the main job in this process.
 ///
@@ -77,10 +78,13 @@
     site.edit(1, |server| server.state).await?;
     let open_ms = site.wait_until_open(OPEN_LIMIT_MS).await?;
     say(options, &format!("all shards open after {open_ms} ms"));
-    let is_over = Arc::new(AtomicBool::new(false));
-    let watcher = watch(&site, Arc::clone(&is_over));
     let targets = Targets::default();
     targets.set(&site.callers_addresses());
+    // Shards that were never used are cold; that is not what is measured.
+    let warm_up = LoadOptions { length_ms: WARM_UP_MS, ..load_options(options) };
+    Load::new(warm_up, targets.clone(), None).run().await;
+    let is_over = Arc::new(AtomicBool::new(false));
+    let watcher = watch(&site, Arc::clone(&is_over));
     let load = Load::new(load_options(options), targets, Some(Arc::clone(&site.witness)));
     let sending = tokio::spawn(Arc::clone(&load).run());
     let start = Instant::now();
