--- a/crates/lab/src/job.rs
+++ b/crates/lab/src/job.rs
@@ -66,6 +66,8 @@
 const SETTLE_LIMIT_MS: u64 = 30_000;
 const SAMPLE_MS: u64 = 100;
 const WARM_UP_MS: u64 = 3_000;
+/// Keeps the warm-up's requests apart from the measured ones.
+const WARM_UP_SEED: u64 = 1 << 32;
 
 /// Runs the main job in this process.
 ///
@@ -81,7 +83,11 @@
     let targets = Targets::default();
     targets.set(&site.callers_addresses());
     // Shards that were never used are cold; that is not what is measured.
-    let warm_up = LoadOptions { length_ms: WARM_UP_MS, ..load_options(options) };
+    let warm_up = LoadOptions {
+        length_ms: WARM_UP_MS,
+        seed: options.seed.wrapping_add(WARM_UP_SEED),
+        ..load_options(options)
+    };
     Load::new(warm_up, targets.clone(), None).run().await;
     let is_over = Arc::new(AtomicBool::new(false));
     let watcher = watch(&site, Arc::clone(&is_over));
