Ask servers that prepare or give up a shard again after 10 ms

Cause: the main job settled in steps of 250 ms, the pause between two orders, because a controller learns only from the next report that a server has prepared. Change: a shorter pause while a server has something to say.

--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -412,7 +412,8 @@
             let is_empty = order.grants.is_empty();
             let deadline_ms = if is_empty { None } else { link.bound.extend(grant_ms) };
             order.deadline_ms = deadline_ms.unwrap_or(0);
-            link.note_sent(now_ms, &self.tuning);
+            let is_waiting = !order.prepares.is_empty() || !order.releases.is_empty();
+            link.note_sent(now_ms, is_waiting, &self.tuning);
             out.push(Action::Order(name, link.address, order));
         }
         self.next_number = next_number;
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -68,10 +68,12 @@
         !is_waiting && (self.is_dirty || now_ms >= self.next_order_ms)
     }
 
-    pub(crate) fn note_sent(&mut self, now_ms: u64, tuning: &Tuning) {
+    /// Notes an order; a server that is to say when it is ready is asked sooner again.
+    pub(crate) fn note_sent(&mut self, now_ms: u64, is_waiting: bool, tuning: &Tuning) {
         self.is_dirty = false;
         self.answer_deadline_ms = Some(now_ms + tuning.order_timeout_ms);
-        self.next_order_ms = now_ms + tuning.order_every_ms;
+        let pause_ms = if is_waiting { tuning.ready_every_ms } else { tuning.order_every_ms };
+        self.next_order_ms = now_ms + pause_ms;
     }
 
     pub(crate) fn note_unanswered(&mut self) {
--- a/crates/control/src/tuning.rs
+++ b/crates/control/src/tuning.rs
@@ -24,6 +24,8 @@
     pub stagger_ms: u64,
     /// The time between two orders to a server with nothing new to say.
     pub order_every_ms: u64,
+    /// The time between two orders to a server that prepares or gives up a shard.
+    pub ready_every_ms: u64,
     /// How long an order may stay unanswered.
     pub order_timeout_ms: u64,
     /// How long a server may be silent before no new work is placed on it.
@@ -50,6 +52,7 @@
             candidacy_ms: 250,
             stagger_ms: 120,
             order_every_ms: 250,
+            ready_every_ms: 10,
             order_timeout_ms: 400,
             server_silence_ms: 1_000,
             close_ms: 150,
