Draw consequences once for all events that came together

Cause: every report and beat made the controller settle, publish a table of all routes and be answered by a beat of each daemon: 45 tables for 32 shards that move. Change: the control thread takes all waiting inputs first; Control::take and Control::settle are apart, Control::step does both.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -144,6 +144,15 @@
 
     /// Takes an event and returns what is to be done.
     pub fn step(&mut self, now_ms: u64, event: Event) -> Vec<Action> {
+        let mut out = self.take(now_ms, event);
+        out.append(&mut self.settle(now_ms));
+        out
+    }
+
+    /// Takes an event without drawing all consequences; [`Control::settle`] must follow.
+    ///
+    /// Several events that came together need only one `settle`.
+    pub fn take(&mut self, now_ms: u64, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
         match event {
             Event::Tick => self.on_tick(now_ms, &mut out),
@@ -173,15 +182,19 @@
             Event::Table(table) => self.on_table(table),
             Event::Stop => self.on_stop(),
         }
-        self.settle(now_ms, &mut out);
+        out
+    }
+
+    /// Draws the consequences of the events that were taken, and returns what is to be done.
+    pub fn settle(&mut self, now_ms: u64) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.settle_lead(now_ms, &mut out);
         out.append(&mut self.farewell);
         out
     }
 
-    fn settle(&mut self, now_ms: u64, out: &mut Vec<Action>) {
-        let Role::Lead(lead) = &mut self.role else {
-            return;
-        };
+    fn settle_lead(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        let Role::Lead(lead) = &mut self.role else { return };
         if !lead.is_authorized(now_ms) {
             self.step_down(None);
             return;
--- a/crates/verbenad/src/entry.rs
+++ b/crates/verbenad/src/entry.rs
@@ -20,6 +20,8 @@
     /// Whether the controller was told that closed shards have drained.
     pub(crate) is_drain_told: bool,
     pub(crate) next_beat_ms: u64,
+    /// Whether this daemon was the controller when that was last looked at.
+    pub(crate) was_controller: bool,
 }
 
 impl Entry {
@@ -34,6 +36,7 @@
             upstreams: HashMap::default(),
             is_drain_told: false,
             next_beat_ms: now_ms,
+            was_controller: false,
         }
     }
 
--- a/crates/verbenad/src/node.rs
+++ b/crates/verbenad/src/node.rs
@@ -1,6 +1,6 @@
 //! The control thread: it owns all control state and carries out what that decides.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use control::{Action, Beat, Event, RecordCopy, WriteOutcome};
@@ -38,12 +38,16 @@
     orders: Orders,
     instances: Vec<control::Instance>,
     is_changed: bool,
+    /// The services whose control parts have taken something.
+    unsettled: BTreeSet<Name>,
     pub(crate) has_documents: bool,
     pub(crate) is_stopping: bool,
     next_presence_ms: u64,
 }
 
 const TICK_MS: u64 = 10;
+/// How many inputs are taken before consequences are drawn.
+const MOST_TOGETHER: usize = 64;
 const BEAT_MS: u64 = 250;
 const PRESENCE_MS: u64 = 500;
 
@@ -69,6 +73,7 @@
             orders: Orders::default(),
             instances: Vec::new(),
             is_changed: false,
+            unsettled: BTreeSet::new(),
             has_documents: false,
             is_stopping: false,
             next_presence_ms: 0,
@@ -95,9 +100,7 @@
                     None => return,
                 },
             }
-            while let Some(input) = self.own.pop_front() {
-                self.take(input);
-            }
+            self.take_all(&mut inputs);
             if self.is_changed {
                 self.is_changed = false;
                 self.put_in_force();
@@ -105,6 +108,26 @@
         }
     }
 
+    /// Takes what has come, and draws the consequences once for all of it.
+    fn take_all(&mut self, inputs: &mut mpsc::Receiver<Input>) {
+        loop {
+            while let Some(input) = self.own.pop_front() {
+                self.take(input);
+            }
+            for _ in 0..MOST_TOGETHER {
+                let Ok(input) = inputs.try_recv() else { break };
+                self.take(input);
+            }
+            let names: Vec<Name> = std::mem::take(&mut self.unsettled).into_iter().collect();
+            if names.is_empty() {
+                return;
+            }
+            for name in names {
+                self.settle(&name);
+            }
+        }
+    }
+
     pub(crate) fn now_ms(&self) -> u64 {
         self.traffic.clock.now_ms()
     }
@@ -185,15 +208,27 @@
         }
     }
 
-    /// Takes an event to a service's control part and carries out what it wants.
+    /// Takes an event to a service's control part, whose consequences are drawn later.
     fn step(&mut self, service: &Name, event: Event) {
         let now_ms = self.now_ms();
         let Some(entry) = self.services.get_mut(service) else { return };
-        let was_controller = entry.control.is_controller();
-        let actions = entry.control.step(now_ms, event);
+        let actions = entry.control.take(now_ms, event);
+        self.unsettled.insert(service.clone());
+        for action in actions {
+            self.carry_out(service, action);
+        }
+    }
+
+    /// Draws the consequences of what a service's control part has taken.
+    fn settle(&mut self, service: &Name) {
+        let now_ms = self.now_ms();
+        let Some(entry) = self.services.get_mut(service) else { return };
+        let actions = entry.control.settle(now_ms);
         let is_controller = entry.control.is_controller();
+        let is_office_news = is_controller != entry.was_controller;
+        entry.was_controller = is_controller;
         let has_new_table = entry.take_table();
-        if is_controller != was_controller {
+        if is_office_news {
             self.note_office(service, is_controller);
         }
         for action in actions {
