--- a/crates/control/src/draft.rs
+++ b/crates/control/src/draft.rs
@@ -26,6 +26,7 @@
     pub(crate) fn plan_if_due(&mut self, now_ms: u64) {
         let is_inheriting = self.shards.contains(&Shard::Unknown);
         let has_load = now_ms >= self.next_plan_ms;
+        self.has_loads |= has_load;
         if is_inheriting || !(self.is_plan_due || has_load) {
             return;
         }
@@ -243,7 +244,7 @@
                 successor: record.successor.as_ref().and_then(position),
             })
             .collect();
-        Request { shards, servers }
+        Request { shards, servers, is_early: !self.has_loads }
     }
 
     /// Returns the server that holds a shard, or that a started handover gives it to.
--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -37,6 +37,8 @@
     /// By shard, the highest epoch that this controller told a server to give up.
     pub(crate) released: Vec<Epoch>,
     pub(crate) lost: BTreeSet<Name>,
+    /// Whether load was measured for a while; a new controller knows none.
+    pub(crate) has_loads: bool,
     pub(crate) is_planned: bool,
     pub(crate) is_plan_due: bool,
     pub(crate) next_plan_ms: u64,
@@ -132,6 +134,7 @@
             granted: vec![Epoch(0); count],
             released: vec![Epoch(0); count],
             lost: BTreeSet::new(),
+            has_loads: false,
             is_planned: false,
             is_plan_due: true,
             next_plan_ms: now_ms + start.tuning.plan_every_ms,
@@ -402,7 +405,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in due {
-            let mut order = self.to_order(&name);
+            let mut order = self.to_order(now_ms, &name);
             let Some(link) = self.servers.get_mut(&name) else {
                 continue;
             };
@@ -419,7 +422,7 @@
         self.next_number = next_number;
     }
 
-    fn to_order(&self, server: &Name) -> Order {
+    fn to_order(&self, now_ms: u64, server: &Name) -> Order {
         let mut order = Order {
             service: self.service.clone(),
             term: self.term,
@@ -436,12 +439,20 @@
                 && holder == server
             {
                 let target = ShardEpoch { shard: record.id, epoch };
-                let is_releasing = matches!(shard, Shard::Moving { phase: Phase::Releasing, .. });
-                if is_releasing { &mut order.releases } else { &mut order.grants }.push(target);
+                match shard {
+                    Shard::Moving { phase: Phase::Releasing { deadline_ms }, .. } => {
+                        order.releases.push(target);
+                        // Requests that still run need the grant to commit.
+                        if now_ms < *deadline_ms {
+                            order.grants.push(target);
+                        }
+                    }
+                    _ => order.grants.push(target),
+                }
             }
             if let Shard::Moving { target, phase, .. } = shard
                 && target == server
-                && *phase != Phase::Releasing
+                && !matches!(phase, Phase::Releasing { .. })
             {
                 order.prepares.push(record.id);
             }
--- a/crates/control/src/settle.rs
+++ b/crates/control/src/settle.rs
@@ -69,9 +69,13 @@
                     None => None,
                 },
                 Shard::Granting { server, epoch } => self.read_grant(now_ms, id, server, *epoch),
-                Shard::Moving { server, epoch, phase: Phase::Releasing, .. } => self
-                    .is_given_up(id, server, *epoch)
-                    .then_some(Shard::Free { not_before_ms: now_ms }),
+                Shard::Moving {
+                    server, epoch, phase: Phase::Releasing { deadline_ms }, ..
+                } => {
+                    let is_over = now_ms >= *deadline_ms && !self.is_live(id, server, *epoch);
+                    (is_over || self.is_given_up(id, server, *epoch))
+                        .then_some(Shard::Free { not_before_ms: now_ms })
+                }
                 Shard::Held { server, epoch } | Shard::Moving { server, epoch, .. } => self
                     .is_given_up(id, server, *epoch)
                     .then(|| Shard::Free { not_before_ms: self.free_from_ms(now_ms, server) }),
@@ -95,6 +99,10 @@
         self.servers.get(server).is_some_and(|link| link.is_released(id, epoch))
     }
 
+    fn is_live(&self, id: ShardId, server: &Name, epoch: Epoch) -> bool {
+        self.servers.get(server).is_some_and(|link| link.is_live(id, epoch))
+    }
+
     /// Returns what servers that check fences reported to serve, where it is not known yet.
     fn find_live(&self) -> HashMap<ShardId, (Name, Epoch)> {
         let mut live: HashMap<ShardId, (Name, Epoch)> = HashMap::default();
@@ -137,7 +145,7 @@
             };
             if let Some(next) = next {
                 moving += usize::from(!self.shards[at].is_moving() && next.is_moving());
-                if let Shard::Moving { epoch, phase: Phase::Releasing, .. } = &next {
+                if let Shard::Moving { epoch, phase: Phase::Releasing { .. }, .. } = &next {
                     self.released[at] = self.released[at].max(*epoch);
                 }
                 self.note_dirty(&next);
@@ -148,7 +156,8 @@
 
     fn start_move(&self, now_ms: u64, at: usize, server: &Name, epoch: Epoch) -> Option<Shard> {
         let target = self.wanted[at].as_ref().filter(|wanted| *wanted != server)?;
-        if !self.is_move_possible(now_ms, at, target) {
+        // A silent server hands nothing over; its shards wait for the end of its grants.
+        if self.lost.contains(server) || !self.is_move_possible(now_ms, at, target) {
             return None;
         }
         let deadline_ms = now_ms + self.document.timing.prepare_ms;
@@ -176,7 +185,8 @@
         phase: Phase,
         server: &Name,
     ) -> Option<Step> {
-        if phase != Phase::Releasing && !self.is_move_possible(now_ms, at, target) {
+        let is_releasing = matches!(phase, Phase::Releasing { .. });
+        if !is_releasing && !self.is_move_possible(now_ms, at, target) {
             return Some(Step::Cancel);
         }
         let id = self.known.record.shards[at].id;
@@ -197,12 +207,18 @@
                 } else {
                     self.are_routes_closed(now_ms, sequence)
                 };
-                is_closed.then_some(Step::Enter(Phase::Releasing))
+                let deadline_ms = now_ms + self.longest_request_ms();
+                is_closed.then_some(Step::Enter(Phase::Releasing { deadline_ms }))
             }
-            Phase::Releasing => None,
+            Phase::Releasing { .. } => None,
         }
     }
 
+    /// Returns how long a request may run that was sent before its shard was closed.
+    fn longest_request_ms(&self) -> u64 {
+        self.document.classes.iter().map(|class| class.timeout_ms).max().unwrap_or(0)
+    }
+
     /// Returns whether every daemon that was heard of lately has drained.
     fn are_daemons_drained(&self, now_ms: u64, sequence: u64) -> bool {
         let silence_ms = self.tuning.daemon_silence_ms;
@@ -225,7 +241,7 @@
     fn note_dirty(&mut self, shard: &Shard) {
         let concerned = match shard {
             Shard::Moving { target, phase: Phase::Preparing { .. }, .. } => target,
-            Shard::Moving { server, phase: Phase::Releasing, .. }
+            Shard::Moving { server, phase: Phase::Releasing { .. }, .. }
             | Shard::Granting { server, .. } => server,
             _ => return,
         };
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -26,7 +26,9 @@
     /// Daemons stop sending; the table with this sequence says so.
     Closing { sequence: u64, deadline_ms: u64 },
     /// The server finishes its requests and gives the shard up.
-    Releasing,
+    ///
+    /// Its grant is renewed until the deadline, and then left to end.
+    Releasing { deadline_ms: u64 },
 }
 
 impl Shard {
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -125,7 +125,7 @@
             Shard::Moving { phase: Phase::Closing { .. }, .. } => {
                 Some("daemons are closing the route".to_owned())
             }
-            Shard::Moving { server, phase: Phase::Releasing, .. } => {
+            Shard::Moving { server, phase: Phase::Releasing { .. }, .. } => {
                 Some(format!("{server} finishes its requests"))
             }
             Shard::Held { server, .. } if wanted.is_some_and(|wanted| wanted != server) => {
--- /dev/null
+++ b/crates/control/tests/long_requests.rs
@@ -0,0 +1,39 @@
+//! A planned move cuts no request off, and no request holds its shard for good.
+mod world;
+
+use world::{World, document_text};
+
+const SERVERS: [(&str, &str, &str, bool); 3] =
+    [("s1", "a", "serving", true), ("s2", "b", "serving", true), ("s3", "c", "serving", true)];
+/// The deadline of the class of all requests, and a grant.
+const PATIENCE_MS: u64 = 5_000 + 1_500;
+
+fn leaving_world() -> (World, (usize, lease::ShardEpoch)) {
+    let mut world = World::new(5);
+    world.edit(&document_text(6, &SERVERS));
+    world.start_all();
+    world.run_until_settled(10_000);
+    let shard = world.shards_of("s1")[0];
+    let request = world.begin_request(shard);
+    let mut servers = SERVERS.to_vec();
+    servers[0].2 = "leaving";
+    world.edit(&document_text(6, &servers));
+    (world, request)
+}
+
+#[test]
+fn finishes_after_several_grants() {
+    let (mut world, request) = leaving_world();
+    world.run_for(4_000);
+    assert!(world.end_request(request), "the request ran under a renewed grant");
+    world.run_until_settled(2_000);
+    assert!(world.shards_of("s1").is_empty());
+}
+
+#[test]
+fn never_ends() {
+    let (mut world, request) = leaving_world();
+    world.run_until_settled(PATIENCE_MS + 1_000);
+    assert!(world.shards_of("s1").is_empty());
+    assert!(!world.end_request(request), "its result must not count any more");
+}
--- a/crates/control/tests/server_loss.rs
+++ b/crates/control/tests/server_loss.rs
@@ -120,3 +120,22 @@
     world.run_for(1_000);
     world.run_until_settled(10_000);
 }
+
+#[test]
+fn controller_in_mid_move() {
+    for seed in 0..60 {
+        let mut world = settled_world(100 + seed);
+        let mut servers = SERVERS.to_vec();
+        servers[0].2 = "leaving";
+        servers.push(("s5", "a", "arriving", true));
+        world.edit(&document_text(12, &servers));
+        world.run_for(200 + seed * 2);
+        let controller = world.controller().unwrap();
+        world.kill_daemon(controller);
+        let shards: Vec<u32> = (0..12).collect();
+        world.run_for(LIMIT_MS);
+        assert_served_within_limit(&mut world, &shards);
+        assert!(world.gaps.longest_ms <= LIMIT_MS, "seed {seed}");
+        world.run_until_settled(10_000);
+    }
+}
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -18,7 +18,7 @@
     WriteOutcome,
 };
 use document::{Document, Name, Revision};
-use lease::{Epoch, Holder, Order, ShardId};
+use lease::{Admission, Epoch, Holder, Order, ShardEpoch, ShardId};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use route::Table;
@@ -266,6 +266,24 @@
         self.servers[at].paused_until_ms = self.now_ms + length_ms;
     }
 
+    /// Starts a request at a shard's owner.
+    pub fn begin_request(&mut self, shard: u32) -> (usize, ShardEpoch) {
+        let owner = self.owner(shard).expect("the shard has an owner");
+        let at = self.server_at(&owner);
+        let server = &mut self.servers[at];
+        let local_ms = server.clock.read(self.now_ms);
+        let epoch = server.holder.is_owner(local_ms, ShardId(shard)).expect("it is the owner");
+        let target = ShardEpoch { shard: ShardId(shard), epoch };
+        assert_eq!(server.holder.begin(local_ms, target), Admission::Run);
+        (at, target)
+    }
+
+    /// Ends a request; returns whether its result counts.
+    pub fn end_request(&mut self, (at, target): (usize, ShardEpoch)) -> bool {
+        let server = &mut self.servers[at];
+        server.holder.end(server.clock.read(self.now_ms), target)
+    }
+
     pub fn cut(&mut self, a: &str, b: &str) {
         self.cuts.insert((name(a), name(b)));
         self.cuts.insert((name(b), name(a)));
--- a/crates/document/src/document.rs
+++ b/crates/document/src/document.rs
@@ -3,7 +3,7 @@
 use error_stack::Report;
 
 use crate::class::Class;
-use crate::key::{KEY_SOURCE, KeyGroup, KeySource};
+use crate::key::{KEY_SOURCE, KeyGroup, KeySource, MAX_SHARDS};
 use crate::{Category, Error, Form, HashSet, Name, Result, Section, Sections, Server, form};
 
 /// What the operators want of one service.
@@ -186,6 +186,11 @@
                 return contradiction(file, *line, message);
             }
         }
+        let shards: u32 = self.key_groups.iter().map(|group| group.shards).sum();
+        if shards > MAX_SHARDS {
+            let message = format!("{shards} shards in all, expected at most {MAX_SHARDS}");
+            return contradiction(file, service_line, message);
+        }
         for group in &self.key_groups {
             let is_held = |server: &Server| server.is_welcome() && server.may_hold(&group.name);
             if !self.servers.iter().any(is_held) {
--- a/crates/document/src/key.rs
+++ b/crates/document/src/key.rs
@@ -30,8 +30,9 @@
     Form { read: read_source, expected: "segment 2, header NAME or query NAME" };
 
 const DEFAULT_SHARDS: u32 = 512;
-const MAX_SHARDS: u32 = 8_192;
-const SHARDS: Form<u32> = Form { read: read_shards, expected: "a number of shards from 1 to 8192" };
+/// A service's record must fit into one value of the store.
+pub(crate) const MAX_SHARDS: u32 = 4_096;
+const SHARDS: Form<u32> = Form { read: read_shards, expected: "a number of shards from 1 to 4096" };
 const PREFIX: Form<Name> = Form { read: |text| Some(Name::from(text)), expected: "a prefix" };
 const KEYS: &str = "prefix, shards";
 
--- a/crates/document/src/section.rs
+++ b/crates/document/src/section.rs
@@ -3,7 +3,7 @@
 use error_stack::Report;
 use ini::{Ini, ParseOption};
 
-use crate::{Category, Error, Form, Name, Result};
+use crate::{Category, Error, Form, HashMap, HashSet, Name, Result};
 
 /// The sections of one INI text, in order.
 #[derive(Debug)]
@@ -44,21 +44,23 @@
             let message = format!("{}, expected [section] or key = value", error.msg);
             Report::new(Error::new(Category::Syntax, file, line, message))
         })?;
+        let lines = Lines::from_text(text);
         let mut sections: Vec<Section> = Vec::new();
+        let mut seen: HashSet<&str> = HashSet::default();
         for (header, properties) in &ini {
             let Some(header) = header else {
                 if let Some((key, _)) = properties.iter().next() {
                     let message = format!("{key} stands before the first section");
-                    return fail(Category::Structure, file, find_key(text, None, key, 0), message);
+                    return fail(Category::Structure, file, lines.of_key(None, key, 0), message);
                 }
                 continue;
             };
-            let line = find_section(text, header);
-            if sections.iter().any(|known| known.header() == header) {
+            let line = lines.of_section(header, 0);
+            if !seen.insert(header) {
                 let message = format!("section [{header}] stands twice, expected it once");
-                return fail(Category::Structure, file, find_section_again(text, header), message);
+                return fail(Category::Structure, file, lines.of_section(header, 1), message);
             }
-            sections.push(Section::from_properties(file, text, header, line, properties));
+            sections.push(Section::from_properties(file, &lines, header, line, properties));
         }
         Ok(Self { file: Name::from(file), sections })
     }
@@ -183,7 +185,7 @@
 
     fn from_properties(
         file: &str,
-        text: &str,
+        lines: &Lines<'_>,
         header: &str,
         line: u32,
         properties: &ini::Properties,
@@ -195,7 +197,7 @@
         let mut entries: Vec<Entry> = Vec::new();
         for (key, value) in properties {
             let seen = entries.iter().filter(|entry| entry.key == key).count();
-            let line = find_key(text, Some(header), key, seen);
+            let line = lines.of_key(Some(header), key, seen);
             entries.push(Entry { key: Name::from(key), value: Name::from(value.trim()), line });
         }
         Self { file: Name::from(file), kind: Name::from(kind), name, line, entries }
@@ -213,37 +215,36 @@
     Err(Report::new(Error::new(category, file, line, message)))
 }
 
-/// Yields each line with its number and the section that it stands in.
-fn lines(text: &str) -> impl Iterator<Item = (u32, Option<&str>, &str)> {
-    let mut section = None;
-    text.lines().zip(1..).map(move |(line, number)| {
-        let line = line.trim();
-        if let Some(header) = line.strip_prefix('[').and_then(|rest| rest.strip_suffix(']')) {
-            section = Some(header.trim());
-        }
-        (number, section, line)
-    })
-}
-
-fn section_lines<'a>(text: &'a str, header: &'a str) -> impl Iterator<Item = u32> + 'a {
-    lines(text)
-        .filter(move |(_, section, line)| *section == Some(header) && line.starts_with('['))
-        .map(|(number, _, _)| number)
+/// Where the headers and keys of a text stand.
+struct Lines<'a> {
+    headers: HashMap<&'a str, Vec<u32>>,
+    keys: HashMap<(Option<&'a str>, &'a str), Vec<u32>>,
 }
 
-fn find_section(text: &str, header: &str) -> u32 {
-    section_lines(text, header).next().unwrap_or(0)
-}
+impl<'a> Lines<'a> {
+    fn from_text(text: &'a str) -> Self {
+        let mut lines = Self { headers: HashMap::default(), keys: HashMap::default() };
+        let mut section = None;
+        for (number, line) in (1..).zip(text.lines().map(str::trim)) {
+            if let Some(header) = line.strip_prefix('[').and_then(|rest| rest.strip_suffix(']')) {
+                section = Some(header.trim());
+                lines.headers.entry(header.trim()).or_default().push(number);
+            } else if let Some(key) = key_of(line) {
+                lines.keys.entry((section, key)).or_default().push(number);
+            }
+        }
+        lines
+    }
 
-fn find_section_again(text: &str, header: &str) -> u32 {
-    section_lines(text, header).nth(1).unwrap_or(0)
-}
+    /// Returns the line of a section's nth header, or 0 for none.
+    fn of_section(&self, header: &str, nth: usize) -> u32 {
+        self.headers.get(header).and_then(|lines| lines.get(nth)).copied().unwrap_or(0)
+    }
 
-fn find_key(text: &str, header: Option<&str>, key: &str, nth: usize) -> u32 {
-    lines(text)
-        .filter(|(_, section, line)| *section == header && key_of(line) == Some(key))
-        .nth(nth)
-        .map_or(0, |(number, _, _)| number)
+    /// Returns the line of a key's nth place in a section, or 0 for none.
+    fn of_key(&self, header: Option<&str>, key: &str, nth: usize) -> u32 {
+        self.keys.get(&(header, key)).and_then(|lines| lines.get(nth)).copied().unwrap_or(0)
+    }
 }
 
 fn key_of(line: &str) -> Option<&str> {
--- a/crates/document/tests/refused_texts.rs
+++ b/crates/document/tests/refused_texts.rs
@@ -102,6 +102,16 @@
     );
 }
 
+#[test]
+fn too_many_shards() {
+    assert_changed(
+        "shards = 8\n",
+        "shards = 4096\n[key-group other]\nprefix = o\nshards = 1\n",
+        Category::Consistency,
+        "l.ini:1: 4097 shards in all, expected at most 4096",
+    );
+}
+
 #[test]
 fn unknown_group() {
     assert_changed(
--- a/crates/lab/src/availability.rs
+++ b/crates/lab/src/availability.rs
@@ -1,7 +1,7 @@
 //! How long keys have no serving owner.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use document::{HashMap, Name};
@@ -12,6 +12,9 @@
 
 use crate::upstream::StandIn;
 
+/// The daemons that run now.
+pub type Running = Arc<Mutex<Vec<Arc<Traffic>>>>;
+
 /// Looks, again and again, which shards are served at every daemon.
 ///
 /// A shard counts as served when every daemon that runs routes it, and routes it to a
@@ -20,7 +23,7 @@
 pub struct Availability {
     service: Name,
     servers: Vec<Arc<StandIn>>,
-    daemons: Vec<Arc<Traffic>>,
+    daemons: Running,
     since: HashMap<ShardId, Instant>,
     owners: HashMap<ShardId, Name>,
     changes: u64,
@@ -52,7 +55,7 @@
     ///
     /// Never: the bounds of the histogram are constants.
     #[must_use]
-    pub fn new(service: Name, servers: Vec<Arc<StandIn>>, daemons: Vec<Arc<Traffic>>) -> Self {
+    pub fn new(service: Name, servers: Vec<Arc<StandIn>>, daemons: Running) -> Self {
         let gaps_us = Histogram::new_with_max(LONGEST_GAP_US, 3)
             .expect("the bounds of the histogram are valid");
         Self {
@@ -96,7 +99,8 @@
         }
         let now = Instant::now();
         let mut seen: HashMap<ShardId, Option<Name>> = HashMap::default();
-        for daemon in &self.daemons {
+        let daemons = self.daemons.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        for daemon in &daemons {
             let services = daemon.services();
             let Some(table) = services.get(&self.service).and_then(|s| s.table.as_ref()) else {
                 continue;
--- a/crates/lab/src/job.rs
+++ b/crates/lab/src/job.rs
@@ -10,6 +10,7 @@
 
 use crate::availability::{Availability, Gaps};
 use crate::load::{Load, LoadOptions, LoadReport, Targets};
+use crate::measure::Association;
 use crate::plot::Timeline;
 use crate::site::{Plan, Result, ServerPlan, ServicePlan, Site};
 use crate::witness::Broken;
@@ -23,6 +24,8 @@
     pub rate_per_s: f64,
     /// The seed of all choices.
     pub seed: u64,
+    /// Whose services move.
+    pub association: Association,
     /// Whether a live view is printed.
     pub is_live: bool,
 }
@@ -57,9 +60,6 @@
 }
 
 const CENTRES: [&str; 3] = ["zurich", "bern", "basel"];
-const LEDGER_SERVERS: usize = 20;
-const ARCHIVE_SERVERS: usize = 10;
-const SHARDS: usize = 512;
 const KEYS: u32 = 20_000;
 const SKEW: f64 = 0.6;
 const OPEN_LIMIT_MS: u64 = 20_000;
@@ -75,7 +75,7 @@
 ///
 /// Fails when the site does not start, or does not settle in time.
 pub async fn run_move(options: &MoveOptions) -> Result<MoveReport> {
-    let site = Site::start(&plan()).await?;
+    let site = Site::start(&plan_of(options.association)).await?;
     site.edit(0, |server| server.state).await?;
     site.edit(1, |server| server.state).await?;
     let open_ms = site.wait_until_open(OPEN_LIMIT_MS).await?;
@@ -116,8 +116,9 @@
 
 /// Accepts the edit that makes servers leave and arrive, and waits until it has settled.
 async fn move_servers(site: &Site, options: &MoveOptions) -> Result<Moved> {
+    let keyed = site.servers[0].0.name.clone();
     let least_changes = site
-        .shards_by_server("ledger")
+        .shards_by_server(&keyed)
         .iter()
         .filter(|(name, _)| leaves(name))
         .map(|(_, shards)| u64::try_from(*shards).unwrap_or(0))
@@ -129,14 +130,14 @@
     site.wait_until(SETTLE_LIMIT_MS, "the edit is in force everywhere", || {
         site.daemons.iter().flatten().all(|daemon| {
             let services = daemon.traffic().services();
-            services.get("ledger").is_some_and(|service| service.revision >= revision)
+            services.get(&*keyed).is_some_and(|service| service.revision >= revision)
         })
     })
     .await?;
     let in_force_ms = ms(start);
     say(options, &format!("edit in force everywhere after {in_force_ms} ms"));
     site.wait_until(SETTLE_LIMIT_MS, "no shard is on a leaving server", || {
-        site.shards_by_server("ledger").iter().all(|(name, count)| *count == 0 || !leaves(name))
+        site.shards_by_server(&keyed).iter().all(|(name, count)| *count == 0 || !leaves(name))
     })
     .await?;
     site.wait_until_open(SETTLE_LIMIT_MS).await?;
@@ -147,8 +148,9 @@
 
 fn watch(site: &Site, is_over: Arc<AtomicBool>) -> std::thread::JoinHandle<Gaps> {
     let servers = site.servers[0].1.iter().map(|server| Arc::clone(&server.stand_in)).collect();
-    let daemons = site.daemons.iter().flatten().map(|d| Arc::clone(d.traffic())).collect();
-    let availability = Availability::new(Name::from("ledger"), servers, daemons);
+    let daemons = Arc::clone(&site.running);
+    let service = site.servers[0].0.name.clone();
+    let availability = Availability::new(service, servers, daemons);
     std::thread::spawn(move || availability.watch(&is_over))
 }
 
@@ -161,13 +163,14 @@
     let daemons: Vec<_> =
         site.daemons.iter().flatten().map(|daemon| Arc::clone(daemon.traffic())).collect();
     let is_over = Arc::clone(is_over);
+    let keyed = site.servers[0].0.name.clone();
     tokio::spawn(async move {
         let mut timeline =
             Timeline::new(&["shards on leaving servers", "closed shards", "shards on arrived"]);
         while !is_over.load(Ordering::Relaxed) {
             let counts = daemons.first().map_or([0.0; 3], |traffic| {
                 let services = traffic.services();
-                let table = services.get("ledger").and_then(|service| service.table.clone());
+                let table = services.get(&*keyed).and_then(|service| service.table.clone());
                 table.map_or([0.0; 3], |table| count_routes(&table))
             });
             timeline.push(start.elapsed().as_secs_f64(), &counts);
@@ -197,7 +200,8 @@
     unavailable: Gaps,
     timeline: Timeline,
 ) -> MoveReport {
-    let shards = site.shards_by_server("ledger");
+    let keyed = site.servers[0].0.name.clone();
+    let shards = site.shards_by_server(&keyed);
     let staying: Vec<f64> = shards
         .iter()
         .filter(|(name, _)| !leaves(name))
@@ -214,7 +218,7 @@
         seed: options.seed,
         settled_ms: moved.settled_ms,
         in_force_ms: moved.in_force_ms,
-        shards: SHARDS,
+        shards: shards.iter().map(|(_, count)| count).sum(),
         least_changes: moved.least_changes,
         churn_ratio: to_float(to_usize(unavailable.owner_changes)) / least,
         imbalance_shards: imbalance(&staying),
@@ -234,60 +238,78 @@
 }
 
 fn load_options(options: &MoveOptions) -> LoadOptions {
+    warm_load(options.association, options.seed, options.rate_per_s, options.length_ms)
+}
+
+/// Returns the load of an association.
+pub(crate) fn warm_load(
+    association: Association,
+    seed: u64,
+    rate_per_s: f64,
+    length_ms: u64,
+) -> LoadOptions {
+    let (keyed, pooled) = match association {
+        Association::Mittelland => ("ledger", "archive"),
+        Association::Sapporo => ("desk", "catalogue"),
+    };
     LoadOptions {
-        rate_per_s: options.rate_per_s,
-        length_ms: options.length_ms,
+        rate_per_s,
+        length_ms,
         keys: KEYS,
         skew: SKEW,
-        seed: options.seed,
-        keyed: Some("ledger".to_owned()),
-        pooled: Some("archive".to_owned()),
+        seed,
+        keyed: Some(keyed.to_owned()),
+        pooled: Some(pooled.to_owned()),
     }
 }
 
-/// Four daemons in three data centres; three quarters of the servers move to new ones.
-fn plan() -> Plan {
-    let ledger = ServicePlan {
-        name: Name::from("ledger"),
-        head: LEDGER.to_owned(),
-        is_keyed: true,
-        servers: servers("ledger", LEDGER_SERVERS),
-        run_ms: 2,
-        cold_ms: 50,
-        prepare_ms: 40,
+/// Four daemons in three data centres, and an association's services with the servers
+/// that three quarters of theirs move to.
+pub(crate) fn plan_of(association: Association) -> Plan {
+    let (keyed, pooled, slots, connections) = match association {
+        Association::Mittelland => {
+            (("ledger", 20, MITTELLAND_LEDGER), ("archive", 10, MITTELLAND_ARCHIVE), 4, 120)
+        }
+        Association::Sapporo => {
+            (("desk", 15, SAPPORO_DESK), ("catalogue", 10, SAPPORO_CATALOGUE), 3, 50)
+        }
     };
-    let archive = ServicePlan {
-        name: Name::from("archive"),
-        head: ARCHIVE.to_owned(),
-        is_keyed: false,
-        servers: servers("archive", ARCHIVE_SERVERS),
-        run_ms: 10,
-        cold_ms: 0,
-        prepare_ms: 0,
+    let service = |(name, count, text): (&str, usize, &str), is_keyed, run_ms| ServicePlan {
+        name: Name::from(name),
+        head: head_of(text),
+        is_keyed,
+        servers: servers(name, count, slots, connections),
+        run_ms,
+        cold_ms: if is_keyed { COLD_MS } else { 0 },
+        prepare_ms: if is_keyed { PREPARE_MS } else { 0 },
     };
     let daemons = ["zurich", "zurich", "bern", "basel"].map(Name::from).to_vec();
-    Plan { services: vec![ledger, archive], daemons, threads: 1 }
+    let services = vec![service(keyed, true, KEYED_RUN_MS), service(pooled, false, POOLED_RUN_MS)];
+    Plan { services, daemons, threads: 1 }
+}
+
+/// Returns a sample document without its servers.
+fn head_of(text: &str) -> String {
+    text.split_once("\n[server ").map_or(text, |(head, _)| head).to_owned() + "\n"
 }
 
-const LEDGER: &str = "[service]\nname = ledger\nkind = keyed\nkey = segment 2\n\
-    weight_unavailable = 3\nweight_churn = 1\nweight_imbalance = 1\nmoves_at_once = 32\n\
-    [key-group accounts]\nprefix =\nshards = 512\n\
-    [class balance]\nmethod = GET\npath = /ledger/{key}/balance\nidempotent = yes\n\
-    priority = 0\ndeadline = 1s\n\
-    [class swap]\nmethod = POST\npath = /ledger/{key}/swaps\nidempotent = no\n\
-    priority = 1\ndeadline = 2s\n";
-const ARCHIVE: &str = "[service]\nname = archive\nkind = pooled\n\
-    [class sheet]\nmethod = GET\npath = /archive/sheets/{id}\nidempotent = yes\n\
-    priority = 2\ndeadline = 5s\n";
+const MITTELLAND_LEDGER: &str = include_str!("../../../examples/mittelland/ledger.ini");
+const MITTELLAND_ARCHIVE: &str = include_str!("../../../examples/mittelland/archive.ini");
+const SAPPORO_DESK: &str = include_str!("../../../examples/sapporo/desk.ini");
+const SAPPORO_CATALOGUE: &str = include_str!("../../../examples/sapporo/catalogue.ini");
+const KEYED_RUN_MS: u64 = 2;
+const POOLED_RUN_MS: u64 = 10;
+const COLD_MS: u64 = 50;
+const PREPARE_MS: u64 = 40;
 
 /// The servers of a service: those of today, then the ones that replace most of them.
-fn servers(service: &str, count: usize) -> Vec<ServerPlan> {
+fn servers(service: &str, count: usize, slots: u32, connections: u32) -> Vec<ServerPlan> {
     let staying = count / 4;
     let server = |name: String, at: usize, state| ServerPlan {
         name: Name::from(name),
         data_centre: Name::from(CENTRES[at % CENTRES.len()]),
-        slots: 4,
-        connections: 120,
+        slots,
+        connections,
         state,
         checks_fence: true,
     };
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -16,6 +16,7 @@
 mod availability;
 mod job;
 mod load;
+mod measure;
 mod plot;
 mod site;
 mod store_server;
@@ -23,9 +24,12 @@
 mod witness;
 mod zipf;
 
-pub use availability::{Availability, Gaps};
+pub use availability::{Availability, Gaps, Running};
 pub use job::{MoveOptions, MoveReport, run_move};
 pub use load::{Load, LoadOptions, LoadReport, Outcomes, Targets};
+pub use measure::{
+    Association, Row, Rows, measure_cost, measure_failover, measure_placement, measure_slopes,
+};
 pub use plot::{Timeline, plot};
 pub use site::{Error, Plan, ServerPlan, ServicePlan, Site};
 pub use store_server::serve_store;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,8 +9,8 @@
 use document::Name;
 use indicatif::{ProgressBar, ProgressStyle};
 use lab::{
-    Load, LoadOptions, MoveOptions, StandIn, StandInConfig, Targets, Witness, plot, run_move,
-    serve_store,
+    Association, Load, LoadOptions, MoveOptions, StandIn, StandInConfig, Targets, Witness,
+    measure_cost, measure_failover, measure_placement, measure_slopes, plot, run_move, serve_store,
 };
 use mimalloc::MiMalloc;
 use store::{Faults, MemoryStore};
@@ -36,6 +36,7 @@
                 Some(("upstream", matches)) => run_upstream(matches).await,
                 Some(("load", matches)) => run_load(matches).await,
                 Some(("move", matches)) => run_main_job(matches).await,
+                Some(("measure", matches)) => run_measure(matches).await,
                 _ => Ok(ExitCode::FAILURE),
             }
         })
@@ -55,10 +56,20 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .arg(
+            Arg::new("log")
+                .long("log")
+                .value_name("LEVEL")
+                .default_value("error")
+                .value_parser(["debug", "info", "warn", "error"])
+                .global(true)
+                .help("What the daemons of this process log"),
+        )
         .subcommand(store_command())
         .subcommand(upstream_command())
         .subcommand(load_command())
         .subcommand(move_command())
+        .subcommand(measure_command())
         .after_help("Exit codes: 0 when all went well, 3 when a rule was broken, 1 otherwise.")
 }
 
@@ -141,6 +152,7 @@
         .arg(number("duration", "12", "How many seconds load runs"))
         .arg(number("rate", "1200", "Requests a second"))
         .arg(number("seed", "1", "The seed of all choices"))
+        .arg(association())
         .arg(json_file())
         .arg(
             Arg::new("plot")
@@ -151,6 +163,64 @@
         )
 }
 
+fn measure_command() -> Command {
+    let leaf = |name: &'static str, about: &'static str| {
+        Command::new(name)
+            .about(about)
+            .arg(number("seed", "1", "The seed of all choices"))
+            .arg(association())
+            .arg(json_file())
+    };
+    Command::new("measure")
+        .about("Measures one matter and prints its rows")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(leaf("placement", "Shares and churn of both placement policies"))
+        .subcommand(leaf("failover", "Time without a serving owner after each fault"))
+        .subcommand(leaf("cost", "A daemon beside a plain forwarder"))
+        .subcommand(leaf("slopes", "How costs grow with size"))
+}
+
+fn association() -> Arg {
+    Arg::new("association")
+        .long("association")
+        .value_name("NAME")
+        .default_value("mittelland")
+        .value_parser(["mittelland", "sapporo"])
+        .help("Whose services are used")
+}
+
+fn get_association(matches: &ArgMatches) -> Association {
+    match matches.get_one::<String>("association").map(String::as_str) {
+        Some("sapporo") => Association::Sapporo,
+        _ => Association::Mittelland,
+    }
+}
+
+fn init_logs(matches: &ArgMatches) -> Result<(), Failure> {
+    let level = matches.get_one::<String>("log").map_or("error", String::as_str);
+    telemetry::init_logs(level, telemetry::LogFormat::Text).map_err(|r| r.to_string().into())
+}
+
+async fn run_measure(matches: &ArgMatches) -> Result<ExitCode, Failure> {
+    init_logs(matches)?;
+    let text = |report| format!("{report:?}");
+    let (rows, matches) = match matches.subcommand() {
+        Some(("placement", matches)) => (measure_placement(), matches),
+        Some(("failover", matches)) => {
+            let seed = get(matches, "seed");
+            let measured = measure_failover(get_association(matches), seed).await;
+            (measured.map_err(text)?, matches)
+        }
+        Some(("cost", matches)) => (measure_cost().await.map_err(text)?, matches),
+        Some(("slopes", matches)) => (measure_slopes(), matches),
+        _ => return Ok(ExitCode::FAILURE),
+    };
+    print!("{rows}");
+    write_json(matches, &rows)?;
+    Ok(ExitCode::SUCCESS)
+}
+
 fn skew() -> Arg {
     Arg::new("skew")
         .long("skew")
@@ -253,11 +323,12 @@
 }
 
 async fn run_main_job(matches: &ArgMatches) -> Result<ExitCode, Failure> {
-    telemetry::init_logs("warn", telemetry::LogFormat::Text).map_err(|r| r.to_string())?;
+    init_logs(matches)?;
     let options = MoveOptions {
         length_ms: get(matches, "duration") * 1_000,
         rate_per_s: to_float(get(matches, "rate")),
         seed: get(matches, "seed"),
+        association: get_association(matches),
         is_live: true,
     };
     let report = run_move(&options).await.map_err(|report| format!("{report:?}"))?;
--- /dev/null
+++ b/crates/lab/src/measure/cost.rs
@@ -0,0 +1,187 @@
+//! The cost of the proxy, beside a plain forwarder of the same HTTP library.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use bytes::Bytes;
+use document::{Name, ServerState};
+use error_stack::ResultExt;
+use hdrhistogram::Histogram;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio::time::{Duration, Instant, sleep};
+use tokio_util::sync::CancellationToken;
+use web::{Call, Client};
+
+use super::Rows;
+use crate::site::{Error, Plan, Result, ServerPlan, ServicePlan, Site};
+
+const OPEN_LIMIT_MS: u64 = 20_000;
+const ROUND: Duration = Duration::from_secs(3);
+const ROUNDS: usize = 3;
+const CONNECTIONS: usize = 24;
+const LEDGER: &str = "[service]\nname = ledger\nkind = keyed\nkey = segment 2\n\
+    [key-group accounts]\nprefix =\nshards = 64\n\
+    [class balance]\nmethod = GET\npath = /ledger/{key}/balance\nidempotent = yes\n";
+
+/// Measures requests a second and latency of a daemon and of a plain forwarder, in turn.
+///
+/// # Errors
+///
+/// Fails when the site does not start.
+pub async fn measure_cost() -> Result<Rows> {
+    let site = Site::start(&plan()).await?;
+    site.edit(0, |server| server.state).await?;
+    site.wait_until_open(OPEN_LIMIT_MS).await?;
+    let upstream = site.servers[0].1[0].address;
+    let stop = CancellationToken::new();
+    let forwarder = start_forwarder(upstream, stop.clone()).await?;
+    let daemon = site.callers_addresses()[0];
+    let mut rows = Rows::new("cost: closed loop, 24 connections, one server that answers at once");
+    let mut sums = [0.0; 2];
+    for round in 0..ROUNDS {
+        for (at, (name, address)) in
+            [("plain forwarder", forwarder), ("daemon", daemon)].into_iter().enumerate()
+        {
+            let result = drive(address).await;
+            sums[at] += result.per_s;
+            rows.push(
+                format!("{name}, round {}", round + 1),
+                &[("per_s", result.per_s), ("p50_ms", result.p50_ms), ("p99_ms", result.p99_ms)],
+            );
+        }
+    }
+    rows.push("daemon relative to the plain forwarder", &[("throughput", sums[1] / sums[0])]);
+    stop.cancel();
+    site.end().await;
+    Ok(rows)
+}
+
+struct Driven {
+    per_s: f64,
+    p50_ms: f64,
+    p99_ms: f64,
+}
+
+/// Sends requests on a few connections, each as soon as the last one is answered.
+async fn drive(address: SocketAddr) -> Driven {
+    let is_over = Arc::new(AtomicBool::new(false));
+    let answered = Arc::new(AtomicU64::new(0));
+    let start = Instant::now();
+    let senders: Vec<_> = (0..CONNECTIONS)
+        .map(|sender| {
+            let (is_over, answered) = (Arc::clone(&is_over), Arc::clone(&answered));
+            tokio::spawn(send(address, sender, is_over, answered))
+        })
+        .collect();
+    sleep(ROUND).await;
+    is_over.store(true, Ordering::Relaxed);
+    let mut all = new_histogram();
+    for sender in senders {
+        if let Ok(latency_us) = sender.await {
+            all += latency_us;
+        }
+    }
+    let ms = |us: u64| Duration::from_micros(us).as_secs_f64() * 1_000.0;
+    let count = f64::from(u32::try_from(answered.load(Ordering::Relaxed)).unwrap_or(u32::MAX));
+    Driven {
+        per_s: count / start.elapsed().as_secs_f64(),
+        p50_ms: ms(all.value_at_quantile(0.5)),
+        p99_ms: ms(all.value_at_quantile(0.99)),
+    }
+}
+
+async fn send(
+    address: SocketAddr,
+    sender: usize,
+    is_over: Arc<AtomicBool>,
+    answered: Arc<AtomicU64>,
+) -> Histogram<u64> {
+    let client = Client::new(address);
+    let mut latency_us = new_histogram();
+    let mut number = sender;
+    while !is_over.load(Ordering::Relaxed) {
+        number += CONNECTIONS;
+        let start = Instant::now();
+        let path = format!("/ledger/account-{number}/balance");
+        let call =
+            Call::new(Method::GET, path).header("verbena-shard", "0").header("verbena-epoch", "0");
+        let answer = client.call(call).await;
+        if answer.is_ok_and(|answer| answer.status() == StatusCode::OK) {
+            answered.fetch_add(1, Ordering::Relaxed);
+            latency_us.saturating_record(u64::try_from(start.elapsed().as_micros()).unwrap_or(0));
+        }
+    }
+    latency_us
+}
+
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new_with_max(10_000_000, 3).expect("the bounds of the histogram are valid")
+}
+
+/// Forwards everything to one server without any decision.
+async fn start_forwarder(upstream: SocketAddr, stop: CancellationToken) -> Result<SocketAddr> {
+    let failed = || Error::new("the plain forwarder cannot listen");
+    let listener = TcpListener::bind("127.0.0.1:0").await.change_context_lazy(failed)?;
+    let address = listener.local_addr().change_context_lazy(failed)?;
+    let client = Client::new(upstream);
+    std::thread::spawn(move || {
+        // As many threads as the daemon has for traffic.
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(usize::try_from(THREADS).unwrap_or(1))
+            .enable_all()
+            .build()
+            .expect("a runtime needs nothing but threads");
+        let listener = listener.into_std().and_then(|listener| {
+            let _guard = runtime.enter();
+            TcpListener::from_std(listener)
+        });
+        if let Ok(listener) = listener {
+            runtime.block_on(web::serve(listener, stop, move |request| {
+                let client = client.clone();
+                async move { forward(&client, request).await }
+            }));
+        }
+    });
+    Ok(address)
+}
+
+async fn forward(client: &Client, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let mut call = Call::new(request.method().clone(), request.uri().path());
+    for name in ["verbena-shard", "verbena-epoch"] {
+        if let Some(value) = request.headers().get(name).and_then(|value| value.to_str().ok()) {
+            call = call.header(name, value);
+        }
+    }
+    match client.call(call.body(web::read(request).await)).await {
+        Ok(answer) => answer.map(Full::new),
+        Err(report) => web::status(StatusCode::BAD_GATEWAY, report.to_string()),
+    }
+}
+
+const THREADS: u32 = 2;
+
+/// One daemon and one server with many slots, which checks no fence.
+fn plan() -> Plan {
+    let server = ServerPlan {
+        name: Name::from("ledger-1"),
+        data_centre: Name::from("zurich"),
+        slots: 256,
+        connections: 512,
+        state: Some(ServerState::Serving),
+        checks_fence: false,
+    };
+    let service = ServicePlan {
+        name: Name::from("ledger"),
+        head: LEDGER.to_owned(),
+        is_keyed: true,
+        servers: vec![server],
+        run_ms: 0,
+        cold_ms: 0,
+        prepare_ms: 0,
+    };
+    Plan { services: vec![service], daemons: vec![Name::from("zurich")], threads: THREADS }
+}
--- /dev/null
+++ b/crates/lab/src/measure/failover.rs
@@ -0,0 +1,164 @@
+//! How long keys have no serving owner after each fault.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use document::Name;
+use store::Faults;
+use tokio::time::{Duration, sleep};
+
+use super::Rows;
+use crate::availability::Availability;
+use crate::job::{plan_of, warm_load};
+use crate::load::{Load, Targets};
+use crate::site::{Result, Site};
+
+/// One of the first users.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Association {
+    /// The swap ledger and the quality archive.
+    Mittelland,
+    /// The order desk and the catalogue.
+    Sapporo,
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fault {
+    Server,
+    FrozenServer,
+    Controller,
+    ServerAndController,
+    DataCentre,
+    StoreDownServer,
+    StoreDownController,
+    StoreDownControllerThenServer,
+}
+
+const FAULTS: [(Fault, &str); 8] = [
+    (Fault::Server, "a server lost"),
+    (Fault::FrozenServer, "a server frozen for 5 s"),
+    (Fault::Controller, "the controller lost"),
+    (Fault::ServerAndController, "a server and the controller lost"),
+    (Fault::DataCentre, "a data centre lost"),
+    (Fault::StoreDownServer, "store down: a server lost"),
+    (Fault::StoreDownController, "store down: the controller lost"),
+    (Fault::StoreDownControllerThenServer, "store down: controller, then a server lost"),
+];
+
+const OPEN_LIMIT_MS: u64 = 20_000;
+const BEFORE_MS: u64 = 1_000;
+const AFTER_MS: u64 = 6_000;
+const FREEZE_MS: u64 = 5_000;
+const RATE_PER_S: f64 = 600.0;
+/// The data centre that is lost: one with a single daemon.
+const LOST_CENTRE: usize = 1;
+
+/// Measures every fault on a fresh site of an association.
+///
+/// # Errors
+///
+/// Fails when a site does not start.
+pub async fn measure_failover(association: Association, seed: u64) -> Result<Rows> {
+    let mut rows = Rows::new(format!(
+        "failover, {association:?}: time without a serving owner, requests by outcome"
+    ));
+    for (fault, name) in FAULTS {
+        let figures = measure(association, fault, seed).await?;
+        println!("  {name}: done");
+        rows.push(name, &figures);
+    }
+    Ok(rows)
+}
+
+async fn measure(
+    association: Association,
+    fault: Fault,
+    seed: u64,
+) -> Result<Vec<(&'static str, f64)>> {
+    let mut site = Site::start(&plan_of(association)).await?;
+    for service in 0..2 {
+        site.edit(service, |server| server.state).await?;
+    }
+    site.wait_until_open(OPEN_LIMIT_MS).await?;
+    // The record must name all successors before a fault is fair.
+    sleep(Duration::from_millis(BEFORE_MS)).await;
+    let keyed = site.servers[0].0.name.clone();
+    let servers = site.servers[0].1.iter().map(|s| Arc::clone(&s.stand_in)).collect();
+    let is_over = Arc::new(AtomicBool::new(false));
+    let availability = Availability::new(keyed.clone(), servers, Arc::clone(&site.running));
+    let watcher = {
+        let is_over = Arc::clone(&is_over);
+        std::thread::spawn(move || availability.watch(&is_over))
+    };
+    let targets = Targets::default();
+    targets.set(&site.callers_addresses());
+    let options = warm_load(association, seed, RATE_PER_S, BEFORE_MS + AFTER_MS);
+    let load = Load::new(options, targets.clone(), Some(Arc::clone(&site.witness)));
+    let sending = tokio::spawn(load.run());
+    sleep(Duration::from_millis(BEFORE_MS)).await;
+    cause(&mut site, &keyed, fault).await;
+    targets.set(&site.callers_addresses());
+    let report = sending.await.unwrap_or_default();
+    is_over.store(true, Ordering::Relaxed);
+    let gaps = tokio::task::spawn_blocking(move || watcher.join().unwrap_or_default());
+    let gaps = gaps.await.unwrap_or_default();
+    let broken = site.witness.broken();
+    site.end().await;
+    let sum = |count: fn(&crate::load::Outcomes) -> u64| {
+        to_float(report.classes.values().map(count).sum())
+    };
+    Ok(vec![
+        ("gaps", to_float(gaps.count)),
+        ("p50_ms", gaps.p50_ms),
+        ("p99_ms", gaps.p99_ms),
+        ("max_ms", gaps.max_ms),
+        ("answered", sum(|outcomes| outcomes.answered)),
+        ("not_run", sum(|outcomes| outcomes.not_run)),
+        ("unknown", sum(|outcomes| outcomes.unknown)),
+        ("two_owners", to_float(broken.two_owners)),
+        ("double_runs", to_float(broken.double_runs)),
+        ("false_not_run", to_float(broken.false_not_run)),
+    ])
+}
+
+async fn cause(site: &mut Site, keyed: &Name, fault: Fault) {
+    let is_store_down = matches!(
+        fault,
+        Fault::StoreDownServer | Fault::StoreDownController | Fault::StoreDownControllerThenServer
+    );
+    if is_store_down {
+        site.store.set_faults(Faults { is_down: true, ..Faults::default() });
+        sleep(Duration::from_millis(BEFORE_MS)).await;
+    }
+    match fault {
+        Fault::Server | Fault::StoreDownServer => site.kill_server(0, 0),
+        Fault::FrozenServer => site.servers[0].1[0].stand_in.freeze(FREEZE_MS),
+        Fault::Controller | Fault::StoreDownController => kill_controller(site, keyed).await,
+        Fault::ServerAndController => {
+            site.kill_server(0, 0);
+            kill_controller(site, keyed).await;
+        }
+        Fault::StoreDownControllerThenServer => {
+            kill_controller(site, keyed).await;
+            sleep(Duration::from_millis(2 * BEFORE_MS)).await;
+            site.kill_server(0, 0);
+        }
+        Fault::DataCentre => {
+            for at in (LOST_CENTRE..site.servers[0].1.len()).step_by(3) {
+                site.kill_server(0, at);
+            }
+            site.kill_daemon(2).await;
+        }
+    }
+}
+
+async fn kill_controller(site: &mut Site, keyed: &Name) {
+    if let Some(at) = site.controller(keyed) {
+        site.kill_daemon(at).await;
+    }
+}
+
+fn to_float(count: u64) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
--- /dev/null
+++ b/crates/lab/src/measure/mod.rs
@@ -0,0 +1,75 @@
+//! Measurements, each of which prints a table of rows.
+
+mod cost;
+mod failover;
+mod placing;
+mod slopes;
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::Serialize;
+
+pub use cost::measure_cost;
+pub use failover::{Association, measure_failover};
+pub use placing::measure_placement;
+pub use slopes::measure_slopes;
+
+/// The rows of one measurement.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Rows {
+    /// What was measured.
+    pub title: String,
+    /// The rows.
+    pub rows: Vec<Row>,
+}
+
+/// One row: what was done, and the figures by name.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Row {
+    /// What was done.
+    pub name: String,
+    /// The figures; their names carry the unit.
+    pub figures: BTreeMap<String, f64>,
+}
+
+impl Rows {
+    /// Creates an empty table.
+    #[must_use]
+    pub fn new(title: impl Into<String>) -> Self {
+        Self { title: title.into(), rows: Vec::new() }
+    }
+
+    /// Adds a row.
+    pub fn push(&mut self, name: impl Into<String>, figures: &[(&str, f64)]) {
+        let figures = figures.iter().map(|(name, value)| ((*name).to_owned(), *value)).collect();
+        self.rows.push(Row { name: name.into(), figures });
+    }
+}
+
+impl fmt::Display for Rows {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{}", self.title)?;
+        for row in &self.rows {
+            write!(f, "  {:<44}", row.name)?;
+            for (name, value) in &row.figures {
+                write!(f, " {name} {}", Figure(*value))?;
+            }
+            writeln!(f)?;
+        }
+        Ok(())
+    }
+}
+
+/// A figure with as many places as its size needs.
+struct Figure(f64);
+
+impl fmt::Display for Figure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0.abs() {
+            size if size >= 1_000.0 || self.0.fract() == 0.0 => write!(f, "{:.0}", self.0),
+            size if size >= 10.0 => write!(f, "{:.1}", self.0),
+            _ => write!(f, "{:.3}", self.0),
+        }
+    }
+}
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::fmt::Write as _;
 use std::net::{SocketAddr, TcpListener as StdListener};
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 
 use document::{Document, Name, Revision, ServerState};
 use error_stack::{Report, ResultExt};
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 use verbenad::{Daemon, Listen, LogSettings, Settings, StopSettings};
 
+use crate::availability::Running;
 use crate::serve_store;
 use crate::upstream::{StandIn, StandInConfig};
 use crate::witness::Witness;
@@ -82,6 +83,8 @@
     pub witness: Arc<Witness>,
     /// The daemons; `None` for one that was stopped.
     pub daemons: Vec<Option<Daemon>>,
+    /// The daemons that run, for those that look at them from other threads.
+    pub running: Running,
     /// The settings of the daemons.
     pub settings: Vec<Settings>,
     /// The servers by service, in the plan's order.
@@ -124,13 +127,21 @@
             }
             servers.push((service.clone(), running));
         }
-        let mut site =
-            Self { store, witness, daemons: Vec::new(), settings: Vec::new(), servers, stop };
+        let mut site = Self {
+            store,
+            witness,
+            daemons: Vec::new(),
+            running: Running::default(),
+            settings: Vec::new(),
+            servers,
+            stop,
+        };
         for (number, data_centre) in (1..).zip(&plan.daemons) {
             let settings = settings(number, data_centre, store_address, plan.threads)?;
             site.settings.push(settings.clone());
             site.daemons.push(Some(start_daemon(settings).await?));
         }
+        site.note_running();
         Ok(site)
     }
 
@@ -141,12 +152,14 @@
     /// Fails when the daemon does not start.
     pub async fn restart_daemon(&mut self, at: usize) -> Result<()> {
         self.daemons[at] = Some(start_daemon(self.settings[at].clone()).await?);
+        self.note_running();
         Ok(())
     }
 
     /// Ends a daemon at once, as the loss of its instance would.
     pub async fn kill_daemon(&mut self, at: usize) {
         if let Some(daemon) = self.daemons[at].take() {
+            self.note_running();
             // Threads are waited for; that must not hold up this one.
             drop(tokio::task::spawn_blocking(move || daemon.kill()).await);
         }
@@ -155,10 +168,32 @@
     /// Stops a daemon gracefully.
     pub async fn stop_daemon(&mut self, at: usize) {
         if let Some(daemon) = self.daemons[at].take() {
+            self.note_running();
             daemon.stop(&self.settings[at]).await;
         }
     }
 
+    /// Ends a server at once, as the loss of its instance would.
+    pub fn kill_server(&self, service: usize, at: usize) {
+        let server = &self.servers[service].1[at];
+        server.stop.cancel();
+        server.stand_in.crash();
+    }
+
+    /// Returns the position of the daemon that controls a service.
+    #[must_use]
+    pub fn controller(&self, service: &str) -> Option<usize> {
+        let daemon = self.daemons.iter().flatten().next()?;
+        let services = daemon.traffic().services();
+        let controller = services.get(service)?.table.as_ref()?.controller.clone();
+        self.settings.iter().position(|settings| settings.instance == controller)
+    }
+
+    fn note_running(&self) {
+        let running = self.daemons.iter().flatten().map(|d| Arc::clone(d.traffic())).collect();
+        *self.running.lock().unwrap_or_else(PoisonError::into_inner) = running;
+    }
+
     /// Returns the address for callers of each daemon that runs.
     #[must_use]
     pub fn callers_addresses(&self) -> Vec<SocketAddr> {
--- a/crates/lab/src/upstream.rs
+++ b/crates/lab/src/upstream.rs
@@ -215,6 +215,7 @@
         let Some(is_cold) = self.begin(fence) else {
             return refuse(StatusCode::MISDIRECTED_REQUEST, "stale-epoch");
         };
+        let running = Running { server: self, fence };
         let id = header(&request, REQUEST_ID).and_then(|id| id.parse().ok());
         let is_idempotent = request.method() == http::Method::GET;
         if let Some(id) = id {
@@ -224,7 +225,7 @@
         let cold_ms = if is_cold { self.config.cold_ms } else { 0 };
         sleep(Duration::from_millis(self.config.run_ms + cold_ms)).await;
         self.thaw().await;
-        if !self.commit(fence) {
+        if !running.commit() {
             // It ran without effect: the grant ended before it could be committed.
             return web::status(StatusCode::INTERNAL_SERVER_ERROR, "lost the shard\n");
         }
@@ -271,17 +272,10 @@
     }
 
     /// Ends a request; returns whether its result counts.
-    fn commit(&self, fence: Option<ShardEpoch>) -> bool {
-        let mut state = self.lock();
-        if let Some(target) = fence {
-            let is_owner = state.holder.end(self.clock.now_ms(), target);
-            if self.config.checks_fence && !is_owner {
-                return false;
-            }
-        }
-        let pair = fence.map(|target| (target.shard, target.epoch));
-        self.witness.note_commit(&self.config.service, &self.config.name, pair);
-        true
+    fn end(&self, fence: Option<ShardEpoch>) -> bool {
+        let Some(target) = fence else { return true };
+        let is_owner = self.lock().holder.end(self.clock.now_ms(), target);
+        is_owner || !self.config.checks_fence
     }
 
     fn to_answer(&self, path: &str, id: Option<u64>, body: &Bytes) -> Answer {
@@ -303,6 +297,33 @@
     }
 }
 
+/// A request that runs; it ends without effect when the caller goes away.
+struct Running<'a> {
+    server: &'a StandIn,
+    fence: Option<ShardEpoch>,
+}
+
+impl Running<'_> {
+    /// Ends the request; returns whether its result counts.
+    fn commit(self) -> bool {
+        let server = self.server;
+        let pair = self.fence.map(|target| (target.shard, target.epoch));
+        let counts = server.end(self.fence);
+        // It has ended, so nothing is left to do when it is dropped.
+        std::mem::forget(self);
+        if counts {
+            server.witness.note_commit(&server.config.service, &server.config.name, pair);
+        }
+        counts
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.server.end(self.fence);
+    }
+}
+
 /// A request that waits for a slot; it is not counted any more when dropped.
 struct Waiting<'a>(&'a AtomicUsize);
 
--- a/crates/placement/src/balanced.rs
+++ b/crates/placement/src/balanced.rs
@@ -43,7 +43,7 @@
         let sizes = Sizes::from_request(request);
         let mut draft = Draft::from_owners(request, &sizes);
         draft.place_orphans();
-        if draft.spread() > self.trigger(&sizes) {
+        if !request.is_early && draft.spread() > self.trigger(&sizes) {
             draft.even_out();
         }
         let successors = choose_successors(request, &draft.owners);
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -13,6 +13,7 @@
 //! let request = Request {
 //!     shards: (0..8).map(|id| Shard::new(id, 0)).collect(),
 //!     servers: vec![server("a"), server("b")],
+//!     is_early: false,
 //! };
 //! let plan = Balanced::default().plan(&request);
 //! assert_eq!(plan.owners.iter().filter(|owner| **owner == Some(0)).count(), 4);
--- a/crates/placement/src/request.rs
+++ b/crates/placement/src/request.rs
@@ -9,6 +9,8 @@
     pub shards: Vec<Shard>,
     /// The servers; shards name them by position.
     pub servers: Vec<Candidate>,
+    /// Whether shares may not be evened out yet, for lack of measurements.
+    pub is_early: bool,
 }
 
 /// One shard, as it is held now.
--- a/crates/placement/tests/balance.rs
+++ b/crates/placement/tests/balance.rs
@@ -14,6 +14,7 @@
     Request {
         shards: (0..shards).map(|id| Shard::new(id, 0)).collect(),
         servers: (0..servers).map(server).collect(),
+        is_early: false,
     }
 }
 
@@ -138,6 +139,16 @@
     assert_eq!(Balanced::default().plan(&request).count_moves(&request), 0);
 }
 
+#[test]
+fn early_plan_moves_nothing() {
+    let mut request = settled(512, 20);
+    for shard in &mut request.shards {
+        shard.owner = shard.owner.map(|owner| owner / 2);
+    }
+    request.is_early = true;
+    assert_eq!(Balanced::default().plan(&request).count_moves(&request), 0);
+}
+
 #[test]
 fn groups_are_respected() {
     let mut request = request(60, 4);
