--- a/crates/lab/src/upstream.rs
+++ b/crates/lab/src/upstream.rs
@@ -123,6 +123,12 @@
         state.holder.live(now_ms)
     }
 
+    /// Returns how many requests the server has started to run.
+    #[must_use]
+    pub fn runs(&self) -> u64 {
+        self.lock().runs
+    }
+
     /// Makes the server do nothing for a while.
     pub fn freeze(&self, length_ms: u64) {
         self.lock().frozen_until = Instant::now() + Duration::from_millis(length_ms);
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use document::Class;
-use http::header::{HOST, HeaderValue, RETRY_AFTER};
+use http::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -26,8 +26,22 @@
 ) -> Response<AnswerBody> {
     let started = Instant::now();
     traffic.counters.count(Counter::Requests);
+    let is_ambiguous = request.headers().contains_key(TRANSFER_ENCODING);
     let result = forward(&traffic, request).await;
     traffic.metrics.record_latency(started.elapsed().as_secs_f64() * 1_000.0);
+    let mut response = to_answer(&traffic, result);
+    if is_ambiguous {
+        // The HTTP library hides a length beside the encoding. Whatever another reader may
+        // take for the next request must not be one here.
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+fn to_answer(
+    traffic: &Traffic,
+    result: Result<Response<AnswerBody>, Refusal>,
+) -> Response<AnswerBody> {
     match result {
         Ok(response) => {
             traffic.counters.count(Counter::Answered);
