Refuse requests that crash servers, on every daemon

Cause: a request that crashes the server that runs it takes one server with it each time its caller sends it again. Before: whole_path::crashing_request_is_refused lost all four servers. Ruled out: counting in the control thread, where a third sending came in before the next tick (3 crashes in the test); it is counted before the caller is answered. After: two crashes, then refused at both daemons.

--- a/crates/lab/src/measure/slopes.rs
+++ b/crates/lab/src/measure/slopes.rs
@@ -209,6 +209,7 @@
             in_force: (0..services)
                 .map(|number| (Name::from(format!("service-{number}")), Revision(100_000)))
                 .collect(),
+            suspects: Vec::new(),
         };
         let name = format!("presence with {services} services");
         measure_packet(rows, &name, &service, Message::Presence(presence));
--- a/crates/lab/src/upstream.rs
+++ b/crates/lab/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use bytes::Bytes;
 use document::Name;
@@ -30,6 +30,7 @@
     witness: Arc<Witness>,
     slots: Semaphore,
     waiting: AtomicUsize,
+    stop: OnceLock<CancellationToken>,
     state: Mutex<State>,
 }
 
@@ -78,6 +79,8 @@
 
 /// How many requests wait for a slot before more are shed, for each slot.
 const WAITING_PER_SLOT: usize = 8;
+/// The header that crashes the server that runs the request.
+pub const CRASH: &str = "x-crash";
 /// The header that identifies a request of the load.
 pub const REQUEST_ID: &str = "request-id";
 
@@ -91,6 +94,7 @@
             witness,
             slots: Semaphore::new(slots),
             waiting: AtomicUsize::new(0),
+            stop: OnceLock::new(),
             state: Mutex::new(State {
                 holder: Holder::new(rand::random()),
                 prepared_at: BTreeMap::new(),
@@ -105,6 +109,8 @@
 
     /// Serves requests and orders until the token is cancelled.
     pub async fn serve(self: Arc<Self>, listener: TcpListener, stop: CancellationToken) {
+        // A second listener would end with the first one.
+        let stop = self.stop.get_or_init(|| stop).clone();
         let handler = move |request| {
             let server = Arc::clone(&self);
             async move { server.answer(request).await }
@@ -227,6 +233,14 @@
         if let Some(id) = id {
             self.witness.note_run(&self.config.name, id, is_idempotent);
         }
+        if header(&request, CRASH).is_some() {
+            self.crash();
+            if let Some(stop) = self.stop.get() {
+                stop.cancel();
+            }
+            // The process is gone; nothing of it answers any more.
+            std::future::pending::<()>().await;
+        }
         let body = web::read(request).await;
         let cold_ms = if is_cold { self.config.cold_ms } else { 0 };
         sleep(Duration::from_millis(self.config.run_ms + cold_ms)).await;
--- a/crates/lab/tests/whole_path.rs
+++ b/crates/lab/tests/whole_path.rs
@@ -170,6 +170,37 @@
     site.end().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_request_is_refused() {
+    let plan = Plan {
+        services: vec![service("archive", ARCHIVE, false, 4)],
+        daemons: vec![Name::from("zurich"), Name::from("bern")],
+        threads: 1,
+    };
+    let site = Site::start(&plan).await.unwrap();
+    site.edit(0, |server| server.state).await.unwrap();
+    site.wait_until_open(OPEN_LIMIT_MS).await.unwrap();
+    let poison = "POST /archive/lookups HTTP/1.1\r\nhost: x\r\nconnection: close\r\nx-crash: 1\r\n\
+                  content-length: 3\r\n\r\nbad";
+    let good = poison.replace("x-crash: 1\r\n", "").replace("bad", "who");
+    let mut crashes = 0;
+    for _ in 0..12 {
+        let answer = exchange(&site, poison).await;
+        if answer.contains("verbena-outcome: unknown") {
+            crashes += 1;
+        } else if answer.contains("verbena-reason: crashing") {
+            break;
+        }
+    }
+    assert_eq!(crashes, 2, "the third one is refused, and no server is lost to it");
+    assert_refused(&exchange(&site, poison).await, 503, "crashing", "not-run");
+    let is_refused =
+        || site.daemons.iter().flatten().all(|daemon| !daemon.traffic().refused().is_empty());
+    site.wait_until(OPEN_LIMIT_MS, "every daemon refuses it", is_refused).await.unwrap();
+    assert!(exchange(&site, &good).await.contains(" 200 OK"));
+    site.end().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn frozen_server() {
     let site = start().await;
--- a/crates/lease/tests/server_side.rs
+++ b/crates/lease/tests/server_side.rs
@@ -68,6 +68,15 @@
     assert!(report.shards[0].is_released, "a released epoch never comes back");
 }
 
+#[test]
+fn lower_epoch_is_not_taken() {
+    let mut holder = Holder::new(1);
+    holder.follow(0, &order(1, 100, &[target(1, 5)], &[]));
+    holder.follow(1, &order(1, 200, &[target(1, 4)], &[]));
+    assert_eq!(holder.is_owner(2, ShardId(1)), Some(Epoch(5)));
+    assert_eq!(holder.begin(2, target(1, 4)), Admission::Stale);
+}
+
 #[test]
 fn earlier_term_is_refused() {
     let mut holder = Holder::new(1);
--- a/crates/peer/src/convert.rs
+++ b/crates/peer/src/convert.rs
@@ -6,7 +6,7 @@
 use document::{Name, Revision};
 use error_stack::Report;
 use lease::{Epoch, ShardId, Tenure, Term, Vote};
-use route::{Group, Route, Table};
+use route::{Fingerprint, Group, Route, Suspect, Table};
 use wire::envelope::Message as WireMessage;
 
 use crate::packet::{DocumentText, Message, Packet, Presence};
@@ -192,10 +192,16 @@
             service: service.to_string(),
             revision: revision.0,
         };
+        let suspect = |suspect: &Suspect| wire::Suspect {
+            fingerprint: suspect.fingerprint.0,
+            crashes: suspect.crashes,
+            left_ms: suspect.deadline_ms,
+        };
         Self {
             data_centre: presence.data_centre.to_string(),
             address: presence.address.to_string(),
             in_force: presence.in_force.iter().map(in_force).collect(),
+            suspects: presence.suspects.iter().map(suspect).collect(),
         }
     }
 }
@@ -330,6 +336,15 @@
             .into_iter()
             .map(|entry| (Name::from(entry.service), Revision(entry.revision)))
             .collect(),
+        suspects: presence
+            .suspects
+            .into_iter()
+            .map(|suspect| Suspect {
+                fingerprint: Fingerprint(suspect.fingerprint),
+                crashes: suspect.crashes,
+                deadline_ms: suspect.left_ms,
+            })
+            .collect(),
     })
 }
 
--- a/crates/peer/src/packet.rs
+++ b/crates/peer/src/packet.rs
@@ -8,7 +8,7 @@
 use document::{Name, Revision};
 use lease::Tenure;
 use prost::Message as _;
-use route::Table;
+use route::{Suspect, Table};
 
 use crate::{Error, Result, wire};
 
@@ -68,6 +68,8 @@
     pub address: SocketAddr,
     /// The document in force there, by service.
     pub in_force: Vec<(Name, Revision)>,
+    /// Requests that crashed servers; the deadlines are lengths from the sending on.
+    pub suspects: Vec<Suspect>,
 }
 
 impl Packet {
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -9,10 +9,11 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use route::{
-    Attempts, Decision, Failure, Next, Outcome, Reason, Refusal, ServerState, Service, Target,
+    Attempts, Decision, Failure, Fingerprint, Next, Outcome, Reason, Refusal, ServerState, Service,
+    Target,
 };
 use telemetry::Counter;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Duration, Instant, timeout, timeout_at};
 
 use crate::answer::{AnswerBody, Held, ShardPlace};
 use crate::head;
@@ -66,6 +67,13 @@
     deadline_ms: u64,
 }
 
+impl Call {
+    fn fingerprint(&self) -> Fingerprint {
+        let path = self.head.uri.path_and_query().map_or("", |path| path.as_str());
+        Fingerprint::new(self.head.method.as_str(), path, &self.body)
+    }
+}
+
 /// What came of one attempt.
 enum Attempt {
     Answered(Response<AnswerBody>),
@@ -133,6 +141,9 @@
 ) -> Result<Response<AnswerBody>, Refusal> {
     let mut attempts = Attempts::new(call.class.idempotent, call.deadline_ms);
     loop {
+        if traffic.is_refused(|| call.fingerprint()) {
+            return Err(attempts.to_refusal(Reason::Crashing));
+        }
         let target = find_target(traffic, &mut service, call, &attempts).await?;
         let permit = enter(traffic, &target, call, &attempts).await?;
         let place = target.position.map(|at| ShardPlace::new(&service.in_flight, at));
@@ -152,7 +163,8 @@
             Attempt::Answered(response) => return Ok(response),
             Attempt::Failed(failure) => failure,
         };
-        note_failure(traffic, &target, failure);
+        let failure = find_cause(&target, failure).await;
+        note_failure(traffic, &target, call, failure);
         match attempts.next(traffic.clock.now_ms(), failure) {
             Next::Reroute => wait_for_change(traffic, call, REROUTE_WAIT_MS).await,
             Next::Retry if service.in_flight.budget.spend() => {
@@ -167,6 +179,8 @@
     }
 }
 
+/// How long a server may take to accept a connection after another one broke.
+const PROBE_LIMIT: Duration = Duration::from_millis(100);
 /// How long a fenced request waits for a newer table.
 const REROUTE_WAIT_MS: u64 = 50;
 /// How long a request waits before it tries an unreachable server again.
@@ -298,7 +312,16 @@
     Some(request)
 }
 
-fn note_failure(traffic: &Traffic, target: &Target<Upstream>, failure: Failure) {
+/// Tells a crash of the server from the loss of one connection.
+async fn find_cause(target: &Target<Upstream>, failure: Failure) -> Failure {
+    if failure != Failure::Broken {
+        return failure;
+    }
+    let probe = timeout(PROBE_LIMIT, target.server.probe()).await;
+    if matches!(probe, Ok(Ok(()))) { Failure::Broken } else { Failure::Crashed }
+}
+
+fn note_failure(traffic: &Traffic, target: &Target<Upstream>, call: &Call, failure: Failure) {
     match failure {
         Failure::Fenced => traffic.counters.count(Counter::Fenced),
         Failure::Shed => {
@@ -309,6 +332,11 @@
             target.server.note_overload();
             target.server.close_idle();
         }
+        Failure::Crashed => {
+            traffic.counters.count(Counter::Crashes);
+            traffic.note_crash(call.fingerprint());
+            target.server.close_idle();
+        }
         Failure::NotSent | Failure::Broken => target.server.close_idle(),
     }
 }
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -120,6 +120,11 @@
         Ok(Connection { sender, is_fresh: true })
     }
 
+    /// Looks whether the server takes connections.
+    pub(crate) async fn probe(&self) -> std::io::Result<()> {
+        TcpStream::connect(self.server.address).await.map(drop)
+    }
+
     /// Keeps a connection whose last answer was read to its end.
     pub(crate) fn keep(&self, sender: Sender) {
         if sender.is_closed() {
--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -1,6 +1,6 @@
 //! Whether a failed attempt is repeated.
 
-use crate::{Outcome, Reason, Refusal};
+use crate::{MOST_CRASHES, Outcome, Reason, Refusal};
 
 /// How one attempt to run a request failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -13,6 +13,8 @@
     Shed,
     /// The connection broke after the request was written.
     Broken,
+    /// The connection broke, and the server took no other one after that.
+    Crashed,
     /// No answer came before the attempt's deadline.
     TimedOut,
 }
@@ -34,6 +36,7 @@
     is_idempotent: bool,
     deadline_ms: u64,
     failed: u32,
+    crashes: u32,
     may_have_run: bool,
     last: Option<Failure>,
 }
@@ -55,22 +58,28 @@
     /// Creates the record of a request that was not sent yet.
     #[must_use]
     pub fn new(is_idempotent: bool, deadline_ms: u64) -> Self {
-        Self { is_idempotent, deadline_ms, failed: 0, may_have_run: false, last: None }
+        Self { is_idempotent, deadline_ms, failed: 0, crashes: 0, may_have_run: false, last: None }
     }
 
     /// Notes a failed attempt and says what to do.
     pub fn next(&mut self, now_ms: u64, failure: Failure) -> Next {
         self.failed += 1;
         self.may_have_run |= !failure.is_not_run();
+        self.crashes += u32::from(failure == Failure::Crashed);
         self.last = Some(failure);
         let has_time = now_ms + LEAST_LEFT_MS < self.deadline_ms;
         let is_allowed = self.is_idempotent || !self.may_have_run;
-        if !has_time || !is_allowed || self.failed >= MAX_ATTEMPTS {
+        let is_poison = self.crashes >= MOST_CRASHES;
+        if !has_time || !is_allowed || is_poison || self.failed >= MAX_ATTEMPTS {
             return Next::GiveUp;
         }
         match failure {
             Failure::Fenced => Next::Reroute,
-            Failure::NotSent | Failure::Shed | Failure::Broken | Failure::TimedOut => Next::Retry,
+            Failure::NotSent
+            | Failure::Shed
+            | Failure::Broken
+            | Failure::Crashed
+            | Failure::TimedOut => Next::Retry,
         }
     }
 
@@ -103,7 +112,7 @@
             Some(Failure::Fenced) => Reason::NoOwner,
             Some(Failure::Shed) => Reason::RefusedByServer,
             Some(Failure::TimedOut) => Reason::TimedOut,
-            Some(Failure::Broken) | None => Reason::Broken,
+            Some(Failure::Broken | Failure::Crashed) | None => Reason::Broken,
         };
         self.to_refusal(reason)
     }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -20,6 +20,7 @@
 mod limit;
 mod refusal;
 mod service;
+mod suspects;
 mod table;
 
 pub use attempts::{Attempts, Failure, Next};
@@ -28,4 +29,5 @@
 pub use limit::Limit;
 pub use refusal::{Outcome, Reason, Refusal};
 pub use service::{Decision, InFlight, ServerState, Service, Target};
+pub use suspects::{Fingerprint, MOST_CRASHES, Suspect, Suspects};
 pub use table::{Group, Route, Table};
--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -19,6 +19,8 @@
     Fenced,
     /// Attempts that a server shed.
     Shed,
+    /// Attempts that crashed the server.
+    Crashes,
     /// Requests that waited for a shard to open.
     WaitedForOwner,
     /// Requests that waited for a slot.
@@ -48,7 +50,7 @@
 }
 
 /// All counters with their names and meanings, in the order of [`Counter`].
-const COUNTERS: [(Counter, &str, &str); 20] = [
+const COUNTERS: [(Counter, &str, &str); 21] = [
     (Counter::Requests, "verbena_requests", "requests that arrived"),
     (Counter::Answered, "verbena_answered", "requests that a server answered"),
     (Counter::RefusedNotRun, "verbena_refused_not_run", "requests that certainly did not run"),
@@ -56,6 +58,7 @@
     (Counter::Retries, "verbena_retries", "attempts after the first one"),
     (Counter::Fenced, "verbena_fenced", "attempts refused because of the fence epoch"),
     (Counter::Shed, "verbena_shed", "attempts that a server shed"),
+    (Counter::Crashes, "verbena_crashes", "attempts that crashed the server"),
     (Counter::WaitedForOwner, "verbena_waited_for_owner", "requests that waited for an owner"),
     (Counter::WaitedForSlot, "verbena_waited_for_slot", "requests that waited for a slot"),
     (Counter::Connections, "verbena_connections", "connections opened to servers"),
--- a/crates/verbenad/src/dump.rs
+++ b/crates/verbenad/src/dump.rs
@@ -21,6 +21,7 @@
     instances: BTreeMap<&'a Name, &'a Name>,
     counters: BTreeMap<&'static str, u64>,
     peers: PeerDump,
+    refused_fingerprints: Vec<u64>,
     services: BTreeMap<&'a Name, ServiceDump<'a>>,
 }
 
@@ -70,6 +71,12 @@
                 .map(|(counter, name, _)| (name, self.traffic.counters.get(counter)))
                 .collect(),
             peers: PeerDump { sent_bytes, sent_packets, dropped_packets },
+            refused_fingerprints: self
+                .traffic
+                .refused()
+                .iter()
+                .map(|fingerprint| fingerprint.0)
+                .collect(),
             services: self
                 .services
                 .iter()
--- a/crates/verbenad/src/node.rs
+++ b/crates/verbenad/src/node.rs
@@ -8,6 +8,7 @@
 use lease::Order;
 use peer::{DocumentText, Links, Message, Packet, Presence};
 use proxy::{Services, Traffic};
+use route::Suspect;
 use spdlog::{info, warn};
 use store::{Category, Changes, Expect, Store};
 use telemetry::Counter;
@@ -161,6 +162,10 @@
     fn tick(&mut self) {
         let now_ms = self.now_ms();
         self.note_instances(now_ms);
+        if self.traffic.take_crash_news() {
+            info!("a request crashed a server");
+            self.next_presence_ms = now_ms;
+        }
         let names: Vec<Name> = self.services.keys().cloned().collect();
         for name in names {
             self.step(&name, Event::Tick);
@@ -403,6 +408,7 @@
     }
 
     fn tell_presence(&mut self) {
+        self.traffic.forget_old_crashes();
         let in_force: BTreeMap<Name, Revision> = self
             .services
             .iter()
@@ -413,6 +419,7 @@
             data_centre: self.settings.data_centre.clone(),
             address: self.settings.listen.peer,
             in_force: in_force.into_iter().collect(),
+            suspects: self.own_suspects(),
         };
         let nothing = Name::from("");
         for name in self.others() {
@@ -420,6 +427,16 @@
         }
     }
 
+    /// Returns the requests that crashed servers here, with lengths for deadlines.
+    fn own_suspects(&self) -> Vec<Suspect> {
+        let now_ms = self.now_ms();
+        let left = |suspect: Suspect| Suspect {
+            deadline_ms: suspect.deadline_ms.saturating_sub(now_ms),
+            ..suspect
+        };
+        self.traffic.own_suspects().into_iter().map(left).collect()
+    }
+
     /// Returns the live instances but this one.
     pub(crate) fn others(&self) -> Vec<Name> {
         let names = self.members.live(self.now_ms()).map(|(name, _)| name.clone());
@@ -428,7 +445,12 @@
 
     /// Notes that an instance lives, and asks it for documents that are newer there.
     fn take_presence(&mut self, from: &Name, presence: &Presence) {
-        self.members.note_presence(self.now_ms(), from, presence);
+        let now_ms = self.now_ms();
+        self.members.note_presence(now_ms, from, presence);
+        let heard =
+            |suspect: &Suspect| Suspect { deadline_ms: now_ms + suspect.deadline_ms, ..*suspect };
+        let suspects = presence.suspects.iter().map(heard).collect();
+        self.traffic.note_suspects(from, suspects);
         for (service, revision) in &presence.in_force {
             let known = self.services.get(service).map_or(Revision(0), |entry| entry.revision);
             if *revision > known {
