--- a/crates/control/tests/regressions.rs
+++ b/crates/control/tests/regressions.rs
@@ -192,3 +192,30 @@
     ];
     run_schedule(12_994_508_197_981_739_434, true, &steps);
 }
+
+/// Fails when a shard is granted that an unresolved write changes.
+#[test]
+fn unresolved_write() {
+    let steps = [
+        Loss(15),
+        Run(945),
+        Run(640),
+        Edit(64),
+        PauseServer(0, 530),
+        Run(255),
+        Edit(40),
+        Run(465),
+        Run(1075),
+        KillDaemon(1),
+        PauseDaemon(2, 423),
+        Run(1452),
+        Late(188, 2566),
+        Run(572),
+        PauseDaemon(0, 599),
+        StartServer(2),
+        Run(1),
+        Run(1184),
+        Run(1351),
+    ];
+    run_schedule(11_548_634_341_840_414_640, false, &steps);
+}
--- a/crates/lab/src/job.rs
+++ b/crates/lab/src/job.rs
@@ -26,6 +26,8 @@
     pub seed: u64,
     /// Whose services move.
     pub association: Association,
+    /// Whether shards are placed by rendezvous hashing, the baseline.
+    pub is_rendezvous: bool,
     /// Whether a live view is printed.
     pub is_live: bool,
 }
@@ -75,7 +77,12 @@
 ///
 /// Fails when the site does not start, or does not settle in time.
 pub async fn run_move(options: &MoveOptions) -> Result<MoveReport> {
-    let site = Site::start(&plan_of(options.association)).await?;
+    let mut plan = plan_of(options.association);
+    if options.is_rendezvous {
+        let head = &mut plan.services[0].head;
+        *head = head.replace("\nkind = keyed\n", "\nkind = keyed\nplacement = rendezvous\n");
+    }
+    let site = Site::start(&plan).await?;
     site.edit(0, |server| server.state).await?;
     site.edit(1, |server| server.state).await?;
     let open_ms = site.wait_until_open(OPEN_LIMIT_MS).await?;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -28,7 +28,8 @@
 pub use job::{MoveOptions, MoveReport, run_move};
 pub use load::{Load, LoadOptions, LoadReport, Outcomes, Targets};
 pub use measure::{
-    Association, Row, Rows, measure_cost, measure_failover, measure_placement, measure_slopes,
+    Association, Row, Rows, measure_cost, measure_failover, measure_overload, measure_placement,
+    measure_slopes,
 };
 pub use plot::{Timeline, plot};
 pub use site::{Error, Plan, ServerPlan, ServicePlan, Site};
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -10,7 +10,8 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use lab::{
     Association, Load, LoadOptions, MoveOptions, StandIn, StandInConfig, Targets, Witness,
-    measure_cost, measure_failover, measure_placement, measure_slopes, plot, run_move, serve_store,
+    measure_cost, measure_failover, measure_overload, measure_placement, measure_slopes, plot,
+    run_move, serve_store,
 };
 use mimalloc::MiMalloc;
 use store::{Faults, MemoryStore};
@@ -153,6 +154,12 @@
         .arg(number("rate", "1200", "Requests a second"))
         .arg(number("seed", "1", "The seed of all choices"))
         .arg(association())
+        .arg(
+            Arg::new("rendezvous")
+                .long("rendezvous")
+                .action(ArgAction::SetTrue)
+                .help("Places shards by rendezvous hashing, the baseline"),
+        )
         .arg(json_file())
         .arg(
             Arg::new("plot")
@@ -177,6 +184,7 @@
         .arg_required_else_help(true)
         .subcommand(leaf("placement", "Shares and churn of both placement policies"))
         .subcommand(leaf("failover", "Time without a serving owner after each fault"))
+        .subcommand(leaf("overload", "What is answered when more is asked than can be done"))
         .subcommand(leaf("cost", "A daemon beside a plain forwarder"))
         .subcommand(leaf("slopes", "How costs grow with size"))
 }
@@ -212,6 +220,9 @@
             let measured = measure_failover(get_association(matches), seed).await;
             (measured.map_err(text)?, matches)
         }
+        Some(("overload", matches)) => {
+            (measure_overload(get(matches, "seed")).await.map_err(text)?, matches)
+        }
         Some(("cost", matches)) => (measure_cost().await.map_err(text)?, matches),
         Some(("slopes", matches)) => (measure_slopes(), matches),
         _ => return Ok(ExitCode::FAILURE),
@@ -329,6 +340,7 @@
         rate_per_s: to_float(get(matches, "rate")),
         seed: get(matches, "seed"),
         association: get_association(matches),
+        is_rendezvous: matches.get_flag("rendezvous"),
         is_live: true,
     };
     let report = run_move(&options).await.map_err(|report| format!("{report:?}"))?;
--- a/crates/lab/src/measure/cost.rs
+++ b/crates/lab/src/measure/cost.rs
@@ -18,6 +18,7 @@
 
 use super::Rows;
 use crate::site::{Error, Plan, Result, ServerPlan, ServicePlan, Site};
+use crate::upstream::REQUEST_ID;
 
 const OPEN_LIMIT_MS: u64 = 20_000;
 const ROUND: Duration = Duration::from_secs(3);
@@ -123,7 +124,10 @@
 }
 
 /// Forwards everything to one server without any decision.
-async fn start_forwarder(upstream: SocketAddr, stop: CancellationToken) -> Result<SocketAddr> {
+pub(super) async fn start_forwarder(
+    upstream: SocketAddr,
+    stop: CancellationToken,
+) -> Result<SocketAddr> {
     let failed = || Error::new("the plain forwarder cannot listen");
     let listener = TcpListener::bind("127.0.0.1:0").await.change_context_lazy(failed)?;
     let address = listener.local_addr().change_context_lazy(failed)?;
@@ -151,10 +155,10 @@
 
 async fn forward(client: &Client, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let mut call = Call::new(request.method().clone(), request.uri().path());
-    for name in ["verbena-shard", "verbena-epoch"] {
-        if let Some(value) = request.headers().get(name).and_then(|value| value.to_str().ok()) {
-            call = call.header(name, value);
-        }
+    // The stand-in wants some fence; it checks none here.
+    call = call.header("verbena-shard", "0").header("verbena-epoch", "0").limit_ms(LIMIT_MS);
+    if let Some(id) = request.headers().get(REQUEST_ID).and_then(|value| value.to_str().ok()) {
+        call = call.header(REQUEST_ID, id);
     }
     match client.call(call.body(web::read(request).await)).await {
         Ok(answer) => answer.map(Full::new),
@@ -163,6 +167,7 @@
 }
 
 const THREADS: u32 = 2;
+const LIMIT_MS: u64 = 10_000;
 
 /// One daemon and one server with many slots, which checks no fence.
 fn plan() -> Plan {
--- a/crates/lab/src/measure/mod.rs
+++ b/crates/lab/src/measure/mod.rs
@@ -2,6 +2,7 @@
 
 mod cost;
 mod failover;
+mod overload;
 mod placing;
 mod slopes;
 
@@ -12,6 +13,7 @@
 
 pub use cost::measure_cost;
 pub use failover::{Association, measure_failover};
+pub use overload::measure_overload;
 pub use placing::measure_placement;
 pub use slopes::measure_slopes;
 
--- /dev/null
+++ b/crates/lab/src/measure/overload.rs
@@ -0,0 +1,117 @@
+//! What is answered when more is asked than a server can do.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use document::{Name, ServerState};
+
+use super::Rows;
+use super::cost::start_forwarder;
+use crate::load::{Load, LoadOptions, LoadReport, Targets};
+use crate::site::{Plan, Result, ServerPlan, ServicePlan, Site};
+
+const LEDGER: &str = "[service]\nname = ledger\nkind = keyed\nkey = segment 2\n\
+    [key-group accounts]\nprefix =\nshards = 16\n\
+    [class balance]\nmethod = GET\npath = /ledger/{key}/balance\nidempotent = yes\n\
+    priority = 0\ndeadline = 1s\n\
+    [class swap]\nmethod = POST\npath = /ledger/{key}/swaps\nidempotent = no\n\
+    priority = 1\ndeadline = 1s\n";
+const SLOTS: u32 = 4;
+const RUN_MS: u64 = 20;
+/// What the server can run in a second.
+const CAPACITY_PER_S: f64 = 200.0;
+const TIMES: [f64; 5] = [0.5, 1.0, 2.0, 5.0, 10.0];
+const LENGTH_MS: u64 = 4_000;
+const OPEN_LIMIT_MS: u64 = 20_000;
+
+/// Measures four daemons, and a plain forwarder, before one server of known capacity.
+///
+/// # Errors
+///
+/// Fails when a site does not start.
+pub async fn measure_overload(seed: u64) -> Result<Rows> {
+    let mut rows = Rows::new(
+        "overload: one server, 200 requests a second at most; 4 daemons or a plain forwarder",
+    );
+    for times in TIMES {
+        for is_daemon in [true, false] {
+            let site = Site::start(&plan()).await?;
+            site.edit(0, |server| server.state).await?;
+            site.wait_until_open(OPEN_LIMIT_MS).await?;
+            let (addresses, stop) = if is_daemon {
+                (site.callers_addresses(), None)
+            } else {
+                let stop = tokio_util::sync::CancellationToken::new();
+                let upstream = site.servers[0].1[0].address;
+                (vec![start_forwarder(upstream, stop.clone()).await?], Some(stop))
+            };
+            let report = send(&site, seed, times, &addresses).await;
+            let name = if is_daemon { "daemons" } else { "plain forwarder" };
+            push(&mut rows, &format!("{times} x capacity, {name}"), &report, &site);
+            if let Some(stop) = stop {
+                stop.cancel();
+            }
+            site.end().await;
+        }
+    }
+    Ok(rows)
+}
+
+async fn send(site: &Site, seed: u64, times: f64, addresses: &[SocketAddr]) -> LoadReport {
+    let targets = Targets::default();
+    targets.set(addresses);
+    let options = LoadOptions {
+        rate_per_s: CAPACITY_PER_S * times,
+        length_ms: LENGTH_MS,
+        keys: 1_000,
+        skew: 0.0,
+        seed,
+        keyed: Some("ledger".to_owned()),
+        pooled: None,
+    };
+    Load::new(options, targets, Some(Arc::clone(&site.witness))).run().await
+}
+
+fn push(rows: &mut Rows, name: &str, report: &LoadReport, site: &Site) {
+    let to_float = |count: u64| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+    let all = |count: fn(&crate::load::Outcomes) -> u64| {
+        to_float(report.classes.values().map(count).sum())
+    };
+    let balance = report.classes.get("balance").cloned().unwrap_or_default();
+    let length_s = std::time::Duration::from_millis(LENGTH_MS).as_secs_f64();
+    let broken = site.witness.broken();
+    rows.push(
+        name,
+        &[
+            ("goodput_per_s", all(|outcomes| outcomes.answered) / length_s),
+            ("balance_p50_ms", balance.p50_ms),
+            ("balance_p99_ms", balance.p99_ms),
+            ("not_run", all(|outcomes| outcomes.not_run)),
+            ("unknown", all(|outcomes| outcomes.unknown)),
+            ("double_runs", to_float(broken.double_runs)),
+            ("false_not_run", to_float(broken.false_not_run)),
+        ],
+    );
+}
+
+fn plan() -> Plan {
+    let server = ServerPlan {
+        name: Name::from("ledger-1"),
+        data_centre: Name::from("zurich"),
+        slots: SLOTS,
+        connections: 120,
+        state: Some(ServerState::Serving),
+        checks_fence: false,
+    };
+    let service = ServicePlan {
+        name: Name::from("ledger"),
+        head: LEDGER.to_owned(),
+        is_keyed: true,
+        servers: vec![server],
+        run_ms: RUN_MS,
+        cold_ms: 0,
+        prepare_ms: 0,
+    };
+    let daemons = ["zurich", "zurich", "bern", "basel"].map(Name::from).to_vec();
+    Plan { services: vec![service], daemons, threads: 1 }
+}
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::fmt::Write as _;
-use std::net::{SocketAddr, TcpListener as StdListener};
+use std::net::SocketAddr;
 use std::sync::{Arc, PoisonError};
 
 use document::{Document, Name, Revision, ServerState};
@@ -137,9 +137,11 @@
             stop,
         };
         for (number, data_centre) in (1..).zip(&plan.daemons) {
-            let settings = settings(number, data_centre, store_address, plan.threads)?;
-            site.settings.push(settings.clone());
-            site.daemons.push(Some(start_daemon(settings).await?));
+            let settings = settings(number, data_centre, store_address, plan.threads);
+            let daemon = start_daemon(settings).await?;
+            // A daemon that is started again takes the same ports.
+            site.settings.push(daemon.settings().clone());
+            site.daemons.push(Some(daemon));
         }
         site.note_running();
         Ok(site)
@@ -169,7 +171,7 @@
     pub async fn stop_daemon(&mut self, at: usize) {
         if let Some(daemon) = self.daemons[at].take() {
             self.note_running();
-            daemon.stop(&self.settings[at]).await;
+            daemon.stop().await;
         }
     }
 
@@ -354,19 +356,10 @@
         .change_context_lazy(|| Error::new("a daemon did not start"))
 }
 
-fn settings(
-    number: usize,
-    data_centre: &Name,
-    store: SocketAddr,
-    threads: u32,
-) -> Result<Settings> {
-    let listen = Listen {
-        http: free_address()?,
-        peer: free_address()?,
-        operator: free_address()?,
-        admin: free_address()?,
-    };
-    Ok(Settings {
+fn settings(number: usize, data_centre: &Name, store: SocketAddr, threads: u32) -> Settings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listen = Listen { http: any, peer: any, operator: any, admin: any };
+    Settings {
         instance: Name::from(format!("entry-{number}")),
         data_centre: data_centre.clone(),
         listen,
@@ -377,13 +370,7 @@
         log: LogSettings { level: Name::from("warn"), format: LogFormat::Text },
         stop: StopSettings { notice_ms: 200, drain_ms: 10_000 },
         peers: Vec::new(),
-    })
-}
-
-fn free_address() -> Result<SocketAddr> {
-    let failed = || Error::new("no free address on loopback");
-    let listener = StdListener::bind("127.0.0.1:0").change_context_lazy(failed)?;
-    listener.local_addr().change_context_lazy(failed)
+    }
 }
 
 async fn bind() -> Result<TcpListener> {
--- a/crates/verbenad/src/daemon.rs
+++ b/crates/verbenad/src/daemon.rs
@@ -17,13 +17,14 @@
 
 use crate::input::Input;
 use crate::node::Node;
-use crate::{Error, Result, Settings, admin, operators, watch};
+use crate::{Error, Listen, Result, Settings, admin, operators, watch};
 
 /// A running daemon.
 #[derive(Debug)]
 pub struct Daemon {
     tokens: Tokens,
     traffic: Arc<Traffic>,
+    settings: Settings,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -65,7 +66,8 @@
     ///
     /// Fails when an address is in use or a thread cannot be started.
     pub fn start_with<S: Store + std::fmt::Debug>(settings: &Settings, store: &S) -> Result<Self> {
-        let sockets = Sockets::open(settings)?;
+        let mut settings = settings.clone();
+        let sockets = Sockets::open(&mut settings.listen)?;
         let counters = Arc::new(Counters::default());
         let metrics =
             Metrics::new(&counters).change_context_lazy(|| Error::new("metrics cannot start"))?;
@@ -85,7 +87,13 @@
         let threads = vec![spawn("control", control)?, spawn("traffic", carry)?];
         let name = settings.instance.as_str();
         info!("daemon started", kv: { instance = name, http:? = settings.listen.http });
-        Ok(Self { tokens, traffic, threads })
+        Ok(Self { tokens, traffic, settings, threads })
+    }
+
+    /// Returns the settings in force; a port that was 0 is the one that was found.
+    #[must_use]
+    pub fn settings(&self) -> &Settings {
+        &self.settings
     }
 
     /// Returns the shared state of the request path.
@@ -95,7 +103,8 @@
     }
 
     /// Stops gracefully: no answer in progress is cut off unless it takes too long.
-    pub async fn stop(self, settings: &Settings) {
+    pub async fn stop(self) {
+        let settings = &self.settings;
         self.tokens.stop.cancel();
         sleep(Duration::from_millis(settings.stop.notice_ms)).await;
         self.tokens.close.cancel();
@@ -120,23 +129,25 @@
 }
 
 impl Sockets {
-    fn open(settings: &Settings) -> Result<Self> {
-        let listen = settings.listen;
+    /// Opens all sockets, and notes the ports that were found for port 0.
+    fn open(listen: &mut Listen) -> Result<Self> {
         Ok(Self {
-            http: bind("http", listen.http)?,
-            peer: bind("peer", listen.peer)?,
-            operator: bind("operator", listen.operator)?,
-            admin: bind("admin", listen.admin)?,
+            http: bind("http", &mut listen.http)?,
+            peer: bind("peer", &mut listen.peer)?,
+            operator: bind("operator", &mut listen.operator)?,
+            admin: bind("admin", &mut listen.admin)?,
         })
     }
 }
 
-fn bind(what: &str, address: SocketAddr) -> Result<std::net::TcpListener> {
+fn bind(what: &str, address: &mut SocketAddr) -> Result<std::net::TcpListener> {
+    let wanted = *address;
     let failed = || {
-        Error::new(format!("[listen] {what} = {address} cannot be used, expected a free address"))
+        Error::new(format!("[listen] {what} = {wanted} cannot be used, expected a free address"))
     };
-    let listener = std::net::TcpListener::bind(address).change_context_lazy(failed)?;
+    let listener = std::net::TcpListener::bind(wanted).change_context_lazy(failed)?;
     listener.set_nonblocking(true).change_context_lazy(failed)?;
+    *address = listener.local_addr().change_context_lazy(failed)?;
     Ok(listener)
 }
 
--- a/crates/verbenad/src/main.rs
+++ b/crates/verbenad/src/main.rs
@@ -22,14 +22,14 @@
     let Some(path) = matches.get_one::<PathBuf>("settings") else {
         return ExitCode::from(BAD_SETTINGS);
     };
-    let (settings, daemon) = match start(path) {
+    let daemon = match start(path) {
         Ok(started) => started,
         Err(report) => {
             eprintln!("{report:?}");
             return ExitCode::from(BAD_SETTINGS);
         }
     };
-    match wait(daemon, &settings) {
+    match wait(daemon) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
@@ -65,7 +65,7 @@
 
 impl std::error::Error for BadSettings {}
 
-fn start(path: &Path) -> Result<(Settings, Daemon), Report<BadSettings>> {
+fn start(path: &Path) -> Result<Daemon, Report<BadSettings>> {
     let text = std::fs::read_to_string(path)
         .attach_with(|| format!("{}: expected a file that can be read", path.display()))
         .change_context(BadSettings)?;
@@ -75,11 +75,11 @@
     let daemon = Daemon::start(&settings)
         .attach_with(|| path.display().to_string())
         .change_context(BadSettings)?;
-    Ok((settings, daemon))
+    Ok(daemon)
 }
 
 /// Waits for a signal to stop, then stops gracefully.
-fn wait(daemon: Daemon, settings: &Settings) -> std::io::Result<()> {
+fn wait(daemon: Daemon) -> std::io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
         let mut terminate = signal(SignalKind::terminate())?;
@@ -88,7 +88,7 @@
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
-        daemon.stop(settings).await;
+        daemon.stop().await;
         Ok(())
     })
 }
