Refuse at once what cannot be answered in time

Requests waited in order for up to their whole deadline of 1 s, were sent with a few milliseconds left, and timed out at the server: 3103 and 3989 unknown outcomes. Change: a gate knows how long requests take; it refuses a request whose turn would come too late (not run, Retry-After), and drops one whose turn comes too late.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -29,7 +29,7 @@
     traffic.counters.count(Counter::Requests);
     let is_ambiguous = request.headers().contains_key(TRANSFER_ENCODING);
     let result = forward(&traffic, request).await;
-    traffic.metrics.record_latency(started.elapsed().as_secs_f64() * 1_000.0);
+    traffic.metrics.record_latency(to_ms(started));
     let mut response = to_answer(&traffic, result);
     if is_ambiguous {
         // The HTTP library hides a length beside the encoding. Whatever another reader may
@@ -39,6 +39,11 @@
     response
 }
 
+/// Returns the milliseconds since an instant.
+fn to_ms(since: Instant) -> f64 {
+    since.elapsed().as_secs_f64() * 1_000.0
+}
+
 fn to_answer(
     traffic: &Traffic,
     result: Result<Response<AnswerBody>, Refusal>,
@@ -159,12 +164,13 @@
             }
             continue;
         }
+        let started = Instant::now();
         let failure = match attempt(traffic, &target, call, &attempts, permit, place).await {
             Attempt::Answered(response) => return Ok(response),
             Attempt::Failed(failure) => failure,
         };
         let failure = find_cause(&target, failure).await;
-        note_failure(traffic, &target, call, failure);
+        note_failure(traffic, &target, call, failure, to_ms(started));
         match attempts.next(traffic.clock.now_ms(), failure) {
             Next::Reroute => wait_for_change(traffic, call, REROUTE_WAIT_MS).await,
             Next::Retry if service.in_flight.budget.spend() => {
@@ -227,8 +233,7 @@
     call: &Call,
     attempts: &Attempts,
 ) -> Result<Permit, Refusal> {
-    let deadline = traffic.clock.to_instant(call.deadline_ms);
-    match target.server.enter(call.class.priority, deadline).await {
+    match target.server.enter(call.class.priority, call.deadline_ms).await {
         Ok((permit, has_waited)) => {
             if has_waited {
                 traffic.counters.count(Counter::WaitedForSlot);
@@ -249,6 +254,7 @@
     permit: Permit,
     place: Option<ShardPlace>,
 ) -> Attempt {
+    let started = Instant::now();
     let now_ms = traffic.clock.now_ms();
     let deadline = traffic.clock.to_instant(attempts.attempt_deadline_ms(now_ms));
     let Ok(Ok(connection)) = timeout_at(deadline, target.server.connect(true)).await else {
@@ -277,7 +283,7 @@
     if let Some(failure) = to_failure(&head) {
         return Attempt::Failed(failure);
     }
-    target.server.note_answer();
+    target.server.note_answer(to_ms(started));
     head::strip(&mut head.headers);
     Attempt::Answered(Response::from_parts(head, body))
 }
@@ -321,15 +327,21 @@
     if matches!(probe, Ok(Ok(()))) { Failure::Broken } else { Failure::Crashed }
 }
 
-fn note_failure(traffic: &Traffic, target: &Target<Upstream>, call: &Call, failure: Failure) {
+fn note_failure(
+    traffic: &Traffic,
+    target: &Target<Upstream>,
+    call: &Call,
+    failure: Failure,
+    latency_ms: f64,
+) {
     match failure {
         Failure::Fenced => traffic.counters.count(Counter::Fenced),
         Failure::Shed => {
             traffic.counters.count(Counter::Shed);
-            target.server.note_overload();
+            target.server.note_overload(latency_ms);
         }
         Failure::TimedOut => {
-            target.server.note_overload();
+            target.server.note_overload(latency_ms);
             target.server.close_idle();
         }
         Failure::Crashed => {
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -13,6 +13,8 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout_at};
 
+use crate::Clock;
+
 /// A connection that can send one request at a time.
 pub(crate) type Sender = SendRequest<Full<Bytes>>;
 
@@ -20,6 +22,7 @@
 #[derive(Debug)]
 pub struct Upstream {
     server: Server,
+    clock: Clock,
     // Held for a few instructions only; requests to other servers do not meet here.
     gate: Mutex<Gate<oneshot::Sender<()>>>,
     idle: Mutex<Vec<Idle>>,
@@ -62,10 +65,11 @@
 impl Upstream {
     /// Creates the state of a server that some daemons share.
     #[must_use]
-    pub fn new(server: Server, daemons: u32) -> Self {
+    pub fn new(server: Server, daemons: u32, clock: Clock) -> Self {
         let limit = Limit::new(server.slots, daemons);
         Self {
             server,
+            clock,
             gate: Mutex::new(Gate::new(limit, MOST_WAITING)),
             idle: Mutex::default(),
             in_flight: AtomicU32::new(0),
@@ -83,10 +87,11 @@
     pub(crate) async fn enter(
         self: &Arc<Self>,
         priority: u32,
-        deadline: Instant,
+        deadline_ms: u64,
     ) -> Result<(Permit, bool), Refused> {
         let (waker, woken) = oneshot::channel();
-        let admission = self.gate().arrive(priority, waker);
+        let now_ms = self.clock.now_ms();
+        let admission = self.gate().arrive(now_ms, deadline_ms, priority, waker);
         let ticket = match admission {
             Admission::Enter => return Ok((self.permit(), false)),
             Admission::Refuse => return Err(Refused::Full),
@@ -98,6 +103,7 @@
             }
         };
         let waiting = Waiting { upstream: self, ticket: Some(ticket), woken };
+        let deadline = self.clock.to_instant(deadline_ms);
         waiting.finish(deadline).await.map(|permit| (permit, true))
     }
 
@@ -142,12 +148,12 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
     }
 
-    pub(crate) fn note_answer(&self) {
-        self.gate().on_answer();
+    pub(crate) fn note_answer(&self, latency_ms: f64) {
+        self.gate().on_answer(latency_ms);
     }
 
-    pub(crate) fn note_overload(&self) {
-        self.gate().on_overload();
+    pub(crate) fn note_overload(&self, latency_ms: f64) {
+        self.gate().on_overload(latency_ms);
     }
 
     fn pop_idle(&self) -> Option<Idle> {
@@ -161,11 +167,12 @@
 
     /// Gives a place back that was never used or is not used any more.
     fn give_back(&self) {
-        let mut admitted = self.gate().leave();
+        let now_ms = self.clock.now_ms();
+        let mut admitted = self.gate().leave(now_ms);
         while let Some(waker) = admitted.pop() {
             // A request that gave up in the same moment does not take its place.
             if waker.send(()).is_err() {
-                admitted.extend(self.gate().leave());
+                admitted.extend(self.gate().leave(now_ms));
             }
         }
     }
--- a/crates/route/src/gate.rs
+++ b/crates/route/src/gate.rs
@@ -11,11 +11,19 @@
 pub struct Gate<W> {
     limit: Limit,
     in_flight: u32,
-    waiting: BTreeMap<Ticket, W>,
+    waiting: BTreeMap<Ticket, Place<W>>,
+    /// How long a request lately took, from its admission to its answer.
+    latency_ms: f64,
     next_number: u64,
     most_waiting: usize,
 }
 
+#[derive(Debug)]
+struct Place<W> {
+    deadline_ms: u64,
+    waker: W,
+}
+
 /// A place in the queue: the priority first, then the order of arrival.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Ticket {
@@ -40,7 +48,14 @@
     /// Creates the gate of one server.
     #[must_use]
     pub fn new(limit: Limit, most_waiting: usize) -> Self {
-        Self { limit, in_flight: 0, waiting: BTreeMap::new(), next_number: 0, most_waiting }
+        Self {
+            limit,
+            in_flight: 0,
+            waiting: BTreeMap::new(),
+            latency_ms: 0.0,
+            next_number: 0,
+            most_waiting,
+        }
     }
 
     /// Returns how many requests are in flight.
@@ -67,22 +82,35 @@
     }
 
     /// Lets a request in, makes it wait, or refuses it; `waker` wakes it later.
-    pub fn arrive(&mut self, priority: u32, waker: W) -> Admission<W> {
+    ///
+    /// A request that would not be answered before its deadline is refused at once.
+    pub fn arrive(
+        &mut self,
+        now_ms: u64,
+        deadline_ms: u64,
+        priority: u32,
+        waker: W,
+    ) -> Admission<W> {
         if self.in_flight < self.limit.get() && self.waiting.is_empty() {
             self.in_flight += 1;
             return Admission::Enter;
         }
         let ticket = Ticket { priority, number: self.next_number };
         self.next_number += 1;
+        let ahead = self.waiting.range(..ticket).count();
+        if !self.is_worth_waiting(now_ms, deadline_ms, ahead) {
+            return Admission::Refuse;
+        }
+        let place = Place { deadline_ms, waker };
         if self.waiting.len() < self.most_waiting {
-            self.waiting.insert(ticket, waker);
+            self.waiting.insert(ticket, place);
             return Admission::Wait(ticket);
         }
         match self.waiting.last_entry() {
             Some(last) if last.key().priority > priority => {
                 let displaced = last.remove();
-                self.waiting.insert(ticket, waker);
-                Admission::WaitInstead(ticket, displaced)
+                self.waiting.insert(ticket, place);
+                Admission::WaitInstead(ticket, displaced.waker)
             }
             _ => Admission::Refuse,
         }
@@ -90,10 +118,11 @@
 
     /// Notes that a request has left; returns the wakers of those that may enter.
     ///
-    /// Each of them counts as in flight from now on.
-    pub fn leave(&mut self) -> Vec<W> {
+    /// Each of them counts as in flight from now on. Those that could not be answered in
+    /// time any more are dropped with their wakers.
+    pub fn leave(&mut self, now_ms: u64) -> Vec<W> {
         self.in_flight = self.in_flight.saturating_sub(1);
-        self.admit_waiting()
+        self.admit_waiting(now_ms)
     }
 
     /// Gives up a place in the queue; returns whether the request was still waiting.
@@ -101,25 +130,44 @@
         self.waiting.remove(&ticket).is_some()
     }
 
-    /// Notes that the server answered.
-    pub fn on_answer(&mut self) {
+    /// Notes that the server answered after some time.
+    pub fn on_answer(&mut self, latency_ms: f64) {
         self.limit.on_answer(self.in_flight);
+        self.note_latency(latency_ms);
     }
 
     /// Notes that the server shed a request or did not answer in time.
-    pub fn on_overload(&mut self) {
+    pub fn on_overload(&mut self, latency_ms: f64) {
         self.limit.on_overload();
+        self.note_latency(latency_ms);
     }
 
-    fn admit_waiting(&mut self) -> Vec<W> {
+    fn note_latency(&mut self, latency_ms: f64) {
+        self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms);
+    }
+
+    /// Returns whether a request with some others ahead would be answered in time.
+    fn is_worth_waiting(&self, now_ms: u64, deadline_ms: u64, ahead: usize) -> bool {
+        let ahead = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX));
+        let rounds = (ahead + 1.0) / f64::from(self.limit.get());
+        let left_ms = u32::try_from(deadline_ms.saturating_sub(now_ms)).unwrap_or(u32::MAX);
+        (rounds + 1.0) * self.latency_ms <= f64::from(left_ms)
+    }
+
+    fn admit_waiting(&mut self, now_ms: u64) -> Vec<W> {
         let mut admitted = Vec::new();
         while self.in_flight < self.limit.get() {
-            let Some((_, waker)) = self.waiting.pop_first() else {
-                break;
-            };
-            self.in_flight += 1;
-            admitted.push(waker);
+            let Some((_, place)) = self.waiting.pop_first() else { break };
+            let left_ms = place.deadline_ms.saturating_sub(now_ms);
+            let left_ms = u32::try_from(left_ms).unwrap_or(u32::MAX);
+            if f64::from(left_ms) > self.latency_ms {
+                self.in_flight += 1;
+                admitted.push(place.waker);
+            }
         }
         admitted
     }
 }
+
+/// How much the latest latency counts.
+const LATENCY_WEIGHT: f64 = 0.1;
--- a/crates/route/tests/path_decisions.rs
+++ b/crates/route/tests/path_decisions.rs
@@ -70,23 +70,51 @@
 #[test]
 fn urgent_goes_first() {
     let mut gate = Gate::new(Limit::new(1, 1), 2);
-    assert!(matches!(gate.arrive(0, "first"), Admission::Enter));
-    assert!(matches!(gate.arrive(2, "sheet"), Admission::Wait(_)));
-    assert!(matches!(gate.arrive(1, "swap"), Admission::Wait(_)));
-    assert!(matches!(gate.arrive(2, "late sheet"), Admission::Refuse));
-    assert!(matches!(gate.arrive(0, "balance"), Admission::WaitInstead(_, "sheet")));
-    assert_eq!(gate.leave(), ["balance"]);
-    assert_eq!(gate.leave(), ["swap"]);
-    assert!(gate.leave().is_empty());
+    assert!(matches!(gate.arrive(0, 100, 0, "first"), Admission::Enter));
+    assert!(matches!(gate.arrive(0, 100, 2, "sheet"), Admission::Wait(_)));
+    assert!(matches!(gate.arrive(0, 100, 1, "swap"), Admission::Wait(_)));
+    assert!(matches!(gate.arrive(0, 100, 2, "late sheet"), Admission::Refuse));
+    assert!(matches!(gate.arrive(0, 100, 0, "balance"), Admission::WaitInstead(_, "sheet")));
+    assert_eq!(gate.leave(1), ["balance"]);
+    assert_eq!(gate.leave(2), ["swap"]);
+    assert!(gate.leave(3).is_empty());
     assert_eq!(gate.in_flight(), 0);
 }
 
 #[test]
 fn abandoned_place_is_free() {
     let mut gate = Gate::new(Limit::new(1, 1), 1);
-    gate.arrive(0, 1);
-    let Admission::Wait(ticket) = gate.arrive(0, 2) else { panic!("there is room to wait") };
+    gate.arrive(0, 100, 0, 1);
+    let Admission::Wait(ticket) = gate.arrive(0, 100, 0, 2) else {
+        panic!("there is room to wait")
+    };
     assert!(gate.abandon(ticket));
     assert!(!gate.abandon(ticket));
-    assert!(gate.leave().is_empty());
+    assert!(gate.leave(1).is_empty());
+}
+
+/// A gate before a server that takes 100 ms for a request, one at a time.
+fn slow_gate() -> Gate<u32> {
+    let mut gate = Gate::new(Limit::new(1, 1), 100);
+    gate.arrive(0, 1_000, 0, 0);
+    for _ in 0..200 {
+        gate.on_answer(100.0);
+    }
+    gate
+}
+
+#[test]
+fn hopeless_is_refused_at_once() {
+    let mut gate = slow_gate();
+    assert!(matches!(gate.arrive(0, 150, 0, 1), Admission::Refuse));
+    let waiting = (0..20).filter(|n| matches!(gate.arrive(0, 1_000, 0, *n), Admission::Wait(_)));
+    assert_eq!(waiting.count(), 9, "the tenth would be answered after 1,100 ms");
+}
+
+#[test]
+fn late_is_dropped() {
+    let mut gate = slow_gate();
+    gate.arrive(0, 300, 0, 1);
+    gate.arrive(0, 1_000, 0, 2);
+    assert_eq!(gate.leave(250), [2], "the first had 50 ms left and needs 100");
 }
--- a/crates/verbenad/src/entry.rs
+++ b/crates/verbenad/src/entry.rs
@@ -4,7 +4,7 @@
 
 use control::{Control, Tuning};
 use document::{Document, HashMap, Name, Revision};
-use proxy::Upstream;
+use proxy::{Clock, Upstream};
 use route::{InFlight, ServerState, Service, Table};
 
 /// The control part, the document and the traffic state of one service.
@@ -47,12 +47,14 @@
         text: Name,
         document: Arc<Document>,
         daemons: u32,
+        clock: Clock,
     ) {
         let mut upstreams = HashMap::default();
         for server in &document.servers {
             let known = self.upstreams.remove(&server.name);
             let kept = known.filter(|known| is_same_server(known.server(), server));
-            let upstream = kept.unwrap_or_else(|| Arc::new(Upstream::new(server.clone(), daemons)));
+            let upstream =
+                kept.unwrap_or_else(|| Arc::new(Upstream::new(server.clone(), daemons, clock)));
             upstreams.insert(server.name.clone(), upstream);
         }
         // A server that left the document may still serve until its shards have moved.
--- a/crates/verbenad/src/node.rs
+++ b/crates/verbenad/src/node.rs
@@ -390,7 +390,7 @@
             .services
             .entry(service.clone())
             .or_insert_with(|| Entry::new(now_ms, incarnation, service.clone(), me));
-        entry.set_document(revision, text, Arc::clone(&document), daemons);
+        entry.set_document(revision, text, Arc::clone(&document), daemons, self.traffic.clock);
         self.is_changed = true;
         self.traffic.counters.count(Counter::Documents);
         info!("document is in force",
