--- /dev/null
+++ b/crates/control/tests/route_leases.rs
@@ -0,0 +1,30 @@
+//! Servers that check no fence are only sent to under a lease with the right table.
+mod world;
+
+use world::{World, document_text, name};
+
+const SERVERS: [(&str, &str, &str, bool); 3] =
+    [("s1", "a", "serving", true), ("s2", "b", "serving", false), ("s3", "c", "serving", true)];
+
+/// A daemon that was cut off comes back with an old table, and tables to it get lost.
+///
+/// The rule `one-owner` is checked in the world.
+#[test]
+fn old_table_gets_no_lease() {
+    for seed in 0..40 {
+        let mut world = World::new(seed);
+        world.edit(&document_text(12, &SERVERS));
+        world.start_all();
+        world.run_until_settled(10_000);
+        assert!(!world.shards_of("s2").is_empty());
+        world.cut("b", "a");
+        world.cut("b", "c");
+        world.run_for(4_000);
+        assert!((0..12).all(|shard| world.owner(shard) != Some(name("s2"))));
+        world.heal();
+        world.loss_permille = 400;
+        world.run_for(3_000);
+        world.loss_permille = 0;
+        world.run_until_settled(20_000);
+    }
+}
