Split control.rs and node.rs, and say things once

Elections, documents and the calls to the store and servers have files of their own; the lab's counts become figures in one place; golden sessions share their start. Behaviour unchanged: golden files and all tests as before.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -3,48 +3,47 @@
 use std::sync::Arc;
 
 use document::{Document, Kind, Name, Revision};
-use lease::{Authority, Quorum, Tenure, Term, Vote, Voter};
+use lease::{Tenure, Term, Voter};
 use route::Table;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::lead::{Lead, Standing, Start};
-use crate::message::{BeatReply, Intent, PromiseAsk, PromiseReply, RecordCopy, Stage};
-use crate::voters::{candidate_rank, choose_voters};
-use crate::{Action, Event, Instance, Record, Status, Tuning, WriteOutcome};
+use crate::election::Candidate;
+use crate::lead::{Lead, Standing};
+use crate::message::{BeatReply, Intent, RecordCopy};
+use crate::{Action, Event, Instance, Status, Tuning, WriteOutcome};
 
 /// One daemon's part in the control of one service: a voter, and at times the controller.
 #[derive(Debug)]
 pub struct Control {
-    service: Name,
-    me: Name,
-    tuning: Tuning,
-    document: Option<(Revision, Arc<Document>)>,
-    known: Option<RecordCopy>,
-    instances: Vec<Instance>,
-    voter: Voter,
+    pub(crate) service: Name,
+    pub(crate) me: Name,
+    pub(crate) tuning: Tuning,
+    pub(crate) document: Option<(Revision, Arc<Document>)>,
+    pub(crate) known: Option<RecordCopy>,
+    pub(crate) instances: Vec<Instance>,
+    pub(crate) voter: Voter,
     /// Whether the record was read, or told by a controller, since the process started.
-    is_synced: bool,
+    pub(crate) is_synced: bool,
     /// Whether the process remembers all that a controller told it.
-    is_sure: bool,
+    pub(crate) is_sure: bool,
     /// The writes over the known record that may take effect.
-    intents: Vec<Intent>,
+    pub(crate) intents: Vec<Intent>,
     /// The newest write that was told of, with its term.
-    newest_intent: (Tenure, u64),
-    role: Role,
-    incarnation: u64,
-    candidacies: u64,
+    pub(crate) newest_intent: (Tenure, u64),
+    pub(crate) role: Role,
+    pub(crate) incarnation: u64,
+    pub(crate) candidacies: u64,
     /// What is to be done because of the end of an office.
-    farewell: Vec<Action>,
-    table: Option<Arc<Table>>,
-    next_read_ms: u64,
+    pub(crate) farewell: Vec<Action>,
+    pub(crate) table: Option<Arc<Table>>,
+    pub(crate) next_read_ms: u64,
     /// Until when there is a controller, by the last ask that was seen.
-    led_until_ms: u64,
+    pub(crate) led_until_ms: u64,
     /// Until when the controller of the table counts as answering beats.
-    answered_until_ms: u64,
+    pub(crate) answered_until_ms: u64,
 }
 
 #[derive(Debug)]
-enum Role {
+pub(crate) enum Role {
     Follower { elect_at_ms: Option<u64> },
     Creator { deadline_ms: u64 },
     Candidate(Candidate),
@@ -52,28 +51,7 @@
     Stopped,
 }
 
-#[derive(Debug)]
-struct Candidate {
-    stage: Stage,
-    promised: Vec<Name>,
-    /// The voters that promised and remember all that they were told.
-    sure: Vec<Name>,
-    term: Term,
-    tenure: Tenure,
-    deadline_ms: u64,
-    authority: Authority,
-    quorum: Quorum,
-}
-
-/// What follows from a promise.
-enum Outcome {
-    Nothing,
-    Eligible,
-    Elected,
-    StepDown(Term),
-}
-
-const READ_EVERY_MS: u64 = 1_000;
+pub(crate) const READ_EVERY_MS: u64 = 1_000;
 
 impl Control {
     /// Creates the control part of a daemon process that starts now.
@@ -225,94 +203,6 @@
         }
     }
 
-    /// Looks whether there is a controller, and becomes a candidate where there is none.
-    fn follow(&mut self, now_ms: u64, elect_at_ms: Option<u64>, out: &mut Vec<Action>) {
-        if !self.is_synced && now_ms >= self.next_read_ms {
-            self.next_read_ms = now_ms + READ_EVERY_MS;
-            out.push(Action::ReadRecord);
-        }
-        let Some(rank) = self.rank(now_ms) else {
-            self.role = Role::Follower { elect_at_ms: None };
-            return;
-        };
-        let elect_at_ms = elect_at_ms.unwrap_or(now_ms + rank * self.tuning.stagger_ms);
-        if now_ms < elect_at_ms {
-            self.role = Role::Follower { elect_at_ms: Some(elect_at_ms) };
-            return;
-        }
-        match self.known.clone() {
-            Some(known) => self.ask_voters(now_ms, Stage::Probing, &known, out),
-            None => self.create_record(now_ms, out),
-        }
-    }
-
-    /// Returns this instance's place among the candidates, if it may be one now.
-    fn rank(&self, now_ms: u64) -> Option<u64> {
-        let is_led = now_ms < self.led_until_ms || self.voter.bound_to(now_ms).is_some();
-        if !self.is_synced || self.voter.is_silent(now_ms) || is_led {
-            return None;
-        }
-        if let Some(known) = &self.known {
-            candidate_rank(&self.service, &known.record.quorum().members(), &self.me)
-        } else {
-            let names: Vec<Name> = self.instances.iter().map(|i| i.name.clone()).collect();
-            candidate_rank(&self.service, &names, &self.me)
-        }
-    }
-
-    fn ask_voters(&mut self, now_ms: u64, stage: Stage, known: &RecordCopy, out: &mut Vec<Action>) {
-        let term = self.voter.highest_term().max(known.record.term).next();
-        let tenure = self.next_tenure();
-        let quorum = known.record.quorum();
-        for voter in quorum.members() {
-            let ask = PromiseAsk {
-                candidate: self.me.clone(),
-                tenure,
-                term,
-                stage,
-                asked_ms: now_ms,
-                record_revision: known.revision,
-                record: None,
-                intents: Vec::new(),
-                voter_incarnation: 0,
-            };
-            out.push(Action::AskPromise(voter, ask));
-        }
-        let deadline_ms = now_ms + self.tuning.candidacy_ms;
-        let authority = Authority::default();
-        self.role = Role::Candidate(Candidate {
-            stage,
-            promised: Vec::new(),
-            sure: Vec::new(),
-            term,
-            tenure,
-            deadline_ms,
-            authority,
-            quorum,
-        });
-    }
-
-    fn next_tenure(&mut self) -> Tenure {
-        self.candidacies += 1;
-        let seed = xxh3_64_with_seed(self.me.as_bytes(), self.incarnation);
-        Tenure(xxh3_64_with_seed(self.service.as_bytes(), seed ^ self.candidacies))
-    }
-
-    fn create_record(&mut self, now_ms: u64, out: &mut Vec<Action>) {
-        let Some((_, document)) = &self.document else {
-            return;
-        };
-        let voters = choose_voters(&self.service, &self.instances, &[]);
-        if voters.is_empty() {
-            return;
-        }
-        let record = Arc::new(Record::first(document, voters));
-        self.role = Role::Creator { deadline_ms: now_ms + self.tuning.write_timeout_ms };
-        self.is_synced = false;
-        self.next_read_ms = now_ms + READ_EVERY_MS;
-        out.push(Action::WriteRecord { number: 0, expected: None, record });
-    }
-
     fn on_document(&mut self, now_ms: u64, revision: Revision, document: Arc<Document>) {
         if self.document.as_ref().is_some_and(|(known, _)| *known >= revision) {
             return;
@@ -379,125 +269,6 @@
         }
     }
 
-    fn on_promise_asked(&mut self, now_ms: u64, ask: PromiseAsk, out: &mut Vec<Action>) {
-        let had = self.known_revision();
-        if let Some(copy) = ask.record.clone() {
-            self.learn(copy);
-        }
-        let known_revision = self.known_revision();
-        for intent in ask.intents.clone() {
-            if intent.over <= self.known_revision() {
-                self.newest_intent = (ask.tenure, intent.number);
-                self.learn_intent(intent);
-            }
-        }
-        let is_leading = ask.stage == Stage::Leading;
-        // Only an ask that was sent since this process started can bring it up to date.
-        let is_told = is_leading
-            && ask.voter_incarnation == self.incarnation
-            && known_revision >= ask.record_revision;
-        self.is_synced |= is_told;
-        self.is_sure |= is_told;
-        if is_leading && ask.term >= self.voter.highest_term() {
-            self.led_until_ms = now_ms + self.tuning.promise_ms;
-        }
-        let is_rival = self.is_controller()
-            && ask.candidate != self.me
-            && ask.term > self.voter.highest_term();
-        let vote = match ask.stage {
-            _ if !self.is_synced => Vote::Bound,
-            Stage::Probing => self.voter.probe(now_ms, ask.tenure, ask.term),
-            Stage::Standing | Stage::Leading => self.voter.ask(now_ms, ask.tenure, ask.term),
-        };
-        let lacks = ask.record_revision < known_revision && had >= known_revision;
-        let reply = PromiseReply {
-            voter: self.me.clone(),
-            tenure: ask.tenure,
-            term: ask.term,
-            stage: ask.stage,
-            asked_ms: ask.asked_ms,
-            vote,
-            record_revision: if self.is_synced { known_revision } else { Revision(0) },
-            record: if lacks { self.known.clone() } else { None },
-            intent_number: match self.newest_intent {
-                (tenure, number) if tenure == ask.tenure => number,
-                _ => 0,
-            },
-            intents: if is_leading { Vec::new() } else { self.intents.clone() },
-            is_sure: self.is_sure,
-            voter_incarnation: self.incarnation,
-        };
-        out.push(Action::ReplyPromise(ask.candidate, reply));
-        if is_rival && vote == Vote::Promised && ask.stage != Stage::Probing {
-            self.step_down(None);
-        }
-    }
-
-    fn on_promise_replied(&mut self, now_ms: u64, reply: &PromiseReply, out: &mut Vec<Action>) {
-        if let Some(copy) = reply.record.clone() {
-            self.learn(copy);
-        }
-        for intent in reply.intents.clone() {
-            self.learn_intent(intent);
-        }
-        let outcome = match &mut self.role {
-            Role::Lead(lead) => match lead.on_promise(now_ms, reply) {
-                Standing::InOffice => Outcome::Nothing,
-                Standing::Over(term) => Outcome::StepDown(term),
-            },
-            Role::Candidate(candidate) => {
-                let is_newer =
-                    self.known.as_ref().is_some_and(|k| k.record.quorum() != candidate.quorum);
-                candidate.on_promise(now_ms, reply, self.tuning.promise_ms, is_newer)
-            }
-            Role::Follower { .. } | Role::Creator { .. } | Role::Stopped => Outcome::Nothing,
-        };
-        match outcome {
-            Outcome::Nothing => {}
-            Outcome::StepDown(term) => self.step_down(Some(term)),
-            Outcome::Eligible => {
-                if let Some(known) = self.known.clone() {
-                    self.ask_voters(now_ms, Stage::Standing, &known, out);
-                }
-            }
-            Outcome::Elected => self.take_office(now_ms),
-        }
-    }
-
-    fn take_office(&mut self, now_ms: u64) {
-        let (Some((revision, document)), Some(known)) = (&self.document, &self.known) else {
-            return;
-        };
-        let Role::Candidate(candidate) = &self.role else {
-            return;
-        };
-        let is_sure = candidate.quorum.is_reached(|voter| candidate.sure.contains(voter));
-        let start = Start {
-            intents: self.intents.clone(),
-            is_sure,
-            me: self.me.clone(),
-            service: self.service.clone(),
-            tuning: self.tuning,
-            term: candidate.term,
-            tenure: candidate.tenure,
-            document: Arc::clone(document),
-            document_revision: *revision,
-            known: known.clone(),
-            instances: self.instances.clone(),
-            authority: candidate.authority.clone(),
-            inherited: self.table.clone(),
-        };
-        self.role = Role::Lead(Box::new(Lead::new(now_ms, start)));
-    }
-
-    fn on_promise_returned(&mut self, tenure: Tenure) {
-        self.voter.release(tenure);
-        self.led_until_ms = 0;
-        if let Role::Follower { elect_at_ms } = &mut self.role {
-            *elect_at_ms = None;
-        }
-    }
-
     fn on_beat_replied(&mut self, now_ms: u64, reply: &BeatReply) {
         if self.table.as_ref().is_some_and(|table| table.tenure == reply.tenure) {
             self.answered_until_ms = now_ms + self.tuning.daemon_silence_ms;
@@ -516,7 +287,7 @@
         self.role = Role::Stopped;
     }
 
-    fn step_down(&mut self, later: Option<Term>) {
+    pub(crate) fn step_down(&mut self, later: Option<Term>) {
         if let Some(term) = later {
             self.voter.note_term(term);
         }
@@ -541,20 +312,20 @@
         }
     }
 
-    fn learn(&mut self, copy: RecordCopy) {
+    pub(crate) fn learn(&mut self, copy: RecordCopy) {
         if copy.revision > self.known_revision() {
             self.known = Some(copy);
             self.intents.clear();
         }
     }
 
-    fn learn_intent(&mut self, intent: Intent) {
+    pub(crate) fn learn_intent(&mut self, intent: Intent) {
         if intent.over == self.known_revision() && !self.intents.contains(&intent) {
             self.intents.push(intent);
         }
     }
 
-    fn known_revision(&self) -> Revision {
+    pub(crate) fn known_revision(&self) -> Revision {
         self.known.as_ref().map_or(Revision(0), |known| known.revision)
     }
 
@@ -565,40 +336,3 @@
         }
     }
 }
-
-impl Candidate {
-    fn on_promise(
-        &mut self,
-        now_ms: u64,
-        reply: &PromiseReply,
-        promise_ms: u64,
-        has_newer_voters: bool,
-    ) -> Outcome {
-        if reply.tenure != self.tenure {
-            return Outcome::Nothing;
-        }
-        if let Vote::Outdated(term) = reply.vote {
-            return if term >= self.term { Outcome::StepDown(term) } else { Outcome::Nothing };
-        }
-        if reply.stage != self.stage || reply.vote != Vote::Promised {
-            return Outcome::Nothing;
-        }
-        if has_newer_voters {
-            return Outcome::StepDown(Term(0));
-        }
-        if self.stage == Stage::Probing {
-            self.promised.push(reply.voter.clone());
-            let is_eligible = self.quorum.is_reached(|voter| self.promised.contains(voter));
-            return if is_eligible { Outcome::Eligible } else { Outcome::Nothing };
-        }
-        self.authority.note(&reply.voter, reply.asked_ms, promise_ms);
-        if reply.is_sure {
-            self.sure.push(reply.voter.clone());
-        }
-        if self.authority.is_held(now_ms, &self.quorum) {
-            Outcome::Elected
-        } else {
-            Outcome::Nothing
-        }
-    }
-}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod control;
 mod draft;
+mod election;
 mod event;
 mod lead;
 mod link;
--- a/crates/control/tests/golden_sessions.rs
+++ b/crates/control/tests/golden_sessions.rs
@@ -34,6 +34,17 @@
     world
 }
 
+/// A session in which one server has just been told to leave for another.
+fn move_session() -> (World, Vec<(&'static str, &'static str, &'static str, bool)>) {
+    let mut world = session();
+    world.note("-- the document says that s2 leaves and s4 arrives");
+    let mut servers = THREE.to_vec();
+    servers[1].2 = "leaving";
+    servers.push(("s4", "b", "arriving", true));
+    world.edit(&document_text(6, &servers));
+    (world, servers)
+}
+
 #[test]
 fn first_document() {
     let mut world = World::new(42);
@@ -46,24 +57,14 @@
 
 #[test]
 fn one_leaves_one_arrives() {
-    let mut world = session();
-    world.note("-- the document says that s2 leaves and s4 arrives");
-    let mut servers = THREE.to_vec();
-    servers[1].2 = "leaving";
-    servers.push(("s4", "b", "arriving", true));
-    world.edit(&document_text(6, &servers));
+    let (mut world, _) = move_session();
     world.run_until_settled(LIMIT_MS);
     assert_golden("one_leaves_one_arrives.txt", &mut world);
 }
 
 #[test]
 fn second_edit_takes_over() {
-    let mut world = session();
-    world.note("-- the document says that s2 leaves and s4 arrives");
-    let mut servers = THREE.to_vec();
-    servers[1].2 = "leaving";
-    servers.push(("s4", "b", "arriving", true));
-    world.edit(&document_text(6, &servers));
+    let (mut world, mut servers) = move_session();
     world.run_for(245);
     world.note("-- the document says that s2 stays and s3 leaves");
     servers[1].2 = "serving";
--- a/crates/lab/src/job.rs
+++ b/crates/lab/src/job.rs
@@ -9,6 +9,7 @@
 use tokio::time::{Duration, Instant, sleep};
 
 use crate::availability::{Availability, Gaps};
+use crate::figure::{from_u64, from_usize};
 use crate::load::{Load, LoadOptions, LoadReport, Targets};
 use crate::measure::Association;
 use crate::plot::Timeline;
@@ -212,22 +213,22 @@
     let staying: Vec<f64> = shards
         .iter()
         .filter(|(name, _)| !leaves(name))
-        .map(|(_, count)| to_float(*count))
+        .map(|(_, count)| from_usize(*count))
         .collect();
     let commits = site.witness.take_commits();
     let requests: Vec<f64> = shards
         .iter()
         .filter(|(name, _)| !leaves(name))
-        .map(|(name, _)| commits.get(name).map_or(0.0, |count| to_float(to_usize(*count))))
+        .map(|(name, _)| commits.get(name).map_or(0.0, |count| from_u64(*count)))
         .collect();
-    let least = to_float(to_usize(moved.least_changes.max(1)));
+    let least = from_u64(moved.least_changes.max(1));
     MoveReport {
         seed: options.seed,
         settled_ms: moved.settled_ms,
         in_force_ms: moved.in_force_ms,
         shards: shards.iter().map(|(_, count)| count).sum(),
         least_changes: moved.least_changes,
-        churn_ratio: to_float(to_usize(unavailable.owner_changes)) / least,
+        churn_ratio: from_u64(unavailable.owner_changes) / least,
         imbalance_shards: imbalance(&staying),
         imbalance_requests: imbalance(&requests),
         unavailable,
@@ -241,7 +242,7 @@
 fn imbalance(values: &[f64]) -> f64 {
     let sum: f64 = values.iter().sum();
     let largest = values.iter().copied().fold(0.0, f64::max);
-    if sum > 0.0 { largest * to_float(values.len()) / sum } else { 0.0 }
+    if sum > 0.0 { largest * from_usize(values.len()) / sum } else { 0.0 }
 }
 
 fn load_options(options: &MoveOptions) -> LoadOptions {
@@ -350,14 +351,6 @@
     }
 }
 
-fn to_float(count: usize) -> f64 {
-    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
-}
-
-fn to_usize(count: u64) -> usize {
-    usize::try_from(count).unwrap_or(usize::MAX)
-}
-
 impl fmt::Display for MoveReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "seed {}", self.seed)?;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 mod availability;
+mod figure;
 mod job;
 mod load;
 mod measure;
@@ -25,6 +26,7 @@
 mod zipf;
 
 pub use availability::{Availability, Gaps, Running};
+pub use figure::{from_u64, from_usize};
 pub use job::{MoveOptions, MoveReport, run_move};
 pub use load::{Load, LoadOptions, LoadReport, Outcomes, Targets};
 pub use measure::{
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -10,8 +10,8 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use lab::{
     Association, Load, LoadOptions, MoveOptions, StandIn, StandInConfig, Targets, Witness,
-    measure_cost, measure_failover, measure_overload, measure_placement, measure_slopes, plot,
-    run_move, serve_store,
+    from_u64, measure_cost, measure_failover, measure_overload, measure_placement, measure_slopes,
+    plot, run_move, serve_store,
 };
 use mimalloc::MiMalloc;
 use store::{Faults, MemoryStore};
@@ -303,7 +303,7 @@
         matches.get_many("to").map(|all| all.copied().collect()).unwrap_or_default();
     let text = |name| matches.get_one::<String>(name).cloned();
     let options = LoadOptions {
-        rate_per_s: to_float(get(matches, "rate")),
+        rate_per_s: from_u64(get(matches, "rate")),
         length_ms: get(matches, "duration") * 1_000,
         keys: u32::try_from(get(matches, "keys"))?,
         skew: matches.get_one::<f64>("skew").copied().unwrap_or(0.0),
@@ -337,7 +337,7 @@
     init_logs(matches)?;
     let options = MoveOptions {
         length_ms: get(matches, "duration") * 1_000,
-        rate_per_s: to_float(get(matches, "rate")),
+        rate_per_s: from_u64(get(matches, "rate")),
         seed: get(matches, "seed"),
         association: get_association(matches),
         is_rendezvous: matches.get_flag("rendezvous"),
@@ -361,7 +361,3 @@
 fn write_file(file: &Path, bytes: &[u8]) -> Result<(), Failure> {
     std::fs::write(file, bytes).map_err(|error| format!("{}: {error}", file.display()).into())
 }
-
-fn to_float(value: u64) -> f64 {
-    f64::from(u32::try_from(value).unwrap_or(u32::MAX))
-}
--- a/crates/lab/src/measure/failover.rs
+++ b/crates/lab/src/measure/failover.rs
@@ -9,6 +9,7 @@
 
 use super::Rows;
 use crate::availability::Availability;
+use crate::figure::from_u64;
 use crate::job::{plan_of, warm_load};
 use crate::load::{Load, Targets};
 use crate::site::{Result, Site};
@@ -106,19 +107,19 @@
     let broken = site.witness.broken();
     site.end().await;
     let sum = |count: fn(&crate::load::Outcomes) -> u64| {
-        to_float(report.classes.values().map(count).sum())
+        from_u64(report.classes.values().map(count).sum())
     };
     Ok(vec![
-        ("gaps", to_float(gaps.count)),
+        ("gaps", from_u64(gaps.count)),
         ("p50_ms", gaps.p50_ms),
         ("p99_ms", gaps.p99_ms),
         ("max_ms", gaps.max_ms),
         ("answered", sum(|outcomes| outcomes.answered)),
         ("not_run", sum(|outcomes| outcomes.not_run)),
         ("unknown", sum(|outcomes| outcomes.unknown)),
-        ("two_owners", to_float(broken.two_owners)),
-        ("double_runs", to_float(broken.double_runs)),
-        ("false_not_run", to_float(broken.false_not_run)),
+        ("two_owners", from_u64(broken.two_owners)),
+        ("double_runs", from_u64(broken.double_runs)),
+        ("false_not_run", from_u64(broken.false_not_run)),
     ])
 }
 
@@ -158,7 +159,3 @@
         site.kill_daemon(at).await;
     }
 }
-
-fn to_float(count: u64) -> f64 {
-    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
-}
--- a/crates/lab/src/measure/overload.rs
+++ b/crates/lab/src/measure/overload.rs
@@ -7,6 +7,7 @@
 
 use super::Rows;
 use super::cost::start_forwarder;
+use crate::figure::from_u64;
 use crate::load::{Load, LoadOptions, LoadReport, Targets};
 use crate::site::{Plan, Result, ServerPlan, ServicePlan, Site};
 
@@ -73,9 +74,8 @@
 }
 
 fn push(rows: &mut Rows, name: &str, report: &LoadReport, site: &Site) {
-    let to_float = |count: u64| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
     let all = |count: fn(&crate::load::Outcomes) -> u64| {
-        to_float(report.classes.values().map(count).sum())
+        from_u64(report.classes.values().map(count).sum())
     };
     let balance = report.classes.get("balance").cloned().unwrap_or_default();
     let length_s = std::time::Duration::from_millis(LENGTH_MS).as_secs_f64();
@@ -88,8 +88,8 @@
             ("balance_p99_ms", balance.p99_ms),
             ("not_run", all(|outcomes| outcomes.not_run)),
             ("unknown", all(|outcomes| outcomes.unknown)),
-            ("double_runs", to_float(broken.double_runs)),
-            ("false_not_run", to_float(broken.false_not_run)),
+            ("double_runs", from_u64(broken.double_runs)),
+            ("false_not_run", from_u64(broken.false_not_run)),
         ],
     );
 }
--- a/crates/lab/src/measure/placing.rs
+++ b/crates/lab/src/measure/placing.rs
@@ -4,6 +4,7 @@
 use placement::{Balanced, Candidate, Plan, Policy, Rendezvous, Request, Shard};
 
 use super::Rows;
+use crate::figure::from_usize;
 
 /// A site's size: its name, servers, shards, and whether churn weighs most.
 const SITES: [(&str, usize, u32, bool); 2] =
@@ -36,7 +37,7 @@
 
     let mut joined = base.clone();
     joined.servers.push(new_server(servers));
-    let fair = f64::from(shards) / to_float(servers + 1);
+    let fair = f64::from(shards) / from_usize(servers + 1);
     push_change(rows, &format!("{name}: one joins"), policy, &joined, (fair * 0.95).ceil());
 
     let mut moved = base.clone();
@@ -52,13 +53,13 @@
     for (at, shard) in skewed.shards.iter_mut().enumerate() {
         // The ranks are scattered, so that they say nothing of the owner.
         let rank = at * 211 % usize::try_from(shards).unwrap_or(1) + 1;
-        shard.load = to_float(rank).powf(-SKEW);
+        shard.load = from_usize(rank).powf(-SKEW);
     }
     let plan = policy.plan(&skewed);
     let load = |server| held(&plan, server).map(|at| skewed.shards[at].load).sum::<f64>();
     let total: f64 = skewed.shards.iter().map(|shard| shard.load).sum();
     let hottest = skewed.shards.iter().map(|shard| shard.load).fold(0.0, f64::max);
-    let fair = total / to_float(servers);
+    let fair = total / from_usize(servers);
     let most = (0..servers).map(load).fold(0.0, f64::max);
     rows.push(
         format!("{name}: Zipf 0.99 load"),
@@ -68,7 +69,7 @@
 
 fn push_change(rows: &mut Rows, name: &str, policy: &impl Policy, request: &Request, least: f64) {
     let plan = policy.plan(request);
-    let churn = to_float(plan.count_moves(request)) / least;
+    let churn = from_usize(plan.count_moves(request)) / least;
     rows.push(name, &[("churn", churn), ("max_share", max_share(request, &plan))]);
 }
 
@@ -101,16 +102,12 @@
 
 fn count(request: &Request, server: usize) -> f64 {
     let held = request.shards.iter().filter(|shard| shard.owner == Some(server));
-    to_float(held.count())
+    from_usize(held.count())
 }
 
 fn max_share(request: &Request, plan: &Plan) -> f64 {
     let accepting = request.servers.iter().filter(|server| server.accepts).count();
-    let fair = to_float(request.shards.len()) / to_float(accepting);
+    let fair = from_usize(request.shards.len()) / from_usize(accepting);
     let most = (0..request.servers.len()).map(|server| held(plan, server).count()).max();
-    to_float(most.unwrap_or(0)) / fair
-}
-
-fn to_float(count: usize) -> f64 {
-    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+    from_usize(most.unwrap_or(0)) / fair
 }
--- a/crates/lab/src/measure/slopes.rs
+++ b/crates/lab/src/measure/slopes.rs
@@ -13,6 +13,7 @@
 use route::{Group, InFlight, Route, Table};
 
 use super::Rows;
+use crate::figure::from_usize;
 
 const SHARDS: [u32; 3] = [512, 2_048, 4_096];
 const SERVERS: [u32; 3] = [20, 80, 320];
@@ -82,10 +83,10 @@
     let in_flight = InFlight::new(table.routes.len());
     let keys: Vec<String> = (0..1_000).map(|number| format!("account-{number}")).collect();
     let figures = [
-        ("frame_bytes", to_float(frame.len())),
+        ("frame_bytes", from_usize(frame.len())),
         ("encode_us", time_us(|| drop(black_box(packet.to_bytes())))),
         ("decode_us", time_us(|| drop(black_box(Packet::from_bytes(frame.clone()))))),
-        ("memory_bytes", to_float(table.routes.len() * (size_of::<Route>() + 8))),
+        ("memory_bytes", from_usize(table.routes.len() * (size_of::<Route>() + 8))),
         (
             "drained_us",
             time_us(|| {
@@ -128,10 +129,10 @@
     let record = new_record(shards);
     let json = record.to_json();
     let figures = [
-        ("json_bytes", to_float(json.len())),
+        ("json_bytes", from_usize(json.len())),
         ("to_json_us", time_us(|| drop(black_box(record.to_json())))),
         ("from_json_us", time_us(|| drop(black_box(Record::from_json(json.as_bytes()))))),
-        ("memory_bytes", to_float(record.shards.len() * (size_of::<ShardRecord>() + 48))),
+        ("memory_bytes", from_usize(record.shards.len() * (size_of::<ShardRecord>() + 48))),
     ];
     rows.push(format!("record of {shards} shards"), &figures);
 }
@@ -177,8 +178,8 @@
     let json = |value: &Order| serde_json::to_vec(value).unwrap_or_default();
     let answer = serde_json::to_vec(&report).unwrap_or_default();
     let figures = [
-        ("order_bytes", to_float(json(&order).len())),
-        ("report_bytes", to_float(answer.len())),
+        ("order_bytes", from_usize(json(&order).len())),
+        ("report_bytes", from_usize(answer.len())),
         ("to_json_us", time_us(|| drop(black_box(json(&order))))),
         (
             "read_report_us",
@@ -220,7 +221,7 @@
     let packet = Packet::new(Name::from("entry-1"), service.clone(), message);
     let frame = packet.to_bytes();
     let figures = [
-        ("frame_bytes", to_float(frame.len())),
+        ("frame_bytes", from_usize(frame.len())),
         ("encode_us", time_us(|| drop(black_box(packet.to_bytes())))),
         ("decode_us", time_us(|| drop(black_box(Packet::from_bytes(frame.clone()))))),
     ];
@@ -240,13 +241,9 @@
             );
         }
         let figures = [
-            ("text_bytes", to_float(text.len())),
+            ("text_bytes", from_usize(text.len())),
             ("read_us", time_us(|| drop(black_box(Document::from_ini("l", &text))))),
         ];
         rows.push(format!("document of {servers} servers"), &figures);
     }
 }
-
-fn to_float(count: usize) -> f64 {
-    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
-}
--- a/crates/verbenad/src/lib.rs
+++ b/crates/verbenad/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod admin;
 mod daemon;
+mod documents;
 mod dump;
 mod entry;
 mod error;
@@ -26,6 +27,7 @@
 mod node;
 mod operators;
 mod orders;
+mod outside;
 mod settings;
 mod status;
 mod watch;
--- a/crates/verbenad/src/node.rs
+++ b/crates/verbenad/src/node.rs
@@ -3,14 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-use control::{Action, Beat, Event, RecordCopy, WriteOutcome};
-use document::{Document, Name, Revision};
-use lease::Order;
-use peer::{DocumentText, Links, Message, Packet, Presence};
+use control::{Action, Beat, Event};
+use document::{Name, Revision};
+use peer::{Links, Message, Packet, Presence};
 use proxy::{Services, Traffic};
 use route::Suspect;
-use spdlog::{info, warn};
-use store::{Category, Changes, Expect, Store};
+use spdlog::info;
+use store::{Expect, Store};
 use telemetry::Counter;
 use tokio::sync::mpsc;
 use tokio::time::{Duration, MissedTickBehavior, interval};
@@ -20,7 +19,7 @@
 use crate::entry::Entry;
 use crate::input::{Input, Question};
 use crate::members::Members;
-use crate::orders::{self, Orders};
+use crate::orders::Orders;
 use crate::status::StatusCollector;
 
 /// The state of the control thread.
@@ -34,11 +33,11 @@
     pub(crate) services: BTreeMap<Name, Entry>,
     pub(crate) links: Links,
     pub(crate) collector: StatusCollector,
-    inputs: mpsc::Sender<Input>,
+    pub(crate) inputs: mpsc::Sender<Input>,
     own: VecDeque<Input>,
-    orders: Orders,
-    instances: Vec<control::Instance>,
-    is_changed: bool,
+    pub(crate) orders: Orders,
+    pub(crate) instances: Vec<control::Instance>,
+    pub(crate) is_changed: bool,
     /// The services whose control parts have taken something.
     unsettled: BTreeSet<Name>,
     pub(crate) has_documents: bool,
@@ -214,7 +213,7 @@
     }
 
     /// Takes an event to a service's control part, whose consequences are drawn later.
-    fn step(&mut self, service: &Name, event: Event) {
+    pub(crate) fn step(&mut self, service: &Name, event: Event) {
         let now_ms = self.now_ms();
         let Some(entry) = self.services.get_mut(service) else { return };
         let actions = entry.control.take(now_ms, event);
@@ -295,118 +294,6 @@
         }
     }
 
-    fn read_record(&self, service: Name) {
-        self.traffic.counters.count(Counter::StoreCalls);
-        let (store, inputs) = (self.store.clone(), self.inputs.clone());
-        let counters = Arc::clone(&self.traffic.counters);
-        tokio::spawn(async move {
-            let Ok(value) = store.read(&record_key(&service)).await else {
-                counters.count(Counter::StoreFailures);
-                return;
-            };
-            let copy = match value.map(|value| to_copy(&value)) {
-                None => None,
-                Some(Some(copy)) => Some(copy),
-                // A record that cannot be read must not be taken for a missing one.
-                Some(None) => {
-                    warn!("record of the assignment cannot be read",
-                          kv: { service = service.as_str() });
-                    return;
-                }
-            };
-            drop(inputs.send(Input::RecordRead { service, copy }).await);
-        });
-    }
-
-    fn write_record(&self, service: Name, number: u64, expect: Expect, json: String) {
-        self.traffic.counters.count(Counter::StoreCalls);
-        let (store, inputs) = (self.store.clone(), self.inputs.clone());
-        let counters = Arc::clone(&self.traffic.counters);
-        tokio::spawn(async move {
-            let written = store.write(&record_key(&service), expect, &json, None).await;
-            let outcome = match written {
-                Ok(revision) => WriteOutcome::Done(revision),
-                Err(report) => match report.current_context().category() {
-                    Category::Conflict => WriteOutcome::Conflict,
-                    Category::Missing | Category::Refused | Category::Unclear => {
-                        counters.count(Counter::StoreFailures);
-                        WriteOutcome::Unknown
-                    }
-                },
-            };
-            drop(inputs.send(Input::Written { service, number, outcome }).await);
-        });
-    }
-
-    fn send_order(
-        &mut self,
-        service: Name,
-        server: Name,
-        address: std::net::SocketAddr,
-        order: Order,
-    ) {
-        self.traffic.counters.count(Counter::Orders);
-        let (client, inputs) = (self.orders.client(address), self.inputs.clone());
-        tokio::spawn(async move {
-            let report = orders::send(client, &order).await;
-            drop(inputs.send(Input::Report { service, server, report }).await);
-        });
-    }
-
-    fn take_documents(&mut self, changes: Changes) {
-        self.has_documents = true;
-        for entry in changes.entries {
-            let Some(service) = entry.key.rsplit('/').next().map(Name::from) else { continue };
-            if let Some(text) = entry.text {
-                self.accept(&service, entry.revision, Name::from(text));
-            } else {
-                warn!("document was removed; the one in force stays",
-            kv: { service = service.as_str() });
-            }
-        }
-    }
-
-    /// Puts a document in force, unless a newer one is.
-    pub(crate) fn accept(&mut self, service: &Name, revision: Revision, text: Name) {
-        let known = self.services.get(service).map_or(Revision(0), |entry| entry.revision);
-        if revision <= known {
-            return;
-        }
-        let document = match Document::from_ini(service, &text) {
-            Ok(document) if document.name == *service => Arc::new(document),
-            Ok(_) | Err(_) => {
-                self.traffic.counters.count(Counter::DocumentsRefused);
-                warn!("document is not valid; the one in force stays",
-                      kv: { service = service.as_str(), revision = revision.0 });
-                return;
-            }
-        };
-        let now_ms = self.now_ms();
-        let daemons = u32::try_from(self.instances.len().max(1)).unwrap_or(u32::MAX);
-        let instances = self.instances.clone();
-        let (me, incarnation) = (self.settings.instance.clone(), self.incarnation);
-        let is_new = !self.services.contains_key(service);
-        let entry = self
-            .services
-            .entry(service.clone())
-            .or_insert_with(|| Entry::new(now_ms, incarnation, service.clone(), me));
-        entry.set_document(revision, text, Arc::clone(&document), daemons, self.traffic.clock);
-        self.is_changed = true;
-        self.traffic.counters.count(Counter::Documents);
-        info!("document is in force",
-              kv: { service = service.as_str(), revision = revision.0 });
-        if is_new {
-            self.step(service, Event::Instances(instances));
-        }
-        self.step(service, Event::Document(revision, document));
-    }
-
-    fn send_document(&mut self, to: &Name, service: &Name) {
-        let Some(entry) = self.services.get(service) else { return };
-        let text = DocumentText { revision: entry.revision, text: entry.text.clone() };
-        self.send(to, service, Message::Document(text));
-    }
-
     fn tell_presence(&mut self) {
         self.traffic.forget_old_crashes();
         let in_force: BTreeMap<Name, Revision> = self
@@ -553,13 +440,3 @@
         self.has_documents && !self.is_stopping && self.services.values().all(is_routed)
     }
 }
-
-/// Returns the key of a service's record.
-fn record_key(service: &Name) -> String {
-    format!("assign/{service}")
-}
-
-fn to_copy(value: &store::Value) -> Option<RecordCopy> {
-    let record = control::Record::from_json(value.text.as_bytes()).ok()?;
-    Some(RecordCopy { revision: value.revision, record: Arc::new(record) })
-}
