Pass over servers that failed lately, and bound queues by class

The queue of a class was read and not used. Change: a server that could not be reached or did not answer is passed over by pooled requests for 1 s; as many requests of a priority wait as the class's queue says; a crash is looked for 5 ms after the connection broke, when the sockets are closed.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -9,11 +9,11 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use route::{
-    Attempts, Decision, Failure, Fingerprint, Next, Outcome, Reason, Refusal, ServerState, Service,
-    Target,
+    Arrival, Attempts, Decision, Failure, Fingerprint, Next, Outcome, Reason, Refusal, ServerState,
+    Service, Target,
 };
 use telemetry::Counter;
-use tokio::time::{Duration, Instant, timeout, timeout_at};
+use tokio::time::{Duration, Instant, sleep, timeout, timeout_at};
 
 use crate::answer::{AnswerBody, Held, ShardPlace};
 use crate::head;
@@ -185,6 +185,8 @@
     }
 }
 
+/// How long after a connection broke it is looked whether the server is still there.
+const PROBE_AFTER: Duration = Duration::from_millis(5);
 /// How long a server may take to accept a connection after another one broke.
 const PROBE_LIMIT: Duration = Duration::from_millis(100);
 /// How long a fenced request waits for a newer table.
@@ -233,7 +235,9 @@
     call: &Call,
     attempts: &Attempts,
 ) -> Result<Permit, Refusal> {
-    match target.server.enter(call.class.priority, call.deadline_ms).await {
+    let Class { priority, queue, .. } = call.class;
+    let arrival = Arrival { deadline_ms: call.deadline_ms, priority, queue };
+    match target.server.enter(arrival).await {
         Ok((permit, has_waited)) => {
             if has_waited {
                 traffic.counters.count(Counter::WaitedForSlot);
@@ -323,6 +327,8 @@
     if failure != Failure::Broken {
         return failure;
     }
+    // A process that dies closes its sockets one by one.
+    sleep(PROBE_AFTER).await;
     let probe = timeout(PROBE_LIMIT, target.server.probe()).await;
     if matches!(probe, Ok(Ok(()))) { Failure::Broken } else { Failure::Crashed }
 }
@@ -342,14 +348,14 @@
         }
         Failure::TimedOut => {
             target.server.note_overload(latency_ms);
-            target.server.close_idle();
+            target.server.note_loss();
         }
         Failure::Crashed => {
             traffic.counters.count(Counter::Crashes);
             traffic.note_crash(call.fingerprint());
-            target.server.close_idle();
+            target.server.note_loss();
         }
-        Failure::NotSent | Failure::Broken => target.server.close_idle(),
+        Failure::NotSent | Failure::Broken => target.server.note_loss(),
     }
 }
 
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -1,6 +1,6 @@
 //! Connections to one server, and admission to it.
 
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
-use route::{Admission, Gate, Limit, ServerState, Ticket};
+use route::{Admission, Arrival, Gate, Limit, ServerState, Ticket};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout_at};
@@ -27,6 +27,7 @@
     gate: Mutex<Gate<oneshot::Sender<()>>>,
     idle: Mutex<Vec<Idle>>,
     in_flight: AtomicU32,
+    avoided_until_ms: AtomicU64,
 }
 
 /// The right to send one request to a server; it is given back when dropped.
@@ -59,6 +60,8 @@
 
 /// An unused connection that is older may be about to be closed by the server.
 const IDLE_LIMIT_MS: u128 = 5_000;
+/// How long pooled requests go elsewhere after a server could not be reached.
+const AVOIDED_MS: u64 = 1_000;
 /// How many requests may wait for one server.
 const MOST_WAITING: usize = 256;
 
@@ -73,6 +76,7 @@
             gate: Mutex::new(Gate::new(limit, MOST_WAITING)),
             idle: Mutex::default(),
             in_flight: AtomicU32::new(0),
+            avoided_until_ms: AtomicU64::new(0),
         }
     }
 
@@ -86,12 +90,11 @@
     /// Waits for the right to send a request.
     pub(crate) async fn enter(
         self: &Arc<Self>,
-        priority: u32,
-        deadline_ms: u64,
+        arrival: Arrival,
     ) -> Result<(Permit, bool), Refused> {
         let (waker, woken) = oneshot::channel();
         let now_ms = self.clock.now_ms();
-        let admission = self.gate().arrive(now_ms, deadline_ms, priority, waker);
+        let admission = self.gate().arrive(now_ms, arrival, waker);
         let ticket = match admission {
             Admission::Enter => return Ok((self.permit(), false)),
             Admission::Refuse => return Err(Refused::Full),
@@ -103,7 +106,7 @@
             }
         };
         let waiting = Waiting { upstream: self, ticket: Some(ticket), woken };
-        let deadline = self.clock.to_instant(deadline_ms);
+        let deadline = self.clock.to_instant(arrival.deadline_ms);
         waiting.finish(deadline).await.map(|permit| (permit, true))
     }
 
@@ -143,8 +146,9 @@
         }
     }
 
-    /// Closes the connections that are not in use.
-    pub(crate) fn close_idle(&self) {
+    /// Closes the connections that are not in use, and sends pooled requests elsewhere.
+    pub(crate) fn note_loss(&self) {
+        self.avoided_until_ms.store(self.clock.now_ms() + AVOIDED_MS, Ordering::Relaxed);
         self.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
     }
 
@@ -187,6 +191,10 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
+    fn is_avoided(&self, now_ms: u64) -> bool {
+        now_ms < self.avoided_until_ms.load(Ordering::Relaxed)
+    }
+
     fn server(&self) -> &Server {
         &self.server
     }
--- a/crates/route/src/gate.rs
+++ b/crates/route/src/gate.rs
@@ -31,6 +31,17 @@
     number: u64,
 }
 
+/// A request that arrives.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// When its caller stops waiting.
+    pub deadline_ms: u64,
+    /// The order of service; 0 goes first.
+    pub priority: u32,
+    /// How many requests of this priority may wait.
+    pub queue: u32,
+}
+
 /// What becomes of a request that arrives.
 #[derive(Debug)]
 pub enum Admission<W> {
@@ -83,14 +94,10 @@
 
     /// Lets a request in, makes it wait, or refuses it; `waker` wakes it later.
     ///
-    /// A request that would not be answered before its deadline is refused at once.
-    pub fn arrive(
-        &mut self,
-        now_ms: u64,
-        deadline_ms: u64,
-        priority: u32,
-        waker: W,
-    ) -> Admission<W> {
+    /// A request that would not be answered before its deadline is refused at once, and so
+    /// is one when as many of its priority wait as its queue is long.
+    pub fn arrive(&mut self, now_ms: u64, arrival: Arrival, waker: W) -> Admission<W> {
+        let Arrival { deadline_ms, priority, queue } = arrival;
         if self.in_flight < self.limit.get() && self.waiting.is_empty() {
             self.in_flight += 1;
             return Admission::Enter;
@@ -98,7 +105,10 @@
         let ticket = Ticket { priority, number: self.next_number };
         self.next_number += 1;
         let ahead = self.waiting.range(..ticket).count();
-        if !self.is_worth_waiting(now_ms, deadline_ms, ahead) {
+        let first = Ticket { priority, number: 0 };
+        let alike = self.waiting.range(first..ticket).count();
+        let is_full = alike >= usize::try_from(queue).unwrap_or(usize::MAX);
+        if is_full || !self.is_worth_waiting(now_ms, deadline_ms, ahead) {
             return Admission::Refuse;
         }
         let place = Place { deadline_ms, waker };
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -25,7 +25,7 @@
 
 pub use attempts::{Attempts, Failure, Next};
 pub use budget::Budget;
-pub use gate::{Admission, Gate, Ticket};
+pub use gate::{Admission, Arrival, Gate, Ticket};
 pub use limit::Limit;
 pub use refusal::{Outcome, Reason, Refusal};
 pub use service::{Decision, InFlight, ServerState, Service, Target};
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -29,6 +29,8 @@
 pub trait ServerState {
     /// Returns how busy the server is, by what this daemon has seen.
     fn load(&self) -> u32;
+    /// Returns whether the server failed lately, so that another one is better.
+    fn is_avoided(&self, now_ms: u64) -> bool;
     /// Returns the server as the document describes it.
     fn server(&self) -> &Server;
 }
@@ -103,7 +105,7 @@
     #[must_use]
     pub fn decide(&self, now_ms: u64, key: Option<&str>, draw: (u32, u32)) -> Decision<S> {
         match self.document.kind {
-            Kind::Pooled => self.decide_pooled(draw),
+            Kind::Pooled => self.decide_pooled(now_ms, draw),
             Kind::Keyed => match key {
                 Some(key) => self.decide_keyed(now_ms, key),
                 None => Decision::Refuse(Refusal::not_run(Reason::NoKey)),
@@ -127,17 +129,25 @@
         is_same && route.is_open && self.may_send(now_ms, &target.server)
     }
 
-    fn decide_pooled(&self, draw: (u32, u32)) -> Decision<S> {
+    fn decide_pooled(&self, now_ms: u64, draw: (u32, u32)) -> Decision<S> {
         if self.pool.is_empty() {
             return Decision::Refuse(Refusal::not_run(Reason::NoOwner));
         }
-        let first = &self.pool[pick(draw.0, self.pool.len())];
-        let second = &self.pool[pick(draw.1, self.pool.len())];
+        let first = self.pick_usable(now_ms, draw.0);
+        let second = self.pick_usable(now_ms, draw.1);
         let relative = |state: &S| f64::from(state.load()) / f64::from(state.server().slots.max(1));
         let server = if relative(second) < relative(first) { second } else { first };
         Decision::Forward(Target { server: Arc::clone(server), fence: None, position: None })
     }
 
+    /// Picks a server that did not fail lately, or any where all did.
+    fn pick_usable(&self, now_ms: u64, draw: u32) -> &Arc<S> {
+        let start = pick(draw, self.pool.len());
+        let in_turn = self.pool[start..].iter().chain(&self.pool[..start]);
+        let mut usable = in_turn.filter(|server| !server.is_avoided(now_ms));
+        usable.next().unwrap_or(&self.pool[start])
+    }
+
     fn decide_keyed(&self, now_ms: u64, key: &str) -> Decision<S> {
         let Some(table) = &self.table else {
             return Decision::Wait;
--- a/crates/route/tests/path_decisions.rs
+++ b/crates/route/tests/path_decisions.rs
@@ -1,5 +1,5 @@
 //! Retries, limits and admission.
-use route::{Admission, Attempts, Budget, Failure, Gate, Limit, Next, Outcome, Reason};
+use route::{Admission, Arrival, Attempts, Budget, Failure, Gate, Limit, Next, Outcome, Reason};
 
 #[test]
 fn booking_runs_once() {
@@ -67,14 +67,32 @@
     assert_eq!(limit.get(), 1);
 }
 
+fn arrival(deadline_ms: u64, priority: u32) -> Arrival {
+    Arrival { deadline_ms, priority, queue: 100 }
+}
+
+#[test]
+fn queue_of_a_priority_is_bounded() {
+    let mut gate = Gate::new(Limit::new(1, 1), 100);
+    let short = Arrival { queue: 2, ..arrival(100, 1) };
+    gate.arrive(0, short, 0);
+    assert!(matches!(gate.arrive(0, short, 1), Admission::Wait(_)));
+    assert!(matches!(gate.arrive(0, short, 2), Admission::Wait(_)));
+    assert!(matches!(gate.arrive(0, short, 3), Admission::Refuse));
+    assert!(matches!(gate.arrive(0, arrival(100, 0), 4), Admission::Wait(_)));
+}
+
 #[test]
 fn urgent_goes_first() {
     let mut gate = Gate::new(Limit::new(1, 1), 2);
-    assert!(matches!(gate.arrive(0, 100, 0, "first"), Admission::Enter));
-    assert!(matches!(gate.arrive(0, 100, 2, "sheet"), Admission::Wait(_)));
-    assert!(matches!(gate.arrive(0, 100, 1, "swap"), Admission::Wait(_)));
-    assert!(matches!(gate.arrive(0, 100, 2, "late sheet"), Admission::Refuse));
-    assert!(matches!(gate.arrive(0, 100, 0, "balance"), Admission::WaitInstead(_, "sheet")));
+    assert!(matches!(gate.arrive(0, arrival(100, 0), "first"), Admission::Enter));
+    assert!(matches!(gate.arrive(0, arrival(100, 2), "sheet"), Admission::Wait(_)));
+    assert!(matches!(gate.arrive(0, arrival(100, 1), "swap"), Admission::Wait(_)));
+    assert!(matches!(gate.arrive(0, arrival(100, 2), "late sheet"), Admission::Refuse));
+    assert!(matches!(
+        gate.arrive(0, arrival(100, 0), "balance"),
+        Admission::WaitInstead(_, "sheet")
+    ));
     assert_eq!(gate.leave(1), ["balance"]);
     assert_eq!(gate.leave(2), ["swap"]);
     assert!(gate.leave(3).is_empty());
@@ -84,8 +102,8 @@
 #[test]
 fn abandoned_place_is_free() {
     let mut gate = Gate::new(Limit::new(1, 1), 1);
-    gate.arrive(0, 100, 0, 1);
-    let Admission::Wait(ticket) = gate.arrive(0, 100, 0, 2) else {
+    gate.arrive(0, arrival(100, 0), 1);
+    let Admission::Wait(ticket) = gate.arrive(0, arrival(100, 0), 2) else {
         panic!("there is room to wait")
     };
     assert!(gate.abandon(ticket));
@@ -96,7 +114,7 @@
 /// A gate before a server that takes 100 ms for a request, one at a time.
 fn slow_gate() -> Gate<u32> {
     let mut gate = Gate::new(Limit::new(1, 1), 100);
-    gate.arrive(0, 1_000, 0, 0);
+    gate.arrive(0, arrival(1_000, 0), 0);
     for _ in 0..200 {
         gate.on_answer(100.0);
     }
@@ -106,15 +124,16 @@
 #[test]
 fn hopeless_is_refused_at_once() {
     let mut gate = slow_gate();
-    assert!(matches!(gate.arrive(0, 150, 0, 1), Admission::Refuse));
-    let waiting = (0..20).filter(|n| matches!(gate.arrive(0, 1_000, 0, *n), Admission::Wait(_)));
+    assert!(matches!(gate.arrive(0, arrival(150, 0), 1), Admission::Refuse));
+    let waiting =
+        (0..20).filter(|n| matches!(gate.arrive(0, arrival(1_000, 0), *n), Admission::Wait(_)));
     assert_eq!(waiting.count(), 9, "the tenth would be answered after 1,100 ms");
 }
 
 #[test]
 fn late_is_dropped() {
     let mut gate = slow_gate();
-    gate.arrive(0, 300, 0, 1);
-    gate.arrive(0, 1_000, 0, 2);
+    gate.arrive(0, arrival(300, 0), 1);
+    gate.arrive(0, arrival(1_000, 0), 2);
     assert_eq!(gate.leave(250), [2], "the first had 50 ms left and needs 100");
 }
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -50,6 +50,8 @@
         });
         while connections.try_join_next().is_some() {}
     }
+    // Nobody may connect any more when the open connections end.
+    drop(listener);
 }
 
 /// Reads the body of a request; one that is too long or breaks off reads as empty.
