Let stand-ins go silent and mislead about their health

Change: connections that are open can go silent for good, with new ones working; health says that a frozen server is well.

--- a/crates/lab/src/upstream.rs
+++ b/crates/lab/src/upstream.rs
@@ -65,6 +65,8 @@
     pub freeze_ms: u64,
     /// Whether it forgets everything, as a crash would.
     pub crash: bool,
+    /// Whether the connections that are open now go silent for good.
+    pub silence: bool,
 }
 
 #[derive(Debug)]
@@ -73,6 +75,8 @@
     prepared_at: BTreeMap<ShardId, Instant>,
     warm: BTreeSet<ShardId>,
     frozen_until: Instant,
+    /// Connections from before this are silent for good.
+    silent_before: Option<Instant>,
     runs: u64,
     shed: u64,
 }
@@ -100,6 +104,7 @@
                 prepared_at: BTreeMap::new(),
                 warm: BTreeSet::new(),
                 frozen_until: Instant::now(),
+                silent_before: None,
                 runs: 0,
                 shed: 0,
             }),
@@ -140,6 +145,11 @@
         self.lock().frozen_until = Instant::now() + Duration::from_millis(length_ms);
     }
 
+    /// Makes the connections that are open now silent for good; new ones work.
+    pub fn silence(&self) {
+        self.lock().silent_before = Some(Instant::now());
+    }
+
     /// Makes the server forget everything, as a crash would.
     pub fn crash(&self) {
         let mut state = self.lock();
@@ -149,6 +159,13 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Answer {
+        if request.uri().path() == "/health" {
+            // Health endpoints mislead: a frozen server still says that it is well.
+            return web::status(StatusCode::OK, "healthy\n");
+        }
+        if self.is_silent(&request) {
+            std::future::pending::<()>().await;
+        }
         self.thaw().await;
         let path = request.uri().path().to_owned();
         let answer = match path.as_str() {
@@ -158,13 +175,18 @@
                 let state = self.lock();
                 web::json(format!("{{\"runs\":{},\"shed\":{}}}", state.runs, state.shed))
             }
-            "/health" => web::status(StatusCode::OK, "healthy\n"),
             _ => self.run(request, &path).await,
         };
         self.thaw().await;
         answer
     }
 
+    fn is_silent(&self, request: &Request<Incoming>) -> bool {
+        let silent_before = self.lock().silent_before;
+        let accepted = request.extensions().get::<web::Accepted>();
+        accepted.zip(silent_before).is_some_and(|(accepted, before)| accepted.0 < before)
+    }
+
     /// Waits until the server is not frozen.
     async fn thaw(&self) {
         loop {
@@ -204,6 +226,9 @@
         match serde_json::from_slice::<StandInFaults>(body) {
             Ok(faults) => {
                 self.freeze(faults.freeze_ms);
+                if faults.silence {
+                    self.silence();
+                }
                 if faults.crash {
                     self.crash();
                 }
--- a/crates/lab/tests/whole_path.rs
+++ b/crates/lab/tests/whole_path.rs
@@ -212,6 +212,20 @@
     site.end().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections() {
+    let site = start().await;
+    for _ in 0..4 {
+        assert!(get(&site, "/ledger/account-1/balance").await.contains(" 200 OK"));
+    }
+    for server in &site.servers[0].1 {
+        server.stand_in.silence();
+    }
+    let answer = get(&site, "/ledger/account-1/balance").await;
+    assert!(answer.contains(" 200 OK"), "a new connection works: {answer}");
+    site.end().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn unreachable_server() {
     let site = start().await;
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -13,8 +13,13 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+/// When the connection of a request was accepted; each request has it as an extension.
+#[derive(Clone, Copy, Debug)]
+pub struct Accepted(pub Instant);
+
 /// The longest body that [`read`] takes.
 const MOST_BODY_BYTES: usize = 4 << 20;
 
@@ -37,7 +42,9 @@
         // Small answers must not wait for each other; without this they are only slower.
         drop(stream.set_nodelay(true));
         let handler = handler.clone();
-        let service = service_fn(move |request| {
+        let accepted = Accepted(Instant::now());
+        let service = service_fn(move |mut request: Request<Incoming>| {
+            request.extensions_mut().insert(accepted);
             let answer = handler(request);
             async move { Ok::<_, Infallible>(answer.await) }
         });
