--- a/crates/lab/src/job.rs
+++ b/crates/lab/src/job.rs
@@ -102,7 +102,7 @@
     let load = Load::new(load_options(options), targets, Some(Arc::clone(&site.witness)));
     let sending = tokio::spawn(Arc::clone(&load).run());
     let start = Instant::now();
-    let sampler = sample(&site, start, &is_over);
+    let sampler = sample(&site, start, &is_over, options.is_live);
     sleep(Duration::from_millis(options.length_ms / 4)).await;
     let moved = move_servers(&site, options).await?;
     site.witness.take_commits();
@@ -167,6 +167,7 @@
     site: &Site,
     start: Instant,
     is_over: &Arc<AtomicBool>,
+    is_live: bool,
 ) -> tokio::task::JoinHandle<Timeline> {
     let daemons: Vec<_> =
         site.daemons.iter().flatten().map(|daemon| Arc::clone(daemon.traffic())).collect();
@@ -181,7 +182,18 @@
                 let table = services.get(&*keyed).and_then(|service| service.table.clone());
                 table.map_or([0.0; 3], |table| count_routes(&table))
             });
-            timeline.push(start.elapsed().as_secs_f64(), &counts);
+            let at_s = start.elapsed().as_secs_f64();
+            let is_news = timeline.series.iter().zip(&counts).any(|((_, values), count)| {
+                values.last().is_some_and(|last| last.total_cmp(count).is_ne())
+            });
+            if is_live && is_news {
+                let [leaving, closed, arrived] = counts;
+                println!(
+                    "{at_s:>5.1} s  shards on leaving servers {leaving:>4}, closed {closed:>3}, \
+                     on arrived servers {arrived:>4}"
+                );
+            }
+            timeline.push(at_s, &counts);
             sleep(Duration::from_millis(SAMPLE_MS)).await;
         }
         timeline
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -120,6 +120,7 @@
                 .help("It does not check fence epochs"),
         )
         .arg(number("slots", "4", "How many requests it runs at once"))
+        .arg(number("connections", "120", "How many connections it accepts"))
         .arg(number("run-ms", "2", "How long a request runs"))
         .arg(number("cold-ms", "50", "How much longer the first request of a cold shard runs"))
         .arg(number("prepare-ms", "40", "How long it takes to prepare a shard"))
@@ -287,6 +288,7 @@
         is_keyed: !matches.get_flag("pooled"),
         checks_fence: !matches.get_flag("no-fence"),
         slots: u32::try_from(get(matches, "slots"))?,
+        connections: u32::try_from(get(matches, "connections"))?,
         run_ms: get(matches, "run-ms"),
         cold_ms: get(matches, "cold-ms"),
         prepare_ms: get(matches, "prepare-ms"),
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -336,6 +336,7 @@
         is_keyed: service.is_keyed,
         checks_fence: server.checks_fence,
         slots: server.slots,
+        connections: server.connections,
         run_ms: service.run_ms,
         cold_ms: service.cold_ms,
         prepare_ms: service.prepare_ms,
--- a/crates/lab/src/upstream.rs
+++ b/crates/lab/src/upstream.rs
@@ -47,6 +47,8 @@
     pub checks_fence: bool,
     /// How many requests it runs at once.
     pub slots: u32,
+    /// How many connections it accepts.
+    pub connections: u32,
     /// How long a request runs.
     pub run_ms: u64,
     /// How much longer the first request of a shard runs that was not prepared.
@@ -116,11 +118,12 @@
     pub async fn serve(self: Arc<Self>, listener: TcpListener, stop: CancellationToken) {
         // A second listener would end with the first one.
         let stop = self.stop.get_or_init(|| stop).clone();
+        let connections = usize::try_from(self.config.connections).unwrap_or(usize::MAX);
         let handler = move |request| {
             let server = Arc::clone(&self);
             async move { server.answer(request).await }
         };
-        web::serve(listener, stop, handler).await;
+        web::serve_limited(listener, stop, connections, handler).await;
     }
 
     /// Returns the shards that the server serves now, with their epochs.
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -29,4 +29,4 @@
 
 pub use client::{Call, Client};
 pub use error::{Category, Error, Result};
-pub use server::{Accepted, json, read, serve, status};
+pub use server::{Accepted, json, read, serve, serve_limited, status};
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -31,6 +31,22 @@
     B: Body + Send + 'static,
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    serve_limited(listener, stop, usize::MAX, handler).await;
+}
+
+/// Answers requests on at most some connections at once; more are closed at once.
+pub async fn serve_limited<H, F, B>(
+    listener: TcpListener,
+    stop: CancellationToken,
+    most_connections: usize,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let mut connections = JoinSet::new();
     loop {
@@ -39,6 +55,10 @@
             () = stop.cancelled() => break,
         };
         let Ok((stream, _)) = accepted else { continue };
+        while connections.try_join_next().is_some() {}
+        if connections.len() >= most_connections {
+            continue;
+        }
         // Small answers must not wait for each other; without this they are only slower.
         drop(stream.set_nodelay(true));
         let handler = handler.clone();
@@ -55,7 +75,6 @@
             // How one connection ends concerns nobody else.
             drop(connection.await);
         });
-        while connections.try_join_next().is_some() {}
     }
     // Nobody may connect any more when the open connections end.
     drop(listener);
