--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -7,7 +7,7 @@
 use lease::{Authority, Epoch, Order, Report, ShardEpoch, Tenure, Term, Verdict, slower_ms};
 use route::Table;
 
-use crate::link::{BeatNews, Change, DaemonLink, ServerLink};
+use crate::link::{BeatNews, Change, DaemonLink, Process, Sender, ServerLink};
 use crate::message::{Beat, BeatReply, Intent, PromiseAsk, PromiseReply, RecordCopy, Stage};
 use crate::shard::{Phase, Shard};
 use crate::writer::Writer;
@@ -106,11 +106,10 @@
 
 #[derive(Clone, Debug)]
 struct VoterLink {
-    incarnation: u64,
+    process: Process,
     acked: Revision,
     intent_number: u64,
     last_reply_ms: u64,
-    retired: Vec<u64>,
 }
 
 impl Lead {
@@ -190,9 +189,7 @@
         let Some(intent) = self.writer.announced() else {
             return false;
         };
-        self.known.record.quorum().is_reached(|voter| {
-            self.voters.get(voter).is_some_and(|link| link.intent_number >= intent.number)
-        })
+        self.do_voters_agree(|link| link.intent_number >= intent.number)
     }
 
     /// Makes the next ask for promises happen at this time.
@@ -206,11 +203,13 @@
 
     /// Returns whether a majority of the voters knows the newest record.
     pub(crate) fn is_record_acknowledged(&self) -> bool {
-        let revision = self.known.revision;
-        self.known
-            .record
-            .quorum()
-            .is_reached(|voter| self.voters.get(voter).is_some_and(|link| link.acked >= revision))
+        self.do_voters_agree(|link| link.acked >= self.known.revision)
+    }
+
+    /// Returns whether a check holds for the links to a majority of the voters.
+    fn do_voters_agree(&self, check: impl Fn(&VoterLink) -> bool) -> bool {
+        let quorum = self.known.record.quorum();
+        quorum.is_reached(|voter| self.voters.get(voter).is_some_and(&check))
     }
 
     /// Returns the voters that have been silent for long.
@@ -251,19 +250,14 @@
             return Standing::InOffice;
         }
         let link = self.voters.entry(reply.voter.clone()).or_insert_with(|| VoterLink {
-            incarnation: reply.voter_incarnation,
+            process: Process::new(reply.voter_incarnation),
             acked: Revision(0),
             intent_number: 0,
             last_reply_ms: now_ms,
-            retired: Vec::new(),
         });
-        if link.incarnation != reply.voter_incarnation {
-            // A restarted voter has forgotten; a late reply of its earlier process is void.
-            if link.retired.contains(&reply.voter_incarnation) {
-                return Standing::InOffice;
-            }
-            link.retired.push(link.incarnation);
-            link.incarnation = reply.voter_incarnation;
+        // A restarted voter has forgotten; what follows replaces what the link knew of it.
+        if link.process.note(reply.voter_incarnation) == Sender::Gone {
+            return Standing::InOffice;
         }
         link.acked = reply.record_revision;
         link.last_reply_ms = now_ms;
@@ -398,7 +392,7 @@
                 record_revision: self.known.revision,
                 record: (acked < self.known.revision).then(|| self.known.clone()),
                 intents: intents.cloned().collect(),
-                voter_incarnation: link.map_or(0, |link| link.incarnation),
+                voter_incarnation: link.map_or(0, |link| link.process.present()),
             };
             out.push(Action::AskPromise(voter, ask));
         }
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -123,15 +123,55 @@
     }
 }
 
+/// Which process at a place is the present one; messages of earlier ones may still come.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Process {
+    present: u64,
+    gone: Vec<u64>,
+}
+
+/// Which process a message comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Sender {
+    /// The present one.
+    Present,
+    /// One that has taken the present one's place.
+    New,
+    /// One that is gone; what it says is void.
+    Gone,
+}
+
+impl Process {
+    pub(crate) fn new(present: u64) -> Self {
+        Self { present, gone: Vec::new() }
+    }
+
+    pub(crate) fn present(&self) -> u64 {
+        self.present
+    }
+
+    /// Notes the process that a message comes from.
+    pub(crate) fn note(&mut self, incarnation: u64) -> Sender {
+        if incarnation == self.present {
+            return Sender::Present;
+        }
+        if self.gone.contains(&incarnation) {
+            return Sender::Gone;
+        }
+        self.gone.push(self.present);
+        self.present = incarnation;
+        Sender::New
+    }
+}
+
 /// A controller's connection to one daemon.
 #[derive(Debug, Default)]
 pub(crate) struct DaemonLink {
-    pub(crate) incarnation: u64,
     pub(crate) bound: GrantBound,
     pub(crate) document: Revision,
     pub(crate) last_beat_ms: u64,
     pub(crate) next_table_ms: u64,
-    retired: Vec<u64>,
+    process: Process,
     tenure: Tenure,
     sequence: u64,
     drained: u64,
@@ -148,15 +188,13 @@
 
 impl DaemonLink {
     pub(crate) fn note_beat(&mut self, now_ms: u64, beat: &crate::Beat) -> BeatNews {
-        if self.incarnation != beat.incarnation {
-            // A late beat of an earlier process says nothing of the present one.
-            if self.retired.contains(&beat.incarnation) {
-                return BeatNews::Stale;
+        match self.process.note(beat.incarnation) {
+            Sender::Gone => return BeatNews::Stale,
+            Sender::New => {
+                self.bound.change_clock();
+                self.drained = 0;
             }
-            self.retired.push(self.incarnation);
-            self.bound.change_clock();
-            self.incarnation = beat.incarnation;
-            self.drained = 0;
+            Sender::Present => {}
         }
         self.bound.observe_clock(beat.clock_ms, now_ms);
         self.last_beat_ms = now_ms;
--- a/crates/control/src/settle.rs
+++ b/crates/control/src/settle.rs
@@ -91,8 +91,7 @@
         if self.is_given_up(id, server, epoch) {
             return Some(Shard::Free { not_before_ms: now_ms });
         }
-        let link = self.servers.get(server)?;
-        link.is_live(id, epoch).then(|| Shard::Held { server: server.clone(), epoch })
+        self.is_live(id, server, epoch).then(|| Shard::Held { server: server.clone(), epoch })
     }
 
     fn is_given_up(&self, id: ShardId, server: &Name, epoch: Epoch) -> bool {
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -69,7 +69,6 @@
     clock: Clock,
     incarnation: u64,
     route_deadline_ms: u64,
-    acknowledged: (lease::Term, u64),
 }
 
 pub struct Server {
@@ -200,7 +199,6 @@
                 clock,
                 incarnation: 0,
                 route_deadline_ms: 0,
-                acknowledged: (lease::Term(0), 0),
             });
         }
         world
@@ -225,7 +223,6 @@
         daemon.incarnation += 1;
         daemon.paused_until_ms = 0;
         daemon.route_deadline_ms = 0;
-        daemon.acknowledged = (lease::Term(0), 0);
         daemon.has_document = Revision(0);
         let local_ms = clock.read(now_ms);
         let tuning = Tuning::default();
@@ -582,7 +579,6 @@
         if self.tables[at].as_ref().is_some_and(|known| known.tenure != table.tenure) {
             self.daemons[at].route_deadline_ms = 0;
         }
-        self.daemons[at].acknowledged = (table.term, table.sequence);
         self.tables[at] = Some(table);
         self.send_beat(at);
     }
--- a/crates/lab/src/measure/cost.rs
+++ b/crates/lab/src/measure/cost.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use bytes::Bytes;
-use document::{Name, ServerState};
+use document::Name;
 use error_stack::ResultExt;
 use hdrhistogram::Histogram;
 use http::{Method, Request, Response, StatusCode};
@@ -17,10 +17,9 @@
 use web::{Call, Client};
 
 use super::Rows;
-use crate::site::{Error, Plan, Result, ServerPlan, ServicePlan, Site};
+use crate::site::{Error, Plan, Result, ServicePlan, Site};
 use crate::upstream::REQUEST_ID;
 
-const OPEN_LIMIT_MS: u64 = 20_000;
 const ROUND: Duration = Duration::from_secs(3);
 const ROUNDS: usize = 3;
 const CONNECTIONS: usize = 24;
@@ -34,9 +33,7 @@
 ///
 /// Fails when the site does not start.
 pub async fn measure_cost() -> Result<Rows> {
-    let site = Site::start(&plan()).await?;
-    site.edit(0, |server| server.state).await?;
-    site.wait_until_open(OPEN_LIMIT_MS).await?;
+    let site = Site::start_open(&plan()).await?;
     let upstream = site.servers[0].1[0].address;
     let stop = CancellationToken::new();
     let forwarder = start_forwarder(upstream, stop.clone()).await?;
@@ -167,26 +164,11 @@
 }
 
 const THREADS: u32 = 2;
+const SLOTS: u32 = 256;
 const LIMIT_MS: u64 = 10_000;
 
 /// One daemon and one server with many slots, which checks no fence.
 fn plan() -> Plan {
-    let server = ServerPlan {
-        name: Name::from("ledger-1"),
-        data_centre: Name::from("zurich"),
-        slots: 256,
-        connections: 512,
-        state: Some(ServerState::Serving),
-        checks_fence: false,
-    };
-    let service = ServicePlan {
-        name: Name::from("ledger"),
-        head: LEDGER.to_owned(),
-        is_keyed: true,
-        servers: vec![server],
-        run_ms: 0,
-        cold_ms: 0,
-        prepare_ms: 0,
-    };
+    let service = ServicePlan::of_one_server(LEDGER, SLOTS, 0);
     Plan { services: vec![service], daemons: vec![Name::from("zurich")], threads: THREADS }
 }
--- a/crates/lab/src/measure/failover.rs
+++ b/crates/lab/src/measure/failover.rs
@@ -47,7 +47,6 @@
     (Fault::StoreDownControllerThenServer, "store down: controller, then a server lost"),
 ];
 
-const OPEN_LIMIT_MS: u64 = 20_000;
 const BEFORE_MS: u64 = 1_000;
 const AFTER_MS: u64 = 6_000;
 const FREEZE_MS: u64 = 5_000;
@@ -77,11 +76,7 @@
     fault: Fault,
     seed: u64,
 ) -> Result<Vec<(&'static str, f64)>> {
-    let mut site = Site::start(&plan_of(association)).await?;
-    for service in 0..2 {
-        site.edit(service, |server| server.state).await?;
-    }
-    site.wait_until_open(OPEN_LIMIT_MS).await?;
+    let mut site = Site::start_open(&plan_of(association)).await?;
     // The record must name all successors before a fault is fair.
     sleep(Duration::from_millis(BEFORE_MS)).await;
     let keyed = site.servers[0].0.name.clone();
--- a/crates/lab/src/measure/overload.rs
+++ b/crates/lab/src/measure/overload.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use document::{Name, ServerState};
+use document::Name;
 
 use super::Rows;
 use super::cost::start_forwarder;
 use crate::figure::from_u64;
 use crate::load::{Load, LoadOptions, LoadReport, Targets};
-use crate::site::{Plan, Result, ServerPlan, ServicePlan, Site};
+use crate::site::{Plan, Result, ServicePlan, Site};
 
 const LEDGER: &str = "[service]\nname = ledger\nkind = keyed\nkey = segment 2\n\
     [key-group accounts]\nprefix =\nshards = 16\n\
@@ -23,7 +23,6 @@
 const CAPACITY_PER_S: f64 = 200.0;
 const TIMES: [f64; 5] = [0.5, 1.0, 2.0, 5.0, 10.0];
 const LENGTH_MS: u64 = 4_000;
-const OPEN_LIMIT_MS: u64 = 20_000;
 
 /// Measures four daemons, and a plain forwarder, before one server of known capacity.
 ///
@@ -36,9 +35,7 @@
     );
     for times in TIMES {
         for is_daemon in [true, false] {
-            let site = Site::start(&plan()).await?;
-            site.edit(0, |server| server.state).await?;
-            site.wait_until_open(OPEN_LIMIT_MS).await?;
+            let site = Site::start_open(&plan()).await?;
             let (addresses, stop) = if is_daemon {
                 (site.callers_addresses(), None)
             } else {
@@ -95,23 +92,7 @@
 }
 
 fn plan() -> Plan {
-    let server = ServerPlan {
-        name: Name::from("ledger-1"),
-        data_centre: Name::from("zurich"),
-        slots: SLOTS,
-        connections: 120,
-        state: Some(ServerState::Serving),
-        checks_fence: false,
-    };
-    let service = ServicePlan {
-        name: Name::from("ledger"),
-        head: LEDGER.to_owned(),
-        is_keyed: true,
-        servers: vec![server],
-        run_ms: RUN_MS,
-        cold_ms: 0,
-        prepare_ms: 0,
-    };
+    let service = ServicePlan::of_one_server(LEDGER, SLOTS, RUN_MS);
     let daemons = ["zurich", "zurich", "bern", "basel"].map(Name::from).to_vec();
     Plan { services: vec![service], daemons, threads: 1 }
 }
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -74,6 +74,30 @@
     pub checks_fence: bool,
 }
 
+impl ServicePlan {
+    /// Creates a keyed service of one server that checks no fence and is never cold.
+    #[must_use]
+    pub fn of_one_server(head: &str, slots: u32, run_ms: u64) -> Self {
+        let server = ServerPlan {
+            name: Name::from("ledger-1"),
+            data_centre: Name::from("zurich"),
+            slots,
+            connections: 2 * slots.max(60),
+            state: Some(ServerState::Serving),
+            checks_fence: false,
+        };
+        Self {
+            name: Name::from("ledger"),
+            head: head.to_owned(),
+            is_keyed: true,
+            servers: vec![server],
+            run_ms,
+            cold_ms: 0,
+            prepare_ms: 0,
+        }
+    }
+}
+
 /// A running site.
 #[derive(Debug)]
 pub struct Site {
@@ -105,6 +129,8 @@
 
 const SHEET_BYTES: usize = 64 << 10;
 const POLL_MS: u64 = 20;
+/// How long the first documents may take until every shard is open.
+const OPEN_LIMIT_MS: u64 = 30_000;
 
 impl Site {
     /// Starts everything, without any document.
@@ -147,6 +173,20 @@
         Ok(site)
     }
 
+    /// Starts everything, puts the first documents in force, and waits until all is served.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Site::start`] does, and when opening takes too long.
+    pub async fn start_open(plan: &Plan) -> Result<Self> {
+        let site = Self::start(plan).await?;
+        for service in 0..plan.services.len() {
+            site.edit(service, |server| server.state).await?;
+        }
+        site.wait_until_open(OPEN_LIMIT_MS).await?;
+        Ok(site)
+    }
+
     /// Starts a daemon again that was stopped or killed.
     ///
     /// # Errors
--- a/crates/lab/tests/whole_path.rs
+++ b/crates/lab/tests/whole_path.rs
@@ -42,12 +42,7 @@
         daemons: vec![Name::from("zurich")],
         threads: 1,
     };
-    let site = Site::start(&plan).await.unwrap();
-    for at in 0..2 {
-        site.edit(at, |server| server.state).await.unwrap();
-    }
-    site.wait_until_open(OPEN_LIMIT_MS).await.unwrap();
-    site
+    Site::start_open(&plan).await.unwrap()
 }
 
 /// Sends bytes as they are and reads all that comes until the connection ends.
@@ -177,9 +172,7 @@
         daemons: vec![Name::from("zurich"), Name::from("bern")],
         threads: 1,
     };
-    let site = Site::start(&plan).await.unwrap();
-    site.edit(0, |server| server.state).await.unwrap();
-    site.wait_until_open(OPEN_LIMIT_MS).await.unwrap();
+    let site = Site::start_open(&plan).await.unwrap();
     let poison = "POST /archive/lookups HTTP/1.1\r\nhost: x\r\nconnection: close\r\nx-crash: 1\r\n\
                   content-length: 3\r\n\r\nbad";
     let good = poison.replace("x-crash: 1\r\n", "").replace("bad", "who");
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -3,14 +3,13 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use document::Class;
 use http::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use route::{
-    Arrival, Attempts, Decision, Failure, Fingerprint, Next, Outcome, Reason, Refusal, ServerState,
-    Service, Target,
+    Arrival, Attempts, Decision, Failure, Fingerprint, Next, Outcome, Reason, Refusal, Service,
+    Target,
 };
 use telemetry::Counter;
 use tokio::time::{Duration, Instant, sleep, timeout, timeout_at};
@@ -68,8 +67,8 @@
     head: http::request::Parts,
     body: Bytes,
     key: Option<String>,
-    class: Class,
-    deadline_ms: u64,
+    is_idempotent: bool,
+    arrival: Arrival,
 }
 
 impl Call {
@@ -105,8 +104,9 @@
 ) -> Result<Call, Refusal> {
     let (mut head, body) = request.into_parts();
     head::check_framing(head.version, &head.headers)?;
-    let class = service.document.class(head.method.as_str(), head.uri.path()).1.clone();
+    let (_, class) = service.document.class(head.method.as_str(), head.uri.path());
     let deadline_ms = traffic.clock.now_ms() + class.timeout_ms;
+    let arrival = Arrival { deadline_ms, priority: class.priority, queue: class.queue };
     let key = service.document.key.as_ref().and_then(|source| {
         let header = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
         source.find(head.uri.path(), head.uri.query(), header).map(str::to_owned)
@@ -116,7 +116,7 @@
     }
     head::strip_request(&mut head.headers);
     let body = read_body(traffic, body, deadline_ms).await?;
-    Ok(Call { head, body, key, class, deadline_ms })
+    Ok(Call { head, body, key, is_idempotent: class.idempotent, arrival })
 }
 
 async fn read_body(traffic: &Traffic, body: Incoming, deadline_ms: u64) -> Result<Bytes, Refusal> {
@@ -144,7 +144,7 @@
     mut service: Arc<Service<Upstream>>,
     call: &Call,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    let mut attempts = Attempts::new(call.class.idempotent, call.deadline_ms);
+    let mut attempts = Attempts::new(call.is_idempotent, call.arrival.deadline_ms);
     loop {
         if traffic.is_refused(|| call.fingerprint()) {
             return Err(attempts.to_refusal(Reason::Crashing));
@@ -159,7 +159,7 @@
             .is_some_and(|current| current.is_current(traffic.clock.now_ms(), &target));
         if !is_current {
             drop((place, permit));
-            if traffic.clock.now_ms() >= call.deadline_ms {
+            if traffic.clock.now_ms() >= call.arrival.deadline_ms {
                 return Err(attempts.to_refusal(Reason::Expired));
             }
             continue;
@@ -222,7 +222,7 @@
                 return Err(attempts.to_refusal(Reason::Overloaded));
             }
         }
-        let deadline = traffic.clock.to_instant(call.deadline_ms);
+        let deadline = traffic.clock.to_instant(call.arrival.deadline_ms);
         if timeout_at(deadline, changed).await.is_err() {
             return Err(attempts.to_refusal(Reason::NoOwner));
         }
@@ -235,9 +235,7 @@
     call: &Call,
     attempts: &Attempts,
 ) -> Result<Permit, Refusal> {
-    let Class { priority, queue, .. } = call.class;
-    let arrival = Arrival { deadline_ms: call.deadline_ms, priority, queue };
-    match target.server.enter(arrival).await {
+    match target.server.enter(call.arrival).await {
         Ok((permit, has_waited)) => {
             if has_waited {
                 traffic.counters.count(Counter::WaitedForSlot);
@@ -261,7 +259,7 @@
     let started = Instant::now();
     let now_ms = traffic.clock.now_ms();
     let deadline = traffic.clock.to_instant(attempts.attempt_deadline_ms(now_ms));
-    let Ok(Ok(connection)) = timeout_at(deadline, target.server.connect(true)).await else {
+    let Ok(Ok(connection)) = timeout_at(deadline, target.server.connect()).await else {
         return Attempt::Failed(Failure::NotSent);
     };
     if connection.is_fresh {
@@ -311,13 +309,12 @@
     *request.uri_mut() = call.head.uri.path_and_query()?.as_str().parse().ok()?;
     *request.headers_mut() = call.head.headers.clone();
     let headers = request.headers_mut();
-    let address = target.server.server().address.to_string();
-    headers.insert(HOST, HeaderValue::from_str(&address).ok()?);
+    headers.insert(HOST, target.server.host());
     if let Some((shard, epoch)) = target.fence {
         headers.insert(head::SHARD, HeaderValue::from(shard.0));
         headers.insert(head::EPOCH, HeaderValue::from(epoch.0));
     }
-    let left_ms = call.deadline_ms.saturating_sub(traffic.clock.now_ms());
+    let left_ms = call.arrival.deadline_ms.saturating_sub(traffic.clock.now_ms());
     headers.insert(head::TIME_LEFT_MS, HeaderValue::from(left_ms));
     Some(request)
 }
@@ -361,7 +358,7 @@
 
 /// Waits for newer services, but not for long.
 async fn wait_for_change(traffic: &Traffic, call: &Call, most_ms: u64) {
-    let until_ms = call.deadline_ms.min(traffic.clock.now_ms() + most_ms);
+    let until_ms = call.arrival.deadline_ms.min(traffic.clock.now_ms() + most_ms);
     let until = traffic.clock.to_instant(until_ms);
     // Whether a change came or the time ran out, the next step looks again.
     drop(timeout_at(until, traffic.changed().notified()).await);
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use document::Server;
+use http::HeaderValue;
 use http_body_util::Full;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
@@ -22,6 +23,8 @@
 #[derive(Debug)]
 pub struct Upstream {
     server: Server,
+    /// The host header of requests to the server.
+    host: HeaderValue,
     clock: Clock,
     // Held for a few instructions only; requests to other servers do not meet here.
     gate: Mutex<Gate<oneshot::Sender<()>>>,
@@ -67,11 +70,18 @@
 
 impl Upstream {
     /// Creates the state of a server that some daemons share.
+    ///
+    /// # Panics
+    ///
+    /// Never: an address is a valid header value.
     #[must_use]
     pub fn new(server: Server, daemons: u32, clock: Clock) -> Self {
         let limit = Limit::new(server.slots, daemons);
+        let host = HeaderValue::try_from(server.address.to_string())
+            .expect("an address has only visible characters");
         Self {
             server,
+            host,
             clock,
             gate: Mutex::new(Gate::new(limit, MOST_WAITING)),
             idle: Mutex::default(),
@@ -111,14 +121,12 @@
     }
 
     /// Returns a connection that is not in use, or opens one.
-    pub(crate) async fn connect(&self, allow_idle: bool) -> std::io::Result<Connection> {
-        if allow_idle {
-            while let Some(idle) = self.pop_idle() {
-                let mut sender = idle.sender;
-                let is_young = idle.since.elapsed().as_millis() < IDLE_LIMIT_MS;
-                if is_young && sender.ready().await.is_ok() {
-                    return Ok(Connection { sender, is_fresh: false });
-                }
+    pub(crate) async fn connect(&self) -> std::io::Result<Connection> {
+        while let Some(idle) = self.pop_idle() {
+            let mut sender = idle.sender;
+            let is_young = idle.since.elapsed().as_millis() < IDLE_LIMIT_MS;
+            if is_young && sender.ready().await.is_ok() {
+                return Ok(Connection { sender, is_fresh: false });
             }
         }
         let stream = TcpStream::connect(self.server.address).await?;
@@ -129,6 +137,10 @@
         Ok(Connection { sender, is_fresh: true })
     }
 
+    pub(crate) fn host(&self) -> HeaderValue {
+        self.host.clone()
+    }
+
     /// Looks whether the server takes connections.
     pub(crate) async fn probe(&self) -> std::io::Result<()> {
         TcpStream::connect(self.server.address).await.map(drop)
--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -1,6 +1,6 @@
 //! Whether a failed attempt is repeated.
 
-use crate::{MOST_CRASHES, Outcome, Reason, Refusal};
+use crate::{MOST_CRASHES, Reason, Refusal};
 
 /// How one attempt to run a request failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -116,10 +116,4 @@
         };
         self.to_refusal(reason)
     }
-
-    /// Returns whether the request may have run.
-    #[must_use]
-    pub fn outcome(&self) -> Outcome {
-        if self.may_have_run { Outcome::Unknown } else { Outcome::NotRun }
-    }
 }
--- a/crates/route/src/gate.rs
+++ b/crates/route/src/gate.rs
@@ -87,11 +87,6 @@
         self.limit.get()
     }
 
-    /// Changes the number of slots of the server.
-    pub fn resize(&mut self, slots: u32) {
-        self.limit.resize(slots);
-    }
-
     /// Lets a request in, makes it wait, or refuses it; `waker` wakes it later.
     ///
     /// A request that would not be answered before its deadline is refused at once, and so
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -23,12 +23,6 @@
         Self { current: share, least: 1.0, most }
     }
 
-    /// Changes the number of slots or daemons; what was learned is kept.
-    pub fn resize(&mut self, slots: u32) {
-        self.most = f64::from(slots.max(1));
-        self.current = self.current.clamp(self.least, self.most);
-    }
-
     /// Returns how many requests may be in flight.
     #[must_use]
     #[expect(
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -19,7 +19,6 @@
     pub table: Option<Arc<Table>>,
     /// The counters; they outlive the snapshot.
     pub in_flight: Arc<InFlight>,
-    servers: HashMap<Name, Arc<S>>,
     /// By the table's positions, the shell's state of the server.
     table_servers: Vec<Option<Arc<S>>>,
     pool: Vec<Arc<S>>,
@@ -78,7 +77,7 @@
         document: Arc<Document>,
         table: Option<Arc<Table>>,
         in_flight: Arc<InFlight>,
-        servers: HashMap<Name, Arc<S>>,
+        servers: &HashMap<Name, Arc<S>>,
     ) -> Self {
         let pool = document
             .servers
@@ -89,13 +88,7 @@
         let table_servers = table.as_ref().map_or_else(Vec::new, |table| {
             table.servers.iter().map(|name| servers.get(name).map(Arc::clone)).collect()
         });
-        Self { revision, document, table, in_flight, servers, table_servers, pool }
-    }
-
-    /// Returns the shell's state of each server.
-    #[must_use]
-    pub fn servers(&self) -> &HashMap<Name, Arc<S>> {
-        &self.servers
+        Self { revision, document, table, in_flight, table_servers, pool }
     }
 
     /// Decides where a request with a key goes.
--- a/crates/route/tests/pooled_choice.rs
+++ b/crates/route/tests/pooled_choice.rs
@@ -46,7 +46,7 @@
             (server.name.clone(), Arc::new(fake))
         })
         .collect();
-    Service::new(Revision(1), document, None, Arc::new(InFlight::default()), servers)
+    Service::new(Revision(1), document, None, Arc::new(InFlight::default()), &servers)
 }
 
 #[track_caller]
--- a/crates/verbenad/src/entry.rs
+++ b/crates/verbenad/src/entry.rs
@@ -94,9 +94,7 @@
         let document = Arc::clone(self.document.as_ref()?);
         let table = self.table.as_ref().map(Arc::clone);
         let in_flight = Arc::clone(&self.in_flight);
-        let upstreams =
-            self.upstreams.iter().map(|(name, up)| (name.clone(), Arc::clone(up))).collect();
-        Some(Service::new(self.revision, document, table, in_flight, upstreams))
+        Some(Service::new(self.revision, document, table, in_flight, &self.upstreams))
     }
 }
 
