Serve pooled services whose document names a key

Cause: found on reading: whether a service is keyed was asked in three ways, twice by whether its document has a key. A pooled service with a key answered 400 no-key, and its daemon never got ready, because it waited for a table that nobody publishes. Change: Document::is_keyed is the one question. Before: whole_path::pooled_service_with_a_key fails at its first request. After: passes.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use document::{Document, Kind, Name, Revision};
+use document::{Document, Name, Revision};
 use lease::{Tenure, Term, Voter};
 use route::Table;
 
@@ -189,7 +189,7 @@
         let Some((_, document)) = &self.document else {
             return;
         };
-        if document.kind != Kind::Keyed {
+        if !document.is_keyed() {
             return;
         }
         match &self.role {
--- a/crates/document/src/document.rs
+++ b/crates/document/src/document.rs
@@ -114,6 +114,12 @@
         Ok(document)
     }
 
+    /// Returns whether keys have owners.
+    #[must_use]
+    pub fn is_keyed(&self) -> bool {
+        self.kind == Kind::Keyed
+    }
+
     /// Returns the server with a name.
     #[must_use]
     pub fn server(&self, name: &str) -> Option<&Server> {
@@ -163,14 +169,14 @@
     }
 
     fn complete(&mut self) {
-        if self.kind == Kind::Keyed && self.key_groups.is_empty() {
+        if self.is_keyed() && self.key_groups.is_empty() {
             self.key_groups.push(KeyGroup::all());
         }
         self.classes.push(Class::other());
     }
 
     fn check(&self, file: &str, service_line: u32, server_lines: &[u32]) -> Result<()> {
-        if self.kind == Kind::Keyed && self.key.is_none() {
+        if self.is_keyed() && self.key.is_none() {
             let message = "key is missing, expected segment 2, header NAME or query NAME";
             return contradiction(file, service_line, message.into());
         }
--- a/crates/lab/tests/whole_path.rs
+++ b/crates/lab/tests/whole_path.rs
@@ -95,6 +95,22 @@
     site.end().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn pooled_service_with_a_key() {
+    let head = ARCHIVE.replace("kind = pooled\n", "kind = pooled\nkey = header x-key\n");
+    let plan = Plan {
+        services: vec![service("archive", &head, false, 1)],
+        daemons: vec![Name::from("zurich")],
+        threads: 1,
+    };
+    let site = Site::start_open(&plan).await.unwrap();
+    assert!(get(&site, "/archive/sheets/7").await.starts_with("HTTP/1.1 200 OK"));
+    let admin = web::Client::new(site.settings[0].listen.admin);
+    let ready = admin.call(web::Call::new(http::Method::GET, "/ready")).await.unwrap();
+    assert_eq!(ready.status(), http::StatusCode::OK);
+    site.end().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_requests_are_not_forwarded() {
     let site = start().await;
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -111,7 +111,7 @@
         let header = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
         source.find(head.uri.path(), head.uri.query(), header).map(str::to_owned)
     });
-    if service.document.key.is_some() && key.is_none() {
+    if service.document.is_keyed() && key.is_none() {
         return Err(Refusal::not_run(Reason::NoKey));
     }
     head::strip_request(&mut head.headers);
--- a/crates/verbenad/src/entry.rs
+++ b/crates/verbenad/src/entry.rs
@@ -84,6 +84,11 @@
         true
     }
 
+    /// Returns whether the service's keys have owners.
+    pub(crate) fn is_keyed(&self) -> bool {
+        self.document.as_deref().is_some_and(Document::is_keyed)
+    }
+
     /// Returns whether no request is on its way to a shard that the table closes.
     pub(crate) fn is_drained(&self) -> bool {
         self.table.as_ref().is_some_and(|table| self.in_flight.is_drained(table))
--- a/crates/verbenad/src/node.rs
+++ b/crates/verbenad/src/node.rs
@@ -349,8 +349,7 @@
     fn beat_if_due(&mut self, now_ms: u64, service: &Name) {
         let Some(entry) = self.services.get(service) else { return };
         let is_drain_news = !entry.is_drain_told && entry.is_drained();
-        let is_keyed = entry.document.as_ref().is_some_and(|document| document.key.is_some());
-        if is_keyed && (now_ms >= entry.next_beat_ms || is_drain_news) {
+        if entry.is_keyed() && (now_ms >= entry.next_beat_ms || is_drain_news) {
             self.beat(now_ms, service);
         }
     }
@@ -433,10 +432,7 @@
     }
 
     fn is_ready(&self) -> bool {
-        let is_routed = |entry: &Entry| {
-            let is_keyed = entry.document.as_ref().is_some_and(|document| document.key.is_some());
-            !is_keyed || entry.table.is_some()
-        };
+        let is_routed = |entry: &Entry| !entry.is_keyed() || entry.table.is_some();
         self.has_documents && !self.is_stopping && self.services.values().all(is_routed)
     }
 }
