--- a/crates/document/src/form.rs
+++ b/crates/document/src/form.rs
@@ -13,6 +13,14 @@
     pub expected: &'static str,
 }
 
+impl<T> Form<T> {
+    /// Reads a value, or returns `None` when it has another form.
+    #[must_use]
+    pub fn read(&self, text: &str) -> Option<T> {
+        (self.read)(text)
+    }
+}
+
 /// Any text that is not empty.
 pub const TEXT: Form<Name> = Form { read: read_text, expected: "a text that is not empty" };
 
@@ -30,7 +38,7 @@
 
 /// A length of time in milliseconds.
 pub const DURATION: Form<u64> =
-    Form { read: read_duration, expected: "a duration with a unit: 250ms, 3s, 10m or 1h" };
+    Form { read: read_duration, expected: "a duration with a unit: 250ms, 2.5s, 10m or 1h" };
 
 /// A size in bytes.
 pub const SIZE: Form<u64> =
@@ -52,7 +60,16 @@
 }
 
 fn read_duration(text: &str) -> Option<u64> {
-    read_with_unit(text, &DURATION_UNITS)
+    let Some((whole, rest)) = text.split_once('.') else {
+        return read_with_unit(text, &DURATION_UNITS);
+    };
+    // Fractions are of the unit; what is less than a millisecond is cut off.
+    let digits = rest.len() - rest.trim_start_matches(|c: char| c.is_ascii_digit()).len();
+    let (fraction, unit) = rest.split_at(digits);
+    let unit_ms = DURATION_UNITS.iter().find(|(name, _)| *name == unit.trim_start())?.1;
+    let parts = 10_u64.checked_pow(u32::try_from(digits).ok()?)?;
+    let fraction_ms = fraction.parse::<u64>().ok()?.checked_mul(unit_ms)? / parts;
+    whole.parse::<u64>().ok()?.checked_mul(unit_ms)?.checked_add(fraction_ms)
 }
 
 fn read_size(text: &str) -> Option<u64> {
--- /dev/null
+++ b/crates/gateway/src/call.rs
@@ -0,0 +1,122 @@
+//! A caller's request, read whole.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use document::Name;
+use http::header::HOST;
+use http::request::Parts;
+use http::{HeaderMap, HeaderName, HeaderValue, Request};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use route::{Arrival, Fingerprint, Reason, Refusal};
+use site::{Route, Site};
+use tokio::time::timeout_at;
+
+use crate::Shared;
+use crate::report::RouteState;
+
+/// A caller's request, read whole.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) head: Parts,
+    pub(crate) body: Bytes,
+    pub(crate) id: HeaderValue,
+    pub(crate) host: HeaderValue,
+    pub(crate) key: Option<u16>,
+    pub(crate) route: Arc<Route>,
+    pub(crate) state: Arc<RouteState>,
+    pub(crate) service: Name,
+    pub(crate) arrived_ms: u64,
+    /// When a final answer is due.
+    pub(crate) deadline_ms: u64,
+}
+
+/// How many requests of one priority may wait for a server.
+///
+/// More than this many rounds of a server's slots end after any deadline that callers set.
+const QUEUE: u32 = 64;
+
+impl Call {
+    pub(crate) fn arrival(&self) -> Arrival {
+        let priority = self.route.priority.0;
+        Arrival { deadline_ms: self.deadline_ms, priority, queue: QUEUE }
+    }
+
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        let path = self.head.uri.path_and_query().map_or("", |path| path.as_str());
+        Fingerprint::new(self.head.method.as_str(), path, &self.body)
+    }
+
+    pub(crate) fn is_idempotent(&self) -> bool {
+        self.route.kind.is_idempotent()
+    }
+}
+
+/// Reads a request whole and finds its route.
+pub(crate) async fn read(
+    shared: &Shared,
+    site: &Site,
+    request: Request<Incoming>,
+    arrived_ms: u64,
+) -> Result<Call, Refusal> {
+    let (mut head, body) = request.into_parts();
+    if !proxy::is_sound(head.version, &head.headers) {
+        return Err(Refusal::not_run(Reason::BadFraming));
+    }
+    let (host, name) = host(&head).ok_or(Refusal::not_run(Reason::NoIdentity))?;
+    let route = site.find(&name, head.uri.path()).ok_or(Refusal::not_run(Reason::NoRoute))?;
+    let route = Arc::clone(route);
+    let dialect = &shared.dialect;
+    let id = head.headers.get(&dialect.request_id).cloned();
+    let id = id.ok_or(Refusal::not_run(Reason::NoIdentity))?;
+    let key = number(&head.headers, &dialect.key);
+    let left_ms = number(&head.headers, &dialect.time_left_ms).unwrap_or(route.timeout_ms);
+    let deadline_ms = arrived_ms + left_ms.min(route.timeout_ms);
+    let part = route.part(rand::random()).cloned();
+    let service = part.ok_or(Refusal::not_run(Reason::NoRoute))?;
+    proxy::strip_request(&mut head.headers);
+    let body = read_body(shared, site, body, deadline_ms).await?;
+    let state = shared.route_state(&route);
+    Ok(Call { head, body, id, host, key, route, state, service, arrived_ms, deadline_ms })
+}
+
+/// Returns the host header and the name in it, without a port.
+fn host(head: &Parts) -> Option<(HeaderValue, String)> {
+    let mut values = head.headers.get_all(HOST).iter();
+    let value = values.next()?;
+    if values.next().is_some() {
+        return None;
+    }
+    let text = value.to_str().ok()?;
+    let name = text.rsplit_once(':').map_or(text, |(name, _port)| name);
+    (!name.is_empty()).then(|| (value.clone(), name.to_owned()))
+}
+
+fn number<T: std::str::FromStr>(headers: &HeaderMap, name: &HeaderName) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
+
+async fn read_body(
+    shared: &Shared,
+    site: &Site,
+    body: Incoming,
+    deadline_ms: u64,
+) -> Result<Bytes, Refusal> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let most = site.limits().body_bytes;
+    if body.size_hint().lower() > u64::try_from(most).unwrap_or(u64::MAX) {
+        return Err(Refusal::not_run(Reason::BodyTooLarge));
+    }
+    let deadline = shared.clock.to_instant(deadline_ms);
+    match timeout_at(deadline, Limited::new(body, most).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(Refusal::not_run(Reason::BodyTooLarge))
+        }
+        Ok(Err(_)) => Err(Refusal::not_run(Reason::BodyIncomplete)),
+        Err(_elapsed) => Err(Refusal::not_run(Reason::Expired)),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/clock.rs
@@ -0,0 +1,24 @@
+//! A clock that counts the time for which the process was suspended.
+
+use nix::time::ClockId;
+
+/// The clock by which authority and grants end.
+///
+/// The steady clock of the runtime stands still while an instance is suspended; this one
+/// does not.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BootClock;
+
+impl BootClock {
+    /// Reads the clock, in milliseconds since the instance was started.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the system has no such clock; Linux has had it since 2.6.39.
+    #[must_use]
+    pub fn now_ms(self) -> u64 {
+        let now = ClockId::CLOCK_BOOTTIME.now().expect("the system has a clock of its uptime");
+        let seconds = u64::try_from(now.tv_sec()).unwrap_or(0);
+        seconds * 1_000 + u64::try_from(now.tv_nsec()).unwrap_or(0) / 1_000_000
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/leading.rs
@@ -0,0 +1,290 @@
+//! What a daemon does as the leader.
+
+use document::{HashMap, Name, Revision};
+use peer::{FleetBody, ServiceLoad, Tables};
+use registry::Life;
+use shard::{Event, Leader, Note, Output, Record, Servers, Tuning};
+use store::{Category, Expect, LeaseId, Store, Transaction};
+use telemetry::Counter;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::follow::{LEADER, RECORDS};
+use crate::input::{Input, Victory, WriteOutcome};
+use crate::node::Node;
+use crate::{Orders, Source};
+
+/// The state of a daemon that leads.
+#[derive(Debug)]
+pub(crate) struct Leading {
+    pub(crate) leader: Leader,
+    pub(crate) lease: LeaseId,
+    /// The revisions of the records in the store.
+    revisions: HashMap<Name, Revision>,
+    speeds: HashMap<Life, f32>,
+    /// The number of the last message with tables.
+    number: u64,
+    pub(crate) publish_at_ms: u64,
+    _keeper: AbortOnDropHandle<()>,
+}
+
+/// How often tables are sent again, for daemons that missed one.
+const PUBLISH_EVERY_MS: u64 = 800;
+/// How much the latest answers of a server count, for each answer.
+const SPEED_WEIGHT: f32 = 0.02;
+/// No server counts as slower or faster than this.
+const SPEEDS: std::ops::RangeInclusive<f32> = 0.2..=2.5;
+/// How long a write of a record may take before it is settled by a read.
+const SETTLE_READS: u32 = 2;
+
+impl<S: Store, O: Orders, R: Source> Node<S, O, R> {
+    /// Starts to lead.
+    pub(crate) fn lead(&mut self, victory: Victory) {
+        let now_ms = self.clock.now_ms();
+        let Victory { epoch, lease, authority_until_ms, records } = victory;
+        spdlog::info!("elected leader", kv: { epoch = epoch.0, records = records.len() });
+        self.shared.counters.count(Counter::Elections);
+        let tuning =
+            Tuning { longest_hold_ms: self.settings.longest_grant_ms, ..Tuning::default() };
+        let revisions =
+            records.iter().map(|stored| (stored.service.clone(), stored.revision)).collect();
+        let records: Vec<(Name, Record)> =
+            records.into_iter().map(|stored| (stored.service, stored.record)).collect();
+        let leader = Leader::new(epoch, now_ms, authority_until_ms, &records, tuning);
+        let keeper = tokio::spawn(self.campaign().keep(lease, authority_until_ms));
+        self.leading = Some(Leading {
+            leader,
+            lease,
+            revisions,
+            speeds: HashMap::default(),
+            number: 0,
+            publish_at_ms: 0,
+            _keeper: AbortOnDropHandle::new(keeper),
+        });
+        self.add_keyed_services();
+        self.step(Event::Tick);
+    }
+
+    /// Stops leading; the lease is ended so that another daemon follows at once.
+    pub(crate) fn resign(&mut self, cause: &'static str) {
+        let Some(leading) = self.leading.take() else { return };
+        spdlog::info!("no longer leader", kv: { epoch = leading.leader.epoch().0, cause });
+        let (store, lease) = (self.store.clone(), leading.lease);
+        tokio::spawn(async move {
+            // A lease that cannot be ended lapses by itself.
+            drop(store.end_lease(lease).await);
+        });
+    }
+
+    /// Has keys assigned for every keyed service of the site.
+    pub(crate) fn add_keyed_services(&mut self) {
+        let now_ms = self.clock.now_ms();
+        let (Some(leading), Some(site)) = (&mut self.leading, &self.site) else { return };
+        for service in site.services().filter(|service| service.is_keyed) {
+            leading.leader.add_service(&service.name, now_ms);
+        }
+    }
+
+    /// Adds what requests did to what is known of keys and servers.
+    pub(crate) fn add_load(&mut self, loads: &[ServiceLoad]) {
+        let Some(leading) = &mut self.leading else { return };
+        for load in loads {
+            for server in &load.servers {
+                leading.note_speed(server);
+            }
+            let Some(keys) = leading.leader.load_mut(&load.service) else { continue };
+            for (key, work_us) in &load.keys {
+                keys.add(*key, to_ms(*work_us));
+            }
+        }
+    }
+
+    /// Takes an event to the leader and carries out what it wants.
+    pub(crate) fn step(&mut self, event: Event) {
+        let now_ms = self.clock.now_ms();
+        let Some(leading) = &mut self.leading else { return };
+        let servers = Servers { registry: &self.registry, speeds: &leading.speeds };
+        let outputs = leading.leader.step(now_ms, servers, event);
+        let mut is_changed = false;
+        for output in outputs {
+            match output {
+                Output::Order { id, server, kind, deadline_ms } => {
+                    self.shared.counters.count(Counter::Orders);
+                    self.send_order(id, server, kind, deadline_ms);
+                }
+                Output::Write { service, record } => self.write_record(service, record),
+                Output::Publish { service: _ } => is_changed = true,
+                Output::Deposed => {
+                    self.resign("a server has seen a higher fence");
+                    return;
+                }
+                Output::Note(note) => log(&note),
+            }
+        }
+        let is_due = self.leading.as_ref().is_some_and(|leading| now_ms >= leading.publish_at_ms);
+        if is_changed || is_due {
+            self.publish();
+        }
+    }
+
+    fn send_order(
+        &self,
+        id: shard::OrderId,
+        server: std::sync::Arc<registry::Registration>,
+        kind: shard::OrderKind,
+        deadline_ms: u64,
+    ) {
+        let Some(leading) = &self.leading else { return };
+        let authority_until_ms = leading.leader.authority_until_ms();
+        let (clock, orders, inputs) = (self.clock, self.orders.clone(), self.inputs.clone());
+        tokio::spawn(async move {
+            let now_ms = clock.now_ms();
+            // The process may have been suspended since the leader decided.
+            let reply = if now_ms >= authority_until_ms {
+                shard::Reply::NotSent
+            } else {
+                orders
+                    .send(
+                        server.address,
+                        &server.life.server,
+                        &kind,
+                        deadline_ms.saturating_sub(now_ms),
+                    )
+                    .await
+            };
+            // Nobody listens only at the end of the process.
+            drop(inputs.send(Input::Answered(id, reply)).await);
+        });
+    }
+
+    fn write_record(&self, service: Name, record: Record) {
+        let Some(leading) = &self.leading else { return };
+        let epoch = leading.leader.epoch();
+        let expect = leading.revisions.get(&service).copied().map_or(Expect::Missing, Expect::At);
+        let key = format!("{RECORDS}{service}");
+        let transaction = Transaction::new()
+            .expect(LEADER, Expect::At(Revision(epoch.0)))
+            .expect(&key, expect)
+            .put(&key, &record.to_text(), None);
+        let (store, inputs) = (self.store.clone(), self.inputs.clone());
+        let counters = std::sync::Arc::clone(&self.shared.counters);
+        tokio::spawn(async move {
+            counters.count(Counter::StoreCalls);
+            let outcome = match store.commit(&transaction).await {
+                Ok(revision) => WriteOutcome::Done(revision),
+                Err(report) => {
+                    counters.count(Counter::StoreFailures);
+                    match report.current_context().category() {
+                        Category::Refused | Category::Compacted => WriteOutcome::Failed(None),
+                        Category::Conflict | Category::Missing | Category::Unclear => {
+                            counters.add(Counter::StoreCalls, u64::from(SETTLE_READS));
+                            settle(&store, &key, epoch, &record).await
+                        }
+                    }
+                }
+            };
+            let number = record.number;
+            // Nobody listens only at the end of the process.
+            drop(inputs.send(Input::Written { service, number, outcome }).await);
+        });
+    }
+
+    /// Notes how a write of a record ended.
+    pub(crate) fn record_written(&mut self, service: Name, number: u64, outcome: WriteOutcome) {
+        let Some(leading) = &mut self.leading else { return };
+        match outcome {
+            WriteOutcome::Done(revision) => {
+                leading.revisions.insert(service.clone(), revision);
+                self.step(Event::Recorded { service, number });
+            }
+            WriteOutcome::Failed(revision) => {
+                spdlog::warn!("record not written", kv: { service = service.as_str(), number });
+                if let Some(revision) = revision {
+                    leading.revisions.insert(service.clone(), revision);
+                }
+                self.step(Event::RecordFailed { service });
+            }
+            WriteOutcome::Deposed => self.resign("another leader is in the store"),
+        }
+    }
+
+    /// Tells all daemons, this one too, the owners of all keys.
+    fn publish(&mut self) {
+        let now_ms = self.clock.now_ms();
+        let Some(leading) = &mut self.leading else { return };
+        leading.number += 1;
+        leading.publish_at_ms = now_ms + PUBLISH_EVERY_MS;
+        let leader = &leading.leader;
+        let tables = leader
+            .services()
+            .filter_map(|service| Some((service.clone(), leader.table(service, now_ms)?)))
+            .collect();
+        let tables = Tables { epoch: leader.epoch(), number: leading.number, tables };
+        self.send_all(&FleetBody::Tables(tables.clone()));
+        self.take_tables(tables);
+    }
+}
+
+impl Leading {
+    #[expect(clippy::cast_precision_loss, reason = "some answers and thousandths")]
+    fn note_speed(&mut self, server: &peer::ServerLoad) {
+        if server.answers == 0 {
+            return;
+        }
+        let slowness = server.slowness_milli as f32 / 1_000.0 / server.answers as f32;
+        let latest = (1.0 / slowness.max(0.01)).clamp(*SPEEDS.start(), *SPEEDS.end());
+        let weight = (SPEED_WEIGHT * server.answers as f32).min(0.5);
+        let speed = self.speeds.entry(server.life.clone()).or_insert(1.0);
+        *speed += weight * (latest - *speed);
+    }
+}
+
+/// Finds out whether a write without a clear answer took effect, and who leads.
+async fn settle<S: Store>(
+    store: &S,
+    key: &str,
+    epoch: shard::Epoch,
+    record: &Record,
+) -> WriteOutcome {
+    let Ok(leader) = store.read(LEADER).await else { return WriteOutcome::Failed(None) };
+    if leader.is_none_or(|leader| leader.revision.0 != epoch.0) {
+        return WriteOutcome::Deposed;
+    }
+    match store.read(key).await {
+        Ok(Some(value)) => {
+            let is_ours = Record::from_text(&value.text)
+                .is_some_and(|stored| stored.is_by(epoch) && stored.number == record.number);
+            if is_ours {
+                WriteOutcome::Done(value.revision)
+            } else {
+                WriteOutcome::Failed(Some(value.revision))
+            }
+        }
+        Ok(None) | Err(_) => WriteOutcome::Failed(None),
+    }
+}
+
+fn log(note: &Note) {
+    match note {
+        Note::Planned { service, range, from, to, why } => {
+            let from = from.as_ref().map_or_else(|| "nobody".to_owned(), ToString::to_string);
+            spdlog::info!(
+                "range is to move",
+                kv: { service = service.as_str(), range: = range, from, to: = to, why:? = why }
+            );
+        }
+        Note::Lapsed { service, range, from } => {
+            spdlog::warn!("grant ran out", kv: { service = service.as_str(), range: = range, from: = from });
+        }
+        Note::Refused { service, range, by, fence } => {
+            spdlog::warn!(
+                "fence refused",
+                kv: { service = service.as_str(), range: = range, by: = by, fence = fence.0 }
+            );
+        }
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "some milliseconds")]
+fn to_ms(work_us: u32) -> f32 {
+    work_us as f32 / 1_000.0
+}
--- /dev/null
+++ b/crates/gateway/src/node.rs
@@ -0,0 +1,554 @@
+//! The control thread: what a daemon believes, and how that changes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use document::{HashMap, HashSet, Name};
+use peer::{FleetBody, FleetFrame, Links, Tables};
+use registry::{Change, Life, Registry, Stage};
+use route::Budget;
+use shard::{Epoch, Event, Owner, Span, Table};
+use site::Site;
+use store::{Entry, Store};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{MissedTickBehavior, interval};
+use tokio_util::sync::CancellationToken;
+
+use crate::budget;
+use crate::election::Campaign;
+use crate::follow::{DAEMONS, DaemonEntry, LEADER, records};
+use crate::input::{Input, StoredRecord, Topic};
+use crate::leading::Leading;
+use crate::port::EntryText;
+use crate::report::ServiceState;
+use crate::server::Server;
+use crate::view::ServiceView;
+use crate::{BootClock, Orders, Settings, Shared, Source, View};
+
+/// What a daemon believes.
+pub(crate) struct Node<S, O, R> {
+    pub(crate) settings: Settings,
+    pub(crate) store: S,
+    pub(crate) orders: O,
+    source: R,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) clock: BootClock,
+    pub(crate) inputs: mpsc::Sender<Input>,
+    renewals: watch::Sender<u64>,
+    pub(crate) site: Option<Arc<Site>>,
+    pub(crate) registry: Registry,
+    unreadable: HashSet<Name>,
+    daemons: BTreeMap<Name, DaemonEntry>,
+    leader: Option<Name>,
+    is_fleet_known: bool,
+    is_campaigning: bool,
+    store_answers: bool,
+    pub(crate) leading: Option<Leading>,
+    links: Links,
+    tables: HashMap<Name, Arc<Table>>,
+    tables_from: (Epoch, u64),
+    tables_at_ms: u64,
+    records_at_ms: u64,
+    servers: HashMap<Life, Arc<Server>>,
+    states: HashMap<Name, Arc<ServiceState>>,
+    is_view_old: bool,
+    report_at_ms: u64,
+    crashes_at_ms: u64,
+}
+
+/// How often the control thread looks at its timers while it leads.
+const LEADING_TICK: Duration = Duration::from_millis(20);
+/// How often it looks at them otherwise, in ticks.
+const FOLLOWING_TICKS: u32 = 5;
+/// How often requests' load is reported.
+const REPORT_MS: u64 = 250;
+/// How often crashes are told again, for daemons that missed them.
+const CRASHES_MS: u64 = 1_000;
+/// After how long without a leader's tables the store's records are read.
+const SILENCE_MS: u64 = 1_600;
+/// A server that leaves gets its last work this long before the end of the drain.
+///
+/// Covers the way there and the wait in its queue.
+const DRAIN_MARGIN_MS: u64 = 500;
+/// How long a daemon waits at most before it campaigns; campaigns collide less.
+const CAMPAIGN_SPREAD_MS: u64 = 120;
+
+/// What a node is made of.
+pub(crate) struct Parts<S, O, R> {
+    pub(crate) settings: Settings,
+    pub(crate) store: S,
+    pub(crate) orders: O,
+    pub(crate) source: R,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) inputs: mpsc::Sender<Input>,
+    pub(crate) renewals: watch::Sender<u64>,
+}
+
+impl<S: Store, O: Orders, R: Source> Node<S, O, R> {
+    pub(crate) fn new(parts: Parts<S, O, R>) -> Self {
+        Self {
+            settings: parts.settings,
+            store: parts.store,
+            orders: parts.orders,
+            source: parts.source,
+            shared: parts.shared,
+            clock: BootClock,
+            inputs: parts.inputs,
+            renewals: parts.renewals,
+            site: None,
+            registry: Registry::default(),
+            unreadable: HashSet::default(),
+            daemons: BTreeMap::new(),
+            leader: None,
+            is_fleet_known: false,
+            is_campaigning: false,
+            store_answers: true,
+            leading: None,
+            links: Links::default(),
+            tables: HashMap::default(),
+            tables_from: (Epoch(0), 0),
+            tables_at_ms: 0,
+            records_at_ms: 0,
+            servers: HashMap::default(),
+            states: HashMap::default(),
+            is_view_old: true,
+            report_at_ms: 0,
+            crashes_at_ms: 0,
+        }
+    }
+
+    /// Takes inputs until the process stops.
+    pub(crate) async fn run(&mut self, mut queue: mpsc::Receiver<Input>, stop: CancellationToken) {
+        let mut ticks = interval(LEADING_TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut skipped = 0;
+        loop {
+            tokio::select! {
+                input = queue.recv() => match input {
+                    Some(input) => self.take(input),
+                    None => return,
+                },
+                _ = ticks.tick() => {
+                    skipped += 1;
+                    if self.leading.is_some() || skipped >= FOLLOWING_TICKS {
+                        skipped = 0;
+                        self.tick();
+                    }
+                }
+                () = stop.cancelled(), if self.leading.is_some() => {
+                    self.resign("the process stops");
+                }
+            }
+            if self.is_view_old {
+                self.replace_view();
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Listed(topic, entries) => self.take_listing(topic, &entries),
+            Input::Changed(topic, entries) => self.take_changes(topic, &entries),
+            Input::StoreAnswers(answers) => self.note_store(answers),
+            Input::Campaigned(victory) => {
+                self.is_campaigning = false;
+                match victory {
+                    Some(victory) if !self.shared.is_stopping() => self.lead(victory),
+                    _ => self.campaign_if_needed(),
+                }
+            }
+            Input::Kept { authority_until_ms } => {
+                self.step(Event::Kept { authority_until_ms });
+                self.step(Event::StoreAnswers(true));
+            }
+            Input::NotKept => self.step(Event::StoreAnswers(false)),
+            Input::LeaseEnded => {
+                self.resign("the lease ended");
+                self.campaign_if_needed();
+            }
+            Input::Answered(id, reply) => self.step(Event::Answered(id, reply)),
+            Input::Written { service, number, outcome } => {
+                self.record_written(service, number, outcome);
+            }
+            Input::Records(records) => self.take_records(records),
+            Input::Frame(frame) => self.take_frame(frame),
+            Input::Reload(settings) => self.reload(*settings),
+            Input::Dump(answer) => {
+                // Whoever asked may have gone.
+                drop(answer.send(self.dump()));
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now_ms = self.clock.now_ms();
+        if self.registry.expire(now_ms) == Change::Server {
+            self.is_view_old = true;
+        }
+        if self.leading.as_ref().is_some_and(|leading| leading.leader.has_ended(now_ms)) {
+            self.resign("authority ended");
+        }
+        if self.leading.as_ref().is_some_and(|leading| leading.leader.needs_epoch()) {
+            self.resign("fences are used up");
+        }
+        self.step(Event::Tick);
+        if now_ms >= self.report_at_ms {
+            self.report_at_ms = now_ms + REPORT_MS;
+            self.report();
+        }
+        self.tell_crashes(now_ms);
+        self.read_records_if_needed(now_ms);
+        self.campaign_if_needed();
+    }
+
+    fn take_listing(&mut self, topic: Topic, entries: &[Entry]) {
+        let now_ms = self.clock.now_ms();
+        match topic {
+            Topic::Site => {}
+            Topic::Servers => {
+                let prefix = self.source.servers_prefix();
+                let names: Vec<Name> = entries
+                    .iter()
+                    .filter_map(|entry| entry.key.strip_prefix(prefix).map(Name::from))
+                    .collect();
+                if self.registry.keep_only(now_ms, &names) == Change::Server {
+                    self.is_view_old = true;
+                }
+            }
+            Topic::Fleet => {
+                self.is_fleet_known = true;
+                self.daemons.clear();
+                self.leader = None;
+            }
+        }
+        self.take_changes(topic, entries);
+    }
+
+    fn take_changes(&mut self, topic: Topic, entries: &[Entry]) {
+        match topic {
+            Topic::Site => entries.iter().for_each(|entry| self.take_site(entry)),
+            Topic::Servers => {
+                if !self.store_answers {
+                    // Entries may have lapsed while servers could not write either.
+                    self.registry.list_returned(self.clock.now_ms());
+                }
+                entries.iter().for_each(|entry| self.take_server(entry));
+                self.step(Event::Tick);
+            }
+            Topic::Fleet => {
+                entries.iter().for_each(|entry| self.take_fleet(entry));
+                self.campaign_if_needed();
+            }
+        }
+    }
+
+    fn take_site(&mut self, entry: &Entry) {
+        let Some(text) = entry.text.as_deref().filter(|_| entry.key == self.source.site_key())
+        else {
+            return;
+        };
+        let site = match self.source.read_site(text) {
+            Ok(site) => site,
+            Err(cause) => {
+                spdlog::error!("document refused", kv: { cause:, revision = entry.revision.0 });
+                return;
+            }
+        };
+        if self.site.as_ref().is_some_and(|known| known.version() >= site.version()) {
+            return;
+        }
+        spdlog::info!("document in force", kv: { version = site.version().0, revision = entry.revision.0 });
+        self.site = Some(Arc::new(site));
+        self.is_view_old = true;
+        self.add_keyed_services();
+    }
+
+    fn take_server(&mut self, entry: &Entry) {
+        let now_ms = self.clock.now_ms();
+        let Some(name) = entry.key.strip_prefix(self.source.servers_prefix()) else { return };
+        let Some(text) = entry.text.as_deref() else {
+            if self.registry.remove(now_ms, name) == Change::Server {
+                spdlog::info!("server gone", kv: { server = name, revision = entry.revision.0 });
+                self.is_view_old = true;
+            }
+            return;
+        };
+        let registration = match self.source.read_server(EntryText { server: name, text, now_ms }) {
+            Ok(registration) => registration,
+            Err(cause) => {
+                if self.unreadable.insert(Name::from(name)) {
+                    spdlog::warn!("server's entry cannot be used", kv: { server = name, cause: });
+                }
+                return;
+            }
+        };
+        let (life, stage) = (registration.life.clone(), registration.stage);
+        if self.registry.put(now_ms, name, registration) == Change::Server {
+            spdlog::info!("server listed", kv: { server: = life, stage:? = stage, revision = entry.revision.0 });
+            self.is_view_old = true;
+        }
+    }
+
+    fn take_fleet(&mut self, entry: &Entry) {
+        if entry.key == LEADER {
+            let name = entry.text.as_deref().and_then(|text| text.split(' ').next());
+            self.leader = name.map(Name::from);
+            return;
+        }
+        let Some(name) = entry.key.strip_prefix(DAEMONS).map(Name::from) else { return };
+        match entry.text.as_deref().map(serde_json::from_str::<DaemonEntry>) {
+            Some(Ok(daemon)) => {
+                if self.daemons.insert(name, daemon.clone()) != Some(daemon) {
+                    self.is_view_old = true;
+                    // A daemon that is new hears of the owners at once.
+                    if let Some(leading) = &mut self.leading {
+                        leading.publish_at_ms = 0;
+                    }
+                }
+            }
+            Some(Err(error)) => {
+                spdlog::warn!("daemon's entry cannot be read", kv: { daemon = name.as_str(), cause: = error });
+            }
+            None => {
+                self.daemons.remove(&name);
+                self.is_view_old = true;
+            }
+        }
+        let live: Vec<SocketAddr> = self.daemons.values().map(|daemon| daemon.address).collect();
+        self.links.retain(|address| live.contains(address));
+    }
+
+    fn note_store(&mut self, answers: bool) {
+        spdlog::info!("store", kv: { answers });
+        if answers && !self.store_answers {
+            self.registry.list_returned(self.clock.now_ms());
+            // Watches that wait may wait for a store that has forgotten them.
+            self.renewals.send_modify(|count| *count += 1);
+        }
+        self.store_answers = answers;
+    }
+
+    pub(crate) fn campaign(&self) -> Campaign<S> {
+        Campaign {
+            store: self.store.clone(),
+            instance: self.settings.instance.clone(),
+            least_lease_ms: self.settings.least_lease_ms,
+            counters: Arc::clone(&self.shared.counters),
+            inputs: self.inputs.clone(),
+            clock: self.clock,
+        }
+    }
+
+    fn campaign_if_needed(&mut self) {
+        let is_needed = self.is_fleet_known && self.leader.is_none() && self.leading.is_none();
+        let is_able = self.store_answers && !self.is_campaigning && !self.shared.is_stopping();
+        if is_needed && is_able {
+            self.is_campaigning = true;
+            let delay_ms = rand::random_range(0..CAMPAIGN_SPREAD_MS);
+            tokio::spawn(self.campaign().run(delay_ms));
+        }
+    }
+
+    /// Reports what requests did to the leader.
+    fn report(&mut self) {
+        let loads: Vec<_> = self
+            .states
+            .values()
+            .map(|state| state.take())
+            .filter(|load| !(load.keys.is_empty() && load.servers.is_empty()))
+            .collect();
+        if loads.is_empty() {
+            return;
+        }
+        if self.leading.is_some() {
+            self.add_load(&loads);
+            return;
+        }
+        let leader = self.leader.as_ref().and_then(|name| self.daemons.get(name));
+        if let Some(address) = leader.map(|daemon| daemon.address) {
+            self.send(address, FleetBody::Load(loads));
+        }
+    }
+
+    fn tell_crashes(&mut self, now_ms: u64) {
+        let has_news = self.shared.take_crash_news();
+        if !has_news && now_ms < self.crashes_at_ms {
+            return;
+        }
+        self.crashes_at_ms = now_ms + CRASHES_MS;
+        self.shared.forget_old_crashes();
+        let suspects = self.shared.own_suspects();
+        if !suspects.is_empty() {
+            self.send_all(&FleetBody::Crashes(suspects));
+        }
+    }
+
+    fn send(&mut self, to: SocketAddr, body: FleetBody) {
+        let frame = FleetFrame { from: self.settings.instance.clone(), body };
+        self.links.send(to, frame.to_bytes());
+    }
+
+    /// Sends a message to all other daemons.
+    pub(crate) fn send_all(&mut self, body: &FleetBody) {
+        let frame = FleetFrame { from: self.settings.instance.clone(), body: body.clone() };
+        let bytes = frame.to_bytes();
+        for (name, daemon) in &self.daemons {
+            if *name != self.settings.instance {
+                self.links.send(daemon.address, bytes.clone());
+            }
+        }
+    }
+
+    fn take_frame(&mut self, frame: FleetFrame) {
+        match frame.body {
+            FleetBody::Load(loads) => self.add_load(&loads),
+            FleetBody::Tables(tables) => self.take_tables(tables),
+            FleetBody::Crashes(suspects) => self.shared.note_suspects(&frame.from, suspects),
+            FleetBody::Site(_) => {}
+        }
+    }
+
+    /// Puts a leader's tables in force, unless a later one is.
+    pub(crate) fn take_tables(&mut self, tables: Tables) {
+        let from = (tables.epoch, tables.number);
+        if from <= self.tables_from {
+            return;
+        }
+        self.tables_from = from;
+        self.tables_at_ms = self.clock.now_ms();
+        for (service, table) in tables.tables {
+            self.replace_table(service, table);
+        }
+    }
+
+    fn replace_table(&mut self, service: Name, table: Table) {
+        if self.tables.get(&service).is_none_or(|known| **known != table) {
+            self.tables.insert(service, Arc::new(table));
+            self.is_view_old = true;
+        }
+    }
+
+    /// Reads the store's records when no leader has been heard of for long.
+    fn read_records_if_needed(&mut self, now_ms: u64) {
+        let is_silent = now_ms >= self.tables_at_ms.max(self.records_at_ms) + SILENCE_MS;
+        if !is_silent || self.leading.is_some() || !self.store_answers {
+            return;
+        }
+        self.records_at_ms = now_ms;
+        let (store, inputs) = (self.store.clone(), self.inputs.clone());
+        let counters = Arc::clone(&self.shared.counters);
+        tokio::spawn(async move {
+            if let Ok(records) = records(&store, &counters).await {
+                // Nobody listens only at the end of the process.
+                drop(inputs.send(Input::Records(records)).await);
+            }
+        });
+    }
+
+    /// Routes by records, while nothing is heard of the leader.
+    fn take_records(&mut self, records: Vec<StoredRecord>) {
+        let is_heard = self.clock.now_ms() < self.tables_at_ms + SILENCE_MS;
+        if is_heard || self.leading.is_some() {
+            return;
+        }
+        for stored in records {
+            let spans = stored.record.shares.into_iter();
+            let spans =
+                spans.map(|share| Span { range: share.range, owner: Owner::Server(share.owner) });
+            self.replace_table(stored.service, Table { spans: spans.collect() });
+        }
+    }
+
+    fn reload(&mut self, settings: Settings) {
+        let is_moved = settings.listen != self.settings.listen
+            || settings.instance != self.settings.instance
+            || settings.store != self.settings.store;
+        if is_moved {
+            spdlog::warn!("settings: names and addresses change only with a new start");
+        }
+        spdlog::info!("settings reloaded", kv: { drain_ms = settings.drain_ms, grace_ms = settings.grace_ms });
+        self.settings = Settings {
+            instance: self.settings.instance.clone(),
+            listen: self.settings.listen,
+            store: self.settings.store,
+            ..settings
+        };
+        self.is_view_old = true;
+    }
+
+    /// Builds what requests are routed by from what is believed now.
+    fn replace_view(&mut self) {
+        self.is_view_old = false;
+        let Some(site) = self.site.clone() else { return };
+        self.update_servers(&site);
+        let daemons = u32::try_from(self.daemons.len()).unwrap_or(u32::MAX);
+        let most_retries = budget::most_retries(self.settings.retries, daemons);
+        let mut services = HashMap::default();
+        for spec in site.services() {
+            let state = Arc::clone(self.states.entry(spec.name.clone()).or_insert_with(|| {
+                let earned = budget::earned_milli(self.settings.retries);
+                Arc::new(ServiceState::new(spec.name.clone(), Budget::new(earned, most_retries)))
+            }));
+            state.budget.set_most(most_retries);
+            let of_service =
+                self.servers.values().filter(|server| server.registration.service == spec.name);
+            let servers: HashMap<Life, Arc<Server>> = of_service
+                .map(|server| (server.registration.life.clone(), Arc::clone(server)))
+                .collect();
+            let mut pool: Vec<Arc<Server>> = servers
+                .values()
+                .filter(|server| self.registry.is_welcome(&server.registration.life))
+                .cloned()
+                .collect();
+            pool.sort_unstable_by(|a, b| a.registration.life.cmp(&b.registration.life));
+            let table = self.tables.get(&spec.name).cloned().unwrap_or_default();
+            let view = ServiceView {
+                state,
+                is_keyed: spec.is_keyed,
+                pool,
+                servers,
+                table,
+                table_at_ms: self.shared.clock.now_ms(),
+            };
+            services.insert(spec.name.clone(), Arc::new(view));
+        }
+        let is_complete = services.values().all(|service| is_served(service));
+        if is_complete && !self.registry.is_empty() {
+            self.shared.set_ready(true);
+        }
+        self.shared.replace(View { site: Some(site), services });
+    }
+
+    /// Meets new servers, and closes those that leave or are gone.
+    fn update_servers(&mut self, site: &Site) {
+        let daemons = u32::try_from(self.daemons.len()).unwrap_or(u32::MAX).max(1);
+        let last_work_ms = self.settings.drain_ms.saturating_sub(DRAIN_MARGIN_MS);
+        for spec in site.services() {
+            for registration in self.registry.of_service(&spec.name) {
+                let server = self.servers.entry(registration.life.clone()).or_insert_with(|| {
+                    let clock = self.shared.clock;
+                    Arc::new(Server::new(registration, spec.connections, daemons, clock))
+                });
+                match registration.stage {
+                    Stage::Ready => server.reopen(),
+                    Stage::Draining => server.close_in(last_work_ms),
+                }
+            }
+        }
+        let registry = &self.registry;
+        self.servers.retain(|life, server| {
+            if registry.get(life).is_none() {
+                server.close_in(last_work_ms);
+            }
+            registry.get(life).is_some() || server.is_open()
+        });
+    }
+}
+
+/// Returns whether a service has servers, or owners where they hold keys.
+fn is_served(service: &ServiceView) -> bool {
+    let has_owner = |span: &Span| matches!(span.owner, Owner::Server(_));
+    if service.is_keyed { service.table.spans.iter().any(has_owner) } else { true }
+}
--- /dev/null
+++ b/crates/gateway/src/refuse.rs
@@ -0,0 +1,34 @@
+//! Answers of our own to callers whose request no server answered.
+
+use http::header::{HeaderValue, RETRY_AFTER};
+use http::{Response, StatusCode};
+use route::{Outcome, Refusal};
+
+use crate::answer::AnswerBody;
+
+/// Returns the status for a refusal.
+///
+/// A status that promises that the request never runs stands only where that is certain.
+#[must_use]
+pub(crate) fn status(refusal: &Refusal) -> StatusCode {
+    let status = match (refusal.outcome, refusal.status()) {
+        (Outcome::NotRun, 502 | 504) => 503,
+        (Outcome::Unknown, 503) => 502,
+        (_, status) => status,
+    };
+    StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY)
+}
+
+/// Returns the answer for a refusal.
+#[must_use]
+pub(crate) fn to_response(refusal: &Refusal) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::own(format!("{refusal}\n")));
+    *response.status_mut() = status(refusal);
+    if let Some(retry_after_ms) = refusal.retry_after_ms {
+        let (seconds, rest_ms) = (retry_after_ms / 1_000, retry_after_ms % 1_000);
+        if let Ok(value) = HeaderValue::try_from(format!("{seconds}.{rest_ms:03}")) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -274,6 +274,7 @@
         lose_reply_every: get(matches, "lose-reply-every"),
         writes_per_s: get(matches, "writes-per-s"),
         reads_per_s: get(matches, "reads-per-s"),
+        ..Faults::default()
     });
     println!("store listens on {}", listener.local_addr()?);
     serve_store(store, listener, CancellationToken::new()).await;
--- a/crates/lab/src/store_server.rs
+++ b/crates/lab/src/store_server.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use serde_json::json;
-use store::{Category, Expect, Faults, LeaseId, MemoryStore, Store};
+use store::{Category, Faults, LeaseId, MemoryStore, Store, Transaction};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -25,10 +25,26 @@
     let path = request.uri().path().to_owned();
     let query = parse_query(request.uri().query().unwrap_or(""));
     let method = request.method().clone();
-    if let Some(key) = path.strip_prefix("/v1/values/") {
-        return answer_value(&store, &method, key, &query, request).await;
-    }
     match (&method, path.as_str()) {
+        (&Method::GET, path) if path.starts_with("/v1/values/") => {
+            match store.read(path.trim_start_matches("/v1/values/")).await {
+                Ok(None) => web::status(StatusCode::NOT_FOUND, "no such value\n"),
+                other => to_answer(other),
+            }
+        }
+        (&Method::GET, "/v1/list") => {
+            let prefix = query.get("prefix").map_or("", String::as_str);
+            to_answer(store.list(prefix, query.get("after").map(String::as_str)).await)
+        }
+        (&Method::POST, "/v1/transactions") => {
+            match serde_json::from_slice::<Transaction>(&web::read(request).await) {
+                Ok(transaction) => {
+                    let written = store.commit(&transaction).await;
+                    to_answer(written.map(|revision| json!({ "revision": revision })))
+                }
+                Err(error) => web::status(StatusCode::BAD_REQUEST, error.to_string()),
+            }
+        }
         (&Method::GET, "/v1/watch") => {
             let prefix = query.get("prefix").map_or("", String::as_str);
             let after = Revision(number(&query, "after").unwrap_or(0));
@@ -44,6 +60,10 @@
             let id = path.trim_start_matches("/v1/leases/").parse().unwrap_or(0);
             to_answer(store.keep_lease(LeaseId(id)).await)
         }
+        (&Method::DELETE, path) if path.starts_with("/v1/leases/") => {
+            let id = path.trim_start_matches("/v1/leases/").parse().unwrap_or(0);
+            to_answer(store.end_lease(LeaseId(id)).await)
+        }
         (&Method::PUT, "/lab/faults") => {
             match serde_json::from_slice::<Faults>(&web::read(request).await) {
                 Ok(faults) => {
@@ -58,41 +78,6 @@
     }
 }
 
-async fn answer_value(
-    store: &MemoryStore,
-    method: &Method,
-    key: &str,
-    query: &HashMap<String, String>,
-    request: Request<Incoming>,
-) -> Answer {
-    match *method {
-        Method::GET => match store.read(key).await {
-            Ok(None) => web::status(StatusCode::NOT_FOUND, "no such value\n"),
-            other => to_answer(other),
-        },
-        Method::DELETE => to_answer(store.remove(key).await),
-        Method::PUT => {
-            let expect = match query.get("expect").map(String::as_str) {
-                None | Some("") => Expect::Anything,
-                Some("missing") => Expect::Missing,
-                Some(revision) => {
-                    if let Ok(revision) = revision.parse() {
-                        Expect::At(Revision(revision))
-                    } else {
-                        let text = "expect is not valid, expected missing or a revision\n";
-                        return web::status(StatusCode::BAD_REQUEST, text);
-                    }
-                }
-            };
-            let lease = number(query, "lease").map(LeaseId);
-            let text = String::from_utf8_lossy(&web::read(request).await).into_owned();
-            let written = store.write(key, expect, &text, lease).await;
-            to_answer(written.map(|revision| json!({ "revision": revision })))
-        }
-        _ => web::status(StatusCode::METHOD_NOT_ALLOWED, "expected GET, PUT or DELETE\n"),
-    }
-}
-
 fn to_answer<T: serde::Serialize>(result: store::Result<T>) -> Answer {
     match result {
         Ok(value) => web::json(serde_json::to_vec(&value).unwrap_or_default()),
@@ -100,6 +85,7 @@
             let status = match report.current_context().category() {
                 Category::Conflict => StatusCode::CONFLICT,
                 Category::Missing => StatusCode::NOT_FOUND,
+                Category::Compacted => StatusCode::GONE,
                 Category::Refused => StatusCode::SERVICE_UNAVAILABLE,
                 // The caller is left without a usable answer, as it would be by a lost reply.
                 Category::Unclear => StatusCode::GATEWAY_TIMEOUT,
--- /dev/null
+++ b/crates/peer/src/fleet.rs
@@ -0,0 +1,239 @@
+//! What daemons tell each other where servers register themselves.
+
+use bytes::Bytes;
+use document::{HashMap, Name};
+use prost::Message as _;
+use registry::Life;
+use route::{Fingerprint, Suspect};
+use shard::{Epoch, KeyRange, Owner, Span, Table};
+
+use crate::{Error, Result, fleet_wire as wire};
+
+/// One message from one daemon to another.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetFrame {
+    /// The instance that sends it.
+    pub from: Name,
+    /// What it says.
+    pub body: FleetBody,
+}
+
+/// What a frame says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FleetBody {
+    /// What the sender's requests did since its last report.
+    Load(Vec<ServiceLoad>),
+    /// The owners of all keys.
+    Tables(Tables),
+    /// Requests that crashed servers; the deadlines are lengths from the sending on.
+    Crashes(Vec<Suspect>),
+    /// The document in force at the sender.
+    Site(SiteText),
+}
+
+/// What requests of one service did.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceLoad {
+    /// The service.
+    pub service: Name,
+    /// Keys with the work of their requests, in microseconds of one slot.
+    pub keys: Vec<(u16, u32)>,
+    /// How servers answered.
+    pub servers: Vec<ServerLoad>,
+}
+
+/// How one server answered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerLoad {
+    /// The server.
+    pub life: Life,
+    /// How many answers there were.
+    pub answers: u32,
+    /// The sum over the answers of their time against the route's mean, in thousandths.
+    pub slowness_milli: u64,
+}
+
+/// The owners of all keys, as one leader tells them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tables {
+    /// The leader's epoch.
+    pub epoch: Epoch,
+    /// The number of this message within the epoch.
+    pub number: u64,
+    /// The tables by service.
+    pub tables: Vec<(Name, Table)>,
+}
+
+/// The text of a document.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SiteText {
+    /// Its version.
+    pub version: u64,
+    /// Its text, as it stands in the store.
+    pub text: Name,
+}
+
+impl FleetFrame {
+    /// Returns the bytes of the frame.
+    #[must_use]
+    pub fn to_bytes(&self) -> Bytes {
+        let body = match &self.body {
+            FleetBody::Load(services) => {
+                let services = services.iter().map(from_load).collect();
+                wire::frame::Body::Load(wire::Load { services, daemons: 1 })
+            }
+            FleetBody::Tables(tables) => wire::frame::Body::Tables(from_tables(tables)),
+            FleetBody::Crashes(suspects) => {
+                let suspects = suspects.iter().map(from_suspect).collect();
+                wire::frame::Body::Crashes(wire::Crashes { suspects })
+            }
+            FleetBody::Site(site) => wire::frame::Body::Site(wire::Site {
+                version: site.version,
+                text: site.text.to_string(),
+            }),
+        };
+        wire::Frame { from: self.from.to_string(), body: Some(body) }.encode_to_vec().into()
+    }
+
+    /// Reads the bytes of a frame.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are not a frame of a known kind.
+    pub fn from_bytes(bytes: Bytes) -> Result<Self> {
+        let frame = wire::Frame::decode(bytes)
+            .map_err(|error| Error::report(format!("frame cannot be read: {error}")))?;
+        let body = match frame.body.ok_or_else(|| Error::report("frame of an unknown kind"))? {
+            wire::frame::Body::Load(load) => {
+                FleetBody::Load(load.services.into_iter().map(to_load).collect())
+            }
+            wire::frame::Body::Tables(tables) => FleetBody::Tables(to_tables(tables)?),
+            wire::frame::Body::Crashes(crashes) => {
+                FleetBody::Crashes(crashes.suspects.iter().map(to_suspect).collect())
+            }
+            wire::frame::Body::Site(site) => {
+                FleetBody::Site(SiteText { version: site.version, text: site.text.into() })
+            }
+        };
+        Ok(Self { from: frame.from.into(), body })
+    }
+}
+
+fn from_life(life: &Life) -> wire::Life {
+    wire::Life { server: life.server.to_string(), born_ms: life.born_ms }
+}
+
+fn to_life(life: wire::Life) -> Life {
+    Life { server: life.server.into(), born_ms: life.born_ms }
+}
+
+fn from_load(load: &ServiceLoad) -> wire::ServiceLoad {
+    wire::ServiceLoad {
+        service: load.service.to_string(),
+        keys: load.keys.iter().map(|(key, _)| u32::from(*key)).collect(),
+        work_us: load.keys.iter().map(|(_, work_us)| *work_us).collect(),
+        servers: load
+            .servers
+            .iter()
+            .map(|server| wire::ServerLoad {
+                life: Some(from_life(&server.life)),
+                answers: server.answers,
+                slowness_milli: server.slowness_milli,
+            })
+            .collect(),
+    }
+}
+
+fn to_load(load: wire::ServiceLoad) -> ServiceLoad {
+    let keys = load.keys.iter().zip(&load.work_us);
+    let servers = load.servers.into_iter().filter_map(|server| {
+        Some(ServerLoad {
+            life: to_life(server.life?),
+            answers: server.answers,
+            slowness_milli: server.slowness_milli,
+        })
+    });
+    ServiceLoad {
+        service: load.service.into(),
+        keys: keys
+            .filter_map(|(key, work_us)| Some((u16::try_from(*key).ok()?, *work_us)))
+            .collect(),
+        servers: servers.collect(),
+    }
+}
+
+fn from_tables(tables: &Tables) -> wire::Tables {
+    wire::Tables {
+        epoch: tables.epoch.0,
+        number: tables.number,
+        tables: tables.tables.iter().map(|(name, table)| from_table(name, table)).collect(),
+    }
+}
+
+fn to_tables(tables: wire::Tables) -> Result<Tables> {
+    Ok(Tables {
+        epoch: Epoch(tables.epoch),
+        number: tables.number,
+        tables: tables.tables.into_iter().map(to_table).collect::<Result<_>>()?,
+    })
+}
+
+fn from_table(service: &Name, table: &Table) -> wire::Table {
+    let mut positions: HashMap<&Life, u32> = HashMap::default();
+    let mut lives = Vec::new();
+    let mut position = |life| {
+        *positions.entry(life).or_insert_with(|| {
+            lives.push(from_life(life));
+            u32::try_from(lives.len() - 1).unwrap_or(u32::MAX)
+        })
+    };
+    let spans = table
+        .spans
+        .iter()
+        .map(|span| {
+            let (state, life, for_ms) = match &span.owner {
+                Owner::Server(life) => (wire::State::Server, position(life), 0),
+                Owner::Moving(life) => (wire::State::Moving, position(life), 0),
+                Owner::Nobody { for_ms } => (wire::State::Nobody, 0, *for_ms),
+            };
+            let (from, to) = (u32::from(span.range.from()), u32::from(span.range.to()));
+            wire::Span { from, to, state: state.into(), life, for_ms }
+        })
+        .collect();
+    wire::Table { service: service.to_string(), lives, spans }
+}
+
+fn to_table(table: wire::Table) -> Result<(Name, Table)> {
+    let lives: Vec<Life> = table.lives.into_iter().map(to_life).collect();
+    let spans = table.spans.iter().map(|span| to_span(span, &lives));
+    let spans: Option<Vec<Span>> = spans.collect();
+    let spans = spans.ok_or_else(|| Error::report("table with a span that makes no sense"))?;
+    Ok((table.service.into(), Table { spans }))
+}
+
+fn to_span(span: &wire::Span, lives: &[Life]) -> Option<Span> {
+    let range = KeyRange::new(u16::try_from(span.from).ok()?, u16::try_from(span.to).ok()?)?;
+    let life = || lives.get(usize::try_from(span.life).ok()?).cloned();
+    let owner = match span.state() {
+        wire::State::Server => Owner::Server(life()?),
+        wire::State::Moving => Owner::Moving(life()?),
+        wire::State::Nobody => Owner::Nobody { for_ms: span.for_ms },
+    };
+    Some(Span { range, owner })
+}
+
+fn from_suspect(suspect: &Suspect) -> wire::Suspect {
+    wire::Suspect {
+        fingerprint: suspect.fingerprint.0,
+        crashes: suspect.crashes,
+        left_ms: suspect.deadline_ms,
+    }
+}
+
+fn to_suspect(suspect: &wire::Suspect) -> Suspect {
+    Suspect {
+        fingerprint: Fingerprint(suspect.fingerprint),
+        crashes: suspect.crashes,
+        deadline_ms: suspect.left_ms,
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod convert;
 mod error;
+mod fleet;
 mod link;
 mod packet;
 
@@ -26,6 +27,12 @@
 #[path = "generated/peer.rs"]
 mod wire;
 
+#[expect(clippy::pedantic, clippy::enum_variant_names, reason = "generated from proto/fleet.proto")]
+#[rustfmt::skip]
+#[path = "generated/fleet.rs"]
+mod fleet_wire;
+
 pub use error::{Error, Result};
+pub use fleet::{FleetBody, FleetFrame, ServerLoad, ServiceLoad, SiteText, Tables};
 pub use link::{Links, MAX_FRAME_BYTES, listen};
 pub use packet::{DocumentText, Message, Packet, Presence};
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -13,8 +13,6 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::Packet;
-
 /// The largest frame that is sent or taken.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 
@@ -46,11 +44,11 @@
 }
 
 impl Links {
-    /// Sends a packet, or drops it when the peer does not take them fast enough.
-    pub fn send(&mut self, to: SocketAddr, packet: &Packet) {
+    /// Sends a frame, or drops it when the peer does not take them fast enough.
+    pub fn send(&mut self, to: SocketAddr, frame: Bytes) {
         let counters = &self.counters;
         let link = self.links.entry(to).or_insert_with(|| Link::open(to, Arc::clone(counters)));
-        let counter = match link.queue.try_send(packet.to_bytes()) {
+        let counter = match link.queue.try_send(frame) {
             Ok(()) => &self.counters.sent_packets,
             Err(_full) => &self.counters.dropped_packets,
         };
@@ -80,13 +78,19 @@
 }
 
 /// Receives packets from every connection, until the receiver of `packets` is gone.
-pub async fn listen(listener: TcpListener, packets: mpsc::Sender<Packet>) {
+///
+/// A frame that `decode` cannot read comes from a later version and is skipped.
+pub async fn listen<T: Send + 'static>(
+    listener: TcpListener,
+    packets: mpsc::Sender<T>,
+    decode: fn(Bytes) -> Option<T>,
+) {
     let mut connections = tokio::task::JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => {
                 if let Ok((stream, _)) = accepted {
-                    connections.spawn(receive(stream, packets.clone()));
+                    connections.spawn(receive(stream, packets.clone(), decode));
                 }
             }
             Some(_) = connections.join_next() => {}
@@ -95,13 +99,10 @@
     }
 }
 
-async fn receive(stream: TcpStream, packets: mpsc::Sender<Packet>) {
+async fn receive<T>(stream: TcpStream, packets: mpsc::Sender<T>, decode: fn(Bytes) -> Option<T>) {
     let mut frames = Framed::new(stream, codec());
     while let Some(Ok(frame)) = frames.next().await {
-        // A packet of an unknown kind comes from a later version and is skipped.
-        let Ok(packet) = Packet::from_bytes(frame.freeze()) else {
-            continue;
-        };
+        let Some(packet) = decode(frame.freeze()) else { continue };
         if packets.send(packet).await.is_err() {
             return;
         }
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Duration, Instant, Sleep, sleep};
 
 use crate::Upstream;
-use crate::upstream::{Permit, Sender};
+use crate::upstream::{Link, Permit};
 
 /// The body of an answer to a caller.
 #[derive(Debug)]
@@ -37,7 +37,7 @@
 /// What an answer in progress holds.
 #[derive(Debug)]
 pub(crate) struct Held {
-    pub(crate) sender: Sender,
+    pub(crate) link: Link,
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) permit: Permit,
     pub(crate) place: Option<ShardPlace>,
@@ -78,7 +78,7 @@
     /// Gives back what the answer held; its connection can be used again.
     fn finish(&mut self) {
         if let Some(held) = self.held.take() {
-            held.upstream.keep(held.sender);
+            held.upstream.keep(held.link, None);
             drop(held.permit);
             drop(held.place);
         }
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -259,27 +259,26 @@
     let started = Instant::now();
     let now_ms = traffic.clock.now_ms();
     let deadline = traffic.clock.to_instant(attempts.attempt_deadline_ms(now_ms));
-    let Ok(Ok(connection)) = timeout_at(deadline, target.server.connect()).await else {
+    let Ok(Ok(mut link)) = timeout_at(deadline, target.server.connect()).await else {
         return Attempt::Failed(Failure::NotSent);
     };
-    if connection.is_fresh {
+    if link.is_fresh() {
         traffic.counters.count(Counter::Connections);
     }
-    let mut sender = connection.sender;
     let Some(request) = to_request(traffic, target, call) else {
         return Attempt::Failed(Failure::NotSent);
     };
-    let response = match timeout_at(deadline, sender.try_send_request(request)).await {
+    let response = match timeout_at(deadline, link.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
             let is_unsent = error.take_message().is_some();
             return Attempt::Failed(if is_unsent { Failure::NotSent } else { Failure::Broken });
         }
-        // The connection goes with the sender: a late answer has nowhere to go.
+        // The connection goes with the link: a late answer has nowhere to go.
         Err(_elapsed) => return Attempt::Failed(Failure::TimedOut),
     };
     let (mut head, body) = response.into_parts();
-    let holds = Held { sender, upstream: Arc::clone(&target.server), permit, place };
+    let holds = Held { link, upstream: Arc::clone(&target.server), permit, place };
     let counters = Arc::clone(&traffic.counters);
     let body = AnswerBody::passed(body, traffic.limits.progress_timeout_ms, counters, holds);
     if let Some(failure) = to_failure(&head) {
@@ -352,7 +351,7 @@
             traffic.note_crash(call.fingerprint());
             target.server.note_loss();
         }
-        Failure::NotSent | Failure::Broken => target.server.note_loss(),
+        Failure::NotSent | Failure::Broken | Failure::Failed => target.server.note_loss(),
     }
 }
 
@@ -371,8 +370,8 @@
     let headers = response.headers_mut();
     headers.insert(head::OUTCOME, HeaderValue::from_static(refusal.outcome.as_str()));
     headers.insert(head::REASON, HeaderValue::from_static(refusal.reason.as_str()));
-    if let Some(retry_after_s) = refusal.retry_after_s {
-        headers.insert(RETRY_AFTER, HeaderValue::from(retry_after_s));
+    if let Some(retry_after_ms) = refusal.retry_after_ms {
+        headers.insert(RETRY_AFTER, HeaderValue::from(retry_after_ms.div_ceil(1_000)));
     }
     response
 }
--- a/crates/proxy/src/head.rs
+++ b/crates/proxy/src/head.rs
@@ -35,20 +35,25 @@
 
 /// Refuses heads whose framing two readers could understand differently.
 pub(crate) fn check_framing(version: Version, headers: &HeaderMap) -> Result<(), Refusal> {
+    if is_sound(version, headers) { Ok(()) } else { Err(Refusal::not_run(Reason::BadFraming)) }
+}
+
+/// Returns whether two readers would find the same end of a request with this head.
+#[must_use]
+pub fn is_sound(version: Version, headers: &HeaderMap) -> bool {
     let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
     let encodings: Vec<&HeaderValue> = headers.get_all(TRANSFER_ENCODING).iter().collect();
     let is_chunked =
         encodings.iter().all(|value| value.as_bytes().eq_ignore_ascii_case(b"chunked"));
-    let is_sound = match (lengths, encodings.len()) {
+    match (lengths, encodings.len()) {
         (0 | 1, 0) => true,
         (0, 1) => is_chunked && version == Version::HTTP_11,
         _ => false,
-    };
-    if is_sound { Ok(()) } else { Err(Refusal::not_run(Reason::BadFraming)) }
+    }
 }
 
 /// Removes headers that concern one connection only, and our own.
-pub(crate) fn strip(headers: &mut HeaderMap) {
+pub fn strip(headers: &mut HeaderMap) {
     let listed: Vec<HeaderName> = headers
         .get_all(CONNECTION)
         .iter()
@@ -64,7 +69,7 @@
 }
 
 /// Removes what only the first connection needs, before a request is sent on.
-pub(crate) fn strip_request(headers: &mut HeaderMap) {
+pub fn strip_request(headers: &mut HeaderMap) {
     strip(headers);
     for name in [CONTENT_LENGTH, EXPECT, HOST] {
         headers.remove(name);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -27,6 +27,7 @@
 
 pub use answer::AnswerBody;
 pub use clock::Clock;
+pub use head::{is_sound, strip, strip_request};
 pub use serve::serve;
 pub use traffic::{Services, Traffic, TrafficLimits};
-pub use upstream::Upstream;
+pub use upstream::{Link, Permit, Refused, Upstream};
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -1,23 +1,36 @@
 //! Connections to one server, and admission to it.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
 use document::Server;
-use http::HeaderValue;
+use http::{HeaderValue, Request, Response};
 use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use route::{Admission, Arrival, Gate, Limit, ServerState, Ticket};
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Duration, Instant, timeout_at};
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::Clock;
 
-/// A connection that can send one request at a time.
-pub(crate) type Sender = SendRequest<Full<Bytes>>;
+/// A connection that can send one request at a time; dropping it closes it.
+#[derive(Debug)]
+pub struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    /// Drives the connection until the link is dropped.
+    _driver: AbortOnDropHandle<()>,
+    /// Until when the server is trusted to keep the connection open.
+    reuse_until: Instant,
+    is_fresh: bool,
+}
 
 /// One server, as the request path knows it.
 #[derive(Debug)]
@@ -28,7 +41,7 @@
     clock: Clock,
     // Held for a few instructions only; requests to other servers do not meet here.
     gate: Mutex<Gate<oneshot::Sender<()>>>,
-    idle: Mutex<Vec<Idle>>,
+    idle: Mutex<Vec<Link>>,
     in_flight: AtomicU32,
     avoided_until_ms: AtomicU64,
 }
@@ -41,28 +54,20 @@
 
 /// Why a request may not be sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Refused {
+pub enum Refused {
     /// Too many requests wait.
     Full,
     /// The deadline passed.
     Expired,
 }
 
-/// A connection that could be had.
-#[derive(Debug)]
-pub(crate) struct Connection {
-    pub(crate) sender: Sender,
-    pub(crate) is_fresh: bool,
-}
-
-#[derive(Debug)]
-struct Idle {
-    sender: Sender,
-    since: Instant,
-}
-
 /// An unused connection that is older may be about to be closed by the server.
-const IDLE_LIMIT_MS: u128 = 5_000;
+const IDLE_LIMIT_MS: u64 = 5_000;
+/// How long sent bytes may stay unacknowledged before a connection counts as dead.
+///
+/// Some connections go silent without a reset. Half a second is many round trips, also
+/// between data centres, and a part of a short deadline.
+const UNACKNOWLEDGED_MS: u64 = 500;
 /// How long pooled requests go elsewhere after a server could not be reached.
 const AVOIDED_MS: u64 = 1_000;
 /// How many requests may wait for one server.
@@ -97,11 +102,12 @@
         (gate.in_flight(), gate.waiting(), gate.limit())
     }
 
-    /// Waits for the right to send a request.
-    pub(crate) async fn enter(
-        self: &Arc<Self>,
-        arrival: Arrival,
-    ) -> Result<(Permit, bool), Refused> {
+    /// Waits for the right to send a request; says whether it had to wait.
+    ///
+    /// # Errors
+    ///
+    /// Fails when too many requests wait, or when the deadline passes.
+    pub async fn enter(self: &Arc<Self>, arrival: Arrival) -> Result<(Permit, bool), Refused> {
         let (waker, woken) = oneshot::channel();
         let now_ms = self.clock.now_ms();
         let admission = self.gate().arrive(now_ms, arrival, waker);
@@ -121,58 +127,69 @@
     }
 
     /// Returns a connection that is not in use, or opens one.
-    pub(crate) async fn connect(&self) -> std::io::Result<Connection> {
-        while let Some(idle) = self.pop_idle() {
-            let mut sender = idle.sender;
-            let is_young = idle.since.elapsed().as_millis() < IDLE_LIMIT_MS;
-            if is_young && sender.ready().await.is_ok() {
-                return Ok(Connection { sender, is_fresh: false });
+    ///
+    /// # Errors
+    ///
+    /// Fails when the server takes no connection.
+    pub async fn connect(&self) -> std::io::Result<Link> {
+        while let Some(mut link) = self.pop_idle() {
+            if Instant::now() < link.reuse_until && link.sender.ready().await.is_ok() {
+                link.is_fresh = false;
+                return Ok(link);
             }
         }
-        let stream = TcpStream::connect(self.server.address).await?;
-        stream.set_nodelay(true)?;
-        let (sender, connection) =
-            handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
-        tokio::spawn(connection);
-        Ok(Connection { sender, is_fresh: true })
+        Link::open(self.server.address).await
     }
 
-    pub(crate) fn host(&self) -> HeaderValue {
+    /// Returns the host header of requests to the server.
+    #[must_use]
+    pub fn host(&self) -> HeaderValue {
         self.host.clone()
     }
 
     /// Looks whether the server takes connections.
-    pub(crate) async fn probe(&self) -> std::io::Result<()> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not.
+    pub async fn probe(&self) -> std::io::Result<()> {
         TcpStream::connect(self.server.address).await.map(drop)
     }
 
     /// Keeps a connection whose last answer was read to its end.
-    pub(crate) fn keep(&self, sender: Sender) {
-        if sender.is_closed() {
+    ///
+    /// `idle_limit_ms` is how long the server said that it keeps it without a request.
+    pub fn keep(&self, mut link: Link, idle_limit_ms: Option<u64>) {
+        if link.sender.is_closed() {
             return;
         }
+        // The server counts from its own last byte, and may be a little early.
+        let limit_ms = idle_limit_ms.map_or(IDLE_LIMIT_MS, |limit_ms| limit_ms / 2);
+        link.reuse_until = Instant::now() + Duration::from_millis(limit_ms.min(IDLE_LIMIT_MS));
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let most = usize::try_from(self.server.slots).unwrap_or(usize::MAX);
         if idle.len() < most {
-            idle.push(Idle { sender, since: Instant::now() });
+            idle.push(link);
         }
     }
 
     /// Closes the connections that are not in use, and sends pooled requests elsewhere.
-    pub(crate) fn note_loss(&self) {
+    pub fn note_loss(&self) {
         self.avoided_until_ms.store(self.clock.now_ms() + AVOIDED_MS, Ordering::Relaxed);
         self.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
     }
 
-    pub(crate) fn note_answer(&self, latency_ms: f64) {
+    /// Notes that the server answered after some time.
+    pub fn note_answer(&self, latency_ms: f64) {
         self.gate().on_answer(latency_ms);
     }
 
-    pub(crate) fn note_overload(&self, latency_ms: f64) {
+    /// Notes that the server shed a request or did not answer in time.
+    pub fn note_overload(&self, latency_ms: f64) {
         self.gate().on_overload(latency_ms);
     }
 
-    fn pop_idle(&self) -> Option<Idle> {
+    fn pop_idle(&self) -> Option<Link> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner).pop()
     }
 
@@ -198,6 +215,46 @@
     }
 }
 
+impl Link {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when nobody takes it.
+    pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let unacknowledged = Duration::from_millis(UNACKNOWLEDGED_MS);
+        SockRef::from(&stream).set_tcp_user_timeout(Some(unacknowledged))?;
+        let (sender, connection) =
+            handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+        let driver = tokio::spawn(async move {
+            // How it ends shows in the answers that are waited for.
+            drop(connection.await);
+        });
+        let reuse_until = Instant::now();
+        Ok(Self { sender, _driver: AbortOnDropHandle::new(driver), reuse_until, is_fresh: true })
+    }
+
+    /// Returns whether no request was sent on the connection yet.
+    #[must_use]
+    pub fn is_fresh(&self) -> bool {
+        self.is_fresh
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks; the request comes back if it was never sent.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.sender.try_send_request(request).await
+    }
+}
+
 impl ServerState for Upstream {
     fn load(&self) -> u32 {
         self.in_flight.load(Ordering::Relaxed)
--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -17,6 +17,8 @@
     Crashed,
     /// No answer came before the attempt's deadline.
     TimedOut,
+    /// The server answered with a failure of its own.
+    Failed,
 }
 
 /// What to do after a failed attempt.
@@ -36,6 +38,7 @@
     is_idempotent: bool,
     deadline_ms: u64,
     failed: u32,
+    most: u32,
     crashes: u32,
     may_have_run: bool,
     last: Option<Failure>,
@@ -58,7 +61,34 @@
     /// Creates the record of a request that was not sent yet.
     #[must_use]
     pub fn new(is_idempotent: bool, deadline_ms: u64) -> Self {
-        Self { is_idempotent, deadline_ms, failed: 0, crashes: 0, may_have_run: false, last: None }
+        Self {
+            is_idempotent,
+            deadline_ms,
+            failed: 0,
+            most: MAX_ATTEMPTS,
+            crashes: 0,
+            may_have_run: false,
+            last: None,
+        }
+    }
+
+    /// Allows another number of attempts, the first one included.
+    #[must_use]
+    pub fn with_most(mut self, most: u32) -> Self {
+        self.most = most;
+        self
+    }
+
+    /// Returns whether the request may have run.
+    #[must_use]
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
+    /// Returns how many attempts failed.
+    #[must_use]
+    pub fn failed(&self) -> u32 {
+        self.failed
     }
 
     /// Notes a failed attempt and says what to do.
@@ -70,7 +100,7 @@
         let has_time = now_ms + LEAST_LEFT_MS < self.deadline_ms;
         let is_allowed = self.is_idempotent || !self.may_have_run;
         let is_poison = self.crashes >= MOST_CRASHES;
-        if !has_time || !is_allowed || is_poison || self.failed >= MAX_ATTEMPTS {
+        if !has_time || !is_allowed || is_poison || self.failed >= self.most {
             return Next::GiveUp;
         }
         match failure {
@@ -79,6 +109,7 @@
             | Failure::Shed
             | Failure::Broken
             | Failure::Crashed
+            | Failure::Failed
             | Failure::TimedOut => Next::Retry,
         }
     }
@@ -87,7 +118,7 @@
     #[must_use]
     pub fn attempt_deadline_ms(&self, now_ms: u64) -> u64 {
         let left_ms = self.deadline_ms.saturating_sub(now_ms);
-        let is_last = self.failed + 1 >= MAX_ATTEMPTS;
+        let is_last = self.failed + 1 >= self.most;
         if self.is_idempotent && !is_last { now_ms + left_ms / 2 } else { self.deadline_ms }
     }
 
@@ -112,7 +143,7 @@
             Some(Failure::Fenced) => Reason::NoOwner,
             Some(Failure::Shed) => Reason::RefusedByServer,
             Some(Failure::TimedOut) => Reason::TimedOut,
-            Some(Failure::Broken | Failure::Crashed) | None => Reason::Broken,
+            Some(Failure::Broken | Failure::Crashed | Failure::Failed) | None => Reason::Broken,
         };
         self.to_refusal(reason)
     }
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -5,36 +5,64 @@
 /// Lets retries be at most a part of the requests.
 #[derive(Debug)]
 pub struct Budget {
-    tenths: AtomicU32,
+    /// What is left, in thousandths of a retry.
+    left_milli: AtomicU32,
+    /// What one request adds, in thousandths of a retry.
+    earned_milli: u32,
+    /// The most that can be saved up, in thousandths of a retry.
+    most_milli: AtomicU32,
 }
 
-/// What one request adds, in tenths of a retry.
-const EARNED_TENTHS: u32 = 2;
-/// What one retry costs, in tenths.
-const COST_TENTHS: u32 = 10;
-/// The most that can be saved up: 100 retries.
-const MOST_TENTHS: u32 = 1_000;
+/// What one retry costs, in thousandths.
+const COST_MILLI: u32 = 1_000;
+/// What one request adds unless settings say otherwise: a fifth of a retry.
+const EARNED_MILLI: u32 = 200;
+/// The most retries that can be saved up unless settings say otherwise.
+const MOST_RETRIES: u32 = 100;
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { tenths: AtomicU32::new(MOST_TENTHS) }
+        Self {
+            left_milli: AtomicU32::new(MOST_RETRIES * COST_MILLI),
+            earned_milli: EARNED_MILLI,
+            most_milli: AtomicU32::new(MOST_RETRIES * COST_MILLI),
+        }
     }
 }
 
 impl Budget {
+    /// Creates a budget that starts empty, earns a part of a retry with each request and
+    /// saves up some.
+    ///
+    /// A process that was just started may be one of many that were, and what they spent
+    /// before still counts.
+    #[must_use]
+    pub fn new(earned_milli: u32, most_retries: u32) -> Self {
+        Self {
+            left_milli: AtomicU32::new(0),
+            earned_milli,
+            most_milli: AtomicU32::new(most_retries.saturating_mul(COST_MILLI)),
+        }
+    }
+
+    /// Changes how much can be saved up.
+    pub fn set_most(&self, most_retries: u32) {
+        self.most_milli.store(most_retries.saturating_mul(COST_MILLI), Ordering::Relaxed);
+    }
+
     /// Notes a new request.
     pub fn earn(&self) {
-        if self.tenths.load(Ordering::Relaxed) < MOST_TENTHS {
-            self.tenths.fetch_add(EARNED_TENTHS, Ordering::Relaxed);
+        let most = self.most_milli.load(Ordering::Relaxed);
+        let left = self.left_milli.load(Ordering::Relaxed);
+        if left < most {
+            self.left_milli.fetch_add(self.earned_milli.min(most - left), Ordering::Relaxed);
         }
     }
 
     /// Takes one retry out of the budget, if there is one.
     pub fn spend(&self) -> bool {
-        self.tenths
-            .try_update(Ordering::Relaxed, Ordering::Relaxed, |tenths| {
-                tenths.checked_sub(COST_TENTHS)
-            })
+        self.left_milli
+            .try_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(COST_MILLI))
             .is_ok()
     }
 }
--- a/crates/route/src/refusal.rs
+++ b/crates/route/src/refusal.rs
@@ -16,6 +16,12 @@
 pub enum Reason {
     /// The path names no service.
     UnknownService,
+    /// No document is known yet.
+    NoSite,
+    /// The document has no route for the host and path.
+    NoRoute,
+    /// The request names no host, or carries nothing that identifies it.
+    NoIdentity,
     /// The request carries no key where the document expects it.
     NoKey,
     /// The key belongs to no key group.
@@ -51,38 +57,50 @@
     pub outcome: Outcome,
     /// Why it was refused.
     pub reason: Reason,
-    /// When it is worth asking again.
-    pub retry_after_s: Option<u32>,
+    /// When it is worth asking again, counted from now.
+    pub retry_after_ms: Option<u64>,
 }
 
-/// When a caller should come back after a refusal that passes by itself.
-const RETRY_AFTER_S: u32 = 1;
+/// When a caller should come back after a refusal that passes by itself and of which
+/// nothing better is known.
+const RETRY_AFTER_MS: u64 = 1_000;
 
 impl Refusal {
     /// Creates the refusal of a request that certainly did not run.
     #[must_use]
     pub fn not_run(reason: Reason) -> Self {
-        let retry_after_s = reason.is_passing().then_some(RETRY_AFTER_S);
-        Self { outcome: Outcome::NotRun, reason, retry_after_s }
+        let retry_after_ms = reason.is_passing().then_some(RETRY_AFTER_MS);
+        Self { outcome: Outcome::NotRun, reason, retry_after_ms }
     }
 
     /// Creates the answer for a request that may have run.
     #[must_use]
     pub fn unknown(reason: Reason) -> Self {
-        Self { outcome: Outcome::Unknown, reason, retry_after_s: None }
+        Self { outcome: Outcome::Unknown, reason, retry_after_ms: None }
+    }
+
+    /// Tells the caller to come back after some time, if the request did not run.
+    #[must_use]
+    pub fn retry_after_ms(mut self, retry_after_ms: u64) -> Self {
+        if self.outcome == Outcome::NotRun {
+            self.retry_after_ms = Some(retry_after_ms);
+        }
+        self
     }
 
     /// Returns the HTTP status.
     #[must_use]
     pub fn status(&self) -> u16 {
         match self.reason {
-            Reason::UnknownService => 404,
+            Reason::UnknownService | Reason::NoRoute => 404,
             Reason::NoKey
+            | Reason::NoIdentity
             | Reason::UnknownKeyGroup
             | Reason::BodyIncomplete
             | Reason::BadFraming => 400,
             Reason::BodyTooLarge => 413,
             Reason::NoOwner
+            | Reason::NoSite
             | Reason::Overloaded
             | Reason::RefusedByServer
             | Reason::Crashing
@@ -99,6 +117,7 @@
         matches!(
             self,
             Self::NoOwner
+                | Self::NoSite
                 | Self::Overloaded
                 | Self::Expired
                 | Self::Unreachable
@@ -111,6 +130,9 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::UnknownService => "unknown-service",
+            Self::NoSite => "no-site",
+            Self::NoRoute => "no-route",
+            Self::NoIdentity => "no-identity",
             Self::NoKey => "no-key",
             Self::UnknownKeyGroup => "unknown-key-group",
             Self::BodyTooLarge => "body-too-large",
--- a/crates/route/tests/path_decisions.rs
+++ b/crates/route/tests/path_decisions.rs
@@ -32,7 +32,7 @@
     assert_eq!(attempts.next(9, Failure::Shed), Next::GiveUp);
     let refusal = attempts.to_last_refusal();
     assert_eq!((refusal.outcome, refusal.status()), (Outcome::NotRun, 503));
-    assert_eq!(refusal.retry_after_s, Some(1));
+    assert_eq!(refusal.retry_after_ms, Some(1_000));
 }
 
 #[test]
--- /dev/null
+++ b/crates/shard/src/assignment.rs
@@ -0,0 +1,408 @@
+//! The assignment of one service's keys.
+
+use crate::leader::{Open, Turn};
+use crate::order::Note;
+use crate::piece::{Holder, Piece, ReleaseStep, Step, Successor};
+use crate::planning::position;
+use crate::policy::Candidate;
+use crate::{
+    Grant, KeyLoad, KeyRange, OrderKind, Output, Owner, Record, Release, Reply, Share, Span, Table,
+    Tuning, Why,
+};
+
+/// Who holds the keys of one service.
+#[derive(Debug)]
+pub(crate) struct Assignment {
+    /// The pieces in order; together they are all keys.
+    pub(crate) pieces: Vec<Piece>,
+    pub(crate) load: KeyLoad,
+    /// Until when the first assignment waits for more servers.
+    settled_ms: u64,
+    /// The number of the last record that was asked for.
+    pub(crate) wanted: u64,
+    /// The number of the last record that was sent to the store.
+    pub(crate) writing: Option<u64>,
+    /// The number of the last record that is durable.
+    pub(crate) durable: u64,
+    write_at_ms: u64,
+    pub(crate) is_changed: bool,
+}
+
+/// How long to wait after a record could not be written.
+const WRITE_AGAIN_MS: u64 = 150;
+/// How long until a grant that was not answered is sent again.
+const GRANT_AGAIN_MS: u64 = 60;
+/// How often a server may meet a higher fence before somebody else must lead.
+const MOST_REFUSALS: u32 = 3;
+
+impl Assignment {
+    /// Creates the assignment of a service that has none.
+    pub(crate) fn new(settled_ms: u64) -> Self {
+        Self {
+            pieces: vec![Piece::free(KeyRange::WHOLE)],
+            load: KeyLoad::default(),
+            settled_ms,
+            wanted: 0,
+            writing: None,
+            durable: 0,
+            write_at_ms: 0,
+            is_changed: true,
+        }
+    }
+
+    /// Goes on with what an earlier leader recorded.
+    pub(crate) fn take_over(
+        record: &Record,
+        now_ms: u64,
+        fences: &mut crate::leader::Fences,
+        tuning: &Tuning,
+    ) -> Self {
+        let pieces = record.shares.iter().map(|share| {
+            let life = share.previous.as_ref().unwrap_or(&share.owner);
+            let holder = Holder {
+                standing_until_ms: tuning.stands_until_ms(now_ms, tuning.longest_hold_ms),
+                serves: share.previous.is_none(),
+                ..Holder::new(life.clone(), fences.next())
+            };
+            let successor = share.previous.is_some().then(|| Successor {
+                life: share.owner.clone(),
+                record: 0,
+                why: Why::Load,
+                release: ReleaseStep::NotYet,
+            });
+            Piece { range: share.range, holder: Some(holder), successor, handover: None }
+        });
+        Self { pieces: pieces.collect(), ..Self::new(0) }
+    }
+
+    pub(crate) fn load_mut(&mut self) -> &mut KeyLoad {
+        &mut self.load
+    }
+
+    pub(crate) fn table(&self, now_ms: u64) -> Table {
+        let mut spans: Vec<Span> = Vec::new();
+        for piece in &self.pieces {
+            let owner = to_owner(piece, now_ms);
+            if let Some(last) = spans.last_mut()
+                && last.owner == owner
+                && let Some(range) = last.range.join(piece.range)
+            {
+                last.range = range;
+                continue;
+            }
+            spans.push(Span { range: piece.range, owner });
+        }
+        Table { spans }
+    }
+
+    pub(crate) fn recorded(&mut self, number: u64) {
+        self.durable = self.durable.max(number);
+        self.writing = None;
+    }
+
+    pub(crate) fn record_failed(&mut self, now_ms: u64) {
+        self.writing = None;
+        self.write_at_ms = now_ms + WRITE_AGAIN_MS;
+        // The same number must not stand for two contents.
+        self.wanted += 1;
+        for successor in self.pieces.iter_mut().filter_map(|piece| piece.successor.as_mut()) {
+            if successor.record > self.durable {
+                successor.record = self.wanted;
+            }
+        }
+    }
+
+    /// Has every holder's grant renewed at once.
+    pub(crate) fn renew_all(&mut self) {
+        for holder in self.pieces.iter_mut().filter_map(|piece| piece.holder.as_mut()) {
+            holder.renew_at_ms = 0;
+        }
+    }
+
+    /// Notes what became of an order; returns whether somebody else must be leading.
+    pub(crate) fn answered(
+        &mut self,
+        now_ms: u64,
+        order: &Open,
+        reply: Reply,
+        tuning: &Tuning,
+        outputs: &mut Vec<Output>,
+    ) -> bool {
+        match &order.kind {
+            OrderKind::Grant(grant) => {
+                self.grant_answered(now_ms, order, grant, &reply, tuning, outputs)
+            }
+            OrderKind::Release(release) => {
+                self.release_answered(now_ms, order, release, reply);
+                false
+            }
+        }
+    }
+
+    fn grant_answered(
+        &mut self,
+        now_ms: u64,
+        order: &Open,
+        grant: &Grant,
+        reply: &Reply,
+        tuning: &Tuning,
+        outputs: &mut Vec<Output>,
+    ) -> bool {
+        let mut is_deposed = false;
+        for piece in self.pieces.iter_mut().filter(|piece| piece.range.overlaps(grant.range)) {
+            let Some(holder) = piece.holder.as_mut().filter(|holder| holder.life == order.life)
+            else {
+                continue;
+            };
+            if matches!(reply, Reply::Done(_) | Reply::Unclear) {
+                let until_ms = tuning.stands_until_ms(now_ms, grant.hold_ms);
+                holder.standing_until_ms = holder.standing_until_ms.max(until_ms);
+            }
+            if holder.fence != grant.fence {
+                continue;
+            }
+            match reply {
+                Reply::Done(_) => {
+                    // A grant with a new fence replaces all earlier ones of the server.
+                    holder.standing_until_ms = tuning.stands_until_ms(now_ms, grant.hold_ms);
+                    holder.failures = 0;
+                    holder.refusals = 0;
+                    self.is_changed |= !holder.serves;
+                    holder.serves = true;
+                    if piece.successor.is_none() {
+                        piece.handover = None;
+                    }
+                }
+                Reply::Fenced => {
+                    holder.refusals += 1;
+                    holder.renew_at_ms = 0;
+                    is_deposed |= holder.refusals >= MOST_REFUSALS;
+                    outputs.push(Output::Note(Note::Refused {
+                        service: order.service.clone(),
+                        range: piece.range,
+                        by: order.life.clone(),
+                        fence: grant.fence,
+                    }));
+                }
+                Reply::NotSent | Reply::Unclear => {
+                    holder.failures += 1;
+                    holder.renew_at_ms = now_ms + GRANT_AGAIN_MS * u64::from(holder.failures);
+                }
+            }
+        }
+        is_deposed
+    }
+
+    fn release_answered(&mut self, now_ms: u64, order: &Open, release: &Release, reply: Reply) {
+        for piece in self.pieces.iter_mut().filter(|piece| piece.range.overlaps(release.range)) {
+            let is_awaited = piece.holder.as_ref().is_some_and(|holder| holder.life == order.life)
+                && piece.successor.as_ref().is_some_and(|next| next.release == ReleaseStep::Sent);
+            if !is_awaited {
+                continue;
+            }
+            if let Reply::Done(handover) = &reply {
+                piece.holder = None;
+                piece.handover.clone_from(handover);
+                self.is_changed = true;
+            } else if let Some(successor) = &mut piece.successor {
+                successor.release = ReleaseStep::At(now_ms + GRANT_AGAIN_MS);
+            }
+        }
+    }
+
+    /// Carries every piece one step on.
+    pub(crate) fn advance(&mut self, turn: &mut Turn<'_>, balances: bool) {
+        if turn.now_ms < self.settled_ms {
+            return;
+        }
+        if balances {
+            self.load.fade(turn.now_ms);
+        }
+        let mut candidates = turn.candidates();
+        self.add_loads(&mut candidates);
+        self.drop_lost(turn, &candidates);
+        self.choose_all(turn, &mut candidates);
+        if balances {
+            self.balance(turn, &mut candidates);
+        }
+        self.carry_out(turn);
+        self.write(turn);
+        if std::mem::take(&mut self.is_changed) {
+            turn.outputs.push(Output::Publish { service: turn.service.clone() });
+        }
+    }
+
+    /// Lets go of holders that hold nothing any more, and of successors that left.
+    fn drop_lost(&mut self, turn: &Turn<'_>, candidates: &[Candidate]) {
+        for piece in &mut self.pieces {
+            let is_restarted = piece
+                .holder
+                .as_ref()
+                .is_some_and(|holder| turn.servers.registry.has_later_life(&holder.life));
+            if is_restarted {
+                piece.holder = None;
+                self.is_changed = true;
+            }
+            let is_unwelcome = piece
+                .successor
+                .as_ref()
+                .is_some_and(|successor| position(candidates, &successor.life).is_none());
+            if is_unwelcome && !candidates.is_empty() {
+                piece.successor = None;
+                self.is_changed = true;
+            }
+        }
+    }
+
+    /// Sends the orders that are due.
+    fn carry_out(&mut self, turn: &mut Turn<'_>) {
+        self.join_alike(turn);
+        for at in 0..self.pieces.len() {
+            let piece = &mut self.pieces[at];
+            let stands_until_ms = piece.holder.as_ref().map_or(0, |holder| {
+                let open_ms = turn.orders.stand_until_ms(&holder.life, piece.range, turn.tuning);
+                holder.standing_until_ms.max(open_ms)
+            });
+            let step = piece.next(turn.now_ms, stands_until_ms, self.durable, turn.tuning.failures);
+            match step {
+                Step::Wait | Step::Choose(_) => {}
+                Step::Announce => {
+                    self.is_changed = true;
+                    if let Some(successor) = &mut piece.successor {
+                        successor.release =
+                            ReleaseStep::At(turn.now_ms + turn.tuning.release_delay_ms);
+                    }
+                }
+                Step::Release => release(piece, turn, stands_until_ms),
+                Step::Lapse => {
+                    self.is_changed = true;
+                    lapse(piece, turn);
+                }
+                Step::Install => {
+                    self.is_changed = true;
+                    install(piece, turn);
+                }
+                Step::Renew => renew(piece, turn),
+            }
+        }
+    }
+
+    /// Joins neighbours of one holder that are due for renewal, under a new fence.
+    fn join_alike(&mut self, turn: &mut Turn<'_>) {
+        let mut at = 0;
+        while at + 1 < self.pieces.len() {
+            let Some(range) = self.joined(turn, at) else {
+                at += 1;
+                continue;
+            };
+            let next = self.pieces.remove(at + 1);
+            let piece = &mut self.pieces[at];
+            piece.range = range;
+            if let (Some(holder), Some(other)) = (&mut piece.holder, next.holder) {
+                holder.standing_until_ms = holder.standing_until_ms.max(other.standing_until_ms);
+                holder.renew_at_ms = 0;
+                holder.fence = turn.fences.next();
+            }
+        }
+    }
+
+    fn joined(&self, turn: &Turn<'_>, at: usize) -> Option<KeyRange> {
+        let (left, right) = (&self.pieces[at], &self.pieces[at + 1]);
+        let (first, second) = (left.holder.as_ref()?, right.holder.as_ref()?);
+        let is_alike = left.is_settled() && right.is_settled() && first.life == second.life;
+        let is_calm = |holder: &Holder| holder.failures == 0 && holder.refusals == 0;
+        let is_due = turn.now_ms >= first.renew_at_ms || turn.now_ms >= second.renew_at_ms;
+        if !(is_alike && is_due && is_calm(first) && is_calm(second)) {
+            return None;
+        }
+        left.range.join(right.range)
+    }
+
+    /// Has the record written when plans wait for it.
+    fn write(&mut self, turn: &mut Turn<'_>) {
+        let is_due = self.wanted > self.durable && self.writing.is_none();
+        if !is_due || turn.now_ms < self.write_at_ms {
+            return;
+        }
+        let Some(shares) = self.shares() else { return };
+        self.writing = Some(self.wanted);
+        let record = Record { epoch: turn.epoch.0, number: self.wanted, shares };
+        turn.outputs.push(Output::Write { service: turn.service.clone(), record });
+    }
+
+    /// Returns who may hold what, as it has to be durable.
+    fn shares(&self) -> Option<Vec<Share>> {
+        let mut shares: Vec<Share> = Vec::new();
+        for piece in &self.pieces {
+            let owner = piece.final_life()?.clone();
+            let previous = piece
+                .holder
+                .as_ref()
+                .map(|holder| &holder.life)
+                .filter(|life| **life != owner)
+                .cloned();
+            if let Some(last) = shares.last_mut()
+                && last.owner == owner
+                && last.previous == previous
+                && let Some(range) = last.range.join(piece.range)
+            {
+                last.range = range;
+                continue;
+            }
+            shares.push(Share { range: piece.range, owner, previous });
+        }
+        Some(shares)
+    }
+}
+
+fn release(piece: &mut Piece, turn: &mut Turn<'_>, stands_until_ms: u64) {
+    let fence = turn.fences.next();
+    if let (Some(holder), Some(successor)) = (&mut piece.holder, &mut piece.successor) {
+        successor.release = ReleaseStep::Sent;
+        holder.is_dismissed = true;
+        let life = holder.life.clone();
+        turn.release(&life, Release { range: piece.range, fence }, stands_until_ms);
+    }
+}
+
+fn lapse(piece: &mut Piece, turn: &mut Turn<'_>) {
+    let Some(holder) = piece.holder.take() else { return };
+    piece.handover = None;
+    let (service, range) = (turn.service.clone(), piece.range);
+    turn.outputs.push(Output::Note(Note::Lapsed { service, range, from: holder.life }));
+}
+
+/// Makes the successor the holder.
+fn install(piece: &mut Piece, turn: &mut Turn<'_>) {
+    let Some(successor) = piece.successor.take() else { return };
+    piece.holder = Some(Holder::new(successor.life, turn.fences.next()));
+    renew(piece, turn);
+}
+
+fn renew(piece: &mut Piece, turn: &mut Turn<'_>) {
+    let handover = piece.handover.clone();
+    let range = piece.range;
+    let Some(holder) = &mut piece.holder else { return };
+    if holder.refusals > 0 {
+        holder.fence = turn.fences.next();
+    }
+    holder.renew_at_ms = turn.now_ms + turn.tuning.renew_every_ms;
+    let (life, fence) = (holder.life.clone(), holder.fence);
+    turn.grant(&life, Grant { range, fence, hold_ms: turn.hold_ms, handover });
+}
+
+fn to_owner(piece: &Piece, now_ms: u64) -> Owner {
+    match (&piece.holder, &piece.successor) {
+        (Some(holder), None) if holder.serves => Owner::Server(holder.life.clone()),
+        (Some(holder), None) => Owner::Moving(holder.life.clone()),
+        (Some(holder), Some(successor)) => match successor.release {
+            ReleaseStep::NotYet if holder.serves => Owner::Server(holder.life.clone()),
+            _ if successor.why == Why::Silent => {
+                Owner::Nobody { for_ms: holder.standing_until_ms.saturating_sub(now_ms) }
+            }
+            _ => Owner::Moving(successor.life.clone()),
+        },
+        (None, Some(successor)) => Owner::Moving(successor.life.clone()),
+        (None, None) => Owner::Nobody { for_ms: 0 },
+    }
+}
--- /dev/null
+++ b/crates/shard/src/range.rs
@@ -0,0 +1,72 @@
+//! Ranges of keys.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// A range of keys, both ends inclusive.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+pub struct KeyRange {
+    from: u16,
+    to: u16,
+}
+
+impl KeyRange {
+    /// All keys.
+    pub const WHOLE: Self = Self { from: 0, to: u16::MAX };
+
+    /// Creates a range; `None` if it would be empty.
+    #[must_use]
+    pub fn new(from: u16, to: u16) -> Option<Self> {
+        (from <= to).then_some(Self { from, to })
+    }
+
+    /// Returns the first key.
+    #[must_use]
+    pub fn from(self) -> u16 {
+        self.from
+    }
+
+    /// Returns the last key.
+    #[must_use]
+    pub fn to(self) -> u16 {
+        self.to
+    }
+
+    /// Returns how many keys there are.
+    #[must_use]
+    pub fn count(self) -> u32 {
+        u32::from(self.to) - u32::from(self.from) + 1
+    }
+
+    /// Returns whether a key is in the range.
+    #[must_use]
+    pub fn contains(self, key: u16) -> bool {
+        self.from <= key && key <= self.to
+    }
+
+    /// Returns whether two ranges have keys in common.
+    #[must_use]
+    pub fn overlaps(self, other: Self) -> bool {
+        self.from <= other.to && other.from <= self.to
+    }
+
+    /// Splits before a key; `None` if one of the parts would be empty.
+    #[must_use]
+    pub fn split_at(self, key: u16) -> Option<(Self, Self)> {
+        let is_inside = self.from < key && key <= self.to;
+        is_inside.then(|| (Self { from: self.from, to: key - 1 }, Self { from: key, to: self.to }))
+    }
+
+    /// Joins a range with the one right after it.
+    #[must_use]
+    pub fn join(self, next: Self) -> Option<Self> {
+        (self.to.checked_add(1) == Some(next.from)).then_some(Self { from: self.from, to: next.to })
+    }
+}
+
+impl fmt::Display for KeyRange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.from, self.to)
+    }
+}
--- /dev/null
+++ b/crates/shard/src/record.rs
@@ -0,0 +1,102 @@
+//! The durable record of who may hold what.
+
+use document::HashMap;
+use registry::Life;
+use serde::{Deserialize, Serialize};
+
+use crate::{Epoch, KeyRange};
+
+/// Who may hold the ranges of one service, as it stands in the store.
+///
+/// No grant goes to a server for a range before a record that names it is durable.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Record {
+    /// The leader that wrote it.
+    pub epoch: u64,
+    /// The number of the write within the leader's office.
+    pub number: u64,
+    /// The ranges in order; together they are all keys.
+    pub shares: Vec<Share>,
+}
+
+/// One range of a record.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Share {
+    /// The keys.
+    pub range: KeyRange,
+    /// Who may hold them from now on.
+    pub owner: Life,
+    /// Who may still hold them from before.
+    pub previous: Option<Life>,
+}
+
+/// The stored form: lives stand once, ranges point to them.
+#[derive(Deserialize, Serialize)]
+struct Stored {
+    epoch: u64,
+    number: u64,
+    lives: Vec<Life>,
+    ranges: Vec<(u16, u16, usize, Option<usize>)>,
+}
+
+impl Record {
+    /// Returns the text that is stored.
+    #[must_use]
+    pub fn to_text(&self) -> String {
+        let mut positions: HashMap<&Life, usize> = HashMap::default();
+        let mut lives = Vec::new();
+        let mut position = |life| {
+            *positions.entry(life).or_insert_with(|| {
+                lives.push(Life::clone(life));
+                lives.len() - 1
+            })
+        };
+        let ranges = self
+            .shares
+            .iter()
+            .map(|share| {
+                let previous = share.previous.as_ref().map(&mut position);
+                (share.range.from(), share.range.to(), position(&share.owner), previous)
+            })
+            .collect();
+        let stored = Stored { epoch: self.epoch, number: self.number, lives, ranges };
+        serde_json::to_string(&stored).unwrap_or_default()
+    }
+
+    /// Reads a stored text; `None` if it is not a record.
+    #[must_use]
+    pub fn from_text(text: &str) -> Option<Self> {
+        let stored: Stored = serde_json::from_str(text).ok()?;
+        let life = |at: usize| stored.lives.get(at).cloned();
+        let shares: Option<Vec<Share>> = stored
+            .ranges
+            .iter()
+            .map(|&(from, to, owner, previous)| {
+                let previous = match previous {
+                    Some(at) => Some(life(at)?),
+                    None => None,
+                };
+                Some(Share { range: KeyRange::new(from, to)?, owner: life(owner)?, previous })
+            })
+            .collect();
+        let record = Self { epoch: stored.epoch, number: stored.number, shares: shares? };
+        record.is_whole().then_some(record)
+    }
+
+    /// Returns whether a leader wrote the record.
+    #[must_use]
+    pub fn is_by(&self, epoch: Epoch) -> bool {
+        self.epoch == epoch.0
+    }
+
+    fn is_whole(&self) -> bool {
+        let mut next = Some(0);
+        for share in &self.shares {
+            if next != Some(share.range.from()) {
+                return false;
+            }
+            next = share.range.to().checked_add(1);
+        }
+        next.is_none()
+    }
+}
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -14,6 +14,8 @@
     Conflict,
     /// The lease or value is not there.
     Missing,
+    /// The changes since then are no longer known.
+    Compacted,
     /// The service did nothing.
     Refused,
     /// The call may have taken effect.
@@ -40,7 +42,12 @@
         self.category
     }
 
-    pub(crate) fn report<T>(category: Category, message: impl Into<Box<str>>) -> Result<T> {
+    /// Returns a failure.
+    ///
+    /// # Errors
+    ///
+    /// Always, with the category and message.
+    pub fn report<T>(category: Category, message: impl Into<Box<str>>) -> Result<T> {
         Err(Report::new(Self::new(category, message)))
     }
 }
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -1,9 +1,9 @@
 //! The client of the platform's service over HTTP.
 //!
-//! `GET /v1/values/KEY` returns a value, `PUT` writes it (`?expect=missing` or
-//! `?expect=REVISION`, `&lease=ID`), `DELETE` removes it. `POST /v1/leases?ms=N` opens
-//! a lease and `PUT /v1/leases/ID` keeps it. `GET /v1/watch?prefix=P&after=REVISION&ms=N`
-//! returns changes. Bodies are JSON but for values, which are plain text.
+//! `GET /v1/values/KEY` returns a value, `GET /v1/list?prefix=P&after=KEY` a page of them,
+//! and `POST /v1/transactions` makes changes. `POST /v1/leases?ms=N` opens a lease,
+//! `PUT /v1/leases/ID` keeps it and `DELETE` ends it. `GET
+//! /v1/watch?prefix=P&after=REVISION&ms=N` returns changes. Bodies are JSON.
 
 use std::net::SocketAddr;
 
@@ -15,7 +15,7 @@
 use serde::de::DeserializeOwned;
 use web::{Call, Client};
 
-use crate::{Category, Changes, Error, Expect, LeaseId, Result, Store, Value};
+use crate::{Category, Changes, Error, LeaseId, Page, Result, Store, Transaction, Value};
 
 /// A client of the platform's service; clones share a few connections.
 #[derive(Clone, Debug)]
@@ -71,28 +71,18 @@
         from_json(status, &body).map(Some)
     }
 
-    async fn write(
-        &self,
-        key: &str,
-        expect: Expect,
-        text: &str,
-        lease: Option<LeaseId>,
-    ) -> Result<Revision> {
-        let expect = match expect {
-            Expect::Anything => String::new(),
-            Expect::Missing => "expect=missing".to_owned(),
-            Expect::At(revision) => format!("expect={revision}"),
-        };
-        let lease = lease.map_or_else(String::new, |lease| format!("&lease={}", lease.0));
-        let path = format!("/v1/values/{key}?{expect}{lease}");
-        let (status, body) = self.call(Method::PUT, &path, text, 0).await?;
-        from_json::<Written>(status, &body).map(|written| written.revision)
+    async fn list(&self, prefix: &str, after: Option<&str>) -> Result<Page> {
+        let after = after.map_or_else(String::new, |after| format!("&after={after}"));
+        let path = format!("/v1/list?prefix={prefix}{after}");
+        let (status, body) = self.call(Method::GET, &path, "", 0).await?;
+        from_json(status, &body)
     }
 
-    async fn remove(&self, key: &str) -> Result<()> {
-        let path = format!("/v1/values/{key}");
-        let (status, body) = self.call(Method::DELETE, &path, "", 0).await?;
-        check(status, &body)
+    async fn commit(&self, transaction: &Transaction) -> Result<Revision> {
+        let body = serde_json::to_string(transaction)
+            .map_err(|error| Report::new(Error::new(Category::Refused, error.to_string())))?;
+        let (status, body) = self.call(Method::POST, "/v1/transactions", &body, 0).await?;
+        from_json::<Written>(status, &body).map(|written| written.revision)
     }
 
     async fn open_lease(&self, length_ms: u64) -> Result<LeaseId> {
@@ -107,6 +97,12 @@
         check(status, &body)
     }
 
+    async fn end_lease(&self, lease: LeaseId) -> Result<()> {
+        let path = format!("/v1/leases/{}", lease.0);
+        let (status, body) = self.call(Method::DELETE, &path, "", 0).await?;
+        check(status, &body)
+    }
+
     async fn watch(&self, prefix: &str, after: Revision, wait_ms: u64) -> Result<Changes> {
         let path = format!("/v1/watch?prefix={prefix}&after={after}&ms={wait_ms}");
         let (status, body) = self.call(Method::GET, &path, "", wait_ms).await?;
@@ -121,6 +117,7 @@
     let category = match status {
         StatusCode::CONFLICT => Category::Conflict,
         StatusCode::NOT_FOUND => Category::Missing,
+        StatusCode::GONE => Category::Compacted,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Category::Refused,
         status if status.is_client_error() => Category::Refused,
         _ => Category::Unclear,
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -9,7 +9,8 @@
 use tokio::time::{Duration, Instant, sleep, timeout_at};
 
 use crate::{
-    Category, Changes, Entry, Error, Expect, LeaseId, MAX_VALUE_BYTES, Result, Store, Value,
+    Category, Changes, Entry, Error, Expect, LeaseId, MAX_VALUE_BYTES, Page, Result, Store,
+    Transaction, Value,
 };
 
 /// An in-memory service; clones share the values.
@@ -32,6 +33,8 @@
     pub writes_per_s: u64,
     /// The most reads a second, waiting watches included; 0 for no limit.
     pub reads_per_s: u64,
+    /// The most values on a page; 0 for no limit.
+    pub page_items: usize,
 }
 
 /// How many calls were made.
@@ -54,6 +57,8 @@
 #[derive(Debug, Default)]
 struct State {
     revision: u64,
+    /// Changes up to this revision are no longer known.
+    compacted: u64,
     values: BTreeMap<String, Slot>,
     leases: HashMap<LeaseId, Lease>,
     next_lease: u64,
@@ -100,6 +105,12 @@
         self.lock().faults
     }
 
+    /// Forgets what changed up to now: a watch from before that fails.
+    pub fn compact(&self) {
+        let mut state = self.lock();
+        state.compacted = state.revision;
+    }
+
     /// Returns how many calls were made so far.
     #[must_use]
     pub fn usage(&self) -> Usage {
@@ -137,25 +148,47 @@
         }))
     }
 
-    async fn write(
-        &self,
-        key: &str,
-        expect: Expect,
-        text: &str,
-        lease: Option<LeaseId>,
-    ) -> Result<Revision> {
-        if text.len() > MAX_VALUE_BYTES {
+    async fn list(&self, prefix: &str, after: Option<&str>) -> Result<Page> {
+        self.admit(Call::Read).await?;
+        let mut state = self.lock();
+        state.end_leases();
+        let page_items = state.faults.page_items;
+        let present = state
+            .values
+            .iter()
+            .filter(|(key, slot)| key.starts_with(prefix) && slot.text.is_some())
+            .filter(|(key, _)| after.is_none_or(|after| key.as_str() > after));
+        let mut entries: Vec<Entry> = present.map(|(key, slot)| slot.to_entry(key)).collect();
+        let most = if page_items == 0 { entries.len() } else { page_items };
+        let is_truncated = entries.len() > most;
+        entries.truncate(most);
+        Ok(Page { revision: Revision(state.revision), entries, is_truncated })
+    }
+
+    async fn commit(&self, transaction: &Transaction) -> Result<Revision> {
+        if transaction.puts.iter().any(|put| put.text.len() > MAX_VALUE_BYTES) {
             return Error::report(Category::Refused, "value is longer than 1 MB");
         }
         self.admit(Call::Write).await?;
         let mut state = self.lock();
-        if !state.is_expected(key, expect) {
-            return Error::report(Category::Conflict, format!("{key} has another revision"));
+        let refuted =
+            transaction.conditions.iter().find(|row| !state.is_expected(&row.key, row.expect));
+        if let Some(condition) = refuted {
+            let message = format!("{} has another revision", condition.key);
+            return Error::report(Category::Conflict, message);
         }
-        if lease.is_some_and(|lease| !state.leases.contains_key(&lease)) {
+        let mut leases = transaction.puts.iter().filter_map(|put| put.lease);
+        if leases.any(|lease| !state.leases.contains_key(&lease)) {
             return Error::report(Category::Missing, "the lease has ended");
         }
-        let revision = state.put(key, Some(text.to_owned()), lease);
+        state.revision += 1;
+        for put in &transaction.puts {
+            state.put(&put.key, Some(put.text.clone()), put.lease);
+        }
+        for key in &transaction.removals {
+            state.put(key, None, None);
+        }
+        let revision = state.revision;
         let every = state.faults.lose_reply_every;
         let is_lost = every > 0 && state.usage.writes.is_multiple_of(every);
         drop(state);
@@ -166,13 +199,6 @@
         Ok(Revision(revision))
     }
 
-    async fn remove(&self, key: &str) -> Result<()> {
-        self.admit(Call::Write).await?;
-        self.lock().put(key, None, None);
-        self.shared.changed.notify_waiters();
-        Ok(())
-    }
-
     async fn open_lease(&self, length_ms: u64) -> Result<LeaseId> {
         self.admit(Call::Write).await?;
         let mut state = self.lock();
@@ -193,10 +219,26 @@
         Ok(())
     }
 
+    async fn end_lease(&self, lease: LeaseId) -> Result<()> {
+        self.admit(Call::Write).await?;
+        let mut state = self.lock();
+        let Some(known) = state.leases.get_mut(&lease) else {
+            return Error::report(Category::Missing, "the lease has ended");
+        };
+        known.deadline = Instant::now();
+        state.end_leases();
+        drop(state);
+        self.shared.changed.notify_waiters();
+        Ok(())
+    }
+
     async fn watch(&self, prefix: &str, after: Revision, wait_ms: u64) -> Result<Changes> {
         self.admit(Call::Read).await?;
         let deadline = Instant::now() + Duration::from_millis(wait_ms);
         loop {
+            if after.0 > 0 && after.0 < self.lock().compacted {
+                return Error::report(Category::Compacted, "the changes are no longer known");
+            }
             let woken = self.shared.changed.notified();
             let changes = self.lock().changes(prefix, after);
             if !changes.entries.is_empty() || Instant::now() >= deadline {
@@ -212,12 +254,17 @@
     }
 }
 
+impl Slot {
+    fn to_entry(&self, key: &str) -> Entry {
+        let (revision, text) = (Revision(self.revision), self.text.clone());
+        Entry { key: key.to_owned(), revision, text }
+    }
+}
+
 impl State {
-    fn put(&mut self, key: &str, text: Option<String>, lease: Option<LeaseId>) -> u64 {
-        self.revision += 1;
+    fn put(&mut self, key: &str, text: Option<String>, lease: Option<LeaseId>) {
         let slot = Slot { revision: self.revision, text, lease };
         self.values.insert(key.to_owned(), slot);
-        self.revision
     }
 
     fn is_expected(&self, key: &str, expect: Expect) -> bool {
@@ -235,11 +282,7 @@
             .values
             .iter()
             .filter(|(key, slot)| key.starts_with(prefix) && slot.revision > after.0)
-            .map(|(key, slot)| Entry {
-                key: key.clone(),
-                revision: Revision(slot.revision),
-                text: slot.text.clone(),
-            })
+            .map(|(key, slot)| slot.to_entry(key))
             .collect();
         Changes { revision: Revision(self.revision), entries }
     }
@@ -261,6 +304,7 @@
                 .map(|(key, _)| key.clone())
                 .collect();
             for key in keys {
+                self.revision += 1;
                 self.put(&key, None, None);
             }
         }
--- a/crates/store/src/value.rs
+++ b/crates/store/src/value.rs
@@ -16,7 +16,7 @@
 }
 
 /// What a write expects to find.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub enum Expect {
     /// Anything.
     Anything,
@@ -31,6 +31,17 @@
 #[serde(transparent)]
 pub struct LeaseId(pub u64);
 
+/// Some of the values under a prefix.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Page {
+    /// The revision of the service when the page was read.
+    pub revision: Revision,
+    /// The values, in the order of their keys.
+    pub entries: Vec<Entry>,
+    /// Whether there are more after the last one.
+    pub is_truncated: bool,
+}
+
 /// The values under a prefix that changed.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Changes {
@@ -50,3 +61,11 @@
     /// The value; `None` when it was removed.
     pub text: Option<String>,
 }
+
+impl Entry {
+    /// Returns the value, unless it was removed.
+    #[must_use]
+    pub fn into_value(self) -> Option<Value> {
+        self.text.map(|text| Value { revision: self.revision, text })
+    }
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -22,5 +22,5 @@
 
 pub use counter::{Counter, Counters};
 pub use error::{Error, Result};
-pub use log::{LogFormat, init_logs};
+pub use log::{LogFormat, LogQueue, init_logs};
 pub use metrics::Metrics;
--- a/crates/verbenad/src/daemon.rs
+++ b/crates/verbenad/src/daemon.rs
@@ -221,7 +221,7 @@
 
 async fn peer_packets(listener: TcpListener, inputs: mpsc::Sender<Input>) {
     let (packets, mut received) = mpsc::channel(INPUTS);
-    let listening = peer::listen(listener, packets);
+    let listening = peer::listen(listener, packets, |frame| peer::Packet::from_bytes(frame).ok());
     let passing = async {
         while let Some(packet) = received.recv().await {
             if inputs.send(Input::Packet(packet)).await.is_err() {
--- a/crates/verbenad/src/node.rs
+++ b/crates/verbenad/src/node.rs
@@ -1,6 +1,7 @@
 //! The control thread: it owns all control state and carries out what that decides.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use control::{Action, Beat, Event};
@@ -290,7 +291,7 @@
             return;
         }
         if let Some(address) = self.members.address(to) {
-            self.links.send(address, &packet);
+            self.links.send(address, packet.to_bytes());
         }
     }
 
@@ -309,6 +310,9 @@
             suspects: self.own_suspects(),
         };
         let nothing = Name::from("");
+        let live: Vec<SocketAddr> =
+            self.members.live(self.now_ms()).map(|(_, member)| member.address).collect();
+        self.links.retain(|address| live.contains(address));
         for name in self.others() {
             self.send(&name, &nothing, Message::Presence(presence.clone()));
         }
--- a/crates/verbenad/src/operators.rs
+++ b/crates/verbenad/src/operators.rs
@@ -148,7 +148,7 @@
                 let message = "the store did not answer; look with get before trying again";
                 return Fault::new(FaultKind::Unclear, message);
             }
-            Category::Missing | Category::Refused => {
+            Category::Missing | Category::Refused | Category::Compacted => {
                 return Fault::new(FaultKind::Unavailable, report.to_string());
             }
         }
--- a/crates/verbenad/src/outside.rs
+++ b/crates/verbenad/src/outside.rs
@@ -48,7 +48,10 @@
                 Ok(revision) => WriteOutcome::Done(revision),
                 Err(report) => match report.current_context().category() {
                     Category::Conflict => WriteOutcome::Conflict,
-                    Category::Missing | Category::Refused | Category::Unclear => {
+                    Category::Missing
+                    | Category::Compacted
+                    | Category::Refused
+                    | Category::Unclear => {
                         counters.count(Counter::StoreFailures);
                         WriteOutcome::Unknown
                     }
--- a/crates/verbenad/src/watch.rs
+++ b/crates/verbenad/src/watch.rs
@@ -46,8 +46,12 @@
                     return;
                 }
             }
-            Err(_unavailable) => {
+            Err(report) => {
                 counters.count(Counter::StoreFailures);
+                if report.current_context().category() == Category::Compacted {
+                    // What changed meanwhile is no longer known; everything is read again.
+                    after = Revision(0);
+                }
                 sleep(backoff.next().unwrap_or(MOST_PAUSE)).await;
             }
         }
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -8,8 +8,10 @@
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::time::{Duration, Instant, timeout_at};
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::{Category, Error, Result};
 
@@ -17,7 +19,7 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     address: SocketAddr,
-    idle: Arc<Mutex<Vec<SendRequest<Full<Bytes>>>>>,
+    idle: Arc<Mutex<Vec<Connection>>>,
 }
 
 /// One request.
@@ -30,9 +32,22 @@
     limit_ms: u64,
 }
 
+/// A connection; dropping it resets it.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    _driver: AbortOnDropHandle<()>,
+}
+
 /// How many unused connections are kept.
 const MOST_IDLE: usize = 8;
 const DEFAULT_LIMIT_MS: u64 = 1_000;
+/// How long a connection is without a word before it is looked whether it still works.
+///
+/// Some connections go silent without a reset; a watch may wait much longer than this.
+const KEEPALIVE: Duration = Duration::from_millis(1_000);
+/// How many looks without an answer end a connection.
+const KEEPALIVE_LOOKS: u32 = 2;
 
 impl Call {
     /// Creates a request without a body.
@@ -90,7 +105,7 @@
     /// [`Category::Unclear`] when no whole answer came in time.
     pub async fn call(&self, call: Call) -> Result<Response<Bytes>> {
         let deadline = Instant::now() + Duration::from_millis(call.limit_ms);
-        let mut sender = timeout_at(deadline, self.connect())
+        let mut connection = timeout_at(deadline, self.connect())
             .await
             .map_err(|_elapsed| Error::report(Category::NotSent, "connecting took too long"))??;
         let mut request = Request::builder()
@@ -104,7 +119,7 @@
             .body(Full::new(call.body))
             .map_err(|error| Error::report(Category::NotSent, error))?;
         let exchange = async {
-            let response = sender.send_request(request).await?;
+            let response = connection.sender.send_request(request).await?;
             let (head, body) = response.into_parts();
             let body = body.collect().await?.to_bytes();
             Ok::<_, hyper::Error>(Response::from_parts(head, body))
@@ -113,35 +128,51 @@
             .await
             .map_err(|_elapsed| Error::report(Category::Unclear, "no answer came in time"))?
             .map_err(|error| Error::report(Category::Unclear, error))?;
-        self.keep(sender);
+        self.keep(connection);
         Ok(answer)
     }
 
-    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>> {
-        while let Some(mut sender) = self.pop() {
-            if sender.ready().await.is_ok() {
-                return Ok(sender);
+    async fn connect(&self) -> Result<Connection> {
+        while let Some(mut connection) = self.pop() {
+            if connection.sender.ready().await.is_ok() {
+                return Ok(connection);
             }
         }
         let stream = TcpStream::connect(self.address)
             .await
             .map_err(|error| Error::report(Category::NotSent, error))?;
-        stream.set_nodelay(true).map_err(|error| Error::report(Category::NotSent, error))?;
+        set_options(&stream).map_err(|error| Error::report(Category::NotSent, error))?;
         let (sender, connection) = handshake(TokioIo::new(stream))
             .await
             .map_err(|error| Error::report(Category::NotSent, error))?;
-        tokio::spawn(connection);
-        Ok(sender)
+        let driver = tokio::spawn(async move {
+            // How it ends shows in the answers that are waited for.
+            drop(connection.await);
+        });
+        Ok(Connection { sender, _driver: AbortOnDropHandle::new(driver) })
     }
 
-    fn pop(&self) -> Option<SendRequest<Full<Bytes>>> {
+    fn pop(&self) -> Option<Connection> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner).pop()
     }
 
-    fn keep(&self, sender: SendRequest<Full<Bytes>>) {
+    fn keep(&self, connection: Connection) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        if idle.len() < MOST_IDLE && !sender.is_closed() {
-            idle.push(sender);
+        if idle.len() < MOST_IDLE && !connection.sender.is_closed() {
+            idle.push(connection);
         }
     }
 }
+
+/// Has bytes lost with a connection that is dropped, so that an exchange that was given up
+/// is not carried out later, and has silent connections found.
+fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_linger(Some(Duration::ZERO))?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(KEEPALIVE_LOOKS);
+    socket.set_tcp_keepalive(&keepalive)
+}
