Ask everyone who may hold a range before it is granted anew

Cause: a leader that took over a half-done move released the former holder and granted the range to the recorded successor as if it had never held it.

Change: a piece keeps the list of those that may hold it from before; each has to release it or let its grants run out. Records name all of them and are tidied up after moves.

--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -2,7 +2,9 @@
 
 use crate::leader::{Open, Turn};
 use crate::order::Note;
-use crate::piece::{Holder, Piece, ReleaseStep, Step, Successor};
+use crate::piece::{Former, Holder, Piece, Step};
+use registry::Life;
+
 use crate::planning::position;
 use crate::policy::Candidate;
 use crate::{
@@ -26,12 +28,16 @@
     pub(crate) durable: u64,
     write_at_ms: u64,
     pub(crate) is_changed: bool,
+    /// Whether the record names former holders that hold nothing any more.
+    is_record_long: bool,
 }
 
 /// How long to wait after a record could not be written.
 const WRITE_AGAIN_MS: u64 = 150;
 /// How long until a grant that was not answered is sent again.
 const GRANT_AGAIN_MS: u64 = 60;
+/// How long after the last move the record is tidied up.
+const TIDY_MS: u64 = 250;
 /// How often a server may meet a higher fence before somebody else must lead.
 const MOST_REFUSALS: u32 = 3;
 
@@ -47,30 +53,34 @@
             durable: 0,
             write_at_ms: 0,
             is_changed: true,
+            is_record_long: false,
         }
     }
 
     /// Goes on with what an earlier leader recorded.
+    ///
+    /// That leader may have got as far as granting a range to its recorded owner, or not;
+    /// whoever may hold it from before is asked to release it first.
     pub(crate) fn take_over(
         record: &Record,
         now_ms: u64,
         fences: &mut crate::leader::Fences,
         tuning: &Tuning,
     ) -> Self {
-        let pieces = record.shares.iter().map(|share| {
-            let life = share.previous.as_ref().unwrap_or(&share.owner);
-            let holder = Holder {
-                standing_until_ms: tuning.stands_until_ms(now_ms, tuning.longest_hold_ms),
-                serves: share.previous.is_none(),
-                ..Holder::new(life.clone(), fences.next())
-            };
-            let successor = share.previous.is_some().then(|| Successor {
-                life: share.owner.clone(),
-                record: 0,
-                why: Why::Load,
-                release: ReleaseStep::NotYet,
-            });
-            Piece { range: share.range, holder: Some(holder), successor, handover: None }
+        let standing_until_ms = tuning.stands_until_ms(now_ms, tuning.longest_hold_ms);
+        let to_former = |life: &Life| Former {
+            life: life.clone(),
+            standing_until_ms,
+            release_at_ms: Some(now_ms),
+        };
+        let pieces = record.shares.iter().map(|share| Piece {
+            holder: Some(Holder {
+                standing_until_ms,
+                serves: true,
+                ..Holder::new(share.owner.clone(), fences.next())
+            }),
+            formers: share.previous.iter().map(to_former).collect(),
+            ..Piece::free(share.range)
         });
         Self { pieces: pieces.collect(), ..Self::new(0) }
     }
@@ -150,21 +160,22 @@
     ) -> bool {
         let mut is_deposed = false;
         for piece in self.pieces.iter_mut().filter(|piece| piece.range.overlaps(grant.range)) {
+            let until_ms = tuning.stands_until_ms(now_ms, grant.hold_ms);
+            let may_stand = matches!(reply, Reply::Done(_) | Reply::Unclear);
+            if may_stand {
+                piece.note_grant(&order.life, until_ms);
+            }
             let Some(holder) = piece.holder.as_mut().filter(|holder| holder.life == order.life)
             else {
                 continue;
             };
-            if matches!(reply, Reply::Done(_) | Reply::Unclear) {
-                let until_ms = tuning.stands_until_ms(now_ms, grant.hold_ms);
-                holder.standing_until_ms = holder.standing_until_ms.max(until_ms);
-            }
             if holder.fence != grant.fence {
                 continue;
             }
             match reply {
                 Reply::Done(_) => {
                     // A grant with a new fence replaces all earlier ones of the server.
-                    holder.standing_until_ms = tuning.stands_until_ms(now_ms, grant.hold_ms);
+                    holder.standing_until_ms = until_ms;
                     holder.failures = 0;
                     holder.refusals = 0;
                     self.is_changed |= !holder.serves;
@@ -195,17 +206,17 @@
 
     fn release_answered(&mut self, now_ms: u64, order: &Open, release: &Release, reply: Reply) {
         for piece in self.pieces.iter_mut().filter(|piece| piece.range.overlaps(release.range)) {
-            let is_awaited = piece.holder.as_ref().is_some_and(|holder| holder.life == order.life)
-                && piece.successor.as_ref().is_some_and(|next| next.release == ReleaseStep::Sent);
-            if !is_awaited {
-                continue;
-            }
+            let former = piece
+                .formers
+                .iter()
+                .position(|former| former.life == order.life && former.release_at_ms.is_none());
+            let Some(at) = former else { continue };
             if let Reply::Done(handover) = &reply {
-                piece.holder = None;
+                piece.formers.remove(at);
                 piece.handover.clone_from(handover);
                 self.is_changed = true;
-            } else if let Some(successor) = &mut piece.successor {
-                successor.release = ReleaseStep::At(now_ms + GRANT_AGAIN_MS);
+            } else {
+                piece.formers[at].release_at_ms = Some(now_ms + GRANT_AGAIN_MS);
             }
         }
     }
@@ -232,17 +243,19 @@
         }
     }
 
-    /// Lets go of holders that hold nothing any more, and of successors that left.
+    /// Lets go of those that hold nothing any more, and of successors that left.
     fn drop_lost(&mut self, turn: &Turn<'_>, candidates: &[Candidate]) {
+        let registry = turn.servers.registry;
         for piece in &mut self.pieces {
             let is_restarted = piece
                 .holder
                 .as_ref()
-                .is_some_and(|holder| turn.servers.registry.has_later_life(&holder.life));
+                .is_some_and(|holder| registry.has_later_life(&holder.life));
             if is_restarted {
                 piece.holder = None;
                 self.is_changed = true;
             }
+            piece.formers.retain(|former| !registry.has_later_life(&former.life));
             let is_unwelcome = piece
                 .successor
                 .as_ref()
@@ -257,27 +270,22 @@
     /// Sends the orders that are due.
     fn carry_out(&mut self, turn: &mut Turn<'_>) {
         self.join_alike(turn);
-        for at in 0..self.pieces.len() {
-            let piece = &mut self.pieces[at];
+        for piece in &mut self.pieces {
+            self.is_changed |= release_formers(piece, turn);
             let stands_until_ms = piece.holder.as_ref().map_or(0, |holder| {
-                let open_ms = turn.orders.stand_until_ms(&holder.life, piece.range, turn.tuning);
-                holder.standing_until_ms.max(open_ms)
+                turn.stands_until_ms(&holder.life, piece.range, holder.standing_until_ms)
             });
-            let step = piece.next(turn.now_ms, stands_until_ms, self.durable, turn.tuning.failures);
-            match step {
-                Step::Wait | Step::Choose(_) => {}
-                Step::Announce => {
-                    self.is_changed = true;
-                    if let Some(successor) = &mut piece.successor {
-                        successor.release =
-                            ReleaseStep::At(turn.now_ms + turn.tuning.release_delay_ms);
-                    }
-                }
-                Step::Release => release(piece, turn, stands_until_ms),
+            match piece.next(turn.now_ms, stands_until_ms, self.durable) {
+                Step::Wait => {}
                 Step::Lapse => {
                     self.is_changed = true;
                     lapse(piece, turn);
                 }
+                Step::Dismiss => {
+                    self.is_changed = true;
+                    self.is_record_long = true;
+                    piece.dismiss(turn.now_ms + turn.tuning.release_delay_ms);
+                }
                 Step::Install => {
                     self.is_changed = true;
                     install(piece, turn);
@@ -318,8 +326,17 @@
         left.range.join(right.range)
     }
 
-    /// Has the record written when plans wait for it.
+    /// Has the record written when plans wait for it, and some time after moves.
+    ///
+    /// Those that gave a range up stand in the record until then, and a later leader would
+    /// ask them again.
     fn write(&mut self, turn: &mut Turn<'_>) {
+        let is_quiet = self.pieces.iter().all(|piece| piece.previous().is_empty());
+        if self.is_record_long && is_quiet && self.writing.is_none() {
+            self.is_record_long = false;
+            self.wanted = self.wanted.max(self.durable) + 1;
+            self.write_at_ms = turn.now_ms + TIDY_MS;
+        }
         let is_due = self.wanted > self.durable && self.writing.is_none();
         if !is_due || turn.now_ms < self.write_at_ms {
             return;
@@ -335,12 +352,7 @@
         let mut shares: Vec<Share> = Vec::new();
         for piece in &self.pieces {
             let owner = piece.final_life()?.clone();
-            let previous = piece
-                .holder
-                .as_ref()
-                .map(|holder| &holder.life)
-                .filter(|life| **life != owner)
-                .cloned();
+            let previous = piece.previous();
             if let Some(last) = shares.last_mut()
                 && last.owner == owner
                 && last.previous == previous
@@ -355,21 +367,30 @@
     }
 }
 
-fn release(piece: &mut Piece, turn: &mut Turn<'_>, stands_until_ms: u64) {
-    let fence = turn.fences.next();
-    if let (Some(holder), Some(successor)) = (&mut piece.holder, &mut piece.successor) {
-        successor.release = ReleaseStep::Sent;
-        holder.is_dismissed = true;
-        let life = holder.life.clone();
-        turn.release(&life, Release { range: piece.range, fence }, stands_until_ms);
-    }
+/// Has former holders release a piece; returns whether one of them was let go.
+fn release_formers(piece: &mut Piece, turn: &mut Turn<'_>) -> bool {
+    let range = piece.range;
+    let before = piece.formers.len();
+    piece.formers.retain_mut(|former| {
+        let until_ms = turn.stands_until_ms(&former.life, range, former.standing_until_ms);
+        if turn.now_ms >= until_ms {
+            turn.note_lapse(range, &former.life);
+            return false;
+        }
+        if former.release_at_ms.is_some_and(|at_ms| turn.now_ms >= at_ms) {
+            former.release_at_ms = None;
+            let fence = turn.fences.next();
+            turn.release(&former.life, Release { range, fence }, until_ms);
+        }
+        true
+    });
+    piece.formers.len() != before
 }
 
 fn lapse(piece: &mut Piece, turn: &mut Turn<'_>) {
     let Some(holder) = piece.holder.take() else { return };
     piece.handover = None;
-    let (service, range) = (turn.service.clone(), piece.range);
-    turn.outputs.push(Output::Note(Note::Lapsed { service, range, from: holder.life }));
+    turn.note_lapse(piece.range, &holder.life);
 }
 
 /// Makes the successor the holder.
@@ -392,17 +413,17 @@
 }
 
 fn to_owner(piece: &Piece, now_ms: u64) -> Owner {
-    match (&piece.holder, &piece.successor) {
-        (Some(holder), None) if holder.serves => Owner::Server(holder.life.clone()),
-        (Some(holder), None) => Owner::Moving(holder.life.clone()),
-        (Some(holder), Some(successor)) => match successor.release {
-            ReleaseStep::NotYet if holder.serves => Owner::Server(holder.life.clone()),
-            _ if successor.why == Why::Silent => {
-                Owner::Nobody { for_ms: holder.standing_until_ms.saturating_sub(now_ms) }
-            }
-            _ => Owner::Moving(successor.life.clone()),
+    if let Some(holder) = piece.holder.as_ref().filter(|holder| holder.serves) {
+        return Owner::Server(holder.life.clone());
+    }
+    let standing = piece.formers.iter().map(|former| former.standing_until_ms);
+    let for_ms = standing.max().unwrap_or(0).saturating_sub(now_ms);
+    match &piece.successor {
+        Some(successor) if successor.why == Why::Silent && for_ms > 0 => Owner::Nobody { for_ms },
+        Some(successor) => Owner::Moving(successor.life.clone()),
+        None => match &piece.holder {
+            Some(holder) => Owner::Moving(holder.life.clone()),
+            None => Owner::Nobody { for_ms },
         },
-        (None, Some(successor)) => Owner::Moving(successor.life.clone()),
-        (None, None) => Owner::Nobody { for_ms: 0 },
     }
 }
--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -7,6 +7,7 @@
 use registry::{Life, Registration, Registry};
 
 use crate::assignment::Assignment;
+use crate::order::Note;
 use crate::policy::Candidate;
 use crate::{
     Epoch, Event, Fence, Grant, KeyLoad, KeyRange, OrderId, OrderKind, Output, Record, Release,
@@ -280,6 +281,16 @@
         self.order(life, OrderKind::Release(release), deadline_ms);
     }
 
+    /// Returns until when grants to a server may stand, those on their way included.
+    pub(crate) fn stands_until_ms(&self, life: &Life, range: KeyRange, settled_ms: u64) -> u64 {
+        settled_ms.max(self.orders.stand_until_ms(life, range, self.tuning))
+    }
+
+    pub(crate) fn note_lapse(&mut self, range: KeyRange, from: &Life) {
+        let (service, from) = (self.service.clone(), from.clone());
+        self.outputs.push(Output::Note(Note::Lapsed { service, range, from }));
+    }
+
     fn order(&mut self, life: &Life, kind: OrderKind, deadline_ms: u64) {
         let registered = self.servers.registry.get(life);
         let Some(server) = registered.or_else(|| self.orders.known.get(life)) else { return };
--- a/crates/shard/src/piece.rs
+++ b/crates/shard/src/piece.rs
@@ -5,16 +5,20 @@
 use crate::{Fence, Handover, KeyRange, Why};
 
 /// A range of keys on its way through grants, releases and new holders.
+///
+/// At most one server is to hold it. Others may still do so from before: nobody gets a
+/// grant until each of them has released the range or its last grant has run out.
 #[derive(Clone, Debug)]
 pub(crate) struct Piece {
     pub(crate) range: KeyRange,
     pub(crate) holder: Option<Holder>,
+    pub(crate) formers: Vec<Former>,
     pub(crate) successor: Option<Successor>,
     /// What the last holder gave when it released the range.
     pub(crate) handover: Option<Handover>,
 }
 
-/// Who may hold a range.
+/// Who holds a range.
 #[derive(Clone, Debug)]
 pub(crate) struct Holder {
     pub(crate) life: Life,
@@ -29,8 +33,16 @@
     pub(crate) refusals: u32,
     /// Whether the server has taken the grant.
     pub(crate) serves: bool,
-    /// Whether it was told to stop; it may hold the range again only under a new fence.
-    pub(crate) is_dismissed: bool,
+}
+
+/// Who may still hold a range from before.
+#[derive(Clone, Debug)]
+pub(crate) struct Former {
+    pub(crate) life: Life,
+    /// Until when grants that are no longer on their way may stand.
+    pub(crate) standing_until_ms: u64,
+    /// When to send the next release; `None` while one is on its way.
+    pub(crate) release_at_ms: Option<u64>,
 }
 
 /// Who is to hold a range next.
@@ -40,18 +52,6 @@
     /// The number of the record that names it.
     pub(crate) record: u64,
     pub(crate) why: Why,
-    pub(crate) release: ReleaseStep,
-}
-
-/// How far the present holder is with giving a range up.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum ReleaseStep {
-    /// The holder goes on serving.
-    NotYet,
-    /// Daemons were told; the order goes out at this time.
-    At(u64),
-    /// The order is on its way.
-    Sent,
 }
 
 /// What a piece needs next.
@@ -59,14 +59,10 @@
 pub(crate) enum Step {
     /// Nothing.
     Wait,
-    /// A server to hold it.
-    Choose(Why),
-    /// The first order of a move: tell the daemons.
-    Announce,
-    /// A release.
-    Release,
-    /// The end of its holder's last grant has passed.
+    /// Its holder's last grant has run out.
     Lapse,
+    /// Its holder has to give it up: the record names a successor.
+    Dismiss,
     /// A first grant for its successor.
     Install,
     /// A renewal.
@@ -75,40 +71,49 @@
 
 impl Piece {
     pub(crate) fn free(range: KeyRange) -> Self {
-        Self { range, holder: None, successor: None, handover: None }
+        Self { range, holder: None, formers: Vec::new(), successor: None, handover: None }
     }
 
     /// Says what is next; `stands_until_ms` counts grants on their way too.
-    pub(crate) fn next(
-        &self,
-        now_ms: u64,
-        stands_until_ms: u64,
-        durable: u64,
-        failures: u32,
-    ) -> Step {
-        match (&self.holder, &self.successor) {
-            (None, None) => Step::Choose(Why::Free),
-            (None, Some(successor)) if durable >= successor.record => Step::Install,
-            (None, Some(_)) => Step::Wait,
-            (Some(holder), _) if now_ms >= stands_until_ms && !holder.is_untried() => Step::Lapse,
-            (Some(holder), None) if holder.is_dismissed || holder.failures >= failures => {
-                Step::Choose(Why::Silent)
-            }
-            (Some(holder), None) => renewal(holder, now_ms),
-            (Some(holder), Some(successor)) if durable < successor.record => {
-                renewal(holder, now_ms)
-            }
-            (Some(_), Some(successor)) => match successor.release {
-                ReleaseStep::NotYet => Step::Announce,
-                ReleaseStep::At(at_ms) if now_ms >= at_ms => Step::Release,
-                ReleaseStep::At(_) | ReleaseStep::Sent => Step::Wait,
-            },
+    pub(crate) fn next(&self, now_ms: u64, stands_until_ms: u64, durable: u64) -> Step {
+        let is_durable =
+            self.successor.as_ref().is_some_and(|successor| durable >= successor.record);
+        match &self.holder {
+            None if is_durable && self.formers.is_empty() => Step::Install,
+            None => Step::Wait,
+            Some(holder) if now_ms >= stands_until_ms && !holder.is_untried() => Step::Lapse,
+            Some(_) if is_durable => Step::Dismiss,
+            Some(holder) if self.formers.is_empty() && now_ms >= holder.renew_at_ms => Step::Renew,
+            Some(_) => Step::Wait,
+        }
+    }
+
+    /// Has the holder give the range up from some time on.
+    pub(crate) fn dismiss(&mut self, release_at_ms: u64) {
+        if let Some(holder) = self.holder.take() {
+            self.formers.push(Former {
+                life: holder.life,
+                standing_until_ms: holder.standing_until_ms,
+                release_at_ms: Some(release_at_ms),
+            });
+        }
+    }
+
+    /// Notes until when a grant to a server may stand.
+    pub(crate) fn note_grant(&mut self, life: &Life, until_ms: u64) {
+        let holder = self.holder.iter_mut().filter(|holder| holder.life == *life);
+        let formers = self.formers.iter_mut().filter(|former| former.life == *life);
+        let holder = holder.map(|holder| &mut holder.standing_until_ms);
+        for standing_until_ms in holder.chain(formers.map(|former| &mut former.standing_until_ms)) {
+            *standing_until_ms = until_ms.max(*standing_until_ms);
         }
     }
 
     /// Returns whether the piece is at rest with its holder.
     pub(crate) fn is_settled(&self) -> bool {
-        self.successor.is_none() && self.holder.as_ref().is_some_and(|holder| holder.serves)
+        self.successor.is_none()
+            && self.formers.is_empty()
+            && self.holder.as_ref().is_some_and(|holder| holder.serves)
     }
 
     /// Returns the server that will hold the piece in the end, as planned now.
@@ -120,6 +125,15 @@
         }
     }
 
+    /// Returns who may hold the range besides the final holder.
+    pub(crate) fn previous(&self) -> Vec<Life> {
+        let owner = self.final_life();
+        let holder = self.holder.iter().map(|holder| &holder.life);
+        let formers = self.formers.iter().map(|former| &former.life);
+        // A former holder that is to be the owner again still has to be asked.
+        holder.filter(|life| Some(*life) != owner).chain(formers).cloned().collect()
+    }
+
     /// Cuts the piece before a key; both parts keep all that is known.
     pub(crate) fn split_off(&mut self, key: u16) -> Option<Self> {
         let (left, right) = self.range.split_at(key)?;
@@ -128,6 +142,12 @@
     }
 }
 
+impl Successor {
+    pub(crate) fn new(life: Life, record: u64, why: Why) -> Self {
+        Self { life, record, why }
+    }
+}
+
 impl Holder {
     /// Creates the holder of a range that was never granted to it.
     pub(crate) fn new(life: Life, fence: Fence) -> Self {
@@ -139,7 +159,6 @@
             failures: 0,
             refusals: 0,
             serves: false,
-            is_dismissed: false,
         }
     }
 
@@ -148,8 +167,3 @@
         self.standing_until_ms == 0 && self.failures == 0
     }
 }
-
-fn renewal(holder: &Holder, now_ms: u64) -> Step {
-    let is_due = now_ms >= holder.renew_at_ms && !holder.is_dismissed;
-    if is_due { Step::Renew } else { Step::Wait }
-}
--- a/crates/shard/src/planning.rs
+++ b/crates/shard/src/planning.rs
@@ -5,7 +5,7 @@
 use crate::assignment::Assignment;
 use crate::leader::Turn;
 use crate::order::Note;
-use crate::piece::{Piece, ReleaseStep, Successor};
+use crate::piece::{Piece, Successor};
 use crate::policy::{self, Candidate};
 use crate::{KeyRange, Output, Why};
 
@@ -46,12 +46,7 @@
             .into_iter()
             .map(|(range, life)| {
                 note_plan(turn, range, None, &life, Why::Free);
-                let successor = Successor {
-                    life,
-                    record: self.wanted,
-                    why: Why::Free,
-                    release: ReleaseStep::NotYet,
-                };
+                let successor = Successor::new(life, self.wanted, Why::Free);
                 Piece { successor: Some(successor), ..Piece::free(range) }
             })
             .collect();
@@ -63,18 +58,19 @@
         if piece.successor.is_some() {
             return None;
         }
-        let Some(holder) = &piece.holder else { return Some(Why::Free) };
+        let Some(holder) = &piece.holder else {
+            return Some(if piece.formers.is_empty() { Why::Free } else { Why::Silent });
+        };
         if !turn.servers.registry.is_welcome(&holder.life) {
             return Some(Why::Leaving);
         }
-        let is_silent = holder.is_dismissed || holder.failures >= turn.tuning.failures;
-        is_silent.then_some(Why::Silent)
+        (holder.failures >= turn.tuning.failures).then_some(Why::Silent)
     }
 
     /// Chooses a successor for a piece, and cuts it when it is much for one server.
     fn choose(&mut self, turn: &mut Turn<'_>, at: usize, why: Why, candidates: &mut [Candidate]) {
         let holder = self.pieces[at].holder.as_ref().map(|holder| holder.life.clone());
-        let portion = policy::portion(candidates);
+        let portion = policy::portion(&self.load, candidates.len());
         let range = self.pieces[at].range;
         if self.load.of(range) > portion * 1.5
             && let Some(cut) = self.load.cut(range, portion)
@@ -106,8 +102,7 @@
         let piece = &mut self.pieces[at];
         let from = piece.holder.as_ref().map(|holder| holder.life.clone());
         note_plan(turn, piece.range, from, &to, why);
-        piece.successor =
-            Some(Successor { life: to, record: self.wanted, why, release: ReleaseStep::NotYet });
+        piece.successor = Some(Successor::new(to, self.wanted, why));
     }
 
     /// Evens load out, a few moves at a time.
@@ -134,32 +129,37 @@
         why: Why,
         candidates: &mut [Candidate],
     ) -> bool {
-        let Some(at) = self.isolate(next.range) else { return false };
-        let load = self.load.of(next.range);
-        let from = self.pieces[at].final_life().and_then(|life| position(candidates, life));
-        if let Some(from) = from {
-            candidates[from].load -= load;
+        self.cut(next.range.from());
+        if let Some(after) = next.range.to().checked_add(1) {
+            self.cut(after);
         }
-        if let Some(to) = position(candidates, &next.to) {
-            candidates[to].load += load;
+        let moved = (0..self.pieces.len()).filter(|at| self.pieces[*at].range.overlaps(next.range));
+        let moved: Vec<usize> = moved.collect();
+        if !moved.iter().all(|at| self.pieces[*at].is_settled()) {
+            return false;
+        }
+        for at in moved {
+            let load = self.load.of(self.pieces[at].range);
+            let from = self.pieces[at].final_life().and_then(|life| position(candidates, life));
+            if let Some(from) = from {
+                candidates[from].load -= load;
+            }
+            if let Some(to) = position(candidates, &next.to) {
+                candidates[to].load += load;
+            }
+            self.plan(turn, at, next.to.clone(), why);
         }
-        self.plan(turn, at, next.to.clone(), why);
         true
     }
 
-    /// Cuts pieces so that one of them is the range; returns its position.
-    fn isolate(&mut self, range: KeyRange) -> Option<usize> {
-        let mut at = self.pieces.iter().position(|piece| piece.range.contains(range.from()))?;
-        if let Some(rest) = self.pieces[at].split_off(range.from()) {
-            self.pieces.insert(at + 1, rest);
-            at += 1;
-        }
-        if let Some(next) = range.to().checked_add(1)
-            && let Some(rest) = self.pieces[at].split_off(next)
+    /// Cuts the piece with a key before that key.
+    fn cut(&mut self, key: u16) {
+        let at = self.pieces.iter().position(|piece| piece.range.contains(key));
+        if let Some(at) = at
+            && let Some(rest) = self.pieces[at].split_off(key)
         {
             self.pieces.insert(at + 1, rest);
         }
-        (self.pieces[at].range == range).then_some(at)
     }
 }
 
--- a/crates/shard/src/policy.rs
+++ b/crates/shard/src/policy.rs
@@ -61,11 +61,10 @@
     parts
 }
 
-/// Returns the load that a piece can be cut into when its holder leaves.
-pub(crate) fn portion(candidates: &[Candidate]) -> f32 {
-    let total: f32 = candidates.iter().map(|candidate| candidate.load).sum();
-    let servers = f32::from(u16::try_from(candidates.len()).unwrap_or(u16::MAX)).max(1.0);
-    total / servers / PORTIONS
+/// Returns the load of the parts that a piece is cut into when its holder leaves.
+pub(crate) fn portion(load: &KeyLoad, servers: usize) -> f32 {
+    let servers = f32::from(u16::try_from(servers).unwrap_or(u16::MAX)).max(1.0);
+    load.total() / servers / PORTIONS
 }
 
 /// A leaving server's keys go to about this many others.
@@ -153,28 +152,41 @@
 /// A piece with at least this part of the wanted load is moved whole.
 const FITTING_PART: f32 = 0.6;
 
-/// Finds a small, quiet piece between two pieces of one server, and joins it to them.
+/// Finds a small, quiet run of one server's pieces, and joins it to a larger run beside it.
 pub(crate) fn join(pieces: &[Piece], load: &KeyLoad, candidates: &[Candidate]) -> Option<Move> {
     let total: f32 = candidates.iter().map(|candidate| candidate.load).sum();
     let capacity: f32 = candidates.iter().map(|candidate| candidate.capacity).sum();
-    let piece = pieces.windows(2).find_map(|pair| {
+    let runs = runs(pieces);
+    runs.windows(2).find_map(|pair| {
         let [left, right] = pair else { return None };
-        if !left.is_settled() || !right.is_settled() {
-            return None;
-        }
         let (small, large) =
-            if left.range.count() < right.range.count() { (left, right) } else { (right, left) };
-        let to = large.final_life()?;
-        if small.final_life() == Some(to) {
-            return None;
-        }
-        let moved = load.of(small.range);
+            if left.0.count() < right.0.count() { (left, right) } else { (right, left) };
+        let (range, to) = (small.0, large.1?);
+        let moved = load.of(range);
         let to = candidates.iter().find(|candidate| candidate.life == *to)?;
         let share = total * to.capacity / capacity;
-        let is_quiet = small.range.count() <= JOINED_KEYS && moved < share * JOINED_PART;
-        (is_quiet && to.load + moved <= share).then(|| (small.range, to.life.clone()))
-    });
-    piece.map(|(range, to)| Move { range, to })
+        let is_quiet = range.count() <= JOINED_KEYS && moved < share * JOINED_PART;
+        let is_settled = small.1.is_some();
+        let has_room = to.load + moved <= share;
+        (is_quiet && is_settled && has_room).then(|| Move { range, to: to.life.clone() })
+    })
+}
+
+/// Returns the ranges that lie side by side with one holder; `None` for those on the move.
+fn runs(pieces: &[Piece]) -> Vec<(KeyRange, Option<&Life>)> {
+    let mut runs: Vec<(KeyRange, Option<&Life>)> = Vec::new();
+    for piece in pieces {
+        let life = piece.final_life().filter(|_| piece.is_settled());
+        if let Some(last) = runs.last_mut()
+            && last.1 == life
+            && let Some(range) = last.0.join(piece.range)
+        {
+            last.0 = range;
+            continue;
+        }
+        runs.push((piece.range, life));
+    }
+    runs
 }
 
 /// Pieces with more keys than this are worth keeping: moving them has its price.
--- a/crates/shard/src/record.rs
+++ b/crates/shard/src/record.rs
@@ -27,7 +27,7 @@
     /// Who may hold them from now on.
     pub owner: Life,
     /// Who may still hold them from before.
-    pub previous: Option<Life>,
+    pub previous: Vec<Life>,
 }
 
 /// The stored form: lives stand once, ranges point to them.
@@ -36,7 +36,7 @@
     epoch: u64,
     number: u64,
     lives: Vec<Life>,
-    ranges: Vec<(u16, u16, usize, Option<usize>)>,
+    ranges: Vec<(u16, u16, usize, Vec<usize>)>,
 }
 
 impl Record {
@@ -55,7 +55,7 @@
             .shares
             .iter()
             .map(|share| {
-                let previous = share.previous.as_ref().map(&mut position);
+                let previous = share.previous.iter().map(&mut position).collect();
                 (share.range.from(), share.range.to(), position(&share.owner), previous)
             })
             .collect();
@@ -71,12 +71,9 @@
         let shares: Option<Vec<Share>> = stored
             .ranges
             .iter()
-            .map(|&(from, to, owner, previous)| {
-                let previous = match previous {
-                    Some(at) => Some(life(at)?),
-                    None => None,
-                };
-                Some(Share { range: KeyRange::new(from, to)?, owner: life(owner)?, previous })
+            .map(|(from, to, owner, previous)| {
+                let previous = previous.iter().map(|at| life(*at)).collect::<Option<_>>()?;
+                Some(Share { range: KeyRange::new(*from, *to)?, owner: life(*owner)?, previous })
             })
             .collect();
         let record = Self { epoch: stored.epoch, number: stored.number, shares: shares? };
