--- a/crates/document/src/form.rs
+++ b/crates/document/src/form.rs
@@ -38,7 +38,7 @@
 
 /// A length of time in milliseconds.
 pub const DURATION: Form<u64> =
-    Form { read: read_duration, expected: "a duration with a unit: 250ms, 2.5s, 10m or 1h" };
+    Form { read: read_duration, expected: "a duration with a unit: 250ms, 3s, 10m or 1h" };
 
 /// A size in bytes.
 pub const SIZE: Form<u64> =
--- a/crates/gateway/src/leading.rs
+++ b/crates/gateway/src/leading.rs
@@ -112,7 +112,7 @@
                     self.send_order(id, server, kind, deadline_ms);
                 }
                 Output::Write { service, record } => self.write_record(service, record),
-                Output::Publish { service: _ } => is_changed = true,
+                Output::Publish { .. } => is_changed = true,
                 Output::Deposed => {
                     self.resign("a server has seen a higher fence");
                     return;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -28,6 +28,7 @@
 use crate::{BootClock, Orders, Settings, Shared, Source, View};
 
 /// What a daemon believes.
+#[expect(clippy::struct_excessive_bools, reason = "each is a belief of its own")]
 pub(crate) struct Node<S, O, R> {
     pub(crate) settings: Settings,
     pub(crate) store: S,
@@ -228,17 +229,25 @@
 
     fn take_changes(&mut self, topic: Topic, entries: &[Entry]) {
         match topic {
-            Topic::Site => entries.iter().for_each(|entry| self.take_site(entry)),
+            Topic::Site => {
+                for entry in entries {
+                    self.take_site(entry);
+                }
+            }
             Topic::Servers => {
                 if !self.store_answers {
                     // Entries may have lapsed while servers could not write either.
                     self.registry.list_returned(self.clock.now_ms());
                 }
-                entries.iter().for_each(|entry| self.take_server(entry));
+                for entry in entries {
+                    self.take_server(entry);
+                }
                 self.step(Event::Tick);
             }
             Topic::Fleet => {
-                entries.iter().for_each(|entry| self.take_fleet(entry));
+                for entry in entries {
+                    self.take_fleet(entry);
+                }
                 self.campaign_if_needed();
             }
         }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -27,7 +27,7 @@
 #[path = "generated/peer.rs"]
 mod wire;
 
-#[expect(clippy::pedantic, clippy::enum_variant_names, reason = "generated from proto/fleet.proto")]
+#[expect(clippy::pedantic, reason = "generated from proto/fleet.proto")]
 #[rustfmt::skip]
 #[path = "generated/fleet.rs"]
 mod fleet_wire;
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -9,8 +9,8 @@
     left_milli: AtomicU32,
     /// What one request adds, in thousandths of a retry.
     earned_milli: u32,
-    /// The most that can be saved up, in thousandths of a retry.
-    most_milli: AtomicU32,
+    /// The most retries that can be saved up.
+    most: AtomicU32,
 }
 
 /// What one retry costs, in thousandths.
@@ -25,7 +25,7 @@
         Self {
             left_milli: AtomicU32::new(MOST_RETRIES * COST_MILLI),
             earned_milli: EARNED_MILLI,
-            most_milli: AtomicU32::new(MOST_RETRIES * COST_MILLI),
+            most: AtomicU32::new(MOST_RETRIES),
         }
     }
 }
@@ -38,21 +38,17 @@
     /// before still counts.
     #[must_use]
     pub fn new(earned_milli: u32, most_retries: u32) -> Self {
-        Self {
-            left_milli: AtomicU32::new(0),
-            earned_milli,
-            most_milli: AtomicU32::new(most_retries.saturating_mul(COST_MILLI)),
-        }
+        Self { left_milli: AtomicU32::new(0), earned_milli, most: AtomicU32::new(most_retries) }
     }
 
     /// Changes how much can be saved up.
     pub fn set_most(&self, most_retries: u32) {
-        self.most_milli.store(most_retries.saturating_mul(COST_MILLI), Ordering::Relaxed);
+        self.most.store(most_retries, Ordering::Relaxed);
     }
 
     /// Notes a new request.
     pub fn earn(&self) {
-        let most = self.most_milli.load(Ordering::Relaxed);
+        let most = self.most.load(Ordering::Relaxed).saturating_mul(COST_MILLI);
         let left = self.left_milli.load(Ordering::Relaxed);
         if left < most {
             self.left_milli.fetch_add(self.earned_milli.min(most - left), Ordering::Relaxed);
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -134,13 +134,13 @@
         &mut self,
         now_ms: u64,
         order: &Open,
-        reply: Reply,
+        reply: &Reply,
         tuning: &Tuning,
         outputs: &mut Vec<Output>,
     ) -> bool {
         match &order.kind {
             OrderKind::Grant(grant) => {
-                self.grant_answered(now_ms, order, grant, &reply, tuning, outputs)
+                self.grant_answered(now_ms, order, grant, reply, tuning, outputs)
             }
             OrderKind::Release(release) => {
                 self.release_answered(now_ms, order, release, reply);
@@ -204,14 +204,14 @@
         is_deposed
     }
 
-    fn release_answered(&mut self, now_ms: u64, order: &Open, release: &Release, reply: Reply) {
+    fn release_answered(&mut self, now_ms: u64, order: &Open, release: &Release, reply: &Reply) {
         for piece in self.pieces.iter_mut().filter(|piece| piece.range.overlaps(release.range)) {
             let former = piece
                 .formers
                 .iter()
                 .position(|former| former.life == order.life && former.release_at_ms.is_none());
             let Some(at) = former else { continue };
-            if let Reply::Done(handover) = &reply {
+            if let Reply::Done(handover) = reply {
                 piece.formers.remove(at);
                 piece.handover.clone_from(handover);
                 self.is_changed = true;
@@ -247,10 +247,8 @@
     fn drop_lost(&mut self, turn: &Turn<'_>, candidates: &[Candidate]) {
         let registry = turn.servers.registry;
         for piece in &mut self.pieces {
-            let is_restarted = piece
-                .holder
-                .as_ref()
-                .is_some_and(|holder| registry.has_later_life(&holder.life));
+            let is_restarted =
+                piece.holder.as_ref().is_some_and(|holder| registry.has_later_life(&holder.life));
             if is_restarted {
                 piece.holder = None;
                 self.is_changed = true;
--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -248,7 +248,7 @@
     fn answered(&mut self, now_ms: u64, id: OrderId, reply: Reply, outputs: &mut Vec<Output>) {
         let Some(order) = self.orders.open.remove(&id) else { return };
         let Some(assignment) = self.assignments.get_mut(&order.service) else { return };
-        let is_deposed = assignment.answered(now_ms, &order, reply, &self.tuning, outputs);
+        let is_deposed = assignment.answered(now_ms, &order, &reply, &self.tuning, outputs);
         if is_deposed {
             outputs.push(Output::Deposed);
         }
--- a/crates/shard/src/piece.rs
+++ b/crates/shard/src/piece.rs
@@ -80,11 +80,10 @@
             self.successor.as_ref().is_some_and(|successor| durable >= successor.record);
         match &self.holder {
             None if is_durable && self.formers.is_empty() => Step::Install,
-            None => Step::Wait,
             Some(holder) if now_ms >= stands_until_ms && !holder.is_untried() => Step::Lapse,
             Some(_) if is_durable => Step::Dismiss,
             Some(holder) if self.formers.is_empty() && now_ms >= holder.renew_at_ms => Step::Renew,
-            Some(_) => Step::Wait,
+            None | Some(_) => Step::Wait,
         }
     }
 
--- a/crates/shard/src/planning.rs
+++ b/crates/shard/src/planning.rs
@@ -21,7 +21,7 @@
     }
 
     /// Chooses successors for pieces that need one.
-    pub(crate) fn choose_all(&mut self, turn: &mut Turn<'_>, candidates: &mut Vec<Candidate>) {
+    pub(crate) fn choose_all(&mut self, turn: &mut Turn<'_>, candidates: &mut [Candidate]) {
         if candidates.is_empty() {
             return;
         }
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -464,19 +464,18 @@
         OrderKind::Grant(grant) => apply_grant(server, grant, arrived_ms),
         OrderKind::Release(release) => {
             server.seen.push((release.range, release.fence));
-            server.held = server
-                .held
-                .iter()
-                .flat_map(|held| without(held, release.range))
-                .collect();
+            server.held =
+                server.held.iter().flat_map(|held| without(held, release.range)).collect();
             Reply::Done(Some(Handover::from("token")))
         }
     }
 }
 
 fn apply_grant(server: &mut Server, grant: &Grant, arrived_ms: u64) -> Reply {
-    let is_fenced =
-        server.seen.iter().any(|(range, fence)| range.overlaps(grant.range) && *fence > grant.fence);
+    let is_fenced = server
+        .seen
+        .iter()
+        .any(|(range, fence)| range.overlaps(grant.range) && *fence > grant.fence);
     if is_fenced {
         return Reply::Fenced;
     }
--- a/crates/site/src/error.rs
+++ b/crates/site/src/error.rs
@@ -13,7 +13,6 @@
 
 impl Error {
     /// Creates the error with what was found and what was expected.
-    #[must_use]
     pub fn report(message: impl Into<Box<str>>) -> Report<Self> {
         Report::new(Self(message.into()))
     }
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -91,9 +91,9 @@
 }
 
 impl Write for QueueWriter {
-    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        self.0.push(line);
-        Ok(line.len())
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0.push(buf);
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
@@ -133,10 +133,8 @@
     let mut target = io::stdout();
     loop {
         std::thread::sleep(WRITE_EVERY);
-        // Nobody reads any more, and there is no other place to say so.
-        if queue.write_to(&mut target).and_then(|()| target.flush()).is_err() {
-            continue;
-        }
+        // When nobody reads any more, there is no other place to say so.
+        drop(queue.write_to(&mut target).and_then(|()| target.flush()));
     }
 }
 
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -45,7 +45,7 @@
 /// How long a connection is without a word before it is looked whether it still works.
 ///
 /// Some connections go silent without a reset; a watch may wait much longer than this.
-const KEEPALIVE: Duration = Duration::from_millis(1_000);
+const KEEPALIVE: Duration = Duration::from_secs(1);
 /// How many looks without an answer end a connection.
 const KEEPALIVE_LOOKS: u32 = 2;
 
