--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use document::{Document, Name, Revision};
-use lease::{Tenure, Term, Voter};
+use lease::{LeaderEpoch, Term, Voter};
 use route::Table;
 
-use crate::election::Candidate;
-use crate::lead::{Lead, Standing};
+use crate::candidate::Candidate;
+use crate::lead::{Lead, Leadership};
 use crate::message::{BeatReply, Intent, RecordCopy};
 use crate::{Action, Event, Instance, Status, Tuning, WriteOutcome};
 
@@ -28,11 +28,11 @@
     /// The writes over the known record that may take effect.
     pub(crate) intents: Vec<Intent>,
     /// The newest write that was told of, with its term.
-    pub(crate) newest_intent: (Tenure, u64),
+    pub(crate) newest_intent: (LeaderEpoch, u64),
     pub(crate) role: Role,
     pub(crate) incarnation: u64,
     pub(crate) candidacies: u64,
-    /// What is to be done because of the end of an office.
+    /// What is to be done because leadership ended.
     pub(crate) farewell: Vec<Action>,
     pub(crate) table: Option<Arc<Table>>,
     pub(crate) next_read_ms: u64,
@@ -70,7 +70,7 @@
             is_synced: false,
             is_sure: false,
             intents: Vec::new(),
-            newest_intent: (Tenure(0), 0),
+            newest_intent: (LeaderEpoch(0), 0),
             role: Role::Follower { elect_at_ms: None },
             incarnation,
             candidacies: 0,
@@ -127,7 +127,7 @@
         out
     }
 
-    /// Takes an event without drawing all consequences; [`Control::settle`] must follow.
+    /// Takes an event without acting on it yet; [`Control::settle`] must follow.
     ///
     /// Several events that came together need only one `settle`.
     pub fn take(&mut self, now_ms: u64, event: Event) -> Vec<Action> {
@@ -142,10 +142,11 @@
             }
             Event::PromiseAsked(ask) => self.on_promise_asked(now_ms, ask, &mut out),
             Event::PromiseReplied(reply) => self.on_promise_replied(now_ms, &reply, &mut out),
-            Event::PromiseReturned(tenure) => self.on_promise_returned(tenure),
+            Event::PromiseReturned(leader_epoch) => self.on_promise_returned(leader_epoch),
             Event::Reported(server, report) => {
-                let standing = self.lead_mut().map(|lead| lead.on_report(now_ms, &server, &report));
-                self.apply_standing(standing);
+                let leadership =
+                    self.lead_mut().map(|lead| lead.on_report(now_ms, &server, &report));
+                self.apply_leadership(leadership);
             }
             Event::Unanswered(server) => {
                 if let Some(lead) = self.lead_mut() {
@@ -153,8 +154,8 @@
                 }
             }
             Event::Beat(beat) => {
-                let standing = self.lead_mut().map(|lead| lead.on_beat(now_ms, &beat, &mut out));
-                self.apply_standing(standing);
+                let leadership = self.lead_mut().map(|lead| lead.on_beat(now_ms, &beat, &mut out));
+                self.apply_leadership(leadership);
             }
             Event::BeatReplied(reply) => self.on_beat_replied(now_ms, &reply),
             Event::Table(table) => self.on_table(table),
@@ -163,7 +164,7 @@
         out
     }
 
-    /// Draws the consequences of the events that were taken, and returns what is to be done.
+    /// Acts on all events that were taken, and returns what is to be done.
     pub fn settle(&mut self, now_ms: u64) -> Vec<Action> {
         let mut out = Vec::new();
         self.settle_lead(now_ms, &mut out);
@@ -227,7 +228,8 @@
         if let Role::Lead(lead) = &mut self.role {
             let is_newer = revision > lead.known.revision;
             lead.writer.note_read(now_ms, is_newer);
-            let is_foreign = copy.as_ref().is_some_and(|c| c.record.tenure != lead.tenure);
+            let is_foreign =
+                copy.as_ref().is_some_and(|c| c.record.leader_epoch != lead.leader_epoch);
             let is_outdated = later_term > lead.term || (later_term == lead.term && is_foreign);
             if let Some(copy) = copy.clone() {
                 lead.adopt_record(now_ms, copy);
@@ -270,7 +272,7 @@
     }
 
     fn on_beat_replied(&mut self, now_ms: u64, reply: &BeatReply) {
-        if self.table.as_ref().is_some_and(|table| table.tenure == reply.tenure) {
+        if self.table.as_ref().is_some_and(|table| table.leader_epoch == reply.leader_epoch) {
             self.answered_until_ms = now_ms + self.tuning.daemon_silence_ms;
         }
     }
@@ -291,23 +293,24 @@
         if let Some(term) = later {
             self.voter.note_term(term);
         }
-        // Nothing is done in this tenure any more, so others need not wait for its end.
+        // Nothing is done in this leader epoch any more, so others need not wait for its end.
         let ended = match &self.role {
-            Role::Lead(lead) => Some((lead.known.record.quorum(), lead.tenure)),
-            Role::Candidate(candidate) => Some((candidate.quorum.clone(), candidate.tenure)),
+            Role::Lead(lead) => Some((lead.known.record.quorum(), lead.leader_epoch)),
+            Role::Candidate(candidate) => Some((candidate.quorum.clone(), candidate.leader_epoch)),
             Role::Follower { .. } | Role::Creator { .. } | Role::Stopped => None,
         };
         for voter in ended.iter().flat_map(|(quorum, _)| quorum.members()) {
-            let tenure = ended.as_ref().map_or(Tenure(0), |(_, tenure)| *tenure);
-            self.farewell.push(Action::ReturnPromise(voter, tenure));
+            let leader_epoch =
+                ended.as_ref().map_or(LeaderEpoch(0), |(_, leader_epoch)| *leader_epoch);
+            self.farewell.push(Action::ReturnPromise(voter, leader_epoch));
         }
         if !matches!(self.role, Role::Stopped) {
             self.role = Role::Follower { elect_at_ms: None };
         }
     }
 
-    fn apply_standing(&mut self, standing: Option<Standing>) {
-        if let Some(Standing::Over(term)) = standing {
+    fn apply_leadership(&mut self, leadership: Option<Leadership>) {
+        if let Some(Leadership::Lost(term)) = leadership {
             self.step_down(Some(term));
         }
     }
--- a/crates/control/src/draft.rs
+++ b/crates/control/src/draft.rs
@@ -81,7 +81,7 @@
     pub(crate) fn to_record(&self, now_ms: u64) -> Record {
         let mut record = (*self.known.record).clone();
         record.term = self.term;
-        record.tenure = self.tenure;
+        record.leader_epoch = self.leader_epoch;
         record.grant_ms = self.recorded_grant_ms(now_ms);
         self.draft_voters(now_ms, &mut record);
         for at in 0..self.shards.len() {
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -1,31 +1,18 @@
-//! Elections: candidates, promises, and taking office.
+//! Elections: candidates, promises, and becoming the leader.
 
 use std::sync::Arc;
 
 use document::{Name, Revision};
-use lease::{Authority, Quorum, Tenure, Term, Vote};
+use lease::{Authority, LeaderEpoch, Term, Vote};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::candidate::Candidate;
 use crate::control::{Control, READ_EVERY_MS, Role};
-use crate::lead::{Lead, Standing, Start};
+use crate::lead::{Lead, Leadership, Start};
 use crate::message::{PromiseAsk, PromiseReply, RecordCopy, Stage};
 use crate::voters::{candidate_rank, choose_voters};
 use crate::{Action, Record};
 
-/// Somebody who asks voters for their promises.
-#[derive(Debug)]
-pub(crate) struct Candidate {
-    pub(crate) stage: Stage,
-    pub(crate) promised: Vec<Name>,
-    /// The voters that promised and remember all that they were told.
-    pub(crate) sure: Vec<Name>,
-    pub(crate) term: Term,
-    pub(crate) tenure: Tenure,
-    pub(crate) deadline_ms: u64,
-    pub(crate) authority: Authority,
-    pub(crate) quorum: Quorum,
-}
-
 /// What follows from a promise.
 enum Outcome {
     Nothing,
@@ -72,12 +59,12 @@
 
     fn ask_voters(&mut self, now_ms: u64, stage: Stage, known: &RecordCopy, out: &mut Vec<Action>) {
         let term = self.voter.highest_term().max(known.record.term).next();
-        let tenure = self.next_tenure();
+        let leader_epoch = self.next_leader_epoch();
         let quorum = known.record.quorum();
         for voter in quorum.members() {
             let ask = PromiseAsk {
                 candidate: self.me.clone(),
-                tenure,
+                leader_epoch,
                 term,
                 stage,
                 asked_ms: now_ms,
@@ -95,17 +82,17 @@
             promised: Vec::new(),
             sure: Vec::new(),
             term,
-            tenure,
+            leader_epoch,
             deadline_ms,
             authority,
             quorum,
         });
     }
 
-    fn next_tenure(&mut self) -> Tenure {
+    fn next_leader_epoch(&mut self) -> LeaderEpoch {
         self.candidacies += 1;
         let seed = xxh3_64_with_seed(self.me.as_bytes(), self.incarnation);
-        Tenure(xxh3_64_with_seed(self.service.as_bytes(), seed ^ self.candidacies))
+        LeaderEpoch(xxh3_64_with_seed(self.service.as_bytes(), seed ^ self.candidacies))
     }
 
     fn create_record(&mut self, now_ms: u64, out: &mut Vec<Action>) {
@@ -131,7 +118,7 @@
         let known_revision = self.known_revision();
         for intent in ask.intents.clone() {
             if intent.over <= self.known_revision() {
-                self.newest_intent = (ask.tenure, intent.number);
+                self.newest_intent = (ask.leader_epoch, intent.number);
                 self.learn_intent(intent);
             }
         }
@@ -150,13 +137,15 @@
             && ask.term > self.voter.highest_term();
         let vote = match ask.stage {
             _ if !self.is_synced => Vote::Bound,
-            Stage::Probing => self.voter.probe(now_ms, ask.tenure, ask.term),
-            Stage::Standing | Stage::Leading => self.voter.ask(now_ms, ask.tenure, ask.term),
+            Stage::Probing => self.voter.probe(now_ms, ask.leader_epoch, ask.term),
+            Stage::Requesting | Stage::Leading => {
+                self.voter.ask(now_ms, ask.leader_epoch, ask.term)
+            }
         };
         let lacks = ask.record_revision < known_revision && had >= known_revision;
         let reply = PromiseReply {
             voter: self.me.clone(),
-            tenure: ask.tenure,
+            leader_epoch: ask.leader_epoch,
             term: ask.term,
             stage: ask.stage,
             asked_ms: ask.asked_ms,
@@ -164,7 +153,7 @@
             record_revision: if self.is_synced { known_revision } else { Revision(0) },
             record: if lacks { self.known.clone() } else { None },
             intent_number: match self.newest_intent {
-                (tenure, number) if tenure == ask.tenure => number,
+                (leader_epoch, number) if leader_epoch == ask.leader_epoch => number,
                 _ => 0,
             },
             intents: if is_leading { Vec::new() } else { self.intents.clone() },
@@ -191,8 +180,8 @@
         }
         let outcome = match &mut self.role {
             Role::Lead(lead) => match lead.on_promise(now_ms, reply) {
-                Standing::InOffice => Outcome::Nothing,
-                Standing::Over(term) => Outcome::StepDown(term),
+                Leadership::Held => Outcome::Nothing,
+                Leadership::Lost(term) => Outcome::StepDown(term),
             },
             Role::Candidate(candidate) => {
                 let is_newer =
@@ -206,14 +195,14 @@
             Outcome::StepDown(term) => self.step_down(Some(term)),
             Outcome::Eligible => {
                 if let Some(known) = self.known.clone() {
-                    self.ask_voters(now_ms, Stage::Standing, &known, out);
+                    self.ask_voters(now_ms, Stage::Requesting, &known, out);
                 }
             }
-            Outcome::Elected => self.take_office(now_ms),
+            Outcome::Elected => self.become_leader(now_ms),
         }
     }
 
-    fn take_office(&mut self, now_ms: u64) {
+    fn become_leader(&mut self, now_ms: u64) {
         let (Some((revision, document)), Some(known)) = (&self.document, &self.known) else {
             return;
         };
@@ -228,7 +217,7 @@
             service: self.service.clone(),
             tuning: self.tuning,
             term: candidate.term,
-            tenure: candidate.tenure,
+            leader_epoch: candidate.leader_epoch,
             document: Arc::clone(document),
             document_revision: *revision,
             known: known.clone(),
@@ -239,8 +228,8 @@
         self.role = Role::Lead(Box::new(Lead::new(now_ms, start)));
     }
 
-    pub(crate) fn on_promise_returned(&mut self, tenure: Tenure) {
-        self.voter.release(tenure);
+    pub(crate) fn on_promise_returned(&mut self, leader_epoch: LeaderEpoch) {
+        self.voter.release(leader_epoch);
         self.led_until_ms = 0;
         if let Role::Follower { elect_at_ms } = &mut self.role {
             *elect_at_ms = None;
@@ -256,7 +245,7 @@
         promise_ms: u64,
         has_newer_voters: bool,
     ) -> Outcome {
-        if reply.tenure != self.tenure {
+        if reply.leader_epoch != self.leader_epoch {
             return Outcome::Nothing;
         }
         if let Vote::Outdated(term) = reply.vote {
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use document::{Document, Name, Revision};
-use lease::{Order, Report, Tenure};
+use lease::{LeaderEpoch, Order, Report};
 use route::Table;
 
 use crate::{Beat, BeatReply, Instance, PromiseAsk, PromiseReply, Record, RecordCopy};
@@ -27,7 +27,7 @@
     /// A voter answered.
     PromiseReplied(PromiseReply),
     /// A candidate gave its promises back.
-    PromiseReturned(Tenure),
+    PromiseReturned(LeaderEpoch),
     /// A server answered an order.
     Reported(Name, Report),
     /// A server did not answer an order.
@@ -72,7 +72,7 @@
     /// Answer a candidate.
     ReplyPromise(Name, PromiseReply),
     /// Give an instance's promise back.
-    ReturnPromise(Name, Tenure),
+    ReturnPromise(Name, LeaderEpoch),
     /// Send an order to a server.
     Order(Name, SocketAddr, Order),
     /// Put a table in force on every live instance, this one too.
--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use document::{Document, Name, Revision};
-use lease::{Authority, Epoch, Order, Report, ShardEpoch, Tenure, Term, Verdict, slower_ms};
+use lease::{Authority, Epoch, LeaderEpoch, Order, Report, ShardEpoch, Term, Verdict, slower_ms};
 use route::Table;
 
 use crate::link::{BeatNews, Change, DaemonLink, Process, Sender, ServerLink};
@@ -20,7 +20,7 @@
     pub(crate) service: Name,
     pub(crate) tuning: Tuning,
     pub(crate) term: Term,
-    pub(crate) tenure: Tenure,
+    pub(crate) leader_epoch: LeaderEpoch,
     pub(crate) started_ms: u64,
     pub(crate) document: Arc<Document>,
     pub(crate) document_revision: Revision,
@@ -82,7 +82,7 @@
     pub(crate) service: Name,
     pub(crate) tuning: Tuning,
     pub(crate) term: Term,
-    pub(crate) tenure: Tenure,
+    pub(crate) leader_epoch: LeaderEpoch,
     pub(crate) document: Arc<Document>,
     pub(crate) document_revision: Revision,
     pub(crate) known: RecordCopy,
@@ -97,11 +97,11 @@
 
 /// Whether a controller may go on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Standing {
+pub(crate) enum Leadership {
     /// It may.
-    InOffice,
+    Held,
     /// A later term was seen, or the promises are over.
-    Over(Term),
+    Lost(Term),
 }
 
 #[derive(Clone, Debug)]
@@ -133,7 +133,7 @@
             service: start.service,
             tuning: start.tuning,
             term: start.term,
-            tenure: start.tenure,
+            leader_epoch: start.leader_epoch,
             started_ms: now_ms,
             document: start.document,
             document_revision: start.document_revision,
@@ -245,9 +245,9 @@
         self.connect_servers(now_ms);
     }
 
-    pub(crate) fn on_promise(&mut self, now_ms: u64, reply: &PromiseReply) -> Standing {
-        if reply.tenure != self.tenure {
-            return Standing::InOffice;
+    pub(crate) fn on_promise(&mut self, now_ms: u64, reply: &PromiseReply) -> Leadership {
+        if reply.leader_epoch != self.leader_epoch {
+            return Leadership::Held;
         }
         let link = self.voters.entry(reply.voter.clone()).or_insert_with(|| VoterLink {
             process: Process::new(reply.voter_incarnation),
@@ -257,13 +257,13 @@
         });
         // A restarted voter has forgotten; what follows replaces what the link knew of it.
         if link.process.note(reply.voter_incarnation) == Sender::Gone {
-            return Standing::InOffice;
+            return Leadership::Held;
         }
         link.acked = reply.record_revision;
         link.last_reply_ms = now_ms;
         link.intent_number = reply.intent_number;
         match reply.vote {
-            lease::Vote::Outdated(term) if term > self.term => return Standing::Over(term),
+            lease::Vote::Outdated(term) if term > self.term => return Leadership::Lost(term),
             lease::Vote::Promised if reply.stage != Stage::Probing => {
                 self.authority.note(&reply.voter, reply.asked_ms, self.tuning.promise_ms);
             }
@@ -272,27 +272,27 @@
         if self.is_record_acknowledged() {
             self.usable_grant_ms = self.known.record.grant_ms;
         }
-        Standing::InOffice
+        Leadership::Held
     }
 
-    pub(crate) fn on_report(&mut self, now_ms: u64, server: &Name, report: &Report) -> Standing {
+    pub(crate) fn on_report(&mut self, now_ms: u64, server: &Name, report: &Report) -> Leadership {
         if report.verdict == Verdict::Outdated {
             return if report.term >= self.term {
-                Standing::Over(report.term)
+                Leadership::Lost(report.term)
             } else {
-                Standing::InOffice
+                Leadership::Held
             };
         }
         if report.term != self.term {
-            return Standing::InOffice;
+            return Leadership::Held;
         }
         let Some(link) = self.servers.get_mut(server) else {
-            return Standing::InOffice;
+            return Leadership::Held;
         };
         if link.note_report(now_ms, report) == Change::Restarted {
             self.free_shards_of(now_ms, server);
         }
-        Standing::InOffice
+        Leadership::Held
     }
 
     pub(crate) fn on_unanswered(&mut self, server: &Name) {
@@ -301,14 +301,19 @@
         }
     }
 
-    pub(crate) fn on_beat(&mut self, now_ms: u64, beat: &Beat, out: &mut Vec<Action>) -> Standing {
+    pub(crate) fn on_beat(
+        &mut self,
+        now_ms: u64,
+        beat: &Beat,
+        out: &mut Vec<Action>,
+    ) -> Leadership {
         // A table of another controller in this term or a later one: this term is taken.
-        if beat.term >= self.term && beat.tenure != self.tenure {
-            return Standing::Over(beat.term);
+        if beat.term >= self.term && beat.leader_epoch != self.leader_epoch {
+            return Leadership::Lost(beat.term);
         }
         let link = self.daemons.entry(beat.instance.clone()).or_default();
         if link.note_beat(now_ms, beat) == BeatNews::Stale {
-            return Standing::InOffice;
+            return Leadership::Held;
         }
         for (shard, requests) in &beat.loads {
             if let Some(load) = usize::try_from(shard.0).ok().and_then(|at| self.loads.get_mut(at))
@@ -316,8 +321,8 @@
                 *load += f64::from(*requests);
             }
         }
-        let Some(table) = &self.table else { return Standing::InOffice };
-        if link.is_table_due(now_ms, self.tenure, self.sequence) {
+        let Some(table) = &self.table else { return Leadership::Held };
+        if link.is_table_due(now_ms, self.leader_epoch, self.sequence) {
             link.next_table_ms = now_ms + self.tuning.order_every_ms;
             out.push(Action::SendTable(beat.instance.clone(), Arc::clone(table)));
         }
@@ -325,13 +330,13 @@
         if let Some(deadline_ms) = lease {
             let reply = BeatReply {
                 incarnation: beat.incarnation,
-                tenure: self.tenure,
+                leader_epoch: self.leader_epoch,
                 sequence: self.sequence,
                 deadline_ms,
             };
             out.push(Action::ReplyBeat(beat.instance.clone(), reply));
         }
-        Standing::InOffice
+        Leadership::Held
     }
 
     /// Extends the route lease of a daemon, unless its table names an earlier unfenced owner.
@@ -342,7 +347,7 @@
         let needed = self.unfenced_sequence;
         let grant_ms = self.grant_ms();
         let link = self.daemons.get_mut(daemon)?;
-        if !link.has_table(self.tenure, needed) {
+        if !link.has_table(self.leader_epoch, needed) {
             return None;
         }
         link.bound.extend(grant_ms)
@@ -385,7 +390,7 @@
             let intents = unresolved.filter(|intent| intent.number > known_number);
             let ask = PromiseAsk {
                 candidate: self.me.clone(),
-                tenure: self.tenure,
+                leader_epoch: self.leader_epoch,
                 term: self.term,
                 stage: Stage::Leading,
                 asked_ms: now_ms,
@@ -432,7 +437,7 @@
         let mut order = Order {
             service: self.service.clone(),
             term: self.term,
-            tenure: self.tenure,
+            leader_epoch: self.leader_epoch,
             number: 0,
             incarnation: None,
             deadline_ms: 0,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,6 +16,7 @@
 //! assert!(control.step(10, Event::Tick).is_empty());
 //! ```
 
+mod candidate;
 mod control;
 mod draft;
 mod election;
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use document::{HashMap, HashSet, Revision};
-use lease::{Epoch, GrantBound, Held, Report, ShardId, Tenure};
+use lease::{Epoch, GrantBound, Held, LeaderEpoch, Report, ShardId};
 
 use crate::Tuning;
 
@@ -172,7 +172,7 @@
     pub(crate) last_beat_ms: u64,
     pub(crate) next_table_ms: u64,
     process: Process,
-    tenure: Tenure,
+    leader_epoch: LeaderEpoch,
     sequence: u64,
     drained: u64,
 }
@@ -199,10 +199,10 @@
         self.bound.observe_clock(beat.clock_ms, now_ms);
         self.last_beat_ms = now_ms;
         self.document = beat.document;
-        if self.tenure != beat.tenure {
+        if self.leader_epoch != beat.leader_epoch {
             self.drained = 0;
         }
-        self.tenure = beat.tenure;
+        self.leader_epoch = beat.leader_epoch;
         self.sequence = beat.sequence;
         if beat.is_drained {
             self.drained = self.drained.max(beat.sequence);
@@ -211,17 +211,22 @@
     }
 
     /// Returns whether the daemon lacks a table that is not on its way.
-    pub(crate) fn is_table_due(&self, now_ms: u64, tenure: Tenure, sequence: u64) -> bool {
-        !self.has_table(tenure, sequence) && now_ms >= self.next_table_ms
+    pub(crate) fn is_table_due(
+        &self,
+        now_ms: u64,
+        leader_epoch: LeaderEpoch,
+        sequence: u64,
+    ) -> bool {
+        !self.has_table(leader_epoch, sequence) && now_ms >= self.next_table_ms
     }
 
     /// Returns whether the daemon routes by a table at least this new.
-    pub(crate) fn has_table(&self, tenure: Tenure, sequence: u64) -> bool {
-        self.tenure == tenure && self.sequence >= sequence
+    pub(crate) fn has_table(&self, leader_epoch: LeaderEpoch, sequence: u64) -> bool {
+        self.leader_epoch == leader_epoch && self.sequence >= sequence
     }
 
     /// Returns whether the daemon sends nothing more to what a table closes.
-    pub(crate) fn is_drained(&self, tenure: Tenure, sequence: u64) -> bool {
-        self.tenure == tenure && self.drained >= sequence
+    pub(crate) fn is_drained(&self, leader_epoch: LeaderEpoch, sequence: u64) -> bool {
+        self.leader_epoch == leader_epoch && self.drained >= sequence
     }
 }
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use document::{Name, Revision};
-use lease::{ShardId, Tenure, Term, Vote};
+use lease::{LeaderEpoch, ShardId, Term, Vote};
 
 use crate::Record;
 
@@ -33,7 +33,7 @@
     /// It asks whether it would get the promise, so as not to disturb a controller.
     Probing,
     /// It asks for the promise.
-    Standing,
+    Requesting,
     /// It has the promises of a majority and renews them.
     Leading,
 }
@@ -43,8 +43,8 @@
 pub struct PromiseAsk {
     /// The instance that asks.
     pub candidate: Name,
-    /// The tenure that it asks for.
-    pub tenure: Tenure,
+    /// The leader epoch that it asks for.
+    pub leader_epoch: LeaderEpoch,
     /// The term it asks for.
     pub term: Term,
     /// How far the asker is.
@@ -66,8 +66,8 @@
 pub struct PromiseReply {
     /// The instance that answers.
     pub voter: Name,
-    /// The tenure that was asked for.
-    pub tenure: Tenure,
+    /// The leader epoch that was asked for.
+    pub leader_epoch: LeaderEpoch,
     /// The term that was asked for.
     pub term: Term,
     /// The stage that was asked in.
@@ -101,8 +101,8 @@
     pub clock_ms: u64,
     /// The term of the table in force there.
     pub term: Term,
-    /// The tenure of that table.
-    pub tenure: Tenure,
+    /// The leader epoch of that table.
+    pub leader_epoch: LeaderEpoch,
     /// The sequence of the table in force there.
     pub sequence: u64,
     /// Whether no request is in flight to a shard that this table closes.
@@ -118,8 +118,8 @@
 pub struct BeatReply {
     /// The daemon process whose clock the deadline is on.
     pub incarnation: u64,
-    /// The controller's tenure.
-    pub tenure: Tenure,
+    /// The controller's leader epoch.
+    pub leader_epoch: LeaderEpoch,
     /// The table that the daemon should have.
     pub sequence: u64,
     /// Until when the daemon may forward, on the daemon's clock.
--- a/crates/control/src/record.rs
+++ b/crates/control/src/record.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use document::{Document, Name};
-use lease::{Epoch, Quorum, ShardId, Tenure, Term};
+use lease::{Epoch, LeaderEpoch, Quorum, ShardId, Term};
 use route::Group;
 use serde::{Deserialize, Serialize};
 
@@ -17,8 +17,8 @@
 pub struct Record {
     /// The term of the controller that wrote it.
     pub term: Term,
-    /// The tenure of that controller.
-    pub tenure: Tenure,
+    /// The leader epoch of that controller.
+    pub leader_epoch: LeaderEpoch,
     /// The instances whose majority makes a controller.
     pub voters: Vec<Name>,
     /// The earlier voters, while voters change.
@@ -77,7 +77,7 @@
         }
         Self {
             term: Term(0),
-            tenure: Tenure(0),
+            leader_epoch: LeaderEpoch(0),
             voters,
             old_voters: Vec::new(),
             next_epoch: Epoch(1),
--- a/crates/control/src/settle.rs
+++ b/crates/control/src/settle.rs
@@ -224,16 +224,15 @@
         self.daemons
             .values()
             .filter(|link| now_ms < link.last_beat_ms + silence_ms)
-            .all(|link| link.is_drained(self.tenure, sequence))
+            .all(|link| link.is_drained(self.leader_epoch, sequence))
     }
 
     /// Returns whether no daemon can send to a closed shard any more.
     fn are_routes_closed(&self, now_ms: u64, sequence: u64) -> bool {
         now_ms >= self.inheritance_over_ms()
-            && self
-                .daemons
-                .values()
-                .all(|link| link.is_drained(self.tenure, sequence) || link.bound.is_over(now_ms))
+            && self.daemons.values().all(|link| {
+                link.is_drained(self.leader_epoch, sequence) || link.bound.is_over(now_ms)
+            })
     }
 
     /// Makes the servers that a step concerns hear of it at once.
@@ -332,7 +331,7 @@
         Table {
             service: self.service.clone(),
             term: self.term,
-            tenure: self.tenure,
+            leader_epoch: self.leader_epoch,
             controller: self.me.clone(),
             sequence: self.sequence + 1,
             document: self.document_revision,
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -455,7 +455,8 @@
             }
             Delivery::RouteLease(at, incarnation, reply) => {
                 let daemon = &mut self.daemons[at];
-                let has_table = self.tables[at].as_ref().is_some_and(|t| t.tenure == reply.tenure);
+                let has_table =
+                    self.tables[at].as_ref().is_some_and(|t| t.leader_epoch == reply.leader_epoch);
                 if daemon.incarnation == reply.incarnation && has_table {
                     daemon.route_deadline_ms = daemon.route_deadline_ms.max(reply.deadline_ms);
                 }
@@ -524,15 +525,17 @@
 
     fn send_beat(&mut self, at: usize) {
         let table = self.tables[at].as_ref();
-        let (term, tenure, sequence) =
-            table.map_or((lease::Term(0), lease::Tenure(0), 0), |t| (t.term, t.tenure, t.sequence));
+        let (term, leader_epoch, sequence) = table
+            .map_or((lease::Term(0), lease::LeaderEpoch(0), 0), |t| {
+                (t.term, t.leader_epoch, t.sequence)
+            });
         let daemon = &self.daemons[at];
         let beat = Beat {
             instance: daemon.name.clone(),
             incarnation: daemon.incarnation,
             clock_ms: daemon.clock.read(self.now_ms),
             term,
-            tenure,
+            leader_epoch,
             sequence,
             is_drained: true,
             document: daemon.has_document,
@@ -576,7 +579,7 @@
         if self.tables[at].as_ref().is_some_and(|known| !table.is_after(known)) {
             return;
         }
-        if self.tables[at].as_ref().is_some_and(|known| known.tenure != table.tenure) {
+        if self.tables[at].as_ref().is_some_and(|known| known.leader_epoch != table.leader_epoch) {
             self.daemons[at].route_deadline_ms = 0;
         }
         self.tables[at] = Some(table);
@@ -598,8 +601,8 @@
             Action::ReplyPromise(to, reply) => {
                 self.send_event(at, &to, Event::PromiseReplied(reply));
             }
-            Action::ReturnPromise(to, tenure) => {
-                self.send_event(at, &to, Event::PromiseReturned(tenure));
+            Action::ReturnPromise(to, leader_epoch) => {
+                self.send_event(at, &to, Event::PromiseReturned(leader_epoch));
             }
             Action::Order(server, _, order) => {
                 let server = self.server_at(&server);
@@ -803,7 +806,7 @@
                 let expected = expected.map_or(0, |revision| revision.0);
                 format!("write record over {expected}: {}", describe_record(record))
             }
-            Action::AskPromise(to, ask) if ask.stage == Stage::Standing => {
+            Action::AskPromise(to, ask) if ask.stage == Stage::Requesting => {
                 format!("ask {to} for term {}", ask.term)
             }
             Action::Order(server, _, order) => match describe_order(order) {
--- /dev/null
+++ b/crates/gateway/src/leadership.rs
@@ -0,0 +1,59 @@
+//! The state of a daemon that leads.
+
+use document::{HashMap, Name, Revision};
+use registry::Life;
+use shard::Leader;
+use store::LeaseId;
+use tokio_util::task::AbortOnDropHandle;
+
+/// The state of a daemon that leads.
+#[derive(Debug)]
+pub(crate) struct Leading {
+    pub(crate) leader: Leader,
+    pub(crate) lease: LeaseId,
+    /// The revisions of the records in the store.
+    pub(crate) revisions: HashMap<Name, Revision>,
+    pub(crate) speeds: HashMap<Life, f32>,
+    /// The number of the last message with tables.
+    pub(crate) number: u64,
+    pub(crate) publish_at_ms: u64,
+    /// Keeps the lease until leadership ends.
+    _keeper: AbortOnDropHandle<()>,
+}
+
+/// How much the latest answers of a server count, for each answer.
+const SPEED_WEIGHT: f32 = 0.02;
+/// No server counts as slower or faster than this.
+const SPEEDS: std::ops::RangeInclusive<f32> = 0.2..=2.5;
+
+impl Leading {
+    pub(crate) fn new(
+        leader: Leader,
+        lease: LeaseId,
+        revisions: HashMap<Name, Revision>,
+        keeper: AbortOnDropHandle<()>,
+    ) -> Self {
+        Self {
+            leader,
+            lease,
+            revisions,
+            speeds: HashMap::default(),
+            number: 0,
+            publish_at_ms: 0,
+            _keeper: keeper,
+        }
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "some answers and thousandths")]
+    /// Learns how fast a server is from its answers.
+    pub(crate) fn note_speed(&mut self, server: &peer::ServerLoad) {
+        if server.answers == 0 {
+            return;
+        }
+        let slowness = server.slowness_milli as f32 / 1_000.0 / server.answers as f32;
+        let latest = (1.0 / slowness.max(0.01)).clamp(*SPEEDS.start(), *SPEEDS.end());
+        let weight = (SPEED_WEIGHT * server.answers as f32).min(0.5);
+        let speed = self.speeds.entry(server.life.clone()).or_insert(1.0);
+        *speed += weight * (latest - *speed);
+    }
+}
--- a/crates/gateway/src/leading.rs
+++ b/crates/gateway/src/leading.rs
@@ -1,38 +1,20 @@
 //! What a daemon does as the leader.
 
-use document::{HashMap, Name, Revision};
+use document::{Name, Revision};
 use peer::{FleetBody, ServiceLoad, Tables};
-use registry::Life;
 use shard::{Event, Leader, Note, Output, Record, Servers, Tuning};
-use store::{Category, Expect, LeaseId, Store, Transaction};
+use store::{Category, Expect, Store, Transaction};
 use telemetry::Counter;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::follow::{LEADER, RECORDS};
 use crate::input::{Input, Victory, WriteOutcome};
+use crate::leadership::Leading;
 use crate::node::Node;
 use crate::{Orders, Source};
 
-/// The state of a daemon that leads.
-#[derive(Debug)]
-pub(crate) struct Leading {
-    pub(crate) leader: Leader,
-    pub(crate) lease: LeaseId,
-    /// The revisions of the records in the store.
-    revisions: HashMap<Name, Revision>,
-    speeds: HashMap<Life, f32>,
-    /// The number of the last message with tables.
-    number: u64,
-    pub(crate) publish_at_ms: u64,
-    _keeper: AbortOnDropHandle<()>,
-}
-
 /// How often tables are sent again, for daemons that missed one.
 const PUBLISH_EVERY_MS: u64 = 800;
-/// How much the latest answers of a server count, for each answer.
-const SPEED_WEIGHT: f32 = 0.02;
-/// No server counts as slower or faster than this.
-const SPEEDS: std::ops::RangeInclusive<f32> = 0.2..=2.5;
 /// How long a write of a record may take before it is settled by a read.
 const SETTLE_READS: u32 = 2;
 
@@ -51,15 +33,8 @@
             records.into_iter().map(|stored| (stored.service, stored.record)).collect();
         let leader = Leader::new(epoch, now_ms, authority_until_ms, &records, tuning);
         let keeper = tokio::spawn(self.campaign().keep(lease, authority_until_ms));
-        self.leading = Some(Leading {
-            leader,
-            lease,
-            revisions,
-            speeds: HashMap::default(),
-            number: 0,
-            publish_at_ms: 0,
-            _keeper: AbortOnDropHandle::new(keeper),
-        });
+        let keeper = AbortOnDropHandle::new(keeper);
+        self.leading = Some(Leading::new(leader, lease, revisions, keeper));
         self.add_keyed_services();
         self.step(Event::Tick);
     }
@@ -224,20 +199,6 @@
     }
 }
 
-impl Leading {
-    #[expect(clippy::cast_precision_loss, reason = "some answers and thousandths")]
-    fn note_speed(&mut self, server: &peer::ServerLoad) {
-        if server.answers == 0 {
-            return;
-        }
-        let slowness = server.slowness_milli as f32 / 1_000.0 / server.answers as f32;
-        let latest = (1.0 / slowness.max(0.01)).clamp(*SPEEDS.start(), *SPEEDS.end());
-        let weight = (SPEED_WEIGHT * server.answers as f32).min(0.5);
-        let speed = self.speeds.entry(server.life.clone()).or_insert(1.0);
-        *speed += weight * (latest - *speed);
-    }
-}
-
 /// Finds out whether a write without a clear answer took effect, and who leads.
 async fn settle<S: Store>(
     store: &S,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod front;
 mod gateway;
 mod input;
+mod leadership;
 mod leading;
 mod node;
 mod port;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -20,7 +20,7 @@
 use crate::election::Campaign;
 use crate::follow::{DAEMONS, DaemonEntry, LEADER, records};
 use crate::input::{Input, StoredRecord, Topic};
-use crate::leading::Leading;
+use crate::leadership::Leading;
 use crate::port::EntryText;
 use crate::report::ServiceState;
 use crate::server::Server;
--- a/crates/lab/src/measure/slopes.rs
+++ b/crates/lab/src/measure/slopes.rs
@@ -7,7 +7,7 @@
 
 use control::{Beat, Record, ShardRecord};
 use document::{Document, Name, Revision, hash_key};
-use lease::{Epoch, Holder, Order, ShardEpoch, ShardId, Tenure, Term};
+use lease::{Epoch, Holder, LeaderEpoch, Order, ShardEpoch, ShardId, Term};
 use peer::{Message, Packet, Presence};
 use placement::{Balanced, Candidate, Policy, Request, Shard};
 use route::{Group, InFlight, Route, Table};
@@ -53,7 +53,7 @@
     Table {
         service: Name::from("ledger"),
         term: Term(7),
-        tenure: Tenure(u64::MAX / 3),
+        leader_epoch: LeaderEpoch(u64::MAX / 3),
         controller: Name::from("entry-1"),
         sequence: 1_000,
         document: Revision(100),
@@ -163,7 +163,7 @@
     let order = Order {
         service: Name::from("ledger"),
         term: Term(7),
-        tenure: Tenure(u64::MAX / 3),
+        leader_epoch: LeaderEpoch(u64::MAX / 3),
         number: 1,
         incarnation: Some(1),
         deadline_ms: 1_000_000,
@@ -196,7 +196,7 @@
         incarnation: u64::MAX / 3,
         clock_ms: 1_000_000,
         term: Term(7),
-        tenure: Tenure(u64::MAX / 3),
+        leader_epoch: LeaderEpoch(u64::MAX / 3),
         sequence: 1_000,
         is_drained: true,
         document: Revision(100),
--- a/crates/lease/src/epoch.rs
+++ b/crates/lease/src/epoch.rs
@@ -21,12 +21,12 @@
 /// One controller in one of its terms: no two have the same, in whatever process.
 ///
 /// Terms order controllers; but voters without disks can forget a term, and then it
-/// comes up again. The tenure tells such controllers apart.
+/// comes up again. The leader epoch tells such controllers apart.
 #[derive(
     Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
 )]
 #[serde(transparent)]
-pub struct Tenure(pub u64);
+pub struct LeaderEpoch(pub u64);
 
 /// The identity of a shard, unique in its service for good.
 #[derive(
--- a/crates/lease/src/holder.rs
+++ b/crates/lease/src/holder.rs
@@ -3,14 +3,14 @@
 use document::HashMap;
 
 use crate::order::{Held, Order, Report, ShardEpoch, Verdict};
-use crate::{Epoch, ShardId, Tenure, Term};
+use crate::{Epoch, LeaderEpoch, ShardId, Term};
 
 /// What one server process holds of one service.
 #[derive(Debug)]
 pub struct Holder {
     incarnation: u64,
     term: Term,
-    tenure: Option<Tenure>,
+    leader_epoch: Option<LeaderEpoch>,
     shards: HashMap<ShardId, Slot>,
     prepared: Vec<ShardId>,
 }
@@ -48,7 +48,7 @@
         Self {
             incarnation,
             term: Term(0),
-            tenure: None,
+            leader_epoch: None,
             shards: HashMap::default(),
             prepared: Vec::new(),
         }
@@ -59,7 +59,7 @@
         let verdict = self.judge(order);
         if verdict != Verdict::Outdated {
             self.term = order.term;
-            self.tenure = Some(order.tenure);
+            self.leader_epoch = Some(order.leader_epoch);
         }
         if verdict == Verdict::Followed {
             self.apply(now_ms, order);
@@ -121,7 +121,7 @@
     }
 
     fn judge(&self, order: &Order) -> Verdict {
-        let is_other = self.tenure.is_some_and(|known| known != order.tenure);
+        let is_other = self.leader_epoch.is_some_and(|known| known != order.leader_epoch);
         if order.term < self.term || (order.term == self.term && is_other) {
             return Verdict::Outdated;
         }
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -30,7 +30,7 @@
 
 pub use authority::{Authority, Quorum};
 pub use drift::{CLOCK_DRIFT_PERCENT, faster_ms, slower_ms};
-pub use epoch::{Epoch, ShardId, Tenure, Term};
+pub use epoch::{Epoch, LeaderEpoch, ShardId, Term};
 pub use grant::GrantBound;
 pub use holder::{Admission, Holder};
 pub use order::{Held, Order, Report, ShardEpoch, Verdict};
--- a/crates/lease/src/order.rs
+++ b/crates/lease/src/order.rs
@@ -3,7 +3,7 @@
 use document::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::{Epoch, ShardId, Tenure, Term};
+use crate::{Epoch, LeaderEpoch, ShardId, Term};
 
 /// A shard with the fence epoch of one of its owners.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
@@ -21,8 +21,8 @@
     pub service: Name,
     /// The controller's term.
     pub term: Term,
-    /// The controller's tenure.
-    pub tenure: Tenure,
+    /// The controller's leader epoch.
+    pub leader_epoch: LeaderEpoch,
     /// The number of the order in its term; the report repeats it.
     pub number: u64,
     /// The server process that is meant; `None` only asks for a report.
--- a/crates/lease/src/voter.rs
+++ b/crates/lease/src/voter.rs
@@ -1,6 +1,6 @@
 //! The promises that one instance gives.
 
-use crate::{Tenure, Term, slower_ms};
+use crate::{LeaderEpoch, Term, slower_ms};
 
 /// Gives promises to candidates, one at a time.
 ///
@@ -27,7 +27,7 @@
 
 #[derive(Clone, Debug)]
 struct Promise {
-    tenure: Tenure,
+    leader_epoch: LeaderEpoch,
     deadline_ms: u64,
 }
 
@@ -45,11 +45,11 @@
         self.highest_term
     }
 
-    /// Returns the tenure that holds this voter's promise.
+    /// Returns the leader epoch that holds this voter's promise.
     #[must_use]
-    pub fn bound_to(&self, now_ms: u64) -> Option<Tenure> {
+    pub fn bound_to(&self, now_ms: u64) -> Option<LeaderEpoch> {
         let promise = self.promise.as_ref()?;
-        (now_ms < promise.deadline_ms).then_some(promise.tenure)
+        (now_ms < promise.deadline_ms).then_some(promise.leader_epoch)
     }
 
     /// Returns whether the voter still waits for forgotten promises to end.
@@ -60,18 +60,18 @@
 
     /// Tells what the answer to a candidate would be, without a promise.
     #[must_use]
-    pub fn probe(&self, now_ms: u64, tenure: Tenure, term: Term) -> Vote {
+    pub fn probe(&self, now_ms: u64, leader_epoch: LeaderEpoch, term: Term) -> Vote {
         if term < self.highest_term {
             return Vote::Outdated(self.highest_term);
         }
         if self.is_silent(now_ms) {
             return Vote::Bound;
         }
-        if self.bound_to(now_ms).is_some_and(|bound| bound != tenure) {
+        if self.bound_to(now_ms).is_some_and(|bound| bound != leader_epoch) {
             return Vote::Bound;
         }
         // A promise is renewed in its own term; any other promise needs a later term.
-        let is_renewal = self.bound_to(now_ms) == Some(tenure);
+        let is_renewal = self.bound_to(now_ms) == Some(leader_epoch);
         if term == self.highest_term && self.promise.is_some() && !is_renewal {
             return Vote::Outdated(self.highest_term);
         }
@@ -79,12 +79,12 @@
     }
 
     /// Answers a candidate.
-    pub fn ask(&mut self, now_ms: u64, tenure: Tenure, term: Term) -> Vote {
-        let vote = self.probe(now_ms, tenure, term);
+    pub fn ask(&mut self, now_ms: u64, leader_epoch: LeaderEpoch, term: Term) -> Vote {
+        let vote = self.probe(now_ms, leader_epoch, term);
         if vote == Vote::Promised {
             self.highest_term = term;
             let deadline_ms = now_ms + self.promise_ms;
-            self.promise = Some(Promise { tenure, deadline_ms });
+            self.promise = Some(Promise { leader_epoch, deadline_ms });
         }
         vote
     }
@@ -97,8 +97,10 @@
     }
 
     /// Ends the promise to a candidate that gave it back.
-    pub fn release(&mut self, tenure: Tenure) {
-        if let Some(promise) = self.promise.as_mut().filter(|promise| promise.tenure == tenure) {
+    pub fn release(&mut self, leader_epoch: LeaderEpoch) {
+        if let Some(promise) =
+            self.promise.as_mut().filter(|promise| promise.leader_epoch == leader_epoch)
+        {
             promise.deadline_ms = 0;
         }
     }
--- a/crates/lease/tests/promises.rs
+++ b/crates/lease/tests/promises.rs
@@ -1,6 +1,6 @@
 //! What voters promise, and when a candidate may act.
 use document::Name;
-use lease::{Authority, Quorum, Tenure, Term, Vote, Voter};
+use lease::{Authority, LeaderEpoch, Quorum, Term, Vote, Voter};
 
 const PROMISE_MS: u64 = 100;
 
@@ -11,44 +11,44 @@
 #[test]
 fn silent_after_a_start() {
     let mut voter = voter();
-    assert_eq!(voter.ask(50, Tenure(1), Term(1)), Vote::Bound);
-    assert_eq!(voter.ask(101, Tenure(1), Term(1)), Vote::Promised);
+    assert_eq!(voter.ask(50, LeaderEpoch(1), Term(1)), Vote::Bound);
+    assert_eq!(voter.ask(101, LeaderEpoch(1), Term(1)), Vote::Promised);
 }
 
 #[test]
 fn one_candidate_at_a_time() {
     let mut voter = voter();
-    assert_eq!(voter.ask(200, Tenure(1), Term(1)), Vote::Promised);
-    assert_eq!(voter.ask(250, Tenure(2), Term(2)), Vote::Bound);
-    assert_eq!(voter.ask(290, Tenure(1), Term(1)), Vote::Promised);
-    assert_eq!(voter.ask(389, Tenure(2), Term(2)), Vote::Bound);
-    assert_eq!(voter.ask(390, Tenure(2), Term(2)), Vote::Promised);
+    assert_eq!(voter.ask(200, LeaderEpoch(1), Term(1)), Vote::Promised);
+    assert_eq!(voter.ask(250, LeaderEpoch(2), Term(2)), Vote::Bound);
+    assert_eq!(voter.ask(290, LeaderEpoch(1), Term(1)), Vote::Promised);
+    assert_eq!(voter.ask(389, LeaderEpoch(2), Term(2)), Vote::Bound);
+    assert_eq!(voter.ask(390, LeaderEpoch(2), Term(2)), Vote::Promised);
 }
 
 #[test]
 fn term_is_taken_once() {
     let mut voter = voter();
-    assert_eq!(voter.ask(200, Tenure(1), Term(1)), Vote::Promised);
-    assert_eq!(voter.ask(400, Tenure(2), Term(1)), Vote::Outdated(Term(1)));
-    assert_eq!(voter.ask(400, Tenure(1), Term(1)), Vote::Outdated(Term(1)));
-    assert_eq!(voter.ask(400, Tenure(2), Term(2)), Vote::Promised);
+    assert_eq!(voter.ask(200, LeaderEpoch(1), Term(1)), Vote::Promised);
+    assert_eq!(voter.ask(400, LeaderEpoch(2), Term(1)), Vote::Outdated(Term(1)));
+    assert_eq!(voter.ask(400, LeaderEpoch(1), Term(1)), Vote::Outdated(Term(1)));
+    assert_eq!(voter.ask(400, LeaderEpoch(2), Term(2)), Vote::Promised);
 }
 
 #[test]
 fn probe_promises_nothing() {
     let mut voter = voter();
-    assert_eq!(voter.probe(200, Tenure(1), Term(5)), Vote::Promised);
-    assert_eq!(voter.ask(200, Tenure(2), Term(1)), Vote::Promised);
+    assert_eq!(voter.probe(200, LeaderEpoch(1), Term(5)), Vote::Promised);
+    assert_eq!(voter.ask(200, LeaderEpoch(2), Term(1)), Vote::Promised);
 }
 
 #[test]
 fn returned_promise_ends() {
     let mut voter = voter();
-    voter.ask(200, Tenure(1), Term(1));
-    voter.release(Tenure(9));
-    assert_eq!(voter.bound_to(201), Some(Tenure(1)));
-    voter.release(Tenure(1));
-    assert_eq!(voter.ask(201, Tenure(2), Term(2)), Vote::Promised);
+    voter.ask(200, LeaderEpoch(1), Term(1));
+    voter.release(LeaderEpoch(9));
+    assert_eq!(voter.bound_to(201), Some(LeaderEpoch(1)));
+    voter.release(LeaderEpoch(1));
+    assert_eq!(voter.ask(201, LeaderEpoch(2), Term(2)), Vote::Promised);
 }
 
 #[test]
--- a/crates/lease/tests/server_side.rs
+++ b/crates/lease/tests/server_side.rs
@@ -1,6 +1,6 @@
 //! What a server does with orders and requests.
 use document::Name;
-use lease::{Admission, Epoch, Holder, Order, ShardEpoch, ShardId, Tenure, Term, Verdict};
+use lease::{Admission, Epoch, Holder, LeaderEpoch, Order, ShardEpoch, ShardId, Term, Verdict};
 
 fn target(shard: u32, epoch: u64) -> ShardEpoch {
     ShardEpoch { shard: ShardId(shard), epoch: Epoch(epoch) }
@@ -10,7 +10,7 @@
     Order {
         service: Name::from("ledger"),
         term: Term(term),
-        tenure: Tenure(term),
+        leader_epoch: LeaderEpoch(term),
         number: 1,
         incarnation: Some(1),
         deadline_ms,
@@ -87,10 +87,10 @@
 }
 
 #[test]
-fn other_tenure_of_a_term_is_refused() {
+fn other_leader_epoch_of_a_term_is_refused() {
     let mut holder = Holder::new(1);
     holder.follow(0, &order(2, 100, &[target(1, 5)], &[]));
-    let other = Order { tenure: Tenure(77), ..order(2, 100, &[target(2, 6)], &[]) };
+    let other = Order { leader_epoch: LeaderEpoch(77), ..order(2, 100, &[target(2, 6)], &[]) };
     assert_eq!(holder.follow(1, &other).verdict, Verdict::Outdated);
 }
 
--- a/crates/peer/src/convert.rs
+++ b/crates/peer/src/convert.rs
@@ -5,7 +5,7 @@
 use control::{Beat, BeatReply, Intent, PromiseAsk, PromiseReply, Record, RecordCopy, Stage};
 use document::{Name, Revision};
 use error_stack::Report;
-use lease::{Epoch, ShardId, Tenure, Term, Vote};
+use lease::{Epoch, LeaderEpoch, ShardId, Term, Vote};
 use route::{Fingerprint, Group, Route, Suspect, Table};
 use wire::envelope::Message as WireMessage;
 
@@ -17,8 +17,8 @@
         let message = match &packet.message {
             Message::Ask(ask) => WireMessage::Ask(ask.into()),
             Message::Reply(reply) => WireMessage::Reply(reply.into()),
-            Message::ReturnPromise(tenure) => {
-                WireMessage::ReturnPromise(wire::ReturnPromise { tenure: tenure.0 })
+            Message::ReturnPromise(leader_epoch) => {
+                WireMessage::ReturnPromise(wire::ReturnPromise { leader_epoch: leader_epoch.0 })
             }
             Message::Beat(beat) => WireMessage::Beat(beat.into()),
             Message::BeatReply(reply) => WireMessage::BeatReply(reply.into()),
@@ -56,7 +56,9 @@
         let message = match message {
             WireMessage::Ask(ask) => Message::Ask(to_ask(from.clone(), &ask)?),
             WireMessage::Reply(reply) => Message::Reply(to_reply(from.clone(), &reply)?),
-            WireMessage::ReturnPromise(message) => Message::ReturnPromise(Tenure(message.tenure)),
+            WireMessage::ReturnPromise(message) => {
+                Message::ReturnPromise(LeaderEpoch(message.leader_epoch))
+            }
             WireMessage::Beat(beat) => Message::Beat(to_beat(from.clone(), beat)),
             WireMessage::BeatReply(reply) => Message::BeatReply(to_beat_reply(reply)),
             WireMessage::Table(table) => {
@@ -87,7 +89,7 @@
             record_revision: ask.record_revision.0,
             record: ask.record.as_ref().map(Into::into),
             intents: ask.intents.iter().map(Into::into).collect(),
-            tenure: ask.tenure.0,
+            leader_epoch: ask.leader_epoch.0,
             voter_incarnation: ask.voter_incarnation,
         }
     }
@@ -111,7 +113,7 @@
             intent_number: reply.intent_number,
             intents: reply.intents.iter().map(Into::into).collect(),
             is_sure: reply.is_sure,
-            tenure: reply.tenure.0,
+            leader_epoch: reply.leader_epoch.0,
             voter_incarnation: reply.voter_incarnation,
         }
     }
@@ -145,7 +147,7 @@
             is_drained: beat.is_drained,
             document_revision: beat.document.0,
             loads: beat.loads.iter().map(load).collect(),
-            tenure: beat.tenure.0,
+            leader_epoch: beat.leader_epoch.0,
         }
     }
 }
@@ -154,7 +156,7 @@
     fn from(reply: &BeatReply) -> Self {
         Self {
             incarnation: reply.incarnation,
-            tenure: reply.tenure.0,
+            leader_epoch: reply.leader_epoch.0,
             sequence: reply.sequence,
             deadline_ms: reply.deadline_ms,
         }
@@ -181,7 +183,7 @@
             owners: routes.iter().map(|route| route.server.map_or(0, |at| at + 1)).collect(),
             epochs: routes.iter().map(|route| route.epoch.0).collect(),
             open: routes.iter().map(|route| route.is_open).collect(),
-            tenure: table.tenure.0,
+            leader_epoch: table.leader_epoch.0,
         }
     }
 }
@@ -209,7 +211,7 @@
 fn to_ask(candidate: Name, ask: &wire::Ask) -> Result<PromiseAsk> {
     Ok(PromiseAsk {
         candidate,
-        tenure: Tenure(ask.tenure),
+        leader_epoch: LeaderEpoch(ask.leader_epoch),
         term: Term(ask.term),
         stage: to_stage(ask.stage()),
         asked_ms: ask.asked_ms,
@@ -228,7 +230,7 @@
     };
     Ok(PromiseReply {
         voter,
-        tenure: Tenure(reply.tenure),
+        leader_epoch: LeaderEpoch(reply.leader_epoch),
         term: Term(reply.term),
         stage: to_stage(reply.stage()),
         asked_ms: reply.asked_ms,
@@ -267,7 +269,7 @@
         incarnation: beat.incarnation,
         clock_ms: beat.clock_ms,
         term: Term(beat.term),
-        tenure: Tenure(beat.tenure),
+        leader_epoch: LeaderEpoch(beat.leader_epoch),
         sequence: beat.sequence,
         is_drained: beat.is_drained,
         document: Revision(beat.document_revision),
@@ -278,7 +280,7 @@
 fn to_beat_reply(reply: wire::BeatReply) -> BeatReply {
     BeatReply {
         incarnation: reply.incarnation,
-        tenure: Tenure(reply.tenure),
+        leader_epoch: LeaderEpoch(reply.leader_epoch),
         sequence: reply.sequence,
         deadline_ms: reply.deadline_ms,
     }
@@ -313,7 +315,7 @@
     Ok(Table {
         service,
         term: Term(table.term),
-        tenure: Tenure(table.tenure),
+        leader_epoch: LeaderEpoch(table.leader_epoch),
         controller: Name::from(table.controller),
         sequence: table.sequence,
         document: Revision(table.document_revision),
@@ -351,7 +353,7 @@
 fn from_stage(stage: Stage) -> wire::Stage {
     match stage {
         Stage::Probing => wire::Stage::Probing,
-        Stage::Standing => wire::Stage::Standing,
+        Stage::Requesting => wire::Stage::Requesting,
         Stage::Leading => wire::Stage::Leading,
     }
 }
@@ -359,7 +361,7 @@
 fn to_stage(stage: wire::Stage) -> Stage {
     match stage {
         wire::Stage::Probing => Stage::Probing,
-        wire::Stage::Standing => Stage::Standing,
+        wire::Stage::Requesting => Stage::Requesting,
         wire::Stage::Leading => Stage::Leading,
     }
 }
--- a/crates/peer/src/packet.rs
+++ b/crates/peer/src/packet.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use control::{Beat, BeatReply, PromiseAsk, PromiseReply};
 use document::{Name, Revision};
-use lease::Tenure;
+use lease::LeaderEpoch;
 use prost::Message as _;
 use route::{Suspect, Table};
 
@@ -31,7 +31,7 @@
     /// Answers such an ask.
     Reply(PromiseReply),
     /// Gives a promise back.
-    ReturnPromise(Tenure),
+    ReturnPromise(LeaderEpoch),
     /// Tells what the sender routes by.
     Beat(Beat),
     /// Answers a beat.
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use control::{Beat, Intent, PromiseAsk, PromiseReply, Record, RecordCopy, Stage};
 use document::{Document, Name, Revision};
-use lease::{Epoch, ShardId, Tenure, Term, Vote};
+use lease::{Epoch, LeaderEpoch, ShardId, Term, Vote};
 use peer::{DocumentText, Message, Packet, Presence};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -35,7 +35,7 @@
     let record = record();
     assert_survives(Message::Ask(PromiseAsk {
         candidate: name("entry-1"),
-        tenure: Tenure(9),
+        leader_epoch: LeaderEpoch(9),
         term: Term(3),
         stage: Stage::Leading,
         asked_ms: 77,
@@ -46,7 +46,7 @@
     }));
     assert_survives(Message::Reply(PromiseReply {
         voter: name("entry-1"),
-        tenure: Tenure(9),
+        leader_epoch: LeaderEpoch(9),
         term: Term(3),
         stage: Stage::Probing,
         asked_ms: 77,
@@ -58,7 +58,7 @@
         is_sure: true,
         voter_incarnation: 8,
     }));
-    assert_survives(Message::ReturnPromise(Tenure(9)));
+    assert_survives(Message::ReturnPromise(LeaderEpoch(9)));
 }
 
 #[test]
@@ -74,7 +74,7 @@
     assert_survives(Message::Table(Arc::new(Table {
         service: name("ledger"),
         term: Term(3),
-        tenure: Tenure(9),
+        leader_epoch: LeaderEpoch(9),
         controller: name("entry-2"),
         sequence: 14,
         document: Revision(7),
@@ -91,7 +91,7 @@
         incarnation: 4,
         clock_ms: 99,
         term: Term(3),
-        tenure: Tenure(9),
+        leader_epoch: LeaderEpoch(9),
         sequence: 14,
         is_drained: true,
         document: Revision(7),
@@ -138,7 +138,8 @@
 fn any_frame() {
     let config = Config { cases: 4_000, failure_persistence: None, ..Config::default() };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
-    let valid = Packet::new(name("entry-1"), name("ledger"), Message::ReturnPromise(Tenure(1)));
+    let valid =
+        Packet::new(name("entry-1"), name("ledger"), Message::ReturnPromise(LeaderEpoch(1)));
     let valid = valid.to_bytes().to_vec();
     let frame = prop_oneof![
         prop::collection::vec(any::<u8>(), 0..200),
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -1,7 +1,7 @@
 //! The routing table that a controller publishes.
 
 use document::{Name, Revision, hash_key};
-use lease::{Epoch, ShardId, Tenure, Term};
+use lease::{Epoch, LeaderEpoch, ShardId, Term};
 use serde::{Deserialize, Serialize};
 
 /// Who serves which shard of a service.
@@ -13,8 +13,8 @@
     pub service: Name,
     /// The term of the controller that published it.
     pub term: Term,
-    /// The tenure of that controller.
-    pub tenure: Tenure,
+    /// The leader epoch of that controller.
+    pub leader_epoch: LeaderEpoch,
     /// The instance of that controller.
     pub controller: Name,
     /// The number of the table in its term.
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -1,12 +1,11 @@
 //! The assignment of one service's keys.
 
-use crate::leader::{Open, Turn};
 use crate::order::Note;
 use crate::piece::{Former, Holder, Piece, Step};
+use crate::turn::{Fences, Open, Turn};
 use registry::Life;
 
-use crate::planning::position;
-use crate::policy::Candidate;
+use crate::policy::{Candidate, position};
 use crate::{
     Grant, KeyLoad, KeyRange, OrderKind, Output, Owner, Record, Release, Reply, Share, Span, Table,
     Tuning, Why,
@@ -64,7 +63,7 @@
     pub(crate) fn take_over(
         record: &Record,
         now_ms: u64,
-        fences: &mut crate::leader::Fences,
+        fences: &mut Fences,
         tuning: &Tuning,
     ) -> Self {
         let standing_until_ms = tuning.stands_until_ms(now_ms, tuning.longest_hold_ms);
--- a/crates/shard/src/fence.rs
+++ b/crates/shard/src/fence.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-/// The office of one leader: the store's revision at its election.
+/// The epoch of one leader: the store's revision at its election.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Epoch(pub u64);
 
--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -1,27 +1,12 @@
 //! The leader: who grants what to whom.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
-use document::{HashMap, Name};
-use registry::{Life, Registration, Registry};
+use document::Name;
 
 use crate::assignment::Assignment;
-use crate::order::Note;
-use crate::policy::Candidate;
-use crate::{
-    Epoch, Event, Fence, Grant, KeyLoad, KeyRange, OrderId, OrderKind, Output, Record, Release,
-    Reply, Table, Tuning,
-};
-
-/// The servers as a leader sees them.
-#[derive(Clone, Copy, Debug)]
-pub struct Servers<'a> {
-    /// Who is registered.
-    pub registry: &'a Registry,
-    /// How fast servers are, against an ordinary one; 1 for those that are missing.
-    pub speeds: &'a HashMap<Life, f32>,
-}
+use crate::turn::{Fences, Orders, Servers, Turn};
+use crate::{Epoch, Event, KeyLoad, OrderId, Output, Record, Reply, Table, Tuning};
 
 /// The assignment of all keyed services, under one epoch.
 #[derive(Debug)]
@@ -36,72 +21,6 @@
     balance_at_ms: u64,
 }
 
-/// Gives out fences in rising order.
-#[derive(Debug)]
-pub(crate) struct Fences(Fence);
-
-/// The orders that were not answered yet.
-#[derive(Debug, Default)]
-pub(crate) struct Orders {
-    last: u64,
-    open: HashMap<OrderId, Open>,
-    /// Where servers were last known; one that is not registered any more may still hold.
-    known: HashMap<Life, Arc<Registration>>,
-}
-
-/// An order that was not answered yet.
-#[derive(Clone, Debug)]
-pub(crate) struct Open {
-    pub(crate) service: Name,
-    pub(crate) life: Life,
-    pub(crate) kind: OrderKind,
-    deadline_ms: u64,
-}
-
-/// A cold server does about half the work of a warm one.
-const COLD_PART: f32 = 0.5;
-
-impl Fences {
-    pub(crate) fn next(&mut self) -> Fence {
-        self.0 = self.0.next();
-        self.0
-    }
-}
-
-impl Orders {
-    pub(crate) fn open(&mut self, order: Open) -> OrderId {
-        self.last += 1;
-        let id = OrderId(self.last);
-        self.open.insert(id, order);
-        id
-    }
-
-    fn remember<'a>(&mut self, servers: impl Iterator<Item = &'a Arc<Registration>>) {
-        for server in servers {
-            if self.known.get(&server.life) != Some(server) {
-                self.known.insert(server.life.clone(), Arc::clone(server));
-            }
-        }
-    }
-
-    /// Returns until when grants on their way to a server may stand.
-    pub(crate) fn stand_until_ms(&self, life: &Life, range: KeyRange, tuning: &Tuning) -> u64 {
-        let stands = self.open.values().filter_map(|order| match &order.kind {
-            OrderKind::Grant(grant) if order.life == *life && grant.range.overlaps(range) => {
-                Some(tuning.stands_until_ms(order.deadline_ms, grant.hold_ms))
-            }
-            _ => None,
-        });
-        stands.max().unwrap_or(0)
-    }
-}
-
-impl Open {
-    pub(crate) fn new(service: &Name, life: &Life, kind: OrderKind, deadline_ms: u64) -> Self {
-        Self { service: service.clone(), life: life.clone(), kind, deadline_ms }
-    }
-}
-
 impl Leader {
     /// Takes over from whoever led before, with what the store's records say.
     ///
@@ -115,7 +34,7 @@
         records: &[(Name, Record)],
         tuning: Tuning,
     ) -> Self {
-        let mut fences = Fences(Fence::first(epoch));
+        let mut fences = Fences::new(epoch);
         let assignments = records
             .iter()
             .map(|(service, record)| {
@@ -156,7 +75,7 @@
     /// Returns whether a fresh epoch is needed soon.
     #[must_use]
     pub fn needs_epoch(&self) -> bool {
-        self.fences.0.is_nearly_last()
+        self.fences.are_nearly_used()
     }
 
     /// Returns the owners of a service's keys, for the daemons.
@@ -246,7 +165,7 @@
     }
 
     fn answered(&mut self, now_ms: u64, id: OrderId, reply: Reply, outputs: &mut Vec<Output>) {
-        let Some(order) = self.orders.open.remove(&id) else { return };
+        let Some(order) = self.orders.close(id) else { return };
         let Some(assignment) = self.assignments.get_mut(&order.service) else { return };
         let is_deposed = assignment.answered(now_ms, &order, &reply, &self.tuning, outputs);
         if is_deposed {
@@ -254,69 +173,3 @@
         }
     }
 }
-
-/// One pass over a service's assignment.
-pub(crate) struct Turn<'a> {
-    pub(crate) service: &'a Name,
-    pub(crate) now_ms: u64,
-    pub(crate) servers: Servers<'a>,
-    pub(crate) hold_ms: u64,
-    pub(crate) epoch: Epoch,
-    pub(crate) tuning: &'a Tuning,
-    pub(crate) fences: &'a mut Fences,
-    pub(crate) orders: &'a mut Orders,
-    pub(crate) outputs: &'a mut Vec<Output>,
-}
-
-impl Turn<'_> {
-    /// Sends a grant, if the server is known.
-    pub(crate) fn grant(&mut self, life: &Life, grant: Grant) {
-        let deadline_ms = self.now_ms + self.tuning.order_timeout_ms;
-        self.order(life, OrderKind::Grant(grant), deadline_ms);
-    }
-
-    /// Sends a release, if the server is known; its answer may take as long as the work.
-    pub(crate) fn release(&mut self, life: &Life, release: Release, deadline_ms: u64) {
-        let deadline_ms = deadline_ms.max(self.now_ms + self.tuning.order_timeout_ms);
-        self.order(life, OrderKind::Release(release), deadline_ms);
-    }
-
-    /// Returns until when grants to a server may stand, those on their way included.
-    pub(crate) fn stands_until_ms(&self, life: &Life, range: KeyRange, settled_ms: u64) -> u64 {
-        settled_ms.max(self.orders.stand_until_ms(life, range, self.tuning))
-    }
-
-    pub(crate) fn note_lapse(&mut self, range: KeyRange, from: &Life) {
-        let (service, from) = (self.service.clone(), from.clone());
-        self.outputs.push(Output::Note(Note::Lapsed { service, range, from }));
-    }
-
-    fn order(&mut self, life: &Life, kind: OrderKind, deadline_ms: u64) {
-        let registered = self.servers.registry.get(life);
-        let Some(server) = registered.or_else(|| self.orders.known.get(life)) else { return };
-        let server = Arc::clone(server);
-        let id = self.orders.open(Open::new(self.service, life, kind.clone(), deadline_ms));
-        self.outputs.push(Output::Order { id, server, kind, deadline_ms });
-    }
-
-    /// Returns the servers that may hold ranges of the service, without any load.
-    pub(crate) fn candidates(&self) -> Vec<Candidate> {
-        let registry = self.servers.registry;
-        registry
-            .of_service(self.service)
-            .filter(|server| registry.is_welcome(&server.life))
-            .map(|server| Candidate {
-                life: server.life.clone(),
-                capacity: self.capacity(server),
-                load: 0.0,
-            })
-            .collect()
-    }
-
-    fn capacity(&self, server: &Registration) -> f32 {
-        let slots = f32::from(u16::try_from(server.slots).unwrap_or(u16::MAX)).max(1.0);
-        let speed = self.servers.speeds.get(&server.life).copied().unwrap_or(1.0);
-        let is_cold = self.now_ms < server.cold_until_ms;
-        slots * speed * if is_cold { COLD_PART } else { 1.0 }
-    }
-}
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -27,12 +27,14 @@
 mod record;
 mod table;
 mod tuning;
+mod turn;
 
 pub use fence::{Epoch, Fence};
-pub use leader::{Leader, Servers};
+pub use leader::Leader;
 pub use load::KeyLoad;
 pub use order::{Event, Grant, Handover, Note, OrderId, OrderKind, Output, Release, Reply, Why};
 pub use range::KeyRange;
 pub use record::{Record, Share};
 pub use table::{Owner, Span, Table};
 pub use tuning::Tuning;
+pub use turn::Servers;
--- a/crates/shard/src/planning.rs
+++ b/crates/shard/src/planning.rs
@@ -3,10 +3,10 @@
 use registry::Life;
 
 use crate::assignment::Assignment;
-use crate::leader::Turn;
 use crate::order::Note;
 use crate::piece::{Piece, Successor};
-use crate::policy::{self, Candidate};
+use crate::policy::{self, Candidate, position};
+use crate::turn::Turn;
 use crate::{KeyRange, Output, Why};
 
 impl Assignment {
@@ -167,8 +167,3 @@
     let (service, to) = (turn.service.clone(), to.clone());
     turn.outputs.push(Output::Note(Note::Planned { service, range, from, to, why }));
 }
-
-/// Returns where a life stands among the candidates.
-pub(crate) fn position(candidates: &[Candidate], life: &Life) -> Option<usize> {
-    candidates.iter().position(|candidate| candidate.life == *life)
-}
--- a/crates/shard/src/policy.rs
+++ b/crates/shard/src/policy.rs
@@ -197,3 +197,8 @@
 fn to_f32(number: u32) -> f32 {
     f32::from(u16::try_from(number).unwrap_or(u16::MAX))
 }
+
+/// Returns where a life stands among the candidates.
+pub(crate) fn position(candidates: &[Candidate], life: &Life) -> Option<usize> {
+    candidates.iter().position(|candidate| candidate.life == *life)
+}
--- a/crates/shard/src/record.rs
+++ b/crates/shard/src/record.rs
@@ -13,7 +13,7 @@
 pub struct Record {
     /// The leader that wrote it.
     pub epoch: u64,
-    /// The number of the write within the leader's office.
+    /// The number of the write within the leader's epoch.
     pub number: u64,
     /// The ranges in order; together they are all keys.
     pub shares: Vec<Share>,
--- a/crates/verbenad/src/daemon.rs
+++ b/crates/verbenad/src/daemon.rs
@@ -30,7 +30,7 @@
 
 #[derive(Clone, Debug, Default)]
 struct Tokens {
-    /// The daemon gives up its offices and says that it is not ready.
+    /// The daemon steps down as leader everywhere and says that it is not ready.
     stop: CancellationToken,
     /// Callers' connections end with the answers in progress.
     close: CancellationToken,
--- a/crates/verbenad/src/entry.rs
+++ b/crates/verbenad/src/entry.rs
@@ -73,7 +73,7 @@
         if is_same {
             return false;
         }
-        if self.table.as_ref().is_none_or(|known| known.tenure != newest.tenure) {
+        if self.table.as_ref().is_none_or(|known| known.leader_epoch != newest.leader_epoch) {
             self.in_flight.set_route_deadline_ms(0);
         }
         if self.in_flight.len() != newest.routes.len() {
--- a/crates/verbenad/src/lib.rs
+++ b/crates/verbenad/src/lib.rs
@@ -17,6 +17,7 @@
 //! ```
 
 mod admin;
+mod collector;
 mod daemon;
 mod documents;
 mod dump;
--- a/crates/verbenad/src/node.rs
+++ b/crates/verbenad/src/node.rs
@@ -17,11 +17,11 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Settings;
+use crate::collector::StatusCollector;
 use crate::entry::Entry;
 use crate::input::{Input, Question};
 use crate::members::Members;
 use crate::orders::Orders;
-use crate::status::StatusCollector;
 
 /// The state of the control thread.
 #[derive(Debug)]
@@ -47,7 +47,7 @@
 }
 
 const TICK_MS: u64 = 10;
-/// How many inputs are taken before consequences are drawn.
+/// How many inputs are taken before they are acted on together.
 const MOST_TOGETHER: usize = 64;
 const BEAT_MS: u64 = 250;
 const PRESENCE_MS: u64 = 500;
@@ -81,7 +81,7 @@
         }
     }
 
-    /// Runs until `stop`, then gives up its offices and runs on until `end`.
+    /// Runs until `stop`, then steps down as leader everywhere and runs on until `end`.
     pub(crate) async fn run(
         mut self,
         mut inputs: mpsc::Receiver<Input>,
@@ -94,7 +94,7 @@
             tokio::select! {
                 biased;
                 () = end.cancelled() => return,
-                () = stop.cancelled(), if !self.is_stopping => self.give_up_offices(),
+                () = stop.cancelled(), if !self.is_stopping => self.step_down_everywhere(),
                 _ = ticks.tick() => self.tick(),
                 input = inputs.recv() => match input {
                     Some(input) => self.take(input),
@@ -109,7 +109,7 @@
         }
     }
 
-    /// Takes what has come, and draws the consequences once for all of it.
+    /// Takes what has come, and acts once on all of it.
     fn take_all(&mut self, inputs: &mut mpsc::Receiver<Input>) {
         loop {
             while let Some(input) = self.own.pop_front() {
@@ -196,8 +196,8 @@
         match message {
             Message::Ask(ask) => self.step(&service, Event::PromiseAsked(ask)),
             Message::Reply(reply) => self.step(&service, Event::PromiseReplied(reply)),
-            Message::ReturnPromise(tenure) => {
-                self.step(&service, Event::PromiseReturned(tenure));
+            Message::ReturnPromise(leader_epoch) => {
+                self.step(&service, Event::PromiseReturned(leader_epoch));
             }
             Message::Beat(beat) => self.step(&service, Event::Beat(beat)),
             Message::BeatReply(reply) => self.take_beat_reply(&service, reply),
@@ -213,7 +213,7 @@
         }
     }
 
-    /// Takes an event to a service's control part, whose consequences are drawn later.
+    /// Takes an event to a service's control part, which acts on it later.
     pub(crate) fn step(&mut self, service: &Name, event: Event) {
         let now_ms = self.now_ms();
         let Some(entry) = self.services.get_mut(service) else { return };
@@ -224,7 +224,7 @@
         }
     }
 
-    /// Draws the consequences of what a service's control part has taken.
+    /// Acts on what a service's control part has taken.
     fn settle(&mut self, service: &Name) {
         let now_ms = self.now_ms();
         let Some(entry) = self.services.get_mut(service) else { return };
@@ -263,8 +263,8 @@
             }
             Action::AskPromise(to, ask) => self.send(&to, service, Message::Ask(ask)),
             Action::ReplyPromise(to, reply) => self.send(&to, service, Message::Reply(reply)),
-            Action::ReturnPromise(to, tenure) => {
-                self.send(&to, service, Message::ReturnPromise(tenure));
+            Action::ReturnPromise(to, leader_epoch) => {
+                self.send(&to, service, Message::ReturnPromise(leader_epoch));
             }
             Action::Order(server, address, order) => {
                 self.send_order(service.clone(), server, address, order);
@@ -370,7 +370,7 @@
             incarnation: self.incarnation,
             clock_ms: now_ms,
             term: table.map_or(lease::Term(0), |table| table.term),
-            tenure: table.map_or(lease::Tenure(0), |table| table.tenure),
+            leader_epoch: table.map_or(lease::LeaderEpoch(0), |table| table.leader_epoch),
             sequence: table.map_or(0, |table| table.sequence),
             is_drained,
             document: entry.revision,
@@ -385,7 +385,7 @@
         let now_ms = self.now_ms();
         let Some(entry) = self.services.get_mut(service) else { return };
         let is_mine = reply.incarnation == self.incarnation
-            && entry.table.as_ref().is_some_and(|table| table.tenure == reply.tenure);
+            && entry.table.as_ref().is_some_and(|table| table.leader_epoch == reply.leader_epoch);
         if is_mine {
             let known_ms = entry.in_flight.route_deadline_ms();
             entry.in_flight.set_route_deadline_ms(known_ms.max(reply.deadline_ms));
@@ -412,7 +412,7 @@
         }
     }
 
-    fn give_up_offices(&mut self) {
+    fn step_down_everywhere(&mut self) {
         self.is_stopping = true;
         for name in self.services.keys().cloned().collect::<Vec<_>>() {
             self.step(&name, Event::Stop);
--- a/crates/verbenad/src/status.rs
+++ b/crates/verbenad/src/status.rs
@@ -1,8 +1,5 @@
 //! Answers to operators from the control state.
 
-use std::collections::BTreeMap;
-
-use control::Status;
 use document::{Name, hash_key};
 use operator::{Explanation, Fault, FaultKind, InstanceStatus, ServiceStatus, StatusAnswer};
 use peer::Message;
@@ -10,53 +7,9 @@
 use tokio::sync::oneshot;
 use tokio_util::bytes::Bytes;
 
+use crate::collector::{COLLECT_MS, Collection, Statuses, finish, note_statuses};
 use crate::node::Node;
 
-/// What each service's controller says, by service.
-type Statuses = BTreeMap<Name, Status>;
-
-/// Collects what controllers on other instances say.
-#[derive(Debug, Default)]
-pub(crate) struct StatusCollector {
-    next_number: u64,
-    open: Vec<Collection>,
-}
-
-#[derive(Debug)]
-struct Collection {
-    number: u64,
-    deadline_ms: u64,
-    waiting_for: Vec<Name>,
-    answer: StatusAnswer,
-    asker: oneshot::Sender<StatusAnswer>,
-}
-
-/// How long other instances may take to say what they control.
-const COLLECT_MS: u64 = 400;
-
-impl StatusCollector {
-    pub(crate) fn note_reply(&mut self, number: u64, from: &Name, json: &[u8]) {
-        let Some(at) = self.open.iter().position(|open| open.number == number) else { return };
-        // A reply that cannot be read is as good as none.
-        let statuses: Statuses = serde_json::from_slice(json).unwrap_or_default();
-        let open = &mut self.open[at];
-        open.waiting_for.retain(|name| name != from);
-        note_statuses(&mut open.answer, statuses);
-        if open.waiting_for.is_empty() {
-            finish(self.open.remove(at));
-        }
-    }
-
-    /// Answers the questions whose time is over with what has come.
-    pub(crate) fn expire(&mut self, now_ms: u64) {
-        let (over, open) =
-            std::mem::take(&mut self.open).into_iter().partition(|c| now_ms >= c.deadline_ms);
-        self.open = open;
-        let over: Vec<Collection> = over;
-        over.into_iter().for_each(finish);
-    }
-}
-
 impl<S: Store> Node<S> {
     /// Asks all instances what they control, and answers when they have.
     pub(crate) fn collect_status(&mut self, asker: oneshot::Sender<StatusAnswer>) {
@@ -152,34 +105,3 @@
         })
     }
 }
-
-fn note_statuses(answer: &mut StatusAnswer, statuses: Statuses) {
-    for (name, status) in statuses {
-        let service = answer.services.entry(name).or_default();
-        let known = service.control.as_ref().map(|known| known.term);
-        if known.is_none_or(|known| known < status.term) {
-            service.control = Some(status);
-        }
-    }
-}
-
-/// Works out what has not settled, and answers.
-fn finish(collection: Collection) {
-    let mut answer = collection.answer;
-    for (name, service) in &mut answer.services {
-        for (instance, status) in &answer.instances {
-            let in_force = status.in_force.get(name).copied().unwrap_or_default();
-            if in_force < service.document {
-                service.unsettled.push(format!(
-                    "{instance} has revision {in_force} in force, not {}",
-                    service.document
-                ));
-            }
-        }
-        for unsettled in service.control.iter().flat_map(|status| &status.unsettled) {
-            service.unsettled.push(format!("{} shards: {}", unsettled.shards, unsettled.reason));
-        }
-    }
-    // Somebody who asked and went away needs no answer.
-    drop(collection.asker.send(answer));
-}
