Move keys from the next busiest servers and beside hot keys

Cause: one key can take more than a server's share; the policy looked at the busiest server only, found nothing to gain there and moved nothing else, or sent the hot key round among servers. At the start four servers held all keys, because the first assignment did not wait for the others to register.

Change: up to four busiest servers are looked at, every cut of every piece is weighed by what it leaves, a move has to bring a tenth, and the first assignment waits until no more servers come. A line a second tells how evenly load lies.

--- a/crates/gateway/src/leading.rs
+++ b/crates/gateway/src/leading.rs
@@ -52,10 +52,9 @@
 
     /// Has keys assigned for every keyed service of the site.
     pub(crate) fn add_keyed_services(&mut self) {
-        let now_ms = self.clock.now_ms();
         let (Some(leading), Some(site)) = (&mut self.leading, &self.site) else { return };
         for service in site.services().filter(|service| service.is_keyed) {
-            leading.leader.add_service(&service.name, now_ms);
+            leading.leader.add_service(&service.name);
         }
     }
 
@@ -233,6 +232,16 @@
                 kv: { service = service.as_str(), range: = range, from, to: = to, why:? = why }
             );
         }
+        Note::Balance { service, ranges, load, hottest, capacity, busiest, idlest } => {
+            spdlog::info!(
+                "balance",
+                kv: {
+                    service = service.as_str(), ranges = *ranges, load: = load, capacity: = capacity,
+                    hottest = hottest.0, hottest_load: = hottest.1,
+                    busiest: = busiest.0, busiest_part: = busiest.1, idlest: = idlest.0, idlest_part: = idlest.1
+                }
+            );
+        }
         Note::Lapsed { service, range, from } => {
             spdlog::warn!("grant ran out", kv: { service = service.as_str(), range: = range, from: = from });
         }
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -17,8 +17,8 @@
     /// The pieces in order; together they are all keys.
     pub(crate) pieces: Vec<Piece>,
     pub(crate) load: KeyLoad,
-    /// Until when the first assignment waits for more servers.
-    settled_ms: u64,
+    /// How many servers there were, and since when; the first assignment waits for more.
+    seen: (usize, u64),
     /// The number of the last record that was asked for.
     pub(crate) wanted: u64,
     /// The number of the last record that was sent to the store.
@@ -27,6 +27,8 @@
     pub(crate) durable: u64,
     write_at_ms: u64,
     pub(crate) is_changed: bool,
+    /// When the balance is noted next.
+    pub(crate) note_at_ms: u64,
     /// Whether the record names former holders that hold nothing any more.
     is_record_long: bool,
 }
@@ -42,16 +44,17 @@
 
 impl Assignment {
     /// Creates the assignment of a service that has none.
-    pub(crate) fn new(settled_ms: u64) -> Self {
+    pub(crate) fn new() -> Self {
         Self {
             pieces: vec![Piece::free(KeyRange::WHOLE)],
             load: KeyLoad::default(),
-            settled_ms,
+            seen: (0, 0),
             wanted: 0,
             writing: None,
             durable: 0,
             write_at_ms: 0,
             is_changed: true,
+            note_at_ms: 0,
             is_record_long: false,
         }
     }
@@ -81,7 +84,7 @@
             formers: share.previous.iter().map(to_former).collect(),
             ..Piece::free(share.range)
         });
-        Self { pieces: pieces.collect(), ..Self::new(0) }
+        Self { pieces: pieces.collect(), ..Self::new() }
     }
 
     pub(crate) fn load_mut(&mut self) -> &mut KeyLoad {
@@ -222,7 +225,7 @@
 
     /// Carries every piece one step on.
     pub(crate) fn advance(&mut self, turn: &mut Turn<'_>, balances: bool) {
-        if turn.now_ms < self.settled_ms {
+        if !self.has_begun(turn) {
             return;
         }
         if balances {
@@ -242,6 +245,16 @@
         }
     }
 
+    /// Returns whether keys are assigned, or may be now: no more servers come.
+    fn has_begun(&mut self, turn: &Turn<'_>) -> bool {
+        let is_first = matches!(self.pieces.as_slice(), [only] if only.final_life().is_none());
+        let servers = turn.servers.registry.of_service(turn.service).count();
+        if self.seen.0 != servers {
+            self.seen = (servers, turn.now_ms);
+        }
+        !is_first || (servers > 0 && turn.now_ms >= self.seen.1 + turn.tuning.settle_ms)
+    }
+
     /// Lets go of those that hold nothing any more, and of successors that left.
     fn drop_lost(&mut self, turn: &Turn<'_>, candidates: &[Candidate]) {
         let registry = turn.servers.registry;
--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -95,9 +95,8 @@
     }
 
     /// Starts to assign the keys of a service that has no record.
-    pub fn add_service(&mut self, service: &Name, now_ms: u64) {
-        let settled_ms = now_ms + self.tuning.settle_ms;
-        self.assignments.entry(service.clone()).or_insert_with(|| Assignment::new(settled_ms));
+    pub fn add_service(&mut self, service: &Name) {
+        self.assignments.entry(service.clone()).or_insert_with(Assignment::new);
     }
 
     /// Takes an event and says what to do; nothing after authority has ended.
--- a/crates/shard/src/load.rs
+++ b/crates/shard/src/load.rs
@@ -58,6 +58,13 @@
         self.of(KeyRange::WHOLE)
     }
 
+    /// Returns the busiest key with its load.
+    #[must_use]
+    pub fn hottest(&self) -> (u16, f32) {
+        let hottest = (0..=u16::MAX).zip(&self.keys).max_by(|a, b| a.1.total_cmp(b.1));
+        hottest.map_or((0, 0.0), |(key, load)| (key, *load))
+    }
+
     /// Returns the key before which a range has to be cut for some load on its left.
     ///
     /// The left part has at most that load, unless one key alone exceeds it.
--- a/crates/shard/src/order.rs
+++ b/crates/shard/src/order.rs
@@ -143,6 +143,23 @@
         /// Who held them.
         from: Life,
     },
+    /// How evenly load lies.
+    Balance {
+        /// The service.
+        service: Name,
+        /// How many ranges there are.
+        ranges: usize,
+        /// The load of all keys, in busy slots.
+        load: f32,
+        /// The busiest key, and its load.
+        hottest: (u16, f32),
+        /// What the servers can do, in slots of a server of ordinary speed.
+        capacity: f32,
+        /// The busiest server, and its load against its share.
+        busiest: (Life, f32),
+        /// The idlest server, and its load against its share.
+        idlest: (Life, f32),
+    },
     /// A server refused a fence.
     Refused {
         /// The service.
--- a/crates/shard/src/planning.rs
+++ b/crates/shard/src/planning.rs
@@ -9,6 +9,9 @@
 use crate::turn::Turn;
 use crate::{KeyRange, Output, Why};
 
+/// How often the balance is noted.
+const NOTE_EVERY_MS: u64 = 1_000;
+
 impl Assignment {
     /// Adds the load that every candidate has in the end.
     pub(crate) fn add_loads(&self, candidates: &mut [Candidate]) {
@@ -107,6 +110,7 @@
 
     /// Evens load out, a few moves at a time.
     pub(crate) fn balance(&mut self, turn: &mut Turn<'_>, candidates: &mut [Candidate]) {
+        self.note_balance(turn, candidates);
         let moving = self.pieces.iter().filter(|piece| piece.successor.is_some()).count();
         for _ in moving..turn.tuning.most_moves {
             let next = policy::even_out(&self.pieces, &self.load, candidates, turn.tuning);
@@ -122,6 +126,23 @@
         }
     }
 
+    fn note_balance(&mut self, turn: &mut Turn<'_>, candidates: &[Candidate]) {
+        if turn.now_ms < self.note_at_ms {
+            return;
+        }
+        self.note_at_ms = turn.now_ms + NOTE_EVERY_MS;
+        let Some((busiest, idlest)) = policy::extremes(candidates) else { return };
+        turn.outputs.push(Output::Note(Note::Balance {
+            service: turn.service.clone(),
+            ranges: self.pieces.len(),
+            load: self.load.total(),
+            hottest: self.load.hottest(),
+            capacity: candidates.iter().map(|candidate| candidate.capacity).sum(),
+            busiest,
+            idlest,
+        }));
+    }
+
     fn start_move(
         &mut self,
         turn: &mut Turn<'_>,
--- a/crates/shard/src/policy.rs
+++ b/crates/shard/src/policy.rs
@@ -71,6 +71,9 @@
 const PORTIONS: f32 = 4.0;
 
 /// Finds the move that evens load out most, or `None` if none is worth it.
+///
+/// The busiest server may have a single key that is more than its share; then the keys
+/// beside it go, and so may keys of the next busiest ones.
 pub(crate) fn even_out(
     pieces: &[Piece],
     load: &KeyLoad,
@@ -79,28 +82,52 @@
 ) -> Option<Move> {
     let total: f32 = candidates.iter().map(|candidate| candidate.load).sum();
     let capacity: f32 = candidates.iter().map(|candidate| candidate.capacity).sum();
-    let share = |candidate: &Candidate| total * candidate.capacity / capacity;
-    let ratio = |candidate: &Candidate| candidate.load / candidate.capacity;
-    let from = candidates.iter().max_by(|a, b| ratio(a).total_cmp(&ratio(b)))?;
-    let to = candidates.iter().min_by(|a, b| ratio(a).total_cmp(&ratio(b)))?;
+    let level = total / capacity;
     let tolerance = 1.0 + to_f32(tuning.tolerance_percent) / 100.0;
-    let is_above = from.load > share(from) * tolerance;
-    let is_below = to.load < share(to) * STARVED_PART;
-    let amount = (from.load - share(from)).min(share(to) - to.load);
-    if !(is_above || is_below) || amount < tuning.least_gain_slots {
-        return None;
-    }
-    let range = slice(pieces, load, from, to, amount)?;
-    // One key that is more than the difference would only move the trouble.
-    let moved = load.of(range);
-    let is_better = to.ratio_with(moved) < ratio(from);
-    is_better.then(|| Move { range, to: to.life.clone() })
+    let mut by_ratio: Vec<&Candidate> = candidates.iter().collect();
+    by_ratio.sort_unstable_by(|a, b| b.ratio_with(0.0).total_cmp(&a.ratio_with(0.0)));
+    let to = by_ratio.last()?;
+    let is_starved = to.ratio_with(0.0) < level * STARVED_PART;
+    let least = tuning.least_gain_slots.min(level * to.capacity * LEAST_PART);
+    by_ratio.iter().take(MOST_SOURCES).find_map(|from| {
+        let amount = (from.load - level * from.capacity).min(level * to.capacity - to.load);
+        let is_above = from.ratio_with(0.0) > level * tolerance;
+        if !(is_above || is_starved) || amount < least {
+            return None;
+        }
+        let range = slice(pieces, load, from, to, amount)?;
+        let moved = load.of(range);
+        let highest = from.ratio_with(-moved).max(to.ratio_with(moved));
+        let is_better = highest < from.ratio_with(0.0) * IMPROVED_PART && moved >= least;
+        is_better.then(|| Move { range, to: to.life.clone() })
+    })
 }
 
 /// A server with less than this part of its share gets keys even if none has too many.
 const STARVED_PART: f32 = 0.5;
+/// A move of less than this part of a server's share is not worth it, however little load
+/// there is.
+const LEAST_PART: f32 = 0.25;
+/// A move has to bring the busier of its two servers down to this part, or a key that is
+/// too much for every server would go round among them.
+const IMPROVED_PART: f32 = 0.9;
+/// From how many of the busiest servers keys may be taken.
+const MOST_SOURCES: usize = 4;
+
+/// Returns the busiest and the idlest server, with their loads against their shares.
+pub(crate) fn extremes(candidates: &[Candidate]) -> Option<((Life, f32), (Life, f32))> {
+    let total: f32 = candidates.iter().map(|candidate| candidate.load).sum();
+    let capacity: f32 = candidates.iter().map(|candidate| candidate.capacity).sum();
+    let against = |candidate: &Candidate| candidate.load / candidate.capacity * capacity / total;
+    let by_load = |a: &&Candidate, b: &&Candidate| against(a).total_cmp(&against(b));
+    let busiest = candidates.iter().max_by(by_load)?;
+    let idlest = candidates.iter().min_by(by_load)?;
+    let named = |candidate: &Candidate| (candidate.life.clone(), against(candidate));
+    Some((named(busiest), named(idlest)))
+}
 
-/// Finds the keys to take from a server: the densest piece, cut to the amount.
+/// Finds the keys to take from a server: those that leave the two servers most alike, and
+/// of equally good ones the fewest.
 fn slice(
     pieces: &[Piece],
     load: &KeyLoad,
@@ -108,49 +135,39 @@
     to: &Candidate,
     amount: f32,
 ) -> Option<KeyRange> {
-    let is_movable = |piece: &&Piece| {
-        piece.is_settled() && piece.holder.as_ref().is_some_and(|holder| holder.life == from.life)
-    };
-    // Whole pieces that fit best come first: they leave no more pieces than before.
-    let whole = pieces
-        .iter()
-        .filter(is_movable)
-        .map(|piece| (piece.range, load.of(piece.range)))
-        .filter(|(_, load)| *load <= amount && *load >= amount * FITTING_PART)
-        .max_by(|a, b| a.1.total_cmp(&b.1));
-    if let Some((range, _)) = whole {
-        return Some(range);
-    }
-    let (at, piece) = pieces
-        .iter()
-        .enumerate()
-        .filter(|(_, piece)| is_movable(piece))
-        .max_by(|a, b| load.of(a.1.range).total_cmp(&load.of(b.1.range)))?;
-    let range = piece.range;
+    let of_server = pieces.iter().enumerate().filter(|(_, piece)| {
+        piece.is_settled() && piece.final_life() == Some(&from.life)
+    });
     let is_next_to = |at: Option<usize>| {
         at.and_then(|at| pieces.get(at)).is_some_and(|piece| piece.final_life() == Some(&to.life))
     };
-    let rest = load.of(range) - amount;
-    let left_cut = load.cut(range, amount).and_then(|key| range.split_at(key));
-    let right_cut = load.cut(range, rest.max(0.0)).and_then(|key| range.split_at(key));
-    let left = left_cut.map(|(left, _)| left);
-    let right = right_cut.map(|(_, right)| right);
-    if is_next_to(at.checked_sub(1)) {
-        return left.or(right);
-    }
-    if is_next_to(Some(at + 1)) {
-        return right.or(left);
-    }
-    // The denser side moves fewer keys.
-    match (left, right) {
-        (Some(left), Some(right)) if right.count() < left.count() => Some(right),
-        (Some(left), _) => Some(left),
-        (None, right) => right,
-    }
+    let cost = |range: KeyRange, joins: bool| {
+        let moved = load.of(range);
+        let highest = from.ratio_with(-moved).max(to.ratio_with(moved));
+        let keys = to_f32(range.count()) / MANY_KEYS * KEYS_COST;
+        highest + (keys + if joins { 0.0 } else { CUT_COST }) * to.ratio_with(amount)
+    };
+    let options = of_server.flat_map(|(at, piece)| {
+        let range = piece.range;
+        let rest = (load.of(range) - amount).max(0.0);
+        let left = load.cut(range, amount).and_then(|key| range.split_at(key));
+        let right = load.cut(range, rest).and_then(|key| range.split_at(key));
+        [
+            Some((range, true)),
+            left.map(|(left, _)| (left, is_next_to(at.checked_sub(1)))),
+            right.map(|(_, right)| (right, is_next_to(Some(at + 1)))),
+        ]
+    });
+    let best = options.flatten().min_by(|a, b| cost(a.0, a.1).total_cmp(&cost(b.0, b.1)));
+    best.map(|(range, _)| range)
 }
 
-/// A piece with at least this part of the wanted load is moved whole.
-const FITTING_PART: f32 = 0.6;
+/// What one more cut costs, against a server's load: each range is renewed by itself.
+const CUT_COST: f32 = 0.05;
+/// What moving many keys costs, against a server's load: keys that change hands have a
+/// price by their number.
+const KEYS_COST: f32 = 0.1;
+const MANY_KEYS: f32 = 4_096.0;
 
 /// Finds a small, quiet run of one server's pieces, and joins it to a larger run beside it.
 pub(crate) fn join(pieces: &[Piece], load: &KeyLoad, candidates: &[Candidate]) -> Option<Move> {
--- a/crates/shard/src/tuning.rs
+++ b/crates/shard/src/tuning.rs
@@ -21,7 +21,7 @@
     /// How long a release waits after the daemons were told, so that requests on their way
     /// still arrive.
     pub release_delay_ms: u64,
-    /// How long the first assignment waits for more servers to register.
+    /// How long the first assignment waits after the last server that registered.
     pub settle_ms: u64,
     /// How often load is looked at.
     pub balance_every_ms: u64,
@@ -45,7 +45,7 @@
             order_timeout_ms: 500,
             failures: 2,
             release_delay_ms: 6,
-            settle_ms: 600,
+            settle_ms: 1_000,
             balance_every_ms: 250,
             tolerance_percent: 20,
             least_gain_slots: 0.15,
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -262,7 +262,7 @@
             self.record.iter().map(|record| (SERVICE.into(), record.clone())).collect();
         let epoch = Epoch(self.epoch);
         let mut leader = Leader::new(epoch, self.now_ms, self.lease_until_ms, &records, tuning());
-        leader.add_service(&SERVICE.into(), self.now_ms);
+        leader.add_service(&SERVICE.into());
         self.leaders.push(Some(leader));
         self.note(&format!("elected {}", self.epoch));
     }
