Keep large answers in the data centre, and give leaving servers less time

Cause: a download from another data centre is dearer than it is worth to Sapporo, and went there as soon as the near servers were as full as one more server. On the grown site a daemon that learned late of a leaving server sent it a request 125 ms after the bound.

Change: large answers go far when the near servers are four times full; leaving servers get work for two fifths of the drain from the time they are known.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -69,10 +69,9 @@
 const CRASHES_MS: u64 = 1_000;
 /// After how long without a leader's tables the store's records are read.
 const SILENCE_MS: u64 = 1_600;
-/// A server that leaves gets its last work this long before the end of the drain.
-///
-/// Covers the way there and the wait in its queue.
-const DRAIN_MARGIN_MS: u64 = 500;
+/// A server that leaves gets work for this part of the drain, in percent, from the time on
+/// that it is known here. The rest covers how late that is, and the way there.
+const DRAIN_USED_PERCENT: u64 = 40;
 /// How long a daemon waits at most before it campaigns; campaigns collide less.
 const CAMPAIGN_SPREAD_MS: u64 = 120;
 
@@ -533,7 +532,7 @@
     /// Meets new servers, and closes those that leave or are gone.
     fn update_servers(&mut self, site: &Site) {
         let daemons = u32::try_from(self.daemons.len()).unwrap_or(u32::MAX).max(1);
-        let last_work_ms = self.settings.drain_ms.saturating_sub(DRAIN_MARGIN_MS);
+        let last_work_ms = self.settings.drain_ms * DRAIN_USED_PERCENT / 100;
         for spec in site.services() {
             for registration in self.registry.of_service(&spec.name) {
                 let server = self.servers.entry(registration.life.clone()).or_insert_with(|| {
--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -17,8 +17,8 @@
 
 /// What an answer from another data centre costs, against a server that is full.
 ///
-/// Bytes between data centres are paid for: a large answer goes far only when the near
-/// servers are about as busy as this.
+/// Bytes between data centres are paid for, and a large answer may cost more there than it
+/// is worth: it goes far only when the near servers are this many times full.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Distance(pub f32);
 
@@ -26,7 +26,7 @@
     /// For answers of some kilobytes.
     pub const SMALL: Self = Self(0.1);
     /// For downloads.
-    pub const LARGE: Self = Self(1.0);
+    pub const LARGE: Self = Self(4.0);
 }
 
 /// Returns the position of the server that is expected to answer best.
