Refuse early where requests wait without a pause

Cause: at a key that is too much for its server the queue stood at the deadline, and every answer came too late to be worth most. Failures of an owner were tried again at the same owner.

Change: when requests have waited for 200 ms without a pause, one that would miss its aim is refused at once; an owner's own failure is passed on.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -39,8 +39,9 @@
 
 impl Call {
     pub(crate) fn arrival(&self) -> Arrival {
-        let priority = self.route.priority.0;
-        Arrival { deadline_ms: self.deadline_ms, priority, queue: QUEUE }
+        let (deadline_ms, priority) = (self.deadline_ms, self.route.priority.0);
+        let aim_ms = self.arrived_ms + self.route.aim_ms;
+        Arrival { deadline_ms, aim_ms, priority, queue: QUEUE }
     }
 
     pub(crate) fn fingerprint(&self) -> Fingerprint {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -118,6 +118,8 @@
                 note_served(&service, &life);
                 return Ok(response);
             }
+            // The owner of a key is the only one to ask, and has answered.
+            Exchanged::Failed(response) if service.is_keyed => return Ok(response),
             Exchanged::Failed(response) => {
                 signed_failure = Some(response);
                 Failure::Failed
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -106,7 +106,9 @@
     head::check_framing(head.version, &head.headers)?;
     let (_, class) = service.document.class(head.method.as_str(), head.uri.path());
     let deadline_ms = traffic.clock.now_ms() + class.timeout_ms;
-    let arrival = Arrival { deadline_ms, priority: class.priority, queue: class.queue };
+    // Documents of this kind set no aim before the deadline.
+    let arrival =
+        Arrival { deadline_ms, aim_ms: deadline_ms, priority: class.priority, queue: class.queue };
     let key = service.document.key.as_ref().and_then(|source| {
         let header = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
         source.find(head.uri.path(), head.uri.query(), header).map(str::to_owned)
--- a/crates/route/src/gate.rs
+++ b/crates/route/src/gate.rs
@@ -16,6 +16,8 @@
     latency_ms: f64,
     next_number: u64,
     most_waiting: usize,
+    /// Since when requests have waited without a pause.
+    waited_since_ms: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -36,6 +38,8 @@
 pub struct Arrival {
     /// When its caller stops waiting.
     pub deadline_ms: u64,
+    /// Until when an answer is worth most to its caller.
+    pub aim_ms: u64,
     /// The order of service; 0 goes first.
     pub priority: u32,
     /// How many requests of this priority may wait.
@@ -66,6 +70,7 @@
             latency_ms: 0.0,
             next_number: 0,
             most_waiting,
+            waited_since_ms: None,
         }
     }
 
@@ -90,9 +95,11 @@
     /// Lets a request in, makes it wait, or refuses it; `waker` wakes it later.
     ///
     /// A request that would not be answered before its deadline is refused at once, and so
-    /// is one when as many of its priority wait as its queue is long.
+    /// is one when as many of its priority wait as its queue is long. Where requests have
+    /// waited for some time without a pause, there are too many of them; then one is
+    /// refused that would come too late to be worth most, so that others are in time.
     pub fn arrive(&mut self, now_ms: u64, arrival: Arrival, waker: W) -> Admission<W> {
-        let Arrival { deadline_ms, priority, queue } = arrival;
+        let Arrival { deadline_ms, aim_ms, priority, queue } = arrival;
         if self.in_flight < self.limit.get() && self.waiting.is_empty() {
             self.in_flight += 1;
             return Admission::Enter;
@@ -103,7 +110,10 @@
         let first = Ticket { priority, number: 0 };
         let alike = self.waiting.range(first..ticket).count();
         let is_full = alike >= usize::try_from(queue).unwrap_or(usize::MAX);
-        if is_full || !self.is_worth_waiting(now_ms, deadline_ms, ahead) {
+        let since_ms = *self.waited_since_ms.get_or_insert(now_ms);
+        let is_standing = now_ms >= since_ms + STANDING_MS;
+        let wanted_ms = if is_standing { aim_ms.min(deadline_ms) } else { deadline_ms };
+        if is_full || !self.is_worth_waiting(now_ms, wanted_ms, ahead) {
             return Admission::Refuse;
         }
         let place = Place { deadline_ms, waker };
@@ -161,6 +171,9 @@
 
     fn admit_waiting(&mut self, now_ms: u64) -> Vec<W> {
         let mut admitted = Vec::new();
+        if self.waiting.len() <= 1 {
+            self.waited_since_ms = None;
+        }
         while self.in_flight < self.limit.get() {
             let Some((_, place)) = self.waiting.pop_first() else { break };
             let left_ms = place.deadline_ms.saturating_sub(now_ms);
@@ -174,5 +187,8 @@
     }
 }
 
+/// How long requests wait without a pause before there are too many of them; a burst of
+/// callers at the same moment is over by then.
+const STANDING_MS: u64 = 200;
 /// How much the latest latency counts.
 const LATENCY_WEIGHT: f64 = 0.1;
--- a/crates/route/tests/path_decisions.rs
+++ b/crates/route/tests/path_decisions.rs
@@ -68,7 +68,7 @@
 }
 
 fn arrival(deadline_ms: u64, priority: u32) -> Arrival {
-    Arrival { deadline_ms, priority, queue: 100 }
+    Arrival { deadline_ms, aim_ms: deadline_ms, priority, queue: 100 }
 }
 
 #[test]
