--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -19,6 +19,7 @@
 mod load;
 mod measure;
 mod plot;
+mod range_server;
 mod site;
 mod store_server;
 mod upstream;
@@ -34,6 +35,7 @@
     measure_slopes,
 };
 pub use plot::{Timeline, plot};
+pub use range_server::{Ran, RangeServer, Referee, SLOTS, Work};
 pub use site::{Error, Plan, ServerPlan, ServicePlan, Site};
 pub use store_server::serve_store;
 pub use upstream::{REQUEST_ID, StandIn, StandInConfig, StandInFaults};
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -91,6 +91,13 @@
         &mut self.load
     }
 
+    /// Returns whether a server holds keys, or may still do so.
+    pub(crate) fn names(&self, life: &Life) -> bool {
+        self.pieces.iter().any(|piece| {
+            piece.final_life() == Some(life) || piece.previous().contains(life)
+        })
+    }
+
     pub(crate) fn table(&self, now_ms: u64) -> Table {
         let mut spans: Vec<Span> = Vec::new();
         for piece in &self.pieces {
--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -134,6 +134,11 @@
         let balances = now_ms >= self.balance_at_ms;
         if balances {
             self.balance_at_ms = now_ms + self.tuning.balance_every_ms;
+            let assignments = &self.assignments;
+            self.orders.forget(|life| {
+                servers.registry.get(life).is_some()
+                    || assignments.values().any(|assignment| assignment.names(life))
+            });
         }
         let hold_ms =
             if self.store_answers { self.tuning.hold_ms } else { self.tuning.long_hold_ms };
@@ -165,6 +170,7 @@
 
     fn answered(&mut self, now_ms: u64, id: OrderId, reply: Reply, outputs: &mut Vec<Output>) {
         let Some(order) = self.orders.close(id) else { return };
+        self.orders.note_answer(now_ms, &order.life, &reply);
         let Some(assignment) = self.assignments.get_mut(&order.service) else { return };
         let is_deposed = assignment.answered(now_ms, &order, &reply, &self.tuning, outputs);
         if is_deposed {
--- a/crates/shard/src/turn.rs
+++ b/crates/shard/src/turn.rs
@@ -7,7 +7,7 @@
 
 use crate::order::Note;
 use crate::policy::Candidate;
-use crate::{Epoch, Fence, Grant, KeyRange, OrderId, OrderKind, Output, Release, Tuning};
+use crate::{Epoch, Fence, Grant, KeyRange, OrderId, OrderKind, Output, Release, Reply, Tuning};
 
 /// The servers as a leader sees them.
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +27,8 @@
 pub(crate) struct Orders {
     last: u64,
     open: HashMap<OrderId, Open>,
+    /// Servers that did not answer lately, and until when they get no more ranges.
+    silent_until_ms: HashMap<Life, u64>,
     /// Where servers were last known; one that is not registered any more may still hold.
     known: HashMap<Life, Arc<Registration>>,
 }
@@ -40,6 +42,10 @@
     deadline_ms: u64,
 }
 
+/// How long a server that did not answer an order gets no more ranges.
+///
+/// It may still be registered: its entry lapses only after some heartbeats.
+const SILENT_MS: u64 = 1_500;
 /// A cold server does about half the work of a warm one.
 const COLD_PART: f32 = 0.5;
 
@@ -67,11 +73,33 @@
         id
     }
 
+    /// Notes whether a server answers orders.
+    pub(crate) fn note_answer(&mut self, now_ms: u64, life: &Life, reply: &Reply) {
+        match reply {
+            Reply::Done(_) | Reply::Fenced => {
+                self.silent_until_ms.remove(life);
+            }
+            Reply::NotSent | Reply::Unclear => {
+                self.silent_until_ms.insert(life.clone(), now_ms + SILENT_MS);
+            }
+        }
+    }
+
+    fn is_silent(&self, now_ms: u64, life: &Life) -> bool {
+        self.silent_until_ms.get(life).is_some_and(|until_ms| now_ms < *until_ms)
+    }
+
     /// Takes an order out that was answered.
     pub(crate) fn close(&mut self, id: OrderId) -> Option<Open> {
         self.open.remove(&id)
     }
 
+    /// Forgets servers that are not registered any more and have nothing to release.
+    pub(crate) fn forget(&mut self, is_needed: impl Fn(&Life) -> bool) {
+        self.known.retain(|life, _| is_needed(life));
+        self.silent_until_ms.retain(|life, _| is_needed(life));
+    }
+
     pub(crate) fn remember<'a>(&mut self, servers: impl Iterator<Item = &'a Arc<Registration>>) {
         for server in servers {
             if self.known.get(&server.life) != Some(server) {
@@ -145,9 +173,14 @@
     /// Returns the servers that may hold ranges of the service, without any load.
     pub(crate) fn candidates(&self) -> Vec<Candidate> {
         let registry = self.servers.registry;
-        registry
+        let welcome: Vec<&Arc<Registration>> = registry
             .of_service(self.service)
             .filter(|server| registry.is_welcome(&server.life))
+            .collect();
+        let answers = |server: &Registration| !self.orders.is_silent(self.now_ms, &server.life);
+        let any_answers = welcome.iter().any(|server| answers(server));
+        let usable = welcome.into_iter().filter(|server| !any_answers || answers(server));
+        usable
             .map(|server| Candidate {
                 life: server.life.clone(),
                 capacity: self.capacity(server),
--- /dev/null
+++ b/crates/soak/src/cluster.rs
@@ -0,0 +1,303 @@
+//! The programs and their stand-ins: a store, servers, and daemons as processes.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use document::Name;
+use lab::{RangeServer, Referee, SLOTS};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use platform_standin::{EntryFields, RouteFields, ServerFaults, entry_text, serve_kv, serve_server, site_text};
+use registry::Life;
+use store::{Expect, LeaseId, MemoryStore, Store};
+use tokio::net::TcpListener;
+use tokio::process::{Child, Command};
+use tokio::time::{Duration, Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+use crate::link::Link;
+
+/// The host that callers name.
+pub(crate) const HOST: &str = "soak.example";
+/// How long a silent server's entry stays: three heartbeats.
+const LAPSE_MS: u64 = 1_800;
+/// How often servers write their entries.
+const HEARTBEAT: Duration = Duration::from_millis(600);
+
+/// A daemon and its way to the store.
+#[derive(Debug)]
+pub(crate) struct Daemon {
+    pub(crate) name: String,
+    pub(crate) front: SocketAddr,
+    pub(crate) to_store: Link,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+    /// How often it was started; what it showed counts for one life only.
+    pub(crate) lives: u32,
+}
+
+/// A server, its present life and the way to it.
+#[derive(Debug)]
+pub(crate) struct ServerSlot {
+    pub(crate) name: Name,
+    pub(crate) service: &'static str,
+    pub(crate) link: Link,
+    pub(crate) faults: Arc<ServerFaults>,
+    pub(crate) is_draining: bool,
+    life: Option<(Arc<RangeServer>, CancellationToken)>,
+    number: u64,
+    /// Ends the entry when the server is silent.
+    lease: Option<LeaseId>,
+}
+
+/// Everything that runs.
+#[derive(Debug)]
+pub(crate) struct Cluster {
+    pub(crate) store: MemoryStore,
+    pub(crate) referee: Arc<Referee>,
+    pub(crate) daemons: Vec<Daemon>,
+    pub(crate) servers: Vec<ServerSlot>,
+    pub(crate) version: u64,
+    program: PathBuf,
+    is_change_due: bool,
+    timeline: Mutex<Vec<String>>,
+    started: Instant,
+}
+
+type Result<T> = std::result::Result<T, Box<dyn std::error::Error + Send + Sync>>;
+
+impl Cluster {
+    /// Starts the stand-ins and the daemons.
+    pub(crate) async fn start(program: &Path, dir: &Path, daemons: usize) -> Result<Self> {
+        let store = MemoryStore::default();
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let store_port = listener.local_addr()?.port();
+        tokio::spawn(serve_kv(store.clone(), listener, CancellationToken::new()));
+        let mut cluster = Self {
+            store,
+            referee: Arc::default(),
+            daemons: Vec::new(),
+            servers: Vec::new(),
+            version: 0,
+            program: program.to_owned(),
+            is_change_due: false,
+            timeline: Mutex::default(),
+            started: Instant::now(),
+        };
+        for number in 0..daemons {
+            cluster.daemons.push(Daemon::prepare(dir, number, store_port).await?);
+        }
+        for number in 0..daemons.max(4) + 3 {
+            let service = if number % 3 == 2 { "archive" } else { "ledger" };
+            cluster.add_server(service).await?;
+        }
+        cluster.change_site().await;
+        for at in 0..cluster.daemons.len() {
+            cluster.start_daemon(at)?;
+        }
+        Ok(cluster)
+    }
+
+    /// Notes what happens, with the time.
+    pub(crate) fn note(&self, what: &str) {
+        let line = format!("{:>8.3} {what}", self.started.elapsed().as_secs_f64());
+        self.timeline.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+    }
+
+    /// Returns what has happened so far.
+    pub(crate) fn timeline(&self) -> String {
+        self.timeline.lock().unwrap_or_else(PoisonError::into_inner).join("\n")
+    }
+
+    /// Writes the next version of the document; each adds a route.
+    pub(crate) async fn change_site(&mut self) {
+        self.version += 1;
+        let route = |prefix: String, kind, service| RouteFields {
+            prefix,
+            kind,
+            service,
+            timeout_ms: 1_000,
+        };
+        let mut routes = vec![
+            route("/ledger/".into(), "idempotent", "ledger"),
+            route("/swaps/".into(), "non_idempotent", "ledger"),
+            route("/archive/".into(), "idempotent", "archive"),
+        ];
+        routes.extend((1..=self.version).map(|version| {
+            route(format!("/v{version}/"), "idempotent", "archive")
+        }));
+        let text = site_text(self.version, HOST, &routes);
+        while self.store.write("op/config", Expect::Anything, &text, None).await.is_err() {
+            sleep(Duration::from_millis(50)).await;
+        }
+        self.note(&format!("version {} is accepted", self.version));
+    }
+
+    /// Has the document change as soon as the store takes it.
+    pub(crate) fn change_site_soon(&mut self) {
+        self.is_change_due = true;
+    }
+
+    /// Writes the next document if one is due and the store is up.
+    pub(crate) async fn change_site_if_due(&mut self) {
+        if self.is_change_due && !self.store.faults().is_down {
+            self.is_change_due = false;
+            self.change_site().await;
+        }
+    }
+
+    /// Returns whether a daemon's process was started and not waited for.
+    pub(crate) fn is_running(&self, at: usize) -> bool {
+        self.daemons[at].child.is_some()
+    }
+
+    /// Adds a server and starts its first life.
+    pub(crate) async fn add_server(&mut self, service: &'static str) -> Result<()> {
+        let name = Name::from(format!("s{}", self.servers.len()));
+        let link = Link::open(1).await?;
+        self.servers.push(ServerSlot {
+            name,
+            service,
+            link,
+            faults: Arc::default(),
+            is_draining: false,
+            life: None,
+            number: 0,
+            lease: None,
+        });
+        self.start_server(self.servers.len() - 1).await
+    }
+
+    /// Starts a new life of a server.
+    pub(crate) async fn start_server(&mut self, at: usize) -> Result<()> {
+        self.end_server(at);
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let slot = &mut self.servers[at];
+        slot.link.lead_to(listener.local_addr()?.port());
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH)?;
+        let born_ms = u64::try_from(now.as_millis())?;
+        let life = Life { server: slot.name.clone(), born_ms };
+        let is_keyed = slot.service == "ledger";
+        let server = RangeServer::new(life, is_keyed, SLOTS, Arc::clone(&self.referee));
+        let stop = CancellationToken::new();
+        tokio::spawn(serve_server(
+            Arc::clone(&server),
+            Arc::clone(&slot.faults),
+            listener,
+            stop.clone(),
+        ));
+        slot.life = Some((server, stop));
+        Ok(())
+    }
+
+    /// Ends the present life of a server at once.
+    pub(crate) fn end_server(&mut self, at: usize) {
+        if let Some((server, stop)) = self.servers[at].life.take() {
+            stop.cancel();
+            self.servers[at].link.reset();
+            self.referee.note_end(&server.life);
+        }
+    }
+
+    /// Writes the entries of all living servers, as their heartbeats do.
+    pub(crate) async fn heartbeat(&mut self) {
+        let store = self.store.clone();
+        for slot in &mut self.servers {
+            let Some((server, _)) = &slot.life else { continue };
+            slot.number += 1;
+            let kept = match slot.lease {
+                Some(lease) => store.keep_lease(lease).await.map(|()| lease),
+                None => store.open_lease(LAPSE_MS).await,
+            };
+            slot.lease = kept.ok();
+            let text = entry_text(&EntryFields {
+                service: slot.service.to_owned(),
+                address: slot.link.address,
+                data_centre: "a".to_owned(),
+                slots: SLOTS,
+                is_draining: slot.is_draining,
+                number: slot.number,
+                born_ms: server.life.born_ms,
+            });
+            let key = format!("servers/{}", slot.name);
+            // A heartbeat that the store does not take is followed by the next.
+            drop(store.write(&key, Expect::Anything, &text, slot.lease).await);
+        }
+    }
+
+    /// Returns the pause between two heartbeats.
+    pub(crate) fn heartbeat_pause() -> Duration {
+        HEARTBEAT
+    }
+
+    /// Starts a daemon's process.
+    pub(crate) fn start_daemon(&mut self, at: usize) -> Result<()> {
+        let daemon = &mut self.daemons[at];
+        let log = File::options().create(true).append(true).open(&daemon.log)?;
+        let child = Command::new(&self.program)
+            .arg("--settings")
+            .arg(&daemon.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()?;
+        daemon.child = Some(child);
+        daemon.lives += 1;
+        Ok(())
+    }
+
+    /// Sends a signal to a daemon that runs.
+    pub(crate) fn signal(&self, at: usize, signal: Signal) {
+        let id = self.daemons[at].child.as_ref().and_then(Child::id);
+        if let Some(id) = id.and_then(|id| i32::try_from(id).ok()) {
+            // A process that ended by itself meanwhile is found by its exit.
+            let _is_there = kill(Pid::from_raw(id), signal).is_ok();
+        }
+    }
+
+    /// Waits for a daemon to end; returns whether it did.
+    pub(crate) async fn wait(&mut self, at: usize, limit: Duration) -> bool {
+        let Some(mut child) = self.daemons[at].child.take() else { return true };
+        tokio::time::timeout(limit, child.wait()).await.is_ok()
+    }
+}
+
+impl Daemon {
+    async fn prepare(dir: &Path, number: usize, store_port: u16) -> Result<Self> {
+        let name = format!("edge-{number}");
+        let to_store = Link::open(store_port).await?;
+        let ports = free_ports(4)?;
+        let mut text = BTreeMap::new();
+        for (at, key) in ["front", "ready", "peer", "admin"].into_iter().enumerate() {
+            text.insert(key, format!("127.0.0.1:{}", ports[at]));
+        }
+        let settings = format!(
+            "[instance]\nname = {name}\ndata_centre = a\n\
+             [listen]\nfront = {}\nready = {}\npeer = {}\nadmin = {}\n\
+             [store]\naddress = {}\n",
+            text["front"], text["ready"], text["peer"], text["admin"], to_store.address
+        );
+        let path = dir.join(format!("{name}.ini"));
+        std::fs::write(&path, settings)?;
+        let front = text["front"].parse()?;
+        let log = dir.join(format!("{name}.log"));
+        Ok(Self { name, front, to_store, settings: path, log, child: None, lives: 0 })
+    }
+}
+
+/// Returns ports that were free a moment ago.
+fn free_ports(count: usize) -> Result<Vec<u16>> {
+    let bound = (0..count).map(|_| StdListener::bind("127.0.0.1:0"));
+    let listeners = bound.collect::<std::io::Result<Vec<StdListener>>>()?;
+    let mut ports = Vec::new();
+    for listener in &listeners {
+        ports.push(listener.local_addr()?.port());
+    }
+    Ok(ports)
+}
