Take a server that started again for a possible holder

Cause: orders go to an address, and a server that starts again under its name and address takes a grant that was meant for its earlier life. The leader then saw the later life, believed that nobody held the range, and granted it to a third server.

Change: a restarted holder's range is released by the later life before anybody gets it; grants on their way are counted by server, not by life.

--- a/crates/lab/src/range_server.rs
+++ b/crates/lab/src/range_server.rs
@@ -236,9 +236,8 @@
     fn note_grant(&self, life: &Life, range: KeyRange, now: Instant, until: Instant) {
         let mut seen = self.lock();
         seen.holds.retain(|(_, _, end)| *end > now);
-        let other = seen.holds.iter().find(|(holder, held, _)| {
-            holder != life && held.overlaps(range)
-        });
+        let other =
+            seen.holds.iter().find(|(holder, held, _)| holder != life && held.overlaps(range));
         if let Some((holder, held, _)) = other {
             let broken = format!("{range} granted to {life} while {holder} holds {held}");
             seen.broken.push(broken);
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -93,9 +93,9 @@
 
     /// Returns whether a server holds keys, or may still do so.
     pub(crate) fn names(&self, life: &Life) -> bool {
-        self.pieces.iter().any(|piece| {
-            piece.final_life() == Some(life) || piece.previous().contains(life)
-        })
+        self.pieces
+            .iter()
+            .any(|piece| piece.final_life() == Some(life) || piece.previous().contains(life))
     }
 
     pub(crate) fn table(&self, now_ms: u64) -> Table {
@@ -269,10 +269,19 @@
             let is_restarted =
                 piece.holder.as_ref().is_some_and(|holder| registry.has_later_life(&holder.life));
             if is_restarted {
-                piece.holder = None;
+                piece.dismiss(turn.now_ms);
                 self.is_changed = true;
             }
-            piece.formers.retain(|former| !registry.has_later_life(&former.life));
+            // The earlier life holds nothing, but orders for it reach the later one where
+            // the address is the same: that one may hold the range instead.
+            for former in &mut piece.formers {
+                if let Some(later) = registry.by_name(&former.life.server)
+                    && later.life.born_ms > former.life.born_ms
+                {
+                    former.life = later.life.clone();
+                    former.release_at_ms = Some(turn.now_ms);
+                }
+            }
             let is_unwelcome = piece
                 .successor
                 .as_ref()
--- a/crates/shard/src/piece.rs
+++ b/crates/shard/src/piece.rs
@@ -98,10 +98,10 @@
         }
     }
 
-    /// Notes until when a grant to a server may stand.
+    /// Notes until when a grant to a server may stand, whichever life took it.
     pub(crate) fn note_grant(&mut self, life: &Life, until_ms: u64) {
-        let holder = self.holder.iter_mut().filter(|holder| holder.life == *life);
-        let formers = self.formers.iter_mut().filter(|former| former.life == *life);
+        let holder = self.holder.iter_mut().filter(|holder| holder.life.server == life.server);
+        let formers = self.formers.iter_mut().filter(|former| former.life.server == life.server);
         let holder = holder.map(|holder| &mut holder.standing_until_ms);
         for standing_until_ms in holder.chain(formers.map(|former| &mut former.standing_until_ms)) {
             *standing_until_ms = until_ms.max(*standing_until_ms);
--- a/crates/shard/src/policy.rs
+++ b/crates/shard/src/policy.rs
@@ -135,9 +135,10 @@
     to: &Candidate,
     amount: f32,
 ) -> Option<KeyRange> {
-    let of_server = pieces.iter().enumerate().filter(|(_, piece)| {
-        piece.is_settled() && piece.final_life() == Some(&from.life)
-    });
+    let of_server = pieces
+        .iter()
+        .enumerate()
+        .filter(|(_, piece)| piece.is_settled() && piece.final_life() == Some(&from.life));
     let is_next_to = |at: Option<usize>| {
         at.and_then(|at| pieces.get(at)).is_some_and(|piece| piece.final_life() == Some(&to.life))
     };
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -49,7 +49,7 @@
 /// A message on its way.
 #[derive(Debug)]
 enum Message {
-    Order { leader: usize, id: OrderId, server: Name, life: Life, kind: OrderKind, limit_ms: u64 },
+    Order { leader: usize, id: OrderId, server: Name, kind: OrderKind, limit_ms: u64 },
     Reply { leader: usize, id: OrderId, reply: Reply },
     Write { leader: usize, epoch: Epoch, record: Record, is_answered: bool },
     Written { leader: usize, number: u64, is_done: bool },
@@ -306,9 +306,9 @@
             match output {
                 Output::Order { id, server, kind, deadline_ms } => {
                     let limit_ms = deadline_ms - self.now_ms;
-                    let life = server.life.clone();
-                    let server = life.server.clone();
-                    let order = Message::Order { leader: at, id, server, life, kind, limit_ms };
+
+                    let server = server.life.server.clone();
+                    let order = Message::Order { leader: at, id, server, kind, limit_ms };
                     let delay_ms = self.random.random_range(0..15);
                     self.send(delay_ms, order);
                 }
@@ -340,8 +340,8 @@
                 return;
             }
             match entry.remove() {
-                Message::Order { leader, id, server, life, kind, limit_ms } => {
-                    self.take_order(leader, id, &server, &life, &kind, limit_ms);
+                Message::Order { leader, id, server, kind, limit_ms } => {
+                    self.take_order(leader, id, &server, &kind, limit_ms);
                 }
                 Message::Reply { leader, id, reply } => {
                     self.step(leader, Event::Answered(id, reply));
@@ -389,7 +389,6 @@
         leader: usize,
         id: OrderId,
         name: &Name,
-        life: &Life,
         kind: &OrderKind,
         limit_ms: u64,
     ) {
@@ -397,7 +396,9 @@
         let is_late = self.hits(self.faults.apply_late);
         let now_ms = self.now_ms;
         let server = self.servers.get_mut(name).expect("servers stay");
-        let is_reached = server.is_up && !server.is_cut && server.born_ms == life.born_ms;
+        // A server that starts again has the same name and address: orders for its earlier
+        // life reach it too.
+        let is_reached = server.is_up && !server.is_cut;
         if !is_reached {
             let (delay_ms, reply) =
                 if server.is_cut { (limit_ms, Reply::Unclear) } else { (1, Reply::NotSent) };
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -5,13 +5,16 @@
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use document::Name;
 use lab::{RangeServer, Referee, SLOTS};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
-use platform_standin::{EntryFields, RouteFields, ServerFaults, entry_text, serve_kv, serve_server, site_text};
+use platform_standin::{
+    EntryFields, RouteFields, ServerFaults, entry_text, serve_kv, serve_server, site_text,
+};
 use registry::Life;
 use store::{Expect, LeaseId, MemoryStore, Store};
 use tokio::net::TcpListener;
@@ -48,11 +51,17 @@
     pub(crate) service: &'static str,
     pub(crate) link: Link,
     pub(crate) faults: Arc<ServerFaults>,
-    pub(crate) is_draining: bool,
+    pub(crate) is_draining: Arc<AtomicBool>,
     life: Option<(Arc<RangeServer>, CancellationToken)>,
-    number: u64,
-    /// Ends the entry when the server is silent.
-    lease: Option<LeaseId>,
+}
+
+/// What a server tells the store of itself, again and again.
+struct Heartbeat {
+    store: MemoryStore,
+    entry: EntryFields,
+    key: String,
+    is_draining: Arc<AtomicBool>,
+    stop: CancellationToken,
 }
 
 /// Everything that runs.
@@ -128,9 +137,10 @@
             route("/swaps/".into(), "non_idempotent", "ledger"),
             route("/archive/".into(), "idempotent", "archive"),
         ];
-        routes.extend((1..=self.version).map(|version| {
-            route(format!("/v{version}/"), "idempotent", "archive")
-        }));
+        routes.extend(
+            (1..=self.version)
+                .map(|version| route(format!("/v{version}/"), "idempotent", "archive")),
+        );
         let text = site_text(self.version, HOST, &routes);
         while self.store.write("op/config", Expect::Anything, &text, None).await.is_err() {
             sleep(Duration::from_millis(50)).await;
@@ -165,10 +175,8 @@
             service,
             link,
             faults: Arc::default(),
-            is_draining: false,
+            is_draining: Arc::default(),
             life: None,
-            number: 0,
-            lease: None,
         });
         self.start_server(self.servers.len() - 1).await
     }
@@ -191,6 +199,24 @@
             listener,
             stop.clone(),
         ));
+        tokio::spawn(
+            Heartbeat {
+                store: self.store.clone(),
+                entry: EntryFields {
+                    service: slot.service.to_owned(),
+                    address: slot.link.address,
+                    data_centre: "a".to_owned(),
+                    slots: SLOTS,
+                    is_draining: false,
+                    number: 0,
+                    born_ms,
+                },
+                key: format!("servers/{}", slot.name),
+                is_draining: Arc::clone(&slot.is_draining),
+                stop: stop.clone(),
+            }
+            .run(),
+        );
         slot.life = Some((server, stop));
         Ok(())
     }
@@ -204,37 +230,6 @@
         }
     }
 
-    /// Writes the entries of all living servers, as their heartbeats do.
-    pub(crate) async fn heartbeat(&mut self) {
-        let store = self.store.clone();
-        for slot in &mut self.servers {
-            let Some((server, _)) = &slot.life else { continue };
-            slot.number += 1;
-            let kept = match slot.lease {
-                Some(lease) => store.keep_lease(lease).await.map(|()| lease),
-                None => store.open_lease(LAPSE_MS).await,
-            };
-            slot.lease = kept.ok();
-            let text = entry_text(&EntryFields {
-                service: slot.service.to_owned(),
-                address: slot.link.address,
-                data_centre: "a".to_owned(),
-                slots: SLOTS,
-                is_draining: slot.is_draining,
-                number: slot.number,
-                born_ms: server.life.born_ms,
-            });
-            let key = format!("servers/{}", slot.name);
-            // A heartbeat that the store does not take is followed by the next.
-            drop(store.write(&key, Expect::Anything, &text, slot.lease).await);
-        }
-    }
-
-    /// Returns the pause between two heartbeats.
-    pub(crate) fn heartbeat_pause() -> Duration {
-        HEARTBEAT
-    }
-
     /// Starts a daemon's process.
     pub(crate) fn start_daemon(&mut self, at: usize) -> Result<()> {
         let daemon = &mut self.daemons[at];
@@ -268,6 +263,25 @@
     }
 }
 
+impl Heartbeat {
+    async fn run(mut self) {
+        let mut lease: Option<LeaseId> = None;
+        while !self.stop.is_cancelled() {
+            let kept = match lease {
+                Some(lease) => self.store.keep_lease(lease).await.map(|()| lease),
+                None => self.store.open_lease(LAPSE_MS).await,
+            };
+            lease = kept.ok();
+            self.entry.number += 1;
+            self.entry.is_draining = self.is_draining.load(Ordering::Relaxed);
+            let text = entry_text(&self.entry);
+            // A heartbeat that the store does not take is followed by the next.
+            drop(self.store.write(&self.key, Expect::Anything, &text, lease).await);
+            sleep(HEARTBEAT).await;
+        }
+    }
+}
+
 impl Daemon {
     async fn prepare(dir: &Path, number: usize, store_port: u16) -> Result<Self> {
         let name = format!("edge-{number}");
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,5 +1,7 @@
 //! What goes wrong, drawn from a seed.
 
+use std::sync::atomic::Ordering;
+
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -81,10 +83,10 @@
                 cluster.end_server(server);
                 self.after(50..3_000, Undo::StartServer(server));
             }
-            6 if !cluster.servers[server].is_draining => {
+            6 if !cluster.servers[server].is_draining.load(Ordering::Relaxed) => {
                 cluster.note(&format!("{server_name} leaves, another comes"));
                 let service = cluster.servers[server].service;
-                cluster.servers[server].is_draining = true;
+                cluster.servers[server].is_draining.store(true, Ordering::Relaxed);
                 cluster.add_server(service).await?;
                 self.after(LEAVES_MS..LEAVES_MS + 1, Undo::EndServer(server));
             }
@@ -113,8 +115,8 @@
             14 => {
                 cluster.note(&format!("{server_name} confuses answers and loses grants"));
                 let faults = &cluster.servers[server].faults;
-                faults.wrong_id.store(20, std::sync::atomic::Ordering::Relaxed);
-                faults.lost_grant.store(3, std::sync::atomic::Ordering::Relaxed);
+                faults.wrong_id.store(20, Ordering::Relaxed);
+                faults.lost_grant.store(3, Ordering::Relaxed);
                 self.after(500..4_000, Undo::HealServer(server));
             }
             _ => cluster.change_site_soon(),
@@ -168,7 +170,7 @@
                 cluster.wait(at, GRACE).await;
                 cluster.start_daemon(at)?;
             }
-            Self::StartServer(at) if !cluster.servers[at].is_draining => {
+            Self::StartServer(at) if !cluster.servers[at].is_draining.load(Ordering::Relaxed) => {
                 cluster.start_server(at).await?;
             }
             Self::StartServer(_) => {}
@@ -178,8 +180,8 @@
             Self::HealStore => cluster.store.set_faults(StoreFaults::default()),
             Self::HealServer(at) => {
                 let faults = &cluster.servers[at].faults;
-                faults.wrong_id.store(0, std::sync::atomic::Ordering::Relaxed);
-                faults.lost_grant.store(0, std::sync::atomic::Ordering::Relaxed);
+                faults.wrong_id.store(0, Ordering::Relaxed);
+                faults.lost_grant.store(0, Ordering::Relaxed);
             }
         }
         Ok(())
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -14,6 +14,8 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+use tokio::signal::unix::{SignalKind, signal};
+
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 use crate::run::{Options, Report, folder};
@@ -29,7 +31,15 @@
     let matches = command().get_matches();
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     let result = match runtime {
-        Ok(runtime) => runtime.block_on(dispatch(&matches)),
+        Ok(runtime) => runtime.block_on(async {
+            // Processes that were started end with this one, also when it is told to stop.
+            let mut terminate = signal(SignalKind::terminate())?;
+            tokio::select! {
+                result = dispatch(&matches) => result,
+                _ = terminate.recv() => Err("told to stop".into()),
+                _ = tokio::signal::ctrl_c() => Err("told to stop".into()),
+            }
+        }),
         Err(error) => Err(error.into()),
     };
     match result {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tokio::time::{Instant, interval, sleep};
+use tokio::time::{Instant, sleep};
 
 use crate::callers::{Callers, Counts};
 use crate::cluster::Cluster;
@@ -64,12 +64,8 @@
     let calm_until = Instant::now() + START;
     let end = calm_until + Duration::from_secs(options.for_s);
     let mut next = calm_until;
-    let mut heartbeats = interval(Cluster::heartbeat_pause());
     while Instant::now() < end {
-        tokio::select! {
-            _ = heartbeats.tick() => cluster.heartbeat().await,
-            () = sleep(Duration::from_millis(20)) => {}
-        }
+        sleep(Duration::from_millis(20)).await;
         schedule.heal(&mut cluster, false).await?;
         if Instant::now() >= next {
             next = Instant::now() + schedule.pause();
@@ -82,20 +78,10 @@
     schedule.heal(&mut cluster, true).await?;
     let recovered = Instant::now() + RECOVER;
     while Instant::now() < recovered {
-        heartbeats.tick().await;
-        cluster.heartbeat().await;
+        sleep(Duration::from_millis(100)).await;
         publish(&cluster, &lives, &latest);
     }
-    let beats = async {
-        loop {
-            heartbeats.tick().await;
-            cluster.heartbeat().await;
-        }
-    };
-    let served_part_at_end = tokio::select! {
-        part = callers.served_part(LOOK) => part,
-        () = beats => 0.0,
-    };
+    let served_part_at_end = callers.served_part(LOOK).await;
     callers.end();
     sleep(Duration::from_secs(1)).await;
     callers.check_promises();
