Blame a request for crashes only if no server answers it

Cause: the fingerprint of a popular request was in flight at every server that crashed.

Change: a server's crash counts once for a request, three servers have to crash, the key is part of the fingerprint, and an answer clears a request.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -46,7 +46,8 @@
 
     pub(crate) fn fingerprint(&self) -> Fingerprint {
         let path = self.head.uri.path_and_query().map_or("", |path| path.as_str());
-        Fingerprint::new(self.head.method.as_str(), path, &self.body)
+        let place = format!("{} {path}", self.key.map_or(-1, i32::from));
+        Fingerprint::new(self.head.method.as_str(), &place, &self.body)
     }
 
     pub(crate) fn is_idempotent(&self) -> bool {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -56,6 +56,7 @@
     let failure = match result {
         Ok(response) => {
             note_answer(&server, &call, started);
+            shared.note_answer(|| call.fingerprint());
             let is_failure = response.status().is_server_error();
             return if is_failure {
                 Exchanged::Failed(response)
@@ -231,7 +232,7 @@
         }
         Failure::Crashed => {
             shared.counters.count(Counter::Crashes);
-            shared.note_crash(call.fingerprint());
+            shared.note_crash(call.fingerprint(), &server.registration.life);
             server.upstream.note_loss();
         }
         Failure::NotSent | Failure::Broken => server.upstream.note_loss(),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -6,10 +6,12 @@
 use arc_swap::ArcSwap;
 use document::{HashMap, HashSet, Name};
 use proxy::Clock;
+use registry::Life;
 use route::{Fingerprint, Suspect, Suspects};
 use site::{Limits, Route};
 use telemetry::{Counters, Metrics};
 use tokio::sync::Notify;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::report::RouteState;
 use crate::{Dialect, View};
@@ -34,8 +36,13 @@
     // Taken only when a server has crashed, and when another daemon tells of that.
     suspects: Mutex<Suspects>,
     has_crash_news: AtomicBool,
+    /// Whether any request is suspected; answers are looked at only then.
+    is_suspicious: AtomicBool,
 }
 
+/// How many servers a request may crash: the third crash is the last.
+const MOST_CRASHES: u32 = 3;
+
 /// The most routes whose mean times are remembered.
 const MOST_ROUTES: usize = 4_096;
 
@@ -61,7 +68,8 @@
             is_ready: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
             refused: ArcSwap::default(),
-            suspects: Mutex::default(),
+            suspects: Mutex::new(Suspects::new(MOST_CRASHES)),
+            is_suspicious: AtomicBool::new(false),
             has_crash_news: AtomicBool::new(false),
         }
     }
@@ -130,13 +138,25 @@
     }
 
     /// Notes that a request crashed the server that ran it.
-    pub(crate) fn note_crash(&self, fingerprint: Fingerprint) {
+    pub(crate) fn note_crash(&self, fingerprint: Fingerprint, life: &Life) {
         let mut suspects = self.suspects();
-        suspects.note_crash(self.clock.now_ms(), fingerprint);
+        let server = xxh3_64_with_seed(life.server.as_bytes(), life.born_ms);
+        suspects.note_crash_of(self.clock.now_ms(), fingerprint, server);
+        self.is_suspicious.store(true, Ordering::Relaxed);
         self.set_refused(&suspects);
         self.has_crash_news.store(true, Ordering::Relaxed);
     }
 
+    /// Notes that a server answered a request.
+    pub(crate) fn note_answer(&self, fingerprint: impl FnOnce() -> Fingerprint) {
+        if self.is_suspicious.load(Ordering::Relaxed) {
+            let mut suspects = self.suspects();
+            suspects.note_answer(self.clock.now_ms(), fingerprint());
+            self.set_refused(&suspects);
+            self.is_suspicious.store(!suspects.is_empty(), Ordering::Relaxed);
+        }
+    }
+
     /// Returns whether a server has crashed since the last call.
     pub(crate) fn take_crash_news(&self) -> bool {
         self.has_crash_news.swap(false, Ordering::Relaxed)
@@ -149,6 +169,7 @@
             |suspect: Suspect| Suspect { deadline_ms: now_ms + suspect.deadline_ms, ..suspect };
         let mut known = self.suspects();
         known.note_other(from, suspects.into_iter().map(to_deadline).collect());
+        self.is_suspicious.store(!known.is_empty(), Ordering::Relaxed);
         self.set_refused(&known);
     }
 
--- a/crates/route/src/suspects.rs
+++ b/crates/route/src/suspects.rs
@@ -22,10 +22,15 @@
 ///
 /// The memory is bounded: when there are too many, the ones that would be forgotten
 /// first make room.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Suspects {
     own: HashMap<Fingerprint, Suspect>,
     others: HashMap<Name, Vec<Suspect>>,
+    /// The servers that each request crashed, as far as they are told apart.
+    victims: HashMap<Fingerprint, HashSet<u64>>,
+    /// Requests that a server has answered since, and until when that counts.
+    cleared: HashMap<Fingerprint, u64>,
+    most_crashes: u32,
 }
 
 /// How many crashes are enough to refuse a request.
@@ -49,7 +54,54 @@
     }
 }
 
+impl Default for Suspects {
+    fn default() -> Self {
+        Self::new(MOST_CRASHES)
+    }
+}
+
 impl Suspects {
+    /// Creates a memory in which so many crashes are enough to refuse a request.
+    #[must_use]
+    pub fn new(most_crashes: u32) -> Self {
+        Self {
+            own: HashMap::default(),
+            others: HashMap::default(),
+            victims: HashMap::default(),
+            cleared: HashMap::default(),
+            most_crashes,
+        }
+    }
+
+    /// Notes that a request crashed a server; several at once count as one crash.
+    ///
+    /// Whatever ran on a server when it crashed looks guilty; a request that really
+    /// crashes servers does so on each of them.
+    pub fn note_crash_of(&mut self, now_ms: u64, fingerprint: Fingerprint, server: u64) {
+        let is_known =
+            self.victims.get(&fingerprint).is_some_and(|victims| victims.contains(&server));
+        if !is_known {
+            self.note_crash(now_ms, fingerprint);
+            self.victims.entry(fingerprint).or_default().insert(server);
+        }
+    }
+
+    /// Notes that a server answered a request that had crashed others: it is not to blame.
+    pub fn note_answer(&mut self, now_ms: u64, fingerprint: Fingerprint) {
+        let is_known = self.own.remove(&fingerprint).is_some()
+            || self.others.values().flatten().any(|other| other.fingerprint == fingerprint);
+        self.victims.remove(&fingerprint);
+        if is_known {
+            self.cleared.insert(fingerprint, now_ms + REMEMBERED_MS);
+        }
+    }
+
+    /// Returns whether any request is suspected.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.own.is_empty() && self.others.is_empty()
+    }
+
     /// Notes that a request crashed the server that ran it.
     pub fn note_crash(&mut self, now_ms: u64, fingerprint: Fingerprint) {
         self.forget(now_ms);
@@ -94,11 +146,18 @@
                 *crashes.entry(suspect.fingerprint).or_default() += suspect.crashes;
             }
         }
-        crashes.retain(|_, count| *count >= MOST_CRASHES);
+        let is_cleared = |fingerprint: &Fingerprint| {
+            self.cleared.get(fingerprint).is_some_and(|until_ms| now_ms < *until_ms)
+        };
+        crashes
+            .retain(|fingerprint, count| *count >= self.most_crashes && !is_cleared(fingerprint));
         crashes.into_keys().collect()
     }
 
     fn forget(&mut self, now_ms: u64) {
         self.own.retain(|_, suspect| now_ms < suspect.deadline_ms);
+        let own = &self.own;
+        self.victims.retain(|fingerprint, _| own.contains_key(fingerprint));
+        self.cleared.retain(|_, until_ms| now_ms < *until_ms);
     }
 }
--- a/crates/route/tests/crashing_requests.rs
+++ b/crates/route/tests/crashing_requests.rs
@@ -36,6 +36,31 @@
     assert!(suspects.refused(60_000).is_empty());
 }
 
+#[test]
+fn one_crash_counts_once() {
+    let mut suspects = Suspects::new(3);
+    for _ in 0..5 {
+        suspects.note_crash_of(0, poison(), 1);
+    }
+    suspects.note_crash_of(0, poison(), 2);
+    assert!(suspects.refused(1).is_empty());
+    suspects.note_crash_of(2, poison(), 3);
+    assert!(suspects.refused(3).contains(&poison()));
+}
+
+#[test]
+fn popular_requests_are_cleared() {
+    let mut suspects = Suspects::new(3);
+    for server in 0..3 {
+        suspects.note_crash_of(0, poison(), server);
+    }
+    let other = Suspect { fingerprint: poison(), crashes: 9, deadline_ms: 50_000 };
+    suspects.note_other(&Name::from("entry-2"), vec![other]);
+    assert!(suspects.refused(1).contains(&poison()));
+    suspects.note_answer(2, poison());
+    assert!(suspects.refused(3).is_empty());
+}
+
 #[test]
 fn look_alikes_are_not_punished() {
     let others = [
--- a/crates/shard/src/turn.rs
+++ b/crates/shard/src/turn.rs
@@ -113,7 +113,9 @@
     /// They reach whichever life is there by then.
     pub(crate) fn stand_until_ms(&self, life: &Life, range: KeyRange, tuning: &Tuning) -> u64 {
         let stands = self.open.values().filter_map(|order| match &order.kind {
-            OrderKind::Grant(grant) if order.life.server == life.server && grant.range.overlaps(range) => {
+            OrderKind::Grant(grant)
+                if order.life.server == life.server && grant.range.overlaps(range) =>
+            {
                 Some(tuning.stands_until_ms(order.deadline_ms, grant.hold_ms))
             }
             _ => None,
