Trace a request through logs, and say what daemons believed at a time

verbenactl trace REQUEST-ID FILE... and believe --at MS FILE... read logs line by line; what is kept is bounded by what a daemon believes.

--- /dev/null
+++ b/crates/trace/tests/one_request.rs
@@ -0,0 +1,45 @@
+//! The way of one request through logs.
+use std::fmt::Write as _;
+
+use trace::{believe, trace};
+
+fn log() -> String {
+    let lines = [
+        r#"{"level":"info","timestamp":10,"payload":"started","kv":{"instance":"a"}}"#,
+        r#"{"level":"info","timestamp":20,"payload":"document in force","kv":{"version":3}}"#,
+        r#"{"level":"info","timestamp":21,"payload":"server listed","kv":{"server":"s@1","stage":"Ready"}}"#,
+        "noise that is no line",
+        r#" 4.2 edge-1 {"level":"info","timestamp":30,"payload":"attempt failed","kv":{"request":"q7","failure":"Broken"}}"#,
+        r#"{"level":"info","timestamp":31,"payload":"request not served","kv":{"request":"q7","reason":"broken"}}"#,
+        r#"{"level":"info","timestamp":40,"payload":"document in force","kv":{"version":4}}"#,
+        r#"{"level":"info","timestamp":41,"payload":"server gone","kv":{"server":"s"}}"#,
+    ];
+    lines.join("\n")
+}
+
+#[test]
+fn lines_of_one_request() {
+    let found = trace("a.log", log().as_bytes(), "q7").unwrap();
+    assert_eq!(found.len(), 2);
+    assert_eq!(found[0].line.what, "attempt failed");
+    assert_eq!(found[0].line.to_fields_text(), "failure=Broken");
+    assert_eq!(found[1].belief.version, Some((3, 20)));
+    assert_eq!(found[1].belief.servers.len(), 1);
+    assert!(trace("a.log", log().as_bytes(), "q8").unwrap().is_empty());
+}
+
+#[test]
+fn belief_at_a_time() {
+    let before = believe(log().as_bytes(), 30).unwrap();
+    assert_eq!((before.version, before.servers.len()), (Some((3, 20)), 1));
+    let after = believe(log().as_bytes(), 50).unwrap();
+    assert_eq!((after.version, after.servers.len()), (Some((4, 40)), 0));
+    assert_eq!(believe(log().as_bytes(), 5).unwrap().version, None);
+}
+
+#[test]
+fn start_begins_anew() {
+    let mut text = log();
+    let _ = write!(text, "\n{}", r#"{"timestamp":60,"payload":"started","kv":{}}"#);
+    assert_eq!(believe(text.as_bytes(), 70).unwrap().version, None);
+}
--- a/crates/verbenactl/src/command.rs
+++ b/crates/verbenactl/src/command.rs
@@ -49,6 +49,25 @@
         .subcommand(
             Command::new("validate").about("Checks a document without sending it").arg(file()),
         )
+        .subcommand(
+            Command::new("trace")
+                .about("Prints one request's way through daemons' logs, in time order")
+                .arg(Arg::new("request").value_name("REQUEST-ID").required(true))
+                .arg(logs()),
+        )
+        .subcommand(
+            Command::new("believe")
+                .about("Prints what daemons believed at a time, by their logs")
+                .arg(
+                    Arg::new("at")
+                        .long("at")
+                        .value_name("MS")
+                        .required(true)
+                        .value_parser(value_parser!(u64))
+                        .help("The time, in milliseconds since 1970, as in the logs"),
+                )
+                .arg(logs()),
+        )
         .subcommand(
             Command::new("apply")
                 .about("Replaces a service's document")
@@ -122,3 +141,13 @@
         .value_parser(value_parser!(u64))
         .help(help)
 }
+
+fn logs() -> Arg {
+    Arg::new("logs")
+        .value_name("FILE")
+        .required(true)
+        .action(ArgAction::Append)
+        .num_args(1..)
+        .value_parser(value_parser!(PathBuf))
+        .help("Log files, one a daemon")
+}
--- /dev/null
+++ b/crates/verbenactl/src/logs.rs
@@ -0,0 +1,65 @@
+//! What daemons' logs tell.
+
+use std::fs::File;
+use std::io::BufReader;
+use std::path::PathBuf;
+
+use clap::ArgMatches;
+use trace::{Found, believe, trace};
+
+use crate::{End, Failure, FaultKind, Result};
+
+/// Prints one request's way in time order, with what each daemon believed then.
+pub(crate) fn trace_request(matches: &ArgMatches) -> Result<End> {
+    let request = matches.get_one::<String>("request").map_or("", String::as_str);
+    let mut found: Vec<Found> = Vec::new();
+    for (name, reader) in open(matches)? {
+        found.extend(trace(&name, reader, request).map_err(|error| unreadable(&name, &error))?);
+    }
+    if found.is_empty() {
+        let message = format!("no line about request {request}: it went well, or was dropped");
+        return Err(Failure { end: End::Fault(FaultKind::Missing), message });
+    }
+    found.sort_by_key(|found| found.line.time_ms);
+    for found in &found {
+        println!("{} {} {}", found.line.time_ms, found.file, found.line.what);
+        println!("    {}", found.line.to_fields_text());
+        println!("    believed: {}", found.belief);
+        if let Some(server) = found.line.text("server") {
+            let stage = found.belief.servers.get(server).map_or("not listed", |stage| stage);
+            println!("    server {server}: {stage}");
+        }
+    }
+    Ok(End::Done)
+}
+
+/// Prints what the daemon of each log believed at a time.
+pub(crate) fn print_beliefs(matches: &ArgMatches) -> Result<End> {
+    let at_ms = matches.get_one::<u64>("at").copied().unwrap_or(0);
+    for (name, reader) in open(matches)? {
+        let belief = believe(reader, at_ms).map_err(|error| unreadable(&name, &error))?;
+        println!("{name}: {belief}");
+        for (life, stage) in &belief.servers {
+            println!("    server {life}: {stage}");
+        }
+        for (range, text) in &belief.moves {
+            println!("    range {range}: {text}");
+        }
+    }
+    Ok(End::Done)
+}
+
+fn open(matches: &ArgMatches) -> Result<Vec<(String, BufReader<File>)>> {
+    let paths = matches.get_many::<PathBuf>("logs").unwrap_or_default();
+    let open = |path: &PathBuf| {
+        let name = path.display().to_string();
+        let file = File::open(path).map_err(|error| unreadable(&name, &error))?;
+        Ok((name, BufReader::new(file)))
+    };
+    paths.map(open).collect()
+}
+
+fn unreadable(name: &str, error: &std::io::Error) -> Failure {
+    let message = format!("{name}: {error}, expected a log file that can be read");
+    Failure { end: End::Fault(FaultKind::Invalid), message }
+}
--- a/crates/verbenactl/src/main.rs
+++ b/crates/verbenactl/src/main.rs
@@ -1,6 +1,7 @@
 //! The operators' command line.
 
 mod command;
+mod logs;
 mod show;
 
 use std::net::SocketAddr;
@@ -75,6 +76,8 @@
 async fn run(matches: &ArgMatches) -> Result<End> {
     match matches.subcommand() {
         Some(("validate", matches)) => validate(matches),
+        Some(("trace", matches)) => logs::trace_request(matches),
+        Some(("believe", matches)) => logs::print_beliefs(matches),
         Some(("apply", matches)) => apply(matches).await,
         Some(("get", matches)) => get(matches).await,
         Some(("diff", matches)) => diff(matches).await,
