--- a/crates/control/tests/random_schedules.rs
+++ b/crates/control/tests/random_schedules.rs
@@ -1,7 +1,8 @@
 //! Random schedules of faults and edits over the real control parts.
 //!
 //! The safety rules are checked inside the world after every order that a server
-//! follows. `VERBENA_CASES` sets the number of schedules, `VERBENA_SEED` the seed.
+//! follows. `VERBENA_CASES` sets the number of schedules, `VERBENA_SEED` the
+//! seed; `random` draws one.
 mod world;
 
 use proptest::prelude::*;
@@ -34,9 +35,20 @@
     std::env::var(key).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
+/// Returns the seed, drawn for `VERBENA_SEED=random`, and prints it first so that a find
+/// cannot be lost with the rest of the output.
+fn seed() -> u64 {
+    let seed = match std::env::var("VERBENA_SEED").as_deref() {
+        Ok("random") => rand::random_range(0..1 << 32),
+        _ => from_env("VERBENA_SEED", DEFAULT_SEED),
+    };
+    println!("VERBENA_SEED={seed}");
+    seed
+}
+
 fn run_cases(all_check: bool) {
     let cases = from_env("VERBENA_CASES", DEFAULT_CASES.into());
-    let seed = from_env("VERBENA_SEED", DEFAULT_SEED);
+    let seed = seed();
     let mut bytes = [0; 32];
     bytes[..8].copy_from_slice(&seed.to_le_bytes());
     let config = Config {
--- a/crates/gateway/src/election.rs
+++ b/crates/gateway/src/election.rs
@@ -36,8 +36,7 @@
 
 impl<S: Store> Campaign<S> {
     /// Tries to become the leader once.
-    pub(crate) async fn run(self, delay_ms: u64) {
-        sleep(Duration::from_millis(delay_ms)).await;
+    pub(crate) async fn run(self) {
         let result = self.stand().await;
         if let Err(report) = &result {
             spdlog::info!("not elected", kv: { cause = report.current_context().to_string() });
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -29,9 +29,10 @@
 const LEASE_MS: u64 = 6_000;
 /// How often that lease is kept; a store that does not answer shows within this time.
 const KEEP_MS: u64 = 1_000;
-/// The pauses between failed calls.
+/// The pauses between failed calls. Refused calls are paid for too; a store that is back
+/// has to be found before its daemons count as in touch with it, three seconds later.
 const LEAST_PAUSE_MS: u64 = 100;
-const MOST_PAUSE_MS: u64 = 600;
+const MOST_PAUSE_MS: u64 = 1_200;
 
 /// A daemon's entry in the store.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
@@ -176,6 +177,7 @@
     let text = serde_json::to_string(&entry).unwrap_or_default();
     let mut lease: Option<LeaseId> = None;
     let mut answers = None;
+    let mut failed_pause_ms = LEAST_PAUSE_MS;
     loop {
         counters.count(Counter::StoreCalls);
         let kept = match lease {
@@ -207,8 +209,14 @@
         let pause_ms = match (lease, is_answer) {
             (Some(_), true) => KEEP_MS,
             (None, true) => 0,
-            (_, false) => LEAST_PAUSE_MS * 2,
+            (_, false) => {
+                failed_pause_ms = (failed_pause_ms * 2).min(MOST_PAUSE_MS);
+                failed_pause_ms
+            }
         };
+        if is_answer {
+            failed_pause_ms = LEAST_PAUSE_MS;
+        }
         sleep(Duration::from_millis(jittered(pause_ms))).await;
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -62,8 +62,11 @@
 /// Every server's heartbeat changes its entry; a leaving server may wait this long of its
 /// drain.
 const SERVERS_PACE_MS: u64 = 350;
-/// The least time between two readings of rare changes.
-const RARE_PACE_MS: u64 = 20;
+/// The least time between two readings of documents, which may come in quick succession.
+const SITE_PACE_MS: u64 = 60;
+/// The least time between two readings of daemons' entries, which come together when many
+/// start at once.
+const FLEET_PACE_MS: u64 = 250;
 
 impl<S: Store, O: Orders, R: Source> Gateway<S, O, R> {
     /// Creates a gateway; `path` is where its settings are read again.
@@ -171,9 +174,9 @@
 ) -> watch::Sender<u64> {
     let (renewals, renewed) = watch::channel(0);
     let topics = [
-        (Topic::Site, ports.source.site_key(), RARE_PACE_MS),
+        (Topic::Site, ports.source.site_key(), SITE_PACE_MS),
         (Topic::Servers, ports.source.servers_prefix(), SERVERS_PACE_MS),
-        (Topic::Fleet, FLEET, RARE_PACE_MS),
+        (Topic::Fleet, FLEET, FLEET_PACE_MS),
     ];
     for (topic, prefix, pace_ms) in topics {
         let follower = Follower {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -45,6 +45,8 @@
     leader: Option<Name>,
     is_fleet_known: bool,
     is_campaigning: bool,
+    /// When this daemon campaigns, if nobody else was elected by then.
+    campaign_at_ms: Option<u64>,
     store_answers: bool,
     pub(crate) leading: Option<Leading>,
     links: Links,
@@ -72,8 +74,10 @@
 /// A server that leaves gets work for this part of the drain, in percent, from the time on
 /// that it is known here. The rest covers how late that is, and the way there.
 const DRAIN_USED_PERCENT: u64 = 40;
-/// How long a daemon waits at most before it campaigns; campaigns collide less.
-const CAMPAIGN_SPREAD_MS: u64 = 120;
+/// How long a daemon waits at most before it campaigns, and how much longer for each other
+/// daemon: most of them find by then that another was elected.
+const CAMPAIGN_SPREAD_MS: u64 = 100;
+const CAMPAIGN_SPREAD_EACH_MS: u64 = 12;
 
 /// What a node is made of.
 pub(crate) struct Parts<S, O, R> {
@@ -104,6 +108,7 @@
             leader: None,
             is_fleet_known: false,
             is_campaigning: false,
+            campaign_at_ms: None,
             store_answers: true,
             leading: None,
             links: Links::default(),
@@ -132,7 +137,8 @@
                 },
                 _ = ticks.tick() => {
                     skipped += 1;
-                    if self.leading.is_some() || skipped >= FOLLOWING_TICKS {
+                    let is_busy = self.leading.is_some() || self.campaign_at_ms.is_some();
+                    if is_busy || skipped >= FOLLOWING_TICKS {
                         skipped = 0;
                         self.tick();
                     }
@@ -356,10 +362,19 @@
     fn campaign_if_needed(&mut self) {
         let is_needed = self.is_fleet_known && self.leader.is_none() && self.leading.is_none();
         let is_able = self.store_answers && !self.is_campaigning && !self.shared.is_stopping();
-        if is_needed && is_able {
+        if !(is_needed && is_able) {
+            self.campaign_at_ms = None;
+            return;
+        }
+        let now_ms = self.clock.now_ms();
+        let others = u64::try_from(self.daemons.len()).unwrap_or(0);
+        let spread_ms = CAMPAIGN_SPREAD_MS + CAMPAIGN_SPREAD_EACH_MS * others;
+        let at_ms =
+            *self.campaign_at_ms.get_or_insert_with(|| now_ms + rand::random_range(0..spread_ms));
+        if now_ms >= at_ms {
+            self.campaign_at_ms = None;
             self.is_campaigning = true;
-            let delay_ms = rand::random_range(0..CAMPAIGN_SPREAD_MS);
-            tokio::spawn(self.campaign().run(delay_ms));
+            tokio::spawn(self.campaign().run());
         }
     }
 
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -286,6 +286,24 @@
         }
     }
 
+    /// Starts daemons again that ended by themselves, as the platform does.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process cannot be started.
+    pub fn supervise(&mut self) -> Result<()> {
+        for at in 0..self.daemons.len() {
+            let child = self.daemons[at].child.as_mut();
+            let ended = child.and_then(|child| child.try_wait().ok().flatten());
+            if let Some(status) = ended {
+                let name = &self.daemons[at].name;
+                self.note(&format!("{name} ended by itself: {status}"));
+                self.start_daemon(at)?;
+            }
+        }
+        Ok(())
+    }
+
     /// Waits for a daemon to end; returns whether it did.
     pub async fn wait(&mut self, at: usize, limit: Duration) -> bool {
         let Some(mut child) = self.daemons[at].child.take() else { return true };
@@ -335,10 +353,22 @@
     }
 }
 
+/// Ports that the system gives to no outgoing connection: one of those would hold a port
+/// when the daemon that it is for starts again.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+const MOST_TRIES: usize = 10_000;
+
 /// Returns ports that were free a moment ago.
 fn free_ports(count: usize) -> Result<Vec<u16>> {
-    let bound = (0..count).map(|_| StdListener::bind("127.0.0.1:0"));
-    let listeners = bound.collect::<std::io::Result<Vec<StdListener>>>()?;
+    let mut listeners = Vec::new();
+    for _ in 0..MOST_TRIES {
+        let port = rand::random_range(PORTS);
+        // A port that is taken is as good as any other reason to try the next one.
+        listeners.extend(StdListener::bind(("127.0.0.1", port)).ok());
+        if listeners.len() == count {
+            break;
+        }
+    }
     let mut ports = Vec::new();
     for listener in &listeners {
         ports.push(listener.local_addr()?.port());
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -81,6 +81,7 @@
             next = Instant::now() + schedule.pause();
             schedule.strike(&mut cluster).await?;
         }
+        cluster.supervise()?;
         cluster.change_site_if_due().await;
         publish(&cluster, &lives, &latest);
     }
@@ -89,6 +90,7 @@
     let recovered = Instant::now() + RECOVER;
     while Instant::now() < recovered {
         sleep(Duration::from_millis(100)).await;
+        cluster.supervise()?;
         publish(&cluster, &lives, &latest);
     }
     let served_part_at_end = callers.served_part(LOOK).await;
