Tell daemons what changed of the owners, and all of it rarely

Change: a message names the one that it changes and carries the spans that differ; whole tables go out every 10 s and to a daemon that missed a message.

--- a/crates/gateway/src/leadership.rs
+++ b/crates/gateway/src/leadership.rs
@@ -1,8 +1,9 @@
 //! The state of a daemon that leads.
 
 use document::{HashMap, Name, Revision};
+use peer::Tables;
 use registry::Life;
-use shard::Leader;
+use shard::{Leader, Table};
 use store::LeaseId;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -17,6 +18,10 @@
     /// The number of the last message with tables.
     pub(crate) number: u64,
     pub(crate) publish_at_ms: u64,
+    /// When whole tables are sent next; changes suffice until then.
+    pub(crate) whole_at_ms: u64,
+    /// The tables of the last message.
+    pub(crate) told: HashMap<Name, Table>,
     /// Keeps the lease until leadership ends.
     _keeper: AbortOnDropHandle<()>,
 }
@@ -40,11 +45,36 @@
             speeds: HashMap::default(),
             number: 0,
             publish_at_ms: 0,
+            whole_at_ms: 0,
+            told: HashMap::default(),
             _keeper: keeper,
         }
     }
 
     #[expect(clippy::cast_precision_loss, reason = "some answers and thousandths")]
+    /// Returns the owners of all keys, under the number of the last message.
+    pub(crate) fn tables(&self, now_ms: u64) -> Tables {
+        let leader = &self.leader;
+        let tables = leader
+            .services()
+            .filter_map(|service| Some((service.clone(), leader.table(service, now_ms)?)));
+        let tables = tables.collect();
+        Tables { epoch: leader.epoch(), number: self.number, base: None, tables }
+    }
+
+    /// Returns what changed since the message with a number.
+    pub(crate) fn changes(&self, whole: &Tables, base: u64) -> Tables {
+        let changed = whole.tables.iter().filter_map(|(service, table)| {
+            let spans = match self.told.get(service) {
+                Some(told) => table.changes_since(told),
+                None => table.spans.clone(),
+            };
+            (!spans.is_empty()).then(|| (service.clone(), Table { spans }))
+        });
+        let (epoch, number) = (whole.epoch, whole.number);
+        Tables { epoch, number, base: Some(base), tables: changed.collect() }
+    }
+
     /// Learns how fast a server is from its answers.
     pub(crate) fn note_speed(&mut self, server: &peer::ServerLoad) {
         if server.answers == 0 {
--- a/crates/gateway/src/leading.rs
+++ b/crates/gateway/src/leading.rs
@@ -1,7 +1,7 @@
 //! What a daemon does as the leader.
 
 use document::{Name, Revision};
-use peer::{FleetBody, ServiceLoad, Tables};
+use peer::{FleetBody, ServiceLoad};
 use shard::{Event, Leader, Note, Output, Record, Servers, Tuning};
 use store::{Category, Expect, Store, Transaction};
 use telemetry::Counter;
@@ -13,8 +13,10 @@
 use crate::node::Node;
 use crate::{Orders, Source};
 
-/// How often tables are sent again, for daemons that missed one.
+/// How often daemons hear of their leader, also when nothing changes.
 const PUBLISH_EVERY_MS: u64 = 800;
+/// How often whole tables are sent; changes are a hundredth of them.
+const WHOLE_EVERY_MS: u64 = 10_000;
 /// How long a write of a record may take before it is settled by a read.
 const SETTLE_READS: u32 = 2;
 
@@ -181,20 +183,34 @@
         }
     }
 
-    /// Tells all daemons, this one too, the owners of all keys.
+    /// Tells all daemons, this one too, the owners of all keys, or what changed of them.
     fn publish(&mut self) {
         let now_ms = self.clock.now_ms();
         let Some(leading) = &mut self.leading else { return };
+        let base = leading.number;
         leading.number += 1;
         leading.publish_at_ms = now_ms + PUBLISH_EVERY_MS;
-        let leader = &leading.leader;
-        let tables = leader
-            .services()
-            .filter_map(|service| Some((service.clone(), leader.table(service, now_ms)?)))
-            .collect();
-        let tables = Tables { epoch: leader.epoch(), number: leading.number, tables };
-        self.send_all(&FleetBody::Tables(tables.clone()));
-        self.take_tables(tables);
+        let whole = leading.tables(now_ms);
+        let is_whole = now_ms >= leading.whole_at_ms;
+        let message = if is_whole {
+            leading.whole_at_ms = now_ms + WHOLE_EVERY_MS;
+            whole.clone()
+        } else {
+            leading.changes(&whole, base)
+        };
+        leading.told = whole.tables.iter().cloned().collect();
+        self.send_all(&FleetBody::Tables(message));
+        self.take_tables(whole);
+    }
+
+    /// Sends whole tables to a daemon that missed a message.
+    pub(crate) fn send_tables(&mut self, daemon: &Name) {
+        let now_ms = self.clock.now_ms();
+        let Some(leading) = &self.leading else { return };
+        let tables = leading.tables(now_ms);
+        if let Some(address) = self.address(daemon) {
+            self.send(address, FleetBody::Tables(tables));
+        }
     }
 }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use document::{HashMap, HashSet, Name};
-use peer::{FleetBody, FleetFrame, Links, Tables};
+use peer::{FleetBody, FleetFrame, Links, Load, Tables};
 use registry::{Change, Life, Registry, Stage};
 use route::Budget;
 use shard::{Epoch, Event, Owner, Span, Table};
@@ -52,6 +52,8 @@
     links: Links,
     tables: HashMap<Name, Arc<Table>>,
     tables_from: (Epoch, u64),
+    /// Whether a message with tables was missed.
+    wants_tables: bool,
     tables_at_ms: u64,
     records_at_ms: u64,
     servers: HashMap<Life, Arc<Server>>,
@@ -114,6 +116,7 @@
             links: Links::default(),
             tables: HashMap::default(),
             tables_from: (Epoch(0), 0),
+            wants_tables: false,
             tables_at_ms: 0,
             records_at_ms: 0,
             servers: HashMap::default(),
@@ -323,6 +326,7 @@
                     // A daemon that is new hears of the owners at once.
                     if let Some(leading) = &mut self.leading {
                         leading.publish_at_ms = 0;
+                        leading.whole_at_ms = 0;
                     }
                 }
             }
@@ -386,19 +390,25 @@
             .map(|state| state.take())
             .filter(|load| !(load.keys.is_empty() && load.servers.is_empty()))
             .collect();
-        if loads.is_empty() {
-            return;
-        }
         if self.leading.is_some() {
             self.add_load(&loads);
             return;
         }
-        let leader = self.leader.as_ref().and_then(|name| self.daemons.get(name));
-        if let Some(address) = leader.map(|daemon| daemon.address) {
-            self.send(address, FleetBody::Load(loads));
+        if loads.is_empty() && !self.wants_tables {
+            return;
+        }
+        let leader = self.leader.as_ref().and_then(|name| self.address(name));
+        if let Some(address) = leader {
+            let load = Load { services: loads, wants_tables: self.wants_tables };
+            self.send(address, FleetBody::Load(load));
         }
     }
 
+    /// Returns where another daemon takes messages.
+    pub(crate) fn address(&self, daemon: &Name) -> Option<SocketAddr> {
+        self.daemons.get(daemon).map(|daemon| daemon.address)
+    }
+
     fn tell_crashes(&mut self, now_ms: u64) {
         let has_news = self.shared.take_crash_news();
         if !has_news && now_ms < self.crashes_at_ms {
@@ -412,7 +422,7 @@
         }
     }
 
-    fn send(&mut self, to: SocketAddr, body: FleetBody) {
+    pub(crate) fn send(&mut self, to: SocketAddr, body: FleetBody) {
         let frame = FleetFrame { from: self.settings.instance.clone(), body };
         self.links.send(to, frame.to_bytes());
     }
@@ -430,22 +440,46 @@
 
     fn take_frame(&mut self, frame: FleetFrame) {
         match frame.body {
-            FleetBody::Load(loads) => self.add_load(&loads),
+            FleetBody::Load(load) => {
+                self.add_load(&load.services);
+                if load.wants_tables {
+                    self.send_tables(&frame.from);
+                }
+            }
             FleetBody::Tables(tables) => self.take_tables(tables),
             FleetBody::Crashes(suspects) => self.shared.note_suspects(&frame.from, suspects),
             FleetBody::Site(_) => {}
         }
     }
 
-    /// Puts a leader's tables in force, unless a later one is.
+    /// Puts a leader's tables in force, unless later ones are.
+    ///
+    /// Changes apply to the message that they name; a daemon that missed it asks for all.
     pub(crate) fn take_tables(&mut self, tables: Tables) {
         let from = (tables.epoch, tables.number);
         if from <= self.tables_from {
             return;
         }
+        if let Some(base) = tables.base
+            && self.tables_from != (tables.epoch, base)
+        {
+            self.wants_tables = true;
+            return;
+        }
+        self.wants_tables = false;
         self.tables_from = from;
         self.tables_at_ms = self.clock.now_ms();
         for (service, table) in tables.tables {
+            let table = if tables.base.is_some() {
+                let mut patched = self
+                    .tables
+                    .get(&service)
+                    .map_or_else(Table::default, |known| Table::clone(known));
+                patched.patch(&table.spans);
+                patched
+            } else {
+                table
+            };
             self.replace_table(service, table);
         }
     }
--- a/crates/lab/src/range_server.rs
+++ b/crates/lab/src/range_server.rs
@@ -198,23 +198,13 @@
         self.held = held
             .into_iter()
             .flat_map(|held| {
-                let rest = without(held.range, range).into_iter();
+                let rest = held.range.without(range).into_iter();
                 rest.map(move |range| Held { range, ..held })
             })
             .collect();
     }
 }
 
-/// Returns what is left of a range without another.
-fn without(range: KeyRange, other: KeyRange) -> Vec<KeyRange> {
-    if !range.overlaps(other) {
-        return vec![range];
-    }
-    let left = range.split_at(other.from()).map(|(left, _)| left);
-    let right = other.to().checked_add(1).and_then(|next| range.split_at(next));
-    [left, right.map(|(_, right)| right)].into_iter().flatten().collect()
-}
-
 impl Referee {
     /// Returns what was broken so far.
     #[must_use]
@@ -276,7 +266,7 @@
         self.holds = holds
             .into_iter()
             .flat_map(|(holder, held, until)| {
-                let left = if holder == *life { without(held, range) } else { vec![held] };
+                let left = if holder == *life { held.without(range) } else { vec![held] };
                 left.into_iter().map(move |held| (holder.clone(), held, until))
             })
             .collect();
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum FleetBody {
     /// What the sender's requests did since its last report.
-    Load(Vec<ServiceLoad>),
+    Load(Load),
     /// The owners of all keys.
     Tables(Tables),
     /// Requests that crashed servers; the deadlines are lengths from the sending on.
@@ -31,6 +31,15 @@
     Site(SiteText),
 }
 
+/// What a daemon reports to the leader.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Load {
+    /// What requests did, by service.
+    pub services: Vec<ServiceLoad>,
+    /// Whether the sender missed a message with tables and needs them whole.
+    pub wants_tables: bool,
+}
+
 /// What requests of one service did.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceLoad {
@@ -60,6 +69,8 @@
     pub epoch: Epoch,
     /// The number of this message within the epoch.
     pub number: u64,
+    /// The number of the message that this one changes; `None` where tables are whole.
+    pub base: Option<u64>,
     /// The tables by service.
     pub tables: Vec<(Name, Table)>,
 }
@@ -78,9 +89,9 @@
     #[must_use]
     pub fn to_bytes(&self) -> Bytes {
         let body = match &self.body {
-            FleetBody::Load(services) => {
-                let services = services.iter().map(from_load).collect();
-                wire::frame::Body::Load(wire::Load { services, daemons: 1 })
+            FleetBody::Load(load) => {
+                let services = load.services.iter().map(from_load).collect();
+                wire::frame::Body::Load(wire::Load { services, wants_tables: load.wants_tables })
             }
             FleetBody::Tables(tables) => wire::frame::Body::Tables(from_tables(tables)),
             FleetBody::Crashes(suspects) => {
@@ -105,7 +116,8 @@
             .map_err(|error| Error::report(format!("frame cannot be read: {error}")))?;
         let body = match frame.body.ok_or_else(|| Error::report("frame of an unknown kind"))? {
             wire::frame::Body::Load(load) => {
-                FleetBody::Load(load.services.into_iter().map(to_load).collect())
+                let services = load.services.into_iter().map(to_load).collect();
+                FleetBody::Load(Load { services, wants_tables: load.wants_tables })
             }
             wire::frame::Body::Tables(tables) => FleetBody::Tables(to_tables(tables)?),
             wire::frame::Body::Crashes(crashes) => {
@@ -166,6 +178,7 @@
     wire::Tables {
         epoch: tables.epoch.0,
         number: tables.number,
+        base: tables.base.unwrap_or(0),
         tables: tables.tables.iter().map(|(name, table)| from_table(name, table)).collect(),
     }
 }
@@ -174,6 +187,7 @@
     Ok(Tables {
         epoch: Epoch(tables.epoch),
         number: tables.number,
+        base: Some(tables.base).filter(|base| *base > 0),
         tables: tables.tables.into_iter().map(to_table).collect::<Result<_>>()?,
     })
 }
--- a/crates/shard/src/range.rs
+++ b/crates/shard/src/range.rs
@@ -58,6 +58,17 @@
         is_inside.then(|| (Self { from: self.from, to: key - 1 }, Self { from: key, to: self.to }))
     }
 
+    /// Returns what is left without another range.
+    #[must_use]
+    pub fn without(self, other: Self) -> Vec<Self> {
+        if !self.overlaps(other) {
+            return vec![self];
+        }
+        let left = self.split_at(other.from).map(|(left, _)| left);
+        let right = other.to.checked_add(1).and_then(|next| self.split_at(next));
+        [left, right.map(|(_, right)| right)].into_iter().flatten().collect()
+    }
+
     /// Joins a range with the one right after it.
     #[must_use]
     pub fn join(self, next: Self) -> Option<Self> {
--- a/crates/shard/src/table.rs
+++ b/crates/shard/src/table.rs
@@ -35,6 +35,36 @@
 }
 
 impl Table {
+    /// Returns the spans that have to replace parts of an earlier table.
+    #[must_use]
+    pub fn changes_since(&self, earlier: &Self) -> Vec<Span> {
+        let mut known = earlier.spans.iter().peekable();
+        let is_new = |span: &&Span| {
+            while known.next_if(|old| old.range.from() < span.range.from()).is_some() {}
+            known.peek() != Some(span)
+        };
+        self.spans.iter().filter(is_new).cloned().collect()
+    }
+
+    /// Replaces parts of the table.
+    pub fn patch(&mut self, changes: &[Span]) {
+        let is_replaced = |range: KeyRange| changes.iter().any(|new| new.range.overlaps(range));
+        let old = std::mem::take(&mut self.spans);
+        let (touched, kept): (Vec<Span>, Vec<Span>) =
+            old.into_iter().partition(|span| is_replaced(span.range));
+        self.spans = kept;
+        for span in touched {
+            let mut rests = vec![span.range];
+            for new in changes {
+                rests = rests.into_iter().flat_map(|rest| rest.without(new.range)).collect();
+            }
+            let owner = &span.owner;
+            self.spans.extend(rests.into_iter().map(|range| Span { range, owner: owner.clone() }));
+        }
+        self.spans.extend_from_slice(changes);
+        self.spans.sort_unstable_by_key(|span| span.range.from());
+    }
+
     /// Returns the span that a key is in.
     #[must_use]
     pub fn find(&self, key: u16) -> Option<&Span> {
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -491,11 +491,5 @@
 
 /// Returns what is left of a holding without a range.
 fn without(held: &Held, range: KeyRange) -> Vec<Held> {
-    if !held.range.overlaps(range) {
-        return vec![*held];
-    }
-    let left = held.range.split_at(range.from()).map(|(left, _)| left);
-    let right = range.to().checked_add(1).and_then(|next| held.range.split_at(next));
-    let parts = [left, right.map(|(_, right)| right)];
-    parts.into_iter().flatten().map(|range| Held { range, ..*held }).collect()
+    held.range.without(range).into_iter().map(|range| Held { range, ..*held }).collect()
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -67,6 +67,12 @@
                 .arg(number("for", "30", "How long faults come, in seconds"))
                 .arg(number("daemons", "4", "How many daemons"))
                 .arg(number("callers", "4", "How many callers each daemon has"))
+                .arg(
+                    Arg::new("keep")
+                        .long("keep")
+                        .action(ArgAction::SetTrue)
+                        .help("Keeps the logs of seeds that broke nothing, too"),
+                )
                 .arg(
                     Arg::new("safety-only")
                         .long("safety-only")
@@ -118,7 +124,7 @@
             code = ExitCode::from(BROKEN);
         }
         tell(&report, &dir)?;
-        if report.broken.is_empty() {
+        if report.broken.is_empty() && !matches.get_flag("keep") {
             std::fs::remove_dir_all(&dir)?;
         }
     }
