--- a/crates/gateway/src/leadership.rs
+++ b/crates/gateway/src/leadership.rs
@@ -51,7 +51,6 @@
         }
     }
 
-    #[expect(clippy::cast_precision_loss, reason = "some answers and thousandths")]
     /// Returns the owners of all keys, under the number of the last message.
     pub(crate) fn tables(&self, now_ms: u64) -> Tables {
         let leader = &self.leader;
@@ -76,6 +75,7 @@
     }
 
     /// Learns how fast a server is from its answers.
+    #[expect(clippy::cast_precision_loss, reason = "some answers and thousandths")]
     pub(crate) fn note_speed(&mut self, server: &peer::ServerLoad) {
         if server.answers == 0 {
             return;
--- a/crates/trace/src/belief.rs
+++ b/crates/trace/src/belief.rs
@@ -37,8 +37,8 @@
                 self.version = line.number("version").map(|version| (version, at_ms));
             }
             "store" => {
-                let answers = line.fields.get("answers").and_then(serde_json::Value::as_bool);
-                self.store = answers.map(|answers| (answers, at_ms));
+                let is_answering = line.fields.get("answers").and_then(serde_json::Value::as_bool);
+                self.store = is_answering.map(|is_answering| (is_answering, at_ms));
             }
             "elected leader" => self.leads = line.number("epoch").map(|epoch| (epoch, at_ms)),
             "no longer leader" => self.leads = None,
@@ -53,10 +53,10 @@
     }
 
     fn take_server(&mut self, line: &Line) {
-        let Some(life) = line.text("server") else { return };
-        let name = life.split('@').next().unwrap_or(life).to_owned();
+        let Some(listed) = line.text("server") else { return };
+        let name = listed.split('@').next().unwrap_or(listed).to_owned();
         self.servers.retain(|known, _| !is_life_of(known, &name));
-        self.servers.insert(life.into(), line.text("stage").unwrap_or("?").into());
+        self.servers.insert(listed.into(), line.text("stage").unwrap_or("?").into());
     }
 
     fn take_move(&mut self, line: &Line) {
--- a/crates/trace/tests/one_request.rs
+++ b/crates/trace/tests/one_request.rs
@@ -1,6 +1,4 @@
 //! The way of one request through logs.
-use std::fmt::Write as _;
-
 use trace::{believe, trace};
 
 fn log() -> String {
@@ -40,6 +38,6 @@
 #[test]
 fn start_begins_anew() {
     let mut text = log();
-    let _ = write!(text, "\n{}", r#"{"timestamp":60,"payload":"started","kv":{}}"#);
+    text.push_str("\n{\"timestamp\":60,\"payload\":\"started\",\"kv\":{}}");
     assert_eq!(believe(text.as_bytes(), 70).unwrap().version, None);
 }
