Give no work to a server that is missing when the list is back

Cause: a daemon that had been cut off from the store found on its return that entries were missing.

Change: where few of a service's servers are missing they get no new work; where most are, work goes on. The store is looked for twice a second, and followers go on at once when it is back.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -10,7 +10,7 @@
 use store::{Category, Entry, Expect, LeaseId, Store};
 use telemetry::{Counter, Counters};
 use tokio::sync::{mpsc, watch};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::input::{Input, StoredRecord, Topic};
 
@@ -33,6 +33,8 @@
 /// has to be found before its daemons count as in touch with it, three seconds later.
 const LEAST_PAUSE_MS: u64 = 100;
 const MOST_PAUSE_MS: u64 = 1_200;
+/// How often at least it is looked whether the store is back.
+const MOST_LOOK_MS: u64 = 500;
 
 /// A daemon's entry in the store.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
@@ -64,7 +66,10 @@
                 Ended::Closed => return,
                 Ended::Failed => {
                     self.counters.count(Counter::StoreFailures);
-                    sleep(Duration::from_millis(jittered(pause_ms))).await;
+                    let pause = Duration::from_millis(jittered(pause_ms));
+                    if matches!(timeout(pause, self.renewed.changed()).await, Ok(Err(_))) {
+                        return;
+                    }
                     pause_ms = (pause_ms * 2).min(MOST_PAUSE_MS);
                 }
                 Ended::Compacted => pause_ms = LEAST_PAUSE_MS,
@@ -111,7 +116,11 @@
                     self.counters.count(Counter::StoreFailures);
                     failures += 1;
                     let pause_ms = (LEAST_PAUSE_MS << failures.min(8)).min(MOST_PAUSE_MS);
-                    sleep(Duration::from_millis(jittered(pause_ms))).await;
+                    let pause = Duration::from_millis(jittered(pause_ms));
+                    // A change tells that the store is back.
+                    if matches!(timeout(pause, self.renewed.changed()).await, Ok(Err(_))) {
+                        return Ended::Closed;
+                    }
                 }
             }
         }
@@ -210,7 +219,7 @@
             (Some(_), true) => KEEP_MS,
             (None, true) => 0,
             (_, false) => {
-                failed_pause_ms = (failed_pause_ms * 2).min(MOST_PAUSE_MS);
+                failed_pause_ms = (failed_pause_ms * 2).min(MOST_LOOK_MS);
                 failed_pause_ms
             }
         };
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -558,12 +558,8 @@
             let servers: HashMap<Life, Arc<Server>> = of_service
                 .map(|server| (server.registration.life.clone(), Arc::clone(server)))
                 .collect();
-            let mut pool: Vec<Arc<Server>> = servers
-                .values()
-                .filter(|server| self.registry.is_welcome(&server.registration.life))
-                .cloned()
-                .collect();
-            pool.sort_unstable_by(|a, b| a.registration.life.cmp(&b.registration.life));
+            let usable = self.registry.usable(&spec.name);
+            let pool = usable.filter_map(|usable| servers.get(&usable.life).cloned()).collect();
             let table = self.tables.get(&spec.name).cloned().unwrap_or_default();
             let view = ServiceView {
                 state,
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -63,8 +63,9 @@
     pub fn remove(&mut self, now_ms: u64, name: &str) -> Change {
         let Some(entry) = self.entries.get_mut(name) else { return Change::Nothing };
         if now_ms < self.lapses_until_ms {
+            let is_news = entry.gone_at_ms.is_none();
             entry.gone_at_ms.get_or_insert(self.lapses_until_ms);
-            return Change::Nothing;
+            return if is_news { Change::Server } else { Change::Nothing };
         }
         self.entries.remove(name);
         Change::Server
@@ -112,6 +113,23 @@
         self.get(life).is_some_and(|registration| registration.stage == Stage::Ready)
     }
 
+    /// Returns the servers of a service that may get new work.
+    ///
+    /// One whose entry is missing since the list came back may have lapsed or left. Where
+    /// few are missing they have left, as far as anybody can tell, and get no work; where
+    /// most are, the list has lost them, and work goes on.
+    pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Arc<Registration>> {
+        let ready = self.entries.values().filter(move |entry| {
+            let registration = &entry.registration;
+            registration.service == *service && registration.stage == Stage::Ready
+        });
+        let missing = ready.clone().filter(|entry| entry.gone_at_ms.is_some()).count();
+        let has_lost_most = missing * 2 > ready.clone().count();
+        ready
+            .filter(move |entry| has_lost_most || entry.gone_at_ms.is_none())
+            .map(|entry| &entry.registration)
+    }
+
     /// Returns whether a later life of the same server is known: this one holds nothing.
     #[must_use]
     pub fn has_later_life(&self, life: &Life) -> bool {
--- a/crates/shard/src/turn.rs
+++ b/crates/shard/src/turn.rs
@@ -177,10 +177,7 @@
     /// Returns the servers that may hold ranges of the service, without any load.
     pub(crate) fn candidates(&self) -> Vec<Candidate> {
         let registry = self.servers.registry;
-        let welcome: Vec<&Arc<Registration>> = registry
-            .of_service(self.service)
-            .filter(|server| registry.is_welcome(&server.life))
-            .collect();
+        let welcome: Vec<&Arc<Registration>> = registry.usable(self.service).collect();
         let answers = |server: &Registration| !self.orders.is_silent(self.now_ms, &server.life);
         let any_answers = welcome.iter().any(|server| answers(server));
         let usable = welcome.into_iter().filter(|server| !any_answers || answers(server));
