Let a daemon that starts again replace its own leader's entry

Cause: the entry of a leader that was killed or stopped stays for its lease, up to two seconds, longer where a lease pauses with the store; the same instance was back before and waited.

Change: an entry that names this instance is replaced at once, under a condition on its revision. What a takeover waits for now counts orders that are still on their way.

--- a/crates/gateway/src/election.rs
+++ b/crates/gateway/src/election.rs
@@ -29,6 +29,8 @@
     pub(crate) store: S,
     pub(crate) instance: Name,
     pub(crate) least_lease_ms: u64,
+    /// The entry of the leader that is replaced: none, or this instance's own.
+    pub(crate) replaces: Expect,
     pub(crate) counters: Arc<Counters>,
     pub(crate) inputs: mpsc::Sender<Input>,
     pub(crate) clock: BootClock,
@@ -53,7 +55,7 @@
         // The text is unlike any other campaign's, so that a lost reply can be settled.
         let text = format!("{} {:016x}", self.instance, rand::random::<u64>());
         let transaction =
-            Transaction::new().expect(LEADER, Expect::Missing).put(LEADER, &text, Some(lease));
+            Transaction::new().expect(LEADER, self.replaces).put(LEADER, &text, Some(lease));
         let revision = match self.store.commit(&transaction).await {
             Ok(revision) => revision,
             Err(report) if report.current_context().category() == Category::Unclear => {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -5,13 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use document::{HashMap, HashSet, Name};
+use document::{HashMap, HashSet, Name, Revision};
 use peer::{FleetBody, FleetFrame, Links, Load, Tables};
 use registry::{Change, Life, Registry, Stage};
 use route::Budget;
 use shard::{Epoch, Event, Owner, Span, Table};
 use site::Site;
-use store::{Entry, Store};
+use store::{Entry, Expect, Store};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
@@ -42,7 +42,8 @@
     pub(crate) registry: Registry,
     unreadable: HashSet<Name>,
     daemons: BTreeMap<Name, DaemonEntry>,
-    leader: Option<Name>,
+    /// The leader, by its entry, with the entry's revision.
+    leader: Option<(Name, Revision)>,
     is_fleet_known: bool,
     is_campaigning: bool,
     /// When this daemon campaigns, if nobody else was elected by then.
@@ -315,7 +316,7 @@
     fn take_fleet(&mut self, entry: &Entry) {
         if entry.key == LEADER {
             let name = entry.text.as_deref().and_then(|text| text.split(' ').next());
-            self.leader = name.map(Name::from);
+            self.leader = name.map(|name| (Name::from(name), entry.revision));
             return;
         }
         let Some(name) = entry.key.strip_prefix(DAEMONS).map(Name::from) else { return };
@@ -357,6 +358,7 @@
             store: self.store.clone(),
             instance: self.settings.instance.clone(),
             least_lease_ms: self.settings.least_lease_ms,
+            replaces: self.leader.as_ref().map_or(Expect::Missing, |(_, at)| Expect::At(*at)),
             counters: Arc::clone(&self.shared.counters),
             inputs: self.inputs.clone(),
             clock: self.clock,
@@ -364,7 +366,11 @@
     }
 
     fn campaign_if_needed(&mut self) {
-        let is_needed = self.is_fleet_known && self.leader.is_none() && self.leading.is_none();
+        // An entry of this instance is left from an earlier process or an earlier epoch:
+        // nobody else acts under it, and its lease need not be waited for.
+        let is_led =
+            self.leader.as_ref().is_some_and(|(leader, _)| *leader != self.settings.instance);
+        let is_needed = self.is_fleet_known && !is_led && self.leading.is_none();
         let is_able = self.store_answers && !self.is_campaigning && !self.shared.is_stopping();
         if !(is_needed && is_able) {
             self.campaign_at_ms = None;
@@ -397,7 +403,7 @@
         if loads.is_empty() && !self.wants_tables {
             return;
         }
-        let leader = self.leader.as_ref().and_then(|name| self.address(name));
+        let leader = self.leader.as_ref().and_then(|(name, _)| self.address(name));
         if let Some(address) = leader {
             let load = Load { services: loads, wants_tables: self.wants_tables };
             self.send(address, FleetBody::Load(load));
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -69,7 +69,9 @@
         fences: &mut Fences,
         tuning: &Tuning,
     ) -> Self {
-        let standing_until_ms = tuning.stands_until_ms(now_ms, tuning.longest_hold_ms);
+        // The earlier leader's last orders may still be on their way.
+        let arrived_ms = now_ms + tuning.order_timeout_ms;
+        let standing_until_ms = tuning.stands_until_ms(arrived_ms, tuning.longest_hold_ms);
         let to_former = |life: &Life| Former {
             life: life.clone(),
             standing_until_ms,
