--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -126,8 +126,7 @@
         let exchanged = send(shared, &server, &call, permit).await;
         let failure = match exchanged {
             Exchanged::Answer(response) => {
-                let slowness_milli = to_milli(server.slowness());
-                service.state.note_answer(&life, slowness_milli);
+                service.state.note_answer(&life, server.slowness_milli().into());
                 note_served(shared, &call, &server, &attempts, waited_ms);
                 return Ok(response);
             }
@@ -278,15 +277,6 @@
     drop(timeout_at(until, shared.changed().notified()).await);
 }
 
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "slowness is from 0 to 8"
-)]
-fn to_milli(slowness: f32) -> u64 {
-    (slowness * 1_000.0) as u64
-}
-
 fn note_failure(shared: &Shared, call: &Call, life: &Life, failure: Failure) {
     let now_ms = shared.clock.now_ms();
     if !shared.lines.may_write(now_ms) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,12 +24,14 @@
 mod leading;
 mod lines;
 mod node;
+mod owners;
 mod port;
 mod refuse;
 mod report;
 mod server;
 mod settings;
 mod shared;
+mod snapshot;
 mod status;
 mod view;
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -6,26 +6,23 @@
 use std::time::Duration;
 
 use document::{HashMap, HashSet, Name, Revision};
-use peer::{FleetBody, FleetFrame, Links, Load, Tables};
-use registry::{Change, Life, Registry, Stage};
-use route::Budget;
-use shard::{Epoch, Event, Owner, Span, Table};
+use peer::{FleetBody, FleetFrame, Links, Load};
+use registry::{Change, Life, Registry};
+use shard::{Epoch, Event, Table};
 use site::Site;
 use store::{Entry, Expect, Store};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
 
-use crate::budget;
 use crate::election::Campaign;
-use crate::follow::{DAEMONS, DaemonEntry, LEADER, records};
-use crate::input::{Input, StoredRecord, Topic};
+use crate::follow::{DAEMONS, DaemonEntry, LEADER};
+use crate::input::{Input, Topic};
 use crate::leadership::Leading;
 use crate::port::EntryText;
 use crate::report::ServiceState;
 use crate::server::Server;
-use crate::view::ServiceView;
-use crate::{BootClock, Orders, Settings, Shared, Source, View};
+use crate::{BootClock, Orders, Settings, Shared, Source};
 
 /// What a daemon believes.
 #[expect(clippy::struct_excessive_bools, reason = "each is a belief of its own")]
@@ -41,25 +38,25 @@
     pub(crate) site: Option<Arc<Site>>,
     pub(crate) registry: Registry,
     unreadable: HashSet<Name>,
-    daemons: BTreeMap<Name, DaemonEntry>,
+    pub(crate) daemons: BTreeMap<Name, DaemonEntry>,
     /// The leader, by its entry, with the entry's revision.
     leader: Option<(Name, Revision)>,
     is_fleet_known: bool,
     is_campaigning: bool,
     /// When this daemon campaigns, if nobody else was elected by then.
     campaign_at_ms: Option<u64>,
-    store_answers: bool,
+    pub(crate) store_answers: bool,
     pub(crate) leading: Option<Leading>,
     links: Links,
-    tables: HashMap<Name, Arc<Table>>,
-    tables_from: (Epoch, u64),
+    pub(crate) tables: HashMap<Name, Arc<Table>>,
+    pub(crate) tables_from: (Epoch, u64),
     /// Whether a message with tables was missed.
-    wants_tables: bool,
-    tables_at_ms: u64,
-    records_at_ms: u64,
-    servers: HashMap<Life, Arc<Server>>,
-    states: HashMap<Name, Arc<ServiceState>>,
-    is_view_old: bool,
+    pub(crate) wants_tables: bool,
+    pub(crate) tables_at_ms: u64,
+    pub(crate) records_at_ms: u64,
+    pub(crate) servers: HashMap<Life, Arc<Server>>,
+    pub(crate) states: HashMap<Name, Arc<ServiceState>>,
+    pub(crate) is_view_old: bool,
     report_at_ms: u64,
     crashes_at_ms: u64,
 }
@@ -72,11 +69,6 @@
 const REPORT_MS: u64 = 250;
 /// How often crashes are told again, for daemons that missed them.
 const CRASHES_MS: u64 = 1_000;
-/// After how long without a leader's tables the store's records are read.
-const SILENCE_MS: u64 = 1_600;
-/// A server that leaves gets work for this part of the drain, in percent, from the time on
-/// that it is known here. The rest covers how late that is, and the way there.
-const DRAIN_USED_PERCENT: u64 = 40;
 /// How long a daemon waits at most before it campaigns, and how much longer for each other
 /// daemon: most of them find by then that another was elected.
 const CAMPAIGN_SPREAD_MS: u64 = 100;
@@ -454,77 +446,6 @@
             }
             FleetBody::Tables(tables) => self.take_tables(tables),
             FleetBody::Crashes(suspects) => self.shared.note_suspects(&frame.from, suspects),
-            FleetBody::Site(_) => {}
-        }
-    }
-
-    /// Puts a leader's tables in force, unless later ones are.
-    ///
-    /// Changes apply to the message that they name; a daemon that missed it asks for all.
-    pub(crate) fn take_tables(&mut self, tables: Tables) {
-        let from = (tables.epoch, tables.number);
-        if from <= self.tables_from {
-            return;
-        }
-        if let Some(base) = tables.base
-            && self.tables_from != (tables.epoch, base)
-        {
-            self.wants_tables = true;
-            return;
-        }
-        self.wants_tables = false;
-        self.tables_from = from;
-        self.tables_at_ms = self.clock.now_ms();
-        for (service, table) in tables.tables {
-            let table = if tables.base.is_some() {
-                let mut patched = self
-                    .tables
-                    .get(&service)
-                    .map_or_else(Table::default, |known| Table::clone(known));
-                patched.patch(&table.spans);
-                patched
-            } else {
-                table
-            };
-            self.replace_table(service, table);
-        }
-    }
-
-    fn replace_table(&mut self, service: Name, table: Table) {
-        if self.tables.get(&service).is_none_or(|known| **known != table) {
-            self.tables.insert(service, Arc::new(table));
-            self.is_view_old = true;
-        }
-    }
-
-    /// Reads the store's records when no leader has been heard of for long.
-    fn read_records_if_needed(&mut self, now_ms: u64) {
-        let is_silent = now_ms >= self.tables_at_ms.max(self.records_at_ms) + SILENCE_MS;
-        if !is_silent || self.leading.is_some() || !self.store_answers {
-            return;
-        }
-        self.records_at_ms = now_ms;
-        let (store, inputs) = (self.store.clone(), self.inputs.clone());
-        let counters = Arc::clone(&self.shared.counters);
-        tokio::spawn(async move {
-            if let Ok(records) = records(&store, &counters).await {
-                // Nobody listens only at the end of the process.
-                drop(inputs.send(Input::Records(records)).await);
-            }
-        });
-    }
-
-    /// Routes by records, while nothing is heard of the leader.
-    fn take_records(&mut self, records: Vec<StoredRecord>) {
-        let is_heard = self.clock.now_ms() < self.tables_at_ms + SILENCE_MS;
-        if is_heard || self.leading.is_some() {
-            return;
-        }
-        for stored in records {
-            let spans = stored.record.shares.into_iter();
-            let spans =
-                spans.map(|share| Span { range: share.range, owner: Owner::Server(share.owner) });
-            self.replace_table(stored.service, Table { spans: spans.collect() });
         }
     }
 
@@ -544,75 +465,4 @@
         };
         self.is_view_old = true;
     }
-
-    /// Builds what requests are routed by from what is believed now.
-    fn replace_view(&mut self) {
-        self.is_view_old = false;
-        let Some(site) = self.site.clone() else { return };
-        self.update_servers(&site);
-        let daemons = u32::try_from(self.daemons.len()).unwrap_or(u32::MAX);
-        let most_retries = budget::most_retries(self.settings.retries, daemons);
-        let mut services = HashMap::default();
-        for spec in site.services() {
-            let state = Arc::clone(self.states.entry(spec.name.clone()).or_insert_with(|| {
-                let earned = budget::earned_milli(self.settings.retries);
-                Arc::new(ServiceState::new(spec.name.clone(), Budget::new(earned, most_retries)))
-            }));
-            state.budget.set_most(most_retries);
-            let of_service =
-                self.servers.values().filter(|server| server.registration.service == spec.name);
-            let servers: HashMap<Life, Arc<Server>> = of_service
-                .map(|server| (server.registration.life.clone(), Arc::clone(server)))
-                .collect();
-            let usable = self.registry.usable(&spec.name);
-            let pool = usable.filter_map(|usable| servers.get(&usable.life).cloned()).collect();
-            let table = self.tables.get(&spec.name).cloned().unwrap_or_default();
-            let view = ServiceView {
-                state,
-                is_keyed: spec.is_keyed,
-                pool,
-                servers,
-                table,
-                table_at_ms: self.shared.clock.now_ms(),
-            };
-            services.insert(spec.name.clone(), Arc::new(view));
-        }
-        let is_complete = services.values().all(|service| is_served(service));
-        if is_complete && !self.registry.is_empty() {
-            self.shared.set_ready(true);
-        }
-        let tables_from = (self.tables_from.0.0, self.tables_from.1);
-        self.shared.replace(View { site: Some(site), tables_from, services });
-    }
-
-    /// Meets new servers, and closes those that leave or are gone.
-    fn update_servers(&mut self, site: &Site) {
-        let daemons = u32::try_from(self.daemons.len()).unwrap_or(u32::MAX).max(1);
-        let last_work_ms = self.settings.drain_ms * DRAIN_USED_PERCENT / 100;
-        for spec in site.services() {
-            for registration in self.registry.of_service(&spec.name) {
-                let server = self.servers.entry(registration.life.clone()).or_insert_with(|| {
-                    let clock = self.shared.clock;
-                    Arc::new(Server::new(registration, spec.connections, daemons, clock))
-                });
-                match registration.stage {
-                    Stage::Ready => server.reopen(),
-                    Stage::Draining => server.close_in(last_work_ms),
-                }
-            }
-        }
-        let registry = &self.registry;
-        self.servers.retain(|life, server| {
-            if registry.get(life).is_none() {
-                server.close_in(last_work_ms);
-            }
-            registry.get(life).is_some() || server.is_open()
-        });
-    }
-}
-
-/// Returns whether a service has servers, or owners where they hold keys.
-fn is_served(service: &ServiceView) -> bool {
-    let has_owner = |span: &Span| matches!(span.owner, Owner::Server(_));
-    if service.is_keyed { service.table.spans.iter().any(has_owner) } else { true }
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -60,7 +60,13 @@
     /// Returns how long it takes against an ordinary server.
     #[must_use]
     pub fn slowness(&self) -> f32 {
-        to_f32(self.slowness_milli.load(Ordering::Relaxed)) / 1_000.0
+        to_f32(self.slowness_milli()) / 1_000.0
+    }
+
+    /// Returns the same in thousandths.
+    #[must_use]
+    pub fn slowness_milli(&self) -> u32 {
+        self.slowness_milli.load(Ordering::Relaxed)
     }
 
     /// Notes an answer that took some times as long as the route's mean.
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -27,8 +27,6 @@
     Tables(Tables),
     /// Requests that crashed servers; the deadlines are lengths from the sending on.
     Crashes(Vec<Suspect>),
-    /// The document in force at the sender.
-    Site(SiteText),
 }
 
 /// What a daemon reports to the leader.
@@ -75,15 +73,6 @@
     pub tables: Vec<(Name, Table)>,
 }
 
-/// The text of a document.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct SiteText {
-    /// Its version.
-    pub version: u64,
-    /// Its text, as it stands in the store.
-    pub text: Name,
-}
-
 impl FleetFrame {
     /// Returns the bytes of the frame.
     #[must_use]
@@ -98,10 +87,6 @@
                 let suspects = suspects.iter().map(from_suspect).collect();
                 wire::frame::Body::Crashes(wire::Crashes { suspects })
             }
-            FleetBody::Site(site) => wire::frame::Body::Site(wire::Site {
-                version: site.version,
-                text: site.text.to_string(),
-            }),
         };
         wire::Frame { from: self.from.to_string(), body: Some(body) }.encode_to_vec().into()
     }
@@ -123,9 +108,6 @@
             wire::frame::Body::Crashes(crashes) => {
                 FleetBody::Crashes(crashes.suspects.iter().map(to_suspect).collect())
             }
-            wire::frame::Body::Site(site) => {
-                FleetBody::Site(SiteText { version: site.version, text: site.text.into() })
-            }
         };
         Ok(Self { from: frame.from.into(), body })
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -33,6 +33,6 @@
 mod fleet_wire;
 
 pub use error::{Error, Result};
-pub use fleet::{FleetBody, FleetFrame, Load, ServerLoad, ServiceLoad, SiteText, Tables};
+pub use fleet::{FleetBody, FleetFrame, Load, ServerLoad, ServiceLoad, Tables};
 pub use link::{Links, MAX_FRAME_BYTES, listen};
 pub use packet::{DocumentText, Message, Packet, Presence};
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -1,14 +1,12 @@
 //! The assignment of one service's keys.
 
-use crate::order::Note;
 use crate::piece::{Former, Holder, Piece, Step};
-use crate::turn::{Fences, Open, Turn};
+use crate::turn::{Fences, Turn};
 use registry::Life;
 
 use crate::policy::{Candidate, position};
 use crate::{
-    Grant, KeyLoad, KeyRange, OrderKind, Output, Owner, Record, Release, Reply, Share, Span, Table,
-    Tuning, Why,
+    Grant, KeyLoad, KeyRange, Output, Owner, Record, Release, Share, Span, Table, Tuning, Why,
 };
 
 /// Who holds the keys of one service.
@@ -35,12 +33,8 @@
 
 /// How long to wait after a record could not be written.
 const WRITE_AGAIN_MS: u64 = 150;
-/// How long until a grant that was not answered is sent again.
-const GRANT_AGAIN_MS: u64 = 60;
 /// How long after the last move the record is tidied up.
 const TIDY_MS: u64 = 250;
-/// How often a server may meet a higher fence before somebody else must lead.
-const MOST_REFUSALS: u32 = 3;
 
 impl Assignment {
     /// Creates the assignment of a service that has none.
@@ -140,98 +134,6 @@
         }
     }
 
-    /// Notes what became of an order; returns whether somebody else must be leading.
-    pub(crate) fn answered(
-        &mut self,
-        now_ms: u64,
-        order: &Open,
-        reply: &Reply,
-        tuning: &Tuning,
-        outputs: &mut Vec<Output>,
-    ) -> bool {
-        match &order.kind {
-            OrderKind::Grant(grant) => {
-                self.grant_answered(now_ms, order, grant, reply, tuning, outputs)
-            }
-            OrderKind::Release(release) => {
-                self.release_answered(now_ms, order, release, reply);
-                false
-            }
-        }
-    }
-
-    fn grant_answered(
-        &mut self,
-        now_ms: u64,
-        order: &Open,
-        grant: &Grant,
-        reply: &Reply,
-        tuning: &Tuning,
-        outputs: &mut Vec<Output>,
-    ) -> bool {
-        let mut is_deposed = false;
-        for piece in self.pieces.iter_mut().filter(|piece| piece.range.overlaps(grant.range)) {
-            let until_ms = tuning.stands_until_ms(now_ms, grant.hold_ms);
-            let may_stand = matches!(reply, Reply::Done(_) | Reply::Unclear);
-            if may_stand {
-                piece.note_grant(&order.life, until_ms);
-            }
-            let Some(holder) = piece.holder.as_mut().filter(|holder| holder.life == order.life)
-            else {
-                continue;
-            };
-            if holder.fence != grant.fence {
-                continue;
-            }
-            match reply {
-                Reply::Done(_) => {
-                    // A grant with a new fence replaces all earlier ones of the server.
-                    holder.standing_until_ms = until_ms;
-                    holder.failures = 0;
-                    holder.refusals = 0;
-                    self.is_changed |= !holder.serves;
-                    holder.serves = true;
-                    if piece.successor.is_none() {
-                        piece.handover = None;
-                    }
-                }
-                Reply::Fenced => {
-                    holder.refusals += 1;
-                    holder.renew_at_ms = 0;
-                    is_deposed |= holder.refusals >= MOST_REFUSALS;
-                    outputs.push(Output::Note(Note::Refused {
-                        service: order.service.clone(),
-                        range: piece.range,
-                        by: order.life.clone(),
-                        fence: grant.fence,
-                    }));
-                }
-                Reply::NotSent | Reply::Unclear => {
-                    holder.failures += 1;
-                    holder.renew_at_ms = now_ms + GRANT_AGAIN_MS * u64::from(holder.failures);
-                }
-            }
-        }
-        is_deposed
-    }
-
-    fn release_answered(&mut self, now_ms: u64, order: &Open, release: &Release, reply: &Reply) {
-        for piece in self.pieces.iter_mut().filter(|piece| piece.range.overlaps(release.range)) {
-            let former = piece
-                .formers
-                .iter()
-                .position(|former| former.life == order.life && former.release_at_ms.is_none());
-            let Some(at) = former else { continue };
-            if let Reply::Done(handover) = reply {
-                piece.formers.remove(at);
-                piece.handover.clone_from(handover);
-                self.is_changed = true;
-            } else {
-                piece.formers[at].release_at_ms = Some(now_ms + GRANT_AGAIN_MS);
-            }
-        }
-    }
-
     /// Carries every piece one step on.
     pub(crate) fn advance(&mut self, turn: &mut Turn<'_>, balances: bool) {
         if !self.has_begun(turn) {
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert!(Fence::first(Epoch(8)) > Fence::first(Epoch(7)).next().next());
 //! ```
 
+mod answers;
 mod assignment;
 mod fence;
 mod leader;
