--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -54,6 +54,8 @@
             refuse::to_response(&refusal)
         }
     };
+    let took_ms = shared.clock.now_ms() - arrived_ms;
+    shared.metrics.record_latency(f64::from(u32::try_from(took_ms).unwrap_or(u32::MAX)));
     if shared.is_stopping() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
