Stop sending work to leaving servers after a fifth of the drain

From the time that it is known 40% of the drain were used, so that learning more than 1.5 s late broke the bound.

Change: a fifth, which allows for 2 s of lateness. Keys move within half a second of the leader's knowing.

--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -18,7 +18,7 @@
 
 /// A server that leaves gets work for this part of the drain, in percent, from the time on
 /// that it is known here. The rest covers how late that is, and the way there.
-const DRAIN_USED_PERCENT: u64 = 40;
+const DRAIN_USED_PERCENT: u64 = 20;
 
 impl<S: Store, O: Orders, R: Source> Node<S, O, R> {
     /// Builds what requests are routed by from what is believed now.
