Tell a server's present process from an earlier one whose report is late

Ruled out: load. Change: another process counts only if it followed an order that was sent after the known one had answered; an unresolved write is superseded by one that says the same. Before: regressions `earlier_process_reports_later`, `lost_write_is_superseded` fail; after: all tests of the crate pass.

--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -427,7 +427,7 @@
             let deadline_ms = if is_empty { None } else { link.bound.extend(grant_ms) };
             order.deadline_ms = deadline_ms.unwrap_or(0);
             let is_waiting = !order.prepares.is_empty() || !order.releases.is_empty();
-            link.note_sent(now_ms, is_waiting, &self.tuning);
+            link.note_sent(now_ms, order.number, is_waiting, &self.tuning);
             out.push(Action::Order(name, link.address, order));
         }
         self.next_number = next_number;
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -1,5 +1,6 @@
 //! What a controller knows of one server and of one daemon.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use document::{HashMap, HashSet, Revision};
@@ -18,7 +19,12 @@
     /// What the server last reported, by shard.
     pub(crate) held: HashMap<ShardId, Held>,
     pub(crate) prepared: HashSet<ShardId>,
+    /// The number of the order that was reported on last.
     last_number: u64,
+    /// The number of the order that was sent last.
+    sent_number: u64,
+    /// The number of the last order that was sent before the last report came.
+    sent_at_report: u64,
     last_reply_ms: Option<u64>,
     added_ms: u64,
     answer_deadline_ms: Option<u64>,
@@ -45,6 +51,8 @@
             held: HashMap::default(),
             prepared: HashSet::default(),
             last_number: 0,
+            sent_number: 0,
+            sent_at_report: 0,
             last_reply_ms: None,
             added_ms: now_ms,
             answer_deadline_ms: None,
@@ -69,8 +77,15 @@
     }
 
     /// Notes an order; a server that is to say when it is ready is asked sooner again.
-    pub(crate) fn note_sent(&mut self, now_ms: u64, is_waiting: bool, tuning: &Tuning) {
+    pub(crate) fn note_sent(
+        &mut self,
+        now_ms: u64,
+        number: u64,
+        is_waiting: bool,
+        tuning: &Tuning,
+    ) {
         self.is_dirty = false;
+        self.sent_number = number;
         self.answer_deadline_ms = Some(now_ms + tuning.order_timeout_ms);
         let pause_ms = if is_waiting { tuning.ready_every_ms } else { tuning.order_every_ms };
         self.next_order_ms = now_ms + pause_ms;
@@ -81,16 +96,19 @@
     }
 
     pub(crate) fn note_report(&mut self, now_ms: u64, report: &Report) -> Change {
-        // A late report tells of a process or a state that may be gone.
-        if report.number <= self.last_number {
+        let is_known = self.incarnation == Some(report.incarnation);
+        let is_first = self.incarnation.is_none();
+        // Another process is the later one for sure only if it followed an order that was sent
+        // after the known one had answered: orders and reports may overtake each other.
+        let latest = if is_known || is_first { self.last_number } else { self.sent_at_report };
+        if report.number <= latest {
             return Change::Same;
         }
         self.last_number = report.number;
+        self.sent_at_report = self.sent_number;
         self.answer_deadline_ms = None;
         self.last_reply_ms = Some(now_ms);
-        let is_known = self.incarnation == Some(report.incarnation);
-        let change =
-            if is_known || self.incarnation.is_none() { Change::Same } else { Change::Restarted };
+        let change = if is_known || is_first { Change::Same } else { Change::Restarted };
         if !is_known {
             self.bound.reset();
             self.incarnation = Some(report.incarnation);
@@ -127,9 +145,14 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Process {
     present: u64,
-    gone: Vec<u64>,
+    gone: VecDeque<u64>,
 }
 
+/// How many processes that are gone are remembered at a place.
+///
+/// A message that is still on its way is from one of the last few.
+const MOST_GONE: usize = 32;
+
 /// Which process a message comes from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Sender {
@@ -143,7 +166,7 @@
 
 impl Process {
     pub(crate) fn new(present: u64) -> Self {
-        Self { present, gone: Vec::new() }
+        Self { present, gone: VecDeque::new() }
     }
 
     pub(crate) fn present(&self) -> u64 {
@@ -158,7 +181,10 @@
         if self.gone.contains(&incarnation) {
             return Sender::Gone;
         }
-        self.gone.push(self.present);
+        if self.gone.len() == MOST_GONE {
+            self.gone.pop_front();
+        }
+        self.gone.push_back(self.present);
         self.present = incarnation;
         Sender::New
     }
--- a/crates/control/src/settle.rs
+++ b/crates/control/src/settle.rs
@@ -366,8 +366,10 @@
             }
             Next::Draft => {
                 let record = self.to_record(now_ms);
+                // A write that may still take effect is ruled out only by a newer revision.
                 let is_current = record.term == self.known.record.term
-                    && record.is_same_assignment(&self.known.record);
+                    && record.is_same_assignment(&self.known.record)
+                    && self.writer.unresolved().is_empty();
                 if is_current || !self.is_authorized(now_ms) {
                     return;
                 }
--- a/crates/control/tests/regressions.rs
+++ b/crates/control/tests/regressions.rs
@@ -219,3 +219,75 @@
     ];
     run_schedule(11_548_634_341_840_414_640, false, &steps);
 }
+
+/// A write that had not taken effect was waited for, though nothing was left to write.
+#[test]
+fn lost_write_is_superseded() {
+    let steps = [
+        Edit(150),
+        Run(453),
+        Edit(186),
+        PauseServer(5, 3407),
+        PauseDaemon(0, 1409),
+        StoreDown(true),
+        StartServer(4),
+        StartServer(1),
+        KillServer(2),
+        Late(23, 2349),
+        Cut(2, 1),
+        Loss(83),
+        Run(928),
+        Run(480),
+        PauseDaemon(0, 3279),
+        Late(153, 2194),
+        Run(317),
+        StartServer(2),
+        Run(467),
+        Run(1426),
+        Late(4, 779),
+        Run(1057),
+        Run(453),
+        Run(1492),
+        Run(934),
+        StartServer(4),
+        Run(1176),
+        PauseServer(2, 1185),
+        StoreDown(false),
+        StartDaemon(0),
+        Late(153, 78),
+        PauseDaemon(3, 1115),
+        Run(1),
+        Run(1113),
+    ];
+    run_schedule(9_668_770_995_937_296_839, true, &steps);
+}
+
+/// Two servers held a shard: a report of the earlier process that came late was taken for
+/// that of a later one, and what had been granted to the present one was forgotten.
+#[test]
+fn earlier_process_reports_later() {
+    let steps = [
+        Late(187, 1859),
+        PauseDaemon(3, 70),
+        KillDaemon(0),
+        StartServer(0),
+        StartDaemon(0),
+        Loss(23),
+        Run(1054),
+        PauseDaemon(2, 3167),
+        Edit(168),
+        Run(1041),
+        Run(1256),
+        Run(478),
+        Run(974),
+        StartServer(0),
+        Late(100, 2601),
+        StartServer(0),
+        Loss(44),
+        StartServer(0),
+        StartServer(5),
+        Run(171),
+        Run(1100),
+    ];
+    run_schedule(9_023_586_392_793_747_600, true, &steps);
+}
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -42,6 +42,8 @@
     /// The chance in 1000 that a message is late, by up to `late_ms`.
     pub late_permille: u32,
     pub late_ms: u64,
+    /// Whether what servers answer to orders is traced as well.
+    pub traces_orders: bool,
     pub trace: Option<Vec<String>>,
     /// By shard: the time at which it was last seen without an owner, and the longest gap.
     pub gaps: Gaps,
@@ -178,6 +180,7 @@
             loss_permille: 0,
             late_permille: 0,
             late_ms: 0,
+            traces_orders: false,
             trace: None,
             gaps: Gaps::default(),
             queue: BinaryHeap::new(),
@@ -638,6 +641,10 @@
         }
         let local_ms = server.clock.read(self.now_ms);
         let mut report = server.holder.follow(local_ms, order);
+        let text = format!(
+            "{} process {}: order {} for {:?}: {:?}",
+            server.name, server.incarnation, order.number, order.incarnation, report.verdict
+        );
         server.prepare_ready_ms.retain(|shard, _| order.prepares.contains(shard));
         for shard in &order.prepares {
             server.prepare_ready_ms.entry(*shard).or_insert(self.now_ms + PREPARE_MS);
@@ -649,6 +656,9 @@
         let here = server.data_centre.clone();
         let there = self.daemons[from].data_centre.clone();
         let incarnation = self.daemons[from].incarnation;
+        if self.traces_orders {
+            self.note(&text);
+        }
         self.check(at);
         self.send(&here, &there, Delivery::ToDaemon(from, incarnation, Box::new(event)));
     }
--- a/crates/control/tests/world/schedule.rs
+++ b/crates/control/tests/world/schedule.rs
@@ -90,6 +90,7 @@
     let is_traced = std::env::var("VERBENA_TRACE").is_ok();
     if is_traced {
         world.trace = Some(Vec::new());
+        world.traces_orders = true;
     }
     world.edit(&text(0, all_check));
     world.start_all();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,7 +9,7 @@
 use registry::Life;
 use route::{Attempts, Distance, Failure, Next, Reason, Refusal};
 use site::Kind;
-use telemetry::Counter;
+use telemetry::{Counter, Labels};
 use tokio::time::timeout_at;
 
 use crate::Shared;
@@ -43,26 +43,51 @@
     let arrived_ms = shared.clock.now_ms();
     shared.counters.count(Counter::Requests);
     let id = request.headers().get(&shared.dialect.request_id).cloned();
-    let result = forward(&shared, request, arrived_ms).await;
+    let (call, result) = forward(&shared, request, arrived_ms).await;
+    record(&shared, call.as_deref(), arrived_ms, &result);
     let mut response = match result {
         Ok(response) => {
             shared.counters.count(Counter::Answered);
             response
         }
         Err(refusal) => {
-            note_refusal(&shared, id.as_ref(), arrived_ms, &refusal);
+            note_refusal(&shared, id.as_ref(), call.as_deref(), arrived_ms, &refusal);
             refuse::to_response(&refusal)
         }
     };
-    let took_ms = shared.clock.now_ms() - arrived_ms;
-    shared.metrics.record_latency(f64::from(u32::try_from(took_ms).unwrap_or(u32::MAX)));
     if shared.is_stopping() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
 }
 
-fn note_refusal(shared: &Shared, id: Option<&HeaderValue>, arrived_ms: u64, refusal: &Refusal) {
+/// Counts a request by what came of it.
+fn record(
+    shared: &Shared,
+    call: Option<&Call>,
+    arrived_ms: u64,
+    result: &Result<Response<AnswerBody>, Refusal>,
+) {
+    let took_ms = shared.clock.now_ms() - arrived_ms;
+    let (outcome, reason) = match result {
+        Ok(response) if response.status().is_server_error() => ("failed", Labels::NONE),
+        Ok(_) if call.is_some_and(|call| took_ms > call.route.aim_ms) => ("late", Labels::NONE),
+        Ok(_) => ("served", Labels::NONE),
+        Err(refusal) => (refusal.outcome.as_str(), refusal.reason.as_str()),
+    };
+    let route = call.map_or(Labels::NONE, |call| call.route.name.as_str());
+    let upstream = call.map_or(Labels::NONE, |call| call.service.as_str());
+    let latency_ms = f64::from(u32::try_from(took_ms).unwrap_or(u32::MAX));
+    shared.metrics.record_latency(latency_ms, &Labels { route, upstream, outcome, reason });
+}
+
+fn note_refusal(
+    shared: &Shared,
+    id: Option<&HeaderValue>,
+    call: Option<&Call>,
+    arrived_ms: u64,
+    refusal: &Refusal,
+) {
     shared.counters.count(match refusal.outcome {
         route::Outcome::NotRun => Counter::RefusedNotRun,
         route::Outcome::Unknown => Counter::RefusedUnknown,
@@ -76,18 +101,35 @@
     spdlog::info!(
         "request not served",
         kv: {
-            request = id, reason = refusal.reason.as_str(), outcome = refusal.outcome.as_str(),
+            request = id, route = call.map_or("-", |call| call.route.name.as_str()),
+            key:? = call.and_then(|call| call.key),
+            reason = refusal.reason.as_str(), outcome = refusal.outcome.as_str(),
             held_ms = now_ms - arrived_ms, retry_after_ms:? = refusal.retry_after_ms,
             version = view.version(), tables:? = view.tables_from
         }
     );
 }
 
+/// Reads and runs a request; returns what was read, and what came of it.
 async fn forward(
     shared: &Arc<Shared>,
     request: Request<Incoming>,
     arrived_ms: u64,
-) -> Result<Response<AnswerBody>, Refusal> {
+) -> (Option<Arc<Call>>, Result<Response<AnswerBody>, Refusal>) {
+    match read(shared, request, arrived_ms).await {
+        Ok(call) => {
+            let call = Arc::new(call);
+            (Some(Arc::clone(&call)), run(shared, call).await)
+        }
+        Err(refusal) => (None, Err(refusal)),
+    }
+}
+
+async fn read(
+    shared: &Shared,
+    request: Request<Incoming>,
+    arrived_ms: u64,
+) -> Result<Call, Refusal> {
     let view = shared.view();
     let site = view
         .site
@@ -100,7 +142,7 @@
             service.state.note_request(key, call.state.mean_us());
         }
     }
-    run(shared, Arc::new(call)).await
+    Ok(call)
 }
 
 /// Sends a request until it is answered or given up.
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -11,7 +11,7 @@
     Arrival, Attempts, Decision, Failure, Fingerprint, Next, Outcome, Reason, Refusal, Service,
     Target,
 };
-use telemetry::Counter;
+use telemetry::{Counter, Labels};
 use tokio::time::{Duration, Instant, sleep, timeout, timeout_at};
 
 use crate::answer::{AnswerBody, Held, ShardPlace};
@@ -27,12 +27,14 @@
 ) -> Response<AnswerBody> {
     let started = Instant::now();
     traffic.counters.count(Counter::Requests);
+    let service = service(&traffic, &request);
     let result = if is_ambiguous {
         Err(Refusal::not_run(Reason::BadFraming))
     } else {
-        forward(&traffic, request).await
+        forward(&traffic, service.clone(), request).await
     };
-    traffic.metrics.record_latency(to_ms(started));
+    let upstream = service.as_ref().map_or(Labels::NONE, |service| service.document.name.as_str());
+    record(&traffic, started, upstream, &result);
     let mut response = to_answer(&traffic, result);
     if is_ambiguous {
         // Whatever another reader may take for the next request must not be one here.
@@ -41,11 +43,33 @@
     response
 }
 
+/// Counts a request by what came of it; documents of this kind name no routes.
+fn record(
+    traffic: &Traffic,
+    started: Instant,
+    upstream: &str,
+    result: &Result<Response<AnswerBody>, Refusal>,
+) {
+    let (outcome, reason) = match result {
+        Ok(response) if response.status().is_server_error() => ("failed", Labels::NONE),
+        Ok(_) => ("served", Labels::NONE),
+        Err(refusal) => (refusal.outcome.as_str(), refusal.reason.as_str()),
+    };
+    let labels = Labels { route: Labels::NONE, upstream, outcome, reason };
+    traffic.metrics.record_latency(to_ms(started), &labels);
+}
+
 /// Returns the milliseconds since an instant.
 fn to_ms(since: Instant) -> f64 {
     since.elapsed().as_secs_f64() * 1_000.0
 }
 
+/// Returns the service that the first part of the path names.
+fn service(traffic: &Traffic, request: &Request<Incoming>) -> Option<Arc<Service<Upstream>>> {
+    let name = request.uri().path().trim_start_matches('/').split('/').next();
+    name.and_then(|name| traffic.service(name))
+}
+
 fn to_answer(
     traffic: &Traffic,
     result: Result<Response<AnswerBody>, Refusal>,
@@ -89,10 +113,9 @@
 
 async fn forward(
     traffic: &Traffic,
+    service: Option<Arc<Service<Upstream>>>,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    let service_name = request.uri().path().trim_start_matches('/').split('/').next();
-    let service = service_name.and_then(|name| traffic.service(name));
     let service = service.ok_or(Refusal::not_run(Reason::UnknownService))?;
     let call = read(traffic, &service, request).await?;
     service.in_flight.budget.earn();
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -23,4 +23,4 @@
 pub use counter::{Counter, Counters};
 pub use error::{Error, Result};
 pub use log::{LogFormat, LogQueue, init_logs};
-pub use metrics::Metrics;
+pub use metrics::{Labels, Metrics};
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
+use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -17,8 +18,29 @@
     _provider: SdkMeterProvider,
 }
 
-const LATENCY_BOUNDS_MS: [f64; 12] =
-    [0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0, 128.0, 512.0, 2_048.0, 8_192.0];
+/// What a request's time is counted under; each value comes from a small set.
+///
+/// The metrics library counts beyond 2,000 sets of values under one that says so.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Labels<'a> {
+    /// The route or class in the document; [`Labels::NONE`] if none was found.
+    pub route: &'a str,
+    /// The service that the request was for; [`Labels::NONE`] if none was found.
+    pub upstream: &'a str,
+    /// What the caller learned: `served`, `late`, `failed`, `not-run` or `unknown`.
+    pub outcome: &'static str,
+    /// Why no server answered; [`Labels::NONE`] if one did.
+    pub reason: &'static str,
+}
+
+impl Labels<'_> {
+    /// The value of a label that does not apply.
+    pub const NONE: &'static str = "none";
+}
+
+/// Powers of two around the aims that documents set, in milliseconds.
+const LATENCY_BOUNDS_MS: [f64; 14] =
+    [0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0, 128.0, 256.0, 512.0, 1_024.0, 2_048.0, 8_192.0];
 
 impl Metrics {
     /// Creates metrics that show some counters.
@@ -53,8 +75,14 @@
     }
 
     /// Records the time that a request took.
-    pub fn record_latency(&self, latency_ms: f64) {
-        self.latency_ms.record(latency_ms, &[]);
+    pub fn record_latency(&self, latency_ms: f64, labels: &Labels<'_>) {
+        let labels = [
+            KeyValue::new("route", labels.route.to_owned()),
+            KeyValue::new("upstream", labels.upstream.to_owned()),
+            KeyValue::new("outcome", labels.outcome),
+            KeyValue::new("reason", labels.reason),
+        ];
+        self.latency_ms.record(latency_ms, &labels);
     }
 
     /// Returns the metrics in the Prometheus text format.
--- a/crates/web/tests/silent_connections.rs
+++ b/crates/web/tests/silent_connections.rs
@@ -32,7 +32,11 @@
     }
 }
 
-async fn converse(mut stream: TcpStream, is_silent: impl Fn() -> bool, first: Option<Arc<Barrier>>) {
+async fn converse(
+    mut stream: TcpStream,
+    is_silent: impl Fn() -> bool,
+    first: Option<Arc<Barrier>>,
+) {
     let mut buffer = [0; 1_024];
     let mut together = first;
     while stream.read(&mut buffer).await.is_ok_and(|read| read > 0) {
