--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -93,10 +93,10 @@
         route::Outcome::Unknown => Counter::RefusedUnknown,
     });
     let now_ms = shared.clock.now_ms();
-    if !shared.lines.may_write(now_ms) {
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
+    if !shared.lines.may_write(now_ms, id.as_bytes()) {
         return;
     }
-    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
     let view = shared.view();
     spdlog::info!(
         "request not served",
@@ -323,7 +323,7 @@
 
 fn note_failure(shared: &Shared, call: &Call, life: &Life, failure: Failure) {
     let now_ms = shared.clock.now_ms();
-    if !shared.lines.may_write(now_ms) {
+    if !shared.lines.may_write(now_ms, call.id.as_bytes()) {
         return;
     }
     let view = shared.view();
@@ -345,7 +345,7 @@
     let took_ms = now_ms - call.arrived_ms;
     let is_late = took_ms > call.route.aim_ms;
     let is_notable = is_late || attempts.failed() > 0 || is_sampled(call.id.as_bytes());
-    if !is_notable || !shared.lines.may_write(now_ms) {
+    if !is_notable || !shared.lines.may_write(now_ms, call.id.as_bytes()) {
         return;
     }
     let (in_flight, waiting, limit) = server.upstream.occupancy();
@@ -354,7 +354,8 @@
         "request served",
         kv: {
             request = call.id.to_str().unwrap_or("-"), route = call.route.name.as_str(),
-            key:? = call.key, server: = server.registration.life, took_ms, waited_ms,
+            key:? = call.key, server: = server.registration.life,
+            is_near = server.registration.data_centre == shared.data_centre, took_ms, waited_ms,
             aim_ms = call.route.aim_ms, failed_attempts = attempts.failed(), in_flight, waiting,
             limit, slowness: = server.slowness(), version = view.version(), tables:? = view.tables_from
         }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -299,8 +299,17 @@
             }
         };
         let (life, stage) = (registration.life.clone(), registration.stage);
+        let (service, data_centre) =
+            (registration.service.clone(), registration.data_centre.clone());
         if self.registry.put(now_ms, name, registration) == Change::Server {
-            spdlog::info!("server listed", kv: { server: = life, stage:? = stage, revision = entry.revision.0 });
+            spdlog::info!(
+                "server listed",
+                kv: {
+                    server: = life, service = service.as_str(),
+                    data_centre = data_centre.as_str(), stage:? = stage,
+                    revision = entry.revision.0
+                }
+            );
             self.is_view_old = true;
         }
     }
