Cut a leader's work for each answer, and a daemon's for each answer beside a crash

Change: an answer that changes nothing starts no pass (the tick does, within 20 ms); open orders are searched only where a settled grant has run out; candidates are listed only when somebody has to choose. Answers touch the suspects only if the request is one; what other daemons counted is forgotten in time. A shed no longer lowers the time that a server is expected to take; an unknown server is expected to be usual; a refusal for a full queue says when there is room (0.15 to 1 s).

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -41,7 +41,8 @@
     pub(crate) fn arrival(&self) -> Arrival {
         let (deadline_ms, priority) = (self.deadline_ms, self.route.priority.0);
         let aim_ms = self.arrived_ms + self.route.aim_ms;
-        Arrival { deadline_ms, aim_ms, priority, queue: QUEUE }
+        let usual_ms = self.state.mean_us() / 1_000;
+        Arrival { deadline_ms, aim_ms, priority, queue: QUEUE, usual_ms }
     }
 
     pub(crate) fn fingerprint(&self) -> Fingerprint {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -224,10 +224,10 @@
         Failure::Fenced => shared.counters.count(Counter::Fenced),
         Failure::Shed => {
             shared.counters.count(Counter::Shed);
-            server.upstream.note_overload(latency_ms);
+            server.upstream.note_shed();
         }
         Failure::TimedOut => {
-            server.upstream.note_overload(latency_ms);
+            server.upstream.note_timeout(latency_ms);
             server.upstream.note_loss();
         }
         Failure::Crashed => {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -30,8 +30,11 @@
 const REROUTE_WAIT_MS: u64 = 60;
 /// When to come back while a key moves.
 const MOVE_RETRY_MS: u64 = 100;
-/// When to come back where servers have no room.
+/// When to come back at the earliest where servers have no room.
 const BUSY_RETRY_MS: u64 = 150;
+/// When to come back at the latest where servers have no room: load changes within seconds,
+/// and so does what is known of the queue.
+const MOST_BUSY_RETRY_MS: u64 = 1_000;
 /// When to come back where a daemon or a server is not there yet.
 const ABSENT_RETRY_MS: u64 = 300;
 
@@ -304,8 +307,9 @@
 async fn enter(server: &Server, call: &Call, attempts: &Attempts) -> Result<Permit, Refusal> {
     match server.upstream.enter(call.arrival()).await {
         Ok((permit, _has_waited)) => Ok(permit),
-        Err(Refused::Full) => {
-            Err(attempts.to_refusal(Reason::Overloaded).retry_after_ms(BUSY_RETRY_MS))
+        Err(Refused::Full { for_ms }) => {
+            let retry_after_ms = for_ms.clamp(BUSY_RETRY_MS, MOST_BUSY_RETRY_MS);
+            Err(attempts.to_refusal(Reason::Overloaded).retry_after_ms(retry_after_ms))
         }
         Err(Refused::Expired) => {
             Err(attempts.to_refusal(Reason::Expired).retry_after_ms(BUSY_RETRY_MS))
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -153,9 +153,10 @@
     pub(crate) fn note_answer(&self, fingerprint: impl FnOnce() -> Fingerprint) {
         if self.is_suspicious.load(Ordering::Relaxed) {
             let mut suspects = self.suspects();
-            suspects.note_answer(self.clock.now_ms(), fingerprint());
-            self.set_refused(&suspects);
-            self.is_suspicious.store(!suspects.is_empty(), Ordering::Relaxed);
+            if suspects.note_answer(self.clock.now_ms(), fingerprint()) {
+                self.set_refused(&suspects);
+                self.is_suspicious.store(!suspects.is_empty(), Ordering::Relaxed);
+            }
         }
     }
 
@@ -187,7 +188,10 @@
 
     /// Lets requests through again whose crashes are long enough ago.
     pub(crate) fn forget_old_crashes(&self) {
-        self.set_refused(&self.suspects());
+        let mut suspects = self.suspects();
+        suspects.forget(self.clock.now_ms());
+        self.set_refused(&suspects);
+        self.is_suspicious.store(!suspects.is_empty(), Ordering::Relaxed);
     }
 
     fn set_refused(&self, suspects: &Suspects) {
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -136,8 +136,14 @@
     let (_, class) = service.document.class(head.method.as_str(), head.uri.path());
     let deadline_ms = traffic.clock.now_ms() + class.timeout_ms;
     // Documents of this kind set no aim before the deadline.
-    let arrival =
-        Arrival { deadline_ms, aim_ms: deadline_ms, priority: class.priority, queue: class.queue };
+    let arrival = Arrival {
+        deadline_ms,
+        aim_ms: deadline_ms,
+        priority: class.priority,
+        queue: class.queue,
+        // Nothing is known of how long requests of a class take.
+        usual_ms: 0,
+    };
     let key = service.document.key.as_ref().and_then(|source| {
         let header = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
         source.find(head.uri.path(), head.uri.query(), header).map(str::to_owned)
@@ -273,7 +279,7 @@
             }
             Ok(permit)
         }
-        Err(Refused::Full) => Err(attempts.to_refusal(Reason::Overloaded)),
+        Err(Refused::Full { .. }) => Err(attempts.to_refusal(Reason::Overloaded)),
         Err(Refused::Expired) => Err(attempts.to_refusal(Reason::Expired)),
     }
 }
@@ -371,10 +377,10 @@
         Failure::Fenced => traffic.counters.count(Counter::Fenced),
         Failure::Shed => {
             traffic.counters.count(Counter::Shed);
-            target.server.note_overload(latency_ms);
+            target.server.note_shed();
         }
         Failure::TimedOut => {
-            target.server.note_overload(latency_ms);
+            target.server.note_timeout(latency_ms);
             target.server.note_loss();
         }
         Failure::Crashed => {
--- a/crates/proxy/src/traffic.rs
+++ b/crates/proxy/src/traffic.rs
@@ -122,7 +122,9 @@
 
     /// Lets requests through again whose crashes are long enough ago.
     pub fn forget_old_crashes(&self) {
-        self.set_refused(&self.suspects());
+        let mut suspects = self.suspects();
+        suspects.forget(self.clock.now_ms());
+        self.set_refused(&suspects);
     }
 
     /// Notes what another daemon has counted.
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -55,8 +55,11 @@
 /// Why a request may not be sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Refused {
-    /// Too many requests wait.
-    Full,
+    /// Too many requests wait; there is room again after about this long.
+    Full {
+        /// In milliseconds from now.
+        for_ms: u64,
+    },
     /// The deadline passed.
     Expired,
 }
@@ -113,7 +116,7 @@
         let admission = self.gate().arrive(now_ms, arrival, waker);
         let ticket = match admission {
             Admission::Enter => return Ok((self.permit(), false)),
-            Admission::Refuse => return Err(Refused::Full),
+            Admission::Refuse { for_ms } => return Err(Refused::Full { for_ms }),
             Admission::Wait(ticket) => ticket,
             Admission::WaitInstead(ticket, displaced) => {
                 // Dropping the waker tells the request that lost its place.
@@ -184,9 +187,14 @@
         self.gate().on_answer(latency_ms);
     }
 
-    /// Notes that the server shed a request or did not answer in time.
-    pub fn note_overload(&self, latency_ms: f64) {
-        self.gate().on_overload(latency_ms);
+    /// Notes that the server shed a request.
+    pub fn note_shed(&self) {
+        self.gate().on_shed();
+    }
+
+    /// Notes that the server did not answer in time.
+    pub fn note_timeout(&self, latency_ms: f64) {
+        self.gate().on_timeout(latency_ms);
     }
 
     fn pop_idle(&self) -> Option<Link> {
@@ -293,7 +301,7 @@
             }
             Ok(Err(_displaced)) => {
                 self.ticket = None;
-                Err(Refused::Full)
+                Err(Refused::Full { for_ms: 0 })
             }
             Err(_elapsed) => Err(Refused::Expired),
         }
--- a/crates/route/src/gate.rs
+++ b/crates/route/src/gate.rs
@@ -12,8 +12,8 @@
     limit: Limit,
     in_flight: u32,
     waiting: BTreeMap<Ticket, Place<W>>,
-    /// How long a request lately took, from its admission to its answer.
-    latency_ms: f64,
+    /// How long a request lately took, from its admission to its answer; `None` before any.
+    latency_ms: Option<f64>,
     next_number: u64,
     most_waiting: usize,
     /// Since when requests have waited without a pause.
@@ -44,6 +44,8 @@
     pub priority: u32,
     /// How many requests of this priority may wait.
     pub queue: u32,
+    /// How long requests like it usually take; it counts while the server has answered none.
+    pub usual_ms: u32,
 }
 
 /// What becomes of a request that arrives.
@@ -55,8 +57,11 @@
     Wait(Ticket),
     /// It waits, and a request of a lower priority had to make room.
     WaitInstead(Ticket, W),
-    /// There is no room.
-    Refuse,
+    /// There is no room for about this long.
+    Refuse {
+        /// In milliseconds from now.
+        for_ms: u64,
+    },
 }
 
 impl<W> Gate<W> {
@@ -67,7 +72,7 @@
             limit,
             in_flight: 0,
             waiting: BTreeMap::new(),
-            latency_ms: 0.0,
+            latency_ms: None,
             next_number: 0,
             most_waiting,
             waited_since_ms: None,
@@ -99,7 +104,7 @@
     /// waited for some time without a pause, there are too many of them; then one is
     /// refused that would come too late to be worth most, so that others are in time.
     pub fn arrive(&mut self, now_ms: u64, arrival: Arrival, waker: W) -> Admission<W> {
-        let Arrival { deadline_ms, aim_ms, priority, queue } = arrival;
+        let Arrival { deadline_ms, aim_ms, priority, queue, usual_ms } = arrival;
         if self.in_flight < self.limit.get() && self.waiting.is_empty() {
             self.in_flight += 1;
             return Admission::Enter;
@@ -113,8 +118,10 @@
         let since_ms = *self.waited_since_ms.get_or_insert(now_ms);
         let is_standing = now_ms >= since_ms + STANDING_MS;
         let wanted_ms = if is_standing { aim_ms.min(deadline_ms) } else { deadline_ms };
-        if is_full || !self.is_worth_waiting(now_ms, wanted_ms, ahead) {
-            return Admission::Refuse;
+        let answered_ms = now_ms + self.expected_ms(usual_ms, ahead);
+        let refusal = Admission::Refuse { for_ms: answered_ms.saturating_sub(wanted_ms) };
+        if is_full || answered_ms > wanted_ms {
+            return refusal;
         }
         let place = Place { deadline_ms, waker };
         if self.waiting.len() < self.most_waiting {
@@ -127,7 +134,7 @@
                 self.waiting.insert(ticket, place);
                 Admission::WaitInstead(ticket, displaced.waker)
             }
-            _ => Admission::Refuse,
+            _ => refusal,
         }
     }
 
@@ -151,22 +158,27 @@
         self.note_latency(latency_ms);
     }
 
-    /// Notes that the server shed a request or did not answer in time.
-    pub fn on_overload(&mut self, latency_ms: f64) {
+    /// Notes that the server shed a request; that says nothing of how long one takes.
+    pub fn on_shed(&mut self) {
+        self.limit.on_overload();
+    }
+
+    /// Notes that the server did not answer in time.
+    pub fn on_timeout(&mut self, latency_ms: f64) {
         self.limit.on_overload();
         self.note_latency(latency_ms);
     }
 
-    fn note_latency(&mut self, latency_ms: f64) {
-        self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms);
+    fn note_latency(&mut self, latest_ms: f64) {
+        let known_ms = self.latency_ms.unwrap_or(latest_ms);
+        self.latency_ms = Some(known_ms + LATENCY_WEIGHT * (latest_ms - known_ms));
     }
 
-    /// Returns whether a request with some others ahead would be answered in time.
-    fn is_worth_waiting(&self, now_ms: u64, deadline_ms: u64, ahead: usize) -> bool {
+    /// Returns after how long a request with some others ahead is expected to be answered.
+    fn expected_ms(&self, usual_ms: u32, ahead: usize) -> u64 {
         let ahead = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX));
         let rounds = (ahead + 1.0) / f64::from(self.limit.get());
-        let left_ms = u32::try_from(deadline_ms.saturating_sub(now_ms)).unwrap_or(u32::MAX);
-        (rounds + 1.0) * self.latency_ms <= f64::from(left_ms)
+        to_ms((rounds + 1.0) * self.latency_ms.unwrap_or(f64::from(usual_ms)))
     }
 
     fn admit_waiting(&mut self, now_ms: u64) -> Vec<W> {
@@ -177,8 +189,7 @@
         while self.in_flight < self.limit.get() {
             let Some((_, place)) = self.waiting.pop_first() else { break };
             let left_ms = place.deadline_ms.saturating_sub(now_ms);
-            let left_ms = u32::try_from(left_ms).unwrap_or(u32::MAX);
-            if f64::from(left_ms) > self.latency_ms {
+            if left_ms > to_ms(self.latency_ms.unwrap_or_default()) {
                 self.in_flight += 1;
                 admitted.push(place.waker);
             }
@@ -192,3 +203,12 @@
 const STANDING_MS: u64 = 200;
 /// How much the latest latency counts.
 const LATENCY_WEIGHT: f64 = 0.1;
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a length of time that is not negative; a longer one than any deadline is as good"
+)]
+fn to_ms(length_ms: f64) -> u64 {
+    length_ms.ceil() as u64
+}
--- a/crates/route/src/suspects.rs
+++ b/crates/route/src/suspects.rs
@@ -26,6 +26,8 @@
 pub struct Suspects {
     own: HashMap<Fingerprint, Suspect>,
     others: HashMap<Name, Vec<Suspect>>,
+    /// The requests that any other daemon counts.
+    of_others: HashSet<Fingerprint>,
     /// The servers that each request crashed, as far as they are told apart.
     victims: HashMap<Fingerprint, HashSet<u64>>,
     /// Requests that a server has answered since, and until when that counts.
@@ -67,6 +69,7 @@
         Self {
             own: HashMap::default(),
             others: HashMap::default(),
+            of_others: HashSet::default(),
             victims: HashMap::default(),
             cleared: HashMap::default(),
             most_crashes,
@@ -86,14 +89,18 @@
         }
     }
 
-    /// Notes that a server answered a request that had crashed others: it is not to blame.
-    pub fn note_answer(&mut self, now_ms: u64, fingerprint: Fingerprint) {
-        let is_known = self.own.remove(&fingerprint).is_some()
-            || self.others.values().flatten().any(|other| other.fingerprint == fingerprint);
-        self.victims.remove(&fingerprint);
+    /// Notes that a server answered a request; one that had crashed others is not to blame.
+    ///
+    /// Returns whether the request was suspected.
+    pub fn note_answer(&mut self, now_ms: u64, fingerprint: Fingerprint) -> bool {
+        let is_own = self.own.remove(&fingerprint).is_some();
+        let is_accused = self.of_others.contains(&fingerprint);
+        let is_known = is_own || (is_accused && !self.cleared.contains_key(&fingerprint));
         if is_known {
+            self.victims.remove(&fingerprint);
             self.cleared.insert(fingerprint, now_ms + REMEMBERED_MS);
         }
+        is_known
     }
 
     /// Returns whether any request is suspected.
@@ -126,6 +133,12 @@
         } else {
             self.others.insert(from.clone(), suspects);
         }
+        self.index_others();
+    }
+
+    fn index_others(&mut self) {
+        let others = self.others.values().flatten();
+        self.of_others = others.map(|suspect| suspect.fingerprint).collect();
     }
 
     /// Returns what this daemon has counted, for the others.
@@ -154,7 +167,13 @@
         crashes.into_keys().collect()
     }
 
-    fn forget(&mut self, now_ms: u64) {
+    /// Forgets what is long enough ago.
+    pub fn forget(&mut self, now_ms: u64) {
+        for suspects in self.others.values_mut() {
+            suspects.retain(|suspect| now_ms < suspect.deadline_ms);
+        }
+        self.others.retain(|_, suspects| !suspects.is_empty());
+        self.index_others();
         self.own.retain(|_, suspect| now_ms < suspect.deadline_ms);
         let own = &self.own;
         self.victims.retain(|fingerprint, _| own.contains_key(fingerprint));
--- a/crates/route/tests/crashing_requests.rs
+++ b/crates/route/tests/crashing_requests.rs
@@ -105,3 +105,25 @@
         prop_assert!(suspects.refused(10).is_empty());
     }
 }
+
+#[test]
+fn answers_of_others_change_nothing() {
+    let mut suspects = Suspects::default();
+    suspects.note_crash(0, poison());
+    let unrelated = Fingerprint::new("GET", "/balance", b"");
+    assert!(!suspects.note_answer(1, unrelated), "the usual answer costs nothing more");
+    assert!(suspects.note_answer(1, poison()));
+    assert!(!suspects.note_answer(2, poison()), "it is known not to be to blame");
+}
+
+#[test]
+fn nothing_is_suspected_for_ever() {
+    let mut suspects = Suspects::default();
+    suspects.note_crash(0, poison());
+    let other = Suspect { fingerprint: poison(), crashes: 1, deadline_ms: 60_000 };
+    suspects.note_other(&Name::from("edge-2"), vec![other]);
+    suspects.forget(59_999);
+    assert!(!suspects.is_empty());
+    suspects.forget(60_000);
+    assert!(suspects.is_empty(), "the other daemon may be gone and never say more");
+}
--- a/crates/route/tests/path_decisions.rs
+++ b/crates/route/tests/path_decisions.rs
@@ -68,7 +68,7 @@
 }
 
 fn arrival(deadline_ms: u64, priority: u32) -> Arrival {
-    Arrival { deadline_ms, aim_ms: deadline_ms, priority, queue: 100 }
+    Arrival { deadline_ms, aim_ms: deadline_ms, priority, queue: 100, usual_ms: 0 }
 }
 
 #[test]
@@ -78,7 +78,7 @@
     gate.arrive(0, short, 0);
     assert!(matches!(gate.arrive(0, short, 1), Admission::Wait(_)));
     assert!(matches!(gate.arrive(0, short, 2), Admission::Wait(_)));
-    assert!(matches!(gate.arrive(0, short, 3), Admission::Refuse));
+    assert!(matches!(gate.arrive(0, short, 3), Admission::Refuse { .. }));
     assert!(matches!(gate.arrive(0, arrival(100, 0), 4), Admission::Wait(_)));
 }
 
@@ -88,7 +88,7 @@
     assert!(matches!(gate.arrive(0, arrival(100, 0), "first"), Admission::Enter));
     assert!(matches!(gate.arrive(0, arrival(100, 2), "sheet"), Admission::Wait(_)));
     assert!(matches!(gate.arrive(0, arrival(100, 1), "swap"), Admission::Wait(_)));
-    assert!(matches!(gate.arrive(0, arrival(100, 2), "late sheet"), Admission::Refuse));
+    assert!(matches!(gate.arrive(0, arrival(100, 2), "late sheet"), Admission::Refuse { .. }));
     assert!(matches!(
         gate.arrive(0, arrival(100, 0), "balance"),
         Admission::WaitInstead(_, "sheet")
@@ -124,7 +124,7 @@
 #[test]
 fn hopeless_is_refused_at_once() {
     let mut gate = slow_gate();
-    assert!(matches!(gate.arrive(0, arrival(150, 0), 1), Admission::Refuse));
+    assert!(matches!(gate.arrive(0, arrival(150, 0), 1), Admission::Refuse { .. }));
     let waiting =
         (0..20).filter(|n| matches!(gate.arrive(0, arrival(1_000, 0), *n), Admission::Wait(_)));
     assert_eq!(waiting.count(), 9, "the tenth would be answered after 1,100 ms");
@@ -137,3 +137,30 @@
     gate.arrive(0, arrival(1_000, 0), 2);
     assert_eq!(gate.leave(250), [2], "the first had 50 ms left and needs 100");
 }
+
+#[test]
+fn sheds_say_nothing_of_the_time_that_work_takes() {
+    let mut gate = slow_gate();
+    for _ in 0..50 {
+        gate.on_shed();
+    }
+    let refused = gate.arrive(0, arrival(150, 0), 1);
+    assert!(matches!(refused, Admission::Refuse { .. }), "an answer still takes 100 ms");
+}
+
+#[test]
+fn unknown_server_is_expected_to_be_usual() {
+    let mut gate = Gate::new(Limit::new(1, 1), 100);
+    let usual = Arrival { usual_ms: 100, ..arrival(1_000, 0) };
+    gate.arrive(0, usual, 0);
+    let waiting = (0..20).filter(|n| matches!(gate.arrive(0, usual, *n), Admission::Wait(_)));
+    assert_eq!(waiting.count(), 9, "the tenth would be answered after 1,100 ms");
+}
+
+#[test]
+fn refusal_says_when_there_is_room() {
+    let mut gate = slow_gate();
+    while matches!(gate.arrive(0, arrival(1_000, 0), 1), Admission::Wait(_)) {}
+    let refused = gate.arrive(0, arrival(1_000, 0), 2);
+    assert!(matches!(refused, Admission::Refuse { for_ms: 100 }), "{refused:?}");
+}
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -83,6 +83,11 @@
         Self { pieces: pieces.collect(), ..Self::new() }
     }
 
+    /// Returns whether something changed that daemons should know or orders may follow from.
+    pub(crate) fn is_changed(&self) -> bool {
+        self.is_changed
+    }
+
     pub(crate) fn load_mut(&mut self) -> &mut KeyLoad {
         &mut self.load
     }
@@ -142,12 +147,15 @@
         if balances {
             self.load.fade(turn.now_ms);
         }
-        let mut candidates = turn.candidates();
-        self.add_loads(&mut candidates);
-        self.drop_lost(turn, &candidates);
-        self.choose_all(turn, &mut candidates);
-        if balances {
-            self.balance(turn, &mut candidates);
+        self.drop_lost(turn);
+        if balances || self.needs_choice(turn) {
+            let mut candidates = turn.candidates();
+            self.add_loads(&mut candidates);
+            self.drop_unwelcome(&candidates);
+            self.choose_all(turn, &mut candidates);
+            if balances {
+                self.balance(turn, &mut candidates);
+            }
         }
         self.carry_out(turn);
         self.write(turn);
@@ -166,8 +174,14 @@
         !is_first || (servers > 0 && turn.now_ms >= self.seen.1 + turn.tuning.settle_ms)
     }
 
-    /// Lets go of those that hold nothing any more, and of successors that left.
-    fn drop_lost(&mut self, turn: &Turn<'_>, candidates: &[Candidate]) {
+    /// Returns whether a piece needs a successor, or has one that may have left.
+    fn needs_choice(&self, turn: &Turn<'_>) -> bool {
+        let has_successor = self.pieces.iter().any(|piece| piece.successor.is_some());
+        has_successor || (0..self.pieces.len()).any(|at| self.needs_successor(turn, at).is_some())
+    }
+
+    /// Lets go of those that hold nothing any more.
+    fn drop_lost(&mut self, turn: &Turn<'_>) {
         let registry = turn.servers.registry;
         for piece in &mut self.pieces {
             let is_restarted =
@@ -186,6 +200,12 @@
                     former.release_at_ms = Some(turn.now_ms);
                 }
             }
+        }
+    }
+
+    /// Lets go of successors that left.
+    fn drop_unwelcome(&mut self, candidates: &[Candidate]) {
+        for piece in &mut self.pieces {
             let is_unwelcome = piece
                 .successor
                 .as_ref()
@@ -202,10 +222,10 @@
         self.join_alike(turn);
         for piece in &mut self.pieces {
             self.is_changed |= release_formers(piece, turn);
-            let stands_until_ms = piece.holder.as_ref().map_or(0, |holder| {
-                turn.stands_until_ms(&holder.life, piece.range, holder.standing_until_ms)
+            let may_stand = piece.holder.as_ref().is_some_and(|holder| {
+                turn.may_stand(&holder.life, piece.range, holder.standing_until_ms)
             });
-            match piece.next(turn.now_ms, stands_until_ms, self.durable) {
+            match piece.next(turn.now_ms, may_stand, self.durable) {
                 Step::Wait => {}
                 Step::Lapse => {
                     self.is_changed = true;
@@ -302,13 +322,13 @@
     let range = piece.range;
     let before = piece.formers.len();
     piece.formers.retain_mut(|former| {
-        let until_ms = turn.stands_until_ms(&former.life, range, former.standing_until_ms);
-        if turn.now_ms >= until_ms {
+        if !turn.may_stand(&former.life, range, former.standing_until_ms) {
             turn.note_lapse(range, &former.life);
             return false;
         }
         if former.release_at_ms.is_some_and(|at_ms| turn.now_ms >= at_ms) {
             former.release_at_ms = None;
+            let until_ms = turn.stands_until_ms(&former.life, range, former.standing_until_ms);
             let fence = turn.fences.next();
             turn.release(&former.life, Release { range, fence }, until_ms);
         }
--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -118,7 +118,15 @@
                     assignment.record_failed(now_ms);
                 }
             }
-            Event::Answered(id, reply) => self.answered(now_ms, id, &reply, &mut outputs),
+            Event::Answered(id, reply) => {
+                self.answered(now_ms, id, &reply, &mut outputs);
+                // Most answers are to renewals and change nothing; there are some for each
+                // range and second, and a pass over all ranges for each would be most of a
+                // leader's work.
+                if !self.assignments.values().any(Assignment::is_changed) {
+                    return outputs;
+                }
+            }
         }
         if self.has_ended(now_ms) {
             return outputs;
--- a/crates/shard/src/piece.rs
+++ b/crates/shard/src/piece.rs
@@ -74,13 +74,13 @@
         Self { range, holder: None, formers: Vec::new(), successor: None, handover: None }
     }
 
-    /// Says what is next; `stands_until_ms` counts grants on their way too.
-    pub(crate) fn next(&self, now_ms: u64, stands_until_ms: u64, durable: u64) -> Step {
+    /// Says what is next; `may_stand` tells of the holder's grants, those on their way too.
+    pub(crate) fn next(&self, now_ms: u64, may_stand: bool, durable: u64) -> Step {
         let is_durable =
             self.successor.as_ref().is_some_and(|successor| durable >= successor.record);
         match &self.holder {
             None if is_durable && self.formers.is_empty() => Step::Install,
-            Some(holder) if now_ms >= stands_until_ms && !holder.is_untried() => Step::Lapse,
+            Some(holder) if !may_stand && !holder.is_untried() => Step::Lapse,
             Some(_) if is_durable => Step::Dismiss,
             Some(holder) if self.formers.is_empty() && now_ms >= holder.renew_at_ms => Step::Renew,
             None | Some(_) => Step::Wait,
--- a/crates/shard/src/planning.rs
+++ b/crates/shard/src/planning.rs
@@ -56,7 +56,7 @@
         self.is_changed = true;
     }
 
-    fn needs_successor(&self, turn: &Turn<'_>, at: usize) -> Option<Why> {
+    pub(crate) fn needs_successor(&self, turn: &Turn<'_>, at: usize) -> Option<Why> {
         let piece = &self.pieces[at];
         if piece.successor.is_some() {
             return None;
--- a/crates/shard/src/turn.rs
+++ b/crates/shard/src/turn.rs
@@ -161,6 +161,11 @@
         settled_ms.max(self.orders.stand_until_ms(life, range, self.tuning))
     }
 
+    /// Returns whether a grant to a server may stand now, one on its way included.
+    pub(crate) fn may_stand(&self, life: &Life, range: KeyRange, settled_ms: u64) -> bool {
+        self.now_ms < settled_ms || self.now_ms < self.stands_until_ms(life, range, settled_ms)
+    }
+
     pub(crate) fn note_lapse(&mut self, range: KeyRange, from: &Life) {
         let (service, from) = (self.service.clone(), from.clone());
         self.outputs.push(Output::Note(Note::Lapsed { service, range, from }));
