Never skip changes that a store keeps back before it drops its history

What the search showed: a store that is about to compact lets watches hear nothing for a second and still names its newest revision; a watch that ends in that second and goes on from there has lost changes for good. Watches of half a second, new since servers' entries are relayed, end in that second nearly always, longer ones once in fifteen. Change: an answer's revision counts only when it is 2 s old (gateway::Progress); a change's own revision at once. Watches wait 9 s, not 15, so that two are shorter than the history. A daemon that lost the store lists servers itself before it relies on another's reading; a reader vouches from when the answer came, not from when it was taken; messages carry each server's last heartbeat, without which a later daemon took them for late reports; servers missing from a list, and those taken as gone, are logged. Also: log lines are written in pieces of whole lines that a pipe takes at once (a reader that marks its pieces tore them), and left-out lines are counted once a second.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -12,7 +12,8 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
-use crate::input::{Input, StoredRecord, Topic};
+use crate::input::{Input, Read, StoredRecord, Topic};
+use crate::{BootClock, Progress};
 
 /// The start of the keys that daemons and their leader have.
 pub(crate) const FLEET: &str = "fleet/";
@@ -95,16 +96,17 @@
         let Ok((entries, revision)) = list(&self.store, &self.prefix, &self.counters).await else {
             return Ended::Failed;
         };
-        if self.inputs.send(Input::Listed(self.topic, entries, revision)).await.is_err() {
+        let read = Read { revision, at_ms: BootClock.now_ms() };
+        if self.inputs.send(Input::Listed(self.topic, entries, read)).await.is_err() {
             return Ended::Closed;
         }
-        let mut after = revision;
+        let mut progress = Progress::new(read.at_ms, revision);
         let mut failures = 0;
         loop {
             sleep(Duration::from_millis(self.pace_ms)).await;
             self.counters.count(Counter::StoreCalls);
             let watched = tokio::select! {
-                watched = self.store.watch(&self.prefix, after, self.wait_ms) => watched,
+                watched = self.store.watch(&self.prefix, progress.after(), self.wait_ms) => watched,
                 changed = self.renewed.changed() => {
                     if changed.is_err() {
                         return Ended::Closed;
@@ -115,14 +117,17 @@
             match watched {
                 Ok(changes) => {
                     failures = 0;
-                    after = after.max(changes.revision);
-                    let input = Input::Changed(self.topic, changes.entries, after);
+                    let at_ms = BootClock.now_ms();
+                    let newest_change = changes.entries.iter().map(|entry| entry.revision).max();
+                    progress.note(at_ms, changes.revision, newest_change);
+                    let read = Read { revision: progress.after(), at_ms };
+                    let input = Input::Changed(self.topic, changes.entries, read);
                     if self.inputs.send(input).await.is_err() {
                         return Ended::Closed;
                     }
                 }
                 Err(report) if report.current_context().category() == Category::Compacted => {
-                    spdlog::info!("store forgot history", kv: { prefix = self.prefix.as_str(), after = after.0 });
+                    spdlog::info!("store forgot history", kv: { prefix = self.prefix.as_str(), after = progress.after().0 });
                     return Ended::Compacted;
                 }
                 Err(_unavailable) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -65,8 +65,9 @@
 /// How long a watch of the servers' entries waits: whoever reads them for others has to know
 /// soon that the store is silent.
 const SERVERS_WATCH_MS: u64 = 500;
-/// How long another watch waits: a waiting watch costs one call.
-const WATCH_MS: u64 = 15_000;
+/// How long another watch waits: a waiting watch costs one call. Two of them are shorter than
+/// the store's history, which has to reach back to the last revision that counts.
+const WATCH_MS: u64 = 9_000;
 /// The least time between two readings of documents, which may come in quick succession.
 const SITE_PACE_MS: u64 = 60;
 /// The least time between two readings of daemons' entries, which come together when many
--- a/crates/gateway/src/input.rs
+++ b/crates/gateway/src/input.rs
@@ -11,10 +11,10 @@
 /// Something for the control thread.
 #[derive(Debug)]
 pub(crate) enum Input {
-    /// All values of a topic at a revision.
-    Listed(Topic, Vec<Entry>, Revision),
-    /// Values of a topic that changed up to a revision.
-    Changed(Topic, Vec<Entry>, Revision),
+    /// All values of a topic.
+    Listed(Topic, Vec<Entry>, Read),
+    /// Values of a topic that changed.
+    Changed(Topic, Vec<Entry>, Read),
     /// Whether the store answers this daemon.
     StoreAnswers(bool),
     /// How a campaign ended.
@@ -39,6 +39,15 @@
     Dump(oneshot::Sender<String>),
 }
 
+/// When and up to where the store was read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Read {
+    /// The store's revision up to which changes are included.
+    pub(crate) revision: Revision,
+    /// When the answer came, by the control thread's clock.
+    pub(crate) at_ms: u64,
+}
+
 /// What is followed in the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Topic {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -17,7 +17,7 @@
 
 use crate::election::Campaign;
 use crate::follow::{DAEMONS, DaemonEntry, LEADER};
-use crate::input::{Input, Topic};
+use crate::input::{Input, Read, Topic};
 use crate::leadership::Leading;
 use crate::port::EntryText;
 use crate::relay::Relay;
@@ -43,6 +43,8 @@
     pub(crate) entries_at: Revision,
     /// When servers' entries were last read here, if they are read here now.
     pub(crate) entries_read_at_ms: Option<u64>,
+    /// Whether the store was silent since servers' entries were last listed here.
+    pub(crate) is_list_old: bool,
     /// Whether this daemon tells its group of servers' entries.
     pub(crate) is_telling: bool,
     /// Servers whose entries changed since the last message to the group.
@@ -74,6 +76,7 @@
     pub(crate) is_view_old: bool,
     report_at_ms: u64,
     crashes_at_ms: u64,
+    lines_at_ms: u64,
 }
 
 /// How often the control thread looks at its timers while it leads.
@@ -84,6 +87,8 @@
 const REPORT_MS: u64 = 250;
 /// How often crashes are told again, for daemons that missed them.
 const CRASHES_MS: u64 = 1_000;
+/// How often it is said how many lines were left out.
+const LINES_MS: u64 = 1_000;
 /// How long a daemon waits at most before it campaigns, and how much longer for each other
 /// daemon. The first is expected after one such part; others find within the pace of
 /// reading daemons' entries that it was elected, and do not try.
@@ -117,6 +122,7 @@
             relay: Relay::default(),
             entries_at: Revision(0),
             entries_read_at_ms: None,
+            is_list_old: true,
             is_telling: false,
             changed_servers: BTreeSet::new(),
             // A process that starts again does not go on with the numbers of the one before.
@@ -143,6 +149,7 @@
             is_view_old: true,
             report_at_ms: 0,
             crashes_at_ms: 0,
+            lines_at_ms: 0,
         }
     }
 
@@ -177,8 +184,8 @@
 
     fn take(&mut self, input: Input) {
         match input {
-            Input::Listed(topic, entries, at) => self.take_listing(topic, &entries, at),
-            Input::Changed(topic, entries, at) => self.take_changes(topic, &entries, at),
+            Input::Listed(topic, entries, read) => self.take_listing(topic, &entries, read),
+            Input::Changed(topic, entries, read) => self.take_changes(topic, &entries, read),
             Input::StoreAnswers(answers) => self.note_store(answers),
             Input::Campaigned(victory) => {
                 self.is_campaigning = false;
@@ -213,6 +220,7 @@
     fn tick(&mut self) {
         let now_ms = self.clock.now_ms();
         if self.registry.expire(now_ms) == Change::Server {
+            spdlog::info!("missing servers are taken as gone", kv: { servers = self.registry.len() });
             self.is_view_old = true;
         }
         if self.leading.as_ref().is_some_and(|leading| leading.leader.has_ended(now_ms)) {
@@ -228,15 +236,12 @@
             self.report();
         }
         self.tell_crashes(now_ms);
-        let dropped = self.shared.lines.take_dropped();
-        if dropped > 0 {
-            spdlog::warn!("lines about requests not written", kv: { lines = dropped });
-        }
+        self.tell_lines_left_out(now_ms);
         self.read_records_if_needed(now_ms);
         self.campaign_if_needed();
     }
 
-    fn take_listing(&mut self, topic: Topic, entries: &[Entry], at: Revision) {
+    fn take_listing(&mut self, topic: Topic, entries: &[Entry], read: Read) {
         let now_ms = self.clock.now_ms();
         match topic {
             Topic::Site => {}
@@ -246,12 +251,8 @@
                     .iter()
                     .filter_map(|entry| entry.key.strip_prefix(prefix).map(Name::from))
                     .collect();
-                let known = self.registry.listed().map(|known| known.life.server.clone());
-                let missing = known.filter(|name| !names.contains(name));
-                self.changed_servers.extend(missing);
-                if self.registry.keep_only(now_ms, &names) == Change::Server {
-                    self.is_view_old = true;
-                }
+                self.keep_only(now_ms, &names, read.revision);
+                self.is_list_old = false;
             }
             Topic::Fleet => {
                 self.is_fleet_known = true;
@@ -259,10 +260,10 @@
                 self.leader = None;
             }
         }
-        self.take_changes(topic, entries, at);
+        self.take_changes(topic, entries, read);
     }
 
-    fn take_changes(&mut self, topic: Topic, entries: &[Entry], at: Revision) {
+    fn take_changes(&mut self, topic: Topic, entries: &[Entry], read: Read) {
         match topic {
             Topic::Site => {
                 for entry in entries {
@@ -277,8 +278,8 @@
                 for entry in entries {
                     self.take_server(entry);
                 }
-                self.entries_at = self.entries_at.max(at);
-                self.entries_read_at_ms = Some(self.clock.now_ms());
+                self.entries_at = self.entries_at.max(read.revision);
+                self.entries_read_at_ms = Some(read.at_ms);
                 if !self.changed_servers.is_empty() {
                     self.tell_servers(&self.role());
                 }
@@ -350,6 +351,15 @@
         self.changed_servers.insert(name);
     }
 
+    /// Takes a whole list: what it does not name is gone, or has lapsed.
+    pub(crate) fn keep_only(&mut self, now_ms: u64, names: &[Name], revision: Revision) {
+        let missing = self.registry.listed().filter(|name| !names.contains(name));
+        let missing: Vec<Name> = missing.cloned().collect();
+        for name in missing {
+            self.remove_server(now_ms, &name, revision);
+        }
+    }
+
     pub(crate) fn remove_server(&mut self, now_ms: u64, name: &str, revision: Revision) {
         if self.registry.remove(now_ms, name) == Change::Server {
             spdlog::info!("server gone", kv: { server = name, revision = revision.0 });
@@ -390,6 +400,7 @@
 
     fn note_store(&mut self, answers: bool) {
         spdlog::info!("store", kv: { answers });
+        self.is_list_old |= !answers;
         if answers && !self.store_answers {
             self.registry.list_returned(self.clock.now_ms());
             // Watches that wait may wait for a store that has forgotten them.
@@ -433,6 +444,18 @@
         }
     }
 
+    /// Says how many lines about requests were left out, if any.
+    fn tell_lines_left_out(&mut self, now_ms: u64) {
+        if now_ms < self.lines_at_ms {
+            return;
+        }
+        self.lines_at_ms = now_ms + LINES_MS;
+        let lines = self.shared.lines.take_dropped();
+        if lines > 0 {
+            spdlog::warn!("lines about requests not written", kv: { lines });
+        }
+    }
+
     /// Reports what requests did to the leader.
     fn report(&mut self) {
         let loads: Vec<_> = self
--- a/crates/gateway/src/relaying.rs
+++ b/crates/gateway/src/relaying.rs
@@ -2,7 +2,7 @@
 
 use document::Name;
 use peer::{FleetBody, Servers};
-use registry::{Change, Registration};
+use registry::Registration;
 use store::Store;
 
 use crate::node::Node;
@@ -20,8 +20,10 @@
     /// Reads the servers' entries, or stops, and tells the others that this daemon lives.
     pub(crate) fn keep_relaying(&mut self, now_ms: u64) {
         let role = self.role();
-        // A leader decides by entries and must not wait for another daemon.
-        let needs_entries = self.leading.is_some() || !self.relay.is_told(now_ms, &role);
+        // A leader decides by entries and must not wait for another daemon; whoever was cut
+        // off looks for itself first.
+        let needs_entries =
+            self.leading.is_some() || self.is_list_old || !self.relay.is_told(now_ms, &role);
         let is_changed = self
             .needs_entries
             .send_if_modified(|known| std::mem::replace(known, needs_entries) != needs_entries);
@@ -75,8 +77,7 @@
         let changed = std::mem::take(&mut self.changed_servers);
         let (listed, gone): (Vec<Name>, Vec<Name>) =
             changed.into_iter().partition(|name| self.registry.is_listed(name));
-        let listed = listed.iter().filter_map(|name| self.registry.by_name(name));
-        let listed = listed.map(|registration| self.to_sent(registration)).collect();
+        let listed = listed.iter().filter_map(|name| self.to_sent(name)).collect();
         let body = FleetBody::Servers(Servers { listed, gone, ..self.message(false) });
         for daemon in tells {
             if let Some(address) = self.address(daemon) {
@@ -91,8 +92,7 @@
         if !self.is_vouched(self.clock.now_ms()) {
             return;
         }
-        let listed = self.registry.listed().map(|registration| self.to_sent(registration));
-        let listed = listed.collect();
+        let listed = self.registry.listed().filter_map(|name| self.to_sent(name)).collect();
         self.send(address, FleetBody::Servers(Servers { listed, ..self.message(true) }));
     }
 
@@ -107,9 +107,11 @@
         }
     }
 
-    fn to_sent(&self, registration: &Registration) -> Registration {
-        let cold_until_ms = registration.cold_until_ms.saturating_sub(self.clock.now_ms());
-        Registration { cold_until_ms, ..registration.clone() }
+    /// Returns what a listed server last said of itself, with times as lengths.
+    fn to_sent(&self, server: &Name) -> Option<Registration> {
+        let report = self.registry.last_report(server)?;
+        let cold_until_ms = report.cold_until_ms.saturating_sub(self.clock.now_ms());
+        Some(Registration { cold_until_ms, ..report })
     }
 
     /// Takes what another daemon tells of the servers.
@@ -139,9 +141,7 @@
         if servers.is_whole {
             let names: Vec<Name> =
                 servers.listed.iter().map(|listed| listed.life.server.clone()).collect();
-            if self.registry.keep_only(now_ms, &names) == Change::Server {
-                self.is_view_old = true;
-            }
+            self.keep_only(now_ms, &names, revision);
         }
         for listed in servers.listed {
             let cold_until_ms = now_ms + listed.cold_until_ms;
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -124,10 +124,18 @@
         self.entries.get(server).is_some_and(|entry| entry.gone_at_ms.is_none())
     }
 
-    /// Returns the servers that the list has, in the order of their names.
-    pub fn listed(&self) -> impl Iterator<Item = &Arc<Registration>> {
-        let listed = self.entries.values().filter(|entry| entry.gone_at_ms.is_none());
-        listed.map(|entry| &entry.registration)
+    /// Returns the names of the servers that the list has.
+    pub fn listed(&self) -> impl Iterator<Item = &Name> {
+        let listed = self.entries.iter().filter(|(_, entry)| entry.gone_at_ms.is_none());
+        listed.map(|(name, _)| name)
+    }
+
+    /// Returns what a server last said of itself, if the list has it.
+    #[must_use]
+    pub fn last_report(&self, server: &str) -> Option<Registration> {
+        let entry = self.entries.get(server).filter(|entry| entry.gone_at_ms.is_none())?;
+        let registration = Registration::clone(&entry.registration);
+        Some(Registration { heartbeat: entry.heartbeat, ..registration })
     }
 
     /// Returns whether a life may get new work.
--- a/crates/registry/tests/lives.rs
+++ b/crates/registry/tests/lives.rs
@@ -95,3 +95,27 @@
     assert_eq!(registry.keep_only(1_200, &["a".into()]), Change::Server);
     assert_eq!(registry.usable("ledger").count(), 3);
 }
+
+#[test]
+fn last_report_counts_heartbeats() {
+    let mut registry = Registry::default();
+    registry.put(0, "s", registration(1, 5, Stage::Ready));
+    registry.put(0, "s", registration(1, 9, Stage::Ready));
+    // Another daemon that has seen heartbeat 9 would take an earlier one for a late report.
+    assert_eq!(registry.last_report("s").map(|report| report.heartbeat), Some(9));
+    registry.list_returned(0);
+    registry.remove(10, "s");
+    assert_eq!(registry.last_report("s"), None);
+    assert_eq!(registry.listed().count(), 0);
+}
+
+#[test]
+fn heard_lapse_lasts_as_long() {
+    let mut registry = Registry::default();
+    registry.put(0, "s", registration(1, 5, Stage::Ready));
+    registry.lapses_for(0, 700);
+    assert_eq!(registry.lapse_left_ms(100), 600);
+    registry.remove(100, "s");
+    assert_eq!(registry.expire(699), Change::Nothing);
+    assert_eq!(registry.expire(700), Change::Server);
+}
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -27,6 +27,9 @@
 
 /// How many lines wait to be written: about two megabytes.
 const MOST_WAITING: usize = 8_192;
+/// How much is written at once, in whole lines: what a pipe takes in one piece, so that a
+/// reader that marks what it reads does so between lines.
+const PIECE_BYTES: usize = 4_096;
 /// How often waiting lines are written.
 const WRITE_EVERY: Duration = Duration::from_millis(100);
 /// How long the end of the process waits for the last lines.
@@ -69,8 +72,18 @@
     /// Fails when the target does; the lines are lost then.
     pub fn write_to(&self, target: &mut impl Write) -> io::Result<()> {
         self.is_writing.store(true, Ordering::Release);
+        let written = self.write_all_to(target);
+        self.is_writing.store(false, Ordering::Release);
+        written
+    }
+
+    fn write_all_to(&self, target: &mut impl Write) -> io::Result<()> {
         let mut text = Vec::new();
         while let Some(line) = self.lines.pop() {
+            if !text.is_empty() && text.len() + line.len() > PIECE_BYTES {
+                target.write_all(&text)?;
+                text.clear();
+            }
             text.extend_from_slice(&line);
         }
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
@@ -80,9 +93,7 @@
                 "{{\"level\":\"warn\",\"payload\":\"log lines dropped\",\"kv\":{{\"lines\":{dropped}}}}}"
             )?;
         }
-        let written = if text.is_empty() { Ok(()) } else { target.write_all(&text) };
-        self.is_writing.store(false, Ordering::Release);
-        written
+        if text.is_empty() { Ok(()) } else { target.write_all(&text) }
     }
 
     fn is_empty(&self) -> bool {
--- a/crates/telemetry/tests/log_queue.rs
+++ b/crates/telemetry/tests/log_queue.rs
@@ -52,3 +52,35 @@
     queue.write_to(&mut text).unwrap();
     assert_eq!(text, b"next\n");
 }
+
+/// Keeps what is written in one call apart.
+#[derive(Default)]
+struct Pieces(Vec<Vec<u8>>);
+
+impl Write for Pieces {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0.push(buf.to_vec());
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn lines_are_not_torn() {
+    // What POSIX has a pipe take in one piece.
+    const PIPE_BYTES: usize = 4_096;
+    let queue = LogQueue::new(1_000);
+    for number in 0..500 {
+        queue.push(format!("{number} {}\n", "x".repeat(number % 300)).as_bytes());
+    }
+    let mut pieces = Pieces::default();
+    queue.write_to(&mut pieces).unwrap();
+    assert!(pieces.0.len() > 10);
+    for piece in &pieces.0 {
+        assert!(piece.ends_with(b"\n") && piece.len() <= PIPE_BYTES, "{} bytes", piece.len());
+    }
+    assert_eq!(pieces.0.concat().iter().filter(|byte| **byte == b'\n').count(), 500);
+}
