Give shorter grants a new fence

The server held its keys to the end of the longer one (to 31.7 s); its data centre was cut off, and at 26.7 s others got the keys. Change: a renewal that is shorter than an earlier one under its fence gets a new fence; a taken grant shortens what stands only if it is the first under its fence.

--- a/crates/shard/src/answers.rs
+++ b/crates/shard/src/answers.rs
@@ -56,8 +56,7 @@
             }
             match reply {
                 Reply::Done(_) => {
-                    // A grant with a new fence replaces all earlier ones of the server.
-                    holder.standing_until_ms = until_ms;
+                    holder.note_taken(until_ms);
                     holder.failures = 0;
                     holder.refusals = 0;
                     self.is_changed |= !holder.serves;
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -259,7 +259,7 @@
             if let (Some(holder), Some(other)) = (&mut piece.holder, next.holder) {
                 holder.standing_until_ms = holder.standing_until_ms.max(other.standing_until_ms);
                 holder.renew_at_ms = 0;
-                holder.fence = turn.fences.next();
+                holder.renew_fence(turn.fences.next());
             }
         }
     }
@@ -354,9 +354,11 @@
     let handover = piece.handover.clone();
     let range = piece.range;
     let Some(holder) = &mut piece.holder else { return };
-    if holder.refusals > 0 {
-        holder.fence = turn.fences.next();
+    // Only a new fence takes back what a longer grant gave.
+    if holder.refusals > 0 || turn.hold_ms < holder.hold_ms {
+        holder.renew_fence(turn.fences.next());
     }
+    holder.hold_ms = holder.hold_ms.max(turn.hold_ms);
     holder.renew_at_ms = turn.now_ms + turn.tuning.renew_every_ms;
     let (life, fence) = (holder.life.clone(), holder.fence);
     turn.grant(&life, Grant { range, fence, hold_ms: turn.hold_ms, handover });
--- a/crates/shard/src/piece.rs
+++ b/crates/shard/src/piece.rs
@@ -24,6 +24,10 @@
     pub(crate) life: Life,
     /// The fence of its grants.
     pub(crate) fence: Fence,
+    /// The longest hold that was granted under the fence.
+    pub(crate) hold_ms: u64,
+    /// Whether the server has taken a grant under the fence.
+    pub(crate) is_fence_taken: bool,
     /// Until when grants that are no longer on their way may stand.
     pub(crate) standing_until_ms: u64,
     pub(crate) renew_at_ms: u64,
@@ -153,6 +157,8 @@
         Self {
             life,
             fence,
+            hold_ms: 0,
+            is_fence_taken: false,
             standing_until_ms: 0,
             renew_at_ms: 0,
             failures: 0,
@@ -161,6 +167,22 @@
         }
     }
 
+    /// Goes on under a new fence: the first grant under it that is taken replaces all before.
+    pub(crate) fn renew_fence(&mut self, fence: Fence) {
+        self.fence = fence;
+        self.hold_ms = 0;
+        self.is_fence_taken = false;
+    }
+
+    /// Notes that the server has taken a grant that ends at some time.
+    ///
+    /// Under one fence no grant takes back what an earlier one gave.
+    pub(crate) fn note_taken(&mut self, until_ms: u64) {
+        let earlier_ms = if self.is_fence_taken { self.standing_until_ms } else { 0 };
+        self.standing_until_ms = until_ms.max(earlier_ms);
+        self.is_fence_taken = true;
+    }
+
     /// Returns whether no grant may have reached it yet and more are to be tried.
     fn is_untried(&self) -> bool {
         self.standing_until_ms == 0 && self.failures == 0
--- a/crates/shard/tests/random_moves.rs
+++ b/crates/shard/tests/random_moves.rs
@@ -43,11 +43,12 @@
 }
 
 /// Seeds that failed once, with what was wrong then.
-const REGRESSIONS: [(u64, &str); 6] = [
+const REGRESSIONS: [(u64, &str); 7] = [
     (6, "a recorded successor was taken for one that never held the range"),
     (11, "the same, after the leader was lost"),
     (38, "pieces of one key after a total loss"),
     (67, "a small piece went back and forth between two neighbours"),
+    (106, "a shorter renewal was taken to end a longer grant under the same fence"),
     (89, "a grant for an earlier life was taken by the later one"),
     (257, "the same, while the grant was on its way"),
 ];
--- /dev/null
+++ b/crates/shard/tests/shortened_grants.rs
@@ -0,0 +1,143 @@
+//! A grant that was made long while the store was away stands until it ends, or until a
+//! grant under a new fence has replaced it.
+use document::HashMap;
+use registry::{Life, Registration, Registry, Stage};
+use shard::{
+    Epoch, Event, Grant, KeyRange, Leader, OrderId, OrderKind, Output, Reply, Servers, Tuning,
+};
+
+const SERVICE: &str = "ledger";
+const TICK_MS: u64 = 20;
+
+struct Play {
+    now_ms: u64,
+    leader: Leader,
+    registry: Registry,
+    speeds: HashMap<Life, f32>,
+    /// A server that answers no order any more.
+    silent: Option<Life>,
+    /// The last grant that each server took.
+    taken: HashMap<Life, Vec<Grant>>,
+}
+
+impl Play {
+    fn new() -> Self {
+        let mut registry = Registry::default();
+        for name in ["s1", "s2"] {
+            let registration = Registration {
+                life: life(name),
+                service: SERVICE.into(),
+                address: ([127, 0, 0, 1], 4_000).into(),
+                data_centre: "a".into(),
+                slots: 4,
+                stage: Stage::Ready,
+                cold_until_ms: 0,
+                heartbeat: 1,
+            };
+            registry.put(0, name, registration);
+        }
+        let mut leader = Leader::new(Epoch(5), 0, u64::MAX, &[], Tuning::default());
+        leader.add_service(&SERVICE.into());
+        let (speeds, taken) = (HashMap::default(), HashMap::default());
+        Self { now_ms: 0, leader, registry, speeds, silent: None, taken }
+    }
+
+    fn step(&mut self, event: Event) {
+        let servers = Servers { registry: &self.registry, speeds: &self.speeds };
+        let outputs = self.leader.step(self.now_ms, servers, event);
+        for output in outputs {
+            match output {
+                Output::Order { id, server, kind, .. } => self.answer(id, &server.life, kind),
+                Output::Write { service, record } => {
+                    self.step(Event::Recorded { service, number: record.number });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn answer(&mut self, id: OrderId, life: &Life, kind: OrderKind) {
+        if self.silent.as_ref() == Some(life) {
+            return self.step(Event::Answered(id, Reply::NotSent));
+        }
+        if let OrderKind::Grant(grant) = kind {
+            self.taken.entry(life.clone()).or_default().push(grant);
+        }
+        self.step(Event::Answered(id, Reply::Done(None)));
+    }
+
+    fn run(&mut self, for_ms: u64) {
+        for _ in 0..for_ms / TICK_MS {
+            self.now_ms += TICK_MS;
+            self.step(Event::Tick);
+        }
+    }
+
+    fn last_of(&self, name: &str) -> &Grant {
+        self.taken[&life(name)].last().unwrap()
+    }
+
+    /// Runs until a server is granted some of a range; returns when.
+    fn granted_at_ms(&mut self, name: &str, range: KeyRange) -> u64 {
+        for _ in 0..2_000 {
+            self.run(TICK_MS);
+            if self.taken[&life(name)].iter().any(|grant| grant.range.overlaps(range)) {
+                return self.now_ms;
+            }
+        }
+        panic!("nobody got the range within 40 s");
+    }
+}
+
+fn life(name: &str) -> Life {
+    Life { server: name.into(), born_ms: 1 }
+}
+
+#[test]
+fn shorter_grants_have_new_fences() {
+    let mut play = Play::new();
+    play.run(5_000);
+    play.step(Event::StoreAnswers(false));
+    play.run(1_000);
+    let long = play.last_of("s1").clone();
+    assert_eq!(long.hold_ms, Tuning::default().long_hold_ms);
+    play.step(Event::StoreAnswers(true));
+    play.run(1_000);
+    let short = play.last_of("s1").clone();
+    assert_eq!(short.hold_ms, Tuning::default().hold_ms);
+    assert!(short.fence > long.fence, "under the old fence the long grant would go on");
+    play.run(1_000);
+    assert_eq!(play.last_of("s1").fence, short.fence, "further renewals keep it");
+}
+
+#[test]
+fn long_grant_is_waited_for() {
+    let mut play = Play::new();
+    play.run(5_000);
+    play.step(Event::StoreAnswers(false));
+    play.run(1_000);
+    let long_at_ms = play.now_ms;
+    // The server is cut off before a grant under a new fence reaches it.
+    let range = play.last_of("s1").range;
+    play.silent = Some(life("s1"));
+    play.step(Event::StoreAnswers(true));
+    let granted_ms = play.granted_at_ms("s2", range);
+    // The last long grant was taken at most a renewal before.
+    let tuning = Tuning::default();
+    assert!(granted_ms + tuning.renew_every_ms >= long_at_ms + tuning.long_hold_ms);
+}
+
+#[test]
+fn replaced_grant_is_not_waited_for() {
+    let mut play = Play::new();
+    play.run(5_000);
+    play.step(Event::StoreAnswers(false));
+    play.run(1_000);
+    play.step(Event::StoreAnswers(true));
+    play.run(1_000);
+    let (range, lost_ms) = (play.last_of("s1").range, play.now_ms);
+    play.silent = Some(life("s1"));
+    let granted_ms = play.granted_at_ms("s2", range);
+    let tuning = Tuning::default();
+    assert!(granted_ms <= lost_ms + tuning.stands_until_ms(0, tuning.hold_ms) + 2 * TICK_MS);
+}
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -43,6 +43,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Held {
     range: KeyRange,
+    fence: Fence,
     until_ms: u64,
 }
 
@@ -482,9 +483,16 @@
     }
     server.seen.push((grant.range, grant.fence));
     let hold_ms = grant.hold_ms + grant.hold_ms * SLOW_PERCENT / 100;
+    // A renewal never takes back what was granted under the same fence.
+    let earlier = server
+        .held
+        .iter()
+        .filter(|held| held.fence == grant.fence && held.range.overlaps(grant.range))
+        .map(|held| held.until_ms);
+    let until_ms = earlier.max().unwrap_or(0).max(arrived_ms + hold_ms);
     let mut held: Vec<Held> =
         server.held.iter().flat_map(|held| without(held, grant.range)).collect();
-    held.push(Held { range: grant.range, until_ms: arrived_ms + hold_ms });
+    held.push(Held { range: grant.range, fence: grant.fence, until_ms });
     server.held = held;
     Reply::Done(None)
 }
