Give a silent server nothing until it answers an order

Cause: seen in a golden session: a server that the leader cannot reach and that is still registered was taken for silent for 1.5 s after each unanswered order, then got ranges again by balance. Each of them was without a holder for about 4 s, until its first grant counted as lost; in 13 s that came three times. Change: a silent server gets no ranges until it has answered; it is asked once a second with a release of a key that it does not hold, which changes nothing there.

--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -157,6 +157,9 @@
                 self.balance(turn, &mut candidates);
             }
         }
+        if balances {
+            self.ask_silent(turn);
+        }
         self.carry_out(turn);
         self.write(turn);
         if std::mem::take(&mut self.is_changed) {
@@ -174,6 +177,22 @@
         !is_first || (servers > 0 && turn.now_ms >= self.seen.1 + turn.tuning.settle_ms)
     }
 
+    /// Asks servers that were silent whether they answer now.
+    ///
+    /// Giving up a key that it does not hold changes nothing at a server; those that may
+    /// hold something get orders anyhow.
+    fn ask_silent(&self, turn: &mut Turn<'_>) {
+        let (registry, service) = (turn.servers.registry, turn.service);
+        let is_ours = |life: &Life| {
+            registry.get(life).is_some_and(|server| server.service == *service)
+                && !self.names(life)
+        };
+        for life in turn.orders.to_ask(turn.now_ms, is_ours) {
+            let fence = turn.fences.next();
+            turn.release(&life, Release { range: KeyRange::FIRST, fence }, turn.now_ms);
+        }
+    }
+
     /// Returns whether a piece needs a successor, or has one that may have left.
     fn needs_choice(&self, turn: &Turn<'_>) -> bool {
         let has_successor = self.pieces.iter().any(|piece| piece.successor.is_some());
--- a/crates/shard/src/range.rs
+++ b/crates/shard/src/range.rs
@@ -15,6 +15,9 @@
     /// All keys.
     pub const WHOLE: Self = Self { from: 0, to: u16::MAX };
 
+    /// The first key alone.
+    pub const FIRST: Self = Self { from: 0, to: 0 };
+
     /// Creates a range; `None` if it would be empty.
     #[must_use]
     pub fn new(from: u16, to: u16) -> Option<Self> {
--- a/crates/shard/src/turn.rs
+++ b/crates/shard/src/turn.rs
@@ -27,8 +27,12 @@
 pub(crate) struct Orders {
     last: u64,
     open: HashMap<OrderId, Open>,
-    /// Servers that did not answer lately, and until when they get no more ranges.
-    silent_until_ms: HashMap<Life, u64>,
+    /// Servers that did not answer their last order, and when they are asked next.
+    ///
+    /// They get no more ranges until they answer: a server may be out of reach from here and
+    /// registered all the same, and each range would be without a holder until its first
+    /// grant counts as lost.
+    silent: HashMap<Life, u64>,
     /// Where servers were last known; one that is not registered any more may still hold.
     known: HashMap<Life, Arc<Registration>>,
 }
@@ -42,10 +46,8 @@
     deadline_ms: u64,
 }
 
-/// How long a server that did not answer an order gets no more ranges.
-///
-/// It may still be registered: its entry lapses only after some heartbeats.
-const SILENT_MS: u64 = 1_500;
+/// How often a server that did not answer is asked whether it does now.
+const ASK_EVERY_MS: u64 = 1_000;
 /// A cold server does about half the work of a warm one.
 const COLD_PART: f32 = 0.5;
 
@@ -77,16 +79,27 @@
     pub(crate) fn note_answer(&mut self, now_ms: u64, life: &Life, reply: &Reply) {
         match reply {
             Reply::Done(_) | Reply::Fenced => {
-                self.silent_until_ms.remove(life);
+                self.silent.remove(life);
             }
             Reply::NotSent | Reply::Unclear => {
-                self.silent_until_ms.insert(life.clone(), now_ms + SILENT_MS);
+                self.silent.insert(life.clone(), now_ms + ASK_EVERY_MS);
             }
         }
     }
 
-    fn is_silent(&self, now_ms: u64, life: &Life) -> bool {
-        self.silent_until_ms.get(life).is_some_and(|until_ms| now_ms < *until_ms)
+    fn is_silent(&self, life: &Life) -> bool {
+        self.silent.contains_key(life)
+    }
+
+    /// Returns the silent servers of some kind that are to be asked now.
+    pub(crate) fn to_ask(&mut self, now_ms: u64, is_meant: impl Fn(&Life) -> bool) -> Vec<Life> {
+        let due = self.silent.iter_mut();
+        let due = due.filter(|(life, ask_at_ms)| now_ms >= **ask_at_ms && is_meant(life));
+        due.map(|(life, ask_at_ms)| {
+            *ask_at_ms = now_ms + ASK_EVERY_MS;
+            life.clone()
+        })
+        .collect()
     }
 
     /// Takes an order out that was answered.
@@ -97,7 +110,7 @@
     /// Forgets servers that are not registered any more and have nothing to release.
     pub(crate) fn forget(&mut self, is_needed: impl Fn(&Life) -> bool) {
         self.known.retain(|life, _| is_needed(life));
-        self.silent_until_ms.retain(|life, _| is_needed(life));
+        self.silent.retain(|life, _| is_needed(life));
     }
 
     pub(crate) fn remember<'a>(&mut self, servers: impl Iterator<Item = &'a Arc<Registration>>) {
@@ -183,7 +196,7 @@
     pub(crate) fn candidates(&self) -> Vec<Candidate> {
         let registry = self.servers.registry;
         let welcome: Vec<&Arc<Registration>> = registry.usable(self.service).collect();
-        let answers = |server: &Registration| !self.orders.is_silent(self.now_ms, &server.life);
+        let answers = |server: &Registration| !self.orders.is_silent(&server.life);
         let any_answers = welcome.iter().any(|server| answers(server));
         let usable = welcome.into_iter().filter(|server| !any_answers || answers(server));
         usable
--- /dev/null
+++ b/crates/shard/tests/silent_servers.rs
@@ -0,0 +1,109 @@
+//! A server that is registered and does not answer gets no ranges until it does.
+use document::HashMap;
+use registry::{Life, Registration, Registry, Stage};
+use shard::{Epoch, Event, Leader, Note, OrderId, OrderKind, Output, Reply, Servers, Tuning};
+
+const SERVICE: &str = "ledger";
+const TICK_MS: u64 = 20;
+
+struct Play {
+    now_ms: u64,
+    leader: Leader,
+    registry: Registry,
+    speeds: HashMap<Life, f32>,
+    /// Whether the last server is out of the leader's reach.
+    is_cut: bool,
+    /// How many ranges were meant to go to it.
+    planned: usize,
+    /// How many orders it answered.
+    answered: usize,
+}
+
+impl Play {
+    fn new() -> Self {
+        let mut registry = Registry::default();
+        for name in ["s1", "s2", "s3"] {
+            let registration = Registration {
+                life: life(name),
+                service: SERVICE.into(),
+                address: ([127, 0, 0, 1], 4_000).into(),
+                data_centre: "a".into(),
+                slots: 4,
+                stage: Stage::Ready,
+                cold_until_ms: 0,
+                heartbeat: 1,
+            };
+            registry.put(0, name, registration);
+        }
+        let mut leader = Leader::new(Epoch(5), 0, u64::MAX, &[], Tuning::default());
+        leader.add_service(&SERVICE.into());
+        let speeds = HashMap::default();
+        Self { now_ms: 0, leader, registry, speeds, is_cut: false, planned: 0, answered: 0 }
+    }
+
+    fn step(&mut self, event: Event) {
+        let servers = Servers { registry: &self.registry, speeds: &self.speeds };
+        let outputs = self.leader.step(self.now_ms, servers, event);
+        for output in outputs {
+            match output {
+                Output::Order { id, server, kind, .. } => self.answer(id, &server.life, &kind),
+                Output::Write { service, record } => {
+                    self.step(Event::Recorded { service, number: record.number });
+                }
+                Output::Note(Note::Planned { to, .. }) => {
+                    self.planned += usize::from(to == life("s3"));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn answer(&mut self, id: OrderId, to: &Life, kind: &OrderKind) {
+        let is_lost = self.is_cut && *to == life("s3");
+        self.answered += usize::from(*to == life("s3") && !is_lost);
+        let token = matches!(kind, OrderKind::Release(_)).then(|| "token".into());
+        let reply = if is_lost { Reply::NotSent } else { Reply::Done(token) };
+        self.step(Event::Answered(id, reply));
+    }
+
+    /// Runs under a load on all keys.
+    fn run(&mut self, for_ms: u64) {
+        for _ in 0..for_ms / TICK_MS {
+            self.now_ms += TICK_MS;
+            if let Some(load) = self.leader.load_mut(SERVICE) {
+                for key in (0..=u16::MAX).step_by(256) {
+                    load.add(key, 0.5);
+                }
+            }
+            self.step(Event::Tick);
+        }
+    }
+}
+
+fn life(name: &str) -> Life {
+    Life { server: name.into(), born_ms: 1 }
+}
+
+#[test]
+fn nothing_goes_to_a_silent_server() {
+    let mut play = Play::new();
+    play.run(5_000);
+    play.is_cut = true;
+    // Its last grant runs out meanwhile, and its keys are with the others.
+    play.run(6_000);
+    play.planned = 0;
+    play.run(30_000);
+    assert_eq!(play.planned, 0, "each range would be without a holder for seconds");
+}
+
+#[test]
+fn it_is_used_again_once_it_answers() {
+    let mut play = Play::new();
+    play.run(5_000);
+    play.is_cut = true;
+    play.run(20_000);
+    (play.is_cut, play.planned, play.answered) = (false, 0, 0);
+    play.run(3_000);
+    assert!(play.answered > 0, "it is asked");
+    assert!(play.planned > 0, "its share comes back");
+}
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -160,6 +160,43 @@
         Ok(())
     }
 
+    /// Has a server leave, and a new one come.
+    pub fn drain(&mut self, name: &str) {
+        let name = Name::from(name);
+        self.servers.get_mut(&name).expect("a server").stage_is_draining = true;
+        self.list(&name);
+        self.note(&format!("{name} drains"));
+        self.add_server();
+    }
+
+    /// Has a server crash and start again under its name.
+    pub fn crash(&mut self, name: &str) {
+        self.restart(&Name::from(name));
+    }
+
+    /// Cuts a server off, or ends that.
+    pub fn cut(&mut self, name: &str, is_cut: bool) {
+        self.servers.get_mut(name).expect("a server").is_cut = is_cut;
+        self.note(&format!("{name} cut: {is_cut}"));
+    }
+
+    /// Takes the leader away; another one follows when its lease has ended.
+    pub fn depose(&mut self) {
+        self.note("the leader is gone");
+        self.leaders.iter_mut().for_each(|leader| *leader = None);
+    }
+
+    /// Has the store not answer for some time.
+    pub fn take_store_down(&mut self, for_ms: u64) {
+        self.store_down_until_ms = self.now_ms + for_ms;
+        self.note(&format!("the store is down for {for_ms} ms"));
+    }
+
+    /// Ends or begins the hot keys that come and go by themselves.
+    pub fn set_loaded(&mut self, is_loaded: bool) {
+        self.is_loaded = is_loaded;
+    }
+
     fn note(&mut self, line: &str) {
         let _ = writeln!(self.trace, "{:>6} {line}", self.now_ms);
     }
@@ -200,28 +237,21 @@
         let name = names[self.random.random_range(0..names.len())].clone();
         let faults = self.faults;
         if self.hits(faults.cut) {
-            let server = self.servers.get_mut(&name).expect("a server");
-            server.is_cut = !server.is_cut;
-            let line = format!("{name} cut: {}", server.is_cut);
-            self.note(&line);
+            let is_cut = !self.servers[&name].is_cut;
+            self.cut(&name, is_cut);
         }
         if self.hits(faults.crash) {
             self.restart(&name);
         }
         if self.hits(faults.drain) {
-            self.servers.get_mut(&name).expect("a server").stage_is_draining = true;
-            self.list(&name);
-            self.note(&format!("{name} drains"));
-            self.add_server();
+            self.drain(&name);
         }
         if self.hits(faults.depose) {
-            self.note("the leader is gone");
-            self.leaders.iter_mut().for_each(|leader| *leader = None);
+            self.depose();
         }
         if self.hits(faults.store_down) {
-            self.store_down_until_ms = self.now_ms + self.random.random_range(500..8_000);
-            let until_ms = self.store_down_until_ms;
-            self.note(&format!("the store is down until {until_ms}"));
+            let for_ms = self.random.random_range(500..8_000);
+            self.take_store_down(for_ms);
         }
         if self.is_loaded
             && let Some(Some(leader)) = self.leaders.last_mut()
