--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod call;
 mod clock;
 mod election;
+mod entries;
 mod exchange;
 mod follow;
 mod forward;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -7,7 +7,7 @@
 
 use document::{HashMap, HashSet, Name, Revision};
 use peer::{FleetBody, FleetFrame, Links, Load};
-use registry::{Change, Life, Registration, Registry};
+use registry::{Change, Life, Registry};
 use shard::{Epoch, Event, Table};
 use site::Site;
 use store::{Entry, Expect, Store};
@@ -19,7 +19,6 @@
 use crate::follow::{DAEMONS, DaemonEntry, LEADER};
 use crate::input::{Input, Read, Topic};
 use crate::leadership::Leading;
-use crate::port::EntryText;
 use crate::relay::Relay;
 use crate::report::ServiceState;
 use crate::server::Server;
@@ -31,7 +30,7 @@
     pub(crate) settings: Settings,
     pub(crate) store: S,
     pub(crate) orders: O,
-    source: R,
+    pub(crate) source: R,
     pub(crate) shared: Arc<Shared>,
     pub(crate) clock: BootClock,
     pub(crate) inputs: mpsc::Sender<Input>,
@@ -54,7 +53,8 @@
     pub(crate) beat_at_ms: u64,
     pub(crate) site: Option<Arc<Site>>,
     pub(crate) registry: Registry,
-    unreadable: HashSet<Name>,
+    /// Servers whose entries made no sense; each is told once.
+    pub(crate) unreadable: HashSet<Name>,
     pub(crate) daemons: BTreeMap<Name, DaemonEntry>,
     /// The leader, by its entry, with the entry's revision.
     leader: Option<(Name, Revision)>,
@@ -242,18 +242,9 @@
     }
 
     fn take_listing(&mut self, topic: Topic, entries: &[Entry], read: Read) {
-        let now_ms = self.clock.now_ms();
         match topic {
             Topic::Site => {}
-            Topic::Servers => {
-                let prefix = self.source.servers_prefix();
-                let names: Vec<Name> = entries
-                    .iter()
-                    .filter_map(|entry| entry.key.strip_prefix(prefix).map(Name::from))
-                    .collect();
-                self.keep_only(now_ms, &names, read.revision);
-                self.is_list_old = false;
-            }
+            Topic::Servers => self.take_server_list(entries, read),
             Topic::Fleet => {
                 self.is_fleet_known = true;
                 self.daemons.clear();
@@ -270,21 +261,7 @@
                     self.take_site(entry);
                 }
             }
-            Topic::Servers => {
-                if !self.store_answers {
-                    // Entries may have lapsed while servers could not write either.
-                    self.registry.list_returned(self.clock.now_ms());
-                }
-                for entry in entries {
-                    self.take_server(entry);
-                }
-                self.entries_at = self.entries_at.max(read.revision);
-                self.entries_read_at_ms = Some(read.at_ms);
-                if !self.changed_servers.is_empty() {
-                    self.tell_servers(&self.role());
-                }
-                self.step(Event::Tick);
-            }
+            Topic::Servers => self.take_servers(entries, read),
             Topic::Fleet => {
                 for entry in entries {
                     self.take_fleet(entry);
@@ -315,59 +292,6 @@
         self.add_keyed_services();
     }
 
-    fn take_server(&mut self, entry: &Entry) {
-        let now_ms = self.clock.now_ms();
-        let Some(name) = entry.key.strip_prefix(self.source.servers_prefix()) else { return };
-        let Some(text) = entry.text.as_deref() else {
-            self.remove_server(now_ms, name, entry.revision);
-            return;
-        };
-        match self.source.read_server(EntryText { server: name, text, now_ms }) {
-            Ok(registration) => self.put_server(now_ms, registration, entry.revision),
-            Err(cause) => {
-                if self.unreadable.insert(Name::from(name)) {
-                    spdlog::warn!("server's entry cannot be used", kv: { server = name, cause: });
-                }
-            }
-        }
-    }
-
-    pub(crate) fn put_server(&mut self, now_ms: u64, server: Registration, revision: Revision) {
-        let name = server.life.server.clone();
-        if self.registry.put(now_ms, &name, server) == Change::Nothing {
-            return;
-        }
-        self.is_view_old = true;
-        if let Some(server) = self.registry.by_name(&name) {
-            spdlog::info!(
-                "server listed",
-                kv: {
-                    server: = server.life, service = server.service.as_str(),
-                    data_centre = server.data_centre.as_str(), stage:? = server.stage,
-                    revision = revision.0
-                }
-            );
-        }
-        self.changed_servers.insert(name);
-    }
-
-    /// Takes a whole list: what it does not name is gone, or has lapsed.
-    pub(crate) fn keep_only(&mut self, now_ms: u64, names: &[Name], revision: Revision) {
-        let missing = self.registry.listed().filter(|name| !names.contains(name));
-        let missing: Vec<Name> = missing.cloned().collect();
-        for name in missing {
-            self.remove_server(now_ms, &name, revision);
-        }
-    }
-
-    pub(crate) fn remove_server(&mut self, now_ms: u64, name: &str, revision: Revision) {
-        if self.registry.remove(now_ms, name) == Change::Server {
-            spdlog::info!("server gone", kv: { server = name, revision = revision.0 });
-            self.is_view_old = true;
-            self.changed_servers.insert(Name::from(name));
-        }
-    }
-
     fn take_fleet(&mut self, entry: &Entry) {
         if entry.key == LEADER {
             let name = entry.text.as_deref().and_then(|text| text.split(' ').next());
--- a/crates/gateway/src/relaying.rs
+++ b/crates/gateway/src/relaying.rs
@@ -54,11 +54,7 @@
         }
         spdlog::info!("servers' entries no longer told", kv: { revision = self.entries_at.0 });
         let body = FleetBody::Servers(Servers { is_over: true, ..self.message(false) });
-        for daemon in tells {
-            if let Some(address) = self.address(daemon) {
-                self.send(address, body.clone());
-            }
-        }
+        self.send_each(tells, &body);
     }
 
     /// Tells the daemons of this group what changed since the last message.
@@ -79,11 +75,7 @@
             changed.into_iter().partition(|name| self.registry.is_listed(name));
         let listed = listed.iter().filter_map(|name| self.to_sent(name)).collect();
         let body = FleetBody::Servers(Servers { listed, gone, ..self.message(false) });
-        for daemon in tells {
-            if let Some(address) = self.address(daemon) {
-                self.send(address, body.clone());
-            }
-        }
+        self.send_each(tells, &body);
     }
 
     /// Sends all servers to a daemon that missed something.
@@ -96,6 +88,14 @@
         self.send(address, FleetBody::Servers(Servers { listed, ..self.message(true) }));
     }
 
+    fn send_each(&mut self, daemons: &[Name], body: &FleetBody) {
+        for daemon in daemons {
+            if let Some(address) = self.address(daemon) {
+                self.send(address, body.clone());
+            }
+        }
+    }
+
     /// Returns a message without servers.
     fn message(&self, is_whole: bool) -> Servers {
         Servers {
