--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -19,4 +19,4 @@
 
 pub use belief::Belief;
 pub use line::Line;
-pub use read::{Found, believe, trace};
+pub use read::{Found, believe, ranges_of, trace};
--- a/crates/trace/src/line.rs
+++ b/crates/trace/src/line.rs
@@ -1,5 +1,7 @@
 //! One line of a log.
 
+use std::ops::RangeInclusive;
+
 use serde::Deserialize;
 use serde_json::{Map, Value};
 
@@ -45,6 +47,20 @@
         self.fields.get(name)?.as_u64()
     }
 
+    /// Returns the range of keys that the line is about, if it is about one.
+    #[must_use]
+    pub fn range(&self) -> Option<RangeInclusive<u16>> {
+        let text = self.text("range")?;
+        let (from, to) = text.split_once('-').unwrap_or((text, text));
+        Some(from.parse().ok()?..=to.parse().ok()?)
+    }
+
+    /// Returns the key of the request that the line is about, if it has one.
+    #[must_use]
+    pub fn key(&self) -> Option<u16> {
+        self.text("key")?.strip_prefix("Some(")?.strip_suffix(')')?.parse().ok()
+    }
+
     /// Returns the fields in one line, without the request's id.
     #[must_use]
     pub fn to_fields_text(&self) -> String {
--- a/crates/trace/src/read.rs
+++ b/crates/trace/src/read.rs
@@ -1,6 +1,7 @@
 //! Reading files of lines.
 
 use std::io::{self, BufRead};
+use std::ops::RangeInclusive;
 
 use crate::{Belief, Line};
 
@@ -54,6 +55,30 @@
     Ok(belief)
 }
 
+/// Returns what a file tells of the range that a key is in, within some time.
+///
+/// Leaders write these lines: where the range was to move, who took it, gave it up or let it
+/// run out.
+///
+/// # Errors
+///
+/// Fails when the file cannot be read.
+pub fn ranges_of(
+    reader: impl BufRead,
+    key: u16,
+    times_ms: RangeInclusive<u64>,
+) -> io::Result<Vec<Line>> {
+    let mut found = Vec::new();
+    for_each(reader, |line| {
+        let is_about = line.range().is_some_and(|range| range.contains(&key));
+        if is_about && times_ms.contains(&line.time_ms) {
+            found.push(line.clone());
+        }
+        line.time_ms <= *times_ms.end()
+    })?;
+    Ok(found)
+}
+
 /// Hands every line on until the file ends or enough was seen.
 fn for_each(mut reader: impl BufRead, mut take: impl FnMut(&Line) -> bool) -> io::Result<()> {
     let mut text = Vec::new();
--- a/crates/trace/tests/one_request.rs
+++ b/crates/trace/tests/one_request.rs
@@ -1,5 +1,5 @@
 //! The way of one request through logs.
-use trace::{believe, trace};
+use trace::{Line, believe, ranges_of, trace};
 
 fn log() -> String {
     let lines = [
@@ -41,3 +41,31 @@
     text.push_str("\n{\"timestamp\":60,\"payload\":\"started\",\"kv\":{}}");
     assert_eq!(believe(text.as_bytes(), 70).unwrap().version, None);
 }
+
+#[test]
+fn range_of_a_key() {
+    let lines = [
+        r#"{"timestamp":10,"payload":"range is to move","kv":{"range":"100-200","why":"Load"}}"#,
+        r#"{"timestamp":11,"payload":"range is to move","kv":{"range":"201-300","why":"Load"}}"#,
+        r#"{"timestamp":12,"payload":"range granted","kv":{"range":"150","fence":7}}"#,
+        r#"{"timestamp":13,"payload":"balance","kv":{"ranges":4}}"#,
+        r#"{"timestamp":99,"payload":"grant ran out","kv":{"range":"100-200"}}"#,
+    ];
+    let log = lines.join("\n");
+    let found = ranges_of(log.as_bytes(), 150, 5..=50).unwrap();
+    let what: Vec<&str> = found.iter().map(|line| line.what.as_str()).collect();
+    assert_eq!(what, ["range is to move", "range granted"]);
+    assert!(ranges_of(log.as_bytes(), 99, 5..=50).unwrap().is_empty());
+}
+
+#[test]
+fn key_of_a_request() {
+    let key = |key: &str| {
+        let text =
+            format!(r#"{{"timestamp":1,"payload":"request served","kv":{{"key":"{key}"}}}}"#);
+        Line::from_text(&text).unwrap().key()
+    };
+    assert_eq!(key("Some(29931)"), Some(29_931));
+    assert_eq!(key("None"), None);
+    assert_eq!(key("Some(70000)"), None);
+}
--- a/crates/verbenactl/src/logs.rs
+++ b/crates/verbenactl/src/logs.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 
 use clap::ArgMatches;
-use trace::{Found, believe, trace};
+use trace::{Found, believe, ranges_of, trace};
 
 use crate::{End, Failure, FaultKind, Result};
 
@@ -30,6 +30,34 @@
             println!("    server {server}: {stage}");
         }
     }
+    print_ranges(matches, &found)
+}
+
+/// How long before a request's first line its key's range is looked at: the longest grant
+/// and a takeover.
+const RANGES_MS: u64 = 15_000;
+
+/// Prints what leaders did with the range of a request's key before it ended.
+fn print_ranges(matches: &ArgMatches, found: &[Found]) -> Result<End> {
+    let key = found.iter().find_map(|found| found.line.key());
+    let (Some(key), [first, .., last] | [first @ last]) = (key, found) else {
+        return Ok(End::Done);
+    };
+    let times_ms = first.line.time_ms.saturating_sub(RANGES_MS)..=last.line.time_ms;
+    let mut lines = Vec::new();
+    for (name, reader) in open(matches)? {
+        let ranges = ranges_of(reader, key, times_ms.clone());
+        let ranges = ranges.map_err(|error| unreadable(&name, &error))?;
+        lines.extend(ranges.into_iter().map(|line| (name.clone(), line)));
+    }
+    lines.sort_by_key(|(_, line)| line.time_ms);
+    println!("the range of key {key}, in the {} s before:", RANGES_MS / 1_000);
+    for (name, line) in &lines {
+        println!("{} {name} {}\n    {}", line.time_ms, line.what, line.to_fields_text());
+    }
+    if lines.is_empty() {
+        println!("    no line: it stayed where it was");
+    }
     Ok(End::Done)
 }
 
