Wait for the longest end of what a server was granted

Change: what may stand at a server never gets shorter but by a release. Price: a server lost within 10 s after a store outage or a change of leader is replaced later.

--- a/crates/shard/src/answers.rs
+++ b/crates/shard/src/answers.rs
@@ -65,7 +65,7 @@
                             hold_ms: grant.hold_ms,
                         }));
                     }
-                    holder.note_taken(until_ms);
+                    holder.is_fence_taken = true;
                     holder.failures = 0;
                     holder.refusals = 0;
                     self.is_changed |= !holder.serves;
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -372,11 +372,9 @@
     let handover = piece.handover.clone();
     let range = piece.range;
     let Some(holder) = &mut piece.holder else { return };
-    // Only a new fence takes back what a longer grant gave.
-    if holder.refusals > 0 || turn.hold_ms < holder.hold_ms {
+    if holder.refusals > 0 {
         holder.renew_fence(turn.fences.next());
     }
-    holder.hold_ms = holder.hold_ms.max(turn.hold_ms);
     holder.renew_at_ms = turn.now_ms + turn.tuning.renew_every_ms;
     let (life, fence) = (holder.life.clone(), holder.fence);
     turn.grant(&life, Grant { range, fence, hold_ms: turn.hold_ms, handover });
--- a/crates/shard/src/piece.rs
+++ b/crates/shard/src/piece.rs
@@ -24,8 +24,6 @@
     pub(crate) life: Life,
     /// The fence of its grants.
     pub(crate) fence: Fence,
-    /// The longest hold that was granted under the fence.
-    pub(crate) hold_ms: u64,
     /// Whether the server has taken a grant under the fence.
     pub(crate) is_fence_taken: bool,
     /// Until when grants that are no longer on their way may stand.
@@ -103,6 +101,8 @@
     }
 
     /// Notes until when a grant to a server may stand, whichever life took it.
+    ///
+    /// A shorter grant takes nothing back, under a higher fence neither.
     pub(crate) fn note_grant(&mut self, life: &Life, until_ms: u64) {
         let holder = self.holder.iter_mut().filter(|holder| holder.life.server == life.server);
         let formers = self.formers.iter_mut().filter(|former| former.life.server == life.server);
@@ -157,7 +157,6 @@
         Self {
             life,
             fence,
-            hold_ms: 0,
             is_fence_taken: false,
             standing_until_ms: 0,
             renew_at_ms: 0,
@@ -167,22 +166,12 @@
         }
     }
 
-    /// Goes on under a new fence: the first grant under it that is taken replaces all before.
+    /// Goes on under a new fence.
     pub(crate) fn renew_fence(&mut self, fence: Fence) {
         self.fence = fence;
-        self.hold_ms = 0;
         self.is_fence_taken = false;
     }
 
-    /// Notes that the server has taken a grant that ends at some time.
-    ///
-    /// Under one fence no grant takes back what an earlier one gave.
-    pub(crate) fn note_taken(&mut self, until_ms: u64) {
-        let earlier_ms = if self.is_fence_taken { self.standing_until_ms } else { 0 };
-        self.standing_until_ms = until_ms.max(earlier_ms);
-        self.is_fence_taken = true;
-    }
-
     /// Returns whether no grant may have reached it yet and more are to be tried.
     fn is_untried(&self) -> bool {
         self.standing_until_ms == 0 && self.failures == 0
