Have one piece of code where gateway and proxy, or two clients, did the same

Cause: read again as a newcomer would, several things stood twice. Change, behaviour as before: - proxy::Crashes is the memory of requests that crash servers, with its lengths and deadlines; gateway::Shared, proxy::Traffic and verbenad's node had three versions of it. - proxy::read_body, proxy::to_labels, store::exchange, document::LOG_LEVEL serve both sides. - Registry::keep_only returns whose absence is news; gateway had a second loop beside it, and the first was dead but for its tests.

--- a/crates/document/src/form.rs
+++ b/crates/document/src/form.rs
@@ -30,6 +30,10 @@
 /// `yes` or `no`.
 pub const YES_NO: Form<bool> = Form { read: read_yes_no, expected: "yes or no" };
 
+/// The least serious log lines that are written.
+pub const LOG_LEVEL: Form<Name> =
+    Form { read: read_log_level, expected: "debug, info, warn or error" };
+
 /// An IP address with a port.
 pub const ADDRESS: Form<SocketAddr> = Form {
     read: |text| text.parse().ok(),
@@ -59,6 +63,10 @@
     }
 }
 
+fn read_log_level(text: &str) -> Option<Name> {
+    matches!(text, "debug" | "info" | "warn" | "error").then(|| Name::from(text))
+}
+
 fn read_duration(text: &str) -> Option<u64> {
     let Some((whole, rest)) = text.split_once('.') else {
         return read_with_unit(text, &DURATION_UNITS);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,11 +7,10 @@
 use http::header::HOST;
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
+use proxy::{BodyFault, read_body};
 use route::{Arrival, Fingerprint, Reason, Refusal};
 use site::{Route, Site};
-use tokio::time::timeout_at;
 
 use crate::Shared;
 use crate::report::RouteState;
@@ -79,7 +78,14 @@
     let part = route.part(rand::random()).cloned();
     let service = part.ok_or(Refusal::not_run(Reason::NoRoute))?;
     proxy::strip_request(&mut head.headers);
-    let body = read_body(shared, site, body, deadline_ms).await?;
+    let deadline = shared.clock.to_instant(deadline_ms);
+    let body = read_body(body, site.limits().body_bytes, deadline).await.map_err(|fault| {
+        Refusal::not_run(match fault {
+            BodyFault::TooLarge => Reason::BodyTooLarge,
+            BodyFault::BrokenOff => Reason::BodyIncomplete,
+            BodyFault::Late => Reason::Expired,
+        })
+    })?;
     let state = shared.route_state(&route);
     Ok(Call { head, body, id, host, key, route, state, service, arrived_ms, deadline_ms })
 }
@@ -99,27 +105,3 @@
 fn number<T: std::str::FromStr>(headers: &HeaderMap, name: &HeaderName) -> Option<T> {
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
-
-async fn read_body(
-    shared: &Shared,
-    site: &Site,
-    body: Incoming,
-    deadline_ms: u64,
-) -> Result<Bytes, Refusal> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let most = site.limits().body_bytes;
-    if body.size_hint().lower() > u64::try_from(most).unwrap_or(u64::MAX) {
-        return Err(Refusal::not_run(Reason::BodyTooLarge));
-    }
-    let deadline = shared.clock.to_instant(deadline_ms);
-    match timeout_at(deadline, Limited::new(body, most).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(Refusal::not_run(Reason::BodyTooLarge))
-        }
-        Ok(Err(_)) => Err(Refusal::not_run(Reason::BodyIncomplete)),
-        Err(_elapsed) => Err(Refusal::not_run(Reason::Expired)),
-    }
-}
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -34,7 +34,7 @@
         self.entries_at = self.entries_at.max(read.revision);
         self.entries_read_at_ms = Some(read.at_ms);
         if !self.changed_servers.is_empty() {
-            self.tell_servers(&self.role());
+            self.tell_servers();
         }
         self.step(Event::Tick);
     }
@@ -56,6 +56,7 @@
         }
     }
 
+    /// Takes one entry.
     pub(crate) fn put_server(&mut self, now_ms: u64, server: Registration, revision: Revision) {
         let name = server.life.server.clone();
         if self.registry.put(now_ms, &name, server) == Change::Nothing {
@@ -77,18 +78,21 @@
 
     /// Takes a whole list: what it does not name is gone, or has lapsed.
     pub(crate) fn keep_only(&mut self, now_ms: u64, names: &[Name], revision: Revision) {
-        let missing = self.registry.listed().filter(|name| !names.contains(name));
-        let missing: Vec<Name> = missing.cloned().collect();
-        for name in missing {
-            self.remove_server(now_ms, &name, revision);
+        for name in self.registry.keep_only(now_ms, names) {
+            self.note_gone(name, revision);
         }
     }
 
+    /// Takes the absence of one entry.
     pub(crate) fn remove_server(&mut self, now_ms: u64, name: &str, revision: Revision) {
         if self.registry.remove(now_ms, name) == Change::Server {
-            spdlog::info!("server gone", kv: { server = name, revision = revision.0 });
-            self.is_view_old = true;
-            self.changed_servers.insert(Name::from(name));
+            self.note_gone(Name::from(name), revision);
         }
     }
+
+    fn note_gone(&mut self, server: Name, revision: Revision) {
+        spdlog::info!("server gone", kv: { server = server.as_str(), revision = revision.0 });
+        self.is_view_old = true;
+        self.changed_servers.insert(server);
+    }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -56,7 +56,7 @@
     let failure = match result {
         Ok(response) => {
             note_answer(&server, &call, started);
-            shared.note_answer(|| call.fingerprint());
+            shared.crashes.note_answer(|| call.fingerprint());
             let is_failure = response.status().is_server_error();
             return if is_failure {
                 Exchanged::Failed(response)
--- /dev/null
+++ b/crates/gateway/src/fleet.rs
@@ -0,0 +1,111 @@
+//! The other daemons and their leader, and messages to them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use document::Name;
+use peer::{FleetBody, FleetFrame};
+use store::{Entry, Expect, Store};
+
+use crate::election::Campaign;
+use crate::follow::{DAEMONS, DaemonEntry, LEADER};
+use crate::node::Node;
+use crate::{Orders, Source};
+
+/// How long a daemon waits at most before it campaigns, and how much longer for each other
+/// daemon. The first is expected after one such part; others find within the pace of
+/// reading daemons' entries that it was elected, and do not try.
+const CAMPAIGN_SPREAD_MS: u64 = 100;
+const CAMPAIGN_SPREAD_EACH_MS: u64 = 40;
+
+impl<S: Store, O: Orders, R: Source> Node<S, O, R> {
+    /// Takes the entry of a daemon, or of the leader.
+    pub(crate) fn take_fleet(&mut self, entry: &Entry) {
+        if entry.key == LEADER {
+            let name = entry.text.as_deref().and_then(|text| text.split(' ').next());
+            self.leader = name.map(|name| (Name::from(name), entry.revision));
+            return;
+        }
+        let Some(name) = entry.key.strip_prefix(DAEMONS).map(Name::from) else { return };
+        match entry.text.as_deref().map(serde_json::from_str::<DaemonEntry>) {
+            Some(Ok(daemon)) => {
+                if self.daemons.insert(name, daemon.clone()) != Some(daemon) {
+                    self.is_view_old = true;
+                    // A daemon that is new hears of the owners at once.
+                    if let Some(leading) = &mut self.leading {
+                        leading.publish_at_ms = 0;
+                        leading.whole_at_ms = 0;
+                    }
+                }
+            }
+            Some(Err(error)) => {
+                spdlog::warn!("daemon's entry cannot be read", kv: { daemon = name.as_str(), cause: = error });
+            }
+            None => {
+                self.daemons.remove(&name);
+                self.is_view_old = true;
+            }
+        }
+        let live: Vec<SocketAddr> = self.daemons.values().map(|daemon| daemon.address).collect();
+        self.links.retain(|address| live.contains(address));
+    }
+
+    /// Returns what is needed to become the leader, and to stay it.
+    pub(crate) fn campaign(&self) -> Campaign<S> {
+        Campaign {
+            store: self.store.clone(),
+            instance: self.settings.instance.clone(),
+            least_lease_ms: self.settings.least_lease_ms,
+            replaces: self.leader.as_ref().map_or(Expect::Missing, |(_, at)| Expect::At(*at)),
+            counters: Arc::clone(&self.shared.counters),
+            inputs: self.inputs.clone(),
+            clock: self.clock,
+        }
+    }
+
+    /// Campaigns when nobody leads, after a pause that others may use.
+    pub(crate) fn campaign_if_needed(&mut self) {
+        // An entry of this instance is left from an earlier process or an earlier epoch:
+        // nobody else acts under it, and its lease need not be waited for.
+        let is_led =
+            self.leader.as_ref().is_some_and(|(leader, _)| *leader != self.settings.instance);
+        let is_needed = self.is_fleet_known && !is_led && self.leading.is_none();
+        let is_able = self.store_answers && !self.is_campaigning && !self.shared.is_stopping();
+        if !(is_needed && is_able) {
+            self.campaign_at_ms = None;
+            return;
+        }
+        let now_ms = self.clock.now_ms();
+        let others = u64::try_from(self.daemons.len()).unwrap_or(0);
+        let spread_ms = CAMPAIGN_SPREAD_MS + CAMPAIGN_SPREAD_EACH_MS * others;
+        let at_ms =
+            *self.campaign_at_ms.get_or_insert_with(|| now_ms + rand::random_range(0..spread_ms));
+        if now_ms >= at_ms {
+            self.campaign_at_ms = None;
+            self.is_campaigning = true;
+            tokio::spawn(self.campaign().run());
+        }
+    }
+
+    /// Returns where another daemon takes messages.
+    pub(crate) fn address(&self, daemon: &Name) -> Option<SocketAddr> {
+        self.daemons.get(daemon).map(|daemon| daemon.address)
+    }
+
+    /// Sends a message to one daemon.
+    pub(crate) fn send(&mut self, to: SocketAddr, body: FleetBody) {
+        let frame = FleetFrame { from: self.settings.instance.clone(), body };
+        self.links.send(to, frame.to_bytes());
+    }
+
+    /// Sends a message to all other daemons.
+    pub(crate) fn send_all(&mut self, body: &FleetBody) {
+        let frame = FleetFrame { from: self.settings.instance.clone(), body: body.clone() };
+        let bytes = frame.to_bytes();
+        for (name, daemon) in &self.daemons {
+            if *name != self.settings.instance {
+                self.links.send(daemon.address, bytes.clone());
+            }
+        }
+    }
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -72,11 +72,9 @@
     result: &Result<Response<AnswerBody>, Refusal>,
 ) {
     let took_ms = shared.clock.now_ms() - arrived_ms;
-    let (outcome, reason) = match result {
-        Ok(response) if response.status().is_server_error() => ("failed", Labels::NONE),
-        Ok(_) if call.is_some_and(|call| took_ms > call.route.aim_ms) => ("late", Labels::NONE),
-        Ok(_) => ("served", Labels::NONE),
-        Err(refusal) => (refusal.outcome.as_str(), refusal.reason.as_str()),
+    let (outcome, reason) = match proxy::to_labels(result) {
+        ("served", none) if call.is_some_and(|call| took_ms > call.route.aim_ms) => ("late", none),
+        labels => labels,
     };
     let route = call.map_or(Labels::NONE, |call| call.route.name.as_str());
     let upstream = call.map_or(Labels::NONE, |call| call.service.as_str());
@@ -155,7 +153,7 @@
     let mut tried: Vec<Life> = Vec::new();
     let mut signed_failure = None;
     loop {
-        if shared.is_refused(|| call.fingerprint()) {
+        if shared.crashes.is_refused(|| call.fingerprint()) {
             return Err(attempts.to_refusal(Reason::Crashing));
         }
         let waits_from_ms = shared.clock.now_ms();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod election;
 mod entries;
 mod exchange;
+mod fleet;
 mod follow;
 mod forward;
 mod front;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,7 +1,6 @@
 //! The control thread: what a daemon believes, and how that changes.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,16 +9,15 @@
 use registry::{Change, Life, Registry};
 use shard::{Epoch, Event, Table};
 use site::Site;
-use store::{Entry, Expect, Store};
+use store::{Entry, Store};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
 
-use crate::election::Campaign;
-use crate::follow::{DAEMONS, DaemonEntry, LEADER};
+use crate::follow::DaemonEntry;
 use crate::input::{Input, Read, Topic};
 use crate::leadership::Leading;
-use crate::relay::Relay;
+use crate::relay::{Relay, Role};
 use crate::report::ServiceState;
 use crate::server::Server;
 use crate::{BootClock, Orders, Settings, Shared, Source};
@@ -37,6 +35,8 @@
     renewals: watch::Sender<u64>,
     /// Whether this daemon reads the servers' entries itself.
     pub(crate) needs_entries: watch::Sender<bool>,
+    /// What this daemon does about the servers' entries.
+    pub(crate) role: Role,
     pub(crate) relay: Relay,
     /// The store's revision up to which servers' entries are known here.
     pub(crate) entries_at: Revision,
@@ -57,14 +57,14 @@
     pub(crate) unreadable: HashSet<Name>,
     pub(crate) daemons: BTreeMap<Name, DaemonEntry>,
     /// The leader, by its entry, with the entry's revision.
-    leader: Option<(Name, Revision)>,
-    is_fleet_known: bool,
-    is_campaigning: bool,
+    pub(crate) leader: Option<(Name, Revision)>,
+    pub(crate) is_fleet_known: bool,
+    pub(crate) is_campaigning: bool,
     /// When this daemon campaigns, if nobody else was elected by then.
-    campaign_at_ms: Option<u64>,
+    pub(crate) campaign_at_ms: Option<u64>,
     pub(crate) store_answers: bool,
     pub(crate) leading: Option<Leading>,
-    links: Links,
+    pub(crate) links: Links,
     pub(crate) tables: HashMap<Name, Arc<Table>>,
     pub(crate) tables_from: (Epoch, u64),
     /// Whether a message with tables was missed.
@@ -89,12 +89,6 @@
 const CRASHES_MS: u64 = 1_000;
 /// How often it is said how many lines were left out.
 const LINES_MS: u64 = 1_000;
-/// How long a daemon waits at most before it campaigns, and how much longer for each other
-/// daemon. The first is expected after one such part; others find within the pace of
-/// reading daemons' entries that it was elected, and do not try.
-const CAMPAIGN_SPREAD_MS: u64 = 100;
-const CAMPAIGN_SPREAD_EACH_MS: u64 = 40;
-
 /// What a node is made of.
 pub(crate) struct Parts<S, O, R> {
     pub(crate) settings: Settings,
@@ -119,6 +113,7 @@
             inputs: parts.inputs,
             renewals: parts.renewals,
             needs_entries: parts.needs_entries,
+            role: Role::Reads { tells: Vec::new() },
             relay: Relay::default(),
             entries_at: Revision(0),
             entries_read_at_ms: None,
@@ -266,6 +261,7 @@
                 for entry in entries {
                     self.take_fleet(entry);
                 }
+                self.choose_role();
                 self.campaign_if_needed();
             }
         }
@@ -292,36 +288,6 @@
         self.add_keyed_services();
     }
 
-    fn take_fleet(&mut self, entry: &Entry) {
-        if entry.key == LEADER {
-            let name = entry.text.as_deref().and_then(|text| text.split(' ').next());
-            self.leader = name.map(|name| (Name::from(name), entry.revision));
-            return;
-        }
-        let Some(name) = entry.key.strip_prefix(DAEMONS).map(Name::from) else { return };
-        match entry.text.as_deref().map(serde_json::from_str::<DaemonEntry>) {
-            Some(Ok(daemon)) => {
-                if self.daemons.insert(name, daemon.clone()) != Some(daemon) {
-                    self.is_view_old = true;
-                    // A daemon that is new hears of the owners at once.
-                    if let Some(leading) = &mut self.leading {
-                        leading.publish_at_ms = 0;
-                        leading.whole_at_ms = 0;
-                    }
-                }
-            }
-            Some(Err(error)) => {
-                spdlog::warn!("daemon's entry cannot be read", kv: { daemon = name.as_str(), cause: = error });
-            }
-            None => {
-                self.daemons.remove(&name);
-                self.is_view_old = true;
-            }
-        }
-        let live: Vec<SocketAddr> = self.daemons.values().map(|daemon| daemon.address).collect();
-        self.links.retain(|address| live.contains(address));
-    }
-
     fn note_store(&mut self, answers: bool) {
         spdlog::info!("store", kv: { answers });
         self.is_list_old |= !answers;
@@ -333,41 +299,6 @@
         self.store_answers = answers;
     }
 
-    pub(crate) fn campaign(&self) -> Campaign<S> {
-        Campaign {
-            store: self.store.clone(),
-            instance: self.settings.instance.clone(),
-            least_lease_ms: self.settings.least_lease_ms,
-            replaces: self.leader.as_ref().map_or(Expect::Missing, |(_, at)| Expect::At(*at)),
-            counters: Arc::clone(&self.shared.counters),
-            inputs: self.inputs.clone(),
-            clock: self.clock,
-        }
-    }
-
-    fn campaign_if_needed(&mut self) {
-        // An entry of this instance is left from an earlier process or an earlier epoch:
-        // nobody else acts under it, and its lease need not be waited for.
-        let is_led =
-            self.leader.as_ref().is_some_and(|(leader, _)| *leader != self.settings.instance);
-        let is_needed = self.is_fleet_known && !is_led && self.leading.is_none();
-        let is_able = self.store_answers && !self.is_campaigning && !self.shared.is_stopping();
-        if !(is_needed && is_able) {
-            self.campaign_at_ms = None;
-            return;
-        }
-        let now_ms = self.clock.now_ms();
-        let others = u64::try_from(self.daemons.len()).unwrap_or(0);
-        let spread_ms = CAMPAIGN_SPREAD_MS + CAMPAIGN_SPREAD_EACH_MS * others;
-        let at_ms =
-            *self.campaign_at_ms.get_or_insert_with(|| now_ms + rand::random_range(0..spread_ms));
-        if now_ms >= at_ms {
-            self.campaign_at_ms = None;
-            self.is_campaigning = true;
-            tokio::spawn(self.campaign().run());
-        }
-    }
-
     /// Says how many lines about requests were left out, if any.
     fn tell_lines_left_out(&mut self, now_ms: u64) {
         if now_ms < self.lines_at_ms {
@@ -402,40 +333,19 @@
         }
     }
 
-    /// Returns where another daemon takes messages.
-    pub(crate) fn address(&self, daemon: &Name) -> Option<SocketAddr> {
-        self.daemons.get(daemon).map(|daemon| daemon.address)
-    }
-
     fn tell_crashes(&mut self, now_ms: u64) {
-        let has_news = self.shared.take_crash_news();
+        let has_news = self.shared.crashes.take_news();
         if !has_news && now_ms < self.crashes_at_ms {
             return;
         }
         self.crashes_at_ms = now_ms + CRASHES_MS;
-        self.shared.forget_old_crashes();
-        let suspects = self.shared.own_suspects();
+        self.shared.crashes.forget_old();
+        let suspects = self.shared.crashes.to_tell();
         if !suspects.is_empty() {
             self.send_all(&FleetBody::Crashes(suspects));
         }
     }
 
-    pub(crate) fn send(&mut self, to: SocketAddr, body: FleetBody) {
-        let frame = FleetFrame { from: self.settings.instance.clone(), body };
-        self.links.send(to, frame.to_bytes());
-    }
-
-    /// Sends a message to all other daemons.
-    pub(crate) fn send_all(&mut self, body: &FleetBody) {
-        let frame = FleetFrame { from: self.settings.instance.clone(), body: body.clone() };
-        let bytes = frame.to_bytes();
-        for (name, daemon) in &self.daemons {
-            if *name != self.settings.instance {
-                self.links.send(daemon.address, bytes.clone());
-            }
-        }
-    }
-
     fn take_frame(&mut self, frame: FleetFrame) {
         match frame.body {
             FleetBody::Load(load) => {
@@ -445,7 +355,7 @@
                 }
             }
             FleetBody::Tables(tables) => self.take_tables(tables),
-            FleetBody::Crashes(suspects) => self.shared.note_suspects(&frame.from, suspects),
+            FleetBody::Crashes(suspects) => self.shared.crashes.hear(&frame.from, suspects),
             FleetBody::Servers(servers) => {
                 self.hear_servers(&frame.from, servers);
                 self.step(Event::Tick);
@@ -468,6 +378,7 @@
             store: self.settings.store,
             ..settings
         };
+        self.choose_role();
         self.is_view_old = true;
     }
 }
--- a/crates/gateway/src/relaying.rs
+++ b/crates/gateway/src/relaying.rs
@@ -10,20 +10,20 @@
 use crate::{Orders, Source};
 
 impl<S: Store, O: Orders, R: Source> Node<S, O, R> {
-    /// Returns what this daemon does about the servers' entries.
-    pub(crate) fn role(&self) -> Role {
+    /// Finds what this daemon does about the servers' entries, among the daemons known now.
+    pub(crate) fn choose_role(&mut self) {
         let here = &self.settings.data_centre;
         let neighbours = self.daemons.iter().filter(|(_, daemon)| daemon.data_centre == *here);
-        Role::of(&self.settings.instance, neighbours.map(|(name, _)| name.clone()).collect())
+        let neighbours = neighbours.map(|(name, _)| name.clone()).collect();
+        self.role = Role::of(&self.settings.instance, neighbours);
     }
 
     /// Reads the servers' entries, or stops, and tells the others that this daemon lives.
     pub(crate) fn keep_relaying(&mut self, now_ms: u64) {
-        let role = self.role();
         // A leader decides by entries and must not wait for another daemon; whoever was cut
         // off looks for itself first.
         let needs_entries =
-            self.leading.is_some() || self.is_list_old || !self.relay.is_told(now_ms, &role);
+            self.leading.is_some() || self.is_list_old || !self.relay.is_told(now_ms, &self.role);
         let is_changed = self
             .needs_entries
             .send_if_modified(|known| std::mem::replace(known, needs_entries) != needs_entries);
@@ -31,12 +31,12 @@
             // What was read before it stopped says nothing of now.
             self.entries_read_at_ms = None;
             let revision = self.entries_at.0;
-            spdlog::info!("servers' entries", kv: { read_here = needs_entries, role:? = role, revision });
+            spdlog::info!("servers' entries", kv: { read_here = needs_entries, role:? = self.role, revision });
         }
         if !self.is_vouched(now_ms) {
-            self.tell_end(&role);
+            self.tell_end();
         } else if now_ms >= self.beat_at_ms {
-            self.tell_servers(&role);
+            self.tell_servers();
         }
     }
 
@@ -47,22 +47,24 @@
     }
 
     /// Tells the daemons of this group once that they have to read by themselves.
-    fn tell_end(&mut self, role: &Role) {
-        let Role::Reads { tells } = role else { return };
+    fn tell_end(&mut self) {
+        let Role::Reads { tells } = &self.role else { return };
         if !std::mem::take(&mut self.is_telling) {
             return;
         }
+        let tells = tells.clone();
         spdlog::info!("servers' entries no longer told", kv: { revision = self.entries_at.0 });
         let body = FleetBody::Servers(Servers { is_over: true, ..self.message(false) });
-        self.send_each(tells, &body);
+        self.send_each(&tells, &body);
     }
 
     /// Tells the daemons of this group what changed since the last message.
-    pub(crate) fn tell_servers(&mut self, role: &Role) {
-        let Role::Reads { tells } = role else {
+    pub(crate) fn tell_servers(&mut self) {
+        let Role::Reads { tells } = &self.role else {
             self.changed_servers.clear();
             return;
         };
+        let tells = tells.clone();
         let now_ms = self.clock.now_ms();
         if !self.is_vouched(now_ms) {
             return;
@@ -75,7 +77,7 @@
             changed.into_iter().partition(|name| self.registry.is_listed(name));
         let listed = listed.iter().filter_map(|name| self.to_sent(name)).collect();
         let body = FleetBody::Servers(Servers { listed, gone, ..self.message(false) });
-        self.send_each(tells, &body);
+        self.send_each(&tells, &body);
     }
 
     /// Sends all servers to a daemon that missed something.
@@ -119,11 +121,10 @@
         let now_ms = self.clock.now_ms();
         let Servers { number, revision, is_whole, is_over, .. } = servers;
         let header = Header { from, number, revision, is_whole, is_over };
-        let role = self.role();
         if self.leading.is_some() {
             return;
         }
-        match self.relay.hear(now_ms, &role, header, self.entries_at) {
+        match self.relay.hear(now_ms, &self.role, header, self.entries_at) {
             Heard::Nothing => {}
             Heard::Lacks => {
                 if let Some(address) = self.address(from) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use document::{ADDRESS, COUNT, DURATION, Form, Name, Result, Section, Sections, TEXT};
+use document::{ADDRESS, COUNT, DURATION, Form, LOG_LEVEL, Name, Result, Section, Sections, TEXT};
 
 /// Where a gateway listens and what it may use.
 #[derive(Clone, Debug, PartialEq)]
@@ -54,7 +54,6 @@
 }
 
 const SECTIONS: &str = "[instance], [listen], [store], [servers], [retries], [stop] or [log]";
-const LEVEL: Form<Name> = Form { read: read_level, expected: "debug, info, warn or error" };
 const RATIO: Form<u32> = Form { read: read_ratio, expected: "a fraction from 0 to 1, as 0.2" };
 /// A store answers in milliseconds; half a second is given up on.
 const DEFAULT_STORE_TIMEOUT_MS: u64 = 500;
@@ -143,15 +142,11 @@
 
 fn read_log(section: Option<Section>) -> Result<Name> {
     let Some(mut section) = section else { return Ok(Name::from("info")) };
-    let level = section.optional("level", &LEVEL)?;
+    let level = section.optional("level", &LOG_LEVEL)?;
     section.finish("level")?;
     Ok(level.unwrap_or_else(|| Name::from("info")))
 }
 
-fn read_level(text: &str) -> Option<Name> {
-    matches!(text, "debug" | "info" | "warn" | "error").then(|| Name::from(text))
-}
-
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,13 +1,13 @@
 //! What the control thread and the traffic thread share.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use arc_swap::ArcSwap;
-use document::{HashMap, HashSet, Name};
-use proxy::Clock;
+use document::{HashMap, Name};
+use proxy::{Clock, Crashes};
 use registry::Life;
-use route::{Fingerprint, Suspect, Suspects};
+use route::{Fingerprint, Suspects};
 use site::{Limits, Route};
 use telemetry::{Counters, Metrics};
 use tokio::sync::Notify;
@@ -28,17 +28,13 @@
     pub(crate) dialect: Dialect,
     pub(crate) data_centre: Name,
     pub(crate) lines: Lines,
+    /// Requests that crash servers.
+    pub(crate) crashes: Crashes,
     view: ArcSwap<View>,
     changed: Notify,
     routes: Mutex<HashMap<Name, Arc<RouteState>>>,
     is_ready: AtomicBool,
     is_stopping: AtomicBool,
-    refused: ArcSwap<HashSet<Fingerprint>>,
-    // Taken only when a server has crashed, and when another daemon tells of that.
-    suspects: Mutex<Suspects>,
-    has_crash_news: AtomicBool,
-    /// Whether any request is suspected; answers are looked at only then.
-    is_suspicious: AtomicBool,
 }
 
 /// How many servers a request may crash: the third crash is the last.
@@ -64,15 +60,12 @@
             dialect,
             data_centre,
             lines: Lines::default(),
+            crashes: Crashes::new(clock, Suspects::new(MOST_CRASHES)),
             view: ArcSwap::default(),
             changed: Notify::new(),
             routes: Mutex::default(),
             is_ready: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
-            refused: ArcSwap::default(),
-            suspects: Mutex::new(Suspects::new(MOST_CRASHES)),
-            is_suspicious: AtomicBool::new(false),
-            has_crash_news: AtomicBool::new(false),
         }
     }
 
@@ -133,75 +126,9 @@
         self.is_stopping.store(true, Ordering::Relaxed);
     }
 
-    /// Returns whether a request is not sent on any more; it is looked at only if one is.
-    pub(crate) fn is_refused(&self, fingerprint: impl FnOnce() -> Fingerprint) -> bool {
-        let refused = self.refused.load();
-        !refused.is_empty() && refused.contains(&fingerprint())
-    }
-
     /// Notes that a request crashed the server that ran it.
     pub(crate) fn note_crash(&self, fingerprint: Fingerprint, life: &Life) {
-        let mut suspects = self.suspects();
         let server = xxh3_64_with_seed(life.server.as_bytes(), life.born_ms);
-        suspects.note_crash_of(self.clock.now_ms(), fingerprint, server);
-        self.is_suspicious.store(true, Ordering::Relaxed);
-        self.set_refused(&suspects);
-        self.has_crash_news.store(true, Ordering::Relaxed);
-    }
-
-    /// Notes that a server answered a request.
-    pub(crate) fn note_answer(&self, fingerprint: impl FnOnce() -> Fingerprint) {
-        if self.is_suspicious.load(Ordering::Relaxed) {
-            let mut suspects = self.suspects();
-            if suspects.note_answer(self.clock.now_ms(), fingerprint()) {
-                self.set_refused(&suspects);
-                self.is_suspicious.store(!suspects.is_empty(), Ordering::Relaxed);
-            }
-        }
-    }
-
-    /// Returns whether a server has crashed since the last call.
-    pub(crate) fn take_crash_news(&self) -> bool {
-        self.has_crash_news.swap(false, Ordering::Relaxed)
-    }
-
-    /// Notes what another daemon has counted; deadlines are lengths from now on.
-    pub(crate) fn note_suspects(&self, from: &Name, suspects: Vec<Suspect>) {
-        let now_ms = self.clock.now_ms();
-        let to_deadline =
-            |suspect: Suspect| Suspect { deadline_ms: now_ms + suspect.deadline_ms, ..suspect };
-        let mut known = self.suspects();
-        known.note_other(from, suspects.into_iter().map(to_deadline).collect());
-        self.is_suspicious.store(!known.is_empty(), Ordering::Relaxed);
-        self.set_refused(&known);
-    }
-
-    /// Returns what this daemon has counted; deadlines are lengths from now on.
-    pub(crate) fn own_suspects(&self) -> Vec<Suspect> {
-        let now_ms = self.clock.now_ms();
-        let to_length = |suspect: Suspect| Suspect {
-            deadline_ms: suspect.deadline_ms.saturating_sub(now_ms),
-            ..suspect
-        };
-        self.suspects().own(now_ms).into_iter().map(to_length).collect()
-    }
-
-    /// Lets requests through again whose crashes are long enough ago.
-    pub(crate) fn forget_old_crashes(&self) {
-        let mut suspects = self.suspects();
-        suspects.forget(self.clock.now_ms());
-        self.set_refused(&suspects);
-        self.is_suspicious.store(!suspects.is_empty(), Ordering::Relaxed);
-    }
-
-    fn set_refused(&self, suspects: &Suspects) {
-        let refused = suspects.refused(self.clock.now_ms());
-        if refused != **self.refused.load() {
-            self.refused.store(Arc::new(refused));
-        }
-    }
-
-    fn suspects(&self) -> MutexGuard<'_, Suspects> {
-        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+        self.crashes.note_crash_of(fingerprint, server);
     }
 }
--- a/crates/lab/tests/whole_path.rs
+++ b/crates/lab/tests/whole_path.rs
@@ -203,8 +203,9 @@
     }
     assert_eq!(crashes, 2, "the third one is refused, and no server is lost to it");
     assert_refused(&exchange(&site, poison).await, 503, "crashing", "not-run");
-    let is_refused =
-        || site.daemons.iter().flatten().all(|daemon| !daemon.traffic().refused().is_empty());
+    let is_refused = || {
+        site.daemons.iter().flatten().all(|daemon| !daemon.traffic().crashes.refused().is_empty())
+    };
     site.wait_until(OPEN_LIMIT_MS, "every daemon refuses it", is_refused).await.unwrap();
     assert!(exchange(&site, &good).await.contains(" 200 OK"));
     site.end().await;
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
 use http::{Method, Request, Response, StatusCode, Version};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use route::{
     Arrival, Attempts, Decision, Failure, Fingerprint, Next, Outcome, Reason, Refusal, Service,
     Target,
@@ -17,7 +17,7 @@
 use crate::answer::{AnswerBody, Held, ShardPlace};
 use crate::head;
 use crate::upstream::{Permit, Refused};
-use crate::{Traffic, Upstream};
+use crate::{BodyFault, Traffic, Upstream, read_body, to_labels};
 
 /// Answers one request of a caller.
 pub(crate) async fn answer(
@@ -50,11 +50,7 @@
     upstream: &str,
     result: &Result<Response<AnswerBody>, Refusal>,
 ) {
-    let (outcome, reason) = match result {
-        Ok(response) if response.status().is_server_error() => ("failed", Labels::NONE),
-        Ok(_) => ("served", Labels::NONE),
-        Err(refusal) => (refusal.outcome.as_str(), refusal.reason.as_str()),
-    };
+    let (outcome, reason) = to_labels(result);
     let labels = Labels { route: Labels::NONE, upstream, outcome, reason };
     traffic.metrics.record_latency(to_ms(started), &labels);
 }
@@ -152,27 +148,14 @@
         return Err(Refusal::not_run(Reason::NoKey));
     }
     head::strip_request(&mut head.headers);
-    let body = read_body(traffic, body, deadline_ms).await?;
-    Ok(Call { head, body, key, is_idempotent: class.idempotent, arrival })
-}
-
-async fn read_body(traffic: &Traffic, body: Incoming, deadline_ms: u64) -> Result<Bytes, Refusal> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let most = traffic.limits.body_bytes;
-    let is_too_long = body.size_hint().lower() > u64::try_from(most).unwrap_or(u64::MAX);
-    if is_too_long {
-        return Err(Refusal::not_run(Reason::BodyTooLarge));
-    }
     let deadline = traffic.clock.to_instant(deadline_ms);
-    match timeout_at(deadline, Limited::new(body, most).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(Refusal::not_run(Reason::BodyTooLarge))
-        }
-        Ok(Err(_)) | Err(_) => Err(Refusal::not_run(Reason::BodyIncomplete)),
-    }
+    let body = read_body(body, traffic.limits.body_bytes, deadline).await.map_err(|fault| {
+        Refusal::not_run(match fault {
+            BodyFault::TooLarge => Reason::BodyTooLarge,
+            BodyFault::BrokenOff | BodyFault::Late => Reason::BodyIncomplete,
+        })
+    })?;
+    Ok(Call { head, body, key, is_idempotent: class.idempotent, arrival })
 }
 
 /// Sends a request until it is answered or given up.
@@ -183,7 +166,7 @@
 ) -> Result<Response<AnswerBody>, Refusal> {
     let mut attempts = Attempts::new(call.is_idempotent, call.arrival.deadline_ms);
     loop {
-        if traffic.is_refused(|| call.fingerprint()) {
+        if traffic.crashes.is_refused(|| call.fingerprint()) {
             return Err(attempts.to_refusal(Reason::Crashing));
         }
         let target = find_target(traffic, &mut service, call, &attempts).await?;
@@ -385,7 +368,7 @@
         }
         Failure::Crashed => {
             traffic.counters.count(Counter::Crashes);
-            traffic.note_crash(call.fingerprint());
+            traffic.crashes.note_crash(call.fingerprint());
             target.server.note_loss();
         }
         Failure::NotSent | Failure::Broken | Failure::Failed => target.server.note_loss(),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -18,17 +18,23 @@
 //! ```
 
 mod answer;
+mod body;
 mod clock;
+mod crashes;
 mod forward;
 mod head;
+mod outcome;
 mod raw;
 mod serve;
 mod traffic;
 mod upstream;
 
 pub use answer::AnswerBody;
+pub use body::{BodyFault, read_body};
 pub use clock::Clock;
+pub use crashes::Crashes;
 pub use head::{is_sound, strip, strip_request};
+pub use outcome::to_labels;
 pub use raw::{RawBytes, Watched};
 pub use serve::serve;
 pub use traffic::{Services, Traffic, TrafficLimits};
--- a/crates/proxy/src/traffic.rs
+++ b/crates/proxy/src/traffic.rs
@@ -1,15 +1,15 @@
 //! What the request path reads.
 
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use arc_swap::{ArcSwap, Guard};
-use document::{HashMap, HashSet, Name};
-use route::{Fingerprint, Service, Suspect, Suspects};
+use document::{HashMap, Name};
+use route::{Service, Suspects};
 use telemetry::{Counters, Metrics};
 use tokio::sync::Notify;
 
-use crate::{Clock, Upstream};
+use crate::{Clock, Crashes, Upstream};
 
 /// The services in force, by name.
 pub type Services = HashMap<Name, Arc<Service<Upstream>>>;
@@ -25,13 +25,11 @@
     pub metrics: Metrics,
     /// Bounds of requests.
     pub limits: TrafficLimits,
+    /// Requests that crash servers; they are refused from the second time on.
+    pub crashes: Crashes,
     services: ArcSwap<Services>,
     changed: Notify,
     waiting: AtomicU32,
-    refused: ArcSwap<HashSet<Fingerprint>>,
-    // Taken only when a server has crashed, and when another daemon tells of that.
-    suspects: Mutex<Suspects>,
-    has_crash_news: AtomicBool,
 }
 
 /// Bounds of requests and connections.
@@ -82,12 +80,10 @@
             counters,
             metrics,
             limits,
+            crashes: Crashes::new(clock, Suspects::default()),
             services: ArcSwap::default(),
             changed: Notify::new(),
             waiting: AtomicU32::new(0),
-            refused: ArcSwap::default(),
-            suspects: Mutex::default(),
-            has_crash_news: AtomicBool::new(false),
         }
     }
 
@@ -103,37 +99,6 @@
         self.changed.notify_waiters();
     }
 
-    /// Returns the requests that are not sent on any more.
-    #[must_use]
-    pub fn refused(&self) -> Arc<HashSet<Fingerprint>> {
-        self.refused.load_full()
-    }
-
-    /// Returns the requests that crashed servers, as this daemon counted them.
-    #[must_use]
-    pub fn own_suspects(&self) -> Vec<Suspect> {
-        self.suspects().own(self.clock.now_ms())
-    }
-
-    /// Returns whether a server has crashed since the last call.
-    pub fn take_crash_news(&self) -> bool {
-        self.has_crash_news.swap(false, Ordering::Relaxed)
-    }
-
-    /// Lets requests through again whose crashes are long enough ago.
-    pub fn forget_old_crashes(&self) {
-        let mut suspects = self.suspects();
-        suspects.forget(self.clock.now_ms());
-        self.set_refused(&suspects);
-    }
-
-    /// Notes what another daemon has counted.
-    pub fn note_suspects(&self, from: &Name, suspects: Vec<Suspect>) {
-        let mut known = self.suspects();
-        known.note_other(from, suspects);
-        self.set_refused(&known);
-    }
-
     /// Wakes the requests that wait for a change.
     pub fn wake(&self) {
         self.changed.notify_waiters();
@@ -144,32 +109,6 @@
         self.services.load().get(name).map(Arc::clone)
     }
 
-    /// Returns whether a request is not sent on any more; it is looked at only if one is.
-    pub(crate) fn is_refused(&self, fingerprint: impl FnOnce() -> Fingerprint) -> bool {
-        let refused = self.refused.load();
-        !refused.is_empty() && refused.contains(&fingerprint())
-    }
-
-    /// Notes that a request crashed the server that ran it; it is refused from the second
-    /// time on, before anybody is answered.
-    pub(crate) fn note_crash(&self, fingerprint: Fingerprint) {
-        let mut suspects = self.suspects();
-        suspects.note_crash(self.clock.now_ms(), fingerprint);
-        self.set_refused(&suspects);
-        self.has_crash_news.store(true, Ordering::Relaxed);
-    }
-
-    fn set_refused(&self, suspects: &Suspects) {
-        let refused = suspects.refused(self.clock.now_ms());
-        if refused != **self.refused.load() {
-            self.refused.store(Arc::new(refused));
-        }
-    }
-
-    fn suspects(&self) -> MutexGuard<'_, Suspects> {
-        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     pub(crate) fn changed(&self) -> &Notify {
         &self.changed
     }
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -88,15 +88,13 @@
     }
 
     /// Notes the names of a whole listing: all others are missing.
-    pub fn keep_only(&mut self, now_ms: u64, listed: &[Name]) -> Change {
-        let missing: Vec<Name> =
+    ///
+    /// Returns those whose absence is news.
+    pub fn keep_only(&mut self, now_ms: u64, listed: &[Name]) -> Vec<Name> {
+        let mut missing: Vec<Name> =
             self.entries.keys().filter(|name| !listed.contains(name)).cloned().collect();
-        let changes = missing.iter().map(|name| self.remove(now_ms, name));
-        if changes.filter(|change| *change == Change::Server).count() > 0 {
-            Change::Server
-        } else {
-            Change::Nothing
-        }
+        missing.retain(|name| self.remove(now_ms, name) == Change::Server);
+        missing
     }
 
     /// Lets go of entries whose time has come.
--- a/crates/registry/tests/lives.rs
+++ b/crates/registry/tests/lives.rs
@@ -74,8 +74,8 @@
 fn missing_from_a_listing() {
     let mut registry = Registry::default();
     registry.put(0, "s", registration(1, 5, Stage::Ready));
-    assert_eq!(registry.keep_only(10, &[Name::from("s")]), Change::Nothing);
-    assert_eq!(registry.keep_only(10, &[]), Change::Server);
+    assert_eq!(registry.keep_only(10, &[Name::from("s")]), [] as [Name; 0]);
+    assert_eq!(registry.keep_only(10, &[]), [Name::from("s")]);
     assert!(registry.is_empty());
 }
 
@@ -89,10 +89,10 @@
         registry.put(0, name, Registration { life, ..registration(1, 5, Stage::Ready) });
     }
     registry.list_returned(1_000);
-    assert_eq!(registry.keep_only(1_100, &["a".into(), "c".into()]), Change::Server);
+    assert_eq!(registry.keep_only(1_100, &["a".into(), "c".into()]), [Name::from("b")]);
     let usable: Vec<&str> = registry.usable("ledger").map(|s| &*s.life.server).collect();
     assert_eq!(usable, ["a", "c"]);
-    assert_eq!(registry.keep_only(1_200, &["a".into()]), Change::Server);
+    assert_eq!(registry.keep_only(1_200, &["a".into()]), [Name::from("c")]);
     assert_eq!(registry.usable("ledger").count(), 3);
 }
 
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -15,7 +15,7 @@
 use serde::de::DeserializeOwned;
 use web::{Call, Client};
 
-use crate::{Category, Changes, Error, LeaseId, Page, Result, Store, Transaction, Value};
+use crate::{Category, Changes, Error, LeaseId, Page, Result, Store, Transaction, Value, exchange};
 
 /// A client of the platform's service; clones share a few connections.
 #[derive(Clone, Debug)]
@@ -50,14 +50,7 @@
     ) -> Result<(StatusCode, Bytes)> {
         let body = Bytes::copy_from_slice(body.as_bytes());
         let call = Call::new(method, path).body(body).limit_ms(self.timeout_ms + wait_ms);
-        let answer = self.client.call(call).await.map_err(|report| {
-            let category = match report.current_context().category() {
-                web::Category::NotSent => Category::Refused,
-                web::Category::Unclear => Category::Unclear,
-            };
-            report.change_context(Error::new(category, "the store did not answer"))
-        })?;
-        Ok((answer.status(), answer.into_body()))
+        exchange(&self.client, call).await
     }
 }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -17,12 +17,14 @@
 //! ```
 
 mod error;
+mod exchange;
 mod http;
 mod memory;
 mod transaction;
 mod value;
 
 pub use crate::error::{Category, Error, Result};
+pub use crate::exchange::exchange;
 pub use crate::http::HttpStore;
 pub use crate::memory::{Faults, MemoryStore, Usage};
 pub use crate::transaction::{Condition, Put, Transaction};
--- a/crates/verbenad/src/dump.rs
+++ b/crates/verbenad/src/dump.rs
@@ -73,6 +73,7 @@
             peers: PeerDump { sent_bytes, sent_packets, dropped_packets },
             refused_fingerprints: self
                 .traffic
+                .crashes
                 .refused()
                 .iter()
                 .map(|fingerprint| fingerprint.0)
--- a/crates/verbenad/src/node.rs
+++ b/crates/verbenad/src/node.rs
@@ -8,7 +8,6 @@
 use document::{Name, Revision};
 use peer::{Links, Message, Packet, Presence};
 use proxy::{Services, Traffic};
-use route::Suspect;
 use spdlog::info;
 use store::{Expect, Store};
 use telemetry::Counter;
@@ -162,7 +161,7 @@
     fn tick(&mut self) {
         let now_ms = self.now_ms();
         self.note_instances(now_ms);
-        if self.traffic.take_crash_news() {
+        if self.traffic.crashes.take_news() {
             info!("a request crashed a server");
             self.next_presence_ms = now_ms;
         }
@@ -296,7 +295,7 @@
     }
 
     fn tell_presence(&mut self) {
-        self.traffic.forget_old_crashes();
+        self.traffic.crashes.forget_old();
         let in_force: BTreeMap<Name, Revision> = self
             .services
             .iter()
@@ -307,7 +306,7 @@
             data_centre: self.settings.data_centre.clone(),
             address: self.settings.listen.peer,
             in_force: in_force.into_iter().collect(),
-            suspects: self.own_suspects(),
+            suspects: self.traffic.crashes.to_tell(),
         };
         let nothing = Name::from("");
         let live: Vec<SocketAddr> =
@@ -318,16 +317,6 @@
         }
     }
 
-    /// Returns the requests that crashed servers here, with lengths for deadlines.
-    fn own_suspects(&self) -> Vec<Suspect> {
-        let now_ms = self.now_ms();
-        let left = |suspect: Suspect| Suspect {
-            deadline_ms: suspect.deadline_ms.saturating_sub(now_ms),
-            ..suspect
-        };
-        self.traffic.own_suspects().into_iter().map(left).collect()
-    }
-
     /// Returns the live instances but this one.
     pub(crate) fn others(&self) -> Vec<Name> {
         let names = self.members.live(self.now_ms()).map(|(name, _)| name.clone());
@@ -338,10 +327,7 @@
     fn take_presence(&mut self, from: &Name, presence: &Presence) {
         let now_ms = self.now_ms();
         self.members.note_presence(now_ms, from, presence);
-        let heard =
-            |suspect: &Suspect| Suspect { deadline_ms: now_ms + suspect.deadline_ms, ..*suspect };
-        let suspects = presence.suspects.iter().map(heard).collect();
-        self.traffic.note_suspects(from, suspects);
+        self.traffic.crashes.hear(from, presence.suspects.clone());
         for (service, revision) in &presence.in_force {
             let known = self.services.get(service).map_or(Revision(0), |entry| entry.revision);
             if *revision > known {
--- a/crates/verbenad/src/settings.rs
+++ b/crates/verbenad/src/settings.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use document::{ADDRESS, COUNT, DURATION, Form, Name, Result, SIZE, Section, Sections, TEXT};
+use document::{
+    ADDRESS, COUNT, DURATION, Form, LOG_LEVEL, Name, Result, SIZE, Section, Sections, TEXT,
+};
 use proxy::TrafficLimits;
 use telemetry::LogFormat;
 
@@ -74,7 +76,6 @@
 }
 
 const SECTIONS: &str = "[instance], [listen], [store], [traffic], [log], [stop] or [peer NAME]";
-const LEVEL: Form<Name> = Form { read: read_level, expected: "debug, info, warn or error" };
 const FORMAT: Form<LogFormat> = Form { read: read_format, expected: "text or json" };
 const DEFAULT_STORE_TIMEOUT_MS: u64 = 2_000;
 const DEFAULT_THREADS: u32 = 2;
@@ -161,7 +162,7 @@
     let default = LogSettings { level: Name::from("info"), format: LogFormat::Text };
     let Some(mut section) = section else { return Ok(default) };
     let log = LogSettings {
-        level: section.optional("level", &LEVEL)?.unwrap_or(default.level),
+        level: section.optional("level", &LOG_LEVEL)?.unwrap_or(default.level),
         format: section.optional("format", &FORMAT)?.unwrap_or(default.format),
     };
     section.finish("level, format")?;
@@ -189,10 +190,6 @@
     Ok(peer)
 }
 
-fn read_level(text: &str) -> Option<Name> {
-    matches!(text, "debug" | "info" | "warn" | "error").then(|| Name::from(text))
-}
-
 fn read_format(text: &str) -> Option<LogFormat> {
     match text {
         "text" => Some(LogFormat::Text),
