Share the servers that shard's tests play with

Cause: four test files of the leader built the same servers, life by life; the random world kept the servers beside everything else.

--- a/crates/shard/tests/even_load.rs
+++ b/crates/shard/tests/even_load.rs
@@ -1,12 +1,12 @@
 //! How ranges follow load: each test plays a load against servers that carry out every
 //! order at once.
+mod fixture;
+
+use crate::fixture::{SERVICE, TICK_MS, registration, registry};
 use document::{HashMap, Name};
-use registry::{Life, Registration, Registry, Stage};
+use registry::{Life, Registry, Stage};
 use shard::{Epoch, Event, Leader, Output, Owner, Reply, Servers, Table, Tuning, Why};
 
-const SERVICE: &str = "ledger";
-const TICK_MS: u64 = 20;
-
 struct Play {
     now_ms: u64,
     leader: Leader,
@@ -17,11 +17,7 @@
 
 impl Play {
     fn new(servers: u64) -> Self {
-        let mut registry = Registry::default();
-        for number in 0..servers {
-            let name = format!("s{number}");
-            registry.put(0, &name, registration(&name, Stage::Ready));
-        }
+        let registry = registry((0..servers).map(|number| format!("s{number}")));
         let mut leader = Leader::new(Epoch(5), 0, u64::MAX, &[], Tuning::default());
         leader.add_service(&SERVICE.into());
         Self { now_ms: 0, leader, registry, speeds: HashMap::default(), moves: Vec::new() }
@@ -77,19 +73,6 @@
     }
 }
 
-fn registration(name: &str, stage: Stage) -> Registration {
-    Registration {
-        life: Life { server: name.into(), born_ms: 1 },
-        service: SERVICE.into(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        data_centre: "a".into(),
-        slots: 4,
-        stage,
-        cold_until_ms: 0,
-        heartbeat: if stage == Stage::Ready { 1 } else { 2 },
-    }
-}
-
 fn spread_keys() -> Vec<u16> {
     (0..=u16::MAX).step_by(64).collect()
 }
--- a/crates/shard/tests/renewal_answers.rs
+++ b/crates/shard/tests/renewal_answers.rs
@@ -1,12 +1,12 @@
 //! Answers to renewals cost a leader nothing more; answers that change something do.
+mod fixture;
+
+use crate::fixture::{SERVICE, TICK_MS, registry};
 use document::HashMap;
-use registry::{Life, Registration, Registry, Stage};
+use registry::{Life, Registry};
 use shard::{Epoch, Event, Leader, OrderId, OrderKind, Output, Reply, Servers, Tuning};
 
-const SERVICE: &str = "ledger";
 const SERVERS: u64 = 40;
-/// The pace of a leader's ticks.
-const TICK_MS: u64 = 20;
 
 struct Play {
     now_ms: u64,
@@ -17,21 +17,7 @@
 
 impl Play {
     fn new() -> Self {
-        let mut registry = Registry::default();
-        for number in 0..SERVERS {
-            let name = format!("s{number}");
-            let registration = Registration {
-                life: Life { server: name.as_str().into(), born_ms: 1 },
-                service: SERVICE.into(),
-                address: ([127, 0, 0, 1], 4_000).into(),
-                data_centre: "a".into(),
-                slots: 4,
-                stage: Stage::Ready,
-                cold_until_ms: 0,
-                heartbeat: 1,
-            };
-            registry.put(0, &name, registration);
-        }
+        let registry = registry((0..SERVERS).map(|number| format!("s{number}")));
         let mut leader = Leader::new(Epoch(5), 0, u64::MAX, &[], Tuning::default());
         leader.add_service(&SERVICE.into());
         Self { now_ms: 0, leader, registry, speeds: HashMap::default() }
--- a/crates/shard/tests/shortened_grants.rs
+++ b/crates/shard/tests/shortened_grants.rs
@@ -1,15 +1,15 @@
 //! A grant that was made long while the store was away stands until it ends, whatever shorter
 //! ones follow.
+mod fixture;
+
+use crate::fixture::{SERVICE, TICK_MS, life, registry};
 use document::HashMap;
-use registry::{Life, Registration, Registry, Stage};
+use registry::{Life, Registry};
 use shard::{
     Epoch, Event, Grant, KeyRange, Leader, OrderId, OrderKind, Output, Record, Reply, Servers,
     Tuning,
 };
 
-const SERVICE: &str = "ledger";
-const TICK_MS: u64 = 20;
-
 struct Play {
     now_ms: u64,
     leader: Leader,
@@ -24,20 +24,7 @@
 
 impl Play {
     fn new() -> Self {
-        let mut registry = Registry::default();
-        for name in ["s1", "s2"] {
-            let registration = Registration {
-                life: life(name),
-                service: SERVICE.into(),
-                address: ([127, 0, 0, 1], 4_000).into(),
-                data_centre: "a".into(),
-                slots: 4,
-                stage: Stage::Ready,
-                cold_until_ms: 0,
-                heartbeat: 1,
-            };
-            registry.put(0, name, registration);
-        }
+        let registry = registry(["s1", "s2"].map(String::from));
         let mut leader = Leader::new(Epoch(5), 0, u64::MAX, &[], Tuning::default());
         leader.add_service(&SERVICE.into());
         let (speeds, taken) = (HashMap::default(), HashMap::default());
@@ -101,10 +88,6 @@
     }
 }
 
-fn life(name: &str) -> Life {
-    Life { server: name.into(), born_ms: 1 }
-}
-
 #[test]
 fn long_grant_is_waited_for() {
     let mut play = Play::new();
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -2,6 +2,8 @@
 //! a store that loses replies, and leaders that are replaced.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+mod server;
+
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 
@@ -10,17 +12,16 @@
 use rand::{RngExt, SeedableRng};
 use registry::{Life, Registration, Registry, Stage};
 use shard::{
-    Epoch, Event, Fence, Grant, Handover, KeyRange, Leader, OrderId, OrderKind, Output, Owner,
-    Record, Reply, Servers, Tuning,
+    Epoch, Event, Leader, OrderId, OrderKind, Output, Owner, Record, Reply, Servers, Tuning,
 };
 
+use server::{Held, Server, apply};
+
 const SERVICE: &str = "ledger";
 /// The length of a step.
 const STEP_MS: u64 = 5;
 /// How long a leader's lease lasts.
 const LEASE_MS: u64 = 2_000;
-/// Servers' clocks run this much slow, in percent.
-const SLOW_PERCENT: u64 = 2;
 
 /// How many keys are watched once faults have ended, and for how long.
 const PROBES: usize = 1_024;
@@ -28,25 +29,6 @@
 /// The longest handover: the work of a release and three messages.
 const CLOSED_MS: u64 = 250;
 
-/// A server that checks fences and lets grants run out.
-#[derive(Debug, Default)]
-struct Server {
-    born_ms: u64,
-    is_up: bool,
-    /// No message passes, either way.
-    is_cut: bool,
-    stage_is_draining: bool,
-    held: Vec<Held>,
-    /// The highest fence seen, by range.
-    seen: Vec<(KeyRange, Fence)>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Held {
-    range: KeyRange,
-    until_ms: u64,
-}
-
 /// A message on its way.
 #[derive(Debug)]
 enum Message {
@@ -489,42 +471,3 @@
 fn tuning() -> Tuning {
     Tuning { settle_ms: 100, ..Tuning::default() }
 }
-
-fn apply(server: &mut Server, kind: &OrderKind, now_ms: u64, arrived_ms: u64) -> Reply {
-    server.held.retain(|held| held.until_ms > now_ms);
-    match kind {
-        OrderKind::Grant(grant) => apply_grant(server, grant, arrived_ms),
-        OrderKind::Release(release) => {
-            server.seen.push((release.range, release.fence));
-            server.held =
-                server.held.iter().flat_map(|held| without(held, release.range)).collect();
-            Reply::Done(Some(Handover::from("token")))
-        }
-    }
-}
-
-fn apply_grant(server: &mut Server, grant: &Grant, arrived_ms: u64) -> Reply {
-    let is_fenced = server
-        .seen
-        .iter()
-        .any(|(range, fence)| range.overlaps(grant.range) && *fence > grant.fence);
-    if is_fenced {
-        return Reply::Fenced;
-    }
-    server.seen.push((grant.range, grant.fence));
-    let hold_ms = grant.hold_ms + grant.hold_ms * SLOW_PERCENT / 100;
-    // A grant never takes back what an earlier one gave, whatever its fence.
-    let earlier = server.held.iter().filter(|held| held.range.overlaps(grant.range));
-    let earlier = earlier.map(|held| held.until_ms);
-    let until_ms = earlier.max().unwrap_or(0).max(arrived_ms + hold_ms);
-    let mut held: Vec<Held> =
-        server.held.iter().flat_map(|held| without(held, grant.range)).collect();
-    held.push(Held { range: grant.range, until_ms });
-    server.held = held;
-    Reply::Done(None)
-}
-
-/// Returns what is left of a holding without a range.
-fn without(held: &Held, range: KeyRange) -> Vec<Held> {
-    held.range.without(range).into_iter().map(|range| Held { range, ..*held }).collect()
-}
