Count grants that were given up as valid until the link has sent them

Cause: a grant without an answer was given up after 0.5 s, its connection was reset, and the grant counted from that moment. On a link with more waiting than it sends in half a second the reset waits behind the grant, which arrives later and is valid longer than the leader believed.

Change: an abandoned grant is remembered until an order that was sent after the reset is answered, or for 2 s. Links keep the order of what they send, so the answer shows that the grant has arrived by then or never will. A leader that takes over adds the same 2 s for its predecessor's orders. A grant that is sent again to a server that did not answer ends no later than the one before, so a lost server is replaced no later for having been asked twice.

Test: random_moves::slow_links, in which messages wait on the leader's link.

--- a/crates/shard/src/answers.rs
+++ b/crates/shard/src/answers.rs
@@ -2,7 +2,7 @@
 
 use crate::assignment::Assignment;
 use crate::order::LogEvent;
-use crate::pass::PendingOrder;
+use crate::pass::{AbandonedGrant, PendingOrder};
 use crate::{Config, Grant, OrderKind, Output, Release, Reply};
 
 /// Backoff before an order that failed is sent again; for grants it grows with each failure.
@@ -31,6 +31,19 @@
         }
     }
 
+    /// Counts an abandoned grant as valid from now, the latest time at which it arrived.
+    pub(crate) fn on_abandoned_grant(
+        &mut self,
+        now_ms: u64,
+        grant: &AbandonedGrant,
+        config: &Config,
+    ) {
+        let deadline_ms = config.grant_deadline_ms(now_ms, grant.grant_ms);
+        for state in self.ranges.iter_mut().filter(|state| state.range.overlaps(grant.range)) {
+            state.extend_grant_deadline(&grant.incarnation, deadline_ms);
+        }
+    }
+
     fn on_grant_reply(
         &mut self,
         now_ms: u64,
@@ -67,6 +80,10 @@
                         }));
                     }
                     holder.has_accepted_fence = true;
+                    if holder.failures > 0 {
+                        // The accepted grant may be a short one.
+                        holder.renew_at_ms = 0;
+                    }
                     holder.failures = 0;
                     holder.refusals = 0;
                     self.is_changed |= !holder.is_serving;
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -69,7 +69,7 @@
         config: &Config,
     ) -> Self {
         // The earlier leader's last grants may not have arrived yet.
-        let arrived_at_ms = now_ms + config.order_timeout_ms;
+        let arrived_at_ms = now_ms + config.order_timeout_ms + config.max_transit_ms;
         let grant_deadline_ms = config.grant_deadline_ms(arrived_at_ms, config.max_grant_ms);
         let to_previous_holder = |incarnation: &Incarnation| PreviousHolder {
             incarnation: incarnation.clone(),
@@ -395,8 +395,12 @@
         holder.renew_fence(pass.fences.next());
     }
     holder.renew_at_ms = pass.now_ms + pass.config.renew_interval_ms;
+    let grant_ms = match holder.failures {
+        0 => pass.grant_ms,
+        _ => pass.config.retry_grant_ms(pass.now_ms, holder.grant_deadline_ms, pass.grant_ms),
+    };
     let (incarnation, fence) = (holder.incarnation.clone(), holder.fence);
-    pass.send_grant(&incarnation, Grant { range, fence, grant_ms: pass.grant_ms, handover });
+    pass.send_grant(&incarnation, Grant { range, fence, grant_ms, handover });
 }
 
 fn to_owner(state: &RangeState, now_ms: u64) -> Owner {
--- a/crates/shard/src/config.rs
+++ b/crates/shard/src/config.rs
@@ -18,6 +18,10 @@
     ///
     /// A release may stay unanswered until the holder's last grant has expired.
     pub order_timeout_ms: u64,
+    /// How long after its connection was reset an order may arrive at most.
+    ///
+    /// Bytes that were sent before the reset may wait on a busy link.
+    pub max_transit_ms: u64,
     /// Number of consecutive unanswered grants after which a holder is replaced.
     pub max_failures: u32,
     /// Delay of a release after the daemons were told of the move.
@@ -48,6 +52,7 @@
             max_grant_ms: 10_000,
             renew_interval_ms: 600,
             order_timeout_ms: 500,
+            max_transit_ms: 2_000,
             max_failures: 2,
             release_delay_ms: 6,
             settle_ms: 1_000,
@@ -68,9 +73,25 @@
     pub fn grant_deadline_ms(&self, arrived_at_ms: u64, grant_ms: u64) -> u64 {
         arrived_at_ms + grant_ms + grant_ms / CLOCK_DRIFT_DIVISOR + ARRIVAL_SLACK_MS
     }
+
+    /// Returns the length of a grant to a server that did not answer the last one.
+    ///
+    /// The grant expires no later than earlier ones may, so that a lost server is replaced no
+    /// later for having been sent it.
+    #[must_use]
+    pub(crate) fn retry_grant_ms(&self, now_ms: u64, grant_deadline_ms: u64, grant_ms: u64) -> u64 {
+        if grant_deadline_ms == 0 {
+            return grant_ms;
+        }
+        let arrived_at_ms = now_ms + self.order_timeout_ms + ARRIVAL_SLACK_MS;
+        let left_ms = grant_deadline_ms.saturating_sub(self.grant_deadline_ms(arrived_at_ms, 0));
+        (left_ms - left_ms / CLOCK_DRIFT_DIVISOR).clamp(MIN_RETRY_GRANT_MS.min(grant_ms), grant_ms)
+    }
 }
 
 /// Clocks of servers may be slow by 1/50 of the time, that is two percent.
 const CLOCK_DRIFT_DIVISOR: u64 = 50;
+/// The shortest grant that is sent again to a server that did not answer.
+const MIN_RETRY_GRANT_MS: u64 = 500;
 /// Allowance for timers that fire late and bytes in transit.
 const ARRIVAL_SLACK_MS: u64 = 50;
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -27,6 +27,8 @@
 pub(crate) struct OrderTracker {
     last_id: u64,
     pending: HashMap<OrderId, PendingOrder>,
+    /// Grants that were given up unanswered and may still be on their way.
+    abandoned: Vec<AbandonedGrant>,
     /// Servers that did not answer their last order, with the time of their next probe.
     ///
     /// They get no more ranges until they answer, unless all servers are silent. A registered
@@ -43,9 +45,24 @@
     pub(crate) service: Name,
     pub(crate) incarnation: Incarnation,
     pub(crate) kind: OrderKind,
+    pub(crate) sent_at_ms: u64,
     deadline_ms: u64,
 }
 
+/// A grant that was given up unanswered.
+///
+/// Its connection was reset, but on a busy link the reset waits behind the grant, which may
+/// arrive seconds later. The answer to an order that was sent after the reset shows that the
+/// link has sent both.
+#[derive(Clone, Debug)]
+pub(crate) struct AbandonedGrant {
+    pub(crate) service: Name,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) range: KeyRange,
+    pub(crate) grant_ms: u64,
+    abandoned_at_ms: u64,
+}
+
 /// Time between probes of a server that did not answer.
 const PROBE_INTERVAL_MS: u64 = 1_000;
 /// A server that is still warming up does about half the work of a warm one.
@@ -76,15 +93,40 @@
     }
 
     /// Records whether a server answers orders.
-    pub(crate) fn on_reply(&mut self, now_ms: u64, incarnation: &Incarnation, reply: &Reply) {
+    ///
+    /// Returns the abandoned grants that can no longer arrive, which an answer shows of those
+    /// abandoned before its order was sent.
+    pub(crate) fn on_reply(
+        &mut self,
+        now_ms: u64,
+        order: &PendingOrder,
+        reply: &Reply,
+        config: &Config,
+    ) -> Vec<AbandonedGrant> {
         match reply {
             Reply::Done(_) | Reply::Fenced => {
-                self.silent.remove(incarnation);
+                self.silent.remove(&order.incarnation);
             }
             Reply::NotSent | Reply::Unknown => {
-                self.silent.insert(incarnation.clone(), now_ms + PROBE_INTERVAL_MS);
+                self.silent.insert(order.incarnation.clone(), now_ms + PROBE_INTERVAL_MS);
             }
         }
+        if let (Reply::Unknown, OrderKind::Grant(grant)) = (reply, &order.kind) {
+            self.abandoned.push(AbandonedGrant {
+                service: order.service.clone(),
+                incarnation: order.incarnation.clone(),
+                range: grant.range,
+                grant_ms: grant.grant_ms,
+                abandoned_at_ms: now_ms,
+            });
+        }
+        let is_answered = matches!(reply, Reply::Done(_) | Reply::Fenced);
+        self.abandoned
+            .extract_if(.., |grant| {
+                (is_answered && grant.abandoned_at_ms < order.sent_at_ms)
+                    || grant.abandoned_at_ms + config.max_transit_ms <= now_ms
+            })
+            .collect()
     }
 
     fn is_silent(&self, incarnation: &Incarnation) -> bool {
@@ -142,7 +184,14 @@
         range: KeyRange,
         config: &Config,
     ) -> u64 {
-        let deadlines = self.pending.values().filter_map(|order| match &order.kind {
+        let abandoned = self.abandoned.iter().filter(|grant| {
+            grant.incarnation.server == incarnation.server && grant.range.overlaps(range)
+        });
+        let abandoned = abandoned.map(|grant| {
+            let arrived_at_ms = grant.abandoned_at_ms + config.max_transit_ms;
+            config.grant_deadline_ms(arrived_at_ms, grant.grant_ms)
+        });
+        let pending = self.pending.values().filter_map(|order| match &order.kind {
             OrderKind::Grant(grant)
                 if order.incarnation.server == incarnation.server
                     && grant.range.overlaps(range) =>
@@ -151,7 +200,7 @@
             }
             _ => None,
         });
-        deadlines.max().unwrap_or(0)
+        pending.chain(abandoned).max().unwrap_or(0)
     }
 }
 
@@ -160,9 +209,11 @@
         service: &Name,
         incarnation: &Incarnation,
         kind: OrderKind,
+        sent_at_ms: u64,
         deadline_ms: u64,
     ) -> Self {
-        Self { service: service.clone(), incarnation: incarnation.clone(), kind, deadline_ms }
+        let (service, incarnation) = (service.clone(), incarnation.clone());
+        Self { service, incarnation, kind, sent_at_ms, deadline_ms }
     }
 }
 
@@ -241,6 +292,7 @@
             self.service,
             incarnation,
             kind.clone(),
+            self.now_ms,
             deadline_ms,
         ));
         self.outputs.push(Output::Order { id, server, kind, deadline_ms });
--- a/crates/shard/tests/golden_sessions.rs
+++ b/crates/shard/tests/golden_sessions.rs
@@ -16,6 +16,7 @@
     drain: 0,
     stop_leader: 0,
     stop_store: 0,
+    slow_link: 0,
 };
 const SEED: u64 = 42;
 /// Time for the first assignment, with a margin.
--- a/crates/shard/tests/random_moves.rs
+++ b/crates/shard/tests/random_moves.rs
@@ -63,6 +63,7 @@
     drain: 10,
     stop_leader: 0,
     stop_store: 0,
+    slow_link: 0,
 };
 
 #[test]
@@ -80,6 +81,11 @@
     assert_schedules(Faults { lose_message: 10, stop_leader: 30, cut: 20, ..ONLY_DRAINS });
 }
 
+#[test]
+fn slow_links() {
+    assert_schedules(Faults { slow_link: 40, cut: 20, ..ONLY_DRAINS });
+}
+
 const ALL_FAULTS: Faults = Faults {
     lose_message: 40,
     apply_late: 40,
@@ -88,6 +94,7 @@
     drain: 10,
     stop_leader: 15,
     stop_store: 15,
+    slow_link: 0,
 };
 
 #[test]
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -34,7 +34,7 @@
 /// A message that was not delivered yet.
 #[derive(Debug)]
 enum Message {
-    Order { leader: usize, id: OrderId, server: Name, kind: OrderKind, timeout_ms: u64 },
+    Order { leader: usize, id: OrderId, server: Name, kind: OrderKind, deadline_ms: u64 },
     Reply { leader: usize, id: OrderId, reply: Reply },
     Write { leader: usize, epoch: Epoch, record: Record, is_answered: bool },
     Written { leader: usize, number: u64, is_done: bool },
@@ -51,6 +51,8 @@
     pub drain: u32,
     pub stop_leader: u32,
     pub stop_store: u32,
+    /// Messages queue on the leader's link for longer than an order is waited for.
+    pub slow_link: u32,
 }
 
 /// The cluster of one run.
@@ -68,6 +70,8 @@
     epoch: u64,
     lease_deadline_ms: u64,
     store_outage_deadline_ms: u64,
+    /// When the messages that wait on the leader's link have been sent; later ones follow them.
+    link_free_at_ms: u64,
     next_server: u32,
     /// Whether the load of hot keys changes all the time, so that ranges keep moving.
     is_loaded: bool,
@@ -89,6 +93,7 @@
             epoch: 10,
             lease_deadline_ms: 0,
             store_outage_deadline_ms: 0,
+            link_free_at_ms: 0,
             next_server: 0,
             is_loaded: true,
         };
@@ -125,6 +130,7 @@
             drain: 0,
             stop_leader: 0,
             stop_store: 0,
+            slow_link: 0,
         };
         for server in self.servers.values_mut() {
             server.is_cut = false;
@@ -248,6 +254,13 @@
             let for_ms = self.random.random_range(500..8_000);
             self.stop_store(for_ms);
         }
+        // No number is drawn without this fault, so that earlier seeds play as before.
+        if faults.slow_link > 0 && self.occurs(faults.slow_link) {
+            let free_at_ms = self.now_ms + self.random.random_range(600..1_800);
+            // Messages on a link stay in order.
+            self.link_free_at_ms = self.link_free_at_ms.max(free_at_ms);
+            self.log(&format!("the link is busy until {}", self.link_free_at_ms));
+        }
         if self.is_loaded
             && let Some(Some(leader)) = self.leaders.last_mut()
             && let Some(load) = leader.load_mut(SERVICE)
@@ -335,10 +348,16 @@
         for output in outputs {
             match output {
                 Output::Order { id, server, kind, deadline_ms } => {
-                    let timeout_ms = deadline_ms - self.now_ms;
                     let server = server.incarnation.server.clone();
-                    let order = Message::Order { leader: index, id, server, kind, timeout_ms };
-                    let delay_ms = self.random.random_range(0..15);
+                    let order = Message::Order { leader: index, id, server, kind, deadline_ms };
+                    let queued_ms = self.link_free_at_ms.saturating_sub(self.now_ms);
+                    let delay_ms = queued_ms + self.random.random_range(0..15);
+                    if self.now_ms + delay_ms > deadline_ms {
+                        // The connection is reset, but the reset waits behind the order.
+                        let timeout_ms = deadline_ms - self.now_ms;
+                        let reply = Reply::Unknown;
+                        self.send(timeout_ms, Message::Reply { leader: index, id, reply });
+                    }
                     self.send(delay_ms, order);
                 }
                 Output::Write { record, .. } => {
@@ -373,8 +392,8 @@
                 return;
             }
             match entry.remove() {
-                Message::Order { leader, id, server, kind, timeout_ms } => {
-                    self.on_order(leader, id, &server, &kind, timeout_ms);
+                Message::Order { leader, id, server, kind, deadline_ms } => {
+                    self.on_order(leader, id, &server, &kind, deadline_ms);
                 }
                 Message::Reply { leader, id, reply } => {
                     self.step(leader, Event::Answered(id, reply));
@@ -423,8 +442,12 @@
         id: OrderId,
         name: &Name,
         kind: &OrderKind,
-        timeout_ms: u64,
+        deadline_ms: u64,
     ) {
+        if self.now_ms > deadline_ms {
+            return self.on_abandoned_order(name, kind);
+        }
+        let timeout_ms = deadline_ms - self.now_ms;
         let is_lost = self.occurs(self.faults.lose_message);
         let is_late = self.occurs(self.faults.apply_late);
         let now_ms = self.now_ms;
@@ -455,6 +478,15 @@
         self.send(delay_ms, Message::Reply { leader, id, reply });
     }
 
+    /// Carries out an order that was still on its way when the leader stopped waiting for it.
+    fn on_abandoned_order(&mut self, name: &Name, kind: &OrderKind) {
+        let now_ms = self.now_ms;
+        let server = self.servers.get_mut(name).expect("servers are never removed");
+        if server.is_running && !server.is_cut {
+            apply(server, kind, now_ms, now_ms);
+        }
+    }
+
     /// Carries out an order whose answer comes too late, if it is a grant.
     fn apply_late(&mut self, name: &Name, kind: &OrderKind, arrived_ms: u64) {
         // The simulated servers have no queue. A late grant is applied at once, since its time
