Spread hot neighbouring keys over hundreds of servers

Cause: a move had to bring the busier of its two servers below 0.9 of the source's load. With hundreds of servers the source can have thirty times what one target takes, so no move was large enough and none was made: 60 hot keys stayed with one server. At most 8 ranges moved at once, from the 4 busiest servers, and ranges were merged only while nothing moved.

Change: a server above twice the mean is relieved by as many moves as it takes, each to a server that it fills to at most 0.8; parts that end at or after a hot key are weighed too. One more move and source for 4 and 8 servers. Small ranges of lost servers go to a neighbour with room, and ranges are merged during other moves once there are twice as many as servers. Candidates are looked up by name instead of one by one.

--- a/crates/shard/src/planning.rs
+++ b/crates/shard/src/planning.rs
@@ -106,19 +106,12 @@
         }
         let range = self.ranges[index].range;
         let load = self.load.of(range);
-        let others: Vec<Candidate> = candidates
-            .iter()
-            .filter(|candidate| holder.as_ref() != Some(&candidate.incarnation))
-            .cloned()
-            .collect();
-        let Some(to) =
-            policy::least_loaded(&others, load).map(|index| others[index].incarnation.clone())
-        else {
-            return;
-        };
-        if let Some(to) = position(candidates, &to) {
-            candidates[to].load += load;
-        }
+        let neighbour = policy::neighbour_with_room(&self.ranges, &self.load, candidates, index)
+            .filter(|neighbour| holder.as_ref() != Some(&candidates[*neighbour].incarnation));
+        let chosen = neighbour.or_else(|| policy::least_loaded(candidates, load, holder.as_ref()));
+        let Some(chosen) = chosen else { return };
+        candidates[chosen].load += load;
+        let to = candidates[chosen].incarnation.clone();
         self.plan_move(pass, index, to, reason);
     }
 
@@ -142,13 +135,12 @@
         state.successor = Some(Successor::new(to, self.wanted_record, reason));
     }
 
-    /// Starts moves that balance the load, up to the limit of concurrent moves.
-    ///
-    /// If no range was moving before, also starts a move that merges ranges.
+    /// Starts moves that balance the load and moves that merge ranges, each up to a limit.
     pub(crate) fn balance(&mut self, pass: &mut PassContext<'_>, candidates: &mut [Candidate]) {
         self.log_balance(pass, candidates);
         let moving = self.ranges.iter().filter(|state| state.successor.is_some()).count();
-        for _ in moving..pass.config.max_concurrent_moves {
+        let max_moves = policy::max_concurrent_moves(pass.config, candidates.len());
+        for _ in moving..max_moves {
             let next =
                 policy::find_balancing_move(&self.ranges, &self.load, candidates, pass.config);
             let Some(next) = next else { break };
@@ -156,10 +148,12 @@
                 break;
             }
         }
-        if moving == 0
-            && let Some(next) = policy::find_merge(&self.ranges, &self.load, candidates)
-        {
-            self.start_move(pass, &next, MoveReason::Join, candidates);
+        for _ in 0..policy::max_merges(self.ranges.len(), candidates.len(), moving) {
+            let next = policy::find_merge(&self.ranges, &self.load, candidates);
+            let Some(next) = next else { break };
+            if !self.start_move(pass, &next, MoveReason::Join, candidates) {
+                break;
+            }
         }
     }
 
--- a/crates/shard/src/policy.rs
+++ b/crates/shard/src/policy.rs
@@ -31,14 +31,73 @@
     }
 }
 
-/// Returns the index of the candidate with the lowest utilization after adding a load.
-pub(crate) fn least_loaded(candidates: &[Candidate], load: f32) -> Option<usize> {
-    (0..candidates.len()).min_by(|&left, &right| {
+/// Returns the index of the candidate with the lowest utilization after adding a load, other
+/// than `excluded`.
+pub(crate) fn least_loaded(
+    candidates: &[Candidate],
+    load: f32,
+    excluded: Option<&Incarnation>,
+) -> Option<usize> {
+    let allowed =
+        (0..candidates.len()).filter(|index| Some(&candidates[*index].incarnation) != excluded);
+    allowed.min_by(|&left, &right| {
         let ratio = |index: usize| candidates[index].utilization_with(load);
         ratio(left).total_cmp(&ratio(right))
     })
 }
 
+/// Returns the index of the candidate that holds a range beside a small one and has room for it.
+///
+/// Small ranges of lost servers that go elsewhere stay separate ranges, each with renewals.
+pub(crate) fn neighbour_with_room(
+    ranges: &[RangeState],
+    load: &KeyLoad,
+    candidates: &[Candidate],
+    index: usize,
+) -> Option<usize> {
+    let totals = Totals::of(candidates);
+    let range = ranges[index].range;
+    let moved = load.of(range);
+    let neighbours = [index.checked_sub(1), index.checked_add(1)];
+    let holders = neighbours.into_iter().flatten().filter_map(|neighbour| {
+        let state = ranges.get(neighbour).filter(|state| state.is_settled())?;
+        position(candidates, state.planned_owner()?)
+    });
+    holders.into_iter().find(|index| {
+        let candidate = &candidates[*index];
+        totals.is_small_for(range, moved, candidate) && totals.has_room(candidate, moved)
+    })
+}
+
+/// The load and capacity of all candidates together.
+struct Totals {
+    load: f32,
+    capacity: f32,
+}
+
+impl Totals {
+    fn of(candidates: &[Candidate]) -> Self {
+        Self {
+            load: candidates.iter().map(|candidate| candidate.load).sum(),
+            capacity: candidates.iter().map(|candidate| candidate.capacity).sum(),
+        }
+    }
+
+    /// Returns the part of the load that corresponds to a candidate's capacity.
+    fn share(&self, candidate: &Candidate) -> f32 {
+        self.load * candidate.capacity / self.capacity
+    }
+
+    /// Returns whether a range has too few keys and too little load to be worth its renewals.
+    fn is_small_for(&self, range: KeyRange, load: f32, candidate: &Candidate) -> bool {
+        range.count() <= MAX_MERGED_KEYS && load < self.share(candidate) * MAX_MERGED_LOAD_FACTOR
+    }
+
+    fn has_room(&self, candidate: &Candidate, load: f32) -> bool {
+        candidate.load + load <= self.share(candidate)
+    }
+}
+
 /// Splits a range among the candidates, each part with the candidate's share of the load.
 pub(crate) fn split_by_capacity(
     range: KeyRange,
@@ -84,9 +143,8 @@
     candidates: &[Candidate],
     config: &Config,
 ) -> Option<Move> {
-    let total: f32 = candidates.iter().map(|candidate| candidate.load).sum();
-    let capacity: f32 = candidates.iter().map(|candidate| candidate.capacity).sum();
-    let mean_utilization = total / capacity;
+    let totals = Totals::of(candidates);
+    let mean_utilization = totals.load / totals.capacity;
     let tolerance = 1.0 + to_f32(config.tolerance_percent) / 100.0;
     let mut by_utilization: Vec<&Candidate> = candidates.iter().collect();
     by_utilization
@@ -94,17 +152,27 @@
     let to = by_utilization.last()?;
     let is_starved = to.utilization_with(0.0) < mean_utilization * STARVED_FACTOR;
     let min_load = config.min_gain_slots.min(mean_utilization * to.capacity * MIN_MOVE_FACTOR);
-    by_utilization.iter().take(MAX_SOURCES).find_map(|from| {
+    let max_sources = MIN_SOURCES.max(candidates.len() / SERVERS_PER_SOURCE);
+    by_utilization.iter().take(max_sources).find_map(|from| {
+        let utilization = from.utilization_with(0.0);
+        let is_overloaded = utilization > mean_utilization * OVERLOAD_FACTOR;
+        let target_utilization = if is_overloaded {
+            mean_utilization.max(FULL_UTILIZATION.min(utilization / 2.0))
+        } else {
+            mean_utilization
+        };
         let wanted_load = (from.load - mean_utilization * from.capacity)
-            .min(mean_utilization * to.capacity - to.load);
-        let is_above = from.utilization_with(0.0) > mean_utilization * tolerance;
+            .min(target_utilization * to.capacity - to.load);
+        let is_above = utilization > mean_utilization * tolerance;
         if !(is_above || is_starved) || wanted_load < min_load {
             return None;
         }
         let range = best_range_to_move(ranges, load, from, to, wanted_load)?;
         let moved = load.of(range);
-        let max_utilization = from.utilization_with(-moved).max(to.utilization_with(moved));
-        let is_better = max_utilization < from.utilization_with(0.0) * MAX_AFTER_MOVE_FACTOR
+        let max_after = utilization * MAX_AFTER_MOVE_FACTOR;
+        // Many moves relieve an overloaded server, each by a small part of its load.
+        let is_better = to.utilization_with(moved) < max_after
+            && (is_overloaded || from.utilization_with(-moved) < max_after)
             && moved >= min_load;
         is_better.then(|| Move { range, to: to.incarnation.clone() })
     })
@@ -119,8 +187,43 @@
 /// what the source has now; otherwise a key with too much load for any server would move from
 /// one server to the next without end.
 const MAX_AFTER_MOVE_FACTOR: f32 = 0.9;
-/// Number of the busiest servers from which keys may be taken.
-const MAX_SOURCES: usize = 4;
+/// Multiple of the mean utilization above which a server is relieved by as many moves as it takes.
+const OVERLOAD_FACTOR: f32 = 2.0;
+/// Utilization up to which a server is filled to relieve an overloaded one.
+const FULL_UTILIZATION: f32 = 0.8;
+/// Least number of the busiest servers from which keys may be taken.
+const MIN_SOURCES: usize = 4;
+/// One more of the busiest servers for this many servers; with many servers, several have a
+/// single hot key that no move relieves.
+const SERVERS_PER_SOURCE: usize = 8;
+/// One more concurrent move for this many servers.
+const SERVERS_PER_MOVE: usize = 4;
+
+/// Returns the number of moving ranges at which balancing starts no further move.
+///
+/// Moves take as long as the work of a request, however many there are. Load that shifts to
+/// other keys changes more servers where there are more.
+pub(crate) fn max_concurrent_moves(config: &Config, servers: usize) -> usize {
+    config.max_concurrent_moves.max(servers / SERVERS_PER_MOVE)
+}
+
+/// Returns how many moves that merge ranges may start at once, beside `moving` other moves.
+///
+/// While load shifts, ranges are split all the time. Once there are many more ranges than
+/// servers, they are merged in the meantime as well.
+pub(crate) fn max_merges(ranges: usize, servers: usize, moving: usize) -> usize {
+    let is_excessive = ranges > servers * MAX_RANGES_PER_SERVER;
+    match (is_excessive, moving) {
+        (true, _) => (servers / SERVERS_PER_MERGE).max(1),
+        (false, 0) => 1,
+        (false, _) => 0,
+    }
+}
+
+/// Number of ranges for each server above which ranges are merged while others move.
+const MAX_RANGES_PER_SERVER: usize = 2;
+/// One more concurrent merge for this many servers.
+const SERVERS_PER_MERGE: usize = 32;
 
 /// Returns the busiest and the idlest server, with their loads as multiples of their shares.
 pub(crate) fn busiest_and_idlest(
@@ -168,12 +271,25 @@
     let options = settled_at_source.flat_map(|(index, state)| {
         let range = state.range;
         let rest = (load.of(range) - wanted_load).max(0.0);
-        let left = load.split_key(range, wanted_load).and_then(|key| range.split_at(key));
-        let right = load.split_key(range, rest).and_then(|key| range.split_at(key));
+        let left_key = load.split_key(range, wanted_load);
+        let right_key = load.split_key(range, rest);
+        let left = |key: Option<u16>| {
+            let (left, _) = range.split_at(key?)?;
+            Some((left, is_at_target(index.checked_sub(1))))
+        };
+        let right = |key: Option<u16>| {
+            let (_, right) = range.split_at(key?)?;
+            Some((right, is_at_target(Some(index + 1))))
+        };
+        // The key at which a part ends may have more load than all of the part.
+        let after_left_key = left_key.and_then(|key| key.checked_add(1));
+        let before_right_key = right_key.and_then(|key| key.checked_sub(1));
         [
             Some((range, true)),
-            left.map(|(left, _)| (left, is_at_target(index.checked_sub(1)))),
-            right.map(|(_, right)| (right, is_at_target(Some(index + 1)))),
+            left(left_key),
+            left(after_left_key),
+            right(right_key),
+            right(before_right_key),
         ]
     });
     let best = options.flatten().min_by(|a, b| cost(a.0, a.1).total_cmp(&cost(b.0, b.1)));
@@ -195,8 +311,7 @@
     load: &KeyLoad,
     candidates: &[Candidate],
 ) -> Option<Move> {
-    let total: f32 = candidates.iter().map(|candidate| candidate.load).sum();
-    let capacity: f32 = candidates.iter().map(|candidate| candidate.capacity).sum();
+    let totals = Totals::of(candidates);
     let runs = runs(ranges);
     runs.windows(2).find_map(|pair| {
         let [left, right] = pair else { return None };
@@ -204,12 +319,10 @@
             if left.0.count() < right.0.count() { (left, right) } else { (right, left) };
         let (range, to) = (small.0, large.1?);
         let moved = load.of(range);
-        let to = candidates.iter().find(|candidate| candidate.incarnation == *to)?;
-        let share = total * to.capacity / capacity;
-        let is_small = range.count() <= MAX_MERGED_KEYS && moved < share * MAX_MERGED_LOAD_FACTOR;
+        let to = &candidates[position(candidates, to)?];
         let is_settled = small.1.is_some();
-        let has_room = to.load + moved <= share;
-        (is_small && is_settled && has_room).then(|| Move { range, to: to.incarnation.clone() })
+        (is_settled && totals.is_small_for(range, moved, to) && totals.has_room(to, moved))
+            .then(|| Move { range, to: to.incarnation.clone() })
     })
 }
 
@@ -239,7 +352,9 @@
     f32::from(u16::try_from(number).unwrap_or(u16::MAX))
 }
 
-/// Returns the index of an incarnation among the candidates.
+/// Returns the index of an incarnation among the candidates, which are ordered by name.
 pub(crate) fn position(candidates: &[Candidate], incarnation: &Incarnation) -> Option<usize> {
-    candidates.iter().position(|candidate| candidate.incarnation == *incarnation)
+    let by_name = |candidate: &Candidate| candidate.incarnation.server.cmp(&incarnation.server);
+    let index = candidates.binary_search_by(by_name).ok()?;
+    (candidates[index].incarnation == *incarnation).then_some(index)
 }
