Send tables through groups, hand leadership over, campaign in turns

A leader sent each change to 78 daemons and complete tables (about 1,000 spans) to all of them every 10 s and whenever a daemon's entry changed: some 40 KB each, more than a second of a 20 Mbit/s link, with orders waiting behind. And campaigns were spread over 40 ms a daemon, 3 s with 79; a leader that the store refused held on until its authority ended and made all grants 9.8 s long.

Change - Tables go to the first daemon of each group of at most 24, which passes them on. A new leader publishes what differs from its predecessor's tables. Complete tables go only to daemons that ask; unchanged publications repeat their number. A daemon that hears nothing for 0.7 s asks the leader, and one that asks twice is sent to directly for 5 s. - The time until which a range has no owner is absolute in a process, so it no longer differs in each publication or starts again with each view. - Daemons campaign in an order that all compute alike, 50 ms apart, those with at least half of the largest bandwidth first. - A leader whose lease is not renewed asks four daemons whether the store answers them, resigns in favour of the first, and makes grants longer only if none answers within 0.2 s. A leader that resigns tells how long its grants may be valid; a successor that replaced its entry counts on no longer ones. - Orders are not sent after their deadline. - Links to daemons and missing servers are looked up in sets.

Tests: gateway/campaign_order, gateway/table_recipients. The groups of servers_relay are smaller than before (24 instead of 64), as one daemon sends to all others of its group.

--- a/crates/gateway/src/election.rs
+++ b/crates/gateway/src/election.rs
@@ -72,7 +72,12 @@
         };
         let records = list_records(&self.store, &self.counters).await?;
         let authority_deadline_ms = sent_at_ms + lease_ms - LEASE_MARGIN_MS;
-        Ok(WonElection { epoch: Epoch(revision.0), lease, authority_deadline_ms, records })
+        let predecessor = match self.expected_leader {
+            Expect::At(revision) => Some(Epoch(revision.0)),
+            Expect::Missing | Expect::Anything => None,
+        };
+        let epoch = Epoch(revision.0);
+        Ok(WonElection { epoch, predecessor, lease, authority_deadline_ms, records })
     }
 
     /// Returns the revision of the leader's entry if this campaign wrote it.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use document::Name;
+use document::{HashSet, Name};
 use peer::{FleetBody, FleetFrame};
 use store::{Entry, Expect, Store};
 
@@ -12,14 +12,6 @@
 use crate::node::Node;
 use crate::{Orders, Source};
 
-/// The largest random delay before a campaign is this base plus a part for each daemon.
-///
-/// The first campaign is then expected after about one part, however many daemons there are. The
-/// others read the new leader's entry within the least interval between reads of these entries,
-/// so most of them do not campaign.
-const BASE_CAMPAIGN_SPREAD_MS: u64 = 100;
-const CAMPAIGN_SPREAD_PER_DAEMON_MS: u64 = 40;
-
 impl<S: Store, O: Orders, R: Source> Node<S, O, R> {
     /// Handles the entry of a daemon or of the leader.
     pub(crate) fn on_fleet_entry(&mut self, entry: &Entry) {
@@ -31,13 +23,9 @@
         let Some(name) = entry.key.strip_prefix(DAEMONS_PREFIX).map(Name::from) else { return };
         match entry.text.as_deref().map(serde_json::from_str::<DaemonEntry>) {
             Some(Ok(daemon)) => {
-                if self.daemons.insert(name, daemon.clone()) != Some(daemon) {
+                if self.daemons.insert(name.clone(), daemon.clone()) != Some(daemon) {
                     self.is_view_stale = true;
-                    // A new daemon needs full tables at once.
-                    if let Some(leading) = &mut self.leading {
-                        leading.publish_at_ms = 0;
-                        leading.publish_full_at_ms = 0;
-                    }
+                    self.on_tables_request(&name);
                 }
             }
             Some(Err(error)) => {
@@ -48,7 +36,12 @@
                 self.is_view_stale = true;
             }
         }
-        let live: Vec<SocketAddr> = self.daemons.values().map(|daemon| daemon.address).collect();
+    }
+
+    /// Closes connections to daemons that are gone.
+    pub(crate) fn close_unused_links(&mut self) {
+        let live: HashSet<SocketAddr> =
+            self.daemons.values().map(|daemon| daemon.address).collect();
         self.links.retain(|address| live.contains(address));
     }
 
@@ -68,25 +61,28 @@
         }
     }
 
-    /// Campaigns after a random delay while there is no leader.
+    /// Campaigns in its turn while there is no leader.
     pub(crate) fn campaign_if_needed(&mut self) {
         // An entry of this instance is left from an earlier process or epoch. No other daemon
         // acts under it, so its lease need not expire first.
-        let has_other_leader =
-            self.leader.as_ref().is_some_and(|(leader, _)| *leader != self.settings.instance);
+        let resigned_epoch = self.resigned.as_ref().map(|resigned| resigned.epoch.0);
+        let has_other_leader = self.leader.as_ref().is_some_and(|(leader, revision)| {
+            *leader != self.settings.instance && Some(revision.0) != resigned_epoch
+        });
         let is_needed = self.is_fleet_known && !has_other_leader && self.leading.is_none();
         let can_campaign = self.store_answers && !self.is_campaigning && !self.shared.is_stopping();
         if !(is_needed && can_campaign) {
-            self.campaign_at_ms = None;
+            self.no_leader_since_ms = None;
+            if has_other_leader {
+                self.failed_campaigns = 0;
+            }
             return;
         }
         let now_ms = self.clock.now_ms();
-        let daemons = u64::try_from(self.daemons.len()).unwrap_or(0);
-        let spread_ms = BASE_CAMPAIGN_SPREAD_MS + CAMPAIGN_SPREAD_PER_DAEMON_MS * daemons;
-        let at_ms =
-            *self.campaign_at_ms.get_or_insert_with(|| now_ms + rand::random_range(0..spread_ms));
-        if now_ms >= at_ms {
-            self.campaign_at_ms = None;
+        let since_ms = *self.no_leader_since_ms.get_or_insert(now_ms);
+        // The turn may change while daemons come and go.
+        if now_ms >= since_ms + self.campaign_wait_ms() {
+            self.no_leader_since_ms = None;
             self.is_campaigning = true;
             tokio::spawn(self.campaign().run());
         }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -48,6 +48,9 @@
 pub(crate) struct DaemonEntry {
     pub(crate) address: SocketAddr,
     pub(crate) data_centre: Name,
+    /// The bandwidth of its link; 0 if unknown.
+    #[serde(default)]
+    pub(crate) link_mbps: u32,
 }
 
 /// Watches one topic of the store and passes changes to the control thread.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -218,8 +218,11 @@
         };
         tokio::spawn(follower.run());
     }
-    let entry =
-        DaemonEntry { address: settings.listen.peer, data_centre: settings.data_centre.clone() };
+    let entry = DaemonEntry {
+        address: settings.listen.peer,
+        data_centre: settings.data_centre.clone(),
+        link_mbps: settings.link_mbps,
+    };
     let key = format!("{DAEMONS_PREFIX}{}", settings.instance);
     let counters = Arc::clone(&shared.counters);
     tokio::spawn(register(
--- a/crates/gateway/src/input.rs
+++ b/crates/gateway/src/input.rs
@@ -25,6 +25,8 @@
     LeaseRenewalFailed,
     /// The leader's lease has expired or is no longer in the store.
     LeaseEnded,
+    /// The store answers this daemon and names the leader of this epoch, which asked for it.
+    StoreReached { leader: Name, epoch: Epoch },
     /// A server's answer to an order, or the failure of the order.
     OrderAnswered(OrderId, Reply),
     /// The outcome of writing a record.
@@ -64,6 +66,8 @@
 pub(crate) struct WonElection {
     /// The epoch, which is the revision of the new leader's entry.
     pub(crate) epoch: Epoch,
+    /// The epoch of the leader whose entry was replaced, if there was one.
+    pub(crate) predecessor: Option<Epoch>,
     pub(crate) lease: LeaseId,
     /// When the leader has to stop acting unless its lease is renewed before.
     pub(crate) authority_deadline_ms: u64,
--- a/crates/gateway/src/leader_state.rs
+++ b/crates/gateway/src/leader_state.rs
@@ -3,10 +3,12 @@
 use document::{HashMap, Name, Revision};
 use peer::Tables;
 use registry::Incarnation;
-use shard::{Leader, Table};
+use shard::{Epoch, Leader, Table};
 use store::LeaseId;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::Distribution;
+
 /// The state of the leader.
 #[derive(Debug)]
 pub(crate) struct LeaderState {
@@ -16,13 +18,21 @@
     pub(crate) revisions: HashMap<Name, Revision>,
     /// The speeds of servers, relative to a typical server.
     pub(crate) speeds: HashMap<Incarnation, f32>,
-    /// The number of the last message with tables.
-    pub(crate) message_number: u64,
-    pub(crate) publish_at_ms: u64,
-    /// When full tables are sent next; until then only changes are.
-    pub(crate) publish_full_at_ms: u64,
-    /// The tables of the last message.
+    /// The epoch and number of the publication that `published` is from; `None` before the
+    /// first one, if this daemon did not know its predecessor's.
+    pub(crate) published_version: Option<(Epoch, u64)>,
+    /// The tables of the last publication.
     pub(crate) published: HashMap<Name, Table>,
+    /// When tables are published even if nothing has changed.
+    pub(crate) publish_at_ms: u64,
+    /// Whether owners have changed since the last publication.
+    pub(crate) is_publication_due: bool,
+    pub(crate) published_at_ms: u64,
+    pub(crate) distribution: Distribution,
+    /// When the first renewal of the lease failed since the last one that succeeded.
+    pub(crate) renewal_failed_at_ms: Option<u64>,
+    /// How many daemons were asked since then whether they reach the store.
+    pub(crate) queried_daemons: usize,
     /// The task that renews the lease; dropping it ends the task.
     _lease_keeper: AbortOnDropHandle<()>,
 }
@@ -44,35 +54,59 @@
             lease,
             revisions,
             speeds: HashMap::default(),
-            message_number: 0,
-            publish_at_ms: 0,
-            publish_full_at_ms: 0,
+            published_version: None,
             published: HashMap::default(),
+            publish_at_ms: 0,
+            is_publication_due: true,
+            published_at_ms: 0,
+            distribution: Distribution::default(),
+            renewal_failed_at_ms: None,
+            queried_daemons: 0,
             _lease_keeper: lease_keeper,
         }
     }
 
-    /// Returns the owners of all keys, with the current message number.
-    pub(crate) fn tables(&self, now_ms: u64) -> Tables {
-        let leader = &self.leader;
-        let tables = leader
-            .services()
-            .filter_map(|service| Some((service.clone(), leader.table(service, now_ms)?)));
-        let tables = tables.collect();
-        Tables { epoch: leader.epoch(), number: self.message_number, base: None, tables }
+    /// Continues from the tables that the previous leader published, as this daemon knows them.
+    pub(crate) fn continue_from(&mut self, version: (Epoch, u64), tables: HashMap<Name, Table>) {
+        self.published_version = Some(version);
+        self.published = tables;
     }
 
-    /// Returns what changed in `full` since the last message, whose number is `base`.
-    pub(crate) fn changes(&self, full: &Tables, base: u64) -> Tables {
-        let changed = full.tables.iter().filter_map(|(service, table)| {
+    /// Records the current owners as published, under a new number if they have changed.
+    ///
+    /// Returns the changes since the last publication, or all owners if there was none. An
+    /// unchanged publication repeats its number and shows daemons that the leader is alive.
+    pub(crate) fn publish(&mut self, now_ms: u64) -> Tables {
+        let leader = &self.leader;
+        let tables: HashMap<Name, Table> = leader
+            .services()
+            .filter_map(|service| Some((service.clone(), leader.table(service, now_ms)?)))
+            .collect();
+        let base = self.published_version;
+        let changed = tables.iter().filter_map(|(service, table)| {
             let spans = match self.published.get(service) {
-                Some(published) => table.changes_since(published),
-                None => table.spans.clone(),
+                Some(published) if base.is_some() => table.changes_since(published),
+                _ => table.spans.clone(),
             };
             (!spans.is_empty()).then(|| (service.clone(), Table { spans }))
         });
-        let (epoch, number) = (full.epoch, full.number);
-        Tables { epoch, number, base: Some(base), tables: changed.collect() }
+        let changed: Vec<(Name, Table)> = changed.collect();
+        let epoch = leader.epoch();
+        let number = match base {
+            Some((known, number)) if known == epoch && changed.is_empty() => number,
+            Some((known, number)) if known == epoch => number + 1,
+            _ => 1,
+        };
+        self.published = tables;
+        self.published_version = Some((epoch, number));
+        Tables { epoch, number, base, is_relayed: false, tables: changed }
+    }
+
+    /// Returns the whole of the last publication.
+    pub(crate) fn published_tables(&self) -> Option<Tables> {
+        let (epoch, number) = self.published_version?;
+        let tables = self.published.iter().map(|(name, table)| (name.clone(), table.clone()));
+        Some(Tables { epoch, number, base: None, is_relayed: false, tables: tables.collect() })
     }
 
     /// Updates the speed of a server from its reported answers.
--- a/crates/gateway/src/leader_tasks.rs
+++ b/crates/gateway/src/leader_tasks.rs
@@ -1,7 +1,7 @@
 //! Carries out what the leader decides.
 
 use document::{Name, Revision};
-use peer::{FleetBody, ServiceLoad};
+use peer::{FleetBody, ServiceLoad, Tables};
 use shard::{Config, Event, Leader, LogEvent, Output, Record, Servers};
 use store::{Category, Expect, Store, Transaction};
 use telemetry::Counter;
@@ -13,10 +13,10 @@
 use crate::node::Node;
 use crate::{Orders, Source};
 
-/// How often tables are sent to daemons, even when nothing changes.
-const PUBLISH_INTERVAL_MS: u64 = 800;
-/// How often full tables are sent; a message with changes is a hundredth of their size.
-const FULL_PUBLISH_INTERVAL_MS: u64 = 10_000;
+/// How often tables are published even when nothing changes.
+const PUBLISH_INTERVAL_MS: u64 = 300;
+/// The least time between two publications. Each costs a message to every daemon.
+const MIN_PUBLISH_INTERVAL_MS: u64 = 20;
 /// The largest number of reads that [`read_write_outcome`] makes.
 const MAX_OUTCOME_READS: u32 = 2;
 
@@ -24,33 +24,34 @@
     /// Starts to lead after a won election.
     pub(crate) fn start_leading(&mut self, election: WonElection) {
         let now_ms = self.clock.now_ms();
-        let WonElection { epoch, lease, authority_deadline_ms, records } = election;
-        spdlog::info!("elected leader", kv: { epoch = epoch.0, records = records.len() });
+        let WonElection { epoch, predecessor, lease, authority_deadline_ms, records } = election;
+        let resigned = self.resigned.take().filter(|resigned| Some(resigned.epoch) == predecessor);
+        spdlog::info!(
+            "elected leader",
+            kv: { epoch = epoch.0, records = records.len(), predecessor_resigned = resigned.is_some() }
+        );
         self.shared.counters.count(Counter::Elections);
         let config = Config { max_grant_ms: self.settings.max_grant_ms, ..Config::default() };
         let revisions =
             records.iter().map(|stored| (stored.service.clone(), stored.revision)).collect();
         let records: Vec<(Name, Record)> =
             records.into_iter().map(|stored| (stored.service, stored.record)).collect();
-        let leader = Leader::new(epoch, now_ms, authority_deadline_ms, &records, config);
+        let mut leader = Leader::new(epoch, now_ms, authority_deadline_ms, &records, config);
+        if let Some(resigned) = resigned {
+            leader.limit_earlier_grants(resigned.grants_deadline_ms);
+        }
         let lease_keeper = tokio::spawn(self.campaign().keep_lease(lease, authority_deadline_ms));
         let lease_keeper = AbortOnDropHandle::new(lease_keeper);
-        self.leading = Some(LeaderState::new(leader, lease, revisions, lease_keeper));
+        let mut leading = LeaderState::new(leader, lease, revisions, lease_keeper);
+        if let Some(version) = self.tables_version {
+            let known = self.tables.iter().map(|(name, table)| (name.clone(), (**table).clone()));
+            leading.continue_from(version, known.collect());
+        }
+        self.leading = Some(leading);
         self.add_keyed_services();
         self.step(Event::Tick);
     }
 
-    /// Stops leading and ends the lease, so that another daemon can be elected at once.
-    pub(crate) fn resign(&mut self, cause: &'static str) {
-        let Some(leading) = self.leading.take() else { return };
-        spdlog::info!("no longer leader", kv: { epoch = leading.leader.epoch().0, cause });
-        let (store, lease) = (self.store.clone(), leading.lease);
-        tokio::spawn(async move {
-            // A lease that cannot be ended expires by itself.
-            drop(store.end_lease(lease).await);
-        });
-    }
-
     /// Has the leader assign keys for every keyed service of the site.
     pub(crate) fn add_keyed_services(&mut self) {
         let (Some(leading), Some(site)) = (&mut self.leading, &self.site) else { return };
@@ -79,7 +80,8 @@
         let Some(leading) = &mut self.leading else { return };
         let servers = Servers { registry: &self.registry, speeds: &leading.speeds };
         let outputs = leading.leader.step(now_ms, servers, event);
-        let mut is_changed = false;
+        leading.is_publication_due |=
+            outputs.iter().any(|output| matches!(output, Output::Publish { .. }));
         for output in outputs {
             match output {
                 Output::Order { id, server, kind, deadline_ms } => {
@@ -87,7 +89,7 @@
                     self.send_order(id, server, kind, deadline_ms);
                 }
                 Output::Write { service, record } => self.write_record(service, record),
-                Output::Publish { .. } => is_changed = true,
+                Output::Publish { .. } => {}
                 Output::Deposed => {
                     self.resign("a server has seen a higher fence");
                     return;
@@ -95,11 +97,7 @@
                 Output::Log(event) => log(&event),
             }
         }
-        let is_publish_due =
-            self.leading.as_ref().is_some_and(|leading| now_ms >= leading.publish_at_ms);
-        if is_changed || is_publish_due {
-            self.publish();
-        }
+        self.publish_if_due(now_ms);
     }
 
     fn send_order(
@@ -114,8 +112,8 @@
         let (clock, orders, inputs) = (self.clock, self.orders.clone(), self.inputs.clone());
         tokio::spawn(async move {
             let now_ms = clock.now_ms();
-            // The process may have been suspended since the leader decided.
-            let reply = if now_ms >= authority_deadline_ms {
+            // The process may have been suspended or busy since the leader decided.
+            let reply = if now_ms >= authority_deadline_ms || now_ms >= deadline_ms {
                 shard::Reply::NotSent
             } else {
                 orders
@@ -183,37 +181,49 @@
         }
     }
 
-    /// Sends the owners of all keys, or their changes, to all daemons and applies them here.
-    fn publish(&mut self) {
-        let now_ms = self.clock.now_ms();
+    /// Publishes the owners of all keys when they have changed or the interval has passed.
+    pub(crate) fn publish_if_due(&mut self, now_ms: u64) {
         let Some(leading) = &mut self.leading else { return };
-        let base = leading.message_number;
-        leading.message_number += 1;
+        let is_due = leading.is_publication_due || now_ms >= leading.publish_at_ms;
+        if !is_due || now_ms < leading.published_at_ms + MIN_PUBLISH_INTERVAL_MS {
+            return;
+        }
+        leading.is_publication_due = false;
+        leading.published_at_ms = now_ms;
         leading.publish_at_ms = now_ms + PUBLISH_INTERVAL_MS;
-        let full = leading.tables(now_ms);
-        let is_full = now_ms >= leading.publish_full_at_ms;
-        let message = if is_full {
-            leading.publish_full_at_ms = now_ms + FULL_PUBLISH_INTERVAL_MS;
-            full.clone()
-        } else {
-            leading.changes(&full, base)
-        };
-        leading.published = full.tables.iter().cloned().collect();
-        self.send_all(&FleetBody::Tables(message));
-        self.on_tables(full);
+        let changes = leading.publish(now_ms);
+        let Some(complete) = leading.published_tables() else { return };
+        let daemons = self.daemons.iter();
+        let daemons = daemons.map(|(name, daemon)| (name.clone(), daemon.data_centre.clone()));
+        let recipients = leading.distribution.next(now_ms, &self.settings.instance, daemons);
+        if recipients.is_complete || !recipients.complete.is_empty() {
+            let body = to_body(&complete, now_ms);
+            let to =
+                if recipients.is_complete { &recipients.publication } else { &recipients.complete };
+            self.send_to(to, &body);
+        }
+        if !recipients.is_complete {
+            self.send_to(&recipients.publication, &to_body(&changes, now_ms));
+        }
+        self.on_own_tables(complete);
     }
 
-    /// Sends full tables to a daemon that missed a message.
-    pub(crate) fn send_tables(&mut self, daemon: &Name) {
+    /// Handles a daemon's request for complete tables.
+    pub(crate) fn on_tables_request(&mut self, daemon: &Name) {
         let now_ms = self.clock.now_ms();
-        let Some(leading) = &self.leading else { return };
-        let tables = leading.tables(now_ms);
-        if let Some(address) = self.address(daemon) {
-            self.send(address, FleetBody::Tables(tables));
-        }
+        let Some(leading) = &mut self.leading else { return };
+        leading.distribution.on_request(now_ms, daemon);
+        leading.is_publication_due = true;
     }
 }
 
+/// Returns a message with the tables, whose times become relative.
+pub(crate) fn to_body(tables: &Tables, now_ms: u64) -> FleetBody {
+    let relative = tables.tables.iter();
+    let relative = relative.map(|(name, table)| (name.clone(), table.to_relative(now_ms)));
+    FleetBody::Tables(Tables { tables: relative.collect(), ..tables.clone() })
+}
+
 /// Reads the store to find out whether a write took effect and whether this daemon still leads.
 async fn read_write_outcome<S: Store>(
     store: &S,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,13 +34,16 @@
 //!   `fleet` handle the entries of servers and daemons, `tables` handles the owners of keys,
 //!   and `view_builder` builds the view.
 //! - Relay of servers' entries: `relay` decides, and `relay_messages` sends and handles the
-//!   messages.
-//! - Leader: `election` wins and renews the leader's lease, `leader_state` holds the leader's
+//!   messages. `distribution` decides how tables reach all daemons.
+//! - Leader: `candidacy` decides who campaigns when, `succession` hands leadership over,
+//!   `election` wins and renews the leader's lease, `leader_state` holds the leader's
 //!   state, and `leader_tasks` carries out what [`shard::Leader`] decides.
 
 mod answer;
 mod call;
+mod candidacy;
 mod clock;
+mod distribution;
 mod election;
 mod exchange;
 mod fleet;
@@ -65,11 +68,14 @@
 mod settings;
 mod shared;
 mod status;
+mod succession;
 mod tables;
 mod view;
 mod view_builder;
 
+pub use candidacy::{Candidate, order, wait_ms};
 pub use clock::BootClock;
+pub use distribution::{Distribution, Recipients, groups};
 pub use gateway::{Gateway, Ports};
 pub use log_sampler::{LogSampler, is_sampled};
 pub use ports::{Dialect, EntryText, Orders, Source, Unreadable};
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -20,6 +20,7 @@
 use crate::relay::{Relay, Role};
 use crate::report::ServiceState;
 use crate::server::Server;
+use crate::succession::Resignation;
 use crate::{BootClock, Orders, Settings, Shared, Source};
 
 /// The state of the control thread.
@@ -60,15 +61,22 @@
     pub(crate) leader: Option<(Name, Revision)>,
     pub(crate) is_fleet_known: bool,
     pub(crate) is_campaigning: bool,
-    /// When this daemon campaigns unless another one is elected before.
-    pub(crate) campaign_at_ms: Option<u64>,
+    /// The resignation of the last leader that told of one.
+    pub(crate) resigned: Option<Resignation>,
+    /// Since when this daemon waits for its turn to campaign.
+    pub(crate) no_leader_since_ms: Option<u64>,
+    /// The number of campaigns that failed since there was a leader.
+    pub(crate) failed_campaigns: u32,
     pub(crate) store_answers: bool,
     /// The leader's state while this daemon leads.
     pub(crate) leading: Option<LeaderState>,
     pub(crate) links: Links,
     pub(crate) tables: HashMap<Name, Arc<Table>>,
-    /// The leader's epoch and the number of its message that the tables come from.
-    pub(crate) tables_version: (Epoch, u64),
+    /// The epoch and number of the newest publication that was applied.
+    pub(crate) newest_publication: (Epoch, u64),
+    /// The leader's epoch and the number of its publication that the tables come from; `None` if
+    /// they come from records.
+    pub(crate) tables_version: Option<(Epoch, u64)>,
     /// Whether a message with tables was missed.
     pub(crate) wants_tables: bool,
     pub(crate) tables_received_at_ms: u64,
@@ -133,12 +141,15 @@
             leader: None,
             is_fleet_known: false,
             is_campaigning: false,
-            campaign_at_ms: None,
+            resigned: None,
+            no_leader_since_ms: None,
+            failed_campaigns: 0,
             store_answers: true,
             leading: None,
             links: Links::default(),
             tables: HashMap::default(),
-            tables_version: (Epoch(0), 0),
+            newest_publication: (Epoch(0), 0),
+            tables_version: None,
             wants_tables: false,
             tables_received_at_ms: 0,
             records_read_at_ms: 0,
@@ -164,7 +175,7 @@
                 },
                 _ = ticks.tick() => {
                     skipped += 1;
-                    let is_busy = self.leading.is_some() || self.campaign_at_ms.is_some();
+                    let is_busy = self.leading.is_some() || self.no_leader_since_ms.is_some();
                     if is_busy || skipped >= IDLE_TICKS {
                         skipped = 0;
                         self.tick();
@@ -188,15 +199,23 @@
             Input::CampaignEnded(election) => {
                 self.is_campaigning = false;
                 match election {
-                    Some(election) if !self.shared.is_stopping() => self.start_leading(election),
-                    _ => self.campaign_if_needed(),
+                    Some(election) if !self.shared.is_stopping() => {
+                        self.failed_campaigns = 0;
+                        self.start_leading(election);
+                    }
+                    _ => {
+                        self.failed_campaigns += 1;
+                        self.campaign_if_needed();
+                    }
                 }
             }
             Input::LeaseRenewed { authority_deadline_ms } => {
+                self.on_lease_renewed();
                 self.step(Event::LeaseRenewed { authority_deadline_ms });
                 self.step(Event::StoreAnswers(true));
             }
-            Input::LeaseRenewalFailed => self.step(Event::StoreAnswers(false)),
+            Input::LeaseRenewalFailed => self.on_lease_renewal_failed(),
+            Input::StoreReached { leader, epoch } => self.send_store_reached(&leader, epoch),
             Input::LeaseEnded => {
                 self.resign("the lease ended");
                 self.campaign_if_needed();
@@ -227,8 +246,11 @@
         if self.leading.as_ref().is_some_and(|leading| leading.leader.needs_new_epoch()) {
             self.resign("all fences of the epoch are used");
         }
+        self.check_lease_renewal(now_ms);
         self.step(Event::Tick);
         self.update_relay(now_ms);
+        self.publish_if_due(now_ms);
+        self.check_tables_silence(now_ms);
         if now_ms >= self.report_at_ms {
             self.report_at_ms = now_ms + REPORT_INTERVAL_MS;
             self.report();
@@ -264,6 +286,7 @@
                 for entry in entries {
                     self.on_fleet_entry(entry);
                 }
+                self.close_unused_links();
                 self.choose_role();
                 self.campaign_if_needed();
             }
@@ -354,7 +377,7 @@
             FleetBody::Load(load) => {
                 self.add_load(&load.services);
                 if load.wants_tables {
-                    self.send_tables(&frame.from);
+                    self.on_tables_request(&frame.from);
                 }
             }
             FleetBody::Tables(tables) => self.on_tables(tables),
@@ -364,6 +387,9 @@
                 self.step(Event::Tick);
             }
             FleetBody::ServersRequest => self.send_all_servers(&frame.from),
+            FleetBody::StoreQuery(epoch) => self.on_store_query(frame.from, epoch),
+            FleetBody::StoreReached(epoch) => self.on_store_reached(&frame.from, epoch),
+            FleetBody::Resigned(resigned) => self.on_resigned(resigned),
         }
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,6 +7,8 @@
 
 use document::{Name, Revision};
 
+use crate::distribution::groups;
+
 /// How a daemon gets the servers' entries.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Role {
@@ -63,11 +65,6 @@
     pub has_stopped_reading: bool,
 }
 
-/// The largest number of daemons in a group, including the reader.
-///
-/// With a message of 70 bytes every [`HEARTBEAT_INTERVAL_MS`] for each daemon, the reader sends
-/// 15 KB per second; a daemon may use 26 KB per second.
-const MAX_GROUP_DAEMONS: usize = 64;
 /// How often a reader sends a message, even when nothing changed.
 pub const HEARTBEAT_INTERVAL_MS: u64 = 300;
 /// How long a daemon waits for a message before it reads the entries itself.
@@ -85,10 +82,9 @@
     /// Returns the role of a daemon; `neighbours` are all daemons of its data centre, itself
     /// included.
     #[must_use]
-    pub fn of(instance: &Name, mut neighbours: Vec<Name>) -> Self {
-        neighbours.sort_unstable();
-        let group = neighbours.chunks(MAX_GROUP_DAEMONS).find(|group| group.contains(instance));
-        match group.and_then(|group| group.split_first()) {
+    pub fn of(instance: &Name, neighbours: Vec<Name>) -> Self {
+        let group = groups(neighbours).into_iter().find(|group| group.contains(instance));
+        match group.as_ref().and_then(|group| group.split_first()) {
             Some((first, _)) if first != instance => Self::Hears { from: first.clone() },
             Some((_, others)) => Self::Reads { tells: others.to_vec() },
             None => Self::Reads { tells: Vec::new() },
--- a/crates/gateway/src/relay_messages.rs
+++ b/crates/gateway/src/relay_messages.rs
@@ -1,7 +1,7 @@
 //! Sends servers' entries to other daemons and handles such messages.
 
 use document::Name;
-use peer::{FleetBody, Servers};
+use peer::{FleetBody, FleetFrame, Servers};
 use registry::Registration;
 use store::Store;
 
@@ -93,10 +93,12 @@
         self.send(address, FleetBody::Servers(Servers { listed, ..self.empty_message(true) }));
     }
 
-    fn send_to(&mut self, daemons: &[Name], body: &FleetBody) {
+    pub(crate) fn send_to(&mut self, daemons: &[Name], body: &FleetBody) {
+        let frame = FleetFrame { from: self.settings.instance.clone(), body: body.clone() };
+        let bytes = frame.to_bytes();
         for daemon in daemons {
             if let Some(address) = self.address(daemon) {
-                self.send(address, body.clone());
+                self.links.send(address, bytes.clone());
             }
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -13,6 +13,10 @@
     pub instance: Name,
     /// The data centre that the instance runs in.
     pub data_centre: Name,
+    /// The bandwidth of the instance's link; 0 if unknown.
+    ///
+    /// Well connected instances lead before others.
+    pub link_mbps: u32,
     /// The addresses that the instance listens on.
     pub listen: Listen,
     /// The address of the platform's store.
@@ -58,6 +62,8 @@
 const SECTIONS: &str = "[instance], [listen], [store], [servers], [retries], [stop] or [log]";
 const RATIO: ValueFormat<u32> =
     ValueFormat { parse: read_ratio, expected: "a fraction from 0 to 1, such as 0.2" };
+const MBPS: ValueFormat<u32> =
+    ValueFormat { parse: read_mbps, expected: "a bandwidth in Mbit/s above 0, such as 200" };
 /// A store answers within milliseconds; a call is given up after half a second.
 const DEFAULT_STORE_TIMEOUT_MS: u64 = 500;
 /// Stores accept leases of a second; a shorter one would expire during a pause of the process.
@@ -83,6 +89,7 @@
         let settings = Self {
             instance: instance.required("name", &TEXT)?,
             data_centre: instance.required("data_centre", &TEXT)?,
+            link_mbps: instance.optional("link_mbps", &MBPS)?.unwrap_or(0),
             listen,
             store: store.required("address", &ADDRESS)?,
             store_timeout_ms: store
@@ -95,7 +102,7 @@
             retries: read_retries(sections.take_optional("retries"))?,
             log_level: read_log(sections.take_optional("log"))?,
         };
-        instance.finish("name, data_centre")?;
+        instance.finish("name, data_centre, link_mbps")?;
         store.finish("address, timeout, least_lease")?;
         sections.finish(SECTIONS)?;
         Ok(settings)
@@ -157,3 +164,13 @@
     let ratio: f64 = text.parse().ok()?;
     (0.0..=1.0).contains(&ratio).then(|| (ratio * 1_000.0).round() as u32)
 }
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the number is from 1 to that of u32, rounded"
+)]
+fn read_mbps(text: &str) -> Option<u32> {
+    let mbps: f64 = text.parse().ok()?;
+    (mbps > 0.0 && mbps <= f64::from(u32::MAX)).then(|| mbps.ceil() as u32)
+}
--- /dev/null
+++ b/crates/gateway/src/succession.rs
@@ -0,0 +1,163 @@
+//! Hands leadership over when a leader stops or the store refuses it.
+//!
+//! The store may refuse a leader and serve other daemons. A leader whose lease is not renewed asks
+//! some daemons whether the store answers them. If it does, the leader resigns in favour of the
+//! first one that says so. Only if none does, the store is down for all, and the leader makes
+//! grants long enough to last until it is back.
+
+use document::Name;
+use peer::{FleetBody, Resigned};
+use shard::{Epoch, Event};
+use store::Store;
+use telemetry::Counter;
+use tokio::time::{Duration, sleep};
+
+use crate::candidacy::{self, Candidate};
+use crate::follow::LEADER_KEY;
+use crate::input::Input;
+use crate::node::Node;
+use crate::{Orders, Source};
+
+/// What a leader that resigned told.
+#[derive(Clone, Debug)]
+pub(crate) struct Resignation {
+    pub(crate) epoch: Epoch,
+    pub(crate) successor: Option<Name>,
+    /// The time until which grants of the leader or of earlier ones may be valid.
+    pub(crate) grants_deadline_ms: u64,
+}
+
+/// How many daemons are asked at once whether they reach the store.
+///
+/// If the store refuses a third of the daemons, one of four answers in 99 of 100 cases.
+const QUERIED_DAEMONS: usize = 4;
+/// How long a leader waits for a daemon that reaches the store before it makes grants longer.
+const QUERY_TIMEOUT_MS: u64 = 200;
+/// How long the lease of a leader that resigned goes on, so that its successor can replace the
+/// leader's entry and so show that there was no other leader in between.
+const LEASE_END_DELAY_MS: u64 = 400;
+/// Clocks of daemons may differ by 1/50 of the time, that is two percent.
+const CLOCK_DRIFT_DIVISOR: u64 = 50;
+
+impl<S: Store, O: Orders, R: Source> Node<S, O, R> {
+    /// Stops leading and lets another daemon take over at once.
+    pub(crate) fn resign(&mut self, cause: &'static str) {
+        self.resign_to(None, cause);
+    }
+
+    fn resign_to(&mut self, successor: Option<&Name>, cause: &'static str) {
+        let Some(leading) = self.leading.take() else { return };
+        let epoch = leading.leader.epoch();
+        let successor = successor.cloned().or_else(|| self.next_in_order(epoch));
+        let named = successor.as_deref().unwrap_or("-").to_owned();
+        spdlog::info!("no longer leader", kv: { epoch = epoch.0, cause, successor = named });
+        let grants_deadline_ms = leading.leader.grants_deadline_ms();
+        let grants_left_ms = grants_deadline_ms.saturating_sub(self.clock.now_ms());
+        let resigned = Resigned { epoch, successor: successor.clone(), grants_left_ms };
+        self.send_all(&FleetBody::Resigned(resigned));
+        self.resigned = Some(Resignation { epoch, successor, grants_deadline_ms });
+        let (store, lease) = (self.store.clone(), leading.lease);
+        tokio::spawn(async move {
+            sleep(Duration::from_millis(LEASE_END_DELAY_MS)).await;
+            // A lease that cannot be ended expires by itself.
+            drop(store.end_lease(lease).await);
+        });
+    }
+
+    /// Handles the resignation of another leader.
+    pub(crate) fn on_resigned(&mut self, resigned: Resigned) {
+        let Resigned { epoch, successor, grants_left_ms } = resigned;
+        if self.resigned.as_ref().is_some_and(|known| known.epoch >= epoch) {
+            return;
+        }
+        let named = successor.as_deref().unwrap_or("-").to_owned();
+        spdlog::info!("leader resigned", kv: { epoch = epoch.0, successor = named, grants_left_ms });
+        let drift_ms = grants_left_ms / CLOCK_DRIFT_DIVISOR;
+        let grants_deadline_ms = self.clock.now_ms() + grants_left_ms + drift_ms;
+        self.resigned = Some(Resignation { epoch, successor, grants_deadline_ms });
+        self.campaign_if_needed();
+    }
+
+    /// Returns how long this daemon waits for its turn to campaign.
+    pub(crate) fn campaign_wait_ms(&self) -> u64 {
+        let epoch = self.tables_version.map_or(Epoch(0), |(epoch, _)| epoch);
+        let order = candidacy::order(epoch.0, self.candidates());
+        let successor = self.resigned.as_ref().and_then(|resigned| resigned.successor.as_ref());
+        candidacy::wait_ms(&order, &self.settings.instance, successor, self.failed_campaigns)
+    }
+
+    fn next_in_order(&self, epoch: Epoch) -> Option<Name> {
+        let order = candidacy::order(epoch.0, self.candidates());
+        order.into_iter().find(|name| *name != self.settings.instance)
+    }
+
+    fn candidates(&self) -> Vec<Candidate> {
+        let daemons = self.daemons.iter();
+        let to_candidate = |(name, daemon): (&Name, &crate::follow::DaemonEntry)| Candidate {
+            instance: name.clone(),
+            link_mbps: daemon.link_mbps,
+        };
+        daemons.map(to_candidate).collect()
+    }
+
+    pub(crate) fn on_lease_renewed(&mut self) {
+        let Some(leading) = &mut self.leading else { return };
+        leading.renewal_failed_at_ms = None;
+        leading.queried_daemons = 0;
+    }
+
+    /// Asks some daemons whether the store answers them.
+    pub(crate) fn on_lease_renewal_failed(&mut self) {
+        let now_ms = self.clock.now_ms();
+        let Some(leading) = &mut self.leading else { return };
+        let epoch = leading.leader.epoch();
+        leading.renewal_failed_at_ms.get_or_insert(now_ms);
+        let skipped = leading.queried_daemons;
+        leading.queried_daemons += QUERIED_DAEMONS;
+        let order = candidacy::order(epoch.0, self.candidates());
+        let others = order.into_iter().filter(|name| *name != self.settings.instance);
+        let queried: Vec<Name> = others.skip(skipped).take(QUERIED_DAEMONS).collect();
+        spdlog::info!("lease not renewed", kv: { epoch = epoch.0, queried = queried.len() });
+        self.send_to(&queried, &FleetBody::StoreQuery(epoch));
+    }
+
+    /// Makes grants longer when no daemon has said that it reaches the store.
+    pub(crate) fn check_lease_renewal(&mut self, now_ms: u64) {
+        let failed_at_ms = self.leading.as_ref().and_then(|leading| leading.renewal_failed_at_ms);
+        if failed_at_ms.is_some_and(|failed_at_ms| now_ms >= failed_at_ms + QUERY_TIMEOUT_MS) {
+            self.step(Event::StoreAnswers(false));
+        }
+    }
+
+    /// Asks the store, for a leader that it does not answer, whether that is still the leader.
+    pub(crate) fn on_store_query(&mut self, leader: Name, epoch: Epoch) {
+        if !self.store_answers || self.shared.is_stopping() {
+            return;
+        }
+        let (store, inputs) = (self.store.clone(), self.inputs.clone());
+        self.shared.counters.count(Counter::StoreCalls);
+        tokio::spawn(async move {
+            let Ok(Some(entry)) = store.read(LEADER_KEY).await else { return };
+            if entry.revision.0 == epoch.0 {
+                // The receiver is closed only while the process exits.
+                drop(inputs.send(Input::StoreReached { leader, epoch }).await);
+            }
+        });
+    }
+
+    pub(crate) fn send_store_reached(&mut self, leader: &Name, epoch: Epoch) {
+        if let Some(address) = self.address(leader) {
+            self.send(address, FleetBody::StoreReached(epoch));
+        }
+    }
+
+    /// Resigns in favour of a daemon that the store answers.
+    pub(crate) fn on_store_reached(&mut self, daemon: &Name, epoch: Epoch) {
+        let is_refused = self.leading.as_ref().is_some_and(|leading| {
+            leading.leader.epoch() == epoch && leading.renewal_failed_at_ms.is_some()
+        });
+        if is_refused {
+            self.resign_to(Some(daemon), "the store answers another daemon");
+        }
+    }
+}
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -37,6 +37,8 @@
     pub table: Arc<Table>,
     /// When the snapshot was built, by the clock of requests.
     pub built_at_ms: u64,
+    /// The same by the clock of control, which the table's times refer to.
+    pub built_at_control_ms: u64,
 }
 
 /// Where a request can be sent.
@@ -77,9 +79,10 @@
                 _ => Destination::Moving,
             },
             Owner::Moving(_) => Destination::Moving,
-            Owner::Nobody { for_ms } => {
+            Owner::Nobody { until_ms } => {
                 let elapsed_ms = now_ms.saturating_sub(self.built_at_ms);
-                Destination::NoOwner { remaining_ms: for_ms.saturating_sub(elapsed_ms) }
+                let now_ms = self.built_at_control_ms + elapsed_ms;
+                Destination::NoOwner { remaining_ms: until_ms.saturating_sub(now_ms) }
             }
         }
     }
--- a/crates/gateway/src/view_builder.rs
+++ b/crates/gateway/src/view_builder.rs
@@ -54,6 +54,7 @@
                 servers,
                 table,
                 built_at_ms: self.shared.clock.now_ms(),
+                built_at_control_ms: self.clock.now_ms(),
             };
             services.insert(spec.name.clone(), Arc::new(view));
         }
@@ -61,7 +62,8 @@
         if is_complete && !self.registry.is_empty() {
             self.shared.set_ready(true);
         }
-        let tables_version = (self.tables_version.0.0, self.tables_version.1);
+        let tables_version =
+            self.tables_version.map_or((0, 0), |(epoch, number)| (epoch.0, number));
         self.shared.replace_view(View { site: Some(site), tables_version, services });
     }
 
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -31,6 +31,24 @@
     Servers(Servers),
     /// Requests a [`Servers`] message that lists all servers.
     ServersRequest,
+    /// Asks whether the receiver reaches the store, which does not answer the sender, the leader
+    /// of this epoch.
+    StoreQuery(Epoch),
+    /// Tells that the store answers the sender and names the leader of this epoch.
+    StoreReached(Epoch),
+    /// Tells that a leader has stopped acting.
+    Resigned(Resigned),
+}
+
+/// The resignation of a leader, whose lease may go on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Resigned {
+    /// The leader's epoch.
+    pub epoch: Epoch,
+    /// The daemon that may campaign first.
+    pub successor: Option<Name>,
+    /// How much longer the leader's grants may be valid.
+    pub grants_left_ms: u64,
 }
 
 /// The servers' entries from the store, relayed to daemons that do not read them.
@@ -90,16 +108,20 @@
 }
 
 /// The owners of all keys, as one leader publishes them.
+///
+/// Times in the tables are relative to the time of sending.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tables {
     /// The leader's epoch.
     pub epoch: Epoch,
     /// The number of the publication within the epoch.
     pub number: u64,
-    /// The number of the publication whose spans these spans change.
+    /// The epoch and number of the publication whose spans these spans change.
     ///
     /// `None` if the tables are complete.
-    pub base: Option<u64>,
+    pub base: Option<(Epoch, u64)>,
+    /// Whether the sender is not the leader and passes the publication on.
+    pub is_relayed: bool,
     /// The tables by service.
     pub tables: Vec<(Name, Table)>,
 }
@@ -120,6 +142,13 @@
             }
             FleetBody::Servers(servers) => wire::frame::Body::Servers(from_servers(servers)),
             FleetBody::ServersRequest => wire::frame::Body::ServersWanted(wire::ServersWanted {}),
+            FleetBody::StoreQuery(epoch) => {
+                wire::frame::Body::StoreQuery(wire::StoreQuery { epoch: epoch.0 })
+            }
+            FleetBody::StoreReached(epoch) => {
+                wire::frame::Body::StoreReached(wire::StoreReached { epoch: epoch.0 })
+            }
+            FleetBody::Resigned(resigned) => wire::frame::Body::Resigned(from_resigned(resigned)),
         };
         wire::Frame { from: self.from.to_string(), body: Some(body) }.encode_to_vec().into()
     }
@@ -143,6 +172,11 @@
             }
             wire::frame::Body::Servers(servers) => FleetBody::Servers(to_servers(servers)?),
             wire::frame::Body::ServersWanted(_) => FleetBody::ServersRequest,
+            wire::frame::Body::StoreQuery(query) => FleetBody::StoreQuery(Epoch(query.epoch)),
+            wire::frame::Body::StoreReached(reached) => {
+                FleetBody::StoreReached(Epoch(reached.epoch))
+            }
+            wire::frame::Body::Resigned(resigned) => FleetBody::Resigned(to_resigned(resigned)),
         };
         Ok(Self { from: frame.from.into(), body })
     }
@@ -249,7 +283,9 @@
     wire::Tables {
         epoch: tables.epoch.0,
         number: tables.number,
-        base: tables.base.unwrap_or(0),
+        base: tables.base.map_or(0, |(_, number)| number),
+        base_epoch: tables.base.map_or(0, |(epoch, _)| epoch.0),
+        is_relayed: tables.is_relayed,
         tables: tables.tables.iter().map(|(name, table)| from_table(name, table)).collect(),
     }
 }
@@ -258,7 +294,11 @@
     Ok(Tables {
         epoch: Epoch(tables.epoch),
         number: tables.number,
-        base: Some(tables.base).filter(|base| *base > 0),
+        base: Some(tables.base).filter(|base| *base > 0).map(|base| {
+            let epoch = if tables.base_epoch == 0 { tables.epoch } else { tables.base_epoch };
+            (Epoch(epoch), base)
+        }),
+        is_relayed: tables.is_relayed,
         tables: tables.tables.into_iter().map(to_table).collect::<Result<_>>()?,
     })
 }
@@ -279,7 +319,7 @@
             let (state, life, for_ms) = match &span.owner {
                 Owner::Server(incarnation) => (wire::State::Server, position(incarnation), 0),
                 Owner::Moving(incarnation) => (wire::State::Moving, position(incarnation), 0),
-                Owner::Nobody { for_ms } => (wire::State::Nobody, 0, *for_ms),
+                Owner::Nobody { until_ms } => (wire::State::Nobody, 0, *until_ms),
             };
             let (from, to) = (u32::from(span.range.from()), u32::from(span.range.to()));
             wire::Span { from, to, state: state.into(), life, for_ms }
@@ -303,11 +343,28 @@
     let owner = match span.state() {
         wire::State::Server => Owner::Server(incarnation()?),
         wire::State::Moving => Owner::Moving(incarnation()?),
-        wire::State::Nobody => Owner::Nobody { for_ms: span.for_ms },
+        wire::State::Nobody => Owner::Nobody { until_ms: span.for_ms },
     };
     Some(Span { range, owner })
 }
 
+fn from_resigned(resigned: &Resigned) -> wire::Resigned {
+    wire::Resigned {
+        epoch: resigned.epoch.0,
+        successor: resigned.successor.as_ref().map(ToString::to_string).unwrap_or_default(),
+        grants_left_ms: resigned.grants_left_ms,
+    }
+}
+
+fn to_resigned(resigned: wire::Resigned) -> Resigned {
+    let successor = Some(resigned.successor).filter(|name| !name.is_empty());
+    Resigned {
+        epoch: Epoch(resigned.epoch),
+        successor: successor.map(Name::from),
+        grants_left_ms: resigned.grants_left_ms,
+    }
+}
+
 fn from_crash_count(count: &CrashCount) -> wire::Suspect {
     wire::Suspect {
         fingerprint: count.fingerprint.0,
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use document::Name;
+use document::{HashSet, Name};
 
 use crate::{Incarnation, Registration, Stage};
 
@@ -97,6 +97,7 @@
     /// Returns the names of the entries that were dropped or newly marked as missing. Entries
     /// that were missing before are not returned as long as their grace period runs.
     pub fn keep_only(&mut self, now_ms: u64, listed: &[Name]) -> Vec<Name> {
+        let listed: HashSet<&Name> = listed.iter().collect();
         let mut missing: Vec<Name> =
             self.entries.keys().filter(|name| !listed.contains(name)).cloned().collect();
         missing.retain(|name| self.remove(now_ms, name) == Change::Server);
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -88,6 +88,18 @@
         Self { ranges: ranges.collect(), ..Self::new() }
     }
 
+    /// Limits how long grants of earlier leaders count as valid.
+    pub(crate) fn limit_earlier_grants(&mut self, deadline_ms: u64) {
+        for grant_deadline_ms in self.ranges.iter_mut().flat_map(RangeState::grant_deadlines_mut) {
+            *grant_deadline_ms = deadline_ms.min(*grant_deadline_ms);
+        }
+    }
+
+    /// Returns the time until which answered grants may be valid.
+    pub(crate) fn grants_deadline_ms(&self) -> u64 {
+        self.ranges.iter().map(RangeState::grants_deadline_ms).max().unwrap_or(0)
+    }
+
     /// Returns whether new owners have to be published or orders may have become due.
     pub(crate) fn is_changed(&self) -> bool {
         self.is_changed
@@ -408,15 +420,15 @@
         return Owner::Server(holder.incarnation.clone());
     }
     let deadlines = state.previous_holders.iter().map(|previous| previous.grant_deadline_ms);
-    let for_ms = deadlines.max().unwrap_or(0).saturating_sub(now_ms);
+    let until_ms = deadlines.max().unwrap_or(0);
     match &state.successor {
-        Some(successor) if successor.reason == MoveReason::Silent && for_ms > 0 => {
-            Owner::Nobody { for_ms }
+        Some(successor) if successor.reason == MoveReason::Silent && until_ms > now_ms => {
+            Owner::Nobody { until_ms }
         }
         Some(successor) => Owner::Moving(successor.incarnation.clone()),
         None => match &state.holder {
             Some(holder) => Owner::Moving(holder.incarnation.clone()),
-            None => Owner::Nobody { for_ms },
+            None => Owner::Nobody { until_ms },
         },
     }
 }
--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -58,6 +58,21 @@
         }
     }
 
+    /// Limits how long grants of earlier leaders count as valid, from what their last one told.
+    pub fn limit_earlier_grants(&mut self, deadline_ms: u64) {
+        for assignment in self.assignments.values_mut() {
+            assignment.limit_earlier_grants(deadline_ms);
+        }
+    }
+
+    /// Returns the time until which grants of this leader or earlier ones may be valid.
+    #[must_use]
+    pub fn grants_deadline_ms(&self) -> u64 {
+        let answered = self.assignments.values().map(Assignment::grants_deadline_ms);
+        let unanswered = self.orders.grants_deadline_ms(&self.config);
+        answered.max().unwrap_or(0).max(unanswered)
+    }
+
     /// Returns the epoch in which this leader was elected.
     #[must_use]
     pub fn epoch(&self) -> Epoch {
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -175,6 +175,19 @@
         }
     }
 
+    /// Returns the time until which unanswered grants to any server may be valid; 0 if none.
+    pub(crate) fn grants_deadline_ms(&self, config: &Config) -> u64 {
+        let abandoned = self.abandoned.iter().map(|grant| grant.deadline_ms(config));
+        let pending = self.pending.values().filter_map(|order| match &order.kind {
+            OrderKind::Grant(grant) => {
+                let arrived_at_ms = order.deadline_ms + config.max_transit_ms;
+                Some(config.grant_deadline_ms(arrived_at_ms, grant.grant_ms))
+            }
+            OrderKind::Release(_) => None,
+        });
+        pending.chain(abandoned).max().unwrap_or(0)
+    }
+
     /// Returns the time until which unanswered grants to a server may be valid; 0 if none.
     ///
     /// Grants to any incarnation of the server count: they reach the one that runs on arrival.
@@ -187,10 +200,7 @@
         let abandoned = self.abandoned.iter().filter(|grant| {
             grant.incarnation.server == incarnation.server && grant.range.overlaps(range)
         });
-        let abandoned = abandoned.map(|grant| {
-            let arrived_at_ms = grant.abandoned_at_ms + config.max_transit_ms;
-            config.grant_deadline_ms(arrived_at_ms, grant.grant_ms)
-        });
+        let abandoned = abandoned.map(|grant| grant.deadline_ms(config));
         let pending = self.pending.values().filter_map(|order| match &order.kind {
             OrderKind::Grant(grant)
                 if order.incarnation.server == incarnation.server
@@ -204,6 +214,14 @@
     }
 }
 
+impl AbandonedGrant {
+    /// Returns the time until which the grant may be valid if it arrives as late as it can.
+    fn deadline_ms(&self, config: &Config) -> u64 {
+        let arrived_at_ms = self.abandoned_at_ms + config.max_transit_ms;
+        config.grant_deadline_ms(arrived_at_ms, self.grant_ms)
+    }
+}
+
 impl PendingOrder {
     pub(crate) fn new(
         service: &Name,
--- a/crates/shard/src/range_state.rs
+++ b/crates/shard/src/range_state.rs
@@ -128,6 +128,21 @@
         }
     }
 
+    /// Returns the times until which answered grants may be valid.
+    pub(crate) fn grant_deadlines_mut(&mut self) -> impl Iterator<Item = &mut u64> {
+        let holder = self.holder.iter_mut().map(|holder| &mut holder.grant_deadline_ms);
+        let previous_holders = self.previous_holders.iter_mut();
+        holder.chain(previous_holders.map(|previous| &mut previous.grant_deadline_ms))
+    }
+
+    /// Returns the last time at which an answered grant may be valid.
+    pub(crate) fn grants_deadline_ms(&self) -> u64 {
+        let holder = self.holder.iter().map(|holder| holder.grant_deadline_ms);
+        let previous_holders = self.previous_holders.iter();
+        let deadlines = holder.chain(previous_holders.map(|previous| previous.grant_deadline_ms));
+        deadlines.max().unwrap_or(0)
+    }
+
     /// Returns whether the holder serves the range and no move is planned or going on.
     pub(crate) fn is_settled(&self) -> bool {
         self.successor.is_none()
--- a/crates/shard/src/table.rs
+++ b/crates/shard/src/table.rs
@@ -29,8 +29,8 @@
     Moving(Incarnation),
     /// No server serves the range, at least until the last grant has expired.
     Nobody {
-        /// About how long it takes until then, in milliseconds; 0 if no grant is valid.
-        for_ms: u64,
+        /// About when that is, by the clock of the process; 0 if no grant is valid.
+        until_ms: u64,
     },
 }
 
@@ -65,6 +65,29 @@
         self.spans.sort_unstable_by_key(|span| span.range.from());
     }
 
+    /// Returns the table with times counted from `now_ms`, as other processes get it.
+    #[must_use]
+    pub fn to_relative(&self, now_ms: u64) -> Self {
+        self.map_times(|until_ms| until_ms.saturating_sub(now_ms))
+    }
+
+    /// Returns the table of another process, which has times counted from `now_ms`.
+    #[must_use]
+    pub fn to_absolute(&self, now_ms: u64) -> Self {
+        self.map_times(|for_ms| if for_ms == 0 { 0 } else { now_ms + for_ms })
+    }
+
+    fn map_times(&self, map: impl Fn(u64) -> u64) -> Self {
+        let spans = self.spans.iter().map(|span| {
+            let owner = match &span.owner {
+                Owner::Nobody { until_ms } => Owner::Nobody { until_ms: map(*until_ms) },
+                owner => owner.clone(),
+            };
+            Span { range: span.range, owner }
+        });
+        Self { spans: spans.collect() }
+    }
+
     /// Returns the span that contains a key; `None` if the table is empty.
     #[must_use]
     pub fn find(&self, key: u16) -> Option<&Span> {
