Get servers' entries from the reader at a start; rebuild the view less

Each of 79 daemons listed all servers' entries (12 pages) at its start and after each outage of the store, although a reader of its group sends them. And each change of a table rebuilt the view of all servers.

Change: a daemon waits 0.6 s for its reader's first message before it reads the entries itself; a reader sends all of them to a daemon that joins. The view is rebuilt only when servers, daemons, the document or settings change.

Test: gateway/servers_relay.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -24,7 +24,7 @@
         match entry.text.as_deref().map(serde_json::from_str::<DaemonEntry>) {
             Some(Ok(daemon)) => {
                 if self.daemons.insert(name.clone(), daemon.clone()) != Some(daemon) {
-                    self.is_view_stale = true;
+                    self.are_servers_stale = true;
                     self.on_tables_request(&name);
                 }
             }
@@ -33,7 +33,7 @@
             }
             None => {
                 self.daemons.remove(&name);
-                self.is_view_stale = true;
+                self.are_servers_stale = true;
             }
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -119,7 +119,7 @@
         let stop = StopSignals::default();
         let traffic = start_traffic(&shared, settings.listen.front, stop.clone())?;
         spdlog::info!("started", kv: { instance = settings.instance.as_str(), front: = settings.listen.front });
-        let (needs_entries, are_entries_needed) = watch::channel(true);
+        let (needs_entries, are_entries_needed) = watch::channel(false);
         let call_restarts = follow_store(&ports, &settings, &shared, &inputs, &are_entries_needed);
         let resign = CancellationToken::new();
         let store = ports.store.clone();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -43,8 +43,8 @@
     pub(crate) entries_revision: Revision,
     /// When servers' entries were last read here; `None` while they are not read here.
     pub(crate) entries_read_at_ms: Option<u64>,
-    /// Whether the store has stopped answering since servers' entries were last listed here.
-    pub(crate) is_list_stale: bool,
+    /// When the process started, or when the store answered again.
+    pub(crate) store_reached_at_ms: u64,
     /// Whether this daemon relays servers' entries to its group.
     pub(crate) is_relaying: bool,
     /// Servers whose entries changed since the last message to the group.
@@ -83,7 +83,10 @@
     pub(crate) records_read_at_ms: u64,
     pub(crate) servers: HashMap<Incarnation, Arc<Server>>,
     pub(crate) service_states: HashMap<Name, Arc<ServiceState>>,
-    pub(crate) is_view_stale: bool,
+    /// Whether servers, daemons, the document or settings have changed since the view was built.
+    pub(crate) are_servers_stale: bool,
+    /// Whether tables have changed since the view was built.
+    pub(crate) are_tables_stale: bool,
     report_at_ms: u64,
     send_crashes_at_ms: u64,
     log_dropped_at_ms: u64,
@@ -128,7 +131,7 @@
             relay: Relay::default(),
             entries_revision: Revision(0),
             entries_read_at_ms: None,
-            is_list_stale: true,
+            store_reached_at_ms: BootClock.now_ms(),
             is_relaying: false,
             changed_servers: BTreeSet::new(),
             // A restarted process must not reuse the numbers of the process before it.
@@ -155,7 +158,8 @@
             records_read_at_ms: 0,
             servers: HashMap::default(),
             service_states: HashMap::default(),
-            is_view_stale: true,
+            are_servers_stale: true,
+            are_tables_stale: true,
             report_at_ms: 0,
             send_crashes_at_ms: 0,
             log_dropped_at_ms: 0,
@@ -185,9 +189,7 @@
                     self.resign("the process is stopping");
                 }
             }
-            if self.is_view_stale {
-                self.replace_view();
-            }
+            self.update_view();
         }
     }
 
@@ -238,7 +240,7 @@
         let now_ms = self.clock.now_ms();
         if self.registry.expire(now_ms) == Change::Server {
             spdlog::info!("missing servers removed after the grace period", kv: { servers = self.registry.len() });
-            self.is_view_stale = true;
+            self.are_servers_stale = true;
         }
         if self.leading.as_ref().is_some_and(|leading| leading.leader.has_authority_ended(now_ms)) {
             self.resign("authority ended");
@@ -310,14 +312,14 @@
         }
         spdlog::info!("document in force", kv: { version = site.version().0, revision = entry.revision.0 });
         self.site = Some(Arc::new(site));
-        self.is_view_stale = true;
+        self.are_servers_stale = true;
         self.add_keyed_services();
     }
 
     fn on_store_answers(&mut self, answers: bool) {
         spdlog::info!("store", kv: { answers });
-        self.is_list_stale |= !answers;
         if answers && !self.store_answers {
+            self.store_reached_at_ms = self.clock.now_ms();
             self.registry.on_list_restored(self.clock.now_ms());
             // A restarted store no longer knows the watches that still wait for it.
             self.call_restarts.send_modify(|count| *count += 1);
@@ -386,7 +388,7 @@
                 self.on_servers_message(&frame.from, servers);
                 self.step(Event::Tick);
             }
-            FleetBody::ServersRequest => self.send_all_servers(&frame.from),
+            FleetBody::ServersRequest => self.send_all_servers(&[frame.from]),
             FleetBody::StoreQuery(epoch) => self.on_store_query(frame.from, epoch),
             FleetBody::StoreReached(epoch) => self.on_store_reached(&frame.from, epoch),
             FleetBody::Resigned(resigned) => self.on_resigned(resigned),
@@ -408,6 +410,6 @@
             ..settings
         };
         self.choose_role();
-        self.is_view_stale = true;
+        self.are_servers_stale = true;
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -72,6 +72,8 @@
 /// Three heartbeat intervals fit into this time, so up to two heartbeats in a row may be lost. A
 /// leaving server is still noticed within half of the drain time.
 const READER_TIMEOUT_MS: u64 = 1_000;
+/// How long a daemon that has just started waits for its reader's first message.
+const FIRST_MESSAGE_TIMEOUT_MS: u64 = 600;
 /// How long a reader's entries are valid after an answer from the store; longer than a watch
 /// waits.
 pub const READ_VALID_MS: u64 = 900;
@@ -136,4 +138,14 @@
             .as_ref()
             .is_some_and(|last| last.from == *from && now_ms < last.at_ms + READER_TIMEOUT_MS)
     }
+
+    /// Returns whether a daemon waits for its reader's first message, `since_ms` being the time
+    /// at which it started or reached the store again.
+    ///
+    /// When hundreds of daemons start at once and each reads all entries, the store refuses some.
+    #[must_use]
+    pub fn awaits_reader(&self, now_ms: u64, since_ms: u64, role: Option<&Role>) -> bool {
+        let may_hear = !matches!(role, Some(Role::Reads { .. }));
+        may_hear && self.last.is_none() && now_ms < since_ms + FIRST_MESSAGE_TIMEOUT_MS
+    }
 }
--- a/crates/gateway/src/relay_messages.rs
+++ b/crates/gateway/src/relay_messages.rs
@@ -16,16 +16,22 @@
         let neighbours =
             self.daemons.iter().filter(|(_, daemon)| daemon.data_centre == *data_centre);
         let neighbours = neighbours.map(|(name, _)| name.clone()).collect();
-        self.role = Role::of(&self.settings.instance, neighbours);
+        let role = Role::of(&self.settings.instance, neighbours);
+        let known = std::mem::replace(&mut self.role, role);
+        let (Role::Reads { tells }, known) = (&self.role, known) else { return };
+        let is_new =
+            |name: &&Name| !matches!(&known, Role::Reads { tells } if tells.contains(name));
+        let joined: Vec<Name> = tells.iter().filter(is_new).cloned().collect();
+        self.send_all_servers(&joined);
     }
 
     /// Starts or stops reading entries, and sends heartbeats to the group.
     pub(crate) fn update_relay(&mut self, now_ms: u64) {
-        // A leader must not depend on another daemon for entries. A daemon that was cut off
-        // from the store lists the entries itself first.
-        let needs_entries = self.leading.is_some()
-            || self.is_list_stale
-            || !self.relay.has_live_reader(now_ms, &self.role);
+        let role = self.is_fleet_known.then_some(&self.role);
+        let awaits_reader = self.relay.awaits_reader(now_ms, self.store_reached_at_ms, role);
+        let has_reader = self.relay.has_live_reader(now_ms, &self.role);
+        // A leader must not depend on another daemon for entries.
+        let needs_entries = self.leading.is_some() || !(has_reader || awaits_reader);
         let is_changed = self
             .needs_entries
             .send_if_modified(|known| std::mem::replace(known, needs_entries) != needs_entries);
@@ -83,14 +89,13 @@
         self.send_to(&tells, &body);
     }
 
-    /// Sends all servers to a daemon that missed messages.
-    pub(crate) fn send_all_servers(&mut self, to: &Name) {
-        let Some(address) = self.address(to) else { return };
-        if !self.is_read_valid(self.clock.now_ms()) {
+    /// Sends all servers to daemons that missed messages.
+    pub(crate) fn send_all_servers(&mut self, to: &[Name]) {
+        if to.is_empty() || !self.is_read_valid(self.clock.now_ms()) {
             return;
         }
         let listed = self.registry.listed().filter_map(|name| self.to_relayed(name)).collect();
-        self.send(address, FleetBody::Servers(Servers { listed, ..self.empty_message(true) }));
+        self.send_to(to, &FleetBody::Servers(Servers { listed, ..self.empty_message(true) }));
     }
 
     pub(crate) fn send_to(&mut self, daemons: &[Name], body: &FleetBody) {
--- a/crates/gateway/src/server_entries.rs
+++ b/crates/gateway/src/server_entries.rs
@@ -19,7 +19,6 @@
             .filter_map(|entry| entry.key.strip_prefix(prefix).map(Name::from))
             .collect();
         self.keep_only_listed(self.clock.now_ms(), &names, read.revision);
-        self.is_list_stale = false;
     }
 
     /// Handles entries that this daemon read from the store and relays the changes to the group.
@@ -62,7 +61,7 @@
         if self.registry.put(now_ms, &name, server) == Change::Nothing {
             return;
         }
-        self.is_view_stale = true;
+        self.are_servers_stale = true;
         if let Some(server) = self.registry.by_name(&name) {
             spdlog::info!(
                 "server listed",
@@ -93,7 +92,7 @@
 
     fn on_server_gone(&mut self, server: Name, revision: Revision) {
         spdlog::info!("server gone", kv: { server = server.as_str(), revision = revision.0 });
-        self.is_view_stale = true;
+        self.are_servers_stale = true;
         self.changed_servers.insert(server);
     }
 }
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -87,7 +87,7 @@
     fn replace_table(&mut self, service: Name, table: Table) {
         if self.tables.get(&service).is_none_or(|known| **known != table) {
             self.tables.insert(service, Arc::new(table));
-            self.is_view_stale = true;
+            self.are_tables_stale = true;
         }
     }
 
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -30,9 +30,9 @@
     /// Whether keys of the service are assigned to servers.
     pub is_keyed: bool,
     /// The servers that accept new work.
-    pub pool: Vec<Arc<Server>>,
+    pub pool: Arc<[PoolMember]>,
     /// All servers, including those that are leaving.
-    pub servers: HashMap<Incarnation, Arc<Server>>,
+    pub servers: Arc<HashMap<Incarnation, Arc<Server>>>,
     /// The owners of keys.
     pub table: Arc<Table>,
     /// When the snapshot was built, by the clock of requests.
@@ -41,6 +41,15 @@
     pub built_at_control_ms: u64,
 }
 
+/// A server that accepts new work.
+#[derive(Clone, Debug)]
+pub struct PoolMember {
+    /// The server.
+    pub server: Arc<Server>,
+    /// Whether this daemon keeps connections to it.
+    pub is_preferred: bool,
+}
+
 /// Where a request can be sent.
 #[derive(Clone, Debug)]
 pub enum Destination {
@@ -100,14 +109,15 @@
         let candidates: Vec<Candidate> = self
             .pool
             .iter()
-            .map(|server| Candidate {
+            .map(|PoolMember { server, is_preferred }| Candidate {
                 occupied: server.occupied(),
                 slots: server.registration.slots,
                 slowness: server.slowness(),
                 is_near: server.registration.data_centre == *data_centre,
+                is_preferred: *is_preferred,
                 is_avoided: server.is_avoided() || tried.contains(&server.registration.incarnation),
             })
             .collect();
-        pick(&candidates, remote_penalty, random).map(|index| Arc::clone(&self.pool[index]))
+        pick(&candidates, remote_penalty, random).map(|index| Arc::clone(&self.pool[index].server))
     }
 }
--- a/crates/gateway/src/view_builder.rs
+++ b/crates/gateway/src/view_builder.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use document::HashMap;
+use document::{HashMap, Name};
 use registry::{Incarnation, Stage};
-use route::Budget;
+use route::{Budget, preferred};
 use shard::{Owner, Span};
 use site::Site;
 use store::Store;
@@ -13,7 +13,7 @@
 use crate::report::ServiceState;
 use crate::retry_budget;
 use crate::server::Server;
-use crate::view::ServiceView;
+use crate::view::{PoolMember, ServiceView};
 use crate::{Orders, Source, View};
 
 /// The percentage of the drain time for which a leaving server still gets work, from the time
@@ -23,9 +23,34 @@
 const DRAIN_WORK_PERCENT: u64 = 20;
 
 impl<S: Store, O: Orders, R: Source> Node<S, O, R> {
+    /// Replaces the view if something has changed that it is built from.
+    pub(crate) fn update_view(&mut self) {
+        if std::mem::take(&mut self.are_servers_stale) {
+            self.are_tables_stale = false;
+            self.replace_view();
+        } else if std::mem::take(&mut self.are_tables_stale) {
+            self.replace_tables();
+        }
+    }
+
+    /// Replaces the tables of the view, which change far more often than the rest.
+    fn replace_tables(&mut self) {
+        let view = self.shared.view();
+        let services = view.services.iter().map(|(name, service)| {
+            let table = self.tables.get(name).cloned().unwrap_or_default();
+            let service = ServiceView {
+                table,
+                built_at_ms: self.shared.clock.now_ms(),
+                built_at_control_ms: self.clock.now_ms(),
+                ..ServiceView::clone(service)
+            };
+            (name.clone(), Arc::new(service))
+        });
+        self.publish_view(view.site.clone(), services.collect());
+    }
+
     /// Replaces the view with one built from the current state.
-    pub(crate) fn replace_view(&mut self) {
-        self.is_view_stale = false;
+    fn replace_view(&mut self) {
         let Some(site) = self.site.clone() else { return };
         self.update_servers(&site);
         let daemons = u32::try_from(self.daemons.len()).unwrap_or(u32::MAX);
@@ -44,8 +69,10 @@
                 .map(|server| (server.registration.incarnation.clone(), Arc::clone(server)))
                 .collect();
             let usable = self.registry.usable(&spec.name);
-            let pool =
+            let pool: Vec<Arc<Server>> =
                 usable.filter_map(|usable| servers.get(&usable.incarnation).cloned()).collect();
+            let pool = self.to_pool(pool);
+            let servers = Arc::new(servers);
             let table = self.tables.get(&spec.name).cloned().unwrap_or_default();
             let view = ServiceView {
                 state,
@@ -58,13 +85,40 @@
             };
             services.insert(spec.name.clone(), Arc::new(view));
         }
+        self.publish_view(Some(site), services);
+    }
+
+    /// Marks the servers of this data centre that this daemon keeps connections to.
+    fn to_pool(&self, servers: Vec<Arc<Server>>) -> Arc<[PoolMember]> {
+        let data_centre = &self.settings.data_centre;
+        let is_near = |server: &Arc<Server>| server.registration.data_centre == *data_centre;
+        let near: Vec<&str> = servers
+            .iter()
+            .filter(|server| is_near(server))
+            .map(|server| server.registration.incarnation.server.as_str())
+            .collect();
+        let neighbours: Vec<&str> = self
+            .daemons
+            .iter()
+            .filter(|(_, daemon)| daemon.data_centre == *data_centre)
+            .map(|(name, _)| name.as_str())
+            .collect();
+        let mut preferred = preferred(&self.settings.instance, &near, &neighbours).into_iter();
+        let to_member = |server: Arc<Server>| {
+            let is_preferred = is_near(&server) && preferred.next().unwrap_or(false);
+            PoolMember { server, is_preferred }
+        };
+        servers.into_iter().map(to_member).collect()
+    }
+
+    fn publish_view(&self, site: Option<Arc<Site>>, services: HashMap<Name, Arc<ServiceView>>) {
         let is_complete = services.values().all(|service| is_served(service));
         if is_complete && !self.registry.is_empty() {
             self.shared.set_ready(true);
         }
         let tables_version =
             self.tables_version.map_or((0, 0), |(epoch, number)| (epoch.0, number));
-        self.shared.replace_view(View { site: Some(site), tables_version, services });
+        self.shared.replace_view(View { site, tables_version, services });
     }
 
     /// Adds new servers and closes those that are leaving or gone.
--- a/crates/gateway/tests/servers_relay.rs
+++ b/crates/gateway/tests/servers_relay.rs
@@ -136,3 +136,18 @@
     expect_that!(relay.on_message(100, &role, last, Revision(1)), eq(MessageAction::Ignore));
     expect_that!(relay.has_live_reader(100, &role), eq(false));
 }
+
+#[googletest::test]
+fn started_daemon_waits_for_its_reader_a_moment() {
+    let mut relay = Relay::default();
+    let (reader, role) = (Name::from("edge-0000"), gets_entries_from("edge-0000"));
+    let waits = |relay: &Relay, now_ms, role| relay.awaits_reader(now_ms, 1_000, role);
+    expect_that!(waits(&relay, 1_100, None), eq(true), "it does not know its reader yet");
+    expect_that!(waits(&relay, 1_100, Some(&role)), eq(true));
+    expect_that!(waits(&relay, 2_000, Some(&role)), eq(false), "it reads the entries itself");
+    let reads = Role::Reads { tells: vec![] };
+    expect_that!(waits(&relay, 1_100, Some(&reads)), eq(false), "a reader waits for no other");
+    relay.on_message(1_200, &role, message(&reader, 5, 7, true), Revision(0));
+    expect_that!(waits(&relay, 1_300, Some(&role)), eq(false));
+    expect_that!(relay.has_live_reader(1_300, &role), eq(true));
+}
