Give away keys of a server whose address a later one has

Change: a holder that is not registered, has no grant on its way and whose address belongs to a server born later is dropped at once.

--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -187,6 +187,11 @@
             .filter(move |registration| registration.service == *service)
     }
 
+    /// Returns the servers of all services.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Registration>> {
+        self.entries.values().map(|entry| &entry.registration)
+    }
+
     /// Returns the number of registered servers, including missing ones in the grace period.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -166,6 +166,7 @@
             self.load.decay(pass.now_ms);
         }
         self.replace_restarted_holders(pass);
+        self.drop_ended_holders(pass);
         if is_balance_due || self.needs_planning(pass) {
             let mut candidates = pass.candidates();
             self.add_loads(&mut candidates);
@@ -246,6 +247,29 @@
         }
     }
 
+    /// Drops holders and previous holders whose address a later server has.
+    fn drop_ended_holders(&mut self, pass: &mut PassContext<'_>) {
+        let registry = pass.servers.registry;
+        let is_unregistered = |incarnation| registry.get(incarnation).is_none();
+        if !self.ranges.iter().flat_map(RangeState::holders).any(is_unregistered) {
+            return;
+        }
+        let births = pass.births_by_address();
+        for state in &mut self.ranges {
+            let range = state.range;
+            let ended: Vec<Incarnation> = state
+                .holders()
+                .filter(|incarnation| pass.has_ended(incarnation, range, &births))
+                .cloned()
+                .collect();
+            for incarnation in ended {
+                state.drop_holder(&incarnation);
+                pass.log_expiry(range, &incarnation);
+                self.is_changed = true;
+            }
+        }
+    }
+
     /// Drops successors that are no longer candidates, unless there is no candidate at all.
     fn drop_unusable_successors(&mut self, candidates: &[Candidate]) {
         for state in &mut self.ranges {
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -1,5 +1,6 @@
 //! The context of one pass over an assignment.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use document::{HashMap, Name};
@@ -297,6 +298,33 @@
             || self.now_ms < self.grant_deadline_ms(incarnation, range, answered_deadline_ms)
     }
 
+    /// Returns the birth of the latest server at each address.
+    pub(crate) fn births_by_address(&self) -> HashMap<SocketAddr, u64> {
+        let mut births: HashMap<SocketAddr, u64> = HashMap::default();
+        for server in self.servers.registry.all() {
+            let born_ms = births.entry(server.address).or_default();
+            *born_ms = server.incarnation.born_ms.max(*born_ms);
+        }
+        births
+    }
+
+    /// Returns whether a server is no longer registered and a later one has its address, so that
+    /// its process has ended and holds nothing.
+    ///
+    /// A grant that is on its way to the address would reach the later server.
+    pub(crate) fn has_ended(
+        &self,
+        incarnation: &Incarnation,
+        range: KeyRange,
+        births: &HashMap<SocketAddr, u64>,
+    ) -> bool {
+        let address = self.orders.servers.get(incarnation).map(|server| server.address);
+        let later = address.and_then(|address| births.get(&address));
+        later.is_some_and(|born_ms| *born_ms > incarnation.born_ms)
+            && self.servers.registry.get(incarnation).is_none()
+            && self.orders.pending_grant_deadline_ms(incarnation, range, self.config) == 0
+    }
+
     pub(crate) fn log_expiry(&mut self, range: KeyRange, from: &Incarnation) {
         let (service, from) = (self.service.clone(), from.clone());
         self.outputs.push(Output::Log(LogEvent::Expired { service, range, from }));
--- a/crates/shard/src/range_state.rs
+++ b/crates/shard/src/range_state.rs
@@ -128,6 +128,21 @@
         }
     }
 
+    /// Returns the holder and the previous holders.
+    pub(crate) fn holders(&self) -> impl Iterator<Item = &Incarnation> {
+        let holder = self.holder.iter().map(|holder| &holder.incarnation);
+        holder.chain(self.previous_holders.iter().map(|previous| &previous.incarnation))
+    }
+
+    /// Removes a server from the holder and the previous holders.
+    pub(crate) fn drop_holder(&mut self, incarnation: &Incarnation) {
+        if self.holder.as_ref().is_some_and(|holder| holder.incarnation == *incarnation) {
+            self.holder = None;
+            self.handover = None;
+        }
+        self.previous_holders.retain(|previous| previous.incarnation != *incarnation);
+    }
+
     /// Returns the times until which answered grants may be valid.
     pub(crate) fn grant_deadlines_mut(&mut self) -> impl Iterator<Item = &mut u64> {
         let holder = self.holder.iter_mut().map(|holder| &mut holder.grant_deadline_ms);
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
+use std::net::SocketAddr;
 
 use document::{HashMap, Name};
 use rand::rngs::StdRng;
@@ -73,6 +74,7 @@
     /// When the messages that wait on the leader's link have been sent; later ones follow them.
     link_free_at_ms: u64,
     next_server: u32,
+    next_port: u16,
     /// Whether the load of hot keys changes all the time, so that ranges keep moving.
     is_loaded: bool,
 }
@@ -95,6 +97,7 @@
             store_outage_deadline_ms: 0,
             link_free_at_ms: 0,
             next_server: 0,
+            next_port: 1,
             is_loaded: true,
         };
         for _ in 0..5 {
@@ -209,7 +212,14 @@
     fn add_server(&mut self) {
         self.next_server += 1;
         let name = Name::from(format!("s{}", self.next_server));
-        let server = Server { is_running: true, born_ms: self.now_ms, ..Server::default() };
+        let address = SocketAddr::from(([127, 0, 0, 1], self.next_port));
+        self.next_port += 1;
+        self.add_server_at(name, address);
+    }
+
+    fn add_server_at(&mut self, name: Name, address: SocketAddr) {
+        let born_ms = self.now_ms;
+        let server = Server { is_running: true, born_ms, address, ..Server::default() };
         self.servers.insert(name.clone(), server);
         self.register(&name);
     }
@@ -219,7 +229,7 @@
         let registration = Registration {
             incarnation: Incarnation { server: name.clone(), born_ms: server.born_ms },
             service: SERVICE.into(),
-            address: "127.0.0.1:1".parse().expect("an address"),
+            address: server.address,
             data_centre: "a".into(),
             slots: 4,
             stage: if server.is_draining { Stage::Draining } else { Stage::Ready },
@@ -279,6 +289,7 @@
             born_ms: self.now_ms,
             is_cut: server.is_cut,
             is_draining: server.is_draining,
+            address: server.address,
             ..Server::default()
         };
         self.log(&format!("{name} starts again"));
--- a/crates/shard/tests/world/server.rs
+++ b/crates/shard/tests/world/server.rs
@@ -1,13 +1,16 @@
 //! A simulated server that handles orders.
 
+use std::net::{Ipv4Addr, SocketAddr};
+
 use shard::{Fence, Grant, Handover, KeyRange, OrderKind, Reply};
 
 /// How much slower clocks of servers run, in percent.
 const CLOCK_DRIFT_PERCENT: u64 = 2;
 
 /// A server that checks fences and whose grants expire.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Server {
+    pub(super) address: SocketAddr,
     pub(super) born_ms: u64,
     pub(super) is_running: bool,
     /// Whether no order reaches it.
@@ -18,6 +21,20 @@
     pub(super) seen_fences: Vec<(KeyRange, Fence)>,
 }
 
+impl Default for Server {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            born_ms: 0,
+            is_running: false,
+            is_cut: false,
+            is_draining: false,
+            held: Vec::new(),
+            seen_fences: Vec::new(),
+        }
+    }
+}
+
 /// A range that a server holds until a deadline.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Held {
