--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -214,10 +214,10 @@
         let name = Name::from(format!("s{}", self.next_server));
         let address = SocketAddr::from(([127, 0, 0, 1], self.next_port));
         self.next_port += 1;
-        self.add_server_at(name, address);
+        self.add_server_at(&name, address);
     }
 
-    fn add_server_at(&mut self, name: Name, address: SocketAddr) {
+    fn add_server_at(&mut self, name: &Name, address: SocketAddr) {
         let born_ms = self.now_ms;
         let server = Server { is_running: true, born_ms, address, ..Server::default() };
         self.servers.insert(name.clone(), server);
