Plan and pass over ranges only when something may have changed

Cause: a leader made a pass over all ranges and servers for each answer that changed something, and looked each range's holder up in the registry several times a pass.

With many ranges an answer waits a moment for others before a pass (1 ms for 100 ranges, at most until the next tick). Registrations are kept when an order is sent.

--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -16,6 +16,8 @@
     /// Until then, a missing entry may belong to a running server that has not registered again
     /// since the list was unavailable.
     grace_deadline_ms: u64,
+    /// The number of updates that changed something.
+    version: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -58,6 +60,7 @@
             }
         }
         let entry = Entry { registration: Arc::new(registration), heartbeat, drop_at_ms: None };
+        self.version += 1;
         self.entries.insert(Name::from(name), entry);
         Change::Server
     }
@@ -69,10 +72,12 @@
         let Some(entry) = self.entries.get_mut(name) else { return Change::Nothing };
         if now_ms < self.grace_deadline_ms {
             let is_first_absence = entry.drop_at_ms.is_none();
+            self.version += u64::from(is_first_absence);
             entry.drop_at_ms.get_or_insert(self.grace_deadline_ms);
             return if is_first_absence { Change::Server } else { Change::Nothing };
         }
         self.entries.remove(name);
+        self.version += 1;
         Change::Server
     }
 
@@ -109,7 +114,17 @@
         let before = self.entries.len();
         self.entries
             .retain(|_, entry| entry.drop_at_ms.is_none_or(|drop_at_ms| now_ms < drop_at_ms));
-        if self.entries.len() == before { Change::Nothing } else { Change::Server }
+        if self.entries.len() == before {
+            return Change::Nothing;
+        }
+        self.version += 1;
+        Change::Server
+    }
+
+    /// Returns a number that rises with every change of [`Change::Server`].
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
     }
 
     /// Returns the registration of an incarnation, if it is the server's latest.
--- a/crates/shard/src/answers.rs
+++ b/crates/shard/src/answers.rs
@@ -105,6 +105,7 @@
                 }
                 Reply::NotSent | Reply::Unknown => {
                     holder.failures += 1;
+                    self.is_planning_due = true;
                     holder.renew_at_ms = now_ms + ORDER_BACKOFF_MS * u64::from(holder.failures);
                 }
             }
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -29,6 +29,10 @@
     next_write_at_ms: u64,
     /// Whether new owners have to be published or orders may have become due.
     pub(crate) is_changed: bool,
+    /// Whether a range may need a successor, or has one that may no longer be usable.
+    pub(crate) is_planning_due: bool,
+    /// The version of the registry that the last pass saw.
+    registry_version: Option<u64>,
     /// When the balance is logged next.
     pub(crate) balance_log_at_ms: u64,
     /// Whether the record may name previous holders that hold nothing any more.
@@ -52,6 +56,8 @@
             durable_record: 0,
             next_write_at_ms: 0,
             is_changed: true,
+            is_planning_due: true,
+            registry_version: None,
             balance_log_at_ms: 0,
             has_obsolete_holders: false,
         }
@@ -105,6 +111,11 @@
         self.is_changed
     }
 
+    /// Returns the number of ranges.
+    pub(crate) fn count(&self) -> usize {
+        self.ranges.len()
+    }
+
     pub(crate) fn load_mut(&mut self) -> &mut KeyLoad {
         &mut self.load
     }
@@ -165,9 +176,14 @@
         if is_balance_due {
             self.load.decay(pass.now_ms);
         }
-        self.replace_restarted_holders(pass);
-        self.drop_ended_holders(pass);
-        if is_balance_due || self.needs_planning(pass) {
+        let version = Some(pass.servers.registry.version());
+        let is_registry_changed = std::mem::replace(&mut self.registry_version, version) != version;
+        if is_registry_changed || is_balance_due || self.is_changed {
+            self.replace_restarted_holders(pass);
+            self.drop_ended_holders(pass);
+        }
+        let is_planning_due = std::mem::take(&mut self.is_planning_due) || is_registry_changed;
+        if is_balance_due || (is_planning_due && self.needs_planning(pass)) {
             let mut candidates = pass.candidates();
             self.add_loads(&mut candidates);
             self.drop_unusable_successors(&candidates);
@@ -233,6 +249,7 @@
             if is_restarted {
                 state.start_release(pass.now_ms);
                 self.is_changed = true;
+                self.is_planning_due = true;
             }
             // The earlier incarnation holds nothing. Grants for it reach the later one if that
             // has the same address, so the later one may hold the range and has to release it.
@@ -266,6 +283,7 @@
                 state.drop_holder(&incarnation);
                 pass.log_expiry(range, &incarnation);
                 self.is_changed = true;
+                self.is_planning_due = true;
             }
         }
     }
@@ -296,6 +314,7 @@
                 NextStep::Wait => {}
                 NextStep::Expire => {
                     self.is_changed = true;
+                    self.is_planning_due = true;
                     expire_holder(state, pass);
                 }
                 NextStep::StartRelease => {
--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -22,8 +22,13 @@
     config: Config,
     store_answers: bool,
     balance_at_ms: u64,
+    passed_at_ms: u64,
 }
 
+/// Number of ranges for which an answer starts a pass at once; with more ranges, an answer waits
+/// a millisecond after the last pass for each this many, or for the next tick.
+const RANGES_PER_PASS_MS: usize = 100;
+
 impl Leader {
     /// Creates a leader that continues from the records in the store.
     ///
@@ -55,6 +60,7 @@
             config,
             store_answers: true,
             balance_at_ms: 0,
+            passed_at_ms: 0,
         }
     }
 
@@ -145,7 +151,8 @@
                 // Most answers are to renewals and change nothing. Each range gets more than one
                 // answer a second, so a pass over all ranges for every answer would be most of a
                 // leader's work.
-                if !self.assignments.values().any(Assignment::is_changed) {
+                let is_changed = self.assignments.values().any(Assignment::is_changed);
+                if !is_changed || now_ms < self.passed_at_ms + self.pass_interval_ms() {
                     return outputs;
                 }
             }
@@ -158,12 +165,13 @@
     }
 
     fn advance(&mut self, now_ms: u64, servers: Servers<'_>, outputs: &mut Vec<Output>) {
-        for service in self.assignments.keys() {
-            self.orders.keep_registrations(servers.registry.of_service(service));
-        }
+        self.passed_at_ms = now_ms;
         let is_balance_due = now_ms >= self.balance_at_ms;
         if is_balance_due {
             self.balance_at_ms = now_ms + self.config.balance_interval_ms;
+            for service in self.assignments.keys() {
+                self.orders.keep_registrations(servers.registry.of_service(service));
+            }
             let assignments = &self.assignments;
             self.orders.retain_servers(|incarnation| {
                 servers.registry.get(incarnation).is_some()
@@ -187,6 +195,11 @@
         }
     }
 
+    fn pass_interval_ms(&self) -> u64 {
+        let ranges: usize = self.assignments.values().map(Assignment::count).sum();
+        u64::try_from(ranges / RANGES_PER_PASS_MS).unwrap_or(u64::MAX)
+    }
+
     fn grant_ms(&self) -> u64 {
         if self.store_answers { self.config.grant_ms } else { self.config.outage_grant_ms }
     }
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -334,6 +334,7 @@
         let current = self.servers.registry.get(incarnation);
         let Some(server) = current.or_else(|| self.orders.servers.get(incarnation)) else { return };
         let server = Arc::clone(server);
+        self.orders.keep_registrations(std::iter::once(&server));
         let id = self.orders.add(PendingOrder::new(
             self.service,
             incarnation,
