--- a/crates/gateway/src/leader_tasks.rs
+++ b/crates/gateway/src/leader_tasks.rs
@@ -286,6 +286,12 @@
         LogEvent::Expired { service, range, from } => {
             spdlog::warn!("grant ran out", kv: { service = service.as_str(), range: = range, from: = from });
         }
+        LogEvent::GivenUp { service, range, to, fence, waited_ms } => {
+            spdlog::info!(
+                "order given up",
+                kv: { service = service.as_str(), range: = range, to: = to, fence = fence.0, waited_ms = *waited_ms }
+            );
+        }
         LogEvent::Refused { service, range, by, fence } => {
             spdlog::warn!(
                 "fence refused",
--- a/crates/shard/src/answers.rs
+++ b/crates/shard/src/answers.rs
@@ -104,6 +104,15 @@
                     }));
                 }
                 Reply::NotSent | Reply::Unknown => {
+                    if *reply == Reply::Unknown {
+                        outputs.push(Output::Log(LogEvent::GivenUp {
+                            service: order.service.clone(),
+                            range: state.range,
+                            to: order.incarnation.clone(),
+                            fence: grant.fence,
+                            waited_ms: now_ms.saturating_sub(order.sent_at_ms),
+                        }));
+                    }
                     holder.failures += 1;
                     self.is_planning_due = true;
                     holder.renew_at_ms = now_ms + ORDER_BACKOFF_MS * u64::from(holder.failures);
--- a/crates/shard/src/order.rs
+++ b/crates/shard/src/order.rs
@@ -193,6 +193,19 @@
         /// The idlest server, and its load as a multiple of its share.
         idlest: (Incarnation, f32),
     },
+    /// A grant was given up unanswered; it may still arrive late.
+    GivenUp {
+        /// The service that the range belongs to.
+        service: Name,
+        /// The keys.
+        range: KeyRange,
+        /// The server that did not answer.
+        to: Incarnation,
+        /// The fence of the grant.
+        fence: Fence,
+        /// How long the answer was waited for.
+        waited_ms: u64,
+    },
     /// A server refused a grant because it has seen a higher fence.
     Refused {
         /// The service that the range belongs to.
