Heed servers that say that they leave or want no requests

Change - A server whose answer, with the id of the request, says that it leaves counts as draining until a later incarnation is registered, whatever its entry says. The leader learns of it, moves its keys and tells the other daemons through the groups. - After a 503 that did not run with Retry-After (seconds, a fraction or a date, at most an hour), a daemon sends that server nothing until then plus up to a tenth, at most 0.5 s, and one request at a time at first. Keyed requests and those that waited are refused at once with the time that is left; pooled ones go to other servers.

--- a/crates/gateway/src/distribution.rs
+++ b/crates/gateway/src/distribution.rs
@@ -53,6 +53,20 @@
     daemons.chunks(size).map(<[Name]>::to_vec).collect()
 }
 
+/// Returns the first daemon of each group; `daemons` are all daemons with their data centres.
+pub(crate) fn first_of_groups(daemons: impl Iterator<Item = (Name, Name)>) -> Vec<Name> {
+    let first = |group: Vec<Name>| group.into_iter().next();
+    groups_by_data_centre(daemons).into_iter().filter_map(first).collect()
+}
+
+fn groups_by_data_centre(daemons: impl Iterator<Item = (Name, Name)>) -> Vec<Vec<Name>> {
+    let mut data_centres: BTreeMap<Name, Vec<Name>> = BTreeMap::new();
+    for (daemon, data_centre) in daemons {
+        data_centres.entry(data_centre).or_default().push(daemon);
+    }
+    data_centres.into_values().flat_map(groups).collect()
+}
+
 impl Distribution {
     /// Handles a daemon's request for complete tables.
     pub fn on_request(&mut self, now_ms: u64, daemon: &Name) {
@@ -77,14 +91,10 @@
         leader: &Name,
         daemons: impl Iterator<Item = (Name, Name)>,
     ) -> Recipients {
-        let mut data_centres: BTreeMap<Name, Vec<Name>> = BTreeMap::new();
-        for (daemon, data_centre) in daemons {
-            data_centres.entry(data_centre).or_default().push(daemon);
-        }
         self.direct_until_ms.retain(|_, until_ms| now_ms < *until_ms);
         self.requested_at_ms.retain(|_, at_ms| now_ms < *at_ms + REPEAT_WINDOW_MS);
         let mut publication: BTreeSet<Name> = self.direct_until_ms.keys().cloned().collect();
-        for group in data_centres.into_values().flat_map(groups) {
+        for group in groups_by_data_centre(daemons) {
             match group.split_first() {
                 Some((first, others)) if first == leader => {
                     publication.extend(others.iter().cloned());
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,14 +2,15 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::SystemTime;
 
 use bytes::{Bytes, BytesMut};
-use http::header::{CONTENT_ENCODING, HOST, HeaderName};
+use http::header::{CONTENT_ENCODING, HOST, HeaderName, RETRY_AFTER};
 use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use proxy::{Link, Permit};
+use proxy::{Link, Permit, retry_after_ms};
 use registry::Incarnation;
 use route::Failure;
 use telemetry::Counter;
@@ -38,6 +39,10 @@
 /// When such an answer breaks off, an idempotent request can be retried without the caller
 /// noticing.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
+/// The part of the time for which a server wants no requests by which daemons' returns differ.
+const QUIET_SPREAD_DIVISOR: u64 = 10;
+/// The largest difference between daemons' returns.
+const MAX_QUIET_SPREAD_MS: u64 = 500;
 /// The delay between the loss of a connection and the probe of its server.
 ///
 /// A process that dies closes its sockets one by one, so its listener may accept a little longer.
@@ -104,7 +109,9 @@
         Err(_elapsed) => return Err(Failure::TimedOut),
     };
     let (mut head, body) = response.into_parts();
-    check_answer(shared, call, &head)?;
+    check_id(shared, call, &head)?;
+    note_state(shared, server, call, &head);
+    check_answer(shared, &head)?;
     let idle_timeout_ms = idle_timeout_ms(&head.headers);
     proxy::strip_headers(&mut head.headers);
     match buffer(body, deadline).await? {
@@ -127,13 +134,45 @@
     Response::from_parts(head, AnswerBody::stream(start, rest, link, permit))
 }
 
-/// Checks that an answer is the server's own answer to this request and may be passed on.
-fn check_answer(shared: &Shared, call: &Call, head: &Parts) -> Result<(), Failure> {
-    let dialect = &shared.dialect;
-    // The server may have answered an earlier request on this connection a second time.
-    if head.headers.get(&dialect.request_id) != Some(&call.id) {
-        return Err(Failure::Broken);
+/// Checks that an answer is to this request: the server may have answered an earlier one on the
+/// connection a second time.
+fn check_id(shared: &Shared, call: &Call, head: &Parts) -> Result<(), Failure> {
+    let is_own = head.headers.get(&shared.dialect.request_id) == Some(&call.id);
+    if is_own { Ok(()) } else { Err(Failure::Broken) }
+}
+
+/// Handles what an answer tells of its server: that it is leaving, or wants no requests for now.
+///
+/// Another server at the address answers 421. Then the one that was meant has ended, and may as
+/// well be taken as leaving.
+fn note_state(shared: &Shared, server: &Server, call: &Call, head: &Parts) {
+    if head.headers.get(&shared.dialect.leaving).is_some_and(|value| value == "1") {
+        shared.on_leaving(&server.registration.incarnation);
+    }
+    let is_turned_away = head.status == StatusCode::SERVICE_UNAVAILABLE
+        && head.headers.contains_key(&shared.dialect.not_run);
+    if !is_turned_away || !head.headers.contains_key(RETRY_AFTER) {
+        return;
     }
+    let is_first = server.upstream.pause_remaining_ms() == 0;
+    let for_ms = retry_after_ms(&head.headers, SystemTime::now());
+    if let Some(for_ms) = for_ms {
+        // Daemons that were told the same do not return together.
+        let spread_ms = (for_ms / QUIET_SPREAD_DIVISOR).min(MAX_QUIET_SPREAD_MS);
+        server.upstream.pause(for_ms + rand::random_range(0..=spread_ms));
+    }
+    if is_first && shared.log_sampler.may_write(shared.clock.now_ms(), call.id.as_bytes()) {
+        let server = &server.registration.incarnation;
+        spdlog::info!(
+            "server wants no requests",
+            kv: { request = call.id.to_str().unwrap_or("-"), server: = server, for_ms:? = for_ms }
+        );
+    }
+}
+
+/// Checks that an answer is the server's own and may be passed on.
+fn check_answer(shared: &Shared, head: &Parts) -> Result<(), Failure> {
+    let dialect = &shared.dialect;
     let is_not_run = head.headers.contains_key(&dialect.not_run);
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         return Err(Failure::Fenced);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -7,6 +7,7 @@
 use peer::{FleetBody, FleetFrame};
 use store::{Entry, Expect, Store};
 
+use crate::distribution::first_of_groups;
 use crate::election::Campaign;
 use crate::follow::{DAEMONS_PREFIX, DaemonEntry, LEADER_KEY};
 use crate::node::Node;
@@ -93,6 +94,14 @@
         self.daemons.get(daemon).map(|daemon| daemon.address)
     }
 
+    /// Returns the first daemon of each group, without this one.
+    pub(crate) fn first_of_groups(&self) -> Vec<Name> {
+        let daemons = self.daemons.iter();
+        let daemons = daemons.map(|(name, daemon)| (name.clone(), daemon.data_centre.clone()));
+        let first = first_of_groups(daemons).into_iter();
+        first.filter(|name| *name != self.settings.instance).collect()
+    }
+
     /// Sends a message to one daemon.
     pub(crate) fn send(&mut self, to: SocketAddr, body: FleetBody) {
         let frame = FleetFrame { from: self.settings.instance.clone(), body };
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -305,7 +305,16 @@
         RequestKind::Idempotent | RequestKind::NonIdempotent => RemotePenalty::SMALL,
     };
     let server = service.pick_server(&shared.data_centre, remote_penalty, tried, rand::random());
-    server.map(Destination::Server).ok_or_else(|| unreachable_refusal(attempts))
+    server.map(Destination::Server).ok_or_else(|| match service.pause_remaining_ms() {
+        0 => unreachable_refusal(attempts),
+        remaining_ms => paused_refusal(attempts, remaining_ms),
+    })
+}
+
+/// Returns the refusal while all servers that could answer want no requests.
+fn paused_refusal(attempts: &Attempts, remaining_ms: u64) -> Refusal {
+    let retry_after_ms = remaining_ms.max(MIN_BUSY_RETRY_AFTER_MS);
+    attempts.to_refusal(Reason::Overloaded).with_retry_after(retry_after_ms)
 }
 
 fn unreachable_refusal(attempts: &Attempts) -> Refusal {
@@ -333,6 +342,7 @@
             let retry_after_ms = late_ms.clamp(MIN_BUSY_RETRY_AFTER_MS, MAX_BUSY_RETRY_AFTER_MS);
             Err(attempts.to_refusal(Reason::Overloaded).with_retry_after(retry_after_ms))
         }
+        Err(AdmissionError::Paused { remaining_ms }) => Err(paused_refusal(attempts, remaining_ms)),
         Err(AdmissionError::Expired) => {
             Err(attempts.to_refusal(Reason::Expired).with_retry_after(MIN_BUSY_RETRY_AFTER_MS))
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,6 +54,7 @@
 mod input;
 mod leader_state;
 mod leader_tasks;
+mod leaving;
 mod log_sampler;
 mod node;
 mod ports;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -249,6 +249,7 @@
             self.resign("all fences of the epoch are used");
         }
         self.check_lease_renewal(now_ms);
+        self.report_leaving_servers();
         self.step(Event::Tick);
         self.update_relay(now_ms);
         self.publish_if_due(now_ms);
@@ -392,6 +393,7 @@
             FleetBody::StoreQuery(epoch) => self.on_store_query(frame.from, epoch),
             FleetBody::StoreReached(epoch) => self.on_store_reached(&frame.from, epoch),
             FleetBody::Resigned(resigned) => self.on_resigned(resigned),
+            FleetBody::Leaving(leaving) => self.on_leaving(leaving),
         }
     }
 
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -20,6 +20,8 @@
     pub expected_server: HeaderName,
     /// Present in the answer of a server that did not run the request.
     pub not_run: HeaderName,
+    /// Present in the answers of a server that is leaving.
+    pub leaving: HeaderName,
     /// Present in answers that the server itself generated.
     pub signature: HeaderName,
     /// The key of a request, a number from 0 to 65535.
--- a/crates/gateway/src/relay_messages.rs
+++ b/crates/gateway/src/relay_messages.rs
@@ -25,6 +25,14 @@
         self.send_all_servers(&joined);
     }
 
+    /// Returns the daemons to which this one passes messages on.
+    pub(crate) fn group_to_tell(&self) -> Vec<Name> {
+        match &self.role {
+            Role::Reads { tells } => tells.clone(),
+            Role::Hears { .. } => Vec::new(),
+        }
+    }
+
     /// Starts or stops reading entries, and sends heartbeats to the group.
     pub(crate) fn update_relay(&mut self, now_ms: u64) {
         let role = self.is_fleet_known.then_some(&self.role);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use arc_swap::ArcSwap;
-use document::{HashMap, Name};
+use document::{HashMap, HashSet, Name};
 use proxy::{Clock, SharedCrashTracker};
 use registry::Incarnation;
 use route::{CrashTracker, Fingerprint};
@@ -33,6 +33,8 @@
     view: ArcSwap<View>,
     view_changed: Notify,
     route_states: Mutex<HashMap<Name, Arc<RouteState>>>,
+    /// Servers that said that they are leaving, until the control thread handles them.
+    leaving: Mutex<HashSet<Incarnation>>,
     is_ready: AtomicBool,
     is_stopping: AtomicBool,
 }
@@ -64,6 +66,7 @@
             view: ArcSwap::default(),
             view_changed: Notify::new(),
             route_states: Mutex::default(),
+            leaving: Mutex::default(),
             is_ready: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
         }
@@ -127,6 +130,19 @@
         self.is_stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Records that a server said that it is leaving.
+    pub(crate) fn on_leaving(&self, incarnation: &Incarnation) {
+        let mut leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
+        if !leaving.contains(incarnation) {
+            leaving.insert(incarnation.clone());
+        }
+    }
+
+    /// Returns the servers that have said since the last call that they are leaving.
+    pub(crate) fn take_leaving(&self) -> HashSet<Incarnation> {
+        std::mem::take(&mut self.leaving.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Records that a request crashed the server that ran it.
     pub(crate) fn on_crash(&self, fingerprint: Fingerprint, incarnation: &Incarnation) {
         let server = xxh3_64_with_seed(incarnation.server.as_bytes(), incarnation.born_ms);
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -96,8 +96,15 @@
         }
     }
 
+    /// Returns how long no server of the pool gets requests; 0 if one does.
+    #[must_use]
+    pub fn pause_remaining_ms(&self) -> u64 {
+        let remaining = self.pool.iter().map(|member| member.server.upstream.pause_remaining_ms());
+        remaining.min().unwrap_or(0)
+    }
+
     /// Picks a server from the pool, avoiding the ones in `tried`, which failed this request
-    /// before.
+    /// before. Servers that want no requests for now are left out.
     #[must_use]
     pub fn pick_server(
         &self,
@@ -106,8 +113,12 @@
         tried: &[Incarnation],
         random: u32,
     ) -> Option<Arc<Server>> {
-        let candidates: Vec<Candidate> = self
+        let open: Vec<&PoolMember> = self
             .pool
+            .iter()
+            .filter(|member| member.server.upstream.pause_remaining_ms() == 0)
+            .collect();
+        let candidates: Vec<Candidate> = open
             .iter()
             .map(|PoolMember { server, is_preferred }| Candidate {
                 occupied: server.occupied(),
@@ -118,6 +129,6 @@
                 is_avoided: server.is_avoided() || tried.contains(&server.registration.incarnation),
             })
             .collect();
-        pick(&candidates, remote_penalty, random).map(|index| Arc::clone(&self.pool[index].server))
+        pick(&candidates, remote_penalty, random).map(|index| Arc::clone(&open[index].server))
     }
 }
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -38,6 +38,17 @@
     StoreReached(Epoch),
     /// Tells that a leader has stopped acting.
     Resigned(Resigned),
+    /// Names servers that said in an answer that they are leaving.
+    Leaving(Leaving),
+}
+
+/// Servers that said in an answer that they are leaving.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Leaving {
+    /// The incarnations that are leaving.
+    pub servers: Vec<Incarnation>,
+    /// Whether the sender is not the leader and passes the message on.
+    pub is_relayed: bool,
 }
 
 /// The resignation of a leader, whose lease may go on.
@@ -149,6 +160,10 @@
                 wire::frame::Body::StoreReached(wire::StoreReached { epoch: epoch.0 })
             }
             FleetBody::Resigned(resigned) => wire::frame::Body::Resigned(from_resigned(resigned)),
+            FleetBody::Leaving(leaving) => wire::frame::Body::Leaving(wire::Leaving {
+                lives: leaving.servers.iter().map(from_incarnation).collect(),
+                is_relayed: leaving.is_relayed,
+            }),
         };
         wire::Frame { from: self.from.to_string(), body: Some(body) }.encode_to_vec().into()
     }
@@ -177,6 +192,10 @@
                 FleetBody::StoreReached(Epoch(reached.epoch))
             }
             wire::frame::Body::Resigned(resigned) => FleetBody::Resigned(to_resigned(resigned)),
+            wire::frame::Body::Leaving(leaving) => FleetBody::Leaving(Leaving {
+                servers: leaving.lives.into_iter().map(to_incarnation).collect(),
+                is_relayed: leaving.is_relayed,
+            }),
         };
         Ok(Self { from: frame.from.into(), body })
     }
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -1,6 +1,7 @@
 //! Forwards one request of a caller: reads it, selects a server, sends it and retries it.
 
 use std::sync::Arc;
+use std::time::SystemTime;
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
@@ -17,7 +18,7 @@
 use crate::answer::{AnswerBody, AnswerResources, InFlightGuard};
 use crate::head;
 use crate::upstream::{AdmissionError, Permit};
-use crate::{BodyError, Traffic, Upstream, read_body, to_labels};
+use crate::{BodyError, Traffic, Upstream, read_body, retry_after_ms, to_labels};
 
 /// Answers one request of a caller.
 ///
@@ -269,6 +270,9 @@
             }
             Ok(permit)
         }
+        Err(AdmissionError::Paused { remaining_ms }) => {
+            Err(attempts.to_refusal(Reason::Overloaded).with_retry_after(remaining_ms))
+        }
         Err(AdmissionError::Overloaded { .. }) => Err(attempts.to_refusal(Reason::Overloaded)),
         Err(AdmissionError::Expired) => Err(attempts.to_refusal(Reason::Expired)),
     }
@@ -314,6 +318,11 @@
     let counters = Arc::clone(&traffic.counters);
     let body = AnswerBody::forwarded(body, traffic.limits.progress_timeout_ms, counters, resources);
     if let Some(failure) = to_failure(&head) {
+        if failure == Failure::Shed
+            && let Some(for_ms) = retry_after_ms(&head.headers, SystemTime::now())
+        {
+            target.server.pause(for_ms);
+        }
         return AttemptResult::Failed(failure);
     }
     target.server.on_answer(elapsed_ms(started));
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -13,7 +13,7 @@
 //! - [`has_unambiguous_framing`], [`RecordedStream`] and [`RawBytes`] find requests whose end
 //!   is ambiguous; these are refused.
 //! - [`strip_headers`], [`strip_request_headers`] and [`read_body`] prepare what is forwarded,
-//!   and [`to_labels`] returns the labels under which a result is counted.
+//!   [`retry_after_ms`] reads how long a server asks to be left alone, and [`to_labels`] returns the labels under which a result is counted.
 //!
 //! Daemons whose servers register themselves have their own request path, which uses parts of
 //! this crate. Points in time are milliseconds of the [`Clock`], except in the crash counts
@@ -39,6 +39,7 @@
 mod head;
 mod outcome;
 mod raw;
+mod retry_after;
 mod serve;
 mod shared_crash_tracker;
 mod traffic;
@@ -50,6 +51,7 @@
 pub use head::{has_unambiguous_framing, strip_headers, strip_request_headers};
 pub use outcome::to_labels;
 pub use raw::{RawBytes, RecordedStream};
+pub use retry_after::retry_after_ms;
 pub use serve::serve;
 pub use shared_crash_tracker::SharedCrashTracker;
 pub use traffic::{Services, Traffic, TrafficLimits};
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -48,6 +48,8 @@
     in_flight: AtomicU32,
     /// The time until which pooled requests avoid the server.
     avoidance_deadline_ms: AtomicU64,
+    /// The time until which the server gets no request, read without taking the limiter's lock.
+    pause_deadline_ms: AtomicU64,
 }
 
 /// The right to send one request to a server; dropping it releases it.
@@ -65,6 +67,11 @@
         /// cause.
         late_ms: u64,
     },
+    /// The server gets no request for a while.
+    Paused {
+        /// How long the pause still lasts.
+        remaining_ms: u64,
+    },
     /// The deadline passed while the request waited.
     Expired,
 }
@@ -100,6 +107,7 @@
             idle: Mutex::default(),
             in_flight: AtomicU32::new(0),
             avoidance_deadline_ms: AtomicU64::new(0),
+            pause_deadline_ms: AtomicU64::new(0),
         }
     }
 
@@ -125,6 +133,9 @@
         let ticket = match admission {
             Admission::Admit => return Ok((self.permit(), false)),
             Admission::Refuse { late_ms } => return Err(AdmissionError::Overloaded { late_ms }),
+            Admission::Paused { remaining_ms } => {
+                return Err(AdmissionError::Paused { remaining_ms });
+            }
             Admission::Wait(ticket) => ticket,
             Admission::WaitDisplacing(ticket, displaced) => {
                 // Dropping the waker ends the wait of the displaced request.
@@ -201,7 +212,28 @@
     /// Adapts the limit after the server shed a request or reset a new connection.
     pub fn on_shed(&self) {
         let now_ms = self.clock.now_ms();
-        self.limiter().on_shed(now_ms);
+        let mut limiter = self.limiter();
+        limiter.on_shed(now_ms);
+        self.pause_deadline_ms.store(limiter.pause_deadline_ms(), Ordering::Relaxed);
+    }
+
+    /// Sends no request to the server for some time, because it asked for that.
+    ///
+    /// Requests that wait are refused. Afterwards requests are admitted one at a time at first.
+    pub fn pause(&self, for_ms: u64) {
+        let deadline_ms = self.clock.now_ms().saturating_add(for_ms);
+        let mut limiter = self.limiter();
+        let waiting = limiter.pause(deadline_ms);
+        self.pause_deadline_ms.store(limiter.pause_deadline_ms(), Ordering::Relaxed);
+        drop(limiter);
+        // Dropping the wakers ends the waits.
+        drop(waiting);
+    }
+
+    /// Returns how much longer the server gets no request; 0 if it gets some.
+    #[must_use]
+    pub fn pause_remaining_ms(&self) -> u64 {
+        self.pause_deadline_ms.load(Ordering::Relaxed).saturating_sub(self.clock.now_ms())
     }
 
     /// Adapts the limit after the server did not answer before the attempt's deadline.
@@ -313,7 +345,10 @@
             }
             Ok(Err(_dropped)) => {
                 self.ticket = None;
-                Err(AdmissionError::Overloaded { late_ms: 0 })
+                match self.upstream.pause_remaining_ms() {
+                    0 => Err(AdmissionError::Overloaded { late_ms: 0 }),
+                    remaining_ms => Err(AdmissionError::Paused { remaining_ms }),
+                }
             }
             Err(_elapsed) => Err(AdmissionError::Expired),
         }
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use document::{HashSet, Name};
+use document::{HashMap, HashSet, Name};
 
 use crate::{Incarnation, Registration, Stage};
 
@@ -16,6 +16,8 @@
     /// Until then, a missing entry may belong to a running server that has not registered again
     /// since the list was unavailable.
     grace_deadline_ms: u64,
+    /// The latest incarnation of each server that has said that it is leaving.
+    leaving: HashMap<Name, u64>,
     /// The number of updates that changed something.
     version: u64,
 }
@@ -38,6 +40,8 @@
     Server,
 }
 
+/// Number of marks of leaving servers above which those of servers without an entry are dropped.
+const MAX_LEAVING: usize = 16_384;
 /// How long a running server may take to be listed again once the list is available.
 ///
 /// The platform states about two seconds; a tenth is added for the transfer to this process.
@@ -45,8 +49,11 @@
 
 impl Registry {
     /// Stores a listed registration, unless a later report of the server is known.
-    pub fn put(&mut self, now_ms: u64, name: &str, registration: Registration) -> Change {
+    pub fn put(&mut self, now_ms: u64, name: &str, mut registration: Registration) -> Change {
         let heartbeat = registration.heartbeat;
+        if self.is_leaving(&registration.incarnation) {
+            registration.stage = Stage::Draining;
+        }
         if let Some(known) = self.entries.get_mut(name) {
             // A late report must not replace a newer one.
             let last = (known.registration.incarnation.born_ms, known.heartbeat);
@@ -65,6 +72,33 @@
         Change::Server
     }
 
+    /// Marks an incarnation as leaving, whatever later reports of it say.
+    ///
+    /// Only a later incarnation gets new work again.
+    pub fn mark_leaving(&mut self, incarnation: &Incarnation) -> Change {
+        if self.is_leaving(incarnation) {
+            return Change::Nothing;
+        }
+        if self.leaving.len() >= MAX_LEAVING {
+            let entries = &self.entries;
+            self.leaving.retain(|name, _| entries.contains_key(name));
+        }
+        self.leaving.insert(incarnation.server.clone(), incarnation.born_ms);
+        let entry = self.entries.get_mut(&incarnation.server);
+        let Some(entry) = entry.filter(|entry| entry.registration.incarnation == *incarnation)
+        else {
+            return Change::Nothing;
+        };
+        let draining = Registration { stage: Stage::Draining, ..(*entry.registration).clone() };
+        entry.registration = Arc::new(draining);
+        self.version += 1;
+        Change::Server
+    }
+
+    fn is_leaving(&self, incarnation: &Incarnation) -> bool {
+        self.leaving.get(&incarnation.server).is_some_and(|born_ms| incarnation.born_ms <= *born_ms)
+    }
+
     /// Handles the absence of an entry from the list.
     ///
     /// The entry is dropped at once, or at the end of a grace period that is running.
--- a/crates/registry/tests/lives.rs
+++ b/crates/registry/tests/lives.rs
@@ -124,3 +124,20 @@
     assert_eq!(registry.expire(699), Change::Nothing);
     assert_eq!(registry.expire(700), Change::Server);
 }
+
+#[test]
+fn server_that_says_it_leaves_gets_no_work_whatever_its_entry_says() {
+    let mut registry = Registry::default();
+    registry.put(0, "s", registration(1, 1, Stage::Ready));
+    assert_eq!(registry.mark_leaving(&incarnation(1)), Change::Server);
+    assert_eq!(registry.mark_leaving(&incarnation(1)), Change::Nothing);
+    assert!(!registry.accepts_new_work(&incarnation(1)));
+    // Later reports still say that it is ready, also after its entry was missing.
+    registry.put(10, "s", registration(1, 2, Stage::Ready));
+    assert!(!registry.accepts_new_work(&incarnation(1)));
+    registry.remove(20, "s");
+    registry.put(30, "s", registration(1, 3, Stage::Ready));
+    assert!(!registry.accepts_new_work(&incarnation(1)));
+    registry.put(40, "s", registration(2, 1, Stage::Ready));
+    assert!(registry.accepts_new_work(&incarnation(2)));
+}
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Lowers the limit to one request at a time, unless it is lower.
+    pub fn restart(&mut self) {
+        self.current = self.current.min(1.0);
+    }
+
     /// Handles a request that the server shed or did not answer in time.
     pub fn on_overload(&mut self) {
         self.current = (self.current * DECREASE_FACTOR).max(MIN_LIMIT);
--- a/crates/route/src/limiter.rs
+++ b/crates/route/src/limiter.rs
@@ -60,6 +60,11 @@
     Wait(Ticket),
     /// The request waits and displaced one of a lower priority, which had this waker.
     WaitDisplacing(Ticket, W),
+    /// The server gets no request for a while.
+    Paused {
+        /// How long the pause still lasts.
+        remaining_ms: u64,
+    },
     /// The queue is full, or the answer is expected too late.
     Refuse {
         /// By how many milliseconds the answer would be late; 0 if only the queue is full.
@@ -112,7 +117,7 @@
         let Arrival { deadline_ms, target_deadline_ms, priority, max_waiting, typical_latency_ms } =
             arrival;
         if now_ms < self.pause_deadline_ms {
-            return Admission::Refuse { late_ms: self.pause_deadline_ms - now_ms };
+            return Admission::Paused { remaining_ms: self.pause_deadline_ms - now_ms };
         }
         if self.in_flight < self.limit.get() && self.waiting.is_empty() {
             self.in_flight += 1;
@@ -185,6 +190,22 @@
         }
     }
 
+    /// Admits no request until a time, and one at a time at first after that.
+    ///
+    /// Returns the wakers of the requests that waited; nothing would wake them at the end of the
+    /// pause.
+    pub fn pause(&mut self, deadline_ms: u64) -> Vec<W> {
+        self.pause_deadline_ms = deadline_ms.max(self.pause_deadline_ms);
+        self.limit.restart();
+        std::mem::take(&mut self.waiting).into_values().map(|waiter| waiter.waker).collect()
+    }
+
+    /// Returns until when no request is admitted; 0 if there was no pause.
+    #[must_use]
+    pub fn pause_deadline_ms(&self) -> u64 {
+        self.pause_deadline_ms
+    }
+
     /// Handles a request that the server did not answer in time.
     pub fn on_timeout(&mut self, latency_ms: f64) {
         self.limit.on_overload();
