Cut answers that go on without end

Change: a connection to a server fails when more than 128 KB arrive before the head of an answer is complete, informational answers included; its buffer is 64 KB. An answer that is passed on as it arrives is cut off 3 s after the request's deadline. Small answers were bounded before (1 MB, the deadline).

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -27,6 +27,8 @@
     start_bytes: u64,
     rest: Incoming,
     progress_timeout: Pin<Box<Sleep>>,
+    /// When the answer is cut off.
+    deadline: Instant,
     // Dropped with the stream, which closes the connection: it would not be reused soon after a
     // large answer.
     _link: Link,
@@ -42,6 +44,10 @@
 /// This is longer than the retransmission of a lost packet, and callers of large answers wait
 /// for seconds anyway.
 const PROGRESS_TIMEOUT_MS: u64 = 10_000;
+/// How long after the request's deadline an answer may go on.
+///
+/// A server may send bytes without end. An answer that is nearly complete is still passed on.
+const MAX_LATE_MS: u64 = 3_000;
 
 impl AnswerBody {
     pub(crate) fn whole(text: impl Into<Bytes>) -> Self {
@@ -53,18 +59,24 @@
         rest: Incoming,
         link: Link,
         permit: Permit,
+        request_deadline: Instant,
     ) -> Self {
         let lengths = start.iter().map(|part| u64::try_from(part.len()).unwrap_or(0));
         let start_bytes = lengths.sum();
         let progress_timeout = Box::pin(sleep(Duration::from_millis(PROGRESS_TIMEOUT_MS)));
+        let deadline = request_deadline + Duration::from_millis(MAX_LATE_MS);
+        let (_link, _permit) = (link, permit);
         let stream =
-            Stream { start, start_bytes, rest, progress_timeout, _link: link, _permit: permit };
+            Stream { start, start_bytes, rest, progress_timeout, deadline, _link, _permit };
         Self::Stream(Box::new(stream))
     }
 }
 
 impl Stream {
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if Instant::now() >= self.deadline {
+            return Poll::Ready(Some(Err(BodyError("the answer goes on long after its deadline"))));
+        }
         if let Some(part) = self.start.pop_front() {
             self.start_bytes -= u64::try_from(part.len()).unwrap_or(0);
             return Poll::Ready(Some(Ok(Frame::data(part))));
@@ -76,6 +88,7 @@
             ))));
         };
         let deadline = Instant::now() + Duration::from_millis(PROGRESS_TIMEOUT_MS);
+        let deadline = deadline.min(self.deadline);
         self.progress_timeout.as_mut().reset(deadline);
         Poll::Ready(
             frame.map(|frame| frame.map_err(|_broken| BodyError("the server's answer broke off"))),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -120,7 +120,9 @@
             drop(permit);
             Ok(Response::from_parts(head, AnswerBody::whole(bytes)))
         }
-        Buffered::Start(start, rest) => Ok(stream_answer(head, start, rest, link, permit)),
+        Buffered::Start(start, rest) => {
+            Ok(stream_answer(head, start, rest, (link, permit, deadline)))
+        }
     }
 }
 
@@ -128,10 +130,9 @@
     head: Parts,
     start: VecDeque<Bytes>,
     rest: Incoming,
-    link: Link,
-    permit: Permit,
+    (link, permit, deadline): (Link, Permit, Instant),
 ) -> Response<AnswerBody> {
-    Response::from_parts(head, AnswerBody::stream(start, rest, link, permit))
+    Response::from_parts(head, AnswerBody::stream(start, rest, link, permit, deadline))
 }
 
 /// Checks that an answer is to this request: the server may have answered an earlier one on the
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -37,6 +37,7 @@
 mod clock;
 mod forward;
 mod head;
+mod head_bound;
 mod outcome;
 mod raw;
 mod retry_after;
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use route::{Admission, Arrival, Limit, Limiter, ServerState, Ticket};
 use socket2::SockRef;
@@ -20,11 +20,13 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::Clock;
+use crate::head_bound::{BoundedStream, HeadBound};
 
 /// A connection to a server, for one request at a time; dropping it closes it.
 #[derive(Debug)]
 pub struct Link {
     sender: SendRequest<Full<Bytes>>,
+    head_bound: HeadBound,
     /// The task that reads from and writes to the connection.
     _driver: AbortOnDropHandle<()>,
     /// The time from which the connection, while idle, is no longer reused.
@@ -83,6 +85,8 @@
 /// It detects connections that were lost without a reset. Half a second is many round trips,
 /// even between data centres, and only a fraction of even a short request timeout.
 const UNACKNOWLEDGED_TIMEOUT_MS: u64 = 500;
+/// The largest buffer for bytes that have arrived and were not read yet, for each connection.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// How long pooled requests avoid a server after an attempt lost its connection or timed out.
 const AVOIDANCE_MS: u64 = 1_000;
 /// The largest number of requests that wait for one server.
@@ -278,14 +282,19 @@
         stream.set_nodelay(true)?;
         let unacknowledged_timeout = Duration::from_millis(UNACKNOWLEDGED_TIMEOUT_MS);
         SockRef::from(&stream).set_tcp_user_timeout(Some(unacknowledged_timeout))?;
-        let (sender, connection) =
-            handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+        let (stream, head_bound) = BoundedStream::new(stream);
+        let (sender, connection) = Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(std::io::Error::other)?;
         let driver = tokio::spawn(async move {
             // A request that waits for its answer gets the error, if there is one.
             drop(connection.await);
         });
         let reuse_deadline = Instant::now();
-        Ok(Self { sender, _driver: AbortOnDropHandle::new(driver), reuse_deadline, is_fresh: true })
+        let _driver = AbortOnDropHandle::new(driver);
+        Ok(Self { sender, head_bound, _driver, reuse_deadline, is_fresh: true })
     }
 
     /// Returns whether the connection was opened for its current request.
@@ -298,12 +307,15 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection breaks. The error contains the request if it was never sent.
+    /// Fails if the connection breaks, or the head is too long. The error contains the request if it was never sent.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
-        self.sender.try_send_request(request).await
+        self.head_bound.await_head();
+        let response = self.sender.try_send_request(request).await?;
+        self.head_bound.on_head();
+        Ok(response)
     }
 }
 
