--- a/crates/proxy/src/head_bound.rs
+++ b/crates/proxy/src/head_bound.rs
@@ -63,11 +63,11 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
+        buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        Poll::Ready(self.bound.count(buffer.filled().len() - before))
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        Poll::Ready(self.bound.count(buf.filled().len() - before))
     }
 }
 
@@ -75,9 +75,9 @@
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        bytes: &[u8],
+        buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -91,9 +91,9 @@
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buffers: &[io::IoSlice<'_>],
+        bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, buffers)
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -293,8 +293,13 @@
             drop(connection.await);
         });
         let reuse_deadline = Instant::now();
-        let _driver = AbortOnDropHandle::new(driver);
-        Ok(Self { sender, head_bound, _driver, reuse_deadline, is_fresh: true })
+        Ok(Self {
+            sender,
+            head_bound,
+            _driver: AbortOnDropHandle::new(driver),
+            reuse_deadline,
+            is_fresh: true,
+        })
     }
 
     /// Returns whether the connection was opened for its current request.
