Release moving ranges once a larger fleet knows of the move

The release followed the publication by 6 ms, but changes are batched for up to 20 ms and go through two hops.

Change: the delay is 6 ms and one more for each four daemons, at most 50.

Test: gateway/table_recipients.

--- a/crates/gateway/src/distribution.rs
+++ b/crates/gateway/src/distribution.rs
@@ -42,6 +42,23 @@
 /// How long a daemon that gets nothing from its group gets publications from the leader.
 const DIRECT_MS: u64 = 5_000;
 
+/// The time in which a publication reaches a daemon that the leader sends to.
+const DIRECT_TRANSIT_MS: u64 = 6;
+/// Number of daemons for which a publication takes a millisecond longer: the leader batches
+/// changes, and first daemons of groups send to the others one after another.
+const DAEMONS_PER_TRANSIT_MS: u64 = 4;
+/// The longest time that is allowed for a publication.
+const MAX_TRANSIT_MS: u64 = 50;
+
+/// Returns how long after a publication nearly all daemons have it.
+///
+/// Until then, requests for keys that move may still be sent to their previous holder.
+#[must_use]
+pub fn transit_ms(daemons: usize) -> u64 {
+    let daemons = u64::try_from(daemons).unwrap_or(u64::MAX);
+    (DIRECT_TRANSIT_MS + daemons / DAEMONS_PER_TRANSIT_MS).min(MAX_TRANSIT_MS)
+}
+
 /// Splits the daemons of a data centre into groups of about the same size.
 ///
 /// Each daemon that knows the same daemons forms the same groups.
--- a/crates/gateway/src/leader_tasks.rs
+++ b/crates/gateway/src/leader_tasks.rs
@@ -9,6 +9,7 @@
 use telemetry::Counter;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::distribution::transit_ms;
 use crate::follow::{LEADER_KEY, RECORDS_PREFIX};
 use crate::input::{Input, WonElection, WriteOutcome};
 use crate::leader_state::LeaderState;
@@ -33,7 +34,11 @@
             kv: { epoch = epoch.0, records = records.len(), predecessor_resigned = resigned.is_some() }
         );
         self.shared.counters.count(Counter::Elections);
-        let config = Config { max_grant_ms: self.settings.max_grant_ms, ..Config::default() };
+        let config = Config {
+            max_grant_ms: self.settings.max_grant_ms,
+            release_delay_ms: transit_ms(self.daemons.len()),
+            ..Config::default()
+        };
         let revisions =
             records.iter().map(|stored| (stored.service.clone(), stored.revision)).collect();
         let records: Vec<(Name, Record)> =
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -76,7 +76,7 @@
 
 pub use candidacy::{Candidate, order, wait_ms};
 pub use clock::BootClock;
-pub use distribution::{Distribution, Recipients, groups};
+pub use distribution::{Distribution, Recipients, groups, transit_ms};
 pub use gateway::{Gateway, Ports};
 pub use log_sampler::{LogSampler, is_sampled};
 pub use ports::{Dialect, EntryText, Orders, Source, Unreadable};
--- a/crates/gateway/tests/table_recipients.rs
+++ b/crates/gateway/tests/table_recipients.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use document::Name;
-use gateway::{Distribution, Role, groups};
+use gateway::{Distribution, Role, groups, transit_ms};
 use googletest::prelude::*;
 
 /// Returns daemons with their data centres.
@@ -87,3 +87,12 @@
     expect_that!(next.complete.len(), eq(0));
     expect_that!(next.publication.len(), le(45));
 }
+
+#[googletest::test]
+fn releases_wait_for_larger_fleets_a_little() {
+    let transits: Vec<u64> = [1, 4, 26, 79, 300, 14_000].map(transit_ms).to_vec();
+    expect_that!(transits.is_sorted(), eq(true), "{transits:?}");
+    expect_that!(transits[1], le(8), "a handover of a small fleet is not held up");
+    expect_that!(transits[3], ge(20), "a batch of changes and two hops");
+    expect_that!(transits[5], le(50), "keys that move are not served meanwhile");
+}
