Relay the entries of daemons and of their leader through the groups

Change: the readers of groups send these entries along with those of servers; a daemon with a live reader does not watch them. Entries are ordered by revision, so an older one from a reader changes nothing. A reader of an earlier version sends none, and its group goes on watching.

Tests: peer/fleet_frames has all messages between daemons.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use document::{HashSet, Name};
-use peer::{FleetBody, FleetFrame};
-use store::{Entry, Expect, Store};
+use document::{HashSet, Name, Revision};
+use peer::{FleetBody, FleetEntry, FleetFrame};
+use store::{Expect, Store};
 
 use crate::distribution::first_of_groups;
 use crate::election::Campaign;
@@ -14,9 +14,49 @@
 use crate::{Orders, Source};
 
 impl<S: Store, O: Orders, R: Source> Node<S, O, R> {
+    /// Handles entries of daemons and of the leader that are known up to a revision.
+    pub(crate) fn on_fleet_entries(&mut self, entries: Vec<FleetEntry>, revision: Revision) {
+        for entry in entries {
+            let known = self.fleet_entries.get(&entry.key);
+            // A relayed entry may be older than what was read here.
+            if known.is_some_and(|known| known.revision >= entry.revision) {
+                continue;
+            }
+            self.on_fleet_entry(&entry);
+            self.changed_fleet.insert(entry.key.clone());
+            self.fleet_entries.insert(entry.key.clone(), entry);
+        }
+        self.fleet_revision = self.fleet_revision.max(revision);
+        self.close_unused_links();
+        self.choose_role();
+        self.campaign_if_needed();
+    }
+
+    /// Handles a complete list of these entries: those that it does not name were removed.
+    pub(crate) fn keep_only_fleet<'a>(
+        &mut self,
+        listed: impl Iterator<Item = &'a str>,
+        revision: Revision,
+    ) {
+        let listed: HashSet<&str> = listed.collect();
+        let is_gone = |entry: &&FleetEntry| {
+            entry.text.is_some()
+                && entry.revision <= revision
+                && !listed.contains(entry.key.as_str())
+        };
+        let gone = self.fleet_entries.values().filter(is_gone).cloned();
+        let gone: Vec<FleetEntry> =
+            gone.map(|entry| FleetEntry { text: None, revision, ..entry }).collect();
+        for entry in gone {
+            self.on_fleet_entry(&entry);
+            self.changed_fleet.insert(entry.key.clone());
+            self.fleet_entries.insert(entry.key.clone(), entry);
+        }
+    }
+
     /// Handles the entry of a daemon or of the leader.
-    pub(crate) fn on_fleet_entry(&mut self, entry: &Entry) {
-        if entry.key == LEADER_KEY {
+    fn on_fleet_entry(&mut self, entry: &FleetEntry) {
+        if entry.key.as_str() == LEADER_KEY {
             let name = entry.text.as_deref().and_then(|text| text.split(' ').next());
             self.leader = name.map(|name| (Name::from(name), entry.revision));
             return;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -120,7 +120,9 @@
         let traffic = start_traffic(&shared, settings.listen.front, stop.clone())?;
         spdlog::info!("started", kv: { instance = settings.instance.as_str(), front: = settings.listen.front });
         let (needs_entries, are_entries_needed) = watch::channel(false);
-        let call_restarts = follow_store(&ports, &settings, &shared, &inputs, &are_entries_needed);
+        let (needs_fleet, is_fleet_needed) = watch::channel(true);
+        let needed = Needed { entries: are_entries_needed, fleet: is_fleet_needed };
+        let call_restarts = follow_store(&ports, &settings, &shared, &inputs, &needed);
         let resign = CancellationToken::new();
         let store = ports.store.clone();
         let mut node = Node::new(NodeParts {
@@ -132,6 +134,7 @@
             inputs: inputs.clone(),
             call_restarts,
             needs_entries,
+            needs_fleet,
         });
         let resign_requested = resign.clone();
         tokio::spawn(async move { node.run(queue, resign_requested).await });
@@ -182,6 +185,12 @@
     Ok(traffic)
 }
 
+/// Whether topics of the store have to be watched here.
+struct Needed {
+    entries: watch::Receiver<bool>,
+    fleet: watch::Receiver<bool>,
+}
+
 /// Starts the tasks that watch the store; changing the returned sender's value restarts waiting
 /// calls.
 fn follow_store<S: Store, O: Orders, R: Source>(
@@ -189,7 +198,7 @@
     settings: &Settings,
     shared: &Arc<Shared>,
     inputs: &mpsc::Sender<Input>,
-    are_entries_needed: &watch::Receiver<bool>,
+    needed: &Needed,
 ) -> watch::Sender<u64> {
     let (call_restarts, restarts) = watch::channel(0);
     let always = watch::channel(true).1;
@@ -200,9 +209,9 @@
             ports.source.servers_prefix(),
             MIN_SERVERS_INTERVAL_MS,
             SERVERS_WATCH_TIMEOUT_MS,
-            are_entries_needed,
+            &needed.entries,
         ),
-        (Topic::Fleet, FLEET_PREFIX, MIN_FLEET_INTERVAL_MS, WATCH_TIMEOUT_MS, &always),
+        (Topic::Fleet, FLEET_PREFIX, MIN_FLEET_INTERVAL_MS, WATCH_TIMEOUT_MS, &needed.fleet),
     ];
     for (topic, prefix, min_interval_ms, watch_timeout_ms, is_needed) in topics {
         let follower = Follower {
@@ -231,7 +240,7 @@
         entry,
         counters,
         inputs.clone(),
-        are_entries_needed.clone(),
+        needed.entries.clone(),
     ));
     call_restarts
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use document::{HashMap, HashSet, Name, Revision};
-use peer::{FleetBody, FleetFrame, Links, Load};
+use peer::{FleetBody, FleetEntry, FleetFrame, Links, Load};
 use registry::{Change, Incarnation, Registry};
 use shard::{Epoch, Event, Table};
 use site::Site;
@@ -57,6 +57,16 @@
     /// Servers whose entries were invalid; each is logged once.
     pub(crate) unreadable: HashSet<Name>,
     pub(crate) daemons: BTreeMap<Name, DaemonEntry>,
+    /// The entries of daemons and of their leader, with those that were removed.
+    pub(crate) fleet_entries: BTreeMap<Name, FleetEntry>,
+    /// The store's revision up to which these entries are known here.
+    pub(crate) fleet_revision: Revision,
+    /// The keys of those that changed since the last message to the group.
+    pub(crate) changed_fleet: BTreeSet<Name>,
+    /// Whether the reader of the group relays these entries.
+    pub(crate) is_fleet_relayed: bool,
+    /// Whether this daemon reads these entries itself.
+    pub(crate) needs_fleet: watch::Sender<bool>,
     /// The leader and the revision of its entry.
     pub(crate) leader: Option<(Name, Revision)>,
     pub(crate) is_fleet_known: bool,
@@ -115,6 +125,7 @@
     pub(crate) inputs: mpsc::Sender<Input>,
     pub(crate) call_restarts: watch::Sender<u64>,
     pub(crate) needs_entries: watch::Sender<bool>,
+    pub(crate) needs_fleet: watch::Sender<bool>,
 }
 
 impl<S: Store, O: Orders, R: Source> Node<S, O, R> {
@@ -143,6 +154,11 @@
             registry: Registry::default(),
             unreadable: HashSet::default(),
             daemons: BTreeMap::new(),
+            fleet_entries: BTreeMap::new(),
+            fleet_revision: Revision(0),
+            changed_fleet: BTreeSet::new(),
+            is_fleet_relayed: false,
+            needs_fleet: parts.needs_fleet,
             leader: None,
             is_fleet_known: false,
             is_campaigning: false,
@@ -280,8 +296,7 @@
             Topic::Servers => self.on_server_list(entries, read),
             Topic::Fleet => {
                 self.is_fleet_known = true;
-                self.daemons.clear();
-                self.leader = None;
+                self.keep_only_fleet(entries.iter().map(|entry| entry.key.as_str()), read.revision);
             }
         }
         self.on_changes(topic, entries, read);
@@ -296,12 +311,15 @@
             }
             Topic::Servers => self.on_server_entries(entries, read),
             Topic::Fleet => {
-                for entry in entries {
-                    self.on_fleet_entry(entry);
+                let entries = entries.iter().map(|entry| FleetEntry {
+                    key: entry.key.as_str().into(),
+                    text: entry.text.as_deref().map(Name::from),
+                    revision: entry.revision,
+                });
+                self.on_fleet_entries(entries.collect(), read.revision);
+                if !self.changed_fleet.is_empty() {
+                    self.send_server_changes();
                 }
-                self.close_unused_links();
-                self.choose_role();
-                self.campaign_if_needed();
             }
         }
     }
--- a/crates/gateway/src/relay_messages.rs
+++ b/crates/gateway/src/relay_messages.rs
@@ -1,6 +1,6 @@
 //! Sends servers' entries to other daemons and handles such messages.
 
-use document::Name;
+use document::{Name, Revision};
 use peer::{FleetBody, FleetFrame, Servers};
 use registry::Registration;
 use store::Store;
@@ -43,6 +43,9 @@
         let is_changed = self
             .needs_entries
             .send_if_modified(|known| std::mem::replace(known, needs_entries) != needs_entries);
+        let needs_fleet = needs_entries || !self.is_fleet_known || !self.is_fleet_relayed;
+        self.needs_fleet
+            .send_if_modified(|known| std::mem::replace(known, needs_fleet) != needs_fleet);
         if is_changed {
             // Earlier reads say nothing about the current entries.
             self.entries_read_at_ms = None;
@@ -79,6 +82,7 @@
     pub(crate) fn send_server_changes(&mut self) {
         let Role::Reads { tells } = &self.role else {
             self.changed_servers.clear();
+            self.changed_fleet.clear();
             return;
         };
         let tells = tells.clone();
@@ -93,7 +97,9 @@
         let (listed, gone): (Vec<Name>, Vec<Name>) =
             changed.into_iter().partition(|name| self.registry.is_listed(name));
         let listed = listed.iter().filter_map(|name| self.to_relayed(name)).collect();
-        let body = FleetBody::Servers(Servers { listed, gone, ..self.empty_message(false) });
+        let changed = std::mem::take(&mut self.changed_fleet);
+        let fleet = changed.iter().filter_map(|key| self.fleet_entries.get(key).cloned()).collect();
+        let body = FleetBody::Servers(Servers { listed, gone, fleet, ..self.empty_message(false) });
         self.send_to(&tells, &body);
     }
 
@@ -103,7 +109,12 @@
             return;
         }
         let listed = self.registry.listed().filter_map(|name| self.to_relayed(name)).collect();
-        self.send_to(to, &FleetBody::Servers(Servers { listed, ..self.empty_message(true) }));
+        let fleet = self.fleet_entries.values().filter(|entry| entry.text.is_some());
+        let fleet = fleet.cloned().collect();
+        self.send_to(
+            to,
+            &FleetBody::Servers(Servers { listed, fleet, ..self.empty_message(true) }),
+        );
     }
 
     pub(crate) fn send_to(&mut self, daemons: &[Name], body: &FleetBody) {
@@ -123,6 +134,7 @@
             revision: self.entries_revision,
             is_whole,
             grace_left_ms: self.registry.grace_left_ms(self.clock.now_ms()),
+            fleet_revision: self.fleet_revision,
             ..Servers::default()
         }
     }
@@ -169,5 +181,15 @@
         for name in servers.gone {
             self.remove_server(now_ms, &name, revision);
         }
+        if servers.is_whole {
+            let listed = servers.fleet.iter().map(|entry| entry.key.as_str());
+            self.keep_only_fleet(listed, servers.fleet_revision);
+        }
+        if servers.is_whole || !servers.fleet.is_empty() {
+            self.on_fleet_entries(servers.fleet, servers.fleet_revision);
+        }
+        self.fleet_revision = self.fleet_revision.max(servers.fleet_revision);
+        // Earlier versions do not relay these entries.
+        self.is_fleet_relayed = servers.fleet_revision > Revision(0);
     }
 }
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -85,6 +85,21 @@
     pub grace_left_ms: u64,
     /// Whether the sender no longer reads entries; then the other fields are to be ignored.
     pub has_stopped_reading: bool,
+    /// The entries of daemons and of their leader: all of them, or those that changed.
+    pub fleet: Vec<FleetEntry>,
+    /// The store's revision up to which the sender read changes of these entries.
+    pub fleet_revision: Revision,
+}
+
+/// An entry of the store about a daemon or the leader.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FleetEntry {
+    /// The key.
+    pub key: Name,
+    /// The value; `None` if it was removed.
+    pub text: Option<Name>,
+    /// The revision of the last write, or of the removal.
+    pub revision: Revision,
 }
 
 /// A daemon's report of its load to the leader.
@@ -218,6 +233,8 @@
         gone: servers.gone.iter().map(ToString::to_string).collect(),
         lapse_left_ms: servers.grace_left_ms,
         is_over: servers.has_stopped_reading,
+        fleet: servers.fleet.iter().map(from_fleet_entry).collect(),
+        fleet_revision: servers.fleet_revision.0,
     }
 }
 
@@ -230,9 +247,28 @@
         gone: servers.gone.into_iter().map(Name::from).collect(),
         grace_left_ms: servers.lapse_left_ms,
         has_stopped_reading: servers.is_over,
+        fleet: servers.fleet.into_iter().map(to_fleet_entry).collect(),
+        fleet_revision: Revision(servers.fleet_revision),
     })
 }
 
+fn from_fleet_entry(entry: &FleetEntry) -> wire::FleetEntry {
+    wire::FleetEntry {
+        key: entry.key.to_string(),
+        text: entry.text.as_ref().map(ToString::to_string).unwrap_or_default(),
+        revision: entry.revision.0,
+        is_removed: entry.text.is_none(),
+    }
+}
+
+fn to_fleet_entry(entry: wire::FleetEntry) -> FleetEntry {
+    FleetEntry {
+        key: entry.key.into(),
+        text: (!entry.is_removed).then(|| entry.text.into()),
+        revision: Revision(entry.revision),
+    }
+}
+
 fn from_registration(registration: &Registration) -> wire::Registration {
     wire::Registration {
         life: Some(from_incarnation(&registration.incarnation)),
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -41,7 +41,8 @@
 
 pub use error::{Error, Result};
 pub use fleet::{
-    FleetBody, FleetFrame, Leaving, Load, Resigned, ServerLoad, Servers, ServiceLoad, Tables,
+    FleetBody, FleetEntry, FleetFrame, Leaving, Load, Resigned, ServerLoad, Servers, ServiceLoad,
+    Tables,
 };
 pub use link::{Links, MAX_FRAME_BYTES, listen};
 pub use packet::{DocumentText, Message, Packet, Presence};
--- a/crates/peer/tests/fleet_frames.rs
+++ b/crates/peer/tests/fleet_frames.rs
@@ -2,10 +2,11 @@
 //! against bytes that make decoding panic.
 use bytes::Bytes;
 use document::{Name, Revision};
-use peer::{FleetBody, FleetFrame, Servers};
+use peer::{FleetBody, FleetEntry, FleetFrame, Leaving, Resigned, Servers, Tables};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use registry::{Incarnation, Registration, Stage};
+use shard::{Epoch, KeyRange, Owner, Span, Table};
 
 const SEED: [u8; 32] = [12; 32];
 
@@ -27,12 +28,49 @@
         gone: vec![Name::from("s2")],
         grace_left_ms: 700,
         has_stopped_reading: true,
+        fleet: vec![
+            FleetEntry {
+                key: "fleet/leader".into(),
+                text: Some("edge-1 00".into()),
+                revision: Revision(39),
+            },
+            FleetEntry { key: "fleet/daemons/edge-2".into(), text: None, revision: Revision(40) },
+        ],
+        fleet_revision: Revision(40),
     }
 }
 
+fn tables(base: Option<(Epoch, u64)>, is_relayed: bool) -> Tables {
+    let owner = Incarnation { server: "s1".into(), born_ms: 3 };
+    let (left, right) = KeyRange::WHOLE.split_at(100).unwrap();
+    let spans = vec![
+        Span { range: left, owner: Owner::Server(owner) },
+        Span { range: right, owner: Owner::Nobody { until_ms: 900 } },
+    ];
+    let tables = vec![(Name::from("ledger"), Table { spans })];
+    Tables { epoch: Epoch(7), number: 4, base, is_relayed, tables }
+}
+
 #[test]
-fn server_messages_round_trip() {
-    for body in [FleetBody::Servers(servers()), FleetBody::ServersRequest] {
+fn messages_round_trip() {
+    let resigned =
+        Resigned { epoch: Epoch(7), successor: Some("edge-2".into()), grants_left_ms: 3_000 };
+    let leaving = Leaving {
+        servers: vec![Incarnation { server: "s1".into(), born_ms: 3 }],
+        is_relayed: true,
+    };
+    for body in [
+        FleetBody::Servers(servers()),
+        FleetBody::ServersRequest,
+        FleetBody::Tables(tables(None, false)),
+        FleetBody::Tables(tables(Some((Epoch(7), 3)), true)),
+        FleetBody::Tables(tables(Some((Epoch(5), 9)), false)),
+        FleetBody::StoreQuery(Epoch(7)),
+        FleetBody::StoreReached(Epoch(7)),
+        FleetBody::Resigned(Resigned { successor: None, ..resigned.clone() }),
+        FleetBody::Resigned(resigned),
+        FleetBody::Leaving(leaving),
+    ] {
         let frame = FleetFrame { from: "edge-1".into(), body };
         assert_eq!(FleetFrame::from_bytes(frame.to_bytes()).unwrap(), frame);
     }
