Pause only at servers that turn nine of ten requests away; ignore chance in load

And 1.2 times all keys moved in 10 s in a test with an even load of five requests a second a server: what differed was chance.

Change: the limit is at least one again; a moving average of the share of requests turned away decides on pauses. A load has to differ from its share by 1.5 standard deviations of chance before keys move.

--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -5,19 +5,14 @@
 /// Daemons share a server's slots without coordination. Each limit starts at an equal share
 /// of the slots. While it is fully used, each answer raises it by `1 / limit`, so that it
 /// rises by about one per `limit` answers. It falls by a third when the server sheds a request
-/// or does not answer in time. With more daemons than slots it falls below one, which stands for
-/// one request at a time with pauses in between.
+/// or does not answer in time.
 #[derive(Clone, Copy, Debug)]
 pub struct Limit {
     current: f64,
+    min: f64,
     max: f64,
 }
 
-/// The lowest limit.
-const MIN_LIMIT: f64 = 0.125;
-/// By how much an answer raises a limit below one.
-const INCREASE_BELOW_ONE: f64 = 0.25;
-
 /// The factor by which one overload lowers the limit.
 const DECREASE_FACTOR: f64 = 0.67;
 
@@ -27,7 +22,7 @@
     pub fn new(slots: u32, daemons: u32) -> Self {
         let max = f64::from(slots.max(1));
         let share = (max / f64::from(daemons.max(1))).ceil();
-        Self { current: share, max }
+        Self { current: share, min: 1.0, max }
     }
 
     /// Returns how many requests may be in flight.
@@ -38,31 +33,23 @@
         reason = "the limit is between 1 and the number of slots"
     )]
     pub fn get(&self) -> u32 {
-        self.current.max(1.0) as u32
-    }
-
-    /// Returns the limit if it is below one, and one otherwise.
-    #[must_use]
-    pub fn fraction(&self) -> f64 {
-        self.current.min(1.0)
+        self.current as u32
     }
 
     /// Handles an answer that arrived while `in_flight` requests were in flight.
     pub fn on_answer(&mut self, in_flight: u32) {
-        if self.current < 1.0 {
-            self.current += INCREASE_BELOW_ONE;
-        } else if f64::from(in_flight) + 1.0 >= self.current {
+        if f64::from(in_flight) + 1.0 >= self.current {
             self.current = (self.current + 1.0 / self.current).min(self.max);
         }
     }
 
-    /// Lowers the limit to one request at a time, unless it is lower.
+    /// Lowers the limit to one request at a time.
     pub fn restart(&mut self) {
-        self.current = self.current.min(1.0);
+        self.current = self.min;
     }
 
     /// Handles a request that the server shed or did not answer in time.
     pub fn on_overload(&mut self) {
-        self.current = (self.current * DECREASE_FACTOR).max(MIN_LIMIT);
+        self.current = (self.current * DECREASE_FACTOR).max(self.min);
     }
 }
--- a/crates/route/src/limiter.rs
+++ b/crates/route/src/limiter.rs
@@ -19,6 +19,8 @@
     max_waiting: usize,
     /// When the current queue formed; reset to `None` when a request ends while at most one waits.
     queue_started_at_ms: Option<u64>,
+    /// The moving average of the share of requests that the server turned away.
+    shed_share: f64,
     /// Until when no request is admitted, as the server turned most of the last ones away.
     pause_deadline_ms: u64,
 }
@@ -84,6 +86,7 @@
             next_number: 0,
             max_waiting,
             queue_started_at_ms: None,
+            shed_share: 0.0,
             pause_deadline_ms: 0,
         }
     }
@@ -172,6 +175,7 @@
     /// Handles an answer of the server.
     pub fn on_answer(&mut self, latency_ms: f64) {
         self.limit.on_answer(self.in_flight);
+        self.shed_share -= SHED_WEIGHT * self.shed_share;
         self.update_latency(latency_ms);
     }
 
@@ -182,11 +186,11 @@
     /// slots.
     pub fn on_shed(&mut self, now_ms: u64) {
         self.limit.on_overload();
-        let fraction = self.limit.fraction();
-        if fraction < MAX_PAUSE_FRACTION {
+        self.shed_share += SHED_WEIGHT * (1.0 - self.shed_share);
+        if self.shed_share > MIN_PAUSE_SHARE {
             let latency_ms = self.latency_ms.unwrap_or(INITIAL_LATENCY_MS);
-            let pause_ms = ceil_ms(latency_ms * (1.0 / fraction - 1.0)).min(MAX_PAUSE_MS);
-            self.pause_deadline_ms = now_ms + pause_ms;
+            let tries = self.shed_share / (1.0 - self.shed_share);
+            self.pause_deadline_ms = now_ms + ceil_ms(latency_ms * tries).min(MAX_PAUSE_MS);
         }
     }
 
@@ -248,8 +252,13 @@
 /// The age from which a queue counts as overload; a burst of simultaneous requests has been
 /// answered by then.
 const SUSTAINED_QUEUE_MS: u64 = 200;
-/// The limit below which requests pause.
-const MAX_PAUSE_FRACTION: f64 = 0.6;
+/// The share of requests turned away above which requests pause.
+///
+/// A server that turns half of its requests away may do so whatever its load is. Then every
+/// request is worth a try.
+const MIN_PAUSE_SHARE: f64 = 0.9;
+/// The weight of the latest request in that share.
+const SHED_WEIGHT: f64 = 0.15;
 /// The longest pause.
 const MAX_PAUSE_MS: u64 = 2_000;
 /// The latency that pauses are derived from until the server has answered.
--- a/crates/shard/src/load.rs
+++ b/crates/shard/src/load.rs
@@ -10,6 +10,8 @@
     keys: Box<[f32]>,
     /// At each index, the load of all keys below it, including the assumed load.
     prefix_sums: Box<[f32]>,
+    /// The sum and the number of what was added, decaying in the same way.
+    added: (f32, f32),
     decayed_at_ms: u64,
 }
 
@@ -29,6 +31,7 @@
         let mut load = Self {
             keys,
             prefix_sums: vec![0.0; KEY_COUNT + 1].into_boxed_slice(),
+            added: (0.0, 0.0),
             decayed_at_ms: 0,
         };
         load.update_prefix_sums();
@@ -41,7 +44,10 @@
     ///
     /// Loads of ranges include it from the next [`KeyLoad::decay`] on.
     pub fn add(&mut self, key: u16, work_ms: f32) {
-        self.keys[usize::from(key)] += work_ms / DECAY_MS;
+        let slots = work_ms / DECAY_MS;
+        self.keys[usize::from(key)] += slots;
+        self.added.0 += slots;
+        self.added.1 += 1.0;
     }
 
     /// Decays the load to the current time and updates the sums.
@@ -53,6 +59,8 @@
         for load in &mut self.keys {
             *load *= remaining_factor;
         }
+        self.added.0 *= remaining_factor;
+        self.added.1 *= remaining_factor;
         self.update_prefix_sums();
     }
 
@@ -62,6 +70,18 @@
         self.prefix_sums[usize::from(range.to()) + 1] - self.prefix_sums[usize::from(range.from())]
     }
 
+    /// Returns the standard deviation of a load of this size that does not change.
+    ///
+    /// Load is measured from the requests of about a second. With few requests it differs by
+    /// chance: that of requests which arrive at random and decay exponentially has a variance of
+    /// half of the load times the work of one.
+    #[must_use]
+    pub fn deviation_of(&self, load: f32) -> f32 {
+        let (sum, count) = self.added;
+        let work = if count > 0.0 { sum / count } else { 0.0 };
+        (load * work / 2.0).sqrt()
+    }
+
     /// Returns the load of all keys at the last [`KeyLoad::decay`].
     #[must_use]
     pub fn total(&self) -> f32 {
--- a/crates/shard/src/policy.rs
+++ b/crates/shard/src/policy.rs
@@ -152,7 +152,9 @@
         candidates[*b].utilization_with(0.0).total_cmp(&candidates[*a].utilization_with(0.0))
     });
     let to = &candidates[*by_utilization.last()?];
-    let is_starved = to.utilization_with(0.0) < mean_utilization * STARVED_FACTOR;
+    let to_share = mean_utilization * to.capacity;
+    let is_starved = to.load < to_share * STARVED_FACTOR
+        && to_share - to.load > load.deviation_of(to_share) * SIGNIFICANT_DEVIATIONS;
     let min_load = config.min_gain_slots.min(mean_utilization * to.capacity * MIN_MOVE_FACTOR);
     let max_sources = MIN_SOURCES.max(candidates.len() / SERVERS_PER_SOURCE);
     by_utilization.into_iter().take(max_sources).find_map(|index| {
@@ -166,7 +168,9 @@
         };
         let wanted_load = (from.load - mean_utilization * from.capacity)
             .min(target_utilization * to.capacity - to.load);
-        let is_above = utilization > mean_utilization * tolerance;
+        let share = mean_utilization * from.capacity;
+        let deviation = load.deviation_of(share) * SIGNIFICANT_DEVIATIONS;
+        let is_above = from.load > share * tolerance + deviation;
         if !(is_above || is_starved) || wanted_load < min_load {
             return None;
         }
@@ -228,6 +232,8 @@
     }
 }
 
+/// Number of standard deviations by which a load has to differ from its share; less is chance.
+const SIGNIFICANT_DEVIATIONS: f32 = 1.5;
 /// A server below this part of its share gets keys even if no other is above tolerance.
 const STARVED_FACTOR: f32 = 0.5;
 /// At low load a move has to shift this part of the target's share, where that is less than
