Accept a fraction as the retries' slack

Cause: the platform's figures may be fractions. The small twins of the large site have a slack of 76.79 retries, so no daemon started there: "expected a whole number".

Change: the setting takes a number and leaves out its fraction.

Test: gateway/settings, which also reads every key of the settings once; a fraction was refused before.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,9 +2,7 @@
 
 use std::net::SocketAddr;
 
-use document::{
-    ADDRESS, COUNT, DURATION, LOG_LEVEL, Name, Result, Section, Sections, TEXT, ValueFormat,
-};
+use document::{ADDRESS, DURATION, LOG_LEVEL, Name, Result, Section, Sections, TEXT, ValueFormat};
 
 /// The settings of a gateway.
 #[derive(Clone, Debug, PartialEq)]
@@ -62,6 +60,8 @@
 const SECTIONS: &str = "[instance], [listen], [store], [servers], [retries], [stop] or [log]";
 const RATIO: ValueFormat<u32> =
     ValueFormat { parse: read_ratio, expected: "a fraction from 0 to 1, such as 0.2" };
+const RETRIES: ValueFormat<u32> =
+    ValueFormat { parse: read_retries_count, expected: "a number of retries, such as 50" };
 const MBPS: ValueFormat<u32> =
     ValueFormat { parse: read_mbps, expected: "a bandwidth in Mbit/s above 0, such as 200" };
 /// A store answers within milliseconds; a call is given up after half a second.
@@ -140,7 +140,7 @@
 fn read_retries(section: Option<Section>) -> Result<RetrySettings> {
     let Some(mut section) = section else { return Ok(DEFAULT_RETRIES) };
     let ratio = section.optional("ratio", &RATIO)?;
-    let slack = section.optional("slack", &COUNT)?;
+    let slack = section.optional("slack", &RETRIES)?;
     section.finish("ratio, slack")?;
     Ok(RetrySettings {
         ratio_milli: ratio.unwrap_or(DEFAULT_RETRIES.ratio_milli),
@@ -165,6 +165,17 @@
     (0.0..=1.0).contains(&ratio).then(|| (ratio * 1_000.0).round() as u32)
 }
 
+/// Reads a number of retries; a fraction of one is left out.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the number is from 0 to that of u32, rounded"
+)]
+fn read_retries_count(text: &str) -> Option<u32> {
+    let retries: f64 = text.parse().ok()?;
+    (0.0..=f64::from(u32::MAX)).contains(&retries).then(|| retries.floor() as u32)
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
