--- a/crates/gateway/src/candidacy.rs
+++ b/crates/gateway/src/candidacy.rs
@@ -36,7 +36,7 @@
 ///
 /// The order differs from epoch to epoch, except that well connected daemons are first.
 #[must_use]
-pub fn order(epoch: u64, mut candidates: Vec<Candidate>) -> Vec<Name> {
+pub fn campaign_order(epoch: u64, mut candidates: Vec<Candidate>) -> Vec<Name> {
     let max_mbps = candidates.iter().map(|candidate| candidate.link_mbps).max().unwrap_or(0);
     candidates.sort_by_cached_key(|candidate| {
         let is_well_connected = candidate.link_mbps >= max_mbps / WELL_CONNECTED_DIVISOR;
@@ -49,7 +49,12 @@
 /// Returns how long a daemon waits for its turn; `successor` is the daemon that the last leader
 /// named when it resigned, and `failures` the number of the daemon's campaigns that failed.
 #[must_use]
-pub fn wait_ms(order: &[Name], instance: &Name, successor: Option<&Name>, failures: u32) -> u64 {
+pub fn campaign_wait_ms(
+    order: &[Name],
+    instance: &Name,
+    successor: Option<&Name>,
+    failures: u32,
+) -> u64 {
     let backoff_ms = match failures {
         0 => 0,
         _ => (FAILURE_BACKOFF_MS << failures.min(8)).min(MAX_WAIT_MS),
--- a/crates/gateway/src/distribution.rs
+++ b/crates/gateway/src/distribution.rs
@@ -54,7 +54,7 @@
 ///
 /// Until then, requests for keys that move may still be sent to their previous holder.
 #[must_use]
-pub fn transit_ms(daemons: usize) -> u64 {
+pub fn publication_transit_ms(daemons: usize) -> u64 {
     let daemons = u64::try_from(daemons).unwrap_or(u64::MAX);
     (DIRECT_TRANSIT_MS + daemons / DAEMONS_PER_TRANSIT_MS).min(MAX_TRANSIT_MS)
 }
@@ -63,7 +63,7 @@
 ///
 /// Each daemon that knows the same daemons forms the same groups.
 #[must_use]
-pub fn groups(mut daemons: Vec<Name>) -> Vec<Vec<Name>> {
+pub fn daemon_groups(mut daemons: Vec<Name>) -> Vec<Vec<Name>> {
     daemons.sort_unstable();
     let count = daemons.len().div_ceil(MAX_GROUP_DAEMONS).max(1);
     let size = daemons.len().div_ceil(count).max(1);
@@ -81,7 +81,7 @@
     for (daemon, data_centre) in daemons {
         data_centres.entry(data_centre).or_default().push(daemon);
     }
-    data_centres.into_values().flat_map(groups).collect()
+    data_centres.into_values().flat_map(daemon_groups).collect()
 }
 
 impl Distribution {
--- a/crates/gateway/src/leader_tasks.rs
+++ b/crates/gateway/src/leader_tasks.rs
@@ -9,7 +9,7 @@
 use telemetry::Counter;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::distribution::transit_ms;
+use crate::distribution::publication_transit_ms;
 use crate::follow::{LEADER_KEY, RECORDS_PREFIX};
 use crate::input::{Input, WonElection, WriteOutcome};
 use crate::leader_state::LeaderState;
@@ -36,7 +36,7 @@
         self.shared.counters.count(Counter::Elections);
         let config = Config {
             max_grant_ms: self.settings.max_grant_ms,
-            release_delay_ms: transit_ms(self.daemons.len()),
+            release_delay_ms: publication_transit_ms(self.daemons.len()),
             ..Config::default()
         };
         let revisions =
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -74,9 +74,9 @@
 mod view;
 mod view_builder;
 
-pub use candidacy::{Candidate, order, wait_ms};
+pub use candidacy::{Candidate, campaign_order, campaign_wait_ms};
 pub use clock::BootClock;
-pub use distribution::{Distribution, Recipients, groups, transit_ms};
+pub use distribution::{Distribution, Recipients, daemon_groups, publication_transit_ms};
 pub use gateway::{Gateway, Ports};
 pub use log_sampler::{LogSampler, is_sampled};
 pub use ports::{Dialect, EntryText, Orders, Source, Unreadable};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,7 +7,7 @@
 
 use document::{Name, Revision};
 
-use crate::distribution::groups;
+use crate::distribution::daemon_groups;
 
 /// How a daemon gets the servers' entries.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -85,7 +85,7 @@
     /// included.
     #[must_use]
     pub fn of(instance: &Name, neighbours: Vec<Name>) -> Self {
-        let group = groups(neighbours).into_iter().find(|group| group.contains(instance));
+        let group = daemon_groups(neighbours).into_iter().find(|group| group.contains(instance));
         match group.as_ref().and_then(|group| group.split_first()) {
             Some((first, _)) if first != instance => Self::Hears { from: first.clone() },
             Some((_, others)) => Self::Reads { tells: others.to_vec() },
--- a/crates/gateway/src/succession.rs
+++ b/crates/gateway/src/succession.rs
@@ -83,13 +83,18 @@
     /// Returns how long this daemon waits for its turn to campaign.
     pub(crate) fn campaign_wait_ms(&self) -> u64 {
         let epoch = self.tables_version.map_or(Epoch(0), |(epoch, _)| epoch);
-        let order = candidacy::order(epoch.0, self.candidates());
+        let order = candidacy::campaign_order(epoch.0, self.candidates());
         let successor = self.resigned.as_ref().and_then(|resigned| resigned.successor.as_ref());
-        candidacy::wait_ms(&order, &self.settings.instance, successor, self.failed_campaigns)
+        candidacy::campaign_wait_ms(
+            &order,
+            &self.settings.instance,
+            successor,
+            self.failed_campaigns,
+        )
     }
 
     fn next_in_order(&self, epoch: Epoch) -> Option<Name> {
-        let order = candidacy::order(epoch.0, self.candidates());
+        let order = candidacy::campaign_order(epoch.0, self.candidates());
         order.into_iter().find(|name| *name != self.settings.instance)
     }
 
@@ -129,7 +134,7 @@
         leading.renewal_failed_at_ms.get_or_insert(now_ms);
         let skipped = leading.queried_daemons;
         leading.queried_daemons += QUERIED_DAEMONS;
-        let order = candidacy::order(epoch.0, self.candidates());
+        let order = candidacy::campaign_order(epoch.0, self.candidates());
         let others = order.into_iter().filter(|name| *name != self.settings.instance);
         let queried: Vec<Name> = others.skip(skipped).take(QUERIED_DAEMONS).collect();
         spdlog::info!("lease not renewed", kv: { epoch = epoch.0, queried = queried.len() });
--- a/crates/gateway/tests/table_recipients.rs
+++ b/crates/gateway/tests/table_recipients.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use document::Name;
-use gateway::{Distribution, Role, groups, transit_ms};
+use gateway::{Distribution, Role, daemon_groups, publication_transit_ms};
 use googletest::prelude::*;
 
 /// Returns daemons with their data centres.
@@ -51,7 +51,7 @@
 fn groups_have_about_the_same_size() {
     for count in [1, 15, 24, 25, 60, 200] {
         let daemons = fleet(count, 1).into_iter().map(|(daemon, _)| daemon).collect();
-        let sizes: Vec<usize> = groups(daemons).iter().map(Vec::len).collect();
+        let sizes: Vec<usize> = daemon_groups(daemons).iter().map(Vec::len).collect();
         expect_that!(sizes.iter().sum::<usize>(), eq(count));
         expect_that!(sizes.iter().max().unwrap() - sizes.iter().min().unwrap(), le(sizes.len()));
         expect_that!(*sizes.iter().max().unwrap(), le(24));
@@ -90,7 +90,7 @@
 
 #[googletest::test]
 fn releases_wait_for_larger_fleets_a_little() {
-    let transits: Vec<u64> = [1, 4, 26, 79, 300, 14_000].map(transit_ms).to_vec();
+    let transits: Vec<u64> = [1, 4, 26, 79, 300, 14_000].map(publication_transit_ms).to_vec();
     expect_that!(transits.is_sorted(), eq(true), "{transits:?}");
     expect_that!(transits[1], le(8), "a handover of a small fleet is not held up");
     expect_that!(transits[3], ge(20), "a batch of changes and two hops");
