Release a range only when no grant of it can arrive afterwards

Change: a release waits until the grants to its server on the range are answered, or can no longer arrive; after the answer that shows the latter for an abandoned grant, 50 ms more, as connections of one link are not in exact order.

--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -417,7 +417,10 @@
             pass.log_expiry(range, &previous.incarnation);
             return false;
         }
-        if previous.release_at_ms.is_some_and(|at_ms| pass.now_ms >= at_ms) {
+        let is_due = previous.release_at_ms.is_some_and(|at_ms| pass.now_ms >= at_ms);
+        // A grant that arrives after the release would be taken again: a server may count only
+        // grants' fences as seen.
+        if is_due && !pass.may_grant_arrive(&previous.incarnation, range) {
             previous.release_at_ms = None;
             let deadline_ms =
                 pass.grant_deadline_ms(&previous.incarnation, range, previous.grant_deadline_ms);
--- a/crates/shard/src/config.rs
+++ b/crates/shard/src/config.rs
@@ -94,4 +94,4 @@
 /// The shortest grant that is sent again to a server that did not answer.
 const MIN_RETRY_GRANT_MS: u64 = 500;
 /// Allowance for timers that fire late and bytes in transit.
-const ARRIVAL_SLACK_MS: u64 = 50;
+pub(crate) const ARRIVAL_SLACK_MS: u64 = 50;
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -6,6 +6,7 @@
 use document::{HashMap, Name};
 use registry::{Incarnation, Registration, Registry};
 
+use crate::config::ARRIVAL_SLACK_MS;
 use crate::order::LogEvent;
 use crate::policy::Candidate;
 use crate::{Config, Epoch, Fence, Grant, KeyRange, OrderId, OrderKind, Output, Release, Reply};
@@ -62,6 +63,8 @@
     pub(crate) range: KeyRange,
     pub(crate) grant_ms: u64,
     abandoned_at_ms: u64,
+    /// The last time at which it may arrive.
+    last_arrival_ms: u64,
 }
 
 /// Time between probes of a server that did not answer.
@@ -119,15 +122,17 @@
                 range: grant.range,
                 grant_ms: grant.grant_ms,
                 abandoned_at_ms: now_ms,
+                last_arrival_ms: now_ms + config.max_transit_ms,
             });
         }
-        let is_answered = matches!(reply, Reply::Done(_) | Reply::Fenced);
-        self.abandoned
-            .extract_if(.., |grant| {
-                (is_answered && grant.abandoned_at_ms < order.sent_at_ms)
-                    || grant.abandoned_at_ms + config.max_transit_ms <= now_ms
-            })
-            .collect()
+        if matches!(reply, Reply::Done(_) | Reply::Fenced) {
+            let last_arrival_ms = now_ms + ARRIVAL_SLACK_MS;
+            let sent = self.abandoned.iter_mut();
+            for grant in sent.filter(|grant| grant.abandoned_at_ms < order.sent_at_ms) {
+                grant.last_arrival_ms = last_arrival_ms.min(grant.last_arrival_ms);
+            }
+        }
+        self.abandoned.extract_if(.., |grant| grant.last_arrival_ms <= now_ms).collect()
     }
 
     fn is_silent(&self, incarnation: &Incarnation) -> bool {
@@ -218,8 +223,7 @@
 impl AbandonedGrant {
     /// Returns the time until which the grant may be valid if it arrives as late as it can.
     fn deadline_ms(&self, config: &Config) -> u64 {
-        let arrived_at_ms = self.abandoned_at_ms + config.max_transit_ms;
-        config.grant_deadline_ms(arrived_at_ms, self.grant_ms)
+        config.grant_deadline_ms(self.last_arrival_ms, self.grant_ms)
     }
 }
 
@@ -322,7 +326,12 @@
         let later = address.and_then(|address| births.get(&address));
         later.is_some_and(|born_ms| *born_ms > incarnation.born_ms)
             && self.servers.registry.get(incarnation).is_none()
-            && self.orders.pending_grant_deadline_ms(incarnation, range, self.config) == 0
+            && !self.may_grant_arrive(incarnation, range)
+    }
+
+    /// Returns whether a grant to a server that was not answered may still arrive.
+    pub(crate) fn may_grant_arrive(&self, incarnation: &Incarnation, range: KeyRange) -> bool {
+        self.orders.pending_grant_deadline_ms(incarnation, range, self.config) > 0
     }
 
     pub(crate) fn log_expiry(&mut self, range: KeyRange, from: &Incarnation) {
--- a/crates/shard/tests/world/server.rs
+++ b/crates/shard/tests/world/server.rs
@@ -17,7 +17,7 @@
     pub(super) is_cut: bool,
     pub(super) is_draining: bool,
     pub(super) held: Vec<Held>,
-    /// The ranges and fences of all orders accepted so far.
+    /// The ranges and fences of all grants accepted so far.
     pub(super) seen_fences: Vec<(KeyRange, Fence)>,
 }
 
@@ -47,7 +47,7 @@
     match kind {
         OrderKind::Grant(grant) => apply_grant(server, grant, arrived_ms),
         OrderKind::Release(release) => {
-            server.seen_fences.push((release.range, release.fence));
+            // A server may take only grants' fences as seen.
             server.held =
                 server.held.iter().flat_map(|held| without(held, release.range)).collect();
             Reply::Done(Some(Handover::from("token")))
