--- a/crates/shard/src/answers.rs
+++ b/crates/shard/src/answers.rs
@@ -31,14 +31,9 @@
         }
     }
 
-    /// Counts an abandoned grant as valid from now, the latest time at which it arrived.
-    pub(crate) fn on_abandoned_grant(
-        &mut self,
-        now_ms: u64,
-        grant: &AbandonedGrant,
-        config: &Config,
-    ) {
-        let deadline_ms = config.grant_deadline_ms(now_ms, grant.grant_ms);
+    /// Counts an abandoned grant as valid from the last time at which it may have arrived.
+    pub(crate) fn on_abandoned_grant(&mut self, grant: &AbandonedGrant, config: &Config) {
+        let deadline_ms = grant.deadline_ms(config);
         for state in self.ranges.iter_mut().filter(|state| state.range.overlaps(grant.range)) {
             state.extend_grant_deadline(&grant.incarnation, deadline_ms);
         }
--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -220,7 +220,7 @@
         let Some(order) = self.orders.remove(id) else { return };
         for grant in self.orders.on_reply(now_ms, &order, reply, &self.config) {
             if let Some(assignment) = self.assignments.get_mut(&grant.service) {
-                assignment.on_abandoned_grant(now_ms, &grant, &self.config);
+                assignment.on_abandoned_grant(&grant, &self.config);
             }
         }
         let Some(assignment) = self.assignments.get_mut(&order.service) else { return };
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -222,7 +222,7 @@
 
 impl AbandonedGrant {
     /// Returns the time until which the grant may be valid if it arrives as late as it can.
-    fn deadline_ms(&self, config: &Config) -> u64 {
+    pub(crate) fn deadline_ms(&self, config: &Config) -> u64 {
         config.grant_deadline_ms(self.last_arrival_ms, self.grant_ms)
     }
 }
