Log the rate limit that a server names in its answers

Change: the header is read, its value kept for each server, and a change of it logged with the request, the value as sent and the previous limit. Nothing acts on it yet.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use proxy::{Link, Permit, retry_after_ms};
 use registry::Incarnation;
-use route::Failure;
+use route::{Failure, Rate};
 use telemetry::Counter;
 use tokio::time::{Duration, Instant, sleep, timeout, timeout_at};
 
@@ -150,6 +150,7 @@
     if head.headers.get(&shared.dialect.leaving).is_some_and(|value| value == "1") {
         shared.on_leaving(&server.registration.incarnation);
     }
+    note_rate_limit(shared, server, call, head);
     let is_turned_away = head.status == StatusCode::SERVICE_UNAVAILABLE
         && head.headers.contains_key(&shared.dialect.not_run);
     if !is_turned_away || !head.headers.contains_key(RETRY_AFTER) {
@@ -171,6 +172,29 @@
     }
 }
 
+/// Handles the rate limit that an answer names, or the lack of one.
+fn note_rate_limit(shared: &Shared, server: &Server, call: &Call, head: &Parts) {
+    let value = head.headers.get(&shared.dialect.rate_limit);
+    let limit = value.and_then(|value| Rate::parse(value.to_str().ok()?));
+    let previous = server.set_rate_limit(limit);
+    if limit == previous || !shared.log_sampler.may_write(shared.clock.now_ms(), call.id.as_bytes())
+    {
+        return;
+    }
+    spdlog::info!(
+        "server's rate limit",
+        kv: {
+            request = call.id.to_str().unwrap_or("-"),
+            server: = server.registration.incarnation, value:? = value,
+            limit: = to_text(limit), previous: = to_text(previous)
+        }
+    );
+}
+
+fn to_text(limit: Option<Rate>) -> String {
+    limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string())
+}
+
 /// Checks that an answer is the server's own and may be passed on.
 fn check_answer(shared: &Shared, head: &Parts) -> Result<(), Failure> {
     let dialect = &shared.dialect;
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -22,6 +22,9 @@
     pub not_run: HeaderName,
     /// Present in the answers of a server that is leaving.
     pub leaving: HeaderName,
+    /// Present in the answers of a server that limits its requests: how many it accepts in a second
+    /// from all daemons together.
+    pub rate_limit: HeaderName,
     /// Present in answers that the server itself generated.
     pub signature: HeaderName,
     /// The key of a request, a number from 0 to 65535.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -6,7 +6,7 @@
 use document::{Server as Description, ServerState};
 use proxy::{Clock, Upstream};
 use registry::Registration;
-use route::ServerState as _;
+use route::{Rate, ServerState as _};
 
 /// A server with its connections and its measured speed.
 #[derive(Debug)]
@@ -18,6 +18,9 @@
     clock: Clock,
     /// The latency of the server relative to the mean of its routes, in thousandths.
     slowness_milli: AtomicU32,
+    /// The rate limit that its last answer named, in thousandths of a request per second;
+    /// `NO_RATE_LIMIT` if it named none.
+    rate_limit_milli: AtomicU64,
     /// When the server stops getting new work; `u64::MAX` while it stays.
     closes_at_ms: AtomicU64,
 }
@@ -29,6 +32,9 @@
 /// The least slowness of a server: answers that are quick because they are small say little.
 const MIN_SLOWNESS: f32 = 0.3;
 
+/// The value of `rate_limit_milli` while there is no limit.
+const NO_RATE_LIMIT: u64 = u64::MAX;
+
 impl Server {
     /// Creates the state of a server that `daemons` daemons send requests to.
     #[must_use]
@@ -53,6 +59,7 @@
             upstream: Arc::new(Upstream::new(description, daemons, clock)),
             clock,
             slowness_milli: AtomicU32::new(1_000),
+            rate_limit_milli: AtomicU64::new(NO_RATE_LIMIT),
             closes_at_ms: AtomicU64::new(u64::MAX),
         }
     }
@@ -77,6 +84,20 @@
         self.slowness_milli.store(to_milli(mean), Ordering::Relaxed);
     }
 
+    /// Returns the rate limit that the server's last answer named.
+    #[must_use]
+    pub fn rate_limit(&self) -> Option<Rate> {
+        let milli_per_s = self.rate_limit_milli.load(Ordering::Relaxed);
+        (milli_per_s != NO_RATE_LIMIT).then_some(Rate::from_milli_per_s(milli_per_s))
+    }
+
+    /// Sets the rate limit that an answer named, and returns the previous one.
+    pub fn set_rate_limit(&self, limit: Option<Rate>) -> Option<Rate> {
+        let milli_per_s = limit.map_or(NO_RATE_LIMIT, Rate::milli_per_s);
+        let previous = self.rate_limit_milli.swap(milli_per_s, Ordering::Relaxed);
+        (previous != NO_RATE_LIMIT).then_some(Rate::from_milli_per_s(previous))
+    }
+
     /// Returns whether the server may get a request now.
     #[must_use]
     pub fn is_open(&self) -> bool {
