Keep the requests of all daemons to a server within the limit that it names

Change: a daemon that has seen the limit asks one daemon, chosen by hash in the server's data centre, for a turn before each request; half of an equal part is used while that one is silent. The leader counts the server with no more capacity than its limit allows, so that keys move away; a limit is forgotten there 10 s after the last answer that named it. Why this works: the limit is of the server, and one daemon counts the requests of all of them.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -19,6 +19,7 @@
 use crate::log_sampler::is_sampled;
 use crate::refusal;
 use crate::server::Server;
+use crate::turns::wait_for_turn;
 use crate::view::{Destination, ServiceView};
 
 /// The least time for which a request waits for a key that is moving to another server.
@@ -182,7 +183,8 @@
         let result = send(shared, &server, &call, permit).await;
         let failure = match result {
             ExchangeResult::Answer(response) => {
-                service.state.on_answer(&incarnation, server.slowness_milli().into());
+                let slowness_milli = u64::from(server.slowness_milli());
+                service.state.on_answer(&incarnation, slowness_milli, server.rate_limit());
                 log_served(shared, &call, &server, &attempts, waited_ms);
                 return Ok(response);
             }
@@ -256,6 +258,14 @@
         match find_destination(shared, call, &service, tried, attempts)? {
             Destination::Server(server) => {
                 let permit = admit(&server, call, attempts).await?;
+                let max_wait_ms = max_turn_wait_ms(shared, call, &service);
+                if let Err(remaining_ms) = wait_for_turn(shared, &server, max_wait_ms).await {
+                    if service.is_keyed {
+                        return Err(paused_refusal(attempts, remaining_ms));
+                    }
+                    // Another server of the pool is picked now.
+                    continue;
+                }
                 if is_current(shared, call, &server) {
                     return Ok((service, server, permit));
                 }
@@ -335,7 +345,24 @@
     matches!(owner, Some(Destination::Server(owner)) if Arc::ptr_eq(&owner, server))
 }
 
+/// Returns how long a request may wait for its turn at a server that limits its rate.
+///
+/// A keyed request waits as long as its answer can still meet the latency target. Other requests do
+/// not wait, because another server can run them.
+fn max_turn_wait_ms(shared: &Shared, call: &Call, service: &ServiceView) -> u64 {
+    if !service.is_keyed {
+        return 0;
+    }
+    let target_deadline_ms = call.arrived_at_ms + call.route.latency_target_ms;
+    let due_at_ms = target_deadline_ms.min(call.deadline_ms);
+    due_at_ms.saturating_sub(shared.clock.now_ms() + mean_latency_ms(call))
+}
+
 async fn admit(server: &Server, call: &Call, attempts: &Attempts) -> Result<Permit, Refusal> {
+    let remaining_ms = server.pause_remaining_ms();
+    if remaining_ms > 0 {
+        return Err(paused_refusal(attempts, remaining_ms));
+    }
     match server.upstream.acquire(call.arrival()).await {
         Ok((permit, _has_waited)) => Ok(permit),
         Err(AdmissionError::Overloaded { late_ms }) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -105,9 +105,10 @@
         let metrics = Metrics::new(&counters).change_context(RunError)?;
         let data_centre = settings.data_centre.clone();
         let clock = Clock::start();
-        let shared = Shared::new(clock, counters, metrics, ports.dialect.clone(), data_centre);
-        let shared = Arc::new(shared);
         let (inputs, queue) = mpsc::channel(MAX_QUEUED_INPUTS);
+        let dialect = ports.dialect.clone();
+        let shared = Shared::new(clock, counters, metrics, dialect, data_centre, inputs.clone());
+        let shared = Arc::new(shared);
         // Stops the servers for readiness checks and administrators.
         let end = CancellationToken::new();
         let ready = bind(settings.listen.ready).await?;
--- a/crates/gateway/src/input.rs
+++ b/crates/gateway/src/input.rs
@@ -7,6 +7,7 @@
 use tokio::sync::oneshot;
 
 use crate::Settings;
+use crate::turns::TurnQuery;
 
 /// One input of the control thread.
 #[derive(Debug)]
@@ -35,6 +36,8 @@
     Records(Vec<StoredRecord>),
     /// A message from another daemon.
     Frame(FleetFrame),
+    /// A request that needs a turn at a server that limits its rate.
+    Turn(TurnQuery),
     /// New settings.
     Reload(Box<Settings>),
     /// A request for the whole state as JSON.
--- a/crates/gateway/src/leader_state.rs
+++ b/crates/gateway/src/leader_state.rs
@@ -19,8 +19,13 @@
     pub(crate) lease: LeaseId,
     /// The revisions of the records in the store.
     pub(crate) revisions: HashMap<Name, Revision>,
-    /// The speeds of servers, relative to a typical server.
+    /// The speeds of servers, relative to a typical server, as far as their rate limits allow them
+    /// to be used.
     pub(crate) speeds: HashMap<Incarnation, f32>,
+    /// The speeds that follow from their answers alone.
+    measured_speeds: HashMap<Incarnation, f32>,
+    /// When the rate limits of servers are forgotten that have not answered any more.
+    limit_deadlines_ms: HashMap<Incarnation, u64>,
     /// The epoch and number of the publication that `published` is from; `None` before the
     /// first one, if this daemon did not know its predecessor's.
     pub(crate) published_version: Option<(Epoch, u64)>,
@@ -46,6 +51,10 @@
 
 /// The weight of each answer in the moving average of a server's speed.
 const SPEED_WEIGHT: f32 = 0.02;
+/// How long a rate limit counts after the last answer that named it.
+///
+/// A server without keys gives no answer that would tell that it has ended.
+const LIMIT_VALID_MS: u64 = 10_000;
 /// The range to which a reported speed is limited, relative to a typical server.
 const SPEED_RANGE: std::ops::RangeInclusive<f32> = 0.2..=2.5;
 
@@ -62,6 +71,8 @@
             lease,
             revisions,
             speeds: HashMap::default(),
+            measured_speeds: HashMap::default(),
+            limit_deadlines_ms: HashMap::default(),
             published_version: None,
             published: HashMap::default(),
             publish_at_ms: 0,
@@ -118,16 +129,37 @@
         Some(Tables { epoch, number, base: None, is_relayed: false, tables: tables.collect() })
     }
 
-    /// Updates the speed of a server from its reported answers.
+    /// Updates the speed of a server with `slots` slots from its reported answers.
     #[expect(clippy::cast_precision_loss, reason = "counts of answers are small")]
-    pub(crate) fn on_server_load(&mut self, server: &peer::ServerLoad) {
+    pub(crate) fn on_server_load(&mut self, now_ms: u64, server: &peer::ServerLoad, slots: u32) {
         if server.answers == 0 {
             return;
         }
         let slowness = server.slowness_milli as f32 / 1_000.0 / server.answers as f32;
         let latest = (1.0 / slowness.max(0.01)).clamp(*SPEED_RANGE.start(), *SPEED_RANGE.end());
         let weight = (SPEED_WEIGHT * server.answers as f32).min(0.5);
-        let speed = self.speeds.entry(server.incarnation.clone()).or_insert(1.0);
-        *speed += weight * (latest - *speed);
+        let measured = self.measured_speeds.entry(server.incarnation.clone()).or_insert(1.0);
+        *measured += weight * (latest - *measured);
+        let mut usable = *measured;
+        if let Some(max_load_milli) = server.max_load_milli {
+            usable = usable.min(max_load_milli as f32 / 1_000.0 / slots.max(1) as f32);
+            let deadline_ms = now_ms + LIMIT_VALID_MS;
+            self.limit_deadlines_ms.insert(server.incarnation.clone(), deadline_ms);
+        } else {
+            self.limit_deadlines_ms.remove(&server.incarnation);
+        }
+        self.speeds.insert(server.incarnation.clone(), usable);
+    }
+
+    /// Forgets the rate limits of servers that have not answered for a while.
+    pub(crate) fn forget_old_limits(&mut self, now_ms: u64) {
+        let (speeds, measured) = (&mut self.speeds, &self.measured_speeds);
+        self.limit_deadlines_ms.retain(|incarnation, deadline_ms| {
+            let is_valid = now_ms < *deadline_ms;
+            if let (false, Some(speed)) = (is_valid, measured.get(incarnation)) {
+                speeds.insert(incarnation.clone(), *speed);
+            }
+            is_valid
+        });
     }
 }
--- a/crates/gateway/src/leader_tasks.rs
+++ b/crates/gateway/src/leader_tasks.rs
@@ -76,10 +76,14 @@
 
     /// Adds reported load to what the leader knows of keys and servers.
     pub(crate) fn add_load(&mut self, loads: &[ServiceLoad]) {
+        let now_ms = self.clock.now_ms();
         let Some(leading) = &mut self.leading else { return };
+        leading.forget_old_limits(now_ms);
         for load in loads {
             for server in &load.servers {
-                leading.on_server_load(server);
+                let registration = self.registry.get(&server.incarnation);
+                let slots = registration.map_or(1, |registration| registration.slots);
+                leading.on_server_load(now_ms, server, slots);
             }
             let Some(keys) = leading.leader.load_mut(&load.service) else { continue };
             for (key, work_us) in &load.keys {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -71,6 +71,7 @@
 mod status;
 mod succession;
 mod tables;
+mod turns;
 mod view;
 mod view_builder;
 
@@ -84,4 +85,5 @@
 pub use relay::{MessageAction, MessageHeader, Relay, Role};
 pub use settings::{Listen, RetrySettings, Settings};
 pub use shared::Shared;
+pub use turns::turn_keeper;
 pub use view::View;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -21,6 +21,7 @@
 use crate::report::ServiceState;
 use crate::server::Server;
 use crate::succession::Resignation;
+use crate::turns::Turns;
 use crate::{BootClock, Orders, Settings, Shared, Source};
 
 /// The state of the control thread.
@@ -81,6 +82,7 @@
     /// The leader's state while this daemon leads.
     pub(crate) leading: Option<LeaderState>,
     pub(crate) links: Links,
+    pub(crate) turns: Turns,
     pub(crate) tables: HashMap<Name, Arc<Table>>,
     /// The epoch and number of the newest publication that was applied.
     pub(crate) newest_publication: (Epoch, u64),
@@ -168,6 +170,7 @@
             store_answers: true,
             leading: None,
             links: Links::default(),
+            turns: Turns::default(),
             tables: HashMap::default(),
             newest_publication: (Epoch(0), 0),
             tables_version: None,
@@ -253,6 +256,7 @@
             }
             Input::Records(records) => self.on_records(records),
             Input::Frame(frame) => self.on_frame(frame),
+            Input::Turn(query) => self.on_turn_query(query),
             Input::Reload(settings) => self.reload(*settings),
             Input::Dump(answer) => {
                 // The client of the dump may have disconnected.
@@ -283,6 +287,7 @@
         if now_ms >= self.report_at_ms {
             self.report_at_ms = now_ms + REPORT_INTERVAL_MS;
             self.report();
+            self.turns.forget_old(now_ms);
         }
         self.send_crashes(now_ms);
         self.log_dropped_lines(now_ms);
@@ -422,6 +427,8 @@
             FleetBody::StoreReached(epoch) => self.on_store_reached(&frame.from, epoch),
             FleetBody::Resigned(resigned) => self.on_resigned(resigned),
             FleetBody::Leaving(leaving) => self.on_leaving(leaving),
+            FleetBody::TurnRequest(request) => self.on_turn_request(&frame.from, &request),
+            FleetBody::TurnReply(number, turn) => self.on_turn_reply(number, turn),
         }
     }
 
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -6,7 +6,7 @@
 use document::{HashMap, Name};
 use peer::{ServerLoad, ServiceLoad};
 use registry::Incarnation;
-use route::Budget;
+use route::{Budget, Rate};
 
 /// The state of one service that is kept when the view is replaced.
 #[derive(Debug)]
@@ -23,8 +23,21 @@
 struct Counts {
     /// The expected work of requests in microseconds, by key.
     keys: HashMap<u16, u32>,
-    /// The number of answers and the sum of their slowness in thousandths, by server.
-    servers: HashMap<Incarnation, (u32, u64)>,
+    /// The answers of each server.
+    servers: HashMap<Incarnation, ServerCounts>,
+    /// The number of keyed requests and the sum of their expected work in microseconds.
+    requests: u64,
+    work_us: u64,
+}
+
+/// The answers of one server since the last report.
+#[derive(Debug, Default)]
+struct ServerCounts {
+    answers: u32,
+    /// The sum of their slowness in thousandths.
+    slowness_milli: u64,
+    /// The rate limit that the last one named.
+    rate_limit: Option<Rate>,
 }
 
 /// The mean latency of a route.
@@ -48,26 +61,40 @@
 
     /// Handles a request for a key with its expected work.
     pub fn on_request(&self, key: u16, work_us: u32) {
-        *self.counts().keys.entry(key).or_default() += work_us;
+        let mut counts = self.counts();
+        *counts.keys.entry(key).or_default() += work_us;
+        counts.requests += 1;
+        counts.work_us += u64::from(work_us);
     }
 
-    /// Handles an answer of a server with its slowness, in thousandths.
-    pub fn on_answer(&self, incarnation: &Incarnation, slowness_milli: u64) {
+    /// Handles an answer of a server with its slowness, in thousandths, and the rate limit that it
+    /// named.
+    pub fn on_answer(
+        &self,
+        incarnation: &Incarnation,
+        slowness_milli: u64,
+        rate_limit: Option<Rate>,
+    ) {
         let mut counts = self.counts();
-        if let Some((answers, sum)) = counts.servers.get_mut(incarnation) {
-            *answers += 1;
-            *sum += slowness_milli;
-        } else {
-            counts.servers.insert(incarnation.clone(), (1, slowness_milli));
-        }
+        let of_server = match counts.servers.get_mut(incarnation) {
+            Some(of_server) => of_server,
+            None => counts.servers.entry(incarnation.clone()).or_default(),
+        };
+        of_server.answers += 1;
+        of_server.slowness_milli += slowness_milli;
+        of_server.rate_limit = rate_limit;
     }
 
     /// Returns and resets the counts.
     #[must_use]
     pub fn take_load(&self) -> ServiceLoad {
         let counts = std::mem::take(&mut *self.counts());
-        let servers = counts.servers.into_iter().map(|(incarnation, (answers, slowness_milli))| {
-            ServerLoad { incarnation, answers, slowness_milli }
+        let mean_work_us = counts.work_us / counts.requests.max(1);
+        let servers = counts.servers.into_iter().map(|(incarnation, of_server)| ServerLoad {
+            incarnation,
+            answers: of_server.answers,
+            slowness_milli: of_server.slowness_milli,
+            max_load_milli: of_server.rate_limit.map(|rate| rate.load_milli(mean_work_us)),
         });
         ServiceLoad {
             service: self.name.clone(),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,12 +1,12 @@
 //! The state of one server for routing requests.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use document::{Server as Description, ServerState};
 use proxy::{Clock, Upstream};
 use registry::Registration;
-use route::{Rate, ServerState as _};
+use route::{Rate, RateLimiter, ServerState as _, Turn};
 
 /// A server with its connections and its measured speed.
 #[derive(Debug)]
@@ -21,6 +21,12 @@
     /// The rate limit that its last answer named, in thousandths of a request per second;
     /// `NO_RATE_LIMIT` if it named none.
     rate_limit_milli: AtomicU64,
+    /// The turns that this daemon takes while the keeper of the server's turns does not reply.
+    own_turns: Mutex<RateLimiter>,
+    /// Until when the keeper of its turns is not asked.
+    keeper_silence_deadline_ms: AtomicU64,
+    /// Until when it has no turn for a request.
+    full_deadline_ms: AtomicU64,
     /// When the server stops getting new work; `u64::MAX` while it stays.
     closes_at_ms: AtomicU64,
 }
@@ -60,6 +66,9 @@
             clock,
             slowness_milli: AtomicU32::new(1_000),
             rate_limit_milli: AtomicU64::new(NO_RATE_LIMIT),
+            own_turns: Mutex::new(RateLimiter::default()),
+            keeper_silence_deadline_ms: AtomicU64::new(0),
+            full_deadline_ms: AtomicU64::new(0),
             closes_at_ms: AtomicU64::new(u64::MAX),
         }
     }
@@ -98,6 +107,44 @@
         (previous != NO_RATE_LIMIT).then_some(Rate::from_milli_per_s(previous))
     }
 
+    /// Takes a turn without the keeper of the server's turns.
+    pub(crate) fn take_own_turn(&self, rate: Rate, max_wait_ms: u64) -> Turn {
+        let now_ms = self.clock.now_ms();
+        let mut turns = self.own_turns.lock().unwrap_or_else(PoisonError::into_inner);
+        if turns.is_idle(now_ms, rate) {
+            // Daemons that lose the keeper together do not start together.
+            *turns = RateLimiter::new(now_ms, rate, rand::random());
+        }
+        turns.take(now_ms, max_wait_ms, rate)
+    }
+
+    /// Returns whether the keeper of the server's turns has not replied for a moment.
+    pub(crate) fn is_keeper_silent(&self) -> bool {
+        self.clock.now_ms() < self.keeper_silence_deadline_ms.load(Ordering::Relaxed)
+    }
+
+    /// Handles that the keeper of the server's turns did not reply; it is not asked for a while.
+    pub(crate) fn on_silent_keeper(&self, for_ms: u64) {
+        self.keeper_silence_deadline_ms.store(self.clock.now_ms() + for_ms, Ordering::Relaxed);
+    }
+
+    /// Sends no request to the server for some time, because there is no turn for it.
+    pub(crate) fn refuse_turns(&self, for_ms: u64) {
+        self.full_deadline_ms.store(self.clock.now_ms() + for_ms, Ordering::Relaxed);
+    }
+
+    /// Returns how much longer the server gets no request, because it asked for that or has no
+    /// turn; 0 if it gets some.
+    #[must_use]
+    pub fn pause_remaining_ms(&self) -> u64 {
+        let full_deadline_ms = match self.rate_limit() {
+            Some(_) => self.full_deadline_ms.load(Ordering::Relaxed),
+            None => 0,
+        };
+        let full_remaining_ms = full_deadline_ms.saturating_sub(self.clock.now_ms());
+        self.upstream.pause_remaining_ms().max(full_remaining_ms)
+    }
+
     /// Returns whether the server may get a request now.
     #[must_use]
     pub fn is_open(&self) -> bool {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,6 +1,6 @@
 //! The state that the control thread and the traffic thread share.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use arc_swap::ArcSwap;
@@ -10,9 +10,10 @@
 use route::{CrashTracker, Fingerprint};
 use site::{Limits, Route};
 use telemetry::{Counters, Metrics};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::input::Input;
 use crate::report::RouteState;
 use crate::{Dialect, LogSampler, View};
 
@@ -35,6 +36,10 @@
     route_states: Mutex<HashMap<Name, Arc<RouteState>>>,
     /// Servers that said that they are leaving, until the control thread handles them.
     leaving: Mutex<HashSet<Incarnation>>,
+    /// The queue of the control thread.
+    inputs: mpsc::Sender<Input>,
+    /// The number of daemons.
+    daemons: AtomicU32,
     is_ready: AtomicBool,
     is_stopping: AtomicBool,
 }
@@ -48,12 +53,13 @@
 impl Shared {
     /// Creates the shared state with an empty view.
     #[must_use]
-    pub fn new(
+    pub(crate) fn new(
         clock: Clock,
         counters: Arc<Counters>,
         metrics: Metrics,
         dialect: Dialect,
         data_centre: Name,
+        inputs: mpsc::Sender<Input>,
     ) -> Self {
         Self {
             clock,
@@ -67,6 +73,8 @@
             view_changed: Notify::new(),
             route_states: Mutex::default(),
             leaving: Mutex::default(),
+            inputs,
+            daemons: AtomicU32::new(1),
             is_ready: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
         }
@@ -108,6 +116,21 @@
         state
     }
 
+    /// Passes an input to the control thread; returns false if its queue is full.
+    pub(crate) fn send_input(&self, input: Input) -> bool {
+        self.inputs.try_send(input).is_ok()
+    }
+
+    /// Returns the number of daemons, including this one.
+    pub(crate) fn daemons(&self) -> u32 {
+        self.daemons.load(Ordering::Relaxed)
+    }
+
+    /// Sets the number of daemons, including this one.
+    pub(crate) fn set_daemons(&self, daemons: u32) {
+        self.daemons.store(daemons.max(1), Ordering::Relaxed);
+    }
+
     /// Returns whether the platform should send callers to this instance.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -99,7 +99,7 @@
     /// Returns how long no server of the pool gets requests; 0 if one does.
     #[must_use]
     pub fn pause_remaining_ms(&self) -> u64 {
-        let remaining = self.pool.iter().map(|member| member.server.upstream.pause_remaining_ms());
+        let remaining = self.pool.iter().map(|member| member.server.pause_remaining_ms());
         remaining.min().unwrap_or(0)
     }
 
@@ -113,11 +113,8 @@
         tried: &[Incarnation],
         random: u32,
     ) -> Option<Arc<Server>> {
-        let open: Vec<&PoolMember> = self
-            .pool
-            .iter()
-            .filter(|member| member.server.upstream.pause_remaining_ms() == 0)
-            .collect();
+        let open: Vec<&PoolMember> =
+            self.pool.iter().filter(|member| member.server.pause_remaining_ms() == 0).collect();
         let candidates: Vec<Candidate> = open
             .iter()
             .map(|PoolMember { server, is_preferred }| Candidate {
--- a/crates/gateway/src/view_builder.rs
+++ b/crates/gateway/src/view_builder.rs
@@ -54,6 +54,7 @@
         let Some(site) = self.site.clone() else { return };
         self.update_servers(&site);
         let daemons = u32::try_from(self.daemons.len()).unwrap_or(u32::MAX);
+        self.shared.set_daemons(daemons);
         let max_retries = retry_budget::max_retries(self.settings.retries, daemons);
         let mut services = HashMap::default();
         for spec in site.services() {
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -4,7 +4,7 @@
 use document::{HashMap, Name, Revision};
 use prost::Message as _;
 use registry::{Incarnation, Registration, Stage};
-use route::{CrashCount, Fingerprint};
+use route::{CrashCount, Fingerprint, Rate, Turn};
 use shard::{Epoch, KeyRange, Owner, Span, Table};
 
 use crate::{Error, Result, fleet_wire as wire};
@@ -40,6 +40,23 @@
     Resigned(Resigned),
     /// Names servers that said in an answer that they are leaving.
     Leaving(Leaving),
+    /// Asks for a turn at a server that limits its rate.
+    TurnRequest(TurnRequest),
+    /// Answers the [`TurnRequest`] with this number.
+    TurnReply(u64, Turn),
+}
+
+/// A daemon's request for a turn at a server that limits its rate.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TurnRequest {
+    /// The number that the reply repeats.
+    pub number: u64,
+    /// The server.
+    pub server: Incarnation,
+    /// The limit that the server names.
+    pub rate: Rate,
+    /// How long the caller's request can wait for its turn.
+    pub max_wait_ms: u64,
 }
 
 /// Servers that said in an answer that they are leaving.
@@ -131,6 +148,9 @@
     pub answers: u32,
     /// The sum, over all answers, of latency divided by the route's mean latency; in thousandths.
     pub slowness_milli: u64,
+    /// The load that the server's rate limit allows, in thousandths of a busy slot; `None` if it
+    /// has none.
+    pub max_load_milli: Option<u64>,
 }
 
 /// The owners of all keys, as one leader publishes them.
@@ -179,6 +199,15 @@
                 lives: leaving.servers.iter().map(from_incarnation).collect(),
                 is_relayed: leaving.is_relayed,
             }),
+            FleetBody::TurnRequest(request) => wire::frame::Body::TurnWanted(wire::TurnWanted {
+                number: request.number,
+                life: Some(from_incarnation(&request.server)),
+                milli_per_s: request.rate.milli_per_s(),
+                max_wait_ms: request.max_wait_ms,
+            }),
+            FleetBody::TurnReply(number, turn) => {
+                wire::frame::Body::TurnReply(from_turn(*number, *turn))
+            }
         };
         wire::Frame { from: self.from.to_string(), body: Some(body) }.encode_to_vec().into()
     }
@@ -211,11 +240,43 @@
                 servers: leaving.lives.into_iter().map(to_incarnation).collect(),
                 is_relayed: leaving.is_relayed,
             }),
+            wire::frame::Body::TurnWanted(request) => {
+                FleetBody::TurnRequest(to_turn_request(request)?)
+            }
+            wire::frame::Body::TurnReply(reply) => {
+                FleetBody::TurnReply(reply.number, to_turn(&reply))
+            }
         };
         Ok(Self { from: frame.from.into(), body })
     }
 }
 
+fn to_turn_request(request: wire::TurnWanted) -> Result<TurnRequest> {
+    let life = request.life.ok_or_else(|| Error::report("request for a turn names no server"))?;
+    Ok(TurnRequest {
+        number: request.number,
+        server: to_incarnation(life),
+        rate: Rate::from_milli_per_s(request.milli_per_s),
+        max_wait_ms: request.max_wait_ms,
+    })
+}
+
+fn from_turn(number: u64, turn: Turn) -> wire::TurnReply {
+    let (is_full, wait_ms) = match turn {
+        Turn::In { wait_ms } => (false, wait_ms),
+        Turn::Full { remaining_ms } => (true, remaining_ms),
+    };
+    wire::TurnReply { number, is_full, wait_ms }
+}
+
+fn to_turn(reply: &wire::TurnReply) -> Turn {
+    if reply.is_full {
+        Turn::Full { remaining_ms: reply.wait_ms }
+    } else {
+        Turn::In { wait_ms: reply.wait_ms }
+    }
+}
+
 fn from_incarnation(incarnation: &Incarnation) -> wire::Life {
     wire::Life { server: incarnation.server.to_string(), born_ms: incarnation.born_ms }
 }
@@ -311,6 +372,7 @@
                 life: Some(from_incarnation(&server.incarnation)),
                 answers: server.answers,
                 slowness_milli: server.slowness_milli,
+                max_load_milli: server.max_load_milli.map_or(0, |max_load| max_load.max(1)),
             })
             .collect(),
     }
@@ -323,6 +385,7 @@
             incarnation: to_incarnation(server.life?),
             answers: server.answers,
             slowness_milli: server.slowness_milli,
+            max_load_milli: Some(server.max_load_milli).filter(|max_load| *max_load > 0),
         })
     });
     ServiceLoad {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -42,7 +42,7 @@
 pub use error::{Error, Result};
 pub use fleet::{
     FleetBody, FleetEntry, FleetFrame, Leaving, Load, Resigned, ServerLoad, Servers, ServiceLoad,
-    Tables,
+    Tables, TurnRequest,
 };
 pub use link::{Links, MAX_FRAME_BYTES, listen};
 pub use packet::{DocumentText, Message, Packet, Presence};
--- a/crates/peer/tests/fleet_frames.rs
+++ b/crates/peer/tests/fleet_frames.rs
@@ -2,10 +2,11 @@
 //! against bytes that make decoding panic.
 use bytes::Bytes;
 use document::{Name, Revision};
-use peer::{FleetBody, FleetEntry, FleetFrame, Leaving, Resigned, Servers, Tables};
+use peer::{FleetBody, FleetEntry, FleetFrame, Leaving, Resigned, Servers, Tables, TurnRequest};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use registry::{Incarnation, Registration, Stage};
+use route::{Rate, Turn};
 use shard::{Epoch, KeyRange, Owner, Span, Table};
 
 const SEED: [u8; 32] = [12; 32];
@@ -51,6 +52,12 @@
     Tables { epoch: Epoch(7), number: 4, base, is_relayed, tables }
 }
 
+fn turn_request() -> TurnRequest {
+    let server = Incarnation { server: "s1".into(), born_ms: 3 };
+    let rate = Rate::from_milli_per_s(5_200);
+    TurnRequest { number: 8, server, rate, max_wait_ms: 90 }
+}
+
 #[test]
 fn messages_round_trip() {
     let resigned =
@@ -70,6 +77,9 @@
         FleetBody::Resigned(Resigned { successor: None, ..resigned.clone() }),
         FleetBody::Resigned(resigned),
         FleetBody::Leaving(leaving),
+        FleetBody::TurnRequest(turn_request()),
+        FleetBody::TurnReply(8, Turn::In { wait_ms: 40 }),
+        FleetBody::TurnReply(8, Turn::Full { remaining_ms: 120 }),
     ] {
         let frame = FleetFrame { from: "edge-1".into(), body };
         assert_eq!(FleetFrame::from_bytes(frame.to_bytes()).unwrap(), frame);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -44,7 +44,7 @@
 pub use limit::Limit;
 pub use limiter::{Admission, Arrival, Limiter, Ticket};
 pub use pick::{Candidate, RemotePenalty, pick};
-pub use rate::Rate;
+pub use rate::{Rate, RateLimiter, Turn};
 pub use refusal::{Outcome, Reason, Refusal};
 pub use service::{Decision, InFlight, ServerState, Service, Target};
 pub use subset::preferred;
