Hand out each port of the soak's daemons once

Cause: ports were drawn at random, checked and released; two daemons of one process could be given the same one before either bound it. Seen: edge-2's admin and edge-3's peer address were both 127.0.0.1:28302, so edge-2 did not start and its keys were not served within 30 s, in two of six runs of four tests with 16 daemons. Change: a process remembers what it has handed out. Conclusion: a fault of the harness, not of the daemon.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -1,6 +1,6 @@
 //! The system under test: daemons as processes, and stand-ins for the store and servers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::path::{Path, PathBuf};
@@ -381,11 +381,18 @@
 const PORTS: std::ops::Range<u16> = 10_000..32_000;
 const MAX_PORT_ATTEMPTS: usize = 10_000;
 
-/// Returns ports that were free when checked.
+/// The ports that this process has handed out: a daemon may bind its port only later.
+static USED_PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+
+/// Returns ports that were free when checked, each of them only once.
 fn free_ports(count: usize) -> Result<Vec<u16>> {
+    let mut used = USED_PORTS.lock().unwrap_or_else(PoisonError::into_inner);
     let mut listeners = Vec::new();
     for _ in 0..MAX_PORT_ATTEMPTS {
         let port = rand::random_range(PORTS);
+        if !used.insert(port) {
+            continue;
+        }
         // If a port cannot be bound, for whatever reason, another one is drawn.
         listeners.extend(StdListener::bind(("127.0.0.1", port)).ok());
         if listeners.len() == count {
