Log how many servers a daemon does not reach

Nothing acts on it yet. Conclusion: one line a change, bounded whatever the load. Tests: gateway/lost_servers.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -64,6 +64,7 @@
     let failure = match result {
         Ok(response) => {
             on_answer(&server, &call, started_at);
+            shared.reach().on_reached(&server.registration.incarnation);
             shared.crashes.on_answer(|| call.fingerprint());
             let is_failure = response.status().is_server_error();
             return if is_failure {
@@ -74,6 +75,9 @@
         }
         Err(failure) => failure,
     };
+    if failure == Failure::NotSent {
+        shared.reach().on_lost(&server.registration.incarnation);
+    }
     let failure = detect_crash(&server, failure).await;
     on_failure(&shared, &server, &call, failure, started_at);
     ExchangeResult::NoAnswer(failure)
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -288,6 +288,7 @@
             self.report_at_ms = now_ms + REPORT_INTERVAL_MS;
             self.report();
             self.turns.forget_old(now_ms);
+            self.log_reach();
         }
         self.send_crashes(now_ms);
         self.log_dropped_lines(now_ms);
@@ -373,6 +374,22 @@
         }
     }
 
+    /// Logs how many servers were lost or reached again, if any.
+    fn log_reach(&self) {
+        let mut reach = self.shared.reach();
+        reach.retain(|server| self.registry.get(server).is_some());
+        if let Some(change) = reach.take_change() {
+            spdlog::info!(
+                "servers reached",
+                kv: {
+                    newly_lost = change.newly_lost, newly_reached = change.newly_reached,
+                    lost = change.lost, known = self.registry.len(),
+                    is_cut_off = change.is_cut_off
+                }
+            );
+        }
+    }
+
     /// Reports the load of requests to the leader.
     fn report(&mut self) {
         let loads: Vec<_> = self
--- /dev/null
+++ b/crates/gateway/src/reach.rs
@@ -0,0 +1,81 @@
+//! Which servers this daemon cannot reach.
+
+use document::HashSet;
+use registry::Incarnation;
+
+/// The servers to which the last connection attempt failed.
+#[derive(Debug, Default)]
+pub struct Reach {
+    lost: HashSet<Incarnation>,
+    /// The servers lost since any server was last reached.
+    lost_in_a_row: HashSet<Incarnation>,
+    newly_lost: u32,
+    newly_reached: u32,
+}
+
+/// The changes since the last report, and what is lost now.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ReachChange {
+    /// How many servers were lost.
+    pub newly_lost: u32,
+    /// How many lost servers were reached again.
+    pub newly_reached: u32,
+    /// How many servers are lost.
+    pub lost: usize,
+    /// Whether the daemon counts as cut off from all servers.
+    pub is_cut_off: bool,
+}
+
+/// How many servers are lost, without another one being reached in between, when a daemon counts
+/// as cut off from all of them.
+///
+/// A server that crashes is lost too, but then others are reached.
+const MIN_LOST_IN_A_ROW: usize = 3;
+
+impl Reach {
+    /// Handles a failed connection attempt.
+    pub fn on_lost(&mut self, server: &Incarnation) {
+        if self.lost.insert(server.clone()) {
+            self.newly_lost += 1;
+        }
+        self.lost_in_a_row.insert(server.clone());
+    }
+
+    /// Handles an answer of a server, or a connection that it accepted.
+    pub fn on_reached(&mut self, server: &Incarnation) {
+        if self.lost.remove(server) {
+            self.newly_reached += 1;
+        }
+        self.lost_in_a_row.clear();
+    }
+
+    /// Returns whether this daemon most likely reaches no server.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        self.lost_in_a_row.len() >= MIN_LOST_IN_A_ROW
+    }
+
+    /// Returns whether no server is lost.
+    #[must_use]
+    pub fn has_all(&self) -> bool {
+        self.lost.is_empty()
+    }
+
+    /// Forgets the servers for which `is_known` returns false.
+    pub fn retain(&mut self, is_known: impl Fn(&Incarnation) -> bool) {
+        self.lost.retain(&is_known);
+        self.lost_in_a_row.retain(is_known);
+    }
+
+    /// Returns the changes since the last call, if there are any.
+    pub fn take_change(&mut self) -> Option<ReachChange> {
+        let newly_lost = std::mem::take(&mut self.newly_lost);
+        let newly_reached = std::mem::take(&mut self.newly_reached);
+        (newly_lost + newly_reached > 0).then(|| ReachChange {
+            newly_lost,
+            newly_reached,
+            lost: self.lost.len(),
+            is_cut_off: self.is_cut_off(),
+        })
+    }
+}
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,7 +1,7 @@
 //! The state that the control thread and the traffic thread share.
 
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
 use document::{HashMap, HashSet, Name};
@@ -14,6 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::input::Input;
+use crate::reach::Reach;
 use crate::report::RouteState;
 use crate::{Dialect, LogSampler, View};
 
@@ -36,6 +37,8 @@
     route_states: Mutex<HashMap<Name, Arc<RouteState>>>,
     /// Servers that said that they are leaving, until the control thread handles them.
     leaving: Mutex<HashSet<Incarnation>>,
+    /// Which servers this daemon cannot reach.
+    reach: Mutex<Reach>,
     /// The queue of the control thread.
     inputs: mpsc::Sender<Input>,
     /// The number of daemons.
@@ -73,6 +76,7 @@
             view_changed: Notify::new(),
             route_states: Mutex::default(),
             leaving: Mutex::default(),
+            reach: Mutex::default(),
             inputs,
             daemons: AtomicU32::new(1),
             is_ready: AtomicBool::new(false),
@@ -166,6 +170,11 @@
         std::mem::take(&mut self.leaving.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Returns which servers this daemon cannot reach.
+    pub(crate) fn reach(&self) -> MutexGuard<'_, Reach> {
+        self.reach.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that a request crashed the server that ran it.
     pub(crate) fn on_crash(&self, fingerprint: Fingerprint, incarnation: &Incarnation) {
         let server = xxh3_64_with_seed(incarnation.server.as_bytes(), incarnation.born_ms);
--- /dev/null
+++ b/crates/gateway/tests/lost_servers.rs
@@ -0,0 +1,53 @@
+//! Guards against a daemon that takes itself for cut off while it reaches servers, or the
+//! opposite.
+
+use gateway::{Reach, ReachChange};
+use registry::Incarnation;
+
+fn server(number: u64) -> Incarnation {
+    Incarnation { server: format!("s{number}").into(), born_ms: 1 }
+}
+
+#[test]
+fn several_lost_servers_in_a_row_are_a_cut() {
+    let mut reach = Reach::default();
+    for number in 0..3 {
+        assert!(!reach.is_cut_off());
+        reach.on_lost(&server(number));
+    }
+    assert!(reach.is_cut_off());
+    reach.on_reached(&server(1));
+    assert!(!reach.is_cut_off());
+}
+
+#[test]
+fn one_server_lost_again_and_again_is_no_cut() {
+    let mut reach = Reach::default();
+    for _ in 0..10 {
+        reach.on_lost(&server(1));
+    }
+    assert!(!reach.is_cut_off());
+}
+
+#[test]
+fn servers_that_crash_while_others_answer_are_no_cut() {
+    let mut reach = Reach::default();
+    for number in 0..10 {
+        reach.on_lost(&server(number));
+        reach.on_reached(&server(100));
+    }
+    assert!(!reach.is_cut_off());
+    assert!(!reach.has_all());
+}
+
+#[test]
+fn changes_are_told_once() {
+    let mut reach = Reach::default();
+    reach.on_lost(&server(1));
+    reach.on_lost(&server(1));
+    let change = ReachChange { newly_lost: 1, newly_reached: 0, lost: 1, is_cut_off: false };
+    assert_eq!(reach.take_change(), Some(change));
+    assert_eq!(reach.take_change(), None);
+    reach.retain(|known| *known != server(1));
+    assert!(reach.has_all());
+}
