--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -13,7 +13,8 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use platform_standin::{
-    EntryFields, RouteFields, ServerFaults, entry_text, serve_kv, serve_server, site_text,
+    Addresses, EntryFields, RouteFields, ServerFaults, entry_text, serve_kv, serve_server,
+    site_text,
 };
 use registry::Incarnation;
 use store::{Expect, LeaseId, MemoryStore, Store};
@@ -22,7 +23,7 @@
 use tokio::time::{Duration, Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
-use crate::link::Link;
+use crate::link::{Link, LinkMode};
 
 /// The host header of all requests.
 pub const HOST: &str = "soak.example";
@@ -40,6 +41,10 @@
     pub front: SocketAddr,
     /// The link from this daemon to the store.
     pub store_link: Link,
+    /// Its own links to the servers, if it has any.
+    server_links: Vec<Link>,
+    /// The addresses of these links.
+    server_addresses: Addresses,
     settings_path: PathBuf,
     log_path: PathBuf,
     /// The process; `None` before the first start and after its exit was waited for.
@@ -106,12 +111,26 @@
     ///
     /// Fails when no port is free, or a file or process cannot be created.
     pub async fn start(program: &Path, dir: &Path, daemons: usize) -> Result<Self> {
-        let store = MemoryStore::default();
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let store_port = listener.local_addr()?.port();
-        tokio::spawn(serve_kv(store.clone(), listener, CancellationToken::new()));
+        Self::start_in(program, dir, &vec!["a"; daemons], false).await
+    }
+
+    /// Starts the stand-ins and one daemon in each of the data centres.
+    ///
+    /// With `has_own_links`, each daemon has links of its own to all servers. Daemons of one data
+    /// centre tell each other of these links, so it should have only one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port is free, or a file or process cannot be created.
+    pub async fn start_in(
+        program: &Path,
+        dir: &Path,
+        data_centres: &[&str],
+        has_own_links: bool,
+    ) -> Result<Self> {
+        let daemons = data_centres.len();
         let mut cluster = Self {
-            store,
+            store: MemoryStore::default(),
             checker: Arc::default(),
             daemons: Vec::new(),
             servers: Vec::new(),
@@ -121,8 +140,9 @@
             timeline: Mutex::default(),
             started_at: Instant::now(),
         };
-        for number in 0..daemons {
-            cluster.daemons.push(Daemon::create(dir, number, store_port).await?);
+        for (number, data_centre) in data_centres.iter().enumerate() {
+            let daemon = Daemon::create(dir, number, data_centre, &cluster.store).await?;
+            cluster.daemons.push(daemon);
         }
         for number in 0..daemons.max(4) + 3 {
             let service = if number % 3 == 2 { "archive" } else { "ledger" };
@@ -130,6 +150,9 @@
         }
         cluster.write_next_document().await;
         for index in 0..cluster.daemons.len() {
+            if has_own_links {
+                cluster.open_server_links(index).await?;
+            }
             cluster.start_daemon(index)?;
         }
         Ok(cluster)
@@ -186,6 +209,30 @@
         }
     }
 
+    async fn open_server_links(&mut self, daemon: usize) -> Result<()> {
+        let daemon = &mut self.daemons[daemon];
+        for server in &self.servers {
+            let link = Link::open(server.link.address.port()).await?;
+            daemon.server_addresses.replace(server.link.address, link.address);
+            daemon.server_links.push(link);
+        }
+        Ok(())
+    }
+
+    /// Sets the mode of a daemon's own links to all servers.
+    pub fn set_server_links(&self, daemon: usize, mode: LinkMode) {
+        for link in &self.daemons[daemon].server_links {
+            link.set_mode(mode);
+        }
+    }
+
+    /// Resets a daemon's own connections to all servers.
+    pub fn reset_server_links(&self, daemon: usize) {
+        for link in &self.daemons[daemon].server_links {
+            link.reset();
+        }
+    }
+
     /// Returns whether a daemon has a process, running or exited but not yet waited for.
     pub fn is_running(&self, index: usize) -> bool {
         self.daemons[index].child.is_some()
@@ -341,16 +388,25 @@
 
 impl Daemon {
     /// Opens the link to the store and writes the settings file; starts no process.
-    async fn create(dir: &Path, number: usize, store_port: u16) -> Result<Self> {
+    async fn create(
+        dir: &Path,
+        number: usize,
+        data_centre: &str,
+        store: &MemoryStore,
+    ) -> Result<Self> {
         let name = format!("edge-{number}");
-        let store_link = Link::open(store_port).await?;
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let store_link = Link::open(listener.local_addr()?.port()).await?;
+        let server_addresses = Addresses::default();
+        let stop = CancellationToken::new();
+        tokio::spawn(serve_kv(store.clone(), server_addresses.clone(), listener, stop));
         let ports = free_ports(4)?;
         let mut addresses = BTreeMap::new();
         for (index, key) in ["front", "ready", "peer", "admin"].into_iter().enumerate() {
             addresses.insert(key, format!("127.0.0.1:{}", ports[index]));
         }
         let settings = format!(
-            "[instance]\nname = {name}\ndata_centre = a\n\
+            "[instance]\nname = {name}\ndata_centre = {data_centre}\n\
              [listen]\nfront = {}\nready = {}\npeer = {}\nadmin = {}\n\
              [store]\naddress = {}\n",
             addresses["front"],
@@ -367,6 +423,8 @@
             name,
             front,
             store_link,
+            server_links: Vec::new(),
+            server_addresses,
             settings_path: path,
             log_path,
             child: None,
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -9,7 +9,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::{Duration, sleep};
+use tokio::time::{Duration, sleep, timeout};
 
 /// What a link does with connections and bytes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -24,6 +24,8 @@
     OneWay,
     /// Resets open and new connections.
     Refuse,
+    /// Refuses new connections; open ones go on.
+    Closed,
 }
 
 /// A proxy from a listening address to a target port.
@@ -39,8 +41,14 @@
 }
 
 /// All modes; a mode is stored as its index in this array.
-const MODES: [LinkMode; 5] =
-    [LinkMode::Pass, LinkMode::Delay, LinkMode::Silence, LinkMode::OneWay, LinkMode::Refuse];
+const MODES: [LinkMode; 6] = [
+    LinkMode::Pass,
+    LinkMode::Delay,
+    LinkMode::Silence,
+    LinkMode::OneWay,
+    LinkMode::Refuse,
+    LinkMode::Closed,
+];
 /// How much later bytes arrive in [`LinkMode::Delay`].
 const DELAY: Duration = Duration::from_millis(60);
 /// How often a link that holds bytes back checks its mode again.
@@ -96,7 +104,24 @@
     target_port: Arc<AtomicU64>,
     reset: watch::Receiver<u64>,
 ) {
-    while let Ok((client, _)) = listener.accept().await {
+    let Ok(address) = listener.local_addr() else { return };
+    let mut listener = Some(listener);
+    loop {
+        if current_mode(&mode) == LinkMode::Closed {
+            drop(listener.take());
+            sleep(MODE_CHECK_INTERVAL).await;
+            continue;
+        }
+        let Some(open) = &listener else {
+            // The port may be in use for a moment; then the next round tries again.
+            listener = TcpListener::bind(address).await.ok();
+            if listener.is_none() {
+                sleep(MODE_CHECK_INTERVAL).await;
+            }
+            continue;
+        };
+        let Ok(accepted) = timeout(MODE_CHECK_INTERVAL, open.accept()).await else { continue };
+        let Ok((client, _)) = accepted else { return };
         let (mode, mut reset) = (Arc::clone(&mode), reset.clone());
         let port = u16::try_from(target_port.load(Ordering::Relaxed)).unwrap_or(0);
         tokio::spawn(async move {
@@ -129,7 +154,7 @@
     while let Ok(count @ 1..) = from.read(&mut buffer).await {
         loop {
             match current_mode(mode) {
-                LinkMode::Pass | LinkMode::Refuse => break,
+                LinkMode::Pass | LinkMode::Refuse | LinkMode::Closed => break,
                 LinkMode::OneWay if is_to_target => break,
                 LinkMode::Delay => {
                     sleep(DELAY).await;
