Hand leadership over when another daemon reaches the servers that the leader does not

Cause: leadership depends on the store alone. A leader that has lost its links to the servers renews its lease, no grant arrives, and it takes the ranges of silent servers away one after the other. Change: while more than half of the servers do not answer orders, the leader tries to connect to four of them and asks four other daemons to connect to those that it does not reach; it resigns in favour of the first that reaches two. For 1.5 s it takes no range from a silent server, so that the successor finds all grants valid. Why this works: a successor that the servers answer renews all grants before they end. Tests: gateway/cut_leaders, peer/fleet_frames.

--- a/crates/gateway/src/input.rs
+++ b/crates/gateway/src/input.rs
@@ -2,6 +2,7 @@
 
 use document::{Name, Revision};
 use peer::FleetFrame;
+use registry::Incarnation;
 use shard::{Epoch, OrderId, Record, Reply};
 use store::{Entry, LeaseId};
 use tokio::sync::oneshot;
@@ -28,6 +29,10 @@
     LeaseEnded,
     /// The store answers this daemon and names the leader of this epoch, which asked for it.
     StoreReached { leader: Name, epoch: Epoch },
+    /// The silent servers that the leader of this epoch could not connect to.
+    ServersUnreached { epoch: Epoch, unreached: Vec<Incarnation> },
+    /// This daemon reaches servers that the leader of this epoch does not reach.
+    ServersReached { leader: Name, epoch: Epoch },
     /// A server's answer to an order, or the failure of the order.
     OrderAnswered(OrderId, Reply),
     /// The outcome of writing a record.
--- a/crates/gateway/src/leader_state.rs
+++ b/crates/gateway/src/leader_state.rs
@@ -11,6 +11,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::Distribution;
+use crate::cut_leader::ReachQueries;
 
 /// The state of the leader.
 #[derive(Debug)]
@@ -37,6 +38,7 @@
     pub(crate) is_publication_due: bool,
     pub(crate) published_at_ms: u64,
     pub(crate) distribution: Distribution,
+    pub(crate) reach_queries: ReachQueries,
     /// When the first renewal of the lease failed since the last one that succeeded.
     pub(crate) renewal_failed_at_ms: Option<u64>,
     /// How many daemons were asked since then whether they reach the store.
@@ -79,6 +81,7 @@
             is_publication_due: true,
             published_at_ms: 0,
             distribution: Distribution::default(),
+            reach_queries: ReachQueries::default(),
             renewal_failed_at_ms: None,
             queried_daemons: 0,
             renewed_authority_ms,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod call;
 mod candidacy;
 mod clock;
+mod cut_leader;
 mod distribution;
 mod election;
 mod exchange;
@@ -78,6 +79,7 @@
 
 pub use candidacy::{Candidate, campaign_order, campaign_wait_ms};
 pub use clock::BootClock;
+pub use cut_leader::silent_servers;
 pub use distribution::{Distribution, Recipients, daemon_groups, publication_transit_ms};
 pub use gateway::{Gateway, Ports};
 pub use log_sampler::{LogSampler, is_sampled};
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -246,6 +246,10 @@
             }
             Input::LeaseRenewalFailed => self.on_lease_renewal_failed(),
             Input::StoreReached { leader, epoch } => self.send_store_reached(&leader, epoch),
+            Input::ServersUnreached { epoch, unreached } => {
+                self.on_servers_unreached(epoch, unreached);
+            }
+            Input::ServersReached { leader, epoch } => self.send_servers_reached(&leader, epoch),
             Input::LeaseEnded => {
                 self.resign("the lease ended");
                 self.campaign_if_needed();
@@ -279,6 +283,7 @@
             self.resign("all fences of the epoch are used");
         }
         self.check_lease_renewal(now_ms);
+        self.check_silent_servers(now_ms);
         self.report_leaving_servers();
         self.step(Event::Tick);
         self.update_relay(now_ms);
@@ -444,6 +449,8 @@
             FleetBody::StoreReached(epoch) => self.on_store_reached(&frame.from, epoch),
             FleetBody::Resigned(resigned) => self.on_resigned(resigned),
             FleetBody::Leaving(leaving) => self.on_leaving(leaving),
+            FleetBody::ReachQuery(query) => self.on_reach_query(frame.from, &query),
+            FleetBody::ServersReached(epoch) => self.on_servers_reached(&frame.from, epoch),
             FleetBody::TurnRequest(request) => self.on_turn_request(&frame.from, &request),
             FleetBody::TurnReply(number, turn) => self.on_turn_reply(number, turn),
         }
--- a/crates/gateway/src/succession.rs
+++ b/crates/gateway/src/succession.rs
@@ -35,6 +35,8 @@
 const QUERIED_DAEMONS: usize = 4;
 /// How long a leader waits for a daemon that reaches the store before it makes grants longer.
 const QUERY_TIMEOUT_MS: u64 = 200;
+/// The additional wait of a daemon that reaches no server.
+const CUT_OFF_WAIT_MS: u64 = 1_500;
 /// How long the lease of a leader that resigned goes on, so that its successor can replace the
 /// leader's entry and so show that there was no other leader in between.
 const LEASE_END_DELAY_MS: u64 = 400;
@@ -47,7 +49,7 @@
         self.resign_to(None, cause);
     }
 
-    fn resign_to(&mut self, successor: Option<&Name>, cause: &'static str) {
+    pub(crate) fn resign_to(&mut self, successor: Option<&Name>, cause: &'static str) {
         let Some(leading) = self.leading.take() else { return };
         let epoch = leading.leader.epoch();
         let successor = successor.cloned().or_else(|| self.next_in_order(epoch));
@@ -85,12 +87,14 @@
         let epoch = self.tables_version.map_or(Epoch(0), |(epoch, _)| epoch);
         let order = candidacy::campaign_order(epoch.0, self.candidates());
         let successor = self.resigned.as_ref().and_then(|resigned| resigned.successor.as_ref());
-        candidacy::campaign_wait_ms(
+        let wait_ms = candidacy::campaign_wait_ms(
             &order,
             &self.settings.instance,
             successor,
             self.failed_campaigns,
-        )
+        );
+        // Daemons that reach the servers campaign first.
+        if self.shared.reach().is_cut_off() { wait_ms + CUT_OFF_WAIT_MS } else { wait_ms }
     }
 
     fn next_in_order(&self, epoch: Epoch) -> Option<Name> {
@@ -98,7 +102,7 @@
         order.into_iter().find(|name| *name != self.settings.instance)
     }
 
-    fn candidates(&self) -> Vec<Candidate> {
+    pub(crate) fn candidates(&self) -> Vec<Candidate> {
         let daemons = self.daemons.iter();
         let to_candidate = |(name, daemon): (&Name, &crate::follow::DaemonEntry)| Candidate {
             instance: name.clone(),
--- /dev/null
+++ b/crates/gateway/tests/cut_leaders.rs
@@ -0,0 +1,135 @@
+//! Guards against a leader that keeps leading while servers answer other daemons but not it, and
+//! against one that gives its servers' keys up before another daemon could lead.
+
+use document::HashMap;
+use gateway::silent_servers;
+use registry::{Incarnation, Registration, Registry, Stage};
+use shard::{Config, Epoch, Event, Leader, Output, Reply, Servers};
+
+const SERVICE: &str = "ledger";
+const SERVERS: u16 = 6;
+const TICK_MS: u64 = 20;
+
+fn server(number: u16) -> Incarnation {
+    Incarnation { server: format!("s{number}").into(), born_ms: 1 }
+}
+
+/// A leader whose orders reach only some servers.
+struct Harness {
+    now_ms: u64,
+    leader: Leader,
+    registry: Registry,
+    speeds: HashMap<Incarnation, f32>,
+    lost: Vec<Incarnation>,
+}
+
+impl Harness {
+    /// Returns a leader that has granted all ranges.
+    fn new() -> Self {
+        let mut registry = Registry::default();
+        for number in 0..SERVERS {
+            let registration = Registration {
+                incarnation: server(number),
+                service: SERVICE.into(),
+                address: ([127, 0, 0, 1], 9_000 + number).into(),
+                data_centre: "a".into(),
+                slots: 4,
+                stage: Stage::Ready,
+                warm_at_ms: 0,
+                heartbeat: 1,
+            };
+            registry.put(0, &server(number).server, registration);
+        }
+        let mut leader = Leader::new(Epoch(5), 0, u64::MAX, &[], Config::default());
+        leader.add_service(&SERVICE.into());
+        let mut harness =
+            Self { now_ms: 0, leader, registry, speeds: HashMap::default(), lost: Vec::new() };
+        harness.run(5_000);
+        harness
+    }
+
+    fn lose(&mut self, servers: std::ops::Range<u16>) {
+        self.lost = servers.map(server).collect();
+    }
+
+    fn step(&mut self, event: Event) {
+        let servers = Servers { registry: &self.registry, speeds: &self.speeds };
+        for output in self.leader.step(self.now_ms, servers, event) {
+            match output {
+                Output::Order { id, server, .. } => {
+                    let is_lost = self.lost.contains(&server.incarnation);
+                    let reply = if is_lost { Reply::NotSent } else { Reply::Done(None) };
+                    self.step(Event::Answered(id, reply));
+                }
+                Output::Write { service, record } => {
+                    self.step(Event::RecordWritten { service, number: record.number });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn run(&mut self, for_ms: u64) {
+        for _ in 0..for_ms / TICK_MS {
+            self.now_ms += TICK_MS;
+            self.step(Event::Tick);
+        }
+    }
+
+    /// Returns how many servers other daemons would be asked about.
+    fn asked_about(&self) -> usize {
+        silent_servers(&self.leader, &self.registry).len()
+    }
+
+    /// Returns how many keys have a server that requests can be sent to.
+    fn owned_keys(&self) -> usize {
+        let table = self.leader.table(SERVICE, self.now_ms).unwrap();
+        let owned = table.spans.iter().filter(|span| matches!(span.owner, shard::Owner::Server(_)));
+        owned.map(|span| usize::from(span.range.to() - span.range.from()) + 1).sum()
+    }
+}
+
+#[test]
+fn other_daemons_are_asked_while_grants_are_valid() {
+    let mut harness = Harness::new();
+    harness.lose(0..SERVERS);
+    harness.run(1_000);
+    assert!(harness.asked_about() > 1);
+}
+
+#[test]
+fn keys_keep_their_owners_until_the_handover() {
+    let mut harness = Harness::new();
+    harness.lose(0..SERVERS);
+    harness.run(1_600);
+    assert_eq!(harness.owned_keys(), 1 << 16);
+}
+
+#[test]
+fn keys_of_lost_servers_move_when_nobody_takes_over() {
+    let mut harness = Harness::new();
+    let lost = SERVERS * 2 / 3;
+    harness.lose(0..lost);
+    harness.run(9_000);
+    assert_eq!(harness.owned_keys(), 1 << 16);
+}
+
+#[test]
+fn loss_of_a_third_asks_nobody() {
+    let mut harness = Harness::new();
+    harness.lose(0..SERVERS / 3);
+    for _ in 0..100 {
+        harness.run(100);
+        assert_eq!(harness.asked_about(), 0);
+    }
+}
+
+#[test]
+fn nobody_is_asked_once_servers_answer_again() {
+    let mut harness = Harness::new();
+    harness.lose(0..SERVERS);
+    harness.run(1_000);
+    harness.lose(0..0);
+    harness.run(1_500);
+    assert_eq!(harness.asked_about(), 0);
+}
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -40,12 +40,25 @@
     Resigned(Resigned),
     /// Names servers that said in an answer that they are leaving.
     Leaving(Leaving),
+    /// Asks whether the receiver can connect to servers that do not answer the sender.
+    ReachQuery(ReachQuery),
+    /// Tells the leader of this epoch that the sender can.
+    ServersReached(Epoch),
     /// Asks for a turn at a server that limits its rate.
     TurnRequest(TurnRequest),
     /// Answers the [`TurnRequest`] with this number.
     TurnReply(u64, Turn),
 }
 
+/// A leader's question whether servers that do not answer it can be reached.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ReachQuery {
+    /// The leader's epoch.
+    pub epoch: Epoch,
+    /// The servers.
+    pub servers: Vec<Incarnation>,
+}
+
 /// A daemon's request for a turn at a server that limits its rate.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TurnRequest {
@@ -199,6 +212,13 @@
                 lives: leaving.servers.iter().map(from_incarnation).collect(),
                 is_relayed: leaving.is_relayed,
             }),
+            FleetBody::ReachQuery(query) => wire::frame::Body::ReachQuery(wire::ReachQuery {
+                epoch: query.epoch.0,
+                lives: query.servers.iter().map(from_incarnation).collect(),
+            }),
+            FleetBody::ServersReached(epoch) => {
+                wire::frame::Body::ServersReached(wire::ServersReached { epoch: epoch.0 })
+            }
             FleetBody::TurnRequest(request) => wire::frame::Body::TurnWanted(wire::TurnWanted {
                 number: request.number,
                 life: Some(from_incarnation(&request.server)),
@@ -240,6 +260,13 @@
                 servers: leaving.lives.into_iter().map(to_incarnation).collect(),
                 is_relayed: leaving.is_relayed,
             }),
+            wire::frame::Body::ReachQuery(query) => FleetBody::ReachQuery(ReachQuery {
+                epoch: Epoch(query.epoch),
+                servers: query.lives.into_iter().map(to_incarnation).collect(),
+            }),
+            wire::frame::Body::ServersReached(reached) => {
+                FleetBody::ServersReached(Epoch(reached.epoch))
+            }
             wire::frame::Body::TurnWanted(request) => {
                 FleetBody::TurnRequest(to_turn_request(request)?)
             }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -41,8 +41,8 @@
 
 pub use error::{Error, Result};
 pub use fleet::{
-    FleetBody, FleetEntry, FleetFrame, Leaving, Load, Resigned, ServerLoad, Servers, ServiceLoad,
-    Tables, TurnRequest,
+    FleetBody, FleetEntry, FleetFrame, Leaving, Load, ReachQuery, Resigned, ServerLoad, Servers,
+    ServiceLoad, Tables, TurnRequest,
 };
 pub use link::{Links, MAX_FRAME_BYTES, listen};
 pub use packet::{DocumentText, Message, Packet, Presence};
--- a/crates/peer/tests/fleet_frames.rs
+++ b/crates/peer/tests/fleet_frames.rs
@@ -2,7 +2,9 @@
 //! against bytes that make decoding panic.
 use bytes::Bytes;
 use document::{Name, Revision};
-use peer::{FleetBody, FleetEntry, FleetFrame, Leaving, Resigned, Servers, Tables, TurnRequest};
+use peer::{
+    FleetBody, FleetEntry, FleetFrame, Leaving, ReachQuery, Resigned, Servers, Tables, TurnRequest,
+};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use registry::{Incarnation, Registration, Stage};
@@ -52,6 +54,11 @@
     Tables { epoch: Epoch(7), number: 4, base, is_relayed, tables }
 }
 
+fn reach_query() -> ReachQuery {
+    let servers = vec![Incarnation { server: "s1".into(), born_ms: 3 }];
+    ReachQuery { epoch: Epoch(7), servers }
+}
+
 fn turn_request() -> TurnRequest {
     let server = Incarnation { server: "s1".into(), born_ms: 3 };
     let rate = Rate::from_milli_per_s(5_200);
@@ -77,6 +84,8 @@
         FleetBody::Resigned(Resigned { successor: None, ..resigned.clone() }),
         FleetBody::Resigned(resigned),
         FleetBody::Leaving(leaving),
+        FleetBody::ReachQuery(reach_query()),
+        FleetBody::ServersReached(Epoch(7)),
         FleetBody::TurnRequest(turn_request()),
         FleetBody::TurnReply(8, Turn::In { wait_ms: 40 }),
         FleetBody::TurnReply(8, Turn::Full { remaining_ms: 120 }),
--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use document::Name;
+use registry::Incarnation;
 
 use crate::assignment::Assignment;
 use crate::order::LogEvent;
@@ -103,6 +104,18 @@
         self.fences.is_nearly_exhausted()
     }
 
+    /// Returns whether a server did not answer its last order.
+    #[must_use]
+    pub fn is_silent(&self, incarnation: &Incarnation) -> bool {
+        self.orders.is_silent(incarnation)
+    }
+
+    /// Returns whether more than half of the servers did not answer their last orders.
+    #[must_use]
+    pub fn are_most_silent(&self) -> bool {
+        self.orders.are_most_silent()
+    }
+
     /// Returns the owners of a service's keys; `None` if the service has no assignment.
     #[must_use]
     pub fn table(&self, service: &str, now_ms: u64) -> Option<Table> {
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -37,6 +37,8 @@
     /// server may be unreachable for the leader, and each range given to it would have no
     /// holder until its first grant counts as lost.
     silent: HashMap<Incarnation, u64>,
+    /// Since when more than half of the servers are silent.
+    most_silent_since_ms: Option<u64>,
     /// Last known registrations; a server that is no longer registered may still hold ranges.
     servers: HashMap<Incarnation, Arc<Registration>>,
 }
@@ -69,6 +71,8 @@
 
 /// Time between probes of a server that did not answer.
 const PROBE_INTERVAL_MS: u64 = 1_000;
+/// How long a leader takes no range from a silent server while most servers are silent.
+const CUT_OFF_PATIENCE_MS: u64 = 1_500;
 /// A server that is still warming up does about half the work of a warm one.
 const COLD_CAPACITY_FACTOR: f32 = 0.5;
 
@@ -115,6 +119,11 @@
                 self.silent.insert(order.incarnation.clone(), now_ms + PROBE_INTERVAL_MS);
             }
         }
+        if self.silent.len() * 2 > self.servers.len() {
+            self.most_silent_since_ms.get_or_insert(now_ms);
+        } else {
+            self.most_silent_since_ms = None;
+        }
         if let (Reply::Unknown, OrderKind::Grant(grant)) = (reply, &order.kind) {
             self.abandoned.push(AbandonedGrant {
                 service: order.service.clone(),
@@ -135,10 +144,22 @@
         self.abandoned.extract_if(.., |grant| grant.last_arrival_ms <= now_ms).collect()
     }
 
-    fn is_silent(&self, incarnation: &Incarnation) -> bool {
+    pub(crate) fn is_silent(&self, incarnation: &Incarnation) -> bool {
         self.silent.contains_key(incarnation)
     }
 
+    pub(crate) fn are_most_silent(&self) -> bool {
+        self.most_silent_since_ms.is_some()
+    }
+
+    /// Returns whether the leader itself may be the one that is cut off.
+    ///
+    /// Then ranges stay with their holders for a moment: a leader that the servers answer can take
+    /// over while their grants are valid.
+    pub(crate) fn may_be_cut_off(&self, now_ms: u64) -> bool {
+        self.most_silent_since_ms.is_some_and(|since_ms| now_ms < since_ms + CUT_OFF_PATIENCE_MS)
+    }
+
     /// Returns the silent servers whose probe is due, and schedules their next probes.
     ///
     /// Servers for which `may_be_probed` returns false are left out.
