Pass requests on to another daemon while their server is out of reach

Cause: a daemon sent requests on its own links only, though other daemons reached the servers. Change: a failed connection attempt marks the server as out of reach; its requests go to another daemon, which handles them as its own and does not pass them on again. Lost servers are probed. Why this works: what was not sent has not run, so it may be sent by another way, and that daemon's refusals are told apart from servers' answers by a header that servers cannot send.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -13,6 +13,7 @@
 use site::{Route, Site};
 
 use crate::Shared;
+use crate::detour::RELAYED;
 use crate::report::RouteState;
 
 /// A caller's request, with its whole body.
@@ -26,6 +27,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) route_state: Arc<RouteState>,
     pub(crate) service: Name,
+    /// Whether another daemon passed the request on.
+    pub(crate) is_relayed: bool,
     pub(crate) arrived_at_ms: u64,
     /// When the final answer is due.
     pub(crate) deadline_ms: u64,
@@ -85,6 +88,7 @@
     let deadline_ms = arrived_at_ms + time_left_ms.min(route.timeout_ms);
     let picked = route.pick_service(rand::random()).cloned();
     let service = picked.ok_or(Refusal::not_run(Reason::NoRoute))?;
+    let is_relayed = head.headers.contains_key(RELAYED);
     proxy::strip_request_headers(&mut head.headers);
     let deadline = shared.clock.to_instant(deadline_ms);
     let body = read_body(body, site.limits().max_body_bytes, deadline).await.map_err(|error| {
@@ -95,7 +99,19 @@
         })
     })?;
     let route_state = shared.route_state(&route);
-    Ok(Call { head, body, id, host, key, route, route_state, service, arrived_at_ms, deadline_ms })
+    Ok(Call {
+        head,
+        body,
+        id,
+        host,
+        key,
+        route,
+        route_state,
+        service,
+        is_relayed,
+        arrived_at_ms,
+        deadline_ms,
+    })
 }
 
 /// Returns the host header and the host name in it, without a port.
--- a/crates/gateway/src/cut_leader.rs
+++ b/crates/gateway/src/cut_leader.rs
@@ -135,7 +135,7 @@
 }
 
 /// Returns the servers that accept a connection.
-async fn connect_to(servers: &[(Incarnation, SocketAddr)]) -> Vec<Incarnation> {
+pub(crate) async fn connect_to(servers: &[(Incarnation, SocketAddr)]) -> Vec<Incarnation> {
     let mut attempts = JoinSet::new();
     for (server, address) in servers.iter().cloned() {
         attempts.spawn(async move {
--- /dev/null
+++ b/crates/gateway/src/detour.rs
@@ -0,0 +1,214 @@
+//! Sends requests through another daemon while this one does not reach their server.
+//!
+//! Links between daemons and servers are lost one by one or all at once, while other daemons reach
+//! the servers. The other daemon handles such a request like one of its own callers', except that
+//! it does not pass it on in turn. Its answer tells whether the request may have run.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::SystemTime;
+
+use document::{Name, Server as Description, ServerState};
+use http::header::HeaderName;
+use http::response::Parts;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http_body_util::Full;
+use proxy::{Clock, Upstream, retry_after_ms};
+use rand::seq::SliceRandom;
+use route::{Failure, Reason, ServerState as _};
+use telemetry::Counter;
+use tokio::time::{Duration, Instant, timeout_at};
+
+use crate::Shared;
+use crate::answer::AnswerBody;
+use crate::call::Call;
+use crate::exchange::{ExchangeResult, check_answer, check_id, receive, to_request};
+use crate::log_sampler::is_sampled;
+
+/// The header of a request that another daemon has passed on.
+pub(crate) const RELAYED: HeaderName = HeaderName::from_static("verbena-relayed");
+/// The header of a refusal of such a request, with the reason.
+pub(crate) const REASON: HeaderName = HeaderName::from_static("verbena-reason");
+
+/// Another daemon, to which requests can be passed on.
+#[derive(Debug)]
+pub struct Peer {
+    name: Name,
+    upstream: Arc<Upstream>,
+    clock: Clock,
+    /// Until when it counts as one that reaches no servers either.
+    cut_off_deadline_ms: AtomicU64,
+}
+
+/// What passing a request on to one daemon came to.
+enum Relayed {
+    Ended(ExchangeResult),
+    /// It has not run, and another daemon may be able to run it.
+    NotRun {
+        /// How long the daemon asks to wait before it gets the request again.
+        retry_after_ms: Option<u64>,
+    },
+}
+
+/// How many requests may be under way through one daemon.
+const MAX_RELAYED: u32 = 64;
+/// How many daemons are tried for one request.
+const MAX_TRIED: usize = 3;
+/// How long a daemon that does not reach a server either is tried after the others.
+const CUT_OFF_MS: u64 = 1_000;
+/// How long connecting to a daemon may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+impl Peer {
+    /// Creates the state of a daemon that callers reach at `front`.
+    #[must_use]
+    pub fn new(name: &Name, front: SocketAddr, clock: Clock) -> Self {
+        let description = Description {
+            name: name.clone(),
+            address: front,
+            data_centre: name.clone(),
+            slots: MAX_RELAYED,
+            max_connections: MAX_RELAYED,
+            key_groups: Vec::new(),
+            state: ServerState::Serving,
+            checks_fence: true,
+        };
+        Self {
+            name: name.clone(),
+            upstream: Arc::new(Upstream::new(description, 1, clock)),
+            clock,
+            cut_off_deadline_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns whether requests should rather be passed on to another daemon.
+    fn is_avoided(&self) -> bool {
+        let now_ms = self.clock.now_ms();
+        now_ms < self.cut_off_deadline_ms.load(Ordering::Relaxed)
+            || self.upstream.is_avoided(now_ms)
+    }
+
+    fn on_cut_off(&self) {
+        self.cut_off_deadline_ms.store(self.clock.now_ms() + CUT_OFF_MS, Ordering::Relaxed);
+    }
+}
+
+/// Sends a request that has not been sent to its server through another daemon.
+pub(crate) async fn send_elsewhere(
+    shared: &Shared,
+    call: &Call,
+    deadline: Instant,
+) -> ExchangeResult {
+    let view = shared.view();
+    let mut peers: Vec<&Arc<Peer>> = view.peers.iter().collect();
+    peers.shuffle(&mut rand::rng());
+    // Links are often lost by a whole data centre, so daemons nearby come in no earlier.
+    peers.sort_by_key(|peer| peer.is_avoided());
+    let mut least_wait_ms: Option<u64> = None;
+    for peer in peers.into_iter().take(MAX_TRIED) {
+        shared.counters.count(Counter::Detours);
+        let relayed = relay(shared, peer, call, deadline).await;
+        log_relayed(call, peer, &relayed);
+        match relayed {
+            Relayed::Ended(result) => return result,
+            Relayed::NotRun { retry_after_ms } => {
+                least_wait_ms = least_wait_ms.into_iter().chain(retry_after_ms).min();
+            }
+        }
+    }
+    match least_wait_ms {
+        Some(retry_after_ms) => ExchangeResult::Refused { retry_after_ms },
+        None => ExchangeResult::NoAnswer(Failure::NotSent),
+    }
+}
+
+async fn relay(shared: &Shared, peer: &Peer, call: &Call, deadline: Instant) -> Relayed {
+    let Ok((permit, _has_waited)) = peer.upstream.acquire(call.arrival()).await else {
+        return Relayed::NotRun { retry_after_ms: None };
+    };
+    let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+    let Ok(Ok(mut link)) = timeout_at(connect_deadline, peer.upstream.connect()).await else {
+        peer.upstream.on_connection_loss();
+        return Relayed::NotRun { retry_after_ms: None };
+    };
+    let Some(request) = to_relayed_request(shared, call) else {
+        return Relayed::NotRun { retry_after_ms: None };
+    };
+    let response = match timeout_at(deadline, link.send(request)).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(mut error)) => {
+            peer.upstream.on_connection_loss();
+            if error.take_message().is_some() {
+                return Relayed::NotRun { retry_after_ms: None };
+            }
+            return Relayed::Ended(ExchangeResult::NoAnswer(Failure::Broken));
+        }
+        // Dropping the link closes the connection, so a late answer is discarded.
+        Err(_elapsed) => return Relayed::Ended(ExchangeResult::NoAnswer(Failure::TimedOut)),
+    };
+    let (head, body) = response.into_parts();
+    if head.headers.contains_key(REASON) {
+        return on_refusal(peer, &head);
+    }
+    let checked = check_id(shared, call, &head).and_then(|()| check_answer(shared, &head));
+    let received = match checked {
+        Ok(()) => receive(&peer.upstream, head, body, (link, permit, deadline)).await,
+        Err(failure) => Err(failure),
+    };
+    Relayed::Ended(match received {
+        Ok(response) if response.status().is_server_error() => {
+            ExchangeResult::ServerError(response)
+        }
+        Ok(response) => ExchangeResult::Answer(response),
+        Err(failure) => ExchangeResult::NoAnswer(failure),
+    })
+}
+
+/// Handles an answer that the other daemon gave itself.
+fn on_refusal(peer: &Peer, head: &Parts) -> Relayed {
+    if matches!(head.status, StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT) {
+        return Relayed::Ended(ExchangeResult::NoAnswer(Failure::Broken));
+    }
+    if is_reason(&head.headers, Reason::Unreachable) {
+        peer.on_cut_off();
+    }
+    let retry_after_ms = retry_after_ms(&head.headers, SystemTime::now());
+    Relayed::NotRun { retry_after_ms }
+}
+
+fn is_reason(headers: &HeaderMap, reason: Reason) -> bool {
+    headers.get(REASON).is_some_and(|value| value == reason.as_str())
+}
+
+fn to_relayed_request(shared: &Shared, call: &Call) -> Option<Request<Full<bytes::Bytes>>> {
+    let mut request = to_request(shared, call)?;
+    request.headers_mut().insert(RELAYED, HeaderValue::from_static("1"));
+    Some(request)
+}
+
+/// Adds the reason of a refusal for the daemon that passed the request on.
+pub(crate) fn add_reason(response: &mut Response<AnswerBody>, reason: Reason) {
+    response.headers_mut().insert(REASON, HeaderValue::from_static(reason.as_str()));
+}
+
+/// Logs a request that was passed on, if it is sampled or did not succeed.
+fn log_relayed(call: &Call, peer: &Peer, relayed: &Relayed) {
+    let outcome = match relayed {
+        Relayed::Ended(ExchangeResult::Answer(_)) => "answered",
+        Relayed::Ended(ExchangeResult::ServerError(_)) => "failed",
+        Relayed::Ended(ExchangeResult::Refused { .. }) => "refused",
+        Relayed::Ended(ExchangeResult::NoAnswer(_)) => "no answer",
+        Relayed::NotRun { .. } => "not run",
+    };
+    if !is_sampled(call.id.as_bytes()) {
+        return;
+    }
+    spdlog::info!(
+        "request passed on",
+        kv: {
+            request = call.id.to_str().unwrap_or("-"), route = call.route.name.as_str(),
+            key:? = call.key, daemon = peer.name.as_str(), outcome
+        }
+    );
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use proxy::{Link, Permit, retry_after_ms};
+use proxy::{Link, Permit, Upstream, retry_after_ms};
 use registry::Incarnation;
 use route::{Failure, Rate};
 use telemetry::Counter;
@@ -19,6 +19,7 @@
 use crate::Shared;
 use crate::answer::AnswerBody;
 use crate::call::Call;
+use crate::detour;
 use crate::server::Server;
 
 /// The result of sending a request to a server.
@@ -30,6 +31,11 @@
     ServerError(Response<AnswerBody>),
     /// There is no answer that can be passed on.
     NoAnswer(Failure),
+    /// Another daemon refused the request, which has not run.
+    Refused {
+        /// How long the caller should wait before it sends the request again.
+        retry_after_ms: u64,
+    },
 }
 
 /// How long connecting may take; reachable servers accept within milliseconds.
@@ -52,19 +58,23 @@
 
 /// Sends a request to a server and returns its answer, or its failure after a probe for a
 /// crash.
+///
+/// Without a permit the server is out of reach, and the request is sent through another daemon.
 pub(crate) async fn exchange(
     shared: Arc<Shared>,
     server: Arc<Server>,
     call: Arc<Call>,
-    permit: Permit,
+    permit: Option<Permit>,
     deadline: Instant,
 ) -> ExchangeResult {
     let started_at = Instant::now();
+    let Some(permit) = permit else {
+        return exchange_elsewhere(&shared, &call, deadline).await;
+    };
     let result = try_exchange(&shared, &server, &call, permit, deadline).await;
     let failure = match result {
         Ok(response) => {
             on_answer(&server, &call, started_at);
-            shared.reach().on_reached(&server.registration.incarnation);
             shared.crashes.on_answer(|| call.fingerprint());
             let is_failure = response.status().is_server_error();
             return if is_failure {
@@ -75,14 +85,35 @@
         }
         Err(failure) => failure,
     };
-    if failure == Failure::NotSent {
+    let failure = detect_crash(&server, failure).await;
+    if matches!(failure, Failure::NotSent | Failure::Crashed) {
         shared.reach().on_lost(&server.registration.incarnation);
     }
-    let failure = detect_crash(&server, failure).await;
     on_failure(&shared, &server, &call, failure, started_at);
+    if failure == Failure::NotSent {
+        return exchange_elsewhere(&shared, &call, deadline).await;
+    }
     ExchangeResult::NoAnswer(failure)
 }
 
+/// Sends a request that was not sent to its server through another daemon, if it may be.
+async fn exchange_elsewhere(shared: &Shared, call: &Call, deadline: Instant) -> ExchangeResult {
+    if call.is_relayed {
+        return ExchangeResult::NoAnswer(Failure::NotSent);
+    }
+    detour::send_elsewhere(shared, call, deadline).await
+}
+
+/// Returns whether a server is known to accept no connection from this daemon.
+pub(crate) fn is_out_of_reach(shared: &Shared, server: &Server) -> bool {
+    let reach = shared.reach();
+    if reach.has_all() {
+        return false;
+    }
+    let is_lost = reach.is_lost(&server.registration.incarnation);
+    reach.is_cut_off() || (is_lost && !server.upstream.has_idle())
+}
+
 async fn try_exchange(
     shared: &Shared,
     server: &Server,
@@ -96,9 +127,10 @@
     };
     if link.is_fresh() {
         shared.counters.count(Counter::Connections);
+        shared.reach().on_connected(&server.registration.incarnation);
     }
-    let request =
-        to_request(shared, &server.registration.incarnation, call).ok_or(Failure::NotSent)?;
+    let request = to_server_request(shared, &server.registration.incarnation, call)
+        .ok_or(Failure::NotSent)?;
     let response = match timeout_at(deadline, link.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
@@ -112,15 +144,26 @@
         // Dropping the link closes the connection, so a late answer is discarded.
         Err(_elapsed) => return Err(Failure::TimedOut),
     };
-    let (mut head, body) = response.into_parts();
+    let (head, body) = response.into_parts();
+    shared.reach().on_answer();
     check_id(shared, call, &head)?;
     note_state(shared, server, call, &head);
     check_answer(shared, &head)?;
+    receive(&server.upstream, head, body, (link, permit, deadline)).await
+}
+
+/// Receives the body of an answer, or its start if it is large.
+pub(crate) async fn receive(
+    upstream: &Upstream,
+    mut head: Parts,
+    body: Incoming,
+    (link, permit, deadline): (Link, Permit, Instant),
+) -> Result<Response<AnswerBody>, Failure> {
     let idle_timeout_ms = idle_timeout_ms(&head.headers);
     proxy::strip_headers(&mut head.headers);
     match buffer(body, deadline).await? {
         Buffered::Whole(bytes) => {
-            server.upstream.keep(link, idle_timeout_ms);
+            upstream.keep(link, idle_timeout_ms);
             drop(permit);
             Ok(Response::from_parts(head, AnswerBody::whole(bytes)))
         }
@@ -141,7 +184,7 @@
 
 /// Checks that an answer is to this request: the server may have answered an earlier one on the
 /// connection a second time.
-fn check_id(shared: &Shared, call: &Call, head: &Parts) -> Result<(), Failure> {
+pub(crate) fn check_id(shared: &Shared, call: &Call, head: &Parts) -> Result<(), Failure> {
     let is_own = head.headers.get(&shared.dialect.request_id) == Some(&call.id);
     if is_own { Ok(()) } else { Err(Failure::Broken) }
 }
@@ -200,7 +243,7 @@
 }
 
 /// Checks that an answer is the server's own and may be passed on.
-fn check_answer(shared: &Shared, head: &Parts) -> Result<(), Failure> {
+pub(crate) fn check_answer(shared: &Shared, head: &Parts) -> Result<(), Failure> {
     let dialect = &shared.dialect;
     let is_not_run = head.headers.contains_key(&dialect.not_run);
     if head.status == StatusCode::MISDIRECTED_REQUEST {
@@ -263,11 +306,19 @@
     timeout.parse::<u64>().ok().map(|seconds| seconds * 1_000)
 }
 
-fn to_request(
+fn to_server_request(
     shared: &Shared,
     incarnation: &Incarnation,
     call: &Call,
 ) -> Option<Request<Full<Bytes>>> {
+    let mut request = to_request(shared, call)?;
+    let expected = HeaderValue::from_str(&incarnation.server).ok()?;
+    request.headers_mut().insert(shared.dialect.expected_server.clone(), expected);
+    Some(request)
+}
+
+/// Returns the caller's request with the time that is left.
+pub(crate) fn to_request(shared: &Shared, call: &Call) -> Option<Request<Full<Bytes>>> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.head.method.clone();
     *request.uri_mut() = call.head.uri.path_and_query()?.as_str().parse().ok()?;
@@ -276,8 +327,6 @@
     headers.insert(HOST, call.host.clone());
     let left_ms = call.deadline_ms.saturating_sub(shared.clock.now_ms());
     headers.insert(shared.dialect.time_left_ms.clone(), HeaderValue::from(left_ms));
-    let expected = HeaderValue::from_str(&incarnation.server).ok()?;
-    headers.insert(shared.dialect.expected_server.clone(), expected);
     Some(request)
 }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -51,6 +51,9 @@
     /// The bandwidth of its link; 0 if unknown.
     #[serde(default)]
     pub(crate) link_mbps: u32,
+    /// The address for callers; `None` in the entry of an earlier version.
+    #[serde(default)]
+    pub(crate) front: Option<SocketAddr>,
 }
 
 /// Watches one topic of the store and passes changes to the control thread.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -15,7 +15,8 @@
 use crate::Shared;
 use crate::answer::AnswerBody;
 use crate::call::{self, Call};
-use crate::exchange::{ExchangeResult, exchange};
+use crate::detour;
+use crate::exchange::{ExchangeResult, exchange, is_out_of_reach};
 use crate::log_sampler::is_sampled;
 use crate::refusal;
 use crate::server::Server;
@@ -63,7 +64,11 @@
         }
         Err(refusal) => {
             on_refusal(&shared, id.as_ref(), call.as_deref(), arrived_at_ms, &refusal);
-            refusal::to_response(&refusal)
+            let mut response = refusal::to_response(&refusal);
+            if call.is_some_and(|call| call.is_relayed) {
+                detour::add_reason(&mut response, refusal.reason);
+            }
+            response
         }
     };
     if shared.is_stopping() {
@@ -150,9 +155,12 @@
         .ok_or_else(|| Refusal::not_run(Reason::NoSite).with_retry_after(ABSENT_RETRY_AFTER_MS))?;
     let call = call::read(shared, site, request, arrived_at_ms).await?;
     if let Some(service) = view.services.get(&call.service) {
-        service.state.budget.earn();
-        if let Some(key) = call.key.filter(|_| service.is_keyed) {
-            service.state.on_request(key, call.route_state.mean_us());
+        // The daemon that passed a request on has counted it.
+        if !call.is_relayed {
+            service.state.budget.earn();
+            if let Some(key) = call.key.filter(|_| service.is_keyed) {
+                service.state.on_request(key, call.route_state.mean_us());
+            }
         }
     }
     Ok(call)
@@ -194,6 +202,10 @@
                 server_error = Some(response);
                 Failure::Failed
             }
+            ExchangeResult::Refused { retry_after_ms } => {
+                let refusal = attempts.to_refusal(Reason::Overloaded);
+                return Err(refusal.with_retry_after(retry_after_ms));
+            }
             ExchangeResult::NoAnswer(failure) => failure,
         };
         log_failure(shared, &call, &incarnation, failure);
@@ -227,7 +239,7 @@
     shared: &Arc<Shared>,
     server: &Arc<Server>,
     call: &Arc<Call>,
-    permit: Permit,
+    permit: Option<Permit>,
 ) -> ExchangeResult {
     let deadline = shared.clock.to_instant(call.deadline_ms);
     let (shared, server) = (Arc::clone(shared), Arc::clone(server));
@@ -241,12 +253,14 @@
 
 /// Finds a server and waits for admission to it; checks after each wait that the server is
 /// still the right one.
+///
+/// There is no permit for a server that is out of reach, and for which no other one can answer.
 async fn find_server(
     shared: &Arc<Shared>,
     call: &Call,
     attempts: &Attempts,
     tried: &[Incarnation],
-) -> Result<(Arc<ServiceView>, Arc<Server>, Permit), Refusal> {
+) -> Result<(Arc<ServiceView>, Arc<Server>, Option<Permit>), Refusal> {
     let move_deadline_ms = shared.clock.now_ms() + move_timeout_ms(call);
     loop {
         let changed = shared.view_changed().notified();
@@ -257,6 +271,9 @@
         let service = service.ok_or_else(|| unreachable_refusal(attempts))?;
         match find_destination(shared, call, &service, tried, attempts)? {
             Destination::Server(server) => {
+                if is_out_of_reach(shared, &server) {
+                    return Ok((service, server, None));
+                }
                 let permit = admit(&server, call, attempts).await?;
                 let max_wait_ms = max_turn_wait_ms(shared, call, &service);
                 if let Err(remaining_ms) = wait_for_turn(shared, &server, max_wait_ms).await {
@@ -267,7 +284,7 @@
                     continue;
                 }
                 if is_current(shared, call, &server) {
-                    return Ok((service, server, permit));
+                    return Ok((service, server, Some(permit)));
                 }
                 continue;
             }
@@ -314,7 +331,11 @@
         RequestKind::Download => RemotePenalty::LARGE,
         RequestKind::Idempotent | RequestKind::NonIdempotent => RemotePenalty::SMALL,
     };
-    let server = service.pick_server(&shared.data_centre, remote_penalty, tried, rand::random());
+    let is_avoided = |server: &Server| {
+        tried.contains(&server.registration.incarnation) || is_out_of_reach(shared, server)
+    };
+    let random = rand::random();
+    let server = service.pick_server(&shared.data_centre, remote_penalty, is_avoided, random);
     server.map(Destination::Server).ok_or_else(|| match service.pause_remaining_ms() {
         0 => unreachable_refusal(attempts),
         remaining_ms => paused_refusal(attempts, remaining_ms),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -232,6 +232,7 @@
         address: settings.listen.peer,
         data_centre: settings.data_centre.clone(),
         link_mbps: settings.link_mbps,
+        front: Some(front_address(settings)),
     };
     let key = format!("{DAEMONS_PREFIX}{}", settings.instance);
     let counters = Arc::clone(&shared.counters);
@@ -246,6 +247,14 @@
     call_restarts
 }
 
+/// Returns the address at which other daemons reach the one for callers.
+fn front_address(settings: &Settings) -> SocketAddr {
+    let front = settings.listen.front;
+    let is_any = front.ip().is_unspecified();
+    let ip = if is_any { settings.listen.peer.ip() } else { front.ip() };
+    SocketAddr::new(ip, front.port())
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, Report<RunError>> {
     TcpListener::bind(address)
         .await
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod candidacy;
 mod clock;
 mod cut_leader;
+mod detour;
 mod distribution;
 mod election;
 mod exchange;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,6 +1,7 @@
 //! The control thread: its state and how it handles inputs.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
 
+use crate::cut_leader::connect_to;
+use crate::detour::Peer;
 use crate::follow::DaemonEntry;
 use crate::input::{Input, ReadPosition, Topic};
 use crate::leader_state::LeaderState;
@@ -82,6 +85,8 @@
     /// The leader's state while this daemon leads.
     pub(crate) leading: Option<LeaderState>,
     pub(crate) links: Links,
+    /// The other daemons by the address for their callers.
+    pub(crate) peers: BTreeMap<SocketAddr, Arc<Peer>>,
     pub(crate) turns: Turns,
     pub(crate) tables: HashMap<Name, Arc<Table>>,
     /// The epoch and number of the newest publication that was applied.
@@ -112,6 +117,8 @@
 const MAX_INPUTS_AT_ONCE: usize = 32;
 /// How often the load of requests is reported to the leader.
 const REPORT_INTERVAL_MS: u64 = 250;
+/// How many lost servers are probed in each report interval.
+const PROBED_SERVERS: usize = 4;
 /// How often crashes are sent again, for daemons that missed them.
 const CRASHES_INTERVAL_MS: u64 = 1_000;
 /// How often the number of dropped log lines is logged.
@@ -170,6 +177,7 @@
             store_answers: true,
             leading: None,
             links: Links::default(),
+            peers: BTreeMap::new(),
             turns: Turns::default(),
             tables: HashMap::default(),
             newest_publication: (Epoch(0), 0),
@@ -294,6 +302,7 @@
             self.report();
             self.turns.forget_old(now_ms);
             self.log_reach();
+            self.probe_lost_servers();
         }
         self.send_crashes(now_ms);
         self.log_dropped_lines(now_ms);
@@ -379,6 +388,22 @@
         }
     }
 
+    /// Tries to connect to some servers that this daemon does not reach.
+    fn probe_lost_servers(&self) {
+        let lost = self.shared.reach().some_lost(PROBED_SERVERS, rand::random_range(0..usize::MAX));
+        if lost.is_empty() {
+            return;
+        }
+        let registered = lost.iter().filter_map(|server| self.registry.get(server));
+        let probed = registered.map(|server| (server.incarnation.clone(), server.address));
+        let (shared, probed) = (Arc::clone(&self.shared), probed.collect::<Vec<_>>());
+        tokio::spawn(async move {
+            for server in connect_to(&probed).await {
+                shared.reach().on_connected(&server);
+            }
+        });
+    }
+
     /// Logs how many servers were lost or reached again, if any.
     fn log_reach(&self) {
         let mut reach = self.shared.reach();
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -41,14 +41,39 @@
         self.lost_in_a_row.insert(server.clone());
     }
 
-    /// Handles an answer of a server, or a connection that it accepted.
-    pub fn on_reached(&mut self, server: &Incarnation) {
-        if self.lost.remove(server) {
-            self.newly_reached += 1;
+    /// Handles a connection that a server accepted.
+    ///
+    /// If the daemon was cut off, its other servers can most likely be reached again too.
+    pub fn on_connected(&mut self, server: &Incarnation) {
+        let lost = self.lost.len();
+        if self.is_cut_off() {
+            self.lost.clear();
+        } else {
+            self.lost.remove(server);
         }
+        let reached = lost - self.lost.len();
+        self.newly_reached += u32::try_from(reached).unwrap_or(u32::MAX);
         self.lost_in_a_row.clear();
     }
 
+    /// Handles an answer of any server on a connection that was open.
+    pub fn on_answer(&mut self) {
+        self.lost_in_a_row.clear();
+    }
+
+    /// Returns whether the last connection attempt to a server failed.
+    #[must_use]
+    pub fn is_lost(&self, server: &Incarnation) -> bool {
+        self.lost.contains(server)
+    }
+
+    /// Returns up to `count` lost servers, others with another random `start`.
+    #[must_use]
+    pub fn some_lost(&self, count: usize, start: usize) -> Vec<Incarnation> {
+        let skipped = start % self.lost.len().max(1);
+        self.lost.iter().cycle().skip(skipped).take(count.min(self.lost.len())).cloned().collect()
+    }
+
     /// Returns whether this daemon most likely reaches no server.
     #[must_use]
     pub fn is_cut_off(&self) -> bool {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -8,6 +8,7 @@
 use shard::{Owner, Table};
 use site::Site;
 
+use crate::detour::Peer;
 use crate::report::ServiceState;
 use crate::server::Server;
 
@@ -18,6 +19,8 @@
     pub site: Option<Arc<Site>>,
     /// The leader's epoch and the number of its message that the tables come from.
     pub tables_version: (u64, u64),
+    /// The other daemons, to which requests can be passed on.
+    pub peers: Arc<[Arc<Peer>]>,
     /// The services by name.
     pub services: HashMap<Name, Arc<ServiceView>>,
 }
@@ -103,14 +106,14 @@
         remaining.min().unwrap_or(0)
     }
 
-    /// Picks a server from the pool, avoiding the ones in `tried`, which failed this request
-    /// before. Servers that want no requests for now are left out.
+    /// Picks a server from the pool, if possible one for which `is_avoided` returns false. Servers
+    /// that want no requests for now are left out.
     #[must_use]
     pub fn pick_server(
         &self,
         data_centre: &Name,
         remote_penalty: RemotePenalty,
-        tried: &[Incarnation],
+        is_avoided: impl Fn(&Server) -> bool,
         random: u32,
     ) -> Option<Arc<Server>> {
         let open: Vec<&PoolMember> =
@@ -123,7 +126,7 @@
                 slowness: server.slowness(),
                 is_near: server.registration.data_centre == *data_centre,
                 is_preferred: *is_preferred,
-                is_avoided: server.is_avoided() || tried.contains(&server.registration.incarnation),
+                is_avoided: server.is_avoided() || is_avoided(server),
             })
             .collect();
         pick(&candidates, remote_penalty, random).map(|index| Arc::clone(&open[index].server))
--- a/crates/gateway/src/view_builder.rs
+++ b/crates/gateway/src/view_builder.rs
@@ -1,5 +1,6 @@
 //! Builds the view by which requests are routed.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use document::{HashMap, Name};
@@ -9,6 +10,7 @@
 use site::Site;
 use store::Store;
 
+use crate::detour::Peer;
 use crate::node::Node;
 use crate::report::ServiceState;
 use crate::retry_budget;
@@ -53,6 +55,7 @@
     fn replace_view(&mut self) {
         let Some(site) = self.site.clone() else { return };
         self.update_servers(&site);
+        self.update_peers();
         let daemons = u32::try_from(self.daemons.len()).unwrap_or(u32::MAX);
         self.shared.set_daemons(daemons);
         let max_retries = retry_budget::max_retries(self.settings.retries, daemons);
@@ -119,7 +122,20 @@
         }
         let tables_version =
             self.tables_version.map_or((0, 0), |(epoch, number)| (epoch.0, number));
-        self.shared.replace_view(View { site, tables_version, services });
+        let peers = self.peers.values().cloned().collect();
+        self.shared.replace_view(View { site, tables_version, peers, services });
+    }
+
+    /// Adds new daemons to which requests can be passed on, and removes those that are gone.
+    fn update_peers(&mut self) {
+        let others = self.daemons.iter().filter(|(name, _)| **name != self.settings.instance);
+        let live: HashMap<SocketAddr, &Name> =
+            others.filter_map(|(name, daemon)| Some((daemon.front?, name))).collect();
+        self.peers.retain(|front, _| live.contains_key(front));
+        for (front, name) in live {
+            let clock = self.shared.clock;
+            self.peers.entry(front).or_insert_with(|| Arc::new(Peer::new(name, front, clock)));
+        }
     }
 
     /// Adds new servers and closes those that are leaving or gone.
--- a/crates/gateway/tests/lost_servers.rs
+++ b/crates/gateway/tests/lost_servers.rs
@@ -16,8 +16,9 @@
         reach.on_lost(&server(number));
     }
     assert!(reach.is_cut_off());
-    reach.on_reached(&server(1));
+    reach.on_connected(&server(1));
     assert!(!reach.is_cut_off());
+    assert!(reach.has_all(), "the others can most likely be reached too");
 }
 
 #[test]
@@ -34,7 +35,7 @@
     let mut reach = Reach::default();
     for number in 0..10 {
         reach.on_lost(&server(number));
-        reach.on_reached(&server(100));
+        reach.on_answer();
     }
     assert!(!reach.is_cut_off());
     assert!(!reach.has_all());
@@ -51,3 +52,29 @@
     reach.retain(|known| *known != server(1));
     assert!(reach.has_all());
 }
+
+#[test]
+fn answers_on_open_connections_do_not_show_that_new_ones_succeed() {
+    let mut reach = Reach::default();
+    reach.on_lost(&server(1));
+    reach.on_answer();
+    assert!(reach.is_lost(&server(1)));
+    reach.on_connected(&server(1));
+    assert!(!reach.is_lost(&server(1)));
+}
+
+#[test]
+fn all_lost_servers_are_probed_in_turn() {
+    let mut reach = Reach::default();
+    for number in 0..10 {
+        reach.on_lost(&server(number));
+        reach.on_answer();
+    }
+    for start in [0, 3, 9, usize::MAX] {
+        let some = reach.some_lost(4, start);
+        assert_eq!(some.len(), 4);
+        assert!(some.iter().all(|server| reach.is_lost(server)));
+    }
+    assert_eq!(reach.some_lost(20, 5).len(), 10);
+    assert!(Reach::default().some_lost(4, 7).is_empty());
+}
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -167,6 +167,12 @@
         Link::open(self.server.address).await
     }
 
+    /// Returns whether there is a connection that can be reused.
+    #[must_use]
+    pub fn has_idle(&self) -> bool {
+        !self.idle.lock().unwrap_or_else(PoisonError::into_inner).is_empty()
+    }
+
     /// Returns the value of the `host` header for requests to the server.
     #[must_use]
     pub fn host(&self) -> HeaderValue {
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -7,8 +7,9 @@
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::{Duration, sleep, timeout};
 
 /// What a link does with connections and bytes.
@@ -26,6 +27,8 @@
     Refuse,
     /// Refuses new connections; open ones go on.
     Closed,
+    /// Holds bytes back in both directions, and lets new connections hang.
+    Hang,
 }
 
 /// A proxy from a listening address to a target port.
@@ -41,16 +44,19 @@
 }
 
 /// All modes; a mode is stored as its index in this array.
-const MODES: [LinkMode; 6] = [
+const MODES: [LinkMode; 7] = [
     LinkMode::Pass,
     LinkMode::Delay,
     LinkMode::Silence,
     LinkMode::OneWay,
     LinkMode::Refuse,
     LinkMode::Closed,
+    LinkMode::Hang,
 ];
 /// How much later bytes arrive in [`LinkMode::Delay`].
 const DELAY: Duration = Duration::from_millis(60);
+/// More connections than a listener of the shortest queue takes.
+const QUEUED_CONNECTIONS: usize = 4;
 /// How often a link that holds bytes back checks its mode again.
 ///
 /// A connection also stays open this long after one of its ends has closed.
@@ -112,6 +118,11 @@
             sleep(MODE_CHECK_INTERVAL).await;
             continue;
         }
+        if current_mode(&mode) == LinkMode::Hang {
+            drop(listener.take());
+            hang(address, &mode).await;
+            continue;
+        }
         let Some(open) = &listener else {
             // The port may be in use for a moment; then the next round tries again.
             listener = TcpListener::bind(address).await.ok();
@@ -143,6 +154,27 @@
     }
 }
 
+/// Lets new connections hang until the mode changes.
+///
+/// The kernel drops the first packet of a connection to a listener whose queue is full.
+async fn hang(address: SocketAddr, mode: &AtomicU8) {
+    let Ok(socket) = TcpSocket::new_v4() else { return };
+    // Sockets of earlier connections may still use the port.
+    drop(socket.set_reuseaddr(true));
+    if socket.bind(address).is_err() {
+        sleep(MODE_CHECK_INTERVAL).await;
+        return;
+    }
+    let Ok(_listener) = socket.listen(1) else { return };
+    let mut queued = JoinSet::new();
+    for _ in 0..QUEUED_CONNECTIONS {
+        queued.spawn(TcpStream::connect(address));
+    }
+    while current_mode(mode) == LinkMode::Hang {
+        sleep(MODE_CHECK_INTERVAL).await;
+    }
+}
+
 /// Copies bytes in one direction until an end closes, as the mode of the link demands.
 async fn copy(
     mut from: OwnedReadHalf,
@@ -160,7 +192,9 @@
                     sleep(DELAY).await;
                     break;
                 }
-                LinkMode::Silence | LinkMode::OneWay => sleep(MODE_CHECK_INTERVAL).await,
+                LinkMode::Silence | LinkMode::OneWay | LinkMode::Hang => {
+                    sleep(MODE_CHECK_INTERVAL).await;
+                }
             }
         }
         if to.write_all(&buffer[..count]).await.is_err() {
--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -27,6 +27,8 @@
     WaitedForSlot,
     /// Connections opened to servers.
     Connections,
+    /// Requests passed on to another daemon.
+    Detours,
     /// Answers that broke off before their end.
     CutOff,
     /// Routing tables put in force.
@@ -53,7 +55,7 @@
 ///
 /// Every variant must be listed: the length is also that of [`Counters`], which is indexed by
 /// the variants.
-const COUNTERS: [(Counter, &str, &str); 21] = [
+const COUNTERS: [(Counter, &str, &str); 22] = [
     (Counter::Requests, "verbena_requests", "requests that arrived"),
     (Counter::Answered, "verbena_answered", "requests that a server answered"),
     (Counter::RefusedNotRun, "verbena_refused_not_run", "requests that certainly did not run"),
@@ -65,6 +67,7 @@
     (Counter::WaitedForOwner, "verbena_waited_for_owner", "requests that waited for an owner"),
     (Counter::WaitedForSlot, "verbena_waited_for_slot", "requests that waited for a slot"),
     (Counter::Connections, "verbena_connections", "connections opened to servers"),
+    (Counter::Detours, "verbena_detours", "requests passed on to another daemon"),
     (Counter::CutOff, "verbena_cut_off", "answers cut off in the middle"),
     (Counter::Tables, "verbena_tables", "routing tables put in force"),
     (Counter::Documents, "verbena_documents", "documents put in force"),
