Try servers that were not lost while a daemon counts as cut off

Found by reading: a daemon that had met only crashed servers, three in a row without an answer in between, counted as cut off. It then sent nothing directly and probed lost servers only, so that it noticed its error when their entries were removed, or never while the store is down. Without another daemon it refused everything meanwhile. Change: while it counts as cut off, four servers that were not lost are probed as well, every 250 ms; without another daemon requests are always sent directly. A daemon that does not answer a request that was passed on is avoided for a second; requests passed on that were not answered are logged.

--- a/crates/gateway/src/cut_leader.rs
+++ b/crates/gateway/src/cut_leader.rs
@@ -44,7 +44,7 @@
 /// Returns some of the servers that do not answer the leader, if most of them do not.
 #[must_use]
 pub fn silent_servers(leader: &Leader, registry: &Registry) -> Vec<(Incarnation, SocketAddr)> {
-    if !leader.are_most_silent() {
+    if !leader.is_majority_silent() {
         return Vec::new();
     }
     let silent = registry.all().filter(|server| leader.is_silent(&server.incarnation));
@@ -126,7 +126,7 @@
     /// Resigns in favour of a daemon that reaches silent servers.
     pub(crate) fn on_servers_reached(&mut self, daemon: &Name, epoch: Epoch) {
         let is_cut_off = self.leading.as_ref().is_some_and(|leading| {
-            leading.leader.epoch() == epoch && leading.leader.are_most_silent()
+            leading.leader.epoch() == epoch && leading.leader.is_majority_silent()
         });
         if is_cut_off {
             self.resign_to(Some(daemon), "another daemon reaches the servers");
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -105,19 +105,19 @@
     peers.shuffle(&mut rand::rng());
     // Links are often lost by a whole data centre, so daemons nearby come in no earlier.
     peers.sort_by_key(|peer| peer.is_avoided());
-    let mut least_wait_ms: Option<u64> = None;
+    let mut min_wait_ms: Option<u64> = None;
     for peer in peers.into_iter().take(MAX_TRIED) {
         shared.counters.count(Counter::Detours);
         let relayed = relay(shared, peer, call, deadline).await;
-        log_relayed(call, peer, &relayed);
+        log_relayed(shared, call, peer, &relayed);
         match relayed {
             Relayed::Ended(result) => return result,
             Relayed::NotRun { retry_after_ms } => {
-                least_wait_ms = least_wait_ms.into_iter().chain(retry_after_ms).min();
+                min_wait_ms = min_wait_ms.into_iter().chain(retry_after_ms).min();
             }
         }
     }
-    match least_wait_ms {
+    match min_wait_ms {
         Some(retry_after_ms) => ExchangeResult::Refused { retry_after_ms },
         None => ExchangeResult::NoAnswer(Failure::NotSent),
     }
@@ -145,7 +145,10 @@
             return Relayed::Ended(ExchangeResult::NoAnswer(Failure::Broken));
         }
         // Dropping the link closes the connection, so a late answer is discarded.
-        Err(_elapsed) => return Relayed::Ended(ExchangeResult::NoAnswer(Failure::TimedOut)),
+        Err(_elapsed) => {
+            peer.upstream.on_connection_loss();
+            return Relayed::Ended(ExchangeResult::NoAnswer(Failure::TimedOut));
+        }
     };
     let (head, body) = response.into_parts();
     if head.headers.contains_key(REASON) {
@@ -192,8 +195,8 @@
     response.headers_mut().insert(REASON, HeaderValue::from_static(reason.as_str()));
 }
 
-/// Logs a request that was passed on, if it is sampled or did not succeed.
-fn log_relayed(call: &Call, peer: &Peer, relayed: &Relayed) {
+/// Logs a request that was passed on, if it is sampled or was not answered.
+fn log_relayed(shared: &Shared, call: &Call, peer: &Peer, relayed: &Relayed) {
     let outcome = match relayed {
         Relayed::Ended(ExchangeResult::Answer(_)) => "answered",
         Relayed::Ended(ExchangeResult::ServerError(_)) => "failed",
@@ -201,7 +204,10 @@
         Relayed::Ended(ExchangeResult::NoAnswer(_)) => "no answer",
         Relayed::NotRun { .. } => "not run",
     };
-    if !is_sampled(call.id.as_bytes()) {
+    let is_answered = matches!(relayed, Relayed::Ended(ExchangeResult::Answer(_)));
+    let is_worth_logging = !is_answered || is_sampled(call.id.as_bytes());
+    let now_ms = shared.clock.now_ms();
+    if !is_worth_logging || !shared.log_sampler.may_write(now_ms, call.id.as_bytes()) {
         return;
     }
     spdlog::info!(
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -104,10 +104,11 @@
     detour::send_elsewhere(shared, call, deadline).await
 }
 
-/// Returns whether a server is known to accept no connection from this daemon.
+/// Returns whether a server is known to accept no connection from this daemon, and there is
+/// another daemon that may reach it.
 pub(crate) fn is_out_of_reach(shared: &Shared, server: &Server) -> bool {
     let reach = shared.reach();
-    if reach.has_all() {
+    if reach.has_all() || !shared.has_peers() {
         return false;
     }
     let is_lost = reach.is_lost(&server.registration.incarnation);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -117,8 +117,6 @@
 const MAX_INPUTS_AT_ONCE: usize = 32;
 /// How often the load of requests is reported to the leader.
 const REPORT_INTERVAL_MS: u64 = 250;
-/// How many lost servers are probed in each report interval.
-const PROBED_SERVERS: usize = 4;
 /// How often crashes are sent again, for daemons that missed them.
 const CRASHES_INTERVAL_MS: u64 = 1_000;
 /// How often the number of dropped log lines is logged.
@@ -390,13 +388,12 @@
 
     /// Tries to connect to some servers that this daemon does not reach.
     fn probe_lost_servers(&self) {
-        let lost = self.shared.reach().some_lost(PROBED_SERVERS, rand::random_range(0..usize::MAX));
-        if lost.is_empty() {
+        let start = rand::random_range(0..usize::MAX);
+        let probed = self.shared.reach().to_probe(&self.registry, start);
+        if probed.is_empty() {
             return;
         }
-        let registered = lost.iter().filter_map(|server| self.registry.get(server));
-        let probed = registered.map(|server| (server.incarnation.clone(), server.address));
-        let (shared, probed) = (Arc::clone(&self.shared), probed.collect::<Vec<_>>());
+        let shared = Arc::clone(&self.shared);
         tokio::spawn(async move {
             for server in connect_to(&probed).await {
                 shared.reach().on_connected(&server);
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -1,7 +1,9 @@
 //! Which servers this daemon cannot reach.
 
+use std::net::SocketAddr;
+
 use document::HashSet;
-use registry::Incarnation;
+use registry::{Incarnation, Registry};
 
 /// The servers to which the last connection attempt failed.
 #[derive(Debug, Default)]
@@ -32,6 +34,10 @@
 /// A server that crashes is lost too, but then others are reached.
 const MIN_LOST_IN_A_ROW: usize = 3;
 
+/// How many lost servers are probed at once, and how many others while the daemon counts as cut
+/// off.
+const PROBED_SERVERS: usize = 4;
+
 impl Reach {
     /// Handles a failed connection attempt.
     pub fn on_lost(&mut self, server: &Incarnation) {
@@ -67,11 +73,19 @@
         self.lost.contains(server)
     }
 
-    /// Returns up to `count` lost servers, others with another random `start`.
+    /// Returns some servers to which the daemon should try to connect; `start` is a random number.
+    ///
+    /// While the daemon counts as cut off, these are not only lost ones, which may be down for
+    /// all daemons.
     #[must_use]
-    pub fn some_lost(&self, count: usize, start: usize) -> Vec<Incarnation> {
-        let skipped = start % self.lost.len().max(1);
-        self.lost.iter().cycle().skip(skipped).take(count.min(self.lost.len())).cloned().collect()
+    pub fn to_probe(&self, registry: &Registry, start: usize) -> Vec<(Incarnation, SocketAddr)> {
+        let lost = self.lost.iter().cycle().skip(start % self.lost.len().max(1));
+        let lost = lost.take(PROBED_SERVERS.min(self.lost.len()));
+        let lost = lost.filter_map(|server| registry.get(server));
+        let others = registry.all().chain(registry.all()).skip(start % registry.len().max(1));
+        let others = others.take(if self.is_cut_off() { PROBED_SERVERS } else { 0 });
+        let probed = lost.chain(others);
+        probed.map(|server| (server.incarnation.clone(), server.address)).collect()
     }
 
     /// Returns whether this daemon most likely reaches no server.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -101,6 +101,11 @@
         &self.view_changed
     }
 
+    /// Returns whether there are other daemons, to which requests can be passed on.
+    pub(crate) fn has_peers(&self) -> bool {
+        !self.view.load().peers.is_empty()
+    }
+
     /// Returns the limits on callers' connections and requests that are in force.
     pub(crate) fn limits(&self) -> Limits {
         self.view.load().site.as_ref().map_or_else(Limits::default, |site| site.limits())
--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -112,8 +112,8 @@
 
     /// Returns whether more than half of the servers did not answer their last orders.
     #[must_use]
-    pub fn are_most_silent(&self) -> bool {
-        self.orders.are_most_silent()
+    pub fn is_majority_silent(&self) -> bool {
+        self.orders.is_majority_silent()
     }
 
     /// Returns the owners of a service's keys; `None` if the service has no assignment.
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -38,7 +38,7 @@
     /// holder until its first grant counts as lost.
     silent: HashMap<Incarnation, u64>,
     /// Since when more than half of the servers are silent.
-    most_silent_since_ms: Option<u64>,
+    majority_silent_since_ms: Option<u64>,
     /// Last known registrations; a server that is no longer registered may still hold ranges.
     servers: HashMap<Incarnation, Arc<Registration>>,
 }
@@ -120,9 +120,9 @@
             }
         }
         if self.silent.len() * 2 > self.servers.len() {
-            self.most_silent_since_ms.get_or_insert(now_ms);
+            self.majority_silent_since_ms.get_or_insert(now_ms);
         } else {
-            self.most_silent_since_ms = None;
+            self.majority_silent_since_ms = None;
         }
         if let (Reply::Unknown, OrderKind::Grant(grant)) = (reply, &order.kind) {
             self.abandoned.push(AbandonedGrant {
@@ -148,8 +148,8 @@
         self.silent.contains_key(incarnation)
     }
 
-    pub(crate) fn are_most_silent(&self) -> bool {
-        self.most_silent_since_ms.is_some()
+    pub(crate) fn is_majority_silent(&self) -> bool {
+        self.majority_silent_since_ms.is_some()
     }
 
     /// Returns whether the leader itself may be the one that is cut off.
@@ -157,7 +157,8 @@
     /// Then ranges stay with their holders for a moment: a leader that the servers answer can take
     /// over while their grants are valid.
     pub(crate) fn may_be_cut_off(&self, now_ms: u64) -> bool {
-        self.most_silent_since_ms.is_some_and(|since_ms| now_ms < since_ms + CUT_OFF_PATIENCE_MS)
+        self.majority_silent_since_ms
+            .is_some_and(|since_ms| now_ms < since_ms + CUT_OFF_PATIENCE_MS)
     }
 
     /// Returns the silent servers whose probe is due, and schedules their next probes.
