--- a/crates/gateway/tests/cut_leaders.rs
+++ b/crates/gateway/tests/cut_leaders.rs
@@ -1,19 +1,18 @@
 //! Guards against a leader that keeps leading while servers answer other daemons but not it, and
 //! against one that gives its servers' keys up before another daemon could lead.
 
+mod fixture;
+
 use document::HashMap;
 use gateway::silent_servers;
-use registry::{Incarnation, Registration, Registry, Stage};
+use registry::{Incarnation, Registry};
 use shard::{Config, Epoch, Event, Leader, Output, Reply, Servers};
 
-const SERVICE: &str = "ledger";
+use crate::fixture::{SERVICE, registry, server};
+
 const SERVERS: u16 = 6;
 const TICK_MS: u64 = 20;
 
-fn server(number: u16) -> Incarnation {
-    Incarnation { server: format!("s{number}").into(), born_ms: 1 }
-}
-
 /// A leader whose orders reach only some servers.
 struct Harness {
     now_ms: u64,
@@ -26,24 +25,15 @@
 impl Harness {
     /// Returns a leader that has granted all ranges.
     fn new() -> Self {
-        let mut registry = Registry::default();
-        for number in 0..SERVERS {
-            let registration = Registration {
-                incarnation: server(number),
-                service: SERVICE.into(),
-                address: ([127, 0, 0, 1], 9_000 + number).into(),
-                data_centre: "a".into(),
-                slots: 4,
-                stage: Stage::Ready,
-                warm_at_ms: 0,
-                heartbeat: 1,
-            };
-            registry.put(0, &server(number).server, registration);
-        }
         let mut leader = Leader::new(Epoch(5), 0, u64::MAX, &[], Config::default());
         leader.add_service(&SERVICE.into());
-        let mut harness =
-            Self { now_ms: 0, leader, registry, speeds: HashMap::default(), lost: Vec::new() };
+        let mut harness = Self {
+            now_ms: 0,
+            leader,
+            registry: registry(SERVERS),
+            speeds: HashMap::default(),
+            lost: Vec::new(),
+        };
         harness.run(5_000);
         harness
     }
--- a/crates/gateway/tests/lost_servers.rs
+++ b/crates/gateway/tests/lost_servers.rs
@@ -1,12 +1,11 @@
 //! Guards against a daemon that takes itself for cut off while it reaches servers, or the
 //! opposite.
 
+mod fixture;
+
 use gateway::{Reach, ReachChange};
-use registry::{Incarnation, Registration, Registry, Stage};
 
-fn server(number: u64) -> Incarnation {
-    Incarnation { server: format!("s{number}").into(), born_ms: 1 }
-}
+use crate::fixture::{registry, server};
 
 #[test]
 fn several_lost_servers_in_a_row_are_a_cut() {
@@ -63,25 +62,6 @@
     assert!(!reach.is_lost(&server(1)));
 }
 
-/// Returns a registry with `count` servers.
-fn registry(count: u16) -> Registry {
-    let mut registry = Registry::default();
-    for number in 0..count {
-        let registration = Registration {
-            incarnation: server(number.into()),
-            service: "ledger".into(),
-            address: ([127, 0, 0, 1], 9_000 + number).into(),
-            data_centre: "a".into(),
-            slots: 4,
-            stage: Stage::Ready,
-            warm_at_ms: 0,
-            heartbeat: 1,
-        };
-        registry.put(0, &server(number.into()).server, registration);
-    }
-    registry
-}
-
 #[test]
 fn only_lost_servers_are_probed_while_others_answer() {
     let registry = registry(20);
