Keep the port of a closed link bound

Cause: a link in mode Closed gave its port back, and another listener on the machine (a second test, a soak) could get it. Change: a socket that does not listen stays bound to the port, so connections are refused. Conclusion: a fault of the harness.

--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -115,7 +115,7 @@
     loop {
         if current_mode(&mode) == LinkMode::Closed {
             drop(listener.take());
-            sleep(MODE_CHECK_INTERVAL).await;
+            refuse(address, &mode).await;
             continue;
         }
         if current_mode(&mode) == LinkMode::Hang {
@@ -154,17 +154,33 @@
     }
 }
 
+/// Refuses new connections until the mode changes.
+///
+/// The port stays bound, so that no other process gets it meanwhile.
+async fn refuse(address: SocketAddr, mode: &AtomicU8) {
+    let _bound = bind(address);
+    while current_mode(mode) == LinkMode::Closed {
+        sleep(MODE_CHECK_INTERVAL).await;
+    }
+}
+
+/// Binds a socket that does not listen.
+fn bind(address: SocketAddr) -> std::io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    // Sockets of earlier connections may still use the port.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
 /// Lets new connections hang until the mode changes.
 ///
 /// The kernel drops the first packet of a connection to a listener whose queue is full.
 async fn hang(address: SocketAddr, mode: &AtomicU8) {
-    let Ok(socket) = TcpSocket::new_v4() else { return };
-    // Sockets of earlier connections may still use the port.
-    drop(socket.set_reuseaddr(true));
-    if socket.bind(address).is_err() {
+    let Ok(socket) = bind(address) else {
         sleep(MODE_CHECK_INTERVAL).await;
         return;
-    }
+    };
     let Ok(_listener) = socket.listen(1) else { return };
     let mut queued = JoinSet::new();
     for _ in 0..QUEUED_CONNECTIONS {
