Log why a grant that was given up is not waited for any more

Cause: the leader stops waiting for an unanswered grant when an answer seems to prove that it cannot arrive. No line told which answer that was, so the hypotheses could not be told apart in a log. Change: `late grant ruled out` names the grant, its server and the server whose answer counts. Conclusion: with `order given up`, `range released` and `grant ran out` a log now tells whether a second holder follows from another server's answer.

--- a/crates/gateway/src/leader_tasks.rs
+++ b/crates/gateway/src/leader_tasks.rs
@@ -310,6 +310,12 @@
                 kv: { service = service.as_str(), range: = range, to: = to, fence = fence.0, waited_ms = *waited_ms }
             );
         }
+        LogEvent::RuledOut { service, range, to, fence, by } => {
+            spdlog::info!(
+                "late grant ruled out",
+                kv: { service = service.as_str(), range: = range, to: = to, fence = fence.0, by: = by }
+            );
+        }
         LogEvent::Refused { service, range, by, fence } => {
             spdlog::warn!(
                 "fence refused",
--- a/crates/shard/src/order.rs
+++ b/crates/shard/src/order.rs
@@ -206,6 +206,19 @@
         /// How long the answer was waited for.
         waited_ms: u64,
     },
+    /// An answer shows that a grant that was given up cannot take effect any more.
+    RuledOut {
+        /// The service that the range belongs to.
+        service: Name,
+        /// The keys.
+        range: KeyRange,
+        /// The server that did not answer.
+        to: Incarnation,
+        /// The fence of the grant.
+        fence: Fence,
+        /// The server whose answer shows it.
+        by: Incarnation,
+    },
     /// A server refused a grant because it has seen a higher fence.
     Refused {
         /// The service that the range belongs to.
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -63,6 +63,7 @@
     pub(crate) service: Name,
     pub(crate) incarnation: Incarnation,
     pub(crate) range: KeyRange,
+    fence: Fence,
     pub(crate) grant_ms: u64,
     abandoned_at_ms: u64,
     /// The last time at which it may arrive.
@@ -110,6 +111,7 @@
         order: &PendingOrder,
         reply: &Reply,
         config: &Config,
+        outputs: &mut Vec<Output>,
     ) -> Vec<AbandonedGrant> {
         match reply {
             Reply::Done(_) | Reply::Fenced => {
@@ -129,6 +131,7 @@
                 service: order.service.clone(),
                 incarnation: order.incarnation.clone(),
                 range: grant.range,
+                fence: grant.fence,
                 grant_ms: grant.grant_ms,
                 abandoned_at_ms: now_ms,
                 last_arrival_ms: now_ms + config.max_transit_ms,
@@ -138,7 +141,16 @@
             let last_arrival_ms = now_ms + ARRIVAL_SLACK_MS;
             let sent = self.abandoned.iter_mut();
             for grant in sent.filter(|grant| grant.abandoned_at_ms < order.sent_at_ms) {
-                grant.last_arrival_ms = last_arrival_ms.min(grant.last_arrival_ms);
+                if last_arrival_ms < grant.last_arrival_ms {
+                    grant.last_arrival_ms = last_arrival_ms;
+                    outputs.push(Output::Log(LogEvent::RuledOut {
+                        service: grant.service.clone(),
+                        range: grant.range,
+                        to: grant.incarnation.clone(),
+                        fence: grant.fence,
+                        by: order.incarnation.clone(),
+                    }));
+                }
             }
         }
         self.abandoned.extract_if(.., |grant| grant.last_arrival_ms <= now_ms).collect()
