Reproduce two owners behind a link that is cut after a late grant

What callers see: two servers hold the same keys and both run requests for them. Evidence: platform/late_grants, four daemons with links of their own to the servers. The leader's link to one server is slow for 0.7 s and is then cut: what it took before arrives 1 or 2 s late, what comes after does not, resets too. Others answer. A link in the modes Silence and Hang now holds the ends of connections back as well as bytes; before, the server's connection was closed at once, which stopped the late grant. cut_daemons passes as before.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -226,6 +226,16 @@
         }
     }
 
+    /// Returns a daemon's own link to a server.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the daemon has no links of its own.
+    #[must_use]
+    pub fn server_link(&self, daemon: usize, server: usize) -> &Link {
+        &self.daemons[daemon].server_links[server]
+    }
+
     /// Resets a daemon's own connections to all servers.
     pub fn reset_server_links(&self, daemon: usize) {
         for link in &self.daemons[daemon].server_links {
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -17,9 +17,9 @@
 pub enum LinkMode {
     /// Passes bytes on.
     Pass,
-    /// Passes bytes on with a delay.
+    /// Passes bytes on with a delay, even if the connection is reset meanwhile.
     Delay,
-    /// Holds bytes back in both directions; connections stay open.
+    /// Holds bytes back in both directions, and the ends of connections too.
     Silence,
     /// Passes bytes to the target and holds back those from it.
     OneWay,
@@ -27,7 +27,7 @@
     Refuse,
     /// Refuses new connections; open ones go on.
     Closed,
-    /// Holds bytes back in both directions, and lets new connections hang.
+    /// Like [`LinkMode::Silence`], and lets new connections hang.
     Hang,
 }
 
@@ -39,6 +39,8 @@
     /// The mode, as an index into [`MODES`].
     mode: Arc<AtomicU8>,
     target_port: Arc<AtomicU64>,
+    /// How much later bytes arrive in [`LinkMode::Delay`].
+    delay_ms: Arc<AtomicU64>,
     /// The number of resets; each change resets all open connections.
     resets: watch::Sender<u64>,
 }
@@ -53,8 +55,8 @@
     LinkMode::Closed,
     LinkMode::Hang,
 ];
-/// How much later bytes arrive in [`LinkMode::Delay`].
-const DELAY: Duration = Duration::from_millis(60);
+/// How much later bytes arrive in [`LinkMode::Delay`] unless a delay is set.
+const DEFAULT_DELAY_MS: u64 = 60;
 /// More connections than a listener of the shortest queue takes.
 const QUEUED_CONNECTIONS: usize = 4;
 /// How often a link that holds bytes back checks its mode again.
@@ -73,9 +75,21 @@
         let address = listener.local_addr()?;
         let mode = Arc::new(AtomicU8::new(0));
         let target_port = Arc::new(AtomicU64::new(u64::from(target_port)));
+        let delay_ms = Arc::new(AtomicU64::new(DEFAULT_DELAY_MS));
         let (resets, reset) = watch::channel(0);
-        tokio::spawn(run(listener, Arc::clone(&mode), Arc::clone(&target_port), reset));
-        Ok(Self { address, mode, target_port, resets })
+        tokio::spawn(run(
+            listener,
+            Arc::clone(&mode),
+            Arc::clone(&target_port),
+            Arc::clone(&delay_ms),
+            reset,
+        ));
+        Ok(Self { address, mode, target_port, delay_ms, resets })
+    }
+
+    /// Sets how much later bytes arrive in [`LinkMode::Delay`].
+    pub fn set_delay_ms(&self, delay_ms: u64) {
+        self.delay_ms.store(delay_ms, Ordering::Relaxed);
     }
 
     /// Sets the mode, also for connections that are already open.
@@ -108,6 +122,7 @@
     listener: TcpListener,
     mode: Arc<AtomicU8>,
     target_port: Arc<AtomicU64>,
+    delay_ms: Arc<AtomicU64>,
     reset: watch::Receiver<u64>,
 ) {
     let Ok(address) = listener.local_addr() else { return };
@@ -133,7 +148,8 @@
         };
         let Ok(accepted) = timeout(MODE_CHECK_INTERVAL, open.accept()).await else { continue };
         let Ok((client, _)) = accepted else { return };
-        let (mode, mut reset) = (Arc::clone(&mode), reset.clone());
+        let (mode, delay_ms) = (Arc::clone(&mode), Arc::clone(&delay_ms));
+        let mut reset = reset.clone();
         let port = u16::try_from(target_port.load(Ordering::Relaxed)).unwrap_or(0);
         tokio::spawn(async move {
             // With a linger time of zero, closing the socket sends a reset, as a broken link would.
@@ -146,8 +162,8 @@
             let (client_read, client_write) = client.into_split();
             let (target_read, target_write) = target.into_split();
             tokio::select! {
-                () = copy(client_read, target_write, &mode, true) => {}
-                () = copy(target_read, client_write, &mode, false) => {}
+                () = copy(client_read, target_write, &mode, &delay_ms, true) => {}
+                () = copy(target_read, client_write, &mode, &delay_ms, false) => {}
                 _ = reset.changed() => {}
             }
         });
@@ -196,6 +212,7 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mode: &AtomicU8,
+    delay_ms: &AtomicU64,
     is_to_target: bool,
 ) {
     let mut buffer = vec![0; 16 << 10];
@@ -205,7 +222,7 @@
                 LinkMode::Pass | LinkMode::Refuse | LinkMode::Closed => break,
                 LinkMode::OneWay if is_to_target => break,
                 LinkMode::Delay => {
-                    sleep(DELAY).await;
+                    sleep(Duration::from_millis(delay_ms.load(Ordering::Relaxed))).await;
                     break;
                 }
                 LinkMode::Silence | LinkMode::OneWay | LinkMode::Hang => {
@@ -217,6 +234,9 @@
             break;
         }
     }
+    while matches!(current_mode(mode), LinkMode::Silence | LinkMode::Hang) {
+        sleep(MODE_CHECK_INTERVAL).await;
+    }
     // Gives the bytes already written time to arrive: returning drops the other direction too.
     drop(to.shutdown().await);
     sleep(MODE_CHECK_INTERVAL).await;
