Take only a server's own acceptance as proof that a late grant has no effect

What callers see: two servers hold the same keys and both run requests for them (OWNER). Cause: the leader gives an unanswered grant up after 0.5 s and waits up to 2 s for its arrival. Any server's answer to a later order ended that wait. It shows that the leader's link is clear, and nothing about the links after it. Class: what is inferred about one party from another's answer. A link that is cut now delivers what it took before in these schedules. Change: the wait ends when the server itself accepts a grant with a higher fence for these keys, since it then refuses the late one. A retry gets a new fence for that; a planned move waits for it; a server whose release is due is sent one short grant first. Else the wait lasts 2 s. Why it works: it rests on the server's fence check alone, not on the order in which links deliver.

--- a/crates/gateway/src/leader_tasks.rs
+++ b/crates/gateway/src/leader_tasks.rs
@@ -313,7 +313,7 @@
         LogEvent::RuledOut { service, range, to, fence, by } => {
             spdlog::info!(
                 "late grant ruled out",
-                kv: { service = service.as_str(), range: = range, to: = to, fence = fence.0, by: = by }
+                kv: { service = service.as_str(), range: = range, to: = to, fence = fence.0, by = by.0 }
             );
         }
         LogEvent::Refused { service, range, by, fence } => {
--- /dev/null
+++ b/crates/shard/src/abandoned.rs
@@ -0,0 +1,112 @@
+//! Grants that were given up unanswered and may still arrive.
+
+use document::Name;
+use registry::Incarnation;
+
+use crate::pass::PendingOrder;
+use crate::{Config, Fence, Grant, KeyRange};
+
+/// A grant that was given up unanswered.
+///
+/// Its connection was reset, but a busy link may deliver what it took before, up to
+/// [`Config::max_transit_ms`] later, and the reset may never arrive.
+#[derive(Clone, Debug)]
+pub(crate) struct AbandonedGrant {
+    pub(crate) service: Name,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) range: KeyRange,
+    pub(crate) fence: Fence,
+    grant_ms: u64,
+    /// The last time at which it may arrive.
+    last_arrival_ms: u64,
+}
+
+/// All grants that were given up and may still arrive.
+#[derive(Debug, Default)]
+pub(crate) struct AbandonedGrants(Vec<AbandonedGrant>);
+
+impl AbandonedGrant {
+    /// Returns the time until which the grant may be valid if it arrives as late as it can.
+    pub(crate) fn deadline_ms(&self, config: &Config) -> u64 {
+        config.grant_deadline_ms(self.last_arrival_ms, self.grant_ms)
+    }
+
+    fn may_reach(&self, incarnation: &Incarnation, range: KeyRange) -> bool {
+        // A grant reaches the incarnation of the server that runs when it arrives.
+        self.incarnation.server == incarnation.server && self.range.overlaps(range)
+    }
+}
+
+impl AbandonedGrants {
+    pub(crate) fn add(
+        &mut self,
+        now_ms: u64,
+        order: &PendingOrder,
+        grant: &Grant,
+        config: &Config,
+    ) {
+        self.0.push(AbandonedGrant {
+            service: order.service.clone(),
+            incarnation: order.incarnation.clone(),
+            range: grant.range,
+            fence: grant.fence,
+            grant_ms: grant.grant_ms,
+            last_arrival_ms: now_ms + config.max_transit_ms,
+        });
+    }
+
+    /// Removes and returns the grants that no longer arrive.
+    pub(crate) fn remove_late(&mut self, now_ms: u64) -> Vec<AbandonedGrant> {
+        self.0.extract_if(.., |grant| grant.last_arrival_ms <= now_ms).collect()
+    }
+
+    /// Removes and returns the grants that a server refuses because it has accepted a later one,
+    /// as if they had arrived just now.
+    ///
+    /// Nothing else shows that a grant cannot take effect: the answer of another server tells
+    /// nothing about the links in between, and orders may overtake each other.
+    pub(crate) fn remove_fenced(
+        &mut self,
+        now_ms: u64,
+        incarnation: &Incarnation,
+        accepted: &Grant,
+    ) -> Vec<AbandonedGrant> {
+        let is_fenced = |grant: &AbandonedGrant| {
+            grant.may_reach(incarnation, accepted.range)
+                && grant.incarnation.born_ms <= incarnation.born_ms
+                && grant.fence < accepted.fence
+        };
+        let fenced: Vec<AbandonedGrant> = self.0.extract_if(.., |grant| is_fenced(grant)).collect();
+        for grant in &fenced {
+            let rest = grant.range.without(accepted.range).into_iter();
+            self.0.extend(rest.map(|range| AbandonedGrant { range, ..grant.clone() }));
+        }
+        let to_arrived = |grant: AbandonedGrant| AbandonedGrant {
+            range: grant.range.intersection(accepted.range).unwrap_or(grant.range),
+            last_arrival_ms: now_ms,
+            ..grant
+        };
+        fenced.into_iter().map(to_arrived).collect()
+    }
+
+    /// Returns whether a grant to a server may still arrive.
+    pub(crate) fn may_arrive(&self, incarnation: &Incarnation, range: KeyRange) -> bool {
+        self.0.iter().any(|grant| grant.may_reach(incarnation, range))
+    }
+
+    /// Returns the times until which grants to a server may be valid.
+    pub(crate) fn deadlines_ms(
+        &self,
+        incarnation: &Incarnation,
+        range: KeyRange,
+        config: &Config,
+    ) -> impl Iterator<Item = u64> {
+        let reaching = self.0.iter().filter(move |grant| grant.may_reach(incarnation, range));
+        reaching.map(|grant| grant.deadline_ms(config))
+    }
+
+    /// Returns the times until which grants to any server may be valid.
+    pub(crate) fn all_deadlines_ms(&self, config: &Config) -> impl Iterator<Item = u64> {
+        self.0.iter().map(|grant| grant.deadline_ms(config))
+    }
+}
--- a/crates/shard/src/answers.rs
+++ b/crates/shard/src/answers.rs
@@ -2,9 +2,10 @@
 
 use registry::Incarnation;
 
+use crate::abandoned::AbandonedGrant;
 use crate::assignment::Assignment;
 use crate::order::LogEvent;
-use crate::pass::{AbandonedGrant, PendingOrder};
+use crate::pass::PendingOrder;
 use crate::{Config, Grant, OrderKind, Output, Release, Reply};
 
 /// Backoff before an order that failed is sent again; for grants it grows with each failure.
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -2,6 +2,7 @@
 
 use registry::Incarnation;
 
+use crate::answers::ORDER_BACKOFF_MS;
 use crate::pass::{FenceCounter, NextGrant, PassContext};
 use crate::policy::{Candidate, position};
 use crate::range_state::{Holder, NextStep, PreviousHolder, RangeState};
@@ -310,7 +311,12 @@
             let may_hold = state.holder.as_ref().is_some_and(|holder| {
                 pass.may_hold(&holder.incarnation, state.range, holder.grant_deadline_ms)
             });
-            match state.next_step(pass.now_ms, may_hold, self.durable_record) {
+            let is_fencing = state.holder.as_ref().is_some_and(|holder| {
+                holder.failures < pass.config.max_failures
+                    && pass.orders.failures(&holder.incarnation) < pass.config.max_failures
+                    && pass.may_abandoned_grant_arrive(&holder.incarnation, state.range)
+            });
+            match state.next_step(pass.now_ms, may_hold, is_fencing, self.durable_record) {
                 NextStep::Wait => {}
                 NextStep::Expire => {
                     self.is_changed = true;
@@ -412,12 +418,16 @@
 fn release_previous_holders(state: &mut RangeState, pass: &mut PassContext<'_>) -> bool {
     let range = state.range;
     let before = state.previous_holders.len();
+    let is_only_holder = state.holder.is_none() && before == 1;
     state.previous_holders.retain_mut(|previous| {
         if !pass.may_hold(&previous.incarnation, range, previous.grant_deadline_ms) {
             pass.log_expiry(range, &previous.incarnation);
             return false;
         }
         let is_due = previous.release_at_ms.is_some_and(|at_ms| pass.now_ms >= at_ms);
+        if is_due && is_only_holder {
+            fence_abandoned_grants(previous, range, pass);
+        }
         // A grant that arrives after the release would be taken again: a server may count only
         // grants' fences as seen.
         if is_due && !pass.may_grant_arrive(&previous.incarnation, range) {
@@ -432,6 +442,30 @@
     state.previous_holders.len() != before
 }
 
+/// Sends a previous holder a short grant that rules out those that were given up, so that the
+/// release need not wait until they can no longer arrive.
+fn fence_abandoned_grants(
+    previous: &mut PreviousHolder,
+    range: KeyRange,
+    pass: &mut PassContext<'_>,
+) {
+    let incarnation = &previous.incarnation;
+    let config = pass.config;
+    let last_arrival_ms = pass.now_ms + config.order_timeout_ms + config.max_transit_ms;
+    let deadline_ms = config.grant_deadline_ms(last_arrival_ms, config.short_grant_ms);
+    let known_deadline_ms = pass.grant_deadline_ms(incarnation, range, previous.grant_deadline_ms);
+    if !pass.may_abandoned_grant_arrive(incarnation, range)
+        || pass.orders.is_silent(incarnation)
+        || deadline_ms > known_deadline_ms
+    {
+        return;
+    }
+    previous.release_at_ms = Some(pass.now_ms + ORDER_BACKOFF_MS);
+    let fence = pass.fences.next();
+    let grant = Grant { range, fence, grant_ms: config.short_grant_ms, handover: None };
+    pass.send_grant(&incarnation.clone(), grant);
+}
+
 fn expire_holder(state: &mut RangeState, pass: &mut PassContext<'_>) {
     let Some(holder) = state.holder.take() else { return };
     state.handover = None;
@@ -453,7 +487,8 @@
     if next == NextGrant::Wait {
         return;
     }
-    if holder.refusals > 0 {
+    // Once the server accepts a higher fence, it refuses a grant that was given up.
+    if holder.refusals > 0 || pass.may_abandoned_grant_arrive(&holder.incarnation, range) {
         holder.renew_fence(pass.fences.next());
     }
     holder.renew_at_ms = pass.now_ms + pass.config.renew_interval_ms;
--- a/crates/shard/src/config.rs
+++ b/crates/shard/src/config.rs
@@ -83,4 +83,4 @@
 /// Clocks of servers may be slow by 1/50 of the time, that is two percent.
 const CLOCK_DRIFT_DIVISOR: u64 = 50;
 /// Allowance for timers that fire late and bytes in transit.
-pub(crate) const ARRIVAL_SLACK_MS: u64 = 50;
+const ARRIVAL_SLACK_MS: u64 = 50;
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -42,6 +42,7 @@
 //! assert!(Fence::first(Epoch(8)) > Fence::first(Epoch(7)).next().next());
 //! ```
 
+mod abandoned;
 mod answers;
 mod assignment;
 mod config;
--- a/crates/shard/src/order.rs
+++ b/crates/shard/src/order.rs
@@ -206,7 +206,7 @@
         /// How long the answer was waited for.
         waited_ms: u64,
     },
-    /// An answer shows that a grant that was given up cannot take effect any more.
+    /// A server accepted a later grant, so one that was given up cannot take effect any more.
     RuledOut {
         /// The service that the range belongs to.
         service: Name,
@@ -214,10 +214,10 @@
         range: KeyRange,
         /// The server that did not answer.
         to: Incarnation,
-        /// The fence of the grant.
+        /// The fence of the grant that was given up.
         fence: Fence,
-        /// The server whose answer shows it.
-        by: Incarnation,
+        /// The fence of the accepted grant.
+        by: Fence,
     },
     /// A server refused a grant because it has seen a higher fence.
     Refused {
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -6,8 +6,8 @@
 use document::{HashMap, Name};
 use registry::{Incarnation, Registration, Registry};
 
+use crate::abandoned::{AbandonedGrant, AbandonedGrants};
 use crate::answers::ORDER_BACKOFF_MS;
-use crate::config::ARRIVAL_SLACK_MS;
 use crate::order::LogEvent;
 use crate::policy::Candidate;
 use crate::{Config, Epoch, Fence, Grant, KeyRange, OrderId, OrderKind, Output, Release, Reply};
@@ -30,8 +30,7 @@
 pub(crate) struct OrderTracker {
     last_id: u64,
     pending: HashMap<OrderId, PendingOrder>,
-    /// Grants that were given up unanswered and may still be on their way.
-    abandoned: Vec<AbandonedGrant>,
+    abandoned: AbandonedGrants,
     /// Servers that did not answer their last order, with the time of their next probe.
     ///
     /// They get no more ranges until they answer, unless all servers are silent. A registered
@@ -55,23 +54,6 @@
     deadline_ms: u64,
 }
 
-/// A grant that was given up unanswered.
-///
-/// Its connection was reset, but on a busy link the reset waits behind the grant, which may
-/// arrive seconds later. The answer to an order that was sent after the reset shows that the
-/// link has sent both.
-#[derive(Clone, Debug)]
-pub(crate) struct AbandonedGrant {
-    pub(crate) service: Name,
-    pub(crate) incarnation: Incarnation,
-    pub(crate) range: KeyRange,
-    fence: Fence,
-    pub(crate) grant_ms: u64,
-    abandoned_at_ms: u64,
-    /// The last time at which it may arrive.
-    last_arrival_ms: u64,
-}
-
 /// What the grants to a server show of the way to it.
 #[derive(Clone, Copy, Debug, Default)]
 struct Contact {
@@ -133,8 +115,7 @@
 
     /// Records whether a server answers orders.
     ///
-    /// Returns the abandoned grants that can no longer arrive, which an answer shows of those
-    /// abandoned before its order was sent.
+    /// Returns the abandoned grants that can no longer take effect from now on.
     pub(crate) fn on_reply(
         &mut self,
         now_ms: u64,
@@ -157,34 +138,27 @@
         } else {
             self.majority_silent_since_ms = None;
         }
-        if let (Reply::Unknown, OrderKind::Grant(grant)) = (reply, &order.kind) {
-            self.abandoned.push(AbandonedGrant {
-                service: order.service.clone(),
-                incarnation: order.incarnation.clone(),
-                range: grant.range,
-                fence: grant.fence,
-                grant_ms: grant.grant_ms,
-                abandoned_at_ms: now_ms,
-                last_arrival_ms: now_ms + config.max_transit_ms,
-            });
-        }
-        if matches!(reply, Reply::Done(_) | Reply::Fenced) {
-            let last_arrival_ms = now_ms + ARRIVAL_SLACK_MS;
-            let sent = self.abandoned.iter_mut();
-            for grant in sent.filter(|grant| grant.abandoned_at_ms < order.sent_at_ms) {
-                if last_arrival_ms < grant.last_arrival_ms {
-                    grant.last_arrival_ms = last_arrival_ms;
-                    outputs.push(Output::Log(LogEvent::RuledOut {
-                        service: grant.service.clone(),
-                        range: grant.range,
-                        to: grant.incarnation.clone(),
-                        fence: grant.fence,
-                        by: order.incarnation.clone(),
-                    }));
-                }
+        let mut ended = self.abandoned.remove_late(now_ms);
+        match (reply, &order.kind) {
+            (Reply::Unknown, OrderKind::Grant(grant)) => {
+                self.abandoned.add(now_ms, order, grant, config);
             }
+            (Reply::Done(_), OrderKind::Grant(grant)) => {
+                let fenced = self.abandoned.remove_fenced(now_ms, &order.incarnation, grant);
+                outputs.extend(fenced.iter().map(|late| {
+                    Output::Log(LogEvent::RuledOut {
+                        service: late.service.clone(),
+                        range: late.range,
+                        to: late.incarnation.clone(),
+                        fence: late.fence,
+                        by: grant.fence,
+                    })
+                }));
+                ended.extend(fenced);
+            }
+            _ => {}
         }
-        self.abandoned.extract_if(.., |grant| grant.last_arrival_ms <= now_ms).collect()
+        ended
     }
 
     fn update_contact(&mut self, now_ms: u64, order: &PendingOrder, reply: &Reply) {
@@ -288,7 +262,7 @@
 
     /// Returns the time until which unanswered grants to any server may be valid; 0 if none.
     pub(crate) fn grants_deadline_ms(&self, config: &Config) -> u64 {
-        let abandoned = self.abandoned.iter().map(|grant| grant.deadline_ms(config));
+        let abandoned = self.abandoned.all_deadlines_ms(config);
         let pending = self.pending.values().filter_map(|order| match &order.kind {
             OrderKind::Grant(grant) => {
                 let arrived_at_ms = order.deadline_ms + config.max_transit_ms;
@@ -308,10 +282,7 @@
         range: KeyRange,
         config: &Config,
     ) -> u64 {
-        let abandoned = self.abandoned.iter().filter(|grant| {
-            grant.incarnation.server == incarnation.server && grant.range.overlaps(range)
-        });
-        let abandoned = abandoned.map(|grant| grant.deadline_ms(config));
+        let abandoned = self.abandoned.deadlines_ms(incarnation, range, config);
         let pending = self.pending.values().filter_map(|order| match &order.kind {
             OrderKind::Grant(grant)
                 if order.incarnation.server == incarnation.server
@@ -325,13 +296,6 @@
     }
 }
 
-impl AbandonedGrant {
-    /// Returns the time until which the grant may be valid if it arrives as late as it can.
-    pub(crate) fn deadline_ms(&self, config: &Config) -> u64 {
-        config.grant_deadline_ms(self.last_arrival_ms, self.grant_ms)
-    }
-}
-
 impl PendingOrder {
     pub(crate) fn new(
         service: &Name,
@@ -434,6 +398,15 @@
             && !self.may_grant_arrive(incarnation, range)
     }
 
+    /// Returns whether a grant to a server that was given up may still arrive.
+    pub(crate) fn may_abandoned_grant_arrive(
+        &self,
+        incarnation: &Incarnation,
+        range: KeyRange,
+    ) -> bool {
+        self.orders.abandoned.may_arrive(incarnation, range)
+    }
+
     /// Returns whether a grant to a server that was not answered may still arrive.
     pub(crate) fn may_grant_arrive(&self, incarnation: &Incarnation, range: KeyRange) -> bool {
         self.orders.pending_grant_deadline_ms(incarnation, range, self.config) > 0
--- a/crates/shard/src/range.rs
+++ b/crates/shard/src/range.rs
@@ -54,6 +54,12 @@
         self.from <= other.to && other.from <= self.to
     }
 
+    /// Returns the keys that are in both ranges; `None` if there are none.
+    #[must_use]
+    pub fn intersection(self, other: Self) -> Option<Self> {
+        Self::new(self.from.max(other.from), self.to.min(other.to))
+    }
+
     /// Splits the range before a key; `None` if one of the parts would be empty.
     #[must_use]
     pub fn split_at(self, key: u16) -> Option<(Self, Self)> {
--- a/crates/shard/src/range_state.rs
+++ b/crates/shard/src/range_state.rs
@@ -82,12 +82,17 @@
     /// Returns the next action.
     ///
     /// `may_hold` tells whether a grant of the holder may be valid, including grants that
-    /// are not answered yet; `durable_record` is the number of the last durable record.
-    pub(crate) fn next_step(&self, now_ms: u64, may_hold: bool, durable_record: u64) -> NextStep {
-        let may_move = self
-            .successor
-            .as_ref()
-            .is_some_and(|successor| durable_record >= successor.record_number);
+    /// are not answered yet; `is_fencing` whether the holder is first to accept a grant that
+    /// rules out one that was given up; `durable_record` is the number of the last durable record.
+    pub(crate) fn next_step(
+        &self,
+        now_ms: u64,
+        may_hold: bool,
+        is_fencing: bool,
+        durable_record: u64,
+    ) -> NextStep {
+        let is_recorded = |successor: &Successor| durable_record >= successor.record_number;
+        let may_move = !is_fencing && self.successor.as_ref().is_some_and(is_recorded);
         match &self.holder {
             None if may_move && self.previous_holders.is_empty() => NextStep::GrantToSuccessor,
             Some(holder) if !may_hold && !holder.awaits_first_result() => NextStep::Expire,
--- a/crates/shard/tests/random_moves.rs
+++ b/crates/shard/tests/random_moves.rs
@@ -64,6 +64,7 @@
     stop_leader: 0,
     stop_store: 0,
     slow_link: 0,
+    slow_server: 0,
 };
 
 #[test]
@@ -86,6 +87,21 @@
     assert_schedules(Faults { slow_link: 40, cut: 20, ..ONLY_DRAINS });
 }
 
+#[test]
+fn slow_servers() {
+    assert_schedules(Faults { slow_server: 60, cut: 30, ..ONLY_DRAINS });
+}
+
+#[test]
+fn slow_servers_and_restarts() {
+    assert_schedules(Faults { slow_server: 60, cut: 20, crash: 20, ..ONLY_DRAINS });
+}
+
+#[test]
+fn slow_servers_and_lost_leaders() {
+    assert_schedules(Faults { slow_server: 60, cut: 20, stop_leader: 20, ..ONLY_DRAINS });
+}
+
 const ALL_FAULTS: Faults = Faults {
     lose_message: 40,
     apply_late: 40,
@@ -95,6 +111,7 @@
     stop_leader: 15,
     stop_store: 15,
     slow_link: 0,
+    slow_server: 0,
 };
 
 #[test]
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -35,11 +35,35 @@
 /// A message that was not delivered yet.
 #[derive(Debug)]
 enum Message {
-    Order { leader: usize, id: OrderId, server: Name, kind: OrderKind, deadline_ms: u64 },
-    Reply { leader: usize, id: OrderId, reply: Reply },
-    Write { leader: usize, epoch: Epoch, record: Record, is_answered: bool },
-    Written { leader: usize, number: u64, is_done: bool },
-    LeaseRenewed { leader: usize, sent_at_ms: u64 },
+    Order {
+        leader: usize,
+        id: OrderId,
+        server: Name,
+        kind: OrderKind,
+        deadline_ms: u64,
+        /// Whether the server was cut off already when the order was sent.
+        is_cut: bool,
+    },
+    Reply {
+        leader: usize,
+        id: OrderId,
+        reply: Reply,
+    },
+    Write {
+        leader: usize,
+        epoch: Epoch,
+        record: Record,
+        is_answered: bool,
+    },
+    Written {
+        leader: usize,
+        number: u64,
+        is_done: bool,
+    },
+    LeaseRenewed {
+        leader: usize,
+        sent_at_ms: u64,
+    },
 }
 
 /// Probabilities of faults, per thousand.
@@ -54,6 +78,8 @@
     pub stop_store: u32,
     /// Messages queue on the leader's link for longer than an order is waited for.
     pub slow_link: u32,
+    /// Messages to one server queue for longer than an order is waited for.
+    pub slow_server: u32,
 }
 
 /// The cluster of one run.
@@ -134,6 +160,7 @@
             stop_leader: 0,
             stop_store: 0,
             slow_link: 0,
+            slow_server: 0,
         };
         for server in self.servers.values_mut() {
             server.is_cut = false;
@@ -271,6 +298,12 @@
             self.link_free_at_ms = self.link_free_at_ms.max(free_at_ms);
             self.log(&format!("the link is busy until {}", self.link_free_at_ms));
         }
+        if faults.slow_server > 0 && self.occurs(faults.slow_server) {
+            let free_at_ms = self.now_ms + self.random.random_range(600..1_800);
+            let server = self.servers.get_mut(&name).expect("a server");
+            server.link_free_at_ms = server.link_free_at_ms.max(free_at_ms);
+            self.log(&format!("the link to {name} is busy until {free_at_ms}"));
+        }
         if self.is_loaded
             && let Some(Some(leader)) = self.leaders.last_mut()
             && let Some(load) = leader.load_mut(SERVICE)
@@ -290,6 +323,7 @@
             is_cut: server.is_cut,
             is_draining: server.is_draining,
             address: server.address,
+            link_free_at_ms: server.link_free_at_ms,
             ..Server::default()
         };
         self.log(&format!("{name} starts again"));
@@ -360,8 +394,12 @@
             match output {
                 Output::Order { id, server, kind, deadline_ms } => {
                     let server = server.incarnation.server.clone();
-                    let order = Message::Order { leader: index, id, server, kind, deadline_ms };
-                    let queued_ms = self.link_free_at_ms.saturating_sub(self.now_ms);
+                    let target = &self.servers[&server];
+                    let is_cut = target.is_cut;
+                    let free_at_ms = self.link_free_at_ms.max(target.link_free_at_ms);
+                    let queued_ms = free_at_ms.saturating_sub(self.now_ms);
+                    let order =
+                        Message::Order { leader: index, id, server, kind, deadline_ms, is_cut };
                     let delay_ms = queued_ms + self.random.random_range(0..15);
                     if self.now_ms + delay_ms > deadline_ms {
                         // The connection is reset, but the reset waits behind the order.
@@ -403,7 +441,12 @@
                 return;
             }
             match entry.remove() {
-                Message::Order { leader, id, server, kind, deadline_ms } => {
+                Message::Order { kind, server, deadline_ms, is_cut, .. }
+                    if self.now_ms > deadline_ms =>
+                {
+                    self.on_abandoned_order(&server, &kind, is_cut);
+                }
+                Message::Order { leader, id, server, kind, deadline_ms, .. } => {
                     self.on_order(leader, id, &server, &kind, deadline_ms);
                 }
                 Message::Reply { leader, id, reply } => {
@@ -455,9 +498,6 @@
         kind: &OrderKind,
         deadline_ms: u64,
     ) {
-        if self.now_ms > deadline_ms {
-            return self.on_abandoned_order(name, kind);
-        }
         let timeout_ms = deadline_ms - self.now_ms;
         let is_lost = self.occurs(self.faults.lose_message);
         let is_late = self.occurs(self.faults.apply_late);
@@ -490,10 +530,12 @@
     }
 
     /// Carries out an order that was still on its way when the leader stopped waiting for it.
-    fn on_abandoned_order(&mut self, name: &Name, kind: &OrderKind) {
+    ///
+    /// A link that is cut delivers what it took before.
+    fn on_abandoned_order(&mut self, name: &Name, kind: &OrderKind, was_cut: bool) {
         let now_ms = self.now_ms;
         let server = self.servers.get_mut(name).expect("servers are never removed");
-        if server.is_running && !server.is_cut {
+        if server.is_running && !was_cut {
             apply(server, kind, now_ms, now_ms);
         }
     }
--- a/crates/shard/tests/world/server.rs
+++ b/crates/shard/tests/world/server.rs
@@ -16,6 +16,8 @@
     /// Whether no order reaches it.
     pub(super) is_cut: bool,
     pub(super) is_draining: bool,
+    /// When the messages that wait on the link to the server have been sent.
+    pub(super) link_free_at_ms: u64,
     pub(super) held: Vec<Held>,
     /// The ranges and fences of all grants accepted so far.
     pub(super) seen_fences: Vec<(KeyRange, Fence)>,
@@ -29,6 +31,7 @@
             is_running: false,
             is_cut: false,
             is_draining: false,
+            link_free_at_ms: 0,
             held: Vec::new(),
             seen_fences: Vec::new(),
         }
