Wait for unknown grants when a record cannot be read

What callers would see: two servers hold the same keys for up to 10 s after a change of the leader. Cause: a record that cannot be read, as that of a later version, was left out of an election, so all keys of its service counted as free. Class: what a missing entry says about servers. Found by reading. Change: the service is assigned only when all grants of earlier leaders have expired, or as soon as the resignation of the last one allows.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -188,7 +188,7 @@
     }
 }
 
-/// Lists the records of all services; invalid ones are logged and left out.
+/// Lists the records of all services and logs those that cannot be read.
 pub(crate) async fn list_records<S: Store>(
     store: &S,
     counters: &Counters,
@@ -200,7 +200,7 @@
         if record.is_none() {
             spdlog::error!("invalid record in the store", kv: { service = service.as_str(), revision = entry.revision.0 });
         }
-        Some(StoredRecord { service, revision: entry.revision, record: record? })
+        Some(StoredRecord { service, revision: entry.revision, record })
     });
     Ok(records.collect())
 }
--- a/crates/gateway/src/input.rs
+++ b/crates/gateway/src/input.rs
@@ -87,7 +87,8 @@
 pub(crate) struct StoredRecord {
     pub(crate) service: Name,
     pub(crate) revision: Revision,
-    pub(crate) record: Record,
+    /// The record; `None` if it cannot be read.
+    pub(crate) record: Option<Record>,
 }
 
 /// The outcome of writing a record.
--- a/crates/gateway/src/leader_tasks.rs
+++ b/crates/gateway/src/leader_tasks.rs
@@ -41,9 +41,15 @@
         };
         let revisions =
             records.iter().map(|stored| (stored.service.clone(), stored.revision)).collect();
+        let (readable, unreadable): (Vec<_>, Vec<_>) =
+            records.into_iter().partition(|stored| stored.record.is_some());
+        let readable = readable.into_iter();
         let records: Vec<(Name, Record)> =
-            records.into_iter().map(|stored| (stored.service, stored.record)).collect();
+            readable.filter_map(|stored| Some((stored.service, stored.record?))).collect();
         let mut leader = Leader::new(epoch, now_ms, authority_deadline_ms, &records, config);
+        for stored in unreadable {
+            leader.add_unknown_service(now_ms, &stored.service);
+        }
         if let Some(resigned) = resigned {
             leader.limit_earlier_grants(resigned.grants_deadline_ms);
         }
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -119,7 +119,8 @@
         // Changes that the leader publishes do not apply to these tables.
         self.tables_version = None;
         for stored in records {
-            let spans = stored.record.ranges.into_iter();
+            let Some(record) = stored.record else { continue };
+            let spans = record.ranges.into_iter();
             let spans = spans.map(|recorded| Span {
                 range: recorded.range,
                 owner: Owner::Server(recorded.owner),
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -38,6 +38,8 @@
     pub(crate) balance_log_at_ms: u64,
     /// Whether the record may name previous holders that hold nothing any more.
     has_obsolete_holders: bool,
+    /// The time until which grants to servers that no record names may be valid.
+    unknown_grants_deadline_ms: u64,
 }
 
 /// Backoff after a record could not be written.
@@ -61,6 +63,15 @@
             registry_version: None,
             balance_log_at_ms: 0,
             has_obsolete_holders: false,
+            unknown_grants_deadline_ms: 0,
+        }
+    }
+
+    /// Creates an assignment in which any server may hold any key.
+    pub(crate) fn unknown(now_ms: u64, config: &Config) -> Self {
+        Self {
+            unknown_grants_deadline_ms: earlier_grants_deadline_ms(now_ms, config),
+            ..Self::new()
         }
     }
 
@@ -75,9 +86,7 @@
         fences: &mut FenceCounter,
         config: &Config,
     ) -> Self {
-        // The earlier leader's last grants may not have arrived yet.
-        let arrived_at_ms = now_ms + config.order_timeout_ms + config.max_transit_ms;
-        let grant_deadline_ms = config.grant_deadline_ms(arrived_at_ms, config.max_grant_ms);
+        let grant_deadline_ms = earlier_grants_deadline_ms(now_ms, config);
         let to_previous_holder = |incarnation: &Incarnation| PreviousHolder {
             incarnation: incarnation.clone(),
             grant_deadline_ms,
@@ -100,11 +109,13 @@
         for grant_deadline_ms in self.ranges.iter_mut().flat_map(RangeState::grant_deadlines_mut) {
             *grant_deadline_ms = deadline_ms.min(*grant_deadline_ms);
         }
+        self.unknown_grants_deadline_ms = deadline_ms.min(self.unknown_grants_deadline_ms);
     }
 
     /// Returns the time until which answered grants may be valid.
     pub(crate) fn grants_deadline_ms(&self) -> u64 {
-        self.ranges.iter().map(RangeState::grants_deadline_ms).max().unwrap_or(0)
+        let known_ms = self.ranges.iter().map(RangeState::grants_deadline_ms).max().unwrap_or(0);
+        known_ms.max(self.unknown_grants_deadline_ms)
     }
 
     /// Returns whether new owners have to be published or orders may have become due.
@@ -211,7 +222,9 @@
         if self.server_count.0 != servers {
             self.server_count = (servers, pass.now_ms);
         }
-        !is_first || (servers > 0 && pass.now_ms >= self.server_count.1 + pass.config.settle_ms)
+        let ready_at_ms = self.server_count.1 + pass.config.settle_ms;
+        !is_first
+            || (servers > 0 && pass.now_ms >= ready_at_ms.max(self.unknown_grants_deadline_ms))
     }
 
     /// Probes silent servers with an order, to find out whether they answer again.
@@ -412,6 +425,13 @@
     }
 }
 
+/// Returns the time until which grants of earlier leaders may be valid.
+fn earlier_grants_deadline_ms(now_ms: u64, config: &Config) -> u64 {
+    // The last grants may not have arrived yet.
+    let arrived_at_ms = now_ms + config.order_timeout_ms + config.max_transit_ms;
+    config.grant_deadline_ms(arrived_at_ms, config.max_grant_ms)
+}
+
 /// Sends due releases to previous holders and drops those whose grants have expired.
 ///
 /// Returns whether one was dropped.
--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -65,6 +65,14 @@
         }
     }
 
+    /// Starts to assign the keys of a service whose record cannot be read.
+    ///
+    /// Any server may hold any of its keys until all grants of earlier leaders have expired.
+    pub fn add_unknown_service(&mut self, now_ms: u64, service: &Name) {
+        let assignment = Assignment::unknown(now_ms, &self.config);
+        self.assignments.insert(service.clone(), assignment);
+    }
+
     /// Limits how long grants of earlier leaders count as valid, from what their last one told.
     pub fn limit_earlier_grants(&mut self, deadline_ms: u64) {
         for assignment in self.assignments.values_mut() {
