Tell answers to orders of an earlier term from those of this one

What callers would see: two servers hold the same keys, or keys without an owner, after a daemon resigned and was elected again within the time of an order. Cause: orders were numbered from 1 in each term, and an answer named the number alone. The tasks that wait for answers outlive the term, so an answer to order 7 of the earlier term counted for order 7 of the new one: a release as done, or a grant as never sent. Class: what is inferred about one party from another's answer. Change: the identifier of an order contains the epoch. Test: shard/earlier_terms failed before (the answer made the new grant count as accepted). Ruled out: ending the tasks with the term, as the outcome of an order under way has to be waited for.

--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -57,7 +57,7 @@
             fences,
             authority_deadline_ms,
             assignments,
-            orders: OrderTracker::default(),
+            orders: OrderTracker::new(epoch),
             config,
             store_answers: true,
             balance_at_ms: 0,
--- a/crates/shard/src/order.rs
+++ b/crates/shard/src/order.rs
@@ -5,11 +5,18 @@
 use document::Name;
 use registry::{Incarnation, Registration};
 
-use crate::{Fence, KeyRange, Record};
+use crate::{Epoch, Fence, KeyRange, Record};
 
 /// Identifies an order, so that its answer can refer to it.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct OrderId(pub u64);
+pub struct OrderId {
+    /// The epoch of the leader that sent the order.
+    ///
+    /// A daemon may lead again while orders of its earlier term have no answer yet.
+    pub epoch: Epoch,
+    /// The number of the order within the epoch.
+    pub number: u64,
+}
 
 /// An opaque token by which the next holder of a range can take over cached state.
 pub type Handover = Arc<str>;
@@ -21,7 +28,7 @@
     pub range: KeyRange,
     /// The fence of the grant.
     ///
-    /// Renewals keep it, except after a refusal or a merge of ranges.
+    /// Renewals keep it, except after a refusal, a merge of ranges, or a grant that was given up.
     pub fence: Fence,
     /// Length of the grant, counted from its arrival.
     pub grant_ms: u64,
@@ -56,7 +63,7 @@
     Fenced,
     /// The order never reached the server.
     NotSent,
-    /// The order may have been carried out; if it was not, the server will not get it any more.
+    /// The order may have been carried out, or may still arrive.
     Unknown,
 }
 
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -26,9 +26,10 @@
 pub(crate) struct FenceCounter(Fence);
 
 /// The unanswered orders, and which servers answer orders.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct OrderTracker {
-    last_id: u64,
+    epoch: Epoch,
+    last_number: u64,
     pending: HashMap<OrderId, PendingOrder>,
     abandoned: AbandonedGrants,
     /// Servers that did not answer their last order, with the time of their next probe.
@@ -103,9 +104,22 @@
 }
 
 impl OrderTracker {
+    pub(crate) fn new(epoch: Epoch) -> Self {
+        Self {
+            epoch,
+            last_number: 0,
+            pending: HashMap::default(),
+            abandoned: AbandonedGrants::default(),
+            silent: HashMap::default(),
+            contacts: HashMap::default(),
+            majority_silent_since_ms: None,
+            servers: HashMap::default(),
+        }
+    }
+
     pub(crate) fn add(&mut self, order: PendingOrder) -> OrderId {
-        self.last_id += 1;
-        let id = OrderId(self.last_id);
+        self.last_number += 1;
+        let id = OrderId { epoch: self.epoch, number: self.last_number };
         if matches!(order.kind, OrderKind::Grant(_)) {
             self.contacts.entry(order.incarnation.clone()).or_default().pending += 1;
         }
--- /dev/null
+++ b/crates/shard/tests/earlier_terms.rs
@@ -0,0 +1,49 @@
+//! Guards against answers to orders of an earlier term of the same daemon, which arrive while it
+//! leads again.
+mod fixture;
+
+use crate::fixture::{SERVICE, TICK_MS, registry};
+use document::HashMap;
+use shard::{Config, Epoch, Event, Leader, OrderId, OrderKind, Output, Owner, Reply, Servers};
+
+/// Runs a new leader until its first grant; returns the leader and the identifier of the grant.
+fn lead(epoch: Epoch) -> (Leader, OrderId, u64) {
+    let registry = registry(["s1"].map(String::from));
+    let speeds = HashMap::default();
+    let servers = Servers { registry: &registry, speeds: &speeds };
+    let mut leader = Leader::new(epoch, 0, u64::MAX, &[], Config::default());
+    leader.add_service(&SERVICE.into());
+    for tick in 1..200 {
+        let now_ms = tick * TICK_MS;
+        let mut outputs = leader.step(now_ms, servers, Event::Tick);
+        while let Some(output) = outputs.pop() {
+            match output {
+                Output::Order { id, kind: OrderKind::Grant(_), .. } => return (leader, id, now_ms),
+                Output::Write { service, record } => {
+                    let written = Event::RecordWritten { service, number: record.number };
+                    outputs.extend(leader.step(now_ms, servers, written));
+                }
+                _ => {}
+            }
+        }
+    }
+    panic!("no grant within {} ms", 200 * TICK_MS);
+}
+
+/// Returns whether the first grant counts as accepted after an answer to an order.
+fn is_accepted(leader: &mut Leader, id: OrderId, now_ms: u64) -> bool {
+    let registry = registry(["s1"].map(String::from));
+    let speeds = HashMap::default();
+    let servers = Servers { registry: &registry, speeds: &speeds };
+    leader.step(now_ms, servers, Event::Answered(id, Reply::Done(None)));
+    let table = leader.table(SERVICE, now_ms).expect("an assignment");
+    table.spans.iter().all(|span| matches!(span.owner, Owner::Server(_)))
+}
+
+#[test]
+fn answers_of_an_earlier_term_are_ignored() {
+    let (_, earlier_id, _) = lead(Epoch(5));
+    let (mut leader, id, now_ms) = lead(Epoch(9));
+    assert!(!is_accepted(&mut leader, earlier_id, now_ms), "the answer was to an earlier order");
+    assert!(is_accepted(&mut leader, id, now_ms));
+}
--- a/crates/shard/tests/large_fleet.rs
+++ b/crates/shard/tests/large_fleet.rs
@@ -90,7 +90,7 @@
                         }
                     };
                     self.grants += usize::from(matches!(kind, OrderKind::Grant(_)));
-                    self.replies.insert((at_ms, id.0), (id, reply));
+                    self.replies.insert((at_ms, id.number), (id, reply));
                 }
                 Output::Write { service, record } => {
                     self.step(Event::RecordWritten { service, number: record.number });
