Tell records written in an earlier term from those of this one

What callers would see: two servers hold the same keys after a further change of the leader. Cause: the outcome of writing a record named its number alone. A daemon that resigned and was elected again took the outcome of its earlier term for its own record of that number, and granted ranges to servers that no durable record named; the next leader would not know of them. An outcome that the store names another leader made it resign, too. Change: the outcome names the epoch; a leader handles only its own. Test: shard/earlier_terms::records_of_an_earlier_term_are_ignored; with the check taken out it fails (a grant before the record is durable).

--- a/crates/gateway/src/input.rs
+++ b/crates/gateway/src/input.rs
@@ -36,7 +36,7 @@
     /// A server's answer to an order, or the failure of the order.
     OrderAnswered(OrderId, Reply),
     /// The outcome of writing a record.
-    RecordWritten { service: Name, number: u64, outcome: WriteOutcome },
+    RecordWritten { service: Name, epoch: Epoch, number: u64, outcome: WriteOutcome },
     /// The records in the store, read because no leader's tables arrived.
     Records(Vec<StoredRecord>),
     /// A message from another daemon.
--- a/crates/gateway/src/leader_tasks.rs
+++ b/crates/gateway/src/leader_tasks.rs
@@ -4,7 +4,7 @@
 
 use document::{Name, Revision};
 use peer::{FleetBody, ServiceLoad, Tables};
-use shard::{Config, Event, Leader, LogEvent, Output, Record, Servers};
+use shard::{Config, Epoch, Event, Leader, LogEvent, Output, Record, Servers};
 use store::{Category, Expect, Store, Transaction};
 use telemetry::Counter;
 use tokio_util::task::AbortOnDropHandle;
@@ -182,24 +182,33 @@
             };
             let number = record.number;
             // The receiver is closed only while the process exits.
-            drop(inputs.send(Input::RecordWritten { service, number, outcome }).await);
+            drop(inputs.send(Input::RecordWritten { service, epoch, number, outcome }).await);
         });
     }
 
     /// Handles the outcome of writing a record.
-    pub(crate) fn on_record_written(&mut self, service: Name, number: u64, outcome: WriteOutcome) {
-        let Some(leading) = &mut self.leading else { return };
+    pub(crate) fn on_record_written(
+        &mut self,
+        service: Name,
+        epoch: Epoch,
+        number: u64,
+        outcome: WriteOutcome,
+    ) {
+        let leading = self.leading.as_mut();
+        let Some(leading) = leading.filter(|leading| leading.leader.epoch() == epoch) else {
+            return;
+        };
         match outcome {
             WriteOutcome::Done(revision) => {
                 leading.revisions.insert(service.clone(), revision);
-                self.step(Event::RecordWritten { service, number });
+                self.step(Event::RecordWritten { service, epoch, number });
             }
             WriteOutcome::Failed(revision) => {
                 spdlog::warn!("failed to write record", kv: { service = service.as_str(), number });
                 if let Some(revision) = revision {
                     leading.revisions.insert(service.clone(), revision);
                 }
-                self.step(Event::RecordWriteFailed { service });
+                self.step(Event::RecordWriteFailed { service, epoch });
             }
             WriteOutcome::Deposed => self.resign("the store names another leader"),
         }
@@ -252,7 +261,7 @@
 async fn read_write_outcome<S: Store>(
     store: &S,
     key: &str,
-    epoch: shard::Epoch,
+    epoch: Epoch,
     record: &Record,
 ) -> WriteOutcome {
     let Ok(leader) = store.read(LEADER_KEY).await else { return WriteOutcome::Failed(None) };
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -261,8 +261,8 @@
                 self.campaign_if_needed();
             }
             Input::OrderAnswered(id, reply) => self.step(Event::Answered(id, reply)),
-            Input::RecordWritten { service, number, outcome } => {
-                self.on_record_written(service, number, outcome);
+            Input::RecordWritten { service, epoch, number, outcome } => {
+                self.on_record_written(service, epoch, number, outcome);
             }
             Input::Records(records) => self.on_records(records),
             Input::Frame(frame) => self.on_frame(frame),
--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -157,12 +157,18 @@
                 self.authority_deadline_ms = self.authority_deadline_ms.max(authority_deadline_ms);
             }
             Event::StoreAnswers(answers) => self.on_store_availability(answers, &mut outputs),
-            Event::RecordWritten { service, number } => {
+            // A write of an earlier term says nothing about records of this one.
+            Event::RecordWritten { epoch, .. } | Event::RecordWriteFailed { epoch, .. }
+                if epoch != self.epoch =>
+            {
+                return outputs;
+            }
+            Event::RecordWritten { service, number, .. } => {
                 if let Some(assignment) = self.assignments.get_mut(&service) {
                     assignment.on_record_written(number);
                 }
             }
-            Event::RecordWriteFailed { service } => {
+            Event::RecordWriteFailed { service, .. } => {
                 if let Some(assignment) = self.assignments.get_mut(&service) {
                     assignment.on_record_write_failed(now_ms);
                 }
--- a/crates/shard/src/order.rs
+++ b/crates/shard/src/order.rs
@@ -78,6 +78,8 @@
     RecordWritten {
         /// The service that the record belongs to.
         service: Name,
+        /// The epoch of the leader that wrote it.
+        epoch: Epoch,
         /// The number of the record.
         number: u64,
     },
@@ -85,6 +87,8 @@
     RecordWriteFailed {
         /// The service that the record belongs to.
         service: Name,
+        /// The epoch of the leader that wrote it.
+        epoch: Epoch,
     },
     /// The leader's lease in the store was renewed.
     LeaseRenewed {
--- a/crates/shard/tests/delayed_grants.rs
+++ b/crates/shard/tests/delayed_grants.rs
@@ -62,7 +62,11 @@
                     }
                 }
                 Output::Write { service, record } => {
-                    self.step(Event::RecordWritten { service, number: record.number });
+                    self.step(Event::RecordWritten {
+                        service,
+                        epoch: Epoch(record.epoch),
+                        number: record.number,
+                    });
                 }
                 _ => {}
             }
--- a/crates/shard/tests/earlier_terms.rs
+++ b/crates/shard/tests/earlier_terms.rs
@@ -1,5 +1,5 @@
-//! Guards against answers to orders of an earlier term of the same daemon, which arrive while it
-//! leads again.
+//! Guards against outcomes of an earlier term of the same daemon, which arrive while it leads
+//! again: answers to orders, and records that were written.
 mod fixture;
 
 use crate::fixture::{SERVICE, TICK_MS, registry};
@@ -20,7 +20,11 @@
             match output {
                 Output::Order { id, kind: OrderKind::Grant(_), .. } => return (leader, id, now_ms),
                 Output::Write { service, record } => {
-                    let written = Event::RecordWritten { service, number: record.number };
+                    let written = Event::RecordWritten {
+                        service,
+                        epoch: Epoch(record.epoch),
+                        number: record.number,
+                    };
                     outputs.extend(leader.step(now_ms, servers, written));
                 }
                 _ => {}
@@ -47,3 +51,27 @@
     assert!(!is_accepted(&mut leader, earlier_id, now_ms), "the answer was to an earlier order");
     assert!(is_accepted(&mut leader, id, now_ms));
 }
+
+#[test]
+fn records_of_an_earlier_term_are_ignored() {
+    let registry = registry(["s1"].map(String::from));
+    let speeds = HashMap::default();
+    let servers = Servers { registry: &registry, speeds: &speeds };
+    let mut leader = Leader::new(Epoch(9), 0, u64::MAX, &[], Config::default());
+    leader.add_service(&SERVICE.into());
+    let has_grant =
+        |outputs: &[Output]| outputs.iter().any(|output| matches!(output, Output::Order { .. }));
+    let (mut now_ms, mut number) = (0, None);
+    while number.is_none() {
+        now_ms += TICK_MS;
+        let outputs = leader.step(now_ms, servers, Event::Tick);
+        number = outputs.iter().find_map(|output| match output {
+            Output::Write { record, .. } => Some(record.number),
+            _ => None,
+        });
+    }
+    let number = number.expect("a record");
+    let written = |epoch| Event::RecordWritten { service: SERVICE.into(), epoch, number };
+    assert!(!has_grant(&leader.step(now_ms, servers, written(Epoch(5)))), "not durable yet");
+    assert!(has_grant(&leader.step(now_ms, servers, written(Epoch(9)))));
+}
--- a/crates/shard/tests/even_load.rs
+++ b/crates/shard/tests/even_load.rs
@@ -45,7 +45,11 @@
             match output {
                 Output::Order { id, .. } => self.step(Event::Answered(id, Reply::Done(None))),
                 Output::Write { service, record } => {
-                    self.step(Event::RecordWritten { service, number: record.number });
+                    self.step(Event::RecordWritten {
+                        service,
+                        epoch: Epoch(record.epoch),
+                        number: record.number,
+                    });
                 }
                 Output::Log(shard::LogEvent::Planned { range, reason, .. }) => {
                     self.moves.push((reason, range.count()));
--- a/crates/shard/tests/large_fleet.rs
+++ b/crates/shard/tests/large_fleet.rs
@@ -93,7 +93,11 @@
                     self.replies.insert((at_ms, id.number), (id, reply));
                 }
                 Output::Write { service, record } => {
-                    self.step(Event::RecordWritten { service, number: record.number });
+                    self.step(Event::RecordWritten {
+                        service,
+                        epoch: Epoch(record.epoch),
+                        number: record.number,
+                    });
                 }
                 Output::Log(LogEvent::Planned { range, .. }) => self.moved += range.count(),
                 Output::Publish { .. } | Output::Deposed | Output::Log(_) => {}
--- a/crates/shard/tests/renewal_answers.rs
+++ b/crates/shard/tests/renewal_answers.rs
@@ -34,8 +34,11 @@
             match output {
                 Output::Order { id, kind: OrderKind::Grant(_), .. } => grants.push(id),
                 Output::Write { service, record } => {
-                    grants
-                        .extend(self.step(Event::RecordWritten { service, number: record.number }));
+                    grants.extend(self.step(Event::RecordWritten {
+                        service,
+                        epoch: Epoch(record.epoch),
+                        number: record.number,
+                    }));
                 }
                 _ => {}
             }
--- a/crates/shard/tests/reused_address.rs
+++ b/crates/shard/tests/reused_address.rs
@@ -44,7 +44,11 @@
                     self.step(Event::Answered(id, Reply::Done(token)));
                 }
                 Output::Write { service, record } => {
-                    self.step(Event::RecordWritten { service, number: record.number });
+                    self.step(Event::RecordWritten {
+                        service,
+                        epoch: Epoch(record.epoch),
+                        number: record.number,
+                    });
                 }
                 _ => {}
             }
--- a/crates/shard/tests/shortened_grants.rs
+++ b/crates/shard/tests/shortened_grants.rs
@@ -40,9 +40,9 @@
             match output {
                 Output::Order { id, server, kind, .. } => self.send(id, &server.incarnation, kind),
                 Output::Write { service, record } => {
-                    let number = record.number;
+                    let (epoch, number) = (Epoch(record.epoch), record.number);
                     self.record = Some(record);
-                    self.step(Event::RecordWritten { service, number });
+                    self.step(Event::RecordWritten { service, epoch, number });
                 }
                 _ => {}
             }
--- a/crates/shard/tests/silent_servers.rs
+++ b/crates/shard/tests/silent_servers.rs
@@ -38,7 +38,11 @@
             match output {
                 Output::Order { id, server, kind, .. } => self.send(id, &server.incarnation, &kind),
                 Output::Write { service, record } => {
-                    self.step(Event::RecordWritten { service, number: record.number });
+                    self.step(Event::RecordWritten {
+                        service,
+                        epoch: Epoch(record.epoch),
+                        number: record.number,
+                    });
                 }
                 Output::Log(LogEvent::Planned { to, .. }) => {
                     self.planned += usize::from(to == incarnation("s3"));
--- a/crates/shard/tests/unreadable_records.rs
+++ b/crates/shard/tests/unreadable_records.rs
@@ -19,7 +19,11 @@
             match output {
                 Output::Order { kind: OrderKind::Grant(_), .. } => return Some(now_ms),
                 Output::Write { service, record } => {
-                    let written = Event::RecordWritten { service, number: record.number };
+                    let written = Event::RecordWritten {
+                        service,
+                        epoch: Epoch(record.epoch),
+                        number: record.number,
+                    };
                     outputs.extend(leader.step(now_ms, servers, written));
                 }
                 _ => {}
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -57,6 +57,7 @@
     },
     Written {
         leader: usize,
+        epoch: Epoch,
         number: u64,
         is_done: bool,
     },
@@ -416,7 +417,10 @@
                         self.random.random_range(2..20) + if is_late { 2_500 } else { 0 };
                     if !is_answered || is_late {
                         let number = record.number;
-                        self.send(500, Message::Written { leader: index, number, is_done: false });
+                        self.send(
+                            500,
+                            Message::Written { leader: index, epoch, number, is_done: false },
+                        );
                     }
                     let is_answered = is_answered && !is_late;
                     self.send(
@@ -455,12 +459,12 @@
                 Message::Write { leader, epoch, record, is_answered } => {
                     self.on_write(leader, epoch, record, is_answered);
                 }
-                Message::Written { leader, number, is_done } => {
+                Message::Written { leader, epoch, number, is_done } => {
                     let service = Name::from(SERVICE);
                     let event = if is_done {
-                        Event::RecordWritten { service, number }
+                        Event::RecordWritten { service, epoch, number }
                     } else {
-                        Event::RecordWriteFailed { service }
+                        Event::RecordWriteFailed { service, epoch }
                     };
                     self.step(leader, event);
                 }
@@ -486,7 +490,7 @@
             self.record = Some(record);
         }
         if is_answered {
-            self.send(2, Message::Written { leader, number, is_done });
+            self.send(2, Message::Written { leader, epoch, number, is_done });
         }
     }
 
