Count grants that fail together once, and a pending grant as late as it can arrive

Grants that are sent in one pass fail together in one stall of 0.5 s; each counted, so a server with several ranges lost them all without a retry, and its backoff grew with their number. A new holder was replaced at once while all servers are silent. A short grant to a previous holder was repeated every 60 ms until answered. A pending grant counted as arriving by its timeout at the latest. Change: failures count by the time of sending, the backoff is 60 ms, a new holder's own failures count for it, one short grant at a time, and a pending grant may arrive as late as one that was given up. What the grants to a server show is in a module of its own. Comments that no longer held are corrected.

--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -3,7 +3,8 @@
 use registry::Incarnation;
 
 use crate::answers::ORDER_BACKOFF_MS;
-use crate::pass::{FenceCounter, NextGrant, PassContext};
+use crate::contact::NextGrant;
+use crate::pass::{FenceCounter, PassContext};
 use crate::policy::{Candidate, position};
 use crate::range_state::{Holder, NextStep, PreviousHolder, RangeState};
 use crate::{
@@ -326,7 +327,8 @@
             });
             let is_fencing = state.holder.as_ref().is_some_and(|holder| {
                 holder.failures < pass.config.max_failures
-                    && pass.orders.failures(&holder.incarnation) < pass.config.max_failures
+                    && pass.orders.contact(&holder.incarnation).failures()
+                        < pass.config.max_failures
                     && pass.may_abandoned_grant_arrive(&holder.incarnation, state.range)
             });
             match state.next_step(pass.now_ms, may_hold, is_fencing, self.durable_record) {
@@ -474,8 +476,10 @@
     let last_arrival_ms = pass.now_ms + config.order_timeout_ms + config.max_transit_ms;
     let deadline_ms = config.grant_deadline_ms(last_arrival_ms, config.short_grant_ms);
     let known_deadline_ms = pass.grant_deadline_ms(incarnation, range, previous.grant_deadline_ms);
+    // Silent servers are not sent one, nor are those whose keys would have to wait longer for it.
     if !pass.may_abandoned_grant_arrive(incarnation, range)
         || pass.orders.is_silent(incarnation)
+        || pass.orders.contact(incarnation).awaits_answer()
         || deadline_ms > known_deadline_ms
     {
         return;
--- a/crates/shard/src/config.rs
+++ b/crates/shard/src/config.rs
@@ -12,11 +12,11 @@
     pub outage_grant_ms: u64,
     /// Length of a grant to a server that has not answered just now.
     ///
-    /// A lost server's keys also wait until its last grant can no longer arrive.
+    /// If it is not answered, its keys wait until it can no longer arrive and has expired.
     pub short_grant_ms: u64,
     /// The longest grant that servers accept, which an earlier leader may have given.
     pub max_grant_ms: u64,
-    /// Time between renewals of a grant; several fit into a grant.
+    /// Time between renewals of a grant; two unanswered ones still fit into a grant.
     pub renew_interval_ms: u64,
     /// How long a grant may stay unanswered before its connection is reset.
     ///
@@ -26,7 +26,8 @@
     ///
     /// Bytes that were sent before the reset may wait on a busy link.
     pub max_transit_ms: u64,
-    /// Number of consecutive unanswered grants after which a holder is replaced.
+    /// Number of unanswered grants in a row, of a range or to a server, after which a holder is
+    /// replaced.
     pub max_failures: u32,
     /// Delay of a release after the daemons were told of the move.
     ///
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -46,6 +46,7 @@
 mod answers;
 mod assignment;
 mod config;
+mod contact;
 mod fence;
 mod leader;
 mod load;
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -7,7 +7,7 @@
 use registry::{Incarnation, Registration, Registry};
 
 use crate::abandoned::{AbandonedGrant, AbandonedGrants};
-use crate::answers::ORDER_BACKOFF_MS;
+use crate::contact::{Contact, NextGrant};
 use crate::order::LogEvent;
 use crate::policy::Candidate;
 use crate::{Config, Epoch, Fence, Grant, KeyRange, OrderId, OrderKind, Output, Release, Reply};
@@ -38,6 +38,7 @@
     /// server may be unreachable for the leader, and each range given to it would have no
     /// holder until its first grant counts as lost.
     silent: HashMap<Incarnation, u64>,
+    /// What grants to each server have shown of the way to it.
     contacts: HashMap<Incarnation, Contact>,
     /// Since when more than half of the servers are silent.
     majority_silent_since_ms: Option<u64>,
@@ -55,31 +56,6 @@
     deadline_ms: u64,
 }
 
-/// What the grants to a server show of the way to it.
-#[derive(Clone, Copy, Debug, Default)]
-struct Contact {
-    last_answer_at_ms: Option<u64>,
-    /// Number of grants in a row that were not answered.
-    failures: u32,
-    /// When the next grant may be sent after one that was not answered.
-    retry_at_ms: u64,
-    /// Number of grants whose answer is awaited.
-    pending: u32,
-}
-
-/// The grant that a server may be sent now.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum NextGrant {
-    /// A grant of full length, since the server has just answered.
-    Full,
-    /// A short one, whose answer shows that the server can be reached.
-    Short,
-    /// None, since an answer is awaited or the last grant failed just now.
-    Wait,
-}
-
-/// For how long a server counts as reachable after an answer.
-const REACHABLE_MS: u64 = 100;
 /// Time between probes of a server that did not answer.
 const PROBE_INTERVAL_MS: u64 = 1_000;
 /// How long a leader takes no range from a silent server while most servers are silent.
@@ -121,7 +97,7 @@
         self.last_number += 1;
         let id = OrderId { epoch: self.epoch, number: self.last_number };
         if matches!(order.kind, OrderKind::Grant(_)) {
-            self.contacts.entry(order.incarnation.clone()).or_default().pending += 1;
+            self.contacts.entry(order.incarnation.clone()).or_default().on_grant_sent();
         }
         self.pending.insert(id, order);
         id
@@ -146,7 +122,9 @@
                 self.silent.insert(order.incarnation.clone(), now_ms + PROBE_INTERVAL_MS);
             }
         }
-        self.update_contact(now_ms, order, reply);
+        let is_grant = matches!(order.kind, OrderKind::Grant(_));
+        let contact = self.contacts.entry(order.incarnation.clone()).or_default();
+        contact.on_reply(now_ms, order.sent_at_ms, is_grant, reply);
         if self.silent.len() * 2 > self.servers.len() {
             self.majority_silent_since_ms.get_or_insert(now_ms);
         } else {
@@ -175,43 +153,14 @@
         ended
     }
 
-    fn update_contact(&mut self, now_ms: u64, order: &PendingOrder, reply: &Reply) {
-        let contact = self.contacts.entry(order.incarnation.clone()).or_default();
-        let is_grant = matches!(order.kind, OrderKind::Grant(_));
-        contact.pending -= u32::from(is_grant);
-        match reply {
-            Reply::Done(_) | Reply::Fenced => {
-                contact.last_answer_at_ms = Some(now_ms);
-                contact.failures = 0;
-                contact.retry_at_ms = 0;
-            }
-            Reply::NotSent | Reply::Unknown if is_grant => {
-                contact.failures += 1;
-                contact.retry_at_ms = now_ms + ORDER_BACKOFF_MS * u64::from(contact.failures);
-            }
-            Reply::NotSent | Reply::Unknown => {}
-        }
-    }
-
     /// Returns the grant that a server may be sent.
-    ///
-    /// A grant that is under way when a server is cut off may arrive late, and its keys have to
-    /// wait for that. So a server that has not answered just now is first sent a short one.
     pub(crate) fn next_grant(&self, now_ms: u64, incarnation: &Incarnation) -> NextGrant {
-        let contact = self.contacts.get(incarnation).copied().unwrap_or_default();
-        let answered_at_ms = contact.last_answer_at_ms;
-        if answered_at_ms.is_some_and(|at_ms| now_ms < at_ms + REACHABLE_MS) {
-            NextGrant::Full
-        } else if contact.pending == 0 && now_ms >= contact.retry_at_ms {
-            NextGrant::Short
-        } else {
-            NextGrant::Wait
-        }
+        self.contact(incarnation).next_grant(now_ms)
     }
 
-    /// Returns how many grants to a server in a row were not answered.
-    pub(crate) fn failures(&self, incarnation: &Incarnation) -> u32 {
-        self.contacts.get(incarnation).map_or(0, |contact| contact.failures)
+    /// Returns what grants to a server have shown of the way to it.
+    pub(crate) fn contact(&self, incarnation: &Incarnation) -> Contact {
+        self.contacts.get(incarnation).copied().unwrap_or_default()
     }
 
     pub(crate) fn is_silent(&self, incarnation: &Incarnation) -> bool {
@@ -255,11 +204,12 @@
         self.pending.remove(&id)
     }
 
-    /// Drops registrations and probe times of servers for which `is_needed` returns false.
+    /// Drops registrations, probe times and contacts of servers for which `is_needed` returns false.
     pub(crate) fn retain_servers(&mut self, is_needed: impl Fn(&Incarnation) -> bool) {
         self.servers.retain(|incarnation, _| is_needed(incarnation));
         self.silent.retain(|incarnation, _| is_needed(incarnation));
-        self.contacts.retain(|incarnation, contact| contact.pending > 0 || is_needed(incarnation));
+        self.contacts
+            .retain(|incarnation, contact| contact.awaits_answer() || is_needed(incarnation));
     }
 
     /// Keeps registrations, so that orders can be sent to servers that are no longer registered.
@@ -302,7 +252,8 @@
                 if order.incarnation.server == incarnation.server
                     && grant.range.overlaps(range) =>
             {
-                Some(config.grant_deadline_ms(order.deadline_ms, grant.grant_ms))
+                let arrived_at_ms = order.deadline_ms + config.max_transit_ms;
+                Some(config.grant_deadline_ms(arrived_at_ms, grant.grant_ms))
             }
             _ => None,
         });
--- a/crates/shard/src/planning.rs
+++ b/crates/shard/src/planning.rs
@@ -84,7 +84,11 @@
         if !pass.servers.registry.accepts_new_work(&holder.incarnation) {
             return Some(MoveReason::Leaving);
         }
-        let failures = holder.failures.max(pass.orders.failures(&holder.incarnation));
+        // A new holder has tries of its own: all servers may be silent.
+        let failures = match holder.grant_deadline_ms {
+            0 => holder.failures,
+            _ => holder.failures.max(pass.orders.contact(&holder.incarnation).failures()),
+        };
         let is_silent = failures >= pass.config.max_failures;
         (is_silent && !pass.orders.may_be_cut_off(pass.now_ms)).then_some(MoveReason::Silent)
     }
--- a/crates/shard/src/range_state.rs
+++ b/crates/shard/src/range_state.rs
@@ -7,7 +7,7 @@
 /// The state of one range of keys.
 ///
 /// At most one server, the holder, is sent grants of a range. Previous holders may still have
-/// valid grants: a new holder gets its first grant only when each of them has released the
+/// valid grants, and the only one may be sent a short grant that rules out a late one: a new holder gets its first grant only when each of them has released the
 /// range or its last grant has expired.
 #[derive(Clone, Debug)]
 pub(crate) struct RangeState {
