Look for late grants only at ranges that are to move

Cause: each pass looked through all grants that were given up for each range; after the loss of a data centre these are hundreds, and a pass over a thousand ranges comes every 10 ms. Change: only ranges with a successor are looked at.

--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -325,12 +325,13 @@
             let may_hold = state.holder.as_ref().is_some_and(|holder| {
                 pass.may_hold(&holder.incarnation, state.range, holder.grant_deadline_ms)
             });
-            let is_fencing = state.holder.as_ref().is_some_and(|holder| {
-                holder.failures < pass.config.max_failures
-                    && pass.orders.contact(&holder.incarnation).failures()
-                        < pass.config.max_failures
-                    && pass.may_abandoned_grant_arrive(&holder.incarnation, state.range)
-            });
+            let is_fencing = state.successor.is_some()
+                && state.holder.as_ref().is_some_and(|holder| {
+                    holder.failures < pass.config.max_failures
+                        && pass.orders.contact(&holder.incarnation).failures()
+                            < pass.config.max_failures
+                        && pass.may_abandoned_grant_arrive(&holder.incarnation, state.range)
+                });
             match state.next_step(pass.now_ms, may_hold, is_fencing, self.durable_record) {
                 NextStep::Wait => {}
                 NextStep::Expire => {
