Let the soak cut, slow and limit the daemons' own links to servers

Cause: in the soak all daemons shared one link to each server, so neither a daemon that loses its links to all servers nor a grant that is late on a link that is cut behind it could occur in it. Links of a daemon, the leader or a data centre are cut and heal one by one; links are slow, then hang; servers name a limit. These faults have a random source of their own, so the usual ones stay those of the seed. Daemons of one data centre read the same links, so both lose them together. `--settle` (default and at most 15 s, as before) shortens the wait after the faults; a shorter one only makes the check of recovery stricter.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -96,6 +96,8 @@
     program: PathBuf,
     /// Whether to write the next document once the store is up.
     is_change_due: bool,
+    /// Whether each daemon has links of its own to the servers.
+    has_own_links: bool,
     /// The events so far, each as one line with its time.
     timeline: Mutex<Vec<String>>,
     started_at: Instant,
@@ -137,6 +139,7 @@
             version: 0,
             program: program.to_owned(),
             is_change_due: false,
+            has_own_links,
             timeline: Mutex::default(),
             started_at: Instant::now(),
         };
@@ -150,9 +153,6 @@
         }
         cluster.write_next_document().await;
         for index in 0..cluster.daemons.len() {
-            if has_own_links {
-                cluster.open_server_links(index).await?;
-            }
             cluster.start_daemon(index)?;
         }
         Ok(cluster)
@@ -209,11 +209,11 @@
         }
     }
 
-    async fn open_server_links(&mut self, daemon: usize) -> Result<()> {
-        let daemon = &mut self.daemons[daemon];
-        for server in &self.servers {
-            let link = Link::open(server.link.address.port()).await?;
-            daemon.server_addresses.replace(server.link.address, link.address);
+    /// Opens a link from each daemon to a server that is being added.
+    async fn open_server_links(&mut self, server: SocketAddr) -> Result<()> {
+        for daemon in &mut self.daemons {
+            let link = Link::open(server.port()).await?;
+            daemon.server_addresses.replace(server, link.address);
             daemon.server_links.push(link);
         }
         Ok(())
@@ -256,6 +256,9 @@
     pub async fn add_server(&mut self, service: &'static str) -> Result<()> {
         let name = Name::from(format!("s{}", self.servers.len()));
         let link = Link::open(1).await?;
+        if self.has_own_links {
+            self.open_server_links(link.address).await?;
+        }
         self.servers.push(ServerHandle {
             name,
             service,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,8 +5,9 @@
 //! by [`Link`]s. [`Callers`] send requests meanwhile.
 //!
 //! Faults are drawn from a seed and injected from outside: signals to daemons, links that
-//! delay or hold back bytes or reset connections, and stand-ins that misbehave. The run checks
-//! what callers and servers see:
+//! delay or hold back bytes or reset connections, and stand-ins that misbehave. With links of
+//! their own to the servers, daemons lose these as well. The run checks what callers and servers
+//! see:
 //!
 //! - each key has one owner at a time,
 //! - a request that is not idempotent runs at most once,
@@ -19,6 +20,7 @@
 mod cluster;
 mod faults;
 mod link;
+mod link_faults;
 mod run;
 
 pub use callers::{Callers, Counts};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -65,6 +65,7 @@
                 .arg(number("seed", "1", "The first seed"))
                 .arg(number("seeds", "1", "The number of seeds to run, one after the other"))
                 .arg(number("for", "30", "How long faults are injected, in seconds"))
+                .arg(number("settle", "15", "How long the run goes on after that, in seconds"))
                 .arg(number("daemons", "4", "The number of daemons"))
                 .arg(number("callers", "4", "The number of callers of each daemon"))
                 .arg(
@@ -78,6 +79,12 @@
                         .long("safety-only")
                         .action(ArgAction::SetTrue)
                         .help("Does not check how soon service recovers"),
+                )
+                .arg(
+                    Arg::new("own-links")
+                        .long("own-links")
+                        .action(ArgAction::SetTrue)
+                        .help("Gives each daemon links of its own to the servers; they fail too"),
                 ),
         )
         .subcommand(
@@ -114,6 +121,8 @@
             daemons: usize::try_from(get_arg::<u64>(matches, "daemons")?.max(1))?,
             callers: usize::try_from(get_arg::<u64>(matches, "callers")?)?,
             checks_recovery: !matches.get_flag("safety-only"),
+            own_links: matches.get_flag("own-links"),
+            settle_s: get_arg::<u64>(matches, "settle")?,
         };
         let dir = seed_dir(&out, seed);
         if dir.exists() {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -11,6 +11,7 @@
 use crate::callers::{Callers, Counts};
 use crate::cluster::{Cluster, Result};
 use crate::faults::FaultSchedule;
+use crate::link_faults::{LinkFaults, data_centres};
 
 /// The parameters of a run, written to `options.json` in the folder of its logs.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -27,6 +28,14 @@
     ///
     /// How long recovery takes depends on the speed of the machine.
     pub checks_recovery: bool,
+    /// Whether daemons have links of their own to the servers, which fail too.
+    #[serde(default)]
+    pub own_links: bool,
+    /// How long the run goes on after the last fault before recovery is measured, in seconds.
+    ///
+    /// At most the time in which service must recover.
+    #[serde(default = "recovery_time_s")]
+    pub settle_s: u64,
 }
 
 /// The result of a run.
@@ -45,7 +54,7 @@
 /// The time that daemons have to find each other and assign all keys before the first fault.
 const STARTUP_TIME: Duration = Duration::from_secs(4);
 /// The time in which the requirements demand that service recovers after the last fault.
-const RECOVERY_TIME: Duration = Duration::from_secs(15);
+const RECOVERY_TIME_S: u64 = 15;
 /// How long the share of served requests is measured after the recovery.
 const MEASURE_TIME: Duration = Duration::from_secs(3);
 /// The least share of requests that must be served after the recovery.
@@ -54,6 +63,10 @@
 /// requests for keys that are just being moved can fail there after the recovery.
 const MIN_SERVED_SHARE: f64 = 0.9;
 
+fn recovery_time_s() -> u64 {
+    RECOVERY_TIME_S
+}
+
 /// Runs one seed with the given daemon program; logs and settings go to `dir`.
 ///
 /// # Errors
@@ -62,7 +75,11 @@
 pub async fn run(options: Options, program: &Path, dir: &Path) -> Result<Report> {
     std::fs::create_dir_all(dir)?;
     std::fs::write(dir.join("options.json"), serde_json::to_vec_pretty(&options)?)?;
-    let mut cluster = Cluster::start(program, dir, options.daemons).await?;
+    let mut cluster = if options.own_links {
+        Cluster::start_in(program, dir, &data_centres(options.daemons), true).await?
+    } else {
+        Cluster::start(program, dir, options.daemons).await?
+    };
     let callers = Callers::new(Arc::clone(&cluster.checker));
     let start_counts = start_callers(&cluster, &callers, options.callers);
     let latest = Arc::new(AtomicU64::new(0));
@@ -76,6 +93,9 @@
     }
     let mut schedule = FaultSchedule::new(options.seed);
     let first_fault_at = Instant::now() + STARTUP_TIME;
+    let mut link_faults = options
+        .own_links
+        .then(|| LinkFaults::new(options.seed, data_centres(options.daemons), first_fault_at));
     let faults_deadline = first_fault_at + Duration::from_secs(options.for_s);
     let mut next_fault_at = first_fault_at;
     while Instant::now() < faults_deadline {
@@ -85,13 +105,20 @@
             next_fault_at = Instant::now() + schedule.draw_delay();
             schedule.inject(&mut cluster).await?;
         }
+        if let Some(faults) = &mut link_faults {
+            faults.step(&cluster).await;
+        }
         cluster.restart_exited_daemons()?;
         cluster.write_document_if_due().await;
         update_version_check_inputs(&cluster, &start_counts, &latest);
     }
     cluster.log_event("faults end");
     schedule.undo_due(&mut cluster, true).await?;
-    let recovery_deadline = Instant::now() + RECOVERY_TIME;
+    if let Some(faults) = &mut link_faults {
+        faults.undo_all(&cluster);
+    }
+    let recovery_deadline =
+        Instant::now() + Duration::from_secs(options.settle_s.min(RECOVERY_TIME_S));
     while Instant::now() < recovery_deadline {
         sleep(Duration::from_millis(100)).await;
         cluster.restart_exited_daemons()?;
