--- a/crates/soak/src/link_faults.rs
+++ b/crates/soak/src/link_faults.rs
@@ -43,6 +43,8 @@
 const HEAL_MS: Range<u64> = 0..1_500;
 /// By how much bytes are late on a slow link.
 const SLOW_BY_MS: Range<u64> = 100..2_000;
+/// How long a slow link is cut before it heals; most often longer than a grant is valid.
+const SLOW_CUT_MS: Range<u64> = 3_000..7_000;
 /// How long a link is slow before it is cut.
 const SLOW_MS: Range<u64> = 300..1_000;
 /// The limits that servers name; some are below what they get from the callers.
@@ -127,7 +129,7 @@
             "links from daemons {daemons:?} to servers {servers:?} are slow by {delay_ms} ms"
         ));
         let cut_at = self.after(SLOW_MS);
-        let first_heal_at = cut_at + Duration::from_millis(self.random.random_range(CUT_MS));
+        let first_heal_at = cut_at + Duration::from_millis(self.random.random_range(SLOW_CUT_MS));
         for daemon in daemons {
             for server in servers {
                 let link = cluster.server_link(*daemon, *server);
