Draw each link fault on its own, and drop what a reset connection left on a held link

A link that holds bytes back delivered them when it healed, also those of a connection that had been reset seconds before, which a network does not. Change: each fault has a generator of its own; a held link drops what a connection sent that is reset.

--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -20,6 +20,8 @@
     /// Passes bytes on with a delay, even if the connection is reset meanwhile.
     Delay,
     /// Holds bytes back in both directions, and the ends of connections too.
+    ///
+    /// What a connection sent that was reset meanwhile is dropped.
     Silence,
     /// Passes bytes to the target and holds back those from it.
     OneWay,
@@ -217,6 +219,7 @@
 ) {
     let mut buffer = vec![0; 16 << 10];
     while let Ok(count @ 1..) = from.read(&mut buffer).await {
+        let mut is_held = false;
         loop {
             match current_mode(mode) {
                 LinkMode::Pass | LinkMode::Refuse | LinkMode::Closed => break,
@@ -226,10 +229,14 @@
                     break;
                 }
                 LinkMode::Silence | LinkMode::OneWay | LinkMode::Hang => {
+                    is_held = true;
                     sleep(MODE_CHECK_INTERVAL).await;
                 }
             }
         }
+        if is_held && matches!(from.as_ref().take_error(), Ok(Some(_)) | Err(_)) {
+            break;
+        }
         if to.write_all(&buffer[..count]).await.is_err() {
             break;
         }
--- a/crates/soak/src/link_faults.rs
+++ b/crates/soak/src/link_faults.rs
@@ -17,6 +17,10 @@
 /// stay those of the seed.
 #[derive(Debug)]
 pub(crate) struct LinkFaults {
+    seed: u64,
+    /// The number of faults so far.
+    fault_count: u64,
+    /// Draws the current fault.
     random: StdRng,
     /// The data centre of each daemon.
     data_centres: Vec<&'static str>,
@@ -59,14 +63,23 @@
 impl LinkFaults {
     /// Creates a schedule whose faults are determined by the seed, except who leads.
     pub(crate) fn new(seed: u64, data_centres: Vec<&'static str>, first_fault_at: Instant) -> Self {
-        let random = StdRng::seed_from_u64(!seed);
-        Self { random, data_centres, next_fault_at: first_fault_at, pending: Vec::new() }
+        Self {
+            seed,
+            fault_count: 0,
+            random: StdRng::seed_from_u64(!seed),
+            data_centres,
+            next_fault_at: first_fault_at,
+            pending: Vec::new(),
+        }
     }
 
     /// Carries out the steps that are due, and injects a fault if it is time for one.
     pub(crate) async fn step(&mut self, cluster: &Cluster) {
         self.carry_out_due(cluster, false);
         if Instant::now() >= self.next_fault_at {
+            // How often a fault draws depends on who leads, so each has draws of its own.
+            self.fault_count += 1;
+            self.random = StdRng::seed_from_u64(!self.seed ^ (self.fault_count << 32));
             self.next_fault_at = self.after(FAULT_INTERVAL_MS);
             self.inject(cluster).await;
         }
