--- a/crates/peer/tests/fleet_frames.rs
+++ b/crates/peer/tests/fleet_frames.rs
@@ -7,6 +7,7 @@
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use prost::Message as _;
 use registry::{Incarnation, Registration, Stage};
 use route::{Rate, Turn};
 use shard::{Epoch, KeyRange, Owner, Span, Table};
@@ -114,3 +115,79 @@
         })
         .unwrap();
 }
+
+/// Messages that lack fields, as from an earlier version, and have unknown ones, as from a later
+/// version.
+#[derive(Clone, PartialEq, prost::Message)]
+struct OtherFrame {
+    #[prost(string, tag = "1")]
+    from: String,
+    #[prost(message, optional, tag = "3")]
+    tables: Option<OtherTables>,
+    #[prost(message, optional, tag = "9")]
+    resigned: Option<OtherResigned>,
+    #[prost(message, optional, tag = "900")]
+    added_later: Option<OtherResigned>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct OtherResigned {
+    #[prost(uint64, tag = "1")]
+    epoch: u64,
+    #[prost(string, tag = "900")]
+    added_later: String,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct OtherTables {
+    #[prost(message, repeated, tag = "3")]
+    tables: Vec<OtherTable>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct OtherTable {
+    #[prost(message, repeated, tag = "3")]
+    spans: Vec<OtherSpan>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct OtherSpan {
+    #[prost(uint32, tag = "2")]
+    to: u32,
+    #[prost(int32, tag = "3")]
+    state: i32,
+    #[prost(uint64, tag = "5")]
+    for_ms: u64,
+}
+
+fn read_other(frame: &OtherFrame) -> peer::Result<FleetBody> {
+    FleetFrame::from_bytes(frame.encode_to_vec().into()).map(|frame| frame.body)
+}
+
+#[test]
+fn other_fields_are_skipped() {
+    let resigned = OtherResigned { epoch: 7, added_later: "x".into() };
+    let frame = OtherFrame {
+        resigned: Some(resigned.clone()),
+        added_later: Some(resigned),
+        ..OtherFrame::default()
+    };
+    let expected = Resigned { epoch: Epoch(7), successor: None, grants_left_ms: 0 };
+    assert_eq!(read_other(&frame).unwrap(), FleetBody::Resigned(expected));
+}
+
+#[test]
+fn other_bodies_are_refused() {
+    let added_later = Some(OtherResigned::default());
+    let refused = read_other(&OtherFrame { added_later, ..OtherFrame::default() }).unwrap_err();
+    assert!(refused.to_string().contains("frame has no known body"), "{refused}");
+}
+
+#[test]
+fn other_states_have_no_owner() {
+    let span = OtherSpan { to: 65_535, state: 9, for_ms: 40 };
+    let tables = OtherTables { tables: vec![OtherTable { spans: vec![span] }] };
+    let frame = OtherFrame { tables: Some(tables), ..OtherFrame::default() };
+    let FleetBody::Tables(tables) = read_other(&frame).unwrap() else { panic!("{frame:?}") };
+    assert_eq!(tables.tables[0].1.spans[0].owner, Owner::Nobody { until_ms: 40 });
+}
