Replace daemons by another version while faults go on

The soak could run only one build. Each gets SIGTERM once, in an order and at times drawn from the seed, and starts with the new program; faults go on until the last one is replaced. The report lists every start with daemon, version and time, the timeline too. The path is kept in options.json; `replay` uses it or takes another. The upgrade has its own random source, so faults are drawn as before. `--recover` shortens the time for recovery, at most to that of the requirements, which keeps the new test short. Options and reports now contain it.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -45,6 +45,8 @@
     server_links: Vec<Link>,
     /// The addresses of these links.
     server_addresses: Addresses,
+    /// The program that the next start runs.
+    pub(crate) program: PathBuf,
     settings_path: PathBuf,
     log_path: PathBuf,
     /// The process; `None` before the first start and after its exit was waited for.
@@ -92,15 +94,13 @@
     pub servers: Vec<ServerHandle>,
     /// The version of the newest document.
     pub version: u64,
-    /// The path of the daemon's program.
-    program: PathBuf,
     /// Whether to write the next document once the store is up.
     is_change_due: bool,
     /// Whether each daemon has links of its own to the servers.
     has_own_links: bool,
     /// The events so far, each as one line with its time.
     timeline: Mutex<Vec<String>>,
-    started_at: Instant,
+    pub(crate) started_at: Instant,
 }
 
 /// The result of starting or controlling processes.
@@ -137,14 +137,13 @@
             daemons: Vec::new(),
             servers: Vec::new(),
             version: 0,
-            program: program.to_owned(),
             is_change_due: false,
             has_own_links,
             timeline: Mutex::default(),
             started_at: Instant::now(),
         };
         for (number, data_centre) in data_centres.iter().enumerate() {
-            let daemon = Daemon::create(dir, number, data_centre, &cluster.store).await?;
+            let daemon = Daemon::create(program, dir, number, data_centre, &cluster.store).await?;
             cluster.daemons.push(daemon);
         }
         for number in 0..daemons.max(4) + 3 {
@@ -331,7 +330,7 @@
     pub fn start_daemon(&mut self, index: usize) -> Result<()> {
         let daemon = &mut self.daemons[index];
         let log = File::options().create(true).append(true).open(&daemon.log_path)?;
-        let child = Command::new(&self.program)
+        let child = Command::new(&daemon.program)
             .arg("--settings")
             .arg(&daemon.settings_path)
             .stdin(Stdio::null())
@@ -402,6 +401,7 @@
 impl Daemon {
     /// Opens the link to the store and writes the settings file; starts no process.
     async fn create(
+        program: &Path,
         dir: &Path,
         number: usize,
         data_centre: &str,
@@ -438,6 +438,7 @@
             store_link,
             server_links: Vec::new(),
             server_addresses,
+            program: program.to_owned(),
             settings_path: path,
             log_path,
             child: None,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,9 @@
 //! - each response is complete and belongs to its request,
 //! - daemons never return to an earlier document,
 //! - service recovers after the last fault.
+//!
+//! With the program of an earlier version, a run is also a rolling upgrade: all daemons start
+//! with that program and are replaced one after the other while the faults go on.
 
 mod callers;
 mod cluster;
@@ -22,8 +25,10 @@
 mod link;
 mod link_faults;
 mod run;
+mod upgrade;
 
 pub use callers::{Callers, Counts};
 pub use cluster::{Cluster, Daemon, HOST, Result, ServerHandle};
 pub use link::{Link, LinkMode};
-pub use run::{Options, Report, run, seed_dir};
+pub use run::{MAX_RECOVERY_S, Options, Report, run, seed_dir};
+pub use upgrade::{Version, VersionStart};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,7 +7,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
-use soak::{Options, Report, run, seed_dir};
+use soak::{MAX_RECOVERY_S, Options, Report, run, seed_dir};
 
 /// The exit code when a rule was broken.
 const EXIT_RULE_BROKEN: u8 = 3;
@@ -55,6 +55,11 @@
             .value_parser(value_parser!(u64))
             .help(help)
     };
+    let previous = Arg::new("previous")
+        .long("previous")
+        .value_name("PATH")
+        .value_parser(parse_program)
+        .help("Starts with this earlier verbena-edge, then replaces it daemon by daemon");
     Command::new("verbena-soak")
         .about("Runs real daemons while faults are injected around them")
         .subcommand_required(true)
@@ -65,7 +70,11 @@
                 .arg(number("seed", "1", "The first seed"))
                 .arg(number("seeds", "1", "The number of seeds to run, one after the other"))
                 .arg(number("for", "30", "How long faults are injected, in seconds"))
-                .arg(number("settle", "15", "How long the run goes on after that, in seconds"))
+                .arg(
+                    number("recover", "15", "How long service has to recover, in seconds")
+                        .value_parser(value_parser!(u64).range(..=MAX_RECOVERY_S)),
+                )
+                .arg(previous.clone())
                 .arg(number("daemons", "4", "The number of daemons"))
                 .arg(number("callers", "4", "The number of callers of each daemon"))
                 .arg(
@@ -90,7 +99,8 @@
         .subcommand(
             Command::new("replay")
                 .about("Runs a seed again with the options in its folder")
-                .arg(Arg::new("folder").required(true).value_parser(value_parser!(PathBuf))),
+                .arg(Arg::new("folder").required(true).value_parser(value_parser!(PathBuf)))
+                .arg(previous.help("The earlier verbena-edge of an upgrade, if it was moved")),
         )
         .subcommand(Command::new("list").about("Prints the reports in the output folder").arg(out))
         .after_help("Exit codes: 0 if no rule was broken, 3 if one was, 1 if a run failed.")
@@ -102,7 +112,9 @@
         Some(("replay", matches)) => {
             let dir = get_arg::<PathBuf>(matches, "folder")?;
             let text = std::fs::read(dir.join("options.json"))?;
-            let report = run(serde_json::from_slice(&text)?, &daemon_program()?, &dir).await?;
+            let mut options: Options = serde_json::from_slice(&text)?;
+            options.previous = matches.get_one("previous").cloned().or(options.previous);
+            let report = run(options, &daemon_program()?, &dir).await?;
             Ok(write_report(&report, &dir)?)
         }
         Some(("list", matches)) => list(&get_arg::<PathBuf>(matches, "out")?),
@@ -122,7 +134,8 @@
             callers: usize::try_from(get_arg::<u64>(matches, "callers")?)?,
             checks_recovery: !matches.get_flag("safety-only"),
             own_links: matches.get_flag("own-links"),
-            settle_s: get_arg::<u64>(matches, "settle")?,
+            recovery_s: get_arg::<u64>(matches, "recover")?,
+            previous: matches.get_one("previous").cloned(),
         };
         let dir = seed_dir(&out, seed);
         if dir.exists() {
@@ -169,6 +182,12 @@
         .into())
 }
 
+/// Returns the absolute path of a program, which a replay from another folder finds too.
+fn parse_program(path: &str) -> Result<PathBuf, String> {
+    let absolute = Path::new(path).canonicalize().map_err(|error| error.to_string())?;
+    if absolute.is_file() { Ok(absolute) } else { Err("expected a program".to_owned()) }
+}
+
 /// Returns the value of an argument.
 fn get_arg<T: Clone + Send + Sync + 'static>(
     matches: &ArgMatches,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,6 +12,7 @@
 use crate::cluster::{Cluster, Result};
 use crate::faults::FaultSchedule;
 use crate::link_faults::{LinkFaults, data_centres};
+use crate::upgrade::{Upgrade, VersionStart};
 
 /// The parameters of a run, written to `options.json` in the folder of its logs.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -31,11 +32,12 @@
     /// Whether daemons have links of their own to the servers, which fail too.
     #[serde(default)]
     pub own_links: bool,
-    /// How long the run goes on after the last fault before recovery is measured, in seconds.
-    ///
-    /// At most the time in which service must recover.
-    #[serde(default = "recovery_time_s")]
-    pub settle_s: u64,
+    /// How long service has to recover after the last fault, in seconds.
+    #[serde(default = "max_recovery_s")]
+    pub recovery_s: u64,
+    /// The program with which the daemons start in a rolling upgrade.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub previous: Option<PathBuf>,
 }
 
 /// The result of a run.
@@ -49,12 +51,15 @@
     pub served_part_at_end: f64,
     /// Every rule that was broken.
     pub broken: Vec<String>,
+    /// Every start of a daemon in a rolling upgrade.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub starts: Vec<VersionStart>,
 }
 
 /// The time that daemons have to find each other and assign all keys before the first fault.
 const STARTUP_TIME: Duration = Duration::from_secs(4);
 /// The time in which the requirements demand that service recovers after the last fault.
-const RECOVERY_TIME_S: u64 = 15;
+pub const MAX_RECOVERY_S: u64 = 15;
 /// How long the share of served requests is measured after the recovery.
 const MEASURE_TIME: Duration = Duration::from_secs(3);
 /// The least share of requests that must be served after the recovery.
@@ -63,22 +68,30 @@
 /// requests for keys that are just being moved can fail there after the recovery.
 const MIN_SERVED_SHARE: f64 = 0.9;
 
-fn recovery_time_s() -> u64 {
-    RECOVERY_TIME_S
+fn max_recovery_s() -> u64 {
+    MAX_RECOVERY_S
 }
 
 /// Runs one seed with the given daemon program; logs and settings go to `dir`.
 ///
+/// With a previous program, faults go on until every daemon has been replaced.
+///
 /// # Errors
 ///
-/// Fails when no port is free, or a file or process cannot be created.
+/// Fails when the previous program is missing, no port is free, or a file or process cannot be
+/// created.
 pub async fn run(options: Options, program: &Path, dir: &Path) -> Result<Report> {
+    let first_program = options.previous.as_deref().unwrap_or(program);
+    if !first_program.is_file() {
+        let path = first_program.display();
+        return Err(format!("{path} is missing, name the program with --previous").into());
+    }
     std::fs::create_dir_all(dir)?;
     std::fs::write(dir.join("options.json"), serde_json::to_vec_pretty(&options)?)?;
     let mut cluster = if options.own_links {
-        Cluster::start_in(program, dir, &data_centres(options.daemons), true).await?
+        Cluster::start_in(first_program, dir, &data_centres(options.daemons), true).await?
     } else {
-        Cluster::start(program, dir, options.daemons).await?
+        Cluster::start(first_program, dir, options.daemons).await?
     };
     let callers = Callers::new(Arc::clone(&cluster.checker));
     let start_counts = start_callers(&cluster, &callers, options.callers);
@@ -96,9 +109,13 @@
     let mut link_faults = options
         .own_links
         .then(|| LinkFaults::new(options.seed, data_centres(options.daemons), first_fault_at));
-    let faults_deadline = first_fault_at + Duration::from_secs(options.for_s);
+    let period = Duration::from_secs(options.for_s);
+    let faults_deadline = first_fault_at + period;
+    let mut upgrade = options.previous.is_some().then(|| {
+        Upgrade::new(program.to_owned(), options.seed, options.daemons, first_fault_at, period)
+    });
     let mut next_fault_at = first_fault_at;
-    while Instant::now() < faults_deadline {
+    while Instant::now() < faults_deadline || upgrade.as_ref().is_some_and(Upgrade::is_running) {
         sleep(Duration::from_millis(20)).await;
         schedule.undo_due(&mut cluster, false).await?;
         if Instant::now() >= next_fault_at {
@@ -109,6 +126,9 @@
             faults.step(&cluster).await;
         }
         cluster.restart_exited_daemons()?;
+        if let Some(upgrade) = &mut upgrade {
+            upgrade.advance(&mut cluster);
+        }
         cluster.write_document_if_due().await;
         update_version_check_inputs(&cluster, &start_counts, &latest);
     }
@@ -117,11 +137,13 @@
     if let Some(faults) = &mut link_faults {
         faults.undo_all(&cluster);
     }
-    let recovery_deadline =
-        Instant::now() + Duration::from_secs(options.settle_s.min(RECOVERY_TIME_S));
+    let recovery_deadline = Instant::now() + Duration::from_secs(options.recovery_s);
     while Instant::now() < recovery_deadline {
         sleep(Duration::from_millis(100)).await;
         cluster.restart_exited_daemons()?;
+        if let Some(upgrade) = &mut upgrade {
+            upgrade.advance(&mut cluster);
+        }
         update_version_check_inputs(&cluster, &start_counts, &latest);
     }
     let served_part_at_end = callers.served_share(MEASURE_TIME).await;
@@ -136,7 +158,8 @@
     }
     std::fs::write(dir.join("timeline.txt"), cluster.timeline())?;
     let broken = cluster.checker.violations();
-    Ok(Report { options, counts: callers.counts(), served_part_at_end, broken })
+    let starts = upgrade.map(|upgrade| upgrade.starts).unwrap_or_default();
+    Ok(Report { options, counts: callers.counts(), served_part_at_end, broken, starts })
 }
 
 /// Starts the callers of all daemons, and returns a start count for each daemon.
--- /dev/null
+++ b/crates/soak/tests/rolling_upgrade.rs
@@ -0,0 +1,56 @@
+//! Replaces every daemon while the others go on; both versions are the program built now.
+use std::path::Path;
+use std::process::{Command, Output};
+
+use serde_json::Value;
+
+const DAEMONS: usize = 3;
+
+/// Runs the soak with an output folder of its own.
+fn run_soak(case: &str, args: &[&str]) -> Output {
+    let out = Path::new(env!("CARGO_TARGET_TMPDIR")).join(case);
+    Command::new(env!("CARGO_BIN_EXE_verbena-soak"))
+        .args(["run", "--seed", "3", "--for", "9", "--recover", "2", "--safety-only", "--out"])
+        .arg(out)
+        .args(args)
+        .output()
+        .expect("the program runs")
+}
+
+/// Returns the versions that a daemon ran, one per start.
+fn versions<'a>(starts: &'a [Value], daemon: &str) -> Vec<&'a str> {
+    let own = starts.iter().filter(|start| start["daemon"] == daemon);
+    own.filter_map(|start| start["version"].as_str()).collect()
+}
+
+#[test]
+fn replaces_each_once() {
+    let program = Path::new(env!("CARGO_BIN_EXE_verbena-soak")).with_file_name("verbena-edge");
+    assert!(
+        program.exists(),
+        "verbena-edge is missing, expected `cargo test --workspace`, which builds it"
+    );
+    let program = program.to_str().expect("the path is valid UTF-8");
+    let daemons = DAEMONS.to_string();
+    let output = run_soak("upgrade", &["--previous", program, "--daemons", &daemons]);
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{text}{}", String::from_utf8_lossy(&output.stderr));
+    let report: Value = serde_json::from_str(&text).expect("the report is JSON");
+    assert_eq!(report["broken"], Value::Array(Vec::new()));
+    let starts = report["starts"].as_array().expect("an upgrade reports starts");
+    for number in 0..DAEMONS {
+        let versions = versions(starts, &format!("edge-{number}"));
+        let replaced_at = versions.iter().position(|version| *version == "new");
+        let (previous, new) = versions.split_at(replaced_at.expect("the daemon was replaced"));
+        assert!(!previous.is_empty(), "{versions:?}");
+        assert!(new.iter().all(|version| *version == "new"), "{versions:?}");
+    }
+}
+
+#[test]
+fn missing_program() {
+    let output = run_soak("missing", &["--previous", "no/such/program"]);
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(error.contains("invalid value 'no/such/program' for '--previous <PATH>'"), "{error}");
+}
--- a/crates/soak/tests/server_links.rs
+++ b/crates/soak/tests/server_links.rs
@@ -20,7 +20,7 @@
             "1",
             "--for",
             "8",
-            "--settle",
+            "--recover",
             "5",
             "--safety-only",
             "--out",
