--- a/crates/shard/tests/earlier_terms.rs
+++ b/crates/shard/tests/earlier_terms.rs
@@ -2,7 +2,7 @@
 //! again: answers to orders, and records that were written.
 mod fixture;
 
-use crate::fixture::{SERVICE, TICK_MS, registry};
+use crate::fixture::{SERVICE, TICK_MS, registry, step_with_writes};
 use document::HashMap;
 use shard::{Config, Epoch, Event, Leader, OrderId, OrderKind, Output, Owner, Reply, Servers};
 
@@ -15,20 +15,13 @@
     leader.add_service(&SERVICE.into());
     for tick in 1..200 {
         let now_ms = tick * TICK_MS;
-        let mut outputs = leader.step(now_ms, servers, Event::Tick);
-        while let Some(output) = outputs.pop() {
-            match output {
-                Output::Order { id, kind: OrderKind::Grant(_), .. } => return (leader, id, now_ms),
-                Output::Write { service, record } => {
-                    let written = Event::RecordWritten {
-                        service,
-                        epoch: Epoch(record.epoch),
-                        number: record.number,
-                    };
-                    outputs.extend(leader.step(now_ms, servers, written));
-                }
-                _ => {}
-            }
+        let outputs = step_with_writes(&mut leader, now_ms, servers, Event::Tick);
+        let grant = outputs.iter().find_map(|output| match output {
+            Output::Order { id, kind: OrderKind::Grant(_), .. } => Some(*id),
+            _ => None,
+        });
+        if let Some(id) = grant {
+            return (leader, id, now_ms);
         }
     }
     panic!("no grant within {} ms", 200 * TICK_MS);
--- a/crates/shard/tests/unreadable_records.rs
+++ b/crates/shard/tests/unreadable_records.rs
@@ -2,7 +2,7 @@
 //! version.
 mod fixture;
 
-use crate::fixture::{SERVICE, TICK_MS, registry};
+use crate::fixture::{SERVICE, TICK_MS, registry, step_with_writes};
 use document::HashMap;
 use shard::{Config, Epoch, Event, Leader, OrderKind, Output, Servers};
 
@@ -14,20 +14,11 @@
     let mut now_ms = 0;
     while now_ms < for_ms {
         now_ms += TICK_MS;
-        let mut outputs = leader.step(now_ms, servers, Event::Tick);
-        while let Some(output) = outputs.pop() {
-            match output {
-                Output::Order { kind: OrderKind::Grant(_), .. } => return Some(now_ms),
-                Output::Write { service, record } => {
-                    let written = Event::RecordWritten {
-                        service,
-                        epoch: Epoch(record.epoch),
-                        number: record.number,
-                    };
-                    outputs.extend(leader.step(now_ms, servers, written));
-                }
-                _ => {}
-            }
+        let outputs = step_with_writes(leader, now_ms, servers, Event::Tick);
+        let is_grant =
+            |output: &Output| matches!(output, Output::Order { kind: OrderKind::Grant(_), .. });
+        if outputs.iter().any(is_grant) {
+            return Some(now_ms);
         }
     }
     None
