Share the harness's writes and the soak's program between tests

Cause: six tests of shard carried out writes with the same lines, three of soak found and ran their program with the same lines. Change: fixture::step_with_writes and soak/tests/program; what the tests check, their seeds and arguments are unchanged.

--- a/crates/shard/tests/delayed_grants.rs
+++ b/crates/shard/tests/delayed_grants.rs
@@ -5,7 +5,7 @@
 //! it: answers, and the reset of the connection. Other servers answer all the while.
 mod fixture;
 
-use crate::fixture::{SERVICE, TICK_MS, incarnation, registry};
+use crate::fixture::{SERVICE, TICK_MS, incarnation, registry, step_with_writes};
 use document::HashMap;
 use registry::{Incarnation, Registry};
 use shard::{
@@ -52,23 +52,12 @@
 
     fn step(&mut self, event: Event) {
         let servers = Servers { registry: &self.registry, speeds: &self.speeds };
-        for output in self.leader.step(self.now_ms, servers, event) {
-            match output {
-                Output::Order { id, server, kind, .. } => {
-                    if server.incarnation == incarnation("s1") {
-                        self.send_to_first(id, &kind);
-                    } else {
-                        self.send_to_other(id, &kind);
-                    }
-                }
-                Output::Write { service, record } => {
-                    self.step(Event::RecordWritten {
-                        service,
-                        epoch: Epoch(record.epoch),
-                        number: record.number,
-                    });
-                }
-                _ => {}
+        for output in step_with_writes(&mut self.leader, self.now_ms, servers, event) {
+            let Output::Order { id, server, kind, .. } = output else { continue };
+            if server.incarnation == incarnation("s1") {
+                self.send_to_first(id, &kind);
+            } else {
+                self.send_to_other(id, &kind);
             }
         }
     }
--- a/crates/shard/tests/even_load.rs
+++ b/crates/shard/tests/even_load.rs
@@ -3,7 +3,7 @@
 //! Each test simulates a load on servers that carry out every order at once.
 mod fixture;
 
-use crate::fixture::{SERVICE, TICK_MS, registration, registry};
+use crate::fixture::{SERVICE, TICK_MS, registration, registry, step_with_writes};
 use document::{HashMap, Name};
 use registry::{Incarnation, Registry, Stage};
 use shard::{Config, Epoch, Event, Leader, MoveReason, Output, Owner, Reply, Servers, Table};
@@ -40,21 +40,16 @@
 
     fn step(&mut self, event: Event) {
         let servers = Servers { registry: &self.registry, speeds: &self.speeds };
-        let outputs = self.leader.step(self.now_ms, servers, event);
-        for output in outputs {
+        for output in step_with_writes(&mut self.leader, self.now_ms, servers, event) {
             match output {
                 Output::Order { id, .. } => self.step(Event::Answered(id, Reply::Done(None))),
-                Output::Write { service, record } => {
-                    self.step(Event::RecordWritten {
-                        service,
-                        epoch: Epoch(record.epoch),
-                        number: record.number,
-                    });
-                }
                 Output::Log(shard::LogEvent::Planned { range, reason, .. }) => {
                     self.moves.push((reason, range.count()));
                 }
-                Output::Publish { .. } | Output::Deposed | Output::Log(_) => {}
+                Output::Write { .. }
+                | Output::Publish { .. }
+                | Output::Deposed
+                | Output::Log(_) => {}
             }
         }
     }
--- a/crates/shard/tests/large_fleet.rs
+++ b/crates/shard/tests/large_fleet.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::fixture::{SERVICE, TICK_MS, incarnation, registry};
+use crate::fixture::{SERVICE, TICK_MS, incarnation, registry, step_with_writes};
 use document::{HashMap, HashSet, Name};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -77,8 +77,7 @@
 
     fn step(&mut self, event: Event) {
         let servers = Servers { registry: &self.registry, speeds: &self.speeds };
-        let outputs = self.leader.step(self.now_ms, servers, event);
-        for output in outputs {
+        for output in step_with_writes(&mut self.leader, self.now_ms, servers, event) {
             match output {
                 Output::Order { id, server, kind, deadline_ms } => {
                     let is_lost = self.lost.contains(&server.incarnation);
@@ -92,15 +91,11 @@
                     self.grants += usize::from(matches!(kind, OrderKind::Grant(_)));
                     self.replies.insert((at_ms, id.number), (id, reply));
                 }
-                Output::Write { service, record } => {
-                    self.step(Event::RecordWritten {
-                        service,
-                        epoch: Epoch(record.epoch),
-                        number: record.number,
-                    });
-                }
                 Output::Log(LogEvent::Planned { range, .. }) => self.moved += range.count(),
-                Output::Publish { .. } | Output::Deposed | Output::Log(_) => {}
+                Output::Write { .. }
+                | Output::Publish { .. }
+                | Output::Deposed
+                | Output::Log(_) => {}
             }
         }
     }
--- a/crates/shard/tests/renewal_answers.rs
+++ b/crates/shard/tests/renewal_answers.rs
@@ -3,7 +3,7 @@
 //! Such passes would be most of a leader's work, and would send renewals ahead of the next tick.
 mod fixture;
 
-use crate::fixture::{SERVICE, TICK_MS, registry};
+use crate::fixture::{SERVICE, TICK_MS, registry, step_with_writes};
 use document::HashMap;
 use registry::{Incarnation, Registry};
 use shard::{Config, Epoch, Event, Leader, OrderId, OrderKind, Output, Reply, Servers};
@@ -28,19 +28,11 @@
     /// Handles an event with writes carried out at once, and returns the grants sent.
     fn step(&mut self, event: Event) -> Vec<OrderId> {
         let servers = Servers { registry: &self.registry, speeds: &self.speeds };
-        let outputs = self.leader.step(self.now_ms, servers, event);
+        let outputs = step_with_writes(&mut self.leader, self.now_ms, servers, event);
         let mut grants = Vec::new();
         for output in outputs {
-            match output {
-                Output::Order { id, kind: OrderKind::Grant(_), .. } => grants.push(id),
-                Output::Write { service, record } => {
-                    grants.extend(self.step(Event::RecordWritten {
-                        service,
-                        epoch: Epoch(record.epoch),
-                        number: record.number,
-                    }));
-                }
-                _ => {}
+            if let Output::Order { id, kind: OrderKind::Grant(_), .. } = output {
+                grants.push(id);
             }
         }
         grants
--- a/crates/shard/tests/reused_address.rs
+++ b/crates/shard/tests/reused_address.rs
@@ -4,7 +4,9 @@
 //! not be waited for.
 mod fixture;
 
-use crate::fixture::{SERVICE, TICK_MS, address, incarnation, registration, registry};
+use crate::fixture::{
+    SERVICE, TICK_MS, address, incarnation, registration, registry, step_with_writes,
+};
 use document::HashMap;
 use registry::{Incarnation, Registration, Registry, Stage};
 use shard::{
@@ -32,26 +34,14 @@
 
     fn step(&mut self, event: Event) {
         let servers = Servers { registry: &self.registry, speeds: &self.speeds };
-        let outputs = self.leader.step(self.now_ms, servers, event);
-        for output in outputs {
-            match output {
-                Output::Order { id, server, kind, deadline_ms } => {
-                    if self.is_lost && server.incarnation == incarnation("s1") {
-                        self.unanswered.push((deadline_ms, id));
-                        continue;
-                    }
-                    let token = matches!(kind, OrderKind::Release(_)).then(|| "token".into());
-                    self.step(Event::Answered(id, Reply::Done(token)));
-                }
-                Output::Write { service, record } => {
-                    self.step(Event::RecordWritten {
-                        service,
-                        epoch: Epoch(record.epoch),
-                        number: record.number,
-                    });
-                }
-                _ => {}
+        for output in step_with_writes(&mut self.leader, self.now_ms, servers, event) {
+            let Output::Order { id, server, kind, deadline_ms } = output else { continue };
+            if self.is_lost && server.incarnation == incarnation("s1") {
+                self.unanswered.push((deadline_ms, id));
+                continue;
             }
+            let token = matches!(kind, OrderKind::Release(_)).then(|| "token".into());
+            self.step(Event::Answered(id, Reply::Done(token)));
         }
     }
 
--- a/crates/shard/tests/silent_servers.rs
+++ b/crates/shard/tests/silent_servers.rs
@@ -4,7 +4,7 @@
 //! the server answers again, it must get ranges.
 mod fixture;
 
-use crate::fixture::{SERVICE, TICK_MS, incarnation, registry};
+use crate::fixture::{SERVICE, TICK_MS, incarnation, registry, step_with_writes};
 use document::HashMap;
 use registry::{Incarnation, Registry};
 use shard::{Config, Epoch, Event, Leader, LogEvent, OrderId, OrderKind, Output, Reply, Servers};
@@ -33,17 +33,9 @@
 
     fn step(&mut self, event: Event) {
         let servers = Servers { registry: &self.registry, speeds: &self.speeds };
-        let outputs = self.leader.step(self.now_ms, servers, event);
-        for output in outputs {
+        for output in step_with_writes(&mut self.leader, self.now_ms, servers, event) {
             match output {
                 Output::Order { id, server, kind, .. } => self.send(id, &server.incarnation, &kind),
-                Output::Write { service, record } => {
-                    self.step(Event::RecordWritten {
-                        service,
-                        epoch: Epoch(record.epoch),
-                        number: record.number,
-                    });
-                }
                 Output::Log(LogEvent::Planned { to, .. }) => {
                     self.planned += usize::from(to == incarnation("s3"));
                 }
--- a/crates/soak/tests/rolling_upgrade.rs
+++ b/crates/soak/tests/rolling_upgrade.rs
@@ -1,21 +1,10 @@
 //! Replaces every daemon while the others go on; both versions are the program built now.
-use std::path::Path;
-use std::process::{Command, Output};
+mod program;
 
 use serde_json::Value;
 
 const DAEMONS: usize = 3;
-
-/// Runs the soak with an output folder of its own.
-fn run_soak(case: &str, args: &[&str]) -> Output {
-    let out = Path::new(env!("CARGO_TARGET_TMPDIR")).join(case);
-    Command::new(env!("CARGO_BIN_EXE_verbena-soak"))
-        .args(["run", "--seed", "3", "--for", "9", "--recover", "2", "--safety-only", "--out"])
-        .arg(out)
-        .args(args)
-        .output()
-        .expect("the program runs")
-}
+const FAULTS: [&str; 6] = ["--seed", "3", "--for", "9", "--recover", "2"];
 
 /// Returns the versions that a daemon ran, one per start.
 fn versions<'a>(starts: &'a [Value], daemon: &str) -> Vec<&'a str> {
@@ -25,14 +14,11 @@
 
 #[test]
 fn replaces_each_once() {
-    let program = Path::new(env!("CARGO_BIN_EXE_verbena-soak")).with_file_name("verbena-edge");
-    assert!(
-        program.exists(),
-        "verbena-edge is missing, expected `cargo test --workspace`, which builds it"
-    );
+    let program = program::daemon();
     let program = program.to_str().expect("the path is valid UTF-8");
     let daemons = DAEMONS.to_string();
-    let output = run_soak("upgrade", &["--previous", program, "--daemons", &daemons]);
+    let upgrade = ["--previous", program, "--daemons", &daemons];
+    let output = program::run("upgrade", &[&FAULTS[..], &upgrade].concat());
     let text = String::from_utf8_lossy(&output.stdout);
     assert!(output.status.success(), "{text}{}", String::from_utf8_lossy(&output.stderr));
     let report: Value = serde_json::from_str(&text).expect("the report is JSON");
@@ -49,7 +35,7 @@
 
 #[test]
 fn missing_program() {
-    let output = run_soak("missing", &["--previous", "no/such/program"]);
+    let output = program::run("missing", &["--previous", "no/such/program"]);
     let error = String::from_utf8_lossy(&output.stderr);
     assert_eq!(output.status.code(), Some(2));
     assert!(error.contains("invalid value 'no/such/program' for '--previous <PATH>'"), "{error}");
--- a/crates/soak/tests/short_seed.rs
+++ b/crates/soak/tests/short_seed.rs
@@ -1,23 +1,9 @@
 //! Runs the real programs with a fixed seed, and fails if they break a rule under faults.
 //!
 //! Only safety is checked: how soon service recovers depends on the speed of the machine.
-use std::path::Path;
-use std::process::Command;
+mod program;
 
 #[test]
 fn breaks_no_rule() {
-    let program = Path::new(env!("CARGO_BIN_EXE_verbena-soak"));
-    assert!(
-        program.with_file_name("verbena-edge").exists(),
-        "verbena-edge is missing, expected `cargo test --workspace`, which builds it"
-    );
-    let out = Path::new(env!("CARGO_TARGET_TMPDIR")).join("soak");
-    let output = Command::new(program)
-        .args(["run", "--seed", "12", "--for", "6", "--safety-only", "--out"])
-        .arg(&out)
-        .output()
-        .expect("the program runs");
-    let text = String::from_utf8_lossy(&output.stdout);
-    println!("{text}");
-    assert!(output.status.success(), "{text}{}", String::from_utf8_lossy(&output.stderr));
+    program::assert_breaks_no_rule("soak", &["--seed", "12", "--for", "6"]);
 }
