Let full grants be late again in the test of late grants

Cause: since a server that has not answered just now is first sent a short grant, the slow link of delayed_grants only met short ones, so the test passed also without the wait that it guards. Change: the link gets slow at each 20 ms of the last second before the cut, and a grant of full length must have been late.

--- a/crates/shard/tests/delayed_grants.rs
+++ b/crates/shard/tests/delayed_grants.rs
@@ -12,9 +12,10 @@
     Config, Epoch, Event, Grant, KeyRange, Leader, OrderId, OrderKind, Output, Reply, Servers,
 };
 
-/// When the link of `s1` gets slow, and when it is cut.
-const SLOW_FROM_MS: u64 = 9_400;
+/// When the link of `s1` is cut.
 const CUT_FROM_MS: u64 = 10_000;
+/// How long before that it gets slow at most: longer than the time between two renewals.
+const MAX_SLOW_MS: u64 = 1_000;
 /// By how much a server's clock may be slow, as a divisor.
 const CLOCK_DRIFT_DIVISOR: u64 = 50;
 
@@ -23,8 +24,12 @@
     leader: Leader,
     registry: Registry,
     speeds: HashMap<Incarnation, f32>,
+    /// When the link of `s1` gets slow.
+    slow_from_ms: u64,
     /// How long the slow link takes to deliver.
     delay_ms: u64,
+    /// The longest grant that arrived late.
+    late_ms: u64,
     /// Replies with the time at which the leader gets them.
     replies: Vec<(u64, OrderId, Reply)>,
     /// The ranges that `s1` holds at most, and until when.
@@ -34,7 +39,7 @@
 }
 
 impl Harness {
-    fn new(delay_ms: u64) -> Self {
+    fn new(slow_from_ms: u64, delay_ms: u64) -> Self {
         let registry = registry(["s1", "s2", "s3"].map(String::from));
         let mut leader = Leader::new(Epoch(5), 0, u64::MAX, &[], Config::default());
         leader.add_service(&SERVICE.into());
@@ -43,7 +48,9 @@
             leader,
             registry,
             speeds: HashMap::default(),
+            slow_from_ms,
             delay_ms,
+            late_ms: 0,
             replies: Vec::new(),
             held: Vec::new(),
             overlap_ms: 0,
@@ -67,7 +74,10 @@
         let timed_out_at_ms = self.now_ms + config.order_timeout_ms;
         if self.now_ms >= CUT_FROM_MS {
             self.replies.push((timed_out_at_ms, id, Reply::NotSent));
-        } else if self.now_ms >= SLOW_FROM_MS {
+        } else if self.now_ms >= self.slow_from_ms {
+            if let OrderKind::Grant(grant) = kind {
+                self.late_ms = self.late_ms.max(grant.grant_ms);
+            }
             self.accept(self.now_ms + self.delay_ms, kind);
             self.replies.push((timed_out_at_ms, id, Reply::Unknown));
         } else {
@@ -107,12 +117,20 @@
     }
 }
 
-/// Returns for how long another server had keys that the one that was cut off still held.
+/// Returns for how long another server had keys that the one that was cut off still held, at most,
+/// wherever in the time between two renewals its link gets slow.
 fn overlap_ms(delay_ms: u64) -> u64 {
-    let mut harness = Harness::new(delay_ms);
-    harness.run(20_000);
-    assert!(!harness.held.is_empty());
-    harness.overlap_ms
+    let (mut overlap_ms, mut late_ms) = (0, 0);
+    let step_ms = usize::try_from(TICK_MS).unwrap();
+    for slow_from_ms in (CUT_FROM_MS - MAX_SLOW_MS..CUT_FROM_MS).step_by(step_ms) {
+        let mut harness = Harness::new(slow_from_ms, delay_ms);
+        harness.run(20_000);
+        assert!(!harness.held.is_empty());
+        overlap_ms = overlap_ms.max(harness.overlap_ms);
+        late_ms = late_ms.max(harness.late_ms);
+    }
+    assert_eq!(late_ms, Config::default().grant_ms, "a grant of full length is late");
+    overlap_ms
 }
 
 #[test]
