Group the gateway's modules by concern

39 flat files left no place for the parts that competing callers and uneven servers need, and those who build side by side would meet in one file. The modules now lie in request/, control/ and leader/. No behaviour changes: files are moved and paths follow. The cycles of imports between call, detour and exchange, and around node, remain.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -7,10 +7,10 @@
 use peer::{FleetBody, FleetEntry, FleetFrame};
 use store::{Expect, Store};
 
-use crate::distribution::first_of_groups;
-use crate::election::Campaign;
-use crate::follow::{DAEMONS_PREFIX, DaemonEntry, LEADER_KEY};
-use crate::node::Node;
+use crate::control::follow::{DAEMONS_PREFIX, DaemonEntry, LEADER_KEY};
+use crate::control::node::Node;
+use crate::leader::distribution::first_of_groups;
+use crate::leader::election::Campaign;
 use crate::{Orders, Source};
 
 impl<S: Store, O: Orders, R: Source> Node<S, O, R> {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
-use crate::input::{Input, ReadPosition, StoredRecord, Topic};
+use crate::control::input::{Input, ReadPosition, StoredRecord, Topic};
 use crate::{BootClock, Progress};
 
 /// The prefix of the keys of daemons and their leader.
--- a/crates/gateway/src/input.rs
+++ b/crates/gateway/src/control/input.rs
@@ -8,7 +8,7 @@
 use tokio::sync::oneshot;
 
 use crate::Settings;
-use crate::turns::TurnQuery;
+use crate::request::turns::TurnQuery;
 
 /// One input of the control thread.
 #[derive(Debug)]
--- a/crates/gateway/src/leaving.rs
+++ b/crates/gateway/src/control/leaving.rs
@@ -9,7 +9,7 @@
 use shard::Event;
 use store::Store;
 
-use crate::node::Node;
+use crate::control::node::Node;
 use crate::{Orders, Source};
 
 impl<S: Store, O: Orders, R: Source> Node<S, O, R> {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/control/node.rs
@@ -15,16 +15,16 @@
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
 
-use crate::cut_leader::connect_to;
-use crate::detour::Peer;
-use crate::follow::DaemonEntry;
-use crate::input::{Input, ReadPosition, Topic};
-use crate::leader_state::LeaderState;
-use crate::relay::{Relay, Role};
-use crate::report::ServiceState;
-use crate::server::Server;
-use crate::succession::Resignation;
-use crate::turns::Turns;
+use crate::control::follow::DaemonEntry;
+use crate::control::input::{Input, ReadPosition, Topic};
+use crate::control::relay::{Relay, Role};
+use crate::leader::cut_leader::connect_to;
+use crate::leader::leader_state::LeaderState;
+use crate::leader::succession::Resignation;
+use crate::request::detour::Peer;
+use crate::request::report::ServiceState;
+use crate::request::server::Server;
+use crate::request::turns::Turns;
 use crate::{BootClock, Orders, Settings, Shared, Source};
 
 /// The state of the control thread.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/control/relay.rs
@@ -7,7 +7,7 @@
 
 use document::{Name, Revision};
 
-use crate::distribution::daemon_groups;
+use crate::leader::distribution::daemon_groups;
 
 /// How a daemon gets the servers' entries.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/gateway/src/relay_messages.rs
+++ b/crates/gateway/src/control/relay_messages.rs
@@ -5,8 +5,10 @@
 use registry::Registration;
 use store::Store;
 
-use crate::node::Node;
-use crate::relay::{HEARTBEAT_INTERVAL_MS, MessageAction, MessageHeader, READ_VALID_MS, Role};
+use crate::control::node::Node;
+use crate::control::relay::{
+    HEARTBEAT_INTERVAL_MS, MessageAction, MessageHeader, READ_VALID_MS, Role,
+};
 use crate::{Orders, Source};
 
 impl<S: Store, O: Orders, R: Source> Node<S, O, R> {
--- a/crates/gateway/src/server_entries.rs
+++ b/crates/gateway/src/control/server_entries.rs
@@ -5,8 +5,8 @@
 use shard::Event;
 use store::{Entry, Store};
 
-use crate::input::ReadPosition;
-use crate::node::Node;
+use crate::control::input::ReadPosition;
+use crate::control::node::Node;
 use crate::ports::EntryText;
 use crate::{Orders, Source};
 
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/control/tables.rs
@@ -7,10 +7,10 @@
 use shard::{Epoch, Owner, Span, Table};
 use store::Store;
 
-use crate::follow::list_records;
-use crate::input::{Input, StoredRecord};
-use crate::node::Node;
-use crate::relay::Role;
+use crate::control::follow::list_records;
+use crate::control::input::{Input, StoredRecord};
+use crate::control::node::Node;
+use crate::control::relay::Role;
 use crate::{Orders, Source};
 
 /// How long a daemon waits for tables from a leader before it reads the records in the store.
--- a/crates/gateway/src/view_builder.rs
+++ b/crates/gateway/src/control/view_builder.rs
@@ -10,12 +10,12 @@
 use site::Site;
 use store::Store;
 
-use crate::detour::Peer;
-use crate::node::Node;
-use crate::report::ServiceState;
-use crate::retry_budget;
-use crate::server::Server;
-use crate::view::{PoolMember, ServiceView};
+use crate::control::node::Node;
+use crate::request::detour::Peer;
+use crate::request::report::ServiceState;
+use crate::request::retry_budget;
+use crate::request::server::Server;
+use crate::request::view::{PoolMember, ServiceView};
 use crate::{Orders, Source, View};
 
 /// The percentage of the drain time for which a leaving server still gets work, from the time
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,10 +17,10 @@
 use tokio::time::{interval, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
-use crate::follow::{DAEMONS_PREFIX, DaemonEntry, FLEET_PREFIX, Follower, register};
-use crate::front::{self, StopSignals};
-use crate::input::{Input, Topic};
-use crate::node::{Node, NodeParts};
+use crate::control::follow::{DAEMONS_PREFIX, DaemonEntry, FLEET_PREFIX, Follower, register};
+use crate::control::input::{Input, Topic};
+use crate::control::node::{Node, NodeParts};
+use crate::request::front::{self, StopSignals};
 use crate::{Dialect, Orders, Settings, Shared, Source, status};
 
 /// The implementations through which a gateway uses its platform.
--- a/crates/gateway/src/cut_leader.rs
+++ b/crates/gateway/src/leader/cut_leader.rs
@@ -17,9 +17,9 @@
 use tokio::task::JoinSet;
 use tokio::time::{Duration, timeout};
 
-use crate::candidacy;
-use crate::input::Input;
-use crate::node::Node;
+use crate::control::input::Input;
+use crate::control::node::Node;
+use crate::leader::candidacy;
 use crate::{Orders, Source};
 
 /// The leader's questions whether other daemons reach its silent servers.
--- a/crates/gateway/src/election.rs
+++ b/crates/gateway/src/leader/election.rs
@@ -12,8 +12,8 @@
 use tokio::time::{sleep, timeout};
 
 use crate::BootClock;
-use crate::follow::{LEADER_KEY, jittered, list_records};
-use crate::input::{Input, WonElection};
+use crate::control::follow::{LEADER_KEY, jittered, list_records};
+use crate::control::input::{Input, WonElection};
 
 /// The length of the leader's lease, which is how long a lost leader delays the next election.
 const LEASE_MS: u64 = 2_000;
--- a/crates/gateway/src/leader_state.rs
+++ b/crates/gateway/src/leader/leader_state.rs
@@ -11,7 +11,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::Distribution;
-use crate::cut_leader::ReachQueries;
+use crate::leader::cut_leader::ReachQueries;
 
 /// The state of the leader.
 #[derive(Debug)]
--- a/crates/gateway/src/leader_tasks.rs
+++ b/crates/gateway/src/leader/leader_tasks.rs
@@ -9,11 +9,11 @@
 use telemetry::Counter;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::distribution::publication_transit_ms;
-use crate::follow::{LEADER_KEY, RECORDS_PREFIX};
-use crate::input::{Input, WonElection, WriteOutcome};
-use crate::leader_state::LeaderState;
-use crate::node::Node;
+use crate::control::follow::{LEADER_KEY, RECORDS_PREFIX};
+use crate::control::input::{Input, WonElection, WriteOutcome};
+use crate::control::node::Node;
+use crate::leader::distribution::publication_transit_ms;
+use crate::leader::leader_state::LeaderState;
 use crate::{Orders, Source};
 
 /// How often tables are published even when nothing changes.
--- a/crates/gateway/src/succession.rs
+++ b/crates/gateway/src/leader/succession.rs
@@ -14,10 +14,10 @@
 use telemetry::Counter;
 use tokio::time::{Duration, sleep};
 
-use crate::candidacy::{self, Candidate};
-use crate::follow::LEADER_KEY;
-use crate::input::Input;
-use crate::node::Node;
+use crate::control::follow::LEADER_KEY;
+use crate::control::input::Input;
+use crate::control::node::Node;
+use crate::leader::candidacy::{self, Candidate};
 use crate::{Orders, Source};
 
 /// What a leader that resigned told.
@@ -104,9 +104,8 @@
 
     pub(crate) fn candidates(&self) -> Vec<Candidate> {
         let daemons = self.daemons.iter();
-        let to_candidate = |(name, daemon): (&Name, &crate::follow::DaemonEntry)| Candidate {
-            instance: name.clone(),
-            link_mbps: daemon.link_mbps,
+        let to_candidate = |(name, daemon): (&Name, &crate::control::follow::DaemonEntry)| {
+            Candidate { instance: name.clone(), link_mbps: daemon.link_mbps }
         };
         daemons.map(to_candidate).collect()
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,71 +24,42 @@
 //!
 //! # Modules
 //!
-//! - Process: `gateway` starts and stops it, `front` serves callers' connections, and `status`
+//! - Process: `gateway` starts and stops it, `shared` is what its threads share, and `status`
 //!   answers the platform's readiness checks and administrators.
-//! - Requests: `call` reads a request, `forward` finds a server and retries, `exchange` sends
-//!   one attempt to a server, `answer` is the body of the answer, and `refusal` answers
-//!   requests that no server answered. `server`, `report` and `retry_budget` hold the state of
-//!   servers, services and routes.
-//! - Control: `node` handles each `input`. `follow` watches the store, `server_entries` and
-//!   `fleet` handle the entries of servers and daemons, `tables` handles the owners of keys,
-//!   and `view_builder` builds the view.
-//! - Relay of servers' entries: `relay` decides, and `relay_messages` sends and handles the
-//!   messages. `distribution` decides how tables reach all daemons.
-//! - Leader: `candidacy` decides who campaigns when, `succession` hands leadership over,
-//!   `election` wins and renews the leader's lease, `leader_state` holds the leader's
-//!   state, and `leader_tasks` carries out what [`shard::Leader`] decides.
+//! - `request`, the path of a request: `front` serves callers' connections, `call` reads a request,
+//!   `forward` finds a server and retries, `exchange` sends one attempt to a server, and `detour`
+//!   sends it through another daemon. `server`, `report`, `turns` and `retry_budget` hold the state
+//!   of servers, services and routes.
+//! - `control`, what is read from the store and from other daemons: `node` handles each `input`,
+//!   `follow` watches the store, `server_entries` and `fleet` handle the entries of servers and
+//!   daemons, `relay` decides who reads them, `tables` handles the owners of keys, and
+//!   `view_builder` builds the view.
+//! - `leader`, what the leader does: `candidacy` decides who campaigns when, `succession` hands
+//!   leadership over, `election` wins and renews the leader's lease, `distribution` decides how
+//!   tables reach all daemons, and `leader_tasks` carries out what [`shard::Leader`] decides.
 
-mod answer;
-mod call;
-mod candidacy;
 mod clock;
-mod cut_leader;
-mod detour;
-mod distribution;
-mod election;
-mod exchange;
-mod fleet;
-mod follow;
-mod forward;
-mod front;
+mod control;
 mod gateway;
-mod input;
-mod leader_state;
-mod leader_tasks;
-mod leaving;
+mod leader;
 mod log_sampler;
-mod node;
 mod ports;
-mod progress;
-mod reach;
-mod refusal;
-mod relay;
-mod relay_messages;
-mod report;
-mod retry_budget;
-mod server;
-mod server_entries;
+mod request;
 mod settings;
 mod shared;
 mod status;
-mod succession;
-mod tables;
-mod turns;
-mod view;
-mod view_builder;
 
-pub use candidacy::{Candidate, campaign_order, campaign_wait_ms};
 pub use clock::BootClock;
-pub use cut_leader::silent_servers;
-pub use distribution::{Distribution, Recipients, daemon_groups, publication_transit_ms};
+pub use control::progress::Progress;
+pub use control::relay::{MessageAction, MessageHeader, Relay, Role};
 pub use gateway::{Gateway, Ports};
+pub use leader::candidacy::{Candidate, campaign_order, campaign_wait_ms};
+pub use leader::cut_leader::silent_servers;
+pub use leader::distribution::{Distribution, Recipients, daemon_groups, publication_transit_ms};
 pub use log_sampler::{LogSampler, is_sampled};
 pub use ports::{Dialect, EntryText, Orders, Source, Unreadable};
-pub use progress::Progress;
-pub use reach::{Reach, ReachChange};
-pub use relay::{MessageAction, MessageHeader, Relay, Role};
+pub use request::reach::{Reach, ReachChange};
+pub use request::turns::turn_keeper;
+pub use request::view::View;
 pub use settings::{Listen, RetrySettings, Settings};
 pub use shared::Shared;
-pub use turns::turn_keeper;
-pub use view::View;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -13,8 +13,8 @@
 use site::{Route, Site};
 
 use crate::Shared;
-use crate::detour::RELAYED;
-use crate::report::RouteState;
+use crate::request::detour::RELAYED;
+use crate::request::report::RouteState;
 
 /// A caller's request, with its whole body.
 #[derive(Debug)]
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/request/detour.rs
@@ -21,10 +21,10 @@
 use tokio::time::{Duration, Instant, timeout_at};
 
 use crate::Shared;
-use crate::answer::AnswerBody;
-use crate::call::Call;
-use crate::exchange::{ExchangeResult, check_answer, check_id, receive, to_request};
 use crate::log_sampler::is_sampled;
+use crate::request::answer::AnswerBody;
+use crate::request::call::Call;
+use crate::request::exchange::{ExchangeResult, check_answer, check_id, receive, to_request};
 
 /// The header of a request that another daemon has passed on.
 pub(crate) const RELAYED: HeaderName = HeaderName::from_static("verbena-relayed");
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -17,10 +17,10 @@
 use tokio::time::{Duration, Instant, sleep, timeout, timeout_at};
 
 use crate::Shared;
-use crate::answer::AnswerBody;
-use crate::call::Call;
-use crate::detour;
-use crate::server::Server;
+use crate::request::answer::AnswerBody;
+use crate::request::call::Call;
+use crate::request::detour;
+use crate::request::server::Server;
 
 /// The result of sending a request to a server.
 #[derive(Debug)]
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -13,15 +13,15 @@
 use tokio::time::timeout_at;
 
 use crate::Shared;
-use crate::answer::AnswerBody;
-use crate::call::{self, Call};
-use crate::detour;
-use crate::exchange::{ExchangeResult, exchange, is_out_of_reach};
 use crate::log_sampler::is_sampled;
-use crate::refusal;
-use crate::server::Server;
-use crate::turns::wait_for_turn;
-use crate::view::{Destination, ServiceView};
+use crate::request::answer::AnswerBody;
+use crate::request::call::{self, Call};
+use crate::request::detour;
+use crate::request::exchange::{ExchangeResult, exchange, is_out_of_reach};
+use crate::request::refusal;
+use crate::request::server::Server;
+use crate::request::turns::wait_for_turn;
+use crate::request::view::{Destination, ServiceView};
 
 /// The least time for which a request waits for a key that is moving to another server.
 ///
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/request/front.rs
@@ -17,8 +17,9 @@
 use tokio::time::{Duration, sleep};
 use tokio_util::sync::CancellationToken;
 
-use crate::answer::AnswerBody;
-use crate::{Shared, forward, refusal};
+use crate::Shared;
+use crate::request::answer::AnswerBody;
+use crate::request::{forward, refusal};
 
 /// The two signals of a graceful stop.
 #[derive(Clone, Debug, Default)]
--- /dev/null
+++ b/crates/gateway/src/request/mod.rs
@@ -0,0 +1,15 @@
+//! The path of a caller's request, and the state of servers and services that it uses.
+
+pub(crate) mod answer;
+pub(crate) mod call;
+pub(crate) mod detour;
+pub(crate) mod exchange;
+pub(crate) mod forward;
+pub(crate) mod front;
+pub(crate) mod reach;
+pub(crate) mod refusal;
+pub(crate) mod report;
+pub(crate) mod retry_budget;
+pub(crate) mod server;
+pub(crate) mod turns;
+pub(crate) mod view;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/request/refusal.rs
@@ -4,7 +4,7 @@
 use http::{Response, StatusCode};
 use route::{Outcome, Refusal};
 
-use crate::answer::AnswerBody;
+use crate::request::answer::AnswerBody;
 
 /// Returns the HTTP status of a refusal.
 ///
--- a/crates/gateway/src/turns.rs
+++ b/crates/gateway/src/request/turns.rs
@@ -14,9 +14,9 @@
 use tokio::time::{Duration, sleep, timeout};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::input::Input;
-use crate::node::Node;
-use crate::server::Server;
+use crate::control::input::Input;
+use crate::control::node::Node;
+use crate::request::server::Server;
 use crate::{Orders, Shared, Source};
 
 /// The rate at which a server that accepts fewer requests, or none, still gets some: only an
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/request/view.rs
@@ -8,9 +8,9 @@
 use shard::{Owner, Table};
 use site::Site;
 
-use crate::detour::Peer;
-use crate::report::ServiceState;
-use crate::server::Server;
+use crate::request::detour::Peer;
+use crate::request::report::ServiceState;
+use crate::request::server::Server;
 
 /// An immutable snapshot of everything that decides where a request goes.
 #[derive(Clone, Debug, Default)]
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -13,9 +13,9 @@
 use tokio::sync::{Notify, mpsc};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::input::Input;
-use crate::reach::Reach;
-use crate::report::RouteState;
+use crate::control::input::Input;
+use crate::request::reach::Reach;
+use crate::request::report::RouteState;
 use crate::{Dialect, LogSampler, View};
 
 /// The state that the control thread and the traffic thread share.
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -12,8 +12,8 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
-use crate::input::Input;
-use crate::node::Node;
+use crate::control::input::Input;
+use crate::control::node::Node;
 use crate::{Orders, Shared, Source};
 
 /// Answers readiness checks: whether the platform should send callers to this instance.
