Limit the requests of all daemons to cold servers

Cause: a cold server crashes at a rate well above the one that it tolerates. Change: services name that rate in the document, settings name overage and slack. A server is cold until its entry or an answer says, also again later, and each request to it needs a turn of the keeper; without the keeper, daemons take evenly spread turns at half of the rate. The burst of turns leaves room for two keepers. Pooled requests prefer warm servers nearby.

--- a/crates/gateway/src/control/node.rs
+++ b/crates/gateway/src/control/node.rs
@@ -300,6 +300,7 @@
             self.report();
             self.turns.forget_old(now_ms);
             self.log_reach();
+            self.log_cold_servers();
             self.probe_lost_servers();
         }
         self.send_crashes(now_ms);
--- a/crates/gateway/src/control/server_entries.rs
+++ b/crates/gateway/src/control/server_entries.rs
@@ -55,6 +55,27 @@
         }
     }
 
+    /// Logs which servers have become cold or warm since the last call, in one line each.
+    pub(crate) fn log_cold_servers(&self) {
+        let (mut cold, mut warm) = (Vec::new(), Vec::new());
+        for server in self.servers.values() {
+            let name = server.registration.incarnation.server.as_str();
+            match server.take_cold_change() {
+                Some(true) => cold.push(name),
+                Some(false) => warm.push(name),
+                None => {}
+            }
+        }
+        if !cold.is_empty() {
+            let servers = cold.join(" ");
+            spdlog::info!("servers are cold", kv: { count = cold.len(), servers: = servers });
+        }
+        if !warm.is_empty() {
+            let servers = warm.join(" ");
+            spdlog::info!("servers are warm again", kv: { count = warm.len(), servers: = servers });
+        }
+    }
+
     /// Adds or updates one server in the registry.
     pub(crate) fn put_server(&mut self, now_ms: u64, server: Registration, revision: Revision) {
         let name = server.incarnation.server.clone();
--- a/crates/gateway/src/control/view_builder.rs
+++ b/crates/gateway/src/control/view_builder.rs
@@ -5,9 +5,9 @@
 
 use document::{HashMap, Name};
 use registry::{Incarnation, Stage};
-use route::{Budget, preferred};
+use route::{Budget, ColdLimit, Rate, preferred};
 use shard::{Owner, Span};
-use site::Site;
+use site::{ServiceSpec, Site};
 use store::Store;
 
 use crate::control::node::Node;
@@ -16,13 +16,15 @@
 use crate::request::retry_budget;
 use crate::request::server::Server;
 use crate::request::view::{PoolMember, ServiceView};
-use crate::{Orders, Source, View};
+use crate::{Orders, Settings, Source, View};
 
 /// The percentage of the drain time for which a leaving server still gets work, from the time
 /// at which this daemon notices.
 ///
 /// The rest covers the delay until it notices and the time that requests are under way.
 const DRAIN_WORK_PERCENT: u64 = 20;
+/// The multiple of the tolerated rate, in thousandths, where no setting allows more.
+const NO_OVERAGE_MILLI: u32 = 1_000;
 
 impl<S: Store, O: Orders, R: Source> Node<S, O, R> {
     /// Replaces the view if something has changed that it is built from.
@@ -58,6 +60,9 @@
         self.update_peers();
         let daemons = u32::try_from(self.daemons.len()).unwrap_or(u32::MAX);
         self.shared.set_daemons(daemons);
+        let own = &self.settings.instance;
+        let position = self.daemons.keys().take_while(|name| *name != own).count();
+        self.shared.set_position(u32::try_from(position).unwrap_or(u32::MAX));
         let max_retries = retry_budget::max_retries(self.settings.retries, daemons);
         let mut services = HashMap::default();
         for spec in site.services() {
@@ -142,13 +147,17 @@
     fn update_servers(&mut self, site: &Site) {
         let daemons = u32::try_from(self.daemons.len()).unwrap_or(u32::MAX).max(1);
         let close_delay_ms = self.settings.drain_ms * DRAIN_WORK_PERCENT / 100;
+        let now_ms = self.clock.now_ms();
         for spec in site.services() {
+            let cold_limit = cold_limit(&self.settings, spec);
             for registration in self.registry.of_service(&spec.name) {
                 let server =
                     self.servers.entry(registration.incarnation.clone()).or_insert_with(|| {
                         let clock = self.shared.clock;
                         Arc::new(Server::new(registration, spec.max_connections, daemons, clock))
                     });
+                server.set_cold_limit(cold_limit);
+                server.on_cold(registration.warm_at_ms.saturating_sub(now_ms));
                 match registration.stage {
                     Stage::Ready => server.reopen(),
                     Stage::Draining => server.close_in(close_delay_ms),
@@ -165,6 +174,13 @@
     }
 }
 
+/// Returns how many requests a cold server of a service gets; `None` if that is not limited.
+fn cold_limit(settings: &Settings, spec: &ServiceSpec) -> Option<ColdLimit> {
+    let tolerated = Rate::from_milli_per_s(spec.warmup?.tolerated_milli_per_s);
+    let overage_milli = settings.warmup_overage_milli.unwrap_or(NO_OVERAGE_MILLI);
+    Some(ColdLimit::new(tolerated, overage_milli, settings.warmup_slack.unwrap_or(0)))
+}
+
 /// Returns whether requests can be served: a keyed service needs an owner for some key, other
 /// services need nothing.
 fn is_served(service: &ServiceView) -> bool {
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -25,6 +25,8 @@
     /// Present in the answers of a server that limits its requests: how many it accepts in a second
     /// from all daemons together.
     pub rate_limit: HeaderName,
+    /// Present in the answers of a server that is cold: how many milliseconds it stays so.
+    pub cold_ms: HeaderName,
     /// Present in answers that the server itself generated.
     pub signature: HeaderName,
     /// The key of a request, a number from 0 to 65535.
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -199,6 +199,7 @@
         shared.on_leaving(&server.registration.incarnation);
     }
     note_rate_limit(shared, server, call, head);
+    note_cold(shared, server, head);
     let is_turned_away = head.status == StatusCode::SERVICE_UNAVAILABLE
         && head.headers.contains_key(&shared.dialect.not_run);
     if !is_turned_away || !head.headers.contains_key(RETRY_AFTER) {
@@ -239,6 +240,19 @@
     );
 }
 
+/// Handles how much longer the server stays cold, if the answer says so.
+///
+/// A server that answers 421 may be another one than was meant.
+fn note_cold(shared: &Shared, server: &Server, head: &Parts) {
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    let value = head.headers.get(&shared.dialect.cold_ms).and_then(|value| value.to_str().ok());
+    if let Some(cold_ms) = value.and_then(|value| value.trim().parse().ok()) {
+        server.on_cold(cold_ms);
+    }
+}
+
 fn to_text(limit: Option<Rate>) -> String {
     limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string())
 }
--- a/crates/gateway/src/request/server.rs
+++ b/crates/gateway/src/request/server.rs
@@ -1,12 +1,13 @@
 //! The state of one server for routing requests.
 
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::SystemTime;
 
 use document::{Server as Description, ServerState};
 use proxy::{Clock, Upstream};
 use registry::Registration;
-use route::{Rate, RateLimiter, ServerState as _, Turn};
+use route::{ColdLimit, Rate, RateLimiter, ServerState as _, Share, SharedTurns, Turn};
 
 /// A server with its connections and its measured speed.
 #[derive(Debug)]
@@ -23,6 +24,14 @@
     rate_limit_milli: AtomicU64,
     /// The turns that this daemon takes while the keeper of the server's turns does not reply.
     own_turns: Mutex<RateLimiter>,
+    /// The same while the server is cold.
+    own_cold_turns: Mutex<SharedTurns>,
+    /// How many requests it gets while it is cold; `None` if that is not limited.
+    cold_limit: Mutex<Option<ColdLimit>>,
+    /// Until when it is cold.
+    cold_deadline_ms: AtomicU64,
+    /// Whether the log says that it is cold.
+    is_cold_logged: AtomicBool,
     /// Until when the keeper of its turns is not asked.
     keeper_silence_deadline_ms: AtomicU64,
     /// Until when it has no turn for a request.
@@ -38,6 +47,11 @@
 /// The least slowness of a server: answers that are quick because they are small say little.
 const MIN_SLOWNESS: f32 = 0.3;
 
+/// The longest time for which a single report makes a server count as cold.
+///
+/// A report that is wrong does not limit a server for longer.
+const MAX_COLD_MS: u64 = 600_000;
+
 /// The value of `rate_limit_milli` while there is no limit.
 const NO_RATE_LIMIT: u64 = u64::MAX;
 
@@ -67,6 +81,10 @@
             slowness_milli: AtomicU32::new(1_000),
             rate_limit_milli: AtomicU64::new(NO_RATE_LIMIT),
             own_turns: Mutex::new(RateLimiter::default()),
+            own_cold_turns: Mutex::default(),
+            cold_limit: Mutex::default(),
+            cold_deadline_ms: AtomicU64::new(0),
+            is_cold_logged: AtomicBool::new(false),
             keeper_silence_deadline_ms: AtomicU64::new(0),
             full_deadline_ms: AtomicU64::new(0),
             closes_at_ms: AtomicU64::new(u64::MAX),
@@ -107,6 +125,61 @@
         (previous != NO_RATE_LIMIT).then_some(Rate::from_milli_per_s(previous))
     }
 
+    /// Sets how many requests the server gets while it is cold.
+    pub(crate) fn set_cold_limit(&self, limit: Option<ColdLimit>) {
+        *self.cold_limit.lock().unwrap_or_else(PoisonError::into_inner) = limit;
+    }
+
+    /// Handles a report that the server stays cold for some time.
+    ///
+    /// An earlier report of a longer time stays in force, because reports may arrive out of order.
+    pub(crate) fn on_cold(&self, for_ms: u64) {
+        if for_ms > 0 {
+            let deadline_ms = self.clock.now_ms() + for_ms.min(MAX_COLD_MS);
+            self.cold_deadline_ms.fetch_max(deadline_ms, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns how many requests the server gets now from all daemons together because it is cold.
+    #[must_use]
+    pub(crate) fn cold_limit(&self) -> Option<ColdLimit> {
+        if self.clock.now_ms() >= self.cold_deadline_ms.load(Ordering::Relaxed) {
+            return None;
+        }
+        *self.cold_limit.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the limit that a service sets for a rate at which other daemons ask for turns.
+    ///
+    /// The keeper may learn later than they do that the server is cold.
+    pub(crate) fn cold_limit_at(&self, rate: Rate) -> Option<ColdLimit> {
+        let limit = *self.cold_limit.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_cold = self.clock.now_ms() < self.cold_deadline_ms.load(Ordering::Relaxed);
+        limit.filter(|limit| is_cold || rate == limit.rate())
+    }
+
+    /// Returns whether the server is cold, if that differs from what the log says last.
+    pub(crate) fn take_cold_change(&self) -> Option<bool> {
+        let is_cold = self.cold_limit().is_some();
+        let was_cold = self.is_cold_logged.swap(is_cold, Ordering::Relaxed);
+        (is_cold != was_cold).then_some(is_cold)
+    }
+
+    /// Returns whether this daemon may send the server another request at once.
+    pub(crate) fn has_free_slot(&self) -> bool {
+        let (in_flight, waiting, limit) = self.upstream.occupancy();
+        waiting == 0 && in_flight < limit
+    }
+
+    /// Takes a turn at a cold server without the keeper of its turns.
+    pub(crate) fn take_own_cold_turn(&self, rate: Rate, share: Share, max_wait_ms: u64) -> Turn {
+        // Daemons have the time of day in common; if it differs, their turns are less even.
+        let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let now_ms = since_epoch.map_or(0, |time| u64::try_from(time.as_millis()).unwrap_or(0));
+        let mut turns = self.own_cold_turns.lock().unwrap_or_else(PoisonError::into_inner);
+        turns.take(now_ms, max_wait_ms, rate, share)
+    }
+
     /// Takes a turn without the keeper of the server's turns.
     pub(crate) fn take_own_turn(&self, rate: Rate, max_wait_ms: u64) -> Turn {
         let now_ms = self.clock.now_ms();
@@ -137,10 +210,9 @@
     /// turn; 0 if it gets some.
     #[must_use]
     pub fn pause_remaining_ms(&self) -> u64 {
-        let full_deadline_ms = match self.rate_limit() {
-            Some(_) => self.full_deadline_ms.load(Ordering::Relaxed),
-            None => 0,
-        };
+        let is_limited = self.rate_limit().is_some() || self.cold_limit().is_some();
+        let full_deadline_ms =
+            if is_limited { self.full_deadline_ms.load(Ordering::Relaxed) } else { 0 };
         let full_remaining_ms = full_deadline_ms.saturating_sub(self.clock.now_ms());
         self.upstream.pause_remaining_ms().max(full_remaining_ms)
     }
--- a/crates/gateway/src/request/turns.rs
+++ b/crates/gateway/src/request/turns.rs
@@ -8,8 +8,9 @@
 use document::{HashMap, Name};
 use peer::{FleetBody, TurnRequest};
 use registry::Incarnation;
-use route::{Rate, RateLimiter, Turn};
+use route::{ColdLimit, Rate, RateLimiter, Turn};
 use store::Store;
+use telemetry::Counter;
 use tokio::sync::oneshot;
 use tokio::time::{Duration, sleep, timeout};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -66,11 +67,22 @@
     server: &Server,
     max_wait_ms: u64,
 ) -> Result<(), u64> {
-    let Some(rate) = server.rate_limit() else { return Ok(()) };
+    let cold_rate = server.cold_limit().map(ColdLimit::rate);
+    let Some(rate) = server.rate_limit().into_iter().chain(cold_rate).min() else { return Ok(()) };
     let turn = match ask_keeper(shared, server, rate, max_wait_ms).await {
         Some(turn) => turn,
+        None if cold_rate.is_some() => {
+            let rate = rate.part(SHARE_DIVISOR);
+            server.take_own_cold_turn(rate, shared.share(), max_wait_ms)
+        }
         None => server.take_own_turn(rate.part(shared.daemons() * SHARE_DIVISOR), max_wait_ms),
     };
+    if cold_rate.is_some() {
+        shared.counters.count(match turn {
+            Turn::In { .. } => Counter::ColdTurns,
+            Turn::Full { .. } => Counter::ColdTurnsRefused,
+        });
+    }
     match turn {
         Turn::In { wait_ms } => {
             if wait_ms > 0 {
@@ -79,7 +91,9 @@
             Ok(())
         }
         Turn::Full { remaining_ms } => {
-            server.refuse_turns(remaining_ms);
+            // A keeper that replies again may have a turn before this daemon's own share has one.
+            let max_refusal_ms = if cold_rate.is_some() { SILENCE_MS } else { u64::MAX };
+            server.refuse_turns(remaining_ms.min(max_refusal_ms));
             Err(remaining_ms)
         }
     }
@@ -132,14 +146,28 @@
 
 impl Turns {
     /// Takes a turn of a server whose turns this daemon keeps.
-    fn take(&mut self, now_ms: u64, server: &Incarnation, rate: Rate, max_wait_ms: u64) -> Turn {
-        let rate = rate.max(MIN_RATE);
+    ///
+    /// `cold_limit` is the limit on the server while it is cold.
+    fn take(
+        &mut self,
+        now_ms: u64,
+        server: &Incarnation,
+        rate: Rate,
+        max_wait_ms: u64,
+        cold_limit: Option<ColdLimit>,
+    ) -> Turn {
+        let rate = cold_limit.map_or(rate, |limit| rate.min(limit.rate())).max(MIN_RATE);
         let kept = self.kept.entry(server.clone()).or_insert_with(|| KeptTurns {
             limiter: RateLimiter::new(now_ms, rate, 0),
             idle_deadline_ms: 0,
         });
         kept.idle_deadline_ms = now_ms + IDLE_MS;
-        kept.limiter.take(now_ms, max_wait_ms, rate)
+        match cold_limit {
+            Some(limit) => {
+                kept.limiter.take_with_burst(now_ms, max_wait_ms, rate, limit.burst_us())
+            }
+            None => kept.limiter.take(now_ms, max_wait_ms, rate),
+        }
     }
 
     /// Forgets servers without recent requests, and requests that no longer wait for a turn.
@@ -159,7 +187,7 @@
             .filter(|keeper| **keeper != self.settings.instance)
             .and_then(|keeper| self.address(keeper));
         let Some(address) = address else {
-            let turn = self.turns.take(self.clock.now_ms(), &server, rate, max_wait_ms);
+            let turn = self.take_turn(&server, rate, max_wait_ms);
             // The request may have been cancelled.
             let _is_awaited = answer.send(turn).is_ok();
             return;
@@ -172,11 +200,18 @@
         self.send(address, FleetBody::TurnRequest(request));
     }
 
+    /// Takes a turn of a server whose turns this daemon keeps.
+    fn take_turn(&mut self, server: &Incarnation, rate: Rate, max_wait_ms: u64) -> Turn {
+        let known = self.servers.get(server);
+        let cold_limit = known.and_then(|known| known.cold_limit_at(rate));
+        self.turns.take(self.clock.now_ms(), server, rate, max_wait_ms, cold_limit)
+    }
+
     /// Hands out a turn to another daemon.
     pub(crate) fn on_turn_request(&mut self, from: &Name, request: &TurnRequest) {
         let Some(address) = self.address(from) else { return };
         let TurnRequest { number, server, rate, max_wait_ms } = request;
-        let turn = self.turns.take(self.clock.now_ms(), server, *rate, *max_wait_ms);
+        let turn = self.take_turn(server, *rate, *max_wait_ms);
         self.send(address, FleetBody::TurnReply(*number, turn));
     }
 
--- a/crates/gateway/src/request/view.rs
+++ b/crates/gateway/src/request/view.rs
@@ -116,8 +116,20 @@
         is_avoided: impl Fn(&Server) -> bool,
         random: u32,
     ) -> Option<Arc<Server>> {
-        let open: Vec<&PoolMember> =
+        let mut open: Vec<&PoolMember> =
             self.pool.iter().filter(|member| member.server.pause_remaining_ms() == 0).collect();
+        // Cold servers get requests only when no other server nearby has a free slot.
+        let has_room = |member: &PoolMember| {
+            let server = &member.server;
+            let is_near = server.registration.data_centre == *data_centre;
+            is_near && !server.is_avoided() && !is_avoided(server) && server.has_free_slot()
+        };
+        let is_cold = |member: &PoolMember| member.server.cold_limit().is_some();
+        if open.iter().any(|member| is_cold(member))
+            && open.iter().any(|member| !is_cold(member) && has_room(member))
+        {
+            open.retain(|member| !is_cold(member));
+        }
         let candidates: Vec<Candidate> = open
             .iter()
             .map(|PoolMember { server, is_preferred }| Candidate {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -27,6 +27,10 @@
     pub max_grant_ms: u64,
     /// The time for which a leaving server still accepts work.
     pub drain_ms: u64,
+    /// The multiple, in thousandths, of the tolerated rate that cold servers may get.
+    pub warmup_overage_milli: Option<u32>,
+    /// How many requests more than that a cold server may get in any second.
+    pub warmup_slack: Option<u32>,
     /// How long a graceful stop may take, from the signal on.
     pub grace_ms: u64,
     /// The limit on retries by all daemons together.
@@ -62,6 +66,10 @@
     ValueFormat { parse: read_ratio, expected: "a fraction from 0 to 1, such as 0.2" };
 const RETRIES: ValueFormat<u32> =
     ValueFormat { parse: read_retries_count, expected: "a number of retries, such as 50" };
+const FACTOR: ValueFormat<u32> =
+    ValueFormat { parse: read_factor, expected: "a factor of at least 0, such as 1.5" };
+const REQUESTS: ValueFormat<u32> =
+    ValueFormat { parse: read_retries_count, expected: "a number of requests, such as 8" };
 const MBPS: ValueFormat<u32> =
     ValueFormat { parse: read_mbps, expected: "a bandwidth in Mbit/s above 0, such as 200" };
 /// A store answers within milliseconds; a call is given up after half a second.
@@ -85,7 +93,7 @@
         let mut instance = sections.take_required("instance")?;
         let mut store = sections.take_required("store")?;
         let listen = read_listen(sections.take_required("listen")?)?;
-        let (max_grant_ms, drain_ms) = read_servers(sections.take_optional("servers"))?;
+        let servers = read_servers(sections.take_optional("servers"))?;
         let settings = Self {
             instance: instance.required("name", &TEXT)?,
             data_centre: instance.required("data_centre", &TEXT)?,
@@ -96,8 +104,10 @@
                 .optional("timeout", &DURATION)?
                 .unwrap_or(DEFAULT_STORE_TIMEOUT_MS),
             min_lease_ms: store.optional("least_lease", &DURATION)?.unwrap_or(DEFAULT_MIN_LEASE_MS),
-            max_grant_ms,
-            drain_ms,
+            max_grant_ms: servers.max_grant_ms,
+            drain_ms: servers.drain_ms,
+            warmup_overage_milli: servers.warmup_overage_milli,
+            warmup_slack: servers.warmup_slack,
             grace_ms: read_grace(sections.take_optional("stop"))?,
             retries: read_retries(sections.take_optional("retries"))?,
             log_level: read_log(sections.take_optional("log"))?,
@@ -120,14 +130,32 @@
     Ok(listen)
 }
 
-fn read_servers(section: Option<Section>) -> Result<(u64, u64)> {
-    let Some(mut section) = section else {
-        return Ok((DEFAULT_MAX_GRANT_MS, DEFAULT_DRAIN_MS));
+/// The settings of the section about servers.
+struct ServerSettings {
+    max_grant_ms: u64,
+    drain_ms: u64,
+    warmup_overage_milli: Option<u32>,
+    warmup_slack: Option<u32>,
+}
+
+fn read_servers(section: Option<Section>) -> Result<ServerSettings> {
+    let mut settings = ServerSettings {
+        max_grant_ms: DEFAULT_MAX_GRANT_MS,
+        drain_ms: DEFAULT_DRAIN_MS,
+        warmup_overage_milli: None,
+        warmup_slack: None,
     };
-    let max_grant_ms = section.optional("longest_grant", &DURATION)?;
-    let drain_ms = section.optional("drain", &DURATION)?;
-    section.finish("longest_grant, drain")?;
-    Ok((max_grant_ms.unwrap_or(DEFAULT_MAX_GRANT_MS), drain_ms.unwrap_or(DEFAULT_DRAIN_MS)))
+    let Some(mut section) = section else { return Ok(settings) };
+    if let Some(max_grant_ms) = section.optional("longest_grant", &DURATION)? {
+        settings.max_grant_ms = max_grant_ms;
+    }
+    if let Some(drain_ms) = section.optional("drain", &DURATION)? {
+        settings.drain_ms = drain_ms;
+    }
+    settings.warmup_overage_milli = section.optional("warmup_overage", &FACTOR)?;
+    settings.warmup_slack = section.optional("warmup_slack", &REQUESTS)?;
+    section.finish("longest_grant, drain, warmup_overage, warmup_slack")?;
+    Ok(settings)
 }
 
 fn read_grace(section: Option<Section>) -> Result<u64> {
@@ -165,7 +193,17 @@
     (0.0..=1.0).contains(&ratio).then(|| (ratio * 1_000.0).round() as u32)
 }
 
-/// Reads a number of retries; a fraction of one is left out.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the number is from 0 to a million"
+)]
+fn read_factor(text: &str) -> Option<u32> {
+    let factor: f64 = text.parse().ok()?;
+    (0.0..=1_000.0).contains(&factor).then(|| (factor * 1_000.0).round() as u32)
+}
+
+/// Reads a number of retries or requests; a fraction of one is left out.
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,7 +7,7 @@
 use document::{HashMap, HashSet, Name};
 use proxy::{Clock, SharedCrashTracker};
 use registry::Incarnation;
-use route::{CrashTracker, Fingerprint};
+use route::{CrashTracker, Fingerprint, Share};
 use site::{Limits, Route};
 use telemetry::{Counters, Metrics};
 use tokio::sync::{Notify, mpsc};
@@ -43,6 +43,8 @@
     inputs: mpsc::Sender<Input>,
     /// The number of daemons.
     daemons: AtomicU32,
+    /// This daemon's position among them, in the order of their names.
+    position: AtomicU32,
     is_ready: AtomicBool,
     is_stopping: AtomicBool,
 }
@@ -79,6 +81,7 @@
             reach: Mutex::default(),
             inputs,
             daemons: AtomicU32::new(1),
+            position: AtomicU32::new(0),
             is_ready: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
         }
@@ -135,6 +138,16 @@
         self.daemons.load(Ordering::Relaxed)
     }
 
+    /// Returns this daemon's equal part of a rate that all daemons share.
+    pub(crate) fn share(&self) -> Share {
+        Share { position: self.position.load(Ordering::Relaxed), daemons: self.daemons() }
+    }
+
+    /// Sets this daemon's position among all daemons, in the order of their names.
+    pub(crate) fn set_position(&self, position: u32) {
+        self.position.store(position, Ordering::Relaxed);
+    }
+
     /// Sets the number of daemons, including this one.
     pub(crate) fn set_daemons(&self, daemons: u32) {
         self.daemons.store(daemons.max(1), Ordering::Relaxed);
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -38,6 +38,16 @@
     expect_that!(read("link_mbps = 3.57").unwrap().link_mbps, eq(4));
 }
 
+#[googletest::test]
+fn limits_of_cold_servers_are_optional() {
+    let without = read("name = edge-1").unwrap();
+    expect_that!((without.warmup_overage_milli, without.warmup_slack), eq((None, None)));
+    let with = read("drain = 2000ms\nwarmup_overage = 1.5\nwarmup_slack = 8").unwrap();
+    expect_that!((with.warmup_overage_milli, with.warmup_slack), eq((Some(1_500), Some(8))));
+    let error = read("drain = 2000ms\nwarmup_overage = -1").unwrap_err();
+    expect_that!(error, contains_substring("a factor of at least 0"));
+}
+
 #[googletest::test]
 fn errors_name_line_and_expected_value() {
     for (line, expected) in [
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -46,6 +46,10 @@
 ///
 /// The platform states about two seconds; a tenth is added for the transfer to this process.
 const RELISTING_GRACE_MS: u64 = 2_200;
+/// By how much a report has to prolong a server's warm-up to count as a change.
+///
+/// The end of the warm-up is computed when an entry is read, so it differs by the delay of that.
+const MIN_PROLONGATION_MS: u64 = 100;
 
 impl Registry {
     /// Stores a listed registration, unless a later report of the server is known.
@@ -257,10 +261,11 @@
 /// Returns whether a new registration changes nothing that affects where work goes.
 ///
 /// The report number and the end of the warm-up may differ, as long as both agree on whether
-/// the server has warmed up by now.
+/// the server has warmed up by now, and the new one does not prolong the warm-up.
 fn is_equivalent(now_ms: u64, known: &Registration, new: &Registration) -> bool {
     let is_cold = |registration: &Registration| now_ms < registration.warm_at_ms;
     Registration { warm_at_ms: 0, heartbeat: 0, ..known.clone() }
         == Registration { warm_at_ms: 0, heartbeat: 0, ..new.clone() }
         && is_cold(known) == is_cold(new)
+        && !(is_cold(new) && new.warm_at_ms >= known.warm_at_ms + MIN_PROLONGATION_MS)
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -28,6 +28,7 @@
 
 mod attempts;
 mod budget;
+mod cold;
 mod crash_tracker;
 mod limit;
 mod limiter;
@@ -40,6 +41,7 @@
 
 pub use attempts::{Attempts, Failure, Next};
 pub use budget::Budget;
+pub use cold::{ColdLimit, Share, SharedTurns};
 pub use crash_tracker::{CrashCount, CrashTracker, Fingerprint, MAX_CRASHES};
 pub use limit::Limit;
 pub use limiter::{Admission, Arrival, Limiter, Ticket};
--- a/crates/route/src/rate.rs
+++ b/crates/route/src/rate.rs
@@ -73,7 +73,7 @@
     }
 
     /// Returns the time between two requests, in microseconds.
-    fn interval_us(self) -> u64 {
+    pub(crate) fn interval_us(self) -> u64 {
         1_000_000_000 / self.milli_per_s.max(1)
     }
 }
@@ -98,7 +98,18 @@
 
     /// Takes the next turn for a request that can wait for up to `max_wait_ms`.
     pub fn take(&mut self, now_ms: u64, max_wait_ms: u64, rate: Rate) -> Turn {
-        let due_at_us = self.due_at_us.max(to_us(now_ms).saturating_sub(BURST_US));
+        self.take_with_burst(now_ms, max_wait_ms, rate, BURST_US)
+    }
+
+    /// Takes the next turn when unused time of up to `burst_us` may be used at once.
+    pub fn take_with_burst(
+        &mut self,
+        now_ms: u64,
+        max_wait_ms: u64,
+        rate: Rate,
+        burst_us: u64,
+    ) -> Turn {
+        let due_at_us = self.due_at_us.max(to_us(now_ms).saturating_sub(burst_us));
         let wait_ms = due_at_us.saturating_sub(to_us(now_ms)).div_ceil(1_000);
         if wait_ms > max_wait_ms {
             return Turn::Full { remaining_ms: wait_ms - max_wait_ms };
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -33,4 +33,4 @@
 
 pub use error::{Error, Result};
 pub use route::{Priority, RequestKind, Route, WeightedService};
-pub use site::{Limits, ServiceSpec, Site, Version};
+pub use site::{Limits, ServiceSpec, Site, Version, Warmup};
--- a/crates/site/src/site.rs
+++ b/crates/site/src/site.rs
@@ -20,6 +20,17 @@
     pub is_keyed: bool,
     /// The total number of connections that one server accepts; 0 means no limit.
     pub max_connections: u32,
+    /// The requests that its servers tolerate while they are cold; `None` if that is not limited.
+    pub warmup: Option<Warmup>,
+}
+
+/// What a server tolerates after its start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Warmup {
+    /// The requests from all daemons together, in thousandths of a request per second.
+    pub tolerated_milli_per_s: u64,
+    /// How long a server is cold after its start; 0 if unknown.
+    pub duration_ms: u64,
 }
 
 /// Limits on what callers send and on how long they take.
@@ -123,13 +134,13 @@
     /// Creates a service whose servers own keys, without a connection limit.
     #[must_use]
     pub fn keyed(name: impl Into<Name>) -> Self {
-        Self { name: name.into(), is_keyed: true, max_connections: 0 }
+        Self { name: name.into(), is_keyed: true, max_connections: 0, warmup: None }
     }
 
     /// Creates a service whose requests any server can answer, without a connection limit.
     #[must_use]
     pub fn pooled(name: impl Into<Name>) -> Self {
-        Self { name: name.into(), is_keyed: false, max_connections: 0 }
+        Self { name: name.into(), is_keyed: false, max_connections: 0, warmup: None }
     }
 }
 
