Choose pooled servers by the load that they report

Servers of some services report running and waiting requests, slots and the duration of work in their answers. The daemon reads them, gives the leader the reported duration of work in place of one derived from latencies, and compares pooled servers by the expected time to an answer. Services whose servers report nothing use the same cost as before. The choice no longer allocates.

Tests: route, gateway and telemetry pass. server_limits: owners_that_are_all_limited failed once in one run on a shared machine; not yet compared with the base.

--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -25,6 +25,9 @@
     /// Present in the answers of a server that limits its requests: how many it accepts in a second
     /// from all daemons together.
     pub rate_limit: HeaderName,
+    /// Present in the answers of a server that reports its load: running requests, waiting
+    /// requests, slots, and how long work takes in percent of the usual time.
+    pub load: HeaderName,
     /// Present in answers that the server itself generated.
     pub signature: HeaderName,
     /// The key of a request, a number from 0 to 65535.
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use proxy::{Link, Permit, Upstream, retry_after_ms};
 use registry::Incarnation;
-use route::{Failure, Rate};
+use route::{Failure, Rate, ServerLoad};
 use telemetry::Counter;
 use tokio::time::{Duration, Instant, sleep, timeout, timeout_at};
 
@@ -199,6 +199,7 @@
         shared.on_leaving(&server.registration.incarnation);
     }
     note_rate_limit(shared, server, call, head);
+    note_load(shared, server, call, head);
     let is_turned_away = head.status == StatusCode::SERVICE_UNAVAILABLE
         && head.headers.contains_key(&shared.dialect.not_run);
     if !is_turned_away || !head.headers.contains_key(RETRY_AFTER) {
@@ -239,6 +240,31 @@
     );
 }
 
+/// Handles the load that an answer reports.
+///
+/// Another server at the address answers 421, and its load is not that of the server that was meant.
+fn note_load(shared: &Shared, server: &Server, call: &Call, head: &Parts) {
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    let value = head.headers.get(&shared.dialect.load);
+    let load = value.and_then(|value| ServerLoad::parse(value.to_str().ok()?));
+    server.set_load(load);
+    if value.is_none() || load.is_some() {
+        return;
+    }
+    shared.counters.count(Counter::MalformedLoads);
+    if shared.log_sampler.may_write(shared.clock.now_ms(), call.id.as_bytes()) {
+        spdlog::info!(
+            "server's load is not readable",
+            kv: {
+                request = call.id.to_str().unwrap_or("-"),
+                server: = server.registration.incarnation, value:? = value
+            }
+        );
+    }
+}
+
 fn to_text(limit: Option<Rate>) -> String {
     limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string())
 }
--- a/crates/gateway/src/request/server.rs
+++ b/crates/gateway/src/request/server.rs
@@ -6,7 +6,7 @@
 use document::{Server as Description, ServerState};
 use proxy::{Clock, Upstream};
 use registry::Registration;
-use route::{Rate, RateLimiter, ServerState as _, Turn};
+use route::{ExpectedLoad, LoadHistory, Rate, RateLimiter, ServerLoad, ServerState as _, Turn};
 
 /// A server with its connections and its measured speed.
 #[derive(Debug)]
@@ -21,6 +21,8 @@
     /// The rate limit that its last answer named, in thousandths of a request per second;
     /// `NO_RATE_LIMIT` if it named none.
     rate_limit_milli: AtomicU64,
+    /// The load that it reported; locked for a few instructions only.
+    load: Mutex<Option<LoadHistory>>,
     /// The turns that this daemon takes while the keeper of the server's turns does not reply.
     own_turns: Mutex<RateLimiter>,
     /// Until when the keeper of its turns is not asked.
@@ -38,6 +40,9 @@
 /// The least slowness of a server: answers that are quick because they are small say little.
 const MIN_SLOWNESS: f32 = 0.3;
 
+/// How long a report counts when further answers have none.
+const LOAD_VALID_MS: u64 = 10_000;
+
 /// The value of `rate_limit_milli` while there is no limit.
 const NO_RATE_LIMIT: u64 = u64::MAX;
 
@@ -66,6 +71,7 @@
             clock,
             slowness_milli: AtomicU32::new(1_000),
             rate_limit_milli: AtomicU64::new(NO_RATE_LIMIT),
+            load: Mutex::default(),
             own_turns: Mutex::new(RateLimiter::default()),
             keeper_silence_deadline_ms: AtomicU64::new(0),
             full_deadline_ms: AtomicU64::new(0),
@@ -73,26 +79,65 @@
         }
     }
 
-    /// Returns the latency of the server relative to the mean of its routes.
+    /// Returns how long work takes at a server that reports its load, relative to the usual time,
+    /// or else the latency of the server relative to the mean of its routes.
     #[must_use]
     pub fn slowness(&self) -> f32 {
-        to_f32(self.slowness_milli()) / 1_000.0
+        let reported = self.load().map(|load| load.work(self.clock.now_ms()));
+        reported.unwrap_or_else(|| self.measured_slowness())
     }
 
-    /// Returns [`Server::slowness`] in thousandths.
+    /// Returns the figure for the leader in thousandths: the latest duration of work that the
+    /// server reported, or else the mean latency relative to that of its routes.
     #[must_use]
     pub fn slowness_milli(&self) -> u32 {
-        self.slowness_milli.load(Ordering::Relaxed)
+        let measured = || self.slowness_milli.load(Ordering::Relaxed);
+        self.load().map_or_else(measured, |load| load.latest().work_percent * 10)
+    }
+
+    /// Returns the latency of the server relative to the mean of its routes.
+    pub(crate) fn measured_slowness(&self) -> f32 {
+        to_f32(self.slowness_milli.load(Ordering::Relaxed)) / 1_000.0
     }
 
     /// Handles an answer with its latency relative to the mean of its route.
     pub fn on_slowness(&self, slowness: f32) {
-        let known = self.slowness();
+        let known = self.measured_slowness();
         let latest = slowness.clamp(0.0, MAX_SLOWNESS);
         let mean = (known + SLOWNESS_WEIGHT * (latest - known)).max(MIN_SLOWNESS);
         self.slowness_milli.store(to_milli(mean), Ordering::Relaxed);
     }
 
+    /// Handles the load that an answer reported; `None` if it reported none.
+    pub fn set_load(&self, reported: Option<ServerLoad>) {
+        let now_ms = self.clock.now_ms();
+        let own = self.upstream.load();
+        let mut load = self.load.lock().unwrap_or_else(PoisonError::into_inner);
+        match (reported, &mut *load) {
+            (Some(reported), Some(load)) => load.add(reported, now_ms, own),
+            (Some(reported), None) => *load = Some(LoadHistory::new(reported, now_ms, own)),
+            (None, Some(known)) if known.age_ms(now_ms) > LOAD_VALID_MS => *load = None,
+            (None, _) => {}
+        }
+    }
+
+    /// Returns whether the server reports its load.
+    #[must_use]
+    pub fn has_load(&self) -> bool {
+        self.load().is_some()
+    }
+
+    /// Returns what a request meets that is sent now, if the server reports its load and `own`
+    /// requests of this daemon are there.
+    #[must_use]
+    pub fn expected_load(&self, now_ms: u64, own: u32) -> Option<ExpectedLoad> {
+        self.load().map(|load| load.expected(now_ms, own))
+    }
+
+    fn load(&self) -> Option<LoadHistory> {
+        *self.load.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the rate limit that the server's last answer named.
     #[must_use]
     pub fn rate_limit(&self) -> Option<Rate> {
@@ -145,6 +190,11 @@
         self.upstream.pause_remaining_ms().max(full_remaining_ms)
     }
 
+    /// Returns the time by the clock of requests.
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
     /// Returns whether the server may get a request now.
     #[must_use]
     pub fn is_open(&self) -> bool {
--- a/crates/gateway/src/request/view.rs
+++ b/crates/gateway/src/request/view.rs
@@ -4,7 +4,7 @@
 
 use document::{HashMap, Name};
 use registry::Incarnation;
-use route::{Candidate, RemotePenalty, pick};
+use route::{Candidate, Choice, RemotePenalty};
 use shard::{Owner, Table};
 use site::Site;
 
@@ -116,19 +116,27 @@
         is_avoided: impl Fn(&Server) -> bool,
         random: u32,
     ) -> Option<Arc<Server>> {
-        let open: Vec<&PoolMember> =
-            self.pool.iter().filter(|member| member.server.pause_remaining_ms() == 0).collect();
-        let candidates: Vec<Candidate> = open
-            .iter()
-            .map(|PoolMember { server, is_preferred }| Candidate {
-                occupied: server.occupied(),
+        let is_open = |member: &&PoolMember| member.server.pause_remaining_ms() == 0;
+        let open = self.pool.iter().filter(is_open);
+        let has_reports = self.pool.iter().any(|member| member.server.has_load());
+        let now_ms = self.pool.first()?.server.now_ms();
+        let mut choice = Choice::new(open.clone().count(), has_reports, remote_penalty, random);
+        let mut chosen = None;
+        for PoolMember { server, is_preferred } in open {
+            let occupied = server.occupied();
+            let is_best = choice.offer(&Candidate {
+                occupied,
                 slots: server.registration.slots,
-                slowness: server.slowness(),
+                slowness: server.measured_slowness(),
                 is_near: server.registration.data_centre == *data_centre,
                 is_preferred: *is_preferred,
                 is_avoided: server.is_avoided() || is_avoided(server),
-            })
-            .collect();
-        pick(&candidates, remote_penalty, random).map(|index| Arc::clone(&open[index].server))
+                expected: server.expected_load(now_ms, occupied),
+            });
+            if is_best {
+                chosen = Some(server);
+            }
+        }
+        chosen.map(Arc::clone)
     }
 }
--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -1,5 +1,7 @@
 //! The choice between several servers that could all answer a request.
 
+use crate::ExpectedLoad;
+
 /// What a daemon knows of one server that could answer.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -15,6 +17,32 @@
     pub is_preferred: bool,
     /// Whether the server failed recently, or already failed this request.
     pub is_avoided: bool,
+    /// What a request is expected to meet at a server that reports its load.
+    pub expected: Option<ExpectedLoad>,
+}
+
+/// The choice of one of several candidates, which are offered one by one.
+#[derive(Clone, Copy, Debug)]
+pub struct Choice {
+    count: usize,
+    /// The position that wins among equals; after it the next one, and so on in a circle.
+    first: usize,
+    penalty: RemotePenalty,
+    /// Whether any of the candidates reports its load.
+    has_reports: bool,
+    draw: u32,
+    offered: usize,
+    best: Option<Offer>,
+}
+
+/// A candidate as it compares with others.
+#[derive(Clone, Copy, Debug)]
+struct Offer {
+    position: usize,
+    is_avoided: bool,
+    cost: f32,
+    /// The distance of its position from the first.
+    offset: usize,
 }
 
 /// The penalty for a server in another data centre, in multiples of its slots.
@@ -38,27 +66,103 @@
 /// ties, so that daemons with the same view choose different servers.
 #[must_use]
 pub fn pick(candidates: &[Candidate], penalty: RemotePenalty, draw: u32) -> Option<usize> {
-    let count = candidates.len();
-    let first = usize::try_from(draw).unwrap_or(0).checked_rem(count)?;
-    let order = (0..count).map(|offset| (first + offset) % count);
-    let is_any_usable = candidates.iter().any(|candidate| !candidate.is_avoided);
-    order
-        .filter(|&position| !(is_any_usable && candidates[position].is_avoided))
-        .min_by(|&a, &b| candidates[a].cost(penalty).total_cmp(&candidates[b].cost(penalty)))
+    let has_reports = candidates.iter().any(|candidate| candidate.expected.is_some());
+    let mut choice = Choice::new(candidates.len(), has_reports, penalty, draw);
+    for candidate in candidates {
+        choice.offer(candidate);
+    }
+    choice.chosen()
 }
 
 /// The penalty for a server to which this daemon keeps no connections, in multiples of its slots.
 ///
 /// It is little more than one request, so that a few requests at once go to other servers.
 const CONNECTION_PENALTY: f32 = 0.3;
+/// The range of the random factor on the cost of a server in a service that reports load.
+///
+/// Reports reach all daemons late. Without it those with similar reports would choose the same
+/// server at the same time.
+const SPREAD: f32 = 0.2;
+
+impl Choice {
+    /// Creates a choice of `count` candidates. `has_reports` tells whether any of them reports its
+    /// load.
+    #[must_use]
+    pub fn new(count: usize, has_reports: bool, penalty: RemotePenalty, draw: u32) -> Self {
+        let first = usize::try_from(draw).unwrap_or(0).checked_rem(count).unwrap_or(0);
+        Self { count, first, penalty, has_reports, draw, offered: 0, best: None }
+    }
+
+    /// Adds the next candidate; returns whether it is the best so far.
+    pub fn offer(&mut self, candidate: &Candidate) -> bool {
+        let position = self.offered;
+        self.offered += 1;
+        let cost = if self.has_reports {
+            let spread = SPREAD * to_fraction(self.draw, position);
+            candidate.expected_time() * (1.0 + spread) + candidate.penalties(self.penalty)
+        } else {
+            candidate.fullness() + candidate.penalties(self.penalty)
+        };
+        let is_past_end = position < self.first;
+        let offset = position + if is_past_end { self.count } else { 0 } - self.first;
+        let offer = Offer { position, is_avoided: candidate.is_avoided, cost, offset };
+        let is_best = self.best.is_none_or(|best| offer.is_better_than(&best));
+        if is_best {
+            self.best = Some(offer);
+        }
+        is_best
+    }
+
+    /// Returns the position of the chosen candidate; `None` if there are none.
+    #[must_use]
+    pub fn chosen(&self) -> Option<usize> {
+        self.best.map(|best| best.position)
+    }
+}
+
+impl Offer {
+    fn is_better_than(&self, other: &Self) -> bool {
+        let by_cost = self.cost.total_cmp(&other.cost);
+        let by_offset = self.offset.cmp(&other.offset);
+        self.is_avoided.cmp(&other.is_avoided).then(by_cost).then(by_offset).is_lt()
+    }
+}
 
 impl Candidate {
-    /// Returns how full the server would be with one more request, plus the remote penalty.
-    fn cost(&self, penalty: RemotePenalty) -> f32 {
-        let to_f32 = |count: u32| f32::from(u16::try_from(count).unwrap_or(u16::MAX));
-        let fullness = to_f32(self.occupied + 1) / to_f32(self.slots.max(1)) * self.slowness;
+    /// Returns how full the server would be with one more request.
+    fn fullness(&self) -> f32 {
+        to_f32(self.occupied + 1) / to_f32(self.slots.max(1)) * self.slowness
+    }
+
+    /// Returns the time to an answer relative to that of a usual server with a free slot.
+    ///
+    /// A server that has not reported yet is compared by what this daemon has there.
+    fn expected_time(&self) -> f32 {
+        let ExpectedLoad { ahead, slots, work } = self.expected.unwrap_or(ExpectedLoad {
+            ahead: to_f32(self.occupied),
+            slots: self.slots,
+            work: self.slowness,
+        });
+        let ahead = ahead.max(to_f32(self.occupied));
+        ((ahead + 1.0) / to_f32(slots.max(1))).max(1.0) * work
+    }
+
+    /// Returns the penalties for the distance and for a new connection.
+    fn penalties(&self, penalty: RemotePenalty) -> f32 {
         let remote = if self.is_near { 0.0 } else { penalty.0 };
         let connection = if self.is_preferred { 0.0 } else { CONNECTION_PENALTY };
-        fullness + remote + connection
+        remote + connection
     }
 }
+
+fn to_f32(count: u32) -> f32 {
+    f32::from(u16::try_from(count).unwrap_or(u16::MAX))
+}
+
+/// Returns a number from 0 to 1 that differs between positions and draws.
+fn to_fraction(draw: u32, position: usize) -> f32 {
+    let position = u32::try_from(position).unwrap_or(u32::MAX);
+    let mixed = (draw ^ position.wrapping_mul(0x9e37_79b9)).wrapping_mul(0x85eb_ca6b);
+    let mixed = (mixed ^ (mixed >> 15)).wrapping_mul(0xc2b2_ae35);
+    to_f32(mixed >> 16) / 65_535.0
+}
--- a/crates/route/tests/preferred_servers.rs
+++ b/crates/route/tests/preferred_servers.rs
@@ -48,6 +48,7 @@
                     is_near: true,
                     is_preferred: prefers[index],
                     is_avoided: false,
+                    expected: None,
                 })
                 .collect();
             let chosen = pick(&candidates, RemotePenalty::SMALL, random.random()).unwrap();
--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -49,13 +49,15 @@
     OrdersFailed,
     /// Packets received from other daemons, and those that this daemon sent to itself.
     Packets,
+    /// Answers whose reported load could not be read.
+    MalformedLoads,
 }
 
 /// All counters with their metric names and descriptions.
 ///
 /// Every variant must be listed: the length is also that of [`Counters`], which is indexed by
 /// the variants.
-const COUNTERS: [(Counter, &str, &str); 22] = [
+const COUNTERS: [(Counter, &str, &str); 23] = [
     (Counter::Requests, "verbena_requests", "requests that arrived"),
     (Counter::Answered, "verbena_answered", "requests that a server answered"),
     (Counter::RefusedNotRun, "verbena_refused_not_run", "requests that certainly did not run"),
@@ -78,6 +80,7 @@
     (Counter::Orders, "verbena_orders", "orders sent to servers"),
     (Counter::OrdersFailed, "verbena_orders_failed", "orders that stayed unanswered"),
     (Counter::Packets, "verbena_packets", "packets from other daemons"),
+    (Counter::MalformedLoads, "verbena_malformed_loads", "reported loads that were not readable"),
 ];
 
 /// The counter values of one daemon.
