--- a/crates/gateway/src/request/view.rs
+++ b/crates/gateway/src/request/view.rs
@@ -4,7 +4,7 @@
 
 use document::{HashMap, Name};
 use registry::Incarnation;
-use route::{Candidate, RemotePenalty, pick};
+use route::{Candidate, Choice, RemotePenalty};
 use shard::{Owner, Table};
 use site::Site;
 
@@ -116,31 +116,43 @@
         is_avoided: impl Fn(&Server) -> bool,
         random: u32,
     ) -> Option<Arc<Server>> {
-        let mut open: Vec<&PoolMember> =
-            self.pool.iter().filter(|member| member.server.pause_remaining_ms() == 0).collect();
-        // Cold servers get requests only when no other server nearby has a free slot.
-        let has_room = |member: &PoolMember| {
-            let server = &member.server;
-            let is_near = server.registration.data_centre == *data_centre;
-            is_near && !server.is_avoided() && !is_avoided(server) && server.has_free_slot()
+        let is_usable = |member: &&PoolMember| member.server.pause_remaining_ms() == 0;
+        let leaves_cold_out = self.leaves_cold_out(data_centre, &is_avoided);
+        let is_open = |member: &&PoolMember| {
+            is_usable(member) && !(leaves_cold_out && member.server.cold_limit().is_some())
         };
-        let is_cold = |member: &PoolMember| member.server.cold_limit().is_some();
-        if open.iter().any(|member| is_cold(member))
-            && open.iter().any(|member| !is_cold(member) && has_room(member))
-        {
-            open.retain(|member| !is_cold(member));
-        }
-        let candidates: Vec<Candidate> = open
-            .iter()
-            .map(|PoolMember { server, is_preferred }| Candidate {
-                occupied: server.occupied(),
+        let open = self.pool.iter().filter(is_open);
+        let has_reports = self.pool.iter().any(|member| member.server.has_load());
+        let now_ms = self.pool.first()?.server.now_ms();
+        let mut choice = Choice::new(open.clone().count(), has_reports, remote_penalty, random);
+        let mut chosen = None;
+        for PoolMember { server, is_preferred } in open {
+            let occupied = server.occupied();
+            let is_best = choice.offer(&Candidate {
+                occupied,
                 slots: server.registration.slots,
-                slowness: server.slowness(),
+                slowness: server.measured_slowness(),
                 is_near: server.registration.data_centre == *data_centre,
                 is_preferred: *is_preferred,
                 is_avoided: server.is_avoided() || is_avoided(server),
-            })
-            .collect();
-        pick(&candidates, remote_penalty, random).map(|index| Arc::clone(&open[index].server))
+                expected: server.expected_load(now_ms, occupied),
+            });
+            if is_best {
+                chosen = Some(server);
+            }
+        }
+        chosen.map(Arc::clone)
+    }
+
+    /// Returns whether cold servers get no request because another one nearby has a free slot.
+    fn leaves_cold_out(&self, data_centre: &Name, is_avoided: impl Fn(&Server) -> bool) -> bool {
+        let is_cold = |member: &PoolMember| member.server.cold_limit().is_some();
+        let has_room = |PoolMember { server, .. }: &PoolMember| {
+            let is_near = server.registration.data_centre == *data_centre;
+            let is_avoided = server.is_avoided() || is_avoided(server);
+            is_near && !is_avoided && server.pause_remaining_ms() == 0 && server.has_free_slot()
+        };
+        self.pool.iter().any(is_cold)
+            && self.pool.iter().any(|member| !is_cold(member) && has_room(member))
     }
 }
--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -53,13 +53,15 @@
     ColdTurns,
     /// Requests that found no turn at a cold server in time.
     ColdTurnsRefused,
+    /// Answers whose reported load could not be read.
+    MalformedLoads,
 }
 
 /// All counters with their metric names and descriptions.
 ///
 /// Every variant must be listed: the length is also that of [`Counters`], which is indexed by
 /// the variants.
-const COUNTERS: [(Counter, &str, &str); 24] = [
+const COUNTERS: [(Counter, &str, &str); 25] = [
     (Counter::Requests, "verbena_requests", "requests that arrived"),
     (Counter::Answered, "verbena_answered", "requests that a server answered"),
     (Counter::RefusedNotRun, "verbena_refused_not_run", "requests that certainly did not run"),
@@ -88,6 +90,7 @@
         "verbena_cold_turns_refused",
         "requests without a turn at a cold server",
     ),
+    (Counter::MalformedLoads, "verbena_malformed_loads", "reported loads that were not readable"),
 ];
 
 /// The counter values of one daemon.
