--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -15,6 +15,9 @@
 //! 4. **Refusal.** A [`Refusal`] tells the caller why no server answered and whether the
 //!    request may have run.
 //!
+//! A [`FairShare`] finds the callers that repeat refused requests at once, so that they are refused
+//! before others.
+//!
 //! A [`CrashTracker`] counts the crashes that each request caused, so that daemons refuse the
 //! requests that crash servers.
 //!
@@ -30,11 +33,13 @@
 mod budget;
 mod cold;
 mod crash_tracker;
+mod fair_share;
 mod limit;
 mod limiter;
 mod pick;
 mod rate;
 mod refusal;
+mod retry_delay;
 mod server_load;
 mod service;
 mod subset;
@@ -44,11 +49,13 @@
 pub use budget::Budget;
 pub use cold::{ColdLimit, Share, SharedTurns};
 pub use crash_tracker::{CrashCount, CrashTracker, Fingerprint, MAX_CRASHES};
+pub use fair_share::{Caller, FairShare};
 pub use limit::Limit;
 pub use limiter::{Admission, Arrival, Limiter, Ticket};
 pub use pick::{Candidate, Choice, RemotePenalty, pick};
 pub use rate::{Rate, RateLimiter, Turn};
 pub use refusal::{Outcome, Reason, Refusal};
+pub use retry_delay::{MAX_BUSY_RETRY_AFTER_MS, MIN_BUSY_RETRY_AFTER_MS, busy_retry_after_ms};
 pub use server_load::{ExpectedLoad, LoadHistory, ServerLoad};
 pub use service::{Decision, InFlight, ServerState, Service, Target};
 pub use subset::preferred;
