Evacuate a data centre by a key of the operators

Cause: operators need to send nothing more to the servers of a data centre within a bound, without stopping them.

Change: the watch of the document becomes a watch of the operators' prefix, so it adds no call to the store. The registry excludes the servers of evacuated data centres; the leader moves their keys with a handover as Evacuated, ranges with most load planned first. A daemon that starts during an evacuation closes them at once. Requests that no server elsewhere can run are refused as not run with Retry-After.

--- a/crates/gateway/src/control/input.rs
+++ b/crates/gateway/src/control/input.rs
@@ -61,8 +61,8 @@
 /// A part of the store that is watched.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Topic {
-    /// The site's document.
-    Site,
+    /// What operators write: the site's document and evacuations.
+    Operators,
     /// The servers' entries.
     Servers,
     /// The entries of the daemons and of their leader.
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,10 +1,12 @@
 //! The control thread: what it reads from the store and hears from other daemons.
 
+pub(crate) mod evacuation;
 pub(crate) mod fleet;
 pub(crate) mod follow;
 pub(crate) mod input;
 pub(crate) mod leaving;
 pub(crate) mod node;
+pub(crate) mod operators;
 pub(crate) mod progress;
 pub(crate) mod relay;
 pub(crate) mod relay_messages;
--- a/crates/gateway/src/control/node.rs
+++ b/crates/gateway/src/control/node.rs
@@ -15,6 +15,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
 
+use crate::control::evacuation::Evacuations;
 use crate::control::follow::DaemonEntry;
 use crate::control::input::{Input, ReadPosition, Topic};
 use crate::control::relay::{Relay, Role};
@@ -58,6 +59,9 @@
     pub(crate) heartbeat_at_ms: u64,
     pub(crate) site: Option<Arc<Site>>,
     pub(crate) registry: Registry,
+    pub(crate) evacuations: Evacuations,
+    /// When servers of an evacuated data centre close next, by the clock of requests.
+    pub(crate) next_close_at_ms: Option<u64>,
     /// Servers whose entries were invalid; each is logged once.
     pub(crate) unreadable: HashSet<Name>,
     pub(crate) daemons: BTreeMap<Name, DaemonEntry>,
@@ -159,6 +163,8 @@
             heartbeat_at_ms: 0,
             site: None,
             registry: Registry::default(),
+            evacuations: Evacuations::default(),
+            next_close_at_ms: None,
             unreadable: HashSet::default(),
             daemons: BTreeMap::new(),
             fleet_entries: BTreeMap::new(),
@@ -281,6 +287,7 @@
             spdlog::info!("missing servers removed after the grace period", kv: { servers = self.registry.len() });
             self.are_servers_stale = true;
         }
+        self.check_closed_servers();
         self.apply_renewal();
         if self.leading.as_ref().is_some_and(|leading| leading.leader.has_authority_ended(now_ms)) {
             self.resign("authority ended");
@@ -310,7 +317,7 @@
 
     fn on_listing(&mut self, topic: Topic, entries: &[Entry], read: ReadPosition) {
         match topic {
-            Topic::Site => {}
+            Topic::Operators => self.on_operators_list(entries, read),
             Topic::Servers => self.on_server_list(entries, read),
             Topic::Fleet => {
                 self.is_fleet_known = true;
@@ -322,11 +329,7 @@
 
     fn on_changes(&mut self, topic: Topic, entries: &[Entry], read: ReadPosition) {
         match topic {
-            Topic::Site => {
-                for entry in entries {
-                    self.on_site_entry(entry);
-                }
-            }
+            Topic::Operators => self.on_operators_entries(entries),
             Topic::Servers => self.on_server_entries(entries, read),
             Topic::Fleet => {
                 let entries = entries.iter().map(|entry| FleetEntry {
@@ -342,27 +345,6 @@
         }
     }
 
-    fn on_site_entry(&mut self, entry: &Entry) {
-        let Some(text) = entry.text.as_deref().filter(|_| entry.key == self.source.site_key())
-        else {
-            return;
-        };
-        let site = match self.source.read_site(text) {
-            Ok(site) => site,
-            Err(cause) => {
-                spdlog::error!("document refused", kv: { cause:, revision = entry.revision.0 });
-                return;
-            }
-        };
-        if self.site.as_ref().is_some_and(|known| known.version() >= site.version()) {
-            return;
-        }
-        spdlog::info!("document in force", kv: { version = site.version().0, revision = entry.revision.0 });
-        self.site = Some(Arc::new(site));
-        self.are_servers_stale = true;
-        self.add_keyed_services();
-    }
-
     fn on_store_answers(&mut self, answers: bool) {
         spdlog::info!("store", kv: { answers });
         if answers && !self.store_answers {
--- a/crates/gateway/src/control/view_builder.rs
+++ b/crates/gateway/src/control/view_builder.rs
@@ -29,6 +29,7 @@
     pub(crate) fn update_view(&mut self) {
         if std::mem::take(&mut self.are_servers_stale) {
             self.are_tables_stale = false;
+            self.log_evacuations();
             self.replace_view();
         } else if std::mem::take(&mut self.are_tables_stale) {
             self.replace_tables();
@@ -75,6 +76,11 @@
             let usable = self.registry.usable(&spec.name);
             let pool: Vec<Arc<Server>> =
                 usable.filter_map(|usable| servers.get(&usable.incarnation).cloned()).collect();
+            let pool = if pool.is_empty() && !spec.is_keyed {
+                self.open_evacuated(&servers)
+            } else {
+                pool
+            };
             let pool = self.to_pool(pool);
             let servers = Arc::new(servers);
             let table = self.tables.get(&spec.name).cloned().unwrap_or_default();
@@ -92,6 +98,15 @@
         self.publish_view(Some(site), services);
     }
 
+    /// Returns the servers of evacuated data centres that still get requests.
+    fn open_evacuated(&self, servers: &HashMap<Incarnation, Arc<Server>>) -> Vec<Arc<Server>> {
+        let is_ready = |server: &Server| {
+            self.registry.is_ready_but_evacuated(&server.registration.incarnation)
+        };
+        let open = servers.values().filter(|server| server.is_open() && is_ready(server));
+        open.cloned().collect()
+    }
+
     /// Marks the servers of this data centre that this daemon keeps connections to.
     fn to_pool(&self, servers: Vec<Arc<Server>>) -> Arc<[PoolMember]> {
         let data_centre = &self.settings.data_centre;
@@ -143,15 +158,28 @@
         let daemons = u32::try_from(self.daemons.len()).unwrap_or(u32::MAX).max(1);
         let close_delay_ms = self.settings.drain_ms * DRAIN_WORK_PERCENT / 100;
         for spec in site.services() {
+            let has_others = self.registry.usable(&spec.name).next().is_some();
             for registration in self.registry.of_service(&spec.name) {
+                let closes_at_ms = self.evacuation_closes_at_ms(&registration.data_centre);
+                let is_new = !self.servers.contains_key(&registration.incarnation);
                 let server =
                     self.servers.entry(registration.incarnation.clone()).or_insert_with(|| {
                         let clock = self.shared.clock;
                         Arc::new(Server::new(registration, spec.max_connections, daemons, clock))
                     });
-                match registration.stage {
-                    Stage::Ready => server.reopen(),
-                    Stage::Draining => server.close_in(close_delay_ms),
+                server.set_evacuated(closes_at_ms.is_some());
+                match (registration.stage, closes_at_ms) {
+                    (Stage::Ready, None) => server.reopen(),
+                    // A server that registers during an evacuation gets no work.
+                    (_, Some(_)) if is_new => server.close_in(0),
+                    // Other servers can run the requests of a pool.
+                    (Stage::Ready, Some(_)) if has_others && !spec.is_keyed => server.close_in(0),
+                    (Stage::Ready, Some(at_ms)) => server.close_at(at_ms),
+                    (Stage::Draining, None) => server.close_in(close_delay_ms),
+                    (Stage::Draining, Some(at_ms)) => {
+                        server.close_in(close_delay_ms);
+                        server.close_at(at_ms);
+                    }
                 }
             }
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -204,7 +204,13 @@
     let (call_restarts, restarts) = watch::channel(0);
     let always = watch::channel(true).1;
     let topics = [
-        (Topic::Site, ports.source.site_key(), MIN_SITE_INTERVAL_MS, WATCH_TIMEOUT_MS, &always),
+        (
+            Topic::Operators,
+            ports.source.operators_prefix(),
+            MIN_SITE_INTERVAL_MS,
+            WATCH_TIMEOUT_MS,
+            &always,
+        ),
         (
             Topic::Servers,
             ports.source.servers_prefix(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,7 +31,8 @@
 //!   sends it through another daemon. `server`, `report`, `turns` and `retry_budget` hold the state
 //!   of servers, services and routes.
 //! - `control`, what is read from the store and from other daemons: `node` handles each `input`,
-//!   `follow` watches the store, `server_entries` and `fleet` handle the entries of servers and
+//!   `follow` watches the store, `operators` and `evacuation` handle what operators write,
+//!   `server_entries` and `fleet` handle the entries of servers and
 //!   daemons, `relay` decides who reads them, `tables` handles the owners of keys, and
 //!   `view_builder` builds the view.
 //! - `leader`, what the leader does: `candidacy` decides who campaigns when, `succession` hands
@@ -50,6 +51,7 @@
 mod status;
 
 pub use clock::BootClock;
+pub use control::evacuation::{EvacuationReport, Evacuations};
 pub use control::progress::Progress;
 pub use control::relay::{MessageAction, MessageHeader, Relay, Role};
 pub use gateway::{Gateway, Ports};
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -46,11 +46,18 @@
     ) -> impl Future<Output = Reply> + Send;
 }
 
-/// Names the store keys of the document and of servers' entries, and parses both.
+/// Names the store keys of the operators and of servers' entries, and parses their texts.
 pub trait Source: Clone + Send + Sync + 'static {
     /// Returns the key of the site's document.
     fn site_key(&self) -> &str;
 
+    /// Returns the prefix of all keys that operators write; the document's key starts with it.
+    fn operators_prefix(&self) -> &str;
+
+    /// Returns the prefix of the keys that evacuate a data centre; the data centre's name follows
+    /// it. It starts with the operators' prefix.
+    fn evacuations_prefix(&self) -> &str;
+
     /// Returns the prefix of the keys of servers' entries; the server's name follows it.
     fn servers_prefix(&self) -> &str;
 
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -8,6 +8,7 @@
 use proxy::{AdmissionError, Permit};
 use registry::Incarnation;
 use route::{Attempts, Failure, Next, Reason, Refusal, RemotePenalty};
+use shard::Owner;
 use site::RequestKind;
 use telemetry::{Counter, Labels};
 use tokio::time::timeout_at;
@@ -325,6 +326,9 @@
 ) -> Result<Destination, Refusal> {
     if service.is_keyed {
         let key = call.key.ok_or(Refusal::not_run(Reason::NoKey))?;
+        if has_only_evacuated(service, key) {
+            return Err(unreachable_refusal(attempts));
+        }
         return Ok(service.destination(shared.clock.now_ms(), key));
     }
     let remote_penalty = match call.route.kind {
@@ -332,16 +336,30 @@
         RequestKind::Idempotent | RequestKind::NonIdempotent => RemotePenalty::SMALL,
     };
     let is_avoided = |server: &Server| {
-        tried.contains(&server.registration.incarnation) || is_out_of_reach(shared, server)
+        tried.contains(&server.registration.incarnation)
+            || !server.is_open()
+            || is_out_of_reach(shared, server)
     };
     let random = rand::random();
     let server = service.pick_server(&shared.data_centre, remote_penalty, is_avoided, random);
+    // The view may be older than the close of its servers.
+    let server = server.filter(|server| server.is_open());
     server.map(Destination::Server).ok_or_else(|| match service.pause_remaining_ms() {
         0 => unreachable_refusal(attempts),
         remaining_ms => paused_refusal(attempts, remaining_ms),
     })
 }
 
+/// Returns whether a key's owner gets no more requests because its data centre is evacuated, and
+/// no server elsewhere can take the key.
+fn has_only_evacuated(service: &ServiceView, key: u16) -> bool {
+    let owner = service.table.find(key).and_then(|span| match &span.owner {
+        Owner::Server(owner) => service.servers.get(owner),
+        Owner::Moving(_) | Owner::Nobody { .. } => None,
+    });
+    owner.is_some_and(|owner| owner.is_evacuated() && !owner.is_open()) && service.pool.is_empty()
+}
+
 /// Returns the refusal while all servers that could answer want no requests.
 fn paused_refusal(attempts: &Attempts, remaining_ms: u64) -> Refusal {
     let retry_after_ms = remaining_ms.max(MIN_BUSY_RETRY_AFTER_MS);
--- a/crates/gateway/src/request/server.rs
+++ b/crates/gateway/src/request/server.rs
@@ -1,6 +1,6 @@
 //! The state of one server for routing requests.
 
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use document::{Server as Description, ServerState};
@@ -29,6 +29,8 @@
     full_deadline_ms: AtomicU64,
     /// When the server stops getting new work; `u64::MAX` while it stays.
     closes_at_ms: AtomicU64,
+    /// Whether its data centre is evacuated.
+    is_evacuated: AtomicBool,
 }
 
 /// The weight of the latest answer in the moving average.
@@ -70,6 +72,7 @@
             keeper_silence_deadline_ms: AtomicU64::new(0),
             full_deadline_ms: AtomicU64::new(0),
             closes_at_ms: AtomicU64::new(u64::MAX),
+            is_evacuated: AtomicBool::new(false),
         }
     }
 
@@ -159,10 +162,25 @@
 
     /// Stops new work after a delay, unless it stops earlier already.
     pub fn close_in(&self, delay_ms: u64) {
-        let at_ms = self.clock.now_ms() + delay_ms;
+        self.close_at(self.clock.now_ms() + delay_ms);
+    }
+
+    /// Stops new work at a time, unless it stops earlier already.
+    pub fn close_at(&self, at_ms: u64) {
         self.closes_at_ms.fetch_min(at_ms, Ordering::Relaxed);
     }
 
+    /// Sets whether the server's data centre is evacuated.
+    pub fn set_evacuated(&self, is_evacuated: bool) {
+        self.is_evacuated.store(is_evacuated, Ordering::Relaxed);
+    }
+
+    /// Returns whether the server's data centre is evacuated.
+    #[must_use]
+    pub fn is_evacuated(&self) -> bool {
+        self.is_evacuated.load(Ordering::Relaxed)
+    }
+
     /// Allows new work again: the server is listed as ready.
     pub fn reopen(&self) {
         self.closes_at_ms.store(u64::MAX, Ordering::Relaxed);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -27,6 +27,9 @@
     pub max_grant_ms: u64,
     /// The time for which a leaving server still accepts work.
     pub drain_ms: u64,
+    /// How long after a request to evacuate a data centre its servers may still get requests;
+    /// `None` if the deployment sets no bound.
+    pub evacuate_ms: Option<u64>,
     /// How long a graceful stop may take, from the signal on.
     pub grace_ms: u64,
     /// The limit on retries by all daemons together.
@@ -85,7 +88,7 @@
         let mut instance = sections.take_required("instance")?;
         let mut store = sections.take_required("store")?;
         let listen = read_listen(sections.take_required("listen")?)?;
-        let (max_grant_ms, drain_ms) = read_servers(sections.take_optional("servers"))?;
+        let servers = read_servers(sections.take_optional("servers"))?;
         let settings = Self {
             instance: instance.required("name", &TEXT)?,
             data_centre: instance.required("data_centre", &TEXT)?,
@@ -96,8 +99,9 @@
                 .optional("timeout", &DURATION)?
                 .unwrap_or(DEFAULT_STORE_TIMEOUT_MS),
             min_lease_ms: store.optional("least_lease", &DURATION)?.unwrap_or(DEFAULT_MIN_LEASE_MS),
-            max_grant_ms,
-            drain_ms,
+            max_grant_ms: servers.max_grant_ms,
+            drain_ms: servers.drain_ms,
+            evacuate_ms: servers.evacuate_ms,
             grace_ms: read_grace(sections.take_optional("stop"))?,
             retries: read_retries(sections.take_optional("retries"))?,
             log_level: read_log(sections.take_optional("log"))?,
@@ -120,14 +124,30 @@
     Ok(listen)
 }
 
-fn read_servers(section: Option<Section>) -> Result<(u64, u64)> {
-    let Some(mut section) = section else {
-        return Ok((DEFAULT_MAX_GRANT_MS, DEFAULT_DRAIN_MS));
+/// The values of the section about servers.
+#[expect(clippy::struct_field_names, reason = "fields carry their unit")]
+struct ServerSettings {
+    max_grant_ms: u64,
+    drain_ms: u64,
+    evacuate_ms: Option<u64>,
+}
+
+fn read_servers(section: Option<Section>) -> Result<ServerSettings> {
+    let mut settings = ServerSettings {
+        max_grant_ms: DEFAULT_MAX_GRANT_MS,
+        drain_ms: DEFAULT_DRAIN_MS,
+        evacuate_ms: None,
     };
-    let max_grant_ms = section.optional("longest_grant", &DURATION)?;
-    let drain_ms = section.optional("drain", &DURATION)?;
-    section.finish("longest_grant, drain")?;
-    Ok((max_grant_ms.unwrap_or(DEFAULT_MAX_GRANT_MS), drain_ms.unwrap_or(DEFAULT_DRAIN_MS)))
+    let Some(mut section) = section else { return Ok(settings) };
+    if let Some(max_grant_ms) = section.optional("longest_grant", &DURATION)? {
+        settings.max_grant_ms = max_grant_ms;
+    }
+    if let Some(drain_ms) = section.optional("drain", &DURATION)? {
+        settings.drain_ms = drain_ms;
+    }
+    settings.evacuate_ms = section.optional("evacuate", &DURATION)?;
+    section.finish("longest_grant, drain, evacuate")?;
+    Ok(settings)
 }
 
 fn read_grace(section: Option<Section>) -> Result<u64> {
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -109,6 +109,7 @@
             "version": view.site.as_ref().map(|site| site.version().0),
             "epoch": self.leading.as_ref().map(|leading| leading.leader.epoch().0),
             "ready": self.shared.is_ready(),
+            "evacuated": self.dump_evacuations(),
             "services": services,
         });
         dump.to_string()
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -53,3 +53,13 @@
         expect_that!(error, contains_substring("local.ini:"), "{line}");
     }
 }
+
+#[googletest::test]
+fn bound_on_evacuations_is_optional() {
+    expect_that!(read("name = edge-1").unwrap().evacuate_ms, none());
+    let with_bound = read("drain = 2000ms\nevacuate = 5000ms").unwrap();
+    expect_that!(with_bound.evacuate_ms, some(eq(5_000)));
+    let error = read("drain = 2000ms\nevacuate = soon").unwrap_err();
+    expect_that!(error, contains_substring("evacuate"));
+    expect_that!(error, contains_substring("local.ini:"));
+}
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -18,6 +18,8 @@
     grace_deadline_ms: u64,
     /// The latest incarnation of each server that has said that it is leaving.
     leaving: HashMap<Name, u64>,
+    /// The data centres whose servers get no new work.
+    evacuated: HashSet<Name>,
     /// The number of updates that changed something.
     version: u64,
 }
@@ -194,10 +196,41 @@
         Some(Registration { heartbeat: entry.heartbeat, ..registration })
     }
 
+    /// Replaces the set of data centres whose servers get no new work.
+    ///
+    /// Data centres without servers are kept too, so that a server that registers there later is
+    /// excluded from its first registration on.
+    pub fn set_evacuated(&mut self, data_centres: impl IntoIterator<Item = Name>) -> Change {
+        let evacuated: HashSet<Name> = data_centres.into_iter().collect();
+        if evacuated == self.evacuated {
+            return Change::Nothing;
+        }
+        self.evacuated = evacuated;
+        self.version += 1;
+        Change::Server
+    }
+
+    /// Returns whether the servers of a data centre get no new work.
+    #[must_use]
+    pub fn is_evacuated(&self, data_centre: &str) -> bool {
+        self.evacuated.contains(data_centre)
+    }
+
+    /// Returns whether an incarnation is registered and ready, but gets no new work because its
+    /// data centre is evacuated.
+    #[must_use]
+    pub fn is_ready_but_evacuated(&self, incarnation: &Incarnation) -> bool {
+        self.get(incarnation).is_some_and(|registration| {
+            registration.stage == Stage::Ready && self.is_evacuated(&registration.data_centre)
+        })
+    }
+
     /// Returns whether an incarnation is registered and accepts new work.
     #[must_use]
     pub fn accepts_new_work(&self, incarnation: &Incarnation) -> bool {
-        self.get(incarnation).is_some_and(|registration| registration.stage == Stage::Ready)
+        self.get(incarnation).is_some_and(|registration| {
+            registration.stage == Stage::Ready && !self.is_evacuated(&registration.data_centre)
+        })
     }
 
     /// Returns the servers of a service that can be given work.
@@ -205,11 +238,13 @@
     /// During the grace period a missing server may have left or may not have registered
     /// again yet. If at most half of the ready servers are missing, they are taken to have
     /// left and are excluded. If more are missing, the list is taken to have lost them, and
-    /// all are included.
+    /// all are included. Servers of evacuated data centres are never included.
     pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Arc<Registration>> {
         let ready = self.entries.values().filter(move |entry| {
             let registration = &entry.registration;
-            registration.service == *service && registration.stage == Stage::Ready
+            registration.service == *service
+                && registration.stage == Stage::Ready
+                && !self.is_evacuated(&registration.data_centre)
         });
         let missing = ready.clone().filter(|entry| entry.drop_at_ms.is_some()).count();
         let has_lost_most = missing * 2 > ready.clone().count();
--- a/crates/shard/src/order.rs
+++ b/crates/shard/src/order.rs
@@ -250,6 +250,8 @@
     Free,
     /// The holder is leaving or is no longer registered.
     Leaving,
+    /// The holder's data centre is evacuated.
+    Evacuated,
     /// The holder does not answer, or only previous holders may still hold the range.
     Silent,
     /// The holder has restarted and holds nothing; not in use, as such ranges move as `Silent`.
--- a/crates/shard/src/planning.rs
+++ b/crates/shard/src/planning.rs
@@ -39,6 +39,7 @@
             self.plan_first_assignment(pass, candidates);
             return;
         }
+        self.choose_successors_of_evacuated(pass, candidates);
         let mut index = 0;
         while index < self.ranges.len() {
             if let Some(reason) = self.reason_to_move(pass, index) {
@@ -48,6 +49,43 @@
         }
     }
 
+    /// Chooses successors for the ranges of evacuated servers, those with the most load first.
+    ///
+    /// The largest ranges find the most room that way, and are the first in the order of moves.
+    fn choose_successors_of_evacuated(
+        &mut self,
+        pass: &mut PassContext<'_>,
+        candidates: &mut [Candidate],
+    ) {
+        let mut evacuated: Vec<(f32, KeyRange)> = Vec::new();
+        let mut index = 0;
+        while index < self.ranges.len() {
+            if self.reason_to_move(pass, index) == Some(MoveReason::Evacuated) {
+                self.split_if_loaded(index, candidates.len());
+                let range = self.ranges[index].range;
+                evacuated.push((self.load.of(range), range));
+            }
+            index += 1;
+        }
+        evacuated.sort_by(|(left, _), (right, _)| right.total_cmp(left));
+        for (_, range) in evacuated {
+            let index = self.ranges.partition_point(|state| state.range.to() < range.from());
+            self.choose_successor(pass, index, MoveReason::Evacuated, candidates);
+        }
+    }
+
+    /// Splits the left part off a range that has much load.
+    fn split_if_loaded(&mut self, index: usize, servers: usize) {
+        let split_load = policy::split_load(&self.load, servers);
+        let range = self.ranges[index].range;
+        if self.load.of(range) > split_load * 1.5
+            && let Some(key) = self.load.split_key(range, split_load)
+            && let Some(rest) = self.ranges[index].split_off(key)
+        {
+            self.ranges.insert(index + 1, rest);
+        }
+    }
+
     fn plan_first_assignment(&mut self, pass: &mut PassContext<'_>, candidates: &[Candidate]) {
         let parts = policy::split_by_capacity(KeyRange::WHOLE, &self.load, candidates);
         self.wanted_record += 1;
@@ -82,7 +120,8 @@
             });
         };
         if !pass.servers.registry.accepts_new_work(&holder.incarnation) {
-            return Some(MoveReason::Leaving);
+            let is_evacuated = pass.servers.registry.is_ready_but_evacuated(&holder.incarnation);
+            return Some(if is_evacuated { MoveReason::Evacuated } else { MoveReason::Leaving });
         }
         // A new holder has tries of its own: all servers may be silent.
         let failures = match holder.grant_deadline_ms {
@@ -104,14 +143,7 @@
         candidates: &mut [Candidate],
     ) {
         let holder = self.ranges[index].holder.as_ref().map(|holder| holder.incarnation.clone());
-        let split_load = policy::split_load(&self.load, candidates.len());
-        let range = self.ranges[index].range;
-        if self.load.of(range) > split_load * 1.5
-            && let Some(key) = self.load.split_key(range, split_load)
-            && let Some(rest) = self.ranges[index].split_off(key)
-        {
-            self.ranges.insert(index + 1, rest);
-        }
+        self.split_if_loaded(index, candidates.len());
         let range = self.ranges[index].range;
         let load = self.load.of(range);
         let neighbour = policy::neighbour_with_room(&self.ranges, &self.load, candidates, index)
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -62,6 +62,8 @@
     pub name: Name,
     /// The name of the service.
     pub service: &'static str,
+    /// The data centre that it runs in.
+    pub data_centre: &'static str,
     /// The link from all daemons to the server.
     pub link: Link,
     /// The faults to inject into its answers.
@@ -253,6 +255,19 @@
     ///
     /// Fails when no port is free.
     pub async fn add_server(&mut self, service: &'static str) -> Result<()> {
+        self.add_server_in(service, "a").await
+    }
+
+    /// Adds a server in a data centre and starts it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port is free.
+    pub async fn add_server_in(
+        &mut self,
+        service: &'static str,
+        data_centre: &'static str,
+    ) -> Result<()> {
         let name = Name::from(format!("s{}", self.servers.len()));
         let link = Link::open(1).await?;
         if self.has_own_links {
@@ -261,6 +276,7 @@
         self.servers.push(ServerHandle {
             name,
             service,
+            data_centre,
             link,
             faults: Arc::default(),
             is_draining: Arc::default(),
@@ -297,7 +313,7 @@
                 entry: EntryFields {
                     service: handle.service.to_owned(),
                     address: handle.link.address,
-                    data_centre: "a".to_owned(),
+                    data_centre: handle.data_centre.to_owned(),
                     slots: SLOTS,
                     is_draining: false,
                     number: 0,
--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -47,6 +47,8 @@
     Orders,
     /// Orders that servers did not answer.
     OrdersFailed,
+    /// Evacuations of data centres that started or ended.
+    EvacuationChanges,
     /// Packets received from other daemons, and those that this daemon sent to itself.
     Packets,
 }
@@ -55,7 +57,7 @@
 ///
 /// Every variant must be listed: the length is also that of [`Counters`], which is indexed by
 /// the variants.
-const COUNTERS: [(Counter, &str, &str); 22] = [
+const COUNTERS: [(Counter, &str, &str); 23] = [
     (Counter::Requests, "verbena_requests", "requests that arrived"),
     (Counter::Answered, "verbena_answered", "requests that a server answered"),
     (Counter::RefusedNotRun, "verbena_refused_not_run", "requests that certainly did not run"),
@@ -77,6 +79,7 @@
     (Counter::StoreFailures, "verbena_store_failures", "calls to the store that failed"),
     (Counter::Orders, "verbena_orders", "orders sent to servers"),
     (Counter::OrdersFailed, "verbena_orders_failed", "orders that stayed unanswered"),
+    (Counter::EvacuationChanges, "verbena_evacuation_changes", "evacuations started or ended"),
     (Counter::Packets, "verbena_packets", "packets from other daemons"),
 ];
 
