--- a/crates/gateway/src/control/view_builder.rs
+++ b/crates/gateway/src/control/view_builder.rs
@@ -31,6 +31,7 @@
     pub(crate) fn update_view(&mut self) {
         if std::mem::take(&mut self.are_servers_stale) {
             self.are_tables_stale = false;
+            self.log_evacuations();
             self.replace_view();
         } else if std::mem::take(&mut self.are_tables_stale) {
             self.replace_tables();
@@ -80,6 +81,11 @@
             let usable = self.registry.usable(&spec.name);
             let pool: Vec<Arc<Server>> =
                 usable.filter_map(|usable| servers.get(&usable.incarnation).cloned()).collect();
+            let pool = if pool.is_empty() && !spec.is_keyed {
+                self.open_evacuated(&servers)
+            } else {
+                pool
+            };
             let pool = self.to_pool(pool);
             let servers = Arc::new(servers);
             let table = self.tables.get(&spec.name).cloned().unwrap_or_default();
@@ -97,6 +103,15 @@
         self.publish_view(Some(site), services);
     }
 
+    /// Returns the servers of evacuated data centres that still get requests.
+    fn open_evacuated(&self, servers: &HashMap<Incarnation, Arc<Server>>) -> Vec<Arc<Server>> {
+        let is_ready = |server: &Server| {
+            self.registry.is_ready_but_evacuated(&server.registration.incarnation)
+        };
+        let open = servers.values().filter(|server| server.is_open() && is_ready(server));
+        open.cloned().collect()
+    }
+
     /// Marks the servers of this data centre that this daemon keeps connections to.
     fn to_pool(&self, servers: Vec<Arc<Server>>) -> Arc<[PoolMember]> {
         let data_centre = &self.settings.data_centre;
@@ -150,7 +165,10 @@
         let now_ms = self.clock.now_ms();
         for spec in site.services() {
             let cold_limit = cold_limit(&self.settings, spec);
+            let has_others = self.registry.usable(&spec.name).next().is_some();
             for registration in self.registry.of_service(&spec.name) {
+                let closes_at_ms = self.evacuation_closes_at_ms(&registration.data_centre);
+                let is_new = !self.servers.contains_key(&registration.incarnation);
                 let server =
                     self.servers.entry(registration.incarnation.clone()).or_insert_with(|| {
                         let clock = self.shared.clock;
@@ -158,9 +176,19 @@
                     });
                 server.set_cold_limit(cold_limit);
                 server.on_cold(registration.warm_at_ms.saturating_sub(now_ms));
-                match registration.stage {
-                    Stage::Ready => server.reopen(),
-                    Stage::Draining => server.close_in(close_delay_ms),
+                server.set_evacuated(closes_at_ms.is_some());
+                match (registration.stage, closes_at_ms) {
+                    (Stage::Ready, None) => server.reopen(),
+                    // A server that registers during an evacuation gets no work.
+                    (_, Some(_)) if is_new => server.close_in(0),
+                    // Other servers can run the requests of a pool.
+                    (Stage::Ready, Some(_)) if has_others && !spec.is_keyed => server.close_in(0),
+                    (Stage::Ready, Some(at_ms)) => server.close_at(at_ms),
+                    (Stage::Draining, None) => server.close_in(close_delay_ms),
+                    (Stage::Draining, Some(at_ms)) => {
+                        server.close_in(close_delay_ms);
+                        server.close_at(at_ms);
+                    }
                 }
             }
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -31,6 +31,9 @@
     pub warmup_overage_milli: Option<u32>,
     /// How many requests more than that a cold server may get in any second.
     pub warmup_slack: Option<u32>,
+    /// How long after a request to evacuate a data centre its servers may still get requests;
+    /// `None` if the deployment sets no bound.
+    pub evacuate_ms: Option<u64>,
     /// How long a graceful stop may take, from the signal on.
     pub grace_ms: u64,
     /// The limit on retries by all daemons together.
@@ -108,6 +111,7 @@
             drain_ms: servers.drain_ms,
             warmup_overage_milli: servers.warmup_overage_milli,
             warmup_slack: servers.warmup_slack,
+            evacuate_ms: servers.evacuate_ms,
             grace_ms: read_grace(sections.take_optional("stop"))?,
             retries: read_retries(sections.take_optional("retries"))?,
             log_level: read_log(sections.take_optional("log"))?,
@@ -130,12 +134,13 @@
     Ok(listen)
 }
 
-/// The settings of the section about servers.
+/// The values of the section about servers.
 struct ServerSettings {
     max_grant_ms: u64,
     drain_ms: u64,
     warmup_overage_milli: Option<u32>,
     warmup_slack: Option<u32>,
+    evacuate_ms: Option<u64>,
 }
 
 fn read_servers(section: Option<Section>) -> Result<ServerSettings> {
@@ -144,6 +149,7 @@
         drain_ms: DEFAULT_DRAIN_MS,
         warmup_overage_milli: None,
         warmup_slack: None,
+        evacuate_ms: None,
     };
     let Some(mut section) = section else { return Ok(settings) };
     if let Some(max_grant_ms) = section.optional("longest_grant", &DURATION)? {
@@ -154,7 +160,8 @@
     }
     settings.warmup_overage_milli = section.optional("warmup_overage", &FACTOR)?;
     settings.warmup_slack = section.optional("warmup_slack", &REQUESTS)?;
-    section.finish("longest_grant, drain, warmup_overage, warmup_slack")?;
+    settings.evacuate_ms = section.optional("evacuate", &DURATION)?;
+    section.finish("longest_grant, drain, evacuate, warmup_overage, warmup_slack")?;
     Ok(settings)
 }
 
