--- a/crates/shard/tests/golden_sessions.rs
+++ b/crates/shard/tests/golden_sessions.rs
@@ -18,6 +18,7 @@
     stop_store: 0,
     slow_link: 0,
     slow_server: 0,
+    evacuate: 0,
 };
 const SEED: u64 = 42;
 /// Time for the first assignment, with a margin.
--- a/crates/shard/tests/random_moves.rs
+++ b/crates/shard/tests/random_moves.rs
@@ -65,6 +65,7 @@
     stop_store: 0,
     slow_link: 0,
     slow_server: 0,
+    evacuate: 0,
 };
 
 #[test]
@@ -82,6 +83,11 @@
     assert_schedules(Faults { lose_message: 10, stop_leader: 30, cut: 20, ..ONLY_DRAINS });
 }
 
+#[test]
+fn evacuations() {
+    assert_schedules(Faults { evacuate: 40, lose_message: 20, stop_leader: 15, ..ONLY_DRAINS });
+}
+
 #[test]
 fn slow_links() {
     assert_schedules(Faults { slow_link: 40, cut: 20, ..ONLY_DRAINS });
@@ -112,6 +118,7 @@
     stop_store: 15,
     slow_link: 0,
     slow_server: 0,
+    evacuate: 0,
 };
 
 #[test]
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -81,6 +81,14 @@
     pub slow_link: u32,
     /// Messages to one server queue for longer than an order is waited for.
     pub slow_server: u32,
+    /// Other data centres are evacuated; sometimes none, sometimes both.
+    pub evacuate: u32,
+}
+
+/// Returns the data centre of a server: servers with an even number are in the second one.
+fn data_centre(server: &str) -> Name {
+    let is_even = server.ends_with(['0', '2', '4', '6', '8']);
+    if is_even { "b".into() } else { "a".into() }
 }
 
 /// The cluster of one run.
@@ -162,11 +170,13 @@
             stop_store: 0,
             slow_link: 0,
             slow_server: 0,
+            evacuate: 0,
         };
         for server in self.servers.values_mut() {
             server.is_cut = false;
         }
         self.store_outage_deadline_ms = 0;
+        self.registry.set_evacuated([]);
         self.is_loaded = false;
         self.run(within_ms)?;
         let mut last_served_at_ms = vec![self.now_ms; OBSERVED_KEYS];
@@ -258,7 +268,7 @@
             incarnation: Incarnation { server: name.clone(), born_ms: server.born_ms },
             service: SERVICE.into(),
             address: server.address,
-            data_centre: "a".into(),
+            data_centre: data_centre(name),
             slots: 4,
             stage: if server.is_draining { Stage::Draining } else { Stage::Ready },
             warm_at_ms: 0,
@@ -305,6 +315,12 @@
             server.link_free_at_ms = server.link_free_at_ms.max(free_at_ms);
             self.log(&format!("the link to {name} is busy until {free_at_ms}"));
         }
+        if faults.evacuate > 0 && self.occurs(faults.evacuate) {
+            let choices: [&[&str]; 4] = [&[], &["a"], &["b"], &["a", "b"]];
+            let evacuated = choices[self.random.random_range(0..choices.len())];
+            self.registry.set_evacuated(evacuated.iter().map(|name| Name::from(*name)));
+            self.log(&format!("evacuated: {evacuated:?}"));
+        }
         if self.is_loaded
             && let Some(Some(leader)) = self.leaders.last_mut()
             && let Some(load) = leader.load_mut(SERVICE)
