--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -39,6 +39,8 @@
     pub name: String,
     /// The address for callers.
     pub front: SocketAddr,
+    /// The address for administrators.
+    pub admin: SocketAddr,
     /// The link from this daemon to the store.
     pub store_link: Link,
     /// Its own links to the servers, if it has any.
@@ -431,10 +433,12 @@
         let path = dir.join(format!("{name}.ini"));
         std::fs::write(&path, settings)?;
         let front = addresses["front"].parse()?;
+        let admin = addresses["admin"].parse()?;
         let log_path = dir.join(format!("{name}.log"));
         Ok(Self {
             name,
             front,
+            admin,
             store_link,
             server_links: Vec::new(),
             server_addresses,
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -218,7 +218,17 @@
     is_to_target: bool,
 ) {
     let mut buffer = vec![0; 16 << 10];
-    while let Ok(count @ 1..) = from.read(&mut buffer).await {
+    loop {
+        let count = match from.read(&mut buffer).await {
+            Ok(0) => break,
+            Ok(count) => count,
+            Err(_) if !is_to_target && current_mode(mode) == LinkMode::Pass => {
+                // Dropping the half would end the connection before closing the socket resets it.
+                to.forget();
+                return;
+            }
+            Err(_) => break,
+        };
         let mut is_held = false;
         loop {
             match current_mode(mode) {
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -33,4 +33,4 @@
 
 pub use client::{Call, Client};
 pub use error::{Category, Error, Result};
-pub use server::{AcceptedAt, json, read_body, serve, serve_limited, status};
+pub use server::{AcceptedAt, ResetHandle, json, read_body, serve, serve_limited, status};
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -22,6 +22,19 @@
 #[derive(Clone, Copy, Debug)]
 pub struct AcceptedAt(pub Instant);
 
+/// Resets the connection of a request.
+///
+/// Each request carries it as an extension.
+#[derive(Clone, Debug)]
+pub struct ResetHandle(CancellationToken);
+
+impl ResetHandle {
+    /// Resets the connection; an answer that is not written yet is lost.
+    pub fn reset(&self) {
+        self.0.cancel();
+    }
+}
+
 /// The largest request body that [`read_body`] returns.
 const MAX_BODY_BYTES: usize = 4 << 20;
 
@@ -69,17 +82,26 @@
         drop(stream.set_nodelay(true));
         let handler = handler.clone();
         let accepted_at = AcceptedAt(Instant::now());
+        let reset = CancellationToken::new();
+        let reset_handle = ResetHandle(reset.clone());
         let service = service_fn(move |mut request: Request<Incoming>| {
             request.extensions_mut().insert(accepted_at);
+            request.extensions_mut().insert(reset_handle.clone());
             let answer = handler(request);
             async move { Ok::<_, Infallible>(answer.await) }
         });
-        let connection = http1::Builder::new()
+        let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .serve_connection(TokioIo::new(stream), service);
         connections.spawn(async move {
-            // An error of one connection doesn't affect the others.
-            drop(connection.await);
+            tokio::select! {
+                // An error of one connection doesn't affect the others.
+                ended = &mut connection => drop(ended),
+                // With a linger time of zero, closing the socket sends a reset.
+                () = reset.cancelled() => {
+                    drop(connection.into_parts().io.into_inner().set_zero_linger());
+                }
+            }
         });
     }
     // The listener is closed first, so that clients of the closed connections can't reconnect.
