--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -384,7 +384,8 @@
         }
         Failure::Reset => {
             shared.counters.count(Counter::Resets);
-            server.upstream.on_reset();
+            let sent_ago_ms = u64::try_from(started_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+            server.upstream.on_reset(sent_ago_ms);
         }
         Failure::TimedOut => {
             server.upstream.on_timeout(latency_ms);
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -383,7 +383,7 @@
 ) -> Result<Permit, Refusal> {
     let remaining_ms = server.pause_remaining_ms();
     if remaining_ms > 0 {
-        return Err(paused_refusal(attempts, remaining_ms));
+        return Err(pause_refusal(shared, server, call, attempts, remaining_ms));
     }
     let caller = call.caller.filter(|_| server.upstream.is_target_ordered());
     let mut arrival = call.arrival();
@@ -398,21 +398,45 @@
         Ok((permit, _has_waited)) => Ok(permit),
         Err(AdmissionError::Overloaded { late_ms }) if server.upstream.is_target_ordered() => {
             let room_ms = server.upstream.queue_ms(arrival.typical_latency_ms).max(late_ms);
-            let left_ms = call.caller_deadline_ms.saturating_sub(shared.clock.now_ms());
-            let retry_after_ms = busy_retry_after_ms(room_ms, left_ms, rand::random());
-            Err(attempts.to_refusal(Reason::Overloaded).with_retry_after(retry_after_ms))
+            Err(spread_refusal(shared, call, attempts, room_ms))
         }
         Err(AdmissionError::Overloaded { late_ms }) => {
             let retry_after_ms = late_ms.clamp(MIN_BUSY_RETRY_AFTER_MS, MAX_BUSY_RETRY_AFTER_MS);
             Err(attempts.to_refusal(Reason::Overloaded).with_retry_after(retry_after_ms))
         }
-        Err(AdmissionError::Paused { remaining_ms }) => Err(paused_refusal(attempts, remaining_ms)),
+        Err(AdmissionError::Paused { remaining_ms }) => {
+            Err(pause_refusal(shared, server, call, attempts, remaining_ms))
+        }
         Err(AdmissionError::Expired) => {
             Err(attempts.to_refusal(Reason::Expired).with_retry_after(MIN_BUSY_RETRY_AFTER_MS))
         }
     }
 }
 
+/// Returns the refusal while a server gets no requests.
+///
+/// After the pause of a full server, callers should not return together; a server that asked for a
+/// longer one is not full.
+fn pause_refusal(
+    shared: &Shared,
+    server: &Server,
+    call: &Call,
+    attempts: &Attempts,
+    remaining_ms: u64,
+) -> Refusal {
+    if server.upstream.is_target_ordered() && remaining_ms <= MAX_BUSY_RETRY_AFTER_MS {
+        return spread_refusal(shared, call, attempts, remaining_ms);
+    }
+    paused_refusal(attempts, remaining_ms)
+}
+
+/// Returns the refusal while a server is full, with a random part in its Retry-After.
+fn spread_refusal(shared: &Shared, call: &Call, attempts: &Attempts, room_ms: u64) -> Refusal {
+    let left_ms = call.caller_deadline_ms.saturating_sub(shared.clock.now_ms());
+    let retry_after_ms = busy_retry_after_ms(room_ms, left_ms, rand::random());
+    attempts.to_refusal(Reason::Overloaded).with_retry_after(retry_after_ms)
+}
+
 /// Waits up to `timeout_ms` for a new view.
 async fn wait_for_change(shared: &Shared, call: &Call, timeout_ms: u64) {
     let wait_deadline_ms = call.deadline_ms.min(shared.clock.now_ms() + timeout_ms);
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -246,17 +246,17 @@
         self.pause_deadline_ms.store(limiter.pause_deadline_ms(), Ordering::Relaxed);
     }
 
-    /// Adapts the limit after the server reset a connection on which a request had been sent, while
-    /// it accepted others.
+    /// Adapts the limit after the server reset the connection of a request that was sent
+    /// `latency_ms` ago, while it accepted other connections.
     ///
     /// Its other connections stay in use. Pooled requests avoid the server for a second.
-    pub fn on_reset(&self) {
+    pub fn on_reset(&self, latency_ms: u64) {
         let now_ms = self.clock.now_ms();
         self.avoidance_deadline_ms.store(now_ms + AVOIDANCE_MS, Ordering::Relaxed);
         let mut limiter = self.limiter();
-        limiter.on_reset(now_ms);
+        limiter.on_reset(now_ms, now_ms.saturating_sub(latency_ms));
         self.pause_deadline_ms.store(limiter.pause_deadline_ms(), Ordering::Relaxed);
-        self.is_target_ordered.store(true, Ordering::Relaxed);
+        self.is_target_ordered.store(limiter.is_target_ordered(), Ordering::Relaxed);
     }
 
     /// Adapts the limit to the length of the server's own queue, as an answer reported it.
--- a/crates/route/src/limiter.rs
+++ b/crates/route/src/limiter.rs
@@ -30,6 +30,8 @@
     has_long_queue: bool,
     /// Until when a reported queue does not lower the limit again.
     report_deadline_ms: u64,
+    /// When the server last reset the connection of a request sent after the reset before.
+    last_reset_at_ms: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -109,6 +111,7 @@
             is_target_ordered: false,
             has_long_queue: false,
             report_deadline_ms: 0,
+            last_reset_at_ms: None,
         }
     }
 
@@ -314,10 +317,21 @@
         }
     }
 
-    /// Handles a connection that the server reset while a request ran or waited on it: it turns
+    /// Handles a request whose connection the server reset, `sent_at_ms` being when it was sent.
+    ///
+    /// Requests that were in flight at the last reset count as part of it: a network fault also
+    /// resets all connections at once. A server that resets others within `RESET_MEMORY_MS` turns
     /// away what is beyond its own queue.
-    pub fn on_reset(&mut self, now_ms: u64) {
-        self.order_by_target();
+    pub fn on_reset(&mut self, now_ms: u64, sent_at_ms: u64) {
+        if let Some(last_at_ms) = self.last_reset_at_ms {
+            if sent_at_ms <= last_at_ms {
+                return;
+            }
+            if now_ms <= last_at_ms + RESET_MEMORY_MS {
+                self.order_by_target();
+            }
+        }
+        self.last_reset_at_ms = Some(now_ms);
         self.on_shed(now_ms);
     }
 
@@ -425,6 +439,8 @@
 const MAX_PAUSE_MS: u64 = 2_000;
 /// The latency that pauses are derived from until the server has answered.
 const INITIAL_LATENCY_MS: f64 = 100.0;
+/// The time between two resets up to which the server counts as one that resets when full.
+const RESET_MEMORY_MS: u64 = 5_000;
 /// The weight of the latest latency in the moving average.
 const LATENCY_WEIGHT: f64 = 0.1;
 
