Refuse late requests at once while a server reports a long queue

Cause: a limit lowered by reports moves the queue into many daemons, where none lasts long enough to count as overload, so that late requests were held and served before others. Change: a server that reported more waiting requests than slots within the last second counts as overloaded. Tests: full_servers.

--- a/crates/route/src/limiter.rs
+++ b/crates/route/src/limiter.rs
@@ -28,6 +28,8 @@
     /// Whether the last answer reported a long queue at the server, so that it does not raise the
     /// limit.
     has_long_queue: bool,
+    /// Until when the server's own queue counts as long, as an answer reported it.
+    long_queue_deadline_ms: u64,
     /// Until when a reported queue does not lower the limit again.
     report_deadline_ms: u64,
     /// When the server last reset the connection of a request sent after the reset before.
@@ -110,6 +112,7 @@
             pause_deadline_ms: 0,
             is_target_ordered: false,
             has_long_queue: false,
+            long_queue_deadline_ms: 0,
             report_deadline_ms: 0,
             last_reset_at_ms: None,
         }
@@ -151,8 +154,8 @@
     ///
     /// During a pause all requests are refused. Otherwise, a request is refused at once if its answer is expected after its deadline, if the queue
     /// of its priority is full, or if the whole queue is full of requests that are not of a
-    /// lower priority. Once a queue has lasted for `SUSTAINED_QUEUE_MS`, the server counts as
-    /// overloaded. Then requests that would miss their latency target are refused too, so that
+    /// lower priority. Once a queue has lasted for `SUSTAINED_QUEUE_MS`, or while the server reports
+    /// a long one, the server counts as overloaded. Then requests that would miss their latency target are refused too, so that
     /// the others meet theirs, and in a queue ordered by target those of callers that are over
     /// their fair share. In such a queue, a late request makes room for one that is not.
     pub fn admit(&mut self, now_ms: u64, arrival: Arrival, waker: W) -> Admission<W> {
@@ -169,7 +172,8 @@
         let (ahead, same_priority) = self.count_waiting(ticket);
         let is_full = same_priority >= usize::try_from(arrival.max_waiting).unwrap_or(usize::MAX);
         let started_at_ms = *self.queue_started_at_ms.get_or_insert(now_ms);
-        let is_sustained = now_ms >= started_at_ms + SUSTAINED_QUEUE_MS;
+        let is_sustained =
+            now_ms >= started_at_ms + SUSTAINED_QUEUE_MS || now_ms < self.long_queue_deadline_ms;
         let due_at_ms =
             if is_sustained { target_deadline_ms.min(deadline_ms) } else { deadline_ms };
         let latency_ms = self.expected_latency_ms(arrival.typical_latency_ms, ahead);
@@ -339,9 +343,13 @@
     ///
     /// While more requests wait there than the server has slots, the limit does not rise, and
     /// falls once in the time that an answer takes: the daemons' limits together exceed the slots.
+    /// The server counts as overloaded then, whatever waits here: the limits of many daemons may
+    /// be too low for a queue of their own to last.
     pub fn on_reported_queue(&mut self, now_ms: u64, waiting: u32, slots: u32) {
         self.order_by_target();
         self.has_long_queue = waiting > slots;
+        let for_ms = if self.has_long_queue { REPORT_VALIDITY_MS } else { 0 };
+        self.long_queue_deadline_ms = now_ms + for_ms;
         if self.has_long_queue && now_ms >= self.report_deadline_ms {
             let latency_ms = self.latency_ms.unwrap_or(INITIAL_LATENCY_MS);
             self.report_deadline_ms = now_ms + ceil_ms(latency_ms);
@@ -439,6 +447,8 @@
 const MAX_PAUSE_MS: u64 = 2_000;
 /// The latency that pauses are derived from until the server has answered.
 const INITIAL_LATENCY_MS: f64 = 100.0;
+/// How long a reported queue counts, unless another report follows.
+const REPORT_VALIDITY_MS: u64 = 1_000;
 /// The time between two resets up to which the server counts as one that resets when full.
 const RESET_MEMORY_MS: u64 = 5_000;
 /// The weight of the latest latency in the moving average.
--- a/crates/route/tests/full_servers.rs
+++ b/crates/route/tests/full_servers.rs
@@ -1,21 +1,23 @@
 //! Guards against daemons that together send a server more than it has room for.
 
-use route::{Arrival, Attempts, Failure, Limit, Limiter, Next, Outcome, Reason};
+use route::{Admission, Arrival, Attempts, Failure, Limit, Limiter, Next, Outcome, Reason};
+
+/// A request with the measured day's latency target and timeout.
+const ARRIVAL: Arrival = Arrival {
+    deadline_ms: 2_500,
+    target_deadline_ms: 1_200,
+    priority: 0,
+    max_waiting: 64,
+    typical_latency_ms: 100,
+    is_over_share: false,
+};
 
 /// The limiter of one of 33 daemons for a server of 4 slots, with its limit at all slots.
 fn raised_limiter() -> Limiter<()> {
     let mut limiter = Limiter::new(Limit::new(4, 33), 256);
-    let arrival = Arrival {
-        deadline_ms: 2_500,
-        target_deadline_ms: 1_200,
-        priority: 0,
-        max_waiting: 64,
-        typical_latency_ms: 100,
-        is_over_share: false,
-    };
     for _ in 0..100 {
         while limiter.in_flight() < limiter.limit() {
-            limiter.admit(0, arrival, ());
+            limiter.admit(0, ARRIVAL, ());
         }
         limiter.on_answer(100.0);
     }
@@ -53,6 +55,40 @@
     assert_eq!(limiter.limit(), 4);
 }
 
+#[test]
+fn late_request_is_refused_at_once_while_the_server_reports_a_long_queue() {
+    let mut limiter = raised_limiter();
+    // One request takes as long as two thirds of the target, so that one that waits for another
+    // misses it.
+    (0..200).for_each(|_| limiter.on_answer(800.0));
+    limiter.on_reported_queue(0, 4, 4);
+    assert!(matches!(limiter.admit(0, ARRIVAL, ()), Admission::Wait(_)), "a short queue");
+    limiter.on_reported_queue(0, 16, 4);
+    assert!(matches!(limiter.admit(0, ARRIVAL, ()), Admission::Refuse { .. }));
+    limiter.on_reported_queue(0, 4, 4);
+    assert!(matches!(limiter.admit(0, ARRIVAL, ()), Admission::Wait(_)));
+}
+
+#[test]
+fn free_room_is_used_while_the_server_reports_a_long_queue() {
+    let mut limiter = raised_limiter();
+    (0..4).for_each(|_| drop(limiter.release(0)));
+    limiter.on_reported_queue(0, 16, 4);
+    let over_share = Arrival { is_over_share: true, ..ARRIVAL };
+    assert!(matches!(limiter.admit(0, over_share, ()), Admission::Admit));
+}
+
+#[test]
+fn reported_queue_is_forgotten() {
+    let mut limiter = raised_limiter();
+    limiter.on_reported_queue(0, 16, 4);
+    let over_share = Arrival { is_over_share: true, deadline_ms: 9_000, ..ARRIVAL };
+    assert!(matches!(limiter.admit(999, over_share, ()), Admission::Refuse { .. }));
+    let mut limiter = raised_limiter();
+    limiter.on_reported_queue(0, 16, 4);
+    assert!(matches!(limiter.admit(1_000, over_share, ()), Admission::Wait(_)));
+}
+
 #[test]
 fn repeated_resets_pause_requests_as_sheds_do() {
     let (mut reset, mut shed) = (raised_limiter(), raised_limiter());
