Keep waiting requests in a sorted list

Cause: on a busy machine (load 17 on this one), an admission with 64 waiting took 603 to 1,799 ns, of which the bound is 1 us; the ordered map was scanned to count the requests ahead. Change: waiting requests are in a sorted list, in which positions are found by bisection.

--- a/crates/route/src/limiter.rs
+++ b/crates/route/src/limiter.rs
@@ -1,7 +1,5 @@
 //! Admission of requests to one server, by priority and deadline.
 
-use std::collections::BTreeMap;
-
 use crate::Limit;
 
 /// Limits the requests in flight at one server and queues the others.
@@ -12,7 +10,8 @@
 pub struct Limiter<W> {
     limit: Limit,
     in_flight: u32,
-    waiting: BTreeMap<Ticket, Waiter<W>>,
+    /// The requests that wait, in the order of their tickets.
+    waiting: Vec<Waiter<W>>,
     /// The moving average of the time from admission to answer; `None` before the first.
     latency_ms: Option<f64>,
     next_number: u64,
@@ -38,6 +37,7 @@
 
 #[derive(Debug)]
 struct Waiter<W> {
+    ticket: Ticket,
     deadline_ms: u64,
     target_deadline_ms: u64,
     waker: W,
@@ -103,7 +103,7 @@
         Self {
             limit,
             in_flight: 0,
-            waiting: BTreeMap::new(),
+            waiting: Vec::new(),
             latency_ms: None,
             next_number: 0,
             max_waiting,
@@ -184,25 +184,38 @@
         if is_over_share || expected_answer_at_ms > due_at_ms {
             return refusal;
         }
-        let waiter = Waiter { deadline_ms, target_deadline_ms, waker };
+        let waiter = Waiter { ticket, deadline_ms, target_deadline_ms, waker };
         if !is_full && self.waiting.len() < self.max_waiting {
-            self.waiting.insert(ticket, waiter);
+            self.insert(waiter);
             return Admission::Wait(ticket);
         }
         let end = if is_full { Ticket::last_of(priority) } else { Ticket::last_of(u32::MAX) };
-        let last = self.waiting.range(..=end).next_back().map(|(last, _)| *last);
-        match last.filter(|last| last.gives_way_to(ticket)) {
-            Some(last) => match self.waiting.remove(&last) {
-                Some(displaced) => {
-                    self.waiting.insert(ticket, waiter);
-                    Admission::WaitDisplacing(ticket, displaced.waker)
-                }
-                None => refusal,
-            },
+        let last = self.position(end).checked_sub(1);
+        match last.filter(|last| self.waiting[*last].ticket.gives_way_to(ticket)) {
+            Some(last) => {
+                let displaced = self.waiting.remove(last);
+                self.insert(waiter);
+                Admission::WaitDisplacing(ticket, displaced.waker)
+            }
             None => refusal,
         }
     }
 
+    /// Returns how many requests wait before a ticket.
+    fn position(&self, ticket: Ticket) -> usize {
+        self.waiting.partition_point(|waiter| waiter.ticket < ticket)
+    }
+
+    fn insert(&mut self, waiter: Waiter<W>) {
+        self.waiting.insert(self.position(waiter.ticket), waiter);
+    }
+
+    fn remove(&mut self, ticket: Ticket) -> Option<Waiter<W>> {
+        let position = self.position(ticket);
+        let is_waiting = self.waiting.get(position).is_some_and(|it| it.ticket == ticket);
+        is_waiting.then(|| self.waiting.remove(position))
+    }
+
     fn next_ticket(&mut self, now_ms: u64, arrival: &Arrival) -> Ticket {
         let Arrival { priority, target_deadline_ms, .. } = *arrival;
         let number = self.next_number;
@@ -216,16 +229,10 @@
     }
 
     /// Returns how many requests wait before a ticket, and how many wait with its priority.
-    ///
-    /// The queue is bounded, so counting is cheap.
     fn count_waiting(&self, ticket: Ticket) -> (usize, usize) {
-        let (mut ahead, mut same_priority) = (0, 0);
-        for other in self.waiting.range(..=Ticket::last_of(ticket.priority)).map(|(other, _)| other)
-        {
-            ahead += usize::from(*other < ticket);
-            same_priority += usize::from(other.priority == ticket.priority);
-        }
-        (ahead, same_priority)
+        let start = self.position(Ticket::first_of(ticket.priority));
+        let end = self.position(Ticket::last_of(ticket.priority));
+        (self.position(ticket), end - start)
     }
 
     /// Moves the requests that can no longer meet their latency target behind the others of their
@@ -238,13 +245,17 @@
         }
         let answered_at_ms = now_ms + ceil_ms(self.latency_ms.unwrap_or_default());
         let mut start = Ticket::first_of(0);
-        while let Some((ticket, waiter)) = self.waiting.range(start..).next() {
-            let ticket = *ticket;
-            if ticket.is_late || answered_at_ms <= waiter.target_deadline_ms {
+        loop {
+            let position = self.position(start);
+            let Some(Waiter { ticket, target_deadline_ms, .. }) = self.waiting.get(position) else {
+                return;
+            };
+            if ticket.is_late || answered_at_ms <= *target_deadline_ms {
                 let Some(next) = ticket.priority.checked_add(1) else { return };
                 start = Ticket::first_of(next);
-            } else if let Some(waiter) = self.waiting.remove(&ticket) {
-                self.waiting.insert(ticket.late(), waiter);
+            } else {
+                let waiter = self.waiting.remove(position);
+                self.insert(Waiter { ticket: waiter.ticket.late(), ..waiter });
             }
         }
     }
@@ -255,7 +266,7 @@
         let Some(latency_ms) = self.latency_ms.filter(|_| self.is_target_ordered) else { return };
         let limit = usize::try_from(self.limit.get()).unwrap_or(usize::MAX).max(1);
         let mut ahead: usize = 0;
-        self.waiting.retain(|_, waiter| {
+        self.waiting.retain(|waiter| {
             let rounds = f64::from(u32::try_from(ahead / limit).unwrap_or(u32::MAX));
             let is_kept = now_ms + ceil_ms((rounds + 1.0) * latency_ms) < waiter.deadline_ms;
             ahead += usize::from(is_kept);
@@ -294,7 +305,7 @@
 
     /// Removes a request from the queue; returns whether it was still waiting.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
-        self.waiting.remove(&ticket).or_else(|| self.waiting.remove(&ticket.late())).is_some()
+        self.remove(ticket).or_else(|| self.remove(ticket.late())).is_some()
     }
 
     /// Handles an answer of the server.
@@ -364,7 +375,7 @@
     pub fn pause(&mut self, deadline_ms: u64) -> Vec<W> {
         self.pause_deadline_ms = deadline_ms.max(self.pause_deadline_ms);
         self.limit.restart();
-        std::mem::take(&mut self.waiting).into_values().map(|waiter| waiter.waker).collect()
+        std::mem::take(&mut self.waiting).into_iter().map(|waiter| waiter.waker).collect()
     }
 
     /// Returns until when no request is admitted; 0 if there was no pause.
@@ -403,7 +414,10 @@
         self.drop_expired(now_ms);
         self.move_late(now_ms);
         while self.in_flight < self.limit.get() {
-            let Some((_, waiter)) = self.waiting.pop_first() else { break };
+            if self.waiting.is_empty() {
+                break;
+            }
+            let waiter = self.waiting.remove(0);
             let left_ms = waiter.deadline_ms.saturating_sub(now_ms);
             if left_ms > ceil_ms(self.latency_ms.unwrap_or_default()) {
                 self.in_flight += 1;
