--- a/crates/route/src/limiter.rs
+++ b/crates/route/src/limiter.rs
@@ -1,7 +1,5 @@
 //! Admission of requests to one server, by priority and deadline.
 
-use std::collections::BTreeMap;
-
 use crate::Limit;
 
 /// Limits the requests in flight at one server and queues the others.
@@ -12,7 +10,8 @@
 pub struct Limiter<W> {
     limit: Limit,
     in_flight: u32,
-    waiting: BTreeMap<Ticket, Waiter<W>>,
+    /// The requests that wait, in the order of their tickets.
+    waiting: Vec<Waiter<W>>,
     /// The moving average of the time from admission to answer; `None` before the first.
     latency_ms: Option<f64>,
     next_number: u64,
@@ -28,12 +27,17 @@
     /// Whether the last answer reported a long queue at the server, so that it does not raise the
     /// limit.
     has_long_queue: bool,
+    /// Until when the server's own queue counts as long, as an answer reported it.
+    long_queue_deadline_ms: u64,
     /// Until when a reported queue does not lower the limit again.
     report_deadline_ms: u64,
+    /// When the server last reset the connection of a request sent after the reset before.
+    last_reset_at_ms: Option<u64>,
 }
 
 #[derive(Debug)]
 struct Waiter<W> {
+    ticket: Ticket,
     deadline_ms: u64,
     target_deadline_ms: u64,
     waker: W,
@@ -99,7 +103,7 @@
         Self {
             limit,
             in_flight: 0,
-            waiting: BTreeMap::new(),
+            waiting: Vec::new(),
             latency_ms: None,
             next_number: 0,
             max_waiting,
@@ -108,7 +112,9 @@
             pause_deadline_ms: 0,
             is_target_ordered: false,
             has_long_queue: false,
+            long_queue_deadline_ms: 0,
             report_deadline_ms: 0,
+            last_reset_at_ms: None,
         }
     }
 
@@ -148,8 +154,8 @@
     ///
     /// During a pause all requests are refused. Otherwise, a request is refused at once if its answer is expected after its deadline, if the queue
     /// of its priority is full, or if the whole queue is full of requests that are not of a
-    /// lower priority. Once a queue has lasted for `SUSTAINED_QUEUE_MS`, the server counts as
-    /// overloaded. Then requests that would miss their latency target are refused too, so that
+    /// lower priority. Once a queue has lasted for `SUSTAINED_QUEUE_MS`, or while the server reports
+    /// a long one, the server counts as overloaded. Then requests that would miss their latency target are refused too, so that
     /// the others meet theirs, and in a queue ordered by target those of callers that are over
     /// their fair share. In such a queue, a late request makes room for one that is not.
     pub fn admit(&mut self, now_ms: u64, arrival: Arrival, waker: W) -> Admission<W> {
@@ -166,7 +172,8 @@
         let (ahead, same_priority) = self.count_waiting(ticket);
         let is_full = same_priority >= usize::try_from(arrival.max_waiting).unwrap_or(usize::MAX);
         let started_at_ms = *self.queue_started_at_ms.get_or_insert(now_ms);
-        let is_sustained = now_ms >= started_at_ms + SUSTAINED_QUEUE_MS;
+        let is_sustained =
+            now_ms >= started_at_ms + SUSTAINED_QUEUE_MS || now_ms < self.long_queue_deadline_ms;
         let due_at_ms =
             if is_sustained { target_deadline_ms.min(deadline_ms) } else { deadline_ms };
         let latency_ms = self.expected_latency_ms(arrival.typical_latency_ms, ahead);
@@ -177,25 +184,38 @@
         if is_over_share || expected_answer_at_ms > due_at_ms {
             return refusal;
         }
-        let waiter = Waiter { deadline_ms, target_deadline_ms, waker };
+        let waiter = Waiter { ticket, deadline_ms, target_deadline_ms, waker };
         if !is_full && self.waiting.len() < self.max_waiting {
-            self.waiting.insert(ticket, waiter);
+            self.insert(waiter);
             return Admission::Wait(ticket);
         }
         let end = if is_full { Ticket::last_of(priority) } else { Ticket::last_of(u32::MAX) };
-        let last = self.waiting.range(..=end).next_back().map(|(last, _)| *last);
-        match last.filter(|last| last.gives_way_to(ticket)) {
-            Some(last) => match self.waiting.remove(&last) {
-                Some(displaced) => {
-                    self.waiting.insert(ticket, waiter);
-                    Admission::WaitDisplacing(ticket, displaced.waker)
-                }
-                None => refusal,
-            },
+        let last = self.position(end).checked_sub(1);
+        match last.filter(|last| self.waiting[*last].ticket.gives_way_to(ticket)) {
+            Some(last) => {
+                let displaced = self.waiting.remove(last);
+                self.insert(waiter);
+                Admission::WaitDisplacing(ticket, displaced.waker)
+            }
             None => refusal,
         }
     }
 
+    /// Returns how many requests wait before a ticket.
+    fn position(&self, ticket: Ticket) -> usize {
+        self.waiting.partition_point(|waiter| waiter.ticket < ticket)
+    }
+
+    fn insert(&mut self, waiter: Waiter<W>) {
+        self.waiting.insert(self.position(waiter.ticket), waiter);
+    }
+
+    fn remove(&mut self, ticket: Ticket) -> Option<Waiter<W>> {
+        let position = self.position(ticket);
+        let is_waiting = self.waiting.get(position).is_some_and(|it| it.ticket == ticket);
+        is_waiting.then(|| self.waiting.remove(position))
+    }
+
     fn next_ticket(&mut self, now_ms: u64, arrival: &Arrival) -> Ticket {
         let Arrival { priority, target_deadline_ms, .. } = *arrival;
         let number = self.next_number;
@@ -209,16 +229,10 @@
     }
 
     /// Returns how many requests wait before a ticket, and how many wait with its priority.
-    ///
-    /// The queue is bounded, so counting is cheap.
     fn count_waiting(&self, ticket: Ticket) -> (usize, usize) {
-        let (mut ahead, mut same_priority) = (0, 0);
-        for other in self.waiting.range(..=Ticket::last_of(ticket.priority)).map(|(other, _)| other)
-        {
-            ahead += usize::from(*other < ticket);
-            same_priority += usize::from(other.priority == ticket.priority);
-        }
-        (ahead, same_priority)
+        let start = self.position(Ticket::first_of(ticket.priority));
+        let end = self.position(Ticket::last_of(ticket.priority));
+        (self.position(ticket), end - start)
     }
 
     /// Moves the requests that can no longer meet their latency target behind the others of their
@@ -231,13 +245,17 @@
         }
         let answered_at_ms = now_ms + ceil_ms(self.latency_ms.unwrap_or_default());
         let mut start = Ticket::first_of(0);
-        while let Some((ticket, waiter)) = self.waiting.range(start..).next() {
-            let ticket = *ticket;
-            if ticket.is_late || answered_at_ms <= waiter.target_deadline_ms {
+        loop {
+            let position = self.position(start);
+            let Some(Waiter { ticket, target_deadline_ms, .. }) = self.waiting.get(position) else {
+                return;
+            };
+            if ticket.is_late || answered_at_ms <= *target_deadline_ms {
                 let Some(next) = ticket.priority.checked_add(1) else { return };
                 start = Ticket::first_of(next);
-            } else if let Some(waiter) = self.waiting.remove(&ticket) {
-                self.waiting.insert(ticket.late(), waiter);
+            } else {
+                let waiter = self.waiting.remove(position);
+                self.insert(Waiter { ticket: waiter.ticket.late(), ..waiter });
             }
         }
     }
@@ -248,7 +266,7 @@
         let Some(latency_ms) = self.latency_ms.filter(|_| self.is_target_ordered) else { return };
         let limit = usize::try_from(self.limit.get()).unwrap_or(usize::MAX).max(1);
         let mut ahead: usize = 0;
-        self.waiting.retain(|_, waiter| {
+        self.waiting.retain(|waiter| {
             let rounds = f64::from(u32::try_from(ahead / limit).unwrap_or(u32::MAX));
             let is_kept = now_ms + ceil_ms((rounds + 1.0) * latency_ms) < waiter.deadline_ms;
             ahead += usize::from(is_kept);
@@ -287,7 +305,7 @@
 
     /// Removes a request from the queue; returns whether it was still waiting.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
-        self.waiting.remove(&ticket).or_else(|| self.waiting.remove(&ticket.late())).is_some()
+        self.remove(ticket).or_else(|| self.remove(ticket.late())).is_some()
     }
 
     /// Handles an answer of the server.
@@ -314,10 +332,21 @@
         }
     }
 
-    /// Handles a connection that the server reset while a request ran or waited on it: it turns
+    /// Handles a request whose connection the server reset, `sent_at_ms` being when it was sent.
+    ///
+    /// Requests that were in flight at the last reset count as part of it: a network fault also
+    /// resets all connections at once. A server that resets others within `RESET_MEMORY_MS` turns
     /// away what is beyond its own queue.
-    pub fn on_reset(&mut self, now_ms: u64) {
-        self.order_by_target();
+    pub fn on_reset(&mut self, now_ms: u64, sent_at_ms: u64) {
+        if let Some(last_at_ms) = self.last_reset_at_ms {
+            if sent_at_ms <= last_at_ms {
+                return;
+            }
+            if now_ms <= last_at_ms + RESET_MEMORY_MS {
+                self.order_by_target();
+            }
+        }
+        self.last_reset_at_ms = Some(now_ms);
         self.on_shed(now_ms);
     }
 
@@ -325,9 +354,13 @@
     ///
     /// While more requests wait there than the server has slots, the limit does not rise, and
     /// falls once in the time that an answer takes: the daemons' limits together exceed the slots.
+    /// The server counts as overloaded then, whatever waits here: the limits of many daemons may
+    /// be too low for a queue of their own to last.
     pub fn on_reported_queue(&mut self, now_ms: u64, waiting: u32, slots: u32) {
         self.order_by_target();
         self.has_long_queue = waiting > slots;
+        let for_ms = if self.has_long_queue { REPORT_VALIDITY_MS } else { 0 };
+        self.long_queue_deadline_ms = now_ms + for_ms;
         if self.has_long_queue && now_ms >= self.report_deadline_ms {
             let latency_ms = self.latency_ms.unwrap_or(INITIAL_LATENCY_MS);
             self.report_deadline_ms = now_ms + ceil_ms(latency_ms);
@@ -342,7 +375,7 @@
     pub fn pause(&mut self, deadline_ms: u64) -> Vec<W> {
         self.pause_deadline_ms = deadline_ms.max(self.pause_deadline_ms);
         self.limit.restart();
-        std::mem::take(&mut self.waiting).into_values().map(|waiter| waiter.waker).collect()
+        std::mem::take(&mut self.waiting).into_iter().map(|waiter| waiter.waker).collect()
     }
 
     /// Returns until when no request is admitted; 0 if there was no pause.
@@ -381,7 +414,10 @@
         self.drop_expired(now_ms);
         self.move_late(now_ms);
         while self.in_flight < self.limit.get() {
-            let Some((_, waiter)) = self.waiting.pop_first() else { break };
+            if self.waiting.is_empty() {
+                break;
+            }
+            let waiter = self.waiting.remove(0);
             let left_ms = waiter.deadline_ms.saturating_sub(now_ms);
             if left_ms > ceil_ms(self.latency_ms.unwrap_or_default()) {
                 self.in_flight += 1;
@@ -425,6 +461,10 @@
 const MAX_PAUSE_MS: u64 = 2_000;
 /// The latency that pauses are derived from until the server has answered.
 const INITIAL_LATENCY_MS: f64 = 100.0;
+/// How long a reported queue counts, unless another report follows.
+const REPORT_VALIDITY_MS: u64 = 1_000;
+/// The time between two resets up to which the server counts as one that resets when full.
+const RESET_MEMORY_MS: u64 = 5_000;
 /// The weight of the latest latency in the moving average.
 const LATENCY_WEIGHT: f64 = 0.1;
 
