Exclude servers that fail most of their requests

A server that answered quickly with an error looked idle and drew further requests. Each daemon now keeps a moving share of the failures of a server. In services whose servers report load, at most a third of the servers, those with the highest shares of at least a half, get no pooled requests but one idempotent probe a second at most.

--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -77,6 +77,7 @@
             on_answer(&server, &call, started_at);
             shared.crashes.on_answer(|| call.fingerprint());
             let is_failure = response.status().is_server_error();
+            server.on_outcome(is_failure);
             return if is_failure {
                 ExchangeResult::ServerError(response)
             } else {
@@ -383,6 +384,10 @@
     started_at: Instant,
 ) {
     let latency_ms = started_at.elapsed().as_secs_f64() * 1_000.0;
+    // The other failures tell of the table or the link, not of the server.
+    if !matches!(failure, Failure::Fenced | Failure::NotSent) {
+        server.on_outcome(true);
+    }
     match failure {
         Failure::Fenced => shared.counters.count(Counter::Fenced),
         Failure::Shed => {
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -334,8 +334,9 @@
     let is_avoided = |server: &Server| {
         tried.contains(&server.registration.incarnation) || is_out_of_reach(shared, server)
     };
-    let random = rand::random();
-    let server = service.pick_server(&shared.data_centre, remote_penalty, is_avoided, random);
+    let may_probe = call.is_idempotent() && tried.is_empty();
+    let (near, random) = (&shared.data_centre, rand::random());
+    let server = service.pick_server(near, remote_penalty, is_avoided, may_probe, random);
     server.map(Destination::Server).ok_or_else(|| match service.pause_remaining_ms() {
         0 => unreachable_refusal(attempts),
         remaining_ms => paused_refusal(attempts, remaining_ms),
--- a/crates/gateway/src/request/server.rs
+++ b/crates/gateway/src/request/server.rs
@@ -6,7 +6,9 @@
 use document::{Server as Description, ServerState};
 use proxy::{Clock, Upstream};
 use registry::Registration;
-use route::{ExpectedLoad, LoadHistory, Rate, RateLimiter, ServerLoad, ServerState as _, Turn};
+use route::{
+    ExpectedLoad, FailureShare, LoadHistory, Rate, RateLimiter, ServerLoad, ServerState as _, Turn,
+};
 
 /// A server with its connections and its measured speed.
 #[derive(Debug)]
@@ -23,6 +25,13 @@
     rate_limit_milli: AtomicU64,
     /// The load that it reported; locked for a few instructions only.
     load: Mutex<Option<LoadHistory>>,
+    failures: Mutex<FailureShare>,
+    /// The share of its requests that it failed, in thousandths; 0 unless it counts as failing.
+    failing_milli: AtomicU32,
+    /// Until when it counts as failing without another failure.
+    failing_deadline_ms: AtomicU64,
+    /// When a request may next be sent to it as a probe.
+    probe_at_ms: AtomicU64,
     /// The turns that this daemon takes while the keeper of the server's turns does not reply.
     own_turns: Mutex<RateLimiter>,
     /// Until when the keeper of its turns is not asked.
@@ -43,6 +52,9 @@
 /// How long a report counts when further answers have none.
 const LOAD_VALID_MS: u64 = 10_000;
 
+/// The time between two probes of a server that fails many requests.
+const PROBE_INTERVAL_MS: u64 = 1_000;
+
 /// The value of `rate_limit_milli` while there is no limit.
 const NO_RATE_LIMIT: u64 = u64::MAX;
 
@@ -72,6 +84,10 @@
             slowness_milli: AtomicU32::new(1_000),
             rate_limit_milli: AtomicU64::new(NO_RATE_LIMIT),
             load: Mutex::default(),
+            failures: Mutex::default(),
+            failing_milli: AtomicU32::new(0),
+            failing_deadline_ms: AtomicU64::new(0),
+            probe_at_ms: AtomicU64::new(0),
             own_turns: Mutex::new(RateLimiter::default()),
             keeper_silence_deadline_ms: AtomicU64::new(0),
             full_deadline_ms: AtomicU64::new(0),
@@ -134,6 +150,31 @@
         self.load().map(|load| load.expected(now_ms, own))
     }
 
+    /// Handles an answer of the server, or the lack of one.
+    pub fn on_outcome(&self, is_failure: bool) {
+        let mut failures = self.failures.lock().unwrap_or_else(PoisonError::into_inner);
+        failures.on_outcome(self.clock.now_ms(), is_failure);
+        self.failing_deadline_ms.store(failures.deadline_ms(), Ordering::Relaxed);
+        self.failing_milli.store(to_milli(failures.failing()), Ordering::Relaxed);
+    }
+
+    /// Returns the share of its requests that the server failed if it counts as failing, or else 0.
+    pub(crate) fn failing_share(&self, now_ms: u64) -> f32 {
+        let milli = self.failing_milli.load(Ordering::Relaxed);
+        let is_valid = milli > 0 && now_ms < self.failing_deadline_ms.load(Ordering::Relaxed);
+        if is_valid { to_f32(milli) / 1_000.0 } else { 0.0 }
+    }
+
+    /// Returns whether the server is to be probed now; then it is not for some time.
+    pub(crate) fn take_probe(&self, now_ms: u64) -> bool {
+        let probe_at_ms = self.probe_at_ms.load(Ordering::Relaxed);
+        if now_ms < probe_at_ms || self.upstream.load() > 0 {
+            return false;
+        }
+        let (next_ms, order) = (now_ms + PROBE_INTERVAL_MS, Ordering::Relaxed);
+        self.probe_at_ms.compare_exchange(probe_at_ms, next_ms, order, order).is_ok()
+    }
+
     fn load(&self) -> Option<LoadHistory> {
         *self.load.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/gateway/src/request/view.rs
+++ b/crates/gateway/src/request/view.rs
@@ -4,7 +4,7 @@
 
 use document::{HashMap, Name};
 use registry::Incarnation;
-use route::{Candidate, Choice, RemotePenalty};
+use route::{Candidate, Choice, Exclusions, RemotePenalty};
 use shard::{Owner, Table};
 use site::Site;
 
@@ -108,21 +108,37 @@
 
     /// Picks a server from the pool, if possible one for which `is_avoided` returns false. Servers
     /// that want no requests for now are left out.
+    ///
+    /// In a service whose servers report load, those that fail many requests are excluded. If
+    /// `may_probe`, such a server may be picked to find out whether it still does.
     #[must_use]
     pub fn pick_server(
         &self,
         data_centre: &Name,
         remote_penalty: RemotePenalty,
         is_avoided: impl Fn(&Server) -> bool,
+        may_probe: bool,
         random: u32,
     ) -> Option<Arc<Server>> {
-        let is_open = |member: &&PoolMember| member.server.pause_remaining_ms() == 0;
-        let open = self.pool.iter().filter(is_open);
-        let has_reports = self.pool.iter().any(|member| member.server.has_load());
         let now_ms = self.pool.first()?.server.now_ms();
-        let mut choice = Choice::new(open.clone().count(), has_reports, remote_penalty, random);
+        let has_reports = self.pool.iter().any(|member| member.server.has_load());
+        let failing_share = |member: &PoolMember| {
+            if has_reports { member.server.failing_share(now_ms) } else { 0.0 }
+        };
+        let mut exclusions = Exclusions::new(self.pool.iter().map(failing_share));
+        let is_paused = |server: &Server| server.pause_remaining_ms() > 0;
+        let open = self.pool.iter().filter(|member| !is_paused(&member.server)).count();
+        let mut choice = Choice::new(open, has_reports, remote_penalty, random);
         let mut chosen = None;
-        for PoolMember { server, is_preferred } in open {
+        for member @ PoolMember { server, is_preferred } in self.pool.iter() {
+            let is_excluded = exclusions.excludes(failing_share(member));
+            if is_paused(server) {
+                continue;
+            }
+            let is_avoided = server.is_avoided() || is_avoided(server);
+            if is_excluded && may_probe && !is_avoided && server.take_probe(now_ms) {
+                return Some(Arc::clone(server));
+            }
             let occupied = server.occupied();
             let is_best = choice.offer(&Candidate {
                 occupied,
@@ -130,7 +146,7 @@
                 slowness: server.measured_slowness(),
                 is_near: server.registration.data_centre == *data_centre,
                 is_preferred: *is_preferred,
-                is_avoided: server.is_avoided() || is_avoided(server),
+                is_avoided: is_avoided || is_excluded,
                 expected: server.expected_load(now_ms, occupied),
             });
             if is_best {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -29,6 +29,7 @@
 mod attempts;
 mod budget;
 mod crash_tracker;
+mod failure_share;
 mod limit;
 mod limiter;
 mod pick;
@@ -42,6 +43,7 @@
 pub use attempts::{Attempts, Failure, Next};
 pub use budget::Budget;
 pub use crash_tracker::{CrashCount, CrashTracker, Fingerprint, MAX_CRASHES};
+pub use failure_share::{Exclusions, FailureShare};
 pub use limit::Limit;
 pub use limiter::{Admission, Arrival, Limiter, Ticket};
 pub use pick::{Candidate, Choice, RemotePenalty, pick};
