--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -106,14 +106,15 @@
     pub fn offer(&mut self, candidate: &Candidate) -> bool {
         let position = self.offered;
         self.offered += 1;
-        let penalties = candidate.penalties(self.penalty);
-        let (cost, is_left_out) = if self.has_reports {
+        let (time, is_left_out) = if self.has_reports {
             let (spread, sample) = to_fractions(self.draw, position);
-            let cost = candidate.expected_time() * (1.0 + SPREAD * spread) + penalties;
-            (cost, sample > self.compared_share)
+            (candidate.expected_time() * (1.0 + SPREAD * spread), sample > self.compared_share)
         } else {
-            (candidate.fullness() + penalties, false)
+            (candidate.fullness(), false)
         };
+        let remote = if candidate.is_near { 0.0 } else { self.penalty.0 };
+        let connection = if candidate.is_preferred { 0.0 } else { CONNECTION_PENALTY };
+        let cost = time + remote + connection;
         let is_past_end = position < self.first;
         let offset = position + if is_past_end { self.count } else { 0 } - self.first;
         let rank = to_rank(candidate.is_avoided, is_left_out, cost, offset);
@@ -151,13 +152,6 @@
         let work = WORK_WEIGHT * work + (1.0 - WORK_WEIGHT);
         (ahead + 1.0) / to_f32(slots.max(1)) * work
     }
-
-    /// Returns the penalties for the distance and for a new connection.
-    fn penalties(&self, penalty: RemotePenalty) -> f32 {
-        let remote = if self.is_near { 0.0 } else { penalty.0 };
-        let connection = if self.is_preferred { 0.0 } else { CONNECTION_PENALTY };
-        remote + connection
-    }
 }
 
 fn to_f32(count: u32) -> f32 {
