--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -335,8 +335,9 @@
             || !server.is_open()
             || is_out_of_reach(shared, server)
     };
-    let random = rand::random();
-    let server = service.pick_server(&shared.data_centre, remote_penalty, is_avoided, random);
+    let may_probe = call.is_idempotent() && tried.is_empty();
+    let (near, random) = (&shared.data_centre, rand::random());
+    let server = service.pick_server(near, remote_penalty, is_avoided, may_probe, random);
     // The view may be older than the close of its servers.
     let server = server.filter(|server| server.is_open());
     server.map(Destination::Server).ok_or_else(|| match service.pause_remaining_ms() {
