Start servers without a rate slowly

Cause: a server that starts or recovers during traffic got a full share at once. Change: each daemon keeps a pace for it, from one request at a time to its share, raised by answers that take no longer than usual and lowered by slower ones, refusals and lost connections. Only for services with a warm-up time without a rate, or deployments with bounds for cold servers. Rates that the server or service names take precedence.

--- a/crates/gateway/src/control/server_entries.rs
+++ b/crates/gateway/src/control/server_entries.rs
@@ -55,24 +55,31 @@
         }
     }
 
-    /// Logs which servers have become cold or warm since the last call, in one line each.
+    /// Logs which servers have become cold or warm, and which have begun or ended a slow start,
+    /// since the last call; one line for each kind of change.
     pub(crate) fn log_cold_servers(&self) {
-        let (mut cold, mut warm) = (Vec::new(), Vec::new());
+        let mut changes: [Vec<&str>; 4] = Default::default();
         for server in self.servers.values() {
             let name = server.registration.incarnation.server.as_str();
-            match server.take_cold_change() {
-                Some(true) => cold.push(name),
-                Some(false) => warm.push(name),
-                None => {}
+            if let Some(is_cold) = server.take_cold_change() {
+                changes[usize::from(!is_cold)].push(name);
             }
+            if let Some(is_paced) = server.take_pace_change() {
+                changes[2 + usize::from(!is_paced)].push(name);
+            }
+        }
+        let [cold, warm, started, ended] = changes.map(|names| (names.len(), names.join(" ")));
+        if cold.0 > 0 {
+            spdlog::info!("servers are cold", kv: { count = cold.0, servers: = cold.1 });
+        }
+        if warm.0 > 0 {
+            spdlog::info!("servers are warm again", kv: { count = warm.0, servers: = warm.1 });
         }
-        if !cold.is_empty() {
-            let servers = cold.join(" ");
-            spdlog::info!("servers are cold", kv: { count = cold.len(), servers: = servers });
+        if started.0 > 0 {
+            spdlog::info!("servers start slowly", kv: { count = started.0, servers: = started.1 });
         }
-        if !warm.is_empty() {
-            let servers = warm.join(" ");
-            spdlog::info!("servers are warm again", kv: { count = warm.len(), servers: = servers });
+        if ended.0 > 0 {
+            spdlog::info!("slow start ended", kv: { count = ended.0, servers: = ended.1 });
         }
     }
 
--- a/crates/gateway/src/control/view_builder.rs
+++ b/crates/gateway/src/control/view_builder.rs
@@ -150,13 +150,22 @@
         let now_ms = self.clock.now_ms();
         for spec in site.services() {
             let cold_limit = cold_limit(&self.settings, spec);
+            let has_slow_start = has_slow_start(&self.settings, spec);
+            // Servers that start together with this daemon get no traffic yet.
+            let is_in_traffic =
+                self.servers.values().any(|server| server.registration.service == spec.name);
             for registration in self.registry.of_service(&spec.name) {
+                let is_new = !self.servers.contains_key(&registration.incarnation);
                 let server =
                     self.servers.entry(registration.incarnation.clone()).or_insert_with(|| {
                         let clock = self.shared.clock;
                         Arc::new(Server::new(registration, spec.max_connections, daemons, clock))
                     });
                 server.set_cold_limit(cold_limit);
+                server.set_slow_start(has_slow_start, daemons);
+                if is_new && is_in_traffic {
+                    server.start_slowly();
+                }
                 server.on_cold(registration.warm_at_ms.saturating_sub(now_ms));
                 match registration.stage {
                     Stage::Ready => server.reopen(),
@@ -176,11 +185,17 @@
 
 /// Returns how many requests a cold server of a service gets; `None` if that is not limited.
 fn cold_limit(settings: &Settings, spec: &ServiceSpec) -> Option<ColdLimit> {
-    let tolerated = Rate::from_milli_per_s(spec.warmup?.tolerated_milli_per_s);
+    let tolerated = Rate::from_milli_per_s(spec.warmup?.tolerated_milli_per_s?);
     let overage_milli = settings.warmup_overage_milli.unwrap_or(NO_OVERAGE_MILLI);
     Some(ColdLimit::new(tolerated, overage_milli, settings.warmup_slack.unwrap_or(0)))
 }
 
+/// Returns whether servers of a service start slowly: it has warm-ups, but names no rate.
+fn has_slow_start(settings: &Settings, spec: &ServiceSpec) -> bool {
+    let has_bounds = settings.warmup_overage_milli.is_some() || settings.warmup_slack.is_some();
+    spec.warmup.map_or(has_bounds, |warmup| warmup.tolerated_milli_per_s.is_none())
+}
+
 /// Returns whether requests can be served: a keyed service needs an owner for some key, other
 /// services need nothing.
 fn is_served(service: &ServiceView) -> bool {
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use proxy::{Link, Permit, Upstream, retry_after_ms};
 use registry::Incarnation;
-use route::{Failure, Rate};
+use route::{Failure, Pace, Rate};
 use telemetry::Counter;
 use tokio::time::{Duration, Instant, sleep, timeout, timeout_at};
 
@@ -74,9 +74,12 @@
     let result = try_exchange(&shared, &server, &call, permit, deadline).await;
     let failure = match result {
         Ok(response) => {
-            on_answer(&server, &call, started_at);
+            let slowness = on_answer(&server, &call, started_at);
             shared.crashes.on_answer(|| call.fingerprint());
             let is_failure = response.status().is_server_error();
+            if !is_failure {
+                server.update_pace(|pace, now_ms| pace.on_answer(now_ms, f64::from(slowness)));
+            }
             return if is_failure {
                 ExchangeResult::ServerError(response)
             } else {
@@ -124,6 +127,7 @@
 ) -> Result<Response<AnswerBody>, Failure> {
     let connect_deadline = deadline.min(Instant::now() + Duration::from_millis(CONNECT_TIMEOUT_MS));
     let Ok(Ok(mut link)) = timeout_at(connect_deadline, server.upstream.connect()).await else {
+        server.start_slowly();
         return Err(Failure::NotSent);
     };
     if link.is_fresh() {
@@ -211,6 +215,7 @@
         // Daemons that were told the same do not return together.
         let spread_ms = (for_ms / QUIET_SPREAD_DIVISOR).min(MAX_QUIET_SPREAD_MS);
         server.upstream.pause(for_ms + rand::random_range(0..=spread_ms));
+        server.start_slowly();
     }
     if is_first && shared.log_sampler.may_write(shared.clock.now_ms(), call.id.as_bytes()) {
         let server = &server.registration.incarnation;
@@ -355,12 +360,15 @@
     if matches!(probe, Ok(Ok(()))) { Failure::Broken } else { Failure::Crashed }
 }
 
+/// Handles an answer; returns its latency relative to the mean of its route.
 #[expect(clippy::cast_precision_loss, reason = "the slowness in thousandths is small")]
-fn on_answer(server: &Server, call: &Call, started_at: Instant) {
+fn on_answer(server: &Server, call: &Call, started_at: Instant) -> f32 {
     let latency_us = u32::try_from(started_at.elapsed().as_micros()).unwrap_or(u32::MAX);
     let slowness_milli = call.route_state.on_answer(latency_us);
-    server.on_slowness(slowness_milli as f32 / 1_000.0);
+    let slowness = slowness_milli as f32 / 1_000.0;
+    server.on_slowness(slowness);
     server.upstream.on_answer(f64::from(latency_us) / 1_000.0);
+    slowness
 }
 
 fn on_failure(
@@ -376,17 +384,24 @@
         Failure::Shed => {
             shared.counters.count(Counter::Shed);
             server.upstream.on_shed();
+            server.update_pace(|pace, _now_ms| pace.on_refused());
         }
         Failure::TimedOut => {
+            server.update_pace(Pace::on_lost);
             server.upstream.on_timeout(latency_ms);
             server.upstream.on_connection_loss();
         }
         Failure::Crashed => {
             shared.counters.count(Counter::Crashes);
             shared.on_crash(call.fingerprint(), &server.registration.incarnation);
+            server.start_slowly();
+            server.upstream.on_connection_loss();
+        }
+        Failure::Broken => {
+            server.update_pace(Pace::on_lost);
             server.upstream.on_connection_loss();
         }
-        Failure::NotSent | Failure::Broken => server.upstream.on_connection_loss(),
+        Failure::NotSent => server.upstream.on_connection_loss(),
         Failure::Failed => {}
     }
 }
--- a/crates/gateway/src/request/server.rs
+++ b/crates/gateway/src/request/server.rs
@@ -1,13 +1,15 @@
 //! The state of one server for routing requests.
 
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::SystemTime;
 
 use document::{Server as Description, ServerState};
 use proxy::{Clock, Upstream};
 use registry::Registration;
-use route::{ColdLimit, Rate, RateLimiter, ServerState as _, Share, SharedTurns, Turn};
+use route::{
+    ColdLimit, Pace, PaceState, Rate, RateLimiter, ServerState as _, Share, SharedTurns, Turn,
+};
 
 /// A server with its connections and its measured speed.
 #[derive(Debug)]
@@ -30,6 +32,16 @@
     cold_limit: Mutex<Option<ColdLimit>>,
     /// Until when it is cold.
     cold_deadline_ms: AtomicU64,
+    /// The limit on the requests in flight after it started or recovered; `None` after that.
+    pace: Mutex<Option<Pace>>,
+    /// Whether it starts slowly after it started or recovered.
+    has_slow_start: AtomicBool,
+    /// Whether there is a `pace`, read without taking its lock.
+    is_paced: AtomicBool,
+    /// Whether the log says that it starts slowly.
+    is_pace_logged: AtomicBool,
+    /// The number of daemons that share its slots.
+    daemons: AtomicU32,
     /// Whether the log says that it is cold.
     is_cold_logged: AtomicBool,
     /// Until when the keeper of its turns is not asked.
@@ -84,6 +96,11 @@
             own_cold_turns: Mutex::default(),
             cold_limit: Mutex::default(),
             cold_deadline_ms: AtomicU64::new(0),
+            pace: Mutex::default(),
+            has_slow_start: AtomicBool::new(false),
+            is_paced: AtomicBool::new(false),
+            is_pace_logged: AtomicBool::new(false),
+            daemons: AtomicU32::new(daemons),
             is_cold_logged: AtomicBool::new(false),
             keeper_silence_deadline_ms: AtomicU64::new(0),
             full_deadline_ms: AtomicU64::new(0),
@@ -165,6 +182,79 @@
         (is_cold != was_cold).then_some(is_cold)
     }
 
+    /// Sets whether the server starts slowly, and how many daemons share its slots.
+    pub(crate) fn set_slow_start(&self, has_slow_start: bool, daemons: u32) {
+        self.has_slow_start.store(has_slow_start, Ordering::Relaxed);
+        self.daemons.store(daemons, Ordering::Relaxed);
+        if !has_slow_start && self.is_paced() {
+            self.replace_pace(&mut self.pace(), None);
+        }
+    }
+
+    /// Handles that the server began to serve during traffic, or may have been restarted.
+    ///
+    /// A rate that the server or its service names takes precedence.
+    pub(crate) fn start_slowly(&self) {
+        let has_slow_start = self.has_slow_start.load(Ordering::Relaxed);
+        if !has_slow_start || self.rate_limit().is_some() {
+            return;
+        }
+        let now_ms = self.clock.now_ms();
+        let mut known = self.pace();
+        if let Some(mut pace) = *known {
+            pace.on_lost(now_ms);
+            self.replace_pace(&mut known, Some(pace));
+            return;
+        }
+        let daemons = self.daemons.load(Ordering::Relaxed);
+        let usual = f64::from(self.slowness());
+        let pace = Pace::new(now_ms, self.registration.slots, daemons, usual);
+        self.replace_pace(&mut known, Some(pace));
+    }
+
+    /// Returns whether the server is in a slow start.
+    pub(crate) fn is_paced(&self) -> bool {
+        self.is_paced.load(Ordering::Relaxed)
+    }
+
+    /// Handles an event of a slow start, if there is one.
+    pub(crate) fn update_pace(&self, on_event: impl FnOnce(&mut Pace, u64) -> PaceState) {
+        if !self.is_paced() {
+            return;
+        }
+        let mut known = self.pace();
+        let Some(mut pace) = *known else { return };
+        let state = on_event(&mut pace, self.clock.now_ms());
+        let is_ended = state == PaceState::Ended || self.rate_limit().is_some();
+        self.replace_pace(&mut known, (!is_ended).then_some(pace));
+    }
+
+    /// Replaces the slow start; its lock is held, so that the limit is always that of the latest.
+    fn replace_pace(&self, known: &mut Option<Pace>, pace: Option<Pace>) {
+        *known = pace;
+        self.is_paced.store(pace.is_some(), Ordering::Relaxed);
+        self.upstream.set_cap(pace.map_or(u32::MAX, |pace| pace.limit()));
+    }
+
+    fn pace(&self) -> MutexGuard<'_, Option<Pace>> {
+        self.pace.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the number of slots that the choice between servers counts with: a part of them
+    /// during a slow start.
+    pub(crate) fn usable_slots(&self) -> u32 {
+        let slots = self.registration.slots;
+        let pace = if self.is_paced() { *self.pace() } else { None };
+        pace.map_or(slots, |pace| (slots * pace.limit() / pace.share()).max(1))
+    }
+
+    /// Returns whether the server starts slowly, if that differs from what the log says last.
+    pub(crate) fn take_pace_change(&self) -> Option<bool> {
+        let is_paced = self.is_paced();
+        let was_paced = self.is_pace_logged.swap(is_paced, Ordering::Relaxed);
+        (is_paced != was_paced).then_some(is_paced)
+    }
+
     /// Returns whether this daemon may send the server another request at once.
     pub(crate) fn has_free_slot(&self) -> bool {
         let (in_flight, waiting, limit) = self.upstream.occupancy();
--- a/crates/gateway/src/request/view.rs
+++ b/crates/gateway/src/request/view.rs
@@ -118,23 +118,27 @@
     ) -> Option<Arc<Server>> {
         let mut open: Vec<&PoolMember> =
             self.pool.iter().filter(|member| member.server.pause_remaining_ms() == 0).collect();
-        // Cold servers get requests only when no other server nearby has a free slot.
+        // Cold servers, and servers whose slow start allows no more, get requests only when no
+        // other server nearby has a free slot.
         let has_room = |member: &PoolMember| {
             let server = &member.server;
             let is_near = server.registration.data_centre == *data_centre;
             is_near && !server.is_avoided() && !is_avoided(server) && server.has_free_slot()
         };
-        let is_cold = |member: &PoolMember| member.server.cold_limit().is_some();
-        if open.iter().any(|member| is_cold(member))
-            && open.iter().any(|member| !is_cold(member) && has_room(member))
+        let is_held_back = |member: &PoolMember| {
+            let server = &member.server;
+            server.cold_limit().is_some() || (server.is_paced() && !server.has_free_slot())
+        };
+        if open.iter().any(|member| is_held_back(member))
+            && open.iter().any(|member| !is_held_back(member) && has_room(member))
         {
-            open.retain(|member| !is_cold(member));
+            open.retain(|member| !is_held_back(member));
         }
         let candidates: Vec<Candidate> = open
             .iter()
             .map(|PoolMember { server, is_preferred }| Candidate {
                 occupied: server.occupied(),
-                slots: server.registration.slots,
+                slots: server.usable_slots(),
                 slowness: server.slowness(),
                 is_near: server.registration.data_centre == *data_centre,
                 is_preferred: *is_preferred,
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -260,10 +260,21 @@
         Permit { upstream: Arc::clone(self) }
     }
 
+    /// Limits the requests in flight during a slow start; `u32::MAX` ends it.
+    pub fn set_cap(&self, cap: u32) {
+        let admitted = self.limiter().set_cap(self.clock.now_ms(), cap);
+        self.wake(admitted);
+    }
+
     /// Ends the admission of a request and wakes the requests that are admitted next.
     fn release(&self) {
+        let admitted = self.limiter().release(self.clock.now_ms());
+        self.wake(admitted);
+    }
+
+    /// Wakes requests that were admitted.
+    fn wake(&self, mut admitted: Vec<oneshot::Sender<()>>) {
         let now_ms = self.clock.now_ms();
-        let mut admitted = self.limiter().release(now_ms);
         while let Some(waker) = admitted.pop() {
             // If that request gave up in the meantime, its admission passes to the next one.
             if waker.send(()).is_err() {
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -11,6 +11,8 @@
     current: f64,
     min: f64,
     max: f64,
+    /// The limit during a slow start; `u32::MAX` at other times.
+    cap: u32,
 }
 
 /// The factor by which one overload lowers the limit.
@@ -22,7 +24,7 @@
     pub fn new(slots: u32, daemons: u32) -> Self {
         let max = f64::from(slots.max(1));
         let share = (max / f64::from(daemons.max(1))).ceil();
-        Self { current: share, min: 1.0, max }
+        Self { current: share, min: 1.0, max, cap: u32::MAX }
     }
 
     /// Returns how many requests may be in flight.
@@ -33,7 +35,7 @@
         reason = "the limit is between 1 and the number of slots"
     )]
     pub fn get(&self) -> u32 {
-        self.current as u32
+        (self.current as u32).min(self.cap)
     }
 
     /// Handles an answer that arrived while `in_flight` requests were in flight.
@@ -43,6 +45,11 @@
         }
     }
 
+    /// Sets the limit during a slow start; `u32::MAX` ends it.
+    pub fn set_cap(&mut self, cap: u32) {
+        self.cap = cap.max(1);
+    }
+
     /// Lowers the limit to one request at a time.
     pub fn restart(&mut self) {
         self.current = self.min;
--- a/crates/route/src/limiter.rs
+++ b/crates/route/src/limiter.rs
@@ -194,6 +194,12 @@
         }
     }
 
+    /// Sets the limit during a slow start and returns the wakers of requests admitted by that.
+    pub fn set_cap(&mut self, now_ms: u64, cap: u32) -> Vec<W> {
+        self.limit.set_cap(cap);
+        self.admit_waiting(now_ms)
+    }
+
     /// Admits no request until a time, and one at a time at first after that.
     ///
     /// Returns the wakers of the requests that waited; nothing would wake them at the end of the
--- a/crates/site/src/site.rs
+++ b/crates/site/src/site.rs
@@ -20,15 +20,16 @@
     pub is_keyed: bool,
     /// The total number of connections that one server accepts; 0 means no limit.
     pub max_connections: u32,
-    /// The requests that its servers tolerate while they are cold; `None` if that is not limited.
+    /// What its servers need after their start; `None` if that is nothing special.
     pub warmup: Option<Warmup>,
 }
 
-/// What a server tolerates after its start.
+/// What a server needs after its start.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Warmup {
-    /// The requests from all daemons together, in thousandths of a request per second.
-    pub tolerated_milli_per_s: u64,
+    /// The requests that it tolerates while it is cold, from all daemons together, in thousandths
+    /// of a request per second; `None` if daemons have to find out.
+    pub tolerated_milli_per_s: Option<u64>,
     /// How long a server is cold after its start; 0 if unknown.
     pub duration_ms: u64,
 }
