--- a/crates/gateway/src/control/view_builder.rs
+++ b/crates/gateway/src/control/view_builder.rs
@@ -150,6 +150,7 @@
         let now_ms = self.clock.now_ms();
         for spec in site.services() {
             let cold_limit = cold_limit(&self.settings, spec);
+            let warmup_ms = spec.warmup.map_or(0, |warmup| warmup.duration_ms);
             let has_slow_start = has_slow_start(&self.settings, spec);
             // Servers that start together with this daemon get no traffic yet.
             let is_in_traffic =
@@ -161,7 +162,7 @@
                         let clock = self.shared.clock;
                         Arc::new(Server::new(registration, spec.max_connections, daemons, clock))
                     });
-                server.set_cold_limit(cold_limit);
+                server.set_cold_limit(cold_limit, warmup_ms);
                 server.set_slow_start(has_slow_start, daemons);
                 if is_new && is_in_traffic {
                     server.start_slowly();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,7 +59,9 @@
 pub use log_sampler::{LogSampler, is_sampled};
 pub use ports::{Dialect, EntryText, Orders, Source, Unreadable};
 pub use request::reach::{Reach, ReachChange};
+pub use request::report::ServiceState;
+pub use request::server::Server;
 pub use request::turns::turn_keeper;
-pub use request::view::View;
+pub use request::view::{PoolMember, ServiceView, View};
 pub use settings::{Listen, RetrySettings, Settings};
 pub use shared::Shared;
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -1,6 +1,7 @@
 //! One attempt to send a request to a server.
 
 use std::collections::VecDeque;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::SystemTime;
 
@@ -126,9 +127,19 @@
     deadline: Instant,
 ) -> Result<Response<AnswerBody>, Failure> {
     let connect_deadline = deadline.min(Instant::now() + Duration::from_millis(CONNECT_TIMEOUT_MS));
-    let Ok(Ok(mut link)) = timeout_at(connect_deadline, server.upstream.connect()).await else {
-        server.start_slowly();
-        return Err(Failure::NotSent);
+    let mut link = match timeout_at(connect_deadline, server.upstream.connect()).await {
+        Ok(Ok(link)) => link,
+        Ok(Err(error)) => {
+            server.start_slowly();
+            if error.kind() == ErrorKind::ConnectionRefused {
+                server.on_down();
+            }
+            return Err(Failure::NotSent);
+        }
+        Err(_elapsed) => {
+            server.start_slowly();
+            return Err(Failure::NotSent);
+        }
     };
     if link.is_fresh() {
         shared.counters.count(Counter::Connections);
@@ -395,6 +406,7 @@
             shared.counters.count(Counter::Crashes);
             shared.on_crash(call.fingerprint(), &server.registration.incarnation);
             server.start_slowly();
+            server.on_down();
             server.upstream.on_connection_loss();
         }
         Failure::Broken => {
--- a/crates/gateway/src/request/server.rs
+++ b/crates/gateway/src/request/server.rs
@@ -30,6 +30,8 @@
     own_cold_turns: Mutex<SharedTurns>,
     /// How many requests it gets while it is cold; `None` if that is not limited.
     cold_limit: Mutex<Option<ColdLimit>>,
+    /// How long it is cold after a start; 0 if unknown.
+    warmup_ms: AtomicU64,
     /// Until when it is cold.
     cold_deadline_ms: AtomicU64,
     /// The limit on the requests in flight after it started or recovered; `None` after that.
@@ -95,6 +97,7 @@
             own_turns: Mutex::new(RateLimiter::default()),
             own_cold_turns: Mutex::default(),
             cold_limit: Mutex::default(),
+            warmup_ms: AtomicU64::new(0),
             cold_deadline_ms: AtomicU64::new(0),
             pace: Mutex::default(),
             has_slow_start: AtomicBool::new(false),
@@ -142,24 +145,33 @@
         (previous != NO_RATE_LIMIT).then_some(Rate::from_milli_per_s(previous))
     }
 
-    /// Sets how many requests the server gets while it is cold.
-    pub(crate) fn set_cold_limit(&self, limit: Option<ColdLimit>) {
+    /// Sets how many requests the server gets while it is cold, and for how long it is after a
+    /// start.
+    pub fn set_cold_limit(&self, limit: Option<ColdLimit>, warmup_ms: u64) {
+        self.warmup_ms.store(warmup_ms, Ordering::Relaxed);
         *self.cold_limit.lock().unwrap_or_else(PoisonError::into_inner) = limit;
     }
 
     /// Handles a report that the server stays cold for some time.
     ///
     /// An earlier report of a longer time stays in force, because reports may arrive out of order.
-    pub(crate) fn on_cold(&self, for_ms: u64) {
+    pub fn on_cold(&self, for_ms: u64) {
         if for_ms > 0 {
             let deadline_ms = self.clock.now_ms() + for_ms.min(MAX_COLD_MS);
             self.cold_deadline_ms.fetch_max(deadline_ms, Ordering::Relaxed);
         }
     }
 
+    /// Handles that no process listens at the server's address.
+    ///
+    /// The next one there is cold, and requests may reach it before its entry is known.
+    pub fn on_down(&self) {
+        self.on_cold(self.warmup_ms.load(Ordering::Relaxed));
+    }
+
     /// Returns how many requests the server gets now from all daemons together because it is cold.
     #[must_use]
-    pub(crate) fn cold_limit(&self) -> Option<ColdLimit> {
+    pub fn cold_limit(&self) -> Option<ColdLimit> {
         if self.clock.now_ms() >= self.cold_deadline_ms.load(Ordering::Relaxed) {
             return None;
         }
@@ -183,7 +195,7 @@
     }
 
     /// Sets whether the server starts slowly, and how many daemons share its slots.
-    pub(crate) fn set_slow_start(&self, has_slow_start: bool, daemons: u32) {
+    pub fn set_slow_start(&self, has_slow_start: bool, daemons: u32) {
         self.has_slow_start.store(has_slow_start, Ordering::Relaxed);
         self.daemons.store(daemons, Ordering::Relaxed);
         if !has_slow_start && self.is_paced() {
@@ -194,7 +206,7 @@
     /// Handles that the server began to serve during traffic, or may have been restarted.
     ///
     /// A rate that the server or its service names takes precedence.
-    pub(crate) fn start_slowly(&self) {
+    pub fn start_slowly(&self) {
         let has_slow_start = self.has_slow_start.load(Ordering::Relaxed);
         if !has_slow_start || self.rate_limit().is_some() {
             return;
@@ -213,12 +225,13 @@
     }
 
     /// Returns whether the server is in a slow start.
-    pub(crate) fn is_paced(&self) -> bool {
+    #[must_use]
+    pub fn is_paced(&self) -> bool {
         self.is_paced.load(Ordering::Relaxed)
     }
 
     /// Handles an event of a slow start, if there is one.
-    pub(crate) fn update_pace(&self, on_event: impl FnOnce(&mut Pace, u64) -> PaceState) {
+    pub fn update_pace(&self, on_event: impl FnOnce(&mut Pace, u64) -> PaceState) {
         if !self.is_paced() {
             return;
         }
