--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -14,7 +14,7 @@
 use hyper::body::Incoming;
 use proxy::{Link, Permit, Upstream, retry_after_ms};
 use registry::Incarnation;
-use route::{Failure, Rate, ServerLoad};
+use route::{Failure, Pace, Rate, ServerLoad};
 use telemetry::Counter;
 use tokio::time::{Duration, Instant, sleep, timeout, timeout_at};
 
@@ -76,10 +76,13 @@
     let result = try_exchange(&shared, &server, &call, permit, deadline).await;
     let failure = match result {
         Ok(response) => {
-            on_answer(&server, &call, started_at);
+            let slowness = on_answer(&server, &call, started_at);
             shared.crashes.on_answer(|| call.fingerprint());
             let is_failure = response.status().is_server_error();
             server.on_outcome(is_failure);
+            if !is_failure {
+                server.update_pace(|pace, now_ms| pace.on_answer(now_ms, f64::from(slowness)));
+            }
             return if is_failure {
                 ExchangeResult::ServerError(response)
             } else {
@@ -126,8 +129,19 @@
     deadline: Instant,
 ) -> Result<Response<AnswerBody>, Failure> {
     let connect_deadline = deadline.min(Instant::now() + Duration::from_millis(CONNECT_TIMEOUT_MS));
-    let Ok(Ok(mut link)) = timeout_at(connect_deadline, server.upstream.connect()).await else {
-        return Err(Failure::NotSent);
+    let mut link = match timeout_at(connect_deadline, server.upstream.connect()).await {
+        Ok(Ok(link)) => link,
+        Ok(Err(error)) => {
+            server.start_slowly();
+            if error.kind() == ErrorKind::ConnectionRefused {
+                server.on_down();
+            }
+            return Err(Failure::NotSent);
+        }
+        Err(_elapsed) => {
+            server.start_slowly();
+            return Err(Failure::NotSent);
+        }
     };
     if link.is_fresh() {
         shared.counters.count(Counter::Connections);
@@ -232,6 +246,7 @@
         // Daemons that were told the same do not return together.
         let spread_ms = (for_ms / QUIET_SPREAD_DIVISOR).min(MAX_QUIET_SPREAD_MS);
         server.upstream.pause(for_ms + rand::random_range(0..=spread_ms));
+        server.start_slowly();
     }
     if is_first && shared.log_sampler.may_write(shared.clock.now_ms(), call.id.as_bytes()) {
         let server = &server.registration.incarnation;
@@ -404,12 +419,15 @@
     if matches!(probe, Ok(Ok(()))) { failure } else { Failure::Crashed }
 }
 
+/// Handles an answer; returns its latency relative to the mean of its route.
 #[expect(clippy::cast_precision_loss, reason = "the slowness in thousandths is small")]
-fn on_answer(server: &Server, call: &Call, started_at: Instant) {
+fn on_answer(server: &Server, call: &Call, started_at: Instant) -> f32 {
     let latency_us = u32::try_from(started_at.elapsed().as_micros()).unwrap_or(u32::MAX);
     let slowness_milli = call.route_state.on_answer(latency_us);
-    server.on_slowness(slowness_milli as f32 / 1_000.0);
+    let slowness = slowness_milli as f32 / 1_000.0;
+    server.on_slowness(slowness);
     server.upstream.on_answer(f64::from(latency_us) / 1_000.0);
+    slowness
 }
 
 fn on_failure(
@@ -429,6 +447,7 @@
         Failure::Shed => {
             shared.counters.count(Counter::Shed);
             server.upstream.on_shed();
+            server.update_pace(|pace, _now_ms| pace.on_refused());
         }
         Failure::Reset => {
             shared.counters.count(Counter::Resets);
@@ -436,15 +455,22 @@
             server.upstream.on_reset(sent_ago_ms);
         }
         Failure::TimedOut => {
+            server.update_pace(Pace::on_lost);
             server.upstream.on_timeout(latency_ms);
             server.upstream.on_connection_loss();
         }
         Failure::Crashed => {
             shared.counters.count(Counter::Crashes);
             shared.on_crash(call.fingerprint(), &server.registration.incarnation);
+            server.start_slowly();
+            server.on_down();
+            server.upstream.on_connection_loss();
+        }
+        Failure::Broken => {
+            server.update_pace(Pace::on_lost);
             server.upstream.on_connection_loss();
         }
-        Failure::NotSent | Failure::Broken => server.upstream.on_connection_loss(),
+        Failure::NotSent => server.upstream.on_connection_loss(),
         Failure::Failed => {}
     }
 }
--- a/crates/gateway/src/request/view.rs
+++ b/crates/gateway/src/request/view.rs
@@ -120,7 +120,7 @@
         may_probe: bool,
         random: u32,
     ) -> Option<Arc<Server>> {
-        let leaves_cold_out = self.leaves_cold_out(data_centre, &is_avoided);
+        let leaves_held_back_out = self.leaves_held_back_out(data_centre, &is_avoided);
         let now_ms = self.pool.first()?.server.now_ms();
         let has_reports = self.pool.iter().any(|member| member.server.has_load());
         let failing_share = |member: &PoolMember| {
@@ -128,7 +128,7 @@
         };
         let mut exclusions = Exclusions::new(self.pool.iter().map(failing_share));
         let is_paused = |server: &Server| {
-            server.pause_remaining_ms() > 0 || leaves_cold_out && server.cold_limit().is_some()
+            server.pause_remaining_ms() > 0 || leaves_held_back_out && is_held_back(server)
         };
         let open = self.pool.iter().filter(|member| !is_paused(&member.server)).count();
         let mut choice = Choice::new(open, has_reports, remote_penalty, random);
@@ -145,7 +145,7 @@
             let occupied = server.occupied();
             let is_best = choice.offer(&Candidate {
                 occupied,
-                slots: server.registration.slots,
+                slots: server.usable_slots(),
                 slowness: server.measured_slowness(),
                 is_near: server.registration.data_centre == *data_centre,
                 is_preferred: *is_preferred,
@@ -159,15 +159,25 @@
         chosen.map(Arc::clone)
     }
 
-    /// Returns whether cold servers get no request because another one nearby has a free slot.
-    fn leaves_cold_out(&self, data_centre: &Name, is_avoided: impl Fn(&Server) -> bool) -> bool {
-        let is_cold = |member: &PoolMember| member.server.cold_limit().is_some();
-        let has_room = |PoolMember { server, .. }: &PoolMember| {
+    /// Returns whether servers that are held back get no request because another one nearby has a
+    /// free slot.
+    fn leaves_held_back_out(
+        &self,
+        data_centre: &Name,
+        is_avoided: impl Fn(&Server) -> bool,
+    ) -> bool {
+        let has_room = |server: &Server| {
             let is_near = server.registration.data_centre == *data_centre;
             let is_avoided = server.is_avoided() || is_avoided(server);
             is_near && !is_avoided && server.pause_remaining_ms() == 0 && server.has_free_slot()
         };
-        self.pool.iter().any(is_cold)
-            && self.pool.iter().any(|member| !is_cold(member) && has_room(member))
+        let mut servers = self.pool.iter().map(|member| &*member.server);
+        servers.clone().any(is_held_back)
+            && servers.any(|server| !is_held_back(server) && has_room(server))
     }
 }
+
+/// Returns whether a server is cold, or its slow start allows no more requests.
+fn is_held_back(server: &Server) -> bool {
+    server.cold_limit().is_some() || (server.is_paced() && !server.has_free_slot())
+}
