Weigh pooled servers by the reported duration of work only

Cause: counting the requests of other daemons at a server made its cost several times larger than the penalties for a remote server and for a new connection. Change: the cost is the earlier one, with the reported duration of work in place of the slowness that is derived from latencies.

--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -299,8 +299,8 @@
     let value = head.headers.get(&shared.dialect.load);
     let load = value.and_then(|value| ServerLoad::parse(value.to_str().ok()?));
     server.set_load(load);
-    if let Some(load) = load {
-        server.upstream.on_reported_queue(load.waiting, load.slots);
+    if load.is_some() {
+        server.upstream.order_by_target();
     }
     if value.is_none() || load.is_some() {
         return;
--- a/crates/gateway/src/request/view.rs
+++ b/crates/gateway/src/request/view.rs
@@ -131,7 +131,9 @@
             server.pause_remaining_ms() > 0 || leaves_held_back_out && is_held_back(server)
         };
         let open = self.pool.iter().filter(|member| !is_paused(&member.server)).count();
-        let mut choice = Choice::new(open, has_reports, remote_penalty, random);
+        // Reports weigh how long work takes. Counting the requests of other daemons as well opened
+        // half as many connections again and sent more requests to other data centres.
+        let mut choice = Choice::new(open, false, remote_penalty, random);
         let mut chosen = None;
         for member @ PoolMember { server, is_preferred } in self.pool.iter() {
             let is_excluded = exclusions.excludes(failing_share(member));
@@ -146,11 +148,11 @@
             let is_best = choice.offer(&Candidate {
                 occupied,
                 slots: server.usable_slots(),
-                slowness: server.measured_slowness(),
+                slowness: server.slowness(),
                 is_near: server.registration.data_centre == *data_centre,
                 is_preferred: *is_preferred,
                 is_avoided: is_avoided || is_excluded,
-                expected: server.expected_load(now_ms, occupied),
+                expected: None,
             });
             if is_best {
                 chosen = Some(server);
--- a/crates/gateway/tests/cold_pool.rs
+++ b/crates/gateway/tests/cold_pool.rs
@@ -15,6 +15,7 @@
     priority: 0,
     max_waiting: 16,
     typical_latency_ms: 10,
+    is_over_share: false,
 };
 
 fn server(number: u16, daemons: u32) -> Arc<Server> {
@@ -49,7 +50,8 @@
         built_at_ms: 0,
         built_at_control_ms: 0,
     };
-    let pick = |random| service.pick_server(&"a".into(), RemotePenalty::SMALL, |_| false, random);
+    let pick =
+        |random| service.pick_server(&"a".into(), RemotePenalty::SMALL, |_| false, false, random);
     let is_first = |random: &u32| Arc::ptr_eq(&pick(*random).expect("a server"), &servers[0]);
     (0..100).filter(is_first).count()
 }
--- a/crates/route/tests/slow_start.rs
+++ b/crates/route/tests/slow_start.rs
@@ -200,6 +200,7 @@
         priority: 0,
         max_waiting: 16,
         typical_latency_ms: 10,
+        is_over_share: false,
     };
     assert!(limiter.set_cap(0, 1).is_empty());
     assert!(matches!(limiter.admit(0, arrival, 0), Admission::Admit));
