--- a/crates/gateway/src/request/server.rs
+++ b/crates/gateway/src/request/server.rs
@@ -8,8 +8,8 @@
 use proxy::{Clock, Upstream};
 use registry::Registration;
 use route::{
-    ColdLimit, ExpectedLoad, FailureShare, LoadHistory, Pace, PaceState, Rate, RateLimiter,
-    ServerLoad, ServerState as _, Share, SharedTurns, Turn,
+    ColdLimit, FailureShare, LoadHistory, Pace, PaceState, Rate, RateLimiter, ServerLoad,
+    ServerState as _, Share, SharedTurns, Turn,
 };
 
 /// A server with its connections and its measured speed.
@@ -182,13 +182,6 @@
         self.load().is_some()
     }
 
-    /// Returns what a request meets that is sent now, if the server reports its load and `own`
-    /// requests of this daemon are there.
-    #[must_use]
-    pub fn expected_load(&self, now_ms: u64, own: u32) -> Option<ExpectedLoad> {
-        self.load().map(|load| load.expected(now_ms, own))
-    }
-
     /// Handles an answer of the server, or the lack of one.
     pub fn on_outcome(&self, is_failure: bool) {
         let mut failures = self.failures.lock().unwrap_or_else(PoisonError::into_inner);
