Log what each request waits for when a stop cuts it off

Cause: the line at the end of a graceful stop counts connections; it names no request, so the hypotheses of the incident of 2026-12-05 cannot be told apart. No logic changes.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,7 +27,7 @@
 //! - Process: `gateway` starts and stops it, `shared` is what its threads share, and `status`
 //!   answers the platform's readiness checks and administrators.
 //! - `request`, the path of a request: `front` serves callers' connections, `call` reads a request,
-//!   `forward` finds a server and retries, `exchange` sends one attempt to a server, and `detour`
+//!   `in_flight` knows what each request waits for, `forward` finds a server and retries, `exchange` sends one attempt to a server, and `detour`
 //!   sends it through another daemon. `server`, `report`, `turns` and `retry_budget` hold the state
 //!   of servers, services and routes.
 //! - `control`, what is read from the store and from other daemons: `node` handles each `input`,
--- a/crates/gateway/src/request/answer.rs
+++ b/crates/gateway/src/request/answer.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
@@ -11,6 +12,8 @@
 use proxy::{Link, Permit};
 use tokio::time::{Duration, Instant, Sleep, sleep};
 
+use crate::request::in_flight::Tracked;
+
 /// The body of an answer to a caller.
 #[derive(Debug)]
 pub(crate) enum AnswerBody {
@@ -33,6 +36,8 @@
     // large answer.
     _link: Link,
     _permit: Permit,
+    /// Counts the request as under way until the caller has read the answer.
+    tracked: Option<Arc<Tracked>>,
 }
 
 /// An error that ends a body early.
@@ -73,9 +78,17 @@
             deadline,
             _link: link,
             _permit: permit,
+            tracked: None,
         };
         Self::Stream(Box::new(stream))
     }
+
+    /// Counts a request as under way until a large answer has been passed on.
+    pub(crate) fn track(&mut self, request: &Arc<Tracked>) {
+        if let Self::Stream(stream) = self {
+            stream.tracked = Some(Arc::clone(request));
+        }
+    }
 }
 
 impl Stream {
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -14,6 +14,7 @@
 
 use crate::Shared;
 use crate::request::detour::RELAYED;
+use crate::request::in_flight::Tracked;
 use crate::request::report::RouteState;
 
 /// A caller's request, with its whole body.
@@ -31,6 +32,8 @@
     pub(crate) is_relayed: bool,
     /// Who sent the request; `None` if another daemon passed it on.
     pub(crate) caller: Option<Caller>,
+    /// What the request waits for.
+    pub(crate) tracked: Arc<Tracked>,
     pub(crate) arrived_at_ms: u64,
     /// When the final answer is due.
     pub(crate) deadline_ms: u64,
@@ -75,6 +78,7 @@
     shared: &Shared,
     site: &Site,
     request: Request<Incoming>,
+    tracked: Tracked,
     arrived_at_ms: u64,
 ) -> Result<Call, Refusal> {
     let (mut head, body) = request.into_parts();
@@ -105,6 +109,7 @@
             BodyError::TimedOut => Reason::Expired,
         })
     })?;
+    tracked.on_read(&route, key);
     let route_state = shared.route_state(&route);
     Ok(Call {
         head,
@@ -117,6 +122,7 @@
         service,
         is_relayed,
         caller,
+        tracked: Arc::new(tracked),
         arrived_at_ms,
         deadline_ms,
         caller_deadline_ms,
--- a/crates/gateway/src/request/detour.rs
+++ b/crates/gateway/src/request/detour.rs
@@ -25,6 +25,7 @@
 use crate::request::answer::AnswerBody;
 use crate::request::call::Call;
 use crate::request::exchange::{ExchangeResult, check_answer, check_id, receive, to_request};
+use crate::request::in_flight::Stage;
 
 /// The header of a request that another daemon has passed on.
 pub(crate) const RELAYED: HeaderName = HeaderName::from_static("verbena-relayed");
@@ -127,6 +128,7 @@
     let Ok((permit, _has_waited)) = peer.upstream.acquire(call.arrival()).await else {
         return Relayed::NotRun { retry_after_ms: None };
     };
+    call.tracked.wait_for(Stage::Daemon(peer.name.clone()));
     let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
     let Ok(Ok(mut link)) = timeout_at(connect_deadline, peer.upstream.connect()).await else {
         peer.upstream.on_connection_loss();
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -22,6 +22,7 @@
 use crate::request::call::{self, Call};
 use crate::request::detour;
 use crate::request::exchange::{ExchangeResult, exchange, is_out_of_reach};
+use crate::request::in_flight::{Stage, Tracked};
 use crate::request::refusal;
 use crate::request::server::Server;
 use crate::request::turns::wait_for_turn;
@@ -51,7 +52,8 @@
     let arrived_at_ms = shared.clock.now_ms();
     shared.counters.count(Counter::Requests);
     let id = request.headers().get(&shared.dialect.request_id).cloned();
-    let (call, result) = forward(&shared, request, arrived_at_ms).await;
+    let tracked = shared.in_flight.begin(id.clone());
+    let (call, result) = forward(&shared, request, tracked, arrived_at_ms).await;
     record_latency(&shared, call.as_deref(), arrived_at_ms, &result);
     let mut response = match result {
         Ok(response) => {
@@ -127,9 +129,10 @@
 async fn forward(
     shared: &Arc<Shared>,
     request: Request<Incoming>,
+    tracked: Tracked,
     arrived_at_ms: u64,
 ) -> (Option<Arc<Call>>, Result<Response<AnswerBody>, Refusal>) {
-    match read(shared, request, arrived_at_ms).await {
+    match read(shared, request, tracked, arrived_at_ms).await {
         Ok(call) => {
             let call = Arc::new(call);
             (Some(Arc::clone(&call)), run(shared, call).await)
@@ -142,6 +145,7 @@
 async fn read(
     shared: &Shared,
     request: Request<Incoming>,
+    tracked: Tracked,
     arrived_at_ms: u64,
 ) -> Result<Call, Refusal> {
     let view = shared.view();
@@ -149,7 +153,7 @@
         .site
         .as_ref()
         .ok_or_else(|| Refusal::not_run(Reason::NoSite).with_retry_after(ABSENT_RETRY_AFTER_MS))?;
-    let call = call::read(shared, site, request, arrived_at_ms).await?;
+    let call = call::read(shared, site, request, tracked, arrived_at_ms).await?;
     if let Some(service) = view.services.get(&call.service) {
         // The daemon that passed a request on has counted it.
         if !call.is_relayed {
@@ -173,6 +177,7 @@
             return Err(attempts.to_refusal(Reason::Crashing));
         }
         let wait_started_at_ms = shared.clock.now_ms();
+        call.tracked.wait_for(Stage::Owner);
         let found = find_server(shared, &call, &attempts, &tried).await;
         let waited_ms = shared.clock.now_ms() - wait_started_at_ms;
         let (service, server, permit) = match found {
@@ -184,11 +189,14 @@
             shared.counters.count(Counter::Retries);
         }
         let incarnation = server.registration.incarnation.clone();
+        call.tracked.wait_for(Stage::Server(incarnation.clone()));
         let result = send(shared, &server, &call, permit).await;
         let failure = match result {
-            ExchangeResult::Answer(response) => {
+            ExchangeResult::Answer(mut response) => {
                 let slowness_milli = u64::from(server.slowness_milli());
                 service.state.on_answer(&incarnation, slowness_milli, server.rate_limit());
+                call.tracked.wait_for(Stage::Caller);
+                response.body_mut().track(&call.tracked);
                 log_served(shared, &call, &server, &attempts, waited_ms);
                 return Ok(response);
             }
@@ -270,7 +278,10 @@
                 if is_out_of_reach(shared, &server) {
                     return Ok((service, server, None));
                 }
+                let incarnation = &server.registration.incarnation;
+                call.tracked.wait_for(Stage::Room(incarnation.clone()));
                 let permit = admit(shared, &service, &server, call, attempts).await?;
+                call.tracked.wait_for(Stage::Turn(incarnation.clone()));
                 let max_wait_ms = max_turn_wait_ms(shared, call, &service);
                 if let Err(remaining_ms) = wait_for_turn(shared, &server, max_wait_ms).await {
                     if service.is_keyed {
@@ -288,7 +299,7 @@
                 let refusal = attempts.to_refusal(Reason::NoOwner);
                 return Err(refusal.with_retry_after(remaining_ms.max(MOVE_RETRY_AFTER_MS)));
             }
-            Destination::Moving => {}
+            Destination::Moving => call.tracked.wait_for(Stage::Owner),
         }
         let wait_deadline_ms = move_deadline_ms.min(call.deadline_ms);
         let has_timed_out = shared.clock.now_ms() >= wait_deadline_ms;
--- a/crates/gateway/src/request/front.rs
+++ b/crates/gateway/src/request/front.rs
@@ -60,7 +60,7 @@
     tokio::select! {
         () = async { while connections.join_next().await.is_some() {} } => {}
         () = stop.cut.cancelled() => {
-            spdlog::warn!("requests cut off at the end of the graceful stop", kv: { connections = connections.len() });
+            shared.in_flight.log_cut_off(connections.len());
         }
     }
 }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod exchange;
 pub(crate) mod forward;
 pub(crate) mod front;
+pub(crate) mod in_flight;
 pub(crate) mod reach;
 pub(crate) mod refusal;
 pub(crate) mod report;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -14,6 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::control::input::Input;
+use crate::request::in_flight::InFlight;
 use crate::request::reach::Reach;
 use crate::request::report::RouteState;
 use crate::{Dialect, LogSampler, View};
@@ -30,6 +31,8 @@
     pub(crate) dialect: Dialect,
     pub(crate) data_centre: Name,
     pub(crate) log_sampler: LogSampler,
+    /// The requests that are under way.
+    pub(crate) in_flight: Arc<InFlight>,
     /// Tracks requests that crash servers.
     pub(crate) crashes: SharedCrashTracker,
     view: ArcSwap<View>,
@@ -73,6 +76,7 @@
             dialect,
             data_centre,
             log_sampler: LogSampler::default(),
+            in_flight: Arc::new(InFlight::new(clock)),
             crashes: SharedCrashTracker::new(clock, CrashTracker::new(MAX_CRASHES)),
             view: ArcSwap::default(),
             view_changed: Notify::new(),
