Bound every wait of a request by the deadline of a graceful stop

What callers saw: a request that a daemon had accepted while it stopped got neither an answer nor a refusal; its connection was closed 5.4 s after SIGTERM. Cause: a request's deadline came from its caller and route alone. Waits for room at a server, for an owner, for a turn and for another daemon, and retries, did not know of the stop, so the end of the traffic thread was the only end of what still waited. Change: proxy::Stop holds when callers must have been answered. A request that cannot be answered by then, with twice the average latency for its own work, is refused as not run at once, when it arrives, when the stop begins, or when its place in the queue no longer suffices; callers may return within 100 ms, since another daemon can take it. A request at a server has until a tenth of the grace period, at most 0.6 s, before its end, and then gets 502: its outcome is unknown. The server is told that time. The listener stays open for 2.9 s also if the grace period is short. Peers prefer other daemons to one that is stopping. Requests whose callers have left are awaited until the cut. Each request that a stop ends is named in the log with what it waited for. Conclusion: the class of fault is work that was accepted and whose only end is the end of a thread.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,14 +14,14 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{interval, sleep, timeout};
+use tokio::time::{interval, sleep_until, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use crate::control::follow::{DAEMONS_PREFIX, DaemonEntry, FLEET_PREFIX, Follower, register};
 use crate::control::input::{Input, Topic};
 use crate::control::node::{Node, NodeParts};
 use crate::request::front::{self, StopSignals};
-use crate::{Dialect, Orders, Settings, Shared, Source, status};
+use crate::{Dialect, Orders, Settings, Shared, Source, StopPlan, status};
 
 /// The implementations through which a gateway uses its platform.
 #[derive(Clone, Debug)]
@@ -50,13 +50,8 @@
 
 /// How many inputs may wait for the control thread.
 const MAX_QUEUED_INPUTS: usize = 4_096;
-/// How long the platform may keep sending new connections to an instance that is not ready.
-///
-/// That is two readiness checks, a second apart, plus the time in transit of the last
-/// connections.
-const UNREADY_NOTICE_MS: u64 = 2_900;
-/// How long before the end of the grace period remaining requests are cut off.
-const CUT_MARGIN_MS: u64 = 600;
+/// How long the traffic thread has to end after the last connections were cut off.
+const THREAD_END_TIMEOUT_MS: u64 = 100;
 /// How often the settings file is checked for changes.
 const SETTINGS_INTERVAL_MS: u64 = 1_000;
 /// The least time between two reads of the servers' entries.
@@ -141,9 +136,10 @@
         tokio::spawn(async move { node.run(queue, resign_requested).await });
         wait_for_stop(settings_path, &inputs).await.change_context(RunError)?;
         spdlog::info!("stopping", kv: { instance = settings.instance.as_str() });
-        shared.set_stopping();
+        let plan = StopPlan::new(clock.now_ms(), settings.grace_ms);
+        shared.stop.begin(plan.answer_deadline_ms);
         resign.cancel();
-        drain(&settings, &stop, traffic).await;
+        drain(clock, plan, &stop, traffic).await;
         // The entry's lease would expire too, but later.
         drop(store.remove(&format!("{DAEMONS_PREFIX}{}", settings.instance)).await);
         end.cancel();
@@ -320,16 +316,19 @@
 }
 
 /// Keeps accepting connections while the platform may still send them, then finishes requests in
-/// flight within the grace period.
-async fn drain(settings: &Settings, stop: &StopSignals, mut traffic: oneshot::Receiver<()>) {
-    let notice_ms = UNREADY_NOTICE_MS.min(settings.grace_ms / 2);
-    sleep(Duration::from_millis(notice_ms)).await;
+/// flight.
+async fn drain(
+    clock: Clock,
+    plan: StopPlan,
+    stop: &StopSignals,
+    mut traffic: oneshot::Receiver<()>,
+) {
+    sleep_until(clock.to_instant(plan.close_at_ms)).await;
     stop.close.cancel();
-    let drain_timeout_ms = settings.grace_ms.saturating_sub(notice_ms + CUT_MARGIN_MS);
-    if timeout(Duration::from_millis(drain_timeout_ms), &mut traffic).await.is_err() {
+    if timeout_at(clock.to_instant(plan.cut_at_ms), &mut traffic).await.is_err() {
         stop.cut.cancel();
-        // The thread ends by itself; unfinished requests end with the process.
-        drop(timeout(Duration::from_millis(CUT_MARGIN_MS / 2), traffic).await);
+        // The thread ends by itself.
+        drop(timeout(Duration::from_millis(THREAD_END_TIMEOUT_MS), traffic).await);
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`Role`] and [`Relay`] decide which daemons read the servers' entries from the store and
 //!   which get them from another daemon.
 //! - [`Progress`] tells from which revision the next watch of the store has to start.
+//! - [`StopPlan`] has the times of a graceful stop.
 //! - [`LogSampler`] limits the rate of log lines about requests.
 //! - [`BootClock`] is the clock for leases and grants.
 //!
@@ -49,6 +50,7 @@
 mod settings;
 mod shared;
 mod status;
+mod stop_plan;
 
 pub use clock::BootClock;
 pub use control::evacuation::{EvacuationReport, Evacuations};
@@ -67,3 +69,4 @@
 pub use request::view::{PoolMember, ServiceView, View};
 pub use settings::{Listen, RetrySettings, Settings};
 pub use shared::Shared;
+pub use stop_plan::StopPlan;
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -8,7 +8,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Request};
 use hyper::body::Incoming;
-use proxy::{BodyError, read_body};
+use proxy::{BodyError, WaitEnd, read_body};
 use route::{Arrival, Caller, Fingerprint, Reason, Refusal};
 use site::{Route, Site};
 
@@ -102,13 +102,13 @@
     let caller = head.extensions.get().copied().filter(|_| !is_relayed);
     proxy::strip_request_headers(&mut head.headers);
     let deadline = shared.clock.to_instant(deadline_ms);
-    let body = read_body(body, site.limits().max_body_bytes, deadline).await.map_err(|error| {
-        Refusal::not_run(match error {
-            BodyError::TooLarge => Reason::BodyTooLarge,
-            BodyError::Aborted => Reason::BodyIncomplete,
-            BodyError::TimedOut => Reason::Expired,
-        })
-    })?;
+    let body = read_body(body, site.limits().max_body_bytes, deadline);
+    let body = match shared.stop.bound(deadline, 0, body).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(error)) => return Err(Refusal::not_run(to_reason(error))),
+        Err(WaitEnd::Elapsed) => return Err(Refusal::not_run(Reason::Expired)),
+        Err(WaitEnd::Stopping) => return Err(Refusal::not_run(Reason::Stopping)),
+    };
     tracked.on_read(&route, key);
     let route_state = shared.route_state(&route);
     Ok(Call {
@@ -129,6 +129,14 @@
     })
 }
 
+fn to_reason(error: BodyError) -> Reason {
+    match error {
+        BodyError::TooLarge => Reason::BodyTooLarge,
+        BodyError::Aborted => Reason::BodyIncomplete,
+        BodyError::TimedOut => Reason::Expired,
+    }
+}
+
 /// Returns the host header and the host name in it, without a port.
 fn split_host(head: &Parts) -> Option<(HeaderValue, String)> {
     let mut values = head.headers.get_all(HOST).iter();
--- a/crates/gateway/src/request/detour.rs
+++ b/crates/gateway/src/request/detour.rs
@@ -24,7 +24,9 @@
 use crate::log_sampler::is_sampled;
 use crate::request::answer::AnswerBody;
 use crate::request::call::Call;
-use crate::request::exchange::{ExchangeResult, check_answer, check_id, receive, to_request};
+use crate::request::exchange::{
+    ExchangeResult, check_answer, check_id, receive, to_failure, to_request,
+};
 use crate::request::in_flight::Stage;
 
 /// The header of a request that another daemon has passed on.
@@ -38,8 +40,8 @@
     name: Name,
     upstream: Arc<Upstream>,
     clock: Clock,
-    /// Until when it counts as one that reaches no servers either.
-    cut_off_deadline_ms: AtomicU64,
+    /// Until when requests are rather passed on to other daemons.
+    avoidance_deadline_ms: AtomicU64,
 }
 
 /// What passing a request on to one daemon came to.
@@ -58,6 +60,8 @@
 const MAX_TRIED: usize = 3;
 /// How long a daemon that does not reach a server either is tried after the others.
 const CUT_OFF_MS: u64 = 1_000;
+/// How long a daemon that is stopping is tried after the others; it may be back earlier.
+const STOPPING_MS: u64 = 6_000;
 /// How long connecting to a daemon may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -79,19 +83,19 @@
             name: name.clone(),
             upstream: Arc::new(Upstream::new(description, 1, clock)),
             clock,
-            cut_off_deadline_ms: AtomicU64::new(0),
+            avoidance_deadline_ms: AtomicU64::new(0),
         }
     }
 
     /// Returns whether requests should rather be passed on to another daemon.
     fn is_avoided(&self) -> bool {
         let now_ms = self.clock.now_ms();
-        now_ms < self.cut_off_deadline_ms.load(Ordering::Relaxed)
+        now_ms < self.avoidance_deadline_ms.load(Ordering::Relaxed)
             || self.upstream.is_avoided(now_ms)
     }
 
-    fn on_cut_off(&self) {
-        self.cut_off_deadline_ms.store(self.clock.now_ms() + CUT_OFF_MS, Ordering::Relaxed);
+    fn avoid_for(&self, for_ms: u64) {
+        self.avoidance_deadline_ms.fetch_max(self.clock.now_ms() + for_ms, Ordering::Relaxed);
     }
 }
 
@@ -125,7 +129,8 @@
 }
 
 async fn relay(shared: &Shared, peer: &Peer, call: &Call, deadline: Instant) -> Relayed {
-    let Ok((permit, _has_waited)) = peer.upstream.acquire(call.arrival()).await else {
+    let Ok((permit, _has_waited)) = peer.upstream.acquire(call.arrival(), &shared.stop).await
+    else {
         return Relayed::NotRun { retry_after_ms: None };
     };
     call.tracked.wait_for(Stage::Daemon(peer.name.clone()));
@@ -137,7 +142,7 @@
     let Some(request) = to_relayed_request(shared, call) else {
         return Relayed::NotRun { retry_after_ms: None };
     };
-    let response = match timeout_at(deadline, link.send(request)).await {
+    let response = match shared.stop.bound(deadline, 0, link.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
             peer.upstream.on_connection_loss();
@@ -147,9 +152,9 @@
             return Relayed::Ended(ExchangeResult::NoAnswer(Failure::Broken));
         }
         // Dropping the link closes the connection, so a late answer is discarded.
-        Err(_elapsed) => {
+        Err(end) => {
             peer.upstream.on_connection_loss();
-            return Relayed::Ended(ExchangeResult::NoAnswer(Failure::TimedOut));
+            return Relayed::Ended(ExchangeResult::NoAnswer(to_failure(end)));
         }
     };
     let (head, body) = response.into_parts();
@@ -158,7 +163,7 @@
     }
     let checked = check_id(shared, call, &head).and_then(|()| check_answer(shared, &head));
     let received = match checked {
-        Ok(()) => receive(&peer.upstream, head, body, (link, permit, deadline)).await,
+        Ok(()) => receive(&shared.stop, &peer.upstream, head, body, (link, permit, deadline)).await,
         Err(failure) => Err(failure),
     };
     Relayed::Ended(match received {
@@ -176,7 +181,10 @@
         return Relayed::Ended(ExchangeResult::NoAnswer(Failure::Broken));
     }
     if is_reason(&head.headers, Reason::Unreachable) {
-        peer.on_cut_off();
+        peer.avoid_for(CUT_OFF_MS);
+    }
+    if is_reason(&head.headers, Reason::Stopping) {
+        peer.avoid_for(STOPPING_MS);
     }
     let retry_after_ms = retry_after_ms(&head.headers, SystemTime::now());
     Relayed::NotRun { retry_after_ms }
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use proxy::{Link, Permit, Upstream, retry_after_ms};
+use proxy::{Link, Permit, Stop, Upstream, WaitEnd, retry_after_ms};
 use registry::Incarnation;
 use route::{Failure, Pace, Rate, ServerLoad};
 use telemetry::Counter;
@@ -149,7 +149,7 @@
     }
     let request = to_server_request(shared, &server.registration.incarnation, call)
         .ok_or(Failure::NotSent)?;
-    let response = match timeout_at(deadline, link.send(request)).await {
+    let response = match shared.stop.bound(deadline, 0, link.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
             let is_unsent = error.take_message().is_some();
@@ -163,14 +163,22 @@
             return Err(if is_unsent { Failure::NotSent } else { Failure::Broken });
         }
         // Dropping the link closes the connection, so a late answer is discarded.
-        Err(_elapsed) => return Err(Failure::TimedOut),
+        Err(end) => return Err(to_failure(end)),
     };
     let (head, body) = response.into_parts();
     shared.reach().on_answer();
     check_id(shared, call, &head)?;
     note_state(shared, server, call, &head);
     check_answer(shared, &head)?;
-    receive(&server.upstream, head, body, (link, permit, deadline)).await
+    receive(&shared.stop, &server.upstream, head, body, (link, permit, deadline)).await
+}
+
+/// Returns the failure of an attempt whose answer did not come in time.
+pub(crate) fn to_failure(end: WaitEnd) -> Failure {
+    match end {
+        WaitEnd::Elapsed => Failure::TimedOut,
+        WaitEnd::Stopping => Failure::Stopping,
+    }
 }
 
 /// Returns whether a server reset a connection because it was full.
@@ -189,6 +197,7 @@
 
 /// Receives the body of an answer, or its start if it is large.
 pub(crate) async fn receive(
+    stop: &Stop,
     upstream: &Upstream,
     mut head: Parts,
     body: Incoming,
@@ -196,7 +205,7 @@
 ) -> Result<Response<AnswerBody>, Failure> {
     let idle_timeout_ms = idle_timeout_ms(&head.headers);
     proxy::strip_headers(&mut head.headers);
-    match buffer(body, deadline).await? {
+    match buffer(stop, body, deadline).await? {
         Buffered::Whole(bytes) => {
             upstream.keep(link, idle_timeout_ms);
             drop(permit);
@@ -348,15 +357,15 @@
     Start(VecDeque<Bytes>, Incoming),
 }
 
-async fn buffer(mut body: Incoming, deadline: Instant) -> Result<Buffered, Failure> {
+async fn buffer(stop: &Stop, mut body: Incoming, deadline: Instant) -> Result<Buffered, Failure> {
     let mut parts: VecDeque<Bytes> = VecDeque::new();
     let mut buffered_bytes = 0;
     loop {
-        let frame = match timeout_at(deadline, body.frame()).await {
+        let frame = match stop.bound(deadline, 0, body.frame()).await {
             Ok(None) => return Ok(Buffered::Whole(join(parts, buffered_bytes))),
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(_broken))) => return Err(Failure::Broken),
-            Err(_elapsed) => return Err(Failure::TimedOut),
+            Err(end) => return Err(to_failure(end)),
         };
         let Ok(data) = frame.into_data() else { continue };
         buffered_bytes += data.len();
@@ -396,7 +405,7 @@
     Some(request)
 }
 
-/// Returns the caller's request with the time that is left.
+/// Returns the caller's request with the time that is left, here and for the caller.
 pub(crate) fn to_request(shared: &Shared, call: &Call) -> Option<Request<Full<Bytes>>> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.head.method.clone();
@@ -404,7 +413,8 @@
     *request.headers_mut() = call.head.headers.clone();
     let headers = request.headers_mut();
     headers.insert(HOST, call.host.clone());
-    let left_ms = call.deadline_ms.saturating_sub(shared.clock.now_ms());
+    let deadline_ms = call.deadline_ms.min(shared.stop.deadline_ms());
+    let left_ms = deadline_ms.saturating_sub(shared.clock.now_ms());
     headers.insert(shared.dialect.time_left_ms.clone(), HeaderValue::from(left_ms));
     Some(request)
 }
@@ -439,7 +449,7 @@
 ) {
     let latency_ms = started_at.elapsed().as_secs_f64() * 1_000.0;
     // The other failures tell of the table or the link, not of the server.
-    if !matches!(failure, Failure::Fenced | Failure::NotSent) {
+    if !matches!(failure, Failure::Fenced | Failure::NotSent | Failure::Stopping) {
         server.on_outcome(true);
     }
     match failure {
@@ -471,6 +481,6 @@
             server.upstream.on_connection_loss();
         }
         Failure::NotSent => server.upstream.on_connection_loss(),
-        Failure::Failed => {}
+        Failure::Failed | Failure::Stopping => {}
     }
 }
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -5,16 +5,15 @@
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response};
 use hyper::body::Incoming;
-use proxy::{AdmissionError, Permit};
+use proxy::{AdmissionError, Permit, WaitEnd};
 use registry::Incarnation;
 use route::{
     Attempts, Failure, MAX_BUSY_RETRY_AFTER_MS, MIN_BUSY_RETRY_AFTER_MS, Next, Reason, Refusal,
-    RemotePenalty, busy_retry_after_ms,
+    RemotePenalty, busy_retry_after_ms, slow_work_ms,
 };
 use shard::Owner;
 use site::RequestKind;
 use telemetry::{Counter, Labels};
-use tokio::time::timeout_at;
 
 use crate::Shared;
 use crate::log_sampler::is_sampled;
@@ -43,6 +42,9 @@
 const MOVE_RETRY_AFTER_MS: u64 = 100;
 /// The Retry-After while the document or a server is missing.
 const ABSENT_RETRY_AFTER_MS: u64 = 300;
+/// The largest Retry-After while the daemon is stopping: another one can take the request at once,
+/// but not all requests in the same moment.
+const MAX_STOP_RETRY_AFTER_MS: u64 = 100;
 
 /// Answers one request of a caller.
 pub(crate) async fn answer(
@@ -109,17 +111,21 @@
     });
     let now_ms = shared.clock.now_ms();
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
-    if !shared.log_sampler.may_write(now_ms, id.as_bytes()) {
+    // A request that the stop ends is named unless there are very many.
+    let is_named = refusal.reason == Reason::Stopping && shared.in_flight.may_name_stopped();
+    if !is_named && !shared.log_sampler.may_write(now_ms, id.as_bytes()) {
         return;
     }
     let view = shared.view();
+    let (waits_for, at, waited_ms) = call.map(|call| call.tracked.describe()).unwrap_or_default();
     spdlog::info!(
         "request not served",
         kv: {
             request = id, route = call.map_or("-", |call| call.route.name.as_str()),
             key:? = call.and_then(|call| call.key),
             reason = refusal.reason.as_str(), outcome = refusal.outcome.as_str(),
-            held_ms = now_ms - arrived_at_ms, retry_after_ms:? = refusal.retry_after_ms,
+            held_ms = now_ms - arrived_at_ms, waits_for, at = at.as_str(), waited_ms,
+            retry_after_ms:? = refusal.retry_after_ms,
             version = view.version(), tables:? = view.tables_version
         }
     );
@@ -176,6 +182,9 @@
         if shared.crashes.is_refused(|| call.fingerprint()) {
             return Err(attempts.to_refusal(Reason::Crashing));
         }
+        if shared.clock.now_ms() + expected_work_ms(&call) > shared.stop.deadline_ms() {
+            return server_error.ok_or_else(|| stop_refusal(&attempts));
+        }
         let wait_started_at_ms = shared.clock.now_ms();
         call.tracked.wait_for(Stage::Owner);
         let found = find_server(shared, &call, &attempts, &tried).await;
@@ -283,12 +292,16 @@
                 let permit = admit(shared, &service, &server, call, attempts).await?;
                 call.tracked.wait_for(Stage::Turn(incarnation.clone()));
                 let max_wait_ms = max_turn_wait_ms(shared, call, &service);
-                if let Err(remaining_ms) = wait_for_turn(shared, &server, max_wait_ms).await {
-                    if service.is_keyed {
+                let turn = wait_for_turn(shared, &server, max_wait_ms);
+                let deadline = shared.clock.to_instant(call.deadline_ms);
+                match shared.stop.bound(deadline, expected_work_ms(call), turn).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(remaining_ms)) if service.is_keyed => {
                         return Err(paused_refusal(attempts, remaining_ms));
                     }
                     // Another server of the pool is picked now.
-                    continue;
+                    Ok(Err(_)) => continue,
+                    Err(end) => return Err(wait_refusal(attempts, end, Reason::Expired)),
                 }
                 if is_current(shared, call, &server) {
                     return Ok((service, server, Some(permit)));
@@ -304,9 +317,18 @@
         let wait_deadline_ms = move_deadline_ms.min(call.deadline_ms);
         let has_timed_out = shared.clock.now_ms() >= wait_deadline_ms;
         let wait_deadline = shared.clock.to_instant(wait_deadline_ms);
-        if has_timed_out || timeout_at(wait_deadline, changed).await.is_err() {
+        let waited = if has_timed_out {
+            Err(WaitEnd::Elapsed)
+        } else {
+            shared.stop.bound(wait_deadline, expected_work_ms(call), changed).await
+        };
+        if let Err(end) = waited {
             let retry_after_ms = MOVE_RETRY_AFTER_MS.max(mean_latency_ms(call));
-            return Err(attempts.to_refusal(Reason::NoOwner).with_retry_after(retry_after_ms));
+            let refusal = wait_refusal(attempts, end, Reason::NoOwner);
+            return Err(match end {
+                WaitEnd::Elapsed => refusal.with_retry_after(retry_after_ms),
+                WaitEnd::Stopping => refusal,
+            });
         }
         shared.counters.count(Counter::WaitedForOwner);
     }
@@ -316,6 +338,25 @@
     u64::from(call.route_state.mean_us() / 1_000)
 }
 
+/// Returns how long a request may take at a server if it has to end before the stop does.
+fn expected_work_ms(call: &Call) -> u64 {
+    slow_work_ms(mean_latency_ms(call))
+}
+
+/// Returns the refusal after a wait that ended without a result.
+fn wait_refusal(attempts: &Attempts, end: WaitEnd, reason: Reason) -> Refusal {
+    match end {
+        WaitEnd::Elapsed => attempts.to_refusal(reason),
+        WaitEnd::Stopping => stop_refusal(attempts),
+    }
+}
+
+/// Returns the refusal of a request that the daemon cannot serve before its stop ends.
+fn stop_refusal(attempts: &Attempts) -> Refusal {
+    let retry_after_ms = rand::random_range(0..=MAX_STOP_RETRY_AFTER_MS);
+    attempts.to_refusal(Reason::Stopping).with_retry_after(retry_after_ms)
+}
+
 /// Returns how long a request waits for a moving key: no longer than half of the time in which
 /// its answer is due.
 fn move_timeout_ms(call: &Call) -> u64 {
@@ -419,7 +460,7 @@
     let mut arrival = call.arrival();
     arrival.is_over_share =
         caller.is_some_and(|caller| service.state.is_over_share(shared.clock.now_ms(), caller));
-    let admitted = server.upstream.acquire(arrival).await;
+    let admitted = server.upstream.acquire(arrival, &shared.stop).await;
     let is_unserved = matches!(admitted, Ok((_, true)) | Err(AdmissionError::Overloaded { .. }));
     if let Some(caller) = caller.filter(|_| is_unserved) {
         service.state.on_unserved(shared.clock.now_ms(), caller);
@@ -437,6 +478,7 @@
         Err(AdmissionError::Paused { remaining_ms }) => {
             Err(pause_refusal(shared, server, call, attempts, remaining_ms))
         }
+        Err(AdmissionError::Stopping) => Err(stop_refusal(attempts)),
         Err(AdmissionError::Expired) => {
             Err(attempts.to_refusal(Reason::Expired).with_retry_after(MIN_BUSY_RETRY_AFTER_MS))
         }
@@ -471,8 +513,9 @@
 async fn wait_for_change(shared: &Shared, call: &Call, timeout_ms: u64) {
     let wait_deadline_ms = call.deadline_ms.min(shared.clock.now_ms() + timeout_ms);
     let wait_deadline = shared.clock.to_instant(wait_deadline_ms);
+    let changed = shared.view_changed().notified();
     // The next attempt uses the current view in either case.
-    drop(timeout_at(wait_deadline, shared.view_changed().notified()).await);
+    let _is_changed = shared.stop.bound(wait_deadline, expected_work_ms(call), changed).await;
 }
 
 fn log_failure(shared: &Shared, call: &Call, incarnation: &Incarnation, failure: Failure) {
--- a/crates/gateway/src/request/front.rs
+++ b/crates/gateway/src/request/front.rs
@@ -57,12 +57,16 @@
         }
     }
     drop(listener);
+    let finished = async {
+        while connections.join_next().await.is_some() {}
+        // A request whose caller has left may still run at its server.
+        shared.in_flight.ended().await;
+    };
     tokio::select! {
-        () = async { while connections.join_next().await.is_some() {} } => {}
-        () = stop.cut.cancelled() => {
-            shared.in_flight.log_cut_off(connections.len());
-        }
+        () = finished => return,
+        () = stop.cut.cancelled() => {}
     }
+    shared.in_flight.log_cut_off(connections.len());
 }
 
 /// How long to wait after a failed accept, for file descriptors to become free.
--- a/crates/gateway/src/request/in_flight.rs
+++ b/crates/gateway/src/request/in_flight.rs
@@ -1,6 +1,6 @@
 //! The requests that are under way, and what each of them waits for.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use document::{HashMap, Name};
@@ -8,6 +8,7 @@
 use proxy::Clock;
 use registry::Incarnation;
 use site::Route;
+use tokio::sync::Notify;
 
 /// The requests that are under way in a process.
 #[derive(Debug)]
@@ -15,6 +16,10 @@
     clock: Clock,
     next_number: AtomicU64,
     requests: Mutex<HashMap<u64, Arc<Progress>>>,
+    /// Notified when no request is under way.
+    idle: Notify,
+    /// How many requests that the stop ended were named in the log.
+    named: AtomicUsize,
 }
 
 /// How far a request is.
@@ -65,7 +70,13 @@
 
 impl InFlight {
     pub(crate) fn new(clock: Clock) -> Self {
-        Self { clock, next_number: AtomicU64::new(0), requests: Mutex::default() }
+        Self {
+            clock,
+            next_number: AtomicU64::new(0),
+            requests: Mutex::default(),
+            idle: Notify::new(),
+            named: AtomicUsize::new(0),
+        }
     }
 
     /// Tracks a request whose head has arrived.
@@ -78,6 +89,19 @@
         Tracked { in_flight: Arc::clone(self), number, progress }
     }
 
+    /// Waits until no request is under way.
+    pub(crate) async fn ended(&self) {
+        let idle = self.idle.notified();
+        if !self.requests().is_empty() {
+            idle.await;
+        }
+    }
+
+    /// Returns whether the log may name another request that the stop ended.
+    pub(crate) fn may_name_stopped(&self) -> bool {
+        self.named.fetch_add(1, Ordering::Relaxed) < MAX_LOGGED
+    }
+
     /// Logs what the requests that are left wait for; they end unanswered.
     pub(crate) fn log_cut_off(&self, connections: usize) {
         let requests = self.requests();
@@ -98,20 +122,27 @@
 
 impl Progress {
     fn log_cut_off(&self, now_ms: u64) {
-        let state = self.state();
         let id = self.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-");
-        let (waits_for, at) = state.stage.describe();
+        let (waits_for, at, waited_ms) = self.describe(now_ms);
+        let state = self.state();
         spdlog::warn!(
             "request cut off",
             kv: {
                 request = id, route = state.route.as_ref().map_or("-", |route| route.name.as_str()),
                 key:? = state.key, waits_for, at = at.as_str(),
                 held_ms = now_ms.saturating_sub(self.arrived_at_ms),
-                waited_ms = now_ms.saturating_sub(state.since_ms)
+                waited_ms
             }
         );
     }
 
+    /// Returns what the request waits for, at which server or daemon, and for how long.
+    fn describe(&self, now_ms: u64) -> (&'static str, String, u64) {
+        let state = self.state();
+        let (waits_for, at) = state.stage.describe();
+        (waits_for, at, now_ms.saturating_sub(state.since_ms))
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -125,18 +156,27 @@
         state.key = key;
     }
 
+    /// Returns what the request waits for, at which server or daemon, and for how long.
+    pub(crate) fn describe(&self) -> (&'static str, String, u64) {
+        self.progress.describe(self.in_flight.clock.now_ms())
+    }
+
     /// Records what the request waits for from now on.
     pub(crate) fn wait_for(&self, stage: Stage) {
         let now_ms = self.in_flight.clock.now_ms();
-        let mut state = self.progress.state();
-        state.stage = stage;
-        state.since_ms = now_ms;
+        let mut known = self.progress.state();
+        known.stage = stage;
+        known.since_ms = now_ms;
     }
 }
 
 impl Drop for Tracked {
     fn drop(&mut self) {
-        self.in_flight.requests().remove(&self.number);
+        let mut requests = self.in_flight.requests();
+        requests.remove(&self.number);
+        if requests.is_empty() {
+            self.in_flight.idle.notify_waiters();
+        }
     }
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwap;
 use document::{HashMap, HashSet, Name};
-use proxy::{Clock, SharedCrashTracker};
+use proxy::{Clock, SharedCrashTracker, Stop};
 use registry::Incarnation;
 use route::{CrashTracker, Fingerprint, Share};
 use site::{Limits, Route};
@@ -49,7 +49,8 @@
     /// This daemon's position among them, in the order of their names.
     position: AtomicU32,
     is_ready: AtomicBool,
-    is_stopping: AtomicBool,
+    /// Bounds the waits of requests while the process stops.
+    pub(crate) stop: Stop,
 }
 
 /// How many servers a request may crash; after that it is refused.
@@ -87,7 +88,7 @@
             daemons: AtomicU32::new(1),
             position: AtomicU32::new(0),
             is_ready: AtomicBool::new(false),
-            is_stopping: AtomicBool::new(false),
+            stop: Stop::new(clock),
         }
     }
 
@@ -171,12 +172,7 @@
     /// Returns whether the process is stopping.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::Relaxed)
-    }
-
-    /// Marks the process as stopping.
-    pub fn set_stopping(&self) {
-        self.is_stopping.store(true, Ordering::Relaxed);
+        self.stop.has_begun()
     }
 
     /// Records that a server said that it is leaving.
--- a/crates/gateway/tests/cold_pool.rs
+++ b/crates/gateway/tests/cold_pool.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use gateway::{PoolMember, Server, ServiceState, ServiceView};
-use proxy::{Clock, Permit};
+use proxy::{Clock, Permit, Stop};
 use registry::{Incarnation, Registration, Stage};
 use route::{Arrival, Budget, ColdLimit, Pace, Rate, RemotePenalty};
 
@@ -60,7 +60,7 @@
 async fn fill(server: &Server) -> Vec<Permit> {
     let mut permits = Vec::new();
     for _ in 0..SLOTS {
-        permits.push(server.upstream.acquire(ARRIVAL).await.unwrap().0);
+        permits.push(server.upstream.acquire(ARRIVAL, &Stop::new(Clock::start())).await.unwrap().0);
     }
     permits
 }
@@ -112,7 +112,7 @@
     let servers = [server(0, 1), server(1, 1)];
     servers[0].set_slow_start(true, 1);
     servers[0].start_slowly();
-    let _permit = servers[0].upstream.acquire(ARRIVAL).await.unwrap();
+    let _permit = servers[0].upstream.acquire(ARRIVAL, &Stop::new(Clock::start())).await.unwrap();
     assert_eq!(servers[0].upstream.occupancy().2, 1);
     assert_eq!(picks_of_first(&servers), 0);
 }
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -264,7 +264,7 @@
     call: &Call,
     attempts: &Attempts,
 ) -> Result<Permit, Refusal> {
-    match target.server.acquire(call.arrival).await {
+    match target.server.acquire(call.arrival, &traffic.stop).await {
         Ok((permit, has_waited)) => {
             if has_waited {
                 traffic.counters.count(Counter::WaitedForSlot);
@@ -276,6 +276,7 @@
         }
         Err(AdmissionError::Overloaded { .. }) => Err(attempts.to_refusal(Reason::Overloaded)),
         Err(AdmissionError::Expired) => Err(attempts.to_refusal(Reason::Expired)),
+        Err(AdmissionError::Stopping) => Err(attempts.to_refusal(Reason::Stopping)),
     }
 }
 
@@ -398,6 +399,7 @@
         Failure::NotSent | Failure::Broken | Failure::Reset | Failure::Failed => {
             target.server.on_connection_loss();
         }
+        Failure::Stopping => {}
     }
 }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,6 +9,7 @@
 //! - An [`Upstream`] is the state of one server. [`Upstream::acquire`] admits a request and
 //!   returns a [`Permit`]; [`Upstream::connect`] returns a [`Link`], a reused or new
 //!   connection to send it on.
+//! - A [`Stop`] bounds the waits of requests while the process stops.
 //! - A [`SharedCrashTracker`] tells which requests crash servers and are therefore refused.
 //! - [`has_unambiguous_framing`], [`RecordedStream`] and [`RawBytes`] find requests whose end
 //!   is ambiguous; these are refused.
@@ -43,6 +44,7 @@
 mod retry_after;
 mod serve;
 mod shared_crash_tracker;
+mod stop;
 mod traffic;
 mod upstream;
 
@@ -55,5 +57,6 @@
 pub use retry_after::retry_after_ms;
 pub use serve::serve;
 pub use shared_crash_tracker::SharedCrashTracker;
+pub use stop::{Stop, WaitEnd};
 pub use traffic::{Services, Traffic, TrafficLimits};
 pub use upstream::{AdmissionError, Link, Permit, Upstream};
--- a/crates/proxy/src/traffic.rs
+++ b/crates/proxy/src/traffic.rs
@@ -9,7 +9,7 @@
 use telemetry::{Counters, Metrics};
 use tokio::sync::Notify;
 
-use crate::{Clock, SharedCrashTracker, Upstream};
+use crate::{Clock, SharedCrashTracker, Stop, Upstream};
 
 /// The services in force, by name.
 pub type Services = HashMap<Name, Arc<Service<Upstream>>>;
@@ -27,6 +27,8 @@
     pub limits: TrafficLimits,
     /// Counts the crashes that requests caused; a request is refused after two of them.
     pub crashes: SharedCrashTracker,
+    /// Bounds the waits of requests while the process stops.
+    pub stop: Stop,
     services: ArcSwap<Services>,
     /// Notified when waiting requests should read the services again.
     changed: Notify,
@@ -83,6 +85,7 @@
             metrics,
             limits,
             crashes: SharedCrashTracker::new(clock, CrashTracker::default()),
+            stop: Stop::new(clock),
             services: ArcSwap::default(),
             changed: Notify::new(),
             waiting: AtomicU32::new(0),
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -16,11 +16,11 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
-use tokio::time::{Duration, Instant, timeout_at};
+use tokio::time::{Duration, Instant, sleep, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::Clock;
 use crate::head_bound::{BoundedStream, HeadBound};
+use crate::{Clock, Stop, WaitEnd};
 
 /// A connection to a server, for one request at a time; dropping it closes it.
 #[derive(Debug)]
@@ -82,6 +82,8 @@
     },
     /// The deadline passed while the request waited.
     Expired,
+    /// The process is stopping, and the answer would come after it.
+    Stopping,
 }
 
 /// How long an idle connection may be reused; the server may be about to close an older one.
@@ -137,13 +139,19 @@
     ///
     /// # Errors
     ///
-    /// Fails if the server is overloaded or if the deadline passes.
+    /// Fails if the server is overloaded, if the deadline passes, or if the answer is expected
+    /// after the end of a stop.
     pub async fn acquire(
         self: &Arc<Self>,
         arrival: Arrival,
+        stop: &Stop,
     ) -> Result<(Permit, bool), AdmissionError> {
         let (waker, woken) = oneshot::channel();
         let now_ms = self.clock.now_ms();
+        if stop.has_begun() && self.limiter().arrival_end_ms(now_ms, &arrival) > stop.deadline_ms()
+        {
+            return Err(AdmissionError::Stopping);
+        }
         let (admission, wait_deadline_ms) = {
             let mut limiter = self.limiter();
             let admission = limiter.admit(now_ms, arrival, waker);
@@ -163,8 +171,21 @@
             }
         };
         let waiting = Waiting { upstream: self, ticket: Some(ticket), woken };
+        let no_room = self.no_room_in_time(ticket, arrival.typical_latency_ms, stop);
         let deadline = self.clock.to_instant(wait_deadline_ms);
-        waiting.wait(deadline).await.map(|permit| (permit, true))
+        waiting.wait(deadline, no_room).await.map(|permit| (permit, true))
+    }
+
+    /// Waits until a request that waits is expected to be answered only after the end of a stop.
+    async fn no_room_in_time(&self, ticket: Ticket, typical_latency_ms: u32, stop: &Stop) {
+        stop.begun().await;
+        loop {
+            let now_ms = self.clock.now_ms();
+            let end_ms = self.limiter().waiter_end_ms(now_ms, ticket, typical_latency_ms);
+            let Some(slack_ms) = stop.deadline_ms().checked_sub(end_ms) else { return };
+            // Unless the queue has moved on by then, there is no more time.
+            sleep(Duration::from_millis(slack_ms + 1)).await;
+        }
     }
 
     /// Returns an idle connection that can be reused, or opens a new one.
@@ -435,8 +456,17 @@
 }
 
 impl Waiting<'_> {
-    async fn wait(mut self, deadline: Instant) -> Result<Permit, AdmissionError> {
-        let woken = timeout_at(deadline, &mut self.woken).await;
+    /// Waits for admission, until a deadline or until `no_room` is ready.
+    async fn wait(
+        mut self,
+        deadline: Instant,
+        no_room: impl Future<Output = ()>,
+    ) -> Result<Permit, AdmissionError> {
+        let woken = tokio::select! {
+            biased;
+            woken = timeout_at(deadline, &mut self.woken) => woken.map_err(|_elapsed| WaitEnd::Elapsed),
+            () = no_room => Err(WaitEnd::Stopping),
+        };
         match woken {
             Ok(Ok(())) => {
                 self.ticket = None;
@@ -449,10 +479,11 @@
                     remaining_ms => Err(AdmissionError::Paused { remaining_ms }),
                 }
             }
-            Err(_elapsed) if self.upstream.is_target_ordered() => {
+            Err(WaitEnd::Stopping) => Err(AdmissionError::Stopping),
+            Err(WaitEnd::Elapsed) if self.upstream.is_target_ordered() => {
                 Err(AdmissionError::Overloaded { late_ms: 0 })
             }
-            Err(_elapsed) => Err(AdmissionError::Expired),
+            Err(WaitEnd::Elapsed) => Err(AdmissionError::Expired),
         }
     }
 }
--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -21,6 +21,8 @@
     TimedOut,
     /// The server answered with an error status.
     Failed,
+    /// The process is stopping, and no answer came before its end.
+    Stopping,
 }
 
 /// What to do after a failed attempt.
@@ -106,6 +108,7 @@
             return Next::GiveUp;
         }
         match failure {
+            Failure::Stopping => Next::GiveUp,
             Failure::Fenced => Next::Reroute,
             Failure::NotSent
             | Failure::Shed
@@ -130,13 +133,14 @@
 
     /// Returns the refusal to send to the caller for `reason`.
     ///
-    /// If the request may have run, the reason becomes [`Reason::TimedOut`] or
+    /// If the request may have run, the reason becomes [`Reason::TimedOut`], [`Reason::Stopping`] or
     /// [`Reason::Broken`], depending on how the last attempt failed.
     #[must_use]
     pub fn to_refusal(&self, reason: Reason) -> Refusal {
         if self.may_have_run {
             let reason = match self.last_failure {
                 Some(Failure::TimedOut) => Reason::TimedOut,
+                Some(Failure::Stopping) => Reason::Stopping,
                 _ => Reason::Broken,
             };
             return Refusal::unknown(reason);
@@ -152,6 +156,7 @@
             Some(Failure::Fenced) => Reason::NoOwner,
             Some(Failure::Shed) => Reason::RefusedByServer,
             Some(Failure::TimedOut) => Reason::TimedOut,
+            Some(Failure::Stopping) => Reason::Stopping,
             Some(Failure::Broken | Failure::Reset | Failure::Crashed | Failure::Failed) | None => {
                 Reason::Broken
             }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -54,7 +54,7 @@
 pub use failure_share::{Exclusions, FailureShare};
 pub use fair_share::{Caller, FairShare};
 pub use limit::Limit;
-pub use limiter::{Admission, Arrival, Limiter, Ticket};
+pub use limiter::{Admission, Arrival, Limiter, Ticket, slow_work_ms};
 pub use pace::{Pace, PaceState};
 pub use pick::{Candidate, Choice, RemotePenalty, pick};
 pub use rate::{Rate, RateLimiter, Turn};
--- a/crates/route/src/limiter.rs
+++ b/crates/route/src/limiter.rs
@@ -285,6 +285,24 @@
         }
     }
 
+    /// Returns when a request that arrives now will have been answered, even if it takes longer than
+    /// the average one; see [`slow_work_ms`].
+    #[must_use]
+    pub fn arrival_end_ms(&self, now_ms: u64, arrival: &Arrival) -> u64 {
+        let has_room = self.in_flight < self.limit.get() && self.waiting.is_empty();
+        let ahead = self.position(Ticket::last_of(arrival.priority));
+        let rounds = if has_room { 0.0 } else { self.rounds(ahead) };
+        now_ms + self.slow_latency_ms(rounds, arrival.typical_latency_ms)
+    }
+
+    /// Returns the same for a request that waits.
+    #[must_use]
+    pub fn waiter_end_ms(&self, now_ms: u64, ticket: Ticket, typical_latency_ms: u32) -> u64 {
+        let is_it = |waiter: &Waiter<W>| [ticket, ticket.late()].contains(&waiter.ticket);
+        let ahead = self.waiting.iter().position(is_it).unwrap_or(0);
+        now_ms + self.slow_latency_ms(self.rounds(ahead), typical_latency_ms)
+    }
+
     /// Returns how long the requests that wait now keep the server's slots busy.
     #[must_use]
     pub fn queue_ms(&self, typical_latency_ms: u32) -> u64 {
@@ -403,9 +421,21 @@
 
     /// Returns the expected latency of a request that has `ahead` others before it in the queue.
     fn expected_latency_ms(&self, typical_latency_ms: u32, ahead: usize) -> u64 {
+        let latency_ms = self.latency_ms.unwrap_or(f64::from(typical_latency_ms));
+        ceil_ms((self.rounds(ahead) + 1.0) * latency_ms)
+    }
+
+    /// Returns the latency of a request that takes longer than usual, after a wait for a number of
+    /// rounds of other requests.
+    fn slow_latency_ms(&self, rounds: f64, typical_latency_ms: u32) -> u64 {
+        let latency_ms = self.latency_ms.unwrap_or(f64::from(typical_latency_ms));
+        ceil_ms((rounds + f64::from(SLOW_WORK_FACTOR)) * latency_ms)
+    }
+
+    /// Returns how many average latencies a request waits that has `ahead` others before it.
+    fn rounds(&self, ahead: usize) -> f64 {
         let ahead = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX));
-        let rounds = (ahead + 1.0) / f64::from(self.limit.get());
-        ceil_ms((rounds + 1.0) * self.latency_ms.unwrap_or(f64::from(typical_latency_ms)))
+        (ahead + 1.0) / f64::from(self.limit.get())
     }
 
     fn admit_waiting(&mut self, now_ms: u64) -> Vec<W> {
@@ -471,9 +501,19 @@
 const REPORT_VALIDITY_MS: u64 = 1_000;
 /// The time between two resets up to which the server counts as one that resets when full.
 const RESET_MEMORY_MS: u64 = 5_000;
+/// The multiple of the average latency that a request may take if it has to end in time.
+///
+/// An answer that is cut off leaves its caller without an outcome; a refusal in time does not.
+const SLOW_WORK_FACTOR: u32 = 2;
 /// The weight of the latest latency in the moving average.
 const LATENCY_WEIGHT: f64 = 0.1;
 
+/// Returns how long a request may take if it has to end in time, from the average latency.
+#[must_use]
+pub fn slow_work_ms(average_latency_ms: u64) -> u64 {
+    average_latency_ms.saturating_mul(u64::from(SLOW_WORK_FACTOR))
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/route/src/refusal.rs
+++ b/crates/route/src/refusal.rs
@@ -48,6 +48,8 @@
     TimedOut,
     /// The request crashed servers that ran it.
     Crashing,
+    /// The daemon is stopping and no longer has the time for an answer.
+    Stopping,
 }
 
 /// The answer to a caller whose request no server answered.
@@ -104,7 +106,8 @@
             | Reason::RefusedByServer
             | Reason::Crashing
             | Reason::Unreachable => 503,
-            Reason::Broken => 502,
+            Reason::Stopping if self.outcome == Outcome::NotRun => 503,
+            Reason::Broken | Reason::Stopping => 502,
             Reason::Expired | Reason::TimedOut => 504,
         }
     }
@@ -121,6 +124,7 @@
                 | Self::Expired
                 | Self::Unreachable
                 | Self::RefusedByServer
+                | Self::Stopping
         )
     }
 
@@ -145,6 +149,7 @@
             Self::Broken => "broken",
             Self::TimedOut => "timed-out",
             Self::Crashing => "crashing",
+            Self::Stopping => "stopping",
         }
     }
 }
