--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod answer;
 pub(crate) mod call;
+pub(crate) mod connection;
 pub(crate) mod detour;
 pub(crate) mod exchange;
 pub(crate) mod forward;
