Read what has arrived on a connection before a stop closes it

What callers saw: a request that had arrived on an open connection when a stopping daemon closed its connections ended without an answer.

Cause: at the close, the HTTP library closes a connection between two requests, whatever has arrived on it. The bytes may be unread because the runtime has not noticed them yet, or they may be the first half of a head. A connection that was accepted just before the close had no time for its first request.

The change: before a connection is closed, a read asks the system and not the runtime, so that a read that finds nothing shows that nothing has arrived. A request that has begun is answered. A first half of a head gets the head timeout of the document, and a new connection 500 ms for its first request; the end of the stop bounds both.

--- a/crates/gateway/src/request/connection.rs
+++ b/crates/gateway/src/request/connection.rs
@@ -1,8 +1,11 @@
 //! Serves the requests of one connection of a caller.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::task::Poll;
 
 use http::header::{CONNECTION, HeaderValue};
 use http::{Method, Request, Response, StatusCode};
@@ -10,10 +13,10 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use proxy::RecordedStream;
+use proxy::{CallerStream, Clock, RecordedStream, StreamProgress};
 use route::{Caller, Reason, Refusal};
 use tokio::net::TcpStream;
-use tokio::time::{Duration, sleep};
+use tokio::time::{Duration, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 
 use crate::Shared;
@@ -27,30 +30,109 @@
 /// A caller that reuses a connection just before the stated time does not find it closed.
 const IDLE_MARGIN_MS: u64 = 1_000;
 
-/// How many requests a connection has in flight and since when it is idle.
+/// How long a new connection is kept for its first request when callers' connections are closed.
+///
+/// The request may still be on its way, and its first packet may have to be sent again.
+const FIRST_REQUEST_TIMEOUT_MS: u64 = 500;
+
+/// What has happened on a connection.
 #[derive(Debug)]
 struct Activity {
+    clock: Clock,
+    progress: Arc<StreamProgress>,
+    accepted_at_ms: u64,
+    begun: AtomicU32,
     in_flight: AtomicU32,
-    idle_since_ms: AtomicU64,
+    /// When the last request ended.
+    ended_at_ms: AtomicU64,
+    /// How many bytes had been read when the last request ended.
+    ended_at_bytes: AtomicU64,
+}
+
+/// What a connection is used for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Use {
+    /// No byte of its first request has been read.
+    New,
+    /// A part of the head of a request has been read.
+    Head,
+    /// A request is read, run or answered.
+    Request,
+    /// All requests have been answered.
+    Idle,
+}
+
+/// What to do next with a connection that should be closed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Next {
+    /// Close the connection after the request in flight, if there is one.
+    Finish,
+    /// Drop the connection, which has ended or whose caller sends no whole head.
+    Drop,
+    /// Wait until this time for a request.
+    Wait { deadline_ms: u64 },
 }
 
 /// Counts a request of a connection as in flight until this guard is dropped.
-struct InFlightGuard {
-    activity: Arc<Activity>,
-    shared: Arc<Shared>,
+#[derive(Debug)]
+struct InFlightGuard(Arc<Activity>);
+
+impl Activity {
+    fn new(clock: Clock, progress: Arc<StreamProgress>) -> Self {
+        let now_ms = clock.now_ms();
+        Self {
+            clock,
+            progress,
+            accepted_at_ms: now_ms,
+            begun: AtomicU32::new(0),
+            in_flight: AtomicU32::new(0),
+            ended_at_ms: AtomicU64::new(now_ms),
+            ended_at_bytes: AtomicU64::new(0),
+        }
+    }
+
+    fn current_use(&self) -> Use {
+        let is_in_flight = self.in_flight.load(Ordering::Relaxed) > 0;
+        if is_in_flight || self.progress.is_writing() {
+            Use::Request
+        } else if self.progress.read_bytes() > self.ended_at_bytes.load(Ordering::Relaxed) {
+            Use::Head
+        } else if self.begun.load(Ordering::Relaxed) == 0 {
+            Use::New
+        } else {
+            Use::Idle
+        }
+    }
+
+    /// Decides what to do with a connection of which all that has arrived has been read.
+    ///
+    /// `head_deadline_ms` is when the head of a request has to be complete.
+    fn next(&self, head_deadline_ms: u64) -> Next {
+        let now_ms = self.clock.now_ms();
+        let first_deadline_ms = self.accepted_at_ms + FIRST_REQUEST_TIMEOUT_MS;
+        match self.current_use() {
+            Use::New if now_ms < first_deadline_ms => Next::Wait { deadline_ms: first_deadline_ms },
+            Use::Head if now_ms < head_deadline_ms => Next::Wait { deadline_ms: head_deadline_ms },
+            Use::Head => Next::Drop,
+            Use::Request | Use::New | Use::Idle => Next::Finish,
+        }
+    }
 }
 
 impl InFlightGuard {
-    fn new(activity: &Arc<Activity>, shared: &Arc<Shared>) -> Self {
+    fn new(activity: &Arc<Activity>) -> Self {
+        activity.begun.fetch_add(1, Ordering::Relaxed);
         activity.in_flight.fetch_add(1, Ordering::Relaxed);
-        Self { activity: Arc::clone(activity), shared: Arc::clone(shared) }
+        Self(Arc::clone(activity))
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.activity.idle_since_ms.store(self.shared.clock.now_ms(), Ordering::Relaxed);
-        self.activity.in_flight.fetch_sub(1, Ordering::Relaxed);
+        let Self(activity) = self;
+        activity.ended_at_ms.store(activity.clock.now_ms(), Ordering::Relaxed);
+        activity.ended_at_bytes.store(activity.progress.read_bytes(), Ordering::Relaxed);
+        activity.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -63,33 +145,21 @@
     // Without this option small answers are delayed, but still correct.
     drop(stream.set_nodelay(true));
     let limits = shared.limits();
-    let activity = Arc::new(Activity {
-        in_flight: AtomicU32::new(0),
-        idle_since_ms: AtomicU64::new(shared.clock.now_ms()),
-    });
     let caller = stream.peer_addr().ok().map(|address| Caller::new(address.ip()));
+    let (stream, progress) = CallerStream::new(stream, shared.clock);
+    let activity = Arc::new(Activity::new(shared.clock, progress));
     let (stream, raw) = RecordedStream::new(stream);
     let service = service_fn(|mut request: Request<Incoming>| {
-        let shared = Arc::clone(&shared);
         let is_ambiguous = raw.is_ambiguous(&request);
-        let in_flight = InFlightGuard::new(&activity, &shared);
+        let in_flight = InFlightGuard::new(&activity);
         if let Some(caller) = caller {
             request.extensions_mut().insert(caller);
         }
+        let answer = answer(Arc::clone(&shared), request, is_ambiguous);
         async move {
-            if request.method() == Method::CONNECT {
-                return Ok::<_, Infallible>(refuse_connect());
-            }
-            if is_ambiguous {
-                // Parsers may find different ends of this request, so no further one is read from
-                // the connection.
-                let mut response = refusal::to_response(&Refusal::not_run(Reason::BadFraming));
-                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-                return Ok(response);
-            }
-            let answer = forward::answer(shared, request).await;
+            let answer = answer.await;
             drop(in_flight);
-            Ok(answer)
+            Ok::<_, Infallible>(answer)
         }
     });
     let connection = http1::Builder::new()
@@ -97,15 +167,73 @@
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let has_ended = tokio::select! {
+    let is_stopping = tokio::select! {
         // How one caller's connection ends affects no other connection.
-        ended = connection.as_mut() => { drop(ended); true }
-        () = close.cancelled() => false,
+        ended = connection.as_mut() => { drop(ended); return }
+        () = close.cancelled() => true,
         () = wait_until_idle(&shared, &activity) => false,
     };
-    if !has_ended {
-        connection.as_mut().graceful_shutdown();
-        drop(connection.await);
+    if is_stopping {
+        let head_deadline_ms = shared.clock.now_ms() + limits.head_timeout_ms;
+        match wait_to_close(connection.as_mut(), &activity, head_deadline_ms).await {
+            Next::Drop => return,
+            Next::Finish | Next::Wait { .. } => {}
+        }
+    }
+    connection.as_mut().graceful_shutdown();
+    drop(connection.await);
+}
+
+async fn answer(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    is_ambiguous: bool,
+) -> Response<AnswerBody> {
+    if request.method() == Method::CONNECT {
+        return refuse_connect();
+    }
+    if is_ambiguous {
+        // Parsers may find different ends of this request, so no further one is read from the
+        // connection.
+        let mut response = refusal::to_response(&Refusal::not_run(Reason::BadFraming));
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        return response;
+    }
+    forward::answer(shared, request).await
+}
+
+/// Waits for requests that have arrived on a connection, or are about to, before it is closed.
+///
+/// The HTTP library closes a connection between two requests even if bytes of the next one have
+/// arrived.
+async fn wait_to_close<C: Future>(
+    mut connection: Pin<&mut C>,
+    activity: &Activity,
+    head_deadline_ms: u64,
+) -> Next {
+    loop {
+        activity.progress.set_reads_directly(true);
+        let is_pending = futures::poll!(connection.as_mut()).is_pending();
+        activity.progress.set_reads_directly(false);
+        if !is_pending {
+            return Next::Drop;
+        }
+        let current_use = activity.current_use();
+        let deadline_ms = match activity.next(head_deadline_ms) {
+            Next::Wait { deadline_ms } => deadline_ms,
+            next => return next,
+        };
+        let has_ended = tokio::select! {
+            has_ended = poll_fn(|cx| match connection.as_mut().poll(cx) {
+                Poll::Ready(_) => Poll::Ready(true),
+                Poll::Pending if activity.current_use() != current_use => Poll::Ready(false),
+                Poll::Pending => Poll::Pending,
+            }) => has_ended,
+            () = sleep_until(activity.clock.to_instant(deadline_ms)) => false,
+        };
+        if has_ended {
+            return Next::Drop;
+        }
     }
 }
 
@@ -113,11 +241,11 @@
 async fn wait_until_idle(shared: &Shared, activity: &Activity) {
     loop {
         let idle_timeout_ms = shared.limits().idle_timeout_ms + IDLE_MARGIN_MS;
-        let idle_since_ms = activity.idle_since_ms.load(Ordering::Relaxed);
+        let ended_at_ms = activity.ended_at_ms.load(Ordering::Relaxed);
         let now_ms = shared.clock.now_ms();
         let is_busy = activity.in_flight.load(Ordering::Relaxed) > 0;
         let deadline_ms =
-            if is_busy { now_ms + idle_timeout_ms } else { idle_since_ms + idle_timeout_ms };
+            if is_busy { now_ms + idle_timeout_ms } else { ended_at_ms + idle_timeout_ms };
         if now_ms >= deadline_ms {
             return;
         }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -12,6 +12,8 @@
 //! - A [`SharedCrashTracker`] tells which requests crash servers and are therefore refused.
 //! - [`has_unambiguous_framing`], [`RecordedStream`] and [`RawBytes`] find requests whose end
 //!   is ambiguous; these are refused.
+//! - A [`CallerStream`] records what is read from a caller's connection and written to it, as
+//!   [`StreamProgress`].
 //! - [`strip_headers`], [`strip_request_headers`] and [`read_body`] prepare what is forwarded,
 //!   [`retry_after_ms`] reads how long a server asks to be left alone, and [`to_labels`] returns the labels under which a result is counted.
 //!
@@ -34,6 +36,7 @@
 
 mod answer;
 mod body;
+mod caller_stream;
 mod clock;
 mod forward;
 mod head;
@@ -48,6 +51,7 @@
 
 pub use answer::AnswerBody;
 pub use body::{BodyError, read_body};
+pub use caller_stream::{CallerStream, StreamProgress};
 pub use clock::Clock;
 pub use head::{has_unambiguous_framing, strip_headers, strip_request_headers};
 pub use outcome::to_labels;
