Close a connection as idle only if nothing has arrived and all is answered

What callers saw: a kept connection ended without an answer although a request had arrived on it before its idle time was over; and a connection ended, without an answer having said so, right after a large answer that was read slowly.

Cause: the end of the idle time closed the connection whatever had arrived on it, as the graceful stop did. The idle time began when the head of an answer had been produced, not when the caller had been sent all of it.

The change: the same check as at a stop comes before the close, and the connection is kept if a request has begun. A request counts as in flight until the body of its answer has been read from the server and the last write is complete. A head that never becomes complete ends the connection at most the head timeout later than before.

--- a/crates/gateway/src/request/connection.rs
+++ b/crates/gateway/src/request/connection.rs
@@ -5,10 +5,12 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::task::Poll;
+use std::task::{Context, Poll};
 
+use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
 use http::{Method, Request, Response, StatusCode};
+use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -20,7 +22,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Shared;
-use crate::request::answer::AnswerBody;
+use crate::request::answer::{AnswerBody, BodyError};
 use crate::request::{forward, refusal};
 
 /// The smallest connection buffer that the HTTP library accepts.
@@ -62,9 +64,30 @@
     Idle,
 }
 
+/// Why a connection should be closed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Cause {
+    /// The daemon stops.
+    Stop,
+    /// The connection has been idle for too long.
+    IdleTimeout,
+}
+
+/// An attempt to close a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Closing {
+    cause: Cause,
+    /// How many requests had begun before.
+    begun: u32,
+    /// When the head of a request has to be complete.
+    head_deadline_ms: u64,
+}
+
 /// What to do next with a connection that should be closed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Next {
+    /// Go on serving requests.
+    Serve,
     /// Close the connection after the request in flight, if there is one.
     Finish,
     /// Drop the connection, which has ended or whose caller sends no whole head.
@@ -77,6 +100,13 @@
 #[derive(Debug)]
 struct InFlightGuard(Arc<Activity>);
 
+/// The body of an answer; its request is in flight until the whole body has been read from it.
+#[derive(Debug)]
+struct GuardedBody {
+    body: AnswerBody,
+    _in_flight: InFlightGuard,
+}
+
 impl Activity {
     fn new(clock: Clock, progress: Arc<StreamProgress>) -> Self {
         let now_ms = clock.now_ms();
@@ -104,17 +134,32 @@
         }
     }
 
+    /// Returns since when no request is in flight, if none is.
+    fn idle_since_ms(&self) -> u64 {
+        self.ended_at_ms.load(Ordering::Relaxed).max(self.progress.written_at_ms())
+    }
+
+    fn begin_closing(&self, cause: Cause, head_timeout_ms: u64) -> Closing {
+        let head_deadline_ms = self.clock.now_ms() + head_timeout_ms;
+        Closing { cause, begun: self.begun.load(Ordering::Relaxed), head_deadline_ms }
+    }
+
     /// Decides what to do with a connection of which all that has arrived has been read.
-    ///
-    /// `head_deadline_ms` is when the head of a request has to be complete.
-    fn next(&self, head_deadline_ms: u64) -> Next {
+    fn next(&self, closing: &Closing) -> Next {
         let now_ms = self.clock.now_ms();
         let first_deadline_ms = self.accepted_at_ms + FIRST_REQUEST_TIMEOUT_MS;
-        match self.current_use() {
-            Use::New if now_ms < first_deadline_ms => Next::Wait { deadline_ms: first_deadline_ms },
-            Use::Head if now_ms < head_deadline_ms => Next::Wait { deadline_ms: head_deadline_ms },
-            Use::Head => Next::Drop,
-            Use::Request | Use::New | Use::Idle => Next::Finish,
+        let is_used_again = self.begun.load(Ordering::Relaxed) > closing.begun;
+        match (self.current_use(), closing.cause) {
+            (Use::Request, Cause::IdleTimeout) => Next::Serve,
+            (Use::Idle, Cause::IdleTimeout) if is_used_again => Next::Serve,
+            (Use::New, Cause::Stop) if now_ms < first_deadline_ms => {
+                Next::Wait { deadline_ms: first_deadline_ms }
+            }
+            (Use::Head, _) if now_ms < closing.head_deadline_ms => {
+                Next::Wait { deadline_ms: closing.head_deadline_ms }
+            }
+            (Use::Head, _) => Next::Drop,
+            (Use::Request | Use::New | Use::Idle, _) => Next::Finish,
         }
     }
 }
@@ -136,6 +181,26 @@
     }
 }
 
+impl Body for GuardedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Serves the requests of a connection until it ends or is closed.
 pub(crate) async fn serve_connection(
     shared: Arc<Shared>,
@@ -158,8 +223,7 @@
         let answer = answer(Arc::clone(&shared), request, is_ambiguous);
         async move {
             let answer = answer.await;
-            drop(in_flight);
-            Ok::<_, Infallible>(answer)
+            Ok::<_, Infallible>(answer.map(|body| GuardedBody { body, _in_flight: in_flight }))
         }
     });
     let connection = http1::Builder::new()
@@ -167,17 +231,18 @@
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let is_stopping = tokio::select! {
-        // How one caller's connection ends affects no other connection.
-        ended = connection.as_mut() => { drop(ended); return }
-        () = close.cancelled() => true,
-        () = wait_until_idle(&shared, &activity) => false,
-    };
-    if is_stopping {
-        let head_deadline_ms = shared.clock.now_ms() + limits.head_timeout_ms;
-        match wait_to_close(connection.as_mut(), &activity, head_deadline_ms).await {
+    loop {
+        let cause = tokio::select! {
+            // How one caller's connection ends affects no other connection.
+            ended = connection.as_mut() => { drop(ended); return }
+            () = close.cancelled() => Cause::Stop,
+            () = wait_until_idle(&shared, &activity) => Cause::IdleTimeout,
+        };
+        let closing = activity.begin_closing(cause, limits.head_timeout_ms);
+        match wait_to_close(connection.as_mut(), &activity, closing).await {
             Next::Drop => return,
-            Next::Finish | Next::Wait { .. } => {}
+            Next::Finish => break,
+            Next::Serve | Next::Wait { .. } => {}
         }
     }
     connection.as_mut().graceful_shutdown();
@@ -209,7 +274,7 @@
 async fn wait_to_close<C: Future>(
     mut connection: Pin<&mut C>,
     activity: &Activity,
-    head_deadline_ms: u64,
+    closing: Closing,
 ) -> Next {
     loop {
         activity.progress.set_reads_directly(true);
@@ -219,7 +284,7 @@
             return Next::Drop;
         }
         let current_use = activity.current_use();
-        let deadline_ms = match activity.next(head_deadline_ms) {
+        let deadline_ms = match activity.next(&closing) {
             Next::Wait { deadline_ms } => deadline_ms,
             next => return next,
         };
@@ -241,11 +306,10 @@
 async fn wait_until_idle(shared: &Shared, activity: &Activity) {
     loop {
         let idle_timeout_ms = shared.limits().idle_timeout_ms + IDLE_MARGIN_MS;
-        let ended_at_ms = activity.ended_at_ms.load(Ordering::Relaxed);
         let now_ms = shared.clock.now_ms();
-        let is_busy = activity.in_flight.load(Ordering::Relaxed) > 0;
-        let deadline_ms =
-            if is_busy { now_ms + idle_timeout_ms } else { ended_at_ms + idle_timeout_ms };
+        let is_busy = activity.current_use() == Use::Request;
+        let idle_since_ms = if is_busy { now_ms } else { activity.idle_since_ms() };
+        let deadline_ms = idle_since_ms + idle_timeout_ms;
         if now_ms >= deadline_ms {
             return;
         }
