Read on after a refusal, so that the caller gets it

What callers saw: a request whose body was still being sent when it was refused (unknown route, no id, body too large, ambiguous framing, head too large) ended with a reset. A caller that finds its connection reset while it sends loses the answer, and asks again. Where the rest had not arrived yet, the connection was closed although the answer did not say so.

Cause: the HTTP library stops reading when the body of a request is dropped, and closes the connection after the answer. A connection that is closed with unread bytes is reset.

--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -7,12 +7,12 @@
 use http::header::HOST;
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Request};
-use hyper::body::Incoming;
 use proxy::{BodyError, read_body};
 use route::{Arrival, Caller, Fingerprint, Reason, Refusal};
 use site::{Route, Site};
 
 use crate::Shared;
+use crate::request::caller_body::CallerBody;
 use crate::request::detour::RELAYED;
 use crate::request::in_flight::Tracked;
 use crate::request::report::RouteState;
@@ -77,7 +77,7 @@
 pub(crate) async fn read(
     shared: &Shared,
     site: &Site,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
     tracked: Tracked,
     arrived_at_ms: u64,
 ) -> Result<Call, Refusal> {
--- a/crates/gateway/src/request/connection.rs
+++ b/crates/gateway/src/request/connection.rs
@@ -4,11 +4,12 @@
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use http::header::{CONNECTION, HeaderValue};
+use futures::FutureExt;
+use http::header::{CONNECTION, EXPECT, HeaderValue};
 use http::{Method, Request, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
@@ -17,12 +18,14 @@
 use hyper_util::rt::TokioIo;
 use proxy::{CallerStream, Clock, RecordedStream, StreamProgress};
 use route::{Caller, Reason, Refusal};
+use tokio::io::{AsyncRead, AsyncReadExt};
 use tokio::net::TcpStream;
-use tokio::time::{Duration, sleep, sleep_until};
+use tokio::time::{Duration, sleep, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::Shared;
 use crate::request::answer::{AnswerBody, BodyError};
+use crate::request::caller_body::{CallerBody, DISCARD_TIMEOUT, MAX_DISCARDED_BYTES, discard};
 use crate::request::{forward, refusal};
 
 /// The smallest connection buffer that the HTTP library accepts.
@@ -37,6 +40,8 @@
 /// The request may still be on its way, and its first packet may have to be sent again.
 const FIRST_REQUEST_TIMEOUT_MS: u64 = 500;
 
+const DISCARD_BUFFER_BYTES: usize = 8_192;
+
 /// What has happened on a connection.
 #[derive(Debug)]
 struct Activity {
@@ -49,6 +54,8 @@
     ended_at_ms: AtomicU64,
     /// How many bytes had been read when the last request ended.
     ended_at_bytes: AtomicU64,
+    /// Whether a part of a refused request is left unread when the connection ends.
+    has_unread: AtomicBool,
 }
 
 /// What a connection is used for.
@@ -118,6 +125,7 @@
             in_flight: AtomicU32::new(0),
             ended_at_ms: AtomicU64::new(now_ms),
             ended_at_bytes: AtomicU64::new(0),
+            has_unread: AtomicBool::new(false),
         }
     }
 
@@ -220,38 +228,59 @@
         if let Some(caller) = caller {
             request.extensions_mut().insert(caller);
         }
+        let (head, body) = request.into_parts();
+        // Otherwise the caller may send no body, or one with another end.
+        let may_discard = !is_ambiguous
+            && proxy::has_unambiguous_framing(head.version, &head.headers)
+            && !head.headers.contains_key(EXPECT);
+        let (body, rest) = CallerBody::new(body);
+        let request = Request::from_parts(head, body);
         let answer = answer(Arc::clone(&shared), request, is_ambiguous);
         async move {
-            let answer = answer.await;
+            let mut answer = answer.await;
+            if let Some(rest) = rest.take()
+                && !discard_rest(rest, may_discard, &in_flight)
+            {
+                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
             Ok::<_, Infallible>(answer.map(|body| GuardedBody { body, _in_flight: in_flight }))
         }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .max_header_size(limits.max_head_bytes)
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
     loop {
         let cause = tokio::select! {
-            // How one caller's connection ends affects no other connection.
-            ended = connection.as_mut() => { drop(ended); return }
+            ended = &mut connection => {
+                if ended.is_err_and(|error| error.is_parse()) {
+                    activity.has_unread.store(true, Ordering::Relaxed);
+                }
+                break;
+            }
             () = close.cancelled() => Cause::Stop,
             () = wait_until_idle(&shared, &activity) => Cause::IdleTimeout,
         };
         let closing = activity.begin_closing(cause, limits.head_timeout_ms);
-        match wait_to_close(connection.as_mut(), &activity, closing).await {
-            Next::Drop => return,
-            Next::Finish => break,
+        match wait_to_close(&mut connection, &activity, closing).await {
+            Next::Drop => break,
+            Next::Finish => {
+                Pin::new(&mut connection).graceful_shutdown();
+                // How one caller's connection ends affects no other connection.
+                drop((&mut connection).await);
+                break;
+            }
             Next::Serve | Next::Wait { .. } => {}
         }
     }
-    connection.as_mut().graceful_shutdown();
-    drop(connection.await);
+    if activity.has_unread.load(Ordering::Relaxed) {
+        discard_unread(connection.into_parts().io.into_inner()).await;
+    }
 }
 
 async fn answer(
     shared: Arc<Shared>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
     is_ambiguous: bool,
 ) -> Response<AnswerBody> {
     if request.method() == Method::CONNECT {
@@ -267,18 +296,55 @@
     forward::answer(shared, request).await
 }
 
+/// Starts to read the rest of a refused request, so that the caller can send all of it.
+///
+/// Returns false if the rest is left unread, after which the connection can't be used further.
+fn discard_rest(rest: Incoming, may_discard: bool, in_flight: &InFlightGuard) -> bool {
+    let in_flight = InFlightGuard::new(&in_flight.0);
+    if !may_discard || rest.size_hint().lower() > MAX_DISCARDED_BYTES {
+        in_flight.0.has_unread.store(true, Ordering::Relaxed);
+        return false;
+    }
+    // It ends with the body, the connection or its timeout.
+    tokio::spawn(async move {
+        if !discard(rest).await {
+            in_flight.0.has_unread.store(true, Ordering::Relaxed);
+        }
+    });
+    true
+}
+
+/// Reads what a caller still sends on a connection that was closed for writing.
+///
+/// If a connection ends with unread bytes, the system resets it, and the caller may lose the
+/// answer.
+async fn discard_unread<S: AsyncRead + Unpin>(mut stream: S) {
+    let mut bytes = vec![0; DISCARD_BUFFER_BYTES];
+    let discarded = timeout(DISCARD_TIMEOUT, async {
+        let mut size_bytes = 0;
+        while size_bytes < MAX_DISCARDED_BYTES {
+            match stream.read(&mut bytes).await {
+                Ok(0) | Err(_) => return,
+                Ok(length) => size_bytes += u64::try_from(length).unwrap_or(u64::MAX),
+            }
+        }
+    });
+    // A caller that still sends then is cut off.
+    drop(discarded.await);
+}
+
 /// Waits for requests that have arrived on a connection, or are about to, before it is closed.
 ///
 /// The HTTP library closes a connection between two requests even if bytes of the next one have
 /// arrived.
-async fn wait_to_close<C: Future>(
-    mut connection: Pin<&mut C>,
+async fn wait_to_close<C: Future + Unpin>(
+    connection: &mut C,
     activity: &Activity,
     closing: Closing,
 ) -> Next {
     loop {
         activity.progress.set_reads_directly(true);
-        let is_pending = futures::poll!(connection.as_mut()).is_pending();
+        let is_pending = futures::poll!(&mut *connection).is_pending();
         activity.progress.set_reads_directly(false);
         if !is_pending {
             return Next::Drop;
@@ -289,7 +355,7 @@
             next => return next,
         };
         let has_ended = tokio::select! {
-            has_ended = poll_fn(|cx| match connection.as_mut().poll(cx) {
+            has_ended = poll_fn(|cx| match connection.poll_unpin(cx) {
                 Poll::Ready(_) => Poll::Ready(true),
                 Poll::Pending if activity.current_use() != current_use => Poll::Ready(false),
                 Poll::Pending => Poll::Pending,
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -4,7 +4,6 @@
 
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response};
-use hyper::body::Incoming;
 use proxy::{AdmissionError, Permit};
 use registry::Incarnation;
 use route::{
@@ -20,6 +19,7 @@
 use crate::log_sampler::is_sampled;
 use crate::request::answer::AnswerBody;
 use crate::request::call::{self, Call};
+use crate::request::caller_body::CallerBody;
 use crate::request::detour;
 use crate::request::exchange::{ExchangeResult, exchange, is_out_of_reach};
 use crate::request::in_flight::{Stage, Tracked};
@@ -47,7 +47,7 @@
 /// Answers one request of a caller.
 pub(crate) async fn answer(
     shared: Arc<Shared>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
 ) -> Response<AnswerBody> {
     let arrived_at_ms = shared.clock.now_ms();
     shared.counters.count(Counter::Requests);
@@ -128,7 +128,7 @@
 /// Reads and runs a request; returns the request, if it could be read, and the result.
 async fn forward(
     shared: &Arc<Shared>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
     tracked: Tracked,
     arrived_at_ms: u64,
 ) -> (Option<Arc<Call>>, Result<Response<AnswerBody>, Refusal>) {
@@ -144,7 +144,7 @@
 /// Reads a request, finds its route and counts its expected load.
 async fn read(
     shared: &Shared,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
     tracked: Tracked,
     arrived_at_ms: u64,
 ) -> Result<Call, Refusal> {
--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -1,8 +1,10 @@
 //! Reads the complete body of a request.
 
+use std::error::Error;
+
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use tokio::time::{Instant, timeout_at};
 
 /// Why the body of a request could not be read.
@@ -21,11 +23,11 @@
 /// # Errors
 ///
 /// Fails if the body is too long, is aborted, or is not complete at the deadline.
-pub async fn read_body(
-    body: Incoming,
-    max_bytes: usize,
-    deadline: Instant,
-) -> Result<Bytes, BodyError> {
+pub async fn read_body<B>(body: B, max_bytes: usize, deadline: Instant) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
