Bound the numbers and names of servers' entries

Callers saw: another writer's entry with `WarmupLeft` of 18446744073709551615ms ended the control task of every daemon that read it. The processes went on with the servers known until then: an added server got no request, and draining ones went on getting them. Cause: the adapter added the time to the clock without a check (panic in a debug build, wrap in a release build), and a relayed entry was added the same way. Other numbers were accepted although no server can have them: port 0, a `born` or `Seq` at the end of u64, after which no later report counts, and four billion slots, which draw all requests. Change: `Registration::check` in the registry holds the bounds, also for entries that daemons relay to each other.

--- a/crates/gateway/src/control/server_entries.rs
+++ b/crates/gateway/src/control/server_entries.rs
@@ -1,5 +1,7 @@
 //! Handles the servers' entries.
 
+use std::fmt::Display;
+
 use document::{Name, Revision};
 use registry::{Change, Registration};
 use shard::Event;
@@ -47,11 +49,14 @@
         };
         match self.source.read_server(EntryText { server: name, text, now_ms }) {
             Ok(registration) => self.put_server(now_ms, registration, entry.revision),
-            Err(cause) => {
-                if self.unreadable.insert(Name::from(name)) {
-                    spdlog::warn!("server's entry cannot be used", kv: { server = name, cause: });
-                }
-            }
+            Err(cause) => self.on_unusable_entry(name, &cause),
+        }
+    }
+
+    /// Logs an entry that describes no usable server, once for each name.
+    pub(crate) fn on_unusable_entry(&mut self, name: &str, cause: &impl Display) {
+        if self.unreadable.insert(Name::from(name)) {
+            spdlog::warn!("server's entry cannot be used", kv: { server = name, cause: = cause });
         }
     }
 
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -7,6 +7,7 @@
 //!   incarnations, and what the earlier one held is lost.
 //! - A [`Registration`] is what an incarnation reports: its service, address, capacity and
 //!   [`Stage`].
+//!   [`Registration::check`] tells whether it describes a usable server, or which [`Field`] does not.
 //! - A [`Registry`] keeps the latest registration of each server name. Methods that update it
 //!   return a [`Change`], from which the caller sees whether servers have to be chosen anew.
 //!
@@ -31,8 +32,10 @@
 //! assert!(registry.accepts_new_work(&incarnation));
 //! ```
 
+mod bounds;
 mod incarnation;
 mod registry;
 
+pub use bounds::{Field, Unusable};
 pub use incarnation::{Incarnation, Registration, Stage};
 pub use registry::{Change, Registry};
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -126,9 +126,10 @@
         self.grace_deadline_ms = now_ms + RELISTING_GRACE_MS;
     }
 
-    /// Extends the grace period so that at least `left_ms` of it are left.
+    /// Extends the grace period so that at least `left_ms` of it are left, at most all of it.
     pub fn extend_grace(&mut self, now_ms: u64, left_ms: u64) {
-        self.grace_deadline_ms = self.grace_deadline_ms.max(now_ms + left_ms);
+        self.grace_deadline_ms =
+            self.grace_deadline_ms.max(now_ms + left_ms.min(RELISTING_GRACE_MS));
     }
 
     /// Returns how much of the grace period for missing entries is left.
@@ -302,5 +303,5 @@
     Registration { warm_at_ms: 0, heartbeat: 0, ..known.clone() }
         == Registration { warm_at_ms: 0, heartbeat: 0, ..new.clone() }
         && is_cold(known) == is_cold(new)
-        && !(is_cold(new) && new.warm_at_ms >= known.warm_at_ms + MIN_PROLONGATION_MS)
+        && !(is_cold(new) && new.warm_at_ms >= known.warm_at_ms.saturating_add(MIN_PROLONGATION_MS))
 }
