Stop the process when a task ends that it cannot do without

Callers saw: after the control task had panicked, the daemon stayed ready and went on with the servers, owners and document known until then, for as long as the process ran. Cause: the control task, the followers of the store, the registration and the listeners were started without anyone waiting for them, so a panic was only a text on standard error. The same holds for the thread of the callers, whose end nobody noticed before a stop signal. Change: `EssentialTasks` starts them and waits for the first that ends. An entry that makes the parser panic each time would end the process each time; the tests of odd entries guard against that.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::control::follow::{DAEMONS_PREFIX, DaemonEntry, FLEET_PREFIX, Follower, register};
 use crate::control::input::{Input, Topic};
 use crate::control::node::{Node, NodeParts};
+use crate::essential_tasks::EssentialTasks;
 use crate::request::front::{self, StopSignals};
 use crate::{Dialect, Orders, Settings, Shared, Source, status};
 
@@ -90,7 +91,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when an address cannot be bound or a thread cannot be started.
+    /// Fails when an address cannot be bound or a thread cannot be started. Fails after a graceful
+    /// stop when a task or thread has ended that the process cannot do without.
     pub fn run(self) -> Result<(), Report<RunError>> {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
@@ -114,16 +116,19 @@
         let ready = bind(settings.listen.ready).await?;
         let admin = bind(settings.listen.admin).await?;
         let peer = bind(settings.listen.peer).await?;
-        tokio::spawn(status::serve_readiness(Arc::clone(&shared), ready, end.clone()));
-        tokio::spawn(status::serve_admin(Arc::clone(&shared), inputs.clone(), admin, end.clone()));
-        tokio::spawn(receive_frames(peer, inputs.clone()));
+        let mut tasks = EssentialTasks::default();
+        tasks.spawn("readiness", status::serve_readiness(Arc::clone(&shared), ready, end.clone()));
+        let administrators =
+            status::serve_admin(Arc::clone(&shared), inputs.clone(), admin, end.clone());
+        tasks.spawn("administrators", administrators);
+        tasks.spawn("messages", receive_frames(peer, inputs.clone()));
         let stop = StopSignals::default();
-        let traffic = start_traffic(&shared, settings.listen.front, stop.clone())?;
+        let mut traffic = start_traffic(&shared, settings.listen.front, stop.clone())?;
         spdlog::info!("started", kv: { instance = settings.instance.as_str(), front: = settings.listen.front });
         let (needs_entries, are_entries_needed) = watch::channel(false);
         let (needs_fleet, is_fleet_needed) = watch::channel(true);
         let needed = Needed { entries: are_entries_needed, fleet: is_fleet_needed };
-        let call_restarts = follow_store(&ports, &settings, &shared, &inputs, &needed);
+        let call_restarts = follow_store(&mut tasks, &ports, &settings, &shared, &inputs, &needed);
         let resign = CancellationToken::new();
         let store = ports.store.clone();
         let mut node = Node::new(NodeParts {
@@ -138,8 +143,15 @@
             needs_fleet,
         });
         let resign_requested = resign.clone();
-        tokio::spawn(async move { node.run(queue, resign_requested).await });
-        wait_for_stop(settings_path, &inputs).await.change_context(RunError)?;
+        tasks.spawn("control", async move { node.run(queue, resign_requested).await });
+        let result = tokio::select! {
+            stopped = wait_for_stop(settings_path, &inputs) => stopped.change_context(RunError),
+            () = tasks.ended() => Err(Report::new(RunError).attach("a task ended")),
+            _ = &mut traffic => {
+                spdlog::error!("traffic thread ended, stopping the process");
+                return Err(Report::new(RunError).attach("the traffic thread ended"));
+            }
+        };
         spdlog::info!("stopping", kv: { instance = settings.instance.as_str() });
         shared.set_stopping();
         resign.cancel();
@@ -149,7 +161,7 @@
         end.cancel();
         spdlog::info!("stopped", kv: { instance = settings.instance.as_str() });
         spdlog::default_logger().flush();
-        Ok(())
+        result
     }
 }
 
@@ -195,6 +207,7 @@
 /// Starts the tasks that watch the store; changing the returned sender's value restarts waiting
 /// calls.
 fn follow_store<S: Store, O: Orders, R: Source>(
+    tasks: &mut EssentialTasks,
     ports: &Ports<S, O, R>,
     settings: &Settings,
     shared: &Arc<Shared>,
@@ -205,6 +218,7 @@
     let always = watch::channel(true).1;
     let topics = [
         (
+            "operators",
             Topic::Operators,
             ports.source.operators_prefix(),
             MIN_SITE_INTERVAL_MS,
@@ -212,15 +226,23 @@
             &always,
         ),
         (
+            "servers",
             Topic::Servers,
             ports.source.servers_prefix(),
             MIN_SERVERS_INTERVAL_MS,
             SERVERS_WATCH_TIMEOUT_MS,
             &needed.entries,
         ),
-        (Topic::Fleet, FLEET_PREFIX, MIN_FLEET_INTERVAL_MS, WATCH_TIMEOUT_MS, &needed.fleet),
+        (
+            "fleet",
+            Topic::Fleet,
+            FLEET_PREFIX,
+            MIN_FLEET_INTERVAL_MS,
+            WATCH_TIMEOUT_MS,
+            &needed.fleet,
+        ),
     ];
-    for (topic, prefix, min_interval_ms, watch_timeout_ms, is_needed) in topics {
+    for (task, topic, prefix, min_interval_ms, watch_timeout_ms, is_needed) in topics {
         let follower = Follower {
             store: ports.store.clone(),
             topic,
@@ -232,7 +254,7 @@
             restarts: restarts.clone(),
             is_needed: is_needed.clone(),
         };
-        tokio::spawn(follower.run());
+        tasks.spawn(task, follower.run());
     }
     let entry = DaemonEntry {
         address: settings.listen.peer,
@@ -242,14 +264,9 @@
     };
     let key = format!("{DAEMONS_PREFIX}{}", settings.instance);
     let counters = Arc::clone(&shared.counters);
-    tokio::spawn(register(
-        ports.store.clone(),
-        key,
-        entry,
-        counters,
-        inputs.clone(),
-        needed.entries.clone(),
-    ));
+    let (store, inputs) = (ports.store.clone(), inputs.clone());
+    let registration = register(store, key, entry, counters, inputs, needed.entries.clone());
+    tasks.spawn("registration", registration);
     call_restarts
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,7 +24,7 @@
 //!
 //! # Modules
 //!
-//! - Process: `gateway` starts and stops it, `shared` is what its threads share, and `status`
+//! - Process: `gateway` starts and stops it, `essential_tasks` notices when one of its tasks ends, `shared` is what its threads share, and `status`
 //!   answers the platform's readiness checks and administrators.
 //! - `request`, the path of a request: `front` serves callers' connections, `call` reads a request,
 //!   `in_flight` knows what each request waits for, `forward` finds a server and retries, `exchange` sends one attempt to a server, and `detour`
@@ -41,6 +41,7 @@
 
 mod clock;
 mod control;
+mod essential_tasks;
 mod gateway;
 mod leader;
 mod log_sampler;
--- /dev/null
+++ b/crates/gateway/tests/ended_tasks.rs
@@ -0,0 +1,94 @@
+//! Guards against a process that goes on without its control task, with what it knew until then.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::mpsc;
+use std::time::Duration;
+
+use document::Name;
+use gateway::{Dialect, EntryText, Gateway, Orders, Ports, Settings, Source, Unreadable};
+use http::HeaderName;
+use registry::Registration;
+use shard::{OrderKind, Reply};
+use site::Site;
+use store::{Expect, MemoryStore, Store};
+
+#[derive(Clone)]
+struct NoOrders;
+
+impl Orders for NoOrders {
+    async fn send(&self, _: SocketAddr, _: &Name, _: &OrderKind, _: u64) -> Reply {
+        Reply::NotSent
+    }
+}
+
+/// A parser with a bug that some entry shows.
+#[derive(Clone)]
+struct FaultySource;
+
+impl Source for FaultySource {
+    fn site_key(&self) -> &'static str {
+        "op/config"
+    }
+
+    fn operators_prefix(&self) -> &'static str {
+        "op/"
+    }
+
+    fn evacuations_prefix(&self) -> &'static str {
+        "op/evacuate/"
+    }
+
+    fn servers_prefix(&self) -> &'static str {
+        "servers/"
+    }
+
+    fn read_site(&self, _: &str) -> Result<Site, Unreadable> {
+        Err(Unreadable("no document".into()))
+    }
+
+    fn read_server(&self, entry: EntryText<'_>) -> Result<Registration, Unreadable> {
+        panic!("bug in the parser of {}", entry.server)
+    }
+}
+
+fn dialect() -> Dialect {
+    let header = HeaderName::from_static;
+    Dialect {
+        request_id: header("request-id"),
+        time_left_ms: header("time-left"),
+        expected_server: header("expected-server"),
+        not_run: header("not-run"),
+        leaving: header("leaving"),
+        rate_limit: header("rate-limit"),
+        cold_ms: header("cold"),
+        load: header("load"),
+        signature: header("signature"),
+        key: header("key"),
+    }
+}
+
+fn settings() -> Settings {
+    let listeners: [TcpListener; 4] =
+        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").unwrap());
+    let [front, ready, peer, admin] =
+        listeners.each_ref().map(|listener| listener.local_addr().unwrap());
+    let text = format!(
+        "[instance]\nname = edge-1\ndata_centre = a\n[store]\naddress = 127.0.0.1:1\n\
+         [listen]\nfront = {front}\nready = {ready}\npeer = {peer}\nadmin = {admin}\n\
+         [stop]\ngrace = 1s\n"
+    );
+    Settings::from_ini("test.ini", &text).unwrap()
+}
+
+#[test]
+fn process_stops_with_an_error_when_the_control_task_panics() {
+    let store = MemoryStore::default();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(store.write("servers/i-1", Expect::Anything, "{}", None)).unwrap();
+    let ports = Ports { store, orders: NoOrders, source: FaultySource, dialect: dialect() };
+    let gateway = Gateway::new(settings(), "test.ini".into(), ports);
+    let (ended, result) = mpsc::channel();
+    std::thread::spawn(move || ended.send(gateway.run().is_err()));
+    // The wait for a reader of the group, the read of the list, and the grace period.
+    assert_eq!(result.recv_timeout(Duration::from_secs(10)), Ok(true));
+}
