Drop a server whose entry another writer has replaced

A daemon went on sending requests to a server that had ended, for as long as another writer's unreadable entry stood under its name, and the address may belong to another server by then. Cause: such an entry kept what was known of the server, and as the list still named it, nothing removed it. Change: the server counts as missing at once: a pool leaves it out, unless most servers are missing. It is dropped after 2.2 s, in which a running server writes its entry again, so one odd write does not cost its keys. `verbena_unusable_entries_total` counts such entries; the names that were logged are forgotten when the list no longer has them. Daemons of the group are told as of a removed entry.

--- a/crates/gateway/src/control/node.rs
+++ b/crates/gateway/src/control/node.rs
@@ -62,8 +62,8 @@
     pub(crate) evacuations: Evacuations,
     /// When servers of an evacuated data centre close next, by the clock of requests.
     pub(crate) next_close_at_ms: Option<u64>,
-    /// Servers whose entries were invalid; each is logged once.
-    pub(crate) unreadable: HashSet<Name>,
+    /// The names of listed entries that described no usable server; each is logged once.
+    pub(crate) unusable: HashSet<Name>,
     pub(crate) daemons: BTreeMap<Name, DaemonEntry>,
     /// The entries of daemons and of their leader, with those that were removed.
     pub(crate) fleet_entries: BTreeMap<Name, FleetEntry>,
@@ -165,7 +165,7 @@
             registry: Registry::default(),
             evacuations: Evacuations::default(),
             next_close_at_ms: None,
-            unreadable: HashSet::default(),
+            unusable: HashSet::default(),
             daemons: BTreeMap::new(),
             fleet_entries: BTreeMap::new(),
             fleet_revision: Revision(0),
--- a/crates/gateway/src/control/relay_messages.rs
+++ b/crates/gateway/src/control/relay_messages.rs
@@ -182,7 +182,9 @@
             // A reader of an earlier version does not check the entries that it relays.
             match listed.check(now_ms) {
                 Ok(()) => self.put_server(now_ms, listed, revision),
-                Err(cause) => self.on_unusable_entry(&listed.incarnation.server, &cause),
+                Err(cause) => {
+                    self.on_unusable_entry(now_ms, &listed.incarnation.server, revision, &cause)
+                }
             }
         }
         for name in servers.gone {
--- a/crates/gateway/src/control/server_entries.rs
+++ b/crates/gateway/src/control/server_entries.rs
@@ -2,10 +2,11 @@
 
 use std::fmt::Display;
 
-use document::{Name, Revision};
+use document::{HashSet, Name, Revision};
 use registry::{Change, Registration};
 use shard::Event;
 use store::{Entry, Store};
+use telemetry::Counter;
 
 use crate::control::input::ReadPosition;
 use crate::control::node::Node;
@@ -21,6 +22,9 @@
             .filter_map(|entry| entry.key.strip_prefix(prefix).map(Name::from))
             .collect();
         self.keep_only_listed(self.clock.now_ms(), &names, read.revision);
+        // Another writer may leave any number of names in the course of time.
+        let listed: HashSet<&Name> = names.iter().collect();
+        self.unusable.retain(|name| listed.contains(name));
     }
 
     /// Handles entries that this daemon read from the store and relays the changes to the group.
@@ -44,19 +48,31 @@
         let now_ms = self.clock.now_ms();
         let Some(name) = entry.key.strip_prefix(self.source.servers_prefix()) else { return };
         let Some(text) = entry.text.as_deref() else {
+            self.unusable.remove(name);
             self.remove_server(now_ms, name, entry.revision);
             return;
         };
         match self.source.read_server(EntryText { server: name, text, now_ms }) {
             Ok(registration) => self.put_server(now_ms, registration, entry.revision),
-            Err(cause) => self.on_unusable_entry(name, &cause),
+            Err(cause) => self.on_unusable_entry(now_ms, name, entry.revision, &cause),
         }
     }
 
-    /// Logs an entry that describes no usable server, once for each name.
-    pub(crate) fn on_unusable_entry(&mut self, name: &str, cause: &impl Display) {
-        if self.unreadable.insert(Name::from(name)) {
-            spdlog::warn!("server's entry cannot be used", kv: { server = name, cause: = cause });
+    /// Handles an entry that describes no usable server: one that is known under its name gets no new
+    /// work, and is gone unless a usable entry follows. Logs the entry once for each name.
+    pub(crate) fn on_unusable_entry(
+        &mut self,
+        now_ms: u64,
+        name: &str,
+        revision: Revision,
+        cause: &impl Display,
+    ) {
+        self.shared.counters.count(Counter::UnusableEntries);
+        if self.unusable.insert(Name::from(name)) {
+            spdlog::warn!("server's entry cannot be used", kv: { server = name, revision = revision.0, cause: = cause });
+        }
+        if self.registry.on_unusable_entry(now_ms, name) == Change::Server {
+            self.on_server_gone(Name::from(name), revision);
         }
     }
 
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -121,6 +121,21 @@
         Change::Server
     }
 
+    /// Handles an entry that describes no usable server.
+    ///
+    /// The server that is known under the name counts as missing. A running server writes its entry
+    /// again well within the grace period, as after an outage of the list; after that it is dropped,
+    /// although the list still names it.
+    pub fn on_unusable_entry(&mut self, now_ms: u64, name: &str) -> Change {
+        let Some(entry) = self.entries.get_mut(name) else { return Change::Nothing };
+        if entry.drop_at_ms.is_some() {
+            return Change::Nothing;
+        }
+        entry.drop_at_ms = Some(now_ms + RELISTING_GRACE_MS);
+        self.version += 1;
+        Change::Server
+    }
+
     /// Starts the grace period for missing entries, as the list is available again.
     pub fn on_list_restored(&mut self, now_ms: u64) {
         self.grace_deadline_ms = now_ms + RELISTING_GRACE_MS;
--- a/crates/registry/tests/lives.rs
+++ b/crates/registry/tests/lives.rs
@@ -101,6 +101,40 @@
     assert_eq!(registry.usable("ledger").count(), 3);
 }
 
+/// Guards against work for a server that has left, whose entry another writer has replaced for good.
+#[test]
+fn server_with_unusable_entry_is_missing_and_then_gone() {
+    let mut registry = Registry::default();
+    for name in ["a", "b", "c"] {
+        let incarnation = Incarnation { server: name.into(), born_ms: 1 };
+        registry.put(0, name, Registration { incarnation, ..registration(1, 5, Stage::Ready) });
+    }
+    assert_eq!(registry.on_unusable_entry(1_000, "d"), Change::Nothing);
+    assert_eq!(registry.on_unusable_entry(1_000, "b"), Change::Server);
+    assert_eq!(registry.on_unusable_entry(1_500, "b"), Change::Nothing);
+    let usable = |registry: &Registry| -> Vec<String> {
+        registry.usable("ledger").map(|s| s.incarnation.server.to_string()).collect()
+    };
+    assert_eq!(usable(&registry), ["a", "c"]);
+    // The list still names the entry.
+    assert_eq!(registry.keep_only(2_000, &["a", "b", "c"].map(Name::from)), [] as [Name; 0]);
+    assert_eq!(registry.expire(3_199), Change::Nothing);
+    assert_eq!(registry.expire(3_200), Change::Server);
+    assert_eq!(registry.len(), 2);
+}
+
+/// Guards against the loss of a running server whose entry another writer has replaced once.
+#[test]
+fn usable_entry_brings_a_server_back() {
+    let mut registry = Registry::default();
+    registry.put(0, "s", registration(1, 5, Stage::Ready));
+    registry.on_unusable_entry(1_000, "s");
+    assert!(registry.accepts_new_work(&incarnation(1)), "its keys stay until it is gone");
+    assert_eq!(registry.put(1_600, "s", registration(1, 6, Stage::Ready)), Change::Server);
+    assert_eq!(registry.expire(60_000), Change::Nothing);
+    assert_eq!(registry.usable("ledger").count(), 1);
+}
+
 #[test]
 fn last_report_has_latest_heartbeat() {
     let mut registry = Registry::default();
--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -59,13 +59,15 @@
     ColdTurnsRefused,
     /// Answers whose reported load could not be read.
     MalformedLoads,
+    /// Servers' entries that were read or relayed and describe no usable server.
+    UnusableEntries,
 }
 
 /// All counters with their metric names and descriptions.
 ///
 /// Every variant must be listed: the length is also that of [`Counters`], which is indexed by
 /// the variants.
-const COUNTERS: [(Counter, &str, &str); 27] = [
+const COUNTERS: [(Counter, &str, &str); 28] = [
     (Counter::Requests, "verbena_requests", "requests that arrived"),
     (Counter::Answered, "verbena_answered", "requests that a server answered"),
     (Counter::RefusedNotRun, "verbena_refused_not_run", "requests that certainly did not run"),
@@ -97,6 +99,7 @@
         "requests without a turn at a cold server",
     ),
     (Counter::MalformedLoads, "verbena_malformed_loads", "reported loads that were not readable"),
+    (Counter::UnusableEntries, "verbena_unusable_entries", "servers' entries that were not usable"),
 ];
 
 /// The counter values of one daemon.
