--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -121,14 +121,30 @@
         Change::Server
     }
 
+    /// Handles an entry that describes no usable server.
+    ///
+    /// The server that is known under the name counts as missing. A running server writes its entry
+    /// again well within the grace period, as after an outage of the list; after that it is dropped,
+    /// although the list still names it.
+    pub fn on_unusable_entry(&mut self, now_ms: u64, name: &str) -> Change {
+        let Some(entry) = self.entries.get_mut(name) else { return Change::Nothing };
+        if entry.drop_at_ms.is_some() {
+            return Change::Nothing;
+        }
+        entry.drop_at_ms = Some(now_ms + RELISTING_GRACE_MS);
+        self.version += 1;
+        Change::Server
+    }
+
     /// Starts the grace period for missing entries, as the list is available again.
     pub fn on_list_restored(&mut self, now_ms: u64) {
         self.grace_deadline_ms = now_ms + RELISTING_GRACE_MS;
     }
 
-    /// Extends the grace period so that at least `left_ms` of it are left.
+    /// Extends the grace period so that at least `left_ms` of it are left, at most all of it.
     pub fn extend_grace(&mut self, now_ms: u64, left_ms: u64) {
-        self.grace_deadline_ms = self.grace_deadline_ms.max(now_ms + left_ms);
+        self.grace_deadline_ms =
+            self.grace_deadline_ms.max(now_ms + left_ms.min(RELISTING_GRACE_MS));
     }
 
     /// Returns how much of the grace period for missing entries is left.
@@ -302,5 +318,5 @@
     Registration { warm_at_ms: 0, heartbeat: 0, ..known.clone() }
         == Registration { warm_at_ms: 0, heartbeat: 0, ..new.clone() }
         && is_cold(known) == is_cold(new)
-        && !(is_cold(new) && new.warm_at_ms >= known.warm_at_ms + MIN_PROLONGATION_MS)
+        && !(is_cold(new) && new.warm_at_ms >= known.warm_at_ms.saturating_add(MIN_PROLONGATION_MS))
 }
