Close the connection to a server after a refusal in verbenad

Callers saw a request that is not idempotent run twice, or would get 503 "not-run" for one that ran: a server that refused with an empty body kept its connection, the retry went out on it, and the refusal written once more counted as the refusal of the retry while the server ran it.

Cause: the connection went back to the pool as soon as the body had ended, before the answer was recognized as a refusal.

With the connection closed, nothing that the server writes after the refusal is read.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -314,18 +314,20 @@
         Err(_elapsed) => return AttemptResult::Failed(Failure::TimedOut),
     };
     let (mut head, body) = response.into_parts();
-    let resources =
-        AnswerResources { link, upstream: Arc::clone(&target.server), permit, in_flight };
-    let counters = Arc::clone(&traffic.counters);
-    let body = AnswerBody::forwarded(body, traffic.limits.progress_timeout_ms, counters, resources);
     if let Some(failure) = to_failure(&head) {
         if failure == Failure::Shed
             && let Some(for_ms) = retry_after_ms(&head.headers, SystemTime::now())
         {
             target.server.pause(for_ms);
         }
+        // Returning closes the connection: a faulty server may write the refusal once more, which
+        // would then count as the answer to the next request.
         return AttemptResult::Failed(failure);
     }
+    let resources =
+        AnswerResources { link, upstream: Arc::clone(&target.server), permit, in_flight };
+    let counters = Arc::clone(&traffic.counters);
+    let body = AnswerBody::forwarded(body, traffic.limits.progress_timeout_ms, counters, resources);
     target.server.on_answer(elapsed_ms(started));
     head::strip_headers(&mut head.headers);
     AttemptResult::Answered(Response::from_parts(head, body))
