Retry a refused request on a new connection to the same server

Callers got 503 "not-run" for requests that are not idempotent and that a server ran, or such a request ran twice: the server refused the first attempt, got the retry on a connection that had been kept, wrote the refusal once more there and ran the retry. Both attempts have the request's id, so the comparison of ids could not tell.

Cause: a retry takes any kept connection. A refusal on the same connection was no way to this: that connection was closed already, which refusal_that_is_repeated_on_its_own_connection and refusal_that_is_repeated_without_a_request show on the old code too (2 of 2 runs).

refusal_that_is_repeated_on_another_connection, refusals_through_another_daemon and refusal_that_another_daemon_got_before failed in the run on the old code (503, ran once or twice) and passed 2 of 2 with the change. A server can repeat a refusal only on connections that it has already, so a connection opened for the retry carries none.

--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -13,7 +13,8 @@
 use site::{Route, Site};
 
 use crate::Shared;
-use crate::request::detour::RELAYED;
+use crate::request::detour::earlier_refusals;
+use crate::request::earlier_refusals::EarlierRefusals;
 use crate::request::in_flight::Tracked;
 use crate::request::report::RouteState;
 
@@ -30,6 +31,8 @@
     pub(crate) service: Name,
     /// Whether another daemon passed the request on.
     pub(crate) is_relayed: bool,
+    /// The servers that refused earlier attempts.
+    pub(crate) refusals: EarlierRefusals,
     /// Who sent the request; `None` if another daemon passed it on.
     pub(crate) caller: Option<Caller>,
     /// What the request waits for.
@@ -98,7 +101,8 @@
     let picked = route.pick_service(rand::random()).cloned();
     let service = picked.ok_or(Refusal::not_run(Reason::NoRoute))?;
     let caller_deadline_ms = arrived_at_ms.saturating_add(time_left_ms);
-    let is_relayed = head.headers.contains_key(RELAYED);
+    let refusals = earlier_refusals(&head.headers);
+    let is_relayed = refusals.is_some();
     let caller = head.extensions.get().copied().filter(|_| !is_relayed);
     proxy::strip_request_headers(&mut head.headers);
     let deadline = shared.clock.to_instant(deadline_ms);
@@ -121,6 +125,7 @@
         route_state,
         service,
         is_relayed,
+        refusals: refusals.unwrap_or_default(),
         caller,
         tracked: Arc::new(tracked),
         arrived_at_ms,
--- a/crates/gateway/src/request/detour.rs
+++ b/crates/gateway/src/request/detour.rs
@@ -24,11 +24,14 @@
 use crate::log_sampler::is_sampled;
 use crate::request::answer::AnswerBody;
 use crate::request::call::Call;
+use crate::request::earlier_refusals::EarlierRefusals;
 use crate::request::exchange::{ExchangeResult, check_answer, check_id, receive, to_request};
 use crate::request::in_flight::Stage;
 
 /// The header of a request that another daemon has passed on.
-pub(crate) const RELAYED: HeaderName = HeaderName::from_static("verbena-relayed");
+const RELAYED: HeaderName = HeaderName::from_static("verbena-relayed");
+/// The value of this header if a server may have refused the request before.
+const REFUSED_BEFORE: &str = "refused-before";
 /// The header of a refusal of such a request, with the reason.
 pub(crate) const REASON: HeaderName = HeaderName::from_static("verbena-reason");
 
@@ -154,6 +157,7 @@
     };
     let (head, body) = response.into_parts();
     if head.headers.contains_key(REASON) {
+        call.refusals.add_unknown();
         return on_refusal(peer, &head);
     }
     let checked = check_id(shared, call, &head).and_then(|()| check_answer(shared, &head));
@@ -188,10 +192,22 @@
 
 fn to_relayed_request(shared: &Shared, call: &Call) -> Option<Request<Full<bytes::Bytes>>> {
     let mut request = to_request(shared, call)?;
-    request.headers_mut().insert(RELAYED, HeaderValue::from_static("1"));
+    let is_first = call.refusals.is_empty();
+    let value = HeaderValue::from_static(if is_first { "1" } else { REFUSED_BEFORE });
+    request.headers_mut().insert(RELAYED, value);
     Some(request)
 }
 
+/// Returns the servers that may have refused a request; `None` if no daemon passed it on.
+pub(crate) fn earlier_refusals(headers: &HeaderMap) -> Option<EarlierRefusals> {
+    let value = headers.get(RELAYED)?;
+    let refusals = EarlierRefusals::default();
+    if value == REFUSED_BEFORE {
+        refusals.add_unknown();
+    }
+    Some(refusals)
+}
+
 /// Adds the reason of a refusal for the daemon that passed the request on.
 pub(crate) fn add_reason(response: &mut Response<AnswerBody>, reason: Reason) {
     response.headers_mut().insert(REASON, HeaderValue::from_static(reason.as_str()));
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -96,6 +96,9 @@
         shared.reach().on_lost(&server.registration.incarnation);
     }
     on_failure(&shared, &server, &call, failure, started_at);
+    if matches!(failure, Failure::Shed | Failure::Fenced) {
+        call.refusals.add(&server.registration.incarnation);
+    }
     if failure == Failure::NotSent {
         return exchange_elsewhere(&shared, &call, deadline).await;
     }
@@ -129,7 +132,7 @@
     deadline: Instant,
 ) -> Result<Response<AnswerBody>, Failure> {
     let connect_deadline = deadline.min(Instant::now() + Duration::from_millis(CONNECT_TIMEOUT_MS));
-    let mut link = match timeout_at(connect_deadline, server.upstream.connect()).await {
+    let mut link = match timeout_at(connect_deadline, connect(server, call)).await {
         Ok(Ok(link)) => link,
         Ok(Err(error)) => {
             server.start_slowly();
@@ -173,6 +176,17 @@
     receive(&server.upstream, head, body, (link, permit, deadline)).await
 }
 
+/// Returns a connection for an attempt, a new one if an earlier refusal may arrive on a kept one.
+///
+/// That an idempotent request is refused although it runs breaks no promise to the caller.
+async fn connect(server: &Server, call: &Call) -> std::io::Result<Link> {
+    let may_repeat = call.refusals.may_include(&server.registration.incarnation);
+    if may_repeat && !call.is_idempotent() {
+        return server.upstream.connect_anew().await;
+    }
+    server.upstream.connect().await
+}
+
 /// Returns whether a server reset a connection because it was full.
 ///
 /// The loss of a connection that was idle for long has other causes. Before a server reset a kept
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod answer;
 pub(crate) mod call;
 pub(crate) mod detour;
+pub(crate) mod earlier_refusals;
 pub(crate) mod exchange;
 pub(crate) mod forward;
 pub(crate) mod front;
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -180,6 +180,15 @@
                 return Ok(link);
             }
         }
+        self.connect_anew().await
+    }
+
+    /// Opens a new connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the server does not accept a connection.
+    pub async fn connect_anew(&self) -> std::io::Result<Link> {
         Link::open(self.server.address).await
     }
 
