Do not believe answers with several ids

Callers got 503 "not-run" for a request that is not idempotent and that the server ran, and the daemon sent it again, so that it ran twice: the server wrote a refusal with the id of the request and another one.

Cause: only the first id of an answer was compared. Several ids are the mark of an answer that broke off in its head and went on with the head of another one.

--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -233,8 +233,11 @@
 
 /// Checks that an answer is to this request: the server may have answered an earlier one on the
 /// connection a second time.
+///
+/// A head with several ids consists of the heads of several answers, the first of which broke off.
 pub(crate) fn check_id(shared: &Shared, call: &Call, head: &Parts) -> Result<(), Failure> {
-    let is_own = head.headers.get(&shared.dialect.request_id) == Some(&call.id);
+    let mut ids = head.headers.get_all(&shared.dialect.request_id).iter();
+    let is_own = ids.next() == Some(&call.id) && ids.next().is_none();
     if is_own { Ok(()) } else { Err(Failure::Broken) }
 }
 
