Believe refusals only with the statuses of refusals

Callers got 503 "not-run" for a request that is not idempotent and that the server ran, and it ran twice: the server's answer had status 200 and a header that says that the request has not run.

Cause: that header was believed with any status. Such an answer contradicts itself, so its head is damaged, and the request may have run. An answer with several signatures is not believed either.

--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -346,9 +346,11 @@
         return Err(Failure::Fenced);
     }
     if is_not_run {
-        return Err(Failure::Shed);
+        // No other status may mean that the request did not run, so such a head is damaged.
+        let is_refusal = matches!(head.status.as_u16(), 400 | 408 | 429 | 503);
+        return Err(if is_refusal { Failure::Shed } else { Failure::Broken });
     }
-    let is_signed = head.headers.contains_key(&dialect.signature);
+    let is_signed = head.headers.get_all(&dialect.signature).iter().count() == 1;
     let is_encoded = head.headers.contains_key(CONTENT_ENCODING);
     if head.status.is_success() && (!is_signed || is_encoded) {
         return Err(Failure::Broken);
