Check that a daemon's refusal belongs to the request that was passed on

Callers got 503 "not-run" for a request that another daemon had been sent and may have run: a refusal on that connection counted whichever request it named, and with any status but 502 and 504.

Cause: refusals of other daemons were recognized by their header alone, before the id of the answer was compared; they had no id. They now have the request's. For daemons of an earlier version one without an id counts on a new connection, and requests that are not idempotent are passed on over new connections, where no earlier answer can arrive.

--- a/crates/gateway/src/request/detour.rs
+++ b/crates/gateway/src/request/detour.rs
@@ -14,7 +14,7 @@
 use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
-use proxy::{Clock, Upstream, retry_after_ms};
+use proxy::{Clock, Link, Upstream, retry_after_ms};
 use rand::seq::SliceRandom;
 use route::{Failure, Reason, ServerState as _};
 use telemetry::Counter;
@@ -133,7 +133,7 @@
     };
     call.tracked.wait_for(Stage::Daemon(peer.name.clone()));
     let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-    let Ok(Ok(mut link)) = timeout_at(connect_deadline, peer.upstream.connect()).await else {
+    let Ok(Ok(mut link)) = timeout_at(connect_deadline, connect(peer, call)).await else {
         peer.upstream.on_connection_loss();
         return Relayed::NotRun { retry_after_ms: None };
     };
@@ -158,6 +158,9 @@
     let (head, body) = response.into_parts();
     if head.headers.contains_key(REASON) {
         call.refusals.add_unknown();
+        if !is_own_refusal(shared, call, &head, link.is_fresh()) {
+            return Relayed::Ended(ExchangeResult::NoAnswer(Failure::Broken));
+        }
         return on_refusal(peer, &head);
     }
     let checked = check_id(shared, call, &head).and_then(|()| check_answer(shared, &head));
@@ -174,9 +177,30 @@
     })
 }
 
+/// Returns a connection to another daemon, a new one unless the request may run twice.
+///
+/// Daemons of an earlier version name no request in their refusals.
+async fn connect(peer: &Peer, call: &Call) -> std::io::Result<Link> {
+    if call.is_idempotent() {
+        peer.upstream.connect().await
+    } else {
+        peer.upstream.connect_anew().await
+    }
+}
+
+/// Returns whether a refusal of another daemon is the answer to this request.
+///
+/// On a connection that carried no other request it may come without an id.
+fn is_own_refusal(shared: &Shared, call: &Call, head: &Parts, is_fresh: bool) -> bool {
+    let has_id = head.headers.contains_key(&shared.dialect.request_id);
+    if has_id { check_id(shared, call, head).is_ok() } else { is_fresh }
+}
+
 /// Handles an answer that the other daemon gave itself.
 fn on_refusal(peer: &Peer, head: &Parts) -> Relayed {
-    if matches!(head.status, StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT) {
+    let is_not_run =
+        head.status.is_client_error() || head.status == StatusCode::SERVICE_UNAVAILABLE;
+    if !is_not_run {
         return Relayed::Ended(ExchangeResult::NoAnswer(Failure::Broken));
     }
     if is_reason(&head.headers, Reason::Unreachable) {
@@ -208,9 +232,16 @@
     Some(refusals)
 }
 
-/// Adds the reason of a refusal for the daemon that passed the request on.
-pub(crate) fn add_reason(response: &mut Response<AnswerBody>, reason: Reason) {
-    response.headers_mut().insert(REASON, HeaderValue::from_static(reason.as_str()));
+/// Adds the reason of a refusal, and the request's id, for the daemon that passed the request on.
+pub(crate) fn add_reason(
+    shared: &Shared,
+    call: &Call,
+    response: &mut Response<AnswerBody>,
+    reason: Reason,
+) {
+    let headers = response.headers_mut();
+    headers.insert(REASON, HeaderValue::from_static(reason.as_str()));
+    headers.insert(shared.dialect.request_id.clone(), call.id.clone());
 }
 
 /// Logs a request that was passed on, if it is sampled or was not answered.
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -63,8 +63,8 @@
         Err(refusal) => {
             on_refusal(&shared, id.as_ref(), call.as_deref(), arrived_at_ms, &refusal);
             let mut response = refusal::to_response(&refusal);
-            if call.is_some_and(|call| call.is_relayed) {
-                detour::add_reason(&mut response, refusal.reason);
+            if let Some(call) = call.filter(|call| call.is_relayed) {
+                detour::add_reason(&shared, &call, &mut response, refusal.reason);
             }
             response
         }
