Pass answers of HTTP/1.0 servers on as HTTP/1.1

Callers got a 200 with a short body that looked whole: a server answered with HTTP/1.0 and no length, and its connection was reset before the body's end.

Cause: the answer kept the server's version, for which the HTTP library ends a body without a length with the caller's connection. A body that broke off ended in the same way as a whole one. verbenad did so with all such answers, verbena-edge with those of more than 1 MiB, which it does not buffer.

With HTTP/1.1 such a body goes out in chunks, whose last one is missing when the answer broke off.

--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -9,7 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_ENCODING, HOST, HeaderName, RETRY_AFTER};
 use http::response::Parts;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use proxy::{Link, Permit, Upstream, retry_after_ms};
@@ -209,6 +209,9 @@
     (link, permit, deadline): (Link, Permit, Instant),
 ) -> Result<Response<AnswerBody>, Failure> {
     let idle_timeout_ms = idle_timeout_ms(&head.headers);
+    // With the version of an older server, a body without a length would end with the caller's
+    // connection, also where it broke off.
+    head.version = Version::HTTP_11;
     proxy::strip_headers(&mut head.headers);
     match buffer(body, deadline).await? {
         Buffered::Whole(bytes) => {
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -329,6 +329,9 @@
     let counters = Arc::clone(&traffic.counters);
     let body = AnswerBody::forwarded(body, traffic.limits.progress_timeout_ms, counters, resources);
     target.server.on_answer(elapsed_ms(started));
+    // With the version of an older server, a body without a length would end with the caller's
+    // connection, also where it broke off.
+    head.version = Version::HTTP_11;
     head::strip_headers(&mut head.headers);
     AttemptResult::Answered(Response::from_parts(head, body))
 }
