Count answers whose end is ambiguous as broken off

Callers got a 200 with an empty or short body, framed as whole: the server broke off an answer that had a length and a transfer encoding other than chunks, or only the latter.

Cause: the HTTP library drops a length beside a transfer encoding, and takes a body with an encoding that it does not know as one that ends with the connection. It also decodes chunks inside another encoding, and the caller got the encoded body without the encoding's name. Several equal lengths, which it accepts too, went out as they came; they count as broken off now as well.

Contradicting lengths and folded lines were refused before too.

--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -344,6 +344,9 @@
 /// Checks that an answer is the server's own and may be passed on.
 pub(crate) fn check_answer(shared: &Shared, head: &Parts) -> Result<(), Failure> {
     let dialect = &shared.dialect;
+    if !proxy::has_unambiguous_end(&head.headers) {
+        return Err(Failure::Broken);
+    }
     let is_not_run = head.headers.contains_key(&dialect.not_run);
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         return Err(Failure::Fenced);
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -314,6 +314,9 @@
         Err(_elapsed) => return AttemptResult::Failed(Failure::TimedOut),
     };
     let (mut head, body) = response.into_parts();
+    if !head::has_unambiguous_end(&head.headers) {
+        return AttemptResult::Failed(Failure::Broken);
+    }
     if let Some(failure) = to_failure(&head) {
         if failure == Failure::Shed
             && let Some(for_ms) = retry_after_ms(&head.headers, SystemTime::now())
--- a/crates/proxy/src/head.rs
+++ b/crates/proxy/src/head.rs
@@ -58,6 +58,22 @@
     }
 }
 
+/// Returns whether all readers of the head of an answer find the same end of its body.
+///
+/// The HTTP library takes a length that is stated several times, ignores one beside a transfer
+/// encoding, and decodes no encoding but chunks.
+#[must_use]
+pub fn has_unambiguous_end(headers: &HeaderMap) -> bool {
+    let lengths: Vec<&HeaderValue> = headers.get_all(CONTENT_LENGTH).iter().collect();
+    let encodings: Vec<&HeaderValue> = headers.get_all(TRANSFER_ENCODING).iter().collect();
+    match (lengths.as_slice(), encodings.as_slice()) {
+        ([], []) => true,
+        ([length], []) => length.as_bytes().iter().all(u8::is_ascii_digit),
+        ([], [encoding]) => encoding.as_bytes().eq_ignore_ascii_case(b"chunked"),
+        _ => false,
+    }
+}
+
 /// Removes the headers that concern one connection only, and those named `verbena-…`.
 pub fn strip_headers(headers: &mut HeaderMap) {
     let listed: Vec<HeaderName> = headers
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,7 +11,8 @@
 //!   connection to send it on.
 //! - A [`SharedCrashTracker`] tells which requests crash servers and are therefore refused.
 //! - [`has_unambiguous_framing`], [`RecordedStream`] and [`RawBytes`] find requests whose end
-//!   is ambiguous; these are refused.
+//!   is ambiguous; these are refused. Answers for which [`has_unambiguous_end`] is false count as
+//!   broken.
 //! - [`strip_headers`], [`strip_request_headers`] and [`read_body`] prepare what is forwarded,
 //!   [`retry_after_ms`] reads how long a server asks to be left alone, and [`to_labels`] returns the labels under which a result is counted.
 //!
@@ -49,7 +50,9 @@
 pub use answer::AnswerBody;
 pub use body::{BodyError, read_body};
 pub use clock::Clock;
-pub use head::{has_unambiguous_framing, strip_headers, strip_request_headers};
+pub use head::{
+    has_unambiguous_end, has_unambiguous_framing, strip_headers, strip_request_headers,
+};
 pub use outcome::to_labels;
 pub use raw::{RawBytes, RecordedStream};
 pub use retry_after::retry_after_ms;
--- a/crates/proxy/tests/cut_heads.rs
+++ b/crates/proxy/tests/cut_heads.rs
@@ -28,12 +28,11 @@
 
 const BODY: &str = "twelve bytes";
 const CHUNKS: &str = "6\r\ntwelve\r\n6;x=1\r\n bytes\r\n0\r\nx-trailer: a\r\n\r\n";
-const SIZED: [&str; 7] = [
+const SIZED: [&str; 6] = [
     "HTTP/1.1 200 OK\r\nserver: a\r\ncontent-length: 12\r\nx-last: b\r\n\r\n",
     "HTTP/1.0 200 OK\r\ncontent-length: 12\r\n\r\n",
     "HTTP/1.1 200\r\ncontent-length: 12\r\n\r\n",
     "HTTP/1.1 200 OK\ncontent-length: 12\n\n",
-    "HTTP/1.1 200 OK\r\ncontent-length: 12\r\ncontent-length: 12\r\n\r\n",
     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 12\r\n\r\n",
     "HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\nHTTP/1.1 201 Created\r\nContent-Length: 12\r\n\r\n",
 ];
@@ -48,6 +47,20 @@
     "HTTP/1.1 200 OK\nserver: a\n\n",
     "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
 ];
+/// Heads with more than one reading of where the body ends; none may pass as a success.
+const AMBIGUOUS: [&str; 6] = [
+    "HTTP/1.1 200 OK\r\ncontent-length: 12\r\ncontent-length: 12\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: 12\r\ncontent-length: 3\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: 12, 3\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: 12\r\ntransfer-encoding: identity\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nserver: a\r\n folded\r\ncontent-length: 12\r\n\r\n",
+];
+/// Chunks whose decoded body is not the one that the server encoded.
+const ENCODED: [&str; 2] = [
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\ntransfer-encoding: chunked\r\n\r\n",
+];
 const WORKERS: usize = 8;
 
 fn answers() -> Vec<Answer> {
@@ -59,6 +72,8 @@
         with(&SIZED, BODY, false),
         with(&CHUNKED, CHUNKS, false),
         with(&WITHOUT_LENGTH, BODY, true),
+        with(&AMBIGUOUS, BODY, false),
+        with(&ENCODED, CHUNKS, false),
         with(&no_body, "", false),
     ]
     .into_iter()
@@ -104,6 +119,9 @@
     }
     let body = received.body();
     let sent = format!("{}{}", answer.head, answer.body);
+    if AMBIGUOUS.contains(&answer.head) || ENCODED.contains(&answer.head) {
+        return Some("its end is ambiguous");
+    }
     if answer.has_no_length {
         let is_whole = end == End::Closed && cut >= answer.head.len();
         let sent_body = sent.get(answer.head.len()..cut).unwrap_or_default();
