Do not pass on answers that switch protocols in verbenad

Callers got status 101 as the final answer, without a body: a server answered a request with it that asked for no other protocol.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -314,7 +314,9 @@
         Err(_elapsed) => return AttemptResult::Failed(Failure::TimedOut),
     };
     let (mut head, body) = response.into_parts();
-    if !head::has_unambiguous_end(&head.headers) {
+    // The library passes on the informational answer that changes the protocol; no request of
+    // this daemon asks for that.
+    if head.status.is_informational() || !head::has_unambiguous_end(&head.headers) {
         return AttemptResult::Failed(Failure::Broken);
     }
     if let Some(failure) = to_failure(&head) {
--- a/crates/proxy/tests/cut_heads.rs
+++ b/crates/proxy/tests/cut_heads.rs
@@ -170,3 +170,19 @@
     println!("{sent} requests, {} faults", faults.len());
     assert!(faults.is_empty(), "{} faults:\n{}", faults.len(), faults.join("\n"));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_asks_for_another_protocol() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let front = start_proxy(listener.local_addr().unwrap()).await;
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_head(&mut stream).await;
+        let answer =
+            "HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n";
+        drop(stream.write_all(answer.as_bytes()).await);
+        sleep(Duration::from_secs(1)).await;
+    });
+    let received = call_with(front, "POST", "").await;
+    assert_eq!(received.status(), Some(502), "{received:?}");
+}
