Close the connection after an order that a server refused

A grant that a server had carried out counted as not carried out, so that its range could be granted to another server as well: the server wrote an earlier refusal of an order once more, before the answer to a later grant.

Cause: connections for orders were kept after any answer, and answers to orders have no id.

After the refusal nothing more is read from that connection. An answer with status 200 that is written once more is not covered.

--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -30,6 +30,8 @@
     headers: Vec<(&'static str, String)>,
     body: Bytes,
     timeout_ms: u64,
+    /// Whether the connection is closed unless the call succeeds.
+    closes_on_refusal: bool,
 }
 
 /// An open connection; dropping it resets the TCP connection.
@@ -59,6 +61,7 @@
             headers: Vec::new(),
             body: Bytes::new(),
             timeout_ms: DEFAULT_TIMEOUT_MS,
+            closes_on_refusal: false,
         }
     }
 
@@ -88,6 +91,15 @@
         self.timeout_ms = timeout_ms;
         self
     }
+
+    /// Closes the connection after an answer with a status other than 2xx.
+    ///
+    /// A faulty server may write the answer once more, for which the next call would take it.
+    #[must_use]
+    pub fn close_on_refusal(mut self) -> Self {
+        self.closes_on_refusal = true;
+        self
+    }
 }
 
 impl Client {
@@ -137,7 +149,9 @@
             .await
             .map_err(|_elapsed| Error::report(Category::Unknown, "no complete answer in time"))?
             .map_err(|error| Error::report(Category::Unknown, error))?;
-        self.return_idle(connection);
+        if answer.status().is_success() || !call.closes_on_refusal {
+            self.return_idle(connection);
+        }
         Ok(answer)
     }
 
