Name each attempt in verbenad's requests and compare it in answers

Callers got the answer of another request, or 503 "not-run" for a request that the server ran: the server wrote an answer once more on a kept connection, and it counted as the answer to the next request there.

Cause: nothing in verbenad's own protocol said to which request an answer belongs. Requests now carry "verbena-attempt", which servers repeat.

--- a/crates/lab/src/upstream.rs
+++ b/crates/lab/src/upstream.rs
@@ -93,6 +93,8 @@
 const MAX_WAITING_PER_SLOT: usize = 8;
 /// The header of a request that crashes the server.
 pub const CRASH_HEADER: &str = "x-crash";
+/// The header that identifies an attempt to run a request; answers repeat it.
+const ATTEMPT: &str = "verbena-attempt";
 /// The header that identifies a request of the load; answers repeat it.
 pub const REQUEST_ID: &str = "request-id";
 
@@ -179,7 +181,8 @@
         }
         self.wait_while_frozen().await;
         let path = request.uri().path().to_owned();
-        let answer = match path.as_str() {
+        let attempt = request.headers().get(ATTEMPT).cloned();
+        let mut answer = match path.as_str() {
             "/verbena/orders" => self.on_order(&web::read_body(request).await),
             "/lab/faults" => self.on_faults(&web::read_body(request).await),
             "/lab/runs" => {
@@ -189,6 +192,9 @@
             _ => self.run(request, &path).await,
         };
         self.wait_while_frozen().await;
+        if let Some(attempt) = attempt {
+            answer.headers_mut().insert(ATTEMPT, attempt);
+        }
         answer
     }
 
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -297,9 +297,11 @@
     if link.is_fresh() {
         traffic.counters.count(Counter::Connections);
     }
-    let Some(request) = to_request(traffic, target, call) else {
+    let Some(mut request) = to_request(traffic, target, call) else {
         return AttemptResult::Failed(Failure::NotSent);
     };
+    let attempt = HeaderValue::from(rand::random::<u64>());
+    request.headers_mut().insert(head::ATTEMPT, attempt.clone());
     let response = match timeout_at(deadline, link.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
@@ -314,6 +316,9 @@
         Err(_elapsed) => return AttemptResult::Failed(Failure::TimedOut),
     };
     let (mut head, body) = response.into_parts();
+    if !head::may_answer(&head.headers, &attempt) {
+        return AttemptResult::Failed(Failure::Broken);
+    }
     // The library passes on the informational answer that changes the protocol; no request of
     // this daemon asks for that.
     if head.status.is_informational() || !head::has_unambiguous_end(&head.headers) {
--- a/crates/proxy/src/head.rs
+++ b/crates/proxy/src/head.rs
@@ -13,6 +13,8 @@
 pub(crate) const EPOCH: HeaderName = HeaderName::from_static("verbena-epoch");
 /// The time until the deadline of a request, in milliseconds.
 pub(crate) const TIME_LEFT_MS: HeaderName = HeaderName::from_static("verbena-time-left-ms");
+/// Identifies one attempt to run a request; servers repeat it in the answer.
+pub(crate) const ATTEMPT: HeaderName = HeaderName::from_static("verbena-attempt");
 /// The reason for which a server refused a request without running it.
 pub(crate) const REFUSED: HeaderName = HeaderName::from_static("verbena-refused");
 /// Whether a request that no server answered may have run.
@@ -100,6 +102,14 @@
     }
 }
 
+/// Returns whether an answer can be the one to this attempt.
+///
+/// Servers of an earlier version name no attempt.
+pub(crate) fn may_answer(headers: &HeaderMap, attempt: &HeaderValue) -> bool {
+    let mut named = headers.get_all(ATTEMPT).iter();
+    named.next().is_none_or(|first| first == attempt) && named.next().is_none()
+}
+
 /// Returns the reason for which a server refused a request without running it, if it did.
 pub(crate) fn refusal_reason(headers: &HeaderMap) -> Option<&str> {
     headers.get(REFUSED)?.to_str().ok()
--- a/crates/proxy/tests/repeated_refusals.rs
+++ b/crates/proxy/tests/repeated_refusals.rs
@@ -54,6 +54,47 @@
     (address, runs)
 }
 
+/// Runs each request, and writes its answer or a refusal once more before the answer to the next one
+/// on the connection.
+async fn serve_late(mut stream: TcpStream, repeats_refusal: bool, runs: Runs) {
+    let mut repeated = String::new();
+    while let Some(head) = read_head(&mut stream).await {
+        let id = header(&head, "request-id").unwrap_or_default().to_owned();
+        let attempt = header(&head, "verbena-attempt").unwrap_or_default();
+        runs.lock().unwrap().push(id.clone());
+        drop(stream.write_all(repeated.as_bytes()).await);
+        sleep(RUN_TIME).await;
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nverbena-attempt: {attempt}\r\ncontent-length: {}\r\n\r\n{id}",
+            id.len()
+        );
+        drop(stream.write_all(answer.as_bytes()).await);
+        let refusal = REFUSAL.replace("verbena", &format!("verbena-attempt: {attempt}\r\nverbena"));
+        repeated = if repeats_refusal { refusal } else { answer };
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_of_other_attempts_are_not_believed() {
+    for repeats_refusal in [false, true] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let front = start_proxy(listener.local_addr().unwrap()).await;
+        let runs = Runs::default();
+        let all_runs = Arc::clone(&runs);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve_late(stream, repeats_refusal, Arc::clone(&all_runs)));
+            }
+        });
+        let first = call(front, "POST", "x1").await;
+        assert!(first.ends_with("x1"), "{first}");
+        let second = call(front, "POST", "x2").await;
+        sleep(RUN_TIME * 4).await;
+        assert_eq!(*runs.lock().unwrap(), ["x1", "x2"], "each ran once: {second}");
+        assert!(second.starts_with("HTTP/1.1 502"), "it may have run: {second}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn retry_is_not_answered_by_the_refusal_of_its_first_attempt() {
     let (server, runs) = start_server().await;
