--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -298,9 +298,11 @@
     if link.is_fresh() {
         traffic.counters.count(Counter::Connections);
     }
-    let Some(request) = to_request(traffic, target, call) else {
+    let Some(mut request) = to_request(traffic, target, call) else {
         return AttemptResult::Failed(Failure::NotSent);
     };
+    let attempt = HeaderValue::from(rand::random::<u64>());
+    request.headers_mut().insert(head::ATTEMPT, attempt.clone());
     let response = match timeout_at(deadline, link.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
@@ -315,19 +317,32 @@
         Err(_elapsed) => return AttemptResult::Failed(Failure::TimedOut),
     };
     let (mut head, body) = response.into_parts();
-    let resources =
-        AnswerResources { link, upstream: Arc::clone(&target.server), permit, in_flight };
-    let counters = Arc::clone(&traffic.counters);
-    let body = AnswerBody::forwarded(body, traffic.limits.progress_timeout_ms, counters, resources);
+    if !head::may_answer(&head.headers, &attempt) {
+        return AttemptResult::Failed(Failure::Broken);
+    }
+    // The library passes on the informational answer that changes the protocol; no request of
+    // this daemon asks for that.
+    if head.status.is_informational() || !head::has_unambiguous_end(&head.headers) {
+        return AttemptResult::Failed(Failure::Broken);
+    }
     if let Some(failure) = to_failure(&head) {
         if failure == Failure::Shed
             && let Some(for_ms) = retry_after_ms(&head.headers, SystemTime::now())
         {
             target.server.pause(for_ms);
         }
+        // Returning closes the connection: a faulty server may write the refusal once more, which
+        // would then count as the answer to the next request.
         return AttemptResult::Failed(failure);
     }
+    let resources =
+        AnswerResources { link, upstream: Arc::clone(&target.server), permit, in_flight };
+    let counters = Arc::clone(&traffic.counters);
+    let body = AnswerBody::forwarded(body, traffic.limits.progress_timeout_ms, counters, resources);
     target.server.on_answer(elapsed_ms(started));
+    // With the version of an older server, a body without a length would end with the caller's
+    // connection, also where it broke off.
+    head.version = Version::HTTP_11;
     head::strip_headers(&mut head.headers);
     AttemptResult::Answered(Response::from_parts(head, body))
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -12,7 +12,8 @@
 //! - A [`Stop`] bounds the waits of requests while the process stops.
 //! - A [`SharedCrashTracker`] tells which requests crash servers and are therefore refused.
 //! - [`has_unambiguous_framing`], [`RecordedStream`] and [`RawBytes`] find requests whose end
-//!   is ambiguous; these are refused.
+//!   is ambiguous; these are refused. Answers for which [`has_unambiguous_end`] is false count as
+//!   broken.
 //! - A [`CallerStream`] records what is read from a caller's connection and written to it, as
 //!   [`StreamProgress`].
 //! - [`strip_headers`], [`strip_request_headers`] and [`read_body`] prepare what is forwarded,
@@ -55,7 +56,9 @@
 pub use body::{BodyError, read_body};
 pub use caller_stream::{CallerStream, StreamProgress};
 pub use clock::Clock;
-pub use head::{has_unambiguous_framing, strip_headers, strip_request_headers};
+pub use head::{
+    has_unambiguous_end, has_unambiguous_framing, strip_headers, strip_request_headers,
+};
 pub use outcome::to_labels;
 pub use raw::{RawBytes, RecordedStream};
 pub use retry_after::retry_after_ms;
