Hand over an election that is won while the process stops

Callers saw keys without a leader for up to the leader's lease of 2 s and one more campaign: a daemon that got SIGTERM while its campaign was under way dropped the election that it had won. The store named it as the leader, nobody renewed grants or moved keys, and only the end of its lease ended that.

It now resigns the epoch that it has won, with what it knows of earlier leaders' grants, and ends the lease. A daemon that hears of the resignation of an epoch whose entry it has not read yet takes it as the entry to replace; otherwise it still took the earlier epoch for the leader's until its next read.

--- a/crates/gateway/src/control/node.rs
+++ b/crates/gateway/src/control/node.rs
@@ -241,11 +241,12 @@
             Input::CampaignEnded(election) => {
                 self.is_campaigning = false;
                 match election {
-                    Some(election) if !self.shared.is_stopping() => {
+                    Some(election) if self.shared.is_stopping() => self.decline(&election),
+                    Some(election) => {
                         self.failed_campaigns = 0;
                         self.start_leading(election);
                     }
-                    _ => {
+                    None => {
                         self.failed_campaigns += 1;
                         self.campaign_if_needed();
                     }
@@ -452,7 +453,7 @@
             FleetBody::ServersRequest => self.send_all_servers(&[frame.from]),
             FleetBody::StoreQuery(epoch) => self.on_store_query(frame.from, epoch),
             FleetBody::StoreReached(epoch) => self.on_store_reached(&frame.from, epoch),
-            FleetBody::Resigned(resigned) => self.on_resigned(resigned),
+            FleetBody::Resigned(resigned) => self.on_resigned(frame.from, resigned),
             FleetBody::Leaving(leaving) => self.on_leaving(leaving),
             FleetBody::ReachQuery(query) => self.on_reach_query(frame.from, &query),
             FleetBody::ServersReached(epoch) => self.on_servers_reached(&frame.from, epoch),
--- a/crates/gateway/src/leader/leader_tasks.rs
+++ b/crates/gateway/src/leader/leader_tasks.rs
@@ -34,11 +34,7 @@
             kv: { epoch = epoch.0, records = records.len(), predecessor_resigned = resigned.is_some() }
         );
         self.shared.counters.count(Counter::Elections);
-        let config = Config {
-            max_grant_ms: self.settings.max_grant_ms,
-            release_delay_ms: publication_transit_ms(self.daemons.len()),
-            ..Config::default()
-        };
+        let config = self.shard_config();
         let revisions =
             records.iter().map(|stored| (stored.service.clone(), stored.revision)).collect();
         let (readable, unreadable): (Vec<_>, Vec<_>) =
@@ -72,6 +68,15 @@
         self.step(Event::Tick);
     }
 
+    /// Returns the configuration of a leader on this daemon.
+    pub(crate) fn shard_config(&self) -> Config {
+        Config {
+            max_grant_ms: self.settings.max_grant_ms,
+            release_delay_ms: publication_transit_ms(self.daemons.len()),
+            ..Config::default()
+        }
+    }
+
     /// Has the leader assign keys for every keyed service of the site.
     pub(crate) fn add_keyed_services(&mut self) {
         let (Some(leading), Some(site)) = (&mut self.leading, &self.site) else { return };
--- a/crates/gateway/src/leader/succession.rs
+++ b/crates/gateway/src/leader/succession.rs
@@ -7,15 +7,15 @@
 
 use std::sync::atomic::Ordering;
 
-use document::Name;
+use document::{Name, Revision};
 use peer::{FleetBody, Resigned};
 use shard::{Epoch, Event};
-use store::Store;
+use store::{LeaseId, Store};
 use telemetry::Counter;
 use tokio::time::{Duration, sleep};
 
 use crate::control::follow::LEADER_KEY;
-use crate::control::input::Input;
+use crate::control::input::{Input, WonElection};
 use crate::control::node::Node;
 use crate::leader::candidacy::{self, Candidate};
 use crate::{Orders, Source};
@@ -51,16 +51,43 @@
 
     pub(crate) fn resign_to(&mut self, successor: Option<&Name>, cause: &'static str) {
         let Some(leading) = self.leading.take() else { return };
-        let epoch = leading.leader.epoch();
+        let (epoch, lease) = (leading.leader.epoch(), leading.lease);
+        let grants_deadline_ms = leading.leader.grants_deadline_ms();
+        self.hand_over(epoch, lease, grants_deadline_ms, successor, cause);
+    }
+
+    /// Hands over leadership that this daemon has won while its process stops.
+    ///
+    /// Otherwise the store names it as the leader until its lease expires.
+    pub(crate) fn decline(&mut self, election: &WonElection) {
+        let resigned = self.resigned.as_ref();
+        let resigned = resigned.filter(|resigned| Some(resigned.epoch) == election.predecessor);
+        // It has granted nothing, so only grants of earlier leaders count.
+        let grants_deadline_ms = match resigned {
+            Some(resigned) => resigned.grants_deadline_ms,
+            None => self.shard_config().earlier_grants_deadline_ms(self.clock.now_ms()),
+        };
+        let cause = "the process is stopping";
+        self.hand_over(election.epoch, election.lease, grants_deadline_ms, None, cause);
+    }
+
+    /// Tells the other daemons that an epoch of this one has ended, and ends its lease.
+    fn hand_over(
+        &mut self,
+        epoch: Epoch,
+        lease: LeaseId,
+        grants_deadline_ms: u64,
+        successor: Option<&Name>,
+        cause: &'static str,
+    ) {
         let successor = successor.cloned().or_else(|| self.next_in_order(epoch));
         let named = successor.as_deref().unwrap_or("-").to_owned();
         spdlog::info!("no longer leader", kv: { epoch = epoch.0, cause, successor = named });
-        let grants_deadline_ms = leading.leader.grants_deadline_ms();
         let grants_left_ms = grants_deadline_ms.saturating_sub(self.clock.now_ms());
         let resigned = Resigned { epoch, successor: successor.clone(), grants_left_ms };
         self.send_all(&FleetBody::Resigned(resigned));
         self.resigned = Some(Resignation { epoch, successor, grants_deadline_ms });
-        let (store, lease) = (self.store.clone(), leading.lease);
+        let store = self.store.clone();
         tokio::spawn(async move {
             sleep(Duration::from_millis(LEASE_END_DELAY_MS)).await;
             // A lease that cannot be ended expires by itself.
@@ -69,11 +96,16 @@
     }
 
     /// Handles the resignation of another leader.
-    pub(crate) fn on_resigned(&mut self, resigned: Resigned) {
+    pub(crate) fn on_resigned(&mut self, from: Name, resigned: Resigned) {
         let Resigned { epoch, successor, grants_left_ms } = resigned;
         if self.resigned.as_ref().is_some_and(|known| known.epoch >= epoch) {
             return;
         }
+        let entry = self.fleet_entries.get(LEADER_KEY);
+        if entry.is_none_or(|entry| entry.revision.0 < epoch.0) {
+            // It has led so briefly that its entry has not been read yet.
+            self.leader = Some((from, Revision(epoch.0)));
+        }
         let named = successor.as_deref().unwrap_or("-").to_owned();
         spdlog::info!("leader resigned", kv: { epoch = epoch.0, successor = named, grants_left_ms });
         let drift_ms = grants_left_ms / CLOCK_DRIFT_DIVISOR;
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -71,7 +71,7 @@
     /// Creates an assignment in which any server may hold any key.
     pub(crate) fn unknown(now_ms: u64, config: &Config) -> Self {
         Self {
-            unknown_grants_deadline_ms: earlier_grants_deadline_ms(now_ms, config),
+            unknown_grants_deadline_ms: config.earlier_grants_deadline_ms(now_ms),
             ..Self::new()
         }
     }
@@ -87,7 +87,7 @@
         fences: &mut FenceCounter,
         config: &Config,
     ) -> Self {
-        let grant_deadline_ms = earlier_grants_deadline_ms(now_ms, config);
+        let grant_deadline_ms = config.earlier_grants_deadline_ms(now_ms);
         let to_previous_holder = |incarnation: &Incarnation| PreviousHolder {
             incarnation: incarnation.clone(),
             grant_deadline_ms,
@@ -428,13 +428,6 @@
     }
 }
 
-/// Returns the time until which grants of earlier leaders may be valid.
-fn earlier_grants_deadline_ms(now_ms: u64, config: &Config) -> u64 {
-    // The last grants may not have arrived yet.
-    let arrived_at_ms = now_ms + config.order_timeout_ms + config.max_transit_ms;
-    config.grant_deadline_ms(arrived_at_ms, config.max_grant_ms)
-}
-
 /// Sends due releases to previous holders and drops those whose grants have expired.
 ///
 /// Returns whether one was dropped.
--- a/crates/shard/src/config.rs
+++ b/crates/shard/src/config.rs
@@ -79,6 +79,14 @@
     pub fn grant_deadline_ms(&self, arrived_at_ms: u64, grant_ms: u64) -> u64 {
         arrived_at_ms + grant_ms + grant_ms / CLOCK_DRIFT_DIVISOR + ARRIVAL_SLACK_MS
     }
+
+    /// Returns the time until which grants of earlier leaders may be valid.
+    #[must_use]
+    pub fn earlier_grants_deadline_ms(&self, now_ms: u64) -> u64 {
+        // The last grants may not have arrived yet.
+        let arrived_at_ms = now_ms + self.order_timeout_ms + self.max_transit_ms;
+        self.grant_deadline_ms(arrived_at_ms, self.max_grant_ms)
+    }
 }
 
 /// Clocks of servers may be slow by 1/50 of the time, that is two percent.
