Receive signals before verbenad accepts callers, and keep SIGHUP from ending it

Callers lost all requests in flight when verbenad got SIGHUP: the process did not handle it, and by default it ends a process at once. The same held for SIGTERM and SIGINT between the start of the daemon's threads and the registration of the handlers.

Handlers are now registered before the daemon starts; SIGHUP is logged. A second signal during the stop changes nothing.

--- a/crates/verbenad/src/main.rs
+++ b/crates/verbenad/src/main.rs
@@ -5,8 +5,9 @@
 use clap::{Arg, Command, value_parser};
 use error_stack::{Report, ResultExt};
 use mimalloc::MiMalloc;
+use spdlog::warn;
 use std::path::{Path, PathBuf};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use verbenad::{Daemon, Settings};
 
 #[global_allocator]
@@ -22,16 +23,13 @@
     let Some(path) = matches.get_one::<PathBuf>("settings") else {
         return ExitCode::from(EXIT_BAD_SETTINGS);
     };
-    let daemon = match start(path) {
-        Ok(daemon) => daemon,
-        Err(report) => {
+    match run(path) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(RunError::Start(report)) => {
             eprintln!("{report:?}");
-            return ExitCode::from(EXIT_BAD_SETTINGS);
+            ExitCode::from(EXIT_BAD_SETTINGS)
         }
-    };
-    match run_until_signal(daemon) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
+        Err(RunError::Signals(error)) => {
             eprintln!("{error}");
             ExitCode::from(EXIT_FAILURE)
         }
@@ -65,6 +63,43 @@
 
 impl std::error::Error for StartError {}
 
+/// Why the process ends with a failure.
+enum RunError {
+    /// The daemon cannot start.
+    Start(Report<StartError>),
+    /// Signals cannot be received.
+    Signals(std::io::Error),
+}
+
+/// The signals that the process handles; others keep their default effect.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn receive() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for SIGTERM or SIGINT.
+    async fn wait_for_stop(&mut self) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                // By default, SIGHUP ends a process at once.
+                _ = self.hangup.recv() => warn!("settings are read only at the start"),
+            }
+        }
+    }
+}
+
 fn start(path: &Path) -> Result<Daemon, Report<StartError>> {
     let text = std::fs::read_to_string(path)
         .attach_with(|| format!("cannot read {}, expected a readable file", path.display()))
@@ -79,15 +114,14 @@
 }
 
 /// Runs the daemon until SIGTERM or SIGINT, then stops it gracefully.
-fn run_until_signal(daemon: Daemon) -> std::io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(async {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
+///
+/// Signals are received before the daemon accepts callers. Later ones do not shorten the stop.
+fn run(path: &Path) -> Result<(), RunError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.map_err(RunError::Signals)?.block_on(async {
+        let mut signals = Signals::receive().map_err(RunError::Signals)?;
+        let daemon = start(path).map_err(RunError::Start)?;
+        signals.wait_for_stop().await;
         daemon.stop().await;
         Ok(())
     })
