Answer operators' calls that are under way when verbenad stops

Operators got a closed connection instead of the answer to an edit that the store had accepted, and the edit was missing in the history for good: the tasks of their calls ended with the traffic thread, which may end at once after the notice.

Operators' connections now close as callers' do: no further call is read, and the control thread ends when the calls that have arrived are answered, at the latest at the end of the drain.

crates/verbenad/tests/edits_under_way.rs: before, the call fails without an answer; after, it is answered and in the history.

--- a/crates/verbenad/src/daemon.rs
+++ b/crates/verbenad/src/daemon.rs
@@ -35,8 +35,11 @@
 struct Tokens {
     /// The daemon resigns as controller of every service and reports that it is not ready.
     stop: CancellationToken,
-    /// No connection is accepted; callers' connections close after the answers in progress.
+    /// No connection of a caller or an operator is accepted; open ones close after the answers in
+    /// progress.
     close: CancellationToken,
+    /// All callers' connections have ended.
+    served: CancellationToken,
     /// All threads end at once; answers in progress are cut off.
     end: CancellationToken,
 }
@@ -122,7 +125,7 @@
             end.cancel();
         });
         let threads = self.threads;
-        // The traffic thread cancels `end` when it has finished, which ends the control thread.
+        // `end` is cancelled earlier when all callers and operators have their answers.
         drop(tokio::task::spawn_blocking(move || threads.into_iter().for_each(join)).await);
         drain_timer.abort();
     }
@@ -190,9 +193,15 @@
             TcpListener::from_std(listener).expect("the socket is open and non-blocking")
         };
         let counters = &traffic.counters;
+        let serve_operators = operators::serve(
+            from_std(operator),
+            store.clone(),
+            inputs.clone(),
+            tokens.close.clone(),
+        );
         let tasks = [
             tokio::spawn(receive_packets(from_std(peer), inputs.clone())),
-            tokio::spawn(operators::serve(from_std(operator), store.clone(), inputs.clone())),
+            tokio::spawn(end_when_served(serve_operators, tokens.clone())),
             tokio::spawn(admin::serve(
                 from_std(admin),
                 tokens.end.clone(),
@@ -234,6 +243,13 @@
     });
 }
 
+/// Serves operators, and ends the threads once callers and operators have their answers.
+async fn end_when_served(serve_operators: impl Future<Output = ()>, tokens: Tokens) {
+    serve_operators.await;
+    tokens.served.cancelled().await;
+    tokens.end.cancel();
+}
+
 /// Receives packets of other daemons and forwards them to the control thread.
 async fn receive_packets(listener: TcpListener, inputs: mpsc::Sender<Input>) {
     let (packets, mut received) = mpsc::channel(MAX_QUEUED_INPUTS);
@@ -264,7 +280,7 @@
     });
     // Answers still in progress are cut off: after the drain timeout, or because of `kill`.
     runtime.shutdown_background();
-    tokens.end.cancel();
+    tokens.served.cancel();
 }
 
 /// Returns a number that in practice differs from that of every earlier process of this instance.
--- a/crates/verbenad/src/operators.rs
+++ b/crates/verbenad/src/operators.rs
@@ -16,6 +16,7 @@
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
 
 use crate::input::{ControlRequest, Input};
 use crate::watch::DOCUMENTS_PREFIX;
@@ -32,20 +33,36 @@
     inputs: mpsc::Sender<Input>,
 }
 
-/// Accepts operators' connections and answers their calls, until the future is dropped.
-pub(crate) async fn serve<S: Store>(listener: TcpListener, store: S, inputs: mpsc::Sender<Input>) {
+/// Accepts operators' connections and answers their calls until `close` is cancelled.
+///
+/// Returns when the calls that have arrived by then are answered. An edit is recorded in the history
+/// only after the store has accepted it, so a call must not be cut short.
+pub(crate) async fn serve<S: Store>(
+    listener: TcpListener,
+    store: S,
+    inputs: mpsc::Sender<Input>,
+    close: CancellationToken,
+) {
     let server = OperatorServer { store, inputs };
     let mut connections = tokio::task::JoinSet::new();
     loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = close.cancelled() => break,
+        };
+        let Ok((stream, _)) = accepted else { continue };
         let codec =
             LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream);
         let transport = tarpc::serde_transport::new(codec, Json::default());
+        // The channel ends when no more calls arrive and all answers are written.
+        let transport = transport.take_until(close.clone().cancelled_owned());
         let channel = BaseChannel::with_defaults(transport);
         let server = server.clone();
         connections.spawn(channel.execute(server.serve()).for_each_concurrent(None, |call| call));
         while connections.try_join_next().is_some() {}
     }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
 }
 
 impl<S: Store> Operator for OperatorServer<S> {
