Answer or refuse every request of verbenad before its drain ends

Callers of a stopping verbenad saw their connection closed without an answer when the drain ended while their request waited for room at a server, for an owner, for its body or for a server's answer: the end of the traffic thread was the only end of these waits.

A stop now begins the deadline that these waits know (proxy::Stop): a tenth of the drain, at most 0.6 s, before its end. A request that no server has is refused as not run, at once if room cannot be expected in time, and may go to another daemon without delay; one that a server has gets until the deadline and then 502, outcome unknown. The server is told that time, and answers close their connections while the daemon stops.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -13,12 +13,12 @@
     Target,
 };
 use telemetry::{Counter, Labels};
-use tokio::time::{Duration, Instant, sleep, timeout, timeout_at};
+use tokio::time::{Duration, Instant, sleep};
 
 use crate::answer::{AnswerBody, AnswerResources, InFlightGuard};
 use crate::head;
 use crate::upstream::{AdmissionError, Permit};
-use crate::{BodyError, Traffic, Upstream, read_body, retry_after_ms, to_labels};
+use crate::{BodyError, Traffic, Upstream, WaitEnd, read_body, retry_after_ms, to_labels};
 
 /// Answers one request of a caller.
 ///
@@ -39,8 +39,9 @@
     let upstream = service.as_ref().map_or(Labels::NONE, |service| service.document.name.as_str());
     record_latency(&traffic, started, upstream, &result);
     let mut response = count_result(&traffic, result);
-    if is_ambiguous {
-        // The bytes that follow may be the rest of this request and must not be read as another.
+    // After an ambiguous request, the bytes that follow may be its rest and must not be read as
+    // another one. While the process stops, callers should send their next requests elsewhere.
+    if is_ambiguous || traffic.stop.has_begun() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -155,12 +156,17 @@
     }
     head::strip_request_headers(&mut head.headers);
     let deadline = traffic.clock.to_instant(deadline_ms);
-    let body = read_body(body, traffic.limits.max_body_bytes, deadline).await.map_err(|error| {
-        Refusal::not_run(match error {
-            BodyError::TooLarge => Reason::BodyTooLarge,
-            BodyError::Aborted | BodyError::TimedOut => Reason::BodyIncomplete,
-        })
-    })?;
+    let body = read_body(body, traffic.limits.max_body_bytes, deadline);
+    let body = match traffic.stop.bound(deadline, 0, body).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyError::TooLarge)) => return Err(Refusal::not_run(Reason::BodyTooLarge)),
+        Ok(Err(BodyError::Aborted | BodyError::TimedOut)) | Err(WaitEnd::Elapsed) => {
+            return Err(Refusal::not_run(Reason::BodyIncomplete));
+        }
+        Err(WaitEnd::Stopping) => {
+            return Err(Refusal::not_run(Reason::Stopping).with_retry_after(0));
+        }
+    };
     Ok(Call { head, body, key, is_idempotent: class.idempotent, arrival })
 }
 
@@ -197,7 +203,7 @@
             AttemptResult::Answered(response) => return Ok(response),
             AttemptResult::Failed(failure) => failure,
         };
-        let failure = detect_crash(&target, failure).await;
+        let failure = detect_crash(traffic, &target, failure).await;
         on_failure(traffic, &target, call, failure, elapsed_ms(started));
         match attempts.on_failure(traffic.clock.now_ms(), failure) {
             Next::Reroute => wait_for_change(traffic, call, REROUTE_TIMEOUT_MS).await,
@@ -251,12 +257,21 @@
             }
         }
         let deadline = traffic.clock.to_instant(call.arrival.deadline_ms);
-        if timeout_at(deadline, changed).await.is_err() {
-            return Err(attempts.to_refusal(Reason::NoOwner));
+        match traffic.stop.bound(deadline, 0, changed).await {
+            Ok(()) => {}
+            Err(WaitEnd::Elapsed) => return Err(attempts.to_refusal(Reason::NoOwner)),
+            Err(WaitEnd::Stopping) => return Err(stopping_refusal(attempts)),
         }
     }
 }
 
+/// Returns the refusal of a request for which a process that stops has no time.
+///
+/// Another daemon can take it at once.
+fn stopping_refusal(attempts: &Attempts) -> Refusal {
+    attempts.to_refusal(Reason::Stopping).with_retry_after(0)
+}
+
 /// Waits until the server admits a request.
 async fn acquire_permit(
     traffic: &Traffic,
@@ -276,7 +291,7 @@
         }
         Err(AdmissionError::Overloaded { .. }) => Err(attempts.to_refusal(Reason::Overloaded)),
         Err(AdmissionError::Expired) => Err(attempts.to_refusal(Reason::Expired)),
-        Err(AdmissionError::Stopping) => Err(attempts.to_refusal(Reason::Stopping)),
+        Err(AdmissionError::Stopping) => Err(stopping_refusal(attempts)),
     }
 }
 
@@ -292,7 +307,7 @@
     let started = Instant::now();
     let now_ms = traffic.clock.now_ms();
     let deadline = traffic.clock.to_instant(attempts.attempt_deadline_ms(now_ms));
-    let Ok(Ok(mut link)) = timeout_at(deadline, target.server.connect()).await else {
+    let Ok(Ok(mut link)) = traffic.stop.bound(deadline, 0, target.server.connect()).await else {
         return AttemptResult::Failed(Failure::NotSent);
     };
     if link.is_fresh() {
@@ -301,7 +316,7 @@
     let Some(request) = to_request(traffic, target, call) else {
         return AttemptResult::Failed(Failure::NotSent);
     };
-    let response = match timeout_at(deadline, link.send(request)).await {
+    let response = match traffic.stop.bound(deadline, 0, link.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
             let is_unsent = error.take_message().is_some();
@@ -312,7 +327,8 @@
             });
         }
         // Returning drops the link and closes the connection, so a late answer is discarded.
-        Err(_elapsed) => return AttemptResult::Failed(Failure::TimedOut),
+        Err(WaitEnd::Elapsed) => return AttemptResult::Failed(Failure::TimedOut),
+        Err(WaitEnd::Stopping) => return AttemptResult::Failed(Failure::Stopping),
     };
     let (mut head, body) = response.into_parts();
     let resources =
@@ -357,20 +373,24 @@
         headers.insert(head::SHARD, HeaderValue::from(shard.0));
         headers.insert(head::EPOCH, HeaderValue::from(epoch.0));
     }
-    let left_ms = call.arrival.deadline_ms.saturating_sub(traffic.clock.now_ms());
+    let deadline_ms = call.arrival.deadline_ms.min(traffic.stop.deadline_ms());
+    let left_ms = deadline_ms.saturating_sub(traffic.clock.now_ms());
     headers.insert(head::TIME_LEFT_MS, HeaderValue::from(left_ms));
     Some(request)
 }
 
 /// Returns `Crashed` instead of `Broken` if the server accepts no new connection.
-async fn detect_crash(target: &Target<Upstream>, failure: Failure) -> Failure {
+async fn detect_crash(traffic: &Traffic, target: &Target<Upstream>, failure: Failure) -> Failure {
     if failure != Failure::Broken {
         return failure;
     }
     // A process that exits closes its sockets one by one, so it may still accept at first.
     sleep(PROBE_DELAY).await;
-    let probe = timeout(PROBE_TIMEOUT, target.server.probe()).await;
-    if matches!(probe, Ok(Ok(()))) { Failure::Broken } else { Failure::Crashed }
+    let deadline = Instant::now() + PROBE_TIMEOUT;
+    match traffic.stop.bound(deadline, 0, target.server.probe()).await {
+        Ok(Ok(())) | Err(WaitEnd::Stopping) => Failure::Broken,
+        Ok(Err(_)) | Err(WaitEnd::Elapsed) => Failure::Crashed,
+    }
 }
 
 /// Counts a failure and updates the state of the server.
@@ -408,7 +428,7 @@
     let deadline_ms = call.arrival.deadline_ms.min(traffic.clock.now_ms() + timeout_ms);
     let deadline = traffic.clock.to_instant(deadline_ms);
     // The result does not matter: the services are read again after a change or a timeout.
-    drop(timeout_at(deadline, traffic.changed().notified()).await);
+    let _is_changed = traffic.stop.bound(deadline, 0, traffic.changed().notified()).await.is_ok();
 }
 
 /// Builds the HTTP response for a refusal.
--- a/crates/verbenad/src/daemon.rs
+++ b/crates/verbenad/src/daemon.rs
@@ -17,7 +17,7 @@
 
 use crate::control_thread::ControlThread;
 use crate::input::Input;
-use crate::{Error, Listen, Result, Settings, admin, operators, watch};
+use crate::{Error, Listen, Result, Settings, StopSettings, admin, operators, watch};
 
 /// A running daemon.
 ///
@@ -52,6 +52,11 @@
     admin: std::net::TcpListener,
 }
 
+/// The longest time between the deadline of answers and the end of the drain, in which they are
+/// written.
+const MAX_MARGIN_MS: u64 = 600;
+/// The part of a short drain timeout that this time takes.
+const MARGIN_DIVISOR: u64 = 10;
 /// The capacity of the control thread's queue, and of the queue of packets in front of it.
 const MAX_QUEUED_INPUTS: usize = 4_096;
 
@@ -111,10 +116,12 @@
     /// Stops gracefully: answers in progress are finished within the drain timeout.
     ///
     /// The daemon resigns as controller, reports that it is not ready, and accepts connections for
-    /// another `notice_ms`. Then it closes the listener and waits up to `drain_ms`; answers that
-    /// have not finished by then are cut off.
+    /// another `notice_ms`. Then it closes the listener and waits up to `drain_ms`. A request that
+    /// cannot be answered by then is refused, at once if that is known; of answers that have begun,
+    /// the rest is cut off.
     pub async fn stop(self) {
         let settings = &self.settings;
+        self.traffic.stop.begin(answer_deadline_ms(self.traffic.clock.now_ms(), settings.stop));
         self.tokens.stop.cancel();
         sleep(Duration::from_millis(settings.stop.notice_ms)).await;
         self.tokens.close.cancel();
@@ -150,6 +157,12 @@
     }
 }
 
+/// Returns when callers must have been answered if a stop begins now.
+fn answer_deadline_ms(now_ms: u64, stop: StopSettings) -> u64 {
+    let margin_ms = (stop.drain_ms / MARGIN_DIVISOR).min(MAX_MARGIN_MS);
+    now_ms.saturating_add(stop.notice_ms).saturating_add(stop.drain_ms - margin_ms)
+}
+
 fn bind(key: &str, address: &mut SocketAddr) -> Result<std::net::TcpListener> {
     let requested = *address;
     let failed = || {
