Admit no request in place of one that the stop has ended

Callers got 502, outcome unknown, for requests that had only waited for room: when the deadline of a stop ended the request at the server, its room went to the next one in the queue, which was sent to the server and ended at once.

--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -148,7 +148,7 @@
     ) -> Result<(Permit, bool), AdmissionError> {
         let (waker, woken) = oneshot::channel();
         let now_ms = self.clock.now_ms();
-        if stop.has_begun() && self.limiter().arrival_end_ms(now_ms, &arrival) > stop.deadline_ms()
+        if stop.has_begun() && self.limiter().arrival_end_ms(now_ms, &arrival) >= stop.deadline_ms()
         {
             return Err(AdmissionError::Stopping);
         }
@@ -173,7 +173,12 @@
         let waiting = Waiting { upstream: self, ticket: Some(ticket), woken };
         let no_room = self.no_room_in_time(ticket, arrival.typical_latency_ms, stop);
         let deadline = self.clock.to_instant(wait_deadline_ms);
-        waiting.wait(deadline, no_room).await.map(|permit| (permit, true))
+        let permit = waiting.wait(deadline, no_room).await?;
+        // Requests that a stop ends at its deadline make room for those that wait.
+        if stop.has_begun() && self.clock.now_ms() >= stop.deadline_ms() {
+            return Err(AdmissionError::Stopping);
+        }
+        Ok((permit, true))
     }
 
     /// Waits until a request that waits is expected to be answered only after the end of a stop.
--- a/crates/proxy/tests/stop_waits.rs
+++ b/crates/proxy/tests/stop_waits.rs
@@ -28,6 +28,15 @@
 
 /// Asks for admission of a request with a deadline of 30 s; also returns when the wait ended.
 fn acquire(clock: Clock, upstream: &Arc<Upstream>, stop: &Stop) -> Admitted {
+    acquire_for(clock, upstream, stop, LATENCY_MS)
+}
+
+fn acquire_for(
+    clock: Clock,
+    upstream: &Arc<Upstream>,
+    stop: &Stop,
+    typical_latency_ms: u32,
+) -> Admitted {
     let (upstream, stop) = (Arc::clone(upstream), stop.clone());
     let deadline_ms = clock.now_ms() + 30_000;
     let arrival = Arrival {
@@ -35,7 +44,7 @@
         target_deadline_ms: deadline_ms,
         priority: 0,
         max_waiting: 64,
-        typical_latency_ms: LATENCY_MS,
+        typical_latency_ms,
         is_over_share: false,
     };
     tokio::spawn(async move { (upstream.acquire(arrival, &stop).await, clock.now_ms()) })
@@ -76,6 +85,21 @@
     assert_eq!(late.err(), Some(AdmissionError::Stopping));
 }
 
+#[tokio::test(start_paused = true)]
+async fn request_is_admitted_in_place_of_one_that_the_stop_has_ended() {
+    let clock = Clock::start();
+    let (upstream, stop) = (upstream(clock), Stop::new(clock));
+    let running = acquire_for(clock, &upstream, &stop, 0).await.unwrap();
+    let waiting: Vec<_> = (0..5).map(|_| acquire_for(clock, &upstream, &stop, 0)).collect();
+    stop.begin(clock.now_ms() + 1_000);
+    sleep(Duration::from_secs(1)).await;
+    drop(running);
+    for request in waiting {
+        let (result, _) = request.await.unwrap();
+        assert_eq!(result.err(), Some(AdmissionError::Stopping));
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn wait_goes_on_after_a_stop_that_begins_meanwhile() {
     let clock = Clock::start();
