Serve what has arrived when verbenad closes callers' connections

Callers got a reset or a closed connection for requests that had arrived when a stopping verbenad closed its listener and its idle connections: connections in the listener's queue were dropped with it, and the HTTP library closes a connection between two requests whatever has arrived on it. While all connections were in use, the accept loop did not even notice the close.

At the close, connections are accepted until the system has no more, and a connection is closed only when a read from the system shows that nothing has arrived.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -13,6 +13,10 @@
 //! - A [`SharedCrashTracker`] tells which requests crash servers and are therefore refused.
 //! - [`has_unambiguous_framing`], [`RecordedStream`] and [`RawBytes`] find requests whose end
 //!   is ambiguous; these are refused.
+//! - A [`CallerStream`] records what is read from a caller's connection and written to it, as
+//!   [`StreamProgress`].
+//! - An [`Activity`] tells when a caller's connection can be closed without losing a request, and
+//!   [`accept_queued`] closes a listener without losing a connection.
 //! - [`strip_headers`], [`strip_request_headers`] and [`read_body`] prepare what is forwarded,
 //!   [`retry_after_ms`] reads how long a server asks to be left alone, and [`to_labels`] returns the labels under which a result is counted.
 //!
@@ -33,8 +37,11 @@
 //! # Ok::<(), error_stack::Report<telemetry::Error>>(())
 //! ```
 
+mod accept;
+mod activity;
 mod answer;
 mod body;
+mod caller_stream;
 mod clock;
 mod forward;
 mod head;
@@ -48,8 +55,11 @@
 mod traffic;
 mod upstream;
 
+pub use accept::accept_queued;
+pub use activity::{Activity, Close, CloseCause, RequestGuard, TrackedBody};
 pub use answer::AnswerBody;
 pub use body::{BodyError, read_body};
+pub use caller_stream::{CallerStream, StreamProgress};
 pub use clock::Clock;
 pub use head::{has_unambiguous_framing, strip_headers, strip_request_headers};
 pub use outcome::to_labels;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -15,12 +15,16 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::answer::AnswerBody;
-use crate::{RecordedStream, Traffic, forward};
+use crate::{
+    Activity, CallerStream, Close, CloseCause, RecordedStream, TrackedBody, Traffic, accept_queued,
+    forward,
+};
 
 /// Serves callers until `stop` is cancelled, then finishes the requests in flight.
 ///
-/// After `stop`, returns when all connections have ended. If `end` is cancelled before, closes
-/// the connections that are left.
+/// A request that has arrived by then, also on a connection that is not accepted yet, counts as in
+/// flight. Returns when all connections have ended. If `end` is cancelled before, closes the
+/// connections that are left.
 pub async fn serve(
     traffic: Arc<Traffic>,
     listener: TcpListener,
@@ -31,21 +35,28 @@
     let permits = Arc::new(Semaphore::new(permits.min(Semaphore::MAX_PERMITS)));
     let mut connections = JoinSet::new();
     loop {
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { break };
-        tokio::select! {
-            accepted = listener.accept() => {
-                let Ok((stream, _)) = accepted else { continue };
-                let connection = serve_connection(Arc::clone(&traffic), stream, stop.clone());
-                connections.spawn(async move {
-                    connection.await;
-                    drop(permit);
-                });
-            }
+        let accepted = async {
+            let permit = Arc::clone(&permits).acquire_owned().await.ok();
+            (permit, listener.accept().await)
+        };
+        let (permit, accepted) = tokio::select! {
+            accepted = accepted => accepted,
             () = stop.cancelled() => break,
-        }
+        };
+        let Ok((stream, _)) = accepted else { continue };
+        let connection = serve_connection(Arc::clone(&traffic), stream, stop.clone());
+        connections.spawn(async move {
+            connection.await;
+            drop(permit);
+        });
         while connections.try_join_next().is_some() {}
     }
-    drop(listener);
+    let mut queued = Vec::new();
+    // Connections that cannot be accepted are reset by the system.
+    drop(accept_queued(listener, &mut queued));
+    for stream in queued {
+        connections.spawn(serve_connection(Arc::clone(&traffic), stream, stop.clone()));
+    }
     tokio::select! {
         () = async { while connections.join_next().await.is_some() {} } => {}
         () = end.cancelled() => {}
@@ -56,15 +67,20 @@
     // An error is ignored: without TCP_NODELAY small answers are only delayed.
     drop(stream.set_nodelay(true));
     let limits = traffic.limits;
+    let (stream, progress) = CallerStream::new(stream, traffic.clock);
+    let activity = Activity::new(traffic.clock, progress);
     let (stream, raw) = RecordedStream::new(stream);
-    let service = service_fn(move |request: Request<Incoming>| {
+    let service = service_fn(|request: Request<Incoming>| {
         let traffic = Arc::clone(&traffic);
         let is_ambiguous = raw.is_ambiguous(&request);
+        let in_flight = activity.begin();
         async move {
-            if forward::is_tunnel(request.method()) {
-                return Ok::<_, Infallible>(tunnel_refusal());
-            }
-            Ok(forward::answer(traffic, request, is_ambiguous).await)
+            let answer = if forward::is_tunnel(request.method()) {
+                tunnel_refusal()
+            } else {
+                forward::answer(traffic, request, is_ambiguous).await
+            };
+            Ok::<_, Infallible>(answer.map(|body| TrackedBody::new(body, in_flight)))
         }
     });
     let connection = http1::Builder::new()
@@ -74,13 +90,18 @@
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => Some(ended),
-        () = stop.cancelled() => None,
-    };
-    if ended.is_none() {
+    tokio::select! {
+        // How a connection ends concerns only its caller.
+        ended = connection.as_mut() => {
+            drop(ended);
+            return;
+        }
+        () = stop.cancelled() => {}
+    }
+    let closing =
+        activity.wait_to_close(connection.as_mut(), CloseCause::Stop, limits.head_timeout_ms);
+    if closing.await != Close::Drop {
         connection.as_mut().graceful_shutdown();
-        // An error concerns only the caller of this connection.
         drop(connection.await);
     }
 }
--- a/crates/verbenad/tests/graceful_stop.rs
+++ b/crates/verbenad/tests/graceful_stop.rs
@@ -176,3 +176,19 @@
     stop(daemon).await;
     expect_that!(running.await.unwrap(), starts_with("HTTP/1.1 200 OK"));
 }
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn connection_that_waits_to_be_accepted() {
+    let server = start_server(Some(Duration::from_millis(NOTICE_MS + DRAIN_MS / 4))).await;
+    let (daemon, _store) = start(POOLED, &server, "[traffic]\nconnections = 1\n").await;
+    let running = send(&daemon, "POST", "1");
+    wait_until(|| server.requests.load(Ordering::Relaxed) == 1).await;
+    let queued = [send(&daemon, "POST", "2"), send(&daemon, "POST", "3")];
+    sleep(Duration::from_millis(100)).await;
+    stop(daemon).await;
+    expect_that!(running.await.unwrap(), starts_with("HTTP/1.1 200 OK"));
+    for queued in queued {
+        expect_that!(queued.await.unwrap(), starts_with("HTTP/1.1 "));
+    }
+}
