Control no service whose document a stopping verbenad has just read

Callers of a new service saw its keys without an owner for a promise of 0.7 s and another candidacy: the stop resigns as controller of the services that are known then, so a daemon that read a new document after SIGTERM could still become its controller, and its leadership ended only with the process.

crates/verbenad/tests/late_services.rs: before, the stopping daemon controls the new service; after, not.

--- a/crates/verbenad/src/documents.rs
+++ b/crates/verbenad/src/documents.rs
@@ -61,6 +61,9 @@
         if is_new {
             self.on_event(service, Event::Instances(instances));
         }
+        if is_new && self.is_stopping {
+            self.on_event(service, Event::Stop);
+        }
         self.on_event(service, Event::Document(revision, document));
     }
 
