Log the connections that the end of verbenad's drain cuts off

A stop that cuts connections left no line of its own in the log of verbenad, only the counter of cut answers.

--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -24,13 +24,13 @@
 ///
 /// A request that has arrived by then, also on a connection that is not accepted yet, counts as in
 /// flight. Returns when all connections have ended. If `end` is cancelled before, closes the
-/// connections that are left.
+/// connections that are left and returns their number.
 pub async fn serve(
     traffic: Arc<Traffic>,
     listener: TcpListener,
     stop: CancellationToken,
     end: CancellationToken,
-) {
+) -> usize {
     let permits = usize::try_from(traffic.limits.max_connections).unwrap_or(usize::MAX);
     let permits = Arc::new(Semaphore::new(permits.min(Semaphore::MAX_PERMITS)));
     let mut connections = JoinSet::new();
@@ -61,6 +61,8 @@
         () = async { while connections.join_next().await.is_some() {} } => {}
         () = end.cancelled() => {}
     }
+    while connections.try_join_next().is_some() {}
+    connections.len()
 }
 
 async fn serve_connection(traffic: Arc<Traffic>, stream: TcpStream, stop: CancellationToken) {
--- a/crates/proxy/tests/unread_requests.rs
+++ b/crates/proxy/tests/unread_requests.rs
@@ -19,7 +19,7 @@
 struct Server {
     address: SocketAddr,
     stop: CancellationToken,
-    serving: JoinHandle<()>,
+    serving: JoinHandle<usize>,
 }
 
 async fn start() -> Server {
--- a/crates/verbenad/src/daemon.rs
+++ b/crates/verbenad/src/daemon.rs
@@ -7,7 +7,7 @@
 
 use error_stack::ResultExt;
 use proxy::{Clock, Traffic};
-use spdlog::info;
+use spdlog::{info, warn};
 use store::{HttpStore, Store};
 use telemetry::{Counters, Metrics};
 use tokio::net::TcpListener;
@@ -289,7 +289,11 @@
         .expect("the worker threads of the runtime can be started");
     runtime.block_on(async {
         let listener = TcpListener::from_std(http).expect("the socket is open and non-blocking");
-        proxy::serve(traffic, listener, tokens.close.clone(), tokens.end.clone()).await;
+        let connections =
+            proxy::serve(traffic, listener, tokens.close.clone(), tokens.end.clone()).await;
+        if connections > 0 {
+            warn!("connections cut off", kv: { connections });
+        }
     });
     // Answers still in progress are cut off: after the drain timeout, or because of `kill`.
     runtime.shutdown_background();
