--- a/crates/gateway/src/control/relay_messages.rs
+++ b/crates/gateway/src/control/relay_messages.rs
@@ -183,7 +183,7 @@
             match listed.check(now_ms) {
                 Ok(()) => self.put_server(now_ms, listed, revision),
                 Err(cause) => {
-                    self.on_unusable_entry(now_ms, &listed.incarnation.server, revision, &cause)
+                    self.on_unusable_entry(now_ms, &listed.incarnation.server, revision, &cause);
                 }
             }
         }
