--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,14 +14,15 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{interval, sleep, timeout};
+use tokio::time::{interval, sleep_until, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use crate::control::follow::{DAEMONS_PREFIX, DaemonEntry, FLEET_PREFIX, Follower, register};
 use crate::control::input::{Input, Topic};
 use crate::control::node::{Node, NodeParts};
+use crate::essential_tasks::EssentialTasks;
 use crate::request::front::{self, StopSignals};
-use crate::{Dialect, Orders, Settings, Shared, Source, status};
+use crate::{Dialect, Orders, Settings, Shared, Source, StopPlan, status};
 
 /// The implementations through which a gateway uses its platform.
 #[derive(Clone, Debug)]
@@ -50,13 +51,8 @@
 
 /// How many inputs may wait for the control thread.
 const MAX_QUEUED_INPUTS: usize = 4_096;
-/// How long the platform may keep sending new connections to an instance that is not ready.
-///
-/// That is two readiness checks, a second apart, plus the time in transit of the last
-/// connections.
-const UNREADY_NOTICE_MS: u64 = 2_900;
-/// How long before the end of the grace period remaining requests are cut off.
-const CUT_MARGIN_MS: u64 = 600;
+/// How long the traffic thread has to end after the last connections were cut off.
+const THREAD_END_TIMEOUT_MS: u64 = 100;
 /// How often the settings file is checked for changes.
 const SETTINGS_INTERVAL_MS: u64 = 1_000;
 /// The least time between two reads of the servers' entries.
@@ -90,7 +86,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when an address cannot be bound or a thread cannot be started.
+    /// Fails when an address cannot be bound or a thread cannot be started. Fails after a graceful
+    /// stop when a task or thread has ended that the process cannot do without.
     pub fn run(self) -> Result<(), Report<RunError>> {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
@@ -114,16 +111,19 @@
         let ready = bind(settings.listen.ready).await?;
         let admin = bind(settings.listen.admin).await?;
         let peer = bind(settings.listen.peer).await?;
-        tokio::spawn(status::serve_readiness(Arc::clone(&shared), ready, end.clone()));
-        tokio::spawn(status::serve_admin(Arc::clone(&shared), inputs.clone(), admin, end.clone()));
-        tokio::spawn(receive_frames(peer, inputs.clone()));
+        let mut tasks = EssentialTasks::default();
+        tasks.spawn("readiness", status::serve_readiness(Arc::clone(&shared), ready, end.clone()));
+        let administrators =
+            status::serve_admin(Arc::clone(&shared), inputs.clone(), admin, end.clone());
+        tasks.spawn("administrators", administrators);
+        tasks.spawn("messages", receive_frames(peer, inputs.clone()));
         let stop = StopSignals::default();
-        let traffic = start_traffic(&shared, settings.listen.front, stop.clone())?;
+        let mut traffic = start_traffic(&shared, settings.listen.front, stop.clone())?;
         spdlog::info!("started", kv: { instance = settings.instance.as_str(), front: = settings.listen.front });
         let (needs_entries, are_entries_needed) = watch::channel(false);
         let (needs_fleet, is_fleet_needed) = watch::channel(true);
         let needed = Needed { entries: are_entries_needed, fleet: is_fleet_needed };
-        let call_restarts = follow_store(&ports, &settings, &shared, &inputs, &needed);
+        let call_restarts = follow_store(&mut tasks, &ports, &settings, &shared, &inputs, &needed);
         let resign = CancellationToken::new();
         let store = ports.store.clone();
         let mut node = Node::new(NodeParts {
@@ -138,18 +138,26 @@
             needs_fleet,
         });
         let resign_requested = resign.clone();
-        tokio::spawn(async move { node.run(queue, resign_requested).await });
-        wait_for_stop(settings_path, &inputs).await.change_context(RunError)?;
+        tasks.spawn("control", async move { node.run(queue, resign_requested).await });
+        let result = tokio::select! {
+            stopped = wait_for_stop(settings_path, &inputs) => stopped.change_context(RunError),
+            () = tasks.ended() => Err(Report::new(RunError).attach("a task ended")),
+            _ = &mut traffic => {
+                spdlog::error!("traffic thread ended, stopping the process");
+                return Err(Report::new(RunError).attach("the traffic thread ended"));
+            }
+        };
         spdlog::info!("stopping", kv: { instance = settings.instance.as_str() });
-        shared.set_stopping();
+        let plan = StopPlan::new(clock.now_ms(), settings.grace_ms);
+        shared.stop.begin(plan.answer_deadline_ms);
         resign.cancel();
-        drain(&settings, &stop, traffic).await;
+        drain(clock, plan, &stop, traffic).await;
         // The entry's lease would expire too, but later.
         drop(store.remove(&format!("{DAEMONS_PREFIX}{}", settings.instance)).await);
         end.cancel();
         spdlog::info!("stopped", kv: { instance = settings.instance.as_str() });
         spdlog::default_logger().flush();
-        Ok(())
+        result
     }
 }
 
@@ -195,6 +203,7 @@
 /// Starts the tasks that watch the store; changing the returned sender's value restarts waiting
 /// calls.
 fn follow_store<S: Store, O: Orders, R: Source>(
+    tasks: &mut EssentialTasks,
     ports: &Ports<S, O, R>,
     settings: &Settings,
     shared: &Arc<Shared>,
@@ -205,6 +214,7 @@
     let always = watch::channel(true).1;
     let topics = [
         (
+            "operators",
             Topic::Operators,
             ports.source.operators_prefix(),
             MIN_SITE_INTERVAL_MS,
@@ -212,15 +222,23 @@
             &always,
         ),
         (
+            "servers",
             Topic::Servers,
             ports.source.servers_prefix(),
             MIN_SERVERS_INTERVAL_MS,
             SERVERS_WATCH_TIMEOUT_MS,
             &needed.entries,
         ),
-        (Topic::Fleet, FLEET_PREFIX, MIN_FLEET_INTERVAL_MS, WATCH_TIMEOUT_MS, &needed.fleet),
+        (
+            "fleet",
+            Topic::Fleet,
+            FLEET_PREFIX,
+            MIN_FLEET_INTERVAL_MS,
+            WATCH_TIMEOUT_MS,
+            &needed.fleet,
+        ),
     ];
-    for (topic, prefix, min_interval_ms, watch_timeout_ms, is_needed) in topics {
+    for (task, topic, prefix, min_interval_ms, watch_timeout_ms, is_needed) in topics {
         let follower = Follower {
             store: ports.store.clone(),
             topic,
@@ -232,7 +250,7 @@
             restarts: restarts.clone(),
             is_needed: is_needed.clone(),
         };
-        tokio::spawn(follower.run());
+        tasks.spawn(task, follower.run());
     }
     let entry = DaemonEntry {
         address: settings.listen.peer,
@@ -242,14 +260,9 @@
     };
     let key = format!("{DAEMONS_PREFIX}{}", settings.instance);
     let counters = Arc::clone(&shared.counters);
-    tokio::spawn(register(
-        ports.store.clone(),
-        key,
-        entry,
-        counters,
-        inputs.clone(),
-        needed.entries.clone(),
-    ));
+    let (store, inputs) = (ports.store.clone(), inputs.clone());
+    let registration = register(store, key, entry, counters, inputs, needed.entries.clone());
+    tasks.spawn("registration", registration);
     call_restarts
 }
 
@@ -320,16 +333,19 @@
 }
 
 /// Keeps accepting connections while the platform may still send them, then finishes requests in
-/// flight within the grace period.
-async fn drain(settings: &Settings, stop: &StopSignals, mut traffic: oneshot::Receiver<()>) {
-    let notice_ms = UNREADY_NOTICE_MS.min(settings.grace_ms / 2);
-    sleep(Duration::from_millis(notice_ms)).await;
+/// flight.
+async fn drain(
+    clock: Clock,
+    plan: StopPlan,
+    stop: &StopSignals,
+    mut traffic: oneshot::Receiver<()>,
+) {
+    sleep_until(clock.to_instant(plan.close_at_ms)).await;
     stop.close.cancel();
-    let drain_timeout_ms = settings.grace_ms.saturating_sub(notice_ms + CUT_MARGIN_MS);
-    if timeout(Duration::from_millis(drain_timeout_ms), &mut traffic).await.is_err() {
+    if timeout_at(clock.to_instant(plan.cut_at_ms), &mut traffic).await.is_err() {
         stop.cut.cancel();
-        // The thread ends by itself; unfinished requests end with the process.
-        drop(timeout(Duration::from_millis(CUT_MARGIN_MS / 2), traffic).await);
+        // The thread ends by itself.
+        drop(timeout(Duration::from_millis(THREAD_END_TIMEOUT_MS), traffic).await);
     }
 }
 
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -9,10 +9,10 @@
 use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_ENCODING, HOST, HeaderName, RETRY_AFTER};
 use http::response::Parts;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use proxy::{Link, Permit, Upstream, retry_after_ms};
+use proxy::{Link, Permit, Stop, Upstream, WaitEnd, retry_after_ms};
 use registry::Incarnation;
 use route::{Failure, Pace, Rate, ServerLoad};
 use telemetry::Counter;
@@ -96,6 +96,9 @@
         shared.reach().on_lost(&server.registration.incarnation);
     }
     on_failure(&shared, &server, &call, failure, started_at);
+    if matches!(failure, Failure::Shed | Failure::Fenced) {
+        call.refusals.add(&server.registration.incarnation);
+    }
     if failure == Failure::NotSent {
         return exchange_elsewhere(&shared, &call, deadline).await;
     }
@@ -129,7 +132,7 @@
     deadline: Instant,
 ) -> Result<Response<AnswerBody>, Failure> {
     let connect_deadline = deadline.min(Instant::now() + Duration::from_millis(CONNECT_TIMEOUT_MS));
-    let mut link = match timeout_at(connect_deadline, server.upstream.connect()).await {
+    let mut link = match timeout_at(connect_deadline, connect(server, call)).await {
         Ok(Ok(link)) => link,
         Ok(Err(error)) => {
             server.start_slowly();
@@ -149,7 +152,7 @@
     }
     let request = to_server_request(shared, &server.registration.incarnation, call)
         .ok_or(Failure::NotSent)?;
-    let response = match timeout_at(deadline, link.send(request)).await {
+    let response = match shared.stop.bound(deadline, 0, link.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
             let is_unsent = error.take_message().is_some();
@@ -163,14 +166,33 @@
             return Err(if is_unsent { Failure::NotSent } else { Failure::Broken });
         }
         // Dropping the link closes the connection, so a late answer is discarded.
-        Err(_elapsed) => return Err(Failure::TimedOut),
+        Err(end) => return Err(to_failure(end)),
     };
     let (head, body) = response.into_parts();
     shared.reach().on_answer();
     check_id(shared, call, &head)?;
     note_state(shared, server, call, &head);
     check_answer(shared, &head)?;
-    receive(&server.upstream, head, body, (link, permit, deadline)).await
+    receive(&shared.stop, &server.upstream, head, body, (link, permit, deadline)).await
+}
+
+/// Returns the failure of an attempt whose answer did not come in time.
+pub(crate) fn to_failure(end: WaitEnd) -> Failure {
+    match end {
+        WaitEnd::Elapsed => Failure::TimedOut,
+        WaitEnd::Stopping => Failure::Stopping,
+    }
+}
+
+/// Returns a connection for an attempt, a new one if an earlier refusal may arrive on a kept one.
+///
+/// That an idempotent request is refused although it runs breaks no promise to the caller.
+async fn connect(server: &Server, call: &Call) -> std::io::Result<Link> {
+    let may_repeat = call.refusals.may_include(&server.registration.incarnation);
+    if may_repeat && !call.is_idempotent() {
+        return server.upstream.connect_anew().await;
+    }
+    server.upstream.connect().await
 }
 
 /// Returns whether a server reset a connection because it was full.
@@ -189,14 +211,18 @@
 
 /// Receives the body of an answer, or its start if it is large.
 pub(crate) async fn receive(
+    stop: &Stop,
     upstream: &Upstream,
     mut head: Parts,
     body: Incoming,
     (link, permit, deadline): (Link, Permit, Instant),
 ) -> Result<Response<AnswerBody>, Failure> {
     let idle_timeout_ms = idle_timeout_ms(&head.headers);
+    // With the version of an older server, a body without a length would end with the caller's
+    // connection, also where it broke off.
+    head.version = Version::HTTP_11;
     proxy::strip_headers(&mut head.headers);
-    match buffer(body, deadline).await? {
+    match buffer(stop, body, deadline).await? {
         Buffered::Whole(bytes) => {
             upstream.keep(link, idle_timeout_ms);
             drop(permit);
@@ -219,8 +245,11 @@
 
 /// Checks that an answer is to this request: the server may have answered an earlier one on the
 /// connection a second time.
+///
+/// A head with several ids consists of the heads of several answers, the first of which broke off.
 pub(crate) fn check_id(shared: &Shared, call: &Call, head: &Parts) -> Result<(), Failure> {
-    let is_own = head.headers.get(&shared.dialect.request_id) == Some(&call.id);
+    let mut ids = head.headers.get_all(&shared.dialect.request_id).iter();
+    let is_own = ids.next() == Some(&call.id) && ids.next().is_none();
     if is_own { Ok(()) } else { Err(Failure::Broken) }
 }
 
@@ -324,14 +353,19 @@
 /// Checks that an answer is the server's own and may be passed on.
 pub(crate) fn check_answer(shared: &Shared, head: &Parts) -> Result<(), Failure> {
     let dialect = &shared.dialect;
+    if !proxy::has_unambiguous_end(&head.headers) {
+        return Err(Failure::Broken);
+    }
     let is_not_run = head.headers.contains_key(&dialect.not_run);
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         return Err(Failure::Fenced);
     }
     if is_not_run {
-        return Err(Failure::Shed);
+        // No other status may mean that the request did not run, so such a head is damaged.
+        let is_refusal = matches!(head.status.as_u16(), 400 | 408 | 429 | 503);
+        return Err(if is_refusal { Failure::Shed } else { Failure::Broken });
     }
-    let is_signed = head.headers.contains_key(&dialect.signature);
+    let is_signed = head.headers.get_all(&dialect.signature).iter().count() == 1;
     let is_encoded = head.headers.contains_key(CONTENT_ENCODING);
     if head.status.is_success() && (!is_signed || is_encoded) {
         return Err(Failure::Broken);
@@ -348,15 +382,15 @@
     Start(VecDeque<Bytes>, Incoming),
 }
 
-async fn buffer(mut body: Incoming, deadline: Instant) -> Result<Buffered, Failure> {
+async fn buffer(stop: &Stop, mut body: Incoming, deadline: Instant) -> Result<Buffered, Failure> {
     let mut parts: VecDeque<Bytes> = VecDeque::new();
     let mut buffered_bytes = 0;
     loop {
-        let frame = match timeout_at(deadline, body.frame()).await {
+        let frame = match stop.bound(deadline, 0, body.frame()).await {
             Ok(None) => return Ok(Buffered::Whole(join(parts, buffered_bytes))),
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(_broken))) => return Err(Failure::Broken),
-            Err(_elapsed) => return Err(Failure::TimedOut),
+            Err(end) => return Err(to_failure(end)),
         };
         let Ok(data) = frame.into_data() else { continue };
         buffered_bytes += data.len();
@@ -396,7 +430,7 @@
     Some(request)
 }
 
-/// Returns the caller's request with the time that is left.
+/// Returns the caller's request with the time that is left, here and for the caller.
 pub(crate) fn to_request(shared: &Shared, call: &Call) -> Option<Request<Full<Bytes>>> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.head.method.clone();
@@ -404,7 +438,8 @@
     *request.headers_mut() = call.head.headers.clone();
     let headers = request.headers_mut();
     headers.insert(HOST, call.host.clone());
-    let left_ms = call.deadline_ms.saturating_sub(shared.clock.now_ms());
+    let deadline_ms = call.deadline_ms.min(shared.stop.deadline_ms());
+    let left_ms = deadline_ms.saturating_sub(shared.clock.now_ms());
     headers.insert(shared.dialect.time_left_ms.clone(), HeaderValue::from(left_ms));
     Some(request)
 }
@@ -439,7 +474,7 @@
 ) {
     let latency_ms = started_at.elapsed().as_secs_f64() * 1_000.0;
     // The other failures tell of the table or the link, not of the server.
-    if !matches!(failure, Failure::Fenced | Failure::NotSent) {
+    if !matches!(failure, Failure::Fenced | Failure::NotSent | Failure::Stopping) {
         server.on_outcome(true);
     }
     match failure {
@@ -471,6 +506,6 @@
             server.upstream.on_connection_loss();
         }
         Failure::NotSent => server.upstream.on_connection_loss(),
-        Failure::Failed => {}
+        Failure::Failed | Failure::Stopping => {}
     }
 }
