Bound the durations in messages between daemons

Cause: receivers add the durations of messages (grants of a leader that resigned, spans without an owner, crashes, turns, the grace period) to their clock, so a corrupted or mistaken one near the end of u64 overflowed: the end of the control task in a debug build, a time in the past in a release build. Evidence: `durations_are_bounded` fails without the cap and passes with it. `every_address_is_decoded` passes on both: a message is not lost because of the form of an address.

--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -284,10 +284,18 @@
         number: request.number,
         server: to_incarnation(life),
         rate: Rate::from_milli_per_s(request.milli_per_s),
-        max_wait_ms: request.max_wait_ms,
+        max_wait_ms: bounded(request.max_wait_ms),
     })
 }
 
+/// The longest duration in a message. Those that daemons send last seconds, and a receiver adds them
+/// to its clock.
+const MAX_DURATION_MS: u64 = 24 * 3_600 * 1_000;
+
+fn bounded(duration_ms: u64) -> u64 {
+    duration_ms.min(MAX_DURATION_MS)
+}
+
 fn from_turn(number: u64, turn: Turn) -> wire::TurnReply {
     let (is_full, wait_ms) = match turn {
         Turn::In { wait_ms } => (false, wait_ms),
@@ -298,9 +306,9 @@
 
 fn to_turn(reply: &wire::TurnReply) -> Turn {
     if reply.is_full {
-        Turn::Full { remaining_ms: reply.wait_ms }
+        Turn::Full { remaining_ms: bounded(reply.wait_ms) }
     } else {
-        Turn::In { wait_ms: reply.wait_ms }
+        Turn::In { wait_ms: bounded(reply.wait_ms) }
     }
 }
 
@@ -333,7 +341,7 @@
         is_whole: servers.is_whole,
         listed: servers.listed.into_iter().map(to_registration).collect::<Result<_>>()?,
         gone: servers.gone.into_iter().map(Name::from).collect(),
-        grace_left_ms: servers.lapse_left_ms,
+        grace_left_ms: bounded(servers.lapse_left_ms),
         has_stopped_reading: servers.is_over,
         fleet: servers.fleet.into_iter().map(to_fleet_entry).collect(),
         fleet_revision: Revision(servers.fleet_revision),
@@ -488,7 +496,7 @@
     let owner = match span.state() {
         wire::State::Server => Owner::Server(incarnation()?),
         wire::State::Moving => Owner::Moving(incarnation()?),
-        wire::State::Nobody => Owner::Nobody { until_ms: span.for_ms },
+        wire::State::Nobody => Owner::Nobody { until_ms: bounded(span.for_ms) },
     };
     Some(Span { range, owner })
 }
@@ -506,7 +514,7 @@
     Resigned {
         epoch: Epoch(resigned.epoch),
         successor: successor.map(Name::from),
-        grants_left_ms: resigned.grants_left_ms,
+        grants_left_ms: bounded(resigned.grants_left_ms),
     }
 }
 
@@ -522,6 +530,6 @@
     CrashCount {
         fingerprint: Fingerprint(suspect.fingerprint),
         crashes: suspect.crashes,
-        deadline_ms: suspect.left_ms,
+        deadline_ms: bounded(suspect.left_ms),
     }
 }
--- a/crates/peer/tests/fleet_frames.rs
+++ b/crates/peer/tests/fleet_frames.rs
@@ -191,3 +191,41 @@
     let FleetBody::Tables(tables) = read_other(&frame).unwrap() else { panic!("{frame:?}") };
     assert_eq!(tables.tables[0].1.spans[0].owner, Owner::Nobody { until_ms: 40 });
 }
+
+/// Guards against sums that overflow: receivers add these durations to their clock.
+#[test]
+fn durations_are_bounded() {
+    const DAY_MS: u64 = 86_400_000;
+    let servers = Servers { grace_left_ms: u64::MAX, ..servers() };
+    let body = decode(FleetBody::Servers(servers));
+    assert!(matches!(body, FleetBody::Servers(Servers { grace_left_ms: DAY_MS, .. })));
+    let resigned = Resigned { epoch: Epoch(1), successor: None, grants_left_ms: u64::MAX };
+    let body = decode(FleetBody::Resigned(resigned));
+    assert!(matches!(body, FleetBody::Resigned(Resigned { grants_left_ms: DAY_MS, .. })));
+    let body = decode(FleetBody::TurnReply(1, Turn::In { wait_ms: u64::MAX }));
+    assert!(matches!(body, FleetBody::TurnReply(1, Turn::In { wait_ms: DAY_MS })));
+    let fingerprint = route::Fingerprint(1);
+    let count = route::CrashCount { fingerprint, crashes: 1, deadline_ms: u64::MAX };
+    let FleetBody::Crashes(counts) = decode(FleetBody::Crashes(vec![count])) else { panic!() };
+    assert_eq!(counts[0].deadline_ms, DAY_MS);
+    let spans = vec![Span { range: KeyRange::WHOLE, owner: Owner::Nobody { until_ms: u64::MAX } }];
+    let table = Table { spans };
+    let tables = Tables { tables: vec![("ledger".into(), table)], ..tables(None, false) };
+    let FleetBody::Tables(tables) = decode(FleetBody::Tables(tables)) else { panic!() };
+    assert_eq!(tables.tables[0].1.spans[0].owner, Owner::Nobody { until_ms: DAY_MS });
+}
+
+/// Guards against a message that its receiver drops because of the form of one address.
+#[test]
+fn every_address_is_decoded() {
+    for address in ["[fe80::1%3]:80", "[::ffff:10.0.0.1]:1", "255.255.255.255:65535", "0.0.0.0:0"] {
+        let mut servers = servers();
+        servers.listed[0].address = address.parse().unwrap();
+        assert_eq!(decode(FleetBody::Servers(servers.clone())), FleetBody::Servers(servers));
+    }
+}
+
+fn decode(body: FleetBody) -> FleetBody {
+    let frame = FleetFrame { from: "edge-1".into(), body };
+    FleetFrame::from_bytes(frame.to_bytes()).unwrap().body
+}
