Check relayed entries of servers, and recover from wrong report numbers

Callers saw: a daemon whose reader (of an earlier version) relays an entry with an endless warm-up ended its control task and stopped following the list. Cause: the duration was added to the clock without a check, and relayed entries were not checked as those that a daemon reads itself. Besides, a server whose entry had once had a number (`Seq`) of another writer was not heard again, since all its reports counted as late, and an entry that moves a running server to another service left it open for requests of the first. Change: `Registry::check` covers both ways, with the service of the incarnation. A report counts as late only within 1,000 of the latest number. The product in `usable_slots` and that of a server's `Keep-Alive` no longer overflow. For the two products no run was made; slots of at most 65535 fit the old one.

--- a/crates/gateway/src/control/relay_messages.rs
+++ b/crates/gateway/src/control/relay_messages.rs
@@ -178,14 +178,7 @@
         }
         for listed in servers.listed {
             let warm_at_ms = now_ms.saturating_add(listed.warm_at_ms);
-            let listed = Registration { warm_at_ms, ..listed };
-            // A reader of an earlier version does not check the entries that it relays.
-            match listed.check(now_ms) {
-                Ok(()) => self.put_server(now_ms, listed, revision),
-                Err(cause) => {
-                    self.on_unusable_entry(now_ms, &listed.incarnation.server, revision, &cause)
-                }
-            }
+            self.put_server(now_ms, Registration { warm_at_ms, ..listed }, revision);
         }
         for name in servers.gone {
             self.remove_server(now_ms, &name, revision);
--- a/crates/gateway/src/control/server_entries.rs
+++ b/crates/gateway/src/control/server_entries.rs
@@ -104,9 +104,13 @@
         }
     }
 
-    /// Adds or updates one server in the registry.
+    /// Adds or updates one server in the registry, if the registration can be used.
     pub(crate) fn put_server(&mut self, now_ms: u64, server: Registration, revision: Revision) {
         let name = server.incarnation.server.clone();
+        if let Err(cause) = self.registry.check(now_ms, &server) {
+            self.on_unusable_entry(now_ms, &name, revision, &cause);
+            return;
+        }
         if self.registry.put(now_ms, &name, server) == Change::Nothing {
             return;
         }
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -382,7 +382,7 @@
 fn idle_timeout_ms(headers: &HeaderMap) -> Option<u64> {
     let value = headers.get(HeaderName::from_static("keep-alive"))?.to_str().ok()?;
     let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    timeout.parse::<u64>().ok().map(|seconds| seconds * 1_000)
+    timeout.parse::<u64>().ok().map(|seconds| seconds.saturating_mul(1_000))
 }
 
 fn to_server_request(
--- a/crates/gateway/src/request/server.rs
+++ b/crates/gateway/src/request/server.rs
@@ -338,7 +338,10 @@
     pub(crate) fn usable_slots(&self) -> u32 {
         let slots = self.registration.slots;
         let pace = if self.is_paced() { *self.pace() } else { None };
-        pace.map_or(slots, |pace| (slots * pace.limit() / pace.share()).max(1))
+        pace.map_or(slots, |pace| {
+            let usable = u64::from(slots) * u64::from(pace.limit()) / u64::from(pace.share());
+            u32::try_from(usable).unwrap_or(slots).max(1)
+        })
     }
 
     /// Returns whether the server starts slowly, if that differs from what the log says last.
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -1,11 +1,12 @@
 //! The registered servers.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use document::{HashMap, HashSet, Name};
 
-use crate::{Incarnation, Registration, Stage};
+use crate::{Field, Incarnation, Registration, Stage, Unusable};
 
 /// All registered servers, by name.
 #[derive(Clone, Debug, Default)]
@@ -42,6 +43,11 @@
     Server,
 }
 
+/// By how much the number of a late report can be below that of the latest one.
+///
+/// Servers report about twice a second, and a report is late by seconds at most. A known number that
+/// is farther ahead was not the server's, which would otherwise never be heard again.
+const MAX_LATE_REPORTS: u64 = 1_000;
 /// Number of marks of leaving servers above which those of servers without an entry are dropped.
 const MAX_LEAVING: usize = 16_384;
 /// How long a running server may take to be listed again once the list is available.
@@ -54,6 +60,22 @@
 const MIN_PROLONGATION_MS: u64 = 100;
 
 impl Registry {
+    /// Checks that a registration describes a usable server and does not contradict an earlier one.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Registration::check`] does, and when the same incarnation has registered for
+    /// another service.
+    pub fn check(&self, now_ms: u64, registration: &Registration) -> Result<(), Unusable> {
+        registration.check(now_ms)?;
+        let known = self.get(&registration.incarnation);
+        if known.is_some_and(|known| known.service != registration.service) {
+            let expected = "the service for which the same start of the server registered before";
+            return Err(Unusable { field: Field::Service, expected });
+        }
+        Ok(())
+    }
+
     /// Stores a listed registration, unless a later report of the server is known.
     pub fn put(&mut self, now_ms: u64, name: &str, mut registration: Registration) -> Change {
         let heartbeat = registration.heartbeat;
@@ -62,8 +84,15 @@
         }
         if let Some(known) = self.entries.get_mut(name) {
             // A late report must not replace a newer one.
-            let last = (known.registration.incarnation.born_ms, known.heartbeat);
-            if (registration.incarnation.born_ms, heartbeat) < last {
+            let known_born_ms = known.registration.incarnation.born_ms;
+            let is_late = match registration.incarnation.born_ms.cmp(&known_born_ms) {
+                Ordering::Less => true,
+                Ordering::Equal => {
+                    (1..=MAX_LATE_REPORTS).contains(&known.heartbeat.saturating_sub(heartbeat))
+                }
+                Ordering::Greater => false,
+            };
+            if is_late {
                 return Change::Nothing;
             }
             let is_listed = known.drop_at_ms.is_none();
@@ -318,5 +347,5 @@
     Registration { warm_at_ms: 0, heartbeat: 0, ..known.clone() }
         == Registration { warm_at_ms: 0, heartbeat: 0, ..new.clone() }
         && is_cold(known) == is_cold(new)
-        && !(is_cold(new) && new.warm_at_ms >= known.warm_at_ms.saturating_add(MIN_PROLONGATION_MS))
+        && !(is_cold(new) && new.warm_at_ms.saturating_sub(known.warm_at_ms) >= MIN_PROLONGATION_MS)
 }
--- a/crates/registry/tests/lives.rs
+++ b/crates/registry/tests/lives.rs
@@ -1,7 +1,7 @@
 //! Guards against work for servers that left, restarted or drain, and against the loss of
 //! running servers whose entries are missing after the list was unavailable.
 use document::Name;
-use registry::{Change, Incarnation, Registration, Registry, Stage};
+use registry::{Change, Field, Incarnation, Registration, Registry, Stage};
 
 fn registration(born_ms: u64, heartbeat: u64, stage: Stage) -> Registration {
     Registration {
@@ -28,6 +28,38 @@
     assert!(!registry.accepts_new_work(&incarnation(1)));
 }
 
+/// Guards against a server whose reports count as late for good after a number of another writer.
+#[test]
+fn report_far_below_the_latest_is_not_late() {
+    let mut registry = Registry::default();
+    registry.put(0, "s", registration(1, 1 << 52, Stage::Ready));
+    assert_eq!(registry.put(0, "s", registration(1, 7, Stage::Draining)), Change::Server);
+    assert_eq!(registry.put(0, "s", registration(1, 6, Stage::Ready)), Change::Nothing);
+    assert!(!registry.accepts_new_work(&incarnation(1)));
+}
+
+/// Guards against requests to a server whose entry now names another service.
+#[test]
+fn one_incarnation_serves_one_service() {
+    let mut registry = Registry::default();
+    registry.put(0, "s", registration(1, 1, Stage::Ready));
+    registry.check(0, &registration(1, 2, Stage::Ready)).unwrap();
+    let other = Registration { service: "archive".into(), ..registration(1, 2, Stage::Ready) };
+    assert_eq!(registry.check(0, &other).unwrap_err().field, Field::Service);
+    let later = Registration { incarnation: incarnation(2), ..other };
+    registry.check(0, &later).unwrap();
+}
+
+/// Guards against a sum that overflows for an entry that an earlier version relayed.
+#[test]
+fn endless_warm_up_is_unusable() {
+    let mut registry = Registry::default();
+    let endless = Registration { warm_at_ms: u64::MAX, ..registration(1, 1, Stage::Ready) };
+    assert_eq!(registry.check(9, &endless).unwrap_err().field, Field::WarmAt);
+    registry.put(9, "s", endless.clone());
+    assert_eq!(registry.put(9, "s", endless), Change::Nothing);
+}
+
 #[test]
 fn heartbeat_changes_nothing() {
     let mut registry = Registry::default();
