Refuse durations of more than ten years

With `drain = 18446744073709551615ms` in a changed settings file, the control task ended; with such a `LatencyGoal` in a document, requests on that route got no answer. Cause: durations of settings and documents were added to clocks and multiplied as they were read, which overflows (panic in a debug build, wrap in a release build). Change: `document::DURATION`, through which all durations of settings, documents and entries are read, has an upper bound. A changed settings file or document with a longer one is refused as before for other invalid values, with the line or the text, and the previous one stays in force. Two tests that quote the expected value have the new text.

--- a/crates/document/src/value_format.rs
+++ b/crates/document/src/value_format.rs
@@ -42,9 +42,14 @@
     expected: "an IP address with a port, as 10.0.0.7:9000",
 };
 
-/// A duration with a unit, converted to milliseconds.
-pub const DURATION: ValueFormat<u64> =
-    ValueFormat { parse: parse_duration, expected: "a duration with a unit: 250ms, 3s, 10m or 1h" };
+/// A duration with a unit of at most ten years, converted to milliseconds.
+pub const DURATION: ValueFormat<u64> = ValueFormat {
+    parse: parse_duration,
+    expected: "a duration of at most ten years with a unit: 250ms, 3s, 10m or 1h",
+};
+
+/// The longest duration: ten years. Sums and multiples of such durations do not overflow.
+const MAX_DURATION_MS: u64 = 10 * 365 * 24 * 3_600 * 1_000;
 
 /// A size with a unit, converted to bytes.
 pub const SIZE: ValueFormat<u64> =
@@ -70,6 +75,10 @@
 }
 
 fn parse_duration(text: &str) -> Option<u64> {
+    parse_any_duration(text).filter(|duration_ms| *duration_ms <= MAX_DURATION_MS)
+}
+
+fn parse_any_duration(text: &str) -> Option<u64> {
     let Some((whole, rest)) = text.split_once('.') else {
         return parse_with_unit(text, &DURATION_UNITS);
     };
--- a/crates/document/tests/refused_texts.rs
+++ b/crates/document/tests/refused_texts.rs
@@ -68,7 +68,7 @@
         "key = segment 2\n",
         "key = segment 2\nprepare = 5 weeks\n",
         Category::Value,
-        "l.ini:5: prepare = 5 weeks, expected a duration with a unit: 250ms, 3s, 10m or 1h",
+        "l.ini:5: prepare = 5 weeks, expected a duration of at most ten years with a unit: 250ms, 3s, 10m or 1h",
     );
 }
 
@@ -163,3 +163,18 @@
     assert!(message.len() < 500, "{} bytes", message.len());
     assert_that!(message, ends_with("[server NAME] or [class NAME]"));
 }
+
+/// Guards against sums and multiples of durations that overflow.
+#[test]
+fn durations_are_bounded() {
+    assert_eq!(document::DURATION.parse("87600h"), Some(315_360_000_000));
+    for text in [
+        "87601h",
+        "315360000001ms",
+        "18446744073709551615ms",
+        "18446744073709551616ms",
+        "5124095576030.5h",
+    ] {
+        assert_eq!(document::DURATION.parse(text), None, "{text}");
+    }
+}
--- a/crates/verbenad/tests/settings_text.rs
+++ b/crates/verbenad/tests/settings_text.rs
@@ -52,7 +52,7 @@
 fn bad_unit() {
     let text = format!("{VALID}timeout = 2 minutes\n");
     let expected = "e.ini:11: timeout = 2 minutes, \
-                    expected a duration with a unit: 250ms, 3s, 10m or 1h";
+                    expected a duration of at most ten years with a unit: 250ms, 3s, 10m or 1h";
     assert_refused(&text, expected);
 }
 
