Soak: planned stops under overload, with a check of lost requests

Cause: the soak did not find the requests that a stopping daemon had read and never answered. Its four callers a daemon sent less than there was room for, requests took 15 ms and had 1.5 s, so none waited in a daemon when the grace period ended; and it counted every closed connection as cut, without a check.

Daemons get SIGTERM in overlapping series, one, several or all at a time, half of them a second SIGTERM or a SIGHUP during the stop; documents change, servers drain, leave and are added. The platform's part asks for readiness each second and sends no new connection after two misses; SIGKILL comes 6 s after SIGTERM. Two thirds of the callers keep their connections until the daemon closes them. Callers tell from the end of the connection whether the daemon had read the whole request: with unread bytes the socket sends a reset. Each read request without a complete answer is lost unless the users' rule excuses it (server stopped, time limit reached, or at work in the last sixth of the grace period on a request sent no later than 3 s after SIGTERM); so is one whose work is broken off for an answer of the daemon's own. The rule's slack after the last byte is not used, as the caller can see here whether a request was read. A 200 must have exactly the server's body in all runs.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,7 +6,8 @@
 //! 1. **Stand-ins.** [`serve_store`] stands in for the platform's key-value service over HTTP.
 //!    [`StandIn`] is a server that takes the controller's orders over HTTP and into which
 //!    [`StandInFaults`] can be injected. [`RangeServer`] is an in-process server that owns ranges
-//!    of keys; its [`OwnershipChecker`] finds keys with two owners and requests that ran twice.
+//!    of keys; its [`OwnershipChecker`] finds keys with two owners and requests that ran twice, and its [`VisitLog`] tells when
+//!    requests were at servers.
 //! 2. **Site.** A [`SitePlan`] lists services, servers and daemons. [`Site::start_open`] starts
 //!    them in one process and waits until all shards are served. The servers report to one
 //!    [`RuleChecker`], which counts [`RuleViolations`].
@@ -36,6 +37,7 @@
 mod site;
 mod store_server;
 mod upstream;
+mod visits;
 mod zipf;
 
 pub use availability::{Availability, Gaps, RunningDaemons};
@@ -52,4 +54,5 @@
 pub use site::{Error, ServerPlan, ServicePlan, Site, SitePlan};
 pub use store_server::serve_store;
 pub use upstream::{REQUEST_ID, StandIn, StandInConfig, StandInFaults};
+pub use visits::{Visit, VisitEnd, VisitLog};
 pub use zipf::Zipf;
--- a/crates/lab/src/range_server.rs
+++ b/crates/lab/src/range_server.rs
@@ -9,7 +9,11 @@
 use registry::Incarnation;
 use shard::{Fence, Grant, Handover, KeyRange, Release, Reply};
 use tokio::sync::Semaphore;
-use tokio::time::{Duration, Instant, sleep, sleep_until};
+use tokio::time::{Duration, Instant, sleep, sleep_until, timeout_at};
+use tokio_util::sync::CancellationToken;
+
+use crate::visits::OpenVisit;
+use crate::{VisitEnd, VisitLog};
 
 /// One incarnation of a server.
 #[derive(Debug)]
@@ -18,7 +22,10 @@
     pub incarnation: Incarnation,
     /// Whether the server runs only requests whose key it holds.
     pub is_keyed: bool,
+    /// Permits for the requests that the server holds, running and waiting.
+    room: Semaphore,
     slots: Semaphore,
+    stopped: CancellationToken,
     checker: Arc<OwnershipChecker>,
     state: Mutex<State>,
 }
@@ -51,6 +58,8 @@
     pub is_idempotent: bool,
     /// How long the request runs.
     pub run_ms: u64,
+    /// When the server stops waiting and working, if the caller's time is limited.
+    pub deadline: Option<Instant>,
 }
 
 /// The result of running a request.
@@ -62,14 +71,20 @@
     NotHeld,
     /// The request did not run: the server has too many requests.
     Overloaded,
+    /// The request did not run: its deadline passed while it waited.
+    Expired,
     /// The request ran, but the grant of its key expired meanwhile.
     GrantLost,
+    /// The request ran, but not to its end before its deadline.
+    TimedOut,
 }
 
 /// Checks ownership of keys and runs of requests across all servers.
 #[derive(Debug, Default)]
 pub struct OwnershipChecker {
     history: Mutex<History>,
+    /// When requests were at servers.
+    pub visits: VisitLog,
 }
 
 #[derive(Debug, Default)]
@@ -95,8 +110,32 @@
         slots: usize,
         checker: Arc<OwnershipChecker>,
     ) -> Arc<Self> {
-        let slots = Semaphore::new(slots);
-        Arc::new(Self { incarnation, is_keyed, slots, checker, state: Mutex::default() })
+        Self::with_queue(incarnation, is_keyed, slots, Semaphore::MAX_PERMITS - slots, checker)
+    }
+
+    /// Creates a server that holds no keys and in which at most `max_waiting` requests wait.
+    #[must_use]
+    pub fn with_queue(
+        incarnation: Incarnation,
+        is_keyed: bool,
+        slots: usize,
+        max_waiting: usize,
+        checker: Arc<OwnershipChecker>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            incarnation,
+            is_keyed,
+            room: Semaphore::new(slots + max_waiting),
+            slots: Semaphore::new(slots),
+            stopped: CancellationToken::new(),
+            checker,
+            state: Mutex::default(),
+        })
+    }
+
+    /// Records that the server stops; the requests that it holds end with it.
+    pub fn stop(&self) {
+        self.stopped.cancel();
     }
 
     /// Accepts a grant unless the server has seen a higher fence for one of the keys.
@@ -135,6 +174,14 @@
 
     /// Runs a request when a slot is free.
     pub async fn run(&self, work: &Work) -> Execution {
+        let mut visit = self.checker.visits.arrive(&work.id, &self.stopped);
+        let execution = self.execute(work, &visit).await;
+        visit.end(VisitEnd::Answered);
+        execution
+    }
+
+    async fn execute(&self, work: &Work, visit: &OpenVisit<'_>) -> Execution {
+        let Ok(_room) = self.room.try_acquire() else { return Execution::Overloaded };
         if self.is_keyed && self.find_held(work.key).is_none() {
             return Execution::NotHeld;
         }
@@ -142,15 +189,28 @@
         if self.slots.available_permits() == 0 && self.lock().running.len() > max_running {
             return Execution::Overloaded;
         }
-        let Ok(_slot) = self.slots.acquire().await else { return Execution::Overloaded };
+        let slot = match work.deadline {
+            Some(deadline) => match timeout_at(deadline, self.slots.acquire()).await {
+                Ok(slot) => slot,
+                Err(_elapsed) => return Execution::Expired,
+            },
+            None => self.slots.acquire().await,
+        };
+        let Ok(_slot) = slot else { return Execution::Overloaded };
         // The key may have been released while the request waited.
         let held = self.find_held(work.key);
         if self.is_keyed && held.is_none() {
             return Execution::NotHeld;
         }
         let running = self.begin(work);
-        sleep_until(Instant::now() + Duration::from_millis(work.run_ms)).await;
+        visit.begin_work();
+        let end_at = Instant::now() + Duration::from_millis(work.run_ms);
+        let deadline = work.deadline.filter(|deadline| *deadline < end_at);
+        sleep_until(deadline.unwrap_or(end_at)).await;
         drop(running);
+        if deadline.is_some() {
+            return Execution::TimedOut;
+        }
         let has_lost_grant = held.is_some_and(|held| Instant::now() >= held.deadline)
             && self
                 .find_held(work.key)
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -19,8 +19,8 @@
 /// The shared state and counts of all callers of a run.
 #[derive(Debug)]
 pub struct Callers {
-    dialect: Dialect,
-    checker: Arc<OwnershipChecker>,
+    pub(crate) dialect: Dialect,
+    pub(crate) checker: Arc<OwnershipChecker>,
     next_number: AtomicU64,
     is_stopped: AtomicBool,
     /// The ids of requests that were refused as not run.
@@ -39,6 +39,18 @@
     pub unknown: u64,
     /// Ended without a complete response.
     pub cut: u64,
+    /// Closed, although the daemon had read them and nothing excuses it, or answered with a failure
+    /// in place of a server that was at work; see [`LossCheck`](crate::LossCheck).
+    pub lost: u64,
+    /// Closed before the daemon had read them.
+    pub unread: u64,
+    /// Like the lost ones, but excused: their time limit had passed, their server stopped, or it
+    /// was at work at the end of the grace period.
+    pub excused: u64,
+    /// Not answered when the caller gave up.
+    pub expired: u64,
+    /// Not sent, as no connection could be opened.
+    pub unconnected: u64,
 }
 
 /// The time limit that callers state in each request; they wait twice as long for the response.
@@ -64,8 +76,8 @@
     /// Runs one caller, which sends requests to a daemon until [`Self::stop`] is called.
     pub async fn run_caller(self: Arc<Self>, front: SocketAddr) {
         let mut connection = None;
-        while !self.is_stopped.load(Ordering::Relaxed) {
-            let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        while !self.is_stopped() {
+            let number = self.next_number();
             let exchange = self.send_request(front, &mut connection, number);
             let ended = timeout(Duration::from_millis(REQUEST_TIMEOUT_MS * 2), exchange).await;
             if !matches!(ended, Ok(true)) {
@@ -124,18 +136,21 @@
 
     /// Counts a response by its status, and reports a violation if it has one.
     ///
-    /// A violation is a 200 that is unsigned or belongs to another request, or a status that
-    /// rejects the request as invalid; the latter is not counted.
-    fn check_response(&self, id: &Name, response: &Response<Bytes>) {
+    /// A violation is a 200 that is unsigned, incomplete or belongs to another request, or a
+    /// status that rejects the request as invalid; the latter is not counted.
+    pub(crate) fn check_response(&self, id: &Name, response: &Response<Bytes>) {
         let status = response.status();
         match status.as_u16() {
             200 => {
-                let has_own_id = response.body().starts_with(format!("{id} ").as_bytes());
-                let is_signed = response.headers().contains_key(&self.dialect.signature);
-                if !has_own_id || !is_signed {
+                let signature = response.headers().get(&self.dialect.signature);
+                let signature = signature.and_then(|value| value.to_str().ok());
+                let is_whole = signature
+                    .is_some_and(|text| response.body() == format!("{id} {text}").as_bytes());
+                if !is_whole {
                     let body = response.body().escape_ascii();
-                    self.checker
-                        .add_violation(format!("{id} got a foreign or unsigned response: {body}"));
+                    self.checker.add_violation(format!(
+                        "{id} got a foreign, incomplete or unsigned response: {body}"
+                    ));
                 }
                 self.update_counts(|counts| counts.served += 1);
             }
@@ -163,7 +178,7 @@
     ) {
         // The start count, and the newest version that the daemon has served since that start.
         let mut seen = (0, 0);
-        while !self.is_stopped.load(Ordering::Relaxed) {
+        while !self.is_stopped() {
             sleep(Duration::from_millis(150)).await;
             let (count_before, latest_version) =
                 (start_count.load(Ordering::Relaxed), latest.load(Ordering::Relaxed));
@@ -189,7 +204,7 @@
 
     /// Requests the route that a document version added; returns the status.
     async fn probe_version(&self, front: SocketAddr, version: u64) -> Option<StatusCode> {
-        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        let number = self.next_number();
         let request = Request::builder()
             .uri(format!("/v{version}/x"))
             .header(HOST_HEADER, HOST)
@@ -204,6 +219,16 @@
         timeout(Duration::from_millis(REQUEST_TIMEOUT_MS), exchange).await.ok()?
     }
 
+    /// Returns a number that no other request has.
+    pub(crate) fn next_number(&self) -> u64 {
+        self.next_number.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Returns whether [`Self::stop`] was called.
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.is_stopped.load(Ordering::Relaxed)
+    }
+
     /// Stops all callers and version checks.
     pub fn stop(&self) {
         self.is_stopped.store(true, Ordering::Relaxed);
@@ -237,7 +262,7 @@
         if all == 0 { 0.0 } else { lab::f64_from_u64(served) / lab::f64_from_u64(all) }
     }
 
-    fn update_counts(&self, change: impl FnOnce(&mut Counts)) {
+    pub(crate) fn update_counts(&self, change: impl FnOnce(&mut Counts)) {
         change(&mut self.counts.lock().unwrap_or_else(PoisonError::into_inner));
     }
 }
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -13,8 +13,8 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use platform_standin::{
-    Addresses, EntryFields, RouteFields, ServerFaults, entry_text, serve_kv, serve_server,
-    site_text,
+    Addresses, EntryFields, RouteFields, ServerFaults, WorkTimes, entry_text, serve_kv,
+    serve_server, site_text,
 };
 use registry::Incarnation;
 use store::{Expect, LeaseId, MemoryStore, Store};
@@ -31,6 +31,42 @@
 const ENTRY_LEASE_MS: u64 = 1_800;
 /// How often servers write their entries.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(600);
+/// The times of all routes unless others are set.
+const DEFAULT_ROUTE_TIMES: RouteTimes = RouteTimes { timeout_ms: 1_000, latency_goal_ms: 250 };
+
+/// One in so many servers is slow under [`ServerLoad`].
+const SLOW_SERVER_INTERVAL: usize = 4;
+
+/// How a cluster is set up.
+#[derive(Clone, Debug)]
+pub struct ClusterOptions<'a> {
+    /// The data centre of each daemon.
+    data_centres: Vec<&'a str>,
+    /// Whether each daemon has links of its own to all servers.
+    has_own_links: bool,
+    route_times: RouteTimes,
+    server_load: Option<ServerLoad>,
+}
+
+/// The times that the document states for all routes.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteTimes {
+    /// The time within which a caller gets a final answer.
+    pub timeout_ms: u64,
+    /// The time within which an answer has its full value.
+    pub latency_goal_ms: u64,
+}
+
+/// How long servers work, and how many requests wait at each of them.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLoad {
+    /// How long most servers work on requests.
+    pub work_times: WorkTimes,
+    /// How many times longer every fourth server works.
+    pub slowness: u64,
+    /// How many requests wait at a server at most.
+    pub max_waiting: usize,
+}
 
 /// A daemon, run as a process, and its link to the store.
 #[derive(Debug)]
@@ -41,6 +77,8 @@
     pub front: SocketAddr,
     /// The address for administrators.
     pub admin: SocketAddr,
+    /// The address for the platform's readiness checks.
+    pub ready: SocketAddr,
     /// The link from this daemon to the store.
     pub store_link: Link,
     /// Its own links to the servers, if it has any.
@@ -102,6 +140,8 @@
     is_change_due: bool,
     /// Whether each daemon has links of its own to the servers.
     has_own_links: bool,
+    route_times: RouteTimes,
+    server_load: Option<ServerLoad>,
     /// The events so far, each as one line with its time.
     timeline: Mutex<Vec<String>>,
     pub(crate) started_at: Instant,
@@ -110,6 +150,33 @@
 /// The result of starting or controlling processes.
 pub type Result<T> = std::result::Result<T, Box<dyn std::error::Error + Send + Sync>>;
 
+impl<'a> ClusterOptions<'a> {
+    /// Creates options with one daemon in each of the data centres.
+    #[must_use]
+    pub fn new(data_centres: &[&'a str]) -> Self {
+        Self {
+            data_centres: data_centres.to_vec(),
+            has_own_links: false,
+            route_times: DEFAULT_ROUTE_TIMES,
+            server_load: None,
+        }
+    }
+
+    /// Sets the times of all routes.
+    #[must_use]
+    pub fn route_times(mut self, times: RouteTimes) -> Self {
+        self.route_times = times;
+        self
+    }
+
+    /// Sets how long servers work, and how many requests wait at each of them.
+    #[must_use]
+    pub fn server_load(mut self, load: ServerLoad) -> Self {
+        self.server_load = Some(load);
+        self
+    }
+}
+
 impl Cluster {
     /// Starts the stand-ins and the given number of daemons.
     ///
@@ -134,7 +201,22 @@
         data_centres: &[&str],
         has_own_links: bool,
     ) -> Result<Self> {
-        let daemons = data_centres.len();
+        let mut options = ClusterOptions::new(data_centres);
+        options.has_own_links = has_own_links;
+        Self::start_with(program, dir, options).await
+    }
+
+    /// Starts the stand-ins and daemons as the options say.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port is free, or a file or process cannot be created.
+    pub async fn start_with(
+        program: &Path,
+        dir: &Path,
+        options: ClusterOptions<'_>,
+    ) -> Result<Self> {
+        let daemons = options.data_centres.len();
         let mut cluster = Self {
             store: MemoryStore::default(),
             checker: Arc::default(),
@@ -142,11 +224,13 @@
             servers: Vec::new(),
             version: 0,
             is_change_due: false,
-            has_own_links,
+            has_own_links: options.has_own_links,
+            route_times: options.route_times,
+            server_load: options.server_load,
             timeline: Mutex::default(),
             started_at: Instant::now(),
         };
-        for (number, data_centre) in data_centres.iter().enumerate() {
+        for (number, data_centre) in options.data_centres.iter().enumerate() {
             let daemon = Daemon::create(program, dir, number, data_centre, &cluster.store).await?;
             cluster.daemons.push(daemon);
         }
@@ -177,16 +261,19 @@
     /// Repeats the write until the store accepts it.
     pub async fn write_next_document(&mut self) {
         self.version += 1;
+        let RouteTimes { timeout_ms, latency_goal_ms } = self.route_times;
         let route = |prefix: String, kind, service| RouteFields {
             prefix,
             kind,
             service,
-            timeout_ms: 1_000,
+            timeout_ms,
+            latency_goal_ms,
         };
         let mut routes = vec![
             route("/ledger/".into(), "idempotent", "ledger"),
             route("/swaps/".into(), "non_idempotent", "ledger"),
             route("/archive/".into(), "idempotent", "archive"),
+            route("/orders/".into(), "non_idempotent", "archive"),
         ];
         routes.extend(
             (1..=self.version)
@@ -280,13 +367,23 @@
             service,
             data_centre,
             link,
-            faults: Arc::default(),
+            faults: Arc::new(self.server_faults()),
             is_draining: Arc::default(),
             running: None,
         });
         self.start_server(self.servers.len() - 1).await
     }
 
+    /// Returns the initial faults of the next server, which may be a slow one.
+    fn server_faults(&self) -> ServerFaults {
+        let Some(ServerLoad { work_times, slowness, .. }) = self.server_load else {
+            return ServerFaults::default();
+        };
+        let is_slow = self.servers.len() % SLOW_SERVER_INTERVAL == SLOW_SERVER_INTERVAL - 1;
+        let min_ms = work_times.min_ms * if is_slow { slowness } else { 1 };
+        ServerFaults { work_times: WorkTimes { min_ms, ..work_times }, ..ServerFaults::default() }
+    }
+
     /// Starts a new incarnation of a server; a running one is stopped first.
     ///
     /// # Errors
@@ -301,7 +398,13 @@
         let born_ms = u64::try_from(now.as_millis())?;
         let incarnation = Incarnation { server: handle.name.clone(), born_ms };
         let is_keyed = handle.service == "ledger";
-        let server = RangeServer::new(incarnation, is_keyed, SLOTS, Arc::clone(&self.checker));
+        let checker = Arc::clone(&self.checker);
+        let server = match self.server_load {
+            Some(ServerLoad { max_waiting, .. }) => {
+                RangeServer::with_queue(incarnation, is_keyed, SLOTS, max_waiting, checker)
+            }
+            None => RangeServer::new(incarnation, is_keyed, SLOTS, checker),
+        };
         let stop = CancellationToken::new();
         tokio::spawn(serve_server(
             Arc::clone(&server),
@@ -334,6 +437,7 @@
     /// Stops the running incarnation of a server at once, as a crash does.
     pub fn stop_server(&mut self, index: usize) {
         if let Some((server, stop)) = self.servers[index].running.take() {
+            server.stop();
             stop.cancel();
             self.servers[index].link.reset();
             self.checker.on_incarnation_end(&server.incarnation);
@@ -450,11 +554,13 @@
         std::fs::write(&path, settings)?;
         let front = addresses["front"].parse()?;
         let admin = addresses["admin"].parse()?;
+        let ready = addresses["ready"].parse()?;
         let log_path = dir.join(format!("{name}.log"));
         Ok(Self {
             name,
             front,
             admin,
+            ready,
             store_link,
             server_links: Vec::new(),
             server_addresses,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,19 +16,34 @@
 //! - daemons never return to an earlier document,
 //! - service recovers after the last fault.
 //!
+//! A run of planned stops has no faults. Callers send more than the servers have room for, while
+//! daemons stop in series and at the same time, documents change and servers are replaced. It
+//! checks besides that a daemon answers every request that it has read, except where the users'
+//! rule for planned work allows it to break the request off.
+//!
 //! With the program of an earlier version, a run is also a rolling upgrade: all daemons start
 //! with that program and are replaced one after the other while the faults go on.
 
 mod callers;
 mod cluster;
+mod exchange;
 mod faults;
+mod kept_callers;
 mod link;
 mod link_faults;
+mod loss_check;
+mod planned_stops;
+mod rotation;
 mod run;
 mod upgrade;
 
 pub use callers::{Callers, Counts};
-pub use cluster::{Cluster, Daemon, HOST, Result, ServerHandle};
+pub use cluster::{
+    Cluster, ClusterOptions, Daemon, HOST, Result, RouteTimes, ServerHandle, ServerLoad,
+};
+pub use exchange::{Answer, CallerConnection, Exchange, RequestBytes};
 pub use link::{Link, LinkMode};
+pub use loss_check::{Ending, LossCheck};
+pub use rotation::Rotation;
 pub use run::{MAX_RECOVERY_S, Options, Report, run, seed_dir};
 pub use upgrade::{Version, VersionStart};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -13,6 +13,10 @@
 const EXIT_RULE_BROKEN: u8 = 3;
 /// The exit code when a run could not be carried out.
 const EXIT_RUN_FAILED: u8 = 1;
+/// The number of callers of each daemon in a run of faults.
+const DEFAULT_CALLERS: u64 = 4;
+/// The number of callers of each daemon in a run of planned stops: more than servers have room for.
+const OVERLOAD_CALLERS: u64 = 48;
 
 type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -76,7 +80,20 @@
                 )
                 .arg(previous.clone())
                 .arg(number("daemons", "4", "The number of daemons"))
-                .arg(number("callers", "4", "The number of callers of each daemon"))
+                .arg(
+                    Arg::new("callers")
+                        .long("callers")
+                        .value_name("N")
+                        .value_parser(value_parser!(u64))
+                        .help("The number of callers of each daemon [default: 4, or 48 with --planned-stops]"),
+                )
+                .arg(
+                    Arg::new("planned-stops")
+                        .long("planned-stops")
+                        .action(ArgAction::SetTrue)
+                        .conflicts_with_all(["own-links", "previous"])
+                        .help("Stops daemons under overload instead of injecting faults"),
+                )
                 .arg(
                     Arg::new("keep")
                         .long("keep")
@@ -125,14 +142,18 @@
 async fn run_seeds(matches: &ArgMatches) -> Result<ExitCode, BoxError> {
     let out = get_arg::<PathBuf>(matches, "out")?;
     let first = get_arg::<u64>(matches, "seed")?;
+    let planned_stops = matches.get_flag("planned-stops");
+    let default_callers = if planned_stops { OVERLOAD_CALLERS } else { DEFAULT_CALLERS };
+    let callers = matches.get_one("callers").copied().unwrap_or(default_callers);
     let mut code = ExitCode::SUCCESS;
     for seed in first..first + get_arg::<u64>(matches, "seeds")? {
         let options = Options {
             seed,
             for_s: get_arg::<u64>(matches, "for")?,
             daemons: usize::try_from(get_arg::<u64>(matches, "daemons")?.max(1))?,
-            callers: usize::try_from(get_arg::<u64>(matches, "callers")?)?,
+            callers: usize::try_from(callers)?,
             checks_recovery: !matches.get_flag("safety-only"),
+            planned_stops,
             own_links: matches.get_flag("own-links"),
             recovery_s: get_arg::<u64>(matches, "recover")?,
             previous: matches.get_one("previous").cloned(),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,6 +12,7 @@
 use crate::cluster::{Cluster, Result};
 use crate::faults::FaultSchedule;
 use crate::link_faults::{LinkFaults, data_centres};
+use crate::planned_stops;
 use crate::upgrade::{Upgrade, VersionStart};
 
 /// The parameters of a run, written to `options.json` in the folder of its logs.
@@ -35,6 +36,9 @@
     /// How long service has to recover after the last fault, in seconds.
     #[serde(default = "max_recovery_s")]
     pub recovery_s: u64,
+    /// Whether the run consists of planned stops under overload, without faults.
+    #[serde(default)]
+    pub planned_stops: bool,
     /// The program with which the daemons start in a rolling upgrade.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub previous: Option<PathBuf>,
@@ -54,6 +58,8 @@
     /// Every start of a daemon in a rolling upgrade.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub starts: Vec<VersionStart>,
+    /// How often daemons were told to stop in a run of planned stops.
+    pub stops: u32,
 }
 
 /// The time that daemons have to find each other and assign all keys before the first fault.
@@ -88,6 +94,9 @@
     }
     std::fs::create_dir_all(dir)?;
     std::fs::write(dir.join("options.json"), serde_json::to_vec_pretty(&options)?)?;
+    if options.planned_stops {
+        return planned_stops::run(options, program, dir).await;
+    }
     let mut cluster = if options.own_links {
         Cluster::start_in(first_program, dir, &data_centres(options.daemons), true).await?
     } else {
@@ -159,7 +168,7 @@
     std::fs::write(dir.join("timeline.txt"), cluster.timeline())?;
     let broken = cluster.checker.violations();
     let starts = upgrade.map(|upgrade| upgrade.starts).unwrap_or_default();
-    Ok(Report { options, counts: callers.counts(), served_part_at_end, broken, starts })
+    Ok(Report { options, counts: callers.counts(), served_part_at_end, broken, starts, stops: 0 })
 }
 
 /// Starts the callers of all daemons, and returns a start count for each daemon.
