--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -4,7 +4,6 @@
 
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response};
-use hyper::body::Incoming;
 use proxy::{AdmissionError, Permit, WaitEnd};
 use registry::Incarnation;
 use route::{
@@ -19,6 +18,7 @@
 use crate::log_sampler::is_sampled;
 use crate::request::answer::AnswerBody;
 use crate::request::call::{self, Call};
+use crate::request::caller_body::CallerBody;
 use crate::request::detour;
 use crate::request::exchange::{ExchangeResult, exchange, is_out_of_reach};
 use crate::request::in_flight::{Stage, Tracked};
@@ -49,7 +49,7 @@
 /// Answers one request of a caller.
 pub(crate) async fn answer(
     shared: Arc<Shared>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
 ) -> Response<AnswerBody> {
     let arrived_at_ms = shared.clock.now_ms();
     shared.counters.count(Counter::Requests);
@@ -65,8 +65,8 @@
         Err(refusal) => {
             on_refusal(&shared, id.as_ref(), call.as_deref(), arrived_at_ms, &refusal);
             let mut response = refusal::to_response(&refusal);
-            if call.is_some_and(|call| call.is_relayed) {
-                detour::add_reason(&mut response, refusal.reason);
+            if let Some(call) = call.filter(|call| call.is_relayed) {
+                detour::add_reason(&shared, &call, &mut response, refusal.reason);
             }
             response
         }
@@ -134,7 +134,7 @@
 /// Reads and runs a request; returns the request, if it could be read, and the result.
 async fn forward(
     shared: &Arc<Shared>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
     tracked: Tracked,
     arrived_at_ms: u64,
 ) -> (Option<Arc<Call>>, Result<Response<AnswerBody>, Refusal>) {
@@ -150,7 +150,7 @@
 /// Reads a request, finds its route and counts its expected load.
 async fn read(
     shared: &Shared,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
     tracked: Tracked,
     arrived_at_ms: u64,
 ) -> Result<Call, Refusal> {
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -2,7 +2,10 @@
 
 pub(crate) mod answer;
 pub(crate) mod call;
+pub(crate) mod caller_body;
+pub(crate) mod connection;
 pub(crate) mod detour;
+pub(crate) mod earlier_refusals;
 pub(crate) mod exchange;
 pub(crate) mod forward;
 pub(crate) mod front;
