Close callers' connections with the same code in both daemons

The gateway had its own copy of what tells when a connection can be closed without losing a request. No change of behaviour: the tests of crates/gateway, and unread_requests, idle_connections, refused_bodies, stopped_waits and stopped_candidate of platform pass.

--- a/crates/gateway/src/request/front.rs
+++ b/crates/gateway/src/request/front.rs
@@ -1,9 +1,9 @@
 //! Accepts callers' connections.
 
-use std::io;
 use std::sync::Arc;
 
-use tokio::net::{TcpListener, TcpStream};
+use proxy::accept_queued;
+use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio::time::{Duration, sleep};
 use tokio_util::sync::CancellationToken;
@@ -39,7 +39,11 @@
             () = stop.close.cancelled() => break,
         }
     }
-    for stream in accept_queued(listener) {
+    let mut queued = Vec::new();
+    if let Err(error) = accept_queued(listener, &mut queued) {
+        spdlog::warn!("failed to accept the last connections", kv: { error: });
+    }
+    for stream in queued {
         connections.spawn(serve_connection(Arc::clone(&shared), stream, stop.close.clone()));
     }
     let finished = async {
@@ -56,33 +60,3 @@
 
 /// How long to wait after a failed accept, for file descriptors to become free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-
-/// Accepts the connections in the queue of a listener, then closes the listener.
-///
-/// Closing it first would reset them, with the requests that callers have sent on them.
-fn accept_queued(listener: TcpListener) -> Vec<TcpStream> {
-    let mut streams = Vec::new();
-    // The runtime may not know yet that there are connections, so the system is asked.
-    let listener = match listener.into_std() {
-        Ok(listener) => listener,
-        Err(error) => {
-            spdlog::warn!("failed to accept the last connections", kv: { error: });
-            return streams;
-        }
-    };
-    loop {
-        let accepted = listener.accept().and_then(|(stream, _)| {
-            stream.set_nonblocking(true)?;
-            TcpStream::from_std(stream)
-        });
-        match accepted {
-            Ok(stream) => streams.push(stream),
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return streams,
-            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
-            Err(error) => {
-                spdlog::warn!("failed to accept the last connections", kv: { error: });
-                return streams;
-            }
-        }
-    }
-}
