Read on after verbenad has refused a request, so that the caller gets the refusal

Callers of verbenad that were still sending the body of a refused request (no such service, no key, too large, ambiguous framing, or a stop) found their connection closed, or reset before they had read the refusal: it was closed with bytes unread.

The code with which the gateway avoids that moves to proxy::CallerBody and proxy::Unread, and serve uses it too. Nothing changes for the gateway.

--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -7,12 +7,11 @@
 use http::header::HOST;
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Request};
-use proxy::{BodyError, WaitEnd, read_body};
+use proxy::{BodyError, CallerBody, WaitEnd, read_body};
 use route::{Arrival, Caller, Fingerprint, Reason, Refusal};
 use site::{Route, Site};
 
 use crate::Shared;
-use crate::request::caller_body::CallerBody;
 use crate::request::detour::earlier_refusals;
 use crate::request::earlier_refusals::EarlierRefusals;
 use crate::request::in_flight::Tracked;
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -4,7 +4,7 @@
 
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response};
-use proxy::{AdmissionError, Permit, WaitEnd};
+use proxy::{AdmissionError, CallerBody, Permit, WaitEnd};
 use registry::Incarnation;
 use route::{
     Attempts, Failure, MAX_BUSY_RETRY_AFTER_MS, MIN_BUSY_RETRY_AFTER_MS, Next, Reason, Refusal,
@@ -18,7 +18,6 @@
 use crate::log_sampler::is_sampled;
 use crate::request::answer::AnswerBody;
 use crate::request::call::{self, Call};
-use crate::request::caller_body::CallerBody;
 use crate::request::detour;
 use crate::request::exchange::{ExchangeResult, exchange, is_out_of_reach};
 use crate::request::in_flight::{Stage, Tracked};
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -2,7 +2,6 @@
 
 pub(crate) mod answer;
 pub(crate) mod call;
-pub(crate) mod caller_body;
 pub(crate) mod connection;
 pub(crate) mod detour;
 pub(crate) mod earlier_refusals;
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -7,7 +7,6 @@
 use http::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
 use http::{Method, Request, Response, StatusCode, Version};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use route::{
     Arrival, Attempts, Decision, Failure, Fingerprint, Next, Outcome, Reason, Refusal, Service,
     Target,
@@ -18,14 +17,16 @@
 use crate::answer::{AnswerBody, AnswerResources, InFlightGuard};
 use crate::head;
 use crate::upstream::{AdmissionError, Permit};
-use crate::{BodyError, Traffic, Upstream, WaitEnd, read_body, retry_after_ms, to_labels};
+use crate::{
+    BodyError, CallerBody, Traffic, Upstream, WaitEnd, read_body, retry_after_ms, to_labels,
+};
 
 /// Answers one request of a caller.
 ///
 /// A request with ambiguous framing is refused, and its connection is closed.
 pub(crate) async fn answer(
     traffic: Arc<Traffic>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
     is_ambiguous: bool,
 ) -> Response<AnswerBody> {
     let started = Instant::now();
@@ -65,7 +66,10 @@
 }
 
 /// Returns the service that the first segment of the path names.
-fn find_service(traffic: &Traffic, request: &Request<Incoming>) -> Option<Arc<Service<Upstream>>> {
+fn find_service(
+    traffic: &Traffic,
+    request: &Request<CallerBody>,
+) -> Option<Arc<Service<Upstream>>> {
     let name = request.uri().path().trim_start_matches('/').split('/').next();
     name.and_then(|name| traffic.service(name))
 }
@@ -116,7 +120,7 @@
 async fn forward(
     traffic: &Traffic,
     service: Option<Arc<Service<Upstream>>>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let service = service.ok_or(Refusal::not_run(Reason::UnknownService))?;
     let call = read_call(traffic, &service, request).await?;
@@ -128,7 +132,7 @@
 async fn read_call(
     traffic: &Traffic,
     service: &Service<Upstream>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
 ) -> Result<Call, Refusal> {
     let (mut head, body) = request.into_parts();
     head::check_framing(head.version, &head.headers)?;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -18,6 +18,8 @@
 //!   [`StreamProgress`].
 //! - An [`Activity`] tells when a caller's connection can be closed without losing a request, and
 //!   [`accept_queued`] closes a listener without losing a connection.
+//! - A [`CallerBody`] keeps what a refusal leaves unread, which [`Unread`] discards so that the
+//!   caller gets the refusal.
 //! - [`strip_headers`], [`strip_request_headers`] and [`read_body`] prepare what is forwarded,
 //!   [`retry_after_ms`] reads how long a server asks to be left alone, and [`to_labels`] returns the labels under which a result is counted.
 //!
@@ -42,6 +44,7 @@
 mod activity;
 mod answer;
 mod body;
+mod caller_body;
 mod caller_stream;
 mod clock;
 mod forward;
@@ -60,6 +63,7 @@
 pub use activity::{Activity, Close, CloseCause, RequestGuard, TrackedBody};
 pub use answer::AnswerBody;
 pub use body::{BodyError, read_body};
+pub use caller_body::{BodyRest, CallerBody, Unread};
 pub use caller_stream::{CallerStream, StreamProgress};
 pub use clock::Clock;
 pub use head::{
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -1,8 +1,10 @@
 //! Accepts the connections of callers.
 
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::sync::Arc;
 
+use http::header::{CONNECTION, EXPECT, HeaderValue};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -16,8 +18,8 @@
 
 use crate::answer::AnswerBody;
 use crate::{
-    Activity, CallerStream, Close, CloseCause, RecordedStream, TrackedBody, Traffic, accept_queued,
-    forward,
+    Activity, CallerBody, CallerStream, Close, CloseCause, RecordedStream, TrackedBody, Traffic,
+    Unread, accept_queued, forward, has_unambiguous_framing,
 };
 
 /// Serves callers until `stop` is cancelled, then finishes the requests in flight.
@@ -71,41 +73,57 @@
     let limits = traffic.limits;
     let (stream, progress) = CallerStream::new(stream, traffic.clock);
     let activity = Activity::new(traffic.clock, progress);
+    let unread = Unread::default();
     let (stream, raw) = RecordedStream::new(stream);
     let service = service_fn(|request: Request<Incoming>| {
         let traffic = Arc::clone(&traffic);
         let is_ambiguous = raw.is_ambiguous(&request);
         let in_flight = activity.begin();
+        let (activity, unread) = (Arc::clone(&activity), unread.clone());
         async move {
-            let answer = if forward::is_tunnel(request.method()) {
+            let (head, body) = request.into_parts();
+            // Otherwise the caller may send no body, or one with another end.
+            let may_discard = !is_ambiguous
+                && has_unambiguous_framing(head.version, &head.headers)
+                && !head.headers.contains_key(EXPECT);
+            let (body, rest) = CallerBody::new(body);
+            let request = Request::from_parts(head, body);
+            let mut answer = if forward::is_tunnel(request.method()) {
                 tunnel_refusal()
             } else {
                 forward::answer(traffic, request, is_ambiguous).await
             };
+            if !unread.discard_rest(&rest, may_discard, &activity) {
+                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
             Ok::<_, Infallible>(answer.map(|body| TrackedBody::new(body, in_flight)))
         }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
         .max_header_size(limits.max_head_bytes)
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        // How a connection ends concerns only its caller.
-        ended = connection.as_mut() => {
-            drop(ended);
-            return;
+    // How a connection ends concerns only its caller.
+    let has_ended = tokio::select! {
+        ended = &mut connection => {
+            if ended.is_err_and(|error| error.is_parse()) {
+                unread.set();
+            }
+            true
+        }
+        () = stop.cancelled() => false,
+    };
+    if !has_ended {
+        let pinned = Pin::new(&mut connection);
+        let closing = activity.wait_to_close(pinned, CloseCause::Stop, limits.head_timeout_ms);
+        if closing.await != Close::Drop {
+            Pin::new(&mut connection).graceful_shutdown();
+            drop((&mut connection).await);
         }
-        () = stop.cancelled() => {}
-    }
-    let closing =
-        activity.wait_to_close(connection.as_mut(), CloseCause::Stop, limits.head_timeout_ms);
-    if closing.await != Close::Drop {
-        connection.as_mut().graceful_shutdown();
-        drop(connection.await);
     }
+    unread.discard(connection.into_parts().io.into_inner()).await;
 }
 
 /// The smallest buffer of a connection that the HTTP library accepts.
