Follow the reloaded grace period in a stop, and receive signals from the start

Callers lost their requests when the grace period had been shortened by a reload: the stop followed the settings that were read at the start, so the process was killed before it had answered. And SIGHUP or SIGTERM between the start of the traffic thread and the registration of the handlers ended the process at once, which is the default, with the connections that it had accepted.

wait_for_stop now returns the grace period in force, and the handlers are registered before callers are accepted.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,7 +12,7 @@
 use store::Store;
 use telemetry::{Counters, Metrics};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{interval, sleep_until, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
@@ -100,6 +100,8 @@
         let metrics = Metrics::new(&counters).change_context(RunError)?;
         let data_centre = settings.data_centre.clone();
         let clock = Clock::start();
+        // By default, each of these signals ends the process at once.
+        let signals = Signals::receive().change_context(RunError)?;
         let (inputs, queue) = mpsc::channel(MAX_QUEUED_INPUTS);
         let dialect = ports.dialect.clone();
         let shared = Shared::new(clock, counters, metrics, dialect, data_centre, inputs.clone());
@@ -134,9 +136,9 @@
         });
         let resign_requested = resign.clone();
         tokio::spawn(async move { node.run(queue, resign_requested).await });
-        wait_for_stop(settings_path, &inputs).await.change_context(RunError)?;
+        let grace_ms = wait_for_stop(signals, settings_path, settings.grace_ms, &inputs).await;
         spdlog::info!("stopping", kv: { instance = settings.instance.as_str() });
-        let plan = StopPlan::new(clock.now_ms(), settings.grace_ms);
+        let plan = StopPlan::new(clock.now_ms(), grace_ms);
         shared.stop.begin(plan.answer_deadline_ms);
         resign.cancel();
         drain(clock, plan, &stop, traffic).await;
@@ -277,18 +279,39 @@
     tokio::join!(listening, forwarding);
 }
 
+/// The signals that the process handles.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn receive() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Waits for a stop signal; reloads the settings when the file changes or on SIGHUP.
-async fn wait_for_stop(path: PathBuf, inputs: &mpsc::Sender<Input>) -> std::io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
+///
+/// Returns the grace period that is in force then.
+async fn wait_for_stop(
+    mut signals: Signals,
+    path: PathBuf,
+    mut grace_ms: u64,
+    inputs: &mpsc::Sender<Input>,
+) -> u64 {
     let mut ticks = interval(Duration::from_millis(SETTINGS_INTERVAL_MS));
     let mut last_text = std::fs::read_to_string(&path).ok();
     loop {
         tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => {
+            _ = signals.terminate.recv() => return grace_ms,
+            _ = signals.interrupt.recv() => return grace_ms,
+            _ = signals.hangup.recv() => {
                 spdlog::info!("reloading settings");
                 last_text = None;
             }
@@ -297,6 +320,7 @@
         let text = std::fs::read_to_string(&path).ok();
         if text.is_some() && text != last_text {
             if let Some(settings) = text.as_deref().and_then(|text| parse_settings(&path, text)) {
+                grace_ms = settings.grace_ms;
                 // The receiver is closed only while the process exits.
                 drop(inputs.send(Input::Reload(Box::new(settings))).await);
             }
