--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -9,7 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_ENCODING, HOST, HeaderName, RETRY_AFTER};
 use http::response::Parts;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use proxy::{Link, Permit, Stop, Upstream, WaitEnd, retry_after_ms};
@@ -96,6 +96,9 @@
         shared.reach().on_lost(&server.registration.incarnation);
     }
     on_failure(&shared, &server, &call, failure, started_at);
+    if matches!(failure, Failure::Shed | Failure::Fenced) {
+        call.refusals.add(&server.registration.incarnation);
+    }
     if failure == Failure::NotSent {
         return exchange_elsewhere(&shared, &call, deadline).await;
     }
@@ -129,7 +132,7 @@
     deadline: Instant,
 ) -> Result<Response<AnswerBody>, Failure> {
     let connect_deadline = deadline.min(Instant::now() + Duration::from_millis(CONNECT_TIMEOUT_MS));
-    let mut link = match timeout_at(connect_deadline, server.upstream.connect()).await {
+    let mut link = match timeout_at(connect_deadline, connect(server, call)).await {
         Ok(Ok(link)) => link,
         Ok(Err(error)) => {
             server.start_slowly();
@@ -181,6 +184,17 @@
     }
 }
 
+/// Returns a connection for an attempt, a new one if an earlier refusal may arrive on a kept one.
+///
+/// That an idempotent request is refused although it runs breaks no promise to the caller.
+async fn connect(server: &Server, call: &Call) -> std::io::Result<Link> {
+    let may_repeat = call.refusals.may_include(&server.registration.incarnation);
+    if may_repeat && !call.is_idempotent() {
+        return server.upstream.connect_anew().await;
+    }
+    server.upstream.connect().await
+}
+
 /// Returns whether a server reset a connection because it was full.
 ///
 /// The loss of a connection that was idle for long has other causes. Before a server reset a kept
@@ -204,6 +218,9 @@
     (link, permit, deadline): (Link, Permit, Instant),
 ) -> Result<Response<AnswerBody>, Failure> {
     let idle_timeout_ms = idle_timeout_ms(&head.headers);
+    // With the version of an older server, a body without a length would end with the caller's
+    // connection, also where it broke off.
+    head.version = Version::HTTP_11;
     proxy::strip_headers(&mut head.headers);
     match buffer(stop, body, deadline).await? {
         Buffered::Whole(bytes) => {
@@ -228,8 +245,11 @@
 
 /// Checks that an answer is to this request: the server may have answered an earlier one on the
 /// connection a second time.
+///
+/// A head with several ids consists of the heads of several answers, the first of which broke off.
 pub(crate) fn check_id(shared: &Shared, call: &Call, head: &Parts) -> Result<(), Failure> {
-    let is_own = head.headers.get(&shared.dialect.request_id) == Some(&call.id);
+    let mut ids = head.headers.get_all(&shared.dialect.request_id).iter();
+    let is_own = ids.next() == Some(&call.id) && ids.next().is_none();
     if is_own { Ok(()) } else { Err(Failure::Broken) }
 }
 
@@ -333,14 +353,19 @@
 /// Checks that an answer is the server's own and may be passed on.
 pub(crate) fn check_answer(shared: &Shared, head: &Parts) -> Result<(), Failure> {
     let dialect = &shared.dialect;
+    if !proxy::has_unambiguous_end(&head.headers) {
+        return Err(Failure::Broken);
+    }
     let is_not_run = head.headers.contains_key(&dialect.not_run);
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         return Err(Failure::Fenced);
     }
     if is_not_run {
-        return Err(Failure::Shed);
+        // No other status may mean that the request did not run, so such a head is damaged.
+        let is_refusal = matches!(head.status.as_u16(), 400 | 408 | 429 | 503);
+        return Err(if is_refusal { Failure::Shed } else { Failure::Broken });
     }
-    let is_signed = head.headers.contains_key(&dialect.signature);
+    let is_signed = head.headers.get_all(&dialect.signature).iter().count() == 1;
     let is_encoded = head.headers.contains_key(CONTENT_ENCODING);
     if head.status.is_success() && (!is_signed || is_encoded) {
         return Err(Failure::Broken);
