Do not wait for a kept connection that still sends a body

A request waited for a kept connection as long as the body of the request before it was still being sent there: the server had answered that one early, without reading all of its body.

Cause: such a connection was kept, and its next user waited until the rest of the body was sent. It now waits 20 ms and then opens another one; a connection that is ready is so at once.

--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -16,7 +16,7 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
-use tokio::time::{Duration, Instant, timeout_at};
+use tokio::time::{Duration, Instant, timeout, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::Clock;
@@ -86,6 +86,10 @@
 
 /// How long an idle connection may be reused; the server may be about to close an older one.
 const MAX_IDLE_MS: u64 = 5_000;
+/// How long a kept connection may take until it is ready for another request.
+///
+/// A server may answer before it has read a long body; the rest of that is then still being sent.
+const READY_TIMEOUT: Duration = Duration::from_millis(20);
 /// The part of the time for which an idle connection is reused in which it counts as recently used.
 ///
 /// A server that closes idle connections does not do so that early, so a reset has another cause.
@@ -174,7 +178,8 @@
     /// Fails if the server does not accept a connection.
     pub async fn connect(&self) -> std::io::Result<Link> {
         while let Some(mut link) = self.pop_idle() {
-            if Instant::now() < link.reuse_deadline && link.sender.ready().await.is_ok() {
+            let is_due = Instant::now() < link.reuse_deadline;
+            if is_due && matches!(timeout(READY_TIMEOUT, link.sender.ready()).await, Ok(Ok(()))) {
                 link.is_fresh = false;
                 link.is_recently_used = Instant::now() < link.recent_use_deadline;
                 return Ok(link);
