--- a/crates/gateway/src/control/node.rs
+++ b/crates/gateway/src/control/node.rs
@@ -62,8 +62,8 @@
     pub(crate) evacuations: Evacuations,
     /// When servers of an evacuated data centre close next, by the clock of requests.
     pub(crate) next_close_at_ms: Option<u64>,
-    /// Servers whose entries were invalid; each is logged once.
-    pub(crate) unreadable: HashSet<Name>,
+    /// The names of listed entries that described no usable server; each is logged once.
+    pub(crate) unusable: HashSet<Name>,
     pub(crate) daemons: BTreeMap<Name, DaemonEntry>,
     /// The entries of daemons and of their leader, with those that were removed.
     pub(crate) fleet_entries: BTreeMap<Name, FleetEntry>,
@@ -165,7 +165,7 @@
             registry: Registry::default(),
             evacuations: Evacuations::default(),
             next_close_at_ms: None,
-            unreadable: HashSet::default(),
+            unusable: HashSet::default(),
             daemons: BTreeMap::new(),
             fleet_entries: BTreeMap::new(),
             fleet_revision: Revision(0),
@@ -241,11 +241,12 @@
             Input::CampaignEnded(election) => {
                 self.is_campaigning = false;
                 match election {
-                    Some(election) if !self.shared.is_stopping() => {
+                    Some(election) if self.shared.is_stopping() => self.decline(&election),
+                    Some(election) => {
                         self.failed_campaigns = 0;
                         self.start_leading(election);
                     }
-                    _ => {
+                    None => {
                         self.failed_campaigns += 1;
                         self.campaign_if_needed();
                     }
@@ -452,7 +453,7 @@
             FleetBody::ServersRequest => self.send_all_servers(&[frame.from]),
             FleetBody::StoreQuery(epoch) => self.on_store_query(frame.from, epoch),
             FleetBody::StoreReached(epoch) => self.on_store_reached(&frame.from, epoch),
-            FleetBody::Resigned(resigned) => self.on_resigned(resigned),
+            FleetBody::Resigned(resigned) => self.on_resigned(frame.from, resigned),
             FleetBody::Leaving(leaving) => self.on_leaving(leaving),
             FleetBody::ReachQuery(query) => self.on_reach_query(frame.from, &query),
             FleetBody::ServersReached(epoch) => self.on_servers_reached(&frame.from, epoch),
--- a/crates/gateway/src/control/relay_messages.rs
+++ b/crates/gateway/src/control/relay_messages.rs
@@ -177,7 +177,7 @@
             self.keep_only_listed(now_ms, &names, revision);
         }
         for listed in servers.listed {
-            let warm_at_ms = now_ms + listed.warm_at_ms;
+            let warm_at_ms = now_ms.saturating_add(listed.warm_at_ms);
             self.put_server(now_ms, Registration { warm_at_ms, ..listed }, revision);
         }
         for name in servers.gone {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,12 +19,13 @@
 //! - [`Role`] and [`Relay`] decide which daemons read the servers' entries from the store and
 //!   which get them from another daemon.
 //! - [`Progress`] tells from which revision the next watch of the store has to start.
+//! - [`StopPlan`] has the times of a graceful stop.
 //! - [`LogSampler`] limits the rate of log lines about requests.
 //! - [`BootClock`] is the clock for leases and grants.
 //!
 //! # Modules
 //!
-//! - Process: `gateway` starts and stops it, `shared` is what its threads share, and `status`
+//! - Process: `gateway` starts and stops it, `essential_tasks` notices when one of its tasks ends, `shared` is what its threads share, and `status`
 //!   answers the platform's readiness checks and administrators.
 //! - `request`, the path of a request: `front` serves callers' connections, `call` reads a request,
 //!   `in_flight` knows what each request waits for, `forward` finds a server and retries, `exchange` sends one attempt to a server, and `detour`
@@ -41,6 +42,7 @@
 
 mod clock;
 mod control;
+mod essential_tasks;
 mod gateway;
 mod leader;
 mod log_sampler;
@@ -49,6 +51,7 @@
 mod settings;
 mod shared;
 mod status;
+mod stop_plan;
 
 pub use clock::BootClock;
 pub use control::evacuation::{EvacuationReport, Evacuations};
@@ -67,3 +70,4 @@
 pub use request::view::{PoolMember, ServiceView, View};
 pub use settings::{Listen, RetrySettings, Settings};
 pub use shared::Shared;
+pub use stop_plan::StopPlan;
