--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,7 +7,7 @@
 //!    [`StandIn`] is a server that takes the controller's orders over HTTP and into which
 //!    [`StandInFaults`] can be injected. [`RangeServer`] is an in-process server that owns ranges
 //!    of keys; its [`OwnershipChecker`] finds keys with two owners and requests that ran twice, and its [`VisitLog`] tells when
-//!    requests were at servers.
+//!    requests were at servers. [`ServerFaults`] and [`WorkTimes`] set how servers answer.
 //! 2. **Site.** A [`SitePlan`] lists services, servers and daemons. [`Site::start_open`] starts
 //!    them in one process and waits until all shards are served. The servers report to one
 //!    [`RuleChecker`], which counts [`RuleViolations`].
@@ -33,11 +33,13 @@
 mod plot;
 mod range_server;
 mod rule_checker;
+mod server_faults;
 mod server_move;
 mod site;
 mod store_server;
 mod upstream;
 mod visits;
+mod work_times;
 mod zipf;
 
 pub use availability::{Availability, Gaps, RunningDaemons};
@@ -50,9 +52,11 @@
 pub use plot::{Timeline, plot};
 pub use range_server::{Execution, OwnershipChecker, RangeServer, SLOTS, Work};
 pub use rule_checker::{RuleChecker, RuleViolations};
+pub use server_faults::{HeldRequest, ServerFaults};
 pub use server_move::{MoveOptions, MoveReport, run_move};
 pub use site::{Error, ServerPlan, ServicePlan, Site, SitePlan};
 pub use store_server::serve_store;
 pub use upstream::{REQUEST_ID, StandIn, StandInConfig, StandInFaults};
 pub use visits::{Visit, VisitEnd, VisitLog};
+pub use work_times::WorkTimes;
 pub use zipf::Zipf;
--- /dev/null
+++ b/crates/lab/src/server_faults.rs
@@ -0,0 +1,86 @@
+//! The faults of a stand-in server's answers, and how long it works.
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+
+use crate::WorkTimes;
+
+/// The faults of a server's answers.
+///
+/// A value N makes one in N answers faulty on average; 0 means none.
+#[derive(Debug, Default)]
+pub struct ServerFaults {
+    /// Answers to requests that ran, with the id of another request.
+    pub wrong_id: AtomicU32,
+    /// Grants that are carried out and never answered.
+    pub unanswered_grant: AtomicU32,
+    /// Whether all answers say that the server is leaving.
+    pub is_leaving: AtomicBool,
+    /// If not 0, requests are turned away with this time in `Retry-After`.
+    pub quiet_ms: AtomicU32,
+    /// If not 0, the rate limit that all answers name, in thousandths of a request per second.
+    pub rate_limit_milli: AtomicU32,
+    /// If not 0, the time for which all answers say that the server stays cold.
+    pub cold_ms: AtomicU32,
+    /// If not 0, how many requests the server holds, running and waiting; it resets the connections
+    /// of those beyond.
+    pub max_held: AtomicU32,
+    /// The number of requests that it holds.
+    pub held: AtomicU32,
+    /// The number of connections that it reset.
+    pub resets: AtomicU32,
+    /// If not empty, the load that all answers report.
+    pub load: Mutex<String>,
+    /// Whether all requests that run are answered with an error.
+    pub is_failing: AtomicBool,
+    /// If not 0, how long all requests run.
+    pub run_ms: AtomicU32,
+    /// The number of requests that have arrived.
+    pub requests: AtomicU32,
+    /// How long requests run if `run_ms` is 0.
+    pub work_times: WorkTimes,
+}
+
+/// A request that a server holds, until this is dropped.
+#[derive(Debug)]
+pub struct HeldRequest<'a>(&'a ServerFaults);
+
+impl ServerFaults {
+    /// Counts a request that the server holds, or returns `None` if the server is full.
+    pub fn hold(&self) -> Option<HeldRequest<'_>> {
+        let max_held = self.max_held.load(Ordering::Relaxed);
+        let held = self.held.fetch_add(1, Ordering::Relaxed);
+        let request = HeldRequest(self);
+        (max_held == 0 || held < max_held).then_some(request)
+    }
+
+    /// Returns how long the server works on a request.
+    pub fn run_ms(&self, id: &str) -> u64 {
+        match self.run_ms.load(Ordering::Relaxed) {
+            0 => self.work_times.run_ms(id),
+            run_ms => u64::from(run_ms),
+        }
+    }
+
+    /// Draws whether the next answer has the id of another request.
+    pub fn sends_wrong_id(&self) -> bool {
+        should_fail(&self.wrong_id)
+    }
+
+    /// Draws whether the next grant is left unanswered.
+    pub fn leaves_grant_unanswered(&self) -> bool {
+        should_fail(&self.unanswered_grant)
+    }
+}
+
+impl Drop for HeldRequest<'_> {
+    fn drop(&mut self) {
+        self.0.held.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Returns true at random, on average once in `one_in` calls; never if it is 0.
+fn should_fail(one_in: &AtomicU32) -> bool {
+    let one_in = one_in.load(Ordering::Relaxed);
+    one_in > 0 && rand::random_range(0..one_in) == 0
+}
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -9,12 +9,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use document::Name;
-use lab::{OwnershipChecker, RangeServer, SLOTS};
+use lab::{OwnershipChecker, RangeServer, SLOTS, ServerFaults, WorkTimes};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use platform_standin::{
-    Addresses, EntryFields, RouteFields, ServerFaults, WorkTimes, entry_text, serve_kv,
-    serve_server, site_text,
+    Addresses, EntryFields, RouteFields, entry_text, serve_kv, serve_server, site_text_with_goal,
 };
 use registry::Incarnation;
 use store::{Expect, LeaseId, MemoryStore, Store};
@@ -262,13 +261,8 @@
     pub async fn write_next_document(&mut self) {
         self.version += 1;
         let RouteTimes { timeout_ms, latency_goal_ms } = self.route_times;
-        let route = |prefix: String, kind, service| RouteFields {
-            prefix,
-            kind,
-            service,
-            timeout_ms,
-            latency_goal_ms,
-        };
+        let route =
+            |prefix: String, kind, service| RouteFields { prefix, kind, service, timeout_ms };
         let mut routes = vec![
             route("/ledger/".into(), "idempotent", "ledger"),
             route("/swaps/".into(), "non_idempotent", "ledger"),
@@ -279,7 +273,7 @@
             (1..=self.version)
                 .map(|version| route(format!("/v{version}/"), "idempotent", "archive")),
         );
-        let text = site_text(self.version, HOST, &routes);
+        let text = site_text_with_goal(self.version, HOST, &routes, latency_goal_ms);
         while self.store.write("op/config", Expect::Anything, &text, None).await.is_err() {
             sleep(Duration::from_millis(50)).await;
         }
--- a/crates/soak/src/planned_stops.rs
+++ b/crates/soak/src/planned_stops.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use lab::WorkTimes;
 use nix::sys::signal::Signal;
-use platform_standin::WorkTimes;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
