--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -13,7 +13,7 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use platform_standin::{
-    Addresses, EntryFields, RouteFields, entry_text, serve_kv, serve_server, site_text_with_goal,
+    Addresses, EntryFields, RouteFields, entry_text, serve_kv, serve_server, site_text,
 };
 use registry::Incarnation;
 use store::{Expect, LeaseId, MemoryStore, Store};
@@ -261,8 +261,13 @@
     pub async fn write_next_document(&mut self) {
         self.version += 1;
         let RouteTimes { timeout_ms, latency_goal_ms } = self.route_times;
-        let route =
-            |prefix: String, kind, service| RouteFields { prefix, kind, service, timeout_ms };
+        let route = |prefix: String, kind, service| RouteFields {
+            prefix,
+            kind,
+            service,
+            timeout_ms,
+            latency_goal_ms,
+        };
         let mut routes = vec![
             route("/ledger/".into(), "idempotent", "ledger"),
             route("/swaps/".into(), "non_idempotent", "ledger"),
@@ -273,7 +278,7 @@
             (1..=self.version)
                 .map(|version| route(format!("/v{version}/"), "idempotent", "archive")),
         );
-        let text = site_text_with_goal(self.version, HOST, &routes, latency_goal_ms);
+        let text = site_text(self.version, HOST, &routes);
         while self.store.write("op/config", Expect::Anything, &text, None).await.is_err() {
             sleep(Duration::from_millis(50)).await;
         }
