--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -9,12 +9,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use document::Name;
-use lab::{OwnershipChecker, RangeServer, SLOTS};
+use lab::{OwnershipChecker, RangeServer, SLOTS, ServerFaults, WorkTimes};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use platform_standin::{
-    Addresses, EntryFields, RouteFields, ServerFaults, WorkTimes, entry_text, serve_kv,
-    serve_server, site_text,
+    Addresses, EntryFields, RouteFields, entry_text, serve_kv, serve_server, site_text,
 };
 use registry::Incarnation;
 use store::{Expect, LeaseId, MemoryStore, Store};
