Refuse requests whose bodies arrive after a stopping daemon has closed its listener

What callers saw: 502 although a server was at work, for a request whose last byte came more than 3 s after SIGTERM; the rule excuses that only for requests sent up to then. Cause: a body was awaited until the deadline of all answers, 5.4 s after SIGTERM, and passed on if the average request still fitted. Change: a stop has an arrival deadline, that of the listener's close; a body that is not whole then is refused as not run, so its caller has most of its time left for another daemon.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -152,7 +152,7 @@
         };
         spdlog::info!("stopping", kv: { instance = settings.instance.as_str() });
         let plan = StopPlan::new(clock.now_ms(), grace_ms);
-        shared.stop.begin(plan.answer_deadline_ms);
+        shared.stop.begin_with_arrivals(plan.close_at_ms, plan.answer_deadline_ms);
         resign.cancel();
         drain(clock, plan, &stop, traffic).await;
         // The entry's lease would expire too, but later.
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -106,7 +106,8 @@
     proxy::strip_request_headers(&mut head.headers);
     let deadline = shared.clock.to_instant(deadline_ms);
     let body = read_body(body, site.limits().max_body_bytes, deadline);
-    let body = match shared.stop.bound(deadline, 0, body).await {
+    // A request that arrives later could be cut off at a server that is at work on it.
+    let body = match shared.stop.bound_arrival(deadline, body).await {
         Ok(Ok(body)) => body,
         Ok(Err(error)) => return Err(Refusal::not_run(to_reason(error))),
         Err(WaitEnd::Elapsed) => return Err(Refusal::not_run(Reason::Expired)),
