--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -7,13 +7,14 @@
 use http::header::HOST;
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Request};
-use hyper::body::Incoming;
-use proxy::{BodyError, read_body};
+use proxy::{BodyError, WaitEnd, read_body};
 use route::{Arrival, Caller, Fingerprint, Reason, Refusal};
 use site::{Route, Site};
 
 use crate::Shared;
-use crate::request::detour::RELAYED;
+use crate::request::caller_body::CallerBody;
+use crate::request::detour::earlier_refusals;
+use crate::request::earlier_refusals::EarlierRefusals;
 use crate::request::in_flight::Tracked;
 use crate::request::report::RouteState;
 
@@ -30,6 +31,8 @@
     pub(crate) service: Name,
     /// Whether another daemon passed the request on.
     pub(crate) is_relayed: bool,
+    /// The servers that refused earlier attempts.
+    pub(crate) refusals: EarlierRefusals,
     /// Who sent the request; `None` if another daemon passed it on.
     pub(crate) caller: Option<Caller>,
     /// What the request waits for.
@@ -77,7 +80,7 @@
 pub(crate) async fn read(
     shared: &Shared,
     site: &Site,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
     tracked: Tracked,
     arrived_at_ms: u64,
 ) -> Result<Call, Refusal> {
@@ -98,17 +101,18 @@
     let picked = route.pick_service(rand::random()).cloned();
     let service = picked.ok_or(Refusal::not_run(Reason::NoRoute))?;
     let caller_deadline_ms = arrived_at_ms.saturating_add(time_left_ms);
-    let is_relayed = head.headers.contains_key(RELAYED);
+    let refusals = earlier_refusals(&head.headers);
+    let is_relayed = refusals.is_some();
     let caller = head.extensions.get().copied().filter(|_| !is_relayed);
     proxy::strip_request_headers(&mut head.headers);
     let deadline = shared.clock.to_instant(deadline_ms);
-    let body = read_body(body, site.limits().max_body_bytes, deadline).await.map_err(|error| {
-        Refusal::not_run(match error {
-            BodyError::TooLarge => Reason::BodyTooLarge,
-            BodyError::Aborted => Reason::BodyIncomplete,
-            BodyError::TimedOut => Reason::Expired,
-        })
-    })?;
+    let body = read_body(body, site.limits().max_body_bytes, deadline);
+    let body = match shared.stop.bound(deadline, 0, body).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(error)) => return Err(Refusal::not_run(to_reason(error))),
+        Err(WaitEnd::Elapsed) => return Err(Refusal::not_run(Reason::Expired)),
+        Err(WaitEnd::Stopping) => return Err(Refusal::not_run(Reason::Stopping)),
+    };
     tracked.on_read(&route, key);
     let route_state = shared.route_state(&route);
     Ok(Call {
@@ -121,6 +125,7 @@
         route_state,
         service,
         is_relayed,
+        refusals: refusals.unwrap_or_default(),
         caller,
         tracked: Arc::new(tracked),
         arrived_at_ms,
@@ -129,6 +134,14 @@
     })
 }
 
+fn to_reason(error: BodyError) -> Reason {
+    match error {
+        BodyError::TooLarge => Reason::BodyTooLarge,
+        BodyError::Aborted => Reason::BodyIncomplete,
+        BodyError::TimedOut => Reason::Expired,
+    }
+}
+
 /// Returns the host header and the host name in it, without a port.
 fn split_host(head: &Parts) -> Option<(HeaderValue, String)> {
     let mut values = head.headers.get_all(HOST).iter();
--- a/crates/gateway/src/request/detour.rs
+++ b/crates/gateway/src/request/detour.rs
@@ -14,7 +14,7 @@
 use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
-use proxy::{Clock, Upstream, retry_after_ms};
+use proxy::{Clock, Link, Upstream, retry_after_ms};
 use rand::seq::SliceRandom;
 use route::{Failure, Reason, ServerState as _};
 use telemetry::Counter;
@@ -24,11 +24,16 @@
 use crate::log_sampler::is_sampled;
 use crate::request::answer::AnswerBody;
 use crate::request::call::Call;
-use crate::request::exchange::{ExchangeResult, check_answer, check_id, receive, to_request};
+use crate::request::earlier_refusals::EarlierRefusals;
+use crate::request::exchange::{
+    ExchangeResult, check_answer, check_id, receive, to_failure, to_request,
+};
 use crate::request::in_flight::Stage;
 
 /// The header of a request that another daemon has passed on.
-pub(crate) const RELAYED: HeaderName = HeaderName::from_static("verbena-relayed");
+const RELAYED: HeaderName = HeaderName::from_static("verbena-relayed");
+/// The value of this header if a server may have refused the request before.
+const REFUSED_BEFORE: &str = "refused-before";
 /// The header of a refusal of such a request, with the reason.
 pub(crate) const REASON: HeaderName = HeaderName::from_static("verbena-reason");
 
@@ -38,8 +43,8 @@
     name: Name,
     upstream: Arc<Upstream>,
     clock: Clock,
-    /// Until when it counts as one that reaches no servers either.
-    cut_off_deadline_ms: AtomicU64,
+    /// Until when requests are rather passed on to other daemons.
+    avoidance_deadline_ms: AtomicU64,
 }
 
 /// What passing a request on to one daemon came to.
@@ -58,6 +63,8 @@
 const MAX_TRIED: usize = 3;
 /// How long a daemon that does not reach a server either is tried after the others.
 const CUT_OFF_MS: u64 = 1_000;
+/// How long a daemon that is stopping is tried after the others; it may be back earlier.
+const STOPPING_MS: u64 = 6_000;
 /// How long connecting to a daemon may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -79,19 +86,19 @@
             name: name.clone(),
             upstream: Arc::new(Upstream::new(description, 1, clock)),
             clock,
-            cut_off_deadline_ms: AtomicU64::new(0),
+            avoidance_deadline_ms: AtomicU64::new(0),
         }
     }
 
     /// Returns whether requests should rather be passed on to another daemon.
     fn is_avoided(&self) -> bool {
         let now_ms = self.clock.now_ms();
-        now_ms < self.cut_off_deadline_ms.load(Ordering::Relaxed)
+        now_ms < self.avoidance_deadline_ms.load(Ordering::Relaxed)
             || self.upstream.is_avoided(now_ms)
     }
 
-    fn on_cut_off(&self) {
-        self.cut_off_deadline_ms.store(self.clock.now_ms() + CUT_OFF_MS, Ordering::Relaxed);
+    fn avoid_for(&self, for_ms: u64) {
+        self.avoidance_deadline_ms.fetch_max(self.clock.now_ms() + for_ms, Ordering::Relaxed);
     }
 }
 
@@ -125,19 +132,20 @@
 }
 
 async fn relay(shared: &Shared, peer: &Peer, call: &Call, deadline: Instant) -> Relayed {
-    let Ok((permit, _has_waited)) = peer.upstream.acquire(call.arrival()).await else {
+    let Ok((permit, _has_waited)) = peer.upstream.acquire(call.arrival(), &shared.stop).await
+    else {
         return Relayed::NotRun { retry_after_ms: None };
     };
     call.tracked.wait_for(Stage::Daemon(peer.name.clone()));
     let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-    let Ok(Ok(mut link)) = timeout_at(connect_deadline, peer.upstream.connect()).await else {
+    let Ok(Ok(mut link)) = timeout_at(connect_deadline, connect(peer, call)).await else {
         peer.upstream.on_connection_loss();
         return Relayed::NotRun { retry_after_ms: None };
     };
     let Some(request) = to_relayed_request(shared, call) else {
         return Relayed::NotRun { retry_after_ms: None };
     };
-    let response = match timeout_at(deadline, link.send(request)).await {
+    let response = match shared.stop.bound(deadline, 0, link.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
             peer.upstream.on_connection_loss();
@@ -147,18 +155,22 @@
             return Relayed::Ended(ExchangeResult::NoAnswer(Failure::Broken));
         }
         // Dropping the link closes the connection, so a late answer is discarded.
-        Err(_elapsed) => {
+        Err(end) => {
             peer.upstream.on_connection_loss();
-            return Relayed::Ended(ExchangeResult::NoAnswer(Failure::TimedOut));
+            return Relayed::Ended(ExchangeResult::NoAnswer(to_failure(end)));
         }
     };
     let (head, body) = response.into_parts();
     if head.headers.contains_key(REASON) {
+        call.refusals.add_unknown();
+        if !is_own_refusal(shared, call, &head, link.is_fresh()) {
+            return Relayed::Ended(ExchangeResult::NoAnswer(Failure::Broken));
+        }
         return on_refusal(peer, &head);
     }
     let checked = check_id(shared, call, &head).and_then(|()| check_answer(shared, &head));
     let received = match checked {
-        Ok(()) => receive(&peer.upstream, head, body, (link, permit, deadline)).await,
+        Ok(()) => receive(&shared.stop, &peer.upstream, head, body, (link, permit, deadline)).await,
         Err(failure) => Err(failure),
     };
     Relayed::Ended(match received {
@@ -170,13 +182,37 @@
     })
 }
 
+/// Returns a connection to another daemon, a new one unless the request may run twice.
+///
+/// Daemons of an earlier version name no request in their refusals.
+async fn connect(peer: &Peer, call: &Call) -> std::io::Result<Link> {
+    if call.is_idempotent() {
+        peer.upstream.connect().await
+    } else {
+        peer.upstream.connect_anew().await
+    }
+}
+
+/// Returns whether a refusal of another daemon is the answer to this request.
+///
+/// On a connection that carried no other request it may come without an id.
+fn is_own_refusal(shared: &Shared, call: &Call, head: &Parts, is_fresh: bool) -> bool {
+    let has_id = head.headers.contains_key(&shared.dialect.request_id);
+    if has_id { check_id(shared, call, head).is_ok() } else { is_fresh }
+}
+
 /// Handles an answer that the other daemon gave itself.
 fn on_refusal(peer: &Peer, head: &Parts) -> Relayed {
-    if matches!(head.status, StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT) {
+    let is_not_run =
+        head.status.is_client_error() || head.status == StatusCode::SERVICE_UNAVAILABLE;
+    if !is_not_run {
         return Relayed::Ended(ExchangeResult::NoAnswer(Failure::Broken));
     }
     if is_reason(&head.headers, Reason::Unreachable) {
-        peer.on_cut_off();
+        peer.avoid_for(CUT_OFF_MS);
+    }
+    if is_reason(&head.headers, Reason::Stopping) {
+        peer.avoid_for(STOPPING_MS);
     }
     let retry_after_ms = retry_after_ms(&head.headers, SystemTime::now());
     Relayed::NotRun { retry_after_ms }
@@ -188,13 +224,32 @@
 
 fn to_relayed_request(shared: &Shared, call: &Call) -> Option<Request<Full<bytes::Bytes>>> {
     let mut request = to_request(shared, call)?;
-    request.headers_mut().insert(RELAYED, HeaderValue::from_static("1"));
+    let is_first = call.refusals.is_empty();
+    let value = HeaderValue::from_static(if is_first { "1" } else { REFUSED_BEFORE });
+    request.headers_mut().insert(RELAYED, value);
     Some(request)
 }
 
-/// Adds the reason of a refusal for the daemon that passed the request on.
-pub(crate) fn add_reason(response: &mut Response<AnswerBody>, reason: Reason) {
-    response.headers_mut().insert(REASON, HeaderValue::from_static(reason.as_str()));
+/// Returns the servers that may have refused a request; `None` if no daemon passed it on.
+pub(crate) fn earlier_refusals(headers: &HeaderMap) -> Option<EarlierRefusals> {
+    let value = headers.get(RELAYED)?;
+    let refusals = EarlierRefusals::default();
+    if value == REFUSED_BEFORE {
+        refusals.add_unknown();
+    }
+    Some(refusals)
+}
+
+/// Adds the reason of a refusal, and the request's id, for the daemon that passed the request on.
+pub(crate) fn add_reason(
+    shared: &Shared,
+    call: &Call,
+    response: &mut Response<AnswerBody>,
+    reason: Reason,
+) {
+    let headers = response.headers_mut();
+    headers.insert(REASON, HeaderValue::from_static(reason.as_str()));
+    headers.insert(shared.dialect.request_id.clone(), call.id.clone());
 }
 
 /// Logs a request that was passed on, if it is sampled or was not answered.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,9 +9,15 @@
 //! - An [`Upstream`] is the state of one server. [`Upstream::acquire`] admits a request and
 //!   returns a [`Permit`]; [`Upstream::connect`] returns a [`Link`], a reused or new
 //!   connection to send it on.
+//! - A [`Stop`] bounds the waits of requests while the process stops.
 //! - A [`SharedCrashTracker`] tells which requests crash servers and are therefore refused.
 //! - [`has_unambiguous_framing`], [`RecordedStream`] and [`RawBytes`] find requests whose end
-//!   is ambiguous; these are refused.
+//!   is ambiguous; these are refused. Answers for which [`has_unambiguous_end`] is false count as
+//!   broken.
+//! - A [`CallerStream`] records what is read from a caller's connection and written to it, as
+//!   [`StreamProgress`].
+//! - An [`Activity`] tells when a caller's connection can be closed without losing a request, and
+//!   [`accept_queued`] closes a listener without losing a connection.
 //! - [`strip_headers`], [`strip_request_headers`] and [`read_body`] prepare what is forwarded,
 //!   [`retry_after_ms`] reads how long a server asks to be left alone, and [`to_labels`] returns the labels under which a result is counted.
 //!
@@ -32,8 +38,11 @@
 //! # Ok::<(), error_stack::Report<telemetry::Error>>(())
 //! ```
 
+mod accept;
+mod activity;
 mod answer;
 mod body;
+mod caller_stream;
 mod clock;
 mod forward;
 mod head;
@@ -43,17 +52,24 @@
 mod retry_after;
 mod serve;
 mod shared_crash_tracker;
+mod stop;
 mod traffic;
 mod upstream;
 
+pub use accept::accept_queued;
+pub use activity::{Activity, Close, CloseCause, RequestGuard, TrackedBody};
 pub use answer::AnswerBody;
 pub use body::{BodyError, read_body};
+pub use caller_stream::{CallerStream, StreamProgress};
 pub use clock::Clock;
-pub use head::{has_unambiguous_framing, strip_headers, strip_request_headers};
+pub use head::{
+    has_unambiguous_end, has_unambiguous_framing, strip_headers, strip_request_headers,
+};
 pub use outcome::to_labels;
 pub use raw::{RawBytes, RecordedStream};
 pub use retry_after::retry_after_ms;
 pub use serve::serve;
 pub use shared_crash_tracker::SharedCrashTracker;
+pub use stop::{Stop, WaitEnd};
 pub use traffic::{Services, Traffic, TrafficLimits};
 pub use upstream::{AdmissionError, Link, Permit, Upstream};
--- a/crates/verbenad/src/daemon.rs
+++ b/crates/verbenad/src/daemon.rs
@@ -7,7 +7,7 @@
 
 use error_stack::ResultExt;
 use proxy::{Clock, Traffic};
-use spdlog::info;
+use spdlog::{info, warn};
 use store::{HttpStore, Store};
 use telemetry::{Counters, Metrics};
 use tokio::net::TcpListener;
@@ -17,7 +17,7 @@
 
 use crate::control_thread::ControlThread;
 use crate::input::Input;
-use crate::{Error, Listen, Result, Settings, admin, operators, watch};
+use crate::{Error, Listen, Result, Settings, StopSettings, admin, operators, watch};
 
 /// A running daemon.
 ///
@@ -35,8 +35,11 @@
 struct Tokens {
     /// The daemon resigns as controller of every service and reports that it is not ready.
     stop: CancellationToken,
-    /// No connection is accepted; callers' connections close after the answers in progress.
+    /// No connection of a caller or an operator is accepted; open ones close after the answers in
+    /// progress.
     close: CancellationToken,
+    /// All callers' connections have ended.
+    served: CancellationToken,
     /// All threads end at once; answers in progress are cut off.
     end: CancellationToken,
 }
@@ -49,6 +52,11 @@
     admin: std::net::TcpListener,
 }
 
+/// The longest time between the deadline of answers and the end of the drain, in which they are
+/// written.
+const MAX_MARGIN_MS: u64 = 600;
+/// The part of a short drain timeout that this time takes.
+const MARGIN_DIVISOR: u64 = 10;
 /// The capacity of the control thread's queue, and of the queue of packets in front of it.
 const MAX_QUEUED_INPUTS: usize = 4_096;
 
@@ -108,10 +116,12 @@
     /// Stops gracefully: answers in progress are finished within the drain timeout.
     ///
     /// The daemon resigns as controller, reports that it is not ready, and accepts connections for
-    /// another `notice_ms`. Then it closes the listener and waits up to `drain_ms`; answers that
-    /// have not finished by then are cut off.
+    /// another `notice_ms`. Then it closes the listener and waits up to `drain_ms`. A request that
+    /// cannot be answered by then is refused, at once if that is known; of answers that have begun,
+    /// the rest is cut off.
     pub async fn stop(self) {
         let settings = &self.settings;
+        self.traffic.stop.begin(answer_deadline_ms(self.traffic.clock.now_ms(), settings.stop));
         self.tokens.stop.cancel();
         sleep(Duration::from_millis(settings.stop.notice_ms)).await;
         self.tokens.close.cancel();
@@ -122,7 +132,7 @@
             end.cancel();
         });
         let threads = self.threads;
-        // The traffic thread cancels `end` when it has finished, which ends the control thread.
+        // `end` is cancelled earlier when all callers and operators have their answers.
         drop(tokio::task::spawn_blocking(move || threads.into_iter().for_each(join)).await);
         drain_timer.abort();
     }
@@ -147,6 +157,12 @@
     }
 }
 
+/// Returns when callers must have been answered if a stop begins now.
+fn answer_deadline_ms(now_ms: u64, stop: StopSettings) -> u64 {
+    let margin_ms = (stop.drain_ms / MARGIN_DIVISOR).min(MAX_MARGIN_MS);
+    now_ms.saturating_add(stop.notice_ms).saturating_add(stop.drain_ms - margin_ms)
+}
+
 fn bind(key: &str, address: &mut SocketAddr) -> Result<std::net::TcpListener> {
     let requested = *address;
     let failed = || {
@@ -190,9 +206,15 @@
             TcpListener::from_std(listener).expect("the socket is open and non-blocking")
         };
         let counters = &traffic.counters;
+        let serve_operators = operators::serve(
+            from_std(operator),
+            store.clone(),
+            inputs.clone(),
+            tokens.close.clone(),
+        );
         let tasks = [
             tokio::spawn(receive_packets(from_std(peer), inputs.clone())),
-            tokio::spawn(operators::serve(from_std(operator), store.clone(), inputs.clone())),
+            tokio::spawn(end_when_served(serve_operators, tokens.clone())),
             tokio::spawn(admin::serve(
                 from_std(admin),
                 tokens.end.clone(),
@@ -234,6 +256,13 @@
     });
 }
 
+/// Serves operators, and ends the threads once callers and operators have their answers.
+async fn end_when_served(serve_operators: impl Future<Output = ()>, tokens: Tokens) {
+    serve_operators.await;
+    tokens.served.cancelled().await;
+    tokens.end.cancel();
+}
+
 /// Receives packets of other daemons and forwards them to the control thread.
 async fn receive_packets(listener: TcpListener, inputs: mpsc::Sender<Input>) {
     let (packets, mut received) = mpsc::channel(MAX_QUEUED_INPUTS);
@@ -260,11 +289,15 @@
         .expect("the worker threads of the runtime can be started");
     runtime.block_on(async {
         let listener = TcpListener::from_std(http).expect("the socket is open and non-blocking");
-        proxy::serve(traffic, listener, tokens.close.clone(), tokens.end.clone()).await;
+        let connections =
+            proxy::serve(traffic, listener, tokens.close.clone(), tokens.end.clone()).await;
+        if connections > 0 {
+            warn!("connections cut off", kv: { connections });
+        }
     });
     // Answers still in progress are cut off: after the drain timeout, or because of `kill`.
     runtime.shutdown_background();
-    tokens.end.cancel();
+    tokens.served.cancel();
 }
 
 /// Returns a number that in practice differs from that of every earlier process of this instance.
