Stop verbenad when a thread or task ends that it cannot do without

Change: the control thread ends with the first of its tasks that ends, `Daemon::ended` tells when a thread has, and the program then stops gracefully and exits with code 1.

--- a/crates/verbenad/src/daemon.rs
+++ b/crates/verbenad/src/daemon.rs
@@ -7,11 +7,12 @@
 
 use error_stack::ResultExt;
 use proxy::{Clock, Traffic};
-use spdlog::{info, warn};
+use spdlog::{error, info, warn};
 use store::{HttpStore, Store};
 use telemetry::{Counters, Metrics};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
+use tokio::task::{JoinError, JoinSet};
 use tokio::time::{Duration, sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -42,6 +43,8 @@
     served: CancellationToken,
     /// All threads end at once; answers in progress are cut off.
     end: CancellationToken,
+    /// A thread has ended, by a stop or by a fault.
+    ended: CancellationToken,
 }
 
 /// The listening sockets of a daemon, opened before any thread starts.
@@ -95,7 +98,8 @@
                 (settings.threads, Arc::clone(&traffic), tokens.clone());
             move || run_traffic(threads, traffic, &tokens, http)
         };
-        let threads = vec![spawn("control", control)?, spawn("traffic", serve_traffic)?];
+        let threads =
+            vec![spawn("control", &tokens, control)?, spawn("traffic", &tokens, serve_traffic)?];
         let name = settings.instance.as_str();
         info!("daemon started", kv: { instance = name, http:? = settings.listen.http });
         Ok(Self { tokens, traffic, settings, threads })
@@ -113,6 +117,14 @@
         &self.traffic
     }
 
+    /// Waits until a thread, or a task that the daemon cannot do without, has ended.
+    ///
+    /// Before a stop that is a fault. The daemon then goes on with what it knew until then, so it
+    /// should be stopped and started again.
+    pub async fn ended(&self) {
+        self.tokens.ended.cancelled().await;
+    }
+
     /// Stops gracefully: answers in progress are finished within the drain timeout.
     ///
     /// The daemon resigns as controller, reports that it is not ready, and accepts connections for
@@ -176,7 +188,17 @@
     Ok(listener)
 }
 
-fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>> {
+fn spawn(
+    name: &str,
+    tokens: &Tokens,
+    run: impl FnOnce() + Send + 'static,
+) -> Result<JoinHandle<()>> {
+    let ended = tokens.ended.clone().drop_guard();
+    let run = move || {
+        // Dropped at the end of the thread, also by a panic.
+        let _ended = ended;
+        run();
+    };
     Builder::new()
         .name(name.to_owned())
         .spawn(run)
@@ -212,31 +234,30 @@
             inputs.clone(),
             tokens.close.clone(),
         );
-        let tasks = [
-            tokio::spawn(receive_packets(from_std(peer), inputs.clone())),
-            tokio::spawn(end_when_served(serve_operators, tokens.clone())),
-            tokio::spawn(admin::serve(
-                from_std(admin),
-                tokens.end.clone(),
-                Arc::clone(traffic),
-                inputs.clone(),
-            )),
-            tokio::spawn(watch::follow(
-                store.clone(),
-                watch::DOCUMENTS_PREFIX,
-                Arc::clone(counters),
-                inputs.clone(),
-                Input::Documents,
-            )),
-            tokio::spawn(watch::follow(
-                store.clone(),
-                watch::INSTANCES_PREFIX,
-                Arc::clone(counters),
-                inputs.clone(),
-                Input::Instances,
-            )),
-            tokio::spawn(watch::register(store.clone(), settings.clone(), Arc::clone(counters))),
-        ];
+        let mut tasks = JoinSet::new();
+        tasks.spawn(receive_packets(from_std(peer), inputs.clone()));
+        tasks.spawn(end_when_served(serve_operators, tokens.clone()));
+        tasks.spawn(admin::serve(
+            from_std(admin),
+            tokens.end.clone(),
+            Arc::clone(traffic),
+            inputs.clone(),
+        ));
+        tasks.spawn(watch::follow(
+            store.clone(),
+            watch::DOCUMENTS_PREFIX,
+            Arc::clone(counters),
+            inputs.clone(),
+            Input::Documents,
+        ));
+        tasks.spawn(watch::follow(
+            store.clone(),
+            watch::INSTANCES_PREFIX,
+            Arc::clone(counters),
+            inputs.clone(),
+            Input::Instances,
+        ));
+        tasks.spawn(watch::register(store.clone(), settings.clone(), Arc::clone(counters)));
         let key = format!("{}{}", watch::INSTANCES_PREFIX, settings.instance);
         let control_thread = ControlThread::new(
             settings,
@@ -245,10 +266,11 @@
             new_incarnation(),
             inputs,
         );
-        control_thread.run(queue, tokens.stop.clone(), tokens.end.clone()).await;
-        for task in &tasks {
-            task.abort();
+        tokio::select! {
+            () = control_thread.run(queue, tokens.stop.clone(), tokens.end.clone()) => {}
+            Some(ended) = tasks.join_next() => log_ended_task(&ended, tokens),
         }
+        tasks.abort_all();
         if tokens.stop.is_cancelled() {
             // Without this, the entry of this instance would stay until its lease expires.
             drop(store.remove(&key).await);
@@ -256,6 +278,14 @@
     });
 }
 
+/// Logs the end of a task that the control thread cannot do without, except at the end of all.
+fn log_ended_task(ended: &std::result::Result<(), JoinError>, tokens: &Tokens) {
+    if !tokens.end.is_cancelled() {
+        let cause = ended.as_ref().map_or_else(ToString::to_string, |()| "it returned".to_owned());
+        error!("task ended, the control thread ends", kv: { cause });
+    }
+}
+
 /// Serves operators, and ends the threads once callers and operators have their answers.
 async fn end_when_served(serve_operators: impl Future<Output = ()>, tokens: Tokens) {
     serve_operators.await;
--- a/crates/verbenad/src/main.rs
+++ b/crates/verbenad/src/main.rs
@@ -5,7 +5,7 @@
 use clap::{Arg, Command, value_parser};
 use error_stack::{Report, ResultExt};
 use mimalloc::MiMalloc;
-use spdlog::warn;
+use spdlog::{error, warn};
 use std::path::{Path, PathBuf};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use verbenad::{Daemon, Settings};
@@ -33,6 +33,7 @@
             eprintln!("{error}");
             ExitCode::from(EXIT_FAILURE)
         }
+        Err(RunError::Ended) => ExitCode::from(EXIT_FAILURE),
     }
 }
 
@@ -69,6 +70,8 @@
     Start(Report<StartError>),
     /// Signals cannot be received.
     Signals(std::io::Error),
+    /// A thread or task has ended that the daemon cannot do without.
+    Ended,
 }
 
 /// The signals that the process handles; others keep their default effect.
@@ -113,7 +116,7 @@
     Ok(daemon)
 }
 
-/// Runs the daemon until SIGTERM or SIGINT, then stops it gracefully.
+/// Runs the daemon until SIGTERM, SIGINT or the end of one of its threads, then stops it gracefully.
 ///
 /// Signals are received before the daemon accepts callers. Later ones do not shorten the stop.
 fn run(path: &Path) -> Result<(), RunError> {
@@ -121,8 +124,14 @@
     runtime.map_err(RunError::Signals)?.block_on(async {
         let mut signals = Signals::receive().map_err(RunError::Signals)?;
         let daemon = start(path).map_err(RunError::Start)?;
-        signals.wait_for_stop().await;
+        let result = tokio::select! {
+            () = signals.wait_for_stop() => Ok(()),
+            () = daemon.ended() => {
+                error!("a thread ended, stopping the process");
+                Err(RunError::Ended)
+            }
+        };
         daemon.stop().await;
-        Ok(())
+        result
     })
 }
