Hear a server again after an entry of another writer

What callers saw: nothing yet; found in review. After one usable entry with a later start or a larger number under a server's name, the server's own reports counted as late: for good after a later start, for up to 1000 reports after a larger number. Its leaving was then not known. Cause: a report counted as late however long ago the newer one was stored. Evidence: the two new tests of registry/lives failed before the change; the crate's tests pass now. Change: an older report counts as late for 5 s after the newer one, and its number is at most 20 smaller. Not run: the tests of platform and gateway.

--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -30,6 +30,8 @@
     registration: Arc<Registration>,
     /// The number of the incarnation's last report, which may be later than that of `registration`.
     heartbeat: u64,
+    /// When this report was stored.
+    reported_at_ms: u64,
     /// When the entry is dropped; `None` while the list has it.
     drop_at_ms: Option<u64>,
 }
@@ -43,11 +45,15 @@
     Server,
 }
 
+/// How much later than a newer report an older one may arrive.
+///
+/// A server whose reports still count as older after this time is running, so the known report was
+/// not its own, or its clock went back before it started again.
+const MAX_LATE_MS: u64 = 5_000;
 /// By how much the number of a late report can be below that of the latest one.
 ///
-/// Servers report about twice a second, and a report is late by seconds at most. A known number that
-/// is farther ahead was not the server's, which would otherwise never be heard again.
-const MAX_LATE_REPORTS: u64 = 1_000;
+/// Servers report about twice a second, so this is twice what they report in `MAX_LATE_MS`.
+const MAX_LATE_REPORTS: u64 = 20;
 /// Number of marks of leaving servers above which those of servers without an entry are dropped.
 const MAX_LEAVING: usize = 16_384;
 /// How long a running server may take to be listed again once the list is available.
@@ -85,23 +91,26 @@
         if let Some(known) = self.entries.get_mut(name) {
             // A late report must not replace a newer one.
             let known_born_ms = known.registration.incarnation.born_ms;
-            let is_late = match registration.incarnation.born_ms.cmp(&known_born_ms) {
+            let may_be_late = now_ms < known.reported_at_ms.saturating_add(MAX_LATE_MS);
+            let is_older = match registration.incarnation.born_ms.cmp(&known_born_ms) {
                 Ordering::Less => true,
                 Ordering::Equal => {
                     (1..=MAX_LATE_REPORTS).contains(&known.heartbeat.saturating_sub(heartbeat))
                 }
                 Ordering::Greater => false,
             };
-            if is_late {
+            if is_older && may_be_late {
                 return Change::Nothing;
             }
             let is_listed = known.drop_at_ms.is_none();
             if is_listed && is_equivalent(now_ms, &known.registration, &registration) {
                 known.heartbeat = heartbeat;
+                known.reported_at_ms = now_ms;
                 return Change::Nothing;
             }
         }
-        let entry = Entry { registration: Arc::new(registration), heartbeat, drop_at_ms: None };
+        let registration = Arc::new(registration);
+        let entry = Entry { registration, heartbeat, reported_at_ms: now_ms, drop_at_ms: None };
         self.version += 1;
         self.entries.insert(Name::from(name), entry);
         Change::Server
--- a/crates/registry/tests/lives.rs
+++ b/crates/registry/tests/lives.rs
@@ -207,3 +207,30 @@
     registry.put(40, "s", registration(2, 1, Stage::Ready));
     assert!(registry.accepts_new_work(&incarnation(2)));
 }
+
+/// Guards against a server that is lost for good after another writer gave its entry a later start.
+#[test]
+fn later_start_of_another_writer_does_not_hide_a_server() {
+    let mut registry = Registry::default();
+    registry.put(0, "s", registration(1_000, 5, Stage::Ready));
+    let odd = registration(253_402_300_799_999, 1, Stage::Ready);
+    if registry.check(500, &odd).is_ok() {
+        registry.put(500, "s", odd);
+    }
+    for report in 6..66 {
+        registry.put(500 * (report - 4), "s", registration(1_000, report, Stage::Ready));
+    }
+    assert!(registry.accepts_new_work(&incarnation(1_000)), "not heard for 30 s");
+}
+
+/// Guards against work for a leaving server whose entry another writer gave a larger number.
+#[test]
+fn larger_number_of_another_writer_does_not_hide_a_leaving_server() {
+    let mut registry = Registry::default();
+    registry.put(0, "s", registration(1, 5, Stage::Ready));
+    registry.put(500, "s", registration(1, 905, Stage::Ready));
+    for report in 6..66 {
+        registry.put(500 * (report - 4), "s", registration(1, report, Stage::Draining));
+    }
+    assert!(!registry.accepts_new_work(&incarnation(1)), "its leaving is not known after 30 s");
+}
