Keep room at a server when a wait ends while another thread admits it

What callers saw: nothing traced; found in review. A server's room shrank for good by one request for each such wait, and the requests behind it waited without need. Cause: the end of a slow start admits requests from the control thread. It takes the request from the queue first and wakes it after that; a wait that ended between the two had nothing to pass on, and the waker was still received. Change: a wait that ends closes its channel before it looks for the admission.

--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -506,6 +506,8 @@
     fn drop(&mut self) {
         let Some(ticket) = self.ticket.take() else { return };
         let was_waiting = self.upstream.limiter().cancel(ticket);
+        // Another thread may be about to wake the request; then it passes the admission on.
+        self.woken.close();
         // The request may have been admitted in the meantime; then the next one is admitted.
         if !was_waiting && self.woken.try_recv().is_ok() {
             self.upstream.release();
