Notice a stop signal while the control queue is full

What callers would see: a stop that begins late, so less time for their answers. Found in review by reading; not shown by a run. Cause: a reload waited for room in the queue inside the loop that also receives signals. Change: a reload that finds no room is tried again with the next tick. Measured: platform/reload_signals passes.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -339,8 +339,11 @@
         if text.is_some() && text != last_text {
             if let Some(settings) = text.as_deref().and_then(|text| parse_settings(&path, text)) {
                 *grace_ms = settings.grace_ms;
-                // The receiver is closed only while the process exits.
-                drop(inputs.send(Input::Reload(Box::new(settings))).await);
+                // If the queue is full, the file is read again with the next tick. Waiting for room would
+                // keep a stop signal from being noticed.
+                if inputs.try_send(Input::Reload(Box::new(settings))).is_err() {
+                    continue;
+                }
             }
             last_text = text;
         }
