Bound connecting by the stop, and refuse repeated refusals to all requests

What callers would see: 502, outcome unknown, for a request that was not written, as connecting ended after the deadline of a stop and the server was handed no time; and 'not run' for an idempotent request that runs, if its server repeats an earlier refusal on a kept connection. Found in review by reading. Change: connecting is bounded by the stop, nothing is sent without time left during one, and each attempt at a server that refused the request gets a new connection, whether or not it may run twice. Measured: platform/stopped_waits, repeated_refusals, peer_refusals and cut_daemons pass.

--- a/crates/gateway/src/request/detour.rs
+++ b/crates/gateway/src/request/detour.rs
@@ -18,7 +18,7 @@
 use rand::seq::SliceRandom;
 use route::{Failure, Reason, ServerState as _};
 use telemetry::Counter;
-use tokio::time::{Duration, Instant, timeout_at};
+use tokio::time::{Duration, Instant};
 
 use crate::Shared;
 use crate::log_sampler::is_sampled;
@@ -138,7 +138,8 @@
     };
     call.tracked.wait_for(Stage::Daemon(peer.name.clone()));
     let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-    let Ok(Ok(mut link)) = timeout_at(connect_deadline, connect(peer, call)).await else {
+    let connected = shared.stop.bound(connect_deadline, 0, connect(peer, call)).await;
+    let Ok(Ok(mut link)) = connected else {
         peer.upstream.on_connection_loss();
         return Relayed::NotRun { retry_after_ms: None };
     };
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -16,7 +16,7 @@
 use registry::Incarnation;
 use route::{Failure, Pace, Rate, ServerLoad};
 use telemetry::Counter;
-use tokio::time::{Duration, Instant, sleep, timeout, timeout_at};
+use tokio::time::{Duration, Instant, sleep, timeout};
 
 use crate::Shared;
 use crate::request::answer::AnswerBody;
@@ -132,7 +132,7 @@
     deadline: Instant,
 ) -> Result<Response<AnswerBody>, Failure> {
     let connect_deadline = deadline.min(Instant::now() + Duration::from_millis(CONNECT_TIMEOUT_MS));
-    let mut link = match timeout_at(connect_deadline, connect(server, call)).await {
+    let mut link = match shared.stop.bound(connect_deadline, 0, connect(server, call)).await {
         Ok(Ok(link)) => link,
         Ok(Err(error)) => {
             server.start_slowly();
@@ -141,10 +141,11 @@
             }
             return Err(Failure::NotSent);
         }
-        Err(_elapsed) => {
+        Err(WaitEnd::Elapsed) => {
             server.start_slowly();
             return Err(Failure::NotSent);
         }
+        Err(WaitEnd::Stopping) => return Err(Failure::NotSent),
     };
     if link.is_fresh() {
         shared.counters.count(Counter::Connections);
@@ -186,13 +187,9 @@
 
 /// Returns a connection for an attempt, a new one if an earlier refusal may arrive on a kept one.
 ///
-/// That an idempotent request is refused although it runs breaks no promise to the caller.
 async fn connect(server: &Server, call: &Call) -> std::io::Result<Link> {
     let may_repeat = call.refusals.may_include(&server.registration.incarnation);
-    if may_repeat && !call.is_idempotent() {
-        return server.upstream.connect_anew().await;
-    }
-    server.upstream.connect().await
+    if may_repeat { server.upstream.connect_anew().await } else { server.upstream.connect().await }
 }
 
 /// Returns whether a server reset a connection because it was full.
@@ -430,7 +427,8 @@
     Some(request)
 }
 
-/// Returns the caller's request with the time that is left, here and for the caller.
+/// Returns the caller's request with the time that is left, here and for the caller; `None` if a stop
+/// leaves none.
 pub(crate) fn to_request(shared: &Shared, call: &Call) -> Option<Request<Full<Bytes>>> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.head.method.clone();
@@ -440,6 +438,9 @@
     headers.insert(HOST, call.host.clone());
     let deadline_ms = call.deadline_ms.min(shared.stop.deadline_ms());
     let left_ms = deadline_ms.saturating_sub(shared.clock.now_ms());
+    if left_ms == 0 && shared.stop.has_begun() {
+        return None;
+    }
     headers.insert(shared.dialect.time_left_ms.clone(), HeaderValue::from(left_ms));
     Some(request)
 }
