Take requests that arrive after a stop's close only with ample time

What callers would see: 502 for a request sent more than 3 s after SIGTERM on a connection that had been accepted before the close, if its work takes over twice the mean. Found in review by reading. Change: a request that arrives after the close needs eight times the mean latency, also at the moment at which it is sent; a refusal while its body is read asks to return within 100 ms like the others. Measured: platform/stopped_waits and unread_requests pass.

--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -15,6 +15,7 @@
 use crate::request::detour::earlier_refusals;
 use crate::request::earlier_refusals::EarlierRefusals;
 use crate::request::in_flight::Tracked;
+use crate::request::refusal::stop_retry_after_ms;
 use crate::request::report::RouteState;
 
 /// A caller's request, with its whole body.
@@ -111,7 +112,10 @@
         Ok(Ok(body)) => body,
         Ok(Err(error)) => return Err(Refusal::not_run(to_reason(error))),
         Err(WaitEnd::Elapsed) => return Err(Refusal::not_run(Reason::Expired)),
-        Err(WaitEnd::Stopping) => return Err(Refusal::not_run(Reason::Stopping)),
+        Err(WaitEnd::Stopping) => {
+            let refusal = Refusal::not_run(Reason::Stopping);
+            return Err(refusal.with_retry_after(stop_retry_after_ms()));
+        }
     };
     tracked.on_read(&route, key);
     let route_state = shared.route_state(&route);
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -34,6 +34,11 @@
 ///
 /// A handover takes as long as the work that has to end first.
 const MOVE_TIMEOUT_LATENCIES: u64 = 2;
+/// The multiple of the mean latency that a request may take that arrives after the close of a stop.
+///
+/// Its caller could have gone to another daemon, so it is taken only if also very slow work ends in
+/// time.
+const LATE_WORK_FACTOR: u64 = 8;
 /// How long a request waits for a newer table after a server answered that it does not own the
 /// key.
 const REROUTE_TIMEOUT_MS: u64 = 60;
@@ -41,9 +46,6 @@
 const MOVE_RETRY_AFTER_MS: u64 = 100;
 /// The Retry-After while the document or a server is missing.
 const ABSENT_RETRY_AFTER_MS: u64 = 300;
-/// The largest Retry-After while the daemon is stopping: another one can take the request at once,
-/// but not all requests in the same moment.
-const MAX_STOP_RETRY_AFTER_MS: u64 = 100;
 
 /// Answers one request of a caller.
 pub(crate) async fn answer(
@@ -181,7 +183,7 @@
         if shared.crashes.is_refused(|| call.fingerprint()) {
             return Err(attempts.to_refusal(Reason::Crashing));
         }
-        if shared.clock.now_ms() + expected_work_ms(&call) > shared.stop.deadline_ms() {
+        if !has_time(shared, &call) {
             return server_error.ok_or_else(|| stop_refusal(&attempts));
         }
         let wait_started_at_ms = shared.clock.now_ms();
@@ -193,6 +195,9 @@
             // A server's answer tells the caller more than a refusal.
             Err(refusal) => return server_error.ok_or(refusal),
         };
+        if !has_time(shared, &call) {
+            return server_error.ok_or_else(|| stop_refusal(&attempts));
+        }
         if attempts.failed_attempts() > 0 {
             shared.counters.count(Counter::Retries);
         }
@@ -293,7 +298,7 @@
                 let max_wait_ms = max_turn_wait_ms(shared, call, &service);
                 let turn = wait_for_turn(shared, &server, max_wait_ms);
                 let deadline = shared.clock.to_instant(call.deadline_ms);
-                match shared.stop.bound(deadline, expected_work_ms(call), turn).await {
+                match shared.stop.bound(deadline, expected_work_ms(shared, call), turn).await {
                     Ok(Ok(())) => {}
                     Ok(Err(remaining_ms)) if service.is_keyed => {
                         return Err(paused_refusal(attempts, remaining_ms));
@@ -319,7 +324,7 @@
         let waited = if has_timed_out {
             Err(WaitEnd::Elapsed)
         } else {
-            shared.stop.bound(wait_deadline, expected_work_ms(call), changed).await
+            shared.stop.bound(wait_deadline, expected_work_ms(shared, call), changed).await
         };
         if let Err(end) = waited {
             let retry_after_ms = MOVE_RETRY_AFTER_MS.max(mean_latency_ms(call));
@@ -338,8 +343,18 @@
 }
 
 /// Returns how long a request may take at a server if it has to end before the stop does.
-fn expected_work_ms(call: &Call) -> u64 {
-    slow_work_ms(mean_latency_ms(call))
+fn expected_work_ms(shared: &Shared, call: &Call) -> u64 {
+    let mean_ms = mean_latency_ms(call);
+    if call.arrived_at_ms > shared.stop.arrival_deadline_ms() {
+        mean_ms.saturating_mul(LATE_WORK_FACTOR)
+    } else {
+        slow_work_ms(mean_ms)
+    }
+}
+
+/// Returns whether a request that is sent now can be answered before the end of a stop.
+fn has_time(shared: &Shared, call: &Call) -> bool {
+    shared.clock.now_ms().saturating_add(expected_work_ms(shared, call)) < shared.stop.deadline_ms()
 }
 
 /// Returns the refusal after a wait that ended without a result.
@@ -352,8 +367,7 @@
 
 /// Returns the refusal of a request that the daemon cannot serve before its stop ends.
 fn stop_refusal(attempts: &Attempts) -> Refusal {
-    let retry_after_ms = rand::random_range(0..=MAX_STOP_RETRY_AFTER_MS);
-    attempts.to_refusal(Reason::Stopping).with_retry_after(retry_after_ms)
+    attempts.to_refusal(Reason::Stopping).with_retry_after(refusal::stop_retry_after_ms())
 }
 
 /// Returns how long a request waits for a moving key: no longer than half of the time in which
@@ -514,7 +528,8 @@
     let wait_deadline = shared.clock.to_instant(wait_deadline_ms);
     let changed = shared.view_changed().notified();
     // The next attempt uses the current view in either case.
-    let _is_changed = shared.stop.bound(wait_deadline, expected_work_ms(call), changed).await;
+    let _is_changed =
+        shared.stop.bound(wait_deadline, expected_work_ms(shared, call), changed).await;
 }
 
 fn log_failure(shared: &Shared, call: &Call, incarnation: &Incarnation, failure: Failure) {
--- a/crates/gateway/src/request/refusal.rs
+++ b/crates/gateway/src/request/refusal.rs
@@ -19,6 +19,15 @@
     StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY)
 }
 
+/// The largest Retry-After while the daemon is stopping: another one can take the request at once,
+/// but not all requests in the same moment.
+const MAX_STOP_RETRY_AFTER_MS: u64 = 100;
+
+/// Returns the Retry-After while the daemon is stopping.
+pub(crate) fn stop_retry_after_ms() -> u64 {
+    rand::random_range(0..=MAX_STOP_RETRY_AFTER_MS)
+}
+
 /// Returns the answer to the caller for a refusal.
 #[must_use]
 pub(crate) fn to_response(refusal: &Refusal) -> Response<AnswerBody> {
--- a/crates/proxy/src/stop.rs
+++ b/crates/proxy/src/stop.rs
@@ -72,6 +72,12 @@
         self.deadline_ms.load(Ordering::Relaxed)
     }
 
+    /// Returns when requests must have arrived; `u64::MAX` while the process is not stopping.
+    #[must_use]
+    pub fn arrival_deadline_ms(&self) -> u64 {
+        self.arrival_deadline_ms.load(Ordering::Relaxed)
+    }
+
     /// Waits until a stop begins.
     pub async fn begun(&self) {
         self.begun.cancelled().await;
@@ -103,7 +109,7 @@
         deadline: Instant,
         future: F,
     ) -> Result<F::Output, WaitEnd> {
-        self.bound_by(deadline, || self.arrival_deadline_ms.load(Ordering::Relaxed), future).await
+        self.bound_by(deadline, || self.arrival_deadline_ms(), future).await
     }
 
     /// Waits for a future until a deadline, or until a time that is known once a stop has begun.
