--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,12 +25,14 @@
 //!
 //! # Modules
 //!
-//! - Process: `gateway` starts and stops it, `essential_tasks` notices when one of its tasks ends, `shared` is what its threads share, and `status`
-//!   answers the platform's readiness checks and administrators.
-//! - `request`, the path of a request: `front` serves callers' connections, `call` reads a request,
-//!   `in_flight` knows what each request waits for, `forward` finds a server and retries, `exchange` sends one attempt to a server, and `detour`
-//!   sends it through another daemon. `server`, `report`, `turns` and `retry_budget` hold the state
-//!   of servers, services and routes.
+//! - Process: `gateway` starts and stops it, `essential_tasks` notices when one of its tasks ends,
+//!   `shared` is what its threads share, and `status` answers the platform's readiness checks and
+//!   administrators.
+//! - `request`, the path of a request: `front` accepts callers' connections and `connection` serves
+//!   one, `call` reads a request, `in_flight` knows what each request waits for, `forward` finds a
+//!   server and retries, `admission` waits for room there, `exchange` sends one attempt to a server,
+//!   and `detour` sends it through another daemon. `server`, `report`, `turns` and `retry_budget`
+//!   hold the state of servers, services and routes.
 //! - `control`, what is read from the store and from other daemons: `node` handles each `input`,
 //!   `follow` watches the store, `operators` and `evacuation` handle what operators write,
 //!   `server_entries` and `fleet` handle the entries of servers and
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -4,18 +4,19 @@
 
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response};
-use proxy::{AdmissionError, CallerBody, Permit, WaitEnd};
+use proxy::{CallerBody, Permit, WaitEnd};
 use registry::Incarnation;
-use route::{
-    Attempts, Failure, MAX_BUSY_RETRY_AFTER_MS, MIN_BUSY_RETRY_AFTER_MS, Next, Reason, Refusal,
-    RemotePenalty, busy_retry_after_ms, slow_work_ms,
-};
+use route::{Attempts, Failure, Next, Reason, Refusal, RemotePenalty};
 use shard::Owner;
 use site::RequestKind;
 use telemetry::{Counter, Labels};
 
 use crate::Shared;
 use crate::log_sampler::is_sampled;
+use crate::request::admission::{
+    ABSENT_RETRY_AFTER_MS, MOVE_RETRY_AFTER_MS, admit, expected_work_ms, has_time, last_refusal,
+    mean_latency_ms, paused_refusal, stop_refusal, unreachable_refusal, wait_refusal,
+};
 use crate::request::answer::AnswerBody;
 use crate::request::call::{self, Call};
 use crate::request::detour;
@@ -34,18 +35,9 @@
 ///
 /// A handover takes as long as the work that has to end first.
 const MOVE_TIMEOUT_LATENCIES: u64 = 2;
-/// The multiple of the mean latency that a request may take that arrives after the close of a stop.
-///
-/// Its caller could have gone to another daemon, so it is taken only if also very slow work ends in
-/// time.
-const LATE_WORK_FACTOR: u64 = 8;
 /// How long a request waits for a newer table after a server answered that it does not own the
 /// key.
 const REROUTE_TIMEOUT_MS: u64 = 60;
-/// The least Retry-After while a key is moving or has no owner.
-const MOVE_RETRY_AFTER_MS: u64 = 100;
-/// The Retry-After while the document or a server is missing.
-const ABSENT_RETRY_AFTER_MS: u64 = 300;
 
 /// Answers one request of a caller.
 pub(crate) async fn answer(
@@ -238,16 +230,6 @@
     }
 }
 
-/// Returns the refusal after a failed attempt that is not retried.
-fn last_refusal(attempts: &Attempts, failure: Failure) -> Refusal {
-    let retry_after_ms = match failure {
-        Failure::Fenced => MOVE_RETRY_AFTER_MS,
-        Failure::NotSent => ABSENT_RETRY_AFTER_MS,
-        _ => MIN_BUSY_RETRY_AFTER_MS,
-    };
-    attempts.to_last_refusal().with_retry_after(retry_after_ms)
-}
-
 /// Sends a request to a server.
 ///
 /// When the caller disconnects, an idempotent request is cancelled at the server. Any other
@@ -338,38 +320,6 @@
     }
 }
 
-fn mean_latency_ms(call: &Call) -> u64 {
-    u64::from(call.route_state.mean_us() / 1_000)
-}
-
-/// Returns how long a request may take at a server if it has to end before the stop does.
-fn expected_work_ms(shared: &Shared, call: &Call) -> u64 {
-    let mean_ms = mean_latency_ms(call);
-    if call.arrived_at_ms > shared.stop.arrival_deadline_ms() {
-        mean_ms.saturating_mul(LATE_WORK_FACTOR)
-    } else {
-        slow_work_ms(mean_ms)
-    }
-}
-
-/// Returns whether a request that is sent now can be answered before the end of a stop.
-fn has_time(shared: &Shared, call: &Call) -> bool {
-    shared.clock.now_ms().saturating_add(expected_work_ms(shared, call)) < shared.stop.deadline_ms()
-}
-
-/// Returns the refusal after a wait that ended without a result.
-fn wait_refusal(attempts: &Attempts, end: WaitEnd, reason: Reason) -> Refusal {
-    match end {
-        WaitEnd::Elapsed => attempts.to_refusal(reason),
-        WaitEnd::Stopping => stop_refusal(attempts),
-    }
-}
-
-/// Returns the refusal of a request that the daemon cannot serve before its stop ends.
-fn stop_refusal(attempts: &Attempts) -> Refusal {
-    attempts.to_refusal(Reason::Stopping).with_retry_after(refusal::stop_retry_after_ms())
-}
-
 /// Returns how long a request waits for a moving key: no longer than half of the time in which
 /// its answer is due.
 fn move_timeout_ms(call: &Call) -> u64 {
@@ -421,16 +371,6 @@
     owner.is_some_and(|owner| owner.is_evacuated() && !owner.is_open()) && service.pool.is_empty()
 }
 
-/// Returns the refusal while all servers that could answer want no requests.
-fn paused_refusal(attempts: &Attempts, remaining_ms: u64) -> Refusal {
-    let retry_after_ms = remaining_ms.max(MIN_BUSY_RETRY_AFTER_MS);
-    attempts.to_refusal(Reason::Overloaded).with_retry_after(retry_after_ms)
-}
-
-fn unreachable_refusal(attempts: &Attempts) -> Refusal {
-    attempts.to_refusal(Reason::Unreachable).with_retry_after(ABSENT_RETRY_AFTER_MS)
-}
-
 /// Returns whether a request that waited for admission may still go to the server.
 fn is_current(shared: &Shared, call: &Call, server: &Arc<Server>) -> bool {
     if !server.is_open() {
@@ -458,70 +398,6 @@
     due_at_ms.saturating_sub(shared.clock.now_ms() + mean_latency_ms(call))
 }
 
-async fn admit(
-    shared: &Shared,
-    service: &ServiceView,
-    server: &Server,
-    call: &Call,
-    attempts: &Attempts,
-) -> Result<Permit, Refusal> {
-    let remaining_ms = server.pause_remaining_ms();
-    if remaining_ms > 0 {
-        return Err(pause_refusal(shared, server, call, attempts, remaining_ms));
-    }
-    let caller = call.caller.filter(|_| server.upstream.is_target_ordered());
-    let mut arrival = call.arrival();
-    arrival.is_over_share =
-        caller.is_some_and(|caller| service.state.is_over_share(shared.clock.now_ms(), caller));
-    let admitted = server.upstream.acquire(arrival, &shared.stop).await;
-    let is_unserved = matches!(admitted, Ok((_, true)) | Err(AdmissionError::Overloaded { .. }));
-    if let Some(caller) = caller.filter(|_| is_unserved) {
-        service.state.on_unserved(shared.clock.now_ms(), caller);
-    }
-    match admitted {
-        Ok((permit, _has_waited)) => Ok(permit),
-        Err(AdmissionError::Overloaded { late_ms }) if server.upstream.is_target_ordered() => {
-            let room_ms = server.upstream.queue_ms(arrival.typical_latency_ms).max(late_ms);
-            Err(spread_refusal(shared, call, attempts, room_ms))
-        }
-        Err(AdmissionError::Overloaded { late_ms }) => {
-            let retry_after_ms = late_ms.clamp(MIN_BUSY_RETRY_AFTER_MS, MAX_BUSY_RETRY_AFTER_MS);
-            Err(attempts.to_refusal(Reason::Overloaded).with_retry_after(retry_after_ms))
-        }
-        Err(AdmissionError::Paused { remaining_ms }) => {
-            Err(pause_refusal(shared, server, call, attempts, remaining_ms))
-        }
-        Err(AdmissionError::Stopping) => Err(stop_refusal(attempts)),
-        Err(AdmissionError::Expired) => {
-            Err(attempts.to_refusal(Reason::Expired).with_retry_after(MIN_BUSY_RETRY_AFTER_MS))
-        }
-    }
-}
-
-/// Returns the refusal while a server gets no requests.
-///
-/// After the pause of a full server, callers should not return together; a server that asked for a
-/// longer one is not full.
-fn pause_refusal(
-    shared: &Shared,
-    server: &Server,
-    call: &Call,
-    attempts: &Attempts,
-    remaining_ms: u64,
-) -> Refusal {
-    if server.upstream.is_target_ordered() && remaining_ms <= MAX_BUSY_RETRY_AFTER_MS {
-        return spread_refusal(shared, call, attempts, remaining_ms);
-    }
-    paused_refusal(attempts, remaining_ms)
-}
-
-/// Returns the refusal while a server is full, with a random part in its Retry-After.
-fn spread_refusal(shared: &Shared, call: &Call, attempts: &Attempts, room_ms: u64) -> Refusal {
-    let left_ms = call.caller_deadline_ms.saturating_sub(shared.clock.now_ms());
-    let retry_after_ms = busy_retry_after_ms(room_ms, left_ms, rand::random());
-    attempts.to_refusal(Reason::Overloaded).with_retry_after(retry_after_ms)
-}
-
 /// Waits up to `timeout_ms` for a new view.
 async fn wait_for_change(shared: &Shared, call: &Call, timeout_ms: u64) {
     let wait_deadline_ms = call.deadline_ms.min(shared.clock.now_ms() + timeout_ms);
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! The path of a caller's request, and the state of servers and services that it uses.
 
+pub(crate) mod admission;
 pub(crate) mod answer;
 pub(crate) mod call;
 pub(crate) mod connection;
