--- a/crates/gateway/src/essential_tasks.rs
+++ b/crates/gateway/src/essential_tasks.rs
@@ -5,7 +5,7 @@
 
 /// Tasks that run as long as the process; if one ends, by a panic or not, the process has to stop.
 ///
-/// A panic of a task that nobody waits for would go unnoticed, and the process would go on with
+/// A panic of a task that is not awaited would go unnoticed, and the process would go on with
 /// what it knew until then.
 #[derive(Debug, Default)]
 pub(crate) struct EssentialTasks {
--- a/crates/gateway/src/request/detour.rs
+++ b/crates/gateway/src/request/detour.rs
@@ -190,7 +190,7 @@
     if call.is_idempotent() {
         peer.upstream.connect().await
     } else {
-        peer.upstream.connect_anew().await
+        peer.upstream.connect_new().await
     }
 }
 
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -189,7 +189,7 @@
 ///
 async fn connect(server: &Server, call: &Call) -> std::io::Result<Link> {
     let may_repeat = call.refusals.may_include(&server.registration.incarnation);
-    if may_repeat { server.upstream.connect_anew().await } else { server.upstream.connect().await }
+    if may_repeat { server.upstream.connect_new().await } else { server.upstream.connect().await }
 }
 
 /// Returns whether a server reset a connection because it was full.
--- a/crates/gateway/tests/ended_tasks.rs
+++ b/crates/gateway/tests/ended_tasks.rs
@@ -27,15 +27,15 @@
 
 impl Source for FaultySource {
     fn site_key(&self) -> &'static str {
-        "op/config"
+        "operators/site"
     }
 
     fn operators_prefix(&self) -> &'static str {
-        "op/"
+        "operators/"
     }
 
     fn evacuations_prefix(&self) -> &'static str {
-        "op/evacuate/"
+        "operators/evacuations/"
     }
 
     fn servers_prefix(&self) -> &'static str {
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -211,7 +211,7 @@
                 return Ok(link);
             }
         }
-        self.connect_anew().await
+        self.connect_new().await
     }
 
     /// Opens a new connection.
@@ -219,7 +219,7 @@
     /// # Errors
     ///
     /// Fails if the server does not accept a connection.
-    pub async fn connect_anew(&self) -> std::io::Result<Link> {
+    pub async fn connect_new(&self) -> std::io::Result<Link> {
         Link::open(self.server.address).await
     }
 
--- a/crates/soak/src/kept_callers.rs
+++ b/crates/soak/src/kept_callers.rs
@@ -1,4 +1,4 @@
-//! Callers that load daemons through the platform, on connections that they keep or open anew.
+//! Callers that load daemons through the platform, on connections that they keep or open for each request.
 
 use std::sync::Arc;
 
