Ask each daemon once whether it is avoided when requests are passed on

What callers saw: all requests of a daemon ended without an answer; its process was started again. Cause: daemons were sorted by whether they are avoided, which reads the clock and may change between two comparisons; a sort with contradicting comparisons panics, and that ended the traffic thread. Change: route::move_avoided_last reads the property once for each item.

--- a/crates/gateway/src/request/detour.rs
+++ b/crates/gateway/src/request/detour.rs
@@ -16,7 +16,7 @@
 use http_body_util::Full;
 use proxy::{Clock, Link, Upstream, retry_after_ms};
 use rand::seq::SliceRandom;
-use route::{Failure, Reason, ServerState as _};
+use route::{Failure, Reason, ServerState as _, move_avoided_last};
 use telemetry::Counter;
 use tokio::time::{Duration, Instant};
 
@@ -112,7 +112,7 @@
     let mut peers: Vec<&Arc<Peer>> = view.peers.iter().collect();
     peers.shuffle(&mut rand::rng());
     // Links are often lost by a whole data centre, so daemons nearby come in no earlier.
-    peers.sort_by_key(|peer| peer.is_avoided());
+    move_avoided_last(&mut peers, |peer| peer.is_avoided());
     let mut min_wait_ms: Option<u64> = None;
     for peer in peers.into_iter().take(MAX_TRIED) {
         shared.counters.count(Counter::Detours);
