Show that keys are given away while a server is at work on them

Cause: orders carry no Request-Id, and their connections are kept after a success, so a second copy of an earlier answer is taken for the answer to a release.

--- a/review/standin/repeated_answers.rs
+++ b/review/standin/repeated_answers.rs
@@ -50,8 +50,11 @@
     let set_faulty = || {
         let phase = (FAULTY_TIME + PAUSE).as_millis();
         let is_faulty = started_at.elapsed().as_millis() % phase < FAULTY_TIME.as_millis();
-        for (number, server) in servers.lock().unwrap().iter().enumerate() {
-            let repeats = is_faulty && has_trouble && (number % 5) as f64 / 5.0 < FAULTY_SHARE;
+        let servers = servers.lock().unwrap();
+        // The oldest ones, which are replaced first.
+        let faulty = (SERVERS as f64 * FAULTY_SHARE) as usize;
+        for (position, server) in servers.iter().filter(|server| !server.has_left()).enumerate() {
+            let repeats = is_faulty && has_trouble && position < faulty;
             server.repeat_answers(if repeats { REPEATED_PER_MILLE } else { 0 });
         }
     };
