--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -1,8 +1,10 @@
 //! HTTP/1.1 for the stand-ins: one thread for each connection.
 
+use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// A request or an answer that was read from a connection.
@@ -152,34 +154,71 @@
     Some(message)
 }
 
+/// The connections that are being served, to end them with the process that they stand for.
+#[derive(Default)]
+pub struct Served {
+    has_ended: AtomicBool,
+    next: AtomicU64,
+    streams: Mutex<HashMap<u64, TcpStream>>,
+}
+
+impl Served {
+    /// Closes the listener and all connections.
+    pub fn end(&self, address: SocketAddr) {
+        self.has_ended.store(true, Ordering::Relaxed);
+        // The listener notices with its next connection.
+        drop(TcpStream::connect(address));
+        for stream in self.streams.lock().unwrap().values() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
 /// Serves connections; the handler gets each request with its connection.
-pub fn serve<H>(listener: TcpListener, idle: Duration, handler: H)
+pub fn serve<H>(listener: TcpListener, idle: Duration, handler: H) -> Arc<Served>
 where
     H: Fn(&Message, &mut TcpStream) -> Reply + Send + Sync + 'static,
 {
-    let handler = Arc::new(handler);
+    let (handler, served) = (Arc::new(handler), Arc::new(Served::default()));
+    let accepting = Arc::clone(&served);
     std::thread::spawn(move || {
         for stream in listener.incoming() {
+            if accepting.has_ended.load(Ordering::Relaxed) {
+                return;
+            }
             let Ok(stream) = stream else { continue };
-            let handler = Arc::clone(&handler);
+            let (handler, served) = (Arc::clone(&handler), Arc::clone(&accepting));
+            let number = served.next.fetch_add(1, Ordering::Relaxed);
+            if let Ok(kept) = stream.try_clone() {
+                served.streams.lock().unwrap().insert(number, kept);
+            }
             std::thread::spawn(move || {
-                let _ = stream.set_nodelay(true);
-                let _ = stream.set_read_timeout(Some(idle));
-                let Ok(mut writer) = stream.try_clone() else { return };
-                let mut reader = BufReader::new(stream);
-                while let Some(request) = read_message(&mut reader) {
-                    match handler(&request, &mut writer) {
-                        Reply::Answer(answer) => {
-                            if writer.write_all(&answer.to_bytes()).is_err() {
-                                return;
-                            }
-                        }
-                        Reply::Close | Reply::Taken => return,
-                    }
-                }
+                serve_connection(stream, idle, &*handler);
+                served.streams.lock().unwrap().remove(&number);
             });
         }
     });
+    served
+}
+
+fn serve_connection<H>(stream: TcpStream, idle: Duration, handler: &H)
+where
+    H: Fn(&Message, &mut TcpStream) -> Reply,
+{
+    let _ = stream.set_nodelay(true);
+    let _ = stream.set_read_timeout(Some(idle));
+    let Ok(mut writer) = stream.try_clone() else { return };
+    let mut reader = BufReader::new(stream);
+    while let Some(request) = read_message(&mut reader) {
+        match handler(&request, &mut writer) {
+            Reply::Answer(answer) => {
+                if writer.write_all(&answer.to_bytes()).is_err() {
+                    return;
+                }
+            }
+            Reply::Close | Reply::Taken => return,
+        }
+    }
 }
 
 /// Sends one request on a new connection and returns the answer.
@@ -190,7 +229,7 @@
     stream.write_all(request)?;
     let mut reader = BufReader::new(stream);
     let answer = read_message(&mut reader);
-    let _ = reader.get_mut().shutdown(std::net::Shutdown::Both);
+    let _ = reader.get_mut().shutdown(Shutdown::Both);
     let _ = reader.read(&mut [0; 1]);
     Ok(answer)
 }
--- a/review/standin/repeated_answers.rs
+++ b/review/standin/repeated_answers.rs
@@ -15,7 +15,7 @@
 const FAULTY_SHARE: f64 = 0.6;
 const REPEATED_PER_MILLE: u64 = 30;
 /// How long servers repeat answers, and the pause after that.
-const FAULTY_TIME: Duration = Duration::from_millis(5_500);
+const FAULTY_TIME: Duration = Duration::from_millis(5_000);
 const PAUSE: Duration = Duration::from_millis(500);
 /// How many servers there are, and how many are replaced, one every [`GAP`].
 const SERVERS: usize = 10;
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -4,11 +4,11 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use crate::cluster::mix;
-use crate::http::{Answer, Message, Reply, serve};
+use crate::http::{Answer, Message, Reply, Served, serve};
 use crate::json::Json;
 use crate::record::Record;
 use crate::store::{Store, address_of, parse_time};
@@ -48,6 +48,8 @@
     /// The answers that are written a second time, by connection.
     repeats: Mutex<HashMap<SocketAddr, Vec<u8>>>,
     orders: AtomicU64,
+    /// The connections, once they are served.
+    served: OnceLock<Arc<Served>>,
     record: Arc<Record>,
 }
 
@@ -102,11 +104,14 @@
             repeated_per_mille: AtomicU64::new(0),
             repeats: Mutex::default(),
             orders: AtomicU64::new(0),
+            served: OnceLock::new(),
             record: Arc::clone(record),
         });
         record.add_server(&server);
-        let served = Arc::clone(&server);
-        serve(listener, IDLE, move |request, stream| served.answer(request, stream));
+        let answering = Arc::clone(&server);
+        let served =
+            serve(listener, IDLE, move |request, stream| answering.answer(request, stream));
+        server.served.get_or_init(|| served);
         let (reporting, store) = (Arc::clone(&server), store.clone());
         std::thread::spawn(move || {
             let mut number = 0;
@@ -146,8 +151,12 @@
         self.is_unregistered.store(true, Ordering::Relaxed);
     }
 
+    /// Ends the server as its process would: nothing listens at its address any more.
     pub fn leave(&self) {
         self.has_left.store(true, Ordering::Relaxed);
+        if let Some(served) = self.served.get() {
+            served.end(self.address);
+        }
     }
 
     pub fn has_left(&self) -> bool {
