Log why the last holder of a key counts as done

A leader gives a key on when its holder has answered a release, when the holder's grant has expired, or when it believes that the holder's process has ended. The logs told the first from the others, but `grant ran out` stood for both of the latter, and no line joined a grant to the end of the holder before it.

`range granted` now names the holder before, the evidence (the release's fence, the time until which the grant may have been valid, or the server that has the address) and when it was found; `grant ran out` has the evidence too, and `range released` how long the answer took.

--- a/crates/gateway/src/leader/leader_tasks.rs
+++ b/crates/gateway/src/leader/leader_tasks.rs
@@ -306,23 +306,38 @@
                 }
             );
         }
-        LogEvent::Granted { service, range, to, fence, grant_ms } => {
+        LogEvent::Granted { service, range, to, fence, grant_ms, previous } => {
+            let (before, evidence, ended_at_ms) = previous.as_ref().map_or_else(
+                || ("nobody".to_owned(), "none".to_owned(), 0),
+                |ended| {
+                    (ended.incarnation.to_string(), format!("{:?}", ended.evidence), ended.at_ms)
+                },
+            );
             spdlog::info!(
                 "range granted",
-                kv: { service = service.as_str(), range: = range, to: = to, fence = fence.0, hold_ms = *grant_ms }
+                kv: {
+                    service = service.as_str(), range: = range, to: = to, fence = fence.0,
+                    hold_ms = *grant_ms, before, evidence, ended_at_ms
+                }
             );
         }
-        LogEvent::Released { service, range, by, fence } => {
+        LogEvent::Released { service, range, by, fence, waited_ms } => {
             spdlog::info!(
                 "range released",
-                kv: { service = service.as_str(), range: = range, by: = by, fence = fence.0 }
+                kv: {
+                    service = service.as_str(), range: = range, by: = by, fence = fence.0,
+                    waited_ms = *waited_ms
+                }
             );
         }
         LogEvent::GrantLengthChanged { store_answers, grant_ms } => {
             spdlog::info!("grants from now on", kv: { store_answers = *store_answers, hold_ms = *grant_ms });
         }
-        LogEvent::Expired { service, range, from } => {
-            spdlog::warn!("grant ran out", kv: { service = service.as_str(), range: = range, from: = from });
+        LogEvent::Expired { service, range, from, evidence } => {
+            spdlog::warn!(
+                "grant ran out",
+                kv: { service = service.as_str(), range: = range, from: = from, evidence:? = evidence }
+            );
         }
         LogEvent::GivenUp { service, range, to, fence, waited_ms } => {
             spdlog::info!(
--- a/crates/shard/src/answers.rs
+++ b/crates/shard/src/answers.rs
@@ -6,7 +6,7 @@
 use crate::assignment::Assignment;
 use crate::order::LogEvent;
 use crate::pass::PendingOrder;
-use crate::{Config, Grant, OrderKind, Output, Release, Reply};
+use crate::{Config, EndedHolder, Evidence, Grant, OrderKind, Output, Release, Reply};
 
 /// Backoff before an order that failed is sent again; for grants it grows with each failure.
 pub(crate) const ORDER_BACKOFF_MS: u64 = 60;
@@ -78,6 +78,7 @@
                             to: order.incarnation.clone(),
                             fence: grant.fence,
                             grant_ms: grant.grant_ms,
+                            previous: state.ended.take(),
                         }));
                     }
                     holder.has_accepted_fence = true;
@@ -146,12 +147,18 @@
             if let Reply::Done(handover) = reply {
                 state.previous_holders.remove(index);
                 state.handover.clone_from(handover);
+                state.ended = Some(EndedHolder {
+                    incarnation: order.incarnation.clone(),
+                    evidence: Evidence::Released(release.fence),
+                    at_ms: now_ms,
+                });
                 self.is_changed = true;
                 outputs.push(Output::Log(LogEvent::Released {
                     service: order.service.clone(),
                     range: state.range,
                     by: order.incarnation.clone(),
                     fence: release.fence,
+                    waited_ms: now_ms.saturating_sub(order.sent_at_ms),
                 }));
             } else {
                 state.previous_holders[index].release_at_ms = Some(now_ms + ORDER_BACKOFF_MS);
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -8,8 +8,8 @@
 use crate::policy::{Candidate, position};
 use crate::range_state::{Holder, NextStep, PreviousHolder, RangeState};
 use crate::{
-    Config, Grant, KeyLoad, KeyRange, MoveReason, Output, Owner, Record, RecordedRange, Release,
-    Span, Table,
+    Config, Evidence, Grant, KeyLoad, KeyRange, MoveReason, Output, Owner, Record, RecordedRange,
+    Release, Span, Table,
 };
 
 /// The assignment of the keys of one service.
@@ -286,17 +286,20 @@
         if !self.ranges.iter().flat_map(RangeState::holders).any(is_unregistered) {
             return;
         }
-        let births = pass.births_by_address();
+        let latest = pass.latest_by_address();
         for state in &mut self.ranges {
             let range = state.range;
-            let ended: Vec<Incarnation> = state
+            let replaced: Vec<(Incarnation, Incarnation)> = state
                 .holders()
-                .filter(|incarnation| pass.has_ended(incarnation, range, &births))
-                .cloned()
+                .filter_map(|incarnation| {
+                    let later = pass.replacement(incarnation, range, &latest)?;
+                    Some((incarnation.clone(), later.clone()))
+                })
                 .collect();
-            for incarnation in ended {
+            for (incarnation, later) in replaced {
                 state.drop_holder(&incarnation);
-                pass.log_expiry(range, &incarnation);
+                let evidence = Evidence::Replaced(later);
+                state.ended = Some(pass.log_end(range, &incarnation, evidence));
                 self.is_changed = true;
                 self.is_planning_due = true;
             }
@@ -435,9 +438,11 @@
     let range = state.range;
     let before = state.previous_holders.len();
     let is_only_holder = state.holder.is_none() && before == 1;
+    let ended = &mut state.ended;
     state.previous_holders.retain_mut(|previous| {
         if !pass.may_hold(&previous.incarnation, range, previous.grant_deadline_ms) {
-            pass.log_expiry(range, &previous.incarnation);
+            let evidence = Evidence::Expired(previous.grant_deadline_ms);
+            *ended = Some(pass.log_end(range, &previous.incarnation, evidence));
             return false;
         }
         let is_due = previous.release_at_ms.is_some_and(|at_ms| pass.now_ms >= at_ms);
@@ -487,7 +492,8 @@
 fn expire_holder(state: &mut RangeState, pass: &mut PassContext<'_>) {
     let Some(holder) = state.holder.take() else { return };
     state.handover = None;
-    pass.log_expiry(state.range, &holder.incarnation);
+    let evidence = Evidence::Expired(holder.grant_deadline_ms);
+    state.ended = Some(pass.log_end(state.range, &holder.incarnation, evidence));
 }
 
 /// Makes the successor the holder and sends its first grant.
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -47,6 +47,7 @@
 mod assignment;
 mod config;
 mod contact;
+mod ended;
 mod fence;
 mod leader;
 mod load;
@@ -60,6 +61,7 @@
 mod table;
 
 pub use config::Config;
+pub use ended::{EndedHolder, Evidence};
 pub use fence::{Epoch, Fence};
 pub use leader::Leader;
 pub use load::KeyLoad;
--- a/crates/shard/src/order.rs
+++ b/crates/shard/src/order.rs
@@ -5,7 +5,7 @@
 use document::Name;
 use registry::{Incarnation, Registration};
 
-use crate::{Epoch, Fence, KeyRange, Record};
+use crate::{EndedHolder, Epoch, Evidence, Fence, KeyRange, Record};
 
 /// Identifies an order, so that its answer can refer to it.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -159,6 +159,8 @@
         fence: Fence,
         /// Length of the grant.
         grant_ms: u64,
+        /// The last server before it that held the range in this leader's term.
+        previous: Option<EndedHolder>,
     },
     /// A server has given a range up.
     Released {
@@ -170,6 +172,8 @@
         by: Incarnation,
         /// The fence of the release.
         fence: Fence,
+        /// How long the answer took.
+        waited_ms: u64,
     },
     /// The length of grants has changed because the store failed or answers again.
     GrantLengthChanged {
@@ -178,7 +182,7 @@
         /// Length of each grant from now on.
         grant_ms: u64,
     },
-    /// The last grant of a holder or previous holder has expired before it released the range.
+    /// A holder or previous holder counts as done although it has not released the range.
     Expired {
         /// The service that the range belongs to.
         service: Name,
@@ -186,6 +190,8 @@
         range: KeyRange,
         /// The server that held them.
         from: Incarnation,
+        /// What shows that it holds them no longer.
+        evidence: Evidence,
     },
     /// How evenly load is spread over the servers of a service.
     Balance {
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -10,7 +10,10 @@
 use crate::contact::{Contact, NextGrant};
 use crate::order::LogEvent;
 use crate::policy::Candidate;
-use crate::{Config, Epoch, Fence, Grant, KeyRange, OrderId, OrderKind, Output, Release, Reply};
+use crate::{
+    Config, EndedHolder, Epoch, Evidence, Fence, Grant, KeyRange, OrderId, OrderKind, Output,
+    Release, Reply,
+};
 
 /// The registered servers and their speeds.
 #[derive(Clone, Copy, Debug)]
@@ -285,7 +288,7 @@
     pub(crate) outputs: &'a mut Vec<Output>,
 }
 
-impl PassContext<'_> {
+impl<'a> PassContext<'a> {
     /// Returns the grant that a server may be sent.
     pub(crate) fn next_grant(&self, incarnation: &Incarnation) -> NextGrant {
         self.orders.contact(incarnation).next_grant(self.now_ms, self.last_pass_at_ms)
@@ -338,31 +341,33 @@
             || self.now_ms < self.grant_deadline_ms(incarnation, range, answered_deadline_ms)
     }
 
-    /// Returns the birth of the latest server at each address.
-    pub(crate) fn births_by_address(&self) -> HashMap<SocketAddr, u64> {
-        let mut births: HashMap<SocketAddr, u64> = HashMap::default();
+    /// Returns the latest server at each address.
+    pub(crate) fn latest_by_address(&self) -> HashMap<SocketAddr, &'a Incarnation> {
+        let mut latest: HashMap<SocketAddr, &'a Incarnation> = HashMap::default();
         for server in self.servers.registry.all() {
-            let born_ms = births.entry(server.address).or_default();
-            *born_ms = server.incarnation.born_ms.max(*born_ms);
+            let known = latest.entry(server.address).or_insert(&server.incarnation);
+            if server.incarnation.born_ms > known.born_ms {
+                *known = &server.incarnation;
+            }
         }
-        births
+        latest
     }
 
-    /// Returns whether a server is no longer registered and a later one has its address, so that
-    /// its process has ended and holds nothing.
+    /// Returns the later server at the address of one that is no longer registered; that one's
+    /// process has ended and holds nothing.
     ///
     /// A grant that is on its way to the address would reach the later server.
-    pub(crate) fn has_ended(
+    pub(crate) fn replacement(
         &self,
         incarnation: &Incarnation,
         range: KeyRange,
-        births: &HashMap<SocketAddr, u64>,
-    ) -> bool {
-        let address = self.orders.servers.get(incarnation).map(|server| server.address);
-        let later = address.and_then(|address| births.get(&address));
-        later.is_some_and(|born_ms| *born_ms > incarnation.born_ms)
-            && self.servers.registry.get(incarnation).is_none()
-            && !self.may_grant_arrive(incarnation, range)
+        latest: &HashMap<SocketAddr, &'a Incarnation>,
+    ) -> Option<&'a Incarnation> {
+        let address = self.orders.servers.get(incarnation)?.address;
+        let later = latest.get(&address).filter(|later| later.born_ms > incarnation.born_ms)?;
+        let may_hold = self.servers.registry.get(incarnation).is_some()
+            || self.may_grant_arrive(incarnation, range);
+        (!may_hold).then_some(*later)
     }
 
     /// Returns whether a grant to a server that was given up may still arrive.
@@ -379,9 +384,21 @@
         self.orders.pending_grant_deadline_ms(incarnation, range, self.config) > 0
     }
 
-    pub(crate) fn log_expiry(&mut self, range: KeyRange, from: &Incarnation) {
+    /// Logs that a server counts as done with a range that it has not released.
+    pub(crate) fn log_end(
+        &mut self,
+        range: KeyRange,
+        from: &Incarnation,
+        evidence: Evidence,
+    ) -> EndedHolder {
         let (service, from) = (self.service.clone(), from.clone());
-        self.outputs.push(Output::Log(LogEvent::Expired { service, range, from }));
+        let ended = EndedHolder {
+            incarnation: from.clone(),
+            evidence: evidence.clone(),
+            at_ms: self.now_ms,
+        };
+        self.outputs.push(Output::Log(LogEvent::Expired { service, range, from, evidence }));
+        ended
     }
 
     fn send_order(&mut self, incarnation: &Incarnation, kind: OrderKind, deadline_ms: u64) {
--- a/crates/shard/src/range_state.rs
+++ b/crates/shard/src/range_state.rs
@@ -2,7 +2,7 @@
 
 use registry::Incarnation;
 
-use crate::{Fence, Handover, KeyRange, MoveReason};
+use crate::{EndedHolder, Fence, Handover, KeyRange, MoveReason};
 
 /// The state of one range of keys.
 ///
@@ -17,6 +17,8 @@
     pub(crate) successor: Option<Successor>,
     /// The token that the previous holder returned when it released the range.
     pub(crate) handover: Option<Handover>,
+    /// The last server that counted as done, for the log line of the next grant.
+    pub(crate) ended: Option<EndedHolder>,
 }
 
 /// The server that a range is granted to.
@@ -76,7 +78,14 @@
 
 impl RangeState {
     pub(crate) fn unassigned(range: KeyRange) -> Self {
-        Self { range, holder: None, previous_holders: Vec::new(), successor: None, handover: None }
+        Self {
+            range,
+            holder: None,
+            previous_holders: Vec::new(),
+            successor: None,
+            handover: None,
+            ended: None,
+        }
     }
 
     /// Returns the next action.
