Ask a server to release its keys although another entry has its address

Cause: a leader took a later entry at the address of a server that was no longer registered as proof that its process had ended, and dropped it as a holder without a release. Any writer can register any address.

Now the entry is a hint. If the answer to an earlier release is still awaited, one more is sent when the hint appears, so that keys of a server whose address is really used again move at once, as before.

The soak removes entries of running servers too.

--- a/crates/shard/src/answers.rs
+++ b/crates/shard/src/answers.rs
@@ -101,7 +101,7 @@
                         fence: grant.fence,
                     }));
                 }
-                Reply::NotSent | Reply::Unknown => {
+                Reply::NotSent | Reply::Misdirected | Reply::Unknown => {
                     if *reply == Reply::Unknown {
                         outputs.push(Output::Log(LogEvent::GivenUp {
                             service: order.service.clone(),
@@ -161,7 +161,11 @@
                     waited_ms: now_ms.saturating_sub(order.sent_at_ms),
                 }));
             } else {
-                state.previous_holders[index].release_at_ms = Some(now_ms + ORDER_BACKOFF_MS);
+                let previous = &mut state.previous_holders[index];
+                previous.release_at_ms = Some(now_ms + ORDER_BACKOFF_MS);
+                let is_misdirected = *reply == Reply::Misdirected;
+                self.is_changed |= is_misdirected && !previous.is_misdirected;
+                previous.is_misdirected = is_misdirected;
             }
         }
     }
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -88,10 +88,8 @@
         config: &Config,
     ) -> Self {
         let grant_deadline_ms = config.earlier_grants_deadline_ms(now_ms);
-        let to_previous_holder = |incarnation: &Incarnation| PreviousHolder {
-            incarnation: incarnation.clone(),
-            grant_deadline_ms,
-            release_at_ms: Some(now_ms),
+        let to_previous_holder = |incarnation: &Incarnation| {
+            PreviousHolder::new(incarnation.clone(), grant_deadline_ms, now_ms)
         };
         let ranges = record.ranges.iter().map(|recorded| RangeState {
             holder: Some(Holder {
@@ -193,7 +191,7 @@
         let is_registry_changed = std::mem::replace(&mut self.registry_version, version) != version;
         if is_registry_changed || is_balance_due || self.is_changed {
             self.replace_restarted_holders(pass);
-            self.drop_ended_holders(pass);
+            self.drop_replaced_holders(pass);
         }
         let is_planning_due = std::mem::take(&mut self.is_planning_due) || is_registry_changed;
         if is_balance_due || (is_planning_due && self.needs_planning(pass)) {
@@ -272,34 +270,45 @@
                 if let Some(later) = registry.by_name(&previous.incarnation.server)
                     && later.incarnation.born_ms > previous.incarnation.born_ms
                 {
-                    previous.incarnation = later.incarnation.clone();
-                    previous.release_at_ms = Some(pass.now_ms);
+                    let later = later.incarnation.clone();
+                    let deadline_ms = previous.grant_deadline_ms;
+                    *previous = PreviousHolder::new(later, deadline_ms, pass.now_ms);
                 }
             }
         }
     }
 
-    /// Drops holders and previous holders whose address a later server has.
-    fn drop_ended_holders(&mut self, pass: &mut PassContext<'_>) {
+    /// Drops previous holders that have been replaced by a later server at their address.
+    ///
+    /// The later server's registration alone is no evidence: the earlier one may still run. It is
+    /// sent a release, which only another process refuses.
+    fn drop_replaced_holders(&mut self, pass: &mut PassContext<'_>) {
         let registry = pass.servers.registry;
-        let is_unregistered = |incarnation| registry.get(incarnation).is_none();
-        if !self.ranges.iter().flat_map(RangeState::holders).any(is_unregistered) {
+        let mut previous = self.ranges.iter().flat_map(|state| &state.previous_holders);
+        if previous.all(|previous| registry.get(&previous.incarnation).is_some()) {
             return;
         }
         let latest = pass.latest_by_address();
         for state in &mut self.ranges {
-            let range = state.range;
-            let replaced: Vec<(Incarnation, Incarnation)> = state
-                .holders()
-                .filter_map(|incarnation| {
-                    let later = pass.replacement(incarnation, range, &latest)?;
-                    Some((incarnation.clone(), later.clone()))
-                })
-                .collect();
-            for (incarnation, later) in replaced {
-                state.drop_holder(&incarnation);
-                let evidence = Evidence::Replaced(later);
-                state.ended = Some(pass.log_end(range, &incarnation, evidence));
+            let (range, ended) = (state.range, &mut state.ended);
+            let before = state.previous_holders.len();
+            state.previous_holders.retain_mut(|previous| {
+                let Some(later) = pass.replacement(&previous.incarnation, range, &latest) else {
+                    return true;
+                };
+                if previous.is_misdirected {
+                    let evidence = Evidence::Replaced(later.clone());
+                    *ended = Some(pass.log_end(range, &previous.incarnation, evidence));
+                    return false;
+                }
+                // The answer to a release that was sent to the earlier process may never arrive.
+                if !previous.is_checked && previous.release_at_ms.is_none() {
+                    previous.release_at_ms = Some(pass.now_ms);
+                }
+                previous.is_checked = true;
+                true
+            });
+            if state.previous_holders.len() != before {
                 self.is_changed = true;
                 self.is_planning_due = true;
             }
--- a/crates/shard/src/contact.rs
+++ b/crates/shard/src/contact.rs
@@ -71,13 +71,13 @@
                 self.last_answer_at_ms = Some(now_ms);
                 self.failures = 0;
             }
-            Reply::NotSent | Reply::Unknown
+            Reply::NotSent | Reply::Misdirected | Reply::Unknown
                 if is_grant && (self.failures == 0 || sent_at_ms >= self.last_failure_at_ms) =>
             {
                 self.failures += 1;
                 self.last_failure_at_ms = now_ms;
             }
-            Reply::NotSent | Reply::Unknown => {}
+            Reply::NotSent | Reply::Misdirected | Reply::Unknown => {}
         }
     }
 }
--- a/crates/shard/src/order.rs
+++ b/crates/shard/src/order.rs
@@ -63,6 +63,8 @@
     Fenced,
     /// The order never reached the server.
     NotSent,
+    /// What listens at the server's address says that the order is not for it.
+    Misdirected,
     /// The order may have been carried out, or may still arrive.
     Unknown,
 }
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -121,7 +121,7 @@
             Reply::Done(_) | Reply::Fenced => {
                 self.silent.remove(&order.incarnation);
             }
-            Reply::NotSent | Reply::Unknown => {
+            Reply::NotSent | Reply::Misdirected | Reply::Unknown => {
                 self.silent.insert(order.incarnation.clone(), now_ms + PROBE_INTERVAL_MS);
             }
         }
@@ -353,10 +353,11 @@
         latest
     }
 
-    /// Returns the later server at the address of one that is no longer registered; that one's
-    /// process has ended and holds nothing.
+    /// Returns the later server that is registered at the address of one that no longer is.
     ///
-    /// A grant that is on its way to the address would reach the later server.
+    /// That alone does not show that the earlier process has ended: other writers can register
+    /// any address. A grant that is on its way to the address would reach the later server, so
+    /// there is none until no grant can arrive.
     pub(crate) fn replacement(
         &self,
         incarnation: &Incarnation,
--- a/crates/shard/src/range_state.rs
+++ b/crates/shard/src/range_state.rs
@@ -50,6 +50,11 @@
     pub(crate) grant_deadline_ms: u64,
     /// When to send the next release; `None` while one is not answered yet.
     pub(crate) release_at_ms: Option<u64>,
+    /// Whether the last release that was answered reached another process. A server refuses no
+    /// release of its own.
+    pub(crate) is_misdirected: bool,
+    /// Whether a release was sent because a later server is registered at the address.
+    pub(crate) is_checked: bool,
 }
 
 /// The server that is to hold a range next.
@@ -116,11 +121,11 @@
     /// Makes the holder a previous one that is sent a release at the given time.
     pub(crate) fn start_release(&mut self, release_at_ms: u64) {
         if let Some(holder) = self.holder.take() {
-            self.previous_holders.push(PreviousHolder {
-                incarnation: holder.incarnation,
-                grant_deadline_ms: holder.grant_deadline_ms,
-                release_at_ms: Some(release_at_ms),
-            });
+            self.previous_holders.push(PreviousHolder::new(
+                holder.incarnation,
+                holder.grant_deadline_ms,
+                release_at_ms,
+            ));
         }
     }
 
@@ -144,21 +149,6 @@
         }
     }
 
-    /// Returns the holder and the previous holders.
-    pub(crate) fn holders(&self) -> impl Iterator<Item = &Incarnation> {
-        let holder = self.holder.iter().map(|holder| &holder.incarnation);
-        holder.chain(self.previous_holders.iter().map(|previous| &previous.incarnation))
-    }
-
-    /// Removes a server from the holder and the previous holders.
-    pub(crate) fn drop_holder(&mut self, incarnation: &Incarnation) {
-        if self.holder.as_ref().is_some_and(|holder| holder.incarnation == *incarnation) {
-            self.holder = None;
-            self.handover = None;
-        }
-        self.previous_holders.retain(|previous| previous.incarnation != *incarnation);
-    }
-
     /// Returns the times until which answered grants may be valid.
     pub(crate) fn grant_deadlines_mut(&mut self) -> impl Iterator<Item = &mut u64> {
         let holder = self.holder.iter_mut().map(|holder| &mut holder.grant_deadline_ms);
@@ -218,6 +208,23 @@
     }
 }
 
+impl PreviousHolder {
+    /// Creates a previous holder that is sent a release at the given time.
+    pub(crate) fn new(
+        incarnation: Incarnation,
+        grant_deadline_ms: u64,
+        release_at_ms: u64,
+    ) -> Self {
+        Self {
+            incarnation,
+            grant_deadline_ms,
+            release_at_ms: Some(release_at_ms),
+            is_misdirected: false,
+            is_checked: false,
+        }
+    }
+}
+
 impl Holder {
     /// Creates a holder that was not sent any grant yet.
     pub(crate) fn new(incarnation: Incarnation, fence: Fence) -> Self {
--- a/crates/shard/tests/random_moves.rs
+++ b/crates/shard/tests/random_moves.rs
@@ -66,6 +66,7 @@
     slow_link: 0,
     slow_server: 0,
     evacuate: 0,
+    unlist: 0,
 };
 
 #[test]
@@ -88,6 +89,12 @@
     assert_schedules(Faults { evacuate: 40, lose_message: 20, stop_leader: 15, ..ONLY_DRAINS });
 }
 
+/// Guards against keys that are taken from a running server because of an entry with its address.
+#[test]
+fn addresses_of_unlisted_servers() {
+    assert_schedules(Faults { unlist: 20, lose_message: 20, stop_leader: 10, ..ONLY_DRAINS });
+}
+
 #[test]
 fn slow_links() {
     assert_schedules(Faults { slow_link: 40, cut: 20, ..ONLY_DRAINS });
@@ -119,6 +126,7 @@
     slow_link: 0,
     slow_server: 0,
     evacuate: 0,
+    unlist: 0,
 };
 
 #[test]
--- a/crates/shard/tests/reused_address.rs
+++ b/crates/shard/tests/reused_address.rs
@@ -1,7 +1,5 @@
-//! Guards against keys that wait for a grant of a server whose address another one has since.
-//!
-//! The process at an address has ended when a later one is registered there, so its grants need
-//! not be waited for.
+//! Guards against keys that wait for a grant of a server whose address another one has since, and
+//! against keys that are taken from a running server because of another entry with its address.
 mod fixture;
 
 use crate::fixture::{
@@ -18,9 +16,21 @@
     leader: Leader,
     registry: Registry,
     speeds: HashMap<Incarnation, f32>,
-    /// Whether orders still reach the first server.
-    is_lost: bool,
-    unanswered: Vec<(u64, OrderId)>,
+    /// What happens to orders for the first server.
+    first: First,
+    /// Orders without an answer, with the time and kind of their outcome.
+    unanswered: Vec<(u64, OrderId, Reply)>,
+}
+
+/// What happens to orders for the first server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum First {
+    /// It carries them out.
+    Runs,
+    /// They are lost.
+    Lost,
+    /// Another process has its address and refuses them.
+    Replaced,
 }
 
 impl Harness {
@@ -29,19 +39,23 @@
         let mut leader = Leader::new(Epoch(5), 0, u64::MAX, &[], Config::default());
         leader.add_service(&SERVICE.into());
         let speeds = HashMap::default();
-        Self { now_ms: 0, leader, registry, speeds, is_lost: false, unanswered: Vec::new() }
+        Self { now_ms: 0, leader, registry, speeds, first: First::Runs, unanswered: Vec::new() }
     }
 
     fn step(&mut self, event: Event) {
         let servers = Servers { registry: &self.registry, speeds: &self.speeds };
         for output in step_with_writes(&mut self.leader, self.now_ms, servers, event) {
             let Output::Order { id, server, kind, deadline_ms } = output else { continue };
-            if self.is_lost && server.incarnation == incarnation("s1") {
-                self.unanswered.push((deadline_ms, id));
-                continue;
+            let is_release = matches!(kind, OrderKind::Release(_));
+            let done = Reply::Done(is_release.then(|| "token".into()));
+            let (first, now_ms) = (incarnation("s1"), self.now_ms);
+            match self.first {
+                _ if server.incarnation != first => self.step(Event::Answered(id, done)),
+                First::Runs if is_release => self.unanswered.push((now_ms + WORK_MS, id, done)),
+                First::Runs => self.step(Event::Answered(id, done)),
+                First::Lost => self.unanswered.push((deadline_ms, id, Reply::Unknown)),
+                First::Replaced => self.unanswered.push((now_ms + 1, id, Reply::Misdirected)),
             }
-            let token = matches!(kind, OrderKind::Release(_)).then(|| "token".into());
-            self.step(Event::Answered(id, Reply::Done(token)));
         }
     }
 
@@ -49,10 +63,9 @@
         for _ in 0..for_ms / TICK_MS {
             self.now_ms += TICK_MS;
             let now_ms = self.now_ms;
-            for (_, id) in
-                self.unanswered.extract_if(.., |(at_ms, _)| *at_ms <= now_ms).collect::<Vec<_>>()
-            {
-                self.step(Event::Answered(id, Reply::Unknown));
+            let due = self.unanswered.extract_if(.., |(at_ms, ..)| *at_ms <= now_ms);
+            for (_, id, reply) in due.collect::<Vec<_>>() {
+                self.step(Event::Answered(id, reply));
             }
             self.step(Event::Tick);
         }
@@ -67,13 +80,16 @@
         self.table().spans.iter().all(|span| span.owner == owner)
     }
 
-    /// Loses the first server, and lets another one register at an address after 2 s.
-    fn replace_at(&mut self, name: &str) {
+    /// Removes the first server's entry, and lets another one register at an address after 2 s.
+    fn replace_at(&mut self, name: &str, before: First, after: First) {
         self.run(5_000);
-        self.is_lost = true;
+        self.first = before;
         self.registry.remove(self.now_ms, "s1");
-        self.run(2_000);
-        assert!(!self.is_served_by_second(), "the last grant may be valid");
+        if before == First::Lost {
+            self.run(2_000);
+            assert!(!self.is_served_by_second(), "the last grant may be valid");
+        }
+        self.first = after;
         let later = Registration {
             incarnation: Incarnation { server: "other".into(), born_ms: 9 },
             service: "archive".into(),
@@ -85,16 +101,37 @@
     }
 }
 
+/// How long the first server works on requests whose keys it has to release.
+const WORK_MS: u64 = 1_000;
+
 #[test]
-fn keys_of_ended_server_move_at_once() {
+fn keys_of_replaced_server_move_at_once() {
     let mut harness = Harness::new();
-    harness.replace_at("s1");
+    harness.replace_at("s1", First::Lost, First::Replaced);
     assert!(harness.is_served_by_second(), "{:?}", harness.table());
 }
 
+/// Guards against two owners after another writer registers the address of a running server.
+#[test]
+fn entry_at_address_of_running_server_proves_nothing() {
+    let mut harness = Harness::new();
+    harness.replace_at("s1", First::Runs, First::Runs);
+    assert!(!harness.is_served_by_second(), "{:?}", harness.table());
+    harness.run(WORK_MS);
+    assert!(harness.is_served_by_second(), "{:?}", harness.table());
+}
+
+/// Guards against two owners after another writer registers the address of a silent server.
+#[test]
+fn entry_at_address_of_silent_server_proves_nothing() {
+    let mut harness = Harness::new();
+    harness.replace_at("s1", First::Lost, First::Lost);
+    assert!(!harness.is_served_by_second(), "{:?}", harness.table());
+}
+
 #[test]
 fn server_at_another_address_proves_nothing() {
     let mut harness = Harness::new();
-    harness.replace_at("s7");
+    harness.replace_at("s7", First::Lost, First::Replaced);
     assert!(!harness.is_served_by_second(), "{:?}", harness.table());
 }
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -28,6 +28,8 @@
 const OBSERVED_KEYS: usize = 1_024;
 /// Time for which they are observed.
 const OBSERVATION_MS: u64 = 2_000;
+/// How long a server runs on after its entry was removed.
+const UNLISTED_MS: u64 = 2_500;
 /// Longest time that a key may be without an owner while its range moves: the work of a
 /// release and three messages.
 const MAX_HANDOVER_MS: u64 = 250;
@@ -83,6 +85,8 @@
     pub slow_server: u32,
     /// Other data centres are evacuated; sometimes none, sometimes both.
     pub evacuate: u32,
+    /// A server's entry is removed while it runs on, and another writer's entry has its address.
+    pub unlist: u32,
 }
 
 /// Returns the data centre of a server: servers with an even number are in the second one.
@@ -171,6 +175,7 @@
             slow_link: 0,
             slow_server: 0,
             evacuate: 0,
+            unlist: 0,
         };
         for server in self.servers.values_mut() {
             server.is_cut = false;
@@ -210,6 +215,43 @@
         self.add_server();
     }
 
+    /// Removes a server's entry while it runs on for a while, and lets another writer register its
+    /// address. That writer listens there once the server has ended.
+    pub fn unlist(&mut self, name: &str) {
+        let now_ms = self.now_ms;
+        let server = self.servers.get_mut(name).expect("a server");
+        if server.ends_at_ms.is_some() {
+            return;
+        }
+        server.ends_at_ms = Some(now_ms + UNLISTED_MS);
+        let address = server.address;
+        self.registry.remove(now_ms, name);
+        let agent = Name::from(format!("agent-of-{name}"));
+        let registration = Registration {
+            incarnation: Incarnation { server: agent.clone(), born_ms: now_ms },
+            service: "agent".into(),
+            address,
+            data_centre: data_centre(name),
+            slots: 1,
+            stage: Stage::Ready,
+            warm_at_ms: 0,
+            heartbeat: 1,
+        };
+        self.registry.put(now_ms, &agent, registration);
+        self.log(&format!("{name} is not listed any more; {agent} has its address"));
+        self.add_server();
+    }
+
+    /// Ends the servers whose entry was removed long enough ago.
+    fn end_unlisted_servers(&mut self) {
+        for server in self.servers.values_mut() {
+            if server.ends_at_ms.is_some_and(|ends_at_ms| self.now_ms >= ends_at_ms) {
+                server.is_running = false;
+                server.held.clear();
+            }
+        }
+    }
+
     /// Makes a server crash and start again under its name.
     pub fn crash(&mut self, name: &str) {
         self.restart(&Name::from(name));
@@ -285,6 +327,10 @@
         let names: Vec<Name> = self.servers.keys().cloned().collect();
         let name = names[self.random.random_range(0..names.len())].clone();
         let faults = self.faults;
+        self.end_unlisted_servers();
+        if faults.unlist > 0 && self.occurs(faults.unlist) {
+            self.unlist(&name);
+        }
         if self.occurs(faults.cut) {
             let is_cut = !self.servers[&name].is_cut;
             self.cut(&name, is_cut);
@@ -527,8 +573,11 @@
         // incarnation reach it too.
         let is_reached = server.is_running && !server.is_cut;
         if !is_reached {
-            let (delay_ms, reply) =
-                if server.is_cut { (timeout_ms, Reply::Unknown) } else { (1, Reply::NotSent) };
+            let (delay_ms, reply) = match (server.is_cut, server.ends_at_ms) {
+                (true, _) => (timeout_ms, Reply::Unknown),
+                (false, Some(_)) => (1, Reply::Misdirected),
+                (false, None) => (1, Reply::NotSent),
+            };
             self.send(delay_ms, Message::Reply { leader, id, reply });
             return;
         }
--- a/crates/shard/tests/world/server.rs
+++ b/crates/shard/tests/world/server.rs
@@ -16,6 +16,8 @@
     /// Whether no order reaches it.
     pub(super) is_cut: bool,
     pub(super) is_draining: bool,
+    /// When it ends, if its entry was removed.
+    pub(super) ends_at_ms: Option<u64>,
     /// When the messages that wait on the link to the server have been sent.
     pub(super) link_free_at_ms: u64,
     pub(super) held: Vec<Held>,
@@ -31,6 +33,7 @@
             is_running: false,
             is_cut: false,
             is_draining: false,
+            ends_at_ms: None,
             link_free_at_ms: 0,
             held: Vec::new(),
             seen_fences: Vec::new(),
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -16,7 +16,7 @@
     Addresses, EntryFields, RouteFields, entry_text, serve_kv, serve_server, site_text,
 };
 use registry::Incarnation;
-use store::{Expect, LeaseId, MemoryStore, Store};
+use store::{Expect, LeaseId, MemoryStore, Store, Transaction};
 use tokio::net::TcpListener;
 use tokio::process::{Child, Command};
 use tokio::time::{Duration, Instant, sleep};
@@ -109,6 +109,8 @@
     pub faults: Arc<ServerFaults>,
     /// Whether its entry says that it drains.
     pub is_draining: Arc<AtomicBool>,
+    /// Whether its entry is removed while it runs on, and another writer's entry has its address.
+    pub is_unlisted: Arc<AtomicBool>,
     /// The running incarnation and the token that stops it; `None` while the server is stopped.
     running: Option<(Arc<RangeServer>, CancellationToken)>,
 }
@@ -119,6 +121,7 @@
     entry: EntryFields,
     key: String,
     is_draining: Arc<AtomicBool>,
+    is_unlisted: Arc<AtomicBool>,
     stop: CancellationToken,
 }
 
@@ -368,6 +371,7 @@
             link,
             faults: Arc::new(self.server_faults()),
             is_draining: Arc::default(),
+            is_unlisted: Arc::default(),
             running: None,
         });
         self.start_server(self.servers.len() - 1).await
@@ -425,6 +429,7 @@
                 },
                 key: format!("servers/{}", handle.name),
                 is_draining: Arc::clone(&handle.is_draining),
+                is_unlisted: Arc::clone(&handle.is_unlisted),
                 stop: stop.clone(),
             }
             .run(),
@@ -500,6 +505,13 @@
     }
 }
 
+impl ServerHandle {
+    /// Returns whether the server is to end and not to start again.
+    pub(crate) fn is_leaving(&self) -> bool {
+        [&self.is_draining, &self.is_unlisted].iter().any(|flag| flag.load(Ordering::Relaxed))
+    }
+}
+
 impl HeartbeatTask {
     async fn run(mut self) {
         let mut lease: Option<LeaseId> = None;
@@ -509,6 +521,9 @@
                 None => self.store.open_lease(ENTRY_LEASE_MS).await,
             };
             lease = renewed.ok();
+            if self.is_unlisted.load(Ordering::Relaxed) {
+                return self.replace_entry().await;
+            }
             self.entry.number += 1;
             self.entry.is_draining = self.is_draining.load(Ordering::Relaxed);
             let text = entry_text(&self.entry);
@@ -517,6 +532,18 @@
             sleep(HEARTBEAT_INTERVAL).await;
         }
     }
+
+    /// Removes the entry and writes one of another writer with the same address.
+    async fn replace_entry(mut self) {
+        let key = self.key.replace("servers/", "servers/agent-of-");
+        "agent".clone_into(&mut self.entry.service);
+        self.entry.born_ms += 1;
+        let text = entry_text(&self.entry);
+        let replaced = Transaction::new().put(&key, &text, None).remove(&self.key);
+        while !self.stop.is_cancelled() && self.store.commit(&replaced).await.is_err() {
+            sleep(HEARTBEAT_INTERVAL).await;
+        }
+    }
 }
 
 impl Daemon {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -84,10 +84,16 @@
                 cluster.stop_server(server);
                 self.undo_after(50..3_000, Undo::StartServer(server));
             }
-            6 if !cluster.servers[server].is_draining.load(Ordering::Relaxed) => {
-                cluster.log_event(&format!("{server_name} drains, another server starts"));
+            6 if !cluster.servers[server].is_leaving() => {
                 let service = cluster.servers[server].service;
-                cluster.servers[server].is_draining.store(true, Ordering::Relaxed);
+                // Every second server leaves without saying so.
+                if server % 2 == 1 {
+                    cluster.log_event(&format!("{server_name} is not listed, another one starts"));
+                    cluster.servers[server].is_unlisted.store(true, Ordering::Relaxed);
+                } else {
+                    cluster.log_event(&format!("{server_name} drains, another server starts"));
+                    cluster.servers[server].is_draining.store(true, Ordering::Relaxed);
+                }
                 cluster.add_server(service).await?;
                 self.undo_after(DRAIN_MS..DRAIN_MS + 1, Undo::StopServer(server));
             }
@@ -183,9 +189,7 @@
                 cluster.wait_for_exit(index, EXIT_TIMEOUT).await;
                 cluster.start_daemon(index)?;
             }
-            Self::StartServer(index)
-                if !cluster.servers[index].is_draining.load(Ordering::Relaxed) =>
-            {
+            Self::StartServer(index) if !cluster.servers[index].is_leaving() => {
                 cluster.start_server(index).await?;
             }
             Self::StartServer(_) => {}
