Bound the length of answers to orders

Cause: web::Client collected the body of an answer without a bound, for as long as the order may take.

Heads, informational answers, chunk extensions and trailers are covered by the same bound. It is the one that callers' requests had for heads, moved from proxy to web and used by both.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -49,7 +49,6 @@
 mod clock;
 mod forward;
 mod head;
-mod head_bound;
 mod outcome;
 mod raw;
 mod retry_after;
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -18,15 +18,16 @@
 use tokio::sync::oneshot;
 use tokio::time::{Duration, Instant, sleep, timeout, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
+use web::{BoundedStream, ByteBound};
 
-use crate::head_bound::{BoundedStream, HeadBound};
 use crate::{Clock, Stop, WaitEnd};
 
 /// A connection to a server, for one request at a time; dropping it closes it.
 #[derive(Debug)]
 pub struct Link {
     sender: SendRequest<Full<Bytes>>,
-    head_bound: HeadBound,
+    /// Bounds the bytes that arrive before the head of an answer is complete.
+    head_bound: ByteBound,
     /// The task that reads from and writes to the connection.
     _driver: AbortOnDropHandle<()>,
     /// The time from which the connection, while idle, is no longer reused.
@@ -103,6 +104,10 @@
 const UNACKNOWLEDGED_TIMEOUT_MS: u64 = 500;
 /// The largest buffer for bytes that have arrived and were not read yet, for each connection.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
+/// The most bytes that may arrive before the head of an answer is complete.
+///
+/// Informational answers, which may come without end, count too.
+const MAX_HEAD_BYTES: u64 = 128 * 1024;
 /// How long pooled requests avoid a server after an attempt lost its connection or timed out.
 const AVOIDANCE_MS: u64 = 1_000;
 /// The largest number of requests that wait for one server.
@@ -396,7 +401,7 @@
         stream.set_nodelay(true)?;
         let unacknowledged_timeout = Duration::from_millis(UNACKNOWLEDGED_TIMEOUT_MS);
         SockRef::from(&stream).set_tcp_user_timeout(Some(unacknowledged_timeout))?;
-        let (stream, head_bound) = BoundedStream::new(stream);
+        let (stream, head_bound) = BoundedStream::new(stream, MAX_HEAD_BYTES);
         let (sender, connection) = Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -439,9 +444,9 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
-        self.head_bound.await_head();
+        self.head_bound.allow(MAX_HEAD_BYTES);
         let response = self.sender.try_send_request(request).await?;
-        self.head_bound.on_head();
+        self.head_bound.lift();
         Ok(response)
     }
 }
--- a/crates/verbenad/src/orders.rs
+++ b/crates/verbenad/src/orders.rs
@@ -17,6 +17,8 @@
 const ORDERS_PATH: &str = "/verbena/orders";
 /// How long an order waits for its answer.
 const ORDER_TIMEOUT_MS: u64 = 1_000;
+/// The longest answer to an order: a report on all shards of a server.
+const MAX_REPORT_BYTES: u64 = 4 << 20;
 
 impl OrderClients {
     /// Returns the client for an address, and creates it on first use.
@@ -28,7 +30,10 @@
 /// Sends an order; returns `None` unless the server answers with a valid report.
 pub(crate) async fn send(client: Client, order: &Order) -> Option<Report> {
     let body = serde_json::to_vec(order).ok()?;
-    let call = Call::new(Method::POST, ORDERS_PATH).body(body).timeout_ms(ORDER_TIMEOUT_MS);
+    let call = Call::new(Method::POST, ORDERS_PATH)
+        .body(body)
+        .timeout_ms(ORDER_TIMEOUT_MS)
+        .max_answer_bytes(MAX_REPORT_BYTES);
     let answer = client.call(call).await.ok()?;
     if answer.status() != StatusCode::OK {
         return None;
--- a/crates/proxy/src/head_bound.rs
+++ b/crates/web/src/bounded_stream.rs
@@ -1,4 +1,4 @@
-//! A bound on the bytes that a server may send before the head of its answer is complete.
+//! A bound on the bytes that a server may send.
 
 use std::io;
 use std::pin::Pin;
@@ -9,39 +9,37 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// The most bytes that may arrive before the head of an answer is complete.
-///
-/// Informational answers, which may come without end, count too.
-const MAX_HEAD_BYTES: u64 = 128 * 1024;
-
-/// A connection that fails when an answer's head is too long.
+/// A connection that fails once more bytes arrive than its [`ByteBound`] allows.
 #[derive(Debug)]
-pub(crate) struct BoundedStream {
+pub struct BoundedStream {
     stream: TcpStream,
-    bound: HeadBound,
+    bound: ByteBound,
 }
 
-/// Tells a [`BoundedStream`] when a head is awaited.
+/// Sets how many bytes a [`BoundedStream`] accepts.
+///
+/// All bytes count: also those of informational answers, chunk extensions and trailers.
 #[derive(Clone, Debug)]
-pub(crate) struct HeadBound(Arc<AtomicU64>);
+pub struct ByteBound(Arc<AtomicU64>);
 
 impl BoundedStream {
-    /// Bounds the heads of answers that arrive on a connection.
-    pub(crate) fn new(stream: TcpStream) -> (Self, HeadBound) {
-        let bound = HeadBound(Arc::new(AtomicU64::new(MAX_HEAD_BYTES)));
+    /// Bounds the bytes that arrive on a connection.
+    #[must_use]
+    pub fn new(stream: TcpStream, max_bytes: u64) -> (Self, ByteBound) {
+        let bound = ByteBound(Arc::new(AtomicU64::new(max_bytes)));
         (Self { stream, bound: bound.clone() }, bound)
     }
 }
 
-impl HeadBound {
-    /// Starts to count the bytes of the next answer.
-    pub(crate) fn await_head(&self) {
-        self.0.store(MAX_HEAD_BYTES, Ordering::Relaxed);
+impl ByteBound {
+    /// Accepts so many bytes from now on.
+    pub fn allow(&self, max_bytes: u64) {
+        self.0.store(max_bytes, Ordering::Relaxed);
     }
 
-    /// Stops counting, as the head has arrived.
-    pub(crate) fn on_head(&self) {
-        self.0.store(u64::MAX, Ordering::Relaxed);
+    /// Accepts any number of bytes from now on.
+    pub fn lift(&self) {
+        self.allow(u64::MAX);
     }
 
     fn count(&self, bytes: usize) -> io::Result<()> {
@@ -52,8 +50,7 @@
         let left = left.saturating_sub(u64::try_from(bytes).unwrap_or(u64::MAX));
         self.0.store(left, Ordering::Relaxed);
         if left == 0 {
-            let message = format!("the head of an answer has more than {MAX_HEAD_BYTES} bytes");
-            return Err(io::Error::new(io::ErrorKind::InvalidData, message));
+            return Err(io::Error::new(io::ErrorKind::InvalidData, "the answer is too long"));
         }
         Ok(())
     }
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -6,14 +6,14 @@
 use bytes::Bytes;
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::time::{Duration, Instant, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::{Category, Error, Result};
+use crate::{BoundedStream, ByteBound, Category, Error, Result};
 
 /// A client of one address; clones share a pool of idle connections.
 #[derive(Clone, Debug)]
@@ -30,6 +30,7 @@
     headers: Vec<(&'static str, String)>,
     body: Bytes,
     timeout_ms: u64,
+    max_answer_bytes: u64,
     /// Whether the connection is closed unless the call succeeds.
     closes_on_refusal: bool,
 }
@@ -38,11 +39,18 @@
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    bound: ByteBound,
     _driver_task: AbortOnDropHandle<()>,
 }
 
 const MAX_IDLE_CONNECTIONS: usize = 8;
 const DEFAULT_TIMEOUT_MS: u64 = 1_000;
+/// The longest answer to a call that sets no other limit.
+///
+/// The platform's store answers with pages of about 1 MB, but watches have no stated limit.
+const DEFAULT_MAX_ANSWER_BYTES: u64 = 64 << 20;
+/// The buffer of a connection, and so the longest head of an answer.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// The idle time before the first TCP keepalive probe, and the time between probes.
 ///
 /// A connection can go silent without a reset. A watch may wait much longer than this for its
@@ -61,6 +69,7 @@
             headers: Vec::new(),
             body: Bytes::new(),
             timeout_ms: DEFAULT_TIMEOUT_MS,
+            max_answer_bytes: DEFAULT_MAX_ANSWER_BYTES,
             closes_on_refusal: false,
         }
     }
@@ -92,6 +101,15 @@
         self
     }
 
+    /// Sets how many bytes the answer may have, with its head.
+    ///
+    /// A faulty server may send bytes without end, which would fill the memory of this process.
+    #[must_use]
+    pub fn max_answer_bytes(mut self, max_answer_bytes: u64) -> Self {
+        self.max_answer_bytes = max_answer_bytes;
+        self
+    }
+
     /// Closes the connection after an answer with a status other than 2xx.
     ///
     /// A faulty server may write the answer once more, for which the next call would take it.
@@ -114,8 +132,8 @@
     /// # Errors
     ///
     /// Fails with [`Category::NotSent`] when no connection could be made or the request is
-    /// malformed, and with [`Category::Unknown`] when no complete answer arrived in time. A
-    /// failure also closes all idle connections, which most likely have the same fault.
+    /// malformed, and with [`Category::Unknown`] when no complete answer arrived in time or it
+    /// is too long. A failure also closes all idle connections, which most likely have the same fault.
     pub async fn call(&self, call: Call) -> Result<Response<Bytes>> {
         let answer = self.send(call).await;
         if answer.is_err() {
@@ -139,6 +157,7 @@
         let request = request
             .body(Full::new(call.body))
             .map_err(|error| Error::report(Category::NotSent, error))?;
+        connection.bound.allow(call.max_answer_bytes);
         let exchange = async {
             let response = connection.sender.send_request(request).await?;
             let (head, body) = response.into_parts();
@@ -165,14 +184,17 @@
             .await
             .map_err(|error| Error::report(Category::NotSent, error))?;
         set_socket_options(&stream).map_err(|error| Error::report(Category::NotSent, error))?;
-        let (sender, connection) = handshake(TokioIo::new(stream))
+        let (stream, bound) = BoundedStream::new(stream, DEFAULT_MAX_ANSWER_BYTES);
+        let (sender, connection) = Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| Error::report(Category::NotSent, error))?;
         let driver_task = tokio::spawn(async move {
             // The error, if any, also reaches the call that waits for an answer.
             drop(connection.await);
         });
-        Ok(Connection { sender, _driver_task: AbortOnDropHandle::new(driver_task) })
+        Ok(Connection { sender, bound, _driver_task: AbortOnDropHandle::new(driver_task) })
     }
 
     fn pop_idle(&self) -> Option<Connection> {
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -3,9 +3,10 @@
 //! These calls are not on the path of callers' requests. [`Client::call`] sends a [`Call`]
 //! to the platform's key-value service or to the order endpoint of a server and returns the
 //! whole answer, or an [`Error`] whose [`Category`] says whether the request may have been
-//! carried out. [`encode_query`] escapes a text for the query of its path. [`serve`] answers requests: the administration endpoints and the stand-ins
-//! of tests are built on it, with [`read_body`] for request bodies and [`status`] and [`json`] for
-//! answers.
+//! carried out. The length of answers is bounded, by [`BoundedStream`]. [`encode_query`] escapes a
+//! text for the query of its path. [`serve`] answers requests: the administration endpoints and the
+//! stand-ins of tests are built on it, with [`read_body`] for request bodies and [`status`] and
+//! [`json`] for answers.
 //!
 //! ```
 //! use http::Method;
@@ -27,11 +28,13 @@
 //! # }).unwrap();
 //! ```
 
+mod bounded_stream;
 mod client;
 mod error;
 mod query;
 mod server;
 
+pub use bounded_stream::{BoundedStream, ByteBound};
 pub use client::{Call, Client};
 pub use error::{Category, Error, Result};
 pub use query::encode_query;
