Send each release on a connection of its own

Cause: answers to orders do not say which order they belong to, and connections were kept after each success. A server that writes an earlier answer once more answers the next order with it, and that of a release is taken to show that the work on the keys has ended.

A release now has a connection that carries nothing else, and a failed call retires the connections that other calls are using.

--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -19,7 +19,16 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     address: SocketAddr,
-    idle: Arc<Mutex<Vec<Connection>>>,
+    idle: Arc<Mutex<Idle>>,
+}
+
+/// The connections that further calls may use.
+#[derive(Debug, Default)]
+struct Idle {
+    connections: Vec<Connection>,
+    /// The number of failed calls so far. Connections that were opened before the last failure are
+    /// not used again.
+    failures: u64,
 }
 
 /// A request to send with [`Client::call`].
@@ -33,6 +42,8 @@
     max_answer_bytes: u64,
     /// Whether the connection is closed unless the call succeeds.
     closes_on_refusal: bool,
+    /// Whether the call has a connection of its own.
+    is_on_own_connection: bool,
 }
 
 /// An open connection; dropping it resets the TCP connection.
@@ -40,6 +51,8 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     bound: ByteBound,
+    /// The number of failed calls when it was opened.
+    failures: u64,
     _driver_task: AbortOnDropHandle<()>,
 }
 
@@ -71,6 +84,7 @@
             timeout_ms: DEFAULT_TIMEOUT_MS,
             max_answer_bytes: DEFAULT_MAX_ANSWER_BYTES,
             closes_on_refusal: false,
+            is_on_own_connection: false,
         }
     }
 
@@ -118,6 +132,16 @@
         self.closes_on_refusal = true;
         self
     }
+
+    /// Opens a connection for this call alone.
+    ///
+    /// A faulty server may write an earlier answer once more. On a connection that carried other
+    /// calls, it would be taken for the answer to this one.
+    #[must_use]
+    pub fn on_own_connection(mut self) -> Self {
+        self.is_on_own_connection = true;
+        self
+    }
 }
 
 impl Client {
@@ -133,20 +157,24 @@
     ///
     /// Fails with [`Category::NotSent`] when no connection could be made or the request is
     /// malformed, and with [`Category::Unknown`] when no complete answer arrived in time or it
-    /// is too long. A failure also closes all idle connections, which most likely have the same fault.
+    /// is too long. A failure also closes all idle connections, which most likely have the same
+    /// fault; those in use at that moment carry no further call.
     pub async fn call(&self, call: Call) -> Result<Response<Bytes>> {
         let answer = self.send(call).await;
         if answer.is_err() {
-            self.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
+            let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+            idle.connections.clear();
+            idle.failures += 1;
         }
         answer
     }
 
     async fn send(&self, call: Call) -> Result<Response<Bytes>> {
         let deadline = Instant::now() + Duration::from_millis(call.timeout_ms);
-        let mut connection = timeout_at(deadline, self.connect())
-            .await
-            .map_err(|_elapsed| Error::report(Category::NotSent, "connecting timed out"))??;
+        let mut connection =
+            timeout_at(deadline, self.connect(call.is_on_own_connection))
+                .await
+                .map_err(|_elapsed| Error::report(Category::NotSent, "connecting timed out"))??;
         let mut request = Request::builder()
             .method(call.method)
             .uri(call.path)
@@ -168,18 +196,20 @@
             .await
             .map_err(|_elapsed| Error::report(Category::Unknown, "no complete answer in time"))?
             .map_err(|error| Error::report(Category::Unknown, error))?;
-        if answer.status().is_success() || !call.closes_on_refusal {
+        let is_refused = call.closes_on_refusal && !answer.status().is_success();
+        if !is_refused && !call.is_on_own_connection {
             self.return_idle(connection);
         }
         Ok(answer)
     }
 
-    async fn connect(&self) -> Result<Connection> {
-        while let Some(mut connection) = self.pop_idle() {
+    async fn connect(&self, is_on_own_connection: bool) -> Result<Connection> {
+        while !is_on_own_connection && let Some(mut connection) = self.pop_idle() {
             if connection.sender.ready().await.is_ok() {
                 return Ok(connection);
             }
         }
+        let failures = self.idle.lock().unwrap_or_else(PoisonError::into_inner).failures;
         let stream = TcpStream::connect(self.address)
             .await
             .map_err(|error| Error::report(Category::NotSent, error))?;
@@ -194,17 +224,23 @@
             // The error, if any, also reaches the call that waits for an answer.
             drop(connection.await);
         });
-        Ok(Connection { sender, bound, _driver_task: AbortOnDropHandle::new(driver_task) })
+        Ok(Connection {
+            sender,
+            bound,
+            failures,
+            _driver_task: AbortOnDropHandle::new(driver_task),
+        })
     }
 
     fn pop_idle(&self) -> Option<Connection> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).pop()
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).connections.pop()
     }
 
     fn return_idle(&self, connection: Connection) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        if idle.len() < MAX_IDLE_CONNECTIONS && !connection.sender.is_closed() {
-            idle.push(connection);
+        let is_usable = connection.failures == idle.failures && !connection.sender.is_closed();
+        if is_usable && idle.connections.len() < MAX_IDLE_CONNECTIONS {
+            idle.connections.push(connection);
         }
     }
 }
