Take late requests in a stop only if it cannot cut them off

Callers of a stopping daemon got 504, or nothing, for a request that was sent more than 3 s after the SIGTERM and passed on, while its server was at work on it (LOST), also for requests that may not be repeated.

Cause: a request that arrived after the close of the listener was taken if eight times its route's mean latency ended in time. A mean says nothing of a route with two kinds of work.

Now its own deadline has to be before that of all answers, so that the stop cannot end it; otherwise it is refused at once as not run, and its caller has nearly all its time for another daemon.

Test: stopped_waits::late_request_with_slow_work_is_refused; on the caller got 504 Gateway Timeout, now 503 with not-run, and no server runs the request. All five tests of the file pass. verbenad has the same by reading and is not changed.

--- a/crates/gateway/src/request/admission.rs
+++ b/crates/gateway/src/request/admission.rs
@@ -16,11 +16,6 @@
 pub(crate) const MOVE_RETRY_AFTER_MS: u64 = 100;
 /// The Retry-After while the document or a server is missing.
 pub(crate) const ABSENT_RETRY_AFTER_MS: u64 = 300;
-/// The multiple of the mean latency that a request may take that arrives after the close of a stop.
-///
-/// Its caller could have gone to another daemon, so it is taken only if also very slow work ends in
-/// time.
-const LATE_WORK_FACTOR: u64 = 8;
 
 /// Waits for admission of a request to a server.
 pub(crate) async fn admit(
@@ -121,18 +116,20 @@
 }
 
 /// Returns whether a request that is sent now can be answered before the end of a stop.
+///
+/// The caller of a request that arrives after the close can go to another daemon, so it is taken
+/// only if the stop cannot cut it off: if its own deadline is earlier.
 pub(crate) fn has_time(shared: &Shared, call: &Call) -> bool {
-    shared.clock.now_ms().saturating_add(expected_work_ms(shared, call)) < shared.stop.deadline_ms()
-}
-
-/// Returns how long a request may take at a server if it has to end before the stop does.
-pub(crate) fn expected_work_ms(shared: &Shared, call: &Call) -> u64 {
-    let mean_ms = mean_latency_ms(call);
+    let stop_deadline_ms = shared.stop.deadline_ms();
     if call.arrived_at_ms > shared.stop.arrival_deadline_ms() {
-        mean_ms.saturating_mul(LATE_WORK_FACTOR)
-    } else {
-        slow_work_ms(mean_ms)
+        return call.deadline_ms < stop_deadline_ms;
     }
+    shared.clock.now_ms().saturating_add(expected_work_ms(call)) < stop_deadline_ms
+}
+
+/// Returns how long a request may take at a server if it has to end before a stop does.
+pub(crate) fn expected_work_ms(call: &Call) -> u64 {
+    slow_work_ms(mean_latency_ms(call))
 }
 
 pub(crate) fn mean_latency_ms(call: &Call) -> u64 {
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -280,7 +280,7 @@
                 let max_wait_ms = max_turn_wait_ms(shared, call, &service);
                 let turn = wait_for_turn(shared, &server, max_wait_ms);
                 let deadline = shared.clock.to_instant(call.deadline_ms);
-                match shared.stop.bound(deadline, expected_work_ms(shared, call), turn).await {
+                match shared.stop.bound(deadline, expected_work_ms(call), turn).await {
                     Ok(Ok(())) => {}
                     Ok(Err(remaining_ms)) if service.is_keyed => {
                         return Err(paused_refusal(attempts, remaining_ms));
@@ -306,7 +306,7 @@
         let waited = if has_timed_out {
             Err(WaitEnd::Elapsed)
         } else {
-            shared.stop.bound(wait_deadline, expected_work_ms(shared, call), changed).await
+            shared.stop.bound(wait_deadline, expected_work_ms(call), changed).await
         };
         if let Err(end) = waited {
             let retry_after_ms = MOVE_RETRY_AFTER_MS.max(mean_latency_ms(call));
@@ -404,8 +404,7 @@
     let wait_deadline = shared.clock.to_instant(wait_deadline_ms);
     let changed = shared.view_changed().notified();
     // The next attempt uses the current view in either case.
-    let _is_changed =
-        shared.stop.bound(wait_deadline, expected_work_ms(shared, call), changed).await;
+    let _is_changed = shared.stop.bound(wait_deadline, expected_work_ms(call), changed).await;
 }
 
 fn log_failure(shared: &Shared, call: &Call, incarnation: &Incarnation, failure: Failure) {
