--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -450,7 +450,7 @@
     let ended = &mut state.ended;
     state.previous_holders.retain_mut(|previous| {
         if !pass.may_hold(&previous.incarnation, range, previous.grant_deadline_ms) {
-            let evidence = Evidence::Expired(previous.grant_deadline_ms);
+            let evidence = Evidence::Expired { deadline_ms: previous.grant_deadline_ms };
             *ended = Some(pass.log_end(range, &previous.incarnation, evidence));
             return false;
         }
@@ -501,7 +501,7 @@
 fn expire_holder(state: &mut RangeState, pass: &mut PassContext<'_>) {
     let Some(holder) = state.holder.take() else { return };
     state.handover = None;
-    let evidence = Evidence::Expired(holder.grant_deadline_ms);
+    let evidence = Evidence::Expired { deadline_ms: holder.grant_deadline_ms };
     state.ended = Some(pass.log_end(state.range, &holder.incarnation, evidence));
 }
 
--- a/crates/shard/src/ended.rs
+++ b/crates/shard/src/ended.rs
@@ -20,8 +20,11 @@
 pub enum Evidence {
     /// It answered the release that was sent with this fence.
     Released(Fence),
-    /// Its last grant, which may have been valid until this time, has expired.
-    Expired(u64),
-    /// Another server, registered later, has its address.
+    /// Its last grant has expired.
+    Expired {
+        /// The time until which answered grants may have been valid.
+        deadline_ms: u64,
+    },
+    /// This server, registered later, has its address, where a release was refused.
     Replaced(Incarnation),
 }
