Log at which server or daemon an attempt was made

The lines `attempt failed` and `request served` of a daemon that passed a request on named a server that got nothing, and those of the other daemon did not tell that the request had been passed on. `at` names the server or the daemon that was sent the request, and `is_relayed` says whether it came from another daemon. So a log tells apart: one daemon that tries several servers for another one, several daemons tried within one attempt, and a daemon that goes on after the first one has counted a failure.

--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -200,9 +200,9 @@
             ExchangeResult::Answer(mut response) => {
                 let slowness_milli = u64::from(server.slowness_milli());
                 service.state.on_answer(&incarnation, slowness_milli, server.rate_limit());
+                log_served(shared, &call, &server, &attempts, waited_ms);
                 call.tracked.wait_for(Stage::Caller);
                 response.body_mut().track(&call.tracked);
-                log_served(shared, &call, &server, &attempts, waited_ms);
                 return Ok(response);
             }
             // No other server may run requests for the key, so there is nothing to retry.
@@ -413,11 +413,13 @@
         return;
     }
     let view = shared.view();
+    let (_, at, _) = call.tracked.describe();
     spdlog::info!(
         "attempt failed",
         kv: {
             request = call.id.to_str().unwrap_or("-"), route = call.route.name.as_str(),
-            key:? = call.key, server: = incarnation, failure:? = failure,
+            key:? = call.key, server: = incarnation, at = at.as_str(),
+            is_relayed = call.is_relayed, failure:? = failure,
             took_ms = now_ms - call.arrived_at_ms,
             left_ms = call.deadline_ms.saturating_sub(now_ms),
             version = view.version(), tables:? = view.tables_version
@@ -437,11 +439,13 @@
     }
     let (in_flight, waiting, limit) = server.upstream.occupancy();
     let view = shared.view();
+    let (_, at, _) = call.tracked.describe();
     spdlog::info!(
         "request served",
         kv: {
             request = call.id.to_str().unwrap_or("-"), route = call.route.name.as_str(),
-            key:? = call.key, server: = server.registration.incarnation,
+            key:? = call.key, server: = server.registration.incarnation, at = at.as_str(),
+            is_relayed = call.is_relayed,
             is_near = server.registration.data_centre == shared.data_centre, took_ms, waited_ms,
             aim_ms = call.route.latency_target_ms, failed_attempts = attempts.failed_attempts(),
             in_flight, waiting, limit, slowness: = server.slowness(), version = view.version(),
