Show that requests that are passed on reach too many servers

Stand-ins now record the servers at which each request arrives and report a request that reaches more than its route allows. Servers can lose answers. With one daemon cut off from all servers, requests reach 3 or 4 servers if servers break off and 3 to 5 if they refuse, where the route allows 2.

--- a/crates/lab/src/range_server.rs
+++ b/crates/lab/src/range_server.rs
@@ -93,6 +93,8 @@
     holds: Vec<(Incarnation, KeyRange, Instant)>,
     /// How often each request was started, by its identifier.
     runs: HashMap<Name, u32>,
+    /// The servers at which each request has arrived, by its identifier.
+    reached: HashMap<Name, Vec<Incarnation>>,
     violations: Vec<String>,
 }
 
@@ -172,6 +174,11 @@
         Reply::Done(Some(Handover::from(format!("{}", release.fence))))
     }
 
+    /// Records that a request has arrived, which may reach up to `max_servers` servers.
+    pub fn on_arrival(&self, id: &Name, max_servers: usize) {
+        self.checker.on_arrival(&self.incarnation, id, max_servers);
+    }
+
     /// Runs a request when a slot is free.
     pub async fn run(&self, work: &Work) -> Execution {
         let mut visit = self.checker.visits.arrive(&work.id, &self.stopped);
@@ -332,6 +339,21 @@
         self.lock().remove_hold(incarnation, range);
     }
 
+    fn on_arrival(&self, incarnation: &Incarnation, id: &Name, max_servers: usize) {
+        let mut history = self.lock();
+        let servers = history.reached.entry(id.clone()).or_default();
+        if servers.contains(incarnation) {
+            return;
+        }
+        servers.push(incarnation.clone());
+        if servers.len() > max_servers {
+            let count = servers.len();
+            let violation =
+                format!("{id} was sent to {count} servers, the last of them {incarnation}");
+            history.violations.push(violation);
+        }
+    }
+
     fn on_run(&self, work: &Work) {
         let mut history = self.lock();
         let runs = history.runs.entry(work.id.clone()).or_default();
--- a/crates/lab/src/server_faults.rs
+++ b/crates/lab/src/server_faults.rs
@@ -12,6 +12,8 @@
 pub struct ServerFaults {
     /// Answers to requests that ran, with the id of another request.
     pub wrong_id: AtomicU32,
+    /// Answers to requests that ran, in whose place the connection is reset.
+    pub lost_answer: AtomicU32,
     /// Grants that are carried out and never answered.
     pub unanswered_grant: AtomicU32,
     /// Whether all answers say that the server is leaving.
@@ -67,6 +69,11 @@
         should_fail(&self.wrong_id)
     }
 
+    /// Draws whether the connection is reset in place of the next answer.
+    pub fn loses_answer(&self) -> bool {
+        should_fail(&self.lost_answer)
+    }
+
     /// Draws whether the next grant is left unanswered.
     pub fn leaves_grant_unanswered(&self) -> bool {
         should_fail(&self.unanswered_grant)
