Count the attempts of a request in the daemon that took it

Cause: a limit that belongs to the request was kept by each daemon. A daemon that was passed a request began with all attempts of the route, retried by itself, and the daemon that had passed it on counted one failure. After a refusal, that daemon tried up to three others within one attempt, which no budget paid for.

Now the daemon that took the request decides on every retry and pays for it from its budget. A daemon that is passed a request sends it to one server at most and names the server and the failure in its answer, so the first daemon counts it like an attempt of its own, and the next daemon is told which servers were tried. The number holds even if that answer is lost. A daemon of an earlier version names no server: its failure counts as all attempts, and it gets no request that a server has had. Log lines name the server that was sent the request.

--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -8,6 +8,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Request};
 use proxy::{BodyError, CallerBody, WaitEnd, read_body};
+use registry::Incarnation;
 use route::{Arrival, Caller, Fingerprint, Reason, Refusal};
 use site::{Route, Site};
 
@@ -17,6 +18,7 @@
 use crate::request::in_flight::Tracked;
 use crate::request::refusal::stop_retry_after_ms;
 use crate::request::report::RouteState;
+use crate::request::sent_to::tried;
 
 /// A caller's request, with its whole body.
 #[derive(Debug)]
@@ -31,6 +33,8 @@
     pub(crate) service: Name,
     /// Whether another daemon passed the request on.
     pub(crate) is_relayed: bool,
+    /// The servers that the daemon that passed the request on has tried.
+    pub(crate) tried: Vec<Incarnation>,
     /// The servers that refused earlier attempts.
     pub(crate) refusals: EarlierRefusals,
     /// Who sent the request; `None` if another daemon passed it on.
@@ -103,6 +107,7 @@
     let caller_deadline_ms = arrived_at_ms.saturating_add(time_left_ms);
     let refusals = earlier_refusals(&head.headers);
     let is_relayed = refusals.is_some();
+    let tried = if is_relayed { tried(&head.headers) } else { Vec::new() };
     let caller = head.extensions.get().copied().filter(|_| !is_relayed);
     proxy::strip_request_headers(&mut head.headers);
     let deadline = shared.clock.to_instant(deadline_ms);
@@ -129,6 +134,7 @@
         route_state,
         service,
         is_relayed,
+        tried,
         refusals: refusals.unwrap_or_default(),
         caller,
         tracked: Arc::new(tracked),
--- a/crates/gateway/src/request/detour.rs
+++ b/crates/gateway/src/request/detour.rs
@@ -2,11 +2,12 @@
 //!
 //! Links between daemons and servers are lost one by one or all at once, while other daemons reach
 //! the servers. The other daemon handles such a request like one of its own callers', except that
-//! it does not pass it on in turn. Its answer tells whether the request may have run.
+//! it does not pass it on in turn and sends it to one server at most. Its answer tells whether the
+//! request may have run, and names that server.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::SystemTime;
 
 use document::{Name, Server as Description, ServerState};
@@ -16,6 +17,7 @@
 use http_body_util::Full;
 use proxy::{Clock, Link, Upstream, retry_after_ms};
 use rand::seq::SliceRandom;
+use registry::Incarnation;
 use route::{Failure, Reason, ServerState as _, move_avoided_last};
 use telemetry::Counter;
 use tokio::time::{Duration, Instant};
@@ -26,9 +28,10 @@
 use crate::request::call::Call;
 use crate::request::earlier_refusals::EarlierRefusals;
 use crate::request::exchange::{
-    ExchangeResult, check_answer, check_id, receive, to_failure, to_request,
+    Exchange, ExchangeResult, check_answer, check_id, receive, to_failure, to_request,
 };
 use crate::request::in_flight::Stage;
+use crate::request::sent_to::{self, Progress, Reached, Report, SentTo};
 
 /// The header of a request that another daemon has passed on.
 const RELAYED: HeaderName = HeaderName::from_static("verbena-relayed");
@@ -45,12 +48,17 @@
     clock: Clock,
     /// Until when requests are rather passed on to other daemons.
     avoidance_deadline_ms: AtomicU64,
+    /// Whether its last answer named the server that the request was sent to.
+    ///
+    /// A daemon of an earlier version names none, and sends a request to as many servers as the
+    /// route allows.
+    names_server: AtomicBool,
 }
 
 /// What passing a request on to one daemon came to.
 enum Relayed {
-    Ended(ExchangeResult),
-    /// It has not run, and another daemon may be able to run it.
+    Ended(Exchange),
+    /// It was sent to no server, and another daemon may be able to run it.
     NotRun {
         /// How long the daemon asks to wait before it gets the request again.
         retry_after_ms: Option<u64>,
@@ -87,6 +95,7 @@
             upstream: Arc::new(Upstream::new(description, 1, clock)),
             clock,
             avoidance_deadline_ms: AtomicU64::new(0),
+            names_server: AtomicBool::new(false),
         }
     }
 
@@ -97,6 +106,20 @@
             || self.upstream.is_avoided(now_ms)
     }
 
+    /// Returns what a request may have reached through this daemon if its answer does not tell.
+    fn unreported(&self) -> Reached {
+        if self.names_server.load(Ordering::Relaxed) {
+            Reached::OneUnknown
+        } else {
+            Reached::Unknown
+        }
+    }
+
+    /// Returns whether this daemon may get the request without exceeding the attempts of its route.
+    fn may_get(&self, progress: &Progress) -> bool {
+        !progress.attempts.has_sent() || self.names_server.load(Ordering::Relaxed)
+    }
+
     fn avoid_for(&self, for_ms: u64) {
         self.avoidance_deadline_ms.fetch_max(self.clock.now_ms() + for_ms, Ordering::Relaxed);
     }
@@ -106,32 +129,41 @@
 pub(crate) async fn send_elsewhere(
     shared: &Shared,
     call: &Call,
+    progress: &Progress,
     deadline: Instant,
-) -> ExchangeResult {
+) -> Exchange {
     let view = shared.view();
-    let mut peers: Vec<&Arc<Peer>> = view.peers.iter().collect();
+    let mut peers: Vec<&Arc<Peer>> =
+        view.peers.iter().filter(|peer| peer.may_get(progress)).collect();
     peers.shuffle(&mut rand::rng());
     // Links are often lost by a whole data centre, so daemons nearby come in no earlier.
     move_avoided_last(&mut peers, |peer| peer.is_avoided());
     let mut min_wait_ms: Option<u64> = None;
     for peer in peers.into_iter().take(MAX_TRIED) {
         shared.counters.count(Counter::Detours);
-        let relayed = relay(shared, peer, call, deadline).await;
+        let relayed = relay(shared, peer, call, &progress.tried, deadline).await;
         log_relayed(shared, call, peer, &relayed);
         match relayed {
-            Relayed::Ended(result) => return result,
+            Relayed::Ended(exchange) => return exchange,
             Relayed::NotRun { retry_after_ms } => {
                 min_wait_ms = min_wait_ms.into_iter().chain(retry_after_ms).min();
             }
         }
     }
-    match min_wait_ms {
+    let result = match min_wait_ms {
         Some(retry_after_ms) => ExchangeResult::Refused { retry_after_ms },
         None => ExchangeResult::NoAnswer(Failure::NotSent),
-    }
+    };
+    Exchange { result, reached: Reached::Chosen }
 }
 
-async fn relay(shared: &Shared, peer: &Peer, call: &Call, deadline: Instant) -> Relayed {
+async fn relay(
+    shared: &Shared,
+    peer: &Peer,
+    call: &Call,
+    tried: &[Incarnation],
+    deadline: Instant,
+) -> Relayed {
     let Ok((permit, _has_waited)) = peer.upstream.acquire(call.arrival(), &shared.stop).await
     else {
         return Relayed::NotRun { retry_after_ms: None };
@@ -143,7 +175,7 @@
         peer.upstream.on_connection_loss();
         return Relayed::NotRun { retry_after_ms: None };
     };
-    let Some(request) = to_relayed_request(shared, call) else {
+    let Some(request) = to_relayed_request(shared, call, tried) else {
         return Relayed::NotRun { retry_after_ms: None };
     };
     let response = match shared.stop.bound(deadline, 0, link.send(request)).await {
@@ -153,34 +185,50 @@
             if error.take_message().is_some() {
                 return Relayed::NotRun { retry_after_ms: None };
             }
-            return Relayed::Ended(ExchangeResult::NoAnswer(Failure::Broken));
+            return failed(Failure::Broken, peer.unreported());
         }
         // Dropping the link closes the connection, so a late answer is discarded.
         Err(end) => {
             peer.upstream.on_connection_loss();
-            return Relayed::Ended(ExchangeResult::NoAnswer(to_failure(end)));
+            return failed(to_failure(end), peer.unreported());
         }
     };
     let (head, body) = response.into_parts();
-    if head.headers.contains_key(REASON) {
+    let is_refusal = head.headers.contains_key(REASON);
+    if is_refusal {
         call.refusals.add_unknown();
         if !is_own_refusal(shared, call, &head, link.is_fresh()) {
-            return Relayed::Ended(ExchangeResult::NoAnswer(Failure::Broken));
+            return failed(Failure::Broken, peer.unreported());
         }
-        return on_refusal(peer, &head);
+    } else if let Err(failure) =
+        check_id(shared, call, &head).and_then(|()| check_answer(shared, &head))
+    {
+        return failed(failure, peer.unreported());
+    }
+    let report = sent_to::report(&head.headers);
+    peer.names_server.store(report != Report::Missing, Ordering::Relaxed);
+    if is_refusal {
+        return on_refusal(peer, &head, report);
     }
-    let checked = check_id(shared, call, &head).and_then(|()| check_answer(shared, &head));
-    let received = match checked {
-        Ok(()) => receive(&shared.stop, &peer.upstream, head, body, (link, permit, deadline)).await,
-        Err(failure) => Err(failure),
+    let reached = match report {
+        Report::Sent(sent_to) => Reached::Other(sent_to.server),
+        Report::Unsent | Report::Missing => Reached::Unknown,
     };
-    Relayed::Ended(match received {
+    match receive(&shared.stop, &peer.upstream, head, body, (link, permit, deadline)).await {
         Ok(response) if response.status().is_server_error() => {
-            ExchangeResult::ServerError(response)
+            ended(ExchangeResult::ServerError(response), reached)
         }
-        Ok(response) => ExchangeResult::Answer(response),
-        Err(failure) => ExchangeResult::NoAnswer(failure),
-    })
+        Ok(response) => ended(ExchangeResult::Answer(response), reached),
+        Err(failure) => failed(failure, reached),
+    }
+}
+
+fn ended(result: ExchangeResult, reached: Reached) -> Relayed {
+    Relayed::Ended(Exchange { result, reached })
+}
+
+fn failed(failure: Failure, reached: Reached) -> Relayed {
+    ended(ExchangeResult::NoAnswer(failure), reached)
 }
 
 /// Returns a connection to another daemon, a new one unless the request may run twice.
@@ -203,31 +251,53 @@
 }
 
 /// Handles an answer that the other daemon gave itself.
-fn on_refusal(peer: &Peer, head: &Parts) -> Relayed {
+fn on_refusal(peer: &Peer, head: &Parts, report: Report) -> Relayed {
     let is_not_run =
         head.status.is_client_error() || head.status == StatusCode::SERVICE_UNAVAILABLE;
+    if let Report::Sent(SentTo { server, failure }) = report {
+        let failure = failure.unwrap_or(Failure::Broken);
+        // The status of the refusal is what callers are promised.
+        let is_contradicted = failure.is_certainly_not_run() != is_not_run;
+        let failure = if is_contradicted { Failure::Broken } else { failure };
+        return failed(failure, Reached::Other(server));
+    }
     if !is_not_run {
-        return Relayed::Ended(ExchangeResult::NoAnswer(Failure::Broken));
+        return failed(Failure::Broken, Reached::Unknown);
     }
-    if is_reason(&head.headers, Reason::Unreachable) {
+    let is_cut_off = is_reason(&head.headers, Reason::Unreachable);
+    let is_stopping = is_reason(&head.headers, Reason::Stopping);
+    if is_cut_off {
         peer.avoid_for(CUT_OFF_MS);
     }
-    if is_reason(&head.headers, Reason::Stopping) {
+    if is_stopping {
         peer.avoid_for(STOPPING_MS);
     }
     let retry_after_ms = retry_after_ms(&head.headers, SystemTime::now());
-    Relayed::NotRun { retry_after_ms }
+    let may_have_sent = report == Report::Missing && !is_cut_off && !is_stopping;
+    match retry_after_ms {
+        // Servers that refused the request count as well.
+        Some(retry_after_ms) if may_have_sent => {
+            ended(ExchangeResult::Refused { retry_after_ms }, Reached::Unknown)
+        }
+        None if may_have_sent => failed(Failure::Shed, Reached::Unknown),
+        _ => Relayed::NotRun { retry_after_ms },
+    }
 }
 
 fn is_reason(headers: &HeaderMap, reason: Reason) -> bool {
     headers.get(REASON).is_some_and(|value| value == reason.as_str())
 }
 
-fn to_relayed_request(shared: &Shared, call: &Call) -> Option<Request<Full<bytes::Bytes>>> {
+fn to_relayed_request(
+    shared: &Shared,
+    call: &Call,
+    tried: &[Incarnation],
+) -> Option<Request<Full<bytes::Bytes>>> {
     let mut request = to_request(shared, call)?;
     let is_first = call.refusals.is_empty();
     let value = HeaderValue::from_static(if is_first { "1" } else { REFUSED_BEFORE });
     request.headers_mut().insert(RELAYED, value);
+    sent_to::add_tried(request.headers_mut(), tried);
     Some(request)
 }
 
@@ -255,14 +325,16 @@
 
 /// Logs a request that was passed on, if it is sampled or was not answered.
 fn log_relayed(shared: &Shared, call: &Call, peer: &Peer, relayed: &Relayed) {
-    let outcome = match relayed {
-        Relayed::Ended(ExchangeResult::Answer(_)) => "answered",
-        Relayed::Ended(ExchangeResult::ServerError(_)) => "failed",
-        Relayed::Ended(ExchangeResult::Refused { .. }) => "refused",
-        Relayed::Ended(ExchangeResult::NoAnswer(_)) => "no answer",
-        Relayed::NotRun { .. } => "not run",
+    let (outcome, reached) = match relayed {
+        Relayed::Ended(exchange) => (exchange.result.as_str(), Some(&exchange.reached)),
+        Relayed::NotRun { .. } => ("not run", None),
+    };
+    let server = match reached {
+        Some(Reached::Other(server)) => server.to_string(),
+        Some(Reached::OneUnknown | Reached::Unknown) => "unknown".to_owned(),
+        Some(Reached::Chosen) | None => "-".to_owned(),
     };
-    let is_answered = matches!(relayed, Relayed::Ended(ExchangeResult::Answer(_)));
+    let is_answered = outcome == ExchangeResult::ANSWERED;
     let is_worth_logging = !is_answered || is_sampled(call.id.as_bytes());
     let now_ms = shared.clock.now_ms();
     if !is_worth_logging || !shared.log_sampler.may_write(now_ms, call.id.as_bytes()) {
@@ -272,7 +344,7 @@
         "request passed on",
         kv: {
             request = call.id.to_str().unwrap_or("-"), route = call.route.name.as_str(),
-            key:? = call.key, daemon = peer.name.as_str(), outcome
+            key:? = call.key, daemon = peer.name.as_str(), server = server.as_str(), outcome
         }
     );
 }
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -22,6 +22,7 @@
 use crate::request::answer::AnswerBody;
 use crate::request::call::Call;
 use crate::request::detour;
+use crate::request::sent_to::{Progress, Reached};
 use crate::request::server::Server;
 
 /// The result of sending a request to a server.
@@ -40,6 +41,13 @@
     },
 }
 
+/// The result of an attempt, and the servers that it was sent to.
+#[derive(Debug)]
+pub(crate) struct Exchange {
+    pub(crate) result: ExchangeResult,
+    pub(crate) reached: Reached,
+}
+
 /// How long connecting may take; reachable servers accept within milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 250;
 /// The largest answer that is buffered whole.
@@ -58,6 +66,28 @@
 /// How long a probed server may take to accept a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
+impl ExchangeResult {
+    /// The name of [`ExchangeResult::Answer`] in logs.
+    pub(crate) const ANSWERED: &str = "answered";
+
+    /// Returns the name of the result in logs.
+    pub(crate) fn as_str(&self) -> &'static str {
+        match self {
+            Self::Answer(_) => Self::ANSWERED,
+            Self::ServerError(_) => "failed",
+            Self::Refused { .. } => "refused",
+            Self::NoAnswer(_) => "no answer",
+        }
+    }
+}
+
+impl From<ExchangeResult> for Exchange {
+    /// Creates the result of an attempt at the server that was chosen here.
+    fn from(result: ExchangeResult) -> Self {
+        Self { result, reached: Reached::Chosen }
+    }
+}
+
 /// Sends a request to a server and returns its answer, or its failure after a probe for a
 /// crash.
 ///
@@ -67,11 +97,12 @@
     server: Arc<Server>,
     call: Arc<Call>,
     permit: Option<Permit>,
+    progress: Progress,
     deadline: Instant,
-) -> ExchangeResult {
+) -> Exchange {
     let started_at = Instant::now();
     let Some(permit) = permit else {
-        return exchange_elsewhere(&shared, &call, deadline).await;
+        return exchange_elsewhere(&shared, &call, &progress, deadline).await;
     };
     let result = try_exchange(&shared, &server, &call, permit, deadline).await;
     let failure = match result {
@@ -83,11 +114,12 @@
             if !is_failure {
                 server.update_pace(|pace, now_ms| pace.on_answer(now_ms, f64::from(slowness)));
             }
-            return if is_failure {
+            let result = if is_failure {
                 ExchangeResult::ServerError(response)
             } else {
                 ExchangeResult::Answer(response)
             };
+            return result.into();
         }
         Err(failure) => failure,
     };
@@ -100,17 +132,22 @@
         call.refusals.add(&server.registration.incarnation);
     }
     if failure == Failure::NotSent {
-        return exchange_elsewhere(&shared, &call, deadline).await;
+        return exchange_elsewhere(&shared, &call, &progress, deadline).await;
     }
-    ExchangeResult::NoAnswer(failure)
+    ExchangeResult::NoAnswer(failure).into()
 }
 
 /// Sends a request that was not sent to its server through another daemon, if it may be.
-async fn exchange_elsewhere(shared: &Shared, call: &Call, deadline: Instant) -> ExchangeResult {
+async fn exchange_elsewhere(
+    shared: &Shared,
+    call: &Call,
+    progress: &Progress,
+    deadline: Instant,
+) -> Exchange {
     if call.is_relayed {
-        return ExchangeResult::NoAnswer(Failure::NotSent);
+        return ExchangeResult::NoAnswer(Failure::NotSent).into();
     }
-    detour::send_elsewhere(shared, call, deadline).await
+    detour::send_elsewhere(shared, call, progress, deadline).await
 }
 
 /// Returns whether a server is known to accept no connection from this daemon, and there is
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -20,9 +20,10 @@
 use crate::request::answer::AnswerBody;
 use crate::request::call::{self, Call};
 use crate::request::detour;
-use crate::request::exchange::{ExchangeResult, exchange, is_out_of_reach};
+use crate::request::exchange::{Exchange, ExchangeResult, exchange, is_out_of_reach};
 use crate::request::in_flight::{Stage, Tracked};
 use crate::request::refusal;
+use crate::request::sent_to::{Progress, Reached, SentTo, add_sent_to};
 use crate::request::server::Server;
 use crate::request::turns::wait_for_turn;
 use crate::request::view::{Destination, ServiceView};
@@ -39,6 +40,15 @@
 /// key.
 const REROUTE_TIMEOUT_MS: u64 = 60;
 
+/// How a request ended.
+struct Handled {
+    /// The request, if it could be read.
+    call: Option<Arc<Call>>,
+    /// The last server that it was sent to.
+    last_sent: Option<SentTo>,
+    result: Result<Response<AnswerBody>, Refusal>,
+}
+
 /// Answers one request of a caller.
 pub(crate) async fn answer(
     shared: Arc<Shared>,
@@ -48,8 +58,10 @@
     shared.counters.count(Counter::Requests);
     let id = request.headers().get(&shared.dialect.request_id).cloned();
     let tracked = shared.in_flight.begin(id.clone());
-    let (call, result) = forward(&shared, request, tracked, arrived_at_ms).await;
+    let Handled { call, last_sent, result } =
+        forward(&shared, request, tracked, arrived_at_ms).await;
     record_latency(&shared, call.as_deref(), arrived_at_ms, &result);
+    let relayed = call.clone().filter(|call| call.is_relayed);
     let mut response = match result {
         Ok(response) => {
             shared.counters.count(Counter::Answered);
@@ -58,12 +70,15 @@
         Err(refusal) => {
             on_refusal(&shared, id.as_ref(), call.as_deref(), arrived_at_ms, &refusal);
             let mut response = refusal::to_response(&refusal);
-            if let Some(call) = call.filter(|call| call.is_relayed) {
-                detour::add_reason(&shared, &call, &mut response, refusal.reason);
+            if let Some(call) = &relayed {
+                detour::add_reason(&shared, call, &mut response, refusal.reason);
             }
             response
         }
     };
+    if relayed.is_some() {
+        add_sent_to(response.headers_mut(), last_sent.as_ref());
+    }
     if shared.is_stopping() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -124,20 +139,26 @@
     );
 }
 
-/// Reads and runs a request; returns the request, if it could be read, and the result.
+/// Reads and runs a request.
 async fn forward(
     shared: &Arc<Shared>,
     request: Request<CallerBody>,
     tracked: Tracked,
     arrived_at_ms: u64,
-) -> (Option<Arc<Call>>, Result<Response<AnswerBody>, Refusal>) {
-    match read(shared, request, tracked, arrived_at_ms).await {
-        Ok(call) => {
-            let call = Arc::new(call);
-            (Some(Arc::clone(&call)), run(shared, call).await)
-        }
-        Err(refusal) => (None, Err(refusal)),
-    }
+) -> Handled {
+    let call = match read(shared, request, tracked, arrived_at_ms).await {
+        Ok(call) => Arc::new(call),
+        Err(refusal) => return Handled { call: None, last_sent: None, result: Err(refusal) },
+    };
+    let mut progress = Progress::new(new_attempts(&call), call.tried.clone());
+    let result = run(shared, &call, &mut progress).await;
+    Handled { call: Some(call), last_sent: progress.last_sent, result }
+}
+
+fn new_attempts(call: &Call) -> Attempts {
+    let attempts = Attempts::new(call.is_idempotent(), call.deadline_ms)
+        .with_max_attempts(call.route.max_attempts);
+    if call.is_relayed { attempts.with_max_sent(1) } else { attempts }
 }
 
 /// Reads a request, finds its route and counts its expected load.
@@ -166,66 +187,79 @@
 }
 
 /// Sends a request to servers until it is answered or may not be retried.
-async fn run(shared: &Arc<Shared>, call: Arc<Call>) -> Result<Response<AnswerBody>, Refusal> {
-    let attempts = Attempts::new(call.is_idempotent(), call.deadline_ms);
-    let mut attempts = attempts.with_max_attempts(call.route.max_attempts);
-    let mut tried: Vec<Incarnation> = Vec::new();
+async fn run(
+    shared: &Arc<Shared>,
+    call: &Arc<Call>,
+    progress: &mut Progress,
+) -> Result<Response<AnswerBody>, Refusal> {
     let mut server_error = None;
     loop {
         if shared.crashes.is_refused(|| call.fingerprint()) {
-            return Err(attempts.to_refusal(Reason::Crashing));
+            return Err(progress.attempts.to_refusal(Reason::Crashing));
         }
-        if !has_time(shared, &call) {
-            return server_error.ok_or_else(|| stop_refusal(&attempts));
+        if !has_time(shared, call) {
+            return server_error.ok_or_else(|| stop_refusal(&progress.attempts));
         }
         let wait_started_at_ms = shared.clock.now_ms();
         call.tracked.wait_for(Stage::Owner);
-        let found = find_server(shared, &call, &attempts, &tried).await;
+        let found = find_server(shared, call, progress).await;
         let waited_ms = shared.clock.now_ms() - wait_started_at_ms;
         let (service, server, permit) = match found {
             Ok(found) => found,
             // A server's answer tells the caller more than a refusal.
             Err(refusal) => return server_error.ok_or(refusal),
         };
-        if !has_time(shared, &call) {
-            return server_error.ok_or_else(|| stop_refusal(&attempts));
+        if !has_time(shared, call) {
+            return server_error.ok_or_else(|| stop_refusal(&progress.attempts));
         }
-        if attempts.failed_attempts() > 0 {
+        if progress.attempts.failed_attempts() > 0 {
             shared.counters.count(Counter::Retries);
         }
-        let incarnation = server.registration.incarnation.clone();
-        call.tracked.wait_for(Stage::Server(incarnation.clone()));
-        let result = send(shared, &server, &call, permit).await;
+        let chosen = &server.registration.incarnation;
+        call.tracked.wait_for(Stage::Server(chosen.clone()));
+        let Exchange { result, reached } = send(shared, &server, call, permit, progress).await;
+        let server = match &reached {
+            Reached::Other(other) => service.servers.get(other).unwrap_or(&server),
+            Reached::Chosen | Reached::OneUnknown | Reached::Unknown => &server,
+        };
+        let incarnation = reached.server(chosen);
         let failure = match result {
             ExchangeResult::Answer(mut response) => {
                 let slowness_milli = u64::from(server.slowness_milli());
-                service.state.on_answer(&incarnation, slowness_milli, server.rate_limit());
-                log_served(shared, &call, &server, &attempts, waited_ms);
+                service.state.on_answer(incarnation, slowness_milli, server.rate_limit());
+                log_served(shared, call, server, &reached, &progress.attempts, waited_ms);
+                progress.last_sent = Some(SentTo { server: incarnation.clone(), failure: None });
                 call.tracked.wait_for(Stage::Caller);
                 response.body_mut().track(&call.tracked);
                 return Ok(response);
             }
             // No other server may run requests for the key, so there is nothing to retry.
-            ExchangeResult::ServerError(response) if service.is_keyed => return Ok(response),
+            ExchangeResult::ServerError(response) if service.is_keyed => {
+                progress.on_failure(incarnation, Failure::Failed);
+                return Ok(response);
+            }
             ExchangeResult::ServerError(response) => {
                 server_error = Some(response);
                 Failure::Failed
             }
             ExchangeResult::Refused { retry_after_ms } => {
-                let refusal = attempts.to_refusal(Reason::Overloaded);
+                let refusal = progress.attempts.to_refusal(Reason::Overloaded);
                 return Err(refusal.with_retry_after(retry_after_ms));
             }
             ExchangeResult::NoAnswer(failure) => failure,
         };
-        log_failure(shared, &call, &incarnation, failure);
-        tried.push(incarnation);
-        let next = attempts.on_failure(shared.clock.now_ms(), failure);
+        log_failure(shared, call, &reached, chosen, failure);
+        if reached == Reached::Unknown {
+            progress.attempts.use_up();
+        }
+        progress.on_failure(incarnation, failure);
+        let next = progress.attempts.on_failure(shared.clock.now_ms(), failure);
         let has_budget = next != Next::GiveUp && service.state.budget.spend();
         if !has_budget {
-            return server_error.ok_or_else(|| last_refusal(&attempts, failure));
+            return server_error.ok_or_else(|| last_refusal(&progress.attempts, failure));
         }
         if next == Next::Reroute {
-            wait_for_change(shared, &call, REROUTE_TIMEOUT_MS).await;
+            wait_for_change(shared, call, REROUTE_TIMEOUT_MS).await;
         }
     }
 }
@@ -239,15 +273,16 @@
     server: &Arc<Server>,
     call: &Arc<Call>,
     permit: Option<Permit>,
-) -> ExchangeResult {
+    progress: &Progress,
+) -> Exchange {
     let deadline = shared.clock.to_instant(call.deadline_ms);
     let (shared, server) = (Arc::clone(shared), Arc::clone(server));
-    let exchange = exchange(shared, server, Arc::clone(call), permit, deadline);
+    let exchange = exchange(shared, server, Arc::clone(call), permit, progress.clone(), deadline);
     if call.is_idempotent() {
         return exchange.await;
     }
     let task = tokio::spawn(exchange);
-    task.await.unwrap_or(ExchangeResult::NoAnswer(Failure::Broken))
+    task.await.unwrap_or_else(|_panicked| ExchangeResult::NoAnswer(Failure::Broken).into())
 }
 
 /// Finds a server and waits for admission to it; checks after each wait that the server is
@@ -257,9 +292,9 @@
 async fn find_server(
     shared: &Arc<Shared>,
     call: &Call,
-    attempts: &Attempts,
-    tried: &[Incarnation],
+    progress: &Progress,
 ) -> Result<(Arc<ServiceView>, Arc<Server>, Option<Permit>), Refusal> {
+    let Progress { attempts, tried, .. } = progress;
     let move_deadline_ms = shared.clock.now_ms() + move_timeout_ms(call);
     loop {
         let changed = shared.view_changed().notified();
@@ -407,7 +442,13 @@
     let _is_changed = shared.stop.bound(wait_deadline, expected_work_ms(call), changed).await;
 }
 
-fn log_failure(shared: &Shared, call: &Call, incarnation: &Incarnation, failure: Failure) {
+fn log_failure(
+    shared: &Shared,
+    call: &Call,
+    reached: &Reached,
+    chosen: &Incarnation,
+    failure: Failure,
+) {
     let now_ms = shared.clock.now_ms();
     if !shared.log_sampler.may_write(now_ms, call.id.as_bytes()) {
         return;
@@ -418,7 +459,7 @@
         "attempt failed",
         kv: {
             request = call.id.to_str().unwrap_or("-"), route = call.route.name.as_str(),
-            key:? = call.key, server: = incarnation, at = at.as_str(),
+            key:? = call.key, server = reached.to_text(chosen), at = at.as_str(),
             is_relayed = call.is_relayed, failure:? = failure,
             took_ms = now_ms - call.arrived_at_ms,
             left_ms = call.deadline_ms.saturating_sub(now_ms),
@@ -428,7 +469,14 @@
 }
 
 /// Logs a successful request if it was late, retried or sampled.
-fn log_served(shared: &Shared, call: &Call, server: &Server, attempts: &Attempts, waited_ms: u64) {
+fn log_served(
+    shared: &Shared,
+    call: &Call,
+    server: &Server,
+    reached: &Reached,
+    attempts: &Attempts,
+    waited_ms: u64,
+) {
     let now_ms = shared.clock.now_ms();
     let took_ms = now_ms - call.arrived_at_ms;
     let is_late = took_ms > call.route.latency_target_ms;
@@ -444,8 +492,8 @@
         "request served",
         kv: {
             request = call.id.to_str().unwrap_or("-"), route = call.route.name.as_str(),
-            key:? = call.key, server: = server.registration.incarnation, at = at.as_str(),
-            is_relayed = call.is_relayed,
+            key:? = call.key, server = reached.to_text(&server.registration.incarnation),
+            at = at.as_str(), is_relayed = call.is_relayed,
             is_near = server.registration.data_centre == shared.data_centre, took_ms, waited_ms,
             aim_ms = call.route.latency_target_ms, failed_attempts = attempts.failed_attempts(),
             in_flight, waiting, limit, slowness: = server.slowness(), version = view.version(),
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod refusal;
 pub(crate) mod report;
 pub(crate) mod retry_budget;
+pub(crate) mod sent_to;
 pub(crate) mod server;
 pub(crate) mod turns;
 pub(crate) mod view;
--- a/crates/registry/src/incarnation.rs
+++ b/crates/registry/src/incarnation.rs
@@ -45,6 +45,15 @@
     Draining,
 }
 
+impl Incarnation {
+    /// Parses the text that [`Display`](fmt::Display) writes.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        let (server, born_ms) = text.rsplit_once('@')?;
+        Some(Self { server: Name::from(server), born_ms: born_ms.parse().ok()? })
+    }
+}
+
 // Operators read this text in logs and dumps, so it keeps the type's earlier name.
 impl fmt::Debug for Incarnation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/route/src/attempts.rs
+++ b/crates/route/src/attempts.rs
@@ -43,11 +43,25 @@
     deadline_ms: u64,
     failed: u32,
     max: u32,
+    /// How many of the failed attempts were sent to a server.
+    sent: u32,
+    max_sent: u32,
     crashes: u32,
     may_have_run: bool,
     last_failure: Option<Failure>,
 }
 
+const ALL_FAILURES: [Failure; 9] = [
+    Failure::NotSent,
+    Failure::Fenced,
+    Failure::Shed,
+    Failure::Broken,
+    Failure::Reset,
+    Failure::Crashed,
+    Failure::TimedOut,
+    Failure::Failed,
+    Failure::Stopping,
+];
 /// The default for the largest number of attempts, including the first.
 const DEFAULT_MAX_ATTEMPTS: u32 = 4;
 /// The time before the deadline in which no further attempt is made.
@@ -59,6 +73,28 @@
     pub fn is_certainly_not_run(self) -> bool {
         matches!(self, Self::NotSent | Self::Fenced | Self::Shed)
     }
+
+    /// Returns the name by which daemons tell each other of the failure.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotSent => "not-sent",
+            Self::Fenced => "fenced",
+            Self::Shed => "shed",
+            Self::Broken => "broken",
+            Self::Reset => "reset",
+            Self::Crashed => "crashed",
+            Self::TimedOut => "timed-out",
+            Self::Failed => "failed",
+            Self::Stopping => "stopping",
+        }
+    }
+
+    /// Returns the failure with this name, if there is one.
+    #[must_use]
+    pub fn parse(name: &str) -> Option<Self> {
+        ALL_FAILURES.into_iter().find(|failure| failure.as_str() == name)
+    }
 }
 
 impl Attempts {
@@ -70,6 +106,8 @@
             deadline_ms,
             failed: 0,
             max: DEFAULT_MAX_ATTEMPTS,
+            sent: 0,
+            max_sent: DEFAULT_MAX_ATTEMPTS,
             crashes: 0,
             may_have_run: false,
             last_failure: None,
@@ -80,6 +118,17 @@
     #[must_use]
     pub fn with_max_attempts(mut self, max_attempts: u32) -> Self {
         self.max = max_attempts;
+        self.max_sent = max_attempts;
+        self
+    }
+
+    /// Sets the largest number of attempts that are sent to a server, including the first.
+    ///
+    /// A daemon that was passed a request sends it once: the daemon that passed it on counts the
+    /// attempts.
+    #[must_use]
+    pub fn with_max_sent(mut self, max_sent: u32) -> Self {
+        self.max_sent = max_sent;
         self
     }
 
@@ -95,16 +144,29 @@
         self.failed
     }
 
+    /// Returns whether a failed attempt was sent to a server.
+    #[must_use]
+    pub fn has_sent(&self) -> bool {
+        self.sent > 0
+    }
+
+    /// Counts all attempts that are left as sent, because another process may have made them.
+    pub fn use_up(&mut self) {
+        self.sent = self.max_sent;
+    }
+
     /// Handles a failed attempt and returns what to do next.
     pub fn on_failure(&mut self, now_ms: u64, failure: Failure) -> Next {
         self.failed += 1;
+        self.sent += u32::from(failure != Failure::NotSent);
         self.may_have_run |= !failure.is_certainly_not_run();
         self.crashes += u32::from(failure == Failure::Crashed);
         self.last_failure = Some(failure);
         let has_time = now_ms + MIN_REMAINING_MS < self.deadline_ms;
         let is_repeatable = self.is_idempotent || !self.may_have_run;
         let is_crashing = self.crashes >= MAX_CRASHES;
-        if !has_time || !is_repeatable || is_crashing || self.failed >= self.max {
+        let has_attempts = self.failed < self.max && self.sent < self.max_sent;
+        if !has_time || !is_repeatable || is_crashing || !has_attempts {
             return Next::GiveUp;
         }
         match failure {
@@ -127,7 +189,7 @@
     #[must_use]
     pub fn attempt_deadline_ms(&self, now_ms: u64) -> u64 {
         let left_ms = self.deadline_ms.saturating_sub(now_ms);
-        let is_last = self.failed + 1 >= self.max;
+        let is_last = self.failed + 1 >= self.max || self.sent + 1 >= self.max_sent;
         if self.is_idempotent && !is_last { now_ms + left_ms / 2 } else { self.deadline_ms }
     }
 
--- a/crates/route/tests/path_decisions.rs
+++ b/crates/route/tests/path_decisions.rs
@@ -21,6 +21,22 @@
     assert_eq!(attempts.on_failure(996, Failure::TimedOut), Next::GiveUp);
 }
 
+#[test]
+fn passed_on_request_is_sent_once() {
+    let mut attempts = Attempts::new(true, 1_000).with_max_attempts(3).with_max_sent(1);
+    assert_eq!(attempts.on_failure(0, Failure::NotSent), Next::Retry);
+    assert!(!attempts.has_sent());
+    assert_eq!(attempts.on_failure(0, Failure::Shed), Next::GiveUp);
+    assert!(attempts.has_sent());
+}
+
+#[test]
+fn used_up_attempts_are_not_repeated() {
+    let mut attempts = Attempts::new(true, 1_000);
+    attempts.use_up();
+    assert_eq!(attempts.on_failure(0, Failure::Broken), Next::GiveUp);
+}
+
 #[test]
 fn outcome_stays_unknown_after_a_shed() {
     let mut attempts = Attempts::new(true, 1_000);
