Tell from its entry whether a daemon sends a passed-on request once

A request that a server has had may only be passed on to a daemon that sends it to one server at most. That was learned from the daemon's first answer, so right after a start, and for long in a large fleet, such requests were not passed on at all. Now each daemon says so in its entry in the store, like its address for callers; entries of earlier versions lack the field.

--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -54,6 +54,10 @@
     /// The address for callers; `None` in the entry of an earlier version.
     #[serde(default)]
     pub(crate) front: Option<SocketAddr>,
+    /// Whether it sends a request that is passed on to it to one server at most; an earlier version
+    /// sends it to as many as the route allows.
+    #[serde(default)]
+    pub(crate) sends_once: bool,
 }
 
 /// Watches one topic of the store and passes changes to the control thread.
--- a/crates/gateway/src/control/view_builder.rs
+++ b/crates/gateway/src/control/view_builder.rs
@@ -149,12 +149,15 @@
     /// Adds new daemons to which requests can be passed on, and removes those that are gone.
     fn update_peers(&mut self) {
         let others = self.daemons.iter().filter(|(name, _)| **name != self.settings.instance);
-        let live: HashMap<SocketAddr, &Name> =
-            others.filter_map(|(name, daemon)| Some((daemon.front?, name))).collect();
+        let live: HashMap<SocketAddr, (&Name, bool)> = others
+            .filter_map(|(name, daemon)| Some((daemon.front?, (name, daemon.sends_once))))
+            .collect();
         self.peers.retain(|front, _| live.contains_key(front));
-        for (front, name) in live {
+        for (front, (name, sends_once)) in live {
             let clock = self.shared.clock;
-            self.peers.entry(front).or_insert_with(|| Arc::new(Peer::new(name, front, clock)));
+            let peer = self.peers.entry(front);
+            let peer = peer.or_insert_with(|| Arc::new(Peer::new(name, front, clock)));
+            peer.set_sends_once(sends_once);
         }
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -260,6 +260,7 @@
         data_centre: settings.data_centre.clone(),
         link_mbps: settings.link_mbps,
         front: Some(front_address(settings)),
+        sends_once: true,
     };
     let key = format!("{DAEMONS_PREFIX}{}", settings.instance);
     let counters = Arc::clone(&shared.counters);
--- a/crates/gateway/src/request/detour.rs
+++ b/crates/gateway/src/request/detour.rs
@@ -48,11 +48,10 @@
     clock: Clock,
     /// Until when requests are rather passed on to other daemons.
     avoidance_deadline_ms: AtomicU64,
-    /// Whether its last answer named the server that the request was sent to.
+    /// Whether it sends a request to one server at most.
     ///
-    /// A daemon of an earlier version names none, and sends a request to as many servers as the
-    /// route allows.
-    names_server: AtomicBool,
+    /// A daemon of an earlier version sends it to as many servers as the route allows.
+    sends_once: AtomicBool,
 }
 
 /// What passing a request on to one daemon came to.
@@ -95,7 +94,7 @@
             upstream: Arc::new(Upstream::new(description, 1, clock)),
             clock,
             avoidance_deadline_ms: AtomicU64::new(0),
-            names_server: AtomicBool::new(false),
+            sends_once: AtomicBool::new(false),
         }
     }
 
@@ -106,18 +105,20 @@
             || self.upstream.is_avoided(now_ms)
     }
 
+    /// Sets whether the daemon sends a request to one server at most.
+    pub fn set_sends_once(&self, sends_once: bool) {
+        self.sends_once.store(sends_once, Ordering::Relaxed);
+    }
+
     /// Returns what a request may have reached through this daemon if its answer does not tell.
     fn unreported(&self) -> Reached {
-        if self.names_server.load(Ordering::Relaxed) {
-            Reached::OneUnknown
-        } else {
-            Reached::Unknown
-        }
+        let sends_once = self.sends_once.load(Ordering::Relaxed);
+        if sends_once { Reached::OneUnknown } else { Reached::Unknown }
     }
 
     /// Returns whether this daemon may get the request without exceeding the attempts of its route.
     fn may_get(&self, progress: &Progress) -> bool {
-        !progress.attempts.has_sent() || self.names_server.load(Ordering::Relaxed)
+        !progress.attempts.has_sent() || self.sends_once.load(Ordering::Relaxed)
     }
 
     fn avoid_for(&self, for_ms: u64) {
@@ -206,7 +207,6 @@
         return failed(failure, peer.unreported());
     }
     let report = sent_to::report(&head.headers);
-    peer.names_server.store(report != Report::Missing, Ordering::Relaxed);
     if is_refusal {
         return on_refusal(peer, &head, report);
     }
