--- a/crates/soak/src/link_faults.rs
+++ b/crates/soak/src/link_faults.rs
@@ -1,4 +1,5 @@
-//! Faults of the daemons' own links to the servers, and limits that servers name.
+//! Faults of the daemons' own links to the servers, answers that are lost, and limits that servers
+//! name.
 
 use std::ops::Range;
 use std::sync::atomic::Ordering;
@@ -35,6 +36,7 @@
     Cut(usize, usize),
     Heal(usize, usize),
     ClearRateLimit(usize),
+    KeepAnswers,
 }
 
 /// Where daemons run: two in one data centre, others alone in theirs.
@@ -54,6 +56,9 @@
 /// The limits that servers name; some are below what they get from the callers.
 const RATE_LIMIT_MILLI: Range<u32> = 2_000..50_000;
 const RATE_LIMIT_MS: Range<u64> = 1_000..5_000;
+/// Servers lose one in so many answers.
+const LOST_ANSWER_ONE_IN: Range<u32> = 1..5;
+const LOST_ANSWER_MS: Range<u64> = 500..3_000;
 
 /// Returns the data centre of each daemon.
 pub(crate) fn data_centres(daemons: usize) -> Vec<&'static str> {
@@ -108,6 +113,9 @@
             }
             _ => self.limit_rate(cluster, server),
         }
+        if self.random.random_bool(0.5) {
+            self.lose_answers(cluster);
+        }
     }
 
     /// Returns the daemons that use the same links as this one: all of its data centre.
@@ -163,6 +171,16 @@
         self.pending.push((end_at, Step::ClearRateLimit(server)));
     }
 
+    /// Makes all servers lose a part of their answers, so that requests are sent again while links are
+    /// lost.
+    fn lose_answers(&mut self, cluster: &Cluster) {
+        let one_in = self.random.random_range(LOST_ANSWER_ONE_IN);
+        cluster.log_event(&format!("all servers lose one in {one_in} answers"));
+        set_lost_answers(cluster, one_in);
+        let end_at = self.after(LOST_ANSWER_MS);
+        self.pending.push((end_at, Step::KeepAnswers));
+    }
+
     fn heal_after(&mut self, first_heal_at: Instant, daemon: usize, server: usize) {
         let delay = Duration::from_millis(self.random.random_range(HEAL_MS));
         self.pending.push((first_heal_at + delay, Step::Heal(daemon, server)));
@@ -199,10 +217,18 @@
             Self::ClearRateLimit(server) => {
                 cluster.servers[server].faults.rate_limit_milli.store(0, Ordering::Relaxed);
             }
+            Self::KeepAnswers => set_lost_answers(cluster, 0),
         }
     }
 }
 
+/// Makes all servers lose one in so many answers, or none.
+fn set_lost_answers(cluster: &Cluster, one_in: u32) {
+    for server in &cluster.servers {
+        server.faults.lost_answer.store(one_in, Ordering::Relaxed);
+    }
+}
+
 /// Returns the index of the daemon that leads, if the store tells.
 async fn leader(cluster: &Cluster) -> Option<usize> {
     let entry = cluster.store.read("fleet/leader").await.ok()??;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -66,6 +66,9 @@
 const STARTUP_TIME: Duration = Duration::from_secs(4);
 /// The time in which the requirements demand that service recovers after the last fault.
 pub const MAX_RECOVERY_S: u64 = 15;
+/// How many servers are added where daemons have links of their own, so that a request can reach
+/// more servers than its route allows.
+const ADDED_POOLED_SERVERS: usize = 4;
 /// How long the share of served requests is measured after the recovery.
 const MEASURE_TIME: Duration = Duration::from_secs(3);
 /// The least share of requests that must be served after the recovery.
@@ -98,7 +101,12 @@
         return planned_stops::run(options, program, dir).await;
     }
     let mut cluster = if options.own_links {
-        Cluster::start_in(first_program, dir, &data_centres(options.daemons), true).await?
+        let mut cluster =
+            Cluster::start_in(first_program, dir, &data_centres(options.daemons), true).await?;
+        for _ in 0..ADDED_POOLED_SERVERS {
+            cluster.add_server("archive").await?;
+        }
+        cluster
     } else {
         Cluster::start(first_program, dir, options.daemons).await?
     };
