Retry an attempt that the stop of another daemon ended

A daemon that reports that its stop ended an attempt was taken as if this daemon were stopping: an idempotent request that could have been served elsewhere ended with 502. Besides: the state of a request's attempts and the log lines about them get files of their own.

--- a/crates/gateway/src/request/detour.rs
+++ b/crates/gateway/src/request/detour.rs
@@ -31,7 +31,8 @@
     Exchange, ExchangeResult, check_answer, check_id, receive, to_failure, to_request,
 };
 use crate::request::in_flight::Stage;
-use crate::request::sent_to::{self, Progress, Reached, Report, SentTo};
+use crate::request::sent_to::{self, Reached, Report, SentTo};
+use crate::request::tries::Tries;
 
 /// The header of a request that another daemon has passed on.
 const RELAYED: HeaderName = HeaderName::from_static("verbena-relayed");
@@ -117,8 +118,8 @@
     }
 
     /// Returns whether this daemon may get the request without exceeding the attempts of its route.
-    fn may_get(&self, progress: &Progress) -> bool {
-        !progress.attempts.has_sent() || self.sends_once.load(Ordering::Relaxed)
+    fn may_get(&self, tries: &Tries) -> bool {
+        !tries.attempts.has_sent() || self.sends_once.load(Ordering::Relaxed)
     }
 
     fn avoid_for(&self, for_ms: u64) {
@@ -130,19 +131,18 @@
 pub(crate) async fn send_elsewhere(
     shared: &Shared,
     call: &Call,
-    progress: &Progress,
+    tries: &Tries,
     deadline: Instant,
 ) -> Exchange {
     let view = shared.view();
-    let mut peers: Vec<&Arc<Peer>> =
-        view.peers.iter().filter(|peer| peer.may_get(progress)).collect();
+    let mut peers: Vec<&Arc<Peer>> = view.peers.iter().filter(|peer| peer.may_get(tries)).collect();
     peers.shuffle(&mut rand::rng());
     // Links are often lost by a whole data centre, so daemons nearby come in no earlier.
     move_avoided_last(&mut peers, |peer| peer.is_avoided());
     let mut min_wait_ms: Option<u64> = None;
     for peer in peers.into_iter().take(MAX_TRIED) {
         shared.counters.count(Counter::Detours);
-        let relayed = relay(shared, peer, call, &progress.tried, deadline).await;
+        let relayed = relay(shared, peer, call, &tries.tried, deadline).await;
         log_relayed(shared, call, peer, &relayed);
         match relayed {
             Relayed::Ended(exchange) => return exchange,
@@ -255,10 +255,13 @@
     let is_not_run =
         head.status.is_client_error() || head.status == StatusCode::SERVICE_UNAVAILABLE;
     if let Report::Sent(SentTo { server, failure }) = report {
-        let failure = failure.unwrap_or(Failure::Broken);
-        // The status of the refusal is what callers are promised.
-        let is_contradicted = failure.is_certainly_not_run() != is_not_run;
-        let failure = if is_contradicted { Failure::Broken } else { failure };
+        let failure = match failure {
+            // Only the other daemon is stopping.
+            Some(Failure::Stopping) | None => Failure::Broken,
+            // The status is what the other daemon promises.
+            Some(failure) if failure.is_certainly_not_run() != is_not_run => Failure::Broken,
+            Some(failure) => failure,
+        };
         return failed(failure, Reached::Other(server));
     }
     if !is_not_run {
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -22,8 +22,9 @@
 use crate::request::answer::AnswerBody;
 use crate::request::call::Call;
 use crate::request::detour;
-use crate::request::sent_to::{Progress, Reached};
+use crate::request::sent_to::Reached;
 use crate::request::server::Server;
+use crate::request::tries::Tries;
 
 /// The result of sending a request to a server.
 #[derive(Debug)]
@@ -97,12 +98,12 @@
     server: Arc<Server>,
     call: Arc<Call>,
     permit: Option<Permit>,
-    progress: Progress,
+    tries: Tries,
     deadline: Instant,
 ) -> Exchange {
     let started_at = Instant::now();
     let Some(permit) = permit else {
-        return exchange_elsewhere(&shared, &call, &progress, deadline).await;
+        return exchange_elsewhere(&shared, &call, &tries, deadline).await;
     };
     let result = try_exchange(&shared, &server, &call, permit, deadline).await;
     let failure = match result {
@@ -132,7 +133,7 @@
         call.refusals.add(&server.registration.incarnation);
     }
     if failure == Failure::NotSent {
-        return exchange_elsewhere(&shared, &call, &progress, deadline).await;
+        return exchange_elsewhere(&shared, &call, &tries, deadline).await;
     }
     ExchangeResult::NoAnswer(failure).into()
 }
@@ -141,13 +142,13 @@
 async fn exchange_elsewhere(
     shared: &Shared,
     call: &Call,
-    progress: &Progress,
+    tries: &Tries,
     deadline: Instant,
 ) -> Exchange {
     if call.is_relayed {
         return ExchangeResult::NoAnswer(Failure::NotSent).into();
     }
-    detour::send_elsewhere(shared, call, progress, deadline).await
+    detour::send_elsewhere(shared, call, tries, deadline).await
 }
 
 /// Returns whether a server is known to accept no connection from this daemon, and there is
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -12,19 +12,20 @@
 use telemetry::{Counter, Labels};
 
 use crate::Shared;
-use crate::log_sampler::is_sampled;
 use crate::request::admission::{
     ABSENT_RETRY_AFTER_MS, MOVE_RETRY_AFTER_MS, admit, expected_work_ms, has_time, last_refusal,
     mean_latency_ms, paused_refusal, stop_refusal, unreachable_refusal, wait_refusal,
 };
 use crate::request::answer::AnswerBody;
+use crate::request::attempt_log::{log_failure, log_served};
 use crate::request::call::{self, Call};
 use crate::request::detour;
 use crate::request::exchange::{Exchange, ExchangeResult, exchange, is_out_of_reach};
 use crate::request::in_flight::{Stage, Tracked};
 use crate::request::refusal;
-use crate::request::sent_to::{Progress, Reached, SentTo, add_sent_to};
+use crate::request::sent_to::{Reached, SentTo, add_sent_to};
 use crate::request::server::Server;
+use crate::request::tries::Tries;
 use crate::request::turns::wait_for_turn;
 use crate::request::view::{Destination, ServiceView};
 
@@ -150,9 +151,9 @@
         Ok(call) => Arc::new(call),
         Err(refusal) => return Handled { call: None, last_sent: None, result: Err(refusal) },
     };
-    let mut progress = Progress::new(new_attempts(&call), call.tried.clone());
-    let result = run(shared, &call, &mut progress).await;
-    Handled { call: Some(call), last_sent: progress.last_sent, result }
+    let mut tries = Tries::new(new_attempts(&call), call.tried.clone());
+    let result = run(shared, &call, &mut tries).await;
+    Handled { call: Some(call), last_sent: tries.last_sent, result }
 }
 
 fn new_attempts(call: &Call) -> Attempts {
@@ -190,19 +191,19 @@
 async fn run(
     shared: &Arc<Shared>,
     call: &Arc<Call>,
-    progress: &mut Progress,
+    tries: &mut Tries,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let mut server_error = None;
     loop {
         if shared.crashes.is_refused(|| call.fingerprint()) {
-            return Err(progress.attempts.to_refusal(Reason::Crashing));
+            return Err(tries.attempts.to_refusal(Reason::Crashing));
         }
         if !has_time(shared, call) {
-            return server_error.ok_or_else(|| stop_refusal(&progress.attempts));
+            return server_error.ok_or_else(|| stop_refusal(&tries.attempts));
         }
         let wait_started_at_ms = shared.clock.now_ms();
         call.tracked.wait_for(Stage::Owner);
-        let found = find_server(shared, call, progress).await;
+        let found = find_server(shared, call, tries).await;
         let waited_ms = shared.clock.now_ms() - wait_started_at_ms;
         let (service, server, permit) = match found {
             Ok(found) => found,
@@ -210,14 +211,14 @@
             Err(refusal) => return server_error.ok_or(refusal),
         };
         if !has_time(shared, call) {
-            return server_error.ok_or_else(|| stop_refusal(&progress.attempts));
+            return server_error.ok_or_else(|| stop_refusal(&tries.attempts));
         }
-        if progress.attempts.failed_attempts() > 0 {
+        if tries.attempts.failed_attempts() > 0 {
             shared.counters.count(Counter::Retries);
         }
         let chosen = &server.registration.incarnation;
         call.tracked.wait_for(Stage::Server(chosen.clone()));
-        let Exchange { result, reached } = send(shared, &server, call, permit, progress).await;
+        let Exchange { result, reached } = send(shared, &server, call, permit, tries).await;
         let server = match &reached {
             Reached::Other(other) => service.servers.get(other).unwrap_or(&server),
             Reached::Chosen | Reached::OneUnknown | Reached::Unknown => &server,
@@ -227,15 +228,15 @@
             ExchangeResult::Answer(mut response) => {
                 let slowness_milli = u64::from(server.slowness_milli());
                 service.state.on_answer(incarnation, slowness_milli, server.rate_limit());
-                log_served(shared, call, server, &reached, &progress.attempts, waited_ms);
-                progress.last_sent = Some(SentTo { server: incarnation.clone(), failure: None });
+                log_served(shared, call, server, &reached, &tries.attempts, waited_ms);
+                tries.last_sent = Some(SentTo { server: incarnation.clone(), failure: None });
                 call.tracked.wait_for(Stage::Caller);
                 response.body_mut().track(&call.tracked);
                 return Ok(response);
             }
             // No other server may run requests for the key, so there is nothing to retry.
             ExchangeResult::ServerError(response) if service.is_keyed => {
-                progress.on_failure(incarnation, Failure::Failed);
+                tries.on_failure(incarnation, Failure::Failed);
                 return Ok(response);
             }
             ExchangeResult::ServerError(response) => {
@@ -243,20 +244,20 @@
                 Failure::Failed
             }
             ExchangeResult::Refused { retry_after_ms } => {
-                let refusal = progress.attempts.to_refusal(Reason::Overloaded);
+                let refusal = tries.attempts.to_refusal(Reason::Overloaded);
                 return Err(refusal.with_retry_after(retry_after_ms));
             }
             ExchangeResult::NoAnswer(failure) => failure,
         };
         log_failure(shared, call, &reached, chosen, failure);
         if reached == Reached::Unknown {
-            progress.attempts.use_up();
+            tries.attempts.use_up();
         }
-        progress.on_failure(incarnation, failure);
-        let next = progress.attempts.on_failure(shared.clock.now_ms(), failure);
+        tries.on_failure(incarnation, failure);
+        let next = tries.attempts.on_failure(shared.clock.now_ms(), failure);
         let has_budget = next != Next::GiveUp && service.state.budget.spend();
         if !has_budget {
-            return server_error.ok_or_else(|| last_refusal(&progress.attempts, failure));
+            return server_error.ok_or_else(|| last_refusal(&tries.attempts, failure));
         }
         if next == Next::Reroute {
             wait_for_change(shared, call, REROUTE_TIMEOUT_MS).await;
@@ -273,11 +274,11 @@
     server: &Arc<Server>,
     call: &Arc<Call>,
     permit: Option<Permit>,
-    progress: &Progress,
+    tries: &Tries,
 ) -> Exchange {
     let deadline = shared.clock.to_instant(call.deadline_ms);
     let (shared, server) = (Arc::clone(shared), Arc::clone(server));
-    let exchange = exchange(shared, server, Arc::clone(call), permit, progress.clone(), deadline);
+    let exchange = exchange(shared, server, Arc::clone(call), permit, tries.clone(), deadline);
     if call.is_idempotent() {
         return exchange.await;
     }
@@ -292,9 +293,9 @@
 async fn find_server(
     shared: &Arc<Shared>,
     call: &Call,
-    progress: &Progress,
+    tries: &Tries,
 ) -> Result<(Arc<ServiceView>, Arc<Server>, Option<Permit>), Refusal> {
-    let Progress { attempts, tried, .. } = progress;
+    let Tries { attempts, tried, .. } = tries;
     let move_deadline_ms = shared.clock.now_ms() + move_timeout_ms(call);
     loop {
         let changed = shared.view_changed().notified();
@@ -441,63 +442,3 @@
     // The next attempt uses the current view in either case.
     let _is_changed = shared.stop.bound(wait_deadline, expected_work_ms(call), changed).await;
 }
-
-fn log_failure(
-    shared: &Shared,
-    call: &Call,
-    reached: &Reached,
-    chosen: &Incarnation,
-    failure: Failure,
-) {
-    let now_ms = shared.clock.now_ms();
-    if !shared.log_sampler.may_write(now_ms, call.id.as_bytes()) {
-        return;
-    }
-    let view = shared.view();
-    let (_, at, _) = call.tracked.describe();
-    spdlog::info!(
-        "attempt failed",
-        kv: {
-            request = call.id.to_str().unwrap_or("-"), route = call.route.name.as_str(),
-            key:? = call.key, server = reached.to_text(chosen), at = at.as_str(),
-            is_relayed = call.is_relayed, failure:? = failure,
-            took_ms = now_ms - call.arrived_at_ms,
-            left_ms = call.deadline_ms.saturating_sub(now_ms),
-            version = view.version(), tables:? = view.tables_version
-        }
-    );
-}
-
-/// Logs a successful request if it was late, retried or sampled.
-fn log_served(
-    shared: &Shared,
-    call: &Call,
-    server: &Server,
-    reached: &Reached,
-    attempts: &Attempts,
-    waited_ms: u64,
-) {
-    let now_ms = shared.clock.now_ms();
-    let took_ms = now_ms - call.arrived_at_ms;
-    let is_late = took_ms > call.route.latency_target_ms;
-    let is_worth_logging =
-        is_late || attempts.failed_attempts() > 0 || is_sampled(call.id.as_bytes());
-    if !is_worth_logging || !shared.log_sampler.may_write(now_ms, call.id.as_bytes()) {
-        return;
-    }
-    let (in_flight, waiting, limit) = server.upstream.occupancy();
-    let view = shared.view();
-    let (_, at, _) = call.tracked.describe();
-    spdlog::info!(
-        "request served",
-        kv: {
-            request = call.id.to_str().unwrap_or("-"), route = call.route.name.as_str(),
-            key:? = call.key, server = reached.to_text(&server.registration.incarnation),
-            at = at.as_str(), is_relayed = call.is_relayed,
-            is_near = server.registration.data_centre == shared.data_centre, took_ms, waited_ms,
-            aim_ms = call.route.latency_target_ms, failed_attempts = attempts.failed_attempts(),
-            in_flight, waiting, limit, slowness: = server.slowness(), version = view.version(),
-            tables:? = view.tables_version
-        }
-    );
-}
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod admission;
 pub(crate) mod answer;
+pub(crate) mod attempt_log;
 pub(crate) mod call;
 pub(crate) mod connection;
 pub(crate) mod detour;
@@ -16,5 +17,6 @@
 pub(crate) mod retry_budget;
 pub(crate) mod sent_to;
 pub(crate) mod server;
+pub(crate) mod tries;
 pub(crate) mod turns;
 pub(crate) mod view;
--- a/crates/gateway/src/request/sent_to.rs
+++ b/crates/gateway/src/request/sent_to.rs
@@ -7,17 +7,7 @@
 use http::header::HeaderName;
 use http::{HeaderMap, HeaderValue};
 use registry::Incarnation;
-use route::{Attempts, Failure};
-
-/// How far a request has come.
-#[derive(Clone, Debug)]
-pub(crate) struct Progress {
-    pub(crate) attempts: Attempts,
-    /// The servers that are not tried again if the request may go to others.
-    pub(crate) tried: Vec<Incarnation>,
-    /// The last server that the request was sent to.
-    pub(crate) last_sent: Option<SentTo>,
-}
+use route::Failure;
 
 /// A server that a request was sent to, and what came of it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -60,21 +50,6 @@
 /// What came of an attempt that the server answered.
 const ANSWERED: &str = "answered";
 
-impl Progress {
-    /// Creates the state of a request before its first attempt here.
-    pub(crate) fn new(attempts: Attempts, tried: Vec<Incarnation>) -> Self {
-        Self { attempts, tried, last_sent: None }
-    }
-
-    /// Notes that an attempt at a server failed.
-    pub(crate) fn on_failure(&mut self, server: &Incarnation, failure: Failure) {
-        self.tried.push(server.clone());
-        if failure != Failure::NotSent {
-            self.last_sent = Some(SentTo { server: server.clone(), failure: Some(failure) });
-        }
-    }
-}
-
 impl Reached {
     /// Returns the server that was sent the request, or the one that was chosen here if it is not
     /// known.
