--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -174,7 +174,7 @@
         let mut connection =
             timeout_at(deadline, self.connect(call.is_on_own_connection))
                 .await
-                .map_err(|_elapsed| Error::report(Category::NotSent, "connecting timed out"))??;
+                .map_err(|_elapsed| Error::elapsed(Category::NotSent, "connecting timed out"))??;
         let mut request = Request::builder()
             .method(call.method)
             .uri(call.path)
@@ -194,7 +194,7 @@
         };
         let answer = timeout_at(deadline, exchange)
             .await
-            .map_err(|_elapsed| Error::report(Category::Unknown, "no complete answer in time"))?
+            .map_err(|_elapsed| Error::elapsed(Category::Unknown, "no complete answer in time"))?
             .map_err(|error| Error::report(Category::Unknown, error))?;
         let is_refused = call.closes_on_refusal && !answer.status().is_success();
         if !is_refused && !call.is_on_own_connection {
