Show that a grant on a long silent connection arrives after it was given up

The soak's links now end a held connection for a client with keepalive probes as the client's kernel would, 3 s after the last bytes of the server, and keep what it had sent: so far a loopback kernel answered the probes for a server that was cut off, and no connection ever ended like that.

--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -1,8 +1,8 @@
 //! A TCP proxy on the loopback interface that injects network faults.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{Duration, sleep, timeout};
+use tokio::time::{Duration, Instant, sleep, sleep_until, timeout};
 
 /// What a link does with connections and bytes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -21,7 +21,9 @@
     Delay,
     /// Holds bytes back in both directions, and the ends of connections too.
     ///
-    /// What a connection sent that was reset meanwhile is dropped.
+    /// What a connection sent that its client has reset meanwhile is dropped. If the client has
+    /// keepalive probes, the connection ends for it as if its kernel had given it up, and what it
+    /// sent still arrives once the mode changes.
     Silence,
     /// Passes bytes to the target and holds back those from it.
     OneWay,
@@ -61,6 +63,11 @@
 const DEFAULT_DELAY_MS: u64 = 60;
 /// More connections than a listener of the shortest queue takes.
 const QUEUED_CONNECTIONS: usize = 4;
+/// How long after the last bytes of its peer a client's kernel gives a connection up: an idle time of
+/// a second and two probes a second apart.
+const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Where Linux lists the connections of this network namespace.
+const CONNECTIONS: &str = "/proc/net/tcp";
 /// How often a link that holds bytes back checks its mode again.
 ///
 /// A connection also stays open this long after one of its ends has closed.
@@ -161,12 +168,22 @@
                 return;
             }
             let Ok(target) = TcpStream::connect(("127.0.0.1", port)).await else { return };
-            let (client_read, client_write) = client.into_split();
-            let (target_read, target_write) = target.into_split();
-            tokio::select! {
-                () = copy(client_read, target_write, &mode, &delay_ms, true) => {}
-                () = copy(target_read, client_write, &mode, &delay_ms, false) => {}
-                _ = reset.changed() => {}
+            let Ok(peer) = client.peer_addr() else { return };
+            let (client_read, mut client_write) = client.into_split();
+            let (target_read, mut target_write) = target.into_split();
+            let path = Path::new(mode, delay_ms);
+            let end = tokio::select! {
+                end = copy(client_read, &mut target_write, &path, true) => end,
+                end = copy(target_read, &mut client_write, &path, false) => end,
+                _ = reset.changed() => CopyEnd::Closed,
+                () = keepalive_timeout(peer, address, &path) => CopyEnd::GivenUp,
+            };
+            if end != CopyEnd::Closed {
+                // Dropping the half would end the connection before closing the socket resets it.
+                client_write.forget();
+            }
+            if end == CopyEnd::GivenUp {
+                path.deliver_held(&mut target_write).await;
             }
         });
     }
@@ -209,52 +226,137 @@
     }
 }
 
+/// A connection through a link, as far as both of its directions know it.
+#[derive(Debug)]
+struct Path {
+    mode: Arc<AtomicU8>,
+    delay_ms: Arc<AtomicU64>,
+    /// What the client has sent and the link holds back.
+    held: Mutex<Vec<u8>>,
+    /// When the last bytes of the target arrived, or when the connection was opened.
+    heard_at: Mutex<Instant>,
+}
+
+/// How a connection through a link ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CopyEnd {
+    /// One of its ends has closed it.
+    Closed,
+    /// The target has reset it.
+    Reset,
+    /// The client's kernel has given it up; the target has not learned of it.
+    GivenUp,
+}
+
+impl Path {
+    fn new(mode: Arc<AtomicU8>, delay_ms: Arc<AtomicU64>) -> Self {
+        Self { mode, delay_ms, held: Mutex::default(), heard_at: Mutex::new(Instant::now()) }
+    }
+
+    fn mode(&self) -> LinkMode {
+        current_mode(&self.mode)
+    }
+
+    fn is_held(&self, is_to_target: bool) -> bool {
+        match self.mode() {
+            LinkMode::Silence | LinkMode::Hang => true,
+            LinkMode::OneWay => !is_to_target,
+            _ => false,
+        }
+    }
+
+    fn set_held(&self, bytes: &[u8]) {
+        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        held.clear();
+        held.extend_from_slice(bytes);
+    }
+
+    fn on_heard(&self) {
+        *self.heard_at.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+    }
+
+    fn keepalive_deadline(&self) -> Instant {
+        *self.heard_at.lock().unwrap_or_else(PoisonError::into_inner) + KEEPALIVE_TIMEOUT
+    }
+
+    /// Sends the target what the link holds back, once the mode allows it.
+    async fn deliver_held(&self, to: &mut OwnedWriteHalf) {
+        let held = std::mem::take(&mut *self.held.lock().unwrap_or_else(PoisonError::into_inner));
+        while self.is_held(true) {
+            sleep(MODE_CHECK_INTERVAL).await;
+        }
+        drop(to.write_all(&held).await);
+        close(to).await;
+    }
+}
+
+/// Waits until the client's kernel gives a connection up because keepalive probes are not answered.
+async fn keepalive_timeout(client: SocketAddr, link: SocketAddr, path: &Path) {
+    loop {
+        sleep_until(path.keepalive_deadline()).await;
+        if path.is_held(false)
+            && Instant::now() >= path.keepalive_deadline()
+            && is_probed(client, link)
+        {
+            return;
+        }
+        sleep(MODE_CHECK_INTERVAL).await;
+    }
+}
+
+/// Returns whether the kernel is to send keepalive probes on a connection of this machine.
+fn is_probed(from: SocketAddr, to: SocketAddr) -> bool {
+    let ports = format!(":{:04X} 0100007F:{:04X} 01 ", from.port(), to.port());
+    // The timer with the number 2 is that of keepalive probes while nothing is unacknowledged.
+    let connections = std::fs::read_to_string(CONNECTIONS).unwrap_or_default();
+    connections.lines().any(|line| line.contains(&ports) && line.contains(" 02:"))
+}
+
 /// Copies bytes in one direction until an end closes, as the mode of the link demands.
 async fn copy(
     mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-    mode: &AtomicU8,
-    delay_ms: &AtomicU64,
+    to: &mut OwnedWriteHalf,
+    path: &Path,
     is_to_target: bool,
-) {
+) -> CopyEnd {
     let mut buffer = vec![0; 16 << 10];
     loop {
         let count = match from.read(&mut buffer).await {
             Ok(0) => break,
             Ok(count) => count,
-            Err(_) if !is_to_target && current_mode(mode) == LinkMode::Pass => {
-                // Dropping the half would end the connection before closing the socket resets it.
-                to.forget();
-                return;
-            }
+            Err(_) if !is_to_target && path.mode() == LinkMode::Pass => return CopyEnd::Reset,
             Err(_) => break,
         };
-        let mut is_held = false;
-        loop {
-            match current_mode(mode) {
-                LinkMode::Pass | LinkMode::Refuse | LinkMode::Closed => break,
-                LinkMode::OneWay if is_to_target => break,
-                LinkMode::Delay => {
-                    sleep(Duration::from_millis(delay_ms.load(Ordering::Relaxed))).await;
-                    break;
-                }
-                LinkMode::Silence | LinkMode::OneWay | LinkMode::Hang => {
-                    is_held = true;
-                    sleep(MODE_CHECK_INTERVAL).await;
-                }
-            }
+        let was_held = path.is_held(is_to_target);
+        if was_held && is_to_target {
+            path.set_held(&buffer[..count]);
         }
-        if is_held && matches!(from.as_ref().take_error(), Ok(Some(_)) | Err(_)) {
+        while path.is_held(is_to_target) {
+            sleep(MODE_CHECK_INTERVAL).await;
+        }
+        if path.mode() == LinkMode::Delay {
+            sleep(Duration::from_millis(path.delay_ms.load(Ordering::Relaxed))).await;
+        }
+        if was_held && matches!(from.as_ref().take_error(), Ok(Some(_)) | Err(_)) {
             break;
         }
+        if !is_to_target {
+            path.on_heard();
+        }
         if to.write_all(&buffer[..count]).await.is_err() {
             break;
         }
     }
-    while matches!(current_mode(mode), LinkMode::Silence | LinkMode::Hang) {
+    while matches!(path.mode(), LinkMode::Silence | LinkMode::Hang) {
         sleep(MODE_CHECK_INTERVAL).await;
     }
-    // Gives the bytes already written time to arrive: returning drops the other direction too.
+    close(to).await;
+    CopyEnd::Closed
+}
+
+/// Ends a direction and gives the bytes already written time to arrive: the caller drops the other
+/// direction too.
+async fn close(to: &mut OwnedWriteHalf) {
     drop(to.shutdown().await);
     sleep(MODE_CHECK_INTERVAL).await;
 }
