--- a/crates/shard/src/abandoned.rs
+++ b/crates/shard/src/abandoned.rs
@@ -8,7 +8,7 @@
 
 /// A grant that was given up unanswered.
 ///
-/// Its connection was reset, but a busy link may deliver what it took before, up to
+/// This process has reset its connection, but a busy link may deliver what it took before, up to
 /// [`Config::max_transit_ms`] later, and the reset may never arrive.
 #[derive(Clone, Debug)]
 pub(crate) struct AbandonedGrant {
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -44,6 +44,8 @@
     closes_on_refusal: bool,
     /// Whether the call has a connection of its own.
     is_on_own_connection: bool,
+    /// Whether the kernel may end the connection while the call waits.
+    is_probed: bool,
 }
 
 /// An open connection; dropping it resets the TCP connection.
@@ -53,6 +55,10 @@
     bound: ByteBound,
     /// The number of failed calls when it was opened.
     failures: u64,
+    /// Whether the kernel sends keepalive probes.
+    is_probed: bool,
+    /// The time from which the connection, while idle, is no longer used.
+    reuse_deadline: Instant,
     _driver_task: AbortOnDropHandle<()>,
 }
 
@@ -71,6 +77,10 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// The number of unanswered keepalive probes after which a connection counts as broken.
 const KEEPALIVE_PROBES: u32 = 2;
+/// How long an idle connection without keepalive probes is used again.
+///
+/// It may have gone silent, which costs the next call its whole timeout.
+const MAX_UNPROBED_IDLE: Duration = Duration::from_secs(3);
 
 impl Call {
     /// Creates a request without a body.
@@ -85,6 +95,7 @@
             max_answer_bytes: DEFAULT_MAX_ANSWER_BYTES,
             closes_on_refusal: false,
             is_on_own_connection: false,
+            is_probed: true,
         }
     }
 
@@ -142,6 +153,17 @@
         self.is_on_own_connection = true;
         self
     }
+
+    /// Lets only the call's own deadline or the peer end the connection.
+    ///
+    /// Keepalive probes would have the kernel end the connection of a peer that is cut off. Then there
+    /// is none to reset, and what was sent still arrives when the cut heals, long after the call has
+    /// failed. For calls that must not be carried out that late.
+    #[must_use]
+    pub fn without_probes(mut self) -> Self {
+        self.is_probed = false;
+        self
+    }
 }
 
 impl Client {
@@ -172,7 +194,7 @@
     async fn send(&self, call: Call) -> Result<Response<Bytes>> {
         let deadline = Instant::now() + Duration::from_millis(call.timeout_ms);
         let mut connection =
-            timeout_at(deadline, self.connect(call.is_on_own_connection))
+            timeout_at(deadline, self.connect(call.is_on_own_connection, call.is_probed))
                 .await
                 .map_err(|_elapsed| Error::elapsed(Category::NotSent, "connecting timed out"))??;
         let mut request = Request::builder()
@@ -203,8 +225,8 @@
         Ok(answer)
     }
 
-    async fn connect(&self, is_on_own_connection: bool) -> Result<Connection> {
-        while !is_on_own_connection && let Some(mut connection) = self.pop_idle() {
+    async fn connect(&self, is_on_own_connection: bool, is_probed: bool) -> Result<Connection> {
+        while !is_on_own_connection && let Some(mut connection) = self.pop_idle(is_probed) {
             if connection.sender.ready().await.is_ok() {
                 return Ok(connection);
             }
@@ -213,7 +235,8 @@
         let stream = TcpStream::connect(self.address)
             .await
             .map_err(|error| Error::report(Category::NotSent, error))?;
-        set_socket_options(&stream).map_err(|error| Error::report(Category::NotSent, error))?;
+        set_socket_options(&stream, is_probed)
+            .map_err(|error| Error::report(Category::NotSent, error))?;
         let (stream, bound) = BoundedStream::new(stream, DEFAULT_MAX_ANSWER_BYTES);
         let (sender, connection) = Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
@@ -228,15 +251,23 @@
             sender,
             bound,
             failures,
+            is_probed,
+            reuse_deadline: Instant::now(),
             _driver_task: AbortOnDropHandle::new(driver_task),
         })
     }
 
-    fn pop_idle(&self) -> Option<Connection> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).connections.pop()
+    /// Takes the connection that was used last, with or without probes, if it can be used again.
+    fn pop_idle(&self, is_probed: bool) -> Option<Connection> {
+        let now = Instant::now();
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.connections.retain(|kept| kept.is_probed || now < kept.reuse_deadline);
+        let position = idle.connections.iter().rposition(|kept| kept.is_probed == is_probed)?;
+        Some(idle.connections.remove(position))
     }
 
-    fn return_idle(&self, connection: Connection) {
+    fn return_idle(&self, mut connection: Connection) {
+        connection.reuse_deadline = Instant::now() + MAX_UNPROBED_IDLE;
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let is_usable = connection.failures == idle.failures && !connection.sender.is_closed();
         if is_usable && idle.connections.len() < MAX_IDLE_CONNECTIONS {
@@ -249,10 +280,13 @@
 ///
 /// A linger time of zero discards unsent bytes when the connection is dropped, so that a call
 /// that was abandoned is not carried out later. Keepalive probes find silent connections.
-fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
+fn set_socket_options(stream: &TcpStream, is_probed: bool) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_linger(Some(Duration::ZERO))?;
+    if !is_probed {
+        return Ok(());
+    }
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
