Let requests wait for keys whose release is about to be answered

Callers got 503 with a Retry-After of 2.8 s for keys that had an owner again 9 ms later.

Cause: a range under release has no holder. If its successor became unusable before the answer, the next one was planned as if the previous holder were silent, and tables named no owner until the last grant had run out.

Such a range now moves as Released while its previous holders are registered and answer orders, so requests wait as in any other move. The test fails before (Nobody for half of the keys). Tests of shard: all pass.

--- a/crates/shard/src/order.rs
+++ b/crates/shard/src/order.rs
@@ -260,10 +260,10 @@
     Leaving,
     /// The holder's data centre is evacuated.
     Evacuated,
-    /// The holder does not answer, or only previous holders may still hold the range.
+    /// The holder, or a previous one that may still hold the range, does not answer.
     Silent,
-    /// The holder has restarted and holds nothing; not in use, as such ranges move as `Silent`.
-    Restarted,
+    /// The last holders are about to release the range, and no usable successor is planned.
+    Released,
     /// The holder's load is above its share.
     Load,
     /// The range joins a larger one beside it.
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -10,6 +10,7 @@
 use crate::contact::{Contact, NextGrant};
 use crate::order::LogEvent;
 use crate::policy::Candidate;
+use crate::range_state::PreviousHolder;
 use crate::{
     Config, EndedHolder, Epoch, Evidence, Fence, Grant, KeyRange, OrderId, OrderKind, Output,
     Release, Reply,
@@ -341,6 +342,14 @@
             || self.now_ms < self.grant_deadline_ms(incarnation, range, answered_deadline_ms)
     }
 
+    /// Returns whether a previous holder is expected to answer a release soon.
+    pub(crate) fn may_answer(&self, previous: &PreviousHolder) -> bool {
+        let incarnation = &previous.incarnation;
+        self.servers.registry.get(incarnation).is_some()
+            && !self.orders.is_silent(incarnation)
+            && self.orders.contact(incarnation).failures() < self.config.max_failures
+    }
+
     /// Returns the latest server at each address.
     pub(crate) fn latest_by_address(&self) -> HashMap<SocketAddr, &'a Incarnation> {
         let mut latest: HashMap<SocketAddr, &'a Incarnation> = HashMap::default();
--- a/crates/shard/src/planning.rs
+++ b/crates/shard/src/planning.rs
@@ -115,6 +115,8 @@
         let Some(holder) = &state.holder else {
             return Some(if state.previous_holders.is_empty() {
                 MoveReason::Free
+            } else if state.previous_holders.iter().all(|previous| pass.may_answer(previous)) {
+                MoveReason::Released
             } else {
                 MoveReason::Silent
             });
--- a/crates/shard/tests/evacuated_keys.rs
+++ b/crates/shard/tests/evacuated_keys.rs
@@ -194,6 +194,22 @@
     assert_eq!(harness.owners(), ["a1", "a2"].map(Name::from));
 }
 
+/// Guards against callers that are refused for the length of a grant although a release is about to
+/// be answered.
+#[test]
+fn keys_under_release_are_moving_when_their_successor_is_evacuated() {
+    let mut harness = Harness::new(&["a", "b"]);
+    harness.answers_releases = false;
+    harness.evacuate(&["a"]);
+    harness.run(3 * TICK_MS);
+    harness.evacuate(&["b"]);
+    harness.run(TICK_MS);
+    let table = harness.leader.table(SERVICE, harness.now_ms).unwrap();
+    let has_moving = table.spans.iter().any(|span| matches!(span.owner, Owner::Moving(_)));
+    let has_none = table.spans.iter().any(|span| matches!(span.owner, Owner::Nobody { .. }));
+    assert!(has_moving && !has_none, "{table:?}");
+}
+
 #[test]
 fn keys_of_the_only_data_centre_stay() {
     let mut harness = Harness::new(&["a"]);
