Let a soak link end a call only after 3 s of silence, and deliver it once

A link that played a kernel's time-out counted from the last bytes of the target, although probes are answered while the link passes bytes, so a short cut ended every call that had waited for long. And it kept the bytes that an earlier cut had held back after they had been delivered, and delivered them again.

--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{Duration, Instant, sleep, sleep_until, timeout};
+use tokio::time::{Duration, Instant, sleep, timeout};
 
 /// What a link does with connections and bytes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -63,7 +63,7 @@
 const DEFAULT_DELAY_MS: u64 = 60;
 /// More connections than a listener of the shortest queue takes.
 const QUEUED_CONNECTIONS: usize = 4;
-/// How long after the last bytes of its peer a client's kernel gives a connection up: an idle time of
+/// How long after the last answer of its peer a client's kernel gives a connection up: an idle time of
 /// a second and two probes a second apart.
 const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Where Linux lists the connections of this network namespace.
@@ -233,8 +233,6 @@
     delay_ms: Arc<AtomicU64>,
     /// What the client has sent and the link holds back.
     held: Mutex<Vec<u8>>,
-    /// When the last bytes of the target arrived, or when the connection was opened.
-    heard_at: Mutex<Instant>,
 }
 
 /// How a connection through a link ends.
@@ -250,7 +248,7 @@
 
 impl Path {
     fn new(mode: Arc<AtomicU8>, delay_ms: Arc<AtomicU64>) -> Self {
-        Self { mode, delay_ms, held: Mutex::default(), heard_at: Mutex::new(Instant::now()) }
+        Self { mode, delay_ms, held: Mutex::default() }
     }
 
     fn mode(&self) -> LinkMode {
@@ -271,14 +269,6 @@
         held.extend_from_slice(bytes);
     }
 
-    fn on_heard(&self) {
-        *self.heard_at.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
-    }
-
-    fn keepalive_deadline(&self) -> Instant {
-        *self.heard_at.lock().unwrap_or_else(PoisonError::into_inner) + KEEPALIVE_TIMEOUT
-    }
-
     /// Sends the target what the link holds back, once the mode allows it.
     async fn deliver_held(&self, to: &mut OwnedWriteHalf) {
         let held = std::mem::take(&mut *self.held.lock().unwrap_or_else(PoisonError::into_inner));
@@ -291,16 +281,26 @@
 }
 
 /// Waits until the client's kernel gives a connection up because keepalive probes are not answered.
+///
+/// Linux waits longer while sent bytes are not acknowledged; the users' platform does not.
+///
+/// While the link passes bytes, probes are answered too.
 async fn keepalive_timeout(client: SocketAddr, link: SocketAddr, path: &Path) {
+    let mut held_since = None;
     loop {
-        sleep_until(path.keepalive_deadline()).await;
-        if path.is_held(false)
-            && Instant::now() >= path.keepalive_deadline()
-            && is_probed(client, link)
-        {
+        sleep(MODE_CHECK_INTERVAL).await;
+        if !path.is_held(false) {
+            held_since = None;
+            continue;
+        }
+        let deadline = *held_since.get_or_insert_with(Instant::now) + KEEPALIVE_TIMEOUT;
+        if Instant::now() < deadline {
+            continue;
+        }
+        if is_probed(client, link) {
             return;
         }
-        sleep(MODE_CHECK_INTERVAL).await;
+        held_since = None;
     }
 }
 
@@ -337,12 +337,12 @@
         if path.mode() == LinkMode::Delay {
             sleep(Duration::from_millis(path.delay_ms.load(Ordering::Relaxed))).await;
         }
+        if was_held && is_to_target {
+            path.set_held(&[]);
+        }
         if was_held && matches!(from.as_ref().take_error(), Ok(Some(_)) | Err(_)) {
             break;
         }
-        if !is_to_target {
-            path.on_heard();
-        }
         if to.write_all(&buffer[..count]).await.is_err() {
             break;
         }
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -156,7 +156,7 @@
 
     /// Lets only the call's own deadline or the peer end the connection.
     ///
-    /// Keepalive probes would have the kernel end the connection of a peer that is cut off. Then there
+    /// Keepalive probes may have the kernel end the connection of a peer that is cut off. Then there
     /// is none to reset, and what was sent still arrives when the cut heals, long after the call has
     /// failed. For calls that must not be carried out that late.
     #[must_use]
