Close idle connections without probes after 3 s

A task per client now closes them in time.

A grant whose answer is an extra one of an earlier grant can still arrive up to 3 s after it was sent.

--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -1,7 +1,7 @@
 //! The HTTP client, which reads each answer as a whole.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError, Weak};
 
 use bytes::Bytes;
 use http::{Method, Request, Response};
@@ -10,7 +10,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
-use tokio::time::{Duration, Instant, timeout_at};
+use tokio::time::{Duration, Instant, sleep_until, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{BoundedStream, ByteBound, Category, Error, Result};
@@ -29,6 +29,8 @@
     /// The number of failed calls so far. Connections that were opened before the last failure are
     /// not used again.
     failures: u64,
+    /// Closes the connections without probes that have been idle for too long.
+    closing_task: Option<AbortOnDropHandle<()>>,
 }
 
 /// A request to send with [`Client::call`].
@@ -77,9 +79,9 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// The number of unanswered keepalive probes after which a connection counts as broken.
 const KEEPALIVE_PROBES: u32 = 2;
-/// How long an idle connection without keepalive probes is used again.
+/// How long an idle connection without keepalive probes is kept.
 ///
-/// It may have gone silent, which costs the next call its whole timeout.
+/// It may have gone silent, which costs the next call its whole timeout and holds a descriptor.
 const MAX_UNPROBED_IDLE: Duration = Duration::from_secs(3);
 
 impl Call {
@@ -259,9 +261,8 @@
 
     /// Takes the connection that was used last, with or without probes, if it can be used again.
     fn pop_idle(&self, is_probed: bool) -> Option<Connection> {
-        let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.connections.retain(|kept| kept.is_probed || now < kept.reuse_deadline);
+        idle.close_unused(Instant::now());
         let position = idle.connections.iter().rposition(|kept| kept.is_probed == is_probed)?;
         Some(idle.connections.remove(position))
     }
@@ -270,9 +271,37 @@
         connection.reuse_deadline = Instant::now() + MAX_UNPROBED_IDLE;
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let is_usable = connection.failures == idle.failures && !connection.sender.is_closed();
-        if is_usable && idle.connections.len() < MAX_IDLE_CONNECTIONS {
-            idle.connections.push(connection);
+        if !is_usable || idle.connections.len() >= MAX_IDLE_CONNECTIONS {
+            return;
         }
+        let must_be_closed = !connection.is_probed;
+        idle.connections.push(connection);
+        let is_closing = idle.closing_task.as_ref().is_some_and(|task| !task.is_finished());
+        if must_be_closed && !is_closing {
+            let task = tokio::spawn(close_unused(Arc::downgrade(&self.idle)));
+            idle.closing_task = Some(AbortOnDropHandle::new(task));
+        }
+    }
+}
+
+impl Idle {
+    /// Closes the connections without probes that have been idle for too long, and returns when the
+    /// next one will have been.
+    fn close_unused(&mut self, now: Instant) -> Option<Instant> {
+        self.connections.retain(|kept| kept.is_probed || now < kept.reuse_deadline);
+        let unprobed = self.connections.iter().filter(|kept| !kept.is_probed);
+        unprobed.map(|kept| kept.reuse_deadline).min()
+    }
+}
+
+/// Closes a client's connections without probes as they become too old, until there is none.
+async fn close_unused(idle: Weak<Mutex<Idle>>) {
+    loop {
+        let Some(idle) = idle.upgrade() else { return };
+        let next = idle.lock().unwrap_or_else(PoisonError::into_inner).close_unused(Instant::now());
+        drop(idle);
+        let Some(deadline) = next else { return };
+        sleep_until(deadline).await;
     }
 }
 
--- a/crates/web/tests/silent_connections.rs
+++ b/crates/web/tests/silent_connections.rs
@@ -12,6 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Barrier;
 use tokio::task::JoinSet;
+use tokio::time::{Duration, timeout};
 use web::{Call, Client};
 
 /// The number of idle connections that go silent.
@@ -21,6 +22,9 @@
 /// The timeout of calls that are answered; far above what a loaded machine needs.
 const ANSWERED_TIMEOUT_MS: u64 = 20_000;
 
+/// More than the time for which an idle connection without probes is kept.
+const IDLE_BOUND: Duration = Duration::from_secs(10);
+
 /// Answers all requests until `is_silent` is set, then only those on new connections.
 async fn serve(listener: TcpListener, is_silent: Arc<AtomicBool>, barrier: Arc<Barrier>) {
     loop {
@@ -75,6 +79,25 @@
     expect_that!(next_call.is_ok(), eq(true), "the next call uses a new connection");
 }
 
+/// Guards against connections to peers that vanished, which no probe ends.
+#[googletest::test]
+#[tokio::test]
+async fn idle_connection_without_probes_is_closed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = Client::new(listener.local_addr().unwrap());
+    let call = tokio::spawn({
+        let client = client.clone();
+        async move { client.call(get(ANSWERED_TIMEOUT_MS).without_probes()).await.is_ok() }
+    });
+    let (mut stream, _) = listener.accept().await.unwrap();
+    stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await.unwrap();
+    assert_that!(call.await.unwrap(), eq(true));
+    let mut request = Vec::new();
+    let end = timeout(IDLE_BOUND, stream.read_to_end(&mut request)).await;
+    expect_that!(end.is_ok(), eq(true), "the client keeps the connection");
+    drop(client);
+}
+
 fn get(timeout_ms: u64) -> Call {
     Call::new(Method::GET, "/").timeout_ms(timeout_ms)
 }
