--- a/crates/shard/src/order.rs
+++ b/crates/shard/src/order.rs
@@ -61,7 +61,7 @@
     Done(Option<Handover>),
     /// The server refused the order because it has seen a higher fence.
     Fenced,
-    /// The order never reached the server.
+    /// The order never reached the server, or the server says that it did not carry it out.
     NotSent,
     /// What listens at the server's address says that the order is not for it.
     Misdirected,
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::Bytes;
-use http::{Method, Request, Response};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -40,7 +40,7 @@
     body: Bytes,
     timeout_ms: u64,
     max_answer_bytes: u64,
-    /// Whether the connection is closed unless the call succeeds.
+    /// Whether the connection is closed unless the answer has status 200.
     closes_on_refusal: bool,
     /// Whether the call has a connection of its own.
     is_on_own_connection: bool,
@@ -135,7 +135,7 @@
         self
     }
 
-    /// Closes the connection after an answer with a status other than 2xx.
+    /// Closes the connection after an answer with a status other than 200.
     ///
     /// A faulty server may write the answer once more, for which the next call would take it.
     #[must_use]
@@ -218,7 +218,7 @@
             .await
             .map_err(|_elapsed| Error::elapsed(Category::Unknown, "no complete answer in time"))?
             .map_err(|error| Error::report(Category::Unknown, error))?;
-        let is_refused = call.closes_on_refusal && !answer.status().is_success();
+        let is_refused = call.closes_on_refusal && answer.status() != StatusCode::OK;
         if !is_refused && !call.is_on_own_connection {
             self.return_idle(connection);
         }
