Count only the answer to the last release of a previous holder

Callers saw, or could see, OWNER: a key is given on while its last holder still works on it.

Cause: the answer to a release counted for any previous holder of an overlapping range at the same server. The answer to a probe of key 0, or to an earlier release that outlived its range's move, ended the wait for a later release that was not answered yet.

A previous holder now remembers the fence of the last release that it was sent, and only the answer to that one counts. No fence is used twice by a leader, so it names the order.

Evidence: release_answers fails on the code before ("the first server still works on its keys") and passes now, with the other tests of shard.

--- a/crates/shard/src/answers.rs
+++ b/crates/shard/src/answers.rs
@@ -141,7 +141,9 @@
     ) {
         for state in self.ranges.iter_mut().filter(|state| state.range.overlaps(release.range)) {
             let previous = state.previous_holders.iter().position(|previous| {
-                previous.incarnation == order.incarnation && previous.release_at_ms.is_none()
+                previous.incarnation == order.incarnation
+                    && previous.release_at_ms.is_none()
+                    && previous.released_with == Some(release.fence)
             });
             let Some(index) = previous else { continue };
             if let Reply::Done(handover) = reply {
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -465,6 +465,7 @@
             let deadline_ms =
                 pass.grant_deadline_ms(&previous.incarnation, range, previous.grant_deadline_ms);
             let fence = pass.fences.next();
+            previous.released_with = Some(fence);
             pass.send_release(&previous.incarnation, Release { range, fence }, deadline_ms);
         }
         true
--- a/crates/shard/src/range_state.rs
+++ b/crates/shard/src/range_state.rs
@@ -50,6 +50,10 @@
     pub(crate) grant_deadline_ms: u64,
     /// When to send the next release; `None` while one is not answered yet.
     pub(crate) release_at_ms: Option<u64>,
+    /// The fence of the last release, the only one whose answer counts.
+    ///
+    /// An earlier release, or a probe of the server, may be answered before this one.
+    pub(crate) released_with: Option<Fence>,
     /// Whether the last release that was answered reached another process. A server refuses no
     /// release of its own.
     pub(crate) is_misdirected: bool,
@@ -219,6 +223,7 @@
             incarnation,
             grant_deadline_ms,
             release_at_ms: Some(release_at_ms),
+            released_with: None,
             is_misdirected: false,
             is_checked: false,
         }
--- /dev/null
+++ b/crates/shard/tests/release_answers.rs
@@ -0,0 +1,85 @@
+//! Guards against keys that are given on while their last holder works on them, since the answer to
+//! another release counts as that to the one that is awaited.
+mod fixture;
+
+use crate::fixture::{SERVICE, TICK_MS, incarnation, registration, registry, step_with_writes};
+use document::HashMap;
+use registry::{Registry, Stage};
+use shard::{
+    Config, Epoch, Event, KeyRange, Leader, OrderId, OrderKind, Output, Owner, Reply, Servers,
+};
+
+struct Harness {
+    now_ms: u64,
+    leader: Leader,
+    registry: Registry,
+    /// Whether grants reach the first server.
+    is_first_reached: bool,
+    /// Releases that the first server has not answered.
+    releases: Vec<(OrderId, KeyRange)>,
+}
+
+impl Harness {
+    fn step(&mut self, event: Event) {
+        let speeds = HashMap::default();
+        let servers = Servers { registry: &self.registry, speeds: &speeds };
+        for output in step_with_writes(&mut self.leader, self.now_ms, servers, event) {
+            let Output::Order { id, server, kind, .. } = output else { continue };
+            let is_first = server.incarnation == incarnation("s1");
+            let reply = match kind {
+                OrderKind::Release(release) if is_first => {
+                    self.releases.push((id, release.range));
+                    continue;
+                }
+                OrderKind::Grant(_) if is_first && !self.is_first_reached => Reply::NotSent,
+                _ => Reply::Done(None),
+            };
+            self.step(Event::Answered(id, reply));
+        }
+    }
+
+    fn run(&mut self, for_ms: u64) {
+        for _ in 0..for_ms / TICK_MS {
+            self.now_ms += TICK_MS;
+            self.step(Event::Tick);
+        }
+    }
+
+    fn owns_first_key(&self, name: &str) -> bool {
+        let table = self.leader.table(SERVICE, self.now_ms).unwrap();
+        table.spans[0].owner == Owner::Server(incarnation(name))
+    }
+}
+
+#[test]
+fn answer_to_probe_is_not_that_to_the_next_release() {
+    let mut leader = Leader::new(Epoch(5), 0, u64::MAX, &[], Config::default());
+    leader.add_service(&SERVICE.into());
+    let registry = registry(["s1", "s2"].map(String::from));
+    let releases = Vec::new();
+    let mut harness = Harness { now_ms: 0, leader, registry, is_first_reached: false, releases };
+    while harness.releases.is_empty() {
+        harness.run(TICK_MS);
+        assert!(harness.now_ms < 10_000, "the silent server is probed");
+    }
+    let (probe, range) = harness.releases.remove(0);
+    assert_eq!(range, KeyRange::FIRST);
+    let probe_deadline_ms = harness.now_ms + Config::default().order_timeout_ms;
+    harness.is_first_reached = true;
+    harness.registry.put(harness.now_ms, "s2", registration("s2", Stage::Draining));
+    harness.run(100);
+    assert!(harness.owns_first_key("s1"));
+    harness.registry.put(harness.now_ms, "s3", registration("s3", Stage::Ready));
+    harness.registry.put(harness.now_ms, "s1", registration("s1", Stage::Draining));
+    while harness.releases.is_empty() {
+        harness.run(TICK_MS);
+        assert!(harness.now_ms < probe_deadline_ms, "the probe is answered in time");
+    }
+    let (release, _) = harness.releases[0];
+    harness.step(Event::Answered(probe, Reply::Done(None)));
+    harness.run(100);
+    assert!(!harness.owns_first_key("s3"), "the first server still works on its keys");
+    harness.step(Event::Answered(release, Reply::Done(None)));
+    harness.run(100);
+    assert!(harness.owns_first_key("s3"));
+}
