Let only a restart at the same address end the wait for a server

Callers saw, or could see, OWNER: two servers hold a key. An entry with a server's name, a later start and another address took the place of the previous holder. The process at the new address had nothing to release and said so at once, although the earlier process may still run and hold the keys: the entry may be of another writer.

Cause: a later incarnation counted as proof that the earlier one has ended. It is one at the same address only, where the later process answers. Else the release now goes to the earlier address, and the keys wait for its answer, a refusal by a later server at that address, or the end of the last grant. A restart at the same address is handled as before. A leader that does not know the earlier address, since the server restarted before it was elected, waits for the end of grants of earlier leaders.

--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -251,7 +251,7 @@
 
     /// Starts the release of ranges whose holder has restarted, since it lost them.
     ///
-    /// Previous holders that have restarted are replaced by their later incarnation.
+    /// Previous holders that have restarted at their address are replaced by their later incarnation.
     fn replace_restarted_holders(&mut self, pass: &PassContext<'_>) {
         let registry = pass.servers.registry;
         for state in &mut self.ranges {
@@ -264,11 +264,13 @@
                 self.is_changed = true;
                 self.is_planning_due = true;
             }
-            // The earlier incarnation holds nothing. Grants for it reach the later one if that
-            // has the same address, so the later one may hold the range and has to release it.
+            // A later incarnation at the same address shows that the earlier one has ended. Grants
+            // for that reach the later one, which may hold the range and has to release it. At
+            // another address the earlier one may still run and hold the range.
             for previous in &mut state.previous_holders {
                 if let Some(later) = registry.by_name(&previous.incarnation.server)
                     && later.incarnation.born_ms > previous.incarnation.born_ms
+                    && pass.address(&previous.incarnation) == Some(later.address)
                 {
                     let later = later.incarnation.clone();
                     let deadline_ms = previous.grant_deadline_ms;
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -341,6 +341,13 @@
             || self.now_ms < self.grant_deadline_ms(incarnation, range, answered_deadline_ms)
     }
 
+    /// Returns the address of a server that is or was registered; `None` if it is not known.
+    pub(crate) fn address(&self, incarnation: &Incarnation) -> Option<SocketAddr> {
+        let current = self.servers.registry.get(incarnation);
+        let server = current.or_else(|| self.orders.servers.get(incarnation));
+        server.map(|server| server.address)
+    }
+
     /// Returns the latest server at each address.
     pub(crate) fn latest_by_address(&self) -> HashMap<SocketAddr, &'a Incarnation> {
         let mut latest: HashMap<SocketAddr, &'a Incarnation> = HashMap::default();
--- a/crates/shard/tests/reused_address.rs
+++ b/crates/shard/tests/reused_address.rs
@@ -80,6 +80,21 @@
         self.table().spans.iter().all(|span| span.owner == owner)
     }
 
+    fn is_served(&self) -> bool {
+        self.table().spans.iter().all(|span| matches!(span.owner, Owner::Server(_)))
+    }
+
+    /// Registers a later incarnation of the first server at an address.
+    fn restart_at(&mut self, name: &str, first: First) {
+        self.run(5_000);
+        self.first = first;
+        let later = Incarnation { server: "s1".into(), born_ms: 9 };
+        let registration = registration("s1", Stage::Ready);
+        let later = Registration { incarnation: later, address: address(name), ..registration };
+        self.registry.put(self.now_ms, "s1", later);
+        self.run(300);
+    }
+
     /// Removes the first server's entry, and lets another one register at an address after 2 s.
     fn replace_at(&mut self, name: &str, before: First, after: First) {
         self.run(5_000);
@@ -135,3 +150,22 @@
     harness.replace_at("s7", First::Lost, First::Replaced);
     assert!(!harness.is_served_by_second(), "{:?}", harness.table());
 }
+
+#[test]
+fn keys_of_restarted_server_move_at_once() {
+    let mut harness = Harness::new();
+    harness.restart_at("s1", First::Lost);
+    assert!(harness.is_served(), "{:?}", harness.table());
+}
+
+/// Guards against two owners after another writer registers a running server at another address.
+#[test]
+fn later_entry_at_another_address_proves_nothing() {
+    for first in [First::Runs, First::Lost] {
+        let mut harness = Harness::new();
+        harness.restart_at("s7", first);
+        assert!(!harness.is_served(), "{first:?} {:?}", harness.table());
+        harness.run(if first == First::Runs { WORK_MS } else { 2 * Config::default().grant_ms });
+        assert!(harness.is_served(), "{first:?} {:?}", harness.table());
+    }
+}
