--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -350,6 +350,13 @@
             && self.orders.contact(incarnation).failures() < self.config.max_failures
     }
 
+    /// Returns the address of a server that is or was registered; `None` if it is not known.
+    pub(crate) fn address(&self, incarnation: &Incarnation) -> Option<SocketAddr> {
+        let current = self.servers.registry.get(incarnation);
+        let server = current.or_else(|| self.orders.servers.get(incarnation));
+        server.map(|server| server.address)
+    }
+
     /// Returns the latest server at each address.
     pub(crate) fn latest_by_address(&self) -> HashMap<SocketAddr, &'a Incarnation> {
         let mut latest: HashMap<SocketAddr, &'a Incarnation> = HashMap::default();
