Keep grants that were given up until their last deadline

Cause: a grant that was given up was forgotten once it could no longer arrive, 2 s later. From then on a release was sent to its server, and the answer ended the wait. The server could apply the queued grant after that.

Fix: such a grant is kept until its last possible deadline, or until its server accepts a grant with a higher fence. Until then no release is sent, so that none is answered too early. Grants in transit still end at their last arrival where only an arrival matters (a later server at the address).

So that keys wait no longer than needed, silent previous holders are sent short grants too, one at a time, while none can make the keys wait longer.

--- a/crates/shard/src/abandoned.rs
+++ b/crates/shard/src/abandoned.rs
@@ -1,4 +1,4 @@
-//! Grants that were given up unanswered and may still arrive.
+//! Grants that were given up unanswered and may still take effect.
 
 use document::Name;
 use registry::Incarnation;
@@ -9,7 +9,8 @@
 /// A grant that was given up unanswered.
 ///
 /// This process has reset its connection, but a busy link may deliver what it took before, up to
-/// [`Config::max_transit_ms`] later, and the reset may never arrive.
+/// [`Config::max_transit_ms`] later, and the reset may never arrive. A server may apply a grant
+/// seconds after it arrived, even after a release, but its time counts from its arrival.
 #[derive(Clone, Debug)]
 pub(crate) struct AbandonedGrant {
     pub(crate) service: Name,
@@ -19,9 +20,11 @@
     grant_ms: u64,
     /// The last time at which it may arrive.
     last_arrival_ms: u64,
+    /// Whether it counts as arrived for the ranges of its server.
+    is_counted: bool,
 }
 
-/// All grants that were given up and may still arrive.
+/// All grants that were given up and may still take effect.
 #[derive(Debug, Default)]
 pub(crate) struct AbandonedGrants(Vec<AbandonedGrant>);
 
@@ -52,16 +55,25 @@
             fence: grant.fence,
             grant_ms: grant.grant_ms,
             last_arrival_ms: now_ms + config.max_transit_ms,
+            is_counted: false,
         });
     }
 
-    /// Removes and returns the grants that no longer arrive.
-    pub(crate) fn remove_late(&mut self, now_ms: u64) -> Vec<AbandonedGrant> {
-        self.0.extract_if(.., |grant| grant.last_arrival_ms <= now_ms).collect()
+    /// Removes expired grants and returns those whose last arrival has passed since the last call.
+    pub(crate) fn count_arrived(&mut self, now_ms: u64, config: &Config) -> Vec<AbandonedGrant> {
+        self.0.retain(|grant| grant.deadline_ms(config) > now_ms);
+        let is_due =
+            |grant: &&mut AbandonedGrant| !grant.is_counted && grant.last_arrival_ms <= now_ms;
+        let due = self.0.iter_mut().filter(is_due);
+        due.map(|grant| {
+            grant.is_counted = true;
+            grant.clone()
+        })
+        .collect()
     }
 
     /// Removes and returns the grants that a server refuses because it has accepted a later one,
-    /// as if they had arrived just now.
+    /// as if they had arrived just now, unless they cannot have arrived that late.
     ///
     /// Nothing else shows that a grant cannot take effect: the answer of another server tells
     /// nothing about the links in between, and orders may overtake each other.
@@ -83,15 +95,21 @@
         }
         let to_arrived = |grant: AbandonedGrant| AbandonedGrant {
             range: grant.range.intersection(accepted.range).unwrap_or(grant.range),
-            last_arrival_ms: now_ms,
+            last_arrival_ms: now_ms.min(grant.last_arrival_ms),
             ..grant
         };
         fenced.into_iter().map(to_arrived).collect()
     }
 
     /// Returns whether a grant to a server may still arrive.
-    pub(crate) fn may_arrive(&self, incarnation: &Incarnation, range: KeyRange) -> bool {
-        self.0.iter().any(|grant| grant.may_reach(incarnation, range))
+    pub(crate) fn may_arrive(
+        &self,
+        now_ms: u64,
+        incarnation: &Incarnation,
+        range: KeyRange,
+    ) -> bool {
+        let mut reaching = self.0.iter().filter(|grant| grant.may_reach(incarnation, range));
+        reaching.any(|grant| now_ms < grant.last_arrival_ms)
     }
 
     /// Returns the times until which grants to a server may be valid.
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -342,7 +342,7 @@
                     holder.failures < pass.config.max_failures
                         && pass.orders.contact(&holder.incarnation).failures()
                             < pass.config.max_failures
-                        && pass.may_abandoned_grant_arrive(&holder.incarnation, state.range)
+                        && pass.may_abandoned_grant_apply(&holder.incarnation, state.range)
                 });
             match state.next_step(pass.now_ms, may_hold, is_fencing, self.durable_record) {
                 NextStep::Wait => {}
@@ -458,9 +458,9 @@
         if is_due && is_only_holder {
             fence_abandoned_grants(previous, range, pass);
         }
-        // A grant that arrives after the release would be taken again: a server may count only
-        // grants' fences as seen.
-        if is_due && !pass.may_grant_arrive(&previous.incarnation, range) {
+        // A grant that is applied after the release would be taken again: a server may count only
+        // grants' fences as seen, and may apply a grant seconds after it arrived.
+        if is_due && !pass.may_grant_apply(&previous.incarnation, range) {
             previous.release_at_ms = None;
             let deadline_ms =
                 pass.grant_deadline_ms(&previous.incarnation, range, previous.grant_deadline_ms);
@@ -484,9 +484,8 @@
     let last_arrival_ms = pass.now_ms + config.order_timeout_ms + config.max_transit_ms;
     let deadline_ms = config.grant_deadline_ms(last_arrival_ms, config.short_grant_ms);
     let known_deadline_ms = pass.grant_deadline_ms(incarnation, range, previous.grant_deadline_ms);
-    // Silent servers are not sent one, nor are those whose keys would have to wait longer for it.
-    if !pass.may_abandoned_grant_arrive(incarnation, range)
-        || pass.orders.is_silent(incarnation)
+    // A silent server is sent one too, as it may answer again. No keys wait longer for it.
+    if !pass.may_abandoned_grant_apply(incarnation, range)
         || pass.orders.contact(incarnation).awaits_answer()
         || deadline_ms > known_deadline_ms
     {
@@ -521,7 +520,7 @@
         return;
     }
     // Once the server accepts a higher fence, it refuses a grant that was given up.
-    if holder.refusals > 0 || pass.may_abandoned_grant_arrive(&holder.incarnation, range) {
+    if holder.refusals > 0 || pass.may_abandoned_grant_apply(&holder.incarnation, range) {
         holder.renew_fence(pass.fences.next());
     }
     holder.renew_at_ms = pass.now_ms + pass.config.renew_interval_ms;
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -108,7 +108,7 @@
 
     /// Records whether a server answers orders.
     ///
-    /// Returns the abandoned grants that can no longer take effect from now on.
+    /// Returns the abandoned grants that can no longer arrive, or that the server now refuses.
     pub(crate) fn on_reply(
         &mut self,
         now_ms: u64,
@@ -133,7 +133,7 @@
         } else {
             self.majority_silent_since_ms = None;
         }
-        let mut ended = self.abandoned.remove_late(now_ms);
+        let mut ended = self.abandoned.count_arrived(now_ms, config);
         match (reply, &order.kind) {
             (Reply::Unknown, OrderKind::Grant(grant)) => {
                 self.abandoned.add(now_ms, order, grant, config);
@@ -235,6 +235,12 @@
         pending.chain(abandoned).max().unwrap_or(0)
     }
 
+    /// Returns whether a grant to a server that was not answered may still arrive.
+    fn may_grant_arrive(&self, now_ms: u64, incarnation: &Incarnation, range: KeyRange) -> bool {
+        self.pending.values().any(|order| order.is_grant_to(incarnation, range))
+            || self.abandoned.may_arrive(now_ms, incarnation, range)
+    }
+
     /// Returns the time until which unanswered grants to a server may be valid; 0 if none.
     ///
     /// Grants to any incarnation of the server count: they reach the one that runs on arrival.
@@ -260,6 +266,12 @@
 }
 
 impl PendingOrder {
+    /// Returns whether the order is a grant that reaches a server, whichever incarnation runs.
+    fn is_grant_to(&self, incarnation: &Incarnation, range: KeyRange) -> bool {
+        self.incarnation.server == incarnation.server
+            && matches!(&self.kind, OrderKind::Grant(grant) if grant.range.overlaps(range))
+    }
+
     pub(crate) fn new(
         service: &Name,
         incarnation: &Incarnation,
@@ -367,22 +379,24 @@
         let address = self.orders.servers.get(incarnation)?.address;
         let later = latest.get(&address).filter(|later| later.born_ms > incarnation.born_ms)?;
         let may_hold = self.servers.registry.get(incarnation).is_some()
-            || self.may_grant_arrive(incarnation, range);
+            || self.orders.may_grant_arrive(self.now_ms, incarnation, range);
         (!may_hold).then_some(*later)
     }
 
-    /// Returns whether a grant to a server that was given up may still arrive.
-    pub(crate) fn may_abandoned_grant_arrive(
+    /// Returns whether a grant to a server that was given up may still take effect.
+    pub(crate) fn may_abandoned_grant_apply(
         &self,
         incarnation: &Incarnation,
         range: KeyRange,
     ) -> bool {
-        self.orders.abandoned.may_arrive(incarnation, range)
+        let mut deadlines = self.orders.abandoned.deadlines_ms(incarnation, range, self.config);
+        deadlines.any(|deadline_ms| self.now_ms < deadline_ms)
     }
 
-    /// Returns whether a grant to a server that was not answered may still arrive.
-    pub(crate) fn may_grant_arrive(&self, incarnation: &Incarnation, range: KeyRange) -> bool {
-        self.orders.pending_grant_deadline_ms(incarnation, range, self.config) > 0
+    /// Returns whether a grant to a server that was not answered may still take effect.
+    pub(crate) fn may_grant_apply(&self, incarnation: &Incarnation, range: KeyRange) -> bool {
+        let orders = &self.orders;
+        self.now_ms < orders.pending_grant_deadline_ms(incarnation, range, self.config)
     }
 
     /// Logs that a server counts as done with a range that it has not released.
--- /dev/null
+++ b/crates/shard/tests/queued_grants.rs
@@ -0,0 +1,128 @@
+//! Guards against a second holder while a server has queued a grant that it did not answer.
+//!
+//! The server applies the grant later, even after releases, unless it has accepted a higher fence.
+//! The time of the grant counts from its arrival.
+mod fixture;
+
+use crate::fixture::{SERVICE, TICK_MS, incarnation, registry, step_with_writes};
+use document::HashMap;
+use registry::Registry;
+use shard::{
+    Config, Epoch, Event, Fence, KeyRange, Leader, OrderId, OrderKind, Output, Reply, Servers,
+};
+
+/// When `s1` begins to queue grants at the earliest.
+const QUEUES_FROM_MS: u64 = 10_000;
+/// How much later it may be: longer than the time between two renewals.
+const MAX_LATER_MS: u64 = 1_000;
+/// For how long it queues them; then it refuses connections.
+const QUEUES_FOR_MS: u64 = 900;
+/// How long the link takes to deliver these grants.
+const DELAY_MS: u64 = 2_000;
+/// By how much a server's clock may be slow, as a divisor.
+const CLOCK_DRIFT_DIVISOR: u64 = 50;
+
+struct Harness {
+    now_ms: u64,
+    leader: Leader,
+    registry: Registry,
+    /// From when on `s1` queues the grants that it gets.
+    queues_from_ms: u64,
+    /// When `s1` answers again.
+    answers_from_ms: u64,
+    replies: Vec<(u64, OrderId, Reply)>,
+    /// The grants that `s1` may still apply, and until when they are valid.
+    queued: Vec<(KeyRange, Fence, u64)>,
+    /// For how long other servers had keys of queued grants that were valid.
+    overlap_ms: u64,
+}
+
+impl Harness {
+    fn new(queues_from_ms: u64, answers_from_ms: u64) -> Self {
+        let mut leader = Leader::new(Epoch(5), 0, u64::MAX, &[], Config::default());
+        leader.add_service(&SERVICE.into());
+        Self {
+            now_ms: 0,
+            leader,
+            registry: registry(["s1", "s2", "s3"].map(String::from)),
+            queues_from_ms,
+            answers_from_ms,
+            replies: Vec::new(),
+            queued: Vec::new(),
+            overlap_ms: 0,
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let speeds = HashMap::default();
+        let servers = Servers { registry: &self.registry, speeds: &speeds };
+        for output in step_with_writes(&mut self.leader, self.now_ms, servers, event) {
+            let Output::Order { id, server, kind, .. } = output else { continue };
+            let is_first = server.incarnation == incarnation("s1");
+            let (at_ms, reply) = match &kind {
+                _ if is_first => self.send_to_first(&kind),
+                OrderKind::Grant(grant) => {
+                    self.check_other(grant.range, grant.fence);
+                    (self.now_ms, Reply::Done(None))
+                }
+                OrderKind::Release(_) => (self.now_ms, Reply::Done(None)),
+            };
+            self.replies.push((at_ms, id, reply));
+        }
+    }
+
+    fn send_to_first(&mut self, kind: &OrderKind) -> (u64, Reply) {
+        let now_ms = self.now_ms;
+        let answers = now_ms < self.queues_from_ms || now_ms >= self.answers_from_ms;
+        match kind {
+            OrderKind::Grant(grant) if answers => {
+                let is_kept = |(range, fence, _): &(KeyRange, Fence, u64)| {
+                    !range.overlaps(grant.range) || *fence >= grant.fence
+                };
+                self.queued.retain(is_kept);
+                (now_ms, Reply::Done(None))
+            }
+            OrderKind::Release(_) if answers => (now_ms, Reply::Done(None)),
+            OrderKind::Grant(grant) if now_ms < self.queues_from_ms + QUEUES_FOR_MS => {
+                let held_ms = grant.grant_ms + grant.grant_ms / CLOCK_DRIFT_DIVISOR;
+                let until_ms = now_ms + DELAY_MS + held_ms;
+                self.queued.push((grant.range, grant.fence, until_ms));
+                (now_ms + Config::default().order_timeout_ms, Reply::Unknown)
+            }
+            _ => (now_ms, Reply::NotSent),
+        }
+    }
+
+    fn check_other(&mut self, range: KeyRange, fence: Fence) {
+        let queued = self.queued.iter().filter(|(queued, ..)| queued.overlaps(range));
+        let lower = queued.filter(|(_, queued, _)| *queued < fence);
+        for (_, _, until_ms) in lower {
+            self.overlap_ms = self.overlap_ms.max(until_ms.saturating_sub(self.now_ms));
+        }
+    }
+
+    fn run(&mut self, until_ms: u64) {
+        while self.now_ms < until_ms {
+            self.now_ms += TICK_MS;
+            self.step(Event::Tick);
+            let now_ms = self.now_ms;
+            while let Some(at) = self.replies.iter().position(|(due_ms, ..)| *due_ms <= now_ms) {
+                let (_, id, reply) = self.replies.remove(at);
+                self.step(Event::Answered(id, reply));
+            }
+        }
+    }
+}
+
+#[test]
+fn released_keys_wait_for_queued_grants() {
+    let step_ms = usize::try_from(TICK_MS).unwrap();
+    for queues_from_ms in (QUEUES_FROM_MS..QUEUES_FROM_MS + MAX_LATER_MS).step_by(step_ms) {
+        for answers_after_ms in [1_000, 2_000, 2_500, 3_000, 4_000] {
+            let mut harness = Harness::new(queues_from_ms, queues_from_ms + answers_after_ms);
+            harness.run(20_000);
+            let overlap_ms = harness.overlap_ms;
+            assert_eq!(overlap_ms, 0, "from {queues_from_ms} for {answers_after_ms} ms");
+        }
+    }
+}
--- a/crates/shard/tests/random_moves.rs
+++ b/crates/shard/tests/random_moves.rs
@@ -67,6 +67,7 @@
     slow_server: 0,
     evacuate: 0,
     unlist: 0,
+    queue_grant: 0,
 };
 
 #[test]
@@ -115,6 +116,17 @@
     assert_schedules(Faults { slow_server: 60, cut: 20, stop_leader: 20, ..ONLY_DRAINS });
 }
 
+/// Guards against keys that a server holds again after it has released them.
+#[test]
+fn queued_grants() {
+    assert_schedules(Faults { queue_grant: 60, cut: 20, ..ONLY_DRAINS });
+}
+
+#[test]
+fn queued_grants_and_restarts() {
+    assert_schedules(Faults { queue_grant: 60, slow_server: 40, crash: 20, ..ONLY_DRAINS });
+}
+
 const ALL_FAULTS: Faults = Faults {
     lose_message: 40,
     apply_late: 40,
@@ -127,6 +139,7 @@
     slow_server: 0,
     evacuate: 0,
     unlist: 0,
+    queue_grant: 0,
 };
 
 #[test]
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -30,6 +30,8 @@
 const OBSERVATION_MS: u64 = 2_000;
 /// How long a server runs on after its entry was removed.
 const UNLISTED_MS: u64 = 2_500;
+/// Longest time for which a server queues a grant.
+const MAX_QUEUED_MS: u64 = 6_000;
 /// Longest time that a key may be without an owner while its range moves: the work of a
 /// release and three messages.
 const MAX_HANDOVER_MS: u64 = 250;
@@ -57,6 +59,13 @@
         record: Record,
         is_answered: bool,
     },
+    /// A grant that a server has queued without an answer.
+    Queued {
+        server: Name,
+        born_ms: u64,
+        kind: OrderKind,
+        arrived_ms: u64,
+    },
     Written {
         leader: usize,
         epoch: Epoch,
@@ -87,6 +96,8 @@
     pub evacuate: u32,
     /// A server's entry is removed while it runs on, and another writer's entry has its address.
     pub unlist: u32,
+    /// A server queues a grant, leaves it unanswered and applies it after newer orders.
+    pub queue_grant: u32,
 }
 
 /// Returns the data centre of a server: servers with an even number are in the second one.
@@ -176,6 +187,7 @@
             slow_server: 0,
             evacuate: 0,
             unlist: 0,
+            queue_grant: 0,
         };
         for server in self.servers.values_mut() {
             server.is_cut = false;
@@ -521,6 +533,14 @@
                 Message::Write { leader, epoch, record, is_answered } => {
                     self.on_write(leader, epoch, record, is_answered);
                 }
+                Message::Queued { server, born_ms, kind, arrived_ms } => {
+                    let now_ms = self.now_ms;
+                    let server = self.servers.get_mut(&server).expect("servers are never removed");
+                    // A server that started again has lost its queue.
+                    if server.is_running && server.born_ms == born_ms {
+                        apply(server, &kind, now_ms, arrived_ms);
+                    }
+                }
                 Message::Written { leader, epoch, number, is_done } => {
                     let service = Name::from(SERVICE);
                     let event = if is_done {
@@ -581,6 +601,16 @@
             self.send(delay_ms, Message::Reply { leader, id, reply });
             return;
         }
+        let is_grant = matches!(kind, OrderKind::Grant(_));
+        if is_grant && self.faults.queue_grant > 0 && self.occurs(self.faults.queue_grant) {
+            let born_ms = self.servers[name].born_ms;
+            let (server, kind) = (name.clone(), kind.clone());
+            self.send(timeout_ms, Message::Reply { leader, id, reply: Reply::Unknown });
+            let delay_ms = self.random.random_range(0..MAX_QUEUED_MS);
+            self.send(delay_ms, Message::Queued { server, born_ms, kind, arrived_ms: now_ms });
+            return;
+        }
+        let server = self.servers.get_mut(name).expect("servers are never removed");
         if is_lost || is_late {
             // An unanswered order may be carried out all the same; a grant counts from now.
             self.send(timeout_ms, Message::Reply { leader, id, reply: Reply::Unknown });
