Write a daemon's entry again when it is missing in the store

Other daemons no longer knew a daemon that ran on: the leader sent it no tables, and no requests were passed on to it, for the rest of its life. Its callers' keyed requests were routed by the records in the store alone.

Cause: a daemon writes its entry without a condition, and removes it without one when it stops. A call without a response may be executed seconds later. A late removal by an earlier process of the same name deletes the entry of the new one; a late write by an earlier process or attempt binds it to a lease that nobody renews. The daemon went on renewing its own lease, which the store still has, and did not notice.

Evidence: platform/daemon_entries, two cases, failed on (no entry within 3 s) and pass now. The third case, a stopping daemon's removal, passed before and passes: that entry is not written again. That a daemon without an entry gets no tables is by reading.

The control thread watches these entries already. It tells the task that keeps the entry the revision at which the entry was missing; if that is later than the last write, the entry is written again with a new lease. One removal causes one write.

--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -39,6 +39,10 @@
         revision: Revision,
     ) {
         let listed: HashSet<&str> = listed.collect();
+        let own_key = format!("{DAEMONS_PREFIX}{}", self.settings.instance);
+        if !listed.contains(own_key.as_str()) {
+            self.on_own_entry_missing(revision);
+        }
         let is_gone = |entry: &&FleetEntry| {
             entry.text.is_some()
                 && entry.revision <= revision
@@ -73,12 +77,28 @@
                 spdlog::warn!("invalid daemon entry in the store", kv: { daemon = name.as_str(), cause: = error });
             }
             None => {
+                if name == self.settings.instance {
+                    self.on_own_entry_missing(entry.revision);
+                }
                 self.daemons.remove(&name);
                 self.are_servers_stale = true;
             }
         }
     }
 
+    /// Has this daemon's entry written again if it is missing at a revision after its last write.
+    ///
+    /// A process that stops removes its entry itself.
+    fn on_own_entry_missing(&self, revision: Revision) {
+        if !self.shared.is_stopping() {
+            self.entry_missing_since.send_if_modified(|known| {
+                let is_newer = *known < revision;
+                *known = revision.max(*known);
+                is_newer
+            });
+        }
+    }
+
     /// Closes connections to daemons that are gone.
     pub(crate) fn close_unused_links(&mut self) {
         let live: HashSet<SocketAddr> =
--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -217,6 +217,10 @@
 }
 
 /// Keeps this daemon's entry in the store and reports whether the store answers.
+///
+/// `missing_since` is the last revision at which the entry was found to be missing. A call of an
+/// earlier process or attempt that got no answer may remove the entry seconds later, or write it with
+/// a lease that nobody renews.
 pub(crate) async fn register<S: Store>(
     store: S,
     key: String,
@@ -224,16 +228,21 @@
     counters: Arc<Counters>,
     inputs: mpsc::Sender<Input>,
     are_entries_needed: watch::Receiver<bool>,
+    mut missing_since: watch::Receiver<Revision>,
 ) {
     let text = serde_json::to_string(&entry).unwrap_or_default();
     let mut lease: Option<LeaseId> = None;
+    let mut written_at = Revision(0);
     let mut last_reported = None;
     let mut backoff_ms = MIN_BACKOFF_MS;
     loop {
         counters.count(Counter::StoreCalls);
         let renewed = match lease {
             Some(lease) => store.renew_lease(lease).await.map(|()| lease),
-            None => write_entry(&store, &key, &text).await,
+            None => write_entry(&store, &key, &text).await.map(|(lease, revision)| {
+                written_at = revision;
+                lease
+            }),
         };
         let has_answered = match renewed {
             Ok(renewed) => {
@@ -269,14 +278,29 @@
         if has_answered {
             backoff_ms = MIN_BACKOFF_MS;
         }
-        sleep(Duration::from_millis(jittered(delay_ms))).await;
+        tokio::select! {
+            () = sleep(Duration::from_millis(jittered(delay_ms))) => {}
+            Ok(missing_since) = missing_since.wait_for(|missing_since| *missing_since > written_at),
+                if lease.is_some() =>
+            {
+                spdlog::warn!(
+                    "own entry is missing in the store",
+                    kv: { key, missing_since = missing_since.0, written_at = written_at.0 }
+                );
+                lease = None;
+            }
+        }
     }
 }
 
-async fn write_entry<S: Store>(store: &S, key: &str, text: &str) -> store::Result<LeaseId> {
+async fn write_entry<S: Store>(
+    store: &S,
+    key: &str,
+    text: &str,
+) -> store::Result<(LeaseId, Revision)> {
     let lease = store.open_lease(LEASE_MS).await?;
-    store.write(key, Expect::Anything, text, Some(lease)).await?;
-    Ok(lease)
+    let revision = store.write(key, Expect::Anything, text, Some(lease)).await?;
+    Ok((lease, revision))
 }
 
 /// Varies a delay by up to a tenth either way, so that daemons spread out.
--- a/crates/gateway/src/control/node.rs
+++ b/crates/gateway/src/control/node.rs
@@ -75,6 +75,8 @@
     pub(crate) is_fleet_relayed: bool,
     /// Whether this daemon reads these entries itself.
     pub(crate) needs_fleet: watch::Sender<bool>,
+    /// The last revision at which this daemon's entry was found to be missing.
+    pub(crate) entry_missing_since: watch::Sender<Revision>,
     /// The leader and the revision of its entry.
     pub(crate) leader: Option<(Name, Revision)>,
     pub(crate) is_fleet_known: bool,
@@ -137,6 +139,7 @@
     pub(crate) call_restarts: watch::Sender<u64>,
     pub(crate) needs_entries: watch::Sender<bool>,
     pub(crate) needs_fleet: watch::Sender<bool>,
+    pub(crate) entry_missing_since: watch::Sender<Revision>,
 }
 
 impl<S: Store, O: Orders, R: Source> Node<S, O, R> {
@@ -172,6 +175,7 @@
             changed_fleet: BTreeSet::new(),
             is_fleet_relayed: false,
             needs_fleet: parts.needs_fleet,
+            entry_missing_since: parts.entry_missing_since,
             leader: None,
             is_fleet_known: false,
             is_campaigning: false,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use document::Name;
+use document::{Name, Revision};
 use error_stack::{Report, ResultExt};
 use peer::FleetFrame;
 use proxy::Clock;
@@ -124,7 +124,8 @@
         spdlog::info!("started", kv: { instance = settings.instance.as_str(), front: = settings.listen.front });
         let (needs_entries, are_entries_needed) = watch::channel(false);
         let (needs_fleet, is_fleet_needed) = watch::channel(true);
-        let needed = Needed { entries: are_entries_needed, fleet: is_fleet_needed };
+        let (entry_missing_since, missing_since) = watch::channel(Revision(0));
+        let needed = Needed { entries: are_entries_needed, fleet: is_fleet_needed, missing_since };
         let call_restarts = follow_store(&mut tasks, &ports, &settings, &shared, &inputs, &needed);
         let resign = CancellationToken::new();
         let store = ports.store.clone();
@@ -138,6 +139,7 @@
             call_restarts,
             needs_entries,
             needs_fleet,
+            entry_missing_since,
         });
         let resign_requested = resign.clone();
         tasks.spawn("control", async move { node.run(queue, resign_requested).await });
@@ -197,10 +199,12 @@
     Ok(traffic)
 }
 
-/// Whether topics of the store have to be watched here.
+/// Whether topics of the store have to be watched here, and the own entry written again.
 struct Needed {
     entries: watch::Receiver<bool>,
     fleet: watch::Receiver<bool>,
+    /// The last revision at which the own entry was found to be missing.
+    missing_since: watch::Receiver<Revision>,
 }
 
 /// Starts the tasks that watch the store; changing the returned sender's value restarts waiting
@@ -265,7 +269,15 @@
     let key = format!("{DAEMONS_PREFIX}{}", settings.instance);
     let counters = Arc::clone(&shared.counters);
     let (store, inputs) = (ports.store.clone(), inputs.clone());
-    let registration = register(store, key, entry, counters, inputs, needed.entries.clone());
+    let registration = register(
+        store,
+        key,
+        entry,
+        counters,
+        inputs,
+        needed.entries.clone(),
+        needed.missing_since.clone(),
+    );
     tasks.spawn("registration", registration);
     call_restarts
 }
