Count a grant without an outcome as able to arrive, whatever its deadline

What callers could see: two servers hold the same keys after a leader's instance was suspended while servers were cut off.

Cause: the time of a grant's answer is measured on a clock that stands still during a suspension, the leader's bounds on one that goes on. After a suspension the leader reckoned that the grant had been reset 2 s ago or more, although its connection stayed open for up to 0.5 s. The same bound went into the resignation that its successor relies on.

An order always gets an outcome, so counting from now until then is enough.

--- a/crates/gateway/src/leader/succession.rs
+++ b/crates/gateway/src/leader/succession.rs
@@ -52,7 +52,7 @@
     pub(crate) fn resign_to(&mut self, successor: Option<&Name>, cause: &'static str) {
         let Some(leading) = self.leading.take() else { return };
         let (epoch, lease) = (leading.leader.epoch(), leading.lease);
-        let grants_deadline_ms = leading.leader.grants_deadline_ms();
+        let grants_deadline_ms = leading.leader.grants_deadline_ms(self.clock.now_ms());
         self.hand_over(epoch, lease, grants_deadline_ms, successor, cause);
     }
 
--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -82,9 +82,9 @@
 
     /// Returns the time until which grants of this leader or earlier ones may be valid.
     #[must_use]
-    pub fn grants_deadline_ms(&self) -> u64 {
+    pub fn grants_deadline_ms(&self, now_ms: u64) -> u64 {
         let answered = self.assignments.values().map(Assignment::grants_deadline_ms);
-        let unanswered = self.orders.grants_deadline_ms(&self.config);
+        let unanswered = self.orders.grants_deadline_ms(now_ms, &self.config);
         answered.max().unwrap_or(0).max(unanswered)
     }
 
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -224,12 +224,12 @@
     }
 
     /// Returns the time until which unanswered grants to any server may be valid; 0 if none.
-    pub(crate) fn grants_deadline_ms(&self, config: &Config) -> u64 {
+    pub(crate) fn grants_deadline_ms(&self, now_ms: u64, config: &Config) -> u64 {
         let abandoned = self.abandoned.all_deadlines_ms(config);
         let pending = self.pending.values().filter_map(|order| match &order.kind {
             OrderKind::Grant(grant) => {
-                let arrived_at_ms = order.deadline_ms + config.max_transit_ms;
-                Some(config.grant_deadline_ms(arrived_at_ms, grant.grant_ms))
+                let last_arrival_ms = order.last_arrival_ms(now_ms, config);
+                Some(config.grant_deadline_ms(last_arrival_ms, grant.grant_ms))
             }
             OrderKind::Release(_) => None,
         });
@@ -247,6 +247,7 @@
     /// Grants to any incarnation of the server count: they reach the one that runs on arrival.
     pub(crate) fn pending_grant_deadline_ms(
         &self,
+        now_ms: u64,
         incarnation: &Incarnation,
         range: KeyRange,
         config: &Config,
@@ -257,8 +258,8 @@
                 if order.incarnation.server == incarnation.server
                     && grant.range.overlaps(range) =>
             {
-                let arrived_at_ms = order.deadline_ms + config.max_transit_ms;
-                Some(config.grant_deadline_ms(arrived_at_ms, grant.grant_ms))
+                let last_arrival_ms = order.last_arrival_ms(now_ms, config);
+                Some(config.grant_deadline_ms(last_arrival_ms, grant.grant_ms))
             }
             _ => None,
         });
@@ -273,6 +274,14 @@
             && matches!(&self.kind, OrderKind::Grant(grant) if grant.range.overlaps(range))
     }
 
+    /// Returns the last time at which the order may arrive.
+    ///
+    /// The connection of an order without an outcome is open, also after its deadline: the process may
+    /// have been suspended.
+    fn last_arrival_ms(&self, now_ms: u64, config: &Config) -> u64 {
+        self.deadline_ms.max(now_ms) + config.max_transit_ms
+    }
+
     pub(crate) fn new(
         service: &Name,
         incarnation: &Incarnation,
@@ -337,6 +346,7 @@
         answered_deadline_ms: u64,
     ) -> u64 {
         answered_deadline_ms.max(self.orders.pending_grant_deadline_ms(
+            self.now_ms,
             incarnation,
             range,
             self.config,
@@ -412,7 +422,8 @@
     /// Returns whether a grant to a server that was not answered may still take effect.
     pub(crate) fn may_grant_apply(&self, incarnation: &Incarnation, range: KeyRange) -> bool {
         let orders = &self.orders;
-        self.now_ms < orders.pending_grant_deadline_ms(incarnation, range, self.config)
+        let now_ms = self.now_ms;
+        now_ms < orders.pending_grant_deadline_ms(now_ms, incarnation, range, self.config)
     }
 
     /// Logs that a server counts as done with a range that it has not released.
--- /dev/null
+++ b/crates/shard/tests/suspended_leader.rs
@@ -0,0 +1,79 @@
+//! Guards against two holders after a leader was suspended while a grant had no answer.
+mod fixture;
+
+use crate::fixture::{SERVICE, TICK_MS, incarnation, registry, step_with_writes};
+use document::HashMap;
+use registry::{Incarnation, Registry, Stage};
+use shard::{Config, Epoch, Event, Leader, OrderId, OrderKind, Output, Reply, Servers};
+
+/// How long the leader runs before, and how long it is suspended: longer than a grant that arrives
+/// late can be valid.
+const RUN_MS: u64 = 5_000;
+const SUSPENDED_MS: u64 = 6_000;
+
+struct Harness {
+    now_ms: u64,
+    leader: Leader,
+    registry: Registry,
+    speeds: HashMap<Incarnation, f32>,
+    is_first_cut: bool,
+    /// Grants of the first server without an answer.
+    unanswered: Vec<OrderId>,
+    granted_to_second: usize,
+}
+
+impl Harness {
+    fn step(&mut self, event: Event) {
+        let servers = Servers { registry: &self.registry, speeds: &self.speeds };
+        for output in step_with_writes(&mut self.leader, self.now_ms, servers, event) {
+            let Output::Order { id, server, kind, .. } = output else { continue };
+            if server.incarnation == incarnation("s1") && self.is_first_cut {
+                self.unanswered.push(id);
+                continue;
+            }
+            let is_grant = matches!(kind, OrderKind::Grant(_));
+            self.granted_to_second +=
+                usize::from(is_grant && server.incarnation == incarnation("s2"));
+            self.step(Event::Answered(id, Reply::Done((!is_grant).then(|| "token".into()))));
+        }
+    }
+
+    fn run(&mut self, for_ms: u64) {
+        for _ in 0..for_ms / TICK_MS {
+            self.now_ms += TICK_MS;
+            self.step(Event::Tick);
+        }
+    }
+}
+
+#[test]
+fn grant_without_an_outcome_may_arrive_after_a_suspension() {
+    let config = Config::default();
+    let mut leader = Leader::new(Epoch(5), 0, u64::MAX, &[], config);
+    leader.add_service(&SERVICE.into());
+    let mut harness = Harness {
+        now_ms: 0,
+        leader,
+        registry: registry(["s1"].map(String::from)),
+        speeds: HashMap::default(),
+        is_first_cut: false,
+        unanswered: Vec::new(),
+        granted_to_second: 0,
+    };
+    harness.run(RUN_MS);
+    harness.registry.put(harness.now_ms, "s2", fixture::registration("s2", Stage::Ready));
+    harness.is_first_cut = true;
+    while harness.unanswered.is_empty() {
+        harness.run(TICK_MS);
+    }
+    harness.now_ms += SUSPENDED_MS;
+    let grants_deadline_ms = harness.leader.grants_deadline_ms(harness.now_ms);
+    assert!(grants_deadline_ms >= harness.now_ms + config.max_transit_ms, "{grants_deadline_ms}");
+    harness.run(config.order_timeout_ms);
+    assert_eq!(harness.granted_to_second, 0, "the connection of the grant is still open");
+    for id in std::mem::take(&mut harness.unanswered) {
+        harness.step(Event::Answered(id, Reply::Unknown));
+    }
+    harness.run(config.max_transit_ms);
+    assert_eq!(harness.granted_to_second, 0, "the grant may arrive");
+}
--- a/crates/shard/tests/unreadable_records.rs
+++ b/crates/shard/tests/unreadable_records.rs
@@ -37,7 +37,7 @@
     let earliest_ms = config.grant_deadline_ms(config.order_timeout_ms, config.max_grant_ms);
     let granted_at_ms = first_grant_at_ms(&mut leader, 20_000).expect("a grant within 20 s");
     assert!(granted_at_ms >= earliest_ms, "granted after {granted_at_ms} ms");
-    assert!(leader.grants_deadline_ms() >= earliest_ms);
+    assert!(leader.grants_deadline_ms(20_000) >= earliest_ms);
 }
 
 #[test]
