Reset the connection of a request that was given up

A request that was answered 504, or whose caller had gone, ran seconds later when a cut between the daemon and the server healed. A caller that had been told of no outcome saw its order carried out long after, and servers had work at the end of a cut for which nobody waited.

Cause: dropping a connection to a server closed it. The close leaves what was sent before on its way, and the end of the connection follows it.

Evidence: platform/given_up_requests, two cases (deadline passed; caller gone), failed on (1 request arrived, 0 allowed) and pass now.

A linger time of zero makes the drop a reset, which discards what is held up, as it does for orders. Connections between daemons for requests that are passed on are of the same kind. Complete answers have been read before a connection is dropped.

What this does not change: a connection that the kernel ends after 500 ms without an acknowledgement has no bytes to discard any more, so a request that was held up that long may still run late. It counts as "may have run", and a request that may run once only is not sent again.

Run: all tests of proxy; platform idle_connections, refused_bodies, endless_bodies.

--- a/crates/gateway/src/request/detour.rs
+++ b/crates/gateway/src/request/detour.rs
@@ -188,7 +188,7 @@
             }
             return failed(Failure::Broken, peer.unreported());
         }
-        // Dropping the link closes the connection, so a late answer is discarded.
+        // Dropping the link resets the connection, so a late answer is discarded.
         Err(end) => {
             peer.upstream.on_connection_loss();
             return failed(to_failure(end), peer.unreported());
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -227,7 +227,7 @@
                 _ => Failure::Broken.into(),
             });
         }
-        // Dropping the link closes the connection, so a late answer is discarded.
+        // Dropping the link resets the connection, so a late answer is discarded.
         Err(end) => return Err(to_failure(end).into()),
     };
     let (head, body) = response.into_parts();
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -22,7 +22,7 @@
 
 use crate::{Clock, Stop, WaitEnd};
 
-/// A connection to a server, for one request at a time; dropping it closes it.
+/// A connection to a server, for one request at a time; dropping it resets it.
 #[derive(Debug)]
 pub struct Link {
     sender: SendRequest<Full<Bytes>>,
@@ -400,7 +400,11 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let unacknowledged_timeout = Duration::from_millis(UNACKNOWLEDGED_TIMEOUT_MS);
-        SockRef::from(&stream).set_tcp_user_timeout(Some(unacknowledged_timeout))?;
+        let socket = SockRef::from(&stream);
+        socket.set_tcp_user_timeout(Some(unacknowledged_timeout))?;
+        // A reset discards what is still on its way, so that a request that was given up does not run
+        // when a cut heals.
+        socket.set_linger(Some(Duration::ZERO))?;
         let (stream, head_bound) = BoundedStream::new(stream, MAX_HEAD_BYTES);
         let (sender, connection) = Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
