--- a/crates/shard/tests/golden_sessions.rs
+++ b/crates/shard/tests/golden_sessions.rs
@@ -20,6 +20,7 @@
     slow_server: 0,
     evacuate: 0,
     unlist: 0,
+    relocate: 0,
 };
 const SEED: u64 = 42;
 /// Time for the first assignment, with a margin.
--- a/crates/shard/tests/random_moves.rs
+++ b/crates/shard/tests/random_moves.rs
@@ -67,6 +67,7 @@
     slow_server: 0,
     evacuate: 0,
     unlist: 0,
+    relocate: 0,
 };
 
 #[test]
@@ -95,6 +96,12 @@
     assert_schedules(Faults { unlist: 20, lose_message: 20, stop_leader: 10, ..ONLY_DRAINS });
 }
 
+/// Guards against keys that are taken from a running server because of a later entry of its name.
+#[test]
+fn later_processes_elsewhere() {
+    assert_schedules(Faults { relocate: 20, lose_message: 20, stop_leader: 10, ..ONLY_DRAINS });
+}
+
 #[test]
 fn slow_links() {
     assert_schedules(Faults { slow_link: 40, cut: 20, ..ONLY_DRAINS });
@@ -127,6 +134,7 @@
     slow_server: 0,
     evacuate: 0,
     unlist: 0,
+    relocate: 0,
 };
 
 #[test]
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -87,6 +87,8 @@
     pub evacuate: u32,
     /// A server's entry is removed while it runs on, and another writer's entry has its address.
     pub unlist: u32,
+    /// A server starts again at another address while its earlier process runs on for a while.
+    pub relocate: u32,
 }
 
 /// Returns the data centre of a server: servers with an even number are in the second one.
@@ -176,6 +178,7 @@
             slow_server: 0,
             evacuate: 0,
             unlist: 0,
+            relocate: 0,
         };
         for server in self.servers.values_mut() {
             server.is_cut = false;
@@ -242,6 +245,24 @@
         self.add_server();
     }
 
+    /// Starts a server again at another address while its earlier process runs on for a while.
+    fn relocate(&mut self, name: &Name) {
+        let server = self.servers.get_mut(name).expect("a server");
+        if server.ends_at_ms.is_some() {
+            return;
+        }
+        server.ends_at_ms = Some(self.now_ms + UNLISTED_MS);
+        let listed_as = server.listed_as.clone().unwrap_or_else(|| name.clone());
+        let address = SocketAddr::from(([127, 0, 0, 1], self.next_port));
+        let process = Name::from(format!("{listed_as}-at-{}", self.next_port));
+        self.next_port += 1;
+        self.log(&format!("{name} starts again as {process}"));
+        let (born_ms, listed_as) = (self.now_ms, Some(listed_as));
+        let later = Server { is_running: true, born_ms, address, listed_as, ..Server::default() };
+        self.servers.insert(process.clone(), later);
+        self.register(&process);
+    }
+
     /// Ends the servers whose entry was removed long enough ago.
     fn end_unlisted_servers(&mut self) {
         for server in self.servers.values_mut() {
@@ -306,8 +327,9 @@
 
     fn register(&mut self, name: &Name) {
         let server = &self.servers[name];
+        let listed_as = server.listed_as.as_ref().unwrap_or(name).clone();
         let registration = Registration {
-            incarnation: Incarnation { server: name.clone(), born_ms: server.born_ms },
+            incarnation: Incarnation { server: listed_as.clone(), born_ms: server.born_ms },
             service: SERVICE.into(),
             address: server.address,
             data_centre: data_centre(name),
@@ -316,7 +338,7 @@
             warm_at_ms: 0,
             heartbeat: self.now_ms,
         };
-        self.registry.put(self.now_ms, name, registration);
+        self.registry.put(self.now_ms, &listed_as, registration);
     }
 
     /// Injects faults every 100 ms, each with its probability, and changes hot keys.
@@ -331,6 +353,9 @@
         if faults.unlist > 0 && self.occurs(faults.unlist) {
             self.unlist(&name);
         }
+        if faults.relocate > 0 && self.occurs(faults.relocate) {
+            self.relocate(&name);
+        }
         if self.occurs(faults.cut) {
             let is_cut = !self.servers[&name].is_cut;
             self.cut(&name, is_cut);
@@ -456,8 +481,11 @@
         for output in outputs {
             match output {
                 Output::Order { id, server, kind, deadline_ms } => {
-                    let server = server.incarnation.server.clone();
-                    let target = &self.servers[&server];
+                    let mut processes = self.servers.iter();
+                    let (process, target) = processes
+                        .find(|(_, process)| process.address == server.address)
+                        .expect("a process at each address");
+                    let server = process.clone();
                     let is_cut = target.is_cut;
                     let free_at_ms = self.link_free_at_ms.max(target.link_free_at_ms);
                     let queued_ms = free_at_ms.saturating_sub(self.now_ms);
--- a/crates/shard/tests/world/server.rs
+++ b/crates/shard/tests/world/server.rs
@@ -2,6 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
+use document::Name;
 use shard::{Fence, Grant, Handover, KeyRange, OrderKind, Reply};
 
 /// How much slower clocks of servers run, in percent.
@@ -11,6 +12,8 @@
 #[derive(Debug)]
 pub(super) struct Server {
     pub(super) address: SocketAddr,
+    /// The name of its entry, if an earlier process has that name as well.
+    pub(super) listed_as: Option<Name>,
     pub(super) born_ms: u64,
     pub(super) is_running: bool,
     /// Whether no order reaches it.
@@ -29,6 +32,7 @@
     fn default() -> Self {
         Self {
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            listed_as: None,
             born_ms: 0,
             is_running: false,
             is_cut: false,
