--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -497,7 +497,8 @@
     }
     previous.release_at_ms = Some(pass.now_ms + ORDER_BACKOFF_MS);
     let fence = pass.fences.next();
-    let grant = Grant { range, fence, grant_ms: config.short_grant_ms, handover: None };
+    let grant_ms = config.short_grant_ms;
+    let grant = Grant { range, fence, grant_ms, handover: None, is_ruling_out: true };
     pass.send_grant(&incarnation.clone(), grant);
 }
 
@@ -524,7 +525,8 @@
         return;
     }
     // Once the server accepts a higher fence, it refuses a grant that was given up.
-    if holder.refusals > 0 || pass.may_abandoned_grant_arrive(&holder.incarnation, range) {
+    let is_ruling_out = pass.may_abandoned_grant_arrive(&holder.incarnation, range);
+    if holder.refusals > 0 || is_ruling_out {
         holder.renew_fence(pass.fences.next());
     }
     holder.renew_at_ms = pass.now_ms + pass.config.renew_interval_ms;
@@ -532,7 +534,7 @@
     let grant_ms =
         if holder.is_short { pass.grant_ms.min(pass.config.short_grant_ms) } else { pass.grant_ms };
     let (incarnation, fence) = (holder.incarnation.clone(), holder.fence);
-    pass.send_grant(&incarnation, Grant { range, fence, grant_ms, handover });
+    pass.send_grant(&incarnation, Grant { range, fence, grant_ms, handover, is_ruling_out });
 }
 
 fn to_owner(state: &RangeState, now_ms: u64) -> Owner {
--- a/crates/shard/src/order.rs
+++ b/crates/shard/src/order.rs
@@ -34,6 +34,10 @@
     pub grant_ms: u64,
     /// The token that the previous holder returned when it released the range.
     pub handover: Option<Handover>,
+    /// Whether its acceptance rules out a grant that was given up.
+    ///
+    /// No answer to another order may count as that acceptance.
+    pub is_ruling_out: bool,
 }
 
 /// An order to give a range up.
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -138,7 +138,7 @@
             (Reply::Unknown, OrderKind::Grant(grant)) => {
                 self.abandoned.add(now_ms, order, grant, config);
             }
-            (Reply::Done(_), OrderKind::Grant(grant)) => {
+            (Reply::Done(_), OrderKind::Grant(grant)) if grant.is_ruling_out => {
                 let fenced = self.abandoned.remove_fenced(now_ms, &order.incarnation, grant);
                 outputs.extend(fenced.iter().map(|late| {
                     Output::Log(LogEvent::RuledOut {
