--- a/crates/shard/src/order.rs
+++ b/crates/shard/src/order.rs
@@ -58,6 +58,20 @@
     Release(Release),
 }
 
+impl OrderKind {
+    /// Returns whether no answer to another order may count as that to this one.
+    ///
+    /// The answer to a release shows that the work on its keys has ended, and that to some grants
+    /// that an earlier one can no longer be accepted.
+    #[must_use]
+    pub fn needs_own_answer(&self) -> bool {
+        match self {
+            Self::Grant(grant) => grant.is_ruling_out,
+            Self::Release(_) => true,
+        }
+    }
+}
+
 /// The outcome of an order.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Reply {
