Make the stand-in for servers with keys as strict as the users' page

What callers saw: nothing; the stand-in was kinder than the page, so that tests and the soak could not show faults that real servers would.

It refused releases with a low fence and answered them at once, although the page has no refused release. It counted a release's fence as seen, which the page says of grants alone. Its clock was exact, though one may run 2 % slow, and no grant was applied late. The checker lacked two rules: a fence must be above all with which other servers had a key, and no key may be given to a server while another works on it under its grant.

A release now always stops new work and is answered when the requests that ran have ended. ServerFaults has queued grants, which are applied later with their time counted from their arrival, and slow clocks. The checker has both rules. Other lives of one server are not compared, as the rule names other servers.

--- a/crates/lab/src/range_server.rs
+++ b/crates/lab/src/range_server.rs
@@ -1,7 +1,8 @@
-//! A stand-in for a server that owns ranges of keys and checks the fences of grants and releases.
+//! A stand-in for a server that owns ranges of keys and checks the fences of grants.
 //!
 //! All servers of a run report to one [`OwnershipChecker`]. It checks that a key is granted to
-//! one server at a time and that a non-idempotent request runs at most once.
+//! one server at a time, to each with a higher fence, and that a non-idempotent request runs at
+//! most once.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -33,7 +34,7 @@
 #[derive(Debug, Default)]
 struct State {
     held: Vec<Held>,
-    /// The fence of every accepted grant and release.
+    /// The fence of every accepted grant.
     accepted_fences: Vec<(KeyRange, Fence)>,
     /// The keys of running requests by run number.
     running: HashMap<u64, u16>,
@@ -93,6 +94,10 @@
     holds: Vec<(Incarnation, KeyRange, Instant)>,
     /// How often each request was started, by its identifier.
     runs: HashMap<Name, u32>,
+    /// The highest fences with which servers took ranges.
+    fences: Vec<(Incarnation, KeyRange, Fence)>,
+    /// The keys of running requests, with the deadline of the grant under which each began.
+    work: Vec<(Incarnation, u64, u16, Instant)>,
     /// The servers at which each request has arrived, by its identifier.
     reached: HashMap<Name, Vec<Incarnation>>,
     violations: Vec<String>,
@@ -142,8 +147,22 @@
 
     /// Accepts a grant unless the server has seen a higher fence for one of the keys.
     pub fn grant(&self, grant: &Grant) -> Reply {
+        self.apply_grant(grant, Instant::now())
+    }
+
+    /// Applies a grant after a delay, unless the server has stopped by then.
+    ///
+    /// The time of the grant counts from now.
+    pub async fn grant_late(&self, grant: &Grant, delay: Duration) {
+        let arrived_at = Instant::now();
+        if self.stopped.run_until_cancelled(sleep(delay)).await.is_some() {
+            self.apply_grant(grant, arrived_at);
+        }
+    }
+
+    fn apply_grant(&self, grant: &Grant, arrived_at: Instant) -> Reply {
         let now = Instant::now();
-        let deadline = now + Duration::from_millis(grant.grant_ms);
+        let deadline = arrived_at + Duration::from_millis(grant.grant_ms);
         let mut state = self.lock();
         if state.is_fenced(grant.range, grant.fence) {
             return Reply::Fenced;
@@ -155,22 +174,26 @@
         let deadline = earlier.map_or(deadline, |earlier| earlier.max(deadline));
         state.remove_range(grant.range);
         state.held.retain(|held| held.deadline > now);
-        state.held.push(Held { range: grant.range, fence: grant.fence, deadline });
-        self.checker.on_grant(&self.incarnation, grant.range, now, deadline);
+        let held = Held { range: grant.range, fence: grant.fence, deadline };
+        if deadline > now {
+            state.held.push(held);
+            self.checker.on_grant(&self.incarnation, held, now);
+        }
         Reply::Done(None)
     }
 
-    /// Gives up a range and answers when no request for its keys runs any more.
-    ///
-    /// A release with a fence that is too low is answered at once and has no effect.
+    /// Gives up a range, whatever the fence, and answers when the requests that ran for its keys
+    /// have ended.
     pub async fn release(&self, release: Release) -> Reply {
-        if !self.lock().on_release(release) {
-            return Reply::Done(None);
-        }
-        while self.lock().running.values().any(|key| release.range.contains(*key)) {
+        let running = self.lock().on_release(release.range);
+        while self.lock().running.keys().any(|run_number| running.contains(run_number)) {
             sleep(POLL_INTERVAL).await;
         }
-        self.checker.on_release(&self.incarnation, release.range);
+        let state = self.lock();
+        // The server may have been granted keys again meanwhile.
+        for range in state.without_held(release.range) {
+            self.checker.on_release(&self.incarnation, range);
+        }
         Reply::Done(Some(Handover::from(format!("{}", release.fence))))
     }
 
@@ -209,7 +232,7 @@
         if self.is_keyed && held.is_none() {
             return Execution::NotHeld;
         }
-        let running = self.begin(work);
+        let running = self.begin(work, held);
         visit.begin_work();
         let end_at = Instant::now() + Duration::from_millis(work.run_ms);
         let deadline = work.deadline.filter(|deadline| *deadline < end_at);
@@ -225,12 +248,17 @@
         if self.is_keyed && has_lost_grant { Execution::GrantLost } else { Execution::Completed }
     }
 
-    fn begin(&self, work: &Work) -> RunningRequest<'_> {
+    fn begin(&self, work: &Work, held: Option<Held>) -> RunningRequest<'_> {
         self.checker.on_run(work);
         let mut state = self.lock();
         state.last_run_number += 1;
         let run_number = state.last_run_number;
         state.running.insert(run_number, work.key.unwrap_or(0));
+        if let (Some(key), Some(held)) = (work.key, held)
+            && !self.stopped.is_cancelled()
+        {
+            self.checker.on_work_begin(&self.incarnation, run_number, key, held.deadline);
+        }
         RunningRequest { server: self, run_number }
     }
 
@@ -258,6 +286,7 @@
 impl Drop for RunningRequest<'_> {
     fn drop(&mut self) {
         self.server.lock().running.remove(&self.run_number);
+        self.server.checker.on_work_end(&self.server.incarnation, self.run_number);
     }
 }
 
@@ -268,14 +297,18 @@
             .any(|(seen, accepted)| seen.overlaps(range) && *accepted > fence)
     }
 
-    /// Stops new requests for a range and returns whether the fence was high enough.
-    fn on_release(&mut self, release: Release) -> bool {
-        let is_fenced = self.is_fenced(release.range, release.fence);
-        if !is_fenced {
-            self.accepted_fences.push((release.range, release.fence));
-            self.remove_range(release.range);
-        }
-        !is_fenced
+    /// Stops new requests for a range and returns the run numbers of those that run.
+    fn on_release(&mut self, range: KeyRange) -> Vec<u64> {
+        self.remove_range(range);
+        let running = self.running.iter().filter(|(_, key)| range.contains(**key));
+        running.map(|(run_number, _)| *run_number).collect()
+    }
+
+    /// Returns the parts of a range that are not held.
+    fn without_held(&self, range: KeyRange) -> Vec<KeyRange> {
+        self.held.iter().fold(vec![range], |parts, held| {
+            parts.into_iter().flat_map(|part| part.without(held.range)).collect()
+        })
     }
 
     /// Removes a range from the held ranges, which may split them.
@@ -311,16 +344,13 @@
 
     /// Records that an incarnation has ended, and forgets its granted ranges.
     pub fn on_incarnation_end(&self, incarnation: &Incarnation) {
-        self.lock().holds.retain(|(holder, _, _)| holder != incarnation);
+        let mut history = self.lock();
+        history.holds.retain(|(holder, _, _)| holder != incarnation);
+        history.work.retain(|(server, ..)| server != incarnation);
     }
 
-    fn on_grant(
-        &self,
-        incarnation: &Incarnation,
-        range: KeyRange,
-        now: Instant,
-        deadline: Instant,
-    ) {
+    fn on_grant(&self, incarnation: &Incarnation, granted: Held, now: Instant) {
+        let Held { range, fence, deadline } = granted;
         let mut history = self.lock();
         history.holds.retain(|(_, _, deadline)| *deadline > now);
         let conflict = history
@@ -331,8 +361,35 @@
             let violation = format!("{range} granted to {incarnation} while {holder} holds {held}");
             history.violations.push(violation);
         }
+        let lower = history.fences.iter().find(|(server, taken, other)| {
+            server.server != incarnation.server && taken.overlaps(range) && *other >= fence
+        });
+        if let Some((server, taken, other)) = lower {
+            let violation = format!(
+                "{range} taken by {incarnation} with {fence} after {server} had {taken} with {other}"
+            );
+            history.violations.push(violation);
+        }
+        let busy = history.work.iter().find(|(server, _, key, deadline)| {
+            server != incarnation && range.contains(*key) && *deadline > now
+        });
+        if let Some((server, _, key, _)) = busy {
+            let violation =
+                format!("{range} granted to {incarnation} while {server} works on {key}");
+            history.violations.push(violation);
+        }
         history.remove_hold(incarnation, range);
         history.holds.push((incarnation.clone(), range, deadline));
+        history.add_fence(incarnation, range, fence);
+    }
+
+    fn on_work_begin(&self, incarnation: &Incarnation, number: u64, key: u16, deadline: Instant) {
+        self.lock().work.push((incarnation.clone(), number, key, deadline));
+    }
+
+    fn on_work_end(&self, incarnation: &Incarnation, number: u64) {
+        let is_other = |server: &Incarnation, other: u64| server != incarnation || other != number;
+        self.lock().work.retain(|(server, other, ..)| is_other(server, *other));
     }
 
     fn on_release(&self, incarnation: &Incarnation, range: KeyRange) {
@@ -370,6 +427,20 @@
 }
 
 impl History {
+    /// Records the fence with which a server took a range, in place of its lower ones.
+    fn add_fence(&mut self, incarnation: &Incarnation, range: KeyRange, fence: Fence) {
+        let fences = std::mem::take(&mut self.fences);
+        self.fences = fences
+            .into_iter()
+            .flat_map(|(server, taken, other)| {
+                let is_replaced = server.server == incarnation.server && other <= fence;
+                let remaining = if is_replaced { taken.without(range) } else { vec![taken] };
+                remaining.into_iter().map(move |taken| (server.clone(), taken, other))
+            })
+            .collect();
+        self.fences.push((incarnation.clone(), range, fence));
+    }
+
     fn remove_hold(&mut self, incarnation: &Incarnation, range: KeyRange) {
         let holds = std::mem::take(&mut self.holds);
         self.holds = holds
--- a/crates/lab/src/server_faults.rs
+++ b/crates/lab/src/server_faults.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::Duration;
 
 use crate::WorkTimes;
 
@@ -16,6 +17,10 @@
     pub lost_answer: AtomicU32,
     /// Grants that are carried out and never answered.
     pub unanswered_grant: AtomicU32,
+    /// Grants that are never answered and carried out up to `MAX_QUEUE_MS` later.
+    pub queued_grant: AtomicU32,
+    /// Whether the server's clock runs slow, so that grants last longer.
+    pub has_slow_clock: AtomicBool,
     /// Whether all answers say that the server is leaving.
     pub is_leaving: AtomicBool,
     /// If not 0, requests are turned away with this time in `Retry-After`.
@@ -43,6 +48,11 @@
     pub work_times: WorkTimes,
 }
 
+/// The longest time after which a queued grant is carried out, in milliseconds.
+const MAX_QUEUE_MS: u64 = 5_000;
+/// By how much a slow clock runs slow, as a divisor: the users' page allows two percent.
+const CLOCK_DRIFT_DIVISOR: u64 = 50;
+
 /// A request that a server holds, until this is dropped.
 #[derive(Debug)]
 pub struct HeldRequest<'a>(&'a ServerFaults);
@@ -74,6 +84,18 @@
         should_fail(&self.lost_answer)
     }
 
+    /// Draws whether the next grant is queued, and returns for how long.
+    pub fn queue_time(&self) -> Option<Duration> {
+        let is_queued = should_fail(&self.queued_grant);
+        is_queued.then(|| Duration::from_millis(rand::random_range(0..MAX_QUEUE_MS)))
+    }
+
+    /// Returns how long a grant lasts by the server's clock.
+    pub fn held_ms(&self, grant_ms: u64) -> u64 {
+        let is_slow = self.has_slow_clock.load(Ordering::Relaxed);
+        grant_ms + if is_slow { grant_ms / CLOCK_DRIFT_DIVISOR } else { 0 }
+    }
+
     /// Draws whether the next grant is left unanswered.
     pub fn leaves_grant_unanswered(&self) -> bool {
         should_fail(&self.unanswered_grant)
