Draw slow clocks and queued grants in the soak

The soak's servers had exact clocks and applied every grant on arrival, so no seed could show a key with two owners because of either.

Half of the servers now have a clock that runs 2 % slow, and half of the faults that leave grants unanswered also have one in four applied up to 5 s late. Both come from numbers of their own, so that the other faults of a seed stay the same. Each draw of a single grant is random, as for unanswered grants before.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -15,6 +15,8 @@
 #[derive(Debug)]
 pub(crate) struct FaultSchedule {
     random: StdRng,
+    /// Draws slow clocks and queued grants, so that the other faults of a seed stay the same.
+    server_random: StdRng,
     /// How each active fault is undone, and when.
     pending: Vec<(Instant, Undo)>,
 }
@@ -41,7 +43,19 @@
 impl FaultSchedule {
     /// Creates a schedule whose faults are determined by the seed.
     pub(crate) fn new(seed: u64) -> Self {
-        Self { random: StdRng::seed_from_u64(seed), pending: Vec::new() }
+        Self {
+            random: StdRng::seed_from_u64(seed),
+            server_random: StdRng::seed_from_u64(!seed),
+            pending: Vec::new(),
+        }
+    }
+
+    /// Gives the clocks of some servers the largest drift.
+    pub(crate) fn draw_clocks(&mut self, cluster: &Cluster) {
+        for server in &cluster.servers {
+            let is_slow = self.server_random.random_bool(0.5);
+            server.faults.has_slow_clock.store(is_slow, Ordering::Relaxed);
+        }
     }
 
     /// Draws the delay before the next fault; many are short, so that faults overlap.
@@ -132,6 +146,10 @@
                 let faults = &cluster.servers[server].faults;
                 faults.wrong_id.store(20, Ordering::Relaxed);
                 faults.unanswered_grant.store(3, Ordering::Relaxed);
+                if self.server_random.random_bool(0.5) {
+                    cluster.log_event(&format!("{server_name} queues grants"));
+                    faults.queued_grant.store(4, Ordering::Relaxed);
+                }
                 self.undo_after(500..4_000, Undo::ClearServerFaults(server));
             }
             _ => cluster.schedule_document_change(),
@@ -201,6 +219,7 @@
                 let faults = &cluster.servers[index].faults;
                 faults.wrong_id.store(0, Ordering::Relaxed);
                 faults.unanswered_grant.store(0, Ordering::Relaxed);
+                faults.queued_grant.store(0, Ordering::Relaxed);
             }
         }
         Ok(())
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -122,6 +122,7 @@
         tokio::spawn(version_check);
     }
     let mut schedule = FaultSchedule::new(options.seed);
+    schedule.draw_clocks(&cluster);
     let first_fault_at = Instant::now() + STARTUP_TIME;
     let mut link_faults = options
         .own_links
