Have recorded owners accept a grant before they release keys

Cause: a new leader knows nothing of the grants that its predecessor sent without an answer. It could release a range of a recorded owner before that had accepted any grant of its own, since a server with several ranges first gets a grant for one of them. The release was answered and the keys were granted on, and the server then applied the grant of the leader before.

Fix: an owner from a record first accepts a grant of the new leader, whose fence rules out the earlier ones, as after a grant that was given up. This is not asked of owners that fail to answer; they are replaced as before. Merged ranges keep the mark of either.

--- a/crates/shard/src/answers.rs
+++ b/crates/shard/src/answers.rs
@@ -82,6 +82,7 @@
                         }));
                     }
                     holder.has_accepted_fence = true;
+                    holder.may_apply_earlier = false;
                     holder.failures = 0;
                     holder.refusals = 0;
                     self.is_changed |= !holder.is_serving;
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -94,6 +94,7 @@
         let ranges = record.ranges.iter().map(|recorded| RangeState {
             holder: Some(Holder {
                 grant_deadline_ms,
+                may_apply_earlier: true,
                 is_serving: true,
                 ..Holder::new(recorded.owner.clone(), fences.next())
             }),
@@ -342,7 +343,8 @@
                     holder.failures < pass.config.max_failures
                         && pass.orders.contact(&holder.incarnation).failures()
                             < pass.config.max_failures
-                        && pass.may_abandoned_grant_apply(&holder.incarnation, state.range)
+                        && (holder.may_apply_earlier
+                            || pass.may_abandoned_grant_apply(&holder.incarnation, state.range))
                 });
             match state.next_step(pass.now_ms, may_hold, is_fencing, self.durable_record) {
                 NextStep::Wait => {}
@@ -379,6 +381,7 @@
             if let (Some(holder), Some(next_holder)) = (&mut state.holder, next.holder) {
                 holder.grant_deadline_ms =
                     holder.grant_deadline_ms.max(next_holder.grant_deadline_ms);
+                holder.may_apply_earlier |= next_holder.may_apply_earlier;
                 holder.renew_at_ms = 0;
                 holder.renew_fence(pass.fences.next());
             }
--- a/crates/shard/src/range_state.rs
+++ b/crates/shard/src/range_state.rs
@@ -23,12 +23,15 @@
 
 /// The server that a range is granted to.
 #[derive(Clone, Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "each tells something else of its grants")]
 pub(crate) struct Holder {
     pub(crate) incarnation: Incarnation,
     /// The fence of the grants.
     pub(crate) fence: Fence,
     /// Whether the server has accepted a grant under the current fence.
     pub(crate) has_accepted_fence: bool,
+    /// Whether the server may still apply a grant of an earlier leader.
+    pub(crate) may_apply_earlier: bool,
     /// The time until which grants may be valid, apart from those not answered yet.
     pub(crate) grant_deadline_ms: u64,
     pub(crate) renew_at_ms: u64,
@@ -97,7 +100,7 @@
     ///
     /// `may_hold` tells whether a grant of the holder may be valid, including grants that
     /// are not answered yet; `is_fencing` whether the holder is first to accept a grant that
-    /// rules out one that was given up; `durable_record` is the number of the last durable record.
+    /// rules out earlier ones without an answer; `durable_record` is the number of the last durable record.
     pub(crate) fn next_step(
         &self,
         now_ms: u64,
@@ -232,6 +235,7 @@
             incarnation,
             fence,
             has_accepted_fence: false,
+            may_apply_earlier: false,
             grant_deadline_ms: 0,
             renew_at_ms: 0,
             is_short: false,
--- a/crates/shard/tests/queued_grants.rs
+++ b/crates/shard/tests/queued_grants.rs
@@ -4,11 +4,12 @@
 //! The time of the grant counts from its arrival.
 mod fixture;
 
-use crate::fixture::{SERVICE, TICK_MS, incarnation, registry, step_with_writes};
+use crate::fixture::{SERVICE, TICK_MS, incarnation, registration, registry, step_with_writes};
 use document::HashMap;
-use registry::Registry;
+use registry::{Registry, Stage};
 use shard::{
-    Config, Epoch, Event, Fence, KeyRange, Leader, OrderId, OrderKind, Output, Reply, Servers,
+    Config, Epoch, Event, Fence, KeyRange, Leader, OrderId, OrderKind, Output, Record,
+    RecordedRange, Reply, Servers,
 };
 
 /// When `s1` begins to queue grants at the earliest.
@@ -126,3 +127,23 @@
         }
     }
 }
+
+/// Guards against a grant of the leader before, which its server applies after a release.
+#[test]
+fn recorded_owner_accepts_a_grant_before_its_release() {
+    let mut harness = Harness::new(u64::MAX, 0);
+    // Only one of two ranges gets a grant before both are to be released.
+    let (left, right) = KeyRange::WHOLE.split_at(30_000).unwrap();
+    let to_recorded =
+        |range| RecordedRange { range, owner: incarnation("s1"), previous: Vec::new() };
+    let record =
+        Record { epoch: 4, number: 1, ranges: vec![to_recorded(left), to_recorded(right)] };
+    let records = [(SERVICE.into(), record)];
+    harness.leader = Leader::new(Epoch(5), 0, u64::MAX, &records, Config::default());
+    harness.registry.put(0, "s1", registration("s1", Stage::Draining));
+    let until_ms = 1_000 + Config::default().max_grant_ms;
+    harness.queued = vec![(left, Fence(1), until_ms), (right, Fence(1), until_ms)];
+    harness.run(2_000);
+    assert_eq!(harness.overlap_ms, 0);
+    assert!(harness.queued.is_empty());
+}
