--- a/crates/shard/tests/random_moves.rs
+++ b/crates/shard/tests/random_moves.rs
@@ -127,6 +127,12 @@
     assert_schedules(Faults { queue_grant: 60, slow_server: 40, crash: 20, ..ONLY_DRAINS });
 }
 
+/// Guards against grants that a server has queued from an earlier leader.
+#[test]
+fn queued_grants_and_lost_leaders() {
+    assert_schedules(Faults { queue_grant: 60, stop_leader: 20, ..ONLY_DRAINS });
+}
+
 const ALL_FAULTS: Faults = Faults {
     lose_message: 40,
     apply_late: 40,
