Bound the memory that bodies of all requests take together

Callers saw: with 600 callers that do not read, and servers whose bodies go on without end, the daemon goes over its memory limit (390 MB in the smallest deployments) and is killed with the requests of all other callers.

Cause: each request may hold back 1 MiB of an answer, or a whole body of its caller, and nothing bounded the sum. Parts of bodies were kept as they had been read, so chunks of one byte took 32 bytes and their framing each.

Fix: proxy::BufferBudget, an eighth of [instance] memory_mb (of 390 MB if it is unset), of which answers get half. The first 8 KiB of each body are not counted. Bytes return their part with their last reference. An answer without room is passed on as it arrives; a caller's body without room is refused with 503 and Retry-After. Bodies are copied as they arrive, so that the parts free the buffers that they were read into. The sum can no longer grow with the number of requests, except for the buffers of their connections.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,7 +8,7 @@
 use document::Name;
 use error_stack::{Report, ResultExt};
 use peer::FleetFrame;
-use proxy::Clock;
+use proxy::{BufferBudget, Clock};
 use store::Store;
 use telemetry::{Counters, Metrics};
 use tokio::net::TcpListener;
@@ -106,7 +106,10 @@
         let signals = Signals::receive().change_context(RunError)?;
         let (inputs, queue) = mpsc::channel(MAX_QUEUED_INPUTS);
         let dialect = ports.dialect.clone();
-        let shared = Shared::new(clock, counters, metrics, dialect, data_centre, inputs.clone());
+        let buffers = Arc::new(BufferBudget::for_memory(settings.memory_mb));
+        observe_buffers(&metrics, &buffers);
+        let control = inputs.clone();
+        let shared = Shared::new(clock, counters, metrics, dialect, data_centre, buffers, control);
         let shared = Arc::new(shared);
         // Stops the servers for readiness checks and administrators.
         let end = CancellationToken::new();
@@ -164,6 +167,14 @@
     }
 }
 
+/// Exports how much memory buffered bodies take.
+fn observe_buffers(metrics: &Metrics, buffers: &Arc<BufferBudget>) {
+    let buffers = Arc::clone(buffers);
+    metrics.observe("verbena_buffered_bytes", "memory reserved for bodies", move || {
+        u64::try_from(buffers.used_bytes()).unwrap_or(u64::MAX)
+    });
+}
+
 /// Starts the thread that serves callers; the receiver is notified when it ends.
 fn start_traffic(
     shared: &Arc<Shared>,
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -11,6 +11,7 @@
 use registry::Incarnation;
 use route::{Arrival, Caller, Fingerprint, Reason, Refusal};
 use site::{Route, Site};
+use telemetry::Counter;
 
 use crate::Shared;
 use crate::request::detour::earlier_refusals;
@@ -53,6 +54,10 @@
 /// A longer queue is of no use: on a server with one slot, a request behind this many others
 /// starts after any deadline that callers set.
 const MAX_WAITING: u32 = 64;
+/// The Retry-After of a request whose body has no room.
+///
+/// Another daemon may have room at once, but not for all these requests in the same moment.
+const NO_ROOM_RETRY_AFTER_MS: u64 = 300;
 
 impl Call {
     pub(crate) fn arrival(&self) -> Arrival {
@@ -111,10 +116,15 @@
     let caller = head.extensions.get().copied().filter(|_| !is_relayed);
     proxy::strip_request_headers(&mut head.headers);
     let deadline = shared.clock.to_instant(deadline_ms);
-    let body = read_body(body, site.limits().max_body_bytes, deadline);
+    let body = read_body(body, site.limits().max_body_bytes, &shared.buffers, deadline);
     // A request that arrives later could be cut off at a server that is at work on it.
     let body = match shared.stop.bound_arrival(deadline, body).await {
         Ok(Ok(body)) => body,
+        Ok(Err(BodyError::NoRoom)) => {
+            shared.counters.count(Counter::BodiesWithoutRoom);
+            let refusal = Refusal::not_run(Reason::Overloaded);
+            return Err(refusal.with_retry_after(NO_ROOM_RETRY_AFTER_MS));
+        }
         Ok(Err(error)) => return Err(Refusal::not_run(to_reason(error))),
         Err(WaitEnd::Elapsed) => return Err(Refusal::not_run(Reason::Expired)),
         Err(WaitEnd::Stopping) => {
@@ -149,6 +159,7 @@
         BodyError::TooLarge => Reason::BodyTooLarge,
         BodyError::Aborted => Reason::BodyIncomplete,
         BodyError::TimedOut => Reason::Expired,
+        BodyError::NoRoom => Reason::Overloaded,
     }
 }
 
--- a/crates/gateway/src/request/detour.rs
+++ b/crates/gateway/src/request/detour.rs
@@ -214,7 +214,7 @@
         Report::Sent(sent_to) => Reached::Other(sent_to.server),
         Report::Unsent | Report::Missing => Reached::Unknown,
     };
-    match receive(&shared.stop, &peer.upstream, head, body, (link, permit, deadline)).await {
+    match receive(shared, &peer.upstream, head, body, (link, permit, deadline)).await {
         Ok(response) if response.status().is_server_error() => {
             ended(ExchangeResult::ServerError(response), reached)
         }
--- a/crates/gateway/src/request/exchange.rs
+++ b/crates/gateway/src/request/exchange.rs
@@ -6,13 +6,13 @@
 use std::sync::Arc;
 use std::time::SystemTime;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{CONTENT_ENCODING, HOST, HeaderName, RETRY_AFTER};
 use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
-use proxy::{Link, Permit, Stop, Upstream, WaitEnd, retry_after_ms};
+use hyper::body::{Body, Incoming};
+use proxy::{BodyBuffer, BodyKind, Link, Permit, Upstream, WaitEnd, retry_after_ms};
 use registry::Incarnation;
 use route::{Failure, Pace, Rate, ServerLoad};
 use telemetry::Counter;
@@ -212,7 +212,7 @@
     check_id(shared, call, &head)?;
     note_state(shared, server, call, &head);
     check_answer(shared, &head)?;
-    receive(&shared.stop, &server.upstream, head, body, (link, permit, deadline)).await
+    receive(shared, &server.upstream, head, body, (link, permit, deadline)).await
 }
 
 /// Returns the failure of an attempt whose answer did not come in time.
@@ -246,7 +246,7 @@
 
 /// Receives the body of an answer, or its start if it is large.
 pub(crate) async fn receive(
-    stop: &Stop,
+    shared: &Shared,
     upstream: &Upstream,
     mut head: Parts,
     body: Incoming,
@@ -257,7 +257,7 @@
     // connection, also where it broke off.
     head.version = Version::HTTP_11;
     proxy::strip_headers(&mut head.headers);
-    match buffer(stop, body, deadline).await? {
+    match buffer(shared, body, deadline).await? {
         Buffered::Whole(bytes) => {
             upstream.keep(link, idle_timeout_ms);
             drop(permit);
@@ -417,36 +417,32 @@
     Start(VecDeque<Bytes>, Incoming),
 }
 
-async fn buffer(stop: &Stop, mut body: Incoming, deadline: Instant) -> Result<Buffered, Failure> {
-    let mut parts: VecDeque<Bytes> = VecDeque::new();
-    let mut buffered_bytes = 0;
+async fn buffer(
+    shared: &Shared,
+    mut body: Incoming,
+    deadline: Instant,
+) -> Result<Buffered, Failure> {
+    let expected_bytes = body.size_hint().lower();
+    let mut buffer = BodyBuffer::new(&shared.buffers, BodyKind::Answer, expected_bytes);
     loop {
-        let frame = match stop.bound(deadline, 0, body.frame()).await {
-            Ok(None) => return Ok(Buffered::Whole(join(parts, buffered_bytes))),
+        let frame = match shared.stop.bound(deadline, 0, body.frame()).await {
+            Ok(None) => return Ok(Buffered::Whole(buffer.into_bytes())),
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(_broken))) => return Err(Failure::Broken),
             Err(end) => return Err(to_failure(end)),
         };
         let Ok(data) = frame.into_data() else { continue };
-        buffered_bytes += data.len();
-        parts.push_back(data);
-        if buffered_bytes > MAX_BUFFERED_BYTES {
-            return Ok(Buffered::Start(parts, body));
+        let is_large = buffer.len() + data.len() > MAX_BUFFERED_BYTES;
+        if !is_large && buffer.push(&data) {
+            continue;
         }
+        if !is_large {
+            shared.counters.count(Counter::AnswersWithoutRoom);
+        }
+        return Ok(Buffered::Start(VecDeque::from([buffer.into_bytes(), data]), body));
     }
 }
 
-fn join(mut parts: VecDeque<Bytes>, bytes: usize) -> Bytes {
-    if parts.len() <= 1 {
-        return parts.pop_front().unwrap_or_default();
-    }
-    let mut whole = BytesMut::with_capacity(bytes);
-    for part in parts {
-        whole.extend_from_slice(&part);
-    }
-    whole.freeze()
-}
-
 /// Returns how long the server keeps an idle connection open.
 fn idle_timeout_ms(headers: &HeaderMap) -> Option<u64> {
     let value = headers.get(HeaderName::from_static("keep-alive"))?.to_str().ok()?;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -15,6 +15,8 @@
     ///
     /// Well connected instances lead before others.
     pub link_mbps: u32,
+    /// The memory that the process may take; `None` if unknown.
+    pub memory_mb: Option<u32>,
     /// The addresses that the instance listens on.
     pub listen: Listen,
     /// The address of the platform's store.
@@ -75,6 +77,8 @@
     ValueFormat { parse: read_retries_count, expected: "a number of requests, such as 8" };
 const MBPS: ValueFormat<u32> =
     ValueFormat { parse: read_mbps, expected: "a bandwidth in Mbit/s above 0, such as 200" };
+const MEMORY: ValueFormat<u32> =
+    ValueFormat { parse: read_memory, expected: "an amount of memory in MB, at least 1" };
 /// A store answers within milliseconds; a call is given up after half a second.
 const DEFAULT_STORE_TIMEOUT_MS: u64 = 500;
 /// Stores accept leases of a second; a shorter one would expire during a pause of the process.
@@ -101,6 +105,7 @@
             instance: instance.required("name", &TEXT)?,
             data_centre: instance.required("data_centre", &TEXT)?,
             link_mbps: instance.optional("link_mbps", &MBPS)?.unwrap_or(0),
+            memory_mb: instance.optional("memory_mb", &MEMORY)?,
             listen,
             store: store.required("address", &ADDRESS)?,
             store_timeout_ms: store
@@ -116,7 +121,7 @@
             retries: read_retries(sections.take_optional("retries"))?,
             log_level: read_log(sections.take_optional("log"))?,
         };
-        instance.finish("name, data_centre, link_mbps")?;
+        instance.finish("name, data_centre, link_mbps, memory_mb")?;
         store.finish("address, timeout, least_lease")?;
         sections.finish(SECTIONS)?;
         Ok(settings)
@@ -221,6 +226,11 @@
     (0.0..=f64::from(u32::MAX)).contains(&retries).then(|| retries.floor() as u32)
 }
 
+/// Reads an amount of memory; a fraction of a megabyte is left out.
+fn read_memory(text: &str) -> Option<u32> {
+    read_retries_count(text).filter(|memory_mb| *memory_mb > 0)
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwap;
 use document::{HashMap, HashSet, Name};
-use proxy::{Clock, SharedCrashTracker, Stop};
+use proxy::{BufferBudget, Clock, SharedCrashTracker, Stop};
 use registry::Incarnation;
 use route::{CrashTracker, Fingerprint, Share};
 use site::{Limits, Route};
@@ -51,6 +51,8 @@
     is_ready: AtomicBool,
     /// Bounds the waits of requests while the process stops.
     pub(crate) stop: Stop,
+    /// The memory for the bodies of all requests and answers.
+    pub(crate) buffers: Arc<BufferBudget>,
 }
 
 /// How many servers a request may crash; after that it is refused.
@@ -68,6 +70,7 @@
         metrics: Metrics,
         dialect: Dialect,
         data_centre: Name,
+        buffers: Arc<BufferBudget>,
         inputs: mpsc::Sender<Input>,
     ) -> Self {
         Self {
@@ -89,6 +92,7 @@
             position: AtomicU32::new(0),
             is_ready: AtomicBool::new(false),
             stop: Stop::new(clock),
+            buffers,
         }
     }
 
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -23,6 +23,7 @@
 fn every_key_is_read() {
     let read = read("name = edge-1").unwrap();
     expect_that!(read.link_mbps, eq(20));
+    expect_that!(read.memory_mb, none());
     expect_that!(read.min_lease_ms, eq(1_000));
     expect_that!(read.max_grant_ms, eq(10_000));
     expect_that!(read.drain_ms, eq(2_000));
@@ -36,6 +37,8 @@
     expect_that!(read("slack = 0.5").unwrap().retries.slack, eq(0));
     expect_that!(read("link_mbps = 200.0").unwrap().link_mbps, eq(200));
     expect_that!(read("link_mbps = 3.57").unwrap().link_mbps, eq(4));
+    let read = read("link_mbps = 20\nmemory_mb = 390.5").unwrap();
+    expect_that!(read.memory_mb, some(eq(390)));
 }
 
 #[googletest::test]
@@ -55,6 +58,7 @@
         ("slack = -1", "a number of retries"),
         ("slack = NaN", "a number of retries"),
         ("link_mbps = 0", "a bandwidth in Mbit/s above 0"),
+        ("link_mbps = 20\nmemory_mb = 0", "an amount of memory in MB"),
         ("link_mbps = fast", "a bandwidth in Mbit/s above 0"),
         ("ratio = 2", "a fraction from 0 to 1"),
     ] {
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -160,9 +160,13 @@
     }
     head::strip_request_headers(&mut head.headers);
     let deadline = traffic.clock.to_instant(deadline_ms);
-    let body = read_body(body, traffic.limits.max_body_bytes, deadline);
+    let body = read_body(body, traffic.limits.max_body_bytes, &traffic.buffers, deadline);
     let body = match traffic.stop.bound(deadline, 0, body).await {
         Ok(Ok(body)) => body,
+        Ok(Err(BodyError::NoRoom)) => {
+            traffic.counters.count(Counter::BodiesWithoutRoom);
+            return Err(Refusal::not_run(Reason::Overloaded));
+        }
         Ok(Err(BodyError::TooLarge)) => return Err(Refusal::not_run(Reason::BodyTooLarge)),
         Ok(Err(BodyError::Aborted | BodyError::TimedOut)) | Err(WaitEnd::Elapsed) => {
             return Err(Refusal::not_run(Reason::BodyIncomplete));
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -20,6 +20,8 @@
 //!   [`accept_queued`] closes a listener without losing a connection.
 //! - A [`CallerBody`] keeps what a refusal leaves unread, which [`Unread`] discards so that the
 //!   caller gets the refusal.
+//! - A [`BufferBudget`] bounds the memory that the bodies of all requests take together; a
+//!   [`BodyBuffer`] holds one of them.
 //! - [`strip_headers`], [`strip_request_headers`] and [`read_body`] prepare what is forwarded,
 //!   [`retry_after_ms`] reads how long a server asks to be left alone, and [`to_labels`] returns the labels under which a result is counted.
 //!
@@ -44,6 +46,7 @@
 mod activity;
 mod answer;
 mod body;
+mod buffer_budget;
 mod caller_body;
 mod caller_stream;
 mod clock;
@@ -62,6 +65,7 @@
 pub use activity::{Activity, Close, CloseCause, RequestGuard, TrackedBody};
 pub use answer::AnswerBody;
 pub use body::{BodyError, read_body};
+pub use buffer_budget::{BodyBuffer, BodyKind, BufferBudget};
 pub use caller_body::{BodyRest, CallerBody, Unread};
 pub use caller_stream::{CallerStream, StreamProgress};
 pub use clock::Clock;
--- a/crates/proxy/src/traffic.rs
+++ b/crates/proxy/src/traffic.rs
@@ -9,7 +9,7 @@
 use telemetry::{Counters, Metrics};
 use tokio::sync::Notify;
 
-use crate::{Clock, SharedCrashTracker, Stop, Upstream};
+use crate::{BufferBudget, Clock, SharedCrashTracker, Stop, Upstream};
 
 /// The services in force, by name.
 pub type Services = HashMap<Name, Arc<Service<Upstream>>>;
@@ -29,6 +29,8 @@
     pub crashes: SharedCrashTracker,
     /// Bounds the waits of requests while the process stops.
     pub stop: Stop,
+    /// The memory for the bodies of all requests.
+    pub buffers: Arc<BufferBudget>,
     services: ArcSwap<Services>,
     /// Notified when waiting requests should read the services again.
     changed: Notify,
@@ -86,6 +88,7 @@
             limits,
             crashes: SharedCrashTracker::new(clock, CrashTracker::default()),
             stop: Stop::new(clock),
+            buffers: Arc::new(BufferBudget::for_memory(None)),
             services: ArcSwap::default(),
             changed: Notify::new(),
             waiting: AtomicU32::new(0),
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -547,6 +547,12 @@
 }
 
 impl Daemon {
+    /// Returns the id of the running process.
+    #[must_use]
+    pub fn process_id(&self) -> Option<u32> {
+        self.child.as_ref()?.id()
+    }
+
     /// Opens the link to the store and writes the settings file; starts no process.
     async fn create(
         program: &Path,
--- a/crates/telemetry/src/counter.rs
+++ b/crates/telemetry/src/counter.rs
@@ -61,13 +61,17 @@
     MalformedLoads,
     /// Servers' entries that were read or relayed and describe no usable server.
     UnusableEntries,
+    /// Answers that were passed on as they arrived, because there was no room to buffer them.
+    AnswersWithoutRoom,
+    /// Requests that were refused because there was no room for their bodies.
+    BodiesWithoutRoom,
 }
 
 /// All counters with their metric names and descriptions.
 ///
 /// Every variant must be listed: the length is also that of [`Counters`], which is indexed by
 /// the variants.
-const COUNTERS: [(Counter, &str, &str); 28] = [
+const COUNTERS: [(Counter, &str, &str); 30] = [
     (Counter::Requests, "verbena_requests", "requests that arrived"),
     (Counter::Answered, "verbena_answered", "requests that a server answered"),
     (Counter::RefusedNotRun, "verbena_refused_not_run", "requests that certainly did not run"),
@@ -100,6 +104,16 @@
     ),
     (Counter::MalformedLoads, "verbena_malformed_loads", "reported loads that were not readable"),
     (Counter::UnusableEntries, "verbena_unusable_entries", "servers' entries that were not usable"),
+    (
+        Counter::AnswersWithoutRoom,
+        "verbena_answers_without_room",
+        "answers that there was no room to buffer",
+    ),
+    (
+        Counter::BodiesWithoutRoom,
+        "verbena_bodies_without_room",
+        "requests refused because there was no room for their bodies",
+    ),
 ];
 
 /// The counter values of one daemon.
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -15,7 +15,7 @@
     registry: Registry,
     latency_ms: Histogram<f64>,
     // Instruments are exported only until their provider is dropped.
-    _provider: SdkMeterProvider,
+    provider: SdkMeterProvider,
 }
 
 /// The labels of a request in the latency histogram.
@@ -74,7 +74,22 @@
             .with_description("time from a request's arrival to the head of its answer")
             .with_boundaries(LATENCY_BOUNDS_MS.to_vec())
             .build();
-        Ok(Self { registry, latency_ms, _provider: provider })
+        Ok(Self { registry, latency_ms, provider })
+    }
+
+    /// Exports a value that goes up and down.
+    pub fn observe(
+        &self,
+        name: &'static str,
+        description: &'static str,
+        read: impl Fn() -> u64 + Send + Sync + 'static,
+    ) {
+        self.provider
+            .meter("verbenadrift")
+            .u64_observable_gauge(name)
+            .with_description(description)
+            .with_callback(move |observer| observer.observe(read(), &[]))
+            .build();
     }
 
     /// Records the latency of a request in milliseconds.
--- a/crates/verbenad/src/daemon.rs
+++ b/crates/verbenad/src/daemon.rs
@@ -86,6 +86,12 @@
         let metrics =
             Metrics::new(&counters).change_context_lazy(|| Error::new("cannot set up metrics"))?;
         let traffic = Arc::new(Traffic::new(Clock::start(), counters, metrics, settings.limits));
+        let buffers = Arc::clone(&traffic.buffers);
+        traffic.metrics.observe(
+            "verbena_buffered_bytes",
+            "memory reserved for bodies",
+            move || u64::try_from(buffers.used_bytes()).unwrap_or(u64::MAX),
+        );
         let tokens = Tokens::default();
         let Sockets { http, peer, operator, admin } = sockets;
         let control = {
