Draw servers in the soak whose answers go on without end

One in twenty answers with status 200 of such a server, to requests and to orders, has a body without end. The body is in the lab crate, as it has nothing of the platform's wire.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -27,6 +27,7 @@
 //! ```
 
 mod availability;
+mod endless_answer;
 mod float;
 mod load;
 mod measure;
@@ -43,6 +44,7 @@
 mod zipf;
 
 pub use availability::{Availability, Gaps, RunningDaemons};
+pub use endless_answer::{EndlessBody, to_faulty};
 pub use float::{f64_from_u64, f64_from_usize};
 pub use load::{Load, LoadOptions, LoadReport, Outcomes, Targets};
 pub use measure::{
--- a/crates/lab/src/server_faults.rs
+++ b/crates/lab/src/server_faults.rs
@@ -12,6 +12,8 @@
 pub struct ServerFaults {
     /// Answers to requests that ran, with the id of another request.
     pub wrong_id: AtomicU32,
+    /// Answers with status 200, also those to orders, whose bodies go on without end.
+    pub endless_answer: AtomicU32,
     /// Answers to requests that ran, in whose place the connection is reset.
     pub lost_answer: AtomicU32,
     /// Grants that are carried out and never answered.
@@ -69,6 +71,11 @@
         should_fail(&self.wrong_id)
     }
 
+    /// Draws whether the body of the next answer goes on without end.
+    pub fn sends_endless_answer(&self) -> bool {
+        should_fail(&self.endless_answer)
+    }
+
     /// Draws whether the connection is reset in place of the next answer.
     pub fn loses_answer(&self) -> bool {
         should_fail(&self.lost_answer)
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -127,10 +127,11 @@
             }
             14 => {
                 cluster.log_event(&format!(
-                    "{server_name} sends wrong ids and leaves grants unanswered"
+                    "{server_name} sends wrong ids and endless answers and leaves grants unanswered"
                 ));
                 let faults = &cluster.servers[server].faults;
                 faults.wrong_id.store(20, Ordering::Relaxed);
+                faults.endless_answer.store(20, Ordering::Relaxed);
                 faults.unanswered_grant.store(3, Ordering::Relaxed);
                 self.undo_after(500..4_000, Undo::ClearServerFaults(server));
             }
@@ -200,6 +201,7 @@
             Self::ClearServerFaults(index) => {
                 let faults = &cluster.servers[index].faults;
                 faults.wrong_id.store(0, Ordering::Relaxed);
+                faults.endless_answer.store(0, Ordering::Relaxed);
                 faults.unanswered_grant.store(0, Ordering::Relaxed);
             }
         }
