--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -141,10 +141,11 @@
             }
             14 => {
                 cluster.log_event(&format!(
-                    "{server_name} sends wrong ids and leaves grants unanswered"
+                    "{server_name} sends wrong ids and endless answers and leaves grants unanswered"
                 ));
                 let faults = &cluster.servers[server].faults;
                 faults.wrong_id.store(20, Ordering::Relaxed);
+                faults.endless_answer.store(20, Ordering::Relaxed);
                 faults.unanswered_grant.store(3, Ordering::Relaxed);
                 if self.server_random.random_bool(0.5) {
                     cluster.log_event(&format!("{server_name} queues grants"));
@@ -218,6 +219,7 @@
             Self::ClearServerFaults(index) => {
                 let faults = &cluster.servers[index].faults;
                 faults.wrong_id.store(0, Ordering::Relaxed);
+                faults.endless_answer.store(0, Ordering::Relaxed);
                 faults.unanswered_grant.store(0, Ordering::Relaxed);
                 faults.queued_grant.store(0, Ordering::Relaxed);
             }
