--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -220,7 +220,7 @@
 ///
 /// `missing_since` is the last revision at which the entry was found to be missing. A call of an
 /// earlier process or attempt that got no answer may remove the entry seconds later, or write it with
-/// a lease that nobody renews.
+/// a lease that is not renewed.
 pub(crate) async fn register<S: Store>(
     store: S,
     key: String,
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -66,6 +66,8 @@
 /// How long after the last answer of its peer a client's kernel gives a connection up: an idle time of
 /// a second and two probes a second apart.
 const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(3);
+/// How often a link looks again whether a client has probes.
+const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Where Linux lists the connections of this network namespace.
 const CONNECTIONS: &str = "/proc/net/tcp";
 /// How often a link that holds bytes back checks its mode again.
@@ -300,7 +302,8 @@
         if is_probed(client, link) {
             return;
         }
-        held_since = None;
+        // A timer that is just firing is not listed.
+        sleep(PROBE_CHECK_INTERVAL).await;
     }
 }
 
