--- a/crates/shard/src/order.rs
+++ b/crates/shard/src/order.rs
@@ -40,6 +40,14 @@
     pub is_ruling_out: bool,
 }
 
+impl Grant {
+    /// Creates a grant without a token of the previous holder.
+    #[must_use]
+    pub fn new(range: KeyRange, fence: Fence, grant_ms: u64) -> Self {
+        Self { range, fence, grant_ms, handover: None, is_ruling_out: false }
+    }
+}
+
 /// An order to give a range up.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Release {
--- a/crates/web/src/error.rs
+++ b/crates/web/src/error.rs
@@ -52,6 +52,13 @@
         self.ending
     }
 
+    /// Returns the name of what ended the call before its deadline, if it may have been carried out.
+    #[must_use]
+    pub fn early_ending(&self) -> Option<&'static str> {
+        let is_early = self.category == Category::Unknown && self.ending != Ending::Deadline;
+        is_early.then(|| self.ending.as_str())
+    }
+
     /// Reports a call that its own deadline ended.
     pub(crate) fn elapsed(category: Category, message: &str) -> Report<Self> {
         Report::new(Self { category, ending: Ending::Deadline, message: message.into() })
@@ -69,8 +76,7 @@
 
 impl Ending {
     /// Returns the name of the ending in logs.
-    #[must_use]
-    pub fn as_str(self) -> &'static str {
+    fn as_str(self) -> &'static str {
         match self {
             Self::Deadline => "deadline",
             Self::KernelTimeout => "kernel-timeout",
