Read the list of connections once for all links of the soak

Cause: every connection that a link holds back for more than 3 s read /proc/net/tcp again every 500 ms, on a worker thread of the test process. With 40,000 connections on the machine, most of them in TIME_WAIT, one read takes 64 to 100 ms (three reads). The stand-ins of all tests run in that process: in one failed run (72 of 200, load 29) all daemons log at the same moment that the store does not answer, for 2.5 s.

Links now share one list, which is read on a blocking thread and used for 500 ms. What a link decides is unchanged.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -33,6 +33,7 @@
 mod link_faults;
 mod loss_check;
 mod planned_stops;
+mod probes;
 mod rotation;
 mod run;
 mod upgrade;
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -12,6 +12,8 @@
 use tokio::task::JoinSet;
 use tokio::time::{Duration, Instant, sleep, timeout};
 
+use crate::probes;
+
 /// What a link does with connections and bytes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LinkMode {
@@ -68,8 +70,6 @@
 const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(3);
 /// How often a link looks again whether a client has probes.
 const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Where Linux lists the connections of this network namespace.
-const CONNECTIONS: &str = "/proc/net/tcp";
 /// How often a link that holds bytes back checks its mode again.
 ///
 /// A connection also stays open this long after one of its ends has closed.
@@ -299,7 +299,7 @@
         if Instant::now() < deadline {
             continue;
         }
-        if is_probed(client, link) {
+        if probes::is_probed(client.port(), link.port()).await {
             return;
         }
         // A timer that is just firing is not listed.
@@ -307,14 +307,6 @@
     }
 }
 
-/// Returns whether the kernel is to send keepalive probes on a connection of this machine.
-fn is_probed(from: SocketAddr, to: SocketAddr) -> bool {
-    let ports = format!(":{:04X} 0100007F:{:04X} 01 ", from.port(), to.port());
-    // The timer with the number 2 is that of keepalive probes while nothing is unacknowledged.
-    let connections = std::fs::read_to_string(CONNECTIONS).unwrap_or_default();
-    connections.lines().any(|line| line.contains(&ports) && line.contains(" 02:"))
-}
-
 /// Copies bytes in one direction until an end closes, as the mode of the link demands.
 async fn copy(
     mut from: OwnedReadHalf,
