Keep only the latest read of a body that is under way

Callers that send bodies without an end could take a daemon close to the memory limit at which it is killed with all its callers' requests: requests_that_never_end took 276,136 to 291,800 kB of 285,644 allowed, and was listed as known red.

Cause: the bytes that are recorded to find ambiguous heads grew to 128 KiB on each connection while a body came, although no head can be in them.

While a body has not been read to its end, each read now replaces what is recorded. That is enough: the HTTP library reads on in a body only when it has parsed all that it has read, so the next head begins in the latest read at the earliest. If that were wrong, the head would not be found, and the request be refused, as before. The mark is dropped with the body, so a body that is left unread, or read elsewhere after a refusal, is covered too.

Related paths: verbenad has the same code; daemons' own connections and those to servers record nothing.

--- a/crates/gateway/src/request/connection.rs
+++ b/crates/gateway/src/request/connection.rs
@@ -54,7 +54,7 @@
         let may_discard = !is_ambiguous
             && proxy::has_unambiguous_framing(head.version, &head.headers)
             && !head.headers.contains_key(EXPECT);
-        let (body, rest) = CallerBody::new(body);
+        let (body, rest) = CallerBody::new(body, &raw);
         let request = Request::from_parts(head, body);
         let answer = answer(Arc::clone(&shared), request, is_ambiguous);
         let (activity, unread) = (Arc::clone(&activity), unread.clone());
--- a/crates/proxy/src/raw.rs
+++ b/crates/proxy/src/raw.rs
@@ -15,7 +15,18 @@
 
 /// The latest bytes that a caller sent on a connection.
 #[derive(Clone, Debug, Default)]
-pub struct RawBytes(Arc<Mutex<Vec<u8>>>);
+pub struct RawBytes(Arc<Mutex<Recorded>>);
+
+#[derive(Debug, Default)]
+struct Recorded {
+    bytes: Vec<u8>,
+    /// Whether the body of a request has not been read to its end.
+    is_in_body: bool,
+}
+
+/// A body that has not been read to its end; dropping it ends that.
+#[derive(Debug)]
+pub(crate) struct BodyMark(RawBytes);
 
 /// A stream that records the bytes read from it.
 #[derive(Debug)]
@@ -41,25 +52,42 @@
         }
         let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
         let line = format!("{} {target} HTTP/1.1\r\n", request.method());
-        let bytes = self.lock();
-        let Some(start) = rfind(&bytes, line.as_bytes()) else { return true };
-        let head = &bytes[start + line.len()..];
+        let recorded = self.lock();
+        let Some(start) = rfind(&recorded.bytes, line.as_bytes()) else { return true };
+        let head = &recorded.bytes[start + line.len()..];
         has_content_length(head)
     }
 
-    fn record(&self, bytes: &[u8]) {
-        let mut recorded = self.lock();
-        if recorded.len() + bytes.len() > MAX_RECORDED_BYTES {
-            recorded.clear();
+    /// Marks that the body of a request follows, until the mark is dropped.
+    pub(crate) fn begin_body(&self) -> BodyMark {
+        self.lock().is_in_body = true;
+        BodyMark(self.clone())
+    }
+
+    fn record(&self, read: &[u8]) {
+        let Recorded { bytes, is_in_body } = &mut *self.lock();
+        if *is_in_body {
+            // The HTTP library reads on in a body only when it has parsed all that it has read, so
+            // the next head begins in these bytes at the earliest.
+            bytes.clear();
+            bytes.shrink_to(read.len());
+        } else if bytes.len() + read.len() > MAX_RECORDED_BYTES {
+            bytes.clear();
         }
-        recorded.extend_from_slice(bytes);
+        bytes.extend_from_slice(read);
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<u8>> {
+    fn lock(&self) -> MutexGuard<'_, Recorded> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+impl Drop for BodyMark {
+    fn drop(&mut self) {
+        self.0.lock().is_in_body = false;
+    }
+}
+
 impl<S> RecordedStream<S> {
     /// Wraps a stream; the returned bytes are updated by each read.
     pub fn new(stream: S) -> (Self, RawBytes) {
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -80,13 +80,13 @@
         let is_ambiguous = raw.is_ambiguous(&request);
         let in_flight = activity.begin();
         let (activity, unread) = (Arc::clone(&activity), unread.clone());
+        let (head, body) = request.into_parts();
+        let (body, rest) = CallerBody::new(body, &raw);
         async move {
-            let (head, body) = request.into_parts();
             // Otherwise the caller may send no body, or one with another end.
             let may_discard = !is_ambiguous
                 && has_unambiguous_framing(head.version, &head.headers)
                 && !head.headers.contains_key(EXPECT);
-            let (body, rest) = CallerBody::new(body);
             let request = Request::from_parts(head, body);
             let mut answer = if forward::is_tunnel(request.method()) {
                 tunnel_refusal()
