Send no SIGHUP to a daemon of the soak that cannot handle signals yet

A daemon now counts as starting for at most a second, until the kernel lists a handler of SIGHUP for its process; the soak skips the signal until then. A daemon that has none after a second gets it as before.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -33,6 +33,9 @@
 /// The times of all routes unless others are set.
 const DEFAULT_ROUTE_TIMES: RouteTimes = RouteTimes { timeout_ms: 1_000, latency_goal_ms: 250 };
 
+/// The longest time that a daemon may take until it handles signals.
+const START_TIME: Duration = Duration::from_secs(1);
+
 /// One in so many servers is slow under [`ServerLoad`].
 const SLOW_SERVER_INTERVAL: usize = 4;
 
@@ -92,6 +95,8 @@
     child: Option<Child>,
     /// How often the process was started.
     pub start_count: u32,
+    /// When it was started last.
+    started_at: Instant,
 }
 
 /// A stand-in server with its link and its current incarnation.
@@ -466,6 +471,7 @@
             .spawn()?;
         daemon.child = Some(child);
         daemon.start_count += 1;
+        daemon.started_at = Instant::now();
         Ok(())
     }
 
@@ -553,6 +559,15 @@
         self.child.as_ref()?.id()
     }
 
+    /// Returns whether the process was started just now and does not handle SIGHUP yet.
+    ///
+    /// A program can handle no signal in its first moments.
+    #[must_use]
+    pub fn is_starting(&self) -> bool {
+        self.started_at.elapsed() < START_TIME
+            && self.process_id().is_some_and(|id| !handles(id, Signal::SIGHUP))
+    }
+
     /// Opens the link to the store and writes the settings file; starts no process.
     async fn create(
         program: &Path,
@@ -601,6 +616,7 @@
             log_path,
             child: None,
             start_count: 0,
+            started_at: Instant::now(),
         })
     }
 }
@@ -635,3 +651,11 @@
     }
     Ok(ports)
 }
+
+/// Returns whether a process has a handler for a signal, as Linux lists it.
+fn handles(process_id: u32, signal: Signal) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{process_id}/status")).unwrap_or_default();
+    let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+    let caught = caught.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+    caught.is_some_and(|mask| mask & (1 << (signal as u32 - 1)) != 0)
+}
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -89,6 +89,7 @@
                 // The platform gives a graceful stop this long before it kills the process.
                 self.undo_after(6_400..6_500, Undo::RestartDaemon(daemon));
             }
+            3 if cluster.daemons[daemon].is_starting() => {}
             3 => {
                 cluster.log_event(&format!("{name} gets SIGHUP"));
                 cluster.signal(daemon, Signal::SIGHUP);
--- a/crates/soak/src/planned_stops.rs
+++ b/crates/soak/src/planned_stops.rs
@@ -242,7 +242,7 @@
 
     fn reload_daemon(&mut self, cluster: &Cluster) {
         let index = self.reload_draws.0.random_range(0..self.stops.len());
-        if self.stops[index].is_none() {
+        if self.stops[index].is_none() && !cluster.daemons[index].is_starting() {
             cluster.log_event(&format!("{} gets SIGHUP", cluster.daemons[index].name));
             self.losses.on_reload(index);
             cluster.signal(index, Signal::SIGHUP);
