Share the leader, its clock and its servers in tests of one leader

Five tests of shard repeated how a leader without records is made, and how its events are handled with writes carried out at once. fixture::Driver has it now.

--- a/crates/shard/tests/delayed_grants.rs
+++ b/crates/shard/tests/delayed_grants.rs
@@ -5,12 +5,8 @@
 //! it: answers, and the reset of the connection. Other servers answer all the while.
 mod fixture;
 
-use crate::fixture::{SERVICE, TICK_MS, incarnation, registry, step_with_writes};
-use document::HashMap;
-use registry::{Incarnation, Registry};
-use shard::{
-    Config, Epoch, Event, Grant, KeyRange, Leader, OrderId, OrderKind, Output, Reply, Servers,
-};
+use crate::fixture::{Driver, TICK_MS, incarnation};
+use shard::{Config, Event, Grant, KeyRange, OrderId, OrderKind, Output, Reply};
 
 /// When the link of `s1` is cut.
 const CUT_FROM_MS: u64 = 10_000;
@@ -20,10 +16,7 @@
 const CLOCK_DRIFT_DIVISOR: u64 = 50;
 
 struct Harness {
-    now_ms: u64,
-    leader: Leader,
-    registry: Registry,
-    speeds: HashMap<Incarnation, f32>,
+    driver: Driver,
     /// When the link of `s1` gets slow.
     slow_from_ms: u64,
     /// How long the slow link takes to deliver.
@@ -40,14 +33,8 @@
 
 impl Harness {
     fn new(slow_from_ms: u64, delay_ms: u64) -> Self {
-        let registry = registry(["s1", "s2", "s3"].map(String::from));
-        let mut leader = Leader::new(Epoch(5), 0, u64::MAX, &[], Config::default());
-        leader.add_service(&SERVICE.into());
         Self {
-            now_ms: 0,
-            leader,
-            registry,
-            speeds: HashMap::default(),
+            driver: Driver::new(["s1", "s2", "s3"]),
             slow_from_ms,
             delay_ms,
             late_ms: 0,
@@ -58,8 +45,7 @@
     }
 
     fn step(&mut self, event: Event) {
-        let servers = Servers { registry: &self.registry, speeds: &self.speeds };
-        for output in step_with_writes(&mut self.leader, self.now_ms, servers, event) {
+        for output in self.driver.step(event) {
             let Output::Order { id, server, kind, .. } = output else { continue };
             if server.incarnation == incarnation("s1") {
                 self.send_to_first(id, &kind);
@@ -71,18 +57,18 @@
 
     fn send_to_first(&mut self, id: OrderId, kind: &OrderKind) {
         let config = Config::default();
-        let timed_out_at_ms = self.now_ms + config.order_timeout_ms;
-        if self.now_ms >= CUT_FROM_MS {
+        let timed_out_at_ms = self.driver.now_ms + config.order_timeout_ms;
+        if self.driver.now_ms >= CUT_FROM_MS {
             self.replies.push((timed_out_at_ms, id, Reply::NotSent));
-        } else if self.now_ms >= self.slow_from_ms {
+        } else if self.driver.now_ms >= self.slow_from_ms {
             if let OrderKind::Grant(grant) = kind {
                 self.late_ms = self.late_ms.max(grant.grant_ms);
             }
-            self.accept(self.now_ms + self.delay_ms, kind);
+            self.accept(self.driver.now_ms + self.delay_ms, kind);
             self.replies.push((timed_out_at_ms, id, Reply::Unknown));
         } else {
-            self.accept(self.now_ms, kind);
-            self.replies.push((self.now_ms, id, Reply::Done(None)));
+            self.accept(self.driver.now_ms, kind);
+            self.replies.push((self.driver.now_ms, id, Reply::Done(None)));
         }
     }
 
@@ -97,18 +83,18 @@
             let held = self.held.iter().filter(|(range, _)| range.overlaps(grant.range));
             let until_ms = held.map(|(_, until_ms)| *until_ms).max().unwrap_or(0);
             // What `s1` released before the cut does not count.
-            if self.now_ms >= CUT_FROM_MS {
-                self.overlap_ms = self.overlap_ms.max(until_ms.saturating_sub(self.now_ms));
+            if self.driver.now_ms >= CUT_FROM_MS {
+                self.overlap_ms = self.overlap_ms.max(until_ms.saturating_sub(self.driver.now_ms));
             }
         }
-        self.replies.push((self.now_ms, id, Reply::Done(None)));
+        self.replies.push((self.driver.now_ms, id, Reply::Done(None)));
     }
 
     fn run(&mut self, until_ms: u64) {
-        while self.now_ms < until_ms {
-            self.now_ms += TICK_MS;
+        while self.driver.now_ms < until_ms {
+            self.driver.now_ms += TICK_MS;
             self.step(Event::Tick);
-            let now_ms = self.now_ms;
+            let now_ms = self.driver.now_ms;
             while let Some(at) = self.replies.iter().position(|(due_ms, ..)| *due_ms <= now_ms) {
                 let (_, id, reply) = self.replies.remove(at);
                 self.step(Event::Answered(id, reply));
--- a/crates/shard/tests/queued_grants.rs
+++ b/crates/shard/tests/queued_grants.rs
@@ -4,12 +4,11 @@
 //! The time of the grant counts from its arrival.
 mod fixture;
 
-use crate::fixture::{SERVICE, TICK_MS, incarnation, registration, registry, step_with_writes};
-use document::HashMap;
-use registry::{Registry, Stage};
+use crate::fixture::{Driver, SERVICE, TICK_MS, incarnation};
+use registry::Stage;
 use shard::{
     Config, Epoch, Event, Fence, KeyRange, Leader, OrderId, OrderKind, Output, Record,
-    RecordedRange, Reply, Servers,
+    RecordedRange, Reply,
 };
 
 /// When `s1` begins to queue grants at the earliest.
@@ -24,9 +23,7 @@
 const CLOCK_DRIFT_DIVISOR: u64 = 50;
 
 struct Harness {
-    now_ms: u64,
-    leader: Leader,
-    registry: Registry,
+    driver: Driver,
     /// From when on `s1` queues the grants that it gets.
     queues_from_ms: u64,
     /// When `s1` answers again.
@@ -40,12 +37,8 @@
 
 impl Harness {
     fn new(queues_from_ms: u64, answers_from_ms: u64) -> Self {
-        let mut leader = Leader::new(Epoch(5), 0, u64::MAX, &[], Config::default());
-        leader.add_service(&SERVICE.into());
         Self {
-            now_ms: 0,
-            leader,
-            registry: registry(["s1", "s2", "s3"].map(String::from)),
+            driver: Driver::new(["s1", "s2", "s3"]),
             queues_from_ms,
             answers_from_ms,
             replies: Vec::new(),
@@ -55,25 +48,23 @@
     }
 
     fn step(&mut self, event: Event) {
-        let speeds = HashMap::default();
-        let servers = Servers { registry: &self.registry, speeds: &speeds };
-        for output in step_with_writes(&mut self.leader, self.now_ms, servers, event) {
+        for output in self.driver.step(event) {
             let Output::Order { id, server, kind, .. } = output else { continue };
             let is_first = server.incarnation == incarnation("s1");
             let (at_ms, reply) = match &kind {
                 _ if is_first => self.send_to_first(&kind),
                 OrderKind::Grant(grant) => {
                     self.check_other(grant.range, grant.fence);
-                    (self.now_ms, Reply::Done(None))
+                    (self.driver.now_ms, Reply::Done(None))
                 }
-                OrderKind::Release(_) => (self.now_ms, Reply::Done(None)),
+                OrderKind::Release(_) => (self.driver.now_ms, Reply::Done(None)),
             };
             self.replies.push((at_ms, id, reply));
         }
     }
 
     fn send_to_first(&mut self, kind: &OrderKind) -> (u64, Reply) {
-        let now_ms = self.now_ms;
+        let now_ms = self.driver.now_ms;
         let answers = now_ms < self.queues_from_ms || now_ms >= self.answers_from_ms;
         match kind {
             OrderKind::Grant(grant) if answers => {
@@ -98,15 +89,15 @@
         let queued = self.queued.iter().filter(|(queued, ..)| queued.overlaps(range));
         let lower = queued.filter(|(_, queued, _)| *queued < fence);
         for (_, _, until_ms) in lower {
-            self.overlap_ms = self.overlap_ms.max(until_ms.saturating_sub(self.now_ms));
+            self.overlap_ms = self.overlap_ms.max(until_ms.saturating_sub(self.driver.now_ms));
         }
     }
 
     fn run(&mut self, until_ms: u64) {
-        while self.now_ms < until_ms {
-            self.now_ms += TICK_MS;
+        while self.driver.now_ms < until_ms {
+            self.driver.now_ms += TICK_MS;
             self.step(Event::Tick);
-            let now_ms = self.now_ms;
+            let now_ms = self.driver.now_ms;
             while let Some(at) = self.replies.iter().position(|(due_ms, ..)| *due_ms <= now_ms) {
                 let (_, id, reply) = self.replies.remove(at);
                 self.step(Event::Answered(id, reply));
@@ -139,8 +130,8 @@
     let record =
         Record { epoch: 4, number: 1, ranges: vec![to_recorded(left), to_recorded(right)] };
     let records = [(SERVICE.into(), record)];
-    harness.leader = Leader::new(Epoch(5), 0, u64::MAX, &records, Config::default());
-    harness.registry.put(0, "s1", registration("s1", Stage::Draining));
+    harness.driver.leader = Leader::new(Epoch(5), 0, u64::MAX, &records, Config::default());
+    harness.driver.put("s1", Stage::Draining);
     let until_ms = 1_000 + Config::default().max_grant_ms;
     harness.queued = vec![(left, Fence(1), until_ms), (right, Fence(1), until_ms)];
     harness.run(2_000);
--- a/crates/shard/tests/release_answers.rs
+++ b/crates/shard/tests/release_answers.rs
@@ -2,17 +2,12 @@
 //! another release counts as that to the one that is awaited.
 mod fixture;
 
-use crate::fixture::{SERVICE, TICK_MS, incarnation, registration, registry, step_with_writes};
-use document::HashMap;
-use registry::{Registry, Stage};
-use shard::{
-    Config, Epoch, Event, KeyRange, Leader, OrderId, OrderKind, Output, Owner, Reply, Servers,
-};
+use crate::fixture::{Driver, SERVICE, TICK_MS, incarnation};
+use registry::Stage;
+use shard::{Config, Event, KeyRange, OrderId, OrderKind, Output, Owner, Reply};
 
 struct Harness {
-    now_ms: u64,
-    leader: Leader,
-    registry: Registry,
+    driver: Driver,
     /// Whether grants reach the first server.
     is_first_reached: bool,
     /// Releases that the first server has not answered.
@@ -21,9 +16,7 @@
 
 impl Harness {
     fn step(&mut self, event: Event) {
-        let speeds = HashMap::default();
-        let servers = Servers { registry: &self.registry, speeds: &speeds };
-        for output in step_with_writes(&mut self.leader, self.now_ms, servers, event) {
+        for output in self.driver.step(event) {
             let Output::Order { id, server, kind, .. } = output else { continue };
             let is_first = server.incarnation == incarnation("s1");
             let reply = match kind {
@@ -40,40 +33,37 @@
 
     fn run(&mut self, for_ms: u64) {
         for _ in 0..for_ms / TICK_MS {
-            self.now_ms += TICK_MS;
+            self.driver.now_ms += TICK_MS;
             self.step(Event::Tick);
         }
     }
 
     fn owns_first_key(&self, name: &str) -> bool {
-        let table = self.leader.table(SERVICE, self.now_ms).unwrap();
+        let table = self.driver.leader.table(SERVICE, self.driver.now_ms).unwrap();
         table.spans[0].owner == Owner::Server(incarnation(name))
     }
 }
 
 #[test]
 fn answer_to_probe_is_not_that_to_the_next_release() {
-    let mut leader = Leader::new(Epoch(5), 0, u64::MAX, &[], Config::default());
-    leader.add_service(&SERVICE.into());
-    let registry = registry(["s1", "s2"].map(String::from));
-    let releases = Vec::new();
-    let mut harness = Harness { now_ms: 0, leader, registry, is_first_reached: false, releases };
+    let driver = Driver::new(["s1", "s2"]);
+    let mut harness = Harness { driver, is_first_reached: false, releases: Vec::new() };
     while harness.releases.is_empty() {
         harness.run(TICK_MS);
-        assert!(harness.now_ms < 10_000, "the silent server is probed");
+        assert!(harness.driver.now_ms < 10_000, "the silent server is probed");
     }
     let (probe, range) = harness.releases.remove(0);
     assert_eq!(range, KeyRange::FIRST);
-    let probe_deadline_ms = harness.now_ms + Config::default().order_timeout_ms;
+    let probe_deadline_ms = harness.driver.now_ms + Config::default().order_timeout_ms;
     harness.is_first_reached = true;
-    harness.registry.put(harness.now_ms, "s2", registration("s2", Stage::Draining));
+    harness.driver.put("s2", Stage::Draining);
     harness.run(100);
     assert!(harness.owns_first_key("s1"));
-    harness.registry.put(harness.now_ms, "s3", registration("s3", Stage::Ready));
-    harness.registry.put(harness.now_ms, "s1", registration("s1", Stage::Draining));
+    harness.driver.put("s3", Stage::Ready);
+    harness.driver.put("s1", Stage::Draining);
     while harness.releases.is_empty() {
         harness.run(TICK_MS);
-        assert!(harness.now_ms < probe_deadline_ms, "the probe is answered in time");
+        assert!(harness.driver.now_ms < probe_deadline_ms, "the probe is answered in time");
     }
     let (release, _) = harness.releases[0];
     harness.step(Event::Answered(probe, Reply::Done(None)));
--- a/crates/shard/tests/ruled_out_grants.rs
+++ b/crates/shard/tests/ruled_out_grants.rs
@@ -1,15 +1,11 @@
 //! Guards against a grant that counts as ruled out after an answer that may be another order's.
 mod fixture;
 
-use crate::fixture::{SERVICE, TICK_MS, registry, step_with_writes};
-use document::HashMap;
-use shard::{
-    Config, Epoch, Event, Grant, Leader, LogEvent, OrderId, OrderKind, Output, Reply, Servers,
-};
+use crate::fixture::{Driver, TICK_MS};
+use shard::{Event, Grant, LogEvent, OrderId, OrderKind, Output, Reply};
 
 struct Harness {
-    now_ms: u64,
-    leader: Leader,
+    driver: Driver,
     /// Grants without an answer.
     grants: Vec<(OrderId, Grant)>,
     ruled_out: u32,
@@ -17,15 +13,11 @@
 
 impl Harness {
     fn new() -> Self {
-        let mut leader = Leader::new(Epoch(5), 0, u64::MAX, &[], Config::default());
-        leader.add_service(&SERVICE.into());
-        Self { now_ms: 0, leader, grants: Vec::new(), ruled_out: 0 }
+        Self { driver: Driver::new(["s1"]), grants: Vec::new(), ruled_out: 0 }
     }
 
     fn step(&mut self, event: Event) {
-        let (registry, speeds) = (registry(["s1".to_owned()]), HashMap::default());
-        let servers = Servers { registry: &registry, speeds: &speeds };
-        for output in step_with_writes(&mut self.leader, self.now_ms, servers, event) {
+        for output in self.driver.step(event) {
             match output {
                 Output::Order { id, kind: OrderKind::Grant(grant), .. } => {
                     self.grants.push((id, grant));
@@ -39,8 +31,8 @@
     /// Runs until a grant is sent, answers it, and returns it.
     fn answer_next(&mut self, reply: Reply) -> Grant {
         while self.grants.is_empty() {
-            self.now_ms += TICK_MS;
-            assert!(self.now_ms < 60_000, "a grant is sent");
+            self.driver.now_ms += TICK_MS;
+            assert!(self.driver.now_ms < 60_000, "a grant is sent");
             self.step(Event::Tick);
         }
         let (id, grant) = self.grants.remove(0);
--- a/crates/shard/tests/suspended_leader.rs
+++ b/crates/shard/tests/suspended_leader.rs
@@ -1,10 +1,9 @@
 //! Guards against two holders after a leader was suspended while a grant had no answer.
 mod fixture;
 
-use crate::fixture::{SERVICE, TICK_MS, incarnation, registry, step_with_writes};
-use document::HashMap;
-use registry::{Incarnation, Registry, Stage};
-use shard::{Config, Epoch, Event, Leader, OrderId, OrderKind, Output, Reply, Servers};
+use crate::fixture::{Driver, TICK_MS, incarnation};
+use registry::Stage;
+use shard::{Config, Event, OrderId, OrderKind, Output, Reply};
 
 /// How long the leader runs before, and how long it is suspended: longer than a grant that arrives
 /// late can be valid.
@@ -12,10 +11,7 @@
 const SUSPENDED_MS: u64 = 6_000;
 
 struct Harness {
-    now_ms: u64,
-    leader: Leader,
-    registry: Registry,
-    speeds: HashMap<Incarnation, f32>,
+    driver: Driver,
     is_first_cut: bool,
     /// Grants of the first server without an answer.
     unanswered: Vec<OrderId>,
@@ -24,8 +20,7 @@
 
 impl Harness {
     fn step(&mut self, event: Event) {
-        let servers = Servers { registry: &self.registry, speeds: &self.speeds };
-        for output in step_with_writes(&mut self.leader, self.now_ms, servers, event) {
+        for output in self.driver.step(event) {
             let Output::Order { id, server, kind, .. } = output else { continue };
             if server.incarnation == incarnation("s1") && self.is_first_cut {
                 self.unanswered.push(id);
@@ -40,7 +35,7 @@
 
     fn run(&mut self, for_ms: u64) {
         for _ in 0..for_ms / TICK_MS {
-            self.now_ms += TICK_MS;
+            self.driver.now_ms += TICK_MS;
             self.step(Event::Tick);
         }
     }
@@ -49,26 +44,24 @@
 #[test]
 fn grant_without_an_outcome_may_arrive_after_a_suspension() {
     let config = Config::default();
-    let mut leader = Leader::new(Epoch(5), 0, u64::MAX, &[], config);
-    leader.add_service(&SERVICE.into());
     let mut harness = Harness {
-        now_ms: 0,
-        leader,
-        registry: registry(["s1"].map(String::from)),
-        speeds: HashMap::default(),
+        driver: Driver::new(["s1"]),
         is_first_cut: false,
         unanswered: Vec::new(),
         granted_to_second: 0,
     };
     harness.run(RUN_MS);
-    harness.registry.put(harness.now_ms, "s2", fixture::registration("s2", Stage::Ready));
+    harness.driver.put("s2", Stage::Ready);
     harness.is_first_cut = true;
     while harness.unanswered.is_empty() {
         harness.run(TICK_MS);
     }
-    harness.now_ms += SUSPENDED_MS;
-    let grants_deadline_ms = harness.leader.grants_deadline_ms(harness.now_ms);
-    assert!(grants_deadline_ms >= harness.now_ms + config.max_transit_ms, "{grants_deadline_ms}");
+    harness.driver.now_ms += SUSPENDED_MS;
+    let grants_deadline_ms = harness.driver.leader.grants_deadline_ms(harness.driver.now_ms);
+    assert!(
+        grants_deadline_ms >= harness.driver.now_ms + config.max_transit_ms,
+        "{grants_deadline_ms}"
+    );
     harness.run(config.order_timeout_ms);
     assert_eq!(harness.granted_to_second, 0, "the connection of the grant is still open");
     for id in std::mem::take(&mut harness.unanswered) {
