End the mark of a body with the answer to its request

Cause: while a body is under way only the latest read is recorded, and the mark for that ended when the body did. If a request is answered early, its body is read elsewhere. At its end the HTTP library parses the next head and may read several parts of it before that reader notices the end, so the first part was lost, and the head not found.

The mark now ends with the answer. The library parses no further head before that, and reads only when it has parsed all it has read.

--- a/crates/proxy/src/caller_body.rs
+++ b/crates/proxy/src/caller_body.rs
@@ -13,26 +13,18 @@
 use tokio::time::{Duration, timeout};
 
 use crate::Activity;
-use crate::raw::{BodyMark, RawBytes};
 
 /// The body of a caller's request; when it is dropped, its rest can be read elsewhere.
 #[derive(Debug)]
 pub struct CallerBody {
     /// `None` once all of it has been read.
-    body: Option<UnreadBody>,
+    body: Option<Incoming>,
     rest: BodyRest,
 }
 
-/// A body that has not been read to its end.
-#[derive(Debug)]
-struct UnreadBody {
-    body: Incoming,
-    _mark: BodyMark,
-}
-
 /// The rest of a body, which a refusal leaves unread.
 #[derive(Clone, Debug, Default)]
-pub struct BodyRest(Arc<Mutex<Option<UnreadBody>>>);
+pub struct BodyRest(Arc<Mutex<Option<Incoming>>>);
 
 /// Whether refused requests leave something unread when their connection ends.
 ///
@@ -52,12 +44,9 @@
 
 impl CallerBody {
     /// Wraps a body; the returned rest is set when the wrapper is dropped.
-    ///
-    /// `raw` are the bytes of the body's connection.
     #[must_use]
-    pub fn new(body: Incoming, raw: &RawBytes) -> (Self, BodyRest) {
+    pub fn new(body: Incoming) -> (Self, BodyRest) {
         let body = Some(body).filter(|body| !body.is_end_stream());
-        let body = body.map(|body| UnreadBody { body, _mark: raw.begin_body() });
         let rest = BodyRest::default();
         (Self { body, rest: rest.clone() }, rest)
     }
@@ -65,7 +54,7 @@
 
 impl BodyRest {
     /// Returns what was not read of a body, if there is any.
-    fn take(&self) -> Option<UnreadBody> {
+    fn take(&self) -> Option<Incoming> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner).take()
     }
 }
@@ -87,7 +76,7 @@
         activity: &Arc<Activity>,
     ) -> bool {
         let Some(rest) = rest.take() else { return true };
-        if !may_discard || rest.body.size_hint().lower() > MAX_DISCARDED_BYTES {
+        if !may_discard || rest.size_hint().lower() > MAX_DISCARDED_BYTES {
             self.set();
             return false;
         }
@@ -131,36 +120,35 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let Some(unread) = &mut self.body else { return Poll::Ready(None) };
-        let frame = ready!(Pin::new(&mut unread.body).poll_frame(cx));
-        if !matches!(frame, Some(Ok(_))) || unread.body.is_end_stream() {
+        let Some(body) = &mut self.body else { return Poll::Ready(None) };
+        let frame = ready!(Pin::new(body).poll_frame(cx));
+        if !matches!(frame, Some(Ok(_))) {
             self.body = None;
         }
         Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.as_ref().is_none_or(|unread| unread.body.is_end_stream())
+        self.body.as_ref().is_none_or(Body::is_end_stream)
     }
 
     fn size_hint(&self) -> SizeHint {
-        let unread = self.body.as_ref();
-        unread.map_or_else(|| SizeHint::with_exact(0), |unread| unread.body.size_hint())
+        self.body.as_ref().map_or_else(|| SizeHint::with_exact(0), Body::size_hint)
     }
 }
 
 impl Drop for CallerBody {
     fn drop(&mut self) {
-        let body = self.body.take().filter(|unread| !unread.body.is_end_stream());
+        let body = self.body.take().filter(|body| !body.is_end_stream());
         *self.rest.0.lock().unwrap_or_else(PoisonError::into_inner) = body;
     }
 }
 
 /// Reads and discards a body within bounds; returns whether it has ended.
-async fn discard_body(mut unread: UnreadBody) -> bool {
+async fn discard_body(mut body: Incoming) -> bool {
     let discarded = timeout(DISCARD_TIMEOUT, async {
         let mut size_bytes = 0;
-        while let Some(Ok(frame)) = unread.body.frame().await {
+        while let Some(Ok(frame)) = body.frame().await {
             let length = frame.data_ref().map_or(0, Bytes::len);
             size_bytes += u64::try_from(length).unwrap_or(u64::MAX);
             if size_bytes > MAX_DISCARDED_BYTES {
--- a/crates/proxy/src/raw.rs
+++ b/crates/proxy/src/raw.rs
@@ -20,14 +20,10 @@
 #[derive(Debug, Default)]
 struct Recorded {
     bytes: Vec<u8>,
-    /// Whether the body of a request has not been read to its end.
+    /// Whether a request is under way that has a body and no answer yet.
     is_in_body: bool,
 }
 
-/// A body that has not been read to its end; dropping it ends that.
-#[derive(Debug)]
-pub(crate) struct BodyMark(RawBytes);
-
 /// A stream that records the bytes read from it.
 #[derive(Debug)]
 pub struct RecordedStream<S> {
@@ -58,17 +54,24 @@
         has_content_length(head)
     }
 
-    /// Marks that the body of a request follows, until the mark is dropped.
-    pub(crate) fn begin_body(&self) -> BodyMark {
+    /// Keeps only the latest read from now on, as the body of a request follows.
+    pub fn begin_body(&self) {
         self.lock().is_in_body = true;
-        BodyMark(self.clone())
+    }
+
+    /// Keeps all reads again, as the request has an answer.
+    ///
+    /// The HTTP library may read several parts of the next head once the answer is written, even
+    /// before the end of this body is noticed.
+    pub fn end_body(&self) {
+        self.lock().is_in_body = false;
     }
 
     fn record(&self, read: &[u8]) {
         let Recorded { bytes, is_in_body } = &mut *self.lock();
         if *is_in_body {
-            // The HTTP library reads on in a body only when it has parsed all that it has read, so
-            // the next head begins in these bytes at the earliest.
+            // Until there is an answer, the HTTP library reads on only when it has parsed all that
+            // it has read, so the next head begins in these bytes at the earliest.
             bytes.clear();
             bytes.shrink_to(read.len());
         } else if bytes.len() + read.len() > MAX_RECORDED_BYTES {
@@ -82,12 +85,6 @@
     }
 }
 
-impl Drop for BodyMark {
-    fn drop(&mut self) {
-        self.0.lock().is_in_body = false;
-    }
-}
-
 impl<S> RecordedStream<S> {
     /// Wraps a stream; the returned bytes are updated by each read.
     pub fn new(stream: S) -> (Self, RawBytes) {
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -6,7 +6,7 @@
 
 use http::header::{CONNECTION, EXPECT, HeaderValue};
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -78,21 +78,25 @@
     let service = service_fn(|request: Request<Incoming>| {
         let traffic = Arc::clone(&traffic);
         let is_ambiguous = raw.is_ambiguous(&request);
+        if !request.body().is_end_stream() {
+            raw.begin_body();
+        }
         let in_flight = activity.begin();
-        let (activity, unread) = (Arc::clone(&activity), unread.clone());
-        let (head, body) = request.into_parts();
-        let (body, rest) = CallerBody::new(body, &raw);
+        let (activity, unread, raw) = (Arc::clone(&activity), unread.clone(), raw.clone());
         async move {
+            let (head, body) = request.into_parts();
             // Otherwise the caller may send no body, or one with another end.
             let may_discard = !is_ambiguous
                 && has_unambiguous_framing(head.version, &head.headers)
                 && !head.headers.contains_key(EXPECT);
+            let (body, rest) = CallerBody::new(body);
             let request = Request::from_parts(head, body);
             let mut answer = if forward::is_tunnel(request.method()) {
                 tunnel_refusal()
             } else {
                 forward::answer(traffic, request, is_ambiguous).await
             };
+            raw.end_body();
             if !unread.discard_rest(&rest, may_discard, &activity) {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
