Ask other daemons only if most of a sample is not reached

A leader without new connections reaches none of a sample. So three quarters have to be unreached now, and the servers about which others are asked are taken at equal distances from these, as the first ones may have crashed.

--- a/crates/gateway/src/leader/cut_leader.rs
+++ b/crates/gateway/src/leader/cut_leader.rs
@@ -32,8 +32,8 @@
     next_at_ms: u64,
     /// How many daemons were asked since servers are silent.
     queried_daemons: usize,
-    /// Whether the leader reached less than half of the servers that it tried last.
-    are_most_unreached: bool,
+    /// Whether the last try found servers about which other daemons are to be asked.
+    has_unreached: bool,
 }
 
 /// The servers that a leader tries to connect to.
@@ -51,13 +51,16 @@
 const SAMPLE_INTERVAL_MS: u64 = 500;
 /// How many daemons are asked at once.
 const QUERIED_DAEMONS: usize = 4;
-/// How many silent servers are tried.
+/// How many silent servers are tried, and about how many servers other daemons are asked.
 const TRIED_SERVERS: usize = 4;
 /// How many servers are in a sample at most.
-///
-/// The servers of a data centre that is cut off must not be most of them.
 const SAMPLED_SERVERS: usize = 12;
-/// How many of them another daemon has to reach.
+/// The share of a sample that a leader without new connections does not reach.
+///
+/// It is above a half: if two data centres are cut off from each other, daemons in both do not reach
+/// the servers of the other one, and would hand leadership to and fro.
+const MIN_UNREACHED_SHARE: (usize, usize) = (3, 4);
+/// How many of the servers in question another daemon has to reach.
 const MIN_REACHED: usize = 2;
 /// How long a connection attempt may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -108,18 +111,20 @@
         servers
     }
 
-    /// Returns the servers about which other daemons are to be asked.
-    fn suspicious(self, reached: &[Incarnation]) -> Vec<Incarnation> {
+    /// Returns the servers about which other daemons are to be asked, at equal distances of those
+    /// that were not reached.
+    fn to_ask_about(self, reached: &[Incarnation]) -> Vec<Incarnation> {
         let is_sample = matches!(self, Self::Sample(_));
         let (Self::Silent(servers) | Self::Sample(servers)) = self;
         let tried = servers.len();
         let servers = servers.into_iter().map(|(server, _)| server);
-        let mut unreached: Vec<_> = servers.filter(|server| !reached.contains(server)).collect();
-        if is_sample && unreached.len() * 2 <= tried {
-            unreached.clear();
+        let unreached: Vec<_> = servers.filter(|server| !reached.contains(server)).collect();
+        let (part, whole) = MIN_UNREACHED_SHARE;
+        if is_sample && unreached.len() * whole < tried * part {
+            return Vec::new();
         }
-        unreached.truncate(TRIED_SERVERS);
-        unreached
+        let step = unreached.len().div_ceil(TRIED_SERVERS).max(1);
+        unreached.into_iter().step_by(step).collect()
     }
 }
 
@@ -139,7 +144,7 @@
         let (epoch, inputs) = (leading.leader.epoch(), self.inputs.clone());
         tokio::spawn(async move {
             let reached = connect_to(tried.servers()).await;
-            let unreached = tried.suspicious(&reached);
+            let unreached = tried.to_ask_about(&reached);
             // The receiver is closed only while the process exits.
             drop(inputs.send(Input::ServersUnreached { epoch, unreached }).await);
         });
@@ -152,8 +157,8 @@
         if leading.leader.epoch() != epoch {
             return;
         }
-        leading.reach_queries.are_most_unreached = unreached.len() >= MIN_REACHED;
-        if !leading.reach_queries.are_most_unreached {
+        leading.reach_queries.has_unreached = unreached.len() >= MIN_REACHED;
+        if !leading.reach_queries.has_unreached {
             return;
         }
         let others: Vec<Name> =
@@ -200,9 +205,9 @@
     /// Resigns in favour of a daemon that reaches silent servers.
     pub(crate) fn on_servers_reached(&mut self, daemon: &Name, epoch: Epoch) {
         let is_cut_off = self.leading.as_ref().is_some_and(|leading| {
-            let is_suspicious =
-                leading.reach_queries.are_most_unreached || leading.leader.is_majority_silent();
-            leading.leader.epoch() == epoch && is_suspicious
+            let may_be_cut_off =
+                leading.reach_queries.has_unreached || leading.leader.is_majority_silent();
+            leading.leader.epoch() == epoch && may_be_cut_off
         });
         if is_cut_off {
             self.resign_to(Some(daemon), "another daemon reaches the servers");
