--- a/crates/gateway/src/request/connection.rs
+++ b/crates/gateway/src/request/connection.rs
@@ -6,7 +6,7 @@
 
 use http::header::{CONNECTION, EXPECT, HeaderValue};
 use http::{Method, Request, Response, StatusCode};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -45,9 +45,6 @@
     let (stream, raw) = RecordedStream::new(stream);
     let service = service_fn(|mut request: Request<Incoming>| {
         let is_ambiguous = raw.is_ambiguous(&request);
-        if !request.body().is_end_stream() {
-            raw.begin_body();
-        }
         let in_flight = activity.begin();
         if let Some(caller) = caller {
             request.extensions_mut().insert(caller);
@@ -60,10 +57,9 @@
         let (body, rest) = CallerBody::new(body);
         let request = Request::from_parts(head, body);
         let answer = answer(Arc::clone(&shared), request, is_ambiguous);
-        let (activity, unread, raw) = (Arc::clone(&activity), unread.clone(), raw.clone());
+        let (activity, unread) = (Arc::clone(&activity), unread.clone());
         async move {
             let mut answer = answer.await;
-            raw.end_body();
             if !unread.discard_rest(&rest, may_discard, &activity) {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
--- a/crates/proxy/src/raw.rs
+++ b/crates/proxy/src/raw.rs
@@ -15,14 +15,7 @@
 
 /// The latest bytes that a caller sent on a connection.
 #[derive(Clone, Debug, Default)]
-pub struct RawBytes(Arc<Mutex<Recorded>>);
-
-#[derive(Debug, Default)]
-struct Recorded {
-    bytes: Vec<u8>,
-    /// Whether a request is under way that has a body and no answer yet.
-    is_in_body: bool,
-}
+pub struct RawBytes(Arc<Mutex<Vec<u8>>>);
 
 /// A stream that records the bytes read from it.
 #[derive(Debug)]
@@ -48,39 +41,21 @@
         }
         let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
         let line = format!("{} {target} HTTP/1.1\r\n", request.method());
-        let recorded = self.lock();
-        let Some(start) = rfind(&recorded.bytes, line.as_bytes()) else { return true };
-        let head = &recorded.bytes[start + line.len()..];
+        let bytes = self.lock();
+        let Some(start) = rfind(&bytes, line.as_bytes()) else { return true };
+        let head = &bytes[start + line.len()..];
         has_content_length(head)
     }
 
-    /// Keeps only the latest read from now on, as the body of a request follows.
-    pub fn begin_body(&self) {
-        self.lock().is_in_body = true;
-    }
-
-    /// Keeps all reads again, as the request has an answer.
-    ///
-    /// The HTTP library may read several parts of the next head once the answer is written, even
-    /// before the end of this body is noticed.
-    pub fn end_body(&self) {
-        self.lock().is_in_body = false;
-    }
-
-    fn record(&self, read: &[u8]) {
-        let Recorded { bytes, is_in_body } = &mut *self.lock();
-        if *is_in_body {
-            // Until there is an answer, the HTTP library reads on only when it has parsed all that
-            // it has read, so the next head begins in these bytes at the earliest.
-            bytes.clear();
-            bytes.shrink_to(read.len());
-        } else if bytes.len() + read.len() > MAX_RECORDED_BYTES {
-            bytes.clear();
+    fn record(&self, bytes: &[u8]) {
+        let mut recorded = self.lock();
+        if recorded.len() + bytes.len() > MAX_RECORDED_BYTES {
+            recorded.clear();
         }
-        bytes.extend_from_slice(read);
+        recorded.extend_from_slice(bytes);
     }
 
-    fn lock(&self) -> MutexGuard<'_, Recorded> {
+    fn lock(&self) -> MutexGuard<'_, Vec<u8>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -6,7 +6,7 @@
 
 use http::header::{CONNECTION, EXPECT, HeaderValue};
 use http::{Request, Response, StatusCode};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -78,11 +78,8 @@
     let service = service_fn(|request: Request<Incoming>| {
         let traffic = Arc::clone(&traffic);
         let is_ambiguous = raw.is_ambiguous(&request);
-        if !request.body().is_end_stream() {
-            raw.begin_body();
-        }
         let in_flight = activity.begin();
-        let (activity, unread, raw) = (Arc::clone(&activity), unread.clone(), raw.clone());
+        let (activity, unread) = (Arc::clone(&activity), unread.clone());
         async move {
             let (head, body) = request.into_parts();
             // Otherwise the caller may send no body, or one with another end.
@@ -96,7 +93,6 @@
             } else {
                 forward::answer(traffic, request, is_ambiguous).await
             };
-            raw.end_body();
             if !unread.discard_rest(&rest, may_discard, &activity) {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
