--- a/crates/gateway/src/leader/cut_leader.rs
+++ b/crates/gateway/src/leader/cut_leader.rs
@@ -113,7 +113,7 @@
 
     /// Returns the servers about which other daemons are to be asked, at equal distances of those
     /// that were not reached.
-    fn to_ask_about(self, reached: &[Incarnation]) -> Vec<Incarnation> {
+    fn unreached(self, reached: &[Incarnation]) -> Vec<Incarnation> {
         let is_sample = matches!(self, Self::Sample(_));
         let (Self::Silent(servers) | Self::Sample(servers)) = self;
         let tried = servers.len();
@@ -144,7 +144,7 @@
         let (epoch, inputs) = (leading.leader.epoch(), self.inputs.clone());
         tokio::spawn(async move {
             let reached = connect_to(tried.servers()).await;
-            let unreached = tried.to_ask_about(&reached);
+            let unreached = tried.unreached(&reached);
             // The receiver is closed only while the process exits.
             drop(inputs.send(Input::ServersUnreached { epoch, unreached }).await);
         });
