Log grants without an outcome when a term ends, and moves when one begins

Cause: the logs could not tell the hypotheses of the incident apart. Which orders of an earlier leader had no outcome was in no line: a grant that is pending when its leader resigns is neither given up nor answered. range granted named the last previous holder only.

Change: a leader that ends logs each such grant with its server, fence and the time for which it may be valid; one that begins logs the recorded ranges with previous holders; range granted names all servers that held the range since the last grant. A holder that accepted nothing is logged as NeverAccepted instead of Expired at 0, seen once in a soak: no grant had reached the server.

--- a/crates/gateway/src/leader/leader_tasks.rs
+++ b/crates/gateway/src/leader/leader_tasks.rs
@@ -4,13 +4,13 @@
 
 use document::{Name, Revision};
 use peer::{FleetBody, ServiceLoad, Tables};
-use shard::{Config, Epoch, Event, Leader, LogEvent, Output, Record, Servers};
+use shard::{Config, Epoch, Event, Leader, LogEvent, Output, Record, Servers, UnansweredGrant};
 use store::{Category, Expect, Store, Transaction};
 use telemetry::Counter;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::control::follow::{LEADER_KEY, RECORDS_PREFIX};
-use crate::control::input::{Input, WonElection, WriteOutcome};
+use crate::control::input::{Input, StoredRecord, WonElection, WriteOutcome};
 use crate::control::node::Node;
 use crate::leader::distribution::publication_transit_ms;
 use crate::leader::leader_state::LeaderState;
@@ -20,6 +20,8 @@
 const PUBLISH_INTERVAL_MS: u64 = 300;
 /// The least time between two publications. Each costs a message to every daemon.
 const MIN_PUBLISH_INTERVAL_MS: u64 = 20;
+/// How many grants or ranges are logged when a term begins or ends.
+const MAX_LOGGED_GRANTS: usize = 64;
 /// The largest number of reads that [`read_write_outcome`] makes.
 const MAX_OUTCOME_READS: u32 = 2;
 
@@ -34,6 +36,7 @@
             kv: { epoch = epoch.0, records = records.len(), predecessor_resigned = resigned.is_some() }
         );
         self.shared.counters.count(Counter::Elections);
+        log_moves(epoch, &records);
         let config = self.shard_config();
         let revisions =
             records.iter().map(|stored| (stored.service.clone(), stored.revision)).collect();
@@ -287,6 +290,38 @@
     }
 }
 
+/// Logs the ranges that were moving when the last record was written.
+fn log_moves(epoch: Epoch, records: &[StoredRecord]) {
+    for stored in records {
+        let ranges = stored.record.iter().flat_map(|record| &record.ranges);
+        let moving = ranges.filter(|recorded| !recorded.previous.is_empty());
+        for recorded in moving.take(MAX_LOGGED_GRANTS) {
+            let previous: Vec<String> = recorded.previous.iter().map(ToString::to_string).collect();
+            spdlog::info!(
+                "range taken over while it moves",
+                kv: {
+                    epoch = epoch.0, service = stored.service.as_str(), range: = recorded.range,
+                    owner: = recorded.owner, previous = previous.join(" ")
+                }
+            );
+        }
+    }
+}
+
+/// Logs the grants without an outcome when a leader's term ends.
+pub(crate) fn log_unanswered(epoch: Epoch, grants: &[UnansweredGrant], now_ms: u64) {
+    for grant in grants.iter().take(MAX_LOGGED_GRANTS) {
+        spdlog::warn!(
+            "grant without an outcome",
+            kv: {
+                epoch = epoch.0, service = grant.service.as_str(), range: = grant.range, to: = grant.to,
+                fence = grant.fence.0, is_given_up = grant.is_given_up,
+                left_ms = grant.deadline_ms.saturating_sub(now_ms)
+            }
+        );
+    }
+}
+
 fn log(event: &LogEvent) {
     match event {
         LogEvent::Planned { service, range, from, to, reason } => {
@@ -307,17 +342,23 @@
             );
         }
         LogEvent::Granted { service, range, to, fence, grant_ms, previous } => {
-            let (before, evidence, ended_at_ms) = previous.as_ref().map_or_else(
+            let last = previous.last();
+            let (before, evidence, ended_at_ms) = last.map_or_else(
                 || ("nobody".to_owned(), "none".to_owned(), 0),
                 |ended| {
                     (ended.incarnation.to_string(), format!("{:?}", ended.evidence), ended.at_ms)
                 },
             );
+            let earlier =
+                previous.iter().rev().skip(1).map(|ended| {
+                    format!("{} {:?} {}", ended.incarnation, ended.evidence, ended.at_ms)
+                });
+            let earlier = earlier.collect::<Vec<_>>().join("; ");
             spdlog::info!(
                 "range granted",
                 kv: {
                     service = service.as_str(), range: = range, to: = to, fence = fence.0,
-                    hold_ms = *grant_ms, before, evidence, ended_at_ms
+                    hold_ms = *grant_ms, before, evidence, ended_at_ms, earlier
                 }
             );
         }
--- a/crates/gateway/src/leader/succession.rs
+++ b/crates/gateway/src/leader/succession.rs
@@ -18,6 +18,7 @@
 use crate::control::input::{Input, WonElection};
 use crate::control::node::Node;
 use crate::leader::candidacy::{self, Candidate};
+use crate::leader::leader_tasks::log_unanswered;
 use crate::{Orders, Source};
 
 /// What a leader that resigned told.
@@ -52,7 +53,10 @@
     pub(crate) fn resign_to(&mut self, successor: Option<&Name>, cause: &'static str) {
         let Some(leading) = self.leading.take() else { return };
         let (epoch, lease) = (leading.leader.epoch(), leading.lease);
-        let grants_deadline_ms = leading.leader.grants_deadline_ms(self.clock.now_ms());
+        let now_ms = self.clock.now_ms();
+        let grants_deadline_ms = leading.leader.grants_deadline_ms(now_ms);
+        let unanswered = leading.leader.unanswered_grants(now_ms);
+        log_unanswered(epoch, &unanswered, now_ms);
         self.hand_over(epoch, lease, grants_deadline_ms, successor, cause);
     }
 
--- a/crates/shard/src/abandoned.rs
+++ b/crates/shard/src/abandoned.rs
@@ -123,6 +123,11 @@
         reaching.map(|grant| grant.deadline_ms(config))
     }
 
+    /// Returns all grants that may still take effect.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &AbandonedGrant> {
+        self.0.iter()
+    }
+
     /// Returns the times until which grants to any server may be valid.
     pub(crate) fn all_deadlines_ms(&self, config: &Config) -> impl Iterator<Item = u64> {
         self.0.iter().map(|grant| grant.deadline_ms(config))
--- a/crates/shard/src/answers.rs
+++ b/crates/shard/src/answers.rs
@@ -78,7 +78,7 @@
                             to: order.incarnation.clone(),
                             fence: grant.fence,
                             grant_ms: grant.grant_ms,
-                            previous: state.ended.take(),
+                            previous: std::mem::take(&mut state.ended),
                         }));
                     }
                     holder.has_accepted_fence = true;
@@ -150,7 +150,7 @@
             if let Reply::Done(handover) = reply {
                 state.previous_holders.remove(index);
                 state.handover.clone_from(handover);
-                state.ended = Some(EndedHolder {
+                state.note_end(EndedHolder {
                     incarnation: order.incarnation.clone(),
                     evidence: Evidence::Released(release.fence),
                     at_ms: now_ms,
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -293,15 +293,15 @@
         }
         let latest = pass.latest_by_address();
         for state in &mut self.ranges {
-            let (range, ended) = (state.range, &mut state.ended);
-            let before = state.previous_holders.len();
+            let range = state.range;
+            let mut ended = Vec::new();
             state.previous_holders.retain_mut(|previous| {
                 let Some(later) = pass.replacement(&previous.incarnation, range, &latest) else {
                     return true;
                 };
                 if previous.is_misdirected {
                     let evidence = Evidence::Replaced(later.clone());
-                    *ended = Some(pass.log_end(range, &previous.incarnation, evidence));
+                    ended.push(pass.log_end(range, &previous.incarnation, evidence));
                     return false;
                 }
                 // The answer to a release that was sent to the earlier process may never arrive.
@@ -311,10 +311,13 @@
                 previous.is_checked = true;
                 true
             });
-            if state.previous_holders.len() != before {
+            if !ended.is_empty() {
                 self.is_changed = true;
                 self.is_planning_due = true;
             }
+            for ended in ended {
+                state.note_end(ended);
+            }
         }
     }
 
@@ -450,13 +453,12 @@
 /// Returns whether one was dropped.
 fn release_previous_holders(state: &mut RangeState, pass: &mut PassContext<'_>) -> bool {
     let range = state.range;
-    let before = state.previous_holders.len();
-    let is_only_holder = state.holder.is_none() && before == 1;
-    let ended = &mut state.ended;
+    let is_only_holder = state.holder.is_none() && state.previous_holders.len() == 1;
+    let mut ended = Vec::new();
     state.previous_holders.retain_mut(|previous| {
         if !pass.may_hold(&previous.incarnation, range, previous.grant_deadline_ms) {
             let evidence = Evidence::Expired { deadline_ms: previous.grant_deadline_ms };
-            *ended = Some(pass.log_end(range, &previous.incarnation, evidence));
+            ended.push(pass.log_end(range, &previous.incarnation, evidence));
             return false;
         }
         let is_due = previous.release_at_ms.is_some_and(|at_ms| pass.now_ms >= at_ms);
@@ -475,7 +477,11 @@
         }
         true
     });
-    state.previous_holders.len() != before
+    let is_changed = !ended.is_empty();
+    for ended in ended {
+        state.note_end(ended);
+    }
+    is_changed
 }
 
 /// Sends a previous holder a short grant that rules out those that were given up, so that the
@@ -507,8 +513,12 @@
 fn expire_holder(state: &mut RangeState, pass: &mut PassContext<'_>) {
     let Some(holder) = state.holder.take() else { return };
     state.handover = None;
-    let evidence = Evidence::Expired { deadline_ms: holder.grant_deadline_ms };
-    state.ended = Some(pass.log_end(state.range, &holder.incarnation, evidence));
+    let evidence = match holder.grant_deadline_ms {
+        0 => Evidence::NeverAccepted,
+        deadline_ms => Evidence::Expired { deadline_ms },
+    };
+    let ended = pass.log_end(state.range, &holder.incarnation, evidence);
+    state.note_end(ended);
 }
 
 /// Makes the successor the holder and sends its first grant.
--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -8,7 +8,9 @@
 use crate::assignment::Assignment;
 use crate::order::LogEvent;
 use crate::pass::{FenceCounter, OrderTracker, PassContext, Servers};
-use crate::{Config, Epoch, Event, KeyLoad, OrderId, Output, Record, Reply, Table};
+use crate::{
+    Config, Epoch, Event, KeyLoad, OrderId, Output, Record, Reply, Table, UnansweredGrant,
+};
 
 /// Assigns the keys of all keyed services under one epoch.
 ///
@@ -88,6 +90,12 @@
         answered.max().unwrap_or(0).max(unanswered)
     }
 
+    /// Returns the grants without an outcome, which their servers may still accept.
+    #[must_use]
+    pub fn unanswered_grants(&self, now_ms: u64) -> Vec<UnansweredGrant> {
+        self.orders.unanswered_grants(now_ms, &self.config)
+    }
+
     /// Returns the epoch in which this leader was elected.
     #[must_use]
     pub fn epoch(&self) -> Epoch {
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -61,7 +61,7 @@
 mod table;
 
 pub use config::Config;
-pub use ended::{EndedHolder, Evidence};
+pub use ended::{EndedHolder, Evidence, UnansweredGrant};
 pub use fence::{Epoch, Fence};
 pub use leader::Leader;
 pub use load::KeyLoad;
--- a/crates/shard/src/order.rs
+++ b/crates/shard/src/order.rs
@@ -187,8 +187,8 @@
         fence: Fence,
         /// Length of the grant.
         grant_ms: u64,
-        /// The last server before it that held the range in this leader's term.
-        previous: Option<EndedHolder>,
+        /// The servers that may have held the range before, since its last grant in this term.
+        previous: Vec<EndedHolder>,
     },
     /// A server has given a range up.
     Released {
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -13,7 +13,7 @@
 use crate::range_state::PreviousHolder;
 use crate::{
     Config, EndedHolder, Epoch, Evidence, Fence, Grant, KeyRange, OrderId, OrderKind, Output,
-    Release, Reply,
+    Release, Reply, UnansweredGrant,
 };
 
 /// The registered servers and their speeds.
@@ -227,15 +227,36 @@
     pub(crate) fn grants_deadline_ms(&self, now_ms: u64, config: &Config) -> u64 {
         let abandoned = self.abandoned.all_deadlines_ms(config);
         let pending = self.pending.values().filter_map(|order| match &order.kind {
-            OrderKind::Grant(grant) => {
-                let last_arrival_ms = order.last_arrival_ms(now_ms, config);
-                Some(config.grant_deadline_ms(last_arrival_ms, grant.grant_ms))
-            }
+            OrderKind::Grant(grant) => Some(order.grant_deadline_ms(now_ms, grant, config)),
             OrderKind::Release(_) => None,
         });
         pending.chain(abandoned).max().unwrap_or(0)
     }
 
+    /// Returns the grants without an outcome, those that were given up last.
+    pub(crate) fn unanswered_grants(&self, now_ms: u64, config: &Config) -> Vec<UnansweredGrant> {
+        let pending = self.pending.values().filter_map(|order| {
+            let OrderKind::Grant(grant) = &order.kind else { return None };
+            Some(UnansweredGrant {
+                service: order.service.clone(),
+                range: grant.range,
+                to: order.incarnation.clone(),
+                fence: grant.fence,
+                is_given_up: false,
+                deadline_ms: order.grant_deadline_ms(now_ms, grant, config),
+            })
+        });
+        let given_up = self.abandoned.iter().map(|grant| UnansweredGrant {
+            service: grant.service.clone(),
+            range: grant.range,
+            to: grant.incarnation.clone(),
+            fence: grant.fence,
+            is_given_up: true,
+            deadline_ms: grant.deadline_ms(config),
+        });
+        pending.chain(given_up.filter(|grant| now_ms < grant.deadline_ms)).collect()
+    }
+
     /// Returns whether a grant to a server that was not answered may still arrive.
     fn may_grant_arrive(&self, now_ms: u64, incarnation: &Incarnation, range: KeyRange) -> bool {
         self.pending.values().any(|order| order.is_grant_to(incarnation, range))
@@ -258,8 +279,7 @@
                 if order.incarnation.server == incarnation.server
                     && grant.range.overlaps(range) =>
             {
-                let last_arrival_ms = order.last_arrival_ms(now_ms, config);
-                Some(config.grant_deadline_ms(last_arrival_ms, grant.grant_ms))
+                Some(order.grant_deadline_ms(now_ms, grant, config))
             }
             _ => None,
         });
@@ -282,6 +302,11 @@
         self.deadline_ms.max(now_ms) + config.max_transit_ms
     }
 
+    /// Returns the time until which a grant that the order carries may be valid.
+    fn grant_deadline_ms(&self, now_ms: u64, grant: &Grant, config: &Config) -> u64 {
+        config.grant_deadline_ms(self.last_arrival_ms(now_ms, config), grant.grant_ms)
+    }
+
     pub(crate) fn new(
         service: &Name,
         incarnation: &Incarnation,
--- a/crates/shard/src/range_state.rs
+++ b/crates/shard/src/range_state.rs
@@ -17,8 +17,8 @@
     pub(crate) successor: Option<Successor>,
     /// The token that the previous holder returned when it released the range.
     pub(crate) handover: Option<Handover>,
-    /// The last server that counted as done, for the log line of the next grant.
-    pub(crate) ended: Option<EndedHolder>,
+    /// The last servers that counted as done, for the log line of the next grant.
+    pub(crate) ended: Vec<EndedHolder>,
 }
 
 /// The server that a range is granted to.
@@ -88,6 +88,9 @@
     Renew,
 }
 
+/// How many servers that held a range before a grant are logged with it.
+const MAX_LOGGED_HOLDERS: usize = 8;
+
 impl RangeState {
     pub(crate) fn unassigned(range: KeyRange) -> Self {
         Self {
@@ -96,7 +99,7 @@
             previous_holders: Vec::new(),
             successor: None,
             handover: None,
-            ended: None,
+            ended: Vec::new(),
         }
     }
 
@@ -125,6 +128,14 @@
         }
     }
 
+    /// Notes that a server counts as done, for the log line of the next grant.
+    pub(crate) fn note_end(&mut self, ended: EndedHolder) {
+        if self.ended.len() == MAX_LOGGED_HOLDERS {
+            self.ended.remove(0);
+        }
+        self.ended.push(ended);
+    }
+
     /// Makes the holder a previous one that is sent a release at the given time.
     pub(crate) fn start_release(&mut self, release_at_ms: u64) {
         if let Some(holder) = self.holder.take() {
