Draw servers that queue grants, and leaders that end, in the soak and the model

The model had it in one listed test, with leaders that are killed only.

A third of the faults of daemons are the leader's. The model draws resignations whose message may be lost, restarts and moves beside queued grants.

--- a/crates/shard/tests/golden_sessions.rs
+++ b/crates/shard/tests/golden_sessions.rs
@@ -22,6 +22,7 @@
     unlist: 0,
     queue_grant: 0,
     relocate: 0,
+    resign: 0,
 };
 const SEED: u64 = 42;
 /// Time for the first assignment, with a margin.
--- a/crates/shard/tests/random_moves.rs
+++ b/crates/shard/tests/random_moves.rs
@@ -69,6 +69,7 @@
     unlist: 0,
     queue_grant: 0,
     relocate: 0,
+    resign: 0,
 };
 
 #[test]
@@ -140,6 +141,19 @@
     assert_schedules(Faults { queue_grant: 60, stop_leader: 20, ..ONLY_DRAINS });
 }
 
+/// Guards against grants of an earlier leader while leaders follow each other within seconds.
+#[test]
+fn queued_grants_and_resignations() {
+    assert_schedules(Faults { queue_grant: 60, resign: 60, ..ONLY_DRAINS });
+}
+
+/// Guards against grants of an earlier leader to servers that start again or move elsewhere.
+#[test]
+fn queued_grants_restarts_and_lost_leaders() {
+    let faults = Faults { queue_grant: 60, crash: 20, unlist: 10, relocate: 10, ..ONLY_DRAINS };
+    assert_schedules(Faults { stop_leader: 15, resign: 30, ..faults });
+}
+
 const ALL_FAULTS: Faults = Faults {
     lose_message: 40,
     apply_late: 40,
@@ -154,6 +168,7 @@
     unlist: 0,
     queue_grant: 0,
     relocate: 0,
+    resign: 0,
 };
 
 #[test]
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -30,6 +30,8 @@
 const OBSERVATION_MS: u64 = 2_000;
 /// How long a server runs on after its entry was removed.
 const UNLISTED_MS: u64 = 2_500;
+/// How often the message of a leader that resigns is lost, per thousand.
+const LOST_RESIGNATION_PER_MILLE: u32 = 250;
 /// Longest time for which a server queues a grant.
 const MAX_QUEUED_MS: u64 = 6_000;
 /// Longest time that a key may be without an owner while its range moves: the work of a
@@ -100,6 +102,8 @@
     pub queue_grant: u32,
     /// A server starts again at another address while its earlier process runs on for a while.
     pub relocate: u32,
+    /// The leader resigns and another is elected at once; its message may be lost.
+    pub resign: u32,
 }
 
 /// Returns the data centre of a server: servers with an even number are in the second one.
@@ -122,6 +126,8 @@
     record: Option<Record>,
     epoch: u64,
     lease_deadline_ms: u64,
+    /// Until when grants may be valid, if the last leader resigned and told it.
+    resigned_grants_deadline_ms: Option<u64>,
     store_outage_deadline_ms: u64,
     /// When the messages that wait on the leader's link have been sent; later ones follow them.
     link_free_at_ms: u64,
@@ -146,6 +152,7 @@
             record: None,
             epoch: 10,
             lease_deadline_ms: 0,
+            resigned_grants_deadline_ms: None,
             store_outage_deadline_ms: 0,
             link_free_at_ms: 0,
             next_server: 0,
@@ -191,6 +198,7 @@
             unlist: 0,
             queue_grant: 0,
             relocate: 0,
+            resign: 0,
         };
         for server in self.servers.values_mut() {
             server.is_cut = false;
@@ -302,6 +310,19 @@
         self.leaders.iter_mut().for_each(|leader| *leader = None);
     }
 
+    /// Makes the leader resign, so that the next one is elected at once.
+    ///
+    /// Orders that it has sent go on, and records that it writes are refused.
+    fn resign(&mut self) {
+        let Some(Some(leader)) = self.leaders.last() else { return };
+        let deadline_ms = leader.grants_deadline_ms(self.now_ms);
+        let is_lost = self.occurs(LOST_RESIGNATION_PER_MILLE);
+        self.resigned_grants_deadline_ms = (!is_lost).then_some(deadline_ms);
+        self.lease_deadline_ms = self.now_ms;
+        self.log(&format!("the leader resigns; its message is lost: {is_lost}"));
+        self.leaders.iter_mut().for_each(|leader| *leader = None);
+    }
+
     /// Makes the store unavailable for some time.
     pub fn stop_store(&mut self, for_ms: u64) {
         self.store_outage_deadline_ms = self.now_ms + for_ms;
@@ -381,6 +402,9 @@
         if self.occurs(faults.stop_leader) {
             self.stop_leader();
         }
+        if faults.resign > 0 && self.occurs(faults.resign) {
+            self.resign();
+        }
         if self.occurs(faults.stop_store) {
             let for_ms = self.random.random_range(500..8_000);
             self.stop_store(for_ms);
@@ -448,6 +472,9 @@
         let mut leader =
             Leader::new(epoch, self.now_ms, self.lease_deadline_ms, &records, config());
         leader.add_service(&SERVICE.into());
+        if let Some(deadline_ms) = self.resigned_grants_deadline_ms.take() {
+            leader.limit_earlier_grants(deadline_ms);
+        }
         self.leaders.push(Some(leader));
         self.log(&format!("elected {}", self.epoch));
     }
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -28,6 +28,8 @@
 pub const HOST: &str = "soak.example";
 /// How long the lease of a server's entry lasts without a renewal: three heartbeat intervals.
 const ENTRY_LEASE_MS: u64 = 1_800;
+/// The key under which daemons store the leader's name, followed by a space.
+const LEADER_KEY: &str = "fleet/leader";
 /// How often servers write their entries.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(600);
 /// The times of all routes unless others are set.
@@ -252,6 +254,13 @@
         Ok(cluster)
     }
 
+    /// Returns the daemon that the store names as the leader.
+    pub async fn leader(&self) -> Option<usize> {
+        let entry = self.store.read(LEADER_KEY).await.ok().flatten()?;
+        let name = entry.text.split(' ').next()?;
+        self.daemons.iter().position(|daemon| &*daemon.name == name)
+    }
+
     /// Adds an event to the timeline, with the seconds since the start.
     pub fn log_event(&self, event: &str) {
         let line = format!("{:>8.3} {event}", self.started_at.elapsed().as_secs_f64());
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -15,7 +15,8 @@
 #[derive(Debug)]
 pub(crate) struct FaultSchedule {
     random: StdRng,
-    /// Draws slow clocks and queued grants, so that the other faults of a seed stay the same.
+    /// Draws slow clocks, queued grants and faults of the leader, so that the other faults of a seed
+    /// stay the same.
     server_random: StdRng,
     /// How each active fault is undone, and when.
     pending: Vec<(Instant, Undo)>,
@@ -37,6 +38,8 @@
 
 /// How long to wait for a killed process to exit.
 const EXIT_TIMEOUT: Duration = Duration::from_millis(6_500);
+/// How often a fault of a daemon is one of the leader.
+const LEADER_SHARE: f64 = 0.3;
 /// How long a draining server keeps running before it is stopped.
 const DRAIN_MS: u64 = 4_000;
 
@@ -67,7 +70,12 @@
 
     /// Draws one fault and injects it.
     pub(crate) async fn inject(&mut self, cluster: &mut Cluster) -> Result<()> {
-        let daemon = self.random.random_range(0..cluster.daemons.len());
+        let mut daemon = self.random.random_range(0..cluster.daemons.len());
+        if self.server_random.random_bool(LEADER_SHARE)
+            && let Some(leader) = cluster.leader().await
+        {
+            daemon = leader;
+        }
         let server = self.random.random_range(0..cluster.servers.len());
         let name = cluster.daemons[daemon].name.clone();
         let server_name = cluster.servers[server].name.clone();
@@ -159,6 +167,12 @@
         Ok(())
     }
 
+    /// Returns whether a server has faults that are to be cleared later.
+    pub(crate) fn has_server_faults(&self, server: usize) -> bool {
+        let mut undos = self.pending.iter().map(|(_, undo)| undo);
+        undos.any(|undo| matches!(undo, Undo::ClearServerFaults(index) if *index == server))
+    }
+
     /// Undoes the faults that are due, or every fault if `all` is set.
     pub(crate) async fn undo_due(&mut self, cluster: &mut Cluster, all: bool) -> Result<()> {
         let now = Instant::now();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -32,6 +32,7 @@
 mod link;
 mod link_faults;
 mod loss_check;
+mod order_faults;
 mod planned_stops;
 mod probes;
 mod rotation;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -106,6 +106,13 @@
                         .action(ArgAction::SetTrue)
                         .help("Does not check how soon service recovers"),
                 )
+                .arg(
+                    Arg::new("queue-grants")
+                        .long("queue-grants")
+                        .action(ArgAction::SetTrue)
+                        .conflicts_with("planned-stops")
+                        .help("Has all servers queue grants and leave some unanswered throughout"),
+                )
                 .arg(
                     Arg::new("own-links")
                         .long("own-links")
@@ -155,6 +162,7 @@
             checks_recovery: !matches.get_flag("safety-only"),
             planned_stops,
             own_links: matches.get_flag("own-links"),
+            queues_grants: matches.get_flag("queue-grants"),
             recovery_s: get_arg::<u64>(matches, "recover")?,
             previous: matches.get_one("previous").cloned(),
         };
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,11 +12,13 @@
 use crate::cluster::{Cluster, Result};
 use crate::faults::FaultSchedule;
 use crate::link_faults::{LinkFaults, data_centres};
+use crate::order_faults::OrderFaults;
 use crate::planned_stops;
 use crate::upgrade::{Upgrade, VersionStart};
 
 /// The parameters of a run, written to `options.json` in the folder of its logs.
 #[derive(Clone, Debug, Deserialize, Serialize)]
+#[expect(clippy::struct_excessive_bools, reason = "each is an option of the command line")]
 pub struct Options {
     /// The seed that determines the faults.
     pub seed: u64,
@@ -39,6 +41,11 @@
     /// Whether the run consists of planned stops under overload, without faults.
     #[serde(default)]
     pub planned_stops: bool,
+    /// Whether all servers queue grants and leave some unanswered until the faults end.
+    ///
+    /// Otherwise the seed determines which servers do, how often and when.
+    #[serde(default)]
+    pub queues_grants: bool,
     /// The program with which the daemons start in a rolling upgrade.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub previous: Option<PathBuf>,
@@ -123,6 +130,7 @@
     }
     let mut schedule = FaultSchedule::new(options.seed);
     schedule.draw_clocks(&cluster);
+    let mut order_faults = OrderFaults::new(options.seed, options.queues_grants);
     let first_fault_at = Instant::now() + STARTUP_TIME;
     let mut link_faults = options
         .own_links
@@ -140,6 +148,7 @@
             next_fault_at = Instant::now() + schedule.draw_delay();
             schedule.inject(&mut cluster).await?;
         }
+        order_faults.step(&cluster, |server| schedule.has_server_faults(server));
         if let Some(faults) = &mut link_faults {
             faults.step(&cluster).await;
         }
@@ -152,6 +161,7 @@
     }
     cluster.log_event("faults end");
     schedule.undo_due(&mut cluster, true).await?;
+    order_faults.undo(&cluster);
     if let Some(faults) = &mut link_faults {
         faults.undo_all(&cluster);
     }
