Record a move only once its holder has no grant without an outcome

What callers saw: two servers held the same keys, each under a grant of another leader, on most runs on real processes.

Cause: a new leader read from the record that a server was a previous holder of a range, sent it a release and took the answer for proof that it held nothing. A grant that the leader before had sent it was still under way or queued.

Change: a leader records a move only once the holder is quiescent: every grant of the range has an outcome, it has accepted a fence of this leader, and it is sent no more from the write on. Until then the record names it as the owner, and a later leader grants it the range again, under a higher fence, before it may move. So the answer to a release is proof whichever leader asks, also after a kill, a suspension, a lost message or two elections in a row. A holder whose move was written without an answer gets no grants until a later record is durable. Of a server that is given up the recorded owner changes when its last grant has expired. Records of earlier versions do not say that holders are quiescent; their keys wait until the grants can have expired.

The test of answered grants in unanswered_grants was wrong (a renewal has the fence of the grant before it) and is replaced by one that answers every grant.

--- a/crates/shard/src/answers.rs
+++ b/crates/shard/src/answers.rs
@@ -28,7 +28,7 @@
                 self.on_grant_reply(now_ms, order, grant, reply, config, outputs)
             }
             OrderKind::Release(release) => {
-                self.on_release_reply(now_ms, order, release, reply, outputs);
+                self.on_release_reply(now_ms, order, release, reply, config, outputs);
                 false
             }
         }
@@ -61,6 +61,9 @@
             if may_hold {
                 state.extend_grant_deadline(&order.incarnation, deadline_ms);
             }
+            if matches!(reply, Reply::Done(_)) && grant.is_ruling_out {
+                state.rule_out_earlier(&order.incarnation, grant.range);
+            }
             let Some(holder) =
                 state.holder.as_mut().filter(|holder| holder.incarnation == order.incarnation)
             else {
@@ -138,6 +141,7 @@
         order: &PendingOrder,
         release: &Release,
         reply: &Reply,
+        config: &Config,
         outputs: &mut Vec<Output>,
     ) {
         for state in self.ranges.iter_mut().filter(|state| state.range.overlaps(release.range)) {
@@ -147,7 +151,10 @@
                     && previous.released_with == Some(release.fence)
             });
             let Some(index) = previous else { continue };
-            if let Reply::Done(handover) = reply {
+            let may_apply_earlier = state.previous_holders[index].may_apply_earlier;
+            if let Reply::Done(handover) = reply
+                && !may_apply_earlier
+            {
                 state.previous_holders.remove(index);
                 state.handover.clone_from(handover);
                 state.note_end(EndedHolder {
@@ -165,7 +172,11 @@
                 }));
             } else {
                 let previous = &mut state.previous_holders[index];
-                previous.release_at_ms = Some(now_ms + ORDER_BACKOFF_MS);
+                let backoff_ms = match reply {
+                    Reply::Done(_) => config.short_grant_ms,
+                    _ => ORDER_BACKOFF_MS,
+                };
+                previous.release_at_ms = Some(now_ms + backoff_ms);
                 let is_misdirected = *reply == Reply::Misdirected;
                 self.is_changed |= is_misdirected && !previous.is_misdirected;
                 previous.is_misdirected = is_misdirected;
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -7,9 +7,10 @@
 use crate::pass::{FenceCounter, PassContext};
 use crate::policy::{Candidate, position};
 use crate::range_state::{Holder, NextStep, PreviousHolder, RangeState};
+use crate::recording::RecordWrites;
 use crate::{
-    Config, Evidence, Grant, KeyLoad, KeyRange, MoveReason, Output, Owner, Record, RecordedRange,
-    Release, Span, Table,
+    Config, Evidence, Grant, KeyLoad, KeyRange, MoveReason, Output, Owner, Record, Release, Span,
+    Table,
 };
 
 /// The assignment of the keys of one service.
@@ -22,13 +23,7 @@
     ///
     /// The first assignment waits until it is stable.
     server_count: (usize, u64),
-    /// The number of the latest record that is to be written.
-    pub(crate) wanted_record: u64,
-    /// The number of the record whose write has no answer yet.
-    pub(crate) record_in_flight: Option<u64>,
-    /// The number of the latest durable record.
-    pub(crate) durable_record: u64,
-    next_write_at_ms: u64,
+    pub(crate) writes: RecordWrites,
     /// Whether new owners have to be published or orders may have become due.
     pub(crate) is_changed: bool,
     /// Whether a range may need a successor, or has one that may no longer be usable.
@@ -37,17 +32,10 @@
     registry_version: Option<u64>,
     /// When the balance is logged next.
     pub(crate) balance_log_at_ms: u64,
-    /// Whether the record may name previous holders that hold nothing any more.
-    has_obsolete_holders: bool,
     /// The time until which grants to servers that no record names may be valid.
     unknown_grants_deadline_ms: u64,
 }
 
-/// Backoff after a record could not be written.
-const WRITE_BACKOFF_MS: u64 = 150;
-/// Delay after the last move until the record is rewritten without previous holders.
-const RECORD_CLEANUP_DELAY_MS: u64 = 250;
-
 impl Assignment {
     /// Creates an assignment in which no key has a holder.
     pub(crate) fn new() -> Self {
@@ -55,15 +43,11 @@
             ranges: vec![RangeState::unassigned(KeyRange::WHOLE)],
             load: KeyLoad::default(),
             server_count: (0, 0),
-            wanted_record: 0,
-            record_in_flight: None,
-            durable_record: 0,
-            next_write_at_ms: 0,
+            writes: RecordWrites::default(),
             is_changed: true,
             is_planning_due: true,
             registry_version: None,
             balance_log_at_ms: 0,
-            has_obsolete_holders: false,
             unknown_grants_deadline_ms: 0,
         }
     }
@@ -88,8 +72,9 @@
         config: &Config,
     ) -> Self {
         let grant_deadline_ms = config.earlier_grants_deadline_ms(now_ms);
-        let to_previous_holder = |incarnation: &Incarnation| {
-            PreviousHolder::new(incarnation.clone(), grant_deadline_ms, now_ms)
+        let to_previous_holder = |incarnation: &Incarnation| PreviousHolder {
+            may_apply_earlier: !record.previous_are_quiescent,
+            ..PreviousHolder::new(incarnation.clone(), grant_deadline_ms, now_ms)
         };
         let ranges = record.ranges.iter().map(|recorded| RangeState {
             holder: Some(Holder {
@@ -101,7 +86,7 @@
             previous_holders: recorded.previous.iter().map(to_previous_holder).collect(),
             ..RangeState::unassigned(recorded.range)
         });
-        Self { ranges: ranges.collect(), ..Self::new() }
+        Self { ranges: ranges.collect(), writes: RecordWrites::after(record), ..Self::new() }
     }
 
     /// Limits how long grants of earlier leaders count as valid.
@@ -156,23 +141,6 @@
         Table { spans }
     }
 
-    pub(crate) fn on_record_written(&mut self, number: u64) {
-        self.durable_record = self.durable_record.max(number);
-        self.record_in_flight = None;
-    }
-
-    pub(crate) fn on_record_write_failed(&mut self, now_ms: u64) {
-        self.record_in_flight = None;
-        self.next_write_at_ms = now_ms + WRITE_BACKOFF_MS;
-        // The failed write may still take effect, so its number is not used for other content.
-        self.wanted_record += 1;
-        for successor in self.ranges.iter_mut().filter_map(|state| state.successor.as_mut()) {
-            if successor.record_number > self.durable_record {
-                successor.record_number = self.wanted_record;
-            }
-        }
-    }
-
     /// Makes the grants of all holders due for renewal.
     pub(crate) fn renew_all(&mut self) {
         for holder in self.ranges.iter_mut().filter_map(|state| state.holder.as_mut()) {
@@ -275,7 +243,10 @@
                 {
                     let later = later.incarnation.clone();
                     let deadline_ms = previous.grant_deadline_ms;
-                    *previous = PreviousHolder::new(later, deadline_ms, pass.now_ms);
+                    *previous = PreviousHolder {
+                        may_apply_earlier: previous.may_apply_earlier,
+                        ..PreviousHolder::new(later, deadline_ms, pass.now_ms)
+                    };
                 }
             }
         }
@@ -343,15 +314,14 @@
             let may_hold = state.holder.as_ref().is_some_and(|holder| {
                 pass.may_hold(&holder.incarnation, state.range, holder.grant_deadline_ms)
             });
-            let is_fencing = state.successor.is_some()
-                && state.holder.as_ref().is_some_and(|holder| {
-                    holder.failures < pass.config.max_failures
-                        && pass.orders.contact(&holder.incarnation).failures()
-                            < pass.config.max_failures
-                        && (holder.may_apply_earlier
-                            || pass.may_abandoned_grant_apply(&holder.incarnation, state.range))
-                });
-            match state.next_step(pass.now_ms, may_hold, is_fencing, self.durable_record) {
+            let is_recorded =
+                state.successor.as_ref().is_some_and(|next| self.writes.is_durable(next));
+            let is_given_up = state.successor.is_some()
+                && state
+                    .holder
+                    .as_ref()
+                    .is_some_and(|holder| pass.is_given_up(holder, state.range));
+            match state.next_step(pass.now_ms, may_hold, is_recorded, is_given_up) {
                 NextStep::Wait => {}
                 NextStep::Expire => {
                     self.is_changed = true;
@@ -360,7 +330,6 @@
                 }
                 NextStep::StartRelease => {
                     self.is_changed = true;
-                    self.has_obsolete_holders = true;
                     state.start_release(pass.now_ms + pass.config.release_delay_ms);
                 }
                 NextStep::GrantToSuccessor => {
@@ -406,46 +375,6 @@
         }
         left.range.join(right.range)
     }
-
-    /// Writes the record if a planned move waits for it or moves have ended.
-    ///
-    /// Until it is written again after moves, the record in the store still names the previous
-    /// holders, and a later leader would send them releases again.
-    fn write_record_if_due(&mut self, pass: &mut PassContext<'_>) {
-        let has_no_moves = self.ranges.iter().all(|state| state.holders_to_release().is_empty());
-        if self.has_obsolete_holders && has_no_moves && self.record_in_flight.is_none() {
-            self.has_obsolete_holders = false;
-            self.wanted_record = self.wanted_record.max(self.durable_record) + 1;
-            self.next_write_at_ms = pass.now_ms + RECORD_CLEANUP_DELAY_MS;
-        }
-        let is_due = self.wanted_record > self.durable_record && self.record_in_flight.is_none();
-        if !is_due || pass.now_ms < self.next_write_at_ms {
-            return;
-        }
-        let Some(ranges) = self.recorded_ranges() else { return };
-        self.record_in_flight = Some(self.wanted_record);
-        let record = Record { epoch: pass.epoch.0, number: self.wanted_record, ranges };
-        pass.outputs.push(Output::Write { service: pass.service.clone(), record });
-    }
-
-    /// Returns the ranges to record; `None` if one has neither holder nor successor.
-    fn recorded_ranges(&self) -> Option<Vec<RecordedRange>> {
-        let mut ranges: Vec<RecordedRange> = Vec::new();
-        for state in &self.ranges {
-            let owner = state.planned_owner()?.clone();
-            let previous = state.holders_to_release();
-            if let Some(last) = ranges.last_mut()
-                && last.owner == owner
-                && last.previous == previous
-                && let Some(range) = last.range.join(state.range)
-            {
-                last.range = range;
-                continue;
-            }
-            ranges.push(RecordedRange { range: state.range, owner, previous });
-        }
-        Some(ranges)
-    }
 }
 
 /// Sends due releases to previous holders and drops those whose grants have expired.
@@ -467,7 +396,10 @@
         }
         // A grant that is applied after the release would be taken again: a server may count only
         // grants' fences as seen, and may apply a grant seconds after it arrived.
-        if is_due && !pass.may_grant_apply(&previous.incarnation, range) {
+        // Of a release that checks an address, only a refusal counts.
+        let may_apply = previous.may_apply_earlier && !previous.is_checked
+            || pass.may_grant_apply(&previous.incarnation, range);
+        if is_due && !may_apply {
             previous.release_at_ms = None;
             let deadline_ms =
                 pass.grant_deadline_ms(&previous.incarnation, range, previous.grant_deadline_ms);
@@ -497,7 +429,9 @@
     let deadline_ms = config.grant_deadline_ms(last_arrival_ms, config.short_grant_ms);
     let known_deadline_ms = pass.grant_deadline_ms(incarnation, range, previous.grant_deadline_ms);
     // A silent server is sent one too, as it may answer again. No keys wait longer for it.
-    if !pass.may_abandoned_grant_apply(incarnation, range)
+    let may_apply =
+        previous.may_apply_earlier || pass.may_abandoned_grant_apply(incarnation, range);
+    if !may_apply
         || pass.orders.contact(incarnation).awaits_answer()
         || deadline_ms > known_deadline_ms
     {
--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -221,6 +221,7 @@
                 last_pass_at_ms,
                 servers,
                 grant_ms,
+                store_answers: self.store_answers,
                 epoch: self.epoch,
                 config: &self.config,
                 fences: &mut self.fences,
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -21,7 +21,8 @@
 //!
 //! # How a range moves
 //!
-//! 1. The leader plans a successor and writes a [`Record`] that names it.
+//! 1. The leader plans a successor. Once the holder has no grant without an outcome, it gets no
+//!    more, and the leader writes a [`Record`] that names the successor.
 //! 2. Once the record is durable, the holder is ordered to release the range.
 //! 3. When the holder has released it or its last grant has expired, the successor gets a
 //!    grant under a higher fence.
@@ -30,7 +31,7 @@
 //!
 //! `leader` handles events for all services. `assignment`, `planning` and `answers` are the
 //! assignment of one service: its orders and record, the choice of successors, and replies
-//! from servers. `range_state` is the state machine of one range, `policy` decides which
+//! from servers. `recording` decides what the record says and when it is written. `range_state` is the state machine of one range, `policy` decides which
 //! keys go where, and `pass` is the context that one pass over an assignment works with.
 //!
 //! ```
@@ -58,6 +59,7 @@
 mod range;
 mod range_state;
 mod record;
+mod recording;
 mod table;
 
 pub use config::Config;
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -10,7 +10,7 @@
 use crate::contact::{Contact, NextGrant};
 use crate::order::LogEvent;
 use crate::policy::Candidate;
-use crate::range_state::PreviousHolder;
+use crate::range_state::{Holder, PreviousHolder};
 use crate::{
     Config, EndedHolder, Epoch, Evidence, Fence, Grant, KeyRange, OrderId, OrderKind, Output,
     Release, Reply, UnansweredGrant,
@@ -50,6 +50,12 @@
     servers: HashMap<Incarnation, Arc<Registration>>,
 }
 
+/// The ranges of the grants that have no outcome, by server.
+///
+/// Grants to any incarnation of a server count: they reach the one that runs on arrival.
+#[derive(Debug)]
+pub(crate) struct UnansweredRanges<'a>(HashMap<&'a Name, Vec<KeyRange>>);
+
 /// An order that has no answer yet.
 #[derive(Clone, Debug)]
 pub(crate) struct PendingOrder {
@@ -287,6 +293,14 @@
     }
 }
 
+impl UnansweredRanges<'_> {
+    /// Returns whether a server may still apply a grant of any key of a range.
+    pub(crate) fn include(&self, incarnation: &Incarnation, range: KeyRange) -> bool {
+        let ranges = self.0.get(&incarnation.server);
+        ranges.is_some_and(|ranges| ranges.iter().any(|granted| granted.overlaps(range)))
+    }
+}
+
 impl PendingOrder {
     /// Returns whether the order is a grant that reaches a server, whichever incarnation runs.
     fn is_grant_to(&self, incarnation: &Incarnation, range: KeyRange) -> bool {
@@ -328,6 +342,7 @@
     pub(crate) servers: Servers<'a>,
     /// Length of the grants that are sent.
     pub(crate) grant_ms: u64,
+    pub(crate) store_answers: bool,
     pub(crate) epoch: Epoch,
     pub(crate) config: &'a Config,
     pub(crate) fences: &'a mut FenceCounter,
@@ -389,6 +404,18 @@
             || self.now_ms < self.grant_deadline_ms(incarnation, range, answered_deadline_ms)
     }
 
+    /// Returns whether a holder that does not answer is replaced, although it may still apply a
+    /// grant late.
+    ///
+    /// While the store does not answer, the holder keeps its range, as a successor could not be
+    /// recorded.
+    pub(crate) fn is_given_up(&self, holder: &Holder, range: KeyRange) -> bool {
+        let failures = holder.failures.max(self.orders.contact(&holder.incarnation).failures());
+        self.store_answers
+            && failures >= self.config.max_failures
+            && (holder.may_apply_earlier || self.may_grant_apply(&holder.incarnation, range))
+    }
+
     /// Returns whether a previous holder is expected to answer a release soon.
     pub(crate) fn may_answer(&self, previous: &PreviousHolder) -> bool {
         let incarnation = &previous.incarnation;
@@ -444,6 +471,23 @@
         deadlines.any(|deadline_ms| self.now_ms < deadline_ms)
     }
 
+    /// Returns the ranges of all grants without an outcome.
+    pub(crate) fn unanswered_ranges(&self) -> UnansweredRanges<'_> {
+        let pending = self.orders.pending.values().filter_map(|order| match &order.kind {
+            OrderKind::Grant(grant) => Some((&order.incarnation.server, grant.range)),
+            OrderKind::Release(_) => None,
+        });
+        let given_up = self.orders.abandoned.iter();
+        let given_up = given_up.filter(|grant| self.now_ms < grant.deadline_ms(self.config));
+        let mut ranges: HashMap<&Name, Vec<KeyRange>> = HashMap::default();
+        for (server, range) in
+            pending.chain(given_up.map(|grant| (&grant.incarnation.server, grant.range)))
+        {
+            ranges.entry(server).or_default().push(range);
+        }
+        UnansweredRanges(ranges)
+    }
+
     /// Returns whether a grant to a server that was not answered may still take effect.
     pub(crate) fn may_grant_apply(&self, incarnation: &Incarnation, range: KeyRange) -> bool {
         let orders = &self.orders;
--- a/crates/shard/src/planning.rs
+++ b/crates/shard/src/planning.rs
@@ -88,12 +88,11 @@
 
     fn plan_first_assignment(&mut self, pass: &mut PassContext<'_>, candidates: &[Candidate]) {
         let parts = policy::split_by_capacity(KeyRange::WHOLE, &self.load, candidates);
-        self.wanted_record += 1;
         self.ranges = parts
             .into_iter()
             .map(|(range, incarnation)| {
                 log_planned_move(pass, range, None, &incarnation, MoveReason::Free);
-                let successor = Successor::new(incarnation, self.wanted_record, MoveReason::Free);
+                let successor = Successor::new(incarnation, MoveReason::Free);
                 RangeState { successor: Some(successor), ..RangeState::unassigned(range) }
             })
             .collect();
@@ -164,17 +163,10 @@
         to: Incarnation,
         reason: MoveReason,
     ) {
-        // Moves planned in one pass share a record, unless the record of that number is being
-        // written or durable already.
-        if self.record_in_flight == Some(self.wanted_record)
-            || self.durable_record == self.wanted_record
-        {
-            self.wanted_record += 1;
-        }
         let state = &mut self.ranges[index];
         let from = state.holder.as_ref().map(|holder| holder.incarnation.clone());
         log_planned_move(pass, state.range, from, &to, reason);
-        state.successor = Some(Successor::new(to, self.wanted_record, reason));
+        state.successor = Some(Successor::new(to, reason));
     }
 
     /// Starts moves that balance the load and moves that merge ranges, each up to a limit.
--- a/crates/shard/src/range_state.rs
+++ b/crates/shard/src/range_state.rs
@@ -41,6 +41,9 @@
     pub(crate) failures: u32,
     /// Number of grants refused for their fence since the last accepted one.
     pub(crate) refusals: u32,
+    /// The number of the last record that was sent to the store and names this server as a
+    /// previous holder; it is sent no grants until a later record is durable.
+    pub(crate) previous_in_record: Option<u64>,
     /// Whether the server accepted a grant, or is the owner in an earlier leader's record.
     pub(crate) is_serving: bool,
 }
@@ -57,6 +60,8 @@
     ///
     /// An earlier release, or a probe of the server, may be answered before this one.
     pub(crate) released_with: Option<Fence>,
+    /// Whether the server may still apply a grant of an earlier leader, even after a release.
+    pub(crate) may_apply_earlier: bool,
     /// Whether the last release that was answered reached another process. A server refuses no
     /// release of its own.
     pub(crate) is_misdirected: bool,
@@ -68,8 +73,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Successor {
     pub(crate) incarnation: Incarnation,
-    /// The number of the record that names it.
-    pub(crate) record_number: u64,
+    /// The number of the record that names it; `None` until one is sent to the store.
+    pub(crate) record_number: Option<u64>,
     pub(crate) reason: MoveReason,
 }
 
@@ -106,22 +111,24 @@
     /// Returns the next action.
     ///
     /// `may_hold` tells whether a grant of the holder may be valid, including grants that
-    /// are not answered yet; `is_fencing` whether the holder is first to accept a grant that
-    /// rules out earlier ones without an answer; `durable_record` is the number of the last durable record.
+    /// are not answered yet; `is_recorded` whether a durable record names the successor;
+    /// `is_given_up` whether the holder does not answer and is to be replaced.
     pub(crate) fn next_step(
         &self,
         now_ms: u64,
         may_hold: bool,
-        is_fencing: bool,
-        durable_record: u64,
+        is_recorded: bool,
+        is_given_up: bool,
     ) -> NextStep {
-        let is_recorded = |successor: &Successor| durable_record >= successor.record_number;
-        let may_move = !is_fencing && self.successor.as_ref().is_some_and(is_recorded);
         match &self.holder {
-            None if may_move && self.previous_holders.is_empty() => NextStep::GrantToSuccessor,
+            None if is_recorded && self.previous_holders.is_empty() => NextStep::GrantToSuccessor,
             Some(holder) if !may_hold && !holder.awaits_first_result() => NextStep::Expire,
-            Some(_) if may_move => NextStep::StartRelease,
-            Some(holder) if self.previous_holders.is_empty() && now_ms >= holder.renew_at_ms => {
+            Some(_) if is_recorded || is_given_up => NextStep::StartRelease,
+            Some(holder)
+                if self.previous_holders.is_empty()
+                    && !holder.is_frozen()
+                    && now_ms >= holder.renew_at_ms =>
+            {
                 NextStep::Renew
             }
             None | Some(_) => NextStep::Wait,
@@ -139,11 +146,10 @@
     /// Makes the holder a previous one that is sent a release at the given time.
     pub(crate) fn start_release(&mut self, release_at_ms: u64) {
         if let Some(holder) = self.holder.take() {
-            self.previous_holders.push(PreviousHolder::new(
-                holder.incarnation,
-                holder.grant_deadline_ms,
-                release_at_ms,
-            ));
+            self.previous_holders.push(PreviousHolder {
+                may_apply_earlier: holder.may_apply_earlier,
+                ..PreviousHolder::new(holder.incarnation, holder.grant_deadline_ms, release_at_ms)
+            });
         }
     }
 
@@ -167,6 +173,17 @@
         }
     }
 
+    /// Notes that a previous holder has accepted a grant, so that it refuses those of earlier leaders.
+    pub(crate) fn rule_out_earlier(&mut self, incarnation: &Incarnation, granted: KeyRange) {
+        if !self.range.without(granted).is_empty() {
+            return;
+        }
+        let previous = self.previous_holders.iter_mut();
+        for previous in previous.filter(|previous| previous.incarnation == *incarnation) {
+            previous.may_apply_earlier = false;
+        }
+    }
+
     /// Returns the times until which answered grants may be valid.
     pub(crate) fn grant_deadlines_mut(&mut self) -> impl Iterator<Item = &mut u64> {
         let holder = self.holder.iter_mut().map(|holder| &mut holder.grant_deadline_ms);
@@ -186,7 +203,7 @@
     pub(crate) fn is_settled(&self) -> bool {
         self.successor.is_none()
             && self.previous_holders.is_empty()
-            && self.holder.as_ref().is_some_and(|holder| holder.is_serving)
+            && self.holder.as_ref().is_some_and(|holder| holder.is_serving && !holder.is_frozen())
     }
 
     /// Returns the successor, or the holder if no move is planned.
@@ -221,8 +238,8 @@
 }
 
 impl Successor {
-    pub(crate) fn new(incarnation: Incarnation, record_number: u64, reason: MoveReason) -> Self {
-        Self { incarnation, record_number, reason }
+    pub(crate) fn new(incarnation: Incarnation, reason: MoveReason) -> Self {
+        Self { incarnation, record_number: None, reason }
     }
 }
 
@@ -238,6 +255,7 @@
             grant_deadline_ms,
             release_at_ms: Some(release_at_ms),
             released_with: None,
+            may_apply_earlier: false,
             is_misdirected: false,
             is_checked: false,
         }
@@ -252,6 +270,7 @@
             fence,
             has_accepted_fence: false,
             may_apply_earlier: false,
+            previous_in_record: None,
             grant_deadline_ms: 0,
             renew_at_ms: 0,
             is_short: false,
@@ -261,6 +280,11 @@
         }
     }
 
+    /// Returns whether no grants are sent because a record may name a successor.
+    pub(crate) fn is_frozen(&self) -> bool {
+        self.previous_in_record.is_some()
+    }
+
     /// Replaces the fence for the next grants.
     pub(crate) fn renew_fence(&mut self, fence: Fence) {
         self.fence = fence;
--- a/crates/shard/src/record.rs
+++ b/crates/shard/src/record.rs
@@ -15,6 +15,12 @@
     pub epoch: u64,
     /// The number of the record within the epoch.
     pub number: u64,
+    /// Whether all previous holders had no grant without an outcome, of this leader or an earlier
+    /// one, and get none after the record is durable.
+    ///
+    /// Otherwise one may apply such a grant after it has released its range. Records of earlier
+    /// versions do not tell.
+    pub previous_are_quiescent: bool,
     /// The ranges in ascending order; together they cover all keys.
     pub ranges: Vec<RecordedRange>,
 }
@@ -27,6 +33,8 @@
     /// The server that may hold them from now on.
     pub owner: Incarnation,
     /// The previous holders that may not have given them up yet.
+    ///
+    /// A server that may still apply a grant late is the owner instead.
     pub previous: Vec<Incarnation>,
 }
 
@@ -35,6 +43,8 @@
 struct Stored {
     epoch: u64,
     number: u64,
+    #[serde(default, rename = "quiescent")]
+    previous_are_quiescent: bool,
     #[serde(rename = "lives")]
     incarnations: Vec<Incarnation>,
     ranges: Vec<(u16, u16, usize, Vec<usize>)>,
@@ -60,7 +70,13 @@
                 (recorded.range.from(), recorded.range.to(), position(&recorded.owner), previous)
             })
             .collect();
-        let stored = Stored { epoch: self.epoch, number: self.number, incarnations, ranges };
+        let stored = Stored {
+            epoch: self.epoch,
+            number: self.number,
+            previous_are_quiescent: self.previous_are_quiescent,
+            incarnations,
+            ranges,
+        };
         serde_json::to_string(&stored).unwrap_or_default()
     }
 
@@ -82,7 +98,12 @@
                 })
             })
             .collect();
-        let record = Self { epoch: stored.epoch, number: stored.number, ranges: ranges? };
+        let record = Self {
+            epoch: stored.epoch,
+            number: stored.number,
+            previous_are_quiescent: stored.previous_are_quiescent,
+            ranges: ranges?,
+        };
         record.covers_all_keys().then_some(record)
     }
 
--- /dev/null
+++ b/crates/shard/src/recording.rs
@@ -0,0 +1,239 @@
+//! What the record of an assignment says, and when it is written.
+//!
+//! A move is recorded only once every server that may have held the range is quiescent: all
+//! grants that it was sent have an outcome, it refuses those of earlier leaders, and it is sent
+//! no more. Until then the record names it as the owner. So whichever leader reads the record,
+//! the answer of a previous holder to a release shows that it holds the range no longer.
+
+use registry::Incarnation;
+
+use crate::assignment::Assignment;
+use crate::pass::{PassContext, UnansweredRanges};
+use crate::range_state::{Holder, PreviousHolder, RangeState, Successor};
+use crate::{Output, Record, RecordedRange};
+
+/// The writes of an assignment's record.
+#[derive(Debug, Default)]
+pub(crate) struct RecordWrites {
+    /// The number of the last record that was sent to the store.
+    last: u64,
+    /// The number of the record whose write has no answer yet.
+    in_flight: Option<u64>,
+    /// The number of the latest durable record.
+    durable: u64,
+    next_write_at_ms: u64,
+    /// Whether the record may name previous holders that hold nothing any more.
+    has_obsolete_holders: bool,
+    /// When the record is written without them.
+    cleanup_at_ms: Option<u64>,
+}
+
+/// The record's words on one range.
+struct Entry {
+    owner: Incarnation,
+    previous: Vec<Incarnation>,
+    is_move: bool,
+    are_quiescent: bool,
+}
+
+/// Backoff after a record could not be written.
+const WRITE_BACKOFF_MS: u64 = 150;
+/// Delay after the last move until the record is rewritten without previous holders.
+const CLEANUP_DELAY_MS: u64 = 250;
+
+impl RecordWrites {
+    /// Creates the writes of an assignment that continues from a record.
+    pub(crate) fn after(record: &Record) -> Self {
+        let has_previous = |recorded: &RecordedRange| !recorded.previous.is_empty();
+        let has_obsolete_holders = record.ranges.iter().any(has_previous);
+        Self { has_obsolete_holders, ..Self::default() }
+    }
+
+    /// Returns whether a durable record names a successor.
+    pub(crate) fn is_durable(&self, successor: &Successor) -> bool {
+        successor.record_number.is_some_and(|number| self.durable >= number)
+    }
+}
+
+impl Assignment {
+    pub(crate) fn on_record_written(&mut self, number: u64) {
+        let writes = &mut self.writes;
+        writes.durable = writes.durable.max(number);
+        writes.in_flight = None;
+        // No record before this one can still become durable, so holders that it names as owners
+        // may be sent grants again.
+        for holder in self.ranges.iter_mut().filter_map(|state| state.holder.as_mut()) {
+            if holder.previous_in_record.is_some_and(|listed| listed < number) {
+                holder.previous_in_record = None;
+            }
+        }
+    }
+
+    pub(crate) fn on_record_write_failed(&mut self, now_ms: u64) {
+        let writes = &mut self.writes;
+        writes.in_flight = None;
+        writes.next_write_at_ms = now_ms + WRITE_BACKOFF_MS;
+        writes.has_obsolete_holders = true;
+        // The failed write may still take effect, so its number is not used for other content.
+        let durable = writes.durable;
+        for successor in self.ranges.iter_mut().filter_map(|state| state.successor.as_mut()) {
+            successor.record_number = successor.record_number.filter(|number| durable >= *number);
+        }
+    }
+
+    /// Writes the record if a planned move can be recorded or moves have ended.
+    ///
+    /// Until it is written again after moves, the record in the store still names the previous
+    /// holders, and a later leader would send them releases again.
+    pub(crate) fn write_record_if_due(&mut self, pass: &mut PassContext<'_>) {
+        self.schedule_cleanup(pass.now_ms);
+        if self.writes.in_flight.is_some() || pass.now_ms < self.writes.next_write_at_ms {
+            return;
+        }
+        let is_cleanup_due = self.writes.cleanup_at_ms.is_some_and(|at_ms| pass.now_ms >= at_ms);
+        if !is_cleanup_due && !self.ranges.iter().any(RangeState::awaits_record) {
+            return;
+        }
+        let entries = {
+            let unanswered = pass.unanswered_ranges();
+            let is_due = is_cleanup_due
+                || self.ranges.iter().any(|state| {
+                    state.is_withdrawn() || is_recordable(state, &unanswered, pass.store_answers)
+                });
+            if !is_due {
+                return;
+            }
+            let entry = |state| to_entry(state, &unanswered, pass.store_answers);
+            self.ranges.iter().map(entry).collect::<Option<Vec<Entry>>>()
+        };
+        let Some(entries) = entries else { return };
+        let number = self.writes.last + 1;
+        for (state, entry) in
+            self.ranges.iter_mut().zip(&entries).filter(|(_, entry)| entry.is_move)
+        {
+            state.on_recorded(number, &entry.owner);
+        }
+        let previous_are_quiescent = entries.iter().all(|entry| entry.are_quiescent);
+        let ranges = join_entries(&self.ranges, entries);
+        let writes = &mut self.writes;
+        (writes.last, writes.in_flight, writes.cleanup_at_ms) = (number, Some(number), None);
+        writes.has_obsolete_holders = ranges.iter().any(|recorded| !recorded.previous.is_empty());
+        let record = Record { epoch: pass.epoch.0, number, previous_are_quiescent, ranges };
+        pass.outputs.push(Output::Write { service: pass.service.clone(), record });
+    }
+
+    fn schedule_cleanup(&mut self, now_ms: u64) {
+        let writes = &mut self.writes;
+        if writes.has_obsolete_holders
+            && writes.cleanup_at_ms.is_none()
+            && writes.in_flight.is_none()
+            && self.ranges.iter().all(|state| state.holders_to_release().is_empty())
+        {
+            writes.cleanup_at_ms = Some(now_ms + CLEANUP_DELAY_MS);
+        }
+    }
+}
+
+impl RangeState {
+    /// Returns whether the record is to be written for this range as soon as it can be.
+    fn awaits_record(&self) -> bool {
+        self.is_withdrawn()
+            || self.successor.as_ref().is_some_and(|successor| successor.record_number.is_none())
+    }
+
+    /// Returns whether a record names a successor that is not wanted any more.
+    fn is_withdrawn(&self) -> bool {
+        let is_frozen = self.holder.as_ref().is_some_and(Holder::is_frozen);
+        is_frozen && self.successor.is_none()
+    }
+
+    /// Notes that a record names the successor as the owner.
+    fn on_recorded(&mut self, number: u64, owner: &Incarnation) {
+        if let Some(successor) = &mut self.successor {
+            successor.record_number.get_or_insert(number);
+        }
+        if let Some(holder) = &mut self.holder
+            && holder.incarnation != *owner
+        {
+            holder.previous_in_record = Some(number);
+        }
+    }
+}
+
+/// Returns whether the planned move of a range can be recorded and no record names it yet.
+fn is_recordable(
+    state: &RangeState,
+    unanswered: &UnansweredRanges<'_>,
+    store_answers: bool,
+) -> bool {
+    let is_planned =
+        state.successor.as_ref().is_some_and(|successor| successor.record_number.is_none());
+    // A holder that is not frozen yet is sent grants while the store does not answer, as its move
+    // would have to wait.
+    let is_ready = |holder: &Holder| {
+        (store_answers || holder.is_frozen())
+            && !holder.may_apply_earlier
+            && !unanswered.include(&holder.incarnation, state.range)
+    };
+    let is_quiescent = |previous| is_quiescent(state, previous, unanswered);
+    is_planned
+        && state.holder.as_ref().is_none_or(is_ready)
+        && state.previous_holders.iter().all(is_quiescent)
+}
+
+fn is_quiescent(
+    state: &RangeState,
+    previous: &PreviousHolder,
+    unanswered: &UnansweredRanges<'_>,
+) -> bool {
+    !previous.may_apply_earlier && !unanswered.include(&previous.incarnation, state.range)
+}
+
+/// Returns the record's words on a range; `None` if it has neither holder nor successor.
+fn to_entry(
+    state: &RangeState,
+    unanswered: &UnansweredRanges<'_>,
+    store_answers: bool,
+) -> Option<Entry> {
+    if let Some(successor) = &state.successor
+        && (successor.record_number.is_some() || is_recordable(state, unanswered, store_answers))
+    {
+        let owner = successor.incarnation.clone();
+        let previous = state.holders_to_release();
+        return Some(Entry { owner, previous, is_move: true, are_quiescent: true });
+    }
+    // The planned move is not recorded yet: a server that may apply a grant late stays the owner.
+    let is_quiescent = |previous: &PreviousHolder| is_quiescent(state, previous, unanswered);
+    let mut previous: Vec<&PreviousHolder> = state.previous_holders.iter().collect();
+    let owner = if let Some(holder) = &state.holder {
+        &holder.incarnation
+    } else {
+        let last = previous.len().checked_sub(1)?;
+        let owner = previous.iter().rposition(|previous| !is_quiescent(previous));
+        &previous.remove(owner.unwrap_or(last)).incarnation
+    };
+    Some(Entry {
+        owner: owner.clone(),
+        previous: previous.iter().map(|previous| previous.incarnation.clone()).collect(),
+        is_move: false,
+        are_quiescent: previous.into_iter().all(is_quiescent),
+    })
+}
+
+/// Joins adjacent ranges of which the record says the same.
+fn join_entries(states: &[RangeState], entries: Vec<Entry>) -> Vec<RecordedRange> {
+    let mut ranges: Vec<RecordedRange> = Vec::new();
+    for (state, entry) in states.iter().zip(entries) {
+        let Entry { owner, previous, .. } = entry;
+        if let Some(last) = ranges.last_mut()
+            && last.owner == owner
+            && last.previous == previous
+            && let Some(range) = last.range.join(state.range)
+        {
+            last.range = range;
+            continue;
+        }
+        ranges.push(RecordedRange { range: state.range, owner, previous });
+    }
+    ranges
+}
--- a/crates/shard/tests/queued_grants.rs
+++ b/crates/shard/tests/queued_grants.rs
@@ -127,8 +127,12 @@
     let (left, right) = KeyRange::WHOLE.split_at(30_000).unwrap();
     let to_recorded =
         |range| RecordedRange { range, owner: incarnation("s1"), previous: Vec::new() };
-    let record =
-        Record { epoch: 4, number: 1, ranges: vec![to_recorded(left), to_recorded(right)] };
+    let record = Record {
+        epoch: 4,
+        number: 1,
+        previous_are_quiescent: true,
+        ranges: vec![to_recorded(left), to_recorded(right)],
+    };
     let records = [(SERVICE.into(), record)];
     harness.driver.leader = Leader::new(Epoch(5), 0, u64::MAX, &records, Config::default());
     harness.driver.put("s1", Stage::Draining);
--- a/crates/shard/tests/record_forms.rs
+++ b/crates/shard/tests/record_forms.rs
@@ -37,3 +37,11 @@
         assert_eq!(Record::from_text(&other.to_string()), None, "{other}");
     }
 }
+
+#[test]
+fn earlier_records_do_not_say_that_holders_are_quiescent() {
+    let earlier = Record::from_text(&stored().to_string()).unwrap();
+    assert!(!earlier.previous_are_quiescent);
+    let later = Record { previous_are_quiescent: true, ..earlier };
+    assert_eq!(Record::from_text(&later.to_text()), Some(later));
+}
--- a/crates/shard/tests/unanswered_grants.rs
+++ b/crates/shard/tests/unanswered_grants.rs
@@ -33,11 +33,15 @@
 }
 
 #[test]
-fn accepted_grants_are_not_named() {
+fn answered_grants_are_not_named() {
     let mut driver = Driver::new(["s1"]);
-    let id = first_grant(&mut driver);
-    let fence = driver.leader.unanswered_grants(driver.now_ms)[0].fence;
-    driver.step(Event::Answered(id, Reply::Done(None)));
-    let grants = driver.leader.unanswered_grants(driver.now_ms);
-    assert!(grants.iter().all(|grant| grant.fence != fence), "{grants:?}");
+    let mut unanswered = vec![first_grant(&mut driver)];
+    while let Some(id) = unanswered.pop() {
+        for output in driver.step(Event::Answered(id, Reply::Done(None))) {
+            if let Output::Order { id, kind: OrderKind::Grant(_), .. } = output {
+                unanswered.push(id);
+            }
+        }
+    }
+    assert_eq!(driver.leader.unanswered_grants(driver.now_ms), Vec::new());
 }
