--- a/crates/shard/tests/golden_sessions.rs
+++ b/crates/shard/tests/golden_sessions.rs
@@ -23,6 +23,9 @@
     queue_grant: 0,
     relocate: 0,
     resign: 0,
+    slow_write: 0,
+    suspend: 0,
+    repeat_answer: 0,
 };
 const SEED: u64 = 42;
 /// Time for the first assignment, with a margin.
--- a/crates/shard/tests/random_moves.rs
+++ b/crates/shard/tests/random_moves.rs
@@ -6,6 +6,8 @@
 //! schedule that fails.
 mod world;
 
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use world::{Faults, World};
 
 /// Number of schedules in CI.
@@ -70,6 +72,9 @@
     queue_grant: 0,
     relocate: 0,
     resign: 0,
+    slow_write: 0,
+    suspend: 0,
+    repeat_answer: 0,
 };
 
 #[test]
@@ -154,6 +159,96 @@
     assert_schedules(Faults { stop_leader: 15, resign: 30, ..faults });
 }
 
+/// Guards against holders that are sent grants after a record without an answer names them as
+/// previous ones.
+#[test]
+fn slow_writes_and_queued_grants() {
+    let faults = Faults { queue_grant: 100, slow_write: 300, drain: 20, ..ONLY_DRAINS };
+    assert_schedules(Faults { resign: 30, stop_leader: 20, ..faults });
+}
+
+#[test]
+fn slow_writes_restarts_and_cuts() {
+    let faults = Faults { queue_grant: 60, slow_write: 200, crash: 20, cut: 20, ..ONLY_DRAINS };
+    let faults = Faults { resign: 30, stop_leader: 20, stop_store: 10, ..faults };
+    assert_schedules(Faults { evacuate: 20, unlist: 10, relocate: 10, ..faults });
+}
+
+#[test]
+fn suspended_leaders_and_queued_grants() {
+    let faults = Faults { queue_grant: 60, suspend: 40, slow_write: 100, ..ONLY_DRAINS };
+    assert_schedules(Faults { resign: 20, stop_leader: 10, lose_message: 20, ..faults });
+}
+
+/// Guards against grants that reach a later process while the leader that sent them has ended.
+#[test]
+fn slow_servers_restarts_and_lost_leaders() {
+    let faults = Faults { slow_server: 60, cut: 20, crash: 20, ..ONLY_DRAINS };
+    assert_schedules(Faults { resign: 40, stop_leader: 15, ..faults });
+}
+
+#[test]
+fn slow_servers_queued_grants_and_resignations() {
+    let faults = Faults { slow_server: 60, queue_grant: 60, cut: 20, ..ONLY_DRAINS };
+    assert_schedules(Faults { resign: 60, evacuate: 20, slow_link: 10, ..faults });
+}
+
+#[test]
+fn all_new_faults() {
+    let faults = Faults { queue_grant: 40, slow_write: 60, suspend: 15, resign: 20, ..ALL_FAULTS };
+    assert_schedules(Faults { evacuate: 10, slow_link: 5, ..faults });
+}
+
+/// Guards against an earlier answer that counts as that of a grant that the server has queued.
+#[test]
+fn repeated_answers_and_lost_leaders() {
+    let faults = Faults { repeat_answer: 20, ..ONLY_DRAINS };
+    assert_schedules(Faults { resign: 30, stop_leader: 10, ..faults });
+}
+
+/// Draws which faults occur in a schedule, and how often.
+fn drawn_faults(seed: u64) -> Faults {
+    let mut random = StdRng::seed_from_u64(seed ^ 0x5eed);
+    let mut rate = |max: u32| {
+        if random.random_range(0..3) > 0 { 0 } else { random.random_range(1..=max) }
+    };
+    Faults {
+        lose_message: rate(60),
+        apply_late: rate(60),
+        cut: rate(50),
+        crash: rate(40),
+        drain: rate(40),
+        stop_leader: rate(30),
+        stop_store: rate(20),
+        slow_link: rate(30),
+        slow_server: rate(80),
+        evacuate: rate(40),
+        unlist: rate(20),
+        queue_grant: rate(400),
+        relocate: rate(20),
+        resign: rate(80),
+        slow_write: rate(400),
+        suspend: rate(40),
+        repeat_answer: 0,
+    }
+}
+
+#[test]
+fn drawn_fault_rates() {
+    let first = seed();
+    for seed in first..first + cases() {
+        let faults = drawn_faults(seed);
+        let mut world = World::new(seed, faults);
+        let result = world.run(SCHEDULE_MS).and_then(|()| world.check_recovery(RECOVERY_MS));
+        if let Err(error) = result {
+            if std::env::var("VERBENA_TRACE").is_ok() {
+                println!("{}", world.trace);
+            }
+            panic!("seed {seed}: {error}, {faults:?}");
+        }
+    }
+}
+
 const ALL_FAULTS: Faults = Faults {
     lose_message: 40,
     apply_late: 40,
@@ -169,6 +264,9 @@
     queue_grant: 0,
     relocate: 0,
     resign: 0,
+    slow_write: 0,
+    suspend: 0,
+    repeat_answer: 0,
 };
 
 #[test]
--- a/crates/shard/tests/recorded_moves.rs
+++ b/crates/shard/tests/recorded_moves.rs
@@ -137,3 +137,22 @@
     harness.answer(&Reply::Done(None));
     assert!(harness.is_given_on);
 }
+
+/// Guards against an earlier answer on the same connection that counts as the acceptance of the
+/// grant that rules out those of the leader before.
+#[test]
+fn recorded_owner_is_quiescent_only_after_an_answer_of_its_own() {
+    let mut harness = Harness::new(record("s1", &[], true));
+    harness.run(TICK_MS);
+    harness.drain_first();
+    let mut have_own_answers = false;
+    for _ in 0..5 {
+        let mut orders = harness.orders.iter();
+        have_own_answers |=
+            orders.any(|(_, kind)| matches!(kind, OrderKind::Grant(_)) && kind.needs_own_answer());
+        harness.answer(&Reply::Done(None));
+        harness.run(TICK_MS);
+    }
+    assert_eq!(harness.writes.len(), 1);
+    assert!(have_own_answers, "recorded after answers that may be those of other orders");
+}
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -32,6 +32,10 @@
 const UNLISTED_MS: u64 = 2_500;
 /// How often the message of a leader that resigns is lost, per thousand.
 const LOST_RESIGNATION_PER_MILLE: u32 = 250;
+/// Longest time until a write without an answer takes effect.
+const MAX_WRITE_MS: u64 = 6_000;
+/// Longest time for which a leader is suspended.
+const MAX_SUSPENDED_MS: u64 = 5_000;
 /// Longest time for which a server queues a grant.
 const MAX_QUEUED_MS: u64 = 6_000;
 /// Longest time that a key may be without an owner while its range moves: the work of a
@@ -104,6 +108,13 @@
     pub relocate: u32,
     /// The leader resigns and another is elected at once; its message may be lost.
     pub resign: u32,
+    /// Writes get no answer and take effect up to some seconds later, if they still can.
+    pub slow_write: u32,
+    /// The leader is suspended for up to some seconds; another may be elected meanwhile.
+    pub suspend: u32,
+    /// The answer to a grant without a connection of its own is that of an earlier order, while the
+    /// server has queued the grant.
+    pub repeat_answer: u32,
 }
 
 /// Returns the data centre of a server: servers with an even number are in the second one.
@@ -126,6 +137,8 @@
     record: Option<Record>,
     epoch: u64,
     lease_deadline_ms: u64,
+    /// The leader that is suspended, and until when.
+    suspended: Option<(usize, u64)>,
     /// Until when grants may be valid, if the last leader resigned and told it.
     resigned_grants_deadline_ms: Option<u64>,
     store_outage_deadline_ms: u64,
@@ -152,6 +165,7 @@
             record: None,
             epoch: 10,
             lease_deadline_ms: 0,
+            suspended: None,
             resigned_grants_deadline_ms: None,
             store_outage_deadline_ms: 0,
             link_free_at_ms: 0,
@@ -199,6 +213,9 @@
             queue_grant: 0,
             relocate: 0,
             resign: 0,
+            slow_write: 0,
+            suspend: 0,
+            repeat_answer: 0,
         };
         for server in self.servers.values_mut() {
             server.is_cut = false;
@@ -323,12 +340,39 @@
         self.leaders.iter_mut().for_each(|leader| *leader = None);
     }
 
+    /// Suspends the leader for some time; its lease is not renewed meanwhile.
+    fn suspend(&mut self) {
+        if !matches!(self.leaders.last(), Some(Some(_))) {
+            return;
+        }
+        let until_ms = self.now_ms + self.random.random_range(300..MAX_SUSPENDED_MS);
+        self.suspended = Some((self.leaders.len() - 1, until_ms));
+        self.log(&format!("the leader is suspended until {until_ms}"));
+    }
+
+    /// Returns until when a leader is suspended.
+    fn suspended_until_ms(&self, index: usize) -> Option<u64> {
+        let (_, until_ms) = self.suspended.filter(|(suspended, _)| *suspended == index)?;
+        (self.now_ms < until_ms).then_some(until_ms)
+    }
+
     /// Makes the store unavailable for some time.
     pub fn stop_store(&mut self, for_ms: u64) {
         self.store_outage_deadline_ms = self.now_ms + for_ms;
         self.log(&format!("the store is down for {for_ms} ms"));
     }
 
+    /// Returns the keys that are observed and that no running server holds.
+    pub fn unheld_keys(&self) -> Vec<u16> {
+        let keys = (0..OBSERVED_KEYS).map(|index| index * (1 << 16) / OBSERVED_KEYS);
+        let keys = keys.map(|key| u16::try_from(key).expect("a key"));
+        keys.filter(|key| {
+            let mut running = self.servers.values().filter(|server| server.is_running);
+            !running.any(|server| server.holds(*key, self.now_ms))
+        })
+        .collect()
+    }
+
     /// Sets whether the load of hot keys changes all the time.
     pub fn set_loaded(&mut self, is_loaded: bool) {
         self.is_loaded = is_loaded;
@@ -405,6 +449,9 @@
         if faults.resign > 0 && self.occurs(faults.resign) {
             self.resign();
         }
+        if faults.suspend > 0 && self.suspended.is_none() && self.occurs(faults.suspend) {
+            self.suspend();
+        }
         if self.occurs(faults.stop_store) {
             let for_ms = self.random.random_range(500..8_000);
             self.stop_store(for_ms);
@@ -460,7 +507,9 @@
 
     /// Elects a leader if there is none and the lease of the last one has expired.
     fn elect(&mut self) {
-        let has_leader = matches!(self.leaders.last(), Some(Some(_)));
+        let last = self.leaders.len().saturating_sub(1);
+        let has_leader =
+            matches!(self.leaders.last(), Some(Some(_))) && self.suspended_until_ms(last).is_none();
         if self.now_ms < self.lease_deadline_ms || !self.store_answers() || has_leader {
             return;
         }
@@ -480,7 +529,13 @@
     }
 
     fn tick(&mut self) {
+        if self.suspended.is_some_and(|(_, until_ms)| self.now_ms >= until_ms) {
+            self.suspended = None;
+        }
         for index in 0..self.leaders.len() {
+            if self.suspended_until_ms(index).is_some() {
+                continue;
+            }
             if self.now_ms.is_multiple_of(400) && self.leaders[index].is_some() {
                 self.renew_lease(index);
             }
@@ -541,9 +596,13 @@
                 }
                 Output::Write { record, .. } => {
                     let is_answered = !self.occurs(self.faults.lose_message);
-                    let is_late = self.occurs(self.faults.apply_late);
-                    let delay_ms =
+                    let mut is_late = self.occurs(self.faults.apply_late);
+                    let mut delay_ms =
                         self.random.random_range(2..20) + if is_late { 2_500 } else { 0 };
+                    if self.faults.slow_write > 0 && self.occurs(self.faults.slow_write) {
+                        is_late = true;
+                        delay_ms = self.random.random_range(2..MAX_WRITE_MS);
+                    }
                     if !is_answered || is_late {
                         let number = record.number;
                         self.send(
@@ -573,7 +632,8 @@
             if entry.key().0 > self.now_ms {
                 return;
             }
-            match entry.remove() {
+            let message = entry.remove();
+            match message {
                 Message::Order { kind, server, deadline_ms, is_cut, .. }
                     if self.now_ms > deadline_ms =>
                 {
@@ -582,6 +642,14 @@
                 Message::Order { leader, id, server, kind, deadline_ms, .. } => {
                     self.on_order(leader, id, &server, &kind, deadline_ms);
                 }
+                Message::Reply { leader, .. }
+                | Message::Written { leader, .. }
+                | Message::LeaseRenewed { leader, .. }
+                    if self.suspended_until_ms(leader).is_some() =>
+                {
+                    let until_ms = self.suspended_until_ms(leader).expect("a suspended leader");
+                    self.send(until_ms - self.now_ms, message);
+                }
                 Message::Reply { leader, id, reply } => {
                     self.step(leader, Event::Answered(id, reply));
                 }
@@ -657,6 +725,15 @@
             return;
         }
         let is_grant = matches!(kind, OrderKind::Grant(_));
+        let is_shared = is_grant && !kind.needs_own_answer();
+        if is_shared && self.faults.repeat_answer > 0 && self.occurs(self.faults.repeat_answer) {
+            let born_ms = self.servers[name].born_ms;
+            let (server, kind) = (name.clone(), kind.clone());
+            self.send(1, Message::Reply { leader, id, reply: Reply::Done(None) });
+            let delay_ms = self.random.random_range(0..MAX_QUEUED_MS);
+            self.send(delay_ms, Message::Queued { server, born_ms, kind, arrived_ms: now_ms });
+            return;
+        }
         if is_grant && self.faults.queue_grant > 0 && self.occurs(self.faults.queue_grant) {
             let born_ms = self.servers[name].born_ms;
             let (server, kind) = (name.clone(), kind.clone());
--- a/crates/shard/tests/world/server.rs
+++ b/crates/shard/tests/world/server.rs
@@ -45,6 +45,13 @@
     }
 }
 
+impl Server {
+    /// Returns whether the server holds a key.
+    pub(super) fn holds(&self, key: u16, now_ms: u64) -> bool {
+        self.held.iter().any(|held| held.range.contains(key) && held.deadline_ms > now_ms)
+    }
+}
+
 /// A range that a server holds until a deadline.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Held {
