Keep the previous holders of a service's only range

Callers could see two holders of all keys of a service with one range: its server starts again at another address while its earlier process runs on, and the later process or a server that joins is granted the keys at once.

Cause: a single range without holder and successor counted as one that was never assigned, also while a previous holder may hold it, and the first assignment dropped the previous holders.

Now a range is unassigned only if it has no previous holders either.

--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -185,16 +185,22 @@
     /// Returns whether keys are assigned already, or the number of servers has been stable for
     /// long enough to assign them.
     fn is_ready_to_assign(&mut self, pass: &PassContext<'_>) -> bool {
-        let is_first = matches!(self.ranges.as_slice(), [only] if only.planned_owner().is_none());
         let servers = pass.servers.registry.of_service(pass.service).count();
         if self.server_count.0 != servers {
             self.server_count = (servers, pass.now_ms);
         }
         let ready_at_ms = self.server_count.1 + pass.config.settle_ms;
-        !is_first
+        !self.is_unassigned()
             || (servers > 0 && pass.now_ms >= ready_at_ms.max(self.unknown_grants_deadline_ms))
     }
 
+    /// Returns whether no key has or may have a holder.
+    pub(crate) fn is_unassigned(&self) -> bool {
+        let is_free =
+            |only: &RangeState| only.planned_owner().is_none() && only.previous_holders.is_empty();
+        matches!(self.ranges.as_slice(), [only] if is_free(only))
+    }
+
     /// Probes silent servers with an order, to find out whether they answer again.
     ///
     /// The order is to release one key, which changes nothing on a server that holds no
--- a/crates/shard/src/planning.rs
+++ b/crates/shard/src/planning.rs
@@ -34,8 +34,7 @@
         if candidates.is_empty() {
             return;
         }
-        let is_first = matches!(self.ranges.as_slice(), [only] if only.planned_owner().is_none());
-        if is_first {
+        if self.is_unassigned() {
             self.plan_first_assignment(pass, candidates);
             return;
         }
