Send grants again to a holder whose move the store refused to record

Cause: after a failed write the holder got no grants until a later record was durable, also if the store had refused the write, so that it never takes effect.

Change: RecordWriteFailed tells whether the write is ruled out: the store refused it or never received it, or has another revision than the write expects.

--- a/crates/gateway/src/control/input.rs
+++ b/crates/gateway/src/control/input.rs
@@ -96,8 +96,13 @@
 pub(crate) enum WriteOutcome {
     /// The record is durable and has this revision.
     Done(Revision),
-    /// The write is not known to have succeeded; the store has this revision, if it was read.
-    Failed(Option<Revision>),
+    /// The write is not known to have succeeded.
+    Failed {
+        /// The revision that the store has, if it was read.
+        revision: Option<Revision>,
+        /// Whether the write certainly never takes effect.
+        is_ruled_out: bool,
+    },
     /// Another daemon is the leader.
     Deposed,
 }
--- a/crates/gateway/src/leader/leader_tasks.rs
+++ b/crates/gateway/src/leader/leader_tasks.rs
@@ -180,10 +180,12 @@
                 Err(report) => {
                     counters.count(Counter::StoreFailures);
                     match report.current_context().category() {
-                        Category::Refused | Category::Compacted => WriteOutcome::Failed(None),
+                        Category::Refused | Category::Compacted => {
+                            WriteOutcome::Failed { revision: None, is_ruled_out: true }
+                        }
                         Category::Conflict | Category::Missing | Category::Unknown => {
                             counters.add(Counter::StoreCalls, u64::from(MAX_OUTCOME_READS));
-                            read_write_outcome(&store, &key, epoch, &record).await
+                            read_write_outcome(&store, &key, epoch, expect, &record).await
                         }
                     }
                 }
@@ -211,12 +213,15 @@
                 leading.revisions.insert(service.clone(), revision);
                 self.step(Event::RecordWritten { service, epoch, number });
             }
-            WriteOutcome::Failed(revision) => {
-                spdlog::warn!("failed to write record", kv: { service = service.as_str(), number });
+            WriteOutcome::Failed { revision, is_ruled_out } => {
+                spdlog::warn!(
+                    "failed to write record",
+                    kv: { service = service.as_str(), number, is_ruled_out }
+                );
                 if let Some(revision) = revision {
                     leading.revisions.insert(service.clone(), revision);
                 }
-                self.step(Event::RecordWriteFailed { service, epoch });
+                self.step(Event::RecordWriteFailed { service, epoch, is_ruled_out });
             }
             WriteOutcome::Deposed => self.resign("the store names another leader"),
         }
@@ -270,9 +275,11 @@
     store: &S,
     key: &str,
     epoch: Epoch,
+    expected: Expect,
     record: &Record,
 ) -> WriteOutcome {
-    let Ok(leader) = store.read(LEADER_KEY).await else { return WriteOutcome::Failed(None) };
+    let unknown = WriteOutcome::Failed { revision: None, is_ruled_out: false };
+    let Ok(leader) = store.read(LEADER_KEY).await else { return unknown };
     if leader.is_none_or(|leader| leader.revision.0 != epoch.0) {
         return WriteOutcome::Deposed;
     }
@@ -283,10 +290,12 @@
             if is_ours {
                 WriteOutcome::Done(value.revision)
             } else {
-                WriteOutcome::Failed(Some(value.revision))
+                // The write expects a revision; once there is another, it can no longer succeed.
+                let is_ruled_out = expected != Expect::At(value.revision);
+                WriteOutcome::Failed { revision: Some(value.revision), is_ruled_out }
             }
         }
-        Ok(None) | Err(_) => WriteOutcome::Failed(None),
+        Ok(None) | Err(_) => unknown,
     }
 }
 
--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -176,9 +176,9 @@
                     assignment.on_record_written(number);
                 }
             }
-            Event::RecordWriteFailed { service, .. } => {
+            Event::RecordWriteFailed { service, is_ruled_out, .. } => {
                 if let Some(assignment) = self.assignments.get_mut(&service) {
-                    assignment.on_record_write_failed(now_ms);
+                    assignment.on_record_write_failed(now_ms, is_ruled_out);
                 }
             }
             Event::Answered(id, reply) => {
--- a/crates/shard/src/order.rs
+++ b/crates/shard/src/order.rs
@@ -117,6 +117,8 @@
         service: Name,
         /// The epoch of the leader that wrote it.
         epoch: Epoch,
+        /// Whether the write certainly never takes effect.
+        is_ruled_out: bool,
     },
     /// The leader's lease in the store was renewed.
     LeaseRenewed {
--- a/crates/shard/src/range_state.rs
+++ b/crates/shard/src/range_state.rs
@@ -41,13 +41,20 @@
     pub(crate) failures: u32,
     /// Number of grants refused for their fence since the last accepted one.
     pub(crate) refusals: u32,
-    /// The number of the last record that was sent to the store and names this server as a
-    /// previous holder; it is sent no grants until a later record is durable.
-    pub(crate) previous_in_record: Option<u64>,
+    /// The records that may be or become durable and name this server as a previous holder. It is
+    /// sent no grants while there are any.
+    pub(crate) listed: Option<Listed>,
     /// Whether the server accepted a grant, or is the owner in an earlier leader's record.
     pub(crate) is_serving: bool,
 }
 
+/// The first and last of some records.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Listed {
+    pub(crate) first: u64,
+    last: u64,
+}
+
 /// A server that may still hold a range that it is to give up.
 #[derive(Clone, Debug)]
 pub(crate) struct PreviousHolder {
@@ -237,6 +244,18 @@
     }
 }
 
+impl Listed {
+    /// Adds the latest record.
+    pub(crate) fn again(listed: Option<Self>, number: u64) -> Self {
+        Self { first: listed.map_or(number, |listed| listed.first), last: number }
+    }
+
+    /// Returns the records of these that may be or become durable now that one is durable.
+    pub(crate) fn after_durable(self, number: u64) -> Option<Self> {
+        (self.last >= number).then_some(Self { first: self.first.max(number), ..self })
+    }
+}
+
 impl Successor {
     pub(crate) fn new(incarnation: Incarnation, reason: MoveReason) -> Self {
         Self { incarnation, record_number: None, reason }
@@ -270,7 +289,7 @@
             fence,
             has_accepted_fence: false,
             may_apply_earlier: false,
-            previous_in_record: None,
+            listed: None,
             grant_deadline_ms: 0,
             renew_at_ms: 0,
             is_short: false,
@@ -282,7 +301,7 @@
 
     /// Returns whether no grants are sent because a record may name a successor.
     pub(crate) fn is_frozen(&self) -> bool {
-        self.previous_in_record.is_some()
+        self.listed.is_some()
     }
 
     /// Replaces the fence for the next grants.
--- a/crates/shard/src/recording.rs
+++ b/crates/shard/src/recording.rs
@@ -9,7 +9,7 @@
 
 use crate::assignment::Assignment;
 use crate::pass::{PassContext, UnansweredRanges};
-use crate::range_state::{Holder, PreviousHolder, RangeState, Successor};
+use crate::range_state::{Holder, Listed, PreviousHolder, RangeState, Successor};
 use crate::{Output, Record, RecordedRange};
 
 /// The writes of an assignment's record.
@@ -60,18 +60,21 @@
         let writes = &mut self.writes;
         writes.durable = writes.durable.max(number);
         writes.in_flight = None;
-        // No record before this one can still become durable, so holders that it names as owners
-        // may be sent grants again.
+        // No record before this one can still become durable.
         for holder in self.ranges.iter_mut().filter_map(|state| state.holder.as_mut()) {
-            if holder.previous_in_record.is_some_and(|listed| listed < number) {
-                holder.previous_in_record = None;
-            }
+            holder.listed = holder.listed.and_then(|listed| listed.after_durable(number));
         }
     }
 
-    pub(crate) fn on_record_write_failed(&mut self, now_ms: u64) {
+    /// Handles a failed write, which may still take effect unless it is ruled out.
+    pub(crate) fn on_record_write_failed(&mut self, now_ms: u64, is_ruled_out: bool) {
         let writes = &mut self.writes;
-        writes.in_flight = None;
+        let number = writes.in_flight.take();
+        if let Some(number) = number.filter(|_| is_ruled_out) {
+            for holder in self.ranges.iter_mut().filter_map(|state| state.holder.as_mut()) {
+                holder.listed = holder.listed.filter(|listed| listed.first < number);
+            }
+        }
         writes.next_write_at_ms = now_ms + WRITE_BACKOFF_MS;
         writes.has_obsolete_holders = true;
         // The failed write may still take effect, so its number is not used for other content.
@@ -95,16 +98,13 @@
             return;
         }
         let entries = {
-            let unanswered = pass.unanswered_ranges();
-            let is_due = is_cleanup_due
-                || self.ranges.iter().any(|state| {
-                    state.is_withdrawn() || is_recordable(state, &unanswered, pass.store_answers)
-                });
-            if !is_due {
+            let known = Known { pass, unanswered: pass.unanswered_ranges() };
+            let is_due = |state: &RangeState| state.is_withdrawn() || known.is_recordable(state);
+            if !is_cleanup_due && !self.ranges.iter().any(is_due) {
                 return;
             }
-            let entry = |state| to_entry(state, &unanswered, pass.store_answers);
-            self.ranges.iter().map(entry).collect::<Option<Vec<Entry>>>()
+            let entries = self.ranges.iter().map(|state| known.to_entry(state));
+            entries.collect::<Option<Vec<Entry>>>()
         };
         let Some(entries) = entries else { return };
         let number = self.writes.last + 1;
@@ -155,69 +155,65 @@
         if let Some(holder) = &mut self.holder
             && holder.incarnation != *owner
         {
-            holder.previous_in_record = Some(number);
+            holder.listed = Some(Listed::again(holder.listed, number));
         }
     }
 }
 
-/// Returns whether the planned move of a range can be recorded and no record names it yet.
-fn is_recordable(
-    state: &RangeState,
-    unanswered: &UnansweredRanges<'_>,
-    store_answers: bool,
-) -> bool {
-    let is_planned =
-        state.successor.as_ref().is_some_and(|successor| successor.record_number.is_none());
-    // A holder that is not frozen yet is sent grants while the store does not answer, as its move
-    // would have to wait.
-    let is_ready = |holder: &Holder| {
-        (store_answers || holder.is_frozen())
-            && !holder.may_apply_earlier
-            && !unanswered.include(&holder.incarnation, state.range)
-    };
-    let is_quiescent = |previous| is_quiescent(state, previous, unanswered);
-    is_planned
-        && state.holder.as_ref().is_none_or(is_ready)
-        && state.previous_holders.iter().all(is_quiescent)
+/// What a leader knows of the servers that may hold ranges.
+struct Known<'a> {
+    pass: &'a PassContext<'a>,
+    unanswered: UnansweredRanges<'a>,
 }
 
-fn is_quiescent(
-    state: &RangeState,
-    previous: &PreviousHolder,
-    unanswered: &UnansweredRanges<'_>,
-) -> bool {
-    !previous.may_apply_earlier && !unanswered.include(&previous.incarnation, state.range)
-}
+impl Known<'_> {
+    /// Returns whether the planned move of a range can be recorded and no record names it yet.
+    fn is_recordable(&self, state: &RangeState) -> bool {
+        let is_planned =
+            state.successor.as_ref().is_some_and(|successor| successor.record_number.is_none());
+        is_planned
+            && state.holder.as_ref().is_none_or(|holder| self.is_ready(state, holder))
+            && state.previous_holders.iter().all(|previous| self.is_quiescent(state, previous))
+    }
 
-/// Returns the record's words on a range; `None` if it has neither holder nor successor.
-fn to_entry(
-    state: &RangeState,
-    unanswered: &UnansweredRanges<'_>,
-    store_answers: bool,
-) -> Option<Entry> {
-    if let Some(successor) = &state.successor
-        && (successor.record_number.is_some() || is_recordable(state, unanswered, store_answers))
-    {
-        let owner = successor.incarnation.clone();
-        let previous = state.holders_to_release();
-        return Some(Entry { owner, previous, is_move: true, are_quiescent: true });
+    /// Returns whether a holder is quiescent if it is sent no more grants.
+    fn is_ready(&self, state: &RangeState, holder: &Holder) -> bool {
+        // While the store does not answer, a move would have to wait without grants.
+        (self.pass.store_answers || holder.is_frozen())
+            && !holder.may_apply_earlier
+            && !self.unanswered.include(&holder.incarnation, state.range)
+    }
+
+    fn is_quiescent(&self, state: &RangeState, previous: &PreviousHolder) -> bool {
+        !previous.may_apply_earlier && !self.unanswered.include(&previous.incarnation, state.range)
+    }
+
+    /// Returns the record's words on a range; `None` if it has neither holder nor successor.
+    fn to_entry(&self, state: &RangeState) -> Option<Entry> {
+        if let Some(successor) = &state.successor
+            && (successor.record_number.is_some() || self.is_recordable(state))
+        {
+            let owner = successor.incarnation.clone();
+            let previous = state.holders_to_release();
+            return Some(Entry { owner, previous, is_move: true, are_quiescent: true });
+        }
+        // The planned move is not recorded yet: a server that may apply a grant late stays the owner.
+        let is_quiescent = |previous: &PreviousHolder| self.is_quiescent(state, previous);
+        let mut previous: Vec<&PreviousHolder> = state.previous_holders.iter().collect();
+        let owner = if let Some(holder) = &state.holder {
+            &holder.incarnation
+        } else {
+            let last = previous.len().checked_sub(1)?;
+            let owner = previous.iter().rposition(|previous| !is_quiescent(previous));
+            &previous.remove(owner.unwrap_or(last)).incarnation
+        };
+        Some(Entry {
+            owner: owner.clone(),
+            previous: previous.iter().map(|previous| previous.incarnation.clone()).collect(),
+            is_move: false,
+            are_quiescent: previous.into_iter().all(is_quiescent),
+        })
     }
-    // The planned move is not recorded yet: a server that may apply a grant late stays the owner.
-    let is_quiescent = |previous: &PreviousHolder| is_quiescent(state, previous, unanswered);
-    let mut previous: Vec<&PreviousHolder> = state.previous_holders.iter().collect();
-    let owner = if let Some(holder) = &state.holder {
-        &holder.incarnation
-    } else {
-        let last = previous.len().checked_sub(1)?;
-        let owner = previous.iter().rposition(|previous| !is_quiescent(previous));
-        &previous.remove(owner.unwrap_or(last)).incarnation
-    };
-    Some(Entry {
-        owner: owner.clone(),
-        previous: previous.iter().map(|previous| previous.incarnation.clone()).collect(),
-        is_move: false,
-        are_quiescent: previous.into_iter().all(is_quiescent),
-    })
 }
 
 /// Joins adjacent ranges of which the record says the same.
--- a/crates/shard/tests/recorded_moves.rs
+++ b/crates/shard/tests/recorded_moves.rs
@@ -107,8 +107,13 @@
     let mut harness = Harness::new(record("s1", &[], true));
     harness.settle();
     harness.drain_first();
+    harness.settle();
     assert_eq!(harness.writes.len(), 1);
-    harness.step(Event::RecordWriteFailed { service: SERVICE.into(), epoch: Epoch(5) });
+    harness.step(Event::RecordWriteFailed {
+        service: SERVICE.into(),
+        epoch: Epoch(5),
+        is_ruled_out: false,
+    });
     harness.run(1_000);
     assert!(!harness.has_grant(), "{:?}", harness.orders);
     assert_eq!(harness.writes.len(), 2, "the move is recorded again");
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -76,7 +76,7 @@
         leader: usize,
         epoch: Epoch,
         number: u64,
-        is_done: bool,
+        outcome: WriteOutcome,
     },
     LeaseRenewed {
         leader: usize,
@@ -84,6 +84,14 @@
     },
 }
 
+/// What a leader learns of a write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum WriteOutcome {
+    Done,
+    Refused,
+    Unknown,
+}
+
 /// Probabilities of faults, per thousand.
 #[derive(Clone, Copy, Debug)]
 pub struct Faults {
@@ -607,7 +615,12 @@
                         let number = record.number;
                         self.send(
                             500,
-                            Message::Written { leader: index, epoch, number, is_done: false },
+                            Message::Written {
+                                leader: index,
+                                epoch,
+                                number,
+                                outcome: WriteOutcome::Unknown,
+                            },
                         );
                     }
                     let is_answered = is_answered && !is_late;
@@ -664,12 +677,16 @@
                         apply(server, &kind, now_ms, arrived_ms);
                     }
                 }
-                Message::Written { leader, epoch, number, is_done } => {
+                Message::Written { leader, epoch, number, outcome } => {
                     let service = Name::from(SERVICE);
-                    let event = if is_done {
+                    let event = if outcome == WriteOutcome::Done {
                         Event::RecordWritten { service, epoch, number }
                     } else {
-                        Event::RecordWriteFailed { service, epoch }
+                        Event::RecordWriteFailed {
+                            service,
+                            epoch,
+                            is_ruled_out: outcome == WriteOutcome::Refused,
+                        }
                     };
                     self.step(leader, event);
                 }
@@ -695,7 +712,8 @@
             self.record = Some(record);
         }
         if is_answered {
-            self.send(2, Message::Written { leader, epoch, number, is_done });
+            let outcome = if is_done { WriteOutcome::Done } else { WriteOutcome::Refused };
+            self.send(2, Message::Written { leader, epoch, number, outcome });
         }
     }
 
