Have a holder rule earlier grants out before its move is recorded

Callers could see two holders of a key: a server writes an earlier answer once more and queues the next grant, whose range moves then.

Cause: a grant counted as answered by whatever came next on its connection, so the record could name a holder as quiescent that had queued a grant. Found by the review.

Change: before the move of its range is recorded, a registered holder that answers accepts a grant on a connection of its own, whose fence rules out all before it. One whose entry is gone or that fails is not asked: it has most likely ended, and another grant without an answer makes its keys wait longer (shard/reused_address).

--- a/crates/shard/src/answers.rs
+++ b/crates/shard/src/answers.rs
@@ -86,6 +86,7 @@
                     }
                     holder.has_accepted_fence = true;
                     holder.may_apply_earlier = false;
+                    holder.has_ruled_out = grant.is_ruling_out;
                     holder.failures = 0;
                     holder.refusals = 0;
                     self.is_changed |= !holder.is_serving;
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -476,8 +476,11 @@
     if next == NextGrant::Wait {
         return;
     }
-    // Once the server accepts a higher fence, it refuses a grant that was given up.
-    let is_ruling_out = pass.may_abandoned_grant_apply(&holder.incarnation, range);
+    // Once the server accepts a higher fence, it refuses grants that were given up, or of earlier
+    // leaders. Before its range moves it has to, as the next leader does not know of them.
+    let is_moving = state.successor.is_some() && pass.is_asked_to_rule_out(holder);
+    let is_ruling_out = is_moving || pass.may_abandoned_grant_apply(&holder.incarnation, range);
+    holder.has_ruled_out = false;
     if holder.refusals > 0 || is_ruling_out {
         holder.renew_fence(pass.fences.next());
     }
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -31,8 +31,9 @@
 //!
 //! `leader` handles events for all services. `assignment`, `planning` and `answers` are the
 //! assignment of one service: its orders and record, the choice of successors, and replies
-//! from servers. `recording` decides what the record says and when it is written. `range_state` is the state machine of one range, `policy` decides which
-//! keys go where, and `pass` is the context that one pass over an assignment works with.
+//! from servers. `recording` decides what the record says and when it is written. `range_state`
+//! is the state machine of one range, `policy` decides which keys go where, and `pass` is the
+//! context that one pass over an assignment works with.
 //!
 //! ```
 //! use shard::{Epoch, Fence, KeyRange};
--- a/crates/shard/src/range_state.rs
+++ b/crates/shard/src/range_state.rs
@@ -6,9 +6,10 @@
 
 /// The state of one range of keys.
 ///
-/// At most one server, the holder, is sent grants of a range. Previous holders may still have
-/// valid grants, and the only one may be sent a short grant that rules out a late one: a new holder gets its first grant only when each of them has released the
-/// range or its last grant has expired.
+/// At most one server, the holder, is sent grants of a range. Previous holders may still have valid
+/// grants. A new holder gets its first grant only when each of them has released the range or its
+/// last grant has expired. If there is only one of them and no holder, it may be sent a short grant
+/// that rules out earlier ones.
 #[derive(Clone, Debug)]
 pub(crate) struct RangeState {
     pub(crate) range: KeyRange,
@@ -41,6 +42,8 @@
     pub(crate) failures: u32,
     /// Number of grants refused for their fence since the last accepted one.
     pub(crate) refusals: u32,
+    /// Whether the last grant was accepted and rules out all grants before it.
+    pub(crate) has_ruled_out: bool,
     /// The records that may be or become durable and name this server as a previous holder. It is
     /// sent no grants while there are any.
     pub(crate) listed: Option<Listed>,
@@ -289,6 +292,7 @@
             fence,
             has_accepted_fence: false,
             may_apply_earlier: false,
+            has_ruled_out: false,
             listed: None,
             grant_deadline_ms: 0,
             renew_at_ms: 0,
--- a/crates/shard/src/record.rs
+++ b/crates/shard/src/record.rs
@@ -15,8 +15,8 @@
     pub epoch: u64,
     /// The number of the record within the epoch.
     pub number: u64,
-    /// Whether all previous holders had no grant without an outcome, of this leader or an earlier
-    /// one, and get none after the record is durable.
+    /// Whether all previous holders are quiescent: every grant that they were sent, also by earlier
+    /// leaders, has an outcome or is ruled out, and they are sent none from the write on.
     ///
     /// Otherwise one may apply such a grant after it has released its range. Records of earlier
     /// versions do not tell.
--- a/crates/shard/src/recording.rs
+++ b/crates/shard/src/recording.rs
@@ -1,9 +1,9 @@
 //! What the record of an assignment says, and when it is written.
 //!
-//! A move is recorded only once every server that may have held the range is quiescent: all
-//! grants that it was sent have an outcome, it refuses those of earlier leaders, and it is sent
-//! no more. Until then the record names it as the owner. So whichever leader reads the record,
-//! the answer of a previous holder to a release shows that it holds the range no longer.
+//! A move is recorded only once every server that may have held the range is quiescent: it has
+//! accepted a grant that rules out all earlier ones, also those of earlier leaders, and it is
+//! sent no more. Until then the record names it as the owner. So whichever leader reads the
+//! record, the answer of a previous holder to a release shows that it holds the range no longer.
 
 use registry::Incarnation;
 
@@ -181,6 +181,7 @@
         // While the store does not answer, a move would have to wait without grants.
         (self.pass.store_answers || holder.is_frozen())
             && !holder.may_apply_earlier
+            && (holder.has_ruled_out && !holder.is_short || !self.pass.is_asked_to_rule_out(holder))
             && !self.unanswered.include(&holder.incarnation, state.range)
     }
 
