Follow the framing of callers' connections instead of recording their bytes

Callers saw a request with a Content-Length beside a Transfer-Encoding served instead of refused with 400 if a sound one with the same request line was pipelined behind it, if a header of it ended with its request line, or if the line before the length ended with a bare LF; and sound requests refused where it was the other way round, or whose target was in absolute form. Callers with unfinished bodies took a daemon to three quarters of its memory limit (requests_that_never_end, known red).

Cause of both: up to 128 KiB of each caller's connection were recorded and searched for the last line that looked like that of the request.

ScannedStream follows heads, lengths, chunks and trailers as they are read, and keeps for each head with a transfer encoding whether it has a length, until that request is passed on. So each request is judged by its own head, and no bytes are kept but the start of a field name. Where it reads something else than the HTTP library does, the library refuses the input and reads no request after it.

--- a/crates/gateway/src/request/connection.rs
+++ b/crates/gateway/src/request/connection.rs
@@ -11,7 +11,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use proxy::{
-    Activity, CallerBody, CallerStream, Close, CloseCause, RecordedStream, TrackedBody, Unread,
+    Activity, CallerBody, CallerStream, Close, CloseCause, ScannedStream, TrackedBody, Unread,
 };
 use route::{Caller, Reason, Refusal};
 use tokio::net::TcpStream;
@@ -42,9 +42,9 @@
     let (stream, progress) = CallerStream::new(stream, shared.clock);
     let activity = Activity::new(shared.clock, progress);
     let unread = Unread::default();
-    let (stream, raw) = RecordedStream::new(stream);
+    let (stream, framing) = ScannedStream::new(stream);
     let service = service_fn(|mut request: Request<Incoming>| {
-        let is_ambiguous = raw.is_ambiguous(&request);
+        let is_ambiguous = framing.next_is_ambiguous(&request);
         let in_flight = activity.begin();
         if let Some(caller) = caller {
             request.extensions_mut().insert(caller);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,7 +11,7 @@
 //!   connection to send it on.
 //! - A [`Stop`] bounds the waits of requests while the process stops.
 //! - A [`SharedCrashTracker`] tells which requests crash servers and are therefore refused.
-//! - [`has_unambiguous_framing`], [`RecordedStream`] and [`RawBytes`] find requests whose end
+//! - [`has_unambiguous_framing`], [`ScannedStream`] and [`FramingLog`] find requests whose end
 //!   is ambiguous; these are refused. Answers for which [`has_unambiguous_end`] is false count as
 //!   broken.
 //! - A [`CallerStream`] records what is read from a caller's connection and written to it, as
@@ -51,9 +51,9 @@
 mod caller_stream;
 mod clock;
 mod forward;
+mod framing;
 mod head;
 mod outcome;
-mod raw;
 mod retry_after;
 mod serve;
 mod shared_crash_tracker;
@@ -69,11 +69,11 @@
 pub use caller_body::{BodyRest, CallerBody, Unread};
 pub use caller_stream::{CallerStream, StreamProgress};
 pub use clock::Clock;
+pub use framing::{FramingLog, ScannedStream};
 pub use head::{
     has_unambiguous_end, has_unambiguous_framing, strip_headers, strip_request_headers,
 };
 pub use outcome::to_labels;
-pub use raw::{RawBytes, RecordedStream};
 pub use retry_after::retry_after_ms;
 pub use serve::serve;
 pub use shared_crash_tracker::SharedCrashTracker;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -18,7 +18,7 @@
 
 use crate::answer::AnswerBody;
 use crate::{
-    Activity, CallerBody, CallerStream, Close, CloseCause, RecordedStream, TrackedBody, Traffic,
+    Activity, CallerBody, CallerStream, Close, CloseCause, ScannedStream, TrackedBody, Traffic,
     Unread, accept_queued, forward, has_unambiguous_framing,
 };
 
@@ -74,10 +74,10 @@
     let (stream, progress) = CallerStream::new(stream, traffic.clock);
     let activity = Activity::new(traffic.clock, progress);
     let unread = Unread::default();
-    let (stream, raw) = RecordedStream::new(stream);
+    let (stream, framing) = ScannedStream::new(stream);
     let service = service_fn(|request: Request<Incoming>| {
         let traffic = Arc::clone(&traffic);
-        let is_ambiguous = raw.is_ambiguous(&request);
+        let is_ambiguous = framing.next_is_ambiguous(&request);
         let in_flight = activity.begin();
         let (activity, unread) = (Arc::clone(&activity), unread.clone());
         async move {
