Bound what unfinished frames of other daemons hold, and their connections

100 connections to a daemon's peer port that announce 4 MiB each and send all but the last byte took it to 291,484 kB within 1.7 s, where the test stops; a daemon above its memory limit is killed with all its callers' requests. No caller reaches the port.

Cause: each connection could hold an unfinished frame of up to 4 MiB and kept the memory of its largest one, and nothing bounded their sum or the number of connections.

ReceiveLimits bounds both. A frame above 2 KiB waits for room for all of it, in a sixteenth of the memory limit; with room it can always finish, so frames do not block each other. Only while others wait, one that stalls for 0.5 s or takes longer than 2 s is cut off. Of more than 16,384 connections the one from which no frame has come for longest is closed, those without any first. A failed accept is tried again after 20 ms.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 
 use document::{Name, Revision};
 use error_stack::{Report, ResultExt};
-use peer::FleetFrame;
+use peer::{FleetFrame, ReceiveLimits};
 use proxy::{BufferBudget, Clock};
 use store::Store;
 use telemetry::{Counters, Metrics};
@@ -22,7 +22,7 @@
 use crate::control::node::{Node, NodeParts};
 use crate::essential_tasks::EssentialTasks;
 use crate::request::front::{self, StopSignals};
-use crate::{Dialect, Orders, Settings, Shared, Source, StopPlan, status};
+use crate::{Dialect, Orders, Settings, Shared, Source, StopPlan, gauges, status};
 
 /// The implementations through which a gateway uses its platform.
 #[derive(Clone, Debug)]
@@ -107,7 +107,9 @@
         let (inputs, queue) = mpsc::channel(MAX_QUEUED_INPUTS);
         let dialect = ports.dialect.clone();
         let buffers = Arc::new(BufferBudget::for_memory(settings.memory_mb));
-        observe_buffers(&metrics, &buffers);
+        gauges::observe_buffers(&metrics, &buffers);
+        let limits = Arc::new(ReceiveLimits::for_memory(settings.memory_mb));
+        gauges::observe_peers(&metrics, &limits);
         let control = inputs.clone();
         let shared = Shared::new(clock, counters, metrics, dialect, data_centre, buffers, control);
         let shared = Arc::new(shared);
@@ -121,7 +123,7 @@
         let administrators =
             status::serve_admin(Arc::clone(&shared), inputs.clone(), admin, end.clone());
         tasks.spawn("administrators", administrators);
-        tasks.spawn("messages", receive_frames(peer, inputs.clone()));
+        tasks.spawn("messages", receive_frames(peer, inputs.clone(), limits));
         let stop = StopSignals::default();
         let mut traffic = start_traffic(&shared, settings.listen.front, stop.clone())?;
         spdlog::info!("started", kv: { instance = settings.instance.as_str(), front: = settings.listen.front });
@@ -169,14 +171,6 @@
     }
 }
 
-/// Exports how much memory buffered bodies take.
-fn observe_buffers(metrics: &Metrics, buffers: &Arc<BufferBudget>) {
-    let buffers = Arc::clone(buffers);
-    metrics.observe("verbena_buffered_bytes", "memory reserved for bodies", move || {
-        u64::try_from(buffers.used_bytes()).unwrap_or(u64::MAX)
-    });
-}
-
 /// Starts the thread that serves callers; the receiver is notified when it ends.
 fn start_traffic(
     shared: &Arc<Shared>,
@@ -308,9 +302,14 @@
         .change_context(RunError)
 }
 
-async fn receive_frames(listener: TcpListener, inputs: mpsc::Sender<Input>) {
+async fn receive_frames(
+    listener: TcpListener,
+    inputs: mpsc::Sender<Input>,
+    limits: Arc<ReceiveLimits>,
+) {
     let (frames, mut received) = mpsc::channel(MAX_QUEUED_INPUTS);
-    let listening = peer::listen(listener, frames, |bytes| FleetFrame::from_bytes(bytes).ok());
+    let decode = |bytes| FleetFrame::from_bytes(bytes).ok();
+    let listening = peer::listen(listener, frames, decode, limits);
     let forwarding = async {
         while let Some(frame) = received.recv().await {
             if inputs.send(Input::Frame(frame)).await.is_err() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,6 +46,7 @@
 mod control;
 mod essential_tasks;
 mod gateway;
+mod gauges;
 mod leader;
 mod log_sampler;
 mod ports;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -10,7 +10,8 @@
 //! Both are sent as protobuf messages in length-delimited frames over TCP. Each has
 //! `to_bytes` and `from_bytes`; the schemas are in `proto/`. [`Links`] keeps one connection
 //! to each peer and drops frames for a peer that is unreachable or reads too slowly. [`listen`]
-//! receives frames. Any message may be lost, and the protocols that use them tolerate that.
+//! receives frames within [`ReceiveLimits`]. Any message may be lost, and the protocols that use
+//! them tolerate that.
 //!
 //! ```
 //! use document::Name;
@@ -28,6 +29,7 @@
 mod fleet;
 mod link;
 mod packet;
+mod receive;
 
 #[expect(clippy::pedantic, clippy::empty_structs_with_brackets, reason = "generated from proto/peer.proto")]
 #[rustfmt::skip]
@@ -44,5 +46,6 @@
     FleetBody, FleetEntry, FleetFrame, Leaving, Load, ReachQuery, Resigned, ServerLoad, Servers,
     ServiceLoad, Tables, TurnRequest,
 };
-pub use link::{Links, MAX_FRAME_BYTES, listen};
+pub use link::{Links, MAX_FRAME_BYTES};
 pub use packet::{DocumentText, Message, Packet, Presence};
+pub use receive::{ReceiveLimits, listen};
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use document::HashMap;
-use futures::{SinkExt, StreamExt};
-use tokio::net::{TcpListener, TcpStream};
+use futures::SinkExt;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{Duration, sleep, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -19,7 +19,7 @@
 /// The largest number of frames that wait for one peer; further frames are dropped.
 const MAX_QUEUED_FRAMES: usize = 256;
 /// The timeout of a connection attempt or a write.
-const PROGRESS_TIMEOUT_MS: u64 = 1_000;
+pub(crate) const PROGRESS_TIMEOUT_MS: u64 = 1_000;
 /// The backoff after a failed connection attempt.
 const RECONNECT_BACKOFF_MS: u64 = 100;
 
@@ -81,38 +81,6 @@
     }
 }
 
-/// Accepts connections and passes on their messages until the receiver of `messages` is dropped.
-///
-/// Frames for which `decode` returns `None` are skipped: a later version may have sent them.
-pub async fn listen<T: Send + 'static>(
-    listener: TcpListener,
-    messages: mpsc::Sender<T>,
-    decode: fn(Bytes) -> Option<T>,
-) {
-    let mut connections = tokio::task::JoinSet::new();
-    loop {
-        tokio::select! {
-            accepted = listener.accept() => {
-                if let Ok((stream, _)) = accepted {
-                    connections.spawn(receive(stream, messages.clone(), decode));
-                }
-            }
-            Some(_) = connections.join_next() => {}
-            () = messages.closed() => return,
-        }
-    }
-}
-
-async fn receive<T>(stream: TcpStream, messages: mpsc::Sender<T>, decode: fn(Bytes) -> Option<T>) {
-    let mut frames = Framed::new(stream, codec());
-    while let Some(Ok(frame)) = frames.next().await {
-        let Some(message) = decode(frame.freeze()) else { continue };
-        if messages.send(message).await.is_err() {
-            return;
-        }
-    }
-}
-
 async fn send_queued(to: SocketAddr, mut queued: mpsc::Receiver<Bytes>, counters: Arc<Counters>) {
     let progress_timeout = Duration::from_millis(PROGRESS_TIMEOUT_MS);
     while let Some(first) = queued.recv().await {
--- a/crates/verbenad/src/daemon.rs
+++ b/crates/verbenad/src/daemon.rs
@@ -6,6 +6,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use error_stack::ResultExt;
+use peer::ReceiveLimits;
 use proxy::{Clock, Traffic};
 use spdlog::{error, info, warn};
 use store::{HttpStore, Store};
@@ -241,7 +242,9 @@
             tokens.close.clone(),
         );
         let mut tasks = JoinSet::new();
-        tasks.spawn(receive_packets(from_std(peer), inputs.clone()));
+        let limits = Arc::new(ReceiveLimits::for_memory(None));
+        observe_peers(&traffic.metrics, &limits);
+        tasks.spawn(receive_packets(from_std(peer), inputs.clone(), limits));
         tasks.spawn(end_when_served(serve_operators, tokens.clone()));
         tasks.spawn(admin::serve(
             from_std(admin),
@@ -299,10 +302,30 @@
     tokens.end.cancel();
 }
 
+/// Exports what the connections of other daemons take and how many were closed for others.
+fn observe_peers(metrics: &Metrics, limits: &Arc<ReceiveLimits>) {
+    let (held, closed) = (Arc::clone(limits), Arc::clone(limits));
+    metrics.observe(
+        "verbena_peer_frame_bytes",
+        "memory reserved for frames of other daemons",
+        move || u64::try_from(held.held_bytes()).unwrap_or(u64::MAX),
+    );
+    metrics.observe(
+        "verbena_peer_connections_closed",
+        "connections of other daemons closed for others",
+        move || closed.closed_connections(),
+    );
+}
+
 /// Receives packets of other daemons and forwards them to the control thread.
-async fn receive_packets(listener: TcpListener, inputs: mpsc::Sender<Input>) {
+async fn receive_packets(
+    listener: TcpListener,
+    inputs: mpsc::Sender<Input>,
+    limits: Arc<ReceiveLimits>,
+) {
     let (packets, mut received) = mpsc::channel(MAX_QUEUED_INPUTS);
-    let listening = peer::listen(listener, packets, |frame| peer::Packet::from_bytes(frame).ok());
+    let decode = |frame| peer::Packet::from_bytes(frame).ok();
+    let listening = peer::listen(listener, packets, decode, limits);
     let forwarding = async {
         while let Some(packet) = received.recv().await {
             if inputs.send(Input::Packet(packet)).await.is_err() {
