Hold the room of other daemons' frames until their messages are handled

A daemon whose control thread falls behind could be sent more memory than it may take: finished frames of up to 4 MiB waited in queues of 4,096.

Cause: the room of a frame was returned when its message was queued.

A message now comes as peer::Received, which holds the room until the control thread has handled it. Further large frames wait at their senders; short ones need no room.

Test: peer/receive_limits, frames_that_are_not_handled_hold_their_room: 20 frames of 4 MiB were queued on, 6 now, as many as there is room for; all arrive once they are handled.

--- a/crates/gateway/src/control/input.rs
+++ b/crates/gateway/src/control/input.rs
@@ -1,7 +1,7 @@
 //! The inputs of the control thread.
 
 use document::{Name, Revision};
-use peer::FleetFrame;
+use peer::{FleetFrame, Received};
 use registry::Incarnation;
 use shard::{Epoch, OrderId, Record, Reply};
 use store::{Entry, LeaseId};
@@ -40,7 +40,7 @@
     /// The records in the store, read because no leader's tables arrived.
     Records(Vec<StoredRecord>),
     /// A message from another daemon.
-    Frame(FleetFrame),
+    Frame(Received<FleetFrame>),
     /// A request that needs a turn at a server that limits its rate.
     Turn(TurnQuery),
     /// New settings.
--- a/crates/gateway/src/control/node.rs
+++ b/crates/gateway/src/control/node.rs
@@ -276,7 +276,7 @@
                 self.on_record_written(service, epoch, number, outcome);
             }
             Input::Records(records) => self.on_records(records),
-            Input::Frame(frame) => self.on_frame(frame),
+            Input::Frame(received) => self.on_frame(received.message),
             Input::Turn(query) => self.on_turn_query(query),
             Input::Reload(settings) => self.reload(*settings),
             Input::Dump(answer) => {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -10,8 +10,8 @@
 //! Both are sent as protobuf messages in length-delimited frames over TCP. Each has
 //! `to_bytes` and `from_bytes`; the schemas are in `proto/`. [`Links`] keeps one connection
 //! to each peer and drops frames for a peer that is unreachable or reads too slowly. [`listen`]
-//! receives frames within [`ReceiveLimits`]. Any message may be lost, and the protocols that use
-//! them tolerate that.
+//! receives frames within [`ReceiveLimits`] and passes on [`Received`] messages. Any message may
+//! be lost, and the protocols that use them tolerate that.
 //!
 //! ```
 //! use document::Name;
@@ -48,4 +48,4 @@
 };
 pub use link::{Links, MAX_FRAME_BYTES};
 pub use packet::{DocumentText, Message, Packet, Presence};
-pub use receive::{ReceiveLimits, listen};
+pub use receive::{ReceiveLimits, Received, listen};
--- a/crates/peer/src/receive.rs
+++ b/crates/peer/src/receive.rs
@@ -9,7 +9,7 @@
 use document::HashMap;
 use futures::StreamExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, Semaphore, SemaphorePermit, mpsc};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::task::{AbortHandle, Id, JoinError, JoinSet};
 use tokio::time::{Duration, Instant, sleep, sleep_until};
 use tokio_util::codec::{Decoder, FramedRead};
@@ -27,7 +27,7 @@
     max_connections: usize,
     max_held_bytes: usize,
     /// A permit for each byte.
-    room: Semaphore,
+    room: Arc<Semaphore>,
     waiting_frames: AtomicUsize,
     wait_began: Notify,
     /// The number of the latest connection or frame.
@@ -35,6 +35,15 @@
     closed_connections: AtomicU64,
 }
 
+/// A message of another daemon, which holds the room of its frame until it is dropped.
+#[derive(Debug)]
+pub struct Received<T> {
+    /// The message.
+    pub message: T,
+    /// `None` for a short frame.
+    _room: Option<OwnedSemaphorePermit>,
+}
+
 /// A frame that waits for room.
 struct Waiting<'a>(&'a ReceiveLimits);
 
@@ -92,7 +101,7 @@
         Self {
             max_connections,
             max_held_bytes,
-            room: Semaphore::new(max_held_bytes),
+            room: Arc::new(Semaphore::new(max_held_bytes)),
             waiting_frames: AtomicUsize::new(0),
             wait_began: Notify::new(),
             latest: AtomicU64::new(0),
@@ -121,13 +130,13 @@
     }
 
     /// Waits until there is room for a frame.
-    async fn reserve(&self, length: usize) -> Option<SemaphorePermit<'_>> {
+    async fn reserve(&self, length: usize) -> Option<OwnedSemaphorePermit> {
         let length = u32::try_from(length).ok()?;
-        if let Ok(room) = self.room.try_acquire_many(length) {
+        if let Ok(room) = Arc::clone(&self.room).try_acquire_many_owned(length) {
             return Some(room);
         }
         let _waiting = Waiting::new(self);
-        self.room.acquire_many(length).await.ok()
+        Arc::clone(&self.room).acquire_many_owned(length).await.ok()
     }
 
     /// Waits until a frame waits for room.
@@ -164,12 +173,19 @@
     }
 }
 
+impl<T> From<T> for Received<T> {
+    /// Wraps a message that was not received and holds no room.
+    fn from(message: T) -> Self {
+        Self { message, _room: None }
+    }
+}
+
 /// Accepts connections and passes on their messages until the receiver of `messages` is dropped.
 ///
 /// Frames for which `decode` returns `None` are skipped: a later version may have sent them.
 pub async fn listen<T: Send + 'static>(
     listener: TcpListener,
-    messages: mpsc::Sender<T>,
+    messages: mpsc::Sender<Received<T>>,
     decode: fn(Bytes) -> Option<T>,
     limits: Arc<ReceiveLimits>,
 ) {
@@ -191,7 +207,7 @@
     fn add<T: Send + 'static>(
         &mut self,
         stream: TcpStream,
-        messages: mpsc::Sender<T>,
+        messages: mpsc::Sender<Received<T>>,
         decode: fn(Bytes) -> Option<T>,
     ) {
         if self.open.len() >= self.limits.max_connections {
@@ -227,26 +243,24 @@
 
 async fn receive<T>(
     stream: TcpStream,
-    messages: mpsc::Sender<T>,
+    messages: mpsc::Sender<Received<T>>,
     decode: fn(Bytes) -> Option<T>,
     limits: &ReceiveLimits,
     last_frame: &AtomicU64,
 ) {
     let mut frames = FramedRead::with_capacity(stream, FrameDecoder::new(), FREE_BYTES);
     while let Some(Ok(part)) = frames.next().await {
-        // It is held until the message is passed on.
-        let mut _room = None;
-        let frame = match part {
-            Part::Frame(frame) => frame,
+        let (frame, room) = match part {
+            Part::Frame(frame) => (frame, None),
             Part::Announced(length) => {
-                _room = limits.reserve(length).await;
+                let room = limits.reserve(length).await;
                 let Some(frame) = read_rest(&mut frames, limits).await else { return };
-                frame
+                (frame, room)
             }
         };
         last_frame.store(limits.next_number(), Ordering::Relaxed);
         let Some(message) = decode(frame.freeze()) else { continue };
-        if messages.send(message).await.is_err() {
+        if messages.send(Received { message, _room: room }).await.is_err() {
             return;
         }
     }
--- a/crates/peer/tests/receive_limits.rs
+++ b/crates/peer/tests/receive_limits.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use peer::{MAX_FRAME_BYTES, ReceiveLimits, listen};
+use peer::{MAX_FRAME_BYTES, ReceiveLimits, Received, listen};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -17,12 +17,13 @@
 const DAEMONS: usize = 300;
 const REPORT_BYTES: usize = 400 << 10;
 const SMALL_BYTES: usize = 500;
+const QUEUED_FRAMES: usize = 4_096;
 const TIMEOUT: Duration = Duration::from_secs(30);
 
 struct Listener {
     address: SocketAddr,
     limits: Arc<ReceiveLimits>,
-    frames: mpsc::Receiver<Bytes>,
+    frames: mpsc::Receiver<Received<Bytes>>,
 }
 
 impl Listener {
@@ -30,7 +31,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let limits = Arc::new(ReceiveLimits::new(max_connections, MAX_HELD_BYTES));
-        let (messages, frames) = mpsc::channel(8);
+        let (messages, frames) = mpsc::channel(QUEUED_FRAMES);
         tokio::spawn(listen(listener, messages, Some, Arc::clone(&limits)));
         Self { address, limits, frames }
     }
@@ -44,7 +45,7 @@
         let mut found = 0;
         for _ in 0..count {
             let frame = timeout(TIMEOUT, self.frames.recv()).await.expect("a frame").unwrap();
-            found += usize::from(frame.len() == length);
+            found += usize::from(frame.message.len() == length);
         }
         found
     }
@@ -116,6 +117,16 @@
     assert_eq!(listener.limits.held_bytes(), 0);
 }
 
+#[tokio::test]
+async fn frames_that_are_not_handled_hold_their_room() {
+    let mut listener = Listener::start(1_000).await;
+    let _reports = send_reports(&listener, 20, MAX_FRAME_BYTES).await;
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(listener.frames.len(), MAX_HELD_BYTES / MAX_FRAME_BYTES);
+    assert_eq!(listener.receive(20, MAX_FRAME_BYTES).await, 20);
+    assert_eq!(listener.limits.closed_connections(), 0);
+}
+
 #[tokio::test]
 async fn small_frames_need_no_room() {
     let mut listener = Listener::start(1_000).await;
--- a/crates/verbenad/src/control_thread.rs
+++ b/crates/verbenad/src/control_thread.rs
@@ -141,7 +141,7 @@
 
     fn on_input(&mut self, input: Input) {
         match input {
-            Input::Packet(packet) => self.on_packet(packet),
+            Input::Packet(received) => self.on_packet(received.message),
             Input::OrderEnded { service, server, report } => {
                 let event = if let Some(report) = report {
                     Event::Reported(server, report)
@@ -305,7 +305,7 @@
     pub(crate) fn send(&mut self, to: &Name, service: &Name, message: Message) {
         let packet = Packet::new(self.settings.instance.clone(), service.clone(), message);
         if *to == self.settings.instance {
-            self.packets_to_self.push_back(Input::Packet(packet));
+            self.packets_to_self.push_back(Input::Packet(packet.into()));
             return;
         }
         if let Some(address) = self.members.address(to) {
--- a/crates/verbenad/src/input.rs
+++ b/crates/verbenad/src/input.rs
@@ -4,7 +4,7 @@
 use document::{Name, Revision};
 use lease::Report;
 use operator::{Error, Explanation, StatusAnswer};
-use peer::Packet;
+use peer::{Packet, Received};
 use store::Changes;
 use tokio::sync::oneshot;
 
@@ -12,7 +12,7 @@
 #[derive(Debug)]
 pub(crate) enum Input {
     /// A packet arrived from another daemon, or from this one.
-    Packet(Packet),
+    Packet(Received<Packet>),
     /// The server answered an order or the call failed; `report` is `None` without a valid report.
     OrderEnded { service: Name, server: Name, report: Option<Report> },
     /// The store answered a read of the record; `copy` is `None` if there is no record.
