--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -1,8 +1,8 @@
 //! The system under test: daemons as processes, and stand-ins for the store and servers.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener as StdListener};
+use std::net::{SocketAddr, TcpListener as StdListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -636,8 +636,10 @@
 const PORTS: std::ops::Range<u16> = 10_000..32_000;
 const MAX_PORT_ATTEMPTS: usize = 10_000;
 
-/// The ports that this process has handed out: a daemon may bind its port only later.
-static USED_PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+/// A UDP socket at each port that this process has handed out.
+///
+/// A daemon may bind its port only later, and another soak that runs meanwhile must not hand it out.
+static USED_PORTS: Mutex<Vec<UdpSocket>> = Mutex::new(Vec::new());
 
 /// Returns ports that were free when checked, each of them only once.
 fn free_ports(count: usize) -> Result<Vec<u16>> {
@@ -645,10 +647,9 @@
     let mut listeners = Vec::new();
     for _ in 0..MAX_PORT_ATTEMPTS {
         let port = rand::random_range(PORTS);
-        if !used.insert(port) {
-            continue;
-        }
         // If a port cannot be bound, for whatever reason, another one is drawn.
+        let Ok(reservation) = UdpSocket::bind(("127.0.0.1", port)) else { continue };
+        used.push(reservation);
         listeners.extend(StdListener::bind(("127.0.0.1", port)).ok());
         if listeners.len() == count {
             break;
