Record moves together whose holders rule earlier grants out at the same time

Change: a move that can be recorded waits up to 100 ms for others whose holder is about to answer. One accepted grant suffices, also a short one, and its holder is sent no renewal for 400 ms, for which the record would have to wait.

--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -342,6 +342,7 @@
                     self.is_changed = true;
                     grant_to_successor(state, pass);
                 }
+                NextStep::Renew if rests_until_recorded(state, pass) => {}
                 NextStep::Renew => renew_grant(state, pass),
             }
         }
@@ -468,6 +469,16 @@
     renew_grant(state, pass);
 }
 
+/// Returns whether a holder that can be recorded as a previous one waits for that.
+fn rests_until_recorded(state: &RangeState, pass: &PassContext<'_>) -> bool {
+    pass.store_answers
+        && state.successor.is_some()
+        && state
+            .holder
+            .as_ref()
+            .is_some_and(|holder| holder.has_ruled_out && pass.now_ms < holder.rest_deadline_ms)
+}
+
 fn renew_grant(state: &mut RangeState, pass: &mut PassContext<'_>) {
     let handover = state.handover.clone();
     let range = state.range;
