Model servers that queue orders, stops of daemons, batches of events and changed addresses

The model delivered each order on its way or not at all, ended controllers by killing them, and reconciled after every event, while the daemon reconciles after a batch. It knew a server by its name, so that orders to its earlier and its current address reached one process, and no random request ran while a shard moved.

Now a schedule can have servers carry out an order seconds after it arrived, stop or kill the controller, run requests, change the length of grants and the address of a server, and let a daemon handle several events before it reconciles. one-owner counts the processes at different addresses as different owners.

Draws of existing schedules are unchanged.

--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -5,6 +5,7 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod faults;
 pub mod schedule;
 
 use std::cmp::Reverse;
@@ -23,11 +24,15 @@
 use rand::{RngExt, SeedableRng};
 use route::Table;
 
+use faults::Faults;
+
 /// Addresses a message to whichever process of the daemon runs when the message arrives.
 const ANY_INCARNATION: u64 = 0;
 const TICK_INTERVAL_MS: u64 = 20;
 const HEARTBEAT_INTERVAL_MS: u64 = 250;
 const PREPARE_MS: u64 = 30;
+/// Separates the incarnations of a server's processes at different addresses.
+const FIRST_OF_ADDRESS: u64 = 1_000;
 
 pub struct World {
     pub now_ms: u64,
@@ -42,6 +47,8 @@
     /// The probability, in 1/1000, that a message is delayed by up to `max_delay_ms`.
     pub late_permille: u32,
     pub max_delay_ms: u64,
+    /// Faults that a schedule sets beside those above.
+    pub faults: Faults,
     /// Whether the servers' answers to orders are traced as well.
     pub traces_reports: bool,
     /// The lines of the trace; `None` if the session is not traced.
@@ -129,9 +136,33 @@
     Heartbeat(usize),
     ToDaemon(usize, u64, Box<Event>),
     RouteLease(usize, u64, HeartbeatReply),
-    ToServer { server: usize, from: usize, order: Order },
-    StoreRead { from: usize },
-    StoreWrite { from: usize, number: u64, expected: Option<Revision>, record: Arc<Record> },
+    ToServer {
+        server: usize,
+        from: usize,
+        order: Order,
+    },
+    /// A server process carries out an order that it had queued.
+    QueuedOrder {
+        server: usize,
+        incarnation: u64,
+        from: usize,
+        order: Order,
+    },
+    /// A request at a server process ends.
+    RequestEnd {
+        server: usize,
+        incarnation: u64,
+        target: ShardEpoch,
+    },
+    StoreRead {
+        from: usize,
+    },
+    StoreWrite {
+        from: usize,
+        number: u64,
+        expected: Option<Revision>,
+        record: Arc<Record>,
+    },
 }
 
 struct QueuedDelivery {
@@ -193,6 +224,7 @@
             loss_permille: 0,
             late_permille: 0,
             max_delay_ms: 0,
+            faults: Faults::default(),
             traces_reports: false,
             trace: None,
             gaps: Gaps::default(),
@@ -316,8 +348,10 @@
     pub fn edit(&mut self, text: &str) {
         let document = Arc::new(Document::from_ini("ledger.ini", text).expect("a valid document"));
         for server in &document.servers {
-            if !self.servers.iter().any(|known| known.name == server.name) {
+            if !self.servers.iter().any(|known| known.address == server.address) {
                 let clock = self.random_clock();
+                let earlier = self.servers.iter().filter(|known| known.name == server.name);
+                let incarnation = 1 + FIRST_OF_ADDRESS * u64::try_from(earlier.count()).unwrap();
                 self.servers.push(Server {
                     name: server.name.clone(),
                     data_centre: server.data_centre.clone(),
@@ -325,10 +359,10 @@
                     checks_fence: server.checks_fence,
                     is_alive: true,
                     resumes_at_ms: 0,
-                    grant_table: GrantTable::new(1),
+                    grant_table: GrantTable::new(incarnation),
                     prepared_at_ms: BTreeMap::new(),
                     clock,
-                    incarnation: 1,
+                    incarnation,
                 });
             }
         }
@@ -377,7 +411,9 @@
         let daemon = &self.daemons[controller];
         let local_ms = daemon.clock.read(self.now_ms);
         let status = daemon.control.as_ref().and_then(|c| c.status(local_ms)).unwrap();
-        let newest = daemon.control.as_ref().and_then(Control::table).unwrap();
+        let Some(newest) = daemon.control.as_ref().and_then(Control::table) else {
+            return false;
+        };
         let is_routed = self.daemons.iter().zip(&self.tables).all(|(daemon, table)| {
             daemon.control.is_none()
                 || table
@@ -420,8 +456,9 @@
             .collect()
     }
 
+    /// Returns the index of a server, at its newest address if it has had several.
     pub fn server_index(&self, server: &str) -> usize {
-        self.servers.iter().position(|s| s.name == *server).expect("a known server")
+        self.servers.iter().rposition(|s| s.name == *server).expect("a known server")
     }
 
     fn describe(&self) -> String {
@@ -496,7 +533,21 @@
                     self.deliver(index, Event::HeartbeatReplied(reply));
                 }
             }
-            Delivery::ToServer { server, from, order } => self.deliver_order(server, from, &order),
+            Delivery::ToServer { server, from, order } => {
+                if !self.queue_order(server, from, &order) {
+                    self.deliver_order(server, from, &order);
+                }
+            }
+            Delivery::QueuedOrder { server, incarnation, from, order } => {
+                if self.servers[server].incarnation == incarnation {
+                    self.deliver_order(server, from, &order);
+                }
+            }
+            Delivery::RequestEnd { server, incarnation, target } => {
+                if self.servers[server].incarnation == incarnation {
+                    self.end_request((server, target));
+                }
+            }
             Delivery::StoreRead { from } => self.read_store(from),
             Delivery::StoreWrite { from, number, expected, record } => {
                 self.write_store(from, number, expected, record);
@@ -603,7 +654,12 @@
         let Some(control) = self.daemons[index].control.as_mut() else {
             return;
         };
-        let actions = control.step(local_ms, event);
+        let mut actions = control.on_event(local_ms, event);
+        let is_batched = self.faults.batch_permille > 0
+            && self.rng.random_range(0..1000) < self.faults.batch_permille;
+        if !is_batched {
+            actions.append(&mut control.reconcile(local_ms));
+        }
         if let Some(table) = table {
             self.install_table(index, table);
         }
@@ -643,8 +699,9 @@
             Action::ReturnPromise(to, leader_epoch) => {
                 self.send_to(i, &to, Event::PromiseReturned(leader_epoch));
             }
-            Action::Order(server, _, order) => {
-                let server = self.server_index(&server);
+            Action::Order(_, address, order) => {
+                let server = self.servers.iter().position(|server| server.address == address);
+                let server = server.expect("a server at the address");
                 let target_data_centre = self.servers[server].data_centre.clone();
                 self.send(
                     &location,
@@ -811,11 +868,11 @@
     }
 
     fn check_one_owner(&self, shard: ShardId) {
-        let mut owners: BTreeSet<Name> = BTreeSet::new();
+        let mut owners: BTreeSet<(Name, SocketAddr)> = BTreeSet::new();
         for server in self.servers.iter().filter(|server| server.checks_fence) {
             let local_ms = server.clock.read(self.now_ms);
             if server.is_alive && server.grant_table.owned_epoch(local_ms, shard).is_some() {
-                owners.insert(server.name.clone());
+                owners.insert((server.name.clone(), server.address));
             }
         }
         for (daemon, table) in self.daemons.iter().zip(&self.tables) {
@@ -827,7 +884,7 @@
             };
             let server = &self.servers[self.server_index(server)];
             if daemon.control.is_some() && is_leased && !server.checks_fence {
-                owners.insert(server.name.clone());
+                owners.insert((server.name.clone(), server.address));
             }
         }
         assert!(
--- a/crates/control/tests/world/schedule.rs
+++ b/crates/control/tests/world/schedule.rs
@@ -1,5 +1,6 @@
 //! Runs schedules of faults and edits, both random ones and those of known regressions.
 
+use super::faults::Faults;
 use super::{World, document_text};
 
 /// How long everything may take to settle after the faults end.
@@ -35,26 +36,57 @@
     Late(u32, u64),
     /// Edits the document; each bit makes one server leave.
     Edit(u8),
+    /// Sets the probability that a server queues an order, in 1/1000, and the longest such time.
+    Queue(u32, u64),
+    /// Sets the probability, in 1/1000, that a daemon reconciles only after its next event.
+    Batch(u32),
+    /// Stops the controller, which returns its promises.
+    StopController,
+    KillController,
+    /// Runs a request on a shard for this many milliseconds.
+    Request(u32, u64),
+    /// Sets the length of grants, in seconds.
+    GrantLength(u64),
+    /// Gives a server another address, where another process of it runs.
+    Relocate(usize),
 }
 
 /// Returns the text of a document in which each bit of `leaving` makes one server leave.
 ///
 /// The first server always serves. With `all_fenced`, every server checks fences; otherwise
 /// those of data centre `b` do not.
-fn ini_text(leaving: u8, all_fenced: bool) -> String {
+fn ini_text(site: &Site, all_fenced: bool) -> String {
     let servers: Vec<(&str, &str, &str, bool)> = SERVERS
         .iter()
         .enumerate()
         .map(|(index, server)| {
-            let is_leaving = index > 0 && leaving & (1 << index) != 0;
+            let is_leaving = index > 0 && site.leaving & (1 << index) != 0;
             let state = if is_leaving { "leaving" } else { "serving" };
             (*server, DATA_CENTRES[index % 3], state, all_fenced || index % 3 != 1)
         })
         .collect();
-    document_text(8, &servers)
+    let mut text = document_text(8, &servers);
+    if let Some(grant_s) = site.grant_s {
+        let section = "prepare = 200ms\n";
+        text = text.replace(section, &format!("{section}keep_when_cut_off = {grant_s}s\n"));
+    }
+    for (index, count) in site.relocations.iter().enumerate() {
+        let port = format!("127.0.0.1:{}", 9000 + index);
+        text = text.replace(&port, &format!("127.0.0.1:{}", 9000 + index + 10 * count));
+    }
+    text
+}
+
+/// What the newest document says.
+#[derive(Debug, Default)]
+struct Site {
+    leaving: u8,
+    grant_s: Option<u64>,
+    /// By server, how often its address has changed.
+    relocations: [usize; SERVERS.len()],
 }
 
-fn apply(world: &mut World, step: &Step, all_fenced: bool) {
+fn apply(world: &mut World, site: &mut Site, step: &Step, all_fenced: bool) {
     match step {
         Step::Run(ms) => world.run_for(*ms),
         Step::KillServer(index) => world.kill_server(SERVERS[*index]),
@@ -72,8 +104,31 @@
             world.late_permille = *permille;
             world.max_delay_ms = *ms;
         }
-        Step::Edit(leaving) if !world.store.is_down => world.edit(&ini_text(*leaving, all_fenced)),
-        Step::StartDaemon(_) | Step::Cut(..) | Step::Edit(_) => {}
+        Step::Edit(_) | Step::GrantLength(_) | Step::Relocate(_) if !world.store.is_down => {
+            match step {
+                Step::Edit(leaving) => site.leaving = *leaving,
+                Step::GrantLength(grant_s) => site.grant_s = Some(*grant_s),
+                Step::Relocate(index) => site.relocations[*index] += 1,
+                _ => {}
+            }
+            world.edit(&ini_text(site, all_fenced));
+        }
+        Step::Queue(permille, ms) => {
+            world.faults.queue_permille = *permille;
+            world.faults.max_queue_ms = *ms;
+        }
+        Step::Batch(permille) => world.faults.batch_permille = *permille,
+        Step::StopController | Step::KillController => match (world.controller(), step) {
+            (Some(index), Step::StopController) => world.stop_daemon(index),
+            (Some(index), _) => world.kill_daemon(index),
+            (None, _) => {}
+        },
+        Step::Request(shard, ms) => world.run_request(*shard, *ms),
+        Step::StartDaemon(_)
+        | Step::Cut(..)
+        | Step::Edit(_)
+        | Step::GrantLength(_)
+        | Step::Relocate(_) => {}
     }
 }
 
@@ -83,6 +138,7 @@
     world.store.lost_reply_permille = 0;
     world.loss_permille = 0;
     world.late_permille = 0;
+    world.faults = Faults::default();
     for index in 0..world.daemons.len() {
         world.daemons[index].resumes_at_ms = world.now_ms;
         if world.daemons[index].control.is_none() {
@@ -108,13 +164,14 @@
         world.trace = Some(Vec::new());
         world.traces_reports = true;
     }
-    world.edit(&ini_text(0, all_fenced));
+    let mut site = Site::default();
+    world.edit(&ini_text(&site, all_fenced));
     world.start_all();
     let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
         world.run_for(4_000);
         for step in steps {
             world.trace_line(&format!("-- {step:?}"));
-            apply(&mut world, step, all_fenced);
+            apply(&mut world, &mut site, step, all_fenced);
         }
         world.trace_line("-- faults end");
         end_faults(&mut world);
