Wait for longer grants of earlier controllers when an adopted server falls silent

Seen by callers: two servers hold a shard, after a document shortened the grants, the controller changed and a server fell silent while its longer grant ran.

Cause: a new controller adopts the shards that a server reports as live, and bounds only the grants that it sends itself. The earlier controller's grant was not counted, so the silence of the server freed the shard when the shorter grants had expired.

Why this works: every grant of an earlier controller ends within the recorded length after the election. The bound of an adopted shard's server now includes that time, as the wait for shards that are not adopted did already.

--- a/crates/control/src/reconcile.rs
+++ b/crates/control/src/reconcile.rs
@@ -58,7 +58,8 @@
     /// Updates the state of each shard from the servers' last reports.
     fn apply_reports(&mut self, now_ms: u64) {
         let owners = self.find_reported_owners();
-        let have_grants_expired = now_ms >= self.inherited_grants_expire_at_ms();
+        let inherited_deadline_ms = self.inherited_grants_expire_at_ms();
+        let have_grants_expired = now_ms >= inherited_deadline_ms;
         for index in 0..self.shards.len() {
             let id = self.known.record.shards[index].id;
             let next = match &self.shards[index] {
@@ -91,6 +92,13 @@
                 ShardState::Free { .. } => None,
             };
             if let Some(next) = next {
+                // The adopted grant may be longer than those that this controller sends.
+                if self.shards[index] == ShardState::Unknown
+                    && let Some((server, _)) = next.holder()
+                    && let Some(link) = self.servers.get_mut(server)
+                {
+                    link.bound.extend_to(inherited_deadline_ms);
+                }
                 self.shards[index] = next;
             }
         }
--- a/crates/lease/src/grant_bound.rs
+++ b/crates/lease/src/grant_bound.rs
@@ -47,6 +47,11 @@
         Some(clock.server_clock_ms + grant_ms)
     }
 
+    /// Extends the bound to the deadline of grants that earlier controllers may have sent.
+    pub fn extend_to(&mut self, deadline_ms: u64) {
+        self.deadline_ms = self.deadline_ms.max(deadline_ms);
+    }
+
     /// Returns whether every grant that was sent has expired.
     #[must_use]
     pub fn is_expired(&self, now_ms: u64) -> bool {
