Free an unreleased shard by the bound on its grants, not by a report without the grant

Seen by callers: the result of a request that ran while its shard moved may be committed after another server was granted the shard.

Cause: a server that finishes requests of a moving shard gets renewals for the longest time of a request. After that the first report without a live grant freed the shard. A server that had queued the last renewal carried it out after that report, within the renewal's own deadline, so its grant was live again beside the next owner's.

Why this works: after the last renewal the phase Expiring keeps the bound on all grants that the server was sent, queued ones included, since a grant's deadline is on the server's clock. Only the reported release or the passing of that bound frees the shard.

--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -447,7 +447,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in due {
-            let mut order = self.build_order(now_ms, &name);
+            let mut order = self.build_order(&name);
             let Some(link) = self.servers.get_mut(&name) else {
                 continue;
             };
@@ -465,7 +465,7 @@
     }
 
     /// Builds an order without its number, incarnation and deadline.
-    fn build_order(&self, now_ms: u64, server: &Name) -> Order {
+    fn build_order(&self, server: &Name) -> Order {
         let mut order = Order {
             service: self.service.clone(),
             term: self.term,
@@ -483,19 +483,20 @@
             {
                 let target = ShardEpoch { shard: record.id, epoch };
                 match shard {
-                    ShardState::Moving { phase: Phase::Releasing { deadline_ms }, .. } => {
+                    ShardState::Moving { phase: Phase::Releasing { .. }, .. } => {
                         order.releases.push(target);
                         // Running requests need the grant in order to commit.
-                        if now_ms < *deadline_ms {
-                            order.grants.push(target);
-                        }
+                        order.grants.push(target);
+                    }
+                    ShardState::Moving { phase: Phase::Expiring { .. }, .. } => {
+                        order.releases.push(target);
                     }
                     _ => order.grants.push(target),
                 }
             }
             if let ShardState::Moving { target, phase, .. } = shard
                 && target == server
-                && !matches!(phase, Phase::Releasing { .. })
+                && !phase.is_releasing()
             {
                 order.prepares.push(record.id);
             }
--- a/crates/control/src/reconcile.rs
+++ b/crates/control/src/reconcile.rs
@@ -73,14 +73,11 @@
                 ShardState::Granting { server, epoch } => {
                     self.state_after_grant(now_ms, id, server, *epoch)
                 }
-                ShardState::Moving {
-                    server,
-                    epoch,
-                    phase: Phase::Releasing { deadline_ms },
-                    ..
-                } => {
-                    let is_grant_expired =
-                        now_ms >= *deadline_ms && !self.is_live(id, server, *epoch);
+                ShardState::Moving { server, epoch, phase, .. } if phase.is_releasing() => {
+                    // A report without the grant is no proof: the server may carry out an earlier
+                    // renewal after it.
+                    let is_grant_expired = matches!(phase,
+                        Phase::Expiring { deadline_ms } if now_ms >= *deadline_ms);
                     (is_grant_expired || self.is_released_by(id, server, *epoch))
                         .then_some(ShardState::Free { not_before_ms: now_ms })
                 }
@@ -223,8 +220,7 @@
         phase: Phase,
         server: &Name,
     ) -> Option<Transition> {
-        let is_releasing = matches!(phase, Phase::Releasing { .. });
-        if !is_releasing && !self.is_move_possible(now_ms, index, target) {
+        if !phase.is_releasing() && !self.is_move_possible(now_ms, index, target) {
             return Some(Transition::Cancel);
         }
         let id = self.known.record.shards[index].id;
@@ -249,7 +245,13 @@
                 let deadline_ms = now_ms + self.max_request_timeout_ms();
                 is_closed.then_some(Transition::Enter(Phase::Releasing { deadline_ms }))
             }
-            Phase::Releasing { .. } => None,
+            Phase::Releasing { deadline_ms } => {
+                let deadline_of_grants_ms = self.servers[server].bound.deadline_ms();
+                (now_ms >= deadline_ms).then_some(Transition::Enter(Phase::Expiring {
+                    deadline_ms: deadline_of_grants_ms,
+                }))
+            }
+            Phase::Expiring { .. } => None,
         }
     }
 
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -29,6 +29,15 @@
     ///
     /// The grant of the shard is renewed until the deadline, and then left to expire.
     Releasing { deadline_ms: u64 },
+    /// The grant is no longer renewed; all that were sent have expired at the deadline.
+    Expiring { deadline_ms: u64 },
+}
+
+impl Phase {
+    /// Returns whether the server has been told to release the shard.
+    pub(crate) fn is_releasing(self) -> bool {
+        matches!(self, Self::Releasing { .. } | Self::Expiring { .. })
+    }
 }
 
 impl ShardState {
--- a/crates/control/src/status.rs
+++ b/crates/control/src/status.rs
@@ -132,9 +132,11 @@
             ShardState::Moving { phase: Phase::Closing { .. }, .. } => {
                 Some("daemons are closing the route".to_owned())
             }
-            ShardState::Moving { server, phase: Phase::Releasing { .. }, .. } => {
-                Some(format!("{server} finishes its requests"))
-            }
+            ShardState::Moving {
+                server,
+                phase: Phase::Releasing { .. } | Phase::Expiring { .. },
+                ..
+            } => Some(format!("{server} finishes its requests")),
             ShardState::Held { server, .. } if planned.is_some_and(|owner| owner != server) => {
                 Some("waiting for its turn to move".to_owned())
             }
--- a/crates/control/tests/long_requests.rs
+++ b/crates/control/tests/long_requests.rs
@@ -38,3 +38,27 @@
     assert!(world.shards_of("s1").is_empty());
     assert!(!world.end_request(request), "its result must not count any more");
 }
+
+/// Guards against a renewal that a server carries out after it reported that its grant had ended.
+#[test]
+fn late_renewal_while_releasing() {
+    for seed in 0..200 {
+        let mut world = World::new(seed);
+        world.edit(&document_text(6, &SERVERS));
+        world.start_all();
+        world.run_until_settled(10_000);
+        world.begin_request(world.shards_of("s1")[0]);
+        let mut servers = SERVERS;
+        servers[0].2 = "leaving";
+        world.edit(&document_text(6, &servers));
+        world.run_for(4_500);
+        world.late_permille = 800;
+        world.max_delay_ms = 600;
+        world.faults.queue_permille = 500;
+        world.faults.max_queue_ms = 2_500;
+        world.run_for(500 + seed % 600);
+        world.late_permille = 0;
+        world.faults.queue_permille = 0;
+        world.run_for(3_000);
+    }
+}
