Send no grant that is longer than a write that may still take effect records

Seen by callers: two servers hold a shard after a change of controller. It needs a document that shortens the grants, a write of the record without a reply, and a document that lengthens them again.

Cause: a new controller waits for earlier grants as long as the record says. A shorter length is recorded only when no longer grant is in force, but nothing kept the controller from sending longer ones while that write was without an outcome. A later controller read the shorter length and granted the shards of a silent server too early.

Why this works: the length of grants and route leases is at most that of the known record and of every announced write that may replace it, also those of earlier controllers. A controller that may lack such writes sends grants of the shortest length until its own write has replaced the record.

--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -186,8 +186,21 @@
     }
 
     /// Returns the length of grants: the document's, limited to what voters acknowledged.
+    ///
+    /// It is also limited to that of the known record and of each write that may replace it, since
+    /// a later controller waits no longer than the record says.
     pub(crate) fn grant_ms(&self) -> u64 {
-        self.document.timing.grant_ms.min(self.acknowledged_grant_ms)
+        if !self.are_earlier_writes_known() {
+            return MIN_GRANT_MS;
+        }
+        let unresolved = self.writer.unresolved().iter().map(|intent| intent.record.grant_ms);
+        let recorded_ms = unresolved.fold(self.known.record.grant_ms, u64::min);
+        self.document.timing.grant_ms.min(self.acknowledged_grant_ms).min(recorded_ms)
+    }
+
+    /// Returns whether no write of an earlier controller can take effect that is not known.
+    fn are_earlier_writes_known(&self) -> bool {
+        self.has_all_intents || self.known.record.term == self.term
     }
 
     /// Returns whether shards may be granted according to the known record.
@@ -195,8 +208,7 @@
     /// A controller that may lack intents of earlier controllers must first write the
     /// record itself, after which none of their writes can succeed.
     pub(crate) fn may_grant(&self) -> bool {
-        let are_earlier_writes_known = self.has_all_intents || self.known.record.term == self.term;
-        are_earlier_writes_known && self.is_record_acknowledged()
+        self.are_earlier_writes_known() && self.is_record_acknowledged()
     }
 
     /// Returns whether a majority of the voters has acknowledged the announced write.
--- a/crates/control/tests/earlier_grants.rs
+++ b/crates/control/tests/earlier_grants.rs
@@ -1,7 +1,7 @@
 //! A new controller waits for the longest grants that earlier controllers may have sent.
 mod world;
 
-use world::{World, document_text};
+use world::{World, document_text, name};
 
 const SERVERS: [(&str, &str, &str, bool); 3] =
     [("s1", "a", "serving", true), ("s2", "b", "serving", true), ("s3", "c", "serving", true)];
@@ -35,3 +35,28 @@
         world.run_until_settled(20_000);
     }
 }
+
+/// Guards against a record that shortens grants while its writer sends longer ones again.
+#[test]
+fn shorter_record_takes_effect_late() {
+    for seed in 0..20 {
+        let mut world = World::new(seed);
+        world.edit(&text(8));
+        world.start_all();
+        world.run_until_settled(20_000);
+        let controller = world.controller().expect("a controller");
+        let data_centre = world.daemons[controller].data_centre.clone();
+        world.partitions.insert((name("store"), data_centre));
+        world.edit(&text(1));
+        world.run_for(8_200);
+        world.edit(&text(8));
+        world.run_for(400);
+        world.kill_daemon(controller);
+        world.heal();
+        world.edit(&text(1));
+        world.pause_server("s3", 8_000);
+        world.run_for(10_000);
+        world.start_daemon(controller);
+        world.run_until_settled(20_000);
+    }
+}
