Free the shards of a restarted server where the table that withdraws them is published

Seen by callers: a daemon sends requests to a server that checks no fence, after another server was granted the shard. It needs a restart of the server and a daemon that is cut off right after a heartbeat.

Cause: a report of a later process freed the shards at once, until the route leases that were granted by then had expired. The daemon reconciles after a batch of inputs only, so the table that withdraws the shards was not published yet, and a heartbeat in the same batch extended a lease by the earlier table, beyond that time.

Why this works: the shards are freed in the reconciliation, which publishes the table too. No heartbeat is handled in between, and later ones extend no lease by the earlier table.

--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -47,6 +47,8 @@
     pub(crate) max_released: Vec<Epoch>,
     /// Servers without a report for [`Config::server_timeout_ms`].
     pub(crate) lost_servers: BTreeSet<Name>,
+    /// Servers whose shards the next reconciliation frees, since a later process reported.
+    pub(crate) restarted_servers: BTreeSet<Name>,
     pub(crate) planning: Planning,
     pub(crate) writer: Writer,
     pub(crate) table: Option<Arc<Table>>,
@@ -163,6 +165,7 @@
             max_granted: vec![Epoch(0); count],
             max_released: vec![Epoch(0); count],
             lost_servers: BTreeSet::new(),
+            restarted_servers: BTreeSet::new(),
             planning: Planning::new(now_ms + initial.config.planning_interval_ms),
             writer: Writer::new(now_ms, initial.intents),
             has_all_intents: initial.has_all_intents,
@@ -322,7 +325,7 @@
             return Leadership::Held;
         };
         if link.on_report(now_ms, report) == ProcessChange::Restarted {
-            self.free_shards_of(now_ms, server);
+            self.restarted_servers.insert(server.clone());
         }
         Leadership::Held
     }
--- a/crates/control/src/reconcile.rs
+++ b/crates/control/src/reconcile.rs
@@ -16,6 +16,7 @@
     /// Takes every step towards the planned assignment that is possible now.
     pub(crate) fn reconcile(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         self.update_lost_servers(now_ms);
+        self.free_shards_of_restarted_servers(now_ms);
         self.free_expired_shards(now_ms);
         self.apply_reports(now_ms);
         self.plan_if_due(now_ms);
@@ -41,6 +42,16 @@
         }
     }
 
+    /// Frees the shards of earlier processes of servers.
+    ///
+    /// The table that withdraws these shards is published in the same reconciliation, so that no
+    /// route lease by an earlier table is extended after the leases are counted here.
+    fn free_shards_of_restarted_servers(&mut self, now_ms: u64) {
+        for name in std::mem::take(&mut self.restarted_servers) {
+            self.free_shards_of(now_ms, &name);
+        }
+    }
+
     /// Frees the shards of silent servers whose grants have expired.
     fn free_expired_shards(&mut self, now_ms: u64) {
         let expired: Vec<Name> = self
--- a/crates/control/tests/route_leases.rs
+++ b/crates/control/tests/route_leases.rs
@@ -30,3 +30,25 @@
         world.run_until_settled(20_000);
     }
 }
+
+/// Guards against a lease by the old table that is extended after its server has restarted.
+#[test]
+fn no_lease_between_restart_and_new_table() {
+    for seed in 0..400 {
+        let mut world = World::new(seed);
+        world.edit(&document_text(12, &SERVERS));
+        world.start_all();
+        world.run_until_settled(10_000);
+        let mut servers = SERVERS;
+        servers[1].2 = "leaving";
+        world.edit(&document_text(12, &servers));
+        world.run_for(30);
+        world.start_server("s2");
+        world.faults.batch_permille = 900;
+        world.run_for(1 + seed);
+        world.cut("c", "a");
+        world.cut("c", "b");
+        world.faults.batch_permille = 0;
+        world.run_for(3_000);
+    }
+}
