Take a process at a changed address for no proof that the earlier one has ended

Seen by callers: two processes hold a shard after a document gave a server another address, until the grant of the process at the earlier address ends.

Cause: a report of another process counts as a restart, so the shards were free at once and granted to the new process. At one address another process does show that the earlier one has ended. The controller did not ask whether the address was the same.

Why this works: if the first process that answers at a new address is another one, its server's shards are free when the bound on all grants to the earlier process has passed. A restart at one address frees shards at once, as before.

--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -409,9 +409,11 @@
         if self.checks_fence(server) { now_ms } else { now_ms.max(self.route_leases_deadline_ms()) }
     }
 
-    /// Frees the shards of a server process that has ended or whose grants have expired.
+    /// Frees the shards of a server process that another one replaced or whose grants have expired.
     pub(crate) fn free_shards_of(&mut self, now_ms: u64, server: &Name) {
-        let not_before_ms = self.reassignable_at_ms(now_ms, server);
+        let grants_deadline_ms =
+            self.servers.get(server).map_or(0, |link| link.bound.deadline_ms());
+        let not_before_ms = self.reassignable_at_ms(now_ms, server).max(grants_deadline_ms);
         for shard in &mut self.shards {
             if shard.holder().is_some_and(|(holder, _)| holder == server) {
                 *shard = ShardState::Free { not_before_ms };
@@ -533,7 +535,7 @@
         for (name, new_link) in links {
             match self.servers.get_mut(&name) {
                 Some(link) => {
-                    link.address = new_link.address;
+                    link.set_address(new_link.address);
                     if document.server(&name).is_some() {
                         link.checks_fence = new_link.checks_fence;
                     }
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -34,6 +34,8 @@
     /// When the controller stops waiting for a report; until then it sends no further order.
     report_deadline_ms: Option<u64>,
     next_order_at_ms: u64,
+    /// The number of the last order sent to an earlier address, until the current one answers.
+    last_number_at_old_address: Option<u64>,
 }
 
 /// Whether a report comes from a new server process.
@@ -41,7 +43,7 @@
 pub(crate) enum ProcessChange {
     /// The first or the known server process reported, or the report is outdated.
     Same,
-    /// A later process reported; whatever the earlier one held is free.
+    /// A later process reported; the earlier one has ended, or its grants end with the bound.
     Restarted,
 }
 
@@ -62,6 +64,15 @@
             added_at_ms: now_ms,
             report_deadline_ms: None,
             next_order_at_ms: now_ms,
+            last_number_at_old_address: None,
+        }
+    }
+
+    /// Sends further orders to another address, where another process may run.
+    pub(crate) fn set_address(&mut self, address: SocketAddr) {
+        if self.address != address {
+            self.address = address;
+            self.last_number_at_old_address = Some(self.last_sent_number);
         }
     }
 
@@ -130,8 +141,18 @@
         self.last_report_at_ms = Some(now_ms);
         let change =
             if is_known || is_first { ProcessChange::Same } else { ProcessChange::Restarted };
+        let is_first_at_address =
+            self.last_number_at_old_address.is_some_and(|number| report.number > number);
+        if is_first_at_address {
+            self.last_number_at_old_address = None;
+        }
         if !is_known {
-            self.bound.reset();
+            if is_first_at_address {
+                // The process at the earlier address may still run.
+                self.bound.forget_clock();
+            } else {
+                self.bound.reset();
+            }
             self.incarnation = Some(report.incarnation);
             self.needs_order = true;
         }
