Check the route lease after the connection is opened, right before the request is written

Seen by callers: a server that checks no fence runs a request for a shard that another server may have been granted.

Cause: a daemon checked route and lease, and then took or opened a connection. That may last as long as the attempt, half of the request's time or more, and the request was written without another check.

Why this works: the connection is taken first. Then the request is counted as in flight, the route and the lease are checked, and the request is written. A request that fails the check is routed again, as before. The deadline of an attempt is the same as before.

Measured: proxy/expired_leases fails without the fix (the request is written with 3998 ms of 5000 left, 0.5 s after the lease expired), and passes with it.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -16,7 +16,7 @@
 
 use crate::answer::{AnswerBody, AnswerResources, InFlightGuard};
 use crate::head;
-use crate::upstream::{AdmissionError, Permit};
+use crate::upstream::{AdmissionError, Link, Permit};
 use crate::{
     BodyError, CallerBody, Traffic, Upstream, WaitEnd, read_body, retry_after_ms, to_labels,
 };
@@ -191,23 +191,35 @@
         }
         let target = find_target(traffic, &mut service, call, &attempts).await?;
         let permit = acquire_permit(traffic, &target, call, &attempts).await?;
+        let started = Instant::now();
+        let deadline_ms = attempts.attempt_deadline_ms(traffic.clock.now_ms());
+        let deadline = traffic.clock.to_instant(deadline_ms);
+        let link = connect(traffic, &target, deadline).await;
         let in_flight =
             target.route_position.map(|position| InFlightGuard::new(&service.in_flight, position));
         // The shard may have been closed before the request was counted as in flight. The drain
-        // of the shard then did not wait for the request, so the request must not be sent.
+        // of the shard then did not wait for the request, so the request must not be sent. The
+        // route lease may have expired while the connection was opened.
         let current = traffic.service(&service.document.name);
         let is_current = current
             .as_ref()
             .is_some_and(|current| current.is_current(traffic.clock.now_ms(), &target));
         if !is_current {
-            drop((in_flight, permit));
+            drop((link, in_flight, permit));
             if traffic.clock.now_ms() >= call.arrival.deadline_ms {
                 return Err(attempts.to_refusal(Reason::Expired));
             }
             continue;
         }
-        let started = Instant::now();
-        let failure = match send_once(traffic, &target, call, &attempts, permit, in_flight).await {
+        let result = if let Some(link) = link {
+            let server = Arc::clone(&target.server);
+            let resources = AnswerResources { link, upstream: server, permit, in_flight };
+            send_once(traffic, &target, call, started, deadline, resources).await
+        } else {
+            drop((in_flight, permit));
+            AttemptResult::Failed(Failure::NotSent)
+        };
+        let failure = match result {
             AttemptResult::Answered(response) => return Ok(response),
             AttemptResult::Failed(failure) => failure,
         };
@@ -303,30 +315,30 @@
     }
 }
 
+/// Takes or opens a connection; returns `None` if that fails or lasts until the deadline.
+async fn connect(traffic: &Traffic, target: &Target<Upstream>, deadline: Instant) -> Option<Link> {
+    let link = traffic.stop.bound(deadline, 0, target.server.connect()).await.ok()?.ok()?;
+    if link.is_fresh() {
+        traffic.counters.count(Counter::Connections);
+    }
+    Some(link)
+}
+
 /// Sends a request once and returns the server's answer or the failure.
 async fn send_once(
     traffic: &Traffic,
     target: &Target<Upstream>,
     call: &Call,
-    attempts: &Attempts,
-    permit: Permit,
-    in_flight: Option<InFlightGuard>,
+    started: Instant,
+    deadline: Instant,
+    mut resources: AnswerResources,
 ) -> AttemptResult {
-    let started = Instant::now();
-    let now_ms = traffic.clock.now_ms();
-    let deadline = traffic.clock.to_instant(attempts.attempt_deadline_ms(now_ms));
-    let Ok(Ok(mut link)) = traffic.stop.bound(deadline, 0, target.server.connect()).await else {
-        return AttemptResult::Failed(Failure::NotSent);
-    };
-    if link.is_fresh() {
-        traffic.counters.count(Counter::Connections);
-    }
     let Some(mut request) = to_request(traffic, target, call) else {
         return AttemptResult::Failed(Failure::NotSent);
     };
     let attempt = HeaderValue::from(rand::random::<u64>());
     request.headers_mut().insert(head::ATTEMPT, attempt.clone());
-    let response = match traffic.stop.bound(deadline, 0, link.send(request)).await {
+    let response = match traffic.stop.bound(deadline, 0, resources.link.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
             let is_unsent = error.take_message().is_some();
@@ -359,8 +371,6 @@
         // would then count as the answer to the next request.
         return AttemptResult::Failed(failure);
     }
-    let resources =
-        AnswerResources { link, upstream: Arc::clone(&target.server), permit, in_flight };
     let counters = Arc::clone(&traffic.counters);
     let body = AnswerBody::forwarded(body, traffic.limits.progress_timeout_ms, counters, resources);
     target.server.on_answer(elapsed_ms(started));
