Draw queued orders across changes of the controller in random schedules

The random schedules had no server that carries out an order of an earlier controller seconds later, few changes of the controller, no request that runs while its shard moves, and one length of grants. Two more tests draw all of these, beside batches of events and changed addresses; the existing tests draw what they drew before.

--- a/crates/control/tests/random_schedules.rs
+++ b/crates/control/tests/random_schedules.rs
@@ -33,6 +33,22 @@
     ]
 }
 
+/// Draws steps after which orders and grants of earlier controllers are still in force.
+fn succession_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        16 => step(),
+        3 => (100_u32..600, 100_u64..5_000).prop_map(|(chance, ms)| Step::Queue(chance, ms)),
+        2 => Just(Step::StopController),
+        2 => Just(Step::KillController),
+        6 => (0..4_usize).prop_map(Step::StartDaemon),
+        2 => (0..SERVERS.len(), 1_000_u64..9_000).prop_map(|(s, ms)| Step::PauseServer(s, ms)),
+        4 => (0_u32..8, 10_u64..8_000).prop_map(|(shard, ms)| Step::Request(shard, ms)),
+        4 => prop_oneof![Just(1), Just(2), Just(8)].prop_map(Step::GrantLength),
+        1 => (0..SERVERS.len()).prop_map(Step::Relocate),
+        1 => (0_u32..900).prop_map(Step::Batch),
+    ]
+}
+
 fn from_env(key: &str, default: u64) -> u64 {
     std::env::var(key).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
@@ -49,7 +65,7 @@
     seed
 }
 
-fn run_cases(all_fenced: bool) {
+fn run_cases(all_fenced: bool, step: impl Strategy<Value = Step>) {
     let cases = from_env("VERBENA_CASES", DEFAULT_CASES.into());
     let seed = seed();
     let mut bytes = [0; 32];
@@ -62,7 +78,7 @@
     };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
     let mut runner = TestRunner::new_with_rng(config, rng);
-    let strategy = (any::<u64>(), prop::collection::vec(step(), 1..60));
+    let strategy = (any::<u64>(), prop::collection::vec(step, 1..60));
     let outcome = runner.run(&strategy, |(world_seed, steps)| {
         run_schedule(world_seed, all_fenced, &steps);
         Ok(())
@@ -80,10 +96,20 @@
 
 #[test]
 fn servers_that_check_fences() {
-    run_cases(true);
+    run_cases(true, step());
 }
 
 #[test]
 fn servers_that_do_not_check_fences() {
-    run_cases(false);
+    run_cases(false, step());
+}
+
+#[test]
+fn new_controllers_and_queued_orders() {
+    run_cases(true, succession_step());
+}
+
+#[test]
+fn new_controllers_and_route_leases() {
+    run_cases(false, succession_step());
 }
