Let a restarted daemon get a route lease after a late heartbeat of its predecessor

Seen by callers: requests for shards of servers that check no fence are not sent by a daemon that restarted around a change of controller, for as long as that controller leads.

Cause: incarnations have no order, so a controller takes one that it has not seen for the later process. A new controller may get the first heartbeat of the earlier process after those of the later one, which it then ignores as replaced.

Why this works: a process that has ended sends nothing more. When the process that counts as current has been silent for a second, a heartbeat of one that it replaced makes that one current again, with its clock and drained table unknown, as for any new process. The deadline of leases that were granted to either stays.

--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -347,7 +347,7 @@
             return Leadership::Lost(heartbeat.term);
         }
         let link = self.daemons.entry(heartbeat.instance.clone()).or_default();
-        if link.on_heartbeat(now_ms, heartbeat) == Freshness::Stale {
+        if link.on_heartbeat(now_ms, heartbeat, &self.config) == Freshness::Stale {
             return Leadership::Held;
         }
         for (shard, requests) in &heartbeat.loads {
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -219,6 +219,13 @@
         self.current
     }
 
+    /// Makes a previous process the current one, which a late message had replaced.
+    fn restore(&mut self, incarnation: u64) {
+        self.previous.retain(|previous| *previous != incarnation);
+        self.previous.push_back(self.current);
+        self.current = incarnation;
+    }
+
     /// Classifies the sender of a message, and remembers it if it is new.
     pub(crate) fn observe(&mut self, incarnation: u64) -> Sender {
         if incarnation == self.current {
@@ -265,8 +272,21 @@
 }
 
 impl DaemonLink {
-    pub(crate) fn on_heartbeat(&mut self, now_ms: u64, heartbeat: &crate::Heartbeat) -> Freshness {
-        match self.incarnation.observe(heartbeat.incarnation) {
+    pub(crate) fn on_heartbeat(
+        &mut self,
+        now_ms: u64,
+        heartbeat: &crate::Heartbeat,
+        config: &Config,
+    ) -> Freshness {
+        let mut sender = self.incarnation.observe(heartbeat.incarnation);
+        // The first heartbeat of an earlier process may arrive after those of the current one, and
+        // is not followed by others.
+        let is_silent = now_ms >= self.heartbeat_at_ms + config.daemon_timeout_ms;
+        if sender == Sender::Previous && is_silent {
+            self.incarnation.restore(heartbeat.incarnation);
+            sender = Sender::New;
+        }
+        match sender {
             Sender::Previous => return Freshness::Stale,
             Sender::New => {
                 self.bound.forget_clock();
--- a/crates/control/tests/route_leases.rs
+++ b/crates/control/tests/route_leases.rs
@@ -52,3 +52,26 @@
         world.run_for(3_000);
     }
 }
+
+/// Guards against a restarted daemon that gets no lease after a late heartbeat of its predecessor.
+#[test]
+fn lease_after_late_heartbeat_of_earlier_process() {
+    for seed in [521, 718, 1508, 2183] {
+        let mut world = World::new(seed);
+        world.edit(&document_text(6, &SERVERS));
+        world.start_all();
+        world.run_until_settled(10_000);
+        let controller = world.controller().expect("a controller");
+        world.late_permille = 300;
+        world.max_delay_ms = 1_500;
+        world.stop_daemon(controller);
+        world.run_for(100 + seed % 600);
+        world.kill_daemon(0);
+        world.start_daemon(0);
+        world.run_for(1_600);
+        world.late_permille = 0;
+        world.start_daemon(controller);
+        world.run_for(6_000);
+        assert!(world.has_route_lease(0), "seed {seed}");
+    }
+}
--- a/crates/control/tests/world/faults.rs
+++ b/crates/control/tests/world/faults.rs
@@ -24,6 +24,12 @@
         self.daemons[index].control = None;
     }
 
+    /// Returns whether the route lease of a daemon is in force.
+    pub fn has_route_lease(&self, index: usize) -> bool {
+        let daemon = &self.daemons[index];
+        daemon.clock.read(self.now_ms) < daemon.route_deadline_ms
+    }
+
     /// Starts a request on a shard that ends after a time, if the shard has an owner.
     pub fn run_request(&mut self, shard: u32, duration_ms: u64) {
         let Some(owner) = self.owner(shard) else { return };
