--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -47,6 +47,8 @@
     pub(crate) max_released: Vec<Epoch>,
     /// Servers without a report for [`Config::server_timeout_ms`].
     pub(crate) lost_servers: BTreeSet<Name>,
+    /// Servers whose shards the next reconciliation frees, since a later process reported.
+    pub(crate) restarted_servers: BTreeSet<Name>,
     pub(crate) planning: Planning,
     pub(crate) writer: Writer,
     pub(crate) table: Option<Arc<Table>>,
@@ -163,6 +165,7 @@
             max_granted: vec![Epoch(0); count],
             max_released: vec![Epoch(0); count],
             lost_servers: BTreeSet::new(),
+            restarted_servers: BTreeSet::new(),
             planning: Planning::new(now_ms + initial.config.planning_interval_ms),
             writer: Writer::new(now_ms, initial.intents),
             has_all_intents: initial.has_all_intents,
@@ -186,8 +189,21 @@
     }
 
     /// Returns the length of grants: the document's, limited to what voters acknowledged.
+    ///
+    /// It is also limited to that of the known record and of each write that may replace it, since
+    /// a later controller waits no longer than the record says.
     pub(crate) fn grant_ms(&self) -> u64 {
-        self.document.timing.grant_ms.min(self.acknowledged_grant_ms)
+        if !self.are_earlier_writes_known() {
+            return MIN_GRANT_MS;
+        }
+        let unresolved = self.writer.unresolved().iter().map(|intent| intent.record.grant_ms);
+        let recorded_ms = unresolved.fold(self.known.record.grant_ms, u64::min);
+        self.document.timing.grant_ms.min(self.acknowledged_grant_ms).min(recorded_ms)
+    }
+
+    /// Returns whether no write of an earlier controller can take effect that is not known.
+    fn are_earlier_writes_known(&self) -> bool {
+        self.has_all_intents || self.known.record.term == self.term
     }
 
     /// Returns whether shards may be granted according to the known record.
@@ -195,8 +211,7 @@
     /// A controller that may lack intents of earlier controllers must first write the
     /// record itself, after which none of their writes can succeed.
     pub(crate) fn may_grant(&self) -> bool {
-        let are_earlier_writes_known = self.has_all_intents || self.known.record.term == self.term;
-        are_earlier_writes_known && self.is_record_acknowledged()
+        self.are_earlier_writes_known() && self.is_record_acknowledged()
     }
 
     /// Returns whether a majority of the voters has acknowledged the announced write.
@@ -310,7 +325,7 @@
             return Leadership::Held;
         };
         if link.on_report(now_ms, report) == ProcessChange::Restarted {
-            self.free_shards_of(now_ms, server);
+            self.restarted_servers.insert(server.clone());
         }
         Leadership::Held
     }
@@ -332,7 +347,7 @@
             return Leadership::Lost(heartbeat.term);
         }
         let link = self.daemons.entry(heartbeat.instance.clone()).or_default();
-        if link.on_heartbeat(now_ms, heartbeat) == Freshness::Stale {
+        if link.on_heartbeat(now_ms, heartbeat, &self.config) == Freshness::Stale {
             return Leadership::Held;
         }
         for (shard, requests) in &heartbeat.loads {
@@ -394,9 +409,11 @@
         if self.checks_fence(server) { now_ms } else { now_ms.max(self.route_leases_deadline_ms()) }
     }
 
-    /// Frees the shards of a server process that has ended or whose grants have expired.
+    /// Frees the shards of a server process that another one replaced or whose grants have expired.
     pub(crate) fn free_shards_of(&mut self, now_ms: u64, server: &Name) {
-        let not_before_ms = self.reassignable_at_ms(now_ms, server);
+        let grants_deadline_ms =
+            self.servers.get(server).map_or(0, |link| link.bound.deadline_ms());
+        let not_before_ms = self.reassignable_at_ms(now_ms, server).max(grants_deadline_ms);
         for shard in &mut self.shards {
             if shard.holder().is_some_and(|(holder, _)| holder == server) {
                 *shard = ShardState::Free { not_before_ms };
@@ -447,7 +464,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in due {
-            let mut order = self.build_order(now_ms, &name);
+            let mut order = self.build_order(&name);
             let Some(link) = self.servers.get_mut(&name) else {
                 continue;
             };
@@ -465,7 +482,7 @@
     }
 
     /// Builds an order without its number, incarnation and deadline.
-    fn build_order(&self, now_ms: u64, server: &Name) -> Order {
+    fn build_order(&self, server: &Name) -> Order {
         let mut order = Order {
             service: self.service.clone(),
             term: self.term,
@@ -483,19 +500,20 @@
             {
                 let target = ShardEpoch { shard: record.id, epoch };
                 match shard {
-                    ShardState::Moving { phase: Phase::Releasing { deadline_ms }, .. } => {
+                    ShardState::Moving { phase: Phase::Releasing { .. }, .. } => {
                         order.releases.push(target);
                         // Running requests need the grant in order to commit.
-                        if now_ms < *deadline_ms {
-                            order.grants.push(target);
-                        }
+                        order.grants.push(target);
+                    }
+                    ShardState::Moving { phase: Phase::Expiring { .. }, .. } => {
+                        order.releases.push(target);
                     }
                     _ => order.grants.push(target),
                 }
             }
             if let ShardState::Moving { target, phase, .. } = shard
                 && target == server
-                && !matches!(phase, Phase::Releasing { .. })
+                && !phase.is_releasing()
             {
                 order.prepares.push(record.id);
             }
@@ -517,7 +535,7 @@
         for (name, new_link) in links {
             match self.servers.get_mut(&name) {
                 Some(link) => {
-                    link.address = new_link.address;
+                    link.set_address(new_link.address);
                     if document.server(&name).is_some() {
                         link.checks_fence = new_link.checks_fence;
                     }
--- a/crates/control/src/reconcile.rs
+++ b/crates/control/src/reconcile.rs
@@ -16,6 +16,7 @@
     /// Takes every step towards the planned assignment that is possible now.
     pub(crate) fn reconcile(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         self.update_lost_servers(now_ms);
+        self.free_shards_of_restarted_servers(now_ms);
         self.free_expired_shards(now_ms);
         self.apply_reports(now_ms);
         self.plan_if_due(now_ms);
@@ -41,6 +42,16 @@
         }
     }
 
+    /// Frees the shards of earlier processes of servers.
+    ///
+    /// The table that withdraws these shards is published in the same reconciliation, so that no
+    /// route lease by an earlier table is extended after the leases are counted here.
+    fn free_shards_of_restarted_servers(&mut self, now_ms: u64) {
+        for name in std::mem::take(&mut self.restarted_servers) {
+            self.free_shards_of(now_ms, &name);
+        }
+    }
+
     /// Frees the shards of silent servers whose grants have expired.
     fn free_expired_shards(&mut self, now_ms: u64) {
         let expired: Vec<Name> = self
@@ -58,7 +69,8 @@
     /// Updates the state of each shard from the servers' last reports.
     fn apply_reports(&mut self, now_ms: u64) {
         let owners = self.find_reported_owners();
-        let have_grants_expired = now_ms >= self.inherited_grants_expire_at_ms();
+        let inherited_deadline_ms = self.inherited_grants_expire_at_ms();
+        let have_grants_expired = now_ms >= inherited_deadline_ms;
         for index in 0..self.shards.len() {
             let id = self.known.record.shards[index].id;
             let next = match &self.shards[index] {
@@ -72,14 +84,11 @@
                 ShardState::Granting { server, epoch } => {
                     self.state_after_grant(now_ms, id, server, *epoch)
                 }
-                ShardState::Moving {
-                    server,
-                    epoch,
-                    phase: Phase::Releasing { deadline_ms },
-                    ..
-                } => {
-                    let is_grant_expired =
-                        now_ms >= *deadline_ms && !self.is_live(id, server, *epoch);
+                ShardState::Moving { server, epoch, phase, .. } if phase.is_releasing() => {
+                    // A report without the grant is no proof: the server may carry out an earlier
+                    // renewal after it.
+                    let is_grant_expired = matches!(phase,
+                        Phase::Expiring { deadline_ms } if now_ms >= *deadline_ms);
                     (is_grant_expired || self.is_released_by(id, server, *epoch))
                         .then_some(ShardState::Free { not_before_ms: now_ms })
                 }
@@ -91,6 +100,13 @@
                 ShardState::Free { .. } => None,
             };
             if let Some(next) = next {
+                // The adopted grant may be longer than those that this controller sends.
+                if self.shards[index] == ShardState::Unknown
+                    && let Some((server, _)) = next.holder()
+                    && let Some(link) = self.servers.get_mut(server)
+                {
+                    link.bound.extend_to(inherited_deadline_ms);
+                }
                 self.shards[index] = next;
             }
         }
@@ -215,8 +231,7 @@
         phase: Phase,
         server: &Name,
     ) -> Option<Transition> {
-        let is_releasing = matches!(phase, Phase::Releasing { .. });
-        if !is_releasing && !self.is_move_possible(now_ms, index, target) {
+        if !phase.is_releasing() && !self.is_move_possible(now_ms, index, target) {
             return Some(Transition::Cancel);
         }
         let id = self.known.record.shards[index].id;
@@ -241,7 +256,13 @@
                 let deadline_ms = now_ms + self.max_request_timeout_ms();
                 is_closed.then_some(Transition::Enter(Phase::Releasing { deadline_ms }))
             }
-            Phase::Releasing { .. } => None,
+            Phase::Releasing { deadline_ms } => {
+                let deadline_of_grants_ms = self.servers[server].bound.deadline_ms();
+                (now_ms >= deadline_ms).then_some(Transition::Enter(Phase::Expiring {
+                    deadline_ms: deadline_of_grants_ms,
+                }))
+            }
+            Phase::Expiring { .. } => None,
         }
     }
 
--- a/crates/control/tests/route_leases.rs
+++ b/crates/control/tests/route_leases.rs
@@ -30,3 +30,48 @@
         world.run_until_settled(20_000);
     }
 }
+
+/// Guards against a lease by the old table that is extended after its server has restarted.
+#[test]
+fn no_lease_between_restart_and_new_table() {
+    for seed in 0..400 {
+        let mut world = World::new(seed);
+        world.edit(&document_text(12, &SERVERS));
+        world.start_all();
+        world.run_until_settled(10_000);
+        let mut servers = SERVERS;
+        servers[1].2 = "leaving";
+        world.edit(&document_text(12, &servers));
+        world.run_for(30);
+        world.start_server("s2");
+        world.faults.batch_permille = 900;
+        world.run_for(1 + seed);
+        world.cut("c", "a");
+        world.cut("c", "b");
+        world.faults.batch_permille = 0;
+        world.run_for(3_000);
+    }
+}
+
+/// Guards against a restarted daemon that gets no lease after a late heartbeat of its predecessor.
+#[test]
+fn lease_after_late_heartbeat_of_earlier_process() {
+    for seed in [521, 718, 1508, 2183] {
+        let mut world = World::new(seed);
+        world.edit(&document_text(6, &SERVERS));
+        world.start_all();
+        world.run_until_settled(10_000);
+        let controller = world.controller().expect("a controller");
+        world.late_permille = 300;
+        world.max_delay_ms = 1_500;
+        world.stop_daemon(controller);
+        world.run_for(100 + seed % 600);
+        world.kill_daemon(0);
+        world.start_daemon(0);
+        world.run_for(1_600);
+        world.late_permille = 0;
+        world.start_daemon(controller);
+        world.run_for(6_000);
+        assert!(world.has_route_lease(0), "seed {seed}");
+    }
+}
