--- a/crates/shard/src/answers.rs
+++ b/crates/shard/src/answers.rs
@@ -86,8 +86,6 @@
                     }
                     holder.has_accepted_fence = true;
                     holder.may_apply_earlier = false;
-                    holder.has_ruled_out = grant.is_ruling_out;
-                    holder.rest_deadline_ms = now_ms + config.renew_interval_ms / 2;
                     holder.failures = 0;
                     holder.refusals = 0;
                     self.is_changed |= !holder.is_serving;
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -342,7 +342,6 @@
                     self.is_changed = true;
                     grant_to_successor(state, pass);
                 }
-                NextStep::Renew if rests_until_recorded(state, pass) => {}
                 NextStep::Renew => renew_grant(state, pass),
             }
         }
@@ -469,16 +468,6 @@
     renew_grant(state, pass);
 }
 
-/// Returns whether a holder that can be recorded as a previous one waits for that.
-fn rests_until_recorded(state: &RangeState, pass: &PassContext<'_>) -> bool {
-    pass.store_answers
-        && state.successor.is_some()
-        && state
-            .holder
-            .as_ref()
-            .is_some_and(|holder| holder.has_ruled_out && pass.now_ms < holder.rest_deadline_ms)
-}
-
 fn renew_grant(state: &mut RangeState, pass: &mut PassContext<'_>) {
     let handover = state.handover.clone();
     let range = state.range;
@@ -487,11 +476,8 @@
     if next == NextGrant::Wait {
         return;
     }
-    // Once the server accepts a higher fence, it refuses grants that were given up, or of earlier
-    // leaders. Before its range moves it has to, as the next leader does not know of them.
-    let is_moving = state.successor.is_some() && pass.is_asked_to_rule_out(holder);
-    let is_ruling_out = is_moving || pass.may_abandoned_grant_apply(&holder.incarnation, range);
-    holder.has_ruled_out = false;
+    // Once the server accepts a higher fence, it refuses a grant that was given up.
+    let is_ruling_out = pass.may_abandoned_grant_apply(&holder.incarnation, range);
     if holder.refusals > 0 || is_ruling_out {
         holder.renew_fence(pass.fences.next());
     }
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -404,29 +404,15 @@
             || self.now_ms < self.grant_deadline_ms(incarnation, range, answered_deadline_ms)
     }
 
-    /// Returns whether a holder whose range is to move has to accept a grant that rules out all
-    /// earlier ones.
-    ///
-    /// One that is no longer registered or does not answer has most likely ended, and a grant
-    /// that it does not answer makes its keys wait longer.
-    pub(crate) fn is_asked_to_rule_out(&self, holder: &Holder) -> bool {
-        self.servers.registry.get(&holder.incarnation).is_some() && !self.is_failing(holder)
-    }
-
-    /// Returns whether a holder has left so many grants unanswered that it is replaced.
-    fn is_failing(&self, holder: &Holder) -> bool {
-        let failures = holder.failures.max(self.orders.contact(&holder.incarnation).failures());
-        failures >= self.config.max_failures
-    }
-
     /// Returns whether a holder that does not answer is replaced, although it may still apply a
     /// grant late.
     ///
     /// While the store does not answer, the holder keeps its range, as a successor could not be
     /// recorded.
     pub(crate) fn is_given_up(&self, holder: &Holder, range: KeyRange) -> bool {
+        let failures = holder.failures.max(self.orders.contact(&holder.incarnation).failures());
         self.store_answers
-            && self.is_failing(holder)
+            && failures >= self.config.max_failures
             && (holder.may_apply_earlier || self.may_grant_apply(&holder.incarnation, range))
     }
 
--- a/crates/shard/src/planning.rs
+++ b/crates/shard/src/planning.rs
@@ -166,11 +166,6 @@
         let from = state.holder.as_ref().map(|holder| holder.incarnation.clone());
         log_planned_move(pass, state.range, from, &to, reason);
         state.successor = Some(Successor::new(to, reason));
-        if let Some(holder) = &mut state.holder
-            && pass.is_asked_to_rule_out(holder)
-        {
-            holder.renew_at_ms = 0;
-        }
     }
 
     /// Starts moves that balance the load and moves that merge ranges, each up to a limit.
--- a/crates/shard/src/range_state.rs
+++ b/crates/shard/src/range_state.rs
@@ -42,11 +42,6 @@
     pub(crate) failures: u32,
     /// Number of grants refused for their fence since the last accepted one.
     pub(crate) refusals: u32,
-    /// Whether the last grant was accepted and rules out all grants before it.
-    pub(crate) has_ruled_out: bool,
-    /// Until when a holder that has done so is not sent a renewal, for which the record would have
-    /// to wait.
-    pub(crate) rest_deadline_ms: u64,
     /// The records that may be or become durable and name this server as a previous holder. It is
     /// sent no grants while there are any.
     pub(crate) listed: Option<Listed>,
@@ -295,8 +290,6 @@
             fence,
             has_accepted_fence: false,
             may_apply_earlier: false,
-            has_ruled_out: false,
-            rest_deadline_ms: 0,
             listed: None,
             grant_deadline_ms: 0,
             renew_at_ms: 0,
--- a/crates/shard/src/recording.rs
+++ b/crates/shard/src/recording.rs
@@ -1,9 +1,9 @@
 //! What the record of an assignment says, and when it is written.
 //!
-//! A move is recorded only once every server that may have held the range is quiescent: it has
-//! accepted a grant that rules out all earlier ones, also those of earlier leaders, and it is
-//! sent no more. Until then the record names it as the owner. So whichever leader reads the
-//! record, the answer of a previous holder to a release shows that it holds the range no longer.
+//! A move is recorded only once every server that may have held the range is quiescent: all
+//! grants that it was sent have an outcome, it refuses those of earlier leaders, and it is sent
+//! no more. Until then the record names it as the owner. So whichever leader reads the record,
+//! the answer of a previous holder to a release shows that it holds the range no longer.
 
 use registry::Incarnation;
 
@@ -22,8 +22,6 @@
     /// The number of the latest durable record.
     durable: u64,
     next_write_at_ms: u64,
-    /// Until when a move that can be recorded waits for others that soon can be.
-    batch_deadline_ms: Option<u64>,
     /// Whether the record may name previous holders that hold nothing any more.
     has_obsolete_holders: bool,
     /// When the record is written without them.
@@ -40,8 +38,6 @@
 
 /// Backoff after a record could not be written.
 const WRITE_BACKOFF_MS: u64 = 150;
-/// How long a move that can be recorded waits for others, so that one write records them.
-const BATCH_MS: u64 = 100;
 /// Delay after the last move until the record is rewritten without previous holders.
 const CLEANUP_DELAY_MS: u64 = 250;
 
@@ -107,11 +103,6 @@
             if !is_cleanup_due && !self.ranges.iter().any(is_due) {
                 return;
             }
-            let deadline_ms = self.writes.batch_deadline_ms.get_or_insert(pass.now_ms + BATCH_MS);
-            let soon_can_be = |state| known.is_about_to_rule_out(state);
-            if pass.now_ms < *deadline_ms && self.ranges.iter().any(soon_can_be) {
-                return;
-            }
             let entries = self.ranges.iter().map(|state| known.to_entry(state));
             entries.collect::<Option<Vec<Entry>>>()
         };
@@ -125,8 +116,7 @@
         let previous_are_quiescent = entries.iter().all(|entry| entry.are_quiescent);
         let ranges = join_entries(&self.ranges, entries);
         let writes = &mut self.writes;
-        (writes.last, writes.in_flight) = (number, Some(number));
-        (writes.cleanup_at_ms, writes.batch_deadline_ms) = (None, None);
+        (writes.last, writes.in_flight, writes.cleanup_at_ms) = (number, Some(number), None);
         writes.has_obsolete_holders = ranges.iter().any(|recorded| !recorded.previous.is_empty());
         let record = Record { epoch: pass.epoch.0, number, previous_are_quiescent, ranges };
         pass.outputs.push(Output::Write { service: pass.service.clone(), record });
@@ -191,20 +181,9 @@
         // While the store does not answer, a move would have to wait without grants.
         (self.pass.store_answers || holder.is_frozen())
             && !holder.may_apply_earlier
-            && (holder.has_ruled_out || !self.pass.is_asked_to_rule_out(holder))
             && !self.unanswered.include(&holder.incarnation, state.range)
     }
 
-    /// Returns whether the answer of the holder to a grant is awaited before its range can move.
-    fn is_about_to_rule_out(&self, state: &RangeState) -> bool {
-        self.pass.store_answers
-            && state.previous_holders.is_empty()
-            && state.successor.as_ref().is_some_and(|next| next.record_number.is_none())
-            && state.holder.as_ref().is_some_and(|holder| {
-                !holder.has_ruled_out && self.pass.is_asked_to_rule_out(holder)
-            })
-    }
-
     fn is_quiescent(&self, state: &RangeState, previous: &PreviousHolder) -> bool {
         !previous.may_apply_earlier && !self.unanswered.include(&previous.incarnation, state.range)
     }
