Stop stand-ins of the lab before a test goes on

The test unreachable_server got 502 "unknown: broken" instead of 503 "not-run" for a POST to a stand-in that had just been stopped.

Cause: kill_server cancelled the stand-in's token and returned, and its task closed the listener later. Traced with time stamps in the stand-in and the daemon: in each of five failing runs the daemon had a new connection 1 to 3 ms after the cancellation and wrote the request, the listener closed 0.2 to 21 ms later, and the daemon read a reset. In four of them the stand-in never accepted the connection; the kernel had taken it.

The daemon is right to say "unknown": it cannot tell this reset from that of a server that ran the request and crashed. The test meant a server that accepts no connection, so kill_server now returns when the listener is closed. The checks stay as they were.

--- a/crates/lab/src/measure/failover.rs
+++ b/crates/lab/src/measure/failover.rs
@@ -131,21 +131,21 @@
         sleep(Duration::from_millis(LEAD_TIME_MS)).await;
     }
     match fault {
-        Fault::Server | Fault::StoreDownServer => site.kill_server(0, 0),
+        Fault::Server | Fault::StoreDownServer => site.kill_server(0, 0).await,
         Fault::FrozenServer => site.servers[0].1[0].stand_in.freeze(FREEZE_MS),
         Fault::Controller | Fault::StoreDownController => kill_controller(site, keyed).await,
         Fault::ServerAndController => {
-            site.kill_server(0, 0);
+            site.kill_server(0, 0).await;
             kill_controller(site, keyed).await;
         }
         Fault::StoreDownControllerThenServer => {
             kill_controller(site, keyed).await;
             sleep(Duration::from_millis(2 * LEAD_TIME_MS)).await;
-            site.kill_server(0, 0);
+            site.kill_server(0, 0).await;
         }
         Fault::DataCentre => {
             for server in (LOST_DATA_CENTRE..site.servers[0].1.len()).step_by(3) {
-                site.kill_server(0, server);
+                site.kill_server(0, server).await;
             }
             site.kill_daemon(2).await;
         }
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -125,6 +125,8 @@
     pub address: SocketAddr,
     /// The token that stops it.
     pub stop: CancellationToken,
+    /// Is cancelled when it accepts no more connections.
+    ended: CancellationToken,
 }
 
 const SHEET_BYTES: usize = 64 << 10;
@@ -216,10 +218,14 @@
     }
 
     /// Stops a server at once and clears its state, as the loss of its instance would.
-    pub fn kill_server(&self, service: usize, server: usize) {
+    ///
+    /// Returns when its address refuses connections: until the listener is closed, the kernel takes
+    /// connections for it, and a request that is sent on one may have run.
+    pub async fn kill_server(&self, service: usize, server: usize) {
         let server = &self.servers[service].1[server];
         server.stop.cancel();
         server.stand_in.crash();
+        server.ended.cancelled().await;
     }
 
     /// Returns the index of the daemon that controls a service.
@@ -392,8 +398,14 @@
     let listener = bind().await?;
     let address = address_of(&listener)?;
     let stop = stop.child_token();
-    tokio::spawn(Arc::clone(&stand_in).serve(listener, stop.clone()));
-    Ok(RunningServer { stand_in, address, stop })
+    let ended = CancellationToken::new();
+    let serving = Arc::clone(&stand_in).serve(listener, stop.clone());
+    let on_end = ended.clone().drop_guard();
+    tokio::spawn(async move {
+        serving.await;
+        drop(on_end);
+    });
+    Ok(RunningServer { stand_in, address, stop, ended })
 }
 
 async fn start_daemon(settings: Settings) -> Result<Daemon> {
--- a/crates/lab/tests/whole_path.rs
+++ b/crates/lab/tests/whole_path.rs
@@ -253,7 +253,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn unreachable_server() {
     let site = start().await;
-    site.kill_server(1, 0);
+    site.kill_server(1, 0).await;
     let answer = post(&site, "/archive/lookups", "", "x").await;
     assert_refused(&answer, 503, "unreachable", "not-run");
     assert!(answer.contains("retry-after: 1\r\n"), "{answer}");
