Send single requests to servers whose speed is not known

In a service whose servers start slowly, a server that was added or restarted during traffic got few requests while others had free slots, and its slow start did not end.

Cause: servers are compared by slowness relative to the route's mean. The mean starts high and falls, so servers that answered early have 0.55 to 0.98, and a new one is assumed to have 1. With free slots everywhere the least figure always wins, and only a server that is chosen is measured. Figures from a cold time, or from a moment in which processes stood still, were kept for the same reason.

Change: one request in as many as there are servers to choose from is drawn for each server (route::TrialDraw) and goes to it if nothing else of this daemon is there, and its slow start has not ended, fewer than 12 answers are known, or, in services with slow starts, the last answer is older than a second times its slowness. One request at a time is what each pace allows, and an equal part is no more than the server gets anyway. What was measured during a slow start is forgotten at its end. In services with slow starts, costs that differ by less than 10% are chosen between at random, as with load reports.

--- a/crates/gateway/src/request/server.rs
+++ b/crates/gateway/src/request/server.rs
@@ -8,8 +8,8 @@
 use proxy::{Clock, Upstream};
 use registry::Registration;
 use route::{
-    ColdLimit, FailureShare, LoadHistory, Pace, PaceState, Rate, RateLimiter, ServerLoad,
-    ServerState as _, Share, SharedTurns, Turn,
+    ColdLimit, FailureShare, Familiarity, LoadHistory, Pace, PaceState, Rate, RateLimiter,
+    ServerLoad, ServerState as _, Share, SharedTurns, Trial, Turn,
 };
 
 /// A server with its connections and its measured speed.
@@ -22,6 +22,12 @@
     clock: Clock,
     /// The latency of the server relative to the mean of its routes, in thousandths.
     slowness_milli: AtomicU32,
+    /// How many answers that was derived from, since it started or its slow start ended.
+    answers: AtomicU32,
+    /// When the last of them came.
+    answered_at_ms: AtomicU64,
+    /// Whether the next answer replaces what is known of its speed.
+    is_speed_outdated: AtomicBool,
     /// The rate limit that its last answer named, in thousandths of a request per second;
     /// `NO_RATE_LIMIT` if it named none.
     rate_limit_milli: AtomicU64,
@@ -66,6 +72,8 @@
     is_evacuated: AtomicBool,
 }
 
+/// The slowness that is assumed of a server whose speed is not known.
+const USUAL_SLOWNESS_MILLI: u32 = 1_000;
 /// The weight of the latest answer in the moving average.
 const SLOWNESS_WEIGHT: f32 = 0.08;
 /// The largest slowness that a single answer counts with.
@@ -109,7 +117,10 @@
             registration: Arc::clone(registration),
             upstream: Arc::new(Upstream::new(description, daemons, clock)),
             clock,
-            slowness_milli: AtomicU32::new(1_000),
+            slowness_milli: AtomicU32::new(USUAL_SLOWNESS_MILLI),
+            answers: AtomicU32::new(0),
+            answered_at_ms: AtomicU64::new(0),
+            is_speed_outdated: AtomicBool::new(false),
             rate_limit_milli: AtomicU64::new(NO_RATE_LIMIT),
             load: Mutex::default(),
             failures: Mutex::default(),
@@ -159,8 +170,33 @@
     pub fn on_slowness(&self, slowness: f32) {
         let known = self.measured_slowness();
         let latest = slowness.clamp(0.0, MAX_SLOWNESS);
-        let mean = (known + SLOWNESS_WEIGHT * (latest - known)).max(MIN_SLOWNESS);
+        let is_outdated = self.is_speed_outdated.swap(false, Ordering::Relaxed);
+        let weight = if is_outdated { 1.0 } else { SLOWNESS_WEIGHT };
+        let mean = (known + weight * (latest - known)).max(MIN_SLOWNESS);
         self.slowness_milli.store(to_milli(mean), Ordering::Relaxed);
+        self.answers.fetch_add(1, Ordering::Relaxed);
+        self.answered_at_ms.store(self.clock.now_ms(), Ordering::Relaxed);
+    }
+
+    /// Returns whether a request that is drawn for the server goes to it, so that its speed becomes
+    /// known.
+    pub(crate) fn take_trial(&self) -> bool {
+        let now_ms = self.clock.now_ms();
+        let answered_ago_ms = now_ms.saturating_sub(self.answered_at_ms.load(Ordering::Relaxed));
+        let familiarity = Familiarity {
+            occupied: self.occupied(),
+            answers: self.answers.load(Ordering::Relaxed),
+            answered_ago_ms: self.has_slow_start().then_some(answered_ago_ms),
+            slowness: self.measured_slowness(),
+            is_paced: self.is_paced(),
+            has_reports: self.has_load(),
+        };
+        let trial = familiarity.trial();
+        if trial == Trial::None || self.cold_limit().is_some() {
+            return false;
+        }
+        self.is_speed_outdated.fetch_or(trial == Trial::Again, Ordering::Relaxed);
+        true
     }
 
     /// Handles the load that an answer reported; `None` if it reported none.
@@ -283,12 +319,16 @@
         }
     }
 
+    /// Returns whether the server starts slowly after it started or recovered.
+    pub(crate) fn has_slow_start(&self) -> bool {
+        self.has_slow_start.load(Ordering::Relaxed)
+    }
+
     /// Handles that the server began to serve during traffic, or may have been restarted.
     ///
     /// A rate that the server or its service names takes precedence.
     pub fn start_slowly(&self) {
-        let has_slow_start = self.has_slow_start.load(Ordering::Relaxed);
-        if !has_slow_start || self.rate_limit().is_some() {
+        if !self.has_slow_start() || self.rate_limit().is_some() {
             return;
         }
         let now_ms = self.clock.now_ms();
@@ -318,6 +358,11 @@
         let mut known = self.pace();
         let Some(mut pace) = *known else { return };
         let state = on_event(&mut pace, self.clock.now_ms());
+        if state == PaceState::Ended {
+            // What was measured so far is the speed of a cold server.
+            self.slowness_milli.store(USUAL_SLOWNESS_MILLI, Ordering::Relaxed);
+            self.answers.store(0, Ordering::Relaxed);
+        }
         let is_ended = state == PaceState::Ended || self.rate_limit().is_some();
         self.replace_pace(&mut known, (!is_ended).then_some(pace));
     }
--- a/crates/gateway/src/request/view.rs
+++ b/crates/gateway/src/request/view.rs
@@ -4,7 +4,7 @@
 
 use document::{HashMap, Name};
 use registry::Incarnation;
-use route::{Candidate, Choice, Exclusions, RemotePenalty};
+use route::{Candidate, Choice, Exclusions, RemotePenalty, TrialDraw};
 use shard::{Owner, Table};
 use site::Site;
 
@@ -109,6 +109,8 @@
     /// Picks a server from the pool, if possible one for which `is_avoided` returns false. Servers
     /// that want no requests for now are left out.
     ///
+    /// A server whose speed is not known gets single requests that are drawn for it.
+    ///
     /// In a service whose servers report load, those that fail many requests are excluded. If
     /// `may_probe`, such a server may be picked to find out whether it still does.
     #[must_use]
@@ -130,10 +132,18 @@
         let is_paused = |server: &Server| {
             server.pause_remaining_ms() > 0 || leaves_held_back_out && is_held_back(server)
         };
-        let open = self.pool.iter().filter(|member| !is_paused(&member.server)).count();
+        let (mut open, mut preferred) = (0, 0);
+        for member in self.pool.iter().filter(|member| !is_paused(&member.server)) {
+            open += 1;
+            preferred += usize::from(member.is_preferred);
+        }
+        let may_try = |member: &PoolMember| member.is_preferred || preferred == 0;
+        let mut trial = TrialDraw::new(if preferred > 0 { preferred } else { open }, random);
         // Reports weigh how long work takes. Counting the requests of other daemons as well opened
         // half as many connections again and sent more requests to other data centres.
-        let mut choice = Choice::new(open, false, remote_penalty, random);
+        let has_slow_start = self.pool.iter().any(|member| member.server.has_slow_start());
+        let choice = Choice::new(open, false, remote_penalty, random);
+        let mut choice = choice.with_spread(has_slow_start);
         let mut chosen = None;
         for member @ PoolMember { server, is_preferred } in self.pool.iter() {
             let is_excluded = exclusions.excludes(failing_share(member));
@@ -144,6 +154,10 @@
             if is_excluded && may_probe && !is_avoided && server.take_probe(now_ms) {
                 return Some(Arc::clone(server));
             }
+            let is_drawn = may_try(member) && trial.is_next();
+            if is_drawn && !is_avoided && !is_excluded && server.take_trial() {
+                return Some(Arc::clone(server));
+            }
             let occupied = server.occupied();
             let is_best = choice.offer(&Candidate {
                 occupied,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -7,7 +7,8 @@
 //! 1. **Server.** A [`Service`] is a snapshot of what a daemon needs to route one service: its
 //!    document, the controller's [`Table`] and the counters that requests share ([`InFlight`]).
 //!    [`Service::decide`] selects the server. In fleets whose servers register themselves,
-//!    [`pick`] selects one of the [`Candidate`]s of a pool instead.
+//!    [`pick`] selects one of the [`Candidate`]s of a pool instead. A [`TrialDraw`] sends single
+//!    requests to those whose speed is not known.
 //! 2. **Admission.** A [`Limiter`] admits requests to one server by priority and deadline. Its
 //!    [`Limit`] adapts to how many requests the server can take from this daemon.
 //! 3. **Retry.** [`Attempts`] decides after a [`Failure`] whether the request is sent again.
@@ -47,6 +48,7 @@
 mod service;
 mod subset;
 mod table;
+mod trial;
 
 pub use attempts::{Attempts, Failure, Next};
 pub use budget::Budget;
@@ -66,3 +68,4 @@
 pub use service::{Decision, InFlight, ServerState, Service, Target};
 pub use subset::preferred;
 pub use table::{Group, Route, Table};
+pub use trial::{Familiarity, Trial, TrialDraw};
--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -30,6 +30,8 @@
     penalty: RemotePenalty,
     /// Whether any of the candidates reports its load.
     has_reports: bool,
+    /// Whether servers whose costs differ by little are chosen at random.
+    has_spread: bool,
     draw: u32,
     /// The share of the candidates that are compared.
     compared_share: f32,
@@ -78,7 +80,8 @@
 ///
 /// It is little more than one request, so that a few requests at once go to other servers.
 const CONNECTION_PENALTY: f32 = 0.3;
-/// The range of the random factor on the cost of a server in a service that reports load.
+/// The range of the random factor on the cost of a server in a service that reports load, or whose
+/// servers start slowly.
 const SPREAD: f32 = 0.1;
 /// The share of the servers of a service that reports load which one choice compares.
 ///
@@ -98,7 +101,26 @@
     pub fn new(count: usize, has_reports: bool, penalty: RemotePenalty, draw: u32) -> Self {
         let first = usize::try_from(draw).unwrap_or(0).checked_rem(count).unwrap_or(0);
         let compared_share = if count < MIN_COUNT_TO_SAMPLE { 1.0 } else { COMPARED_SHARE };
-        Self { count, first, penalty, has_reports, draw, compared_share, offered: 0, best: None }
+        Self {
+            count,
+            first,
+            penalty,
+            has_reports,
+            has_spread: has_reports,
+            draw,
+            compared_share,
+            offered: 0,
+            best: None,
+        }
+    }
+
+    /// Chooses at random between servers whose costs differ by little.
+    ///
+    /// The speed of a server is only measured while it is chosen. One that started later would get
+    /// nothing while others with free slots seem faster by the inaccuracy of their speeds.
+    #[must_use]
+    pub fn with_spread(self, has_spread: bool) -> Self {
+        Self { has_spread: has_spread || self.has_reports, ..self }
     }
 
     /// Adds the next candidate; returns whether it is the best so far.
@@ -106,11 +128,13 @@
     pub fn offer(&mut self, candidate: &Candidate) -> bool {
         let position = self.offered;
         self.offered += 1;
+        let (spread, sample) =
+            if self.has_spread { to_fractions(self.draw, position) } else { (0.0, 0.0) };
+        let factor = 1.0 + SPREAD * spread;
         let (time, is_left_out) = if self.has_reports {
-            let (spread, sample) = to_fractions(self.draw, position);
-            (candidate.expected_time() * (1.0 + SPREAD * spread), sample > self.compared_share)
+            (candidate.expected_time() * factor, sample > self.compared_share)
         } else {
-            (candidate.fullness(), false)
+            (candidate.fullness() * factor, false)
         };
         let remote = if candidate.is_near { 0.0 } else { self.penalty.0 };
         let connection = if candidate.is_preferred { 0.0 } else { CONNECTION_PENALTY };
