Send one request first to a server whose cold time is over

pooled_requests_go_to_warm_servers saw 15 requests in a second at a cold server, 14 allowed: the server goes on saying that it stays cold for 3 s, and a daemon that had sent it nothing for 3 s took it for warm until the first answer, 0.26 s later.

The users' page says how long a server stays cold, and that it may become cold again at any moment. So the daemon was right to believe that the time was over, but a server that has not answered since may be cold again, and the daemon that sent it nothing was not told. The stand-in stands for such a server and is unchanged.

Change: such a server is unconfirmed (route::ColdTime). If there is another server nearby that is neither cold nor avoided, it gets one pooled request of a daemon at a time until it has answered. The request takes no turn: with many daemons the last one would get its turn seconds after the server is warm. Keyed requests are as before.

--- a/crates/gateway/src/request/server.rs
+++ b/crates/gateway/src/request/server.rs
@@ -8,8 +8,8 @@
 use proxy::{Clock, Upstream};
 use registry::Registration;
 use route::{
-    ColdLimit, FailureShare, Familiarity, LoadHistory, Pace, PaceState, Rate, RateLimiter,
-    ServerLoad, ServerState as _, Share, SharedTurns, Trial, Turn,
+    ColdLimit, ColdTime, FailureShare, Familiarity, LoadHistory, Pace, PaceState, Rate,
+    RateLimiter, ServerLoad, ServerState as _, Share, SharedTurns, Trial, Turn, Warmth,
 };
 
 /// A server with its connections and its measured speed.
@@ -288,10 +288,26 @@
     /// Returns how many requests the server gets now from all daemons together because it is cold.
     #[must_use]
     pub fn cold_limit(&self) -> Option<ColdLimit> {
-        if self.clock.now_ms() >= self.cold_deadline_ms.load(Ordering::Relaxed) {
-            return None;
-        }
-        *self.cold_limit.lock().unwrap_or_else(PoisonError::into_inner)
+        let limit = || *self.cold_limit.lock().unwrap_or_else(PoisonError::into_inner);
+        if self.warmth() == Warmth::Cold { limit() } else { None }
+    }
+
+    /// Returns whether the server may be cold again, and has not answered the request that is to
+    /// tell.
+    pub(crate) fn is_unconfirmed(&self) -> bool {
+        let has_limit = || self.cold_limit.lock().unwrap_or_else(PoisonError::into_inner).is_some();
+        self.cold_deadline_ms.load(Ordering::Relaxed) > 0
+            && self.warmth() == Warmth::Unconfirmed
+            && self.occupied() > 0
+            && has_limit()
+    }
+
+    fn warmth(&self) -> Warmth {
+        let cold_time = ColdTime {
+            deadline_ms: self.cold_deadline_ms.load(Ordering::Relaxed),
+            answered_at_ms: self.answered_at_ms.load(Ordering::Relaxed),
+        };
+        cold_time.warmth(self.clock.now_ms())
     }
 
     /// Returns the limit that a service sets for a rate at which other daemons ask for turns.
--- a/crates/gateway/src/request/view.rs
+++ b/crates/gateway/src/request/view.rs
@@ -123,6 +123,7 @@
         random: u32,
     ) -> Option<Arc<Server>> {
         let leaves_held_back_out = self.leaves_held_back_out(data_centre, &is_avoided);
+        let leaves_unconfirmed_out = self.leaves_unconfirmed_out(data_centre, &is_avoided);
         let now_ms = self.pool.first()?.server.now_ms();
         let has_reports = self.pool.iter().any(|member| member.server.has_load());
         let failing_share = |member: &PoolMember| {
@@ -130,7 +131,9 @@
         };
         let mut exclusions = Exclusions::new(self.pool.iter().map(failing_share));
         let is_paused = |server: &Server| {
-            server.pause_remaining_ms() > 0 || leaves_held_back_out && is_held_back(server)
+            server.pause_remaining_ms() > 0
+                || leaves_held_back_out && is_held_back(server)
+                || leaves_unconfirmed_out && server.is_unconfirmed()
         };
         let (mut open, mut preferred) = (0, 0);
         for member in self.pool.iter().filter(|member| !is_paused(&member.server)) {
@@ -175,6 +178,25 @@
         chosen.map(Arc::clone)
     }
 
+    /// Returns whether servers that may be cold again get no second request before they answer,
+    /// because there is another one nearby, full or not: they answer within one request's time.
+    fn leaves_unconfirmed_out(
+        &self,
+        data_centre: &Name,
+        is_avoided: impl Fn(&Server) -> bool,
+    ) -> bool {
+        let is_usable = |server: &Server| {
+            let is_near = server.registration.data_centre == *data_centre;
+            let is_avoided = server.is_avoided() || is_avoided(server);
+            is_near && !is_avoided && server.pause_remaining_ms() == 0
+        };
+        let mut servers = self.pool.iter().map(|member| &*member.server);
+        servers.clone().any(Server::is_unconfirmed)
+            && servers.any(|server| {
+                !server.is_unconfirmed() && server.cold_limit().is_none() && is_usable(server)
+            })
+    }
+
     /// Returns whether servers that are held back get no request because another one nearby has a
     /// free slot.
     fn leaves_held_back_out(
--- a/crates/gateway/tests/cold_pool.rs
+++ b/crates/gateway/tests/cold_pool.rs
@@ -7,6 +7,7 @@
 use proxy::{Clock, Permit, Stop};
 use registry::{Incarnation, Registration, Stage};
 use route::{Arrival, Budget, ColdLimit, Pace, Rate, RemotePenalty};
+use tokio::time::{Duration, advance};
 
 const SLOTS: u32 = 4;
 const ARRIVAL: Arrival = Arrival {
@@ -77,6 +78,35 @@
     assert_eq!(picks_of_first(&servers), 0);
 }
 
+#[tokio::test(start_paused = true)]
+async fn server_whose_cold_time_is_over_answers_one_request_first() {
+    let servers = [server(0, 1), server(1, 1)];
+    limited(&servers[0]);
+    servers[0].on_cold(3_000);
+    advance(Duration::from_millis(3_100)).await;
+    let mut of_other = fill(&servers[1]).await;
+    assert_eq!(picks_of_first(&servers), 100);
+    let stop = Stop::new(Clock::start());
+    let _permit = servers[0].upstream.acquire(ARRIVAL, &stop).await.unwrap();
+    assert_eq!(picks_of_first(&servers), 0);
+    of_other.pop();
+    assert_eq!(picks_of_first(&servers), 0);
+    servers[0].on_slowness(1.0);
+    assert_eq!(picks_of_first(&servers), 100);
+}
+
+#[tokio::test(start_paused = true)]
+async fn servers_whose_cold_time_is_over_together_get_requests() {
+    let servers = [server(0, 1), server(1, 1)];
+    for server in &servers {
+        limited(server);
+        server.on_cold(3_000);
+    }
+    advance(Duration::from_millis(3_100)).await;
+    let _permits = [fill(&servers[0]).await, fill(&servers[1]).await];
+    assert!(picks_of_first(&servers) > 0);
+}
+
 #[test]
 fn cold_server_without_a_limit_is_treated_as_before() {
     let servers = [server(0, 1), server(1, 1)];
--- a/crates/route/src/cold.rs
+++ b/crates/route/src/cold.rs
@@ -10,6 +10,28 @@
     burst_us: u64,
 }
 
+/// Until when a server reported that it stays cold, and when it last answered.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdTime {
+    /// The end of the reported time; 0 if it was never cold.
+    pub deadline_ms: u64,
+    /// When the latest answer came; 0 before the first one.
+    pub answered_at_ms: u64,
+}
+
+/// Whether a server takes all requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Warmth {
+    /// It is cold.
+    Cold,
+    /// The time that it reported is over, and it has not answered since.
+    ///
+    /// It may have become cold again, which a daemon that sent it nothing was not told.
+    Unconfirmed,
+    /// It is warm.
+    Warm,
+}
+
 /// A daemon's part of a rate that several daemons share without messages.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Share {
@@ -40,6 +62,20 @@
 /// request of a busy daemon falls into it.
 const MAX_WINDOW_US: u64 = 300_000;
 
+impl ColdTime {
+    /// Returns whether the server takes all requests at this time.
+    #[must_use]
+    pub fn warmth(self, now_ms: u64) -> Warmth {
+        if now_ms < self.deadline_ms {
+            Warmth::Cold
+        } else if self.answered_at_ms < self.deadline_ms {
+            Warmth::Unconfirmed
+        } else {
+            Warmth::Warm
+        }
+    }
+}
+
 impl ColdLimit {
     /// Creates the limit of a server that tolerates a rate while it is cold.
     ///
--- a/crates/route/tests/cold_turns.rs
+++ b/crates/route/tests/cold_turns.rs
@@ -1,6 +1,6 @@
 //! Guards against more requests to a cold server than it survives, whatever happens to keepers.
 
-use route::{ColdLimit, Rate, RateLimiter, Share, SharedTurns, Turn};
+use route::{ColdLimit, ColdTime, Rate, RateLimiter, Share, SharedTurns, Turn, Warmth};
 
 const TOLERATED: Rate = Rate::from_milli_per_s(4_200);
 const OVERAGE_MILLI: u32 = 1_500;
@@ -157,3 +157,14 @@
     let share = Share { position: 0, daemons: 4 };
     assert_eq!(own.take(12_100, 0, rate, share), Turn::Full { remaining_ms: 3_900 });
 }
+
+#[test]
+fn server_whose_cold_time_is_over_is_warm_after_an_answer() {
+    let warmth =
+        |answered_at_ms, now_ms| ColdTime { deadline_ms: 3_000, answered_at_ms }.warmth(now_ms);
+    assert_eq!(warmth(0, 2_999), Warmth::Cold);
+    assert_eq!(warmth(2_999, 3_000), Warmth::Unconfirmed);
+    assert_eq!(warmth(3_000, 3_000), Warmth::Warm);
+    let never_cold = ColdTime { deadline_ms: 0, answered_at_ms: 0 };
+    assert_eq!(never_cold.warmth(1_000), Warmth::Warm);
+}
