--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) mod retry_budget;
 pub(crate) mod sent_to;
 pub(crate) mod server;
+pub(crate) mod speed;
 pub(crate) mod tries;
 pub(crate) mod turns;
 pub(crate) mod view;
--- a/crates/gateway/src/request/server.rs
+++ b/crates/gateway/src/request/server.rs
@@ -12,6 +12,8 @@
     RateLimiter, ServerLoad, ServerState as _, Share, SharedTurns, Trial, Turn, Warmth,
 };
 
+use crate::request::speed::{Speed, to_f32, to_milli};
+
 /// A server with its connections and its measured speed.
 #[derive(Debug)]
 pub struct Server {
@@ -20,14 +22,8 @@
     /// Its connections and admission.
     pub upstream: Arc<Upstream>,
     clock: Clock,
-    /// The latency of the server relative to the mean of its routes, in thousandths.
-    slowness_milli: AtomicU32,
-    /// How many answers that was derived from, since it started or its slow start ended.
-    answers: AtomicU32,
-    /// When the last of them came.
-    answered_at_ms: AtomicU64,
-    /// Whether the next answer replaces what is known of its speed.
-    is_speed_outdated: AtomicBool,
+    /// Its speed, measured by its answers.
+    speed: Speed,
     /// The rate limit that its last answer named, in thousandths of a request per second;
     /// `NO_RATE_LIMIT` if it named none.
     rate_limit_milli: AtomicU64,
@@ -72,15 +68,6 @@
     is_evacuated: AtomicBool,
 }
 
-/// The slowness that is assumed of a server whose speed is not known.
-const USUAL_SLOWNESS_MILLI: u32 = 1_000;
-/// The weight of the latest answer in the moving average.
-const SLOWNESS_WEIGHT: f32 = 0.08;
-/// The largest slowness that a single answer counts with.
-const MAX_SLOWNESS: f32 = 8.0;
-/// The least slowness of a server: answers that are quick because they are small say little.
-const MIN_SLOWNESS: f32 = 0.3;
-
 /// The longest time for which a single report makes a server count as cold.
 ///
 /// A report that is wrong does not limit a server for longer.
@@ -117,10 +104,7 @@
             registration: Arc::clone(registration),
             upstream: Arc::new(Upstream::new(description, daemons, clock)),
             clock,
-            slowness_milli: AtomicU32::new(USUAL_SLOWNESS_MILLI),
-            answers: AtomicU32::new(0),
-            answered_at_ms: AtomicU64::new(0),
-            is_speed_outdated: AtomicBool::new(false),
+            speed: Speed::new(),
             rate_limit_milli: AtomicU64::new(NO_RATE_LIMIT),
             load: Mutex::default(),
             failures: Mutex::default(),
@@ -150,44 +134,31 @@
     #[must_use]
     pub fn slowness(&self) -> f32 {
         let reported = self.load().map(|load| load.work(self.clock.now_ms()));
-        reported.unwrap_or_else(|| self.measured_slowness())
+        reported.unwrap_or_else(|| self.speed.slowness())
     }
 
     /// Returns the figure for the leader in thousandths: the latest duration of work that the
     /// server reported, or else the mean latency relative to that of its routes.
     #[must_use]
     pub fn slowness_milli(&self) -> u32 {
-        let measured = || self.slowness_milli.load(Ordering::Relaxed);
-        self.load().map_or_else(measured, |load| load.latest().work_percent * 10)
-    }
-
-    /// Returns the latency of the server relative to the mean of its routes.
-    pub(crate) fn measured_slowness(&self) -> f32 {
-        to_f32(self.slowness_milli.load(Ordering::Relaxed)) / 1_000.0
+        self.load()
+            .map_or_else(|| self.speed.slowness_milli(), |load| load.latest().work_percent * 10)
     }
 
     /// Handles an answer with its latency relative to the mean of its route.
     pub fn on_slowness(&self, slowness: f32) {
-        let known = self.measured_slowness();
-        let latest = slowness.clamp(0.0, MAX_SLOWNESS);
-        let is_outdated = self.is_speed_outdated.swap(false, Ordering::Relaxed);
-        let weight = if is_outdated { 1.0 } else { SLOWNESS_WEIGHT };
-        let mean = (known + weight * (latest - known)).max(MIN_SLOWNESS);
-        self.slowness_milli.store(to_milli(mean), Ordering::Relaxed);
-        self.answers.fetch_add(1, Ordering::Relaxed);
-        self.answered_at_ms.store(self.clock.now_ms(), Ordering::Relaxed);
+        self.speed.on_answer(self.clock.now_ms(), slowness);
     }
 
     /// Returns whether a request that is drawn for the server goes to it, so that its speed becomes
     /// known.
     pub(crate) fn take_trial(&self) -> bool {
-        let now_ms = self.clock.now_ms();
-        let answered_ago_ms = now_ms.saturating_sub(self.answered_at_ms.load(Ordering::Relaxed));
+        let answered_ago_ms = self.clock.now_ms().saturating_sub(self.speed.answered_at_ms());
         let familiarity = Familiarity {
             occupied: self.occupied(),
-            answers: self.answers.load(Ordering::Relaxed),
+            answers: self.speed.answers(),
             answered_ago_ms: self.has_slow_start().then_some(answered_ago_ms),
-            slowness: self.measured_slowness(),
+            slowness: self.speed.slowness(),
             is_paced: self.is_paced(),
             has_reports: self.has_load(),
         };
@@ -195,7 +166,9 @@
         if trial == Trial::None || self.cold_limit().is_some() {
             return false;
         }
-        self.is_speed_outdated.fetch_or(trial == Trial::Again, Ordering::Relaxed);
+        if trial == Trial::Again {
+            self.speed.set_outdated();
+        }
         true
     }
 
@@ -305,7 +278,7 @@
     fn warmth(&self) -> Warmth {
         let cold_time = ColdTime {
             deadline_ms: self.cold_deadline_ms.load(Ordering::Relaxed),
-            answered_at_ms: self.answered_at_ms.load(Ordering::Relaxed),
+            answered_at_ms: self.speed.answered_at_ms(),
         };
         cold_time.warmth(self.clock.now_ms())
     }
@@ -376,8 +349,7 @@
         let state = on_event(&mut pace, self.clock.now_ms());
         if state == PaceState::Ended {
             // What was measured so far is the speed of a cold server.
-            self.slowness_milli.store(USUAL_SLOWNESS_MILLI, Ordering::Relaxed);
-            self.answers.store(0, Ordering::Relaxed);
+            self.speed.forget();
         }
         let is_ended = state == PaceState::Ended || self.rate_limit().is_some();
         self.replace_pace(&mut known, (!is_ended).then_some(pace));
@@ -514,16 +486,3 @@
         in_flight + u32::try_from(waiting).unwrap_or(u32::MAX)
     }
 }
-
-fn to_f32(milli: u32) -> f32 {
-    f32::from(u16::try_from(milli).unwrap_or(u16::MAX))
-}
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "slowness is from 0 to 8"
-)]
-fn to_milli(slowness: f32) -> u32 {
-    (slowness * 1_000.0) as u32
-}
