--- a/crates/gateway/src/request/server.rs
+++ b/crates/gateway/src/request/server.rs
@@ -8,10 +8,12 @@
 use proxy::{Clock, Upstream};
 use registry::Registration;
 use route::{
-    ColdLimit, FailureShare, LoadHistory, Pace, PaceState, Rate, RateLimiter, ServerLoad,
-    ServerState as _, Share, SharedTurns, Turn,
+    ColdLimit, ColdTime, FailureShare, Familiarity, LoadHistory, Pace, PaceState, Rate,
+    RateLimiter, ServerLoad, ServerState as _, Share, SharedTurns, Trial, Turn, Warmth,
 };
 
+use crate::request::speed::{Speed, to_f32, to_milli};
+
 /// A server with its connections and its measured speed.
 #[derive(Debug)]
 pub struct Server {
@@ -20,8 +22,8 @@
     /// Its connections and admission.
     pub upstream: Arc<Upstream>,
     clock: Clock,
-    /// The latency of the server relative to the mean of its routes, in thousandths.
-    slowness_milli: AtomicU32,
+    /// Its speed, measured by its answers.
+    speed: Speed,
     /// The rate limit that its last answer named, in thousandths of a request per second;
     /// `NO_RATE_LIMIT` if it named none.
     rate_limit_milli: AtomicU64,
@@ -66,13 +68,6 @@
     is_evacuated: AtomicBool,
 }
 
-/// The weight of the latest answer in the moving average.
-const SLOWNESS_WEIGHT: f32 = 0.08;
-/// The largest slowness that a single answer counts with.
-const MAX_SLOWNESS: f32 = 8.0;
-/// The least slowness of a server: answers that are quick because they are small say little.
-const MIN_SLOWNESS: f32 = 0.3;
-
 /// The longest time for which a single report makes a server count as cold.
 ///
 /// A report that is wrong does not limit a server for longer.
@@ -109,7 +104,7 @@
             registration: Arc::clone(registration),
             upstream: Arc::new(Upstream::new(description, daemons, clock)),
             clock,
-            slowness_milli: AtomicU32::new(1_000),
+            speed: Speed::new(),
             rate_limit_milli: AtomicU64::new(NO_RATE_LIMIT),
             load: Mutex::default(),
             failures: Mutex::default(),
@@ -139,28 +134,42 @@
     #[must_use]
     pub fn slowness(&self) -> f32 {
         let reported = self.load().map(|load| load.work(self.clock.now_ms()));
-        reported.unwrap_or_else(|| self.measured_slowness())
+        reported.unwrap_or_else(|| self.speed.slowness())
     }
 
     /// Returns the figure for the leader in thousandths: the latest duration of work that the
     /// server reported, or else the mean latency relative to that of its routes.
     #[must_use]
     pub fn slowness_milli(&self) -> u32 {
-        let measured = || self.slowness_milli.load(Ordering::Relaxed);
-        self.load().map_or_else(measured, |load| load.latest().work_percent * 10)
-    }
-
-    /// Returns the latency of the server relative to the mean of its routes.
-    pub(crate) fn measured_slowness(&self) -> f32 {
-        to_f32(self.slowness_milli.load(Ordering::Relaxed)) / 1_000.0
+        self.load()
+            .map_or_else(|| self.speed.slowness_milli(), |load| load.latest().work_percent * 10)
     }
 
     /// Handles an answer with its latency relative to the mean of its route.
     pub fn on_slowness(&self, slowness: f32) {
-        let known = self.measured_slowness();
-        let latest = slowness.clamp(0.0, MAX_SLOWNESS);
-        let mean = (known + SLOWNESS_WEIGHT * (latest - known)).max(MIN_SLOWNESS);
-        self.slowness_milli.store(to_milli(mean), Ordering::Relaxed);
+        self.speed.on_answer(self.clock.now_ms(), slowness);
+    }
+
+    /// Returns whether a request that is drawn for the server goes to it, so that its speed becomes
+    /// known.
+    pub(crate) fn take_trial(&self) -> bool {
+        let answered_ago_ms = self.clock.now_ms().saturating_sub(self.speed.answered_at_ms());
+        let familiarity = Familiarity {
+            occupied: self.occupied(),
+            answers: self.speed.answers(),
+            answered_ago_ms: self.has_slow_start().then_some(answered_ago_ms),
+            slowness: self.speed.slowness(),
+            is_paced: self.is_paced(),
+            has_reports: self.has_load(),
+        };
+        let trial = familiarity.trial();
+        if trial == Trial::None || self.cold_limit().is_some() {
+            return false;
+        }
+        if trial == Trial::Again {
+            self.speed.set_outdated();
+        }
+        true
     }
 
     /// Handles the load that an answer reported; `None` if it reported none.
@@ -252,10 +261,26 @@
     /// Returns how many requests the server gets now from all daemons together because it is cold.
     #[must_use]
     pub fn cold_limit(&self) -> Option<ColdLimit> {
-        if self.clock.now_ms() >= self.cold_deadline_ms.load(Ordering::Relaxed) {
-            return None;
-        }
-        *self.cold_limit.lock().unwrap_or_else(PoisonError::into_inner)
+        let limit = || *self.cold_limit.lock().unwrap_or_else(PoisonError::into_inner);
+        if self.warmth() == Warmth::Cold { limit() } else { None }
+    }
+
+    /// Returns whether the server may be cold again, and has not answered the request that is to
+    /// tell.
+    pub(crate) fn is_unconfirmed(&self) -> bool {
+        let has_limit = || self.cold_limit.lock().unwrap_or_else(PoisonError::into_inner).is_some();
+        self.cold_deadline_ms.load(Ordering::Relaxed) > 0
+            && self.warmth() == Warmth::Unconfirmed
+            && self.occupied() > 0
+            && has_limit()
+    }
+
+    fn warmth(&self) -> Warmth {
+        let cold_time = ColdTime {
+            deadline_ms: self.cold_deadline_ms.load(Ordering::Relaxed),
+            answered_at_ms: self.speed.answered_at_ms(),
+        };
+        cold_time.warmth(self.clock.now_ms())
     }
 
     /// Returns the limit that a service sets for a rate at which other daemons ask for turns.
@@ -283,12 +308,16 @@
         }
     }
 
+    /// Returns whether the server starts slowly after it started or recovered.
+    pub(crate) fn has_slow_start(&self) -> bool {
+        self.has_slow_start.load(Ordering::Relaxed)
+    }
+
     /// Handles that the server began to serve during traffic, or may have been restarted.
     ///
     /// A rate that the server or its service names takes precedence.
     pub fn start_slowly(&self) {
-        let has_slow_start = self.has_slow_start.load(Ordering::Relaxed);
-        if !has_slow_start || self.rate_limit().is_some() {
+        if !self.has_slow_start() || self.rate_limit().is_some() {
             return;
         }
         let now_ms = self.clock.now_ms();
@@ -318,6 +347,10 @@
         let mut known = self.pace();
         let Some(mut pace) = *known else { return };
         let state = on_event(&mut pace, self.clock.now_ms());
+        if state == PaceState::Ended {
+            // What was measured so far is the speed of a cold server.
+            self.speed.forget();
+        }
         let is_ended = state == PaceState::Ended || self.rate_limit().is_some();
         self.replace_pace(&mut known, (!is_ended).then_some(pace));
     }
@@ -453,16 +486,3 @@
         in_flight + u32::try_from(waiting).unwrap_or(u32::MAX)
     }
 }
-
-fn to_f32(milli: u32) -> f32 {
-    f32::from(u16::try_from(milli).unwrap_or(u16::MAX))
-}
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "slowness is from 0 to 8"
-)]
-fn to_milli(slowness: f32) -> u32 {
-    (slowness * 1_000.0) as u32
-}
