Follow a document in time although no watch returns it

Cause: a watch that begins while the store holds changes back, within about 80 ms before it drops its history, returns neither the changes nor an error until its 9 s are over, and nothing else reads what operators write. A document wakes all watches at once, so all daemons' watches begin together and miss the same change.

Change: daemons that read the servers' entries, one of each group and the leader, watch for 1 s at a time. With each message to its group a reader tells the newest revision that it has read, and a daemon whose watch does not return it within 0.1 s lists everything; a list is never held back. A daemon that is told nothing for 1 s watches for 1 s too.

--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -40,6 +40,8 @@
 /// noticed by then.
 const MIN_BACKOFF_MS: u64 = 100;
 const MAX_BACKOFF_MS: u64 = 1_200;
+/// How long a change may arrive later by a watch than from another daemon.
+const BEHIND_GRACE_MS: u64 = 100;
 /// The longest backoff of renewals, which notice that the store is back.
 const MAX_RENEW_BACKOFF_MS: u64 = 500;
 
@@ -68,8 +70,10 @@
     pub(crate) prefix: Name,
     /// The least time between two calls, so that frequent changes are batched.
     pub(crate) min_interval_ms: u64,
-    /// How long one watch waits for changes.
-    pub(crate) watch_timeout_ms: u64,
+    /// How long one watch waits for changes; a shorter time also ends the watch that waits now.
+    pub(crate) watch_timeout_ms: watch::Receiver<u64>,
+    /// The revision of the newest change that another daemon has read.
+    pub(crate) told: watch::Receiver<Revision>,
     pub(crate) counters: Arc<Counters>,
     pub(crate) inputs: mpsc::Sender<Input>,
     /// Changes when waiting calls have to be made again.
@@ -103,12 +107,14 @@
                     }
                     backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
                 }
-                FollowEnd::Compacted => backoff_ms = MIN_BACKOFF_MS,
+                FollowEnd::Compacted | FollowEnd::Behind => backoff_ms = MIN_BACKOFF_MS,
             }
         }
     }
 
     async fn list_and_watch(&mut self) -> FollowEnd {
+        // The list has all changes that were told before.
+        let told_before = *self.told.borrow_and_update();
         let Ok((entries, revision)) = list(&self.store, &self.prefix, &self.counters).await else {
             return FollowEnd::Failed;
         };
@@ -117,12 +123,23 @@
             return FollowEnd::Closed;
         }
         let mut progress = Progress::new(read.at_ms, revision);
+        let mut known = revision;
         let mut failures = 0;
         loop {
             sleep(Duration::from_millis(self.min_interval_ms)).await;
             self.counters.count(Counter::StoreCalls);
+            let timeout_ms = *self.watch_timeout_ms.borrow_and_update();
             let watched = tokio::select! {
-                watched = self.store.watch(&self.prefix, progress.after(), self.watch_timeout_ms) => watched,
+                watched = self.store.watch(&self.prefix, progress.after(), timeout_ms) => watched,
+                // The senders for other topics are dropped: these branches are disabled then.
+                Ok(_) = self.watch_timeout_ms.wait_for(|shorter_ms| *shorter_ms < timeout_ms) => continue,
+                Ok(told) = wait_until_behind(&mut self.told, told_before, known) => {
+                    spdlog::warn!(
+                        "watch of the store returned no change that another daemon has read",
+                        kv: { prefix = self.prefix.as_str(), known = known.0, told = told.0 }
+                    );
+                    return FollowEnd::Behind;
+                }
                 changed = self.restarts.changed() => {
                     if changed.is_err() {
                         return FollowEnd::Closed;
@@ -136,6 +153,7 @@
                     let at_ms = BootClock.now_ms();
                     let newest_change = changes.entries.iter().map(|entry| entry.revision).max();
                     progress.on_answer(at_ms, changes.revision, newest_change);
+                    known = known.max(newest_change.unwrap_or_default());
                     let read = ReadPosition { revision: progress.after(), at_ms };
                     let input = Input::Changed(self.topic, changes.entries, read);
                     if self.inputs.send(input).await.is_err() {
@@ -169,6 +187,20 @@
     Failed,
     /// The store has compacted the history that the watch needs.
     Compacted,
+    /// Another daemon has read a change that the watch did not return.
+    Behind,
+}
+
+/// Waits until another daemon has read a change after the known ones and the watch had time to
+/// return it; returns its revision.
+async fn wait_until_behind(
+    told: &mut watch::Receiver<Revision>,
+    told_before: Revision,
+    known: Revision,
+) -> Result<Revision, watch::error::RecvError> {
+    let newer = *told.wait_for(|told| *told > known && *told != told_before).await?;
+    sleep(Duration::from_millis(BEHIND_GRACE_MS)).await;
+    Ok(newer)
 }
 
 /// Lists all pages under a prefix; returns the entries and the revision of the first page.
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod leaving;
 pub(crate) mod node;
 pub(crate) mod operators;
+pub(crate) mod operators_relay;
 pub(crate) mod progress;
 pub(crate) mod relay;
 pub(crate) mod relay_messages;
--- a/crates/gateway/src/control/node.rs
+++ b/crates/gateway/src/control/node.rs
@@ -18,6 +18,7 @@
 use crate::control::evacuation::Evacuations;
 use crate::control::follow::DaemonEntry;
 use crate::control::input::{Input, ReadPosition, Topic};
+use crate::control::operators_relay::{OperatorsControl, OperatorsRelay};
 use crate::control::relay::{Relay, Role};
 use crate::leader::cut_leader::connect_to;
 use crate::leader::leader_state::LeaderState;
@@ -60,6 +61,7 @@
     pub(crate) site: Option<Arc<Site>>,
     pub(crate) registry: Registry,
     pub(crate) evacuations: Evacuations,
+    pub(crate) operators: OperatorsRelay,
     /// When servers of an evacuated data centre close next, by the clock of requests.
     pub(crate) next_close_at_ms: Option<u64>,
     /// The names of listed entries that described no usable server; each is logged once.
@@ -137,6 +139,7 @@
     pub(crate) shared: Arc<Shared>,
     pub(crate) inputs: mpsc::Sender<Input>,
     pub(crate) call_restarts: watch::Sender<u64>,
+    pub(crate) operators: OperatorsControl,
     pub(crate) needs_entries: watch::Sender<bool>,
     pub(crate) needs_fleet: watch::Sender<bool>,
     pub(crate) entry_missing_since: watch::Sender<Revision>,
@@ -167,6 +170,7 @@
             site: None,
             registry: Registry::default(),
             evacuations: Evacuations::default(),
+            operators: OperatorsRelay::new(parts.operators),
             next_close_at_ms: None,
             unusable: HashSet::default(),
             daemons: BTreeMap::new(),
@@ -335,7 +339,7 @@
 
     fn on_changes(&mut self, topic: Topic, entries: &[Entry], read: ReadPosition) {
         match topic {
-            Topic::Operators => self.on_operators_entries(entries),
+            Topic::Operators => self.on_operators_entries(entries, read),
             Topic::Servers => self.on_server_entries(entries, read),
             Topic::Fleet => {
                 let entries = entries.iter().map(|entry| FleetEntry {
--- a/crates/gateway/src/control/operators.rs
+++ b/crates/gateway/src/control/operators.rs
@@ -32,11 +32,18 @@
             .filter(|entry| entry.text.is_some())
             .filter_map(|entry| Some((entry.key.strip_prefix(prefix)?.into(), entry.revision)))
             .collect();
+        let is_listed = |name: &Name| listed.iter().any(|(listed, _)| listed == name);
+        if self.evacuations.requested().any(|(name, _)| !is_listed(name)) {
+            // The revision of the removal is not known.
+            self.on_operators_read(read.at_ms, read.revision);
+        }
         self.evacuations.on_listing(self.shared.clock.now_ms(), &listed, read.revision);
     }
 
     /// Handles changes of what operators wrote.
-    pub(crate) fn on_operators_entries(&mut self, entries: &[Entry]) {
+    pub(crate) fn on_operators_entries(&mut self, entries: &[Entry], read: ReadPosition) {
+        let newest_change = entries.iter().map(|entry| entry.revision).max();
+        self.on_operators_read(read.at_ms, newest_change.unwrap_or_default());
         let now_ms = self.shared.clock.now_ms();
         for entry in entries {
             if let Some(name) = entry.key.strip_prefix(self.source.evacuations_prefix()) {
--- a/crates/gateway/src/control/relay.rs
+++ b/crates/gateway/src/control/relay.rs
@@ -71,7 +71,7 @@
 ///
 /// Three heartbeat intervals fit into this time, so up to two heartbeats in a row may be lost. A
 /// leaving server is still noticed within half of the drain time.
-const READER_TIMEOUT_MS: u64 = 1_000;
+pub(crate) const READER_TIMEOUT_MS: u64 = 1_000;
 /// How long a daemon that has just started waits for its reader's first message.
 const FIRST_MESSAGE_TIMEOUT_MS: u64 = 600;
 /// How long a reader's entries are valid after an answer from the store; longer than a watch
--- a/crates/gateway/src/control/relay_messages.rs
+++ b/crates/gateway/src/control/relay_messages.rs
@@ -54,6 +54,7 @@
             let revision = self.entries_revision.0;
             spdlog::info!("servers' entries", kv: { read_here = needs_entries, role:? = self.role, revision });
         }
+        self.update_operators_watch(now_ms);
         if !self.is_read_valid(now_ms) {
             self.send_reader_stopped();
         } else if now_ms >= self.heartbeat_at_ms {
@@ -100,7 +101,8 @@
             changed.into_iter().partition(|name| self.registry.is_listed(name));
         let listed = listed.iter().filter_map(|name| self.to_relayed(name)).collect();
         let changed = std::mem::take(&mut self.changed_fleet);
-        let fleet = changed.iter().filter_map(|key| self.fleet_entries.get(key).cloned()).collect();
+        let fleet = changed.iter().filter_map(|key| self.fleet_entries.get(key).cloned());
+        let fleet = fleet.chain(self.newest_operators_entry()).collect();
         let body = FleetBody::Servers(Servers { listed, gone, fleet, ..self.empty_message(false) });
         self.send_to(&tells, &body);
     }
@@ -112,7 +114,7 @@
         }
         let listed = self.registry.listed().filter_map(|name| self.to_relayed(name)).collect();
         let fleet = self.fleet_entries.values().filter(|entry| entry.text.is_some());
-        let fleet = fleet.cloned().collect();
+        let fleet = fleet.cloned().chain(self.newest_operators_entry()).collect();
         self.send_to(
             to,
             &FleetBody::Servers(Servers { listed, fleet, ..self.empty_message(true) }),
@@ -149,8 +151,9 @@
     }
 
     /// Handles a message about servers from another daemon.
-    pub(crate) fn on_servers_message(&mut self, from: &Name, servers: Servers) {
+    pub(crate) fn on_servers_message(&mut self, from: &Name, mut servers: Servers) {
         let now_ms = self.clock.now_ms();
+        self.take_newest_operators_entry(from, &mut servers.fleet);
         let Servers { number, revision, is_whole, has_stopped_reading, .. } = servers;
         let header = MessageHeader { from, number, revision, is_whole, has_stopped_reading };
         if self.leading.is_some() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::control::follow::{DAEMONS_PREFIX, DaemonEntry, FLEET_PREFIX, Follower, register};
 use crate::control::input::{Input, Topic};
 use crate::control::node::{Node, NodeParts};
+use crate::control::operators_relay::OperatorsControl;
 use crate::essential_tasks::EssentialTasks;
 use crate::request::front::{self, StopSignals};
 use crate::{Dialect, Orders, Settings, Shared, Source, StopPlan, status};
@@ -64,11 +65,11 @@
 ///
 /// A daemon that relays the entries has to notice soon that the store does not answer.
 const SERVERS_WATCH_TIMEOUT_MS: u64 = 500;
-/// How long the other watches wait; each costs one call.
+/// How long a watch of daemons' entries waits; each costs one call.
 ///
 /// The store must keep its history for longer than twice this, so that it reaches back to the
 /// revision from which the next watch starts.
-const WATCH_TIMEOUT_MS: u64 = 9_000;
+const FLEET_WATCH_TIMEOUT_MS: u64 = 9_000;
 /// The least time between two reads of documents, which may change in quick succession.
 const MIN_SITE_INTERVAL_MS: u64 = 60;
 /// The least time between two reads of daemons' entries; many change together when many daemons
@@ -129,7 +130,9 @@
         let (needs_fleet, is_fleet_needed) = watch::channel(true);
         let (entry_missing_since, missing_since) = watch::channel(Revision(0));
         let needed = Needed { entries: are_entries_needed, fleet: is_fleet_needed, missing_since };
-        let call_restarts = follow_store(&mut tasks, &ports, &settings, &shared, &inputs, &needed);
+        let operators = OperatorsControl::new();
+        let call_restarts =
+            follow_store(&mut tasks, &ports, &settings, &shared, &inputs, &needed, &operators);
         let resign = CancellationToken::new();
         let store = ports.store.clone();
         let mut node = Node::new(NodeParts {
@@ -140,6 +143,7 @@
             shared: Arc::clone(&shared),
             inputs: inputs.clone(),
             call_restarts,
+            operators,
             needs_entries,
             needs_fleet,
             entry_missing_since,
@@ -227,16 +231,19 @@
     shared: &Arc<Shared>,
     inputs: &mpsc::Sender<Input>,
     needed: &Needed,
+    operators: &OperatorsControl,
 ) -> watch::Sender<u64> {
     let (call_restarts, restarts) = watch::channel(0);
     let always = watch::channel(true).1;
+    let never_told = watch::channel(Revision(0)).1;
     let topics = [
         (
             "operators",
             Topic::Operators,
             ports.source.operators_prefix(),
             MIN_SITE_INTERVAL_MS,
-            WATCH_TIMEOUT_MS,
+            operators.watch_timeout_ms.subscribe(),
+            operators.told.subscribe(),
             &always,
         ),
         (
@@ -244,7 +251,8 @@
             Topic::Servers,
             ports.source.servers_prefix(),
             MIN_SERVERS_INTERVAL_MS,
-            SERVERS_WATCH_TIMEOUT_MS,
+            watch::channel(SERVERS_WATCH_TIMEOUT_MS).1,
+            never_told.clone(),
             &needed.entries,
         ),
         (
@@ -252,17 +260,19 @@
             Topic::Fleet,
             FLEET_PREFIX,
             MIN_FLEET_INTERVAL_MS,
-            WATCH_TIMEOUT_MS,
+            watch::channel(FLEET_WATCH_TIMEOUT_MS).1,
+            never_told,
             &needed.fleet,
         ),
     ];
-    for (task, topic, prefix, min_interval_ms, watch_timeout_ms, is_needed) in topics {
+    for (task, topic, prefix, min_interval_ms, watch_timeout_ms, told, is_needed) in topics {
         let follower = Follower {
             store: ports.store.clone(),
             topic,
             prefix: Name::from(prefix),
             min_interval_ms,
             watch_timeout_ms,
+            told,
             counters: Arc::clone(&shared.counters),
             inputs: inputs.clone(),
             restarts: restarts.clone(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,8 +36,8 @@
 //! - `control`, what is read from the store and from other daemons: `node` handles each `input`,
 //!   `follow` watches the store, `operators` and `evacuation` handle what operators write,
 //!   `server_entries` and `fleet` handle the entries of servers and
-//!   daemons, `relay` decides who reads them, `tables` handles the owners of keys, and
-//!   `view_builder` builds the view.
+//!   daemons, `relay` decides who reads them, `operators_relay` tells other daemons how new what
+//!   operators wrote is, `tables` handles the owners of keys, and `view_builder` builds the view.
 //! - `leader`, what the leader does: `candidacy` decides who campaigns when, `succession` hands
 //!   leadership over, `election` wins and renews the leader's lease, `distribution` decides how
 //!   tables reach all daemons, and `leader_tasks` carries out what [`shard::Leader`] decides.
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -66,6 +66,12 @@
     ///
     /// A watch from an earlier revision fails, except from 0.
     compacted_revision: u64,
+    /// Whether changes are held back from watches of a prefix, also from those that begin now.
+    holds_changes: bool,
+    /// The start of the prefixes of these watches.
+    held_prefix: String,
+    /// How often holding changes back has ended.
+    held_periods: u64,
     values: BTreeMap<String, StoredValue>,
     leases: HashMap<LeaseId, Lease>,
     last_lease: u64,
@@ -121,6 +127,26 @@
         state.compacted_revision = state.revision;
     }
 
+    /// Holds changes back from watches whose prefix begins with this, until [`Self::drop_history`].
+    ///
+    /// Other calls see the changes, and watches still return the newest revision.
+    pub fn hold_changes(&self, prefix: &str) {
+        let mut state = self.lock();
+        state.holds_changes = true;
+        prefix.clone_into(&mut state.held_prefix);
+    }
+
+    /// Discards the changes up to now and holds no more back.
+    ///
+    /// A watch from which they were held back neither fails nor returns changes, and ends when its
+    /// time is over.
+    pub fn drop_history(&self) {
+        self.compact();
+        let mut state = self.lock();
+        state.holds_changes = false;
+        state.held_periods += 1;
+    }
+
     /// Returns the number of calls made so far, by kind.
     #[must_use]
     pub fn usage(&self) -> Usage {
@@ -247,17 +273,18 @@
     async fn watch(&self, prefix: &str, after: Revision, wait_ms: u64) -> Result<Changes> {
         self.admit(CallKind::Read).await?;
         let deadline = Instant::now() + Duration::from_millis(wait_ms);
+        let held_periods = self.lock().held_periods;
         loop {
-            if after.0 > 0 && after.0 < self.lock().compacted_revision {
+            if self.lock().lacks_history(prefix, after, held_periods) {
                 return Error::fail(Category::Compacted, "the changes are no longer known");
             }
             let change = self.shared.changed.notified();
-            let changes = self.lock().changes(prefix, after);
+            let changes = self.lock().changes(prefix, after, held_periods);
             if !changes.entries.is_empty() || Instant::now() >= deadline {
                 return Ok(changes);
             }
             if timeout_at(deadline, change).await.is_err() {
-                return Ok(self.lock().changes(prefix, after));
+                return Ok(self.lock().changes(prefix, after, held_periods));
             }
             if self.lock().faults.is_down {
                 return Error::fail(Category::Refused, "the store refused the call");
@@ -288,11 +315,24 @@
         }
     }
 
-    fn changes(&mut self, prefix: &str, after: Revision) -> Changes {
+    /// Returns whether changes are held back from a watch that began after so many held periods.
+    fn holds_back(&self, prefix: &str, held_periods: u64) -> bool {
+        let is_held = self.holds_changes || self.held_periods > held_periods;
+        is_held && prefix.starts_with(&self.held_prefix)
+    }
+
+    fn lacks_history(&self, prefix: &str, after: Revision, held_periods: u64) -> bool {
+        let is_compacted = after.0 > 0 && after.0 < self.compacted_revision;
+        is_compacted && !self.holds_back(prefix, held_periods)
+    }
+
+    fn changes(&mut self, prefix: &str, after: Revision, held_periods: u64) -> Changes {
         self.expire_leases();
+        let is_held_back = self.holds_back(prefix, held_periods);
         let entries = self
             .values
             .iter()
+            .filter(|_| !is_held_back)
             .filter(|(key, stored)| key.starts_with(prefix) && stored.revision > after.0)
             .map(|(key, stored)| stored.to_entry(key))
             .collect();
