Read a long document on as long as it goes on arriving

Cause: a call to the store had 0.5 s for its whole answer. Each call was ended while its answer was arriving, and the next one began from the start, which also took the link's room.

Failed lists are logged, the first in a row and the end.

--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -40,8 +40,9 @@
 /// noticed by then.
 const MIN_BACKOFF_MS: u64 = 100;
 const MAX_BACKOFF_MS: u64 = 1_200;
-/// How long a change may arrive later by a watch than from another daemon.
-const BEHIND_GRACE_MS: u64 = 100;
+/// How much later than from another daemon a change may arrive by a watch. A long document takes
+/// almost this long on a slow link.
+const BEHIND_GRACE_MS: u64 = 500;
 /// The longest backoff of renewals, which notice that the store is back.
 const MAX_RENEW_BACKOFF_MS: u64 = 500;
 
@@ -78,6 +79,8 @@
     pub(crate) inputs: mpsc::Sender<Input>,
     /// Changes when waiting calls have to be made again.
     pub(crate) restarts: watch::Receiver<u64>,
+    /// How often listing has failed since it last succeeded.
+    pub(crate) failed_lists: u32,
     /// Whether the topic has to be watched now.
     pub(crate) is_needed: watch::Receiver<bool>,
 }
@@ -115,9 +118,21 @@
     async fn list_and_watch(&mut self) -> FollowEnd {
         // The list has all changes that were told before.
         let told_before = *self.told.borrow_and_update();
-        let Ok((entries, revision)) = list(&self.store, &self.prefix, &self.counters).await else {
-            return FollowEnd::Failed;
+        let (entries, revision) = match list(&self.store, &self.prefix, &self.counters).await {
+            Ok(listed) => listed,
+            Err(report) => {
+                if self.failed_lists == 0 {
+                    let cause = report.current_context().to_string();
+                    spdlog::warn!("cannot list entries of the store", kv: { prefix = self.prefix.as_str(), cause });
+                }
+                self.failed_lists += 1;
+                return FollowEnd::Failed;
+            }
         };
+        let failed_lists = std::mem::take(&mut self.failed_lists);
+        if failed_lists > 0 {
+            spdlog::info!("entries of the store are listed again", kv: { prefix = self.prefix.as_str(), failed_lists });
+        }
         let read = ReadPosition { revision, at_ms: BootClock.now_ms() };
         if self.inputs.send(Input::Listed(self.topic, entries, read)).await.is_err() {
             return FollowEnd::Closed;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -276,6 +276,7 @@
             counters: Arc::clone(&shared.counters),
             inputs: inputs.clone(),
             restarts: restarts.clone(),
+            failed_lists: 0,
             is_needed: is_needed.clone(),
         };
         tasks.spawn(task, follower.run());
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError, Weak};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -41,6 +42,8 @@
     headers: Vec<(&'static str, String)>,
     body: Bytes,
     timeout_ms: u64,
+    /// How long a body may take that goes on arriving; `None` if the timeout applies to it.
+    body_time: Option<BodyTime>,
     max_answer_bytes: u64,
     /// Whether the connection is closed unless the answer has status 200.
     closes_on_refusal: bool,
@@ -50,6 +53,13 @@
     is_probed: bool,
 }
 
+/// How long the body of an answer may take.
+#[derive(Clone, Copy, Debug)]
+struct BodyTime {
+    max_ms: u64,
+    part_timeout_ms: u64,
+}
+
 /// An open connection; dropping it resets the TCP connection.
 #[derive(Debug)]
 struct Connection {
@@ -94,6 +104,7 @@
             headers: Vec::new(),
             body: Bytes::new(),
             timeout_ms: DEFAULT_TIMEOUT_MS,
+            body_time: None,
             max_answer_bytes: DEFAULT_MAX_ANSWER_BYTES,
             closes_on_refusal: false,
             is_on_own_connection: false,
@@ -128,6 +139,16 @@
         self
     }
 
+    /// Gives the body of the answer `max_ms` to arrive, as long as the next part follows soon.
+    ///
+    /// A long answer takes longer on a slow link than a short timeout allows, and a call that is
+    /// repeated would never succeed. Between two parts `part_timeout_ms` may pass.
+    #[must_use]
+    pub fn body_time(mut self, max_ms: u64, part_timeout_ms: u64) -> Self {
+        self.body_time = Some(BodyTime { max_ms, part_timeout_ms });
+        self
+    }
+
     /// Sets how many bytes the answer may have, with its head.
     ///
     /// A faulty server may send bytes without end, which would fill the memory of this process.
@@ -210,16 +231,13 @@
             .body(Full::new(call.body))
             .map_err(|error| Error::report(Category::NotSent, error))?;
         connection.bound.allow(call.max_answer_bytes);
-        let exchange = async {
-            let response = connection.sender.send_request(request).await?;
-            let (head, body) = response.into_parts();
-            let body = body.collect().await?.to_bytes();
-            Ok::<_, hyper::Error>(Response::from_parts(head, body))
+        let response = in_time(deadline, connection.sender.send_request(request)).await?;
+        let (head, body) = response.into_parts();
+        let body = match call.body_time {
+            Some(body_time) => read_parts(body, deadline, body_time).await?,
+            None => in_time(deadline, body.collect()).await?.to_bytes(),
         };
-        let answer = timeout_at(deadline, exchange)
-            .await
-            .map_err(|_elapsed| Error::elapsed(Category::Unknown, "no complete answer in time"))?
-            .map_err(|error| Error::report(Category::Unknown, error))?;
+        let answer = Response::from_parts(head, body);
         let is_refused = call.closes_on_refusal && answer.status() != StatusCode::OK;
         if !is_refused && !call.is_on_own_connection {
             self.return_idle(connection);
@@ -294,6 +312,28 @@
     }
 }
 
+/// Waits for a part of the answer until a deadline.
+async fn in_time<T>(deadline: Instant, part: impl Future<Output = hyper::Result<T>>) -> Result<T> {
+    timeout_at(deadline, part)
+        .await
+        .map_err(|_elapsed| Error::elapsed(Category::Unknown, "no complete answer in time"))?
+        .map_err(|error| Error::report(Category::Unknown, error))
+}
+
+/// Reads a body part by part; each may arrive until the call's deadline or soon after the one before.
+async fn read_parts(mut body: Incoming, deadline: Instant, time: BodyTime) -> Result<Bytes> {
+    let last_deadline = deadline.max(Instant::now() + Duration::from_millis(time.max_ms));
+    let mut read = BytesMut::new();
+    loop {
+        let soon = Instant::now() + Duration::from_millis(time.part_timeout_ms);
+        let next = async { body.frame().await.transpose() };
+        match in_time(soon.max(deadline).min(last_deadline), next).await? {
+            Some(frame) => read.extend_from_slice(frame.data_ref().map_or(&[], AsRef::as_ref)),
+            None => return Ok(read.freeze()),
+        }
+    }
+}
+
 /// Closes a client's connections without probes as they become too old, until there is none.
 async fn close_unused(idle: Weak<Mutex<Idle>>) {
     loop {
