Begin all watches anew when the store has dropped its history

What callers would see: 503 for keys without an owner for up to nine seconds, as no daemon learns that the leader's lease has ended.

Cause: entries of daemons and of their leader are watched for 9 s at a time. A watch that begins while the store holds changes back, shortly before it drops its history, returns nothing to its end.

Why the fix works: the other watches start from a revision before the drop, so the first one that begins anew fails with compacted history; servers' entries and what operators write are watched for 1 s at most. Now that failure has the other watches of the daemon begin anew, and they return the changes or fail as well.

A watch of daemons' entries that returns nothing without a drop is still found only after 9 s.

--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -116,7 +116,8 @@
     }
 
     async fn list_and_watch(&mut self) -> FollowEnd {
-        // The list has all changes that were told before.
+        // The list has all changes that were told before, and all that earlier watches missed.
+        self.restarts.mark_unchanged();
         let told_before = *self.told.borrow_and_update();
         let (entries, revision) = match list(&self.store, &self.prefix, &self.counters).await {
             Ok(listed) => listed,
@@ -177,6 +178,9 @@
                 }
                 Err(report) if report.current_context().category() == Category::Compacted => {
                     spdlog::info!("store forgot history", kv: { prefix = self.prefix.as_str(), after = progress.after().0 });
+                    if self.inputs.send(Input::HistoryDropped).await.is_err() {
+                        return FollowEnd::Closed;
+                    }
                     return FollowEnd::Compacted;
                 }
                 Err(_unavailable) => {
--- a/crates/gateway/src/control/input.rs
+++ b/crates/gateway/src/control/input.rs
@@ -17,6 +17,8 @@
     Listed(Topic, Vec<Entry>, ReadPosition),
     /// The entries of a topic that changed.
     Changed(Topic, Vec<Entry>, ReadPosition),
+    /// The store no longer has changes after the revision from which a watch started.
+    HistoryDropped,
     /// Whether the store answers this daemon's calls.
     StoreAnswers(bool),
     /// The end of a campaign; `None` if the election was not won.
--- a/crates/gateway/src/control/node.rs
+++ b/crates/gateway/src/control/node.rs
@@ -245,6 +245,8 @@
         match input {
             Input::Listed(topic, entries, read) => self.on_listing(topic, &entries, read),
             Input::Changed(topic, entries, read) => self.on_changes(topic, &entries, read),
+            // Another watch may wait to its end without returning changes or failing.
+            Input::HistoryDropped => self.call_restarts.send_modify(|count| *count += 1),
             Input::StoreAnswers(answers) => self.on_store_answers(answers),
             Input::CampaignEnded(election) => {
                 self.is_campaigning = false;
