Know from the store's answers that it came back from an older copy

Cause: nothing read the era that the store names in all its answers, and revisions of a store that had come back were compared with those of before: an evacuation that is gone from a list with a lower revision goes on, an entry of a daemon or leader that is written again is ignored, a watch from a revision that has been given out again misses changes, and a lease number may be another daemon's.

Change: the store's port has an era; the client reads it from every answer. What a list or watch returned counts only if the era was the same before and after the call. The control thread logs a change once and forgets revisions, not entries, until they are listed; a daemon's entry is written with a new lease. Messages about servers name the era, as the removal of an entry that no daemon has, which earlier versions ignore; those of an earlier era are ignored.

The memory store can be copied and restored, and the stand-in names its era.

--- a/crates/gateway/src/control/evacuation.rs
+++ b/crates/gateway/src/control/evacuation.rs
@@ -9,8 +9,8 @@
 pub struct Evacuations {
     /// What is known of each data centre's key, including keys that were removed.
     keys: BTreeMap<Name, KeyState>,
-    /// The revision of the newest listing.
-    listed_revision: Revision,
+    /// The revision of the newest listing; `None` before the first one.
+    listed_revision: Option<Revision>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -47,10 +47,10 @@
     /// What is known from a later revision stays. Requests in the first listing may be of any age,
     /// so they count as known since 0 and take effect at once.
     pub fn on_listing(&mut self, now_ms: u64, listed: &[(Name, Revision)], revision: Revision) {
-        if revision < self.listed_revision {
+        if self.listed_revision.is_some_and(|listed_revision| revision < listed_revision) {
             return;
         }
-        let is_first = self.listed_revision == Revision::default();
+        let is_first = self.listed_revision.is_none();
         let learned_at_ms = if is_first { 0 } else { now_ms };
         let is_listed = |name: &Name| listed.iter().any(|(listed, _)| listed == name);
         for (name, state) in &mut self.keys {
@@ -63,13 +63,22 @@
         for (name, key_revision) in listed {
             self.on_change(learned_at_ms, name, *key_revision, true);
         }
-        self.listed_revision = revision;
+        self.listed_revision = Some(revision);
+    }
+
+    /// Forgets the revisions of an earlier era of the store, in which they meant other changes.
+    pub fn on_new_era(&mut self) {
+        for state in self.keys.values_mut() {
+            state.revision = Revision::default();
+        }
+        self.listed_revision = self.listed_revision.map(|_| Revision::default());
     }
 
     /// Handles the change of one key; a change that is not newer than what is known is ignored.
     pub fn on_change(&mut self, now_ms: u64, name: &Name, revision: Revision, exists: bool) {
         let known = self.keys.get(name).copied();
-        let known_revision = known.map_or(self.listed_revision, |known| known.revision);
+        let known_revision =
+            known.map(|known| known.revision).or(self.listed_revision).unwrap_or_default();
         if revision <= known_revision {
             return;
         }
--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -7,7 +7,7 @@
 use document::{Name, Revision};
 use serde::{Deserialize, Serialize};
 use shard::Record;
-use store::{Category, Entry, Expect, LeaseId, Store};
+use store::{Category, Entry, Era, Expect, LeaseId, Store};
 use telemetry::{Counter, Counters};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
@@ -79,6 +79,8 @@
     pub(crate) inputs: mpsc::Sender<Input>,
     /// Changes when waiting calls have to be made again.
     pub(crate) restarts: watch::Receiver<u64>,
+    /// The newest era of the store.
+    pub(crate) era: watch::Receiver<Option<Era>>,
     /// How often listing has failed since it last succeeded.
     pub(crate) failed_lists: u32,
     /// Whether the topic has to be watched now.
@@ -110,7 +112,9 @@
                     }
                     backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
                 }
-                FollowEnd::Compacted | FollowEnd::Behind => backoff_ms = MIN_BACKOFF_MS,
+                FollowEnd::Compacted | FollowEnd::Behind | FollowEnd::NewEra => {
+                    backoff_ms = MIN_BACKOFF_MS;
+                }
             }
         }
     }
@@ -119,6 +123,7 @@
         // The list has all changes that were told before, and all that earlier watches missed.
         self.restarts.mark_unchanged();
         let told_before = *self.told.borrow_and_update();
+        let era_before = *self.era.borrow();
         let (entries, revision) = match list(&self.store, &self.prefix, &self.counters).await {
             Ok(listed) => listed,
             Err(report) => {
@@ -134,7 +139,11 @@
         if failed_lists > 0 {
             spdlog::info!("entries of the store are listed again", kv: { prefix = self.prefix.as_str(), failed_lists });
         }
-        let read = ReadPosition { revision, at_ms: BootClock.now_ms() };
+        let era = *self.era.borrow();
+        if era_before.is_some() && era != era_before {
+            return FollowEnd::NewEra;
+        }
+        let read = ReadPosition { era, revision, at_ms: BootClock.now_ms() };
         if self.inputs.send(Input::Listed(self.topic, entries, read)).await.is_err() {
             return FollowEnd::Closed;
         }
@@ -156,6 +165,7 @@
                     );
                     return FollowEnd::Behind;
                 }
+                Ok(_) = self.era.wait_for(|newest| *newest != era) => return FollowEnd::NewEra,
                 changed = self.restarts.changed() => {
                     if changed.is_err() {
                         return FollowEnd::Closed;
@@ -163,6 +173,9 @@
                     continue;
                 }
             };
+            if *self.era.borrow() != era {
+                return FollowEnd::NewEra;
+            }
             match watched {
                 Ok(changes) => {
                     failures = 0;
@@ -170,7 +183,7 @@
                     let newest_change = changes.entries.iter().map(|entry| entry.revision).max();
                     progress.on_answer(at_ms, changes.revision, newest_change);
                     known = known.max(newest_change.unwrap_or_default());
-                    let read = ReadPosition { revision: progress.after(), at_ms };
+                    let read = ReadPosition { era, revision: progress.after(), at_ms };
                     let input = Input::Changed(self.topic, changes.entries, read);
                     if self.inputs.send(input).await.is_err() {
                         return FollowEnd::Closed;
@@ -208,6 +221,8 @@
     Compacted,
     /// Another daemon has read a change that the watch did not return.
     Behind,
+    /// The store has come back from an older copy.
+    NewEra,
 }
 
 /// Waits until another daemon has read a change after the known ones and the watch had time to
@@ -282,12 +297,17 @@
     mut missing_since: watch::Receiver<Revision>,
 ) {
     let text = serde_json::to_string(&entry).unwrap_or_default();
+    let mut era = store.era();
     let mut lease: Option<LeaseId> = None;
+    // The number of a lease may be another daemon's in the next era.
+    let mut lease_era = None;
     let mut written_at = Revision(0);
     let mut last_reported = None;
     let mut backoff_ms = MIN_BACKOFF_MS;
     loop {
         counters.count(Counter::StoreCalls);
+        let era_before = *era.borrow();
+        lease = lease.filter(|_| era_before == lease_era);
         let renewed = match lease {
             Some(lease) => store.renew_lease(lease).await.map(|()| lease),
             None => write_entry(&store, &key, &text).await.map(|(lease, revision)| {
@@ -298,6 +318,7 @@
         let has_answered = match renewed {
             Ok(renewed) => {
                 lease = Some(renewed);
+                lease_era = era_before.or(*era.borrow());
                 true
             }
             Err(report) => match report.current_context().category() {
@@ -340,6 +361,7 @@
                 );
                 lease = None;
             }
+            Ok(_) = era.wait_for(|newest| *newest != lease_era), if lease.is_some() => {}
         }
     }
 }
--- a/crates/gateway/src/control/input.rs
+++ b/crates/gateway/src/control/input.rs
@@ -4,7 +4,7 @@
 use peer::FleetFrame;
 use registry::Incarnation;
 use shard::{Epoch, OrderId, Record, Reply};
-use store::{Entry, LeaseId};
+use store::{Entry, Era, LeaseId};
 use tokio::sync::oneshot;
 
 use crate::Settings;
@@ -19,6 +19,8 @@
     Changed(Topic, Vec<Entry>, ReadPosition),
     /// The store no longer has changes after the revision from which a watch started.
     HistoryDropped,
+    /// The newest era of the store that an answer has named.
+    EraNamed(Era),
     /// Whether the store answers this daemon's calls.
     StoreAnswers(bool),
     /// The end of a campaign; `None` if the election was not won.
@@ -54,6 +56,8 @@
 /// The revision and time of an answer from the store.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ReadPosition {
+    /// The era in which the call was sent and answered; `None` if the store has none.
+    pub(crate) era: Option<Era>,
     /// The store's revision up to which changes are included.
     pub(crate) revision: Revision,
     /// When the answer arrived, by [`BootClock`](crate::BootClock).
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control thread: what it reads from the store and hears from other daemons.
 
+pub(crate) mod era;
 pub(crate) mod evacuation;
 pub(crate) mod fleet;
 pub(crate) mod follow;
--- a/crates/gateway/src/control/node.rs
+++ b/crates/gateway/src/control/node.rs
@@ -10,7 +10,7 @@
 use registry::{Change, Incarnation, Registry};
 use shard::{Epoch, Event, Table};
 use site::Site;
-use store::{Entry, Store};
+use store::{Entry, Era, Store};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
@@ -45,6 +45,8 @@
     /// How this daemon gets the servers' entries.
     pub(crate) role: Role,
     pub(crate) relay: Relay,
+    /// The newest era of the store; `None` as long as no answer has named one.
+    pub(crate) era: Option<Era>,
     /// The store's revision up to which servers' entries are known here.
     pub(crate) entries_revision: Revision,
     /// When servers' entries were last read here; `None` while they are not read here.
@@ -159,6 +161,7 @@
             needs_entries: parts.needs_entries,
             role: Role::Reads { tells: Vec::new() },
             relay: Relay::default(),
+            era: None,
             entries_revision: Revision(0),
             entries_read_at_ms: None,
             store_reached_at_ms: BootClock.now_ms(),
@@ -243,10 +246,19 @@
 
     fn on_input(&mut self, input: Input) {
         match input {
-            Input::Listed(topic, entries, read) => self.on_listing(topic, &entries, read),
-            Input::Changed(topic, entries, read) => self.on_changes(topic, &entries, read),
+            Input::Listed(topic, entries, read) => {
+                if self.is_newest_era(read.era) {
+                    self.on_listing(topic, &entries, read);
+                }
+            }
+            Input::Changed(topic, entries, read) => {
+                if self.is_newest_era(read.era) {
+                    self.on_changes(topic, &entries, read);
+                }
+            }
             // Another watch may wait to its end without returning changes or failing.
             Input::HistoryDropped => self.call_restarts.send_modify(|count| *count += 1),
+            Input::EraNamed(era) => self.on_era(era),
             Input::StoreAnswers(answers) => self.on_store_answers(answers),
             Input::CampaignEnded(election) => {
                 self.is_campaigning = false;
--- a/crates/gateway/src/control/operators_relay.rs
+++ b/crates/gateway/src/control/operators_relay.rs
@@ -71,6 +71,14 @@
         is_recent.then_some(self.newest_read)
     }
 
+    /// Forgets the revisions of an earlier era of the store.
+    pub(crate) fn on_new_era(&mut self) {
+        self.newest_read = Revision(0);
+        self.read_at_ms = None;
+        self.told_at_ms = None;
+        self.control.told.send_replace(Revision(0));
+    }
+
     fn on_told(&mut self, now_ms: u64, newest: Revision) {
         self.told_at_ms = Some(now_ms);
         self.control.told.send_if_modified(|told| std::mem::replace(told, newest) != newest);
--- a/crates/gateway/src/control/relay_messages.rs
+++ b/crates/gateway/src/control/relay_messages.rs
@@ -102,7 +102,7 @@
         let listed = listed.iter().filter_map(|name| self.to_relayed(name)).collect();
         let changed = std::mem::take(&mut self.changed_fleet);
         let fleet = changed.iter().filter_map(|key| self.fleet_entries.get(key).cloned());
-        let fleet = fleet.chain(self.newest_operators_entry()).collect();
+        let fleet = fleet.chain(self.newest_operators_entry()).chain(self.era_entry()).collect();
         let body = FleetBody::Servers(Servers { listed, gone, fleet, ..self.empty_message(false) });
         self.send_to(&tells, &body);
     }
@@ -114,7 +114,8 @@
         }
         let listed = self.registry.listed().filter_map(|name| self.to_relayed(name)).collect();
         let fleet = self.fleet_entries.values().filter(|entry| entry.text.is_some());
-        let fleet = fleet.cloned().chain(self.newest_operators_entry()).collect();
+        let fleet = fleet.cloned().chain(self.newest_operators_entry());
+        let fleet = fleet.chain(self.era_entry()).collect();
         self.send_to(
             to,
             &FleetBody::Servers(Servers { listed, fleet, ..self.empty_message(true) }),
@@ -153,6 +154,9 @@
     /// Handles a message about servers from another daemon.
     pub(crate) fn on_servers_message(&mut self, from: &Name, mut servers: Servers) {
         let now_ms = self.clock.now_ms();
+        if !self.take_era_entry(&mut servers.fleet) {
+            return;
+        }
         self.take_newest_operators_entry(from, &mut servers.fleet);
         let Servers { number, revision, is_whole, has_stopped_reading, .. } = servers;
         let header = MessageHeader { from, number, revision, is_whole, has_stopped_reading };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use tokio::time::{interval, sleep_until, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 
+use crate::control::era::follow_era;
 use crate::control::follow::{DAEMONS_PREFIX, DaemonEntry, FLEET_PREFIX, Follower, register};
 use crate::control::input::{Input, Topic};
 use crate::control::node::{Node, NodeParts};
@@ -276,11 +277,13 @@
             counters: Arc::clone(&shared.counters),
             inputs: inputs.clone(),
             restarts: restarts.clone(),
+            era: ports.store.era(),
             failed_lists: 0,
             is_needed: is_needed.clone(),
         };
         tasks.spawn(task, follower.run());
     }
+    tasks.spawn("era", follow_era(ports.store.era(), inputs.clone()));
     let entry = DaemonEntry {
         address: settings.listen.peer,
         data_centre: settings.data_centre.clone(),
--- a/crates/gateway/tests/evacuation_requests.rs
+++ b/crates/gateway/tests/evacuation_requests.rs
@@ -118,3 +118,13 @@
     let unknown = vec![EvacuationReport::Unknown(name(""), Revision(6))];
     assert_eq!(evacuations.take_reports(|name| !name.is_empty()), unknown);
 }
+
+#[test]
+fn evacuation_ends_though_the_store_came_back_older() {
+    let mut evacuations = listed_without_any();
+    evacuations.on_change(1_000, &name("b"), Revision(500), true);
+    evacuations.on_new_era();
+    assert_eq!(requested(&evacuations), [("b", 1_000)], "until the store is listed");
+    evacuations.on_listing(2_000, &[], Revision(20));
+    assert!(requested(&evacuations).is_empty());
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -26,6 +26,7 @@
 //! assert!(zipf.sample(&mut random) < 1_000);
 //! ```
 
+mod addresses;
 mod availability;
 mod endless_answer;
 mod float;
@@ -43,6 +44,7 @@
 mod work_times;
 mod zipf;
 
+pub use addresses::Addresses;
 pub use availability::{Availability, Gaps, RunningDaemons};
 pub use endless_answer::{EndlessBody, to_faulty};
 pub use float::{f64_from_u64, f64_from_usize};
--- a/crates/store/src/call.rs
+++ b/crates/store/src/call.rs
@@ -1,7 +1,7 @@
 //! Calls to a store over HTTP.
 
 use bytes::Bytes;
-use http::StatusCode;
+use http::Response;
 use web::{Call, Client};
 
 use crate::{Category, Error, Result};
@@ -9,7 +9,7 @@
 /// How long an answer may take to arrive after its head, which a long document on a slow link needs.
 const MAX_BODY_MS: u64 = 5_000;
 
-/// Sends one call to a store and returns the status and body of the answer.
+/// Sends one call to a store and returns the answer.
 ///
 /// An answer that has begun by the call's timeout is read as long as the next part of it follows
 /// within `part_timeout_ms`.
@@ -22,14 +22,13 @@
     client: &Client,
     call: Call,
     part_timeout_ms: u64,
-) -> Result<(StatusCode, Bytes)> {
+) -> Result<Response<Bytes>> {
     let call = call.body_time(MAX_BODY_MS, part_timeout_ms);
-    let answer = client.call(call).await.map_err(|report| {
+    client.call(call).await.map_err(|report| {
         let category = match report.current_context().category() {
             web::Category::NotSent => Category::Refused,
             web::Category::Unknown => Category::Unknown,
         };
         report.change_context(Error::new(category, "the store did not answer"))
-    })?;
-    Ok((answer.status(), answer.into_body()))
+    })
 }
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -59,7 +59,8 @@
     ) -> Result<(StatusCode, Bytes)> {
         let body = Bytes::copy_from_slice(body.as_bytes());
         let call = Call::new(method, path).body(body).timeout_ms(self.timeout_ms + wait_ms);
-        call_store(&self.client, call, self.timeout_ms).await
+        let answer = call_store(&self.client, call, self.timeout_ms).await?;
+        Ok((answer.status(), answer.into_body()))
     }
 }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -21,7 +21,10 @@
 //! # }).unwrap();
 //! ```
 
+use tokio::sync::watch;
+
 mod call;
+mod era;
 mod error;
 mod http;
 mod memory;
@@ -29,14 +32,22 @@
 mod value;
 
 pub use crate::call::call_store;
+pub use crate::era::{Era, EraTracker};
 pub use crate::error::{Category, Error, Result};
 pub use crate::http::HttpStore;
-pub use crate::memory::{Faults, MemoryStore, Usage};
+pub use crate::memory::{Faults, MemoryStore, StoreCopy, Usage};
 pub use crate::transaction::{Condition, Put, Transaction};
 pub use crate::value::{Changes, Entry, Expect, LeaseId, MAX_VALUE_BYTES, Page, Value};
 
 /// The operations of the key-value service.
 pub trait Store: Clone + Send + Sync + 'static {
+    /// Returns the newest era that an answer has named, and notices when it changes.
+    ///
+    /// A service without eras names none.
+    fn era(&self) -> watch::Receiver<Option<Era>> {
+        watch::channel(None).1
+    }
+
     /// Returns the value of a key, or `None` if it has none.
     ///
     /// # Errors
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -1,5 +1,7 @@
 //! An in-memory stand-in for the platform's key-value service, with rate limits and faults.
 
+mod restore;
+
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -8,8 +10,9 @@
 use tokio::sync::Notify;
 use tokio::time::{Duration, Instant, sleep, timeout_at};
 
+pub use self::restore::StoreCopy;
 use crate::{
-    Category, Changes, Entry, Error, Expect, LeaseId, MAX_VALUE_BYTES, Page, Result, Store,
+    Category, Changes, Entry, Era, Error, Expect, LeaseId, MAX_VALUE_BYTES, Page, Result, Store,
     Transaction, Value,
 };
 
@@ -59,8 +62,9 @@
     changed: Notify,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct State {
+    era: Era,
     revision: u64,
     /// The revision up to which changes are discarded.
     ///
@@ -80,7 +84,7 @@
     window: Option<RateWindow>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct StoredValue {
     revision: u64,
     /// The text; `None` after a removal, which watches must see.
@@ -88,14 +92,14 @@
     lease: Option<LeaseId>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Lease {
     length_ms: u64,
     deadline: Instant,
 }
 
 /// The calls within the current second, for the rate limits.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct RateWindow {
     end: Instant,
     reads: u64,
@@ -274,8 +278,10 @@
         self.admit(CallKind::Read).await?;
         let deadline = Instant::now() + Duration::from_millis(wait_ms);
         let held_periods = self.lock().held_periods;
+        let era = self.lock().era;
         loop {
-            if self.lock().lacks_history(prefix, after, held_periods) {
+            let has_ended = self.lock().era != era;
+            if has_ended || self.lock().lacks_history(prefix, after, held_periods) {
                 return Error::fail(Category::Compacted, "the changes are no longer known");
             }
             let change = self.shared.changed.notified();
@@ -323,7 +329,7 @@
 
     fn lacks_history(&self, prefix: &str, after: Revision, held_periods: u64) -> bool {
         let is_compacted = after.0 > 0 && after.0 < self.compacted_revision;
-        is_compacted && !self.holds_back(prefix, held_periods)
+        (is_compacted || after.0 > self.revision) && !self.holds_back(prefix, held_periods)
     }
 
     fn changes(&mut self, prefix: &str, after: Revision, held_periods: u64) -> Changes {
