--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -7,7 +7,7 @@
 use document::{Name, Revision};
 use serde::{Deserialize, Serialize};
 use shard::Record;
-use store::{Category, Entry, Expect, LeaseId, Store};
+use store::{Category, Entry, Era, Expect, LeaseId, Store};
 use telemetry::{Counter, Counters};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
@@ -40,6 +40,9 @@
 /// noticed by then.
 const MIN_BACKOFF_MS: u64 = 100;
 const MAX_BACKOFF_MS: u64 = 1_200;
+/// How much later than from another daemon a change may arrive by a watch. A long document takes
+/// almost this long on a slow link.
+const BEHIND_GRACE_MS: u64 = 500;
 /// The longest backoff of renewals, which notice that the store is back.
 const MAX_RENEW_BACKOFF_MS: u64 = 500;
 
@@ -68,12 +71,18 @@
     pub(crate) prefix: Name,
     /// The least time between two calls, so that frequent changes are batched.
     pub(crate) min_interval_ms: u64,
-    /// How long one watch waits for changes.
-    pub(crate) watch_timeout_ms: u64,
+    /// How long one watch waits for changes; a shorter time also ends the watch that waits now.
+    pub(crate) watch_timeout_ms: watch::Receiver<u64>,
+    /// The revision of the newest change that another daemon has read.
+    pub(crate) told: watch::Receiver<Revision>,
     pub(crate) counters: Arc<Counters>,
     pub(crate) inputs: mpsc::Sender<Input>,
     /// Changes when waiting calls have to be made again.
     pub(crate) restarts: watch::Receiver<u64>,
+    /// The newest era of the store.
+    pub(crate) era: watch::Receiver<Option<Era>>,
+    /// How often listing has failed since it last succeeded.
+    pub(crate) failed_lists: u32,
     /// Whether the topic has to be watched now.
     pub(crate) is_needed: watch::Receiver<bool>,
 }
@@ -103,26 +112,60 @@
                     }
                     backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
                 }
-                FollowEnd::Compacted => backoff_ms = MIN_BACKOFF_MS,
+                FollowEnd::Compacted | FollowEnd::Behind | FollowEnd::NewEra => {
+                    backoff_ms = MIN_BACKOFF_MS;
+                }
             }
         }
     }
 
     async fn list_and_watch(&mut self) -> FollowEnd {
-        let Ok((entries, revision)) = list(&self.store, &self.prefix, &self.counters).await else {
-            return FollowEnd::Failed;
+        // The list has all changes that were told before, and all that earlier watches missed.
+        self.restarts.mark_unchanged();
+        let told_before = *self.told.borrow_and_update();
+        let era_before = *self.era.borrow();
+        let (entries, revision) = match list(&self.store, &self.prefix, &self.counters).await {
+            Ok(listed) => listed,
+            Err(report) => {
+                if self.failed_lists == 0 {
+                    let cause = report.current_context().to_string();
+                    spdlog::warn!("cannot list entries of the store", kv: { prefix = self.prefix.as_str(), cause });
+                }
+                self.failed_lists += 1;
+                return FollowEnd::Failed;
+            }
         };
-        let read = ReadPosition { revision, at_ms: BootClock.now_ms() };
+        let failed_lists = std::mem::take(&mut self.failed_lists);
+        if failed_lists > 0 {
+            spdlog::info!("entries of the store are listed again", kv: { prefix = self.prefix.as_str(), failed_lists });
+        }
+        let era = *self.era.borrow();
+        if era_before.is_some() && era != era_before {
+            return FollowEnd::NewEra;
+        }
+        let read = ReadPosition { era, revision, at_ms: BootClock.now_ms() };
         if self.inputs.send(Input::Listed(self.topic, entries, read)).await.is_err() {
             return FollowEnd::Closed;
         }
         let mut progress = Progress::new(read.at_ms, revision);
+        let mut known = revision;
         let mut failures = 0;
         loop {
             sleep(Duration::from_millis(self.min_interval_ms)).await;
             self.counters.count(Counter::StoreCalls);
+            let timeout_ms = *self.watch_timeout_ms.borrow_and_update();
             let watched = tokio::select! {
-                watched = self.store.watch(&self.prefix, progress.after(), self.watch_timeout_ms) => watched,
+                watched = self.store.watch(&self.prefix, progress.after(), timeout_ms) => watched,
+                // The senders for other topics are dropped: these branches are disabled then.
+                Ok(_) = self.watch_timeout_ms.wait_for(|shorter_ms| *shorter_ms < timeout_ms) => continue,
+                Ok(told) = wait_until_behind(&mut self.told, told_before, known) => {
+                    spdlog::warn!(
+                        "watch of the store returned no change that another daemon has read",
+                        kv: { prefix = self.prefix.as_str(), known = known.0, told = told.0 }
+                    );
+                    return FollowEnd::Behind;
+                }
+                Ok(_) = self.era.wait_for(|newest| *newest != era) => return FollowEnd::NewEra,
                 changed = self.restarts.changed() => {
                     if changed.is_err() {
                         return FollowEnd::Closed;
@@ -130,13 +173,17 @@
                     continue;
                 }
             };
+            if *self.era.borrow() != era {
+                return FollowEnd::NewEra;
+            }
             match watched {
                 Ok(changes) => {
                     failures = 0;
                     let at_ms = BootClock.now_ms();
                     let newest_change = changes.entries.iter().map(|entry| entry.revision).max();
                     progress.on_answer(at_ms, changes.revision, newest_change);
-                    let read = ReadPosition { revision: progress.after(), at_ms };
+                    known = known.max(newest_change.unwrap_or_default());
+                    let read = ReadPosition { era, revision: progress.after(), at_ms };
                     let input = Input::Changed(self.topic, changes.entries, read);
                     if self.inputs.send(input).await.is_err() {
                         return FollowEnd::Closed;
@@ -144,6 +191,9 @@
                 }
                 Err(report) if report.current_context().category() == Category::Compacted => {
                     spdlog::info!("store forgot history", kv: { prefix = self.prefix.as_str(), after = progress.after().0 });
+                    if self.inputs.send(Input::HistoryDropped).await.is_err() {
+                        return FollowEnd::Closed;
+                    }
                     return FollowEnd::Compacted;
                 }
                 Err(_unavailable) => {
@@ -169,6 +219,22 @@
     Failed,
     /// The store has compacted the history that the watch needs.
     Compacted,
+    /// Another daemon has read a change that the watch did not return.
+    Behind,
+    /// The store has come back from an older copy.
+    NewEra,
+}
+
+/// Waits until another daemon has read a change after the known ones and the watch had time to
+/// return it; returns its revision.
+async fn wait_until_behind(
+    told: &mut watch::Receiver<Revision>,
+    told_before: Revision,
+    known: Revision,
+) -> Result<Revision, watch::error::RecvError> {
+    let newer = *told.wait_for(|told| *told > known && *told != told_before).await?;
+    sleep(Duration::from_millis(BEHIND_GRACE_MS)).await;
+    Ok(newer)
 }
 
 /// Lists all pages under a prefix; returns the entries and the revision of the first page.
@@ -231,12 +297,17 @@
     mut missing_since: watch::Receiver<Revision>,
 ) {
     let text = serde_json::to_string(&entry).unwrap_or_default();
+    let mut era = store.era();
     let mut lease: Option<LeaseId> = None;
+    // The number of a lease may be another daemon's in the next era.
+    let mut lease_era = None;
     let mut written_at = Revision(0);
     let mut last_reported = None;
     let mut backoff_ms = MIN_BACKOFF_MS;
     loop {
         counters.count(Counter::StoreCalls);
+        let era_before = *era.borrow();
+        lease = lease.filter(|_| era_before == lease_era);
         let renewed = match lease {
             Some(lease) => store.renew_lease(lease).await.map(|()| lease),
             None => write_entry(&store, &key, &text).await.map(|(lease, revision)| {
@@ -247,6 +318,7 @@
         let has_answered = match renewed {
             Ok(renewed) => {
                 lease = Some(renewed);
+                lease_era = era_before.or(*era.borrow());
                 true
             }
             Err(report) => match report.current_context().category() {
@@ -289,6 +361,7 @@
                 );
                 lease = None;
             }
+            Ok(_) = era.wait_for(|newest| *newest != lease_era), if lease.is_some() => {}
         }
     }
 }
--- a/crates/gateway/src/control/node.rs
+++ b/crates/gateway/src/control/node.rs
@@ -10,7 +10,7 @@
 use registry::{Change, Incarnation, Registry};
 use shard::{Epoch, Event, Table};
 use site::Site;
-use store::{Entry, Store};
+use store::{Entry, Era, Store};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
@@ -18,6 +18,7 @@
 use crate::control::evacuation::Evacuations;
 use crate::control::follow::DaemonEntry;
 use crate::control::input::{Input, ReadPosition, Topic};
+use crate::control::operators_relay::{OperatorsControl, OperatorsRelay};
 use crate::control::relay::{Relay, Role};
 use crate::leader::cut_leader::connect_to;
 use crate::leader::leader_state::LeaderState;
@@ -44,6 +45,8 @@
     /// How this daemon gets the servers' entries.
     pub(crate) role: Role,
     pub(crate) relay: Relay,
+    /// The newest era of the store; `None` as long as no answer has named one.
+    pub(crate) era: Option<Era>,
     /// The store's revision up to which servers' entries are known here.
     pub(crate) entries_revision: Revision,
     /// When servers' entries were last read here; `None` while they are not read here.
@@ -60,6 +63,7 @@
     pub(crate) site: Option<Arc<Site>>,
     pub(crate) registry: Registry,
     pub(crate) evacuations: Evacuations,
+    pub(crate) operators: OperatorsRelay,
     /// When servers of an evacuated data centre close next, by the clock of requests.
     pub(crate) next_close_at_ms: Option<u64>,
     /// The names of listed entries that described no usable server; each is logged once.
@@ -137,6 +141,7 @@
     pub(crate) shared: Arc<Shared>,
     pub(crate) inputs: mpsc::Sender<Input>,
     pub(crate) call_restarts: watch::Sender<u64>,
+    pub(crate) operators: OperatorsControl,
     pub(crate) needs_entries: watch::Sender<bool>,
     pub(crate) needs_fleet: watch::Sender<bool>,
     pub(crate) entry_missing_since: watch::Sender<Revision>,
@@ -156,6 +161,7 @@
             needs_entries: parts.needs_entries,
             role: Role::Reads { tells: Vec::new() },
             relay: Relay::default(),
+            era: None,
             entries_revision: Revision(0),
             entries_read_at_ms: None,
             store_reached_at_ms: BootClock.now_ms(),
@@ -167,6 +173,7 @@
             site: None,
             registry: Registry::default(),
             evacuations: Evacuations::default(),
+            operators: OperatorsRelay::new(parts.operators),
             next_close_at_ms: None,
             unusable: HashSet::default(),
             daemons: BTreeMap::new(),
@@ -239,8 +246,19 @@
 
     fn on_input(&mut self, input: Input) {
         match input {
-            Input::Listed(topic, entries, read) => self.on_listing(topic, &entries, read),
-            Input::Changed(topic, entries, read) => self.on_changes(topic, &entries, read),
+            Input::Listed(topic, entries, read) => {
+                if self.is_newest_era(read.era) {
+                    self.on_listing(topic, &entries, read);
+                }
+            }
+            Input::Changed(topic, entries, read) => {
+                if self.is_newest_era(read.era) {
+                    self.on_changes(topic, &entries, read);
+                }
+            }
+            // Another watch may wait to its end without returning changes or failing.
+            Input::HistoryDropped => self.call_restarts.send_modify(|count| *count += 1),
+            Input::EraNamed(era) => self.on_era(era),
             Input::StoreAnswers(answers) => self.on_store_answers(answers),
             Input::CampaignEnded(election) => {
                 self.is_campaigning = false;
@@ -335,7 +353,7 @@
 
     fn on_changes(&mut self, topic: Topic, entries: &[Entry], read: ReadPosition) {
         match topic {
-            Topic::Operators => self.on_operators_entries(entries),
+            Topic::Operators => self.on_operators_entries(entries, read),
             Topic::Servers => self.on_server_entries(entries, read),
             Topic::Fleet => {
                 let entries = entries.iter().map(|entry| FleetEntry {
