--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,7 +37,8 @@
 //!   `follow` watches the store, `operators` and `evacuation` handle what operators write,
 //!   `server_entries` and `fleet` handle the entries of servers and
 //!   daemons, `relay` decides who reads them, `operators_relay` tells other daemons how new what
-//!   operators wrote is, `tables` handles the owners of keys, and `view_builder` builds the view.
+//!   operators wrote is, `era` handles a store that came back from an older copy, `tables` handles
+//!   the owners of keys, and `view_builder` builds the view.
 //! - `leader`, what the leader does: `candidacy` decides who campaigns when, `succession` hands
 //!   leadership over, `election` wins and renews the leader's lease, `distribution` decides how
 //!   tables reach all daemons, and `leader_tasks` carries out what [`shard::Leader`] decides.
