Log the unanswered grants whose time has not passed when a range is given on

Now each such grant is a warning of its own with its fence, the fence that ruled it out and its remaining time, and 'range granted' has the time until which answered grants to the last holder may have been valid (grants_until_ms; after ended_at_ms, the end rests on an answer, not on time). No decision is changed.

--- a/crates/gateway/src/leader/leader_tasks.rs
+++ b/crates/gateway/src/leader/leader_tasks.rs
@@ -352,12 +352,12 @@
         }
         LogEvent::Granted { service, range, to, fence, grant_ms, previous } => {
             let last = previous.last();
-            let (before, evidence, ended_at_ms) = last.map_or_else(
-                || ("nobody".to_owned(), "none".to_owned(), 0),
-                |ended| {
-                    (ended.incarnation.to_string(), format!("{:?}", ended.evidence), ended.at_ms)
-                },
+            let (before, evidence) = last.map_or_else(
+                || ("nobody".to_owned(), "none".to_owned()),
+                |ended| (ended.incarnation.to_string(), format!("{:?}", ended.evidence)),
             );
+            let (ended_at_ms, grants_until_ms) =
+                last.map_or((0, 0), |ended| (ended.at_ms, ended.grants_until_ms));
             let earlier =
                 previous.iter().rev().skip(1).map(|ended| {
                     format!("{} {:?} {}", ended.incarnation, ended.evidence, ended.at_ms)
@@ -367,7 +367,7 @@
                 "range granted",
                 kv: {
                     service = service.as_str(), range: = range, to: = to, fence = fence.0,
-                    hold_ms = *grant_ms, before, evidence, ended_at_ms, earlier
+                    hold_ms = *grant_ms, before, evidence, ended_at_ms, grants_until_ms, earlier
                 }
             );
         }
@@ -401,6 +401,15 @@
                 kv: { service = service.as_str(), range: = range, to: = to, fence = fence.0, by = by.0 }
             );
         }
+        LogEvent::UnexpiredGrant { service, range, to, fence, ruled_out_by, left_ms, next } => {
+            spdlog::warn!(
+                "range given on before the time of an unanswered grant has passed",
+                kv: {
+                    service = service.as_str(), range: = range, to: = to, fence = fence.0,
+                    ruled_out_by = ruled_out_by.map_or(0, |fence| fence.0), left_ms = *left_ms, next: = next
+                }
+            );
+        }
         LogEvent::Refused { service, range, by, fence } => {
             spdlog::warn!(
                 "fence refused",
--- a/crates/shard/src/abandoned.rs
+++ b/crates/shard/src/abandoned.rs
@@ -26,7 +26,11 @@
 
 /// All grants that were given up and may still take effect.
 #[derive(Debug, Default)]
-pub(crate) struct AbandonedGrants(Vec<AbandonedGrant>);
+pub(crate) struct AbandonedGrants {
+    open: Vec<AbandonedGrant>,
+    /// Those that a later grant ruled out, with its fence, until their time has passed.
+    ruled_out: Vec<(AbandonedGrant, Fence)>,
+}
 
 impl AbandonedGrant {
     /// Returns the time until which the grant may be valid if it arrives as late as it can.
@@ -48,7 +52,7 @@
         grant: &Grant,
         config: &Config,
     ) {
-        self.0.push(AbandonedGrant {
+        self.open.push(AbandonedGrant {
             service: order.service.clone(),
             incarnation: order.incarnation.clone(),
             range: grant.range,
@@ -61,10 +65,11 @@
 
     /// Removes expired grants and returns those whose last arrival has passed since the last call.
     pub(crate) fn count_arrived(&mut self, now_ms: u64, config: &Config) -> Vec<AbandonedGrant> {
-        self.0.retain(|grant| grant.deadline_ms(config) > now_ms);
+        self.open.retain(|grant| grant.deadline_ms(config) > now_ms);
+        self.ruled_out.retain(|(grant, _)| grant.deadline_ms(config) > now_ms);
         let is_due =
             |grant: &&mut AbandonedGrant| !grant.is_counted && grant.last_arrival_ms <= now_ms;
-        let due = self.0.iter_mut().filter(is_due);
+        let due = self.open.iter_mut().filter(is_due);
         due.map(|grant| {
             grant.is_counted = true;
             grant.clone()
@@ -88,10 +93,12 @@
                 && grant.incarnation.born_ms <= incarnation.born_ms
                 && grant.fence < accepted.fence
         };
-        let fenced: Vec<AbandonedGrant> = self.0.extract_if(.., |grant| is_fenced(grant)).collect();
+        let fenced: Vec<AbandonedGrant> =
+            self.open.extract_if(.., |grant| is_fenced(grant)).collect();
         for grant in &fenced {
+            self.ruled_out.push((grant.clone(), accepted.fence));
             let rest = grant.range.without(accepted.range).into_iter();
-            self.0.extend(rest.map(|range| AbandonedGrant { range, ..grant.clone() }));
+            self.open.extend(rest.map(|range| AbandonedGrant { range, ..grant.clone() }));
         }
         let to_arrived = |grant: AbandonedGrant| AbandonedGrant {
             range: grant.range.intersection(accepted.range).unwrap_or(grant.range),
@@ -108,7 +115,7 @@
         incarnation: &Incarnation,
         range: KeyRange,
     ) -> bool {
-        let mut reaching = self.0.iter().filter(|grant| grant.may_reach(incarnation, range));
+        let mut reaching = self.open.iter().filter(|grant| grant.may_reach(incarnation, range));
         reaching.any(|grant| now_ms < grant.last_arrival_ms)
     }
 
@@ -119,17 +126,23 @@
         range: KeyRange,
         config: &Config,
     ) -> impl Iterator<Item = u64> {
-        let reaching = self.0.iter().filter(move |grant| grant.may_reach(incarnation, range));
+        let reaching = self.open.iter().filter(move |grant| grant.may_reach(incarnation, range));
         reaching.map(|grant| grant.deadline_ms(config))
     }
 
     /// Returns all grants that may still take effect.
     pub(crate) fn iter(&self) -> impl Iterator<Item = &AbandonedGrant> {
-        self.0.iter()
+        self.open.iter()
+    }
+
+    /// Returns the grants whose time has not passed, with the fence that ruled each of them out.
+    pub(crate) fn unexpired(&self) -> impl Iterator<Item = (&AbandonedGrant, Option<Fence>)> {
+        let ruled_out = self.ruled_out.iter().map(|(grant, by)| (grant, Some(*by)));
+        self.open.iter().map(|grant| (grant, None)).chain(ruled_out)
     }
 
     /// Returns the times until which grants to any server may be valid.
     pub(crate) fn all_deadlines_ms(&self, config: &Config) -> impl Iterator<Item = u64> {
-        self.0.iter().map(|grant| grant.deadline_ms(config))
+        self.open.iter().map(|grant| grant.deadline_ms(config))
     }
 }
--- a/crates/shard/src/answers.rs
+++ b/crates/shard/src/answers.rs
@@ -155,12 +155,13 @@
             if let Reply::Done(handover) = reply
                 && !may_apply_earlier
             {
-                state.previous_holders.remove(index);
+                let previous = state.previous_holders.remove(index);
                 state.handover.clone_from(handover);
                 state.note_end(EndedHolder {
                     incarnation: order.incarnation.clone(),
                     evidence: Evidence::Released(release.fence),
                     at_ms: now_ms,
+                    grants_until_ms: previous.grant_deadline_ms,
                 });
                 self.is_changed = true;
                 outputs.push(Output::Log(LogEvent::Released {
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -278,7 +278,8 @@
                 };
                 if previous.is_misdirected {
                     let evidence = Evidence::Replaced(later.clone());
-                    ended.push(pass.log_end(range, &previous.incarnation, evidence));
+                    let until_ms = previous.grant_deadline_ms;
+                    ended.push(pass.log_end(range, &previous.incarnation, until_ms, evidence));
                     return false;
                 }
                 // The answer to a release that was sent to the earlier process may never arrive.
@@ -392,8 +393,9 @@
     let mut ended = Vec::new();
     state.previous_holders.retain_mut(|previous| {
         if !pass.may_hold(&previous.incarnation, range, previous.grant_deadline_ms) {
-            let evidence = Evidence::Expired { deadline_ms: previous.grant_deadline_ms };
-            ended.push(pass.log_end(range, &previous.incarnation, evidence));
+            let deadline_ms = previous.grant_deadline_ms;
+            let evidence = Evidence::Expired { deadline_ms };
+            ended.push(pass.log_end(range, &previous.incarnation, deadline_ms, evidence));
             return false;
         }
         let is_due = previous.release_at_ms.is_some_and(|at_ms| pass.now_ms >= at_ms);
@@ -457,13 +459,14 @@
         0 => Evidence::NeverAccepted,
         deadline_ms => Evidence::Expired { deadline_ms },
     };
-    let ended = pass.log_end(state.range, &holder.incarnation, evidence);
+    let ended = pass.log_end(state.range, &holder.incarnation, holder.grant_deadline_ms, evidence);
     state.note_end(ended);
 }
 
 /// Makes the successor the holder and sends its first grant.
 fn grant_to_successor(state: &mut RangeState, pass: &mut PassContext<'_>) {
     let Some(successor) = state.successor.take() else { return };
+    pass.log_unexpired(state.range, &successor.incarnation);
     state.holder = Some(Holder::new(successor.incarnation, pass.fences.next()));
     renew_grant(state, pass);
 }
--- a/crates/shard/src/ended.rs
+++ b/crates/shard/src/ended.rs
@@ -14,6 +14,8 @@
     pub evidence: Evidence,
     /// When the evidence was found.
     pub at_ms: u64,
+    /// The time until which answered grants to it may have been valid.
+    pub grants_until_ms: u64,
 }
 
 /// What shows that a server holds a range no longer.
--- a/crates/shard/src/order.rs
+++ b/crates/shard/src/order.rs
@@ -266,6 +266,24 @@
         /// The fence of the accepted grant.
         by: Fence,
     },
+    /// A range is given to a server while the time of an unanswered grant to another one has not
+    /// passed.
+    UnexpiredGrant {
+        /// The service that the range belongs to.
+        service: Name,
+        /// The keys of the unanswered grant.
+        range: KeyRange,
+        /// The server that did not answer.
+        to: Incarnation,
+        /// The fence of the grant.
+        fence: Fence,
+        /// The fence of the accepted grant that ruled it out; `None` if there is none.
+        ruled_out_by: Option<Fence>,
+        /// The remaining time until which it may be valid.
+        left_ms: u64,
+        /// The server that the range is given to.
+        next: Incarnation,
+    },
     /// A server refused a grant because it has seen a higher fence.
     Refused {
         /// The service that the range belongs to.
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -500,6 +500,7 @@
         &mut self,
         range: KeyRange,
         from: &Incarnation,
+        grants_until_ms: u64,
         evidence: Evidence,
     ) -> EndedHolder {
         let (service, from) = (self.service.clone(), from.clone());
@@ -507,11 +508,33 @@
             incarnation: from.clone(),
             evidence: evidence.clone(),
             at_ms: self.now_ms,
+            grants_until_ms,
         };
         self.outputs.push(Output::Log(LogEvent::Expired { service, range, from, evidence }));
         ended
     }
 
+    /// Logs the unanswered grants of a range to other servers whose time has not passed.
+    pub(crate) fn log_unexpired(&mut self, range: KeyRange, next: &Incarnation) {
+        let unexpired = self.orders.abandoned.unexpired().filter(|(grant, _)| {
+            grant.incarnation.server != next.server && grant.range.overlaps(range)
+        });
+        for (grant, ruled_out_by) in unexpired {
+            let left_ms = grant.deadline_ms(self.config).saturating_sub(self.now_ms);
+            if left_ms > 0 {
+                self.outputs.push(Output::Log(LogEvent::UnexpiredGrant {
+                    service: grant.service.clone(),
+                    range: grant.range,
+                    to: grant.incarnation.clone(),
+                    fence: grant.fence,
+                    ruled_out_by,
+                    left_ms,
+                    next: next.clone(),
+                }));
+            }
+        }
+    }
+
     fn send_order(&mut self, incarnation: &Incarnation, kind: OrderKind, deadline_ms: u64) {
         let current = self.servers.registry.get(incarnation);
         let Some(server) = current.or_else(|| self.orders.servers.get(incarnation)) else { return };
