--- a/crates/shard/tests/random_moves.rs
+++ b/crates/shard/tests/random_moves.rs
@@ -8,7 +8,7 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use world::{Faults, World};
+use world::{Faults, LateFences, World};
 
 /// Number of schedules in CI.
 const CASES: u64 = 60;
@@ -75,6 +75,7 @@
     slow_write: 0,
     suspend: 0,
     repeat_answer: 0,
+    late_fences: LateFences::Checked,
 };
 
 #[test]
@@ -140,6 +141,15 @@
     assert_schedules(Faults { queue_grant: 60, slow_server: 40, crash: 20, ..ONLY_DRAINS });
 }
 
+/// Guards against a grant that a server carries out after a release, whatever its fence.
+#[test]
+fn late_grants_with_low_fences() {
+    let late_fences = LateFences::Ignored;
+    assert_schedules(Faults { queue_grant: 60, cut: 20, late_fences, ..ONLY_DRAINS });
+    let faults = Faults { queue_grant: 200, late_fences, ..ONLY_DRAINS };
+    assert_schedules(Faults { resign: 30, stop_leader: 10, slow_write: 60, ..faults });
+}
+
 /// Guards against grants that a server has queued from an earlier leader.
 #[test]
 fn queued_grants_and_lost_leaders() {
@@ -230,6 +240,7 @@
         slow_write: rate(400),
         suspend: rate(40),
         repeat_answer: 0,
+        late_fences: LateFences::Checked,
     }
 }
 
@@ -267,6 +278,7 @@
     slow_write: 0,
     suspend: 0,
     repeat_answer: 0,
+    late_fences: LateFences::Checked,
 };
 
 #[test]
--- a/crates/shard/tests/store_outages.rs
+++ b/crates/shard/tests/store_outages.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use world::{Faults, World};
+use world::{Faults, LateFences, World};
 
 const NO_FAULTS: Faults = Faults {
     lose_message: 0,
@@ -26,6 +26,7 @@
     slow_write: 0,
     suspend: 0,
     repeat_answer: 0,
+    late_fences: LateFences::Checked,
 };
 /// Time for the first assignment, with a margin.
 const ASSIGNMENT_MS: u64 = 3_000;
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -16,7 +16,7 @@
     Config, Epoch, Event, Leader, OrderId, OrderKind, Output, Owner, Record, Reply, Servers,
 };
 
-use server::{Held, Server, apply};
+use server::{Held, Server, apply, apply_late};
 
 const SERVICE: &str = "ledger";
 /// Simulated time of one step.
@@ -123,6 +123,21 @@
     /// The answer to a grant without a connection of its own is that of an earlier order, while the
     /// server has queued the grant.
     pub repeat_answer: u32,
+    /// The servers that carry out unanswered grants whatever their fences.
+    pub late_fences: LateFences,
+}
+
+/// Which servers check the fences of grants that they carry out without an answer.
+///
+/// A late grant may be applied after newer ones; pages do not say that its fence is checked then.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LateFences {
+    /// All servers check them.
+    Checked,
+    /// Every second server does.
+    CheckedBySome,
+    /// None does.
+    Ignored,
 }
 
 /// Returns the data centre of a server: servers with an even number are in the second one.
@@ -224,6 +239,7 @@
             slow_write: 0,
             suspend: 0,
             repeat_answer: 0,
+            late_fences: self.faults.late_fences,
         };
         for server in self.servers.values_mut() {
             server.is_cut = false;
@@ -303,7 +319,9 @@
         self.next_port += 1;
         self.log(&format!("{name} starts again as {process}"));
         let (born_ms, listed_as) = (self.now_ms, Some(listed_as));
-        let later = Server { is_running: true, born_ms, address, listed_as, ..Server::default() };
+        let ignores_late_fences = self.servers[name].ignores_late_fences;
+        let running = Server { is_running: true, ignores_late_fences, ..Server::default() };
+        let later = Server { born_ms, address, listed_as, ..running };
         self.servers.insert(process.clone(), later);
         self.register(&process);
     }
@@ -405,7 +423,13 @@
 
     fn add_server_at(&mut self, name: &Name, address: SocketAddr) {
         let born_ms = self.now_ms;
-        let server = Server { is_running: true, born_ms, address, ..Server::default() };
+        let ignores_late_fences = match self.faults.late_fences {
+            LateFences::Checked => false,
+            LateFences::CheckedBySome => self.next_server.is_multiple_of(2),
+            LateFences::Ignored => true,
+        };
+        let server =
+            Server { is_running: true, born_ms, address, ignores_late_fences, ..Server::default() };
         self.servers.insert(name.clone(), server);
         self.register(name);
     }
@@ -501,6 +525,7 @@
             born_ms: self.now_ms,
             is_cut: server.is_cut,
             is_draining: server.is_draining,
+            ignores_late_fences: server.ignores_late_fences,
             address: server.address,
             link_free_at_ms: server.link_free_at_ms,
             ..Server::default()
@@ -674,7 +699,7 @@
                     let server = self.servers.get_mut(&server).expect("servers are never removed");
                     // A server that started again has lost its queue.
                     if server.is_running && server.born_ms == born_ms {
-                        apply(server, &kind, now_ms, arrived_ms);
+                        apply_late(server, &kind, now_ms, arrived_ms);
                     }
                 }
                 Message::Written { leader, epoch, number, outcome } => {
@@ -785,19 +810,19 @@
         let now_ms = self.now_ms;
         let server = self.servers.get_mut(name).expect("servers are never removed");
         if server.is_running && !was_cut {
-            apply(server, kind, now_ms, now_ms);
+            apply_late(server, kind, now_ms, now_ms);
+            if let OrderKind::Release(_) = kind {
+                apply(server, kind, now_ms, now_ms);
+            }
         }
     }
 
     /// Carries out an order whose answer comes too late, if it is a grant.
     fn apply_late(&mut self, name: &Name, kind: &OrderKind, arrived_ms: u64) {
-        // The simulated servers have no queue. A late grant is applied at once, since its time
-        // counts from its arrival anyway; if it meets a higher fence, it is refused either way.
-        // A late release is not applied at all.
-        if let OrderKind::Grant(_) = kind {
-            let server = self.servers.get_mut(name).expect("servers are never removed");
-            apply(server, kind, arrived_ms, arrived_ms);
-        }
+        // Applied at once, since the time of a late grant counts from its arrival anyway; see
+        // `queue_grant` for grants that are applied after newer ones.
+        let server = self.servers.get_mut(name).expect("servers are never removed");
+        apply_late(server, kind, arrived_ms, arrived_ms);
     }
 
     /// Returns an error if two servers hold the same key.
--- a/crates/shard/tests/world/server.rs
+++ b/crates/shard/tests/world/server.rs
@@ -24,6 +24,8 @@
     /// When the messages that wait on the link to the server have been sent.
     pub(super) link_free_at_ms: u64,
     pub(super) held: Vec<Held>,
+    /// Whether it carries out grants that it has not answered whatever their fences.
+    pub(super) ignores_late_fences: bool,
     /// The ranges and fences of all grants accepted so far.
     pub(super) seen_fences: Vec<(KeyRange, Fence)>,
 }
@@ -40,6 +42,7 @@
             ends_at_ms: None,
             link_free_at_ms: 0,
             held: Vec::new(),
+            ignores_late_fences: false,
             seen_fences: Vec::new(),
         }
     }
@@ -72,6 +75,27 @@
     }
 }
 
+/// Carries out an order that gets no answer.
+pub(super) fn apply_late(server: &mut Server, kind: &OrderKind, now_ms: u64, arrived_ms: u64) {
+    let OrderKind::Grant(grant) = kind else { return };
+    if !server.ignores_late_fences {
+        apply(server, kind, now_ms, arrived_ms);
+        return;
+    }
+    server.held.retain(|held| held.deadline_ms > now_ms);
+    // Keys that it holds already stay as they are.
+    let free = server.held.iter().fold(vec![grant.range], |parts, held| {
+        parts.into_iter().flat_map(|part| part.without(held.range)).collect()
+    });
+    let deadline_ms = arrived_ms + slow_ms(grant.grant_ms);
+    server.held.extend(free.into_iter().map(|range| Held { range, deadline_ms }));
+}
+
+/// Returns how long a grant lasts by a slow clock.
+fn slow_ms(grant_ms: u64) -> u64 {
+    (grant_ms * 100).div_ceil(SLOW_CLOCK_PERCENT)
+}
+
 fn apply_grant(server: &mut Server, grant: &Grant, arrived_ms: u64) -> Reply {
     let is_fenced = server
         .seen_fences
@@ -81,7 +105,7 @@
         return Reply::Fenced;
     }
     server.seen_fences.push((grant.range, grant.fence));
-    let grant_ms = (grant.grant_ms * 100).div_ceil(SLOW_CLOCK_PERCENT);
+    let grant_ms = slow_ms(grant.grant_ms);
     // A grant never shortens an earlier one, whatever its fence.
     let earlier = server.held.iter().filter(|held| held.range.overlaps(grant.range));
     let earlier = earlier.map(|held| held.deadline_ms);
