--- a/crates/gateway/src/leader/leader_tasks.rs
+++ b/crates/gateway/src/leader/leader_tasks.rs
@@ -4,7 +4,9 @@
 
 use document::{Name, Revision};
 use peer::{FleetBody, ServiceLoad, Tables};
-use shard::{Config, Epoch, Event, Leader, LogEvent, Output, Record, Servers, UnansweredGrant};
+use shard::{
+    Config, ConnectionId, Epoch, Event, Leader, LogEvent, Output, Record, Servers, UnansweredGrant,
+};
 use store::{Category, Expect, Store, Transaction};
 use telemetry::Counter;
 use tokio_util::task::AbortOnDropHandle;
@@ -116,9 +118,9 @@
             outputs.iter().any(|output| matches!(output, Output::Publish { .. }));
         for output in outputs {
             match output {
-                Output::Order { id, server, kind, deadline_ms } => {
+                Output::Order { id, server, kind, deadline_ms, connection } => {
                     self.shared.counters.count(Counter::Orders);
-                    self.send_order(id, server, kind, deadline_ms);
+                    self.send_order(id, server, kind, deadline_ms, connection);
                 }
                 Output::Write { service, record } => self.write_record(service, record),
                 Output::Publish { .. } => {}
@@ -138,6 +140,7 @@
         server: std::sync::Arc<registry::Registration>,
         kind: shard::OrderKind,
         deadline_ms: u64,
+        connection: Option<ConnectionId>,
     ) {
         let Some(leading) = &self.leading else { return };
         let authority_deadline_ms = leading.leader.authority_deadline_ms();
@@ -154,6 +157,7 @@
                         &server.incarnation.server,
                         &kind,
                         deadline_ms.saturating_sub(now_ms),
+                        connection,
                     )
                     .await
             };
@@ -352,12 +356,12 @@
         }
         LogEvent::Granted { service, range, to, fence, grant_ms, previous } => {
             let last = previous.last();
-            let (before, evidence) = last.map_or_else(
-                || ("nobody".to_owned(), "none".to_owned()),
-                |ended| (ended.incarnation.to_string(), format!("{:?}", ended.evidence)),
+            let (before, evidence, ended_at_ms) = last.map_or_else(
+                || ("nobody".to_owned(), "none".to_owned(), 0),
+                |ended| {
+                    (ended.incarnation.to_string(), format!("{:?}", ended.evidence), ended.at_ms)
+                },
             );
-            let (ended_at_ms, grants_until_ms) =
-                last.map_or((0, 0), |ended| (ended.at_ms, ended.grants_until_ms));
             let earlier =
                 previous.iter().rev().skip(1).map(|ended| {
                     format!("{} {:?} {}", ended.incarnation, ended.evidence, ended.at_ms)
@@ -367,7 +371,7 @@
                 "range granted",
                 kv: {
                     service = service.as_str(), range: = range, to: = to, fence = fence.0,
-                    hold_ms = *grant_ms, before, evidence, ended_at_ms, grants_until_ms, earlier
+                    hold_ms = *grant_ms, before, evidence, ended_at_ms, earlier
                 }
             );
         }
@@ -395,18 +399,12 @@
                 kv: { service = service.as_str(), range: = range, to: = to, fence = fence.0, waited_ms = *waited_ms }
             );
         }
-        LogEvent::RuledOut { service, range, to, fence, by } => {
-            spdlog::info!(
-                "late grant ruled out",
-                kv: { service = service.as_str(), range: = range, to: = to, fence = fence.0, by = by.0 }
-            );
-        }
-        LogEvent::UnexpiredGrant { service, range, to, fence, ruled_out_by, left_ms, next } => {
+        LogEvent::UnexpiredGrant { service, range, to, fence, left_ms, next } => {
             spdlog::warn!(
                 "range given on before the time of an unanswered grant has passed",
                 kv: {
                     service = service.as_str(), range: = range, to: = to, fence = fence.0,
-                    ruled_out_by = ruled_out_by.map_or(0, |fence| fence.0), left_ms = *left_ms, next: = next
+                    left_ms = *left_ms, next: = next
                 }
             );
         }
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -6,7 +6,7 @@
 use document::Name;
 use http::HeaderName;
 use registry::Registration;
-use shard::{OrderKind, Reply};
+use shard::{ConnectionId, OrderKind, Reply};
 use site::Site;
 
 /// The names of the HTTP headers that callers and servers use.
@@ -41,13 +41,15 @@
     /// Sends an order to a server and waits up to `timeout_ms` for its answer.
     ///
     /// An implementation must reset the connection after that time, so that a late order never
-    /// arrives.
+    /// arrives. A grant is best sent on the given connection; a release is sent on it or not at all,
+    /// or on one of its own if there is none.
     fn send(
         &self,
         address: SocketAddr,
         server: &Name,
         order: &OrderKind,
         timeout_ms: u64,
+        connection: Option<ConnectionId>,
     ) -> impl Future<Output = Reply> + Send;
 }
 
--- a/crates/gateway/tests/ended_tasks.rs
+++ b/crates/gateway/tests/ended_tasks.rs
@@ -8,7 +8,7 @@
 use gateway::{Dialect, EntryText, Gateway, Orders, Ports, Settings, Source, Unreadable};
 use http::HeaderName;
 use registry::Registration;
-use shard::{OrderKind, Reply};
+use shard::{ConnectionId, OrderKind, Reply};
 use site::Site;
 use store::{Expect, MemoryStore, Store};
 
@@ -16,7 +16,14 @@
 struct NoOrders;
 
 impl Orders for NoOrders {
-    async fn send(&self, _: SocketAddr, _: &Name, _: &OrderKind, _: u64) -> Reply {
+    async fn send(
+        &self,
+        _: SocketAddr,
+        _: &Name,
+        _: &OrderKind,
+        _: u64,
+        _: Option<ConnectionId>,
+    ) -> Reply {
         Reply::NotSent
     }
 }
--- a/crates/lab/tests/range_server.rs
+++ b/crates/lab/tests/range_server.rs
@@ -49,7 +49,7 @@
 }
 
 fn grant(fence: u64, grant_ms: u64) -> Grant {
-    Grant { range: RANGE, fence: Fence(fence), grant_ms, handover: None, is_ruling_out: false }
+    Grant { range: RANGE, fence: Fence(fence), grant_ms, handover: None }
 }
 
 #[tokio::test]
--- a/crates/shard/src/answers.rs
+++ b/crates/shard/src/answers.rs
@@ -2,11 +2,11 @@
 
 use registry::Incarnation;
 
-use crate::abandoned::AbandonedGrant;
 use crate::assignment::Assignment;
 use crate::order::LogEvent;
 use crate::pass::PendingOrder;
-use crate::{Config, EndedHolder, Evidence, Grant, OrderKind, Output, Release, Reply};
+use crate::previous_holder::ReleaseState;
+use crate::{Config, Grant, OrderKind, Output, Release, Reply};
 
 /// Backoff before an order that failed is sent again; for grants it grows with each failure.
 pub(crate) const ORDER_BACKOFF_MS: u64 = 60;
@@ -28,20 +28,12 @@
                 self.on_grant_reply(now_ms, order, grant, reply, config, outputs)
             }
             OrderKind::Release(release) => {
-                self.on_release_reply(now_ms, order, release, reply, config, outputs);
+                self.on_release_reply(now_ms, order, release, reply, outputs);
                 false
             }
         }
     }
 
-    /// Counts an abandoned grant as valid from the last time at which it may have arrived.
-    pub(crate) fn on_abandoned_grant(&mut self, grant: &AbandonedGrant, config: &Config) {
-        let deadline_ms = grant.deadline_ms(config);
-        for state in self.ranges.iter_mut().filter(|state| state.range.overlaps(grant.range)) {
-            state.extend_grant_deadline(&grant.incarnation, deadline_ms);
-        }
-    }
-
     fn on_grant_reply(
         &mut self,
         now_ms: u64,
@@ -52,17 +44,20 @@
         outputs: &mut Vec<Output>,
     ) -> bool {
         let mut is_deposed = false;
-        if matches!(reply, Reply::Done(_)) && grant.grant_ms <= config.short_grant_ms {
+        if reply.is_done() && grant.grant_ms <= config.short_grant_ms {
             self.renew_held_by(now_ms, &order.incarnation, config);
         }
         for state in self.ranges.iter_mut().filter(|state| state.range.overlaps(grant.range)) {
-            let deadline_ms = config.grant_deadline_ms(now_ms, grant.grant_ms);
-            let may_hold = matches!(reply, Reply::Done(_) | Reply::Unknown);
-            if may_hold {
-                state.extend_grant_deadline(&order.incarnation, deadline_ms);
-            }
-            if matches!(reply, Reply::Done(_)) && grant.is_ruling_out {
-                state.rule_out_earlier(&order.incarnation, grant.range);
+            // A grant without an answer may still be on its way.
+            let (connection, last_arrival_ms) = match reply {
+                Reply::Done(_) => (None, Some(now_ms)),
+                Reply::DoneOn(connection, _) => (Some(*connection), Some(now_ms)),
+                Reply::Unknown => (None, Some(now_ms + config.max_transit_ms)),
+                Reply::Fenced | Reply::NotSent | Reply::Misdirected => (None, None),
+            };
+            if let Some(last_arrival_ms) = last_arrival_ms {
+                let deadline_ms = config.grant_deadline_ms(last_arrival_ms, grant.grant_ms);
+                state.add_grant(&order.incarnation, connection, deadline_ms);
             }
             let Some(holder) =
                 state.holder.as_mut().filter(|holder| holder.incarnation == order.incarnation)
@@ -73,7 +68,7 @@
                 continue;
             }
             match reply {
-                Reply::Done(_) => {
+                Reply::Done(_) | Reply::DoneOn(..) => {
                     if !holder.has_accepted_fence {
                         outputs.push(Output::Log(LogEvent::Granted {
                             service: order.service.clone(),
@@ -85,7 +80,7 @@
                         }));
                     }
                     holder.has_accepted_fence = true;
-                    holder.may_apply_earlier = false;
+                    holder.lease_end_ms = order.sent_at_ms + grant.grant_ms;
                     holder.failures = 0;
                     holder.refusals = 0;
                     self.is_changed |= !holder.is_serving;
@@ -141,47 +136,34 @@
         order: &PendingOrder,
         release: &Release,
         reply: &Reply,
-        config: &Config,
         outputs: &mut Vec<Output>,
     ) {
         for state in self.ranges.iter_mut().filter(|state| state.range.overlaps(release.range)) {
-            let previous = state.previous_holders.iter().position(|previous| {
-                previous.incarnation == order.incarnation
-                    && previous.release_at_ms.is_none()
-                    && previous.released_with == Some(release.fence)
-            });
-            let Some(index) = previous else { continue };
-            let may_apply_earlier = state.previous_holders[index].may_apply_earlier;
-            if let Reply::Done(handover) = reply
-                && !may_apply_earlier
-            {
-                let previous = state.previous_holders.remove(index);
-                state.handover.clone_from(handover);
-                state.note_end(EndedHolder {
-                    incarnation: order.incarnation.clone(),
-                    evidence: Evidence::Released(release.fence),
-                    at_ms: now_ms,
-                    grants_until_ms: previous.grant_deadline_ms,
-                });
-                self.is_changed = true;
-                outputs.push(Output::Log(LogEvent::Released {
-                    service: order.service.clone(),
-                    range: state.range,
-                    by: order.incarnation.clone(),
-                    fence: release.fence,
-                    waited_ms: now_ms.saturating_sub(order.sent_at_ms),
-                }));
-            } else {
-                let previous = &mut state.previous_holders[index];
-                let backoff_ms = match reply {
-                    Reply::Done(_) => config.short_grant_ms,
-                    _ => ORDER_BACKOFF_MS,
+            let awaited = state.previous_holders.iter_mut().find_map(|previous| {
+                let ReleaseState::Awaited { fence, connection } = previous.release else {
+                    return None;
                 };
-                previous.release_at_ms = Some(now_ms + backoff_ms);
-                let is_misdirected = *reply == Reply::Misdirected;
-                self.is_changed |= is_misdirected && !previous.is_misdirected;
-                previous.is_misdirected = is_misdirected;
+                let is_awaited =
+                    previous.incarnation == order.incarnation && fence == release.fence;
+                is_awaited.then_some((previous, (fence, connection)))
+            });
+            let Some((previous, awaited)) = awaited else { continue };
+            self.is_changed = true;
+            let handover_ms = self.handover_time.ms();
+            if !previous.on_release_reply(now_ms, awaited, reply, handover_ms) {
+                continue;
             }
+            state.handover = reply.handover().cloned();
+            let waited_ms = now_ms.saturating_sub(order.sent_at_ms);
+            self.handover_time.add(waited_ms);
+            self.is_planning_due = true;
+            outputs.push(Output::Log(LogEvent::Released {
+                service: order.service.clone(),
+                range: state.range,
+                by: order.incarnation.clone(),
+                fence: release.fence,
+                waited_ms,
+            }));
         }
     }
 }
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -2,15 +2,16 @@
 
 use registry::Incarnation;
 
-use crate::answers::ORDER_BACKOFF_MS;
 use crate::contact::NextGrant;
+use crate::grant_ends::GrantEnds;
+use crate::handover_time::HandoverTime;
 use crate::pass::{FenceCounter, PassContext};
 use crate::policy::{Candidate, position};
-use crate::range_state::{Holder, NextStep, PreviousHolder, RangeState};
+use crate::previous_holder::{PreviousHolder, ReleaseState};
+use crate::range_state::{Holder, NextStep, RangeState};
 use crate::recording::RecordWrites;
 use crate::{
-    Config, Evidence, Grant, KeyLoad, KeyRange, MoveReason, Output, Owner, Record, Release, Span,
-    Table,
+    Config, Evidence, Grant, KeyLoad, KeyRange, Output, Owner, Record, Release, Span, Table,
 };
 
 /// The assignment of the keys of one service.
@@ -24,6 +25,7 @@
     /// The first assignment waits until it is stable.
     server_count: (usize, u64),
     pub(crate) writes: RecordWrites,
+    pub(crate) handover_time: HandoverTime,
     /// Whether new owners have to be published or orders may have become due.
     pub(crate) is_changed: bool,
     /// Whether a range may need a successor, or has one that may no longer be usable.
@@ -44,6 +46,7 @@
             load: KeyLoad::default(),
             server_count: (0, 0),
             writes: RecordWrites::default(),
+            handover_time: HandoverTime::default(),
             is_changed: true,
             is_planning_due: true,
             registry_version: None,
@@ -63,8 +66,7 @@
     /// Creates an assignment that continues from the record of an earlier leader.
     ///
     /// Whether that leader granted a range to its recorded owner is unknown. The owner gets a
-    /// grant under a new fence once the recorded previous holders have released the range or
-    /// their grants have expired.
+    /// grant under a new fence once the grants of the recorded previous holders have expired.
     pub(crate) fn from_record(
         record: &Record,
         now_ms: u64,
@@ -72,15 +74,18 @@
         config: &Config,
     ) -> Self {
         let grant_deadline_ms = config.earlier_grants_deadline_ms(now_ms);
-        let to_previous_holder = |incarnation: &Incarnation| PreviousHolder {
-            may_apply_earlier: !record.previous_are_quiescent,
-            ..PreviousHolder::new(incarnation.clone(), grant_deadline_ms, now_ms)
+        let previous_deadline_ms = record.previous_left_ms.map_or(grant_deadline_ms, |left_ms| {
+            grant_deadline_ms.min(now_ms + Config::longest_ms(left_ms))
+        });
+        let to_previous_holder = |incarnation: &Incarnation| {
+            let grants = GrantEnds::timed(previous_deadline_ms);
+            PreviousHolder::new(incarnation.clone(), grants, now_ms)
         };
         let ranges = record.ranges.iter().map(|recorded| RangeState {
             holder: Some(Holder {
-                grant_deadline_ms,
-                may_apply_earlier: true,
-                is_serving: true,
+                grants: GrantEnds::timed(grant_deadline_ms),
+                // Otherwise it is not known which of them serves the range.
+                is_serving: recorded.previous.is_empty(),
                 ..Holder::new(recorded.owner.clone(), fences.next())
             }),
             previous_holders: recorded.previous.iter().map(to_previous_holder).collect(),
@@ -91,8 +96,8 @@
 
     /// Limits how long grants of earlier leaders count as valid.
     pub(crate) fn limit_earlier_grants(&mut self, deadline_ms: u64) {
-        for grant_deadline_ms in self.ranges.iter_mut().flat_map(RangeState::grant_deadlines_mut) {
-            *grant_deadline_ms = deadline_ms.min(*grant_deadline_ms);
+        for grants in self.ranges.iter_mut().flat_map(RangeState::grants_mut) {
+            grants.limit(deadline_ms);
         }
         self.unknown_grants_deadline_ms = deadline_ms.min(self.unknown_grants_deadline_ms);
     }
@@ -213,7 +218,8 @@
         };
         for incarnation in pass.orders.due_probes(pass.now_ms, may_be_probed) {
             let fence = pass.fences.next();
-            pass.send_release(&incarnation, Release { range: KeyRange::FIRST, fence }, pass.now_ms);
+            let release = Release { range: KeyRange::FIRST, fence };
+            pass.send_release(&incarnation, release, pass.now_ms, None);
         }
     }
 
@@ -240,19 +246,15 @@
                 self.is_planning_due = true;
             }
             // A later incarnation at the same address shows that the earlier one has ended. Grants
-            // for that reach the later one, which may hold the range and has to release it. At
-            // another address the earlier one may still run and hold the range.
+            // for that reach the later one, which may hold the range because of them. At another
+            // address the earlier one may still run and hold the range.
             for previous in &mut state.previous_holders {
                 if let Some(later) = registry.by_name(&previous.incarnation.server)
                     && later.incarnation.born_ms > previous.incarnation.born_ms
                     && pass.address(&previous.incarnation) == Some(later.address)
                 {
                     let later = later.incarnation.clone();
-                    let deadline_ms = previous.grant_deadline_ms;
-                    *previous = PreviousHolder {
-                        may_apply_earlier: previous.may_apply_earlier,
-                        ..PreviousHolder::new(later, deadline_ms, pass.now_ms)
-                    };
+                    *previous = PreviousHolder::restarted(later, &previous.grants);
                 }
             }
         }
@@ -278,13 +280,12 @@
                 };
                 if previous.is_misdirected {
                     let evidence = Evidence::Replaced(later.clone());
-                    let until_ms = previous.grant_deadline_ms;
-                    ended.push(pass.log_end(range, &previous.incarnation, until_ms, evidence));
+                    ended.push(pass.log_end(range, &previous.incarnation, evidence));
                     return false;
                 }
                 // The answer to a release that was sent to the earlier process may never arrive.
-                if !previous.is_checked && previous.release_at_ms.is_none() {
-                    previous.release_at_ms = Some(pass.now_ms);
+                if !previous.is_checked && !matches!(previous.release, ReleaseState::DueAt(_)) {
+                    previous.release = ReleaseState::DueAt(pass.now_ms);
                 }
                 previous.is_checked = true;
                 true
@@ -319,16 +320,23 @@
         for state in &mut self.ranges {
             self.is_changed |= release_previous_holders(state, pass);
             let may_hold = state.holder.as_ref().is_some_and(|holder| {
-                pass.may_hold(&holder.incarnation, state.range, holder.grant_deadline_ms)
+                pass.may_hold(&holder.incarnation, state.range, holder.grants.deadline_ms())
             });
             let is_recorded =
                 state.successor.as_ref().is_some_and(|next| self.writes.is_durable(next));
+            let release_at_ms = is_recorded.then(|| {
+                let handover_ms = self.handover_time.ms() + pass.config.release_delay_ms;
+                state
+                    .holder
+                    .as_ref()
+                    .map_or(0, |holder| pass.release_at_ms(holder, state.range, handover_ms))
+            });
             let is_given_up = state.successor.is_some()
                 && state
                     .holder
                     .as_ref()
                     .is_some_and(|holder| pass.is_given_up(holder, state.range));
-            match state.next_step(pass.now_ms, may_hold, is_recorded, is_given_up) {
+            match state.next_step(pass.now_ms, may_hold, release_at_ms, is_given_up) {
                 NextStep::Wait => {}
                 NextStep::Expire => {
                     self.is_changed = true;
@@ -360,9 +368,8 @@
             let state = &mut self.ranges[index];
             state.range = range;
             if let (Some(holder), Some(next_holder)) = (&mut state.holder, next.holder) {
-                holder.grant_deadline_ms =
-                    holder.grant_deadline_ms.max(next_holder.grant_deadline_ms);
-                holder.may_apply_earlier |= next_holder.may_apply_earlier;
+                holder.grants.merge(&next_holder.grants);
+                holder.lease_end_ms = holder.lease_end_ms.min(next_holder.lease_end_ms);
                 holder.renew_at_ms = 0;
                 holder.renew_fence(pass.fences.next());
             }
@@ -384,36 +391,49 @@
     }
 }
 
-/// Sends due releases to previous holders and drops those whose grants have expired.
+/// Returns what shows that a previous holder holds a range no longer, if anything does.
+fn end_evidence(
+    previous: &PreviousHolder,
+    range: KeyRange,
+    pass: &PassContext<'_>,
+) -> Option<Evidence> {
+    let deadline_ms = previous.grants.deadline_ms();
+    if pass.may_hold(&previous.incarnation, range, deadline_ms) {
+        return None;
+    }
+    Some(match previous.release {
+        ReleaseState::Answered { fence, ends_grants: true } => Evidence::Released(fence),
+        ReleaseState::Answered { fence, ends_grants: false } => {
+            Evidence::Expired { deadline_ms, released_with: Some(fence) }
+        }
+        _ => Evidence::Expired { deadline_ms, released_with: None },
+    })
+}
+
+/// Sends due releases to previous holders and drops those whose grants have ended.
 ///
-/// Returns whether one was dropped.
+/// Returns whether a holder was dropped.
 fn release_previous_holders(state: &mut RangeState, pass: &mut PassContext<'_>) -> bool {
     let range = state.range;
-    let is_only_holder = state.holder.is_none() && state.previous_holders.len() == 1;
+    let next = state.successor.as_ref().map(|successor| successor.incarnation.clone());
     let mut ended = Vec::new();
     state.previous_holders.retain_mut(|previous| {
-        if !pass.may_hold(&previous.incarnation, range, previous.grant_deadline_ms) {
-            let deadline_ms = previous.grant_deadline_ms;
-            let evidence = Evidence::Expired { deadline_ms };
-            ended.push(pass.log_end(range, &previous.incarnation, deadline_ms, evidence));
+        if let Some(evidence) = end_evidence(previous, range, pass) {
+            ended.push(pass.log_end(range, &previous.incarnation, evidence));
             return false;
         }
-        let is_due = previous.release_at_ms.is_some_and(|at_ms| pass.now_ms >= at_ms);
-        if is_due && is_only_holder {
-            fence_abandoned_grants(previous, range, pass);
-        }
-        // A grant that is applied after the release would be taken again: a server may count only
-        // grants' fences as seen, and may apply a grant seconds after it arrived.
-        // Of a release that checks an address, only a refusal counts.
-        let may_apply = previous.may_apply_earlier && !previous.is_checked
-            || pass.may_grant_apply(&previous.incarnation, range);
-        if is_due && !may_apply {
-            previous.release_at_ms = None;
+        let is_due = match previous.release {
+            ReleaseState::DueAt(at_ms) | ReleaseState::Postponed(at_ms) => pass.now_ms >= at_ms,
+            _ => false,
+        };
+        // A release that arrives after the next grant would take the range from the same server.
+        if is_due && next.as_ref() != Some(&previous.incarnation) {
             let deadline_ms =
-                pass.grant_deadline_ms(&previous.incarnation, range, previous.grant_deadline_ms);
-            let fence = pass.fences.next();
-            previous.released_with = Some(fence);
-            pass.send_release(&previous.incarnation, Release { range, fence }, deadline_ms);
+                pass.grant_deadline_ms(&previous.incarnation, range, previous.grants.deadline_ms());
+            let (fence, connection) = (pass.fences.next(), previous.grants.connection());
+            previous.release = ReleaseState::Awaited { fence, connection };
+            let release = Release { range, fence };
+            pass.send_release(&previous.incarnation, release, deadline_ms, connection);
         }
         true
     });
@@ -424,42 +444,14 @@
     is_changed
 }
 
-/// Sends a previous holder a short grant that rules out those that were given up, so that the
-/// release need not wait until they can no longer arrive.
-fn fence_abandoned_grants(
-    previous: &mut PreviousHolder,
-    range: KeyRange,
-    pass: &mut PassContext<'_>,
-) {
-    let incarnation = &previous.incarnation;
-    let config = pass.config;
-    let last_arrival_ms = pass.now_ms + config.order_timeout_ms + config.max_transit_ms;
-    let deadline_ms = config.grant_deadline_ms(last_arrival_ms, config.short_grant_ms);
-    let known_deadline_ms = pass.grant_deadline_ms(incarnation, range, previous.grant_deadline_ms);
-    // A silent server is sent one too, as it may answer again. No keys wait longer for it.
-    let may_apply =
-        previous.may_apply_earlier || pass.may_abandoned_grant_apply(incarnation, range);
-    if !may_apply
-        || pass.orders.contact(incarnation).awaits_answer()
-        || deadline_ms > known_deadline_ms
-    {
-        return;
-    }
-    previous.release_at_ms = Some(pass.now_ms + ORDER_BACKOFF_MS);
-    let fence = pass.fences.next();
-    let grant_ms = config.short_grant_ms;
-    let grant = Grant { range, fence, grant_ms, handover: None, is_ruling_out: true };
-    pass.send_grant(&incarnation.clone(), grant);
-}
-
 fn expire_holder(state: &mut RangeState, pass: &mut PassContext<'_>) {
     let Some(holder) = state.holder.take() else { return };
     state.handover = None;
-    let evidence = match holder.grant_deadline_ms {
+    let evidence = match holder.grants.deadline_ms() {
         0 => Evidence::NeverAccepted,
-        deadline_ms => Evidence::Expired { deadline_ms },
+        deadline_ms => Evidence::Expired { deadline_ms, released_with: None },
     };
-    let ended = pass.log_end(state.range, &holder.incarnation, holder.grant_deadline_ms, evidence);
+    let ended = pass.log_end(state.range, &holder.incarnation, evidence);
     state.note_end(ended);
 }
 
@@ -467,7 +459,12 @@
 fn grant_to_successor(state: &mut RangeState, pass: &mut PassContext<'_>) {
     let Some(successor) = state.successor.take() else { return };
     pass.log_unexpired(state.range, &successor.incarnation);
-    state.holder = Some(Holder::new(successor.incarnation, pass.fences.next()));
+    // What is left of the previous holders are grants to the successor itself.
+    let mut holder = Holder::new(successor.incarnation, pass.fences.next());
+    for previous in state.previous_holders.drain(..) {
+        holder.grants.merge(&previous.grants);
+    }
+    state.holder = Some(holder);
     renew_grant(state, pass);
 }
 
@@ -479,9 +476,8 @@
     if next == NextGrant::Wait {
         return;
     }
-    // Once the server accepts a higher fence, it refuses a grant that was given up.
-    let is_ruling_out = pass.may_abandoned_grant_apply(&holder.incarnation, range);
-    if holder.refusals > 0 || is_ruling_out {
+    // A server that checks fences then refuses a grant that was given up, which would end earlier.
+    if holder.refusals > 0 || pass.may_abandoned_grant_apply(&holder.incarnation, range) {
         holder.renew_fence(pass.fences.next());
     }
     holder.renew_at_ms = pass.now_ms + pass.config.renew_interval_ms;
@@ -489,23 +485,20 @@
     let grant_ms =
         if holder.is_short { pass.grant_ms.min(pass.config.short_grant_ms) } else { pass.grant_ms };
     let (incarnation, fence) = (holder.incarnation.clone(), holder.fence);
-    pass.send_grant(&incarnation, Grant { range, fence, grant_ms, handover, is_ruling_out });
+    let connection = holder.grants.connection();
+    pass.send_grant(&incarnation, Grant { range, fence, grant_ms, handover }, connection);
 }
 
 fn to_owner(state: &RangeState, now_ms: u64) -> Owner {
-    if let Some(holder) = state.holder.as_ref().filter(|holder| holder.is_serving) {
-        return Owner::Server(holder.incarnation.clone());
+    if let Some(serving) = state.serving() {
+        return Owner::Server(serving.clone());
     }
-    let deadlines = state.previous_holders.iter().map(|previous| previous.grant_deadline_ms);
-    let until_ms = deadlines.max().unwrap_or(0);
-    match &state.successor {
-        Some(successor) if successor.reason == MoveReason::Silent && until_ms > now_ms => {
-            Owner::Nobody { until_ms }
-        }
-        Some(successor) => Owner::Moving(successor.incarnation.clone()),
-        None => match &state.holder {
-            Some(holder) => Owner::Moving(holder.incarnation.clone()),
-            None => Owner::Nobody { until_ms },
-        },
+    let next = state.planned_owner();
+    let others =
+        state.previous_holders.iter().filter(|previous| Some(&previous.incarnation) != next);
+    let until_ms = others.map(|previous| previous.grants.timed_ms()).max().unwrap_or(0);
+    match next {
+        Some(next) if until_ms <= now_ms => Owner::Moving(next.clone()),
+        _ => Owner::Nobody { until_ms },
     }
 }
--- a/crates/shard/src/config.rs
+++ b/crates/shard/src/config.rs
@@ -77,7 +77,12 @@
     /// two percent slow.
     #[must_use]
     pub fn grant_deadline_ms(&self, arrived_at_ms: u64, grant_ms: u64) -> u64 {
-        arrived_at_ms + grant_ms + grant_ms.div_ceil(CLOCK_DRIFT_DIVISOR) + ARRIVAL_SLACK_MS
+        arrived_at_ms + Self::longest_ms(grant_ms) + ARRIVAL_SLACK_MS
+    }
+
+    /// Returns how long a time may last that another clock measured.
+    pub(crate) fn longest_ms(measured_ms: u64) -> u64 {
+        measured_ms + measured_ms.div_ceil(CLOCK_DRIFT_DIVISOR)
     }
 
     /// Returns the time until which grants of earlier leaders may be valid.
--- a/crates/shard/src/contact.rs
+++ b/crates/shard/src/contact.rs
@@ -67,7 +67,7 @@
     pub(crate) fn on_reply(&mut self, now_ms: u64, sent_at_ms: u64, is_grant: bool, reply: &Reply) {
         self.pending -= u32::from(is_grant);
         match reply {
-            Reply::Done(_) | Reply::Fenced => {
+            Reply::Done(_) | Reply::DoneOn(..) | Reply::Fenced => {
                 self.last_answer_at_ms = Some(now_ms);
                 self.failures = 0;
             }
--- a/crates/shard/src/ended.rs
+++ b/crates/shard/src/ended.rs
@@ -14,21 +14,22 @@
     pub evidence: Evidence,
     /// When the evidence was found.
     pub at_ms: u64,
-    /// The time until which answered grants to it may have been valid.
-    pub grants_until_ms: u64,
 }
 
 /// What shows that a server holds a range no longer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Evidence {
-    /// It answered the release that was sent with this fence.
-    Released(Fence),
     /// It accepted none of the grants that it was sent.
     NeverAccepted,
-    /// Its last grant has expired.
+    /// It answered the release that was sent with this fence, and no grant that it was sent may be
+    /// carried out after it.
+    Released(Fence),
+    /// The time of every grant that it was sent has passed, answered or not.
     Expired {
-        /// The time until which answered grants may have been valid.
+        /// The time until which those may have been valid that are known of the range.
         deadline_ms: u64,
+        /// The fence of the release that it answered before, if it did.
+        released_with: Option<Fence>,
     },
     /// This server, registered later, has its address, where a release was refused.
     Replaced(Incarnation),
--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -255,11 +255,7 @@
 
     fn on_reply(&mut self, now_ms: u64, id: OrderId, reply: &Reply, outputs: &mut Vec<Output>) {
         let Some(order) = self.orders.remove(id) else { return };
-        for grant in self.orders.on_reply(now_ms, &order, reply, &self.config, outputs) {
-            if let Some(assignment) = self.assignments.get_mut(&grant.service) {
-                assignment.on_abandoned_grant(&grant, &self.config);
-            }
-        }
+        self.orders.on_reply(now_ms, &order, reply, &self.config);
         let Some(assignment) = self.assignments.get_mut(&order.service) else { return };
         let is_deposed = assignment.on_reply(now_ms, &order, reply, &self.config, outputs);
         if is_deposed {
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -51,12 +51,15 @@
 mod contact;
 mod ended;
 mod fence;
+mod grant_ends;
+mod handover_time;
 mod leader;
 mod load;
 mod order;
 mod pass;
 mod planning;
 mod policy;
+mod previous_holder;
 mod range;
 mod range_state;
 mod record;
@@ -69,7 +72,8 @@
 pub use leader::Leader;
 pub use load::KeyLoad;
 pub use order::{
-    Event, Grant, Handover, LogEvent, MoveReason, OrderId, OrderKind, Output, Release, Reply,
+    ConnectionId, Event, Grant, Handover, LogEvent, MoveReason, OrderId, OrderKind, Output,
+    Release, Reply,
 };
 pub use pass::Servers;
 pub use range::KeyRange;
--- a/crates/shard/src/order.rs
+++ b/crates/shard/src/order.rs
@@ -18,6 +18,10 @@
     pub number: u64,
 }
 
+/// Identifies a connection to a server that carries several orders.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct ConnectionId(pub u64);
+
 /// An opaque token by which the next holder of a range can take over cached state.
 pub type Handover = Arc<str>;
 
@@ -28,23 +32,19 @@
     pub range: KeyRange,
     /// The fence of the grant.
     ///
-    /// Renewals keep it, except after a refusal, a merge of ranges, or a grant that was given up.
+    /// Renewals keep it, except after a refusal or a merge of ranges.
     pub fence: Fence,
     /// Length of the grant, counted from its arrival.
     pub grant_ms: u64,
     /// The token that the previous holder returned when it released the range.
     pub handover: Option<Handover>,
-    /// Whether its acceptance rules out a grant that was given up.
-    ///
-    /// No answer to another order may count as that acceptance.
-    pub is_ruling_out: bool,
 }
 
 impl Grant {
     /// Creates a grant without a token of the previous holder.
     #[must_use]
     pub fn new(range: KeyRange, fence: Fence, grant_ms: u64) -> Self {
-        Self { range, fence, grant_ms, handover: None, is_ruling_out: false }
+        Self { range, fence, grant_ms, handover: None }
     }
 }
 
@@ -66,25 +66,16 @@
     Release(Release),
 }
 
-impl OrderKind {
-    /// Returns whether no answer to another order may count as that to this one.
-    ///
-    /// The answer to a release shows that the work on its keys has ended, and that to some grants
-    /// that an earlier one can no longer be accepted.
-    #[must_use]
-    pub fn needs_own_answer(&self) -> bool {
-        match self {
-            Self::Grant(grant) => grant.is_ruling_out,
-            Self::Release(_) => true,
-        }
-    }
-}
-
 /// The outcome of an order.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Reply {
     /// The order was carried out; a release may return a token for the next holder.
+    ///
+    /// An answer to a grant may be a copy of that to an earlier order on its connection.
     Done(Option<Handover>),
+    /// The same, and the answer shows more: that to a grant came on a connection that goes on, and
+    /// that to a release has a token, which no earlier answer on its connection had.
+    DoneOn(ConnectionId, Option<Handover>),
     /// The server refused the order because it has seen a higher fence.
     Fenced,
     /// The order never reached the server, or the server says that it did not carry it out.
@@ -95,6 +86,23 @@
     Unknown,
 }
 
+impl Reply {
+    /// Returns whether the order was carried out.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        matches!(self, Self::Done(_) | Self::DoneOn(..))
+    }
+
+    /// Returns the token for the next holder.
+    #[must_use]
+    pub fn handover(&self) -> Option<&Handover> {
+        match self {
+            Self::Done(handover) | Self::DoneOn(_, handover) => handover.as_ref(),
+            Self::Fenced | Self::NotSent | Self::Misdirected | Self::Unknown => None,
+        }
+    }
+}
+
 /// An event that a leader handles.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -142,6 +150,9 @@
         kind: OrderKind,
         /// The time until which to wait for the answer.
         deadline_ms: u64,
+        /// The connection to send it on: for a grant the preferred one, for a release the only
+        /// one. A release without one has a connection of its own.
+        connection: Option<ConnectionId>,
     },
     /// Make a record durable.
     Write {
@@ -192,7 +203,9 @@
         /// The servers that may have held the range before, since its last grant in this term.
         previous: Vec<EndedHolder>,
     },
-    /// A server has given a range up.
+    /// A server has stopped new work on a range, and the work that ran has ended.
+    ///
+    /// It may still carry out a grant that it did not answer, so the range waits for that.
     Released {
         /// The service that the range belongs to.
         service: Name,
@@ -253,19 +266,6 @@
         /// How long the answer was waited for.
         waited_ms: u64,
     },
-    /// A server accepted a later grant, so one that was given up cannot take effect any more.
-    RuledOut {
-        /// The service that the range belongs to.
-        service: Name,
-        /// The keys.
-        range: KeyRange,
-        /// The server that did not answer.
-        to: Incarnation,
-        /// The fence of the grant that was given up.
-        fence: Fence,
-        /// The fence of the accepted grant.
-        by: Fence,
-    },
     /// A range is given to a server while the time of an unanswered grant to another one has not
     /// passed.
     UnexpiredGrant {
@@ -277,8 +277,6 @@
         to: Incarnation,
         /// The fence of the grant.
         fence: Fence,
-        /// The fence of the accepted grant that ruled it out; `None` if there is none.
-        ruled_out_by: Option<Fence>,
         /// The remaining time until which it may be valid.
         left_ms: u64,
         /// The server that the range is given to.
@@ -308,8 +306,10 @@
     Evacuated,
     /// The holder, or a previous one that may still hold the range, does not answer.
     Silent,
-    /// The last holders are about to release the range, and no usable successor is planned.
+    /// The last holders give the range up, and no usable successor is planned.
     Released,
+    /// The previous holder, which did not answer for a while, answers again.
+    Returned,
     /// The holder's load is above its share.
     Load,
     /// The range joins a larger one beside it.
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -6,14 +6,15 @@
 use document::{HashMap, Name};
 use registry::{Incarnation, Registration, Registry};
 
-use crate::abandoned::{AbandonedGrant, AbandonedGrants};
+use crate::abandoned::AbandonedGrants;
 use crate::contact::{Contact, NextGrant};
 use crate::order::LogEvent;
 use crate::policy::Candidate;
-use crate::range_state::{Holder, PreviousHolder};
+use crate::previous_holder::PreviousHolder;
+use crate::range_state::Holder;
 use crate::{
-    Config, EndedHolder, Epoch, Evidence, Fence, Grant, KeyRange, OrderId, OrderKind, Output,
-    Release, Reply, UnansweredGrant,
+    Config, ConnectionId, EndedHolder, Epoch, Evidence, Fence, Grant, KeyRange, OrderId, OrderKind,
+    Output, Release, Reply, UnansweredGrant,
 };
 
 /// The registered servers and their speeds.
@@ -50,11 +51,11 @@
     servers: HashMap<Incarnation, Arc<Registration>>,
 }
 
-/// The ranges of the grants that have no outcome, by server.
+/// The ranges of the grants whose answer is awaited, by server.
 ///
 /// Grants to any incarnation of a server count: they reach the one that runs on arrival.
 #[derive(Debug)]
-pub(crate) struct UnansweredRanges<'a>(HashMap<&'a Name, Vec<KeyRange>>);
+pub(crate) struct PendingRanges<'a>(HashMap<&'a Name, Vec<KeyRange>>);
 
 /// An order that has no answer yet.
 #[derive(Clone, Debug)]
@@ -113,19 +114,16 @@
         id
     }
 
-    /// Records whether a server answers orders.
-    ///
-    /// Returns the abandoned grants that can no longer arrive, or that the server now refuses.
+    /// Records whether a server answers orders, and the grants that it leaves unanswered.
     pub(crate) fn on_reply(
         &mut self,
         now_ms: u64,
         order: &PendingOrder,
         reply: &Reply,
         config: &Config,
-        outputs: &mut Vec<Output>,
-    ) -> Vec<AbandonedGrant> {
+    ) {
         match reply {
-            Reply::Done(_) | Reply::Fenced => {
+            Reply::Done(_) | Reply::DoneOn(..) | Reply::Fenced => {
                 self.silent.remove(&order.incarnation);
             }
             Reply::NotSent | Reply::Misdirected | Reply::Unknown => {
@@ -140,27 +138,10 @@
         } else {
             self.majority_silent_since_ms = None;
         }
-        let mut ended = self.abandoned.count_arrived(now_ms, config);
-        match (reply, &order.kind) {
-            (Reply::Unknown, OrderKind::Grant(grant)) => {
-                self.abandoned.add(now_ms, order, grant, config);
-            }
-            (Reply::Done(_), OrderKind::Grant(grant)) if grant.is_ruling_out => {
-                let fenced = self.abandoned.remove_fenced(now_ms, &order.incarnation, grant);
-                outputs.extend(fenced.iter().map(|late| {
-                    Output::Log(LogEvent::RuledOut {
-                        service: late.service.clone(),
-                        range: late.range,
-                        to: late.incarnation.clone(),
-                        fence: late.fence,
-                        by: grant.fence,
-                    })
-                }));
-                ended.extend(fenced);
-            }
-            _ => {}
+        self.abandoned.remove_expired(now_ms);
+        if let (Reply::Unknown, OrderKind::Grant(grant)) = (reply, &order.kind) {
+            self.abandoned.add(now_ms, order, grant, config);
         }
-        ended
     }
 
     /// Returns what grants to a server have shown of the way to it.
@@ -231,7 +212,7 @@
 
     /// Returns the time until which unanswered grants to any server may be valid; 0 if none.
     pub(crate) fn grants_deadline_ms(&self, now_ms: u64, config: &Config) -> u64 {
-        let abandoned = self.abandoned.all_deadlines_ms(config);
+        let abandoned = self.abandoned.iter().map(|grant| grant.deadline_ms);
         let pending = self.pending.values().filter_map(|order| match &order.kind {
             OrderKind::Grant(grant) => Some(order.grant_deadline_ms(now_ms, grant, config)),
             OrderKind::Release(_) => None,
@@ -258,7 +239,7 @@
             to: grant.incarnation.clone(),
             fence: grant.fence,
             is_given_up: true,
-            deadline_ms: grant.deadline_ms(config),
+            deadline_ms: grant.deadline_ms,
         });
         pending.chain(given_up.filter(|grant| now_ms < grant.deadline_ms)).collect()
     }
@@ -279,7 +260,7 @@
         range: KeyRange,
         config: &Config,
     ) -> u64 {
-        let abandoned = self.abandoned.deadlines_ms(incarnation, range, config);
+        let abandoned = self.abandoned.deadlines_ms(incarnation, range);
         let pending = self.pending.values().filter_map(|order| match &order.kind {
             OrderKind::Grant(grant)
                 if order.incarnation.server == incarnation.server
@@ -293,8 +274,8 @@
     }
 }
 
-impl UnansweredRanges<'_> {
-    /// Returns whether a server may still apply a grant of any key of a range.
+impl PendingRanges<'_> {
+    /// Returns whether a grant of any key of a range to a server is among them.
     pub(crate) fn include(&self, incarnation: &Incarnation, range: KeyRange) -> bool {
         let ranges = self.0.get(&incarnation.server);
         ranges.is_some_and(|ranges| ranges.iter().any(|granted| granted.overlaps(range)))
@@ -357,9 +338,14 @@
     }
 
     /// Sends a grant, if the server's address is known.
-    pub(crate) fn send_grant(&mut self, incarnation: &Incarnation, grant: Grant) {
+    pub(crate) fn send_grant(
+        &mut self,
+        incarnation: &Incarnation,
+        grant: Grant,
+        connection: Option<ConnectionId>,
+    ) {
         let deadline_ms = self.now_ms + self.config.order_timeout_ms;
-        self.send_order(incarnation, OrderKind::Grant(grant), deadline_ms);
+        self.send_order(incarnation, OrderKind::Grant(grant), deadline_ms, connection);
     }
 
     /// Sends a release, if the server's address is known.
@@ -371,9 +357,10 @@
         incarnation: &Incarnation,
         release: Release,
         deadline_ms: u64,
+        connection: Option<ConnectionId>,
     ) {
         let deadline_ms = deadline_ms.max(self.now_ms + self.config.order_timeout_ms);
-        self.send_order(incarnation, OrderKind::Release(release), deadline_ms);
+        self.send_order(incarnation, OrderKind::Release(release), deadline_ms, connection);
     }
 
     /// Returns the time until which grants to a server may be valid, including unanswered ones.
@@ -404,8 +391,8 @@
             || self.now_ms < self.grant_deadline_ms(incarnation, range, answered_deadline_ms)
     }
 
-    /// Returns whether a holder that does not answer is replaced, although it may still apply a
-    /// grant late.
+    /// Returns whether a holder that does not answer is replaced, although it may still carry out
+    /// a grant.
     ///
     /// While the store does not answer, the holder keeps its range, as a successor could not be
     /// recorded.
@@ -413,7 +400,29 @@
         let failures = holder.failures.max(self.orders.contact(&holder.incarnation).failures());
         self.store_answers
             && failures >= self.config.max_failures
-            && (holder.may_apply_earlier || self.may_grant_apply(&holder.incarnation, range))
+            && self.may_grant_apply(&holder.incarnation, range)
+    }
+
+    /// Returns whether a release can end all grants of a range to its holder.
+    pub(crate) fn can_be_released(&self, holder: &Holder, range: KeyRange) -> bool {
+        self.now_ms >= holder.grants.timed_ms() && !self.may_grant_apply(&holder.incarnation, range)
+    }
+
+    /// Returns from when on a holder that gives a range up is released: at once if that ends its
+    /// grants, otherwise `handover_ms` before the end of the last one.
+    pub(crate) fn release_at_ms(&self, holder: &Holder, range: KeyRange, handover_ms: u64) -> u64 {
+        if self.can_be_released(holder, range) {
+            return 0;
+        }
+        holder.lease_end_ms.saturating_sub(handover_ms)
+    }
+
+    /// Returns whether a renewal of a holder's grant that is answered now would end later than all
+    /// its grants, so that the range would have to wait longer for its next holder.
+    pub(crate) fn would_renewal_delay(&self, holder: &Holder, range: KeyRange) -> bool {
+        let renewed_ms = self.config.grant_deadline_ms(self.now_ms, self.grant_ms);
+        let (incarnation, answered_ms) = (&holder.incarnation, holder.grants.deadline_ms());
+        renewed_ms >= self.grant_deadline_ms(incarnation, range, answered_ms)
     }
 
     /// Returns whether a previous holder is expected to answer a release soon.
@@ -467,25 +476,19 @@
         incarnation: &Incarnation,
         range: KeyRange,
     ) -> bool {
-        let mut deadlines = self.orders.abandoned.deadlines_ms(incarnation, range, self.config);
+        let mut deadlines = self.orders.abandoned.deadlines_ms(incarnation, range);
         deadlines.any(|deadline_ms| self.now_ms < deadline_ms)
     }
 
-    /// Returns the ranges of all grants without an outcome.
-    pub(crate) fn unanswered_ranges(&self) -> UnansweredRanges<'_> {
-        let pending = self.orders.pending.values().filter_map(|order| match &order.kind {
-            OrderKind::Grant(grant) => Some((&order.incarnation.server, grant.range)),
-            OrderKind::Release(_) => None,
-        });
-        let given_up = self.orders.abandoned.iter();
-        let given_up = given_up.filter(|grant| self.now_ms < grant.deadline_ms(self.config));
+    /// Returns the ranges of all grants whose answer is awaited.
+    pub(crate) fn pending_ranges(&self) -> PendingRanges<'_> {
         let mut ranges: HashMap<&Name, Vec<KeyRange>> = HashMap::default();
-        for (server, range) in
-            pending.chain(given_up.map(|grant| (&grant.incarnation.server, grant.range)))
-        {
-            ranges.entry(server).or_default().push(range);
+        for order in self.orders.pending.values() {
+            if let OrderKind::Grant(grant) = &order.kind {
+                ranges.entry(&order.incarnation.server).or_default().push(grant.range);
+            }
         }
-        UnansweredRanges(ranges)
+        PendingRanges(ranges)
     }
 
     /// Returns whether a grant to a server that was not answered may still take effect.
@@ -495,47 +498,50 @@
         now_ms < orders.pending_grant_deadline_ms(now_ms, incarnation, range, self.config)
     }
 
-    /// Logs that a server counts as done with a range that it has not released.
+    /// Logs that a server counts as done with a range, unless it has released the range before.
     pub(crate) fn log_end(
         &mut self,
         range: KeyRange,
         from: &Incarnation,
-        grants_until_ms: u64,
         evidence: Evidence,
     ) -> EndedHolder {
-        let (service, from) = (self.service.clone(), from.clone());
-        let ended = EndedHolder {
-            incarnation: from.clone(),
-            evidence: evidence.clone(),
-            at_ms: self.now_ms,
-            grants_until_ms,
-        };
-        self.outputs.push(Output::Log(LogEvent::Expired { service, range, from, evidence }));
-        ended
+        let is_released = matches!(
+            evidence,
+            Evidence::Released(_) | Evidence::Expired { released_with: Some(_), .. }
+        );
+        if !is_released {
+            let (service, from, evidence) = (self.service.clone(), from.clone(), evidence.clone());
+            self.outputs.push(Output::Log(LogEvent::Expired { service, range, from, evidence }));
+        }
+        EndedHolder { incarnation: from.clone(), evidence, at_ms: self.now_ms }
     }
 
     /// Logs the unanswered grants of a range to other servers whose time has not passed.
     pub(crate) fn log_unexpired(&mut self, range: KeyRange, next: &Incarnation) {
-        let unexpired = self.orders.abandoned.unexpired().filter(|(grant, _)| {
-            grant.incarnation.server != next.server && grant.range.overlaps(range)
+        let unexpired = self.orders.abandoned.iter().filter(|grant| {
+            grant.incarnation.server != next.server
+                && grant.range.overlaps(range)
+                && self.now_ms < grant.deadline_ms
         });
-        for (grant, ruled_out_by) in unexpired {
-            let left_ms = grant.deadline_ms(self.config).saturating_sub(self.now_ms);
-            if left_ms > 0 {
-                self.outputs.push(Output::Log(LogEvent::UnexpiredGrant {
-                    service: grant.service.clone(),
-                    range: grant.range,
-                    to: grant.incarnation.clone(),
-                    fence: grant.fence,
-                    ruled_out_by,
-                    left_ms,
-                    next: next.clone(),
-                }));
-            }
+        for grant in unexpired {
+            self.outputs.push(Output::Log(LogEvent::UnexpiredGrant {
+                service: grant.service.clone(),
+                range: grant.range,
+                to: grant.incarnation.clone(),
+                fence: grant.fence,
+                left_ms: grant.deadline_ms - self.now_ms,
+                next: next.clone(),
+            }));
         }
     }
 
-    fn send_order(&mut self, incarnation: &Incarnation, kind: OrderKind, deadline_ms: u64) {
+    fn send_order(
+        &mut self,
+        incarnation: &Incarnation,
+        kind: OrderKind,
+        deadline_ms: u64,
+        connection: Option<ConnectionId>,
+    ) {
         let current = self.servers.registry.get(incarnation);
         let Some(server) = current.or_else(|| self.orders.servers.get(incarnation)) else { return };
         let server = Arc::clone(server);
@@ -547,7 +553,7 @@
             self.now_ms,
             deadline_ms,
         ));
-        self.outputs.push(Output::Order { id, server, kind, deadline_ms });
+        self.outputs.push(Output::Order { id, server, kind, deadline_ms, connection });
     }
 
     /// Returns the servers that may be given ranges of the service, with a load of 0.
--- a/crates/shard/src/planning.rs
+++ b/crates/shard/src/planning.rs
@@ -38,6 +38,7 @@
             self.plan_first_assignment(pass, candidates);
             return;
         }
+        self.return_ranges(pass, candidates);
         self.choose_successors_of_evacuated(pass, candidates);
         let mut index = 0;
         while index < self.ranges.len() {
@@ -48,6 +49,33 @@
         }
     }
 
+    /// Plans to return ranges to their last holder where that can hold them again before another
+    /// server can: it has started again, or answers again after it was given up.
+    fn return_ranges(&mut self, pass: &mut PassContext<'_>, candidates: &mut [Candidate]) {
+        for index in 0..self.ranges.len() {
+            let state = &self.ranges[index];
+            let Some(last) = state.returnable_holder() else { continue };
+            let Some(to) = position(candidates, last) else { continue };
+            let is_restarted = state.has_restarted_holder();
+            let is_returned = state.successor.as_ref().is_none_or(|successor| {
+                let was_silent = successor.reason == MoveReason::Silent;
+                successor.incarnation != *last && (was_silent || is_restarted)
+            });
+            if !is_returned {
+                continue;
+            }
+            let load = self.load.of(state.range);
+            let planned = state.successor.as_ref();
+            let planned = planned.and_then(|next| position(candidates, &next.incarnation));
+            if let Some(planned) = planned {
+                candidates[planned].load -= load;
+            }
+            candidates[to].load += load;
+            let to = candidates[to].incarnation.clone();
+            self.plan_move(pass, index, to, MoveReason::Returned);
+        }
+    }
+
     /// Chooses successors for the ranges of evacuated servers, those with the most load first.
     ///
     /// The largest ranges find the most room that way, and are the first in the order of moves.
@@ -91,7 +119,7 @@
             .into_iter()
             .map(|(range, incarnation)| {
                 log_planned_move(pass, range, None, &incarnation, MoveReason::Free);
-                let successor = Successor::new(incarnation, MoveReason::Free);
+                let successor = Successor::new(incarnation, MoveReason::Free, pass.now_ms);
                 RangeState { successor: Some(successor), ..RangeState::unassigned(range) }
             })
             .collect();
@@ -124,7 +152,7 @@
             return Some(if is_evacuated { MoveReason::Evacuated } else { MoveReason::Leaving });
         }
         // A new holder has tries of its own: all servers may be silent.
-        let failures = match holder.grant_deadline_ms {
+        let failures = match holder.grants.deadline_ms() {
             0 => holder.failures,
             _ => holder.failures.max(pass.orders.contact(&holder.incarnation).failures()),
         };
@@ -165,7 +193,13 @@
         let state = &mut self.ranges[index];
         let from = state.holder.as_ref().map(|holder| holder.incarnation.clone());
         log_planned_move(pass, state.range, from, &to, reason);
-        state.successor = Some(Successor::new(to, reason));
+        // A holder that is released shortly before its last grant ends is sent none before, which
+        // costs its keys their owner if the leader is lost. Only moves for balance can wait.
+        let patience_ms = match reason {
+            MoveReason::Load | MoveReason::Join => pass.config.grant_deadline_ms(0, pass.grant_ms),
+            _ => 0,
+        };
+        state.successor = Some(Successor::new(to, reason, pass.now_ms + patience_ms));
     }
 
     /// Starts moves that balance the load and moves that merge ranges, each up to a limit.
--- a/crates/shard/src/range_state.rs
+++ b/crates/shard/src/range_state.rs
@@ -2,14 +2,16 @@
 
 use registry::Incarnation;
 
-use crate::{EndedHolder, Fence, Handover, KeyRange, MoveReason};
+use crate::grant_ends::GrantEnds;
+use crate::previous_holder::{PreviousHolder, ReleaseState};
+use crate::{ConnectionId, EndedHolder, Fence, Handover, KeyRange, MoveReason};
 
 /// The state of one range of keys.
 ///
 /// At most one server, the holder, is sent grants of a range. Previous holders may still have valid
-/// grants. A new holder gets its first grant only when each of them has released the range or its
-/// last grant has expired. If there is only one of them and no holder, it may be sent a short grant
-/// that rules out earlier ones.
+/// grants. A new holder gets its first grant only when the time of every grant that they were sent
+/// has passed, or a release has ended them all.
+/// If a release cannot show that, the holder serves the range until shortly before.
 #[derive(Clone, Debug)]
 pub(crate) struct RangeState {
     pub(crate) range: KeyRange,
@@ -24,17 +26,15 @@
 
 /// The server that a range is granted to.
 #[derive(Clone, Debug)]
-#[expect(clippy::struct_excessive_bools, reason = "each tells something else of its grants")]
 pub(crate) struct Holder {
     pub(crate) incarnation: Incarnation,
     /// The fence of the grants.
     pub(crate) fence: Fence,
     /// Whether the server has accepted a grant under the current fence.
     pub(crate) has_accepted_fence: bool,
-    /// Whether the server may still apply a grant of an earlier leader.
-    pub(crate) may_apply_earlier: bool,
-    /// The time until which grants may be valid, apart from those not answered yet.
-    pub(crate) grant_deadline_ms: u64,
+    pub(crate) grants: GrantEnds,
+    /// The earliest time at which the last accepted grant may end.
+    pub(crate) lease_end_ms: u64,
     pub(crate) renew_at_ms: u64,
     /// Whether the last grant was a short one.
     pub(crate) is_short: bool,
@@ -56,27 +56,6 @@
     last: u64,
 }
 
-/// A server that may still hold a range that it is to give up.
-#[derive(Clone, Debug)]
-pub(crate) struct PreviousHolder {
-    pub(crate) incarnation: Incarnation,
-    /// The time until which grants may be valid, apart from those not answered yet.
-    pub(crate) grant_deadline_ms: u64,
-    /// When to send the next release; `None` while one is not answered yet.
-    pub(crate) release_at_ms: Option<u64>,
-    /// The fence of the last release, the only one whose answer counts.
-    ///
-    /// An earlier release, or a probe of the server, may be answered before this one.
-    pub(crate) released_with: Option<Fence>,
-    /// Whether the server may still apply a grant of an earlier leader, even after a release.
-    pub(crate) may_apply_earlier: bool,
-    /// Whether the last release that was answered reached another process. A server refuses no
-    /// release of its own.
-    pub(crate) is_misdirected: bool,
-    /// Whether a release was sent because a later server is registered at the address.
-    pub(crate) is_checked: bool,
-}
-
 /// The server that is to hold a range next.
 #[derive(Clone, Debug)]
 pub(crate) struct Successor {
@@ -84,6 +63,8 @@
     /// The number of the record that names it; `None` until one is sent to the store.
     pub(crate) record_number: Option<u64>,
     pub(crate) reason: MoveReason,
+    /// Until when the move waits for a time at which a release ends all grants.
+    pub(crate) patience_deadline_ms: u64,
 }
 
 /// The next action that a range needs.
@@ -119,19 +100,23 @@
     /// Returns the next action.
     ///
     /// `may_hold` tells whether a grant of the holder may be valid, including grants that
-    /// are not answered yet; `is_recorded` whether a durable record names the successor;
-    /// `is_given_up` whether the holder does not answer and is to be replaced.
+    /// are not answered yet; `release_at_ms` from when on the holder is released, `None` while no
+    /// durable record names the successor; `is_given_up` whether the holder does not answer and is
+    /// to be replaced.
     pub(crate) fn next_step(
         &self,
         now_ms: u64,
         may_hold: bool,
-        is_recorded: bool,
+        release_at_ms: Option<u64>,
         is_given_up: bool,
     ) -> NextStep {
+        let is_due = release_at_ms.is_some_and(|at_ms| now_ms >= at_ms);
         match &self.holder {
-            None if is_recorded && self.previous_holders.is_empty() => NextStep::GrantToSuccessor,
+            None if release_at_ms.is_some() && self.is_free_for_successor() => {
+                NextStep::GrantToSuccessor
+            }
             Some(holder) if !may_hold && !holder.awaits_first_result() => NextStep::Expire,
-            Some(_) if is_recorded || is_given_up => NextStep::StartRelease,
+            Some(_) if is_given_up || is_due => NextStep::StartRelease,
             Some(holder)
                 if self.previous_holders.is_empty()
                     && !holder.is_frozen()
@@ -143,6 +128,32 @@
         }
     }
 
+    /// Returns whether no server but the successor may hold the range.
+    fn is_free_for_successor(&self) -> bool {
+        self.successor.as_ref().is_some_and(|successor| {
+            let mut previous = self.previous_holders.iter();
+            previous.all(|previous| previous.incarnation == successor.incarnation)
+        })
+    }
+
+    /// Returns the only server that may hold the range, if it can hold it again at once.
+    ///
+    /// A release whose answer is awaited could take the range from it again.
+    pub(crate) fn returnable_holder(&self) -> Option<&Incarnation> {
+        let (None, [previous]) = (&self.holder, self.previous_holders.as_slice()) else {
+            return None;
+        };
+        let is_settled =
+            matches!(previous.release, ReleaseState::Answered { .. } | ReleaseState::NotNeeded);
+        is_settled.then_some(&previous.incarnation)
+    }
+
+    /// Returns whether a previous holder has started again.
+    pub(crate) fn has_restarted_holder(&self) -> bool {
+        let mut previous = self.previous_holders.iter();
+        previous.any(|previous| previous.release == ReleaseState::NotNeeded)
+    }
+
     /// Notes that a server counts as done, for the log line of the next grant.
     pub(crate) fn note_end(&mut self, ended: EndedHolder) {
         if self.ended.len() == MAX_LOGGED_HOLDERS {
@@ -154,56 +165,65 @@
     /// Makes the holder a previous one that is sent a release at the given time.
     pub(crate) fn start_release(&mut self, release_at_ms: u64) {
         if let Some(holder) = self.holder.take() {
-            self.previous_holders.push(PreviousHolder {
-                may_apply_earlier: holder.may_apply_earlier,
-                ..PreviousHolder::new(holder.incarnation, holder.grant_deadline_ms, release_at_ms)
-            });
+            let mut previous =
+                PreviousHolder::new(holder.incarnation, holder.grants, release_at_ms);
+            previous.lease_end_ms = holder.lease_end_ms;
+            self.previous_holders.push(previous);
         }
     }
 
-    /// Extends the time until which grants to a server may be valid.
+    /// Adds a grant to a server that may be valid until a deadline.
     ///
     /// It applies to every incarnation of the server, since a grant reaches the one that
     /// runs when it arrives. A shorter grant doesn't shorten an earlier one, not even under
     /// a higher fence.
-    pub(crate) fn extend_grant_deadline(&mut self, incarnation: &Incarnation, deadline_ms: u64) {
+    pub(crate) fn add_grant(
+        &mut self,
+        incarnation: &Incarnation,
+        connection: Option<ConnectionId>,
+        deadline_ms: u64,
+    ) {
         let holder =
             self.holder.iter_mut().filter(|holder| holder.incarnation.server == incarnation.server);
         let previous_holders = self
             .previous_holders
             .iter_mut()
             .filter(|previous| previous.incarnation.server == incarnation.server);
-        let holder = holder.map(|holder| &mut holder.grant_deadline_ms);
-        for grant_deadline_ms in
-            holder.chain(previous_holders.map(|previous| &mut previous.grant_deadline_ms))
-        {
-            *grant_deadline_ms = deadline_ms.max(*grant_deadline_ms);
+        let holder = holder.map(|holder| &mut holder.grants);
+        for grants in holder.chain(previous_holders.map(|previous| &mut previous.grants)) {
+            match connection {
+                Some(connection) => grants.add_answered(connection, deadline_ms),
+                None => grants.add_timed(deadline_ms),
+            }
         }
     }
 
-    /// Notes that a previous holder has accepted a grant, so that it refuses those of earlier leaders.
-    pub(crate) fn rule_out_earlier(&mut self, incarnation: &Incarnation, granted: KeyRange) {
-        if !self.range.without(granted).is_empty() {
-            return;
-        }
-        let previous = self.previous_holders.iter_mut();
-        for previous in previous.filter(|previous| previous.incarnation == *incarnation) {
-            previous.may_apply_earlier = false;
-        }
+    /// Returns the grants of all holders.
+    pub(crate) fn grants_mut(&mut self) -> impl Iterator<Item = &mut GrantEnds> {
+        let holder = self.holder.iter_mut().map(|holder| &mut holder.grants);
+        let previous_holders = self.previous_holders.iter_mut();
+        holder.chain(previous_holders.map(|previous| &mut previous.grants))
     }
 
-    /// Returns the times until which answered grants may be valid.
-    pub(crate) fn grant_deadlines_mut(&mut self) -> impl Iterator<Item = &mut u64> {
-        let holder = self.holder.iter_mut().map(|holder| &mut holder.grant_deadline_ms);
-        let previous_holders = self.previous_holders.iter_mut();
-        holder.chain(previous_holders.map(|previous| &mut previous.grant_deadline_ms))
+    /// Returns the times until which answered grants to some of its holders may be valid.
+    pub(crate) fn grant_deadlines_of<'a>(
+        &'a self,
+        holders: &'a [Incarnation],
+    ) -> impl Iterator<Item = (&'a Incarnation, u64)> {
+        let holder =
+            self.holder.iter().map(|holder| (&holder.incarnation, holder.grants.deadline_ms()));
+        let previous = self.previous_holders.iter();
+        let previous =
+            previous.map(|previous| (&previous.incarnation, previous.grants.deadline_ms()));
+        holder.chain(previous).filter(|(incarnation, _)| holders.contains(incarnation))
     }
 
     /// Returns the last time at which an answered grant may be valid.
     pub(crate) fn grants_deadline_ms(&self) -> u64 {
-        let holder = self.holder.iter().map(|holder| holder.grant_deadline_ms);
+        let holder = self.holder.iter().map(|holder| holder.grants.deadline_ms());
         let previous_holders = self.previous_holders.iter();
-        let deadlines = holder.chain(previous_holders.map(|previous| previous.grant_deadline_ms));
+        let deadlines =
+            holder.chain(previous_holders.map(|previous| previous.grants.deadline_ms()));
         deadlines.max().unwrap_or(0)
     }
 
@@ -223,18 +243,23 @@
         }
     }
 
-    /// Returns the servers whose grants have to be released or to expire before the planned
-    /// owner can hold the range.
+    /// Returns the server that serves the range, if one does.
+    pub(crate) fn serving(&self) -> Option<&Incarnation> {
+        if let Some(holder) = &self.holder {
+            return holder.is_serving.then_some(&holder.incarnation);
+        }
+        let [previous] = self.previous_holders.as_slice() else { return None };
+        let is_serving = matches!(previous.release, ReleaseState::Postponed(_));
+        is_serving.then_some(&previous.incarnation)
+    }
+
+    /// Returns the servers whose grants have to expire before the planned owner can hold the range.
     pub(crate) fn holders_to_release(&self) -> Vec<Incarnation> {
         let owner = self.planned_owner();
         let holder = self.holder.iter().map(|holder| &holder.incarnation);
         let previous_holders = self.previous_holders.iter().map(|previous| &previous.incarnation);
-        // A previous holder that is to be the owner again still has to release the range.
-        holder
-            .filter(|incarnation| Some(*incarnation) != owner)
-            .chain(previous_holders)
-            .cloned()
-            .collect()
+        let holders = holder.chain(previous_holders);
+        holders.filter(|incarnation| Some(*incarnation) != owner).cloned().collect()
     }
 
     /// Splits the range before a key and returns the right part; both keep the whole state.
@@ -258,27 +283,12 @@
 }
 
 impl Successor {
-    pub(crate) fn new(incarnation: Incarnation, reason: MoveReason) -> Self {
-        Self { incarnation, record_number: None, reason }
-    }
-}
-
-impl PreviousHolder {
-    /// Creates a previous holder that is sent a release at the given time.
     pub(crate) fn new(
         incarnation: Incarnation,
-        grant_deadline_ms: u64,
-        release_at_ms: u64,
+        reason: MoveReason,
+        patience_deadline_ms: u64,
     ) -> Self {
-        Self {
-            incarnation,
-            grant_deadline_ms,
-            release_at_ms: Some(release_at_ms),
-            released_with: None,
-            may_apply_earlier: false,
-            is_misdirected: false,
-            is_checked: false,
-        }
+        Self { incarnation, record_number: None, reason, patience_deadline_ms }
     }
 }
 
@@ -289,9 +299,9 @@
             incarnation,
             fence,
             has_accepted_fence: false,
-            may_apply_earlier: false,
             listed: None,
-            grant_deadline_ms: 0,
+            grants: GrantEnds::default(),
+            lease_end_ms: 0,
             renew_at_ms: 0,
             is_short: false,
             failures: 0,
@@ -315,6 +325,6 @@
     ///
     /// Grants that were refused or whose answer is still awaited do not count.
     fn awaits_first_result(&self) -> bool {
-        self.grant_deadline_ms == 0 && self.failures == 0
+        self.grants.deadline_ms() == 0 && self.failures == 0
     }
 }
--- a/crates/shard/src/record.rs
+++ b/crates/shard/src/record.rs
@@ -15,12 +15,10 @@
     pub epoch: u64,
     /// The number of the record within the epoch.
     pub number: u64,
-    /// Whether all previous holders are quiescent: every grant that they were sent, also by earlier
-    /// leaders, has an outcome or is ruled out, and they are sent none from the write on.
+    /// For how long after the write was sent grants to previous holders may be valid at most.
     ///
-    /// Otherwise one may apply such a grant after it has released its range. Records of earlier
-    /// versions do not tell.
-    pub previous_are_quiescent: bool,
+    /// They are sent none from then on. Records of earlier versions do not tell.
+    pub previous_left_ms: Option<u64>,
     /// The ranges in ascending order; together they cover all keys.
     pub ranges: Vec<RecordedRange>,
 }
@@ -32,9 +30,7 @@
     pub range: KeyRange,
     /// The server that may hold them from now on.
     pub owner: Incarnation,
-    /// The previous holders that may not have given them up yet.
-    ///
-    /// A server that may still apply a grant late is the owner instead.
+    /// The previous holders whose grants may still be valid.
     pub previous: Vec<Incarnation>,
 }
 
@@ -43,8 +39,8 @@
 struct Stored {
     epoch: u64,
     number: u64,
-    #[serde(default, rename = "quiescent")]
-    previous_are_quiescent: bool,
+    #[serde(default, rename = "previous_left", skip_serializing_if = "Option::is_none")]
+    previous_left_ms: Option<u64>,
     #[serde(rename = "lives")]
     incarnations: Vec<Incarnation>,
     ranges: Vec<(u16, u16, usize, Vec<usize>)>,
@@ -73,7 +69,7 @@
         let stored = Stored {
             epoch: self.epoch,
             number: self.number,
-            previous_are_quiescent: self.previous_are_quiescent,
+            previous_left_ms: self.previous_left_ms,
             incarnations,
             ranges,
         };
@@ -101,7 +97,7 @@
         let record = Self {
             epoch: stored.epoch,
             number: stored.number,
-            previous_are_quiescent: stored.previous_are_quiescent,
+            previous_left_ms: stored.previous_left_ms,
             ranges: ranges?,
         };
         record.covers_all_keys().then_some(record)
--- a/crates/shard/src/recording.rs
+++ b/crates/shard/src/recording.rs
@@ -1,15 +1,16 @@
 //! What the record of an assignment says, and when it is written.
 //!
-//! A move is recorded only once every server that may have held the range is quiescent: all
-//! grants that it was sent have an outcome, it refuses those of earlier leaders, and it is sent
-//! no more. Until then the record names it as the owner. So whichever leader reads the record,
-//! the answer of a previous holder to a release shows that it holds the range no longer.
+//! A move is recorded once no answer to a grant of the range is awaited, and a release can end all
+//! grants or a renewal would make the next holder wait longer. From then on the servers that may
+//! hold the range are sent none. The record says for how long their grants may be valid at most, so
+//! whichever leader reads it knows when they end.
 
 use registry::Incarnation;
 
 use crate::assignment::Assignment;
-use crate::pass::{PassContext, UnansweredRanges};
-use crate::range_state::{Holder, Listed, PreviousHolder, RangeState, Successor};
+use crate::pass::{PassContext, PendingRanges};
+use crate::previous_holder::PreviousHolder;
+use crate::range_state::{Holder, Listed, RangeState, Successor};
 use crate::{Output, Record, RecordedRange};
 
 /// The writes of an assignment's record.
@@ -33,7 +34,6 @@
     owner: Incarnation,
     previous: Vec<Incarnation>,
     is_move: bool,
-    are_quiescent: bool,
 }
 
 /// Backoff after a record could not be written.
@@ -98,7 +98,7 @@
             return;
         }
         let entries = {
-            let known = Known { pass, unanswered: pass.unanswered_ranges() };
+            let known = Known { pass, pending: pass.pending_ranges() };
             let is_due = |state: &RangeState| state.is_withdrawn() || known.is_recordable(state);
             if !is_cleanup_due && !self.ranges.iter().any(is_due) {
                 return;
@@ -113,15 +113,34 @@
         {
             state.on_recorded(number, &entry.owner);
         }
-        let previous_are_quiescent = entries.iter().all(|entry| entry.are_quiescent);
+        let previous_left_ms = self.previous_left_ms(pass, &entries);
         let ranges = join_entries(&self.ranges, entries);
         let writes = &mut self.writes;
         (writes.last, writes.in_flight, writes.cleanup_at_ms) = (number, Some(number), None);
         writes.has_obsolete_holders = ranges.iter().any(|recorded| !recorded.previous.is_empty());
-        let record = Record { epoch: pass.epoch.0, number, previous_are_quiescent, ranges };
+        let record = Record { epoch: pass.epoch.0, number, previous_left_ms, ranges };
         pass.outputs.push(Output::Write { service: pass.service.clone(), record });
     }
 
+    /// Returns for how long grants to the recorded previous holders may be valid at most; `None` if
+    /// the answer to one is awaited.
+    ///
+    /// The connection of such a grant is open, so the time of its arrival has no bound yet.
+    fn previous_left_ms(&self, pass: &PassContext<'_>, entries: &[Entry]) -> Option<u64> {
+        let pending = pass.pending_ranges();
+        let mut left_ms = 0;
+        for (state, entry) in self.ranges.iter().zip(entries) {
+            for (incarnation, answered_ms) in state.grant_deadlines_of(&entry.previous) {
+                if pending.include(incarnation, state.range) {
+                    return None;
+                }
+                let deadline_ms = pass.grant_deadline_ms(incarnation, state.range, answered_ms);
+                left_ms = left_ms.max(deadline_ms.saturating_sub(pass.now_ms));
+            }
+        }
+        Some(left_ms)
+    }
+
     fn schedule_cleanup(&mut self, now_ms: u64) {
         let writes = &mut self.writes;
         if writes.has_obsolete_holders
@@ -163,7 +182,7 @@
 /// What a leader knows of the servers that may hold ranges.
 struct Known<'a> {
     pass: &'a PassContext<'a>,
-    unanswered: UnansweredRanges<'a>,
+    pending: PendingRanges<'a>,
 }
 
 impl Known<'_> {
@@ -173,19 +192,26 @@
             state.successor.as_ref().is_some_and(|successor| successor.record_number.is_none());
         is_planned
             && state.holder.as_ref().is_none_or(|holder| self.is_ready(state, holder))
-            && state.previous_holders.iter().all(|previous| self.is_quiescent(state, previous))
+            && state.previous_holders.iter().all(|previous| !self.is_awaited(state, previous))
     }
 
-    /// Returns whether a holder is quiescent if it is sent no more grants.
+    /// Returns whether a holder may be sent no more grants.
     fn is_ready(&self, state: &RangeState, holder: &Holder) -> bool {
+        let successor = state.successor.as_ref();
+        let is_patience_over =
+            successor.is_none_or(|next| self.pass.now_ms >= next.patience_deadline_ms);
         // While the store does not answer, a move would have to wait without grants.
         (self.pass.store_answers || holder.is_frozen())
-            && !holder.may_apply_earlier
-            && !self.unanswered.include(&holder.incarnation, state.range)
+            && !self.pending.include(&holder.incarnation, state.range)
+            && (self.pass.can_be_released(holder, state.range)
+                || is_patience_over
+                    && holder.lease_end_ms > 0
+                    && self.pass.would_renewal_delay(holder, state.range))
     }
 
-    fn is_quiescent(&self, state: &RangeState, previous: &PreviousHolder) -> bool {
-        !previous.may_apply_earlier && !self.unanswered.include(&previous.incarnation, state.range)
+    /// Returns whether the answer to a grant of a previous holder is awaited.
+    fn is_awaited(&self, state: &RangeState, previous: &PreviousHolder) -> bool {
+        self.pending.include(&previous.incarnation, state.range)
     }
 
     /// Returns the record's words on a range; `None` if it has neither holder nor successor.
@@ -195,24 +221,20 @@
         {
             let owner = successor.incarnation.clone();
             let previous = state.holders_to_release();
-            return Some(Entry { owner, previous, is_move: true, are_quiescent: true });
+            return Some(Entry { owner, previous, is_move: true });
         }
-        // The planned move is not recorded yet: a server that may apply a grant late stays the owner.
-        let is_quiescent = |previous: &PreviousHolder| self.is_quiescent(state, previous);
-        let mut previous: Vec<&PreviousHolder> = state.previous_holders.iter().collect();
-        let owner = if let Some(holder) = &state.holder {
-            &holder.incarnation
-        } else {
-            let last = previous.len().checked_sub(1)?;
-            let owner = previous.iter().rposition(|previous| !is_quiescent(previous));
-            &previous.remove(owner.unwrap_or(last)).incarnation
+        // The planned move is not recorded yet. A server whose answer is awaited is the owner, as
+        // the end of its grants cannot be told.
+        let previous: Vec<&PreviousHolder> = state.previous_holders.iter().collect();
+        let awaited = previous.iter().rposition(|previous| self.is_awaited(state, previous));
+        let mut previous: Vec<Incarnation> =
+            previous.into_iter().map(|previous| previous.incarnation.clone()).collect();
+        let owner = match (&state.holder, awaited) {
+            (Some(holder), _) => holder.incarnation.clone(),
+            (None, Some(awaited)) => previous.remove(awaited),
+            (None, None) => previous.pop()?,
         };
-        Some(Entry {
-            owner: owner.clone(),
-            previous: previous.iter().map(|previous| previous.incarnation.clone()).collect(),
-            is_move: false,
-            are_quiescent: previous.into_iter().all(is_quiescent),
-        })
+        Some(Entry { owner, previous, is_move: false })
     }
 }
 
--- a/crates/shard/tests/delayed_grants.rs
+++ b/crates/shard/tests/delayed_grants.rs
@@ -5,7 +5,7 @@
 //! it: answers, and the reset of the connection. Other servers answer all the while.
 mod fixture;
 
-use crate::fixture::{Driver, TICK_MS, incarnation};
+use crate::fixture::{Driver, TICK_MS, carry_out, incarnation};
 use shard::{Config, Event, Grant, KeyRange, OrderId, OrderKind, Output, Reply};
 
 /// When the link of `s1` is cut.
@@ -46,16 +46,17 @@
 
     fn step(&mut self, event: Event) {
         for output in self.driver.step(event) {
-            let Output::Order { id, server, kind, .. } = output else { continue };
+            let Output::Order { id, server, kind, connection, .. } = output else { continue };
+            let done = carry_out(&kind, connection);
             if server.incarnation == incarnation("s1") {
-                self.send_to_first(id, &kind);
+                self.send_to_first(id, &kind, done);
             } else {
-                self.send_to_other(id, &kind);
+                self.send_to_other(id, &kind, done);
             }
         }
     }
 
-    fn send_to_first(&mut self, id: OrderId, kind: &OrderKind) {
+    fn send_to_first(&mut self, id: OrderId, kind: &OrderKind, done: Reply) {
         let config = Config::default();
         let timed_out_at_ms = self.driver.now_ms + config.order_timeout_ms;
         if self.driver.now_ms >= CUT_FROM_MS {
@@ -68,7 +69,7 @@
             self.replies.push((timed_out_at_ms, id, Reply::Unknown));
         } else {
             self.accept(self.driver.now_ms, kind);
-            self.replies.push((self.driver.now_ms, id, Reply::Done(None)));
+            self.replies.push((self.driver.now_ms, id, done));
         }
     }
 
@@ -78,7 +79,7 @@
         self.held.push((*range, arrived_at_ms + held_ms));
     }
 
-    fn send_to_other(&mut self, id: OrderId, kind: &OrderKind) {
+    fn send_to_other(&mut self, id: OrderId, kind: &OrderKind, done: Reply) {
         if let OrderKind::Grant(grant) = kind {
             let held = self.held.iter().filter(|(range, _)| range.overlaps(grant.range));
             let until_ms = held.map(|(_, until_ms)| *until_ms).max().unwrap_or(0);
@@ -87,7 +88,7 @@
                 self.overlap_ms = self.overlap_ms.max(until_ms.saturating_sub(self.driver.now_ms));
             }
         }
-        self.replies.push((self.driver.now_ms, id, Reply::Done(None)));
+        self.replies.push((self.driver.now_ms, id, done));
     }
 
     fn run(&mut self, until_ms: u64) {
--- a/crates/shard/tests/evacuated_keys.rs
+++ b/crates/shard/tests/evacuated_keys.rs
@@ -2,12 +2,12 @@
 //! release.
 mod fixture;
 
-use crate::fixture::{SERVICE, TICK_MS, registration};
+use crate::fixture::{SERVICE, TICK_MS, carry_out, registration};
 use document::{HashMap, Name};
 use registry::{Registration, Registry, Stage};
 use shard::{
-    Config, Epoch, Event, Leader, LogEvent, MoveReason, OrderId, OrderKind, Output, Owner, Record,
-    Reply, Servers,
+    Config, ConnectionId, Epoch, Event, Leader, LogEvent, MoveReason, OrderId, OrderKind, Output,
+    Owner, Record, Servers,
 };
 
 /// Two fifths of the default bound: servers that still hold keys get no requests afterwards.
@@ -102,20 +102,19 @@
                     self.record = Some(record);
                     self.step(Event::RecordWritten { service, epoch, number });
                 }
-                Output::Order { id, kind, .. } => self.answer(id, &kind),
+                Output::Order { id, kind, connection, .. } => self.answer(id, &kind, connection),
                 Output::Log(event) => self.note(event),
                 Output::Publish { .. } | Output::Deposed => {}
             }
         }
     }
 
-    fn answer(&mut self, id: OrderId, kind: &OrderKind) {
+    fn answer(&mut self, id: OrderId, kind: &OrderKind, connection: Option<ConnectionId>) {
         let is_release = matches!(kind, OrderKind::Release(_));
         if is_release && !self.answers_releases {
             return;
         }
-        let token = is_release.then(|| "token".into());
-        self.step(Event::Answered(id, Reply::Done(token)));
+        self.step(Event::Answered(id, carry_out(kind, connection)));
     }
 
     fn note(&mut self, event: LogEvent) {
@@ -180,7 +179,9 @@
     assert!(!harness.moves.is_empty());
     harness.replace_leader();
     harness.answers_releases = true;
-    harness.run(CLOSE_MS);
+    // The next leader cannot tell which grants of the one before were answered: it waits for them.
+    let config = Config::default();
+    harness.run(config.grant_deadline_ms(0, config.grant_ms) + 5 * TICK_MS);
     assert_eq!(harness.owners(), ["a1", "a2"].map(Name::from));
 }
 
--- a/crates/shard/tests/even_load.rs
+++ b/crates/shard/tests/even_load.rs
@@ -3,10 +3,10 @@
 //! Each test simulates a load on servers that carry out every order at once.
 mod fixture;
 
-use crate::fixture::{SERVICE, TICK_MS, registration, registry, step_with_writes};
+use crate::fixture::{SERVICE, TICK_MS, carry_out, registration, registry, step_with_writes};
 use document::{HashMap, Name};
 use registry::{Incarnation, Registry, Stage};
-use shard::{Config, Epoch, Event, Leader, MoveReason, Output, Owner, Reply, Servers, Table};
+use shard::{Config, Epoch, Event, Leader, MoveReason, Output, Owner, Servers, Table};
 
 struct Harness {
     now_ms: u64,
@@ -42,7 +42,9 @@
         let servers = Servers { registry: &self.registry, speeds: &self.speeds };
         for output in step_with_writes(&mut self.leader, self.now_ms, servers, event) {
             match output {
-                Output::Order { id, .. } => self.step(Event::Answered(id, Reply::Done(None))),
+                Output::Order { id, kind, connection, .. } => {
+                    self.step(Event::Answered(id, carry_out(&kind, connection)));
+                }
                 Output::Log(shard::LogEvent::Planned { range, reason, .. }) => {
                     self.moves.push((reason, range.count()));
                 }
--- a/crates/shard/tests/large_fleet.rs
+++ b/crates/shard/tests/large_fleet.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::fixture::{SERVICE, TICK_MS, incarnation, registry, step_with_writes};
+use crate::fixture::{SERVICE, TICK_MS, carry_out, incarnation, registry, step_with_writes};
 use document::{HashMap, HashSet, Name};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -79,13 +79,13 @@
         let servers = Servers { registry: &self.registry, speeds: &self.speeds };
         for output in step_with_writes(&mut self.leader, self.now_ms, servers, event) {
             match output {
-                Output::Order { id, server, kind, deadline_ms } => {
+                Output::Order { id, server, kind, deadline_ms, connection } => {
                     let is_lost = self.lost.contains(&server.incarnation);
                     let (at_ms, reply) = match kind {
                         _ if is_lost => (deadline_ms, Reply::Unknown),
-                        OrderKind::Grant(_) => (self.now_ms + 2, Reply::Done(None)),
+                        OrderKind::Grant(_) => (self.now_ms + 2, carry_out(&kind, connection)),
                         OrderKind::Release(_) => {
-                            (self.now_ms + WORK_MS, Reply::Done(Some("token".into())))
+                            (self.now_ms + WORK_MS, carry_out(&kind, connection))
                         }
                     };
                     self.grants += usize::from(matches!(kind, OrderKind::Grant(_)));
--- a/crates/shard/tests/only_range.rs
+++ b/crates/shard/tests/only_range.rs
@@ -7,8 +7,8 @@
 use crate::fixture::{Driver, SERVICE, TICK_MS, incarnation, registration};
 use registry::{Incarnation, Stage};
 use shard::{
-    Config, Epoch, Event, Grant, KeyRange, Leader, OrderId, OrderKind, Output, Record,
-    RecordedRange, Reply,
+    Config, ConnectionId, Epoch, Event, Grant, KeyRange, Leader, OrderId, OrderKind, Output,
+    Record, RecordedRange, Reply,
 };
 
 /// For how long `s1` has its last grant at least.
@@ -26,8 +26,7 @@
         let mut driver = Driver::new(servers);
         let range =
             RecordedRange { range: KeyRange::WHOLE, owner: incarnation("s1"), previous: vec![] };
-        let record =
-            Record { epoch: 4, number: 1, previous_are_quiescent: true, ranges: vec![range] };
+        let record = Record { epoch: 4, number: 1, previous_left_ms: Some(0), ranges: vec![range] };
         let records = [(SERVICE.into(), record)];
         driver.leader = Leader::new(Epoch(5), 0, u64::MAX, &records, Config::default());
         let mut harness = Self { driver, given_on: Vec::new() };
@@ -42,7 +41,8 @@
             self.driver.now_ms += TICK_MS;
             let mut accepted = self.step(Event::Tick);
             while let Some(id) = accepted.pop() {
-                accepted.extend(self.step(Event::Answered(id, Reply::Done(None))));
+                accepted
+                    .extend(self.step(Event::Answered(id, Reply::DoneOn(ConnectionId(1), None))));
             }
         }
     }
--- a/crates/shard/tests/queued_grants.rs
+++ b/crates/shard/tests/queued_grants.rs
@@ -1,13 +1,13 @@
 //! Guards against a second holder while a server has queued a grant that it did not answer.
 //!
-//! The server applies the grant later, even after releases, unless it has accepted a higher fence.
-//! The time of the grant counts from its arrival.
+//! The server applies the grant later, even after releases and newer grants, whatever its fence. The
+//! time of the grant counts from its arrival.
 mod fixture;
 
-use crate::fixture::{Driver, SERVICE, TICK_MS, incarnation};
+use crate::fixture::{Driver, SERVICE, TICK_MS, carry_out, incarnation};
 use registry::Stage;
 use shard::{
-    Config, Epoch, Event, Fence, KeyRange, Leader, OrderId, OrderKind, Output, Record,
+    Config, Epoch, Event, KeyRange, Leader, OrderId, OrderKind, Output, Owner, Record,
     RecordedRange, Reply,
 };
 
@@ -30,7 +30,7 @@
     answers_from_ms: u64,
     replies: Vec<(u64, OrderId, Reply)>,
     /// The grants that `s1` may still apply, and until when they are valid.
-    queued: Vec<(KeyRange, Fence, u64)>,
+    queued: Vec<(KeyRange, u64)>,
     /// For how long other servers had keys of queued grants that were valid.
     overlap_ms: u64,
 }
@@ -49,46 +49,38 @@
 
     fn step(&mut self, event: Event) {
         for output in self.driver.step(event) {
-            let Output::Order { id, server, kind, .. } = output else { continue };
+            let Output::Order { id, server, kind, connection, .. } = output else { continue };
+            let done = carry_out(&kind, connection);
             let is_first = server.incarnation == incarnation("s1");
             let (at_ms, reply) = match &kind {
-                _ if is_first => self.send_to_first(&kind),
+                _ if is_first => self.send_to_first(&kind, done),
                 OrderKind::Grant(grant) => {
-                    self.check_other(grant.range, grant.fence);
-                    (self.driver.now_ms, Reply::Done(None))
+                    self.check_other(grant.range);
+                    (self.driver.now_ms, done)
                 }
-                OrderKind::Release(_) => (self.driver.now_ms, Reply::Done(None)),
+                OrderKind::Release(_) => (self.driver.now_ms, done),
             };
             self.replies.push((at_ms, id, reply));
         }
     }
 
-    fn send_to_first(&mut self, kind: &OrderKind) -> (u64, Reply) {
+    fn send_to_first(&mut self, kind: &OrderKind, done: Reply) -> (u64, Reply) {
         let now_ms = self.driver.now_ms;
         let answers = now_ms < self.queues_from_ms || now_ms >= self.answers_from_ms;
         match kind {
-            OrderKind::Grant(grant) if answers => {
-                let is_kept = |(range, fence, _): &(KeyRange, Fence, u64)| {
-                    !range.overlaps(grant.range) || *fence >= grant.fence
-                };
-                self.queued.retain(is_kept);
-                (now_ms, Reply::Done(None))
-            }
-            OrderKind::Release(_) if answers => (now_ms, Reply::Done(None)),
+            _ if answers => (now_ms, done),
             OrderKind::Grant(grant) if now_ms < self.queues_from_ms + QUEUES_FOR_MS => {
                 let held_ms = grant.grant_ms + grant.grant_ms / CLOCK_DRIFT_DIVISOR;
                 let until_ms = now_ms + DELAY_MS + held_ms;
-                self.queued.push((grant.range, grant.fence, until_ms));
+                self.queued.push((grant.range, until_ms));
                 (now_ms + Config::default().order_timeout_ms, Reply::Unknown)
             }
             _ => (now_ms, Reply::NotSent),
         }
     }
 
-    fn check_other(&mut self, range: KeyRange, fence: Fence) {
-        let queued = self.queued.iter().filter(|(queued, ..)| queued.overlaps(range));
-        let lower = queued.filter(|(_, queued, _)| *queued < fence);
-        for (_, _, until_ms) in lower {
+    fn check_other(&mut self, range: KeyRange) {
+        for (_, until_ms) in self.queued.iter().filter(|(queued, _)| queued.overlaps(range)) {
             self.overlap_ms = self.overlap_ms.max(until_ms.saturating_sub(self.driver.now_ms));
         }
     }
@@ -121,7 +113,7 @@
 
 /// Guards against a grant of the leader before, which its server applies after a release.
 #[test]
-fn recorded_owner_accepts_a_grant_before_its_release() {
+fn recorded_owner_waits_for_grants_of_the_leader_before() {
     let mut harness = Harness::new(u64::MAX, 0);
     // Only one of two ranges gets a grant before both are to be released.
     let (left, right) = KeyRange::WHOLE.split_at(30_000).unwrap();
@@ -130,15 +122,16 @@
     let record = Record {
         epoch: 4,
         number: 1,
-        previous_are_quiescent: true,
+        previous_left_ms: Some(0),
         ranges: vec![to_recorded(left), to_recorded(right)],
     };
     let records = [(SERVICE.into(), record)];
     harness.driver.leader = Leader::new(Epoch(5), 0, u64::MAX, &records, Config::default());
     harness.driver.put("s1", Stage::Draining);
     let until_ms = 1_000 + Config::default().max_grant_ms;
-    harness.queued = vec![(left, Fence(1), until_ms), (right, Fence(1), until_ms)];
-    harness.run(2_000);
+    harness.queued = vec![(left, until_ms), (right, until_ms)];
+    harness.run(15_000);
     assert_eq!(harness.overlap_ms, 0);
-    assert!(harness.queued.is_empty());
+    let table = harness.driver.leader.table(SERVICE, 15_000).unwrap();
+    assert!(table.spans.iter().all(|span| span.owner != Owner::Server(incarnation("s1"))));
 }
--- a/crates/shard/tests/random_moves.rs
+++ b/crates/shard/tests/random_moves.rs
@@ -75,7 +75,8 @@
     slow_write: 0,
     suspend: 0,
     repeat_answer: 0,
-    late_fences: LateFences::Checked,
+    close_connection: 20,
+    late_fences: LateFences::CheckedBySome,
 };
 
 #[test]
@@ -239,8 +240,13 @@
         resign: rate(80),
         slow_write: rate(400),
         suspend: rate(40),
-        repeat_answer: 0,
-        late_fences: LateFences::Checked,
+        repeat_answer: rate(20),
+        close_connection: rate(60),
+        late_fences: match random.random_range(0..3) {
+            0 => LateFences::Checked,
+            1 => LateFences::CheckedBySome,
+            _ => LateFences::Ignored,
+        },
     }
 }
 
@@ -278,6 +284,7 @@
     slow_write: 0,
     suspend: 0,
     repeat_answer: 0,
+    close_connection: 20,
     late_fences: LateFences::Checked,
 };
 
--- a/crates/shard/tests/record_forms.rs
+++ b/crates/shard/tests/record_forms.rs
@@ -39,9 +39,9 @@
 }
 
 #[test]
-fn earlier_records_do_not_say_that_holders_are_quiescent() {
+fn earlier_records_do_not_tell_when_grants_end() {
     let earlier = Record::from_text(&stored().to_string()).unwrap();
-    assert!(!earlier.previous_are_quiescent);
-    let later = Record { previous_are_quiescent: true, ..earlier };
+    assert_eq!(earlier.previous_left_ms, None);
+    let later = Record { previous_left_ms: Some(3_112), ..earlier };
     assert_eq!(Record::from_text(&later.to_text()), Some(later));
 }
--- a/crates/shard/tests/recorded_moves.rs
+++ b/crates/shard/tests/recorded_moves.rs
@@ -1,22 +1,25 @@
 //! Guards against records from which a later leader would take a server for done that may still
-//! apply a grant.
+//! carry out a grant.
 mod fixture;
 
-use crate::fixture::{SERVICE, TICK_MS, incarnation, registration, registry};
+use crate::fixture::{SERVICE, TICK_MS, carry_out, incarnation, registration, registry};
 use document::HashMap;
 use registry::{Registry, Stage};
 use shard::{
-    Config, Epoch, Event, KeyRange, Leader, OrderId, OrderKind, Output, Record, RecordedRange,
-    Reply, Servers,
+    Config, ConnectionId, Epoch, Event, KeyRange, Leader, OrderId, OrderKind, Output, Record,
+    RecordedRange, Reply, Servers,
 };
 
-/// A leader of two servers, `s1` with all keys, that starts from a record.
+/// Until when grants of the leader before may be valid.
+const EARLIER_MS: u64 = 2_000;
+
+/// A leader that starts from a record. `s2` joins when `s1` drains, unless the record names it.
 struct Harness {
     now_ms: u64,
     leader: Leader,
     registry: Registry,
     /// The grants and releases that `s1` has not answered.
-    orders: Vec<(OrderId, OrderKind)>,
+    orders: Vec<(OrderId, OrderKind, Option<ConnectionId>)>,
     writes: Vec<Record>,
     /// Whether `s2` was sent a grant.
     is_given_on: bool,
@@ -24,9 +27,12 @@
 
 impl Harness {
     fn new(record: Record) -> Self {
+        let has_second = record.ranges[0].owner == incarnation("s2");
         let records = [(SERVICE.into(), record)];
-        let leader = Leader::new(Epoch(5), 0, u64::MAX, &records, Config::default());
-        let registry = registry(["s1", "s2"].map(String::from));
+        let mut leader = Leader::new(Epoch(5), 0, u64::MAX, &records, Config::default());
+        leader.limit_earlier_grants(EARLIER_MS);
+        let names = if has_second { vec!["s1", "s2"] } else { vec!["s1"] };
+        let registry = registry(names.into_iter().map(String::from));
         let (orders, writes) = (Vec::new(), Vec::new());
         Self { now_ms: 0, leader, registry, orders, writes, is_given_on: false }
     }
@@ -36,10 +42,10 @@
         let servers = Servers { registry: &self.registry, speeds: &speeds };
         for output in self.leader.step(self.now_ms, servers, event) {
             match output {
-                Output::Order { id, server, kind, .. }
+                Output::Order { id, server, kind, connection, .. }
                     if server.incarnation == incarnation("s1") =>
                 {
-                    self.orders.push((id, kind));
+                    self.orders.push((id, kind, connection));
                 }
                 Output::Order { kind: OrderKind::Grant(_), .. } => self.is_given_on = true,
                 Output::Write { record, .. } => self.writes.push(record),
@@ -56,10 +62,10 @@
         }
     }
 
-    /// Answers all orders that are pending now, not those that follow.
-    fn answer(&mut self, reply: &Reply) {
-        for (id, _) in std::mem::take(&mut self.orders) {
-            self.step(Event::Answered(id, reply.clone()));
+    /// Carries out all orders that are pending now, not those that follow.
+    fn answer(&mut self) {
+        for (id, kind, connection) in std::mem::take(&mut self.orders) {
+            self.step(Event::Answered(id, carry_out(&kind, connection)));
         }
     }
 
@@ -67,30 +73,50 @@
     fn settle(&mut self) {
         for _ in 0..5 {
             self.run(TICK_MS);
-            self.answer(&Reply::Done(None));
+            self.answer();
         }
     }
 
     fn drain_first(&mut self) {
         self.registry.put(self.now_ms, "s1", registration("s1", Stage::Draining));
+        self.registry.put(self.now_ms, "s2", registration("s2", Stage::Ready));
         self.run(TICK_MS);
     }
 
+    fn confirm_writes(&mut self) {
+        for record in std::mem::take(&mut self.writes) {
+            let (epoch, number) = (Epoch(record.epoch), record.number);
+            self.step(Event::RecordWritten { service: SERVICE.into(), epoch, number });
+        }
+    }
+
+    /// Answers all orders, and returns when `s2` gets its first grant if it gets none before
+    /// `until_ms`; otherwise how much earlier.
+    fn given_on_after(&mut self, until_ms: u64) -> u64 {
+        while !self.is_given_on {
+            assert!(self.now_ms <= until_ms + 2 * TICK_MS, "the range is given on");
+            self.run(TICK_MS);
+            self.answer();
+            self.confirm_writes();
+        }
+        self.now_ms.min(until_ms)
+    }
+
     /// Returns whether `s1` has an unanswered grant.
     fn has_grant(&self) -> bool {
-        self.orders.iter().any(|(_, kind)| matches!(kind, OrderKind::Grant(_)))
+        self.orders.iter().any(|(_, kind, _)| matches!(kind, OrderKind::Grant(_)))
     }
 }
 
-fn record(owner: &str, previous: &[&str], previous_are_quiescent: bool) -> Record {
+fn record(owner: &str, previous: &[&str], previous_left_ms: Option<u64>) -> Record {
     let previous = previous.iter().map(|name| incarnation(name)).collect();
     let range = RecordedRange { range: KeyRange::WHOLE, owner: incarnation(owner), previous };
-    Record { epoch: 4, number: 1, previous_are_quiescent, ranges: vec![range] }
+    Record { epoch: 4, number: 1, previous_left_ms, ranges: vec![range] }
 }
 
 #[test]
 fn move_waits_for_the_outcome_of_grants() {
-    let mut harness = Harness::new(record("s1", &[], true));
+    let mut harness = Harness::new(record("s1", &[], Some(0)));
     harness.run(TICK_MS);
     harness.drain_first();
     assert!(harness.has_grant());
@@ -99,12 +125,15 @@
     let [record] = harness.writes.as_slice() else { panic!("{:?}", harness.writes) };
     assert_eq!(record.ranges[0].owner, incarnation("s2"));
     assert_eq!(record.ranges[0].previous, [incarnation("s1")]);
-    assert!(record.previous_are_quiescent);
+    let config = Config::default();
+    let renewed_ms = config.grant_deadline_ms(0, config.grant_ms);
+    let left_ms = record.previous_left_ms.expect("no grant is awaited");
+    assert!((renewed_ms - 200..=renewed_ms).contains(&left_ms), "{left_ms}");
 }
 
 #[test]
 fn recorded_holder_gets_no_grants_until_the_write_is_ruled_out() {
-    let mut harness = Harness::new(record("s1", &[], true));
+    let mut harness = Harness::new(record("s1", &[], Some(0)));
     harness.settle();
     harness.drain_first();
     harness.settle();
@@ -120,44 +149,45 @@
 }
 
 #[test]
-fn release_does_not_count_after_a_record_of_an_earlier_version() {
-    let mut harness = Harness::new(record("s2", &["s1"], false));
-    let deadline_ms = Config::default().earlier_grants_deadline_ms(0);
-    while harness.now_ms + TICK_MS < deadline_ms {
-        harness.run(TICK_MS);
-        harness.answer(&Reply::Done(None));
-        assert!(!harness.is_given_on, "at {}", harness.now_ms);
-    }
-    harness.run(2 * TICK_MS);
-    let number = harness.writes.last().expect("a record without s1").number;
-    let epoch = Epoch(5);
-    harness.step(Event::RecordWritten { service: SERVICE.into(), epoch, number });
-    assert!(harness.is_given_on);
+fn grants_are_waited_for_after_a_record_of_an_earlier_version() {
+    let mut harness = Harness::new(record("s2", &["s1"], None));
+    assert_eq!(harness.given_on_after(EARLIER_MS), EARLIER_MS);
 }
 
+/// Guards against a release that counts as the end of a grant that it does not end.
 #[test]
-fn release_counts_after_a_record_of_quiescent_holders() {
-    let mut harness = Harness::new(record("s2", &["s1"], true));
-    harness.run(TICK_MS);
-    harness.answer(&Reply::Done(None));
-    assert!(harness.is_given_on);
+fn recorded_time_of_previous_holders_is_waited_for() {
+    let mut harness = Harness::new(record("s2", &["s1"], Some(1_000)));
+    assert_eq!(harness.given_on_after(1_020), 1_020);
 }
 
-/// Guards against an earlier answer on the same connection that counts as the acceptance of the
-/// grant that rules out those of the leader before.
+/// Guards against an earlier answer on the same connection that counts as that to a grant: only one
+/// of its own, or time, shows that the recorded owner carries out no grant.
 #[test]
 fn recorded_owner_is_quiescent_only_after_an_answer_of_its_own() {
-    let mut harness = Harness::new(record("s1", &[], true));
-    harness.run(TICK_MS);
-    harness.drain_first();
-    let mut have_own_answers = false;
-    for _ in 0..5 {
-        let mut orders = harness.orders.iter();
-        have_own_answers |=
-            orders.any(|(_, kind)| matches!(kind, OrderKind::Grant(_)) && kind.needs_own_answer());
-        harness.answer(&Reply::Done(None));
+    for has_own_answer in [false, true] {
+        let mut harness = Harness::new(record("s1", &[], Some(0)));
         harness.run(TICK_MS);
+        harness.drain_first();
+        let (mut last_grant_end_ms, mut is_answered) = (EARLIER_MS, false);
+        while !harness.is_given_on {
+            assert!(harness.now_ms < 20_000, "the range is given on");
+            for (id, kind, connection) in std::mem::take(&mut harness.orders) {
+                if let OrderKind::Grant(grant) = &kind {
+                    last_grant_end_ms = last_grant_end_ms.max(harness.now_ms + grant.grant_ms);
+                }
+                let is_release = matches!(kind, OrderKind::Release(_));
+                is_answered |= is_release && has_own_answer;
+                // Only the answer of its own has the token that a release returns.
+                let is_copy = is_release && connection.is_some() && !has_own_answer;
+                let copy = Reply::Done(None);
+                let reply = if is_copy { copy } else { carry_out(&kind, connection) };
+                harness.step(Event::Answered(id, reply));
+            }
+            harness.run(TICK_MS);
+            harness.confirm_writes();
+        }
+        let have_ended = harness.now_ms >= last_grant_end_ms;
+        assert!(is_answered || have_ended, "given on after answers that may be those of others");
     }
-    assert_eq!(harness.writes.len(), 1);
-    assert!(have_own_answers, "recorded after answers that may be those of other orders");
 }
--- a/crates/shard/tests/renewal_answers.rs
+++ b/crates/shard/tests/renewal_answers.rs
@@ -6,7 +6,9 @@
 use crate::fixture::{SERVICE, TICK_MS, registry, step_with_writes};
 use document::HashMap;
 use registry::{Incarnation, Registry};
-use shard::{Config, Epoch, Event, Leader, OrderId, OrderKind, Output, Reply, Servers};
+use shard::{
+    Config, ConnectionId, Epoch, Event, Leader, OrderId, OrderKind, Output, Reply, Servers,
+};
 
 const SERVERS: u64 = 40;
 
@@ -52,7 +54,8 @@
     /// Answers grants after some time and returns the grants that follow.
     fn answer(&mut self, grants: Vec<OrderId>, passed_ms: u64) -> Vec<OrderId> {
         self.now_ms += passed_ms;
-        let answers = grants.into_iter().map(|id| Event::Answered(id, Reply::Done(None)));
+        let answers =
+            grants.into_iter().map(|id| Event::Answered(id, Reply::DoneOn(ConnectionId(1), None)));
         answers.flat_map(|answer| self.step(answer)).collect()
     }
 
--- a/crates/shard/tests/reused_address.rs
+++ b/crates/shard/tests/reused_address.rs
@@ -3,7 +3,7 @@
 mod fixture;
 
 use crate::fixture::{
-    SERVICE, TICK_MS, address, incarnation, registration, registry, step_with_writes,
+    SERVICE, TICK_MS, address, carry_out, incarnation, registration, registry, step_with_writes,
 };
 use document::HashMap;
 use registry::{Incarnation, Registration, Registry, Stage};
@@ -45,9 +45,11 @@
     fn step(&mut self, event: Event) {
         let servers = Servers { registry: &self.registry, speeds: &self.speeds };
         for output in step_with_writes(&mut self.leader, self.now_ms, servers, event) {
-            let Output::Order { id, server, kind, deadline_ms } = output else { continue };
+            let Output::Order { id, server, kind, deadline_ms, connection } = output else {
+                continue;
+            };
             let is_release = matches!(kind, OrderKind::Release(_));
-            let done = Reply::Done(is_release.then(|| "token".into()));
+            let done = carry_out(&kind, connection);
             let (first, now_ms) = (incarnation("s1"), self.now_ms);
             match self.first {
                 _ if server.incarnation != first => self.step(Event::Answered(id, done)),
--- a/crates/shard/tests/shortened_grants.rs
+++ b/crates/shard/tests/shortened_grants.rs
@@ -4,7 +4,7 @@
 //! them. A leader that counts only the last grant gives the range away too early.
 mod fixture;
 
-use crate::fixture::{SERVICE, TICK_MS, incarnation, registry};
+use crate::fixture::{SERVICE, TICK_MS, carry_out, incarnation, registry};
 use document::HashMap;
 use registry::{Incarnation, Registry};
 use shard::{
@@ -38,7 +38,10 @@
         let outputs = self.leader.step(self.now_ms, servers, event);
         for output in outputs {
             match output {
-                Output::Order { id, server, kind, .. } => self.send(id, &server.incarnation, kind),
+                Output::Order { id, server, kind, connection, .. } => {
+                    let done = carry_out(&kind, connection);
+                    self.send(id, &server.incarnation, kind, done);
+                }
                 Output::Write { service, record } => {
                     let (epoch, number) = (Epoch(record.epoch), record.number);
                     self.record = Some(record);
@@ -50,14 +53,14 @@
     }
 
     /// Delivers an order to its server and answers it.
-    fn send(&mut self, id: OrderId, incarnation: &Incarnation, kind: OrderKind) {
+    fn send(&mut self, id: OrderId, incarnation: &Incarnation, kind: OrderKind, done: Reply) {
         if self.silent.as_ref() == Some(incarnation) {
             return self.step(Event::Answered(id, Reply::NotSent));
         }
         if let OrderKind::Grant(grant) = kind {
             self.accepted.entry(incarnation.clone()).or_default().push(grant);
         }
-        self.step(Event::Answered(id, Reply::Done(None)));
+        self.step(Event::Answered(id, done));
     }
 
     fn run(&mut self, for_ms: u64) {
--- a/crates/shard/tests/silent_servers.rs
+++ b/crates/shard/tests/silent_servers.rs
@@ -4,10 +4,10 @@
 //! the server answers again, it must get ranges.
 mod fixture;
 
-use crate::fixture::{SERVICE, TICK_MS, incarnation, registry, step_with_writes};
+use crate::fixture::{SERVICE, TICK_MS, carry_out, incarnation, registry, step_with_writes};
 use document::HashMap;
 use registry::{Incarnation, Registry};
-use shard::{Config, Epoch, Event, Leader, LogEvent, OrderId, OrderKind, Output, Reply, Servers};
+use shard::{Config, Epoch, Event, Leader, LogEvent, OrderId, Output, Reply, Servers};
 
 struct Harness {
     now_ms: u64,
@@ -35,7 +35,9 @@
         let servers = Servers { registry: &self.registry, speeds: &self.speeds };
         for output in step_with_writes(&mut self.leader, self.now_ms, servers, event) {
             match output {
-                Output::Order { id, server, kind, .. } => self.send(id, &server.incarnation, &kind),
+                Output::Order { id, server, kind, connection, .. } => {
+                    self.send(id, &server.incarnation, carry_out(&kind, connection));
+                }
                 Output::Log(LogEvent::Planned { to, .. }) => {
                     self.planned += usize::from(to == incarnation("s3"));
                 }
@@ -45,11 +47,10 @@
     }
 
     /// Delivers an order to its server and answers it.
-    fn send(&mut self, id: OrderId, to: &Incarnation, kind: &OrderKind) {
+    fn send(&mut self, id: OrderId, to: &Incarnation, done: Reply) {
         let is_lost = self.is_cut && *to == incarnation("s3");
         self.answered += usize::from(*to == incarnation("s3") && !is_lost);
-        let token = matches!(kind, OrderKind::Release(_)).then(|| "token".into());
-        let reply = if is_lost { Reply::NotSent } else { Reply::Done(token) };
+        let reply = if is_lost { Reply::NotSent } else { done };
         self.step(Event::Answered(id, reply));
     }
 
--- a/crates/shard/tests/store_outages.rs
+++ b/crates/shard/tests/store_outages.rs
@@ -26,6 +26,7 @@
     slow_write: 0,
     suspend: 0,
     repeat_answer: 0,
+    close_connection: 0,
     late_fences: LateFences::Checked,
 };
 /// Time for the first assignment, with a margin.
--- a/crates/shard/tests/suspended_leader.rs
+++ b/crates/shard/tests/suspended_leader.rs
@@ -1,7 +1,7 @@
 //! Guards against two holders after a leader was suspended while a grant had no answer.
 mod fixture;
 
-use crate::fixture::{Driver, TICK_MS, incarnation};
+use crate::fixture::{Driver, TICK_MS, carry_out, incarnation};
 use registry::Stage;
 use shard::{Config, Event, OrderId, OrderKind, Output, Reply};
 
@@ -21,7 +21,7 @@
 impl Harness {
     fn step(&mut self, event: Event) {
         for output in self.driver.step(event) {
-            let Output::Order { id, server, kind, .. } = output else { continue };
+            let Output::Order { id, server, kind, connection, .. } = output else { continue };
             if server.incarnation == incarnation("s1") && self.is_first_cut {
                 self.unanswered.push(id);
                 continue;
@@ -29,7 +29,7 @@
             let is_grant = matches!(kind, OrderKind::Grant(_));
             self.granted_to_second +=
                 usize::from(is_grant && server.incarnation == incarnation("s2"));
-            self.step(Event::Answered(id, Reply::Done((!is_grant).then(|| "token".into()))));
+            self.step(Event::Answered(id, carry_out(&kind, connection)));
         }
     }
 
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -2,6 +2,7 @@
 //! a store that loses replies, and leaders that are replaced.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+mod connections;
 mod server;
 
 use std::collections::BTreeMap;
@@ -13,9 +14,11 @@
 use rand::{RngExt, SeedableRng};
 use registry::{Incarnation, Registration, Registry, Stage};
 use shard::{
-    Config, Epoch, Event, Leader, OrderId, OrderKind, Output, Owner, Record, Reply, Servers,
+    Config, ConnectionId, Epoch, Event, Leader, OrderId, OrderKind, Output, Owner, Record, Reply,
+    Servers,
 };
 
+use connections::Connections;
 use server::{Held, Server, apply, apply_late};
 
 const SERVICE: &str = "ledger";
@@ -53,10 +56,14 @@
         deadline_ms: u64,
         /// Whether the server was cut off already when the order was sent.
         is_cut: bool,
+        /// `None` if the order has a connection of its own.
+        connection: Option<ConnectionId>,
     },
     Reply {
         leader: usize,
         id: OrderId,
+        server: Name,
+        connection: Option<ConnectionId>,
         reply: Reply,
     },
     Write {
@@ -120,9 +127,11 @@
     pub slow_write: u32,
     /// The leader is suspended for up to some seconds; another may be elected meanwhile.
     pub suspend: u32,
-    /// The answer to a grant without a connection of its own is that of an earlier order, while the
-    /// server has queued the grant.
+    /// The answer to a grant is that of an earlier order on its connection, while the server has
+    /// queued the grant.
     pub repeat_answer: u32,
+    /// The answer to a grant closes its connection.
+    pub close_connection: u32,
     /// The servers that carry out unanswered grants whatever their fences.
     pub late_fences: LateFences,
 }
@@ -156,6 +165,7 @@
     registry: Registry,
     leaders: Vec<Option<Leader>>,
     messages: BTreeMap<(u64, u64), Message>,
+    connections: Connections,
     next_message: u64,
     record: Option<Record>,
     epoch: u64,
@@ -184,6 +194,7 @@
             registry: Registry::default(),
             leaders: Vec::new(),
             messages: BTreeMap::new(),
+            connections: Connections::default(),
             next_message: 0,
             record: None,
             epoch: 10,
@@ -239,6 +250,7 @@
             slow_write: 0,
             suspend: 0,
             repeat_answer: 0,
+            close_connection: 0,
             late_fences: self.faults.late_fences,
         };
         for server in self.servers.values_mut() {
@@ -321,7 +333,7 @@
         let (born_ms, listed_as) = (self.now_ms, Some(listed_as));
         let ignores_late_fences = self.servers[name].ignores_late_fences;
         let running = Server { is_running: true, ignores_late_fences, ..Server::default() };
-        let later = Server { born_ms, address, listed_as, ..running };
+        let later = Server { address, listed_as, born_ms, ..running };
         self.servers.insert(process.clone(), later);
         self.register(&process);
     }
@@ -607,23 +619,47 @@
         let outputs = leader.step(self.now_ms, servers, event);
         for output in outputs {
             match output {
-                Output::Order { id, server, kind, deadline_ms } => {
+                Output::Order { id, server, kind, deadline_ms, connection } => {
                     let mut processes = self.servers.iter();
                     let (process, target) = processes
                         .find(|(_, process)| process.address == server.address)
                         .expect("a process at each address");
                     let server = process.clone();
-                    let is_cut = target.is_cut;
+                    let (is_cut, born_ms) = (target.is_cut, target.born_ms);
+                    let connection = match (&kind, connection) {
+                        (OrderKind::Grant(_), preferred) => {
+                            Some(self.connections.take_any(index, &server, born_ms, preferred))
+                        }
+                        (OrderKind::Release(_), Some(required))
+                            if !self.connections.take(index, &server, born_ms, required) =>
+                        {
+                            let reply = Reply::NotSent;
+                            self.send(
+                                0,
+                                Message::Reply { leader: index, id, server, connection, reply },
+                            );
+                            continue;
+                        }
+                        (OrderKind::Release(_), required) => required,
+                    };
                     let free_at_ms = self.link_free_at_ms.max(target.link_free_at_ms);
                     let queued_ms = free_at_ms.saturating_sub(self.now_ms);
-                    let order =
-                        Message::Order { leader: index, id, server, kind, deadline_ms, is_cut };
+                    let order = Message::Order {
+                        leader: index,
+                        id,
+                        server: server.clone(),
+                        kind,
+                        deadline_ms,
+                        is_cut,
+                        connection,
+                    };
                     let delay_ms = queued_ms + self.random.random_range(0..15);
                     if self.now_ms + delay_ms > deadline_ms {
                         // The connection is reset, but the reset waits behind the order.
                         let timeout_ms = deadline_ms - self.now_ms;
                         let reply = Reply::Unknown;
-                        self.send(timeout_ms, Message::Reply { leader: index, id, reply });
+                        let reply = Message::Reply { leader: index, id, server, connection, reply };
+                        self.send(timeout_ms, reply);
                     }
                     self.send(delay_ms, order);
                 }
@@ -677,8 +713,8 @@
                 {
                     self.on_abandoned_order(&server, &kind, is_cut);
                 }
-                Message::Order { leader, id, server, kind, deadline_ms, .. } => {
-                    self.on_order(leader, id, &server, &kind, deadline_ms);
+                Message::Order { leader, id, server, kind, deadline_ms, connection, .. } => {
+                    self.on_order((leader, id, connection), &server, &kind, deadline_ms);
                 }
                 Message::Reply { leader, .. }
                 | Message::Written { leader, .. }
@@ -688,7 +724,8 @@
                     let until_ms = self.suspended_until_ms(leader).expect("a suspended leader");
                     self.send(until_ms - self.now_ms, message);
                 }
-                Message::Reply { leader, id, reply } => {
+                Message::Reply { leader, id, server, connection, reply } => {
+                    self.return_connection(leader, &server, connection, &reply);
                     self.step(leader, Event::Answered(id, reply));
                 }
                 Message::Write { leader, epoch, record, is_answered } => {
@@ -742,65 +779,112 @@
         }
     }
 
-    fn on_order(
+    /// Keeps or closes the connection of an order that has an outcome.
+    fn return_connection(
         &mut self,
         leader: usize,
-        id: OrderId,
+        server: &Name,
+        connection: Option<ConnectionId>,
+        reply: &Reply,
+    ) {
+        let Some(connection) = connection else { return };
+        match reply {
+            Reply::DoneOn(..) => self.connections.give_back(leader, server, connection),
+            Reply::Done(_) => self.connections.close(leader, server, connection),
+            Reply::Fenced | Reply::NotSent | Reply::Misdirected | Reply::Unknown => {
+                self.connections.close(leader, server, connection);
+                self.connections.close_idle(leader, server);
+            }
+        }
+    }
+
+    fn on_order(
+        &mut self,
+        order: (usize, OrderId, Option<ConnectionId>),
         name: &Name,
         kind: &OrderKind,
         deadline_ms: u64,
     ) {
+        let (leader, id, connection) = order;
         let timeout_ms = deadline_ms - self.now_ms;
         let is_lost = self.occurs(self.faults.lose_message);
         let is_late = self.occurs(self.faults.apply_late);
         let now_ms = self.now_ms;
+        let answer = |reply| Message::Reply { leader, id, server: name.clone(), connection, reply };
         let server = self.servers.get_mut(name).expect("servers are never removed");
         // A restarted server keeps its name and address, so orders for its earlier
-        // incarnation reach it too.
+        // incarnation reach it too, unless they were sent on a connection to that.
+        let kept = connection.and_then(|id| self.connections.find(leader, name, id));
+        let is_earlier = kept.as_ref().is_some_and(|kept| kept.born_ms != server.born_ms);
+        let is_stuck = kept.is_some_and(|kept| kept.is_stuck);
         let is_reached = server.is_running && !server.is_cut;
-        if !is_reached {
+        if !is_reached || is_earlier {
             let (delay_ms, reply) = match (server.is_cut, server.ends_at_ms) {
                 (true, _) => (timeout_ms, Reply::Unknown),
-                (false, Some(_)) => (1, Reply::Misdirected),
-                (false, None) => (1, Reply::NotSent),
+                (false, Some(_)) if !is_earlier => (1, Reply::Misdirected),
+                (false, _) => (1, Reply::NotSent),
             };
-            self.send(delay_ms, Message::Reply { leader, id, reply });
+            self.send(delay_ms, answer(reply));
             return;
         }
         let is_grant = matches!(kind, OrderKind::Grant(_));
-        let is_shared = is_grant && !kind.needs_own_answer();
-        if is_shared && self.faults.repeat_answer > 0 && self.occurs(self.faults.repeat_answer) {
-            let born_ms = self.servers[name].born_ms;
-            let (server, kind) = (name.clone(), kind.clone());
-            self.send(1, Message::Reply { leader, id, reply: Reply::Done(None) });
+        let born_ms = server.born_ms;
+        let is_repeated = self.faults.repeat_answer > 0
+            && (is_stuck || is_grant && self.occurs(self.faults.repeat_answer));
+        if is_repeated {
+            let (Some(id), true) = (connection, !is_stuck || self.occurs(500)) else {
+                self.send(timeout_ms, answer(Reply::Unknown));
+                return;
+            };
+            if let Some(kept) = self.connections.find(leader, name, id) {
+                kept.is_stuck = true;
+            }
+            // A copy has no token, or one that is known.
+            let copy = if is_grant { Reply::DoneOn(id, None) } else { Reply::Done(None) };
+            self.send(1, answer(copy));
             let delay_ms = self.random.random_range(0..MAX_QUEUED_MS);
-            self.send(delay_ms, Message::Queued { server, born_ms, kind, arrived_ms: now_ms });
+            let (server, kind) = (name.clone(), kind.clone());
+            if is_grant {
+                let arrived_ms = now_ms;
+                self.send(delay_ms, Message::Queued { server, born_ms, kind, arrived_ms });
+            }
             return;
         }
         if is_grant && self.faults.queue_grant > 0 && self.occurs(self.faults.queue_grant) {
-            let born_ms = self.servers[name].born_ms;
             let (server, kind) = (name.clone(), kind.clone());
-            self.send(timeout_ms, Message::Reply { leader, id, reply: Reply::Unknown });
+            self.send(timeout_ms, answer(Reply::Unknown));
             let delay_ms = self.random.random_range(0..MAX_QUEUED_MS);
             self.send(delay_ms, Message::Queued { server, born_ms, kind, arrived_ms: now_ms });
             return;
         }
-        let server = self.servers.get_mut(name).expect("servers are never removed");
         if is_lost || is_late {
             // An unanswered order may be carried out all the same; a grant counts from now.
-            self.send(timeout_ms, Message::Reply { leader, id, reply: Reply::Unknown });
+            self.send(timeout_ms, answer(Reply::Unknown));
             if is_lost {
                 return;
             }
             self.apply_late(name, kind, now_ms);
             return;
         }
-        let reply = apply(server, kind, now_ms, now_ms);
+        let server = self.servers.get_mut(name).expect("servers are never removed");
         let delay_ms = match kind {
             OrderKind::Grant(_) => 1,
             OrderKind::Release(_) => self.random.random_range(1..120),
         };
-        self.send(delay_ms, Message::Reply { leader, id, reply });
+        let reply = match (apply(server, kind, now_ms, now_ms), connection) {
+            (Reply::Done(handover), Some(connection)) => Reply::DoneOn(connection, handover),
+            (reply, _) => reply,
+        };
+        let reply = match reply {
+            Reply::DoneOn(_, None)
+                if self.faults.close_connection > 0
+                    && self.occurs(self.faults.close_connection) =>
+            {
+                Reply::Done(None)
+            }
+            reply => reply,
+        };
+        self.send(delay_ms, answer(reply));
     }
 
     /// Carries out an order that was still on its way when the leader stopped waiting for it.
--- a/crates/shard/tests/world/server.rs
+++ b/crates/shard/tests/world/server.rs
@@ -10,6 +10,7 @@
 
 /// A server that checks fences and whose grants expire.
 #[derive(Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a state of its own")]
 pub(super) struct Server {
     pub(super) address: SocketAddr,
     /// The name of its entry, if an earlier process has that name as well.
@@ -105,15 +106,18 @@
         return Reply::Fenced;
     }
     server.seen_fences.push((grant.range, grant.fence));
-    let grant_ms = slow_ms(grant.grant_ms);
-    // A grant never shortens an earlier one, whatever its fence.
-    let earlier = server.held.iter().filter(|held| held.range.overlaps(grant.range));
-    let earlier = earlier.map(|held| held.deadline_ms);
-    let deadline_ms = earlier.max().unwrap_or(0).max(arrived_ms + grant_ms);
-    let mut held: Vec<Held> =
-        server.held.iter().flat_map(|held| without(held, grant.range)).collect();
-    held.push(Held { range: grant.range, deadline_ms });
-    server.held = held;
+    let deadline_ms = arrived_ms + slow_ms(grant.grant_ms);
+    let held = std::mem::take(&mut server.held);
+    let mut free = vec![grant.range];
+    for earlier in &held {
+        free = free.into_iter().flat_map(|part| part.without(earlier.range)).collect();
+        server.held.extend(without(earlier, grant.range));
+        // A grant never shortens an earlier one, whatever its fence.
+        let both = earlier.range.intersection(grant.range);
+        let deadline_ms = earlier.deadline_ms.max(deadline_ms);
+        server.held.extend(both.map(|range| Held { range, deadline_ms }));
+    }
+    server.held.extend(free.into_iter().map(|range| Held { range, deadline_ms }));
     Reply::Done(None)
 }
 
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -1,7 +1,9 @@
 //! The HTTP client, which reads each answer as a whole.
 
+use std::collections::hash_map::RandomState;
+use std::hash::{BuildHasher, Hasher};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError, Weak};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 
 use bytes::{Bytes, BytesMut};
 use http::{Method, Request, Response, StatusCode};
@@ -11,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
-use tokio::time::{Duration, Instant, sleep_until, timeout_at};
+use tokio::time::{Duration, Instant, sleep, sleep_until, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{BoundedStream, ByteBound, Category, Error, Result};
@@ -23,10 +25,17 @@
     idle: Arc<Mutex<Idle>>,
 }
 
+/// Identifies a connection of a client. Answers on kept connections have it as an extension.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct ConnectionId(pub u64);
+
 /// The connections that further calls may use.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Idle {
     connections: Vec<Connection>,
+    /// The connections that calls use at the moment.
+    used: Vec<ConnectionId>,
+    last_id: u64,
     /// The number of failed calls so far. Connections that were opened before the last failure are
     /// not used again.
     failures: u64,
@@ -47,12 +56,24 @@
     max_answer_bytes: u64,
     /// Whether the connection is closed unless the answer has status 200.
     closes_on_refusal: bool,
-    /// Whether the call has a connection of its own.
-    is_on_own_connection: bool,
+    choice: Choice,
     /// Whether the kernel may end the connection while the call waits.
     is_probed: bool,
 }
 
+/// The connection that a call uses.
+#[derive(Clone, Copy, Debug)]
+enum Choice {
+    /// Any idle one, or a new one.
+    Any,
+    /// This one once it is idle or, if it has ended, any other.
+    Preferred(ConnectionId),
+    /// This one; the call is not sent if it has ended.
+    Required(ConnectionId),
+    /// A new one, which no other call uses.
+    Own,
+}
+
 /// How long the body of an answer may take.
 #[derive(Clone, Copy, Debug)]
 struct BodyTime {
@@ -63,6 +84,7 @@
 /// An open connection; dropping it resets the TCP connection.
 #[derive(Debug)]
 struct Connection {
+    id: ConnectionId,
     sender: SendRequest<Full<Bytes>>,
     bound: ByteBound,
     /// The number of failed calls when it was opened.
@@ -74,7 +96,15 @@
     _driver_task: AbortOnDropHandle<()>,
 }
 
-const MAX_IDLE_CONNECTIONS: usize = 8;
+/// Removes a connection from those in use when its call ends.
+struct Usage<'a> {
+    idle: &'a Mutex<Idle>,
+    id: ConnectionId,
+}
+
+/// How often a call looks whether the connection that it requires is idle.
+const USED_POLL_INTERVAL: Duration = Duration::from_millis(2);
+const MAX_IDLE_CONNECTIONS: usize = 32;
 const DEFAULT_TIMEOUT_MS: u64 = 1_000;
 /// The longest answer to a call that sets no other limit.
 ///
@@ -107,7 +137,7 @@
             body_time: None,
             max_answer_bytes: DEFAULT_MAX_ANSWER_BYTES,
             closes_on_refusal: false,
-            is_on_own_connection: false,
+            choice: Choice::Any,
             is_probed: true,
         }
     }
@@ -173,7 +203,21 @@
     /// calls, it would be taken for the answer to this one.
     #[must_use]
     pub fn on_own_connection(mut self) -> Self {
-        self.is_on_own_connection = true;
+        self.choice = Choice::Own;
+        self
+    }
+
+    /// Uses a connection unless it has ended; waits while another call uses it.
+    #[must_use]
+    pub fn prefer_connection(mut self, connection: ConnectionId) -> Self {
+        self.choice = Choice::Preferred(connection);
+        self
+    }
+
+    /// Uses this connection or, if it has ended, fails with [`Category::NotSent`].
+    #[must_use]
+    pub fn require_connection(mut self, connection: ConnectionId) -> Self {
+        self.choice = Choice::Required(connection);
         self
     }
 
@@ -193,7 +237,16 @@
     /// Creates a client of an address; connections are opened by calls.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, idle: Arc::default() }
+        // Identifiers of another client of the address, dropped before, are most likely others.
+        let last_id = RandomState::new().build_hasher().finish() >> 1;
+        let idle = Idle {
+            connections: Vec::new(),
+            used: Vec::new(),
+            last_id,
+            failures: 0,
+            closing_task: None,
+        };
+        Self { address, idle: Arc::new(Mutex::new(idle)) }
     }
 
     /// Sends a request and returns the answer with its whole body.
@@ -203,11 +256,16 @@
     /// Fails with [`Category::NotSent`] when no connection could be made or the request is
     /// malformed, and with [`Category::Unknown`] when no complete answer arrived in time or it
     /// is too long. A failure also closes all idle connections, which most likely have the same
-    /// fault; those in use at that moment carry no further call.
+    /// fault; those in use at that moment carry no further call. The end of a connection that a
+    /// call requires is no such failure.
     pub async fn call(&self, call: Call) -> Result<Response<Bytes>> {
+        let is_required = matches!(call.choice, Choice::Required(_));
         let answer = self.send(call).await;
-        if answer.is_err() {
-            let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_failure = answer.as_ref().is_err_and(|report| {
+            !is_required || report.current_context().category() != Category::NotSent
+        });
+        if is_failure {
+            let mut idle = self.lock();
             idle.connections.clear();
             idle.failures += 1;
         }
@@ -216,10 +274,10 @@
 
     async fn send(&self, call: Call) -> Result<Response<Bytes>> {
         let deadline = Instant::now() + Duration::from_millis(call.timeout_ms);
-        let mut connection =
-            timeout_at(deadline, self.connect(call.is_on_own_connection, call.is_probed))
-                .await
-                .map_err(|_elapsed| Error::elapsed(Category::NotSent, "connecting timed out"))??;
+        let mut connection = timeout_at(deadline, self.connect(call.choice, call.is_probed))
+            .await
+            .map_err(|_elapsed| Error::elapsed(Category::NotSent, "connecting timed out"))??;
+        let _usage = Usage { idle: &self.idle, id: connection.id };
         let mut request = Request::builder()
             .method(call.method)
             .uri(call.path)
@@ -237,21 +295,40 @@
             Some(body_time) => read_parts(body, deadline, body_time).await?,
             None => in_time(deadline, body.collect()).await?.to_bytes(),
         };
-        let answer = Response::from_parts(head, body);
+        let mut answer = Response::from_parts(head, body);
         let is_refused = call.closes_on_refusal && answer.status() != StatusCode::OK;
-        if !is_refused && !call.is_on_own_connection {
-            self.return_idle(connection);
+        let id = connection.id;
+        let is_own = matches!(call.choice, Choice::Own);
+        if !is_refused && !is_own && self.return_idle(connection) {
+            answer.extensions_mut().insert(id);
         }
         Ok(answer)
     }
 
-    async fn connect(&self, is_on_own_connection: bool, is_probed: bool) -> Result<Connection> {
-        while !is_on_own_connection && let Some(mut connection) = self.pop_idle(is_probed) {
+    async fn connect(&self, choice: Choice, is_probed: bool) -> Result<Connection> {
+        match choice {
+            Choice::Required(id) => return self.wait_for(id).await,
+            Choice::Preferred(id) => {
+                if let Ok(connection) = self.wait_for(id).await {
+                    return Ok(connection);
+                }
+            }
+            Choice::Any | Choice::Own => {}
+        }
+        let is_own = matches!(choice, Choice::Own);
+        while !is_own && let Some(mut connection) = self.pop_idle(is_probed) {
             if connection.sender.ready().await.is_ok() {
                 return Ok(connection);
             }
+            self.lock().end_use(connection.id);
         }
-        let failures = self.idle.lock().unwrap_or_else(PoisonError::into_inner).failures;
+        let (id, failures) = {
+            let mut idle = self.lock();
+            idle.last_id += 1;
+            let id = ConnectionId(idle.last_id);
+            idle.used.push(id);
+            (id, idle.failures)
+        };
         let stream = TcpStream::connect(self.address)
             .await
             .map_err(|error| Error::report(Category::NotSent, error))?;
@@ -268,6 +345,7 @@
             drop(connection.await);
         });
         Ok(Connection {
+            id,
             sender,
             bound,
             failures,
@@ -277,20 +355,41 @@
         })
     }
 
+    /// Waits until a connection is idle, and takes it.
+    async fn wait_for(&self, id: ConnectionId) -> Result<Connection> {
+        let has_ended = || Error::elapsed(Category::NotSent, "the connection has ended");
+        loop {
+            let (kept, is_used) = {
+                let mut idle = self.lock();
+                let is_used = idle.used.contains(&id);
+                (idle.take(|kept| kept.id == id), is_used)
+            };
+            if let Some(mut connection) = kept {
+                if connection.sender.ready().await.is_ok() {
+                    return Ok(connection);
+                }
+                self.lock().end_use(id);
+                return Err(has_ended());
+            }
+            if !is_used {
+                return Err(has_ended());
+            }
+            sleep(USED_POLL_INTERVAL).await;
+        }
+    }
+
     /// Takes the connection that was used last, with or without probes, if it can be used again.
     fn pop_idle(&self, is_probed: bool) -> Option<Connection> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.close_unused(Instant::now());
-        let position = idle.connections.iter().rposition(|kept| kept.is_probed == is_probed)?;
-        Some(idle.connections.remove(position))
+        self.lock().take(|kept| kept.is_probed == is_probed)
     }
 
-    fn return_idle(&self, mut connection: Connection) {
+    /// Keeps a connection for further calls, and returns whether it can be used by them.
+    fn return_idle(&self, mut connection: Connection) -> bool {
         connection.reuse_deadline = Instant::now() + MAX_UNPROBED_IDLE;
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = self.lock();
         let is_usable = connection.failures == idle.failures && !connection.sender.is_closed();
         if !is_usable || idle.connections.len() >= MAX_IDLE_CONNECTIONS {
-            return;
+            return false;
         }
         let must_be_closed = !connection.is_probed;
         idle.connections.push(connection);
@@ -299,10 +398,38 @@
             let task = tokio::spawn(close_unused(Arc::downgrade(&self.idle)));
             idle.closing_task = Some(AbortOnDropHandle::new(task));
         }
+        true
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Idle> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Usage<'_> {
+    fn drop(&mut self) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.end_use(self.id);
     }
 }
 
 impl Idle {
+    /// Takes the last connection for which `is_wanted` returns true, and counts it as used.
+    fn take(&mut self, is_wanted: impl Fn(&Connection) -> bool) -> Option<Connection> {
+        self.close_unused(Instant::now());
+        let position = self.connections.iter().rposition(is_wanted)?;
+        let connection = self.connections.remove(position);
+        self.used.push(connection.id);
+        Some(connection)
+    }
+
+    /// Removes a connection from those in use.
+    fn end_use(&mut self, id: ConnectionId) {
+        if let Some(position) = self.used.iter().position(|used| *used == id) {
+            self.used.swap_remove(position);
+        }
+    }
+
     /// Closes the connections without probes that have been idle for too long, and returns when the
     /// next one will have been.
     fn close_unused(&mut self, now: Instant) -> Option<Instant> {
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -35,7 +35,7 @@
 mod server;
 
 pub use bounded_stream::{BoundedStream, ByteBound};
-pub use client::{Call, Client};
+pub use client::{Call, Client, ConnectionId};
 pub use error::{Category, Ending, Error, Result};
 pub use query::encode_query;
 pub use server::{AcceptedAt, ResetHandle, json, read_body, serve, serve_limited, status};
