Let servers of the soak carry out late grants whatever their fences

Keys that the server holds by then keep their fence and time; the rest of the range is held until the arrival plus the hold.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -54,7 +54,7 @@
     measure_slopes,
 };
 pub use plot::{Timeline, plot};
-pub use range_server::{Execution, OwnershipChecker, RangeServer, SLOTS, Work};
+pub use range_server::{Execution, FenceCheck, OwnershipChecker, RangeServer, SLOTS, Work};
 pub use rule_checker::{RuleChecker, RuleViolations};
 pub use server_faults::{HeldRequest, ServerFaults};
 pub use server_move::{MoveOptions, MoveReport, run_move};
--- a/crates/lab/src/range_server.rs
+++ b/crates/lab/src/range_server.rs
@@ -63,6 +63,15 @@
     pub deadline: Option<Instant>,
 }
 
+/// Whether a server checks the fence of a grant that it applies late.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FenceCheck {
+    /// The fence is checked when the grant is applied.
+    WhenApplied,
+    /// The grant is applied whatever its fence.
+    Never,
+}
+
 /// The result of running a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Execution {
@@ -152,11 +161,33 @@
 
     /// Applies a grant after a delay, unless the server has stopped by then.
     ///
-    /// The time of the grant counts from now.
-    pub async fn grant_late(&self, grant: &Grant, delay: Duration) {
+    /// The time of the grant counts from now. The fence is checked when the grant is applied, or
+    /// not at all.
+    pub async fn grant_late(&self, grant: &Grant, delay: Duration, fence_check: FenceCheck) {
         let arrived_at = Instant::now();
-        if self.stopped.run_until_cancelled(sleep(delay)).await.is_some() {
-            self.apply_grant(grant, arrived_at);
+        if self.stopped.run_until_cancelled(sleep(delay)).await.is_some()
+            && self.apply_grant(grant, arrived_at) == Reply::Fenced
+            && fence_check == FenceCheck::Never
+        {
+            self.apply_fenced_grant(grant, arrived_at);
+        }
+    }
+
+    /// Applies a grant although a higher fence was seen: takes the keys that are not held, and
+    /// leaves the fence and deadline of the others as they are.
+    fn apply_fenced_grant(&self, grant: &Grant, arrived_at: Instant) {
+        let now = Instant::now();
+        let deadline = arrived_at + Duration::from_millis(grant.grant_ms);
+        let mut state = self.lock();
+        state.accepted_fences.push((grant.range, grant.fence));
+        state.held.retain(|held| held.deadline > now);
+        if deadline <= now {
+            return;
+        }
+        for range in state.without_held(grant.range) {
+            let held = Held { range, fence: grant.fence, deadline };
+            state.held.push(held);
+            self.checker.on_grant(&self.incarnation, held, now);
         }
     }
 
--- a/crates/lab/src/server_faults.rs
+++ b/crates/lab/src/server_faults.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
-use crate::WorkTimes;
+use crate::{FenceCheck, WorkTimes};
 
 /// The faults of a server's answers.
 ///
@@ -21,6 +21,8 @@
     pub unanswered_grant: AtomicU32,
     /// Grants that are never answered and carried out up to `MAX_QUEUE_MS` later.
     pub queued_grant: AtomicU32,
+    /// Whether queued grants are carried out whatever their fences.
+    pub ignores_late_fences: AtomicBool,
     /// Whether the server's clock runs slow, so that grants last longer.
     pub has_slow_clock: AtomicBool,
     /// Whether all answers say that the server is leaving.
@@ -97,6 +99,15 @@
         is_queued.then(|| Duration::from_millis(rand::random_range(0..MAX_QUEUE_MS)))
     }
 
+    /// Returns whether the fences of queued grants are checked.
+    pub fn late_fence_check(&self) -> FenceCheck {
+        if self.ignores_late_fences.load(Ordering::Relaxed) {
+            FenceCheck::Never
+        } else {
+            FenceCheck::WhenApplied
+        }
+    }
+
     /// Returns how long a grant lasts by the server's clock.
     pub fn held_ms(&self, grant_ms: u64) -> u64 {
         let is_slow = self.has_slow_clock.load(Ordering::Relaxed);
--- a/crates/lab/tests/range_server.rs
+++ b/crates/lab/tests/range_server.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use document::Name;
-use lab::{Execution, OwnershipChecker, RangeServer, Work};
+use lab::{Execution, FenceCheck, OwnershipChecker, RangeServer, Work};
 use registry::Incarnation;
 use shard::{Fence, Grant, KeyRange, Release, Reply};
 use tokio::task::JoinHandle;
@@ -30,6 +30,12 @@
         self.servers[server].grant(&grant(fence, grant_ms))
     }
 
+    /// Grants the range to a server, which carries it out 20 ms later.
+    async fn grant_late(&self, server: usize, fence: u64, fence_check: FenceCheck) {
+        let delay = Duration::from_millis(20);
+        self.servers[server].grant_late(&grant(fence, GRANT_MS), delay, fence_check).await;
+    }
+
     async fn release(&self, server: usize, fence: u64) {
         self.servers[server].release(Release { range: RANGE, fence: Fence(fence) }).await;
     }
@@ -77,7 +83,7 @@
     let world = World::new();
     let late = Arc::clone(&world.servers[0]);
     let late = tokio::spawn(async move {
-        late.grant_late(&grant(5, 300), Duration::from_millis(100)).await;
+        late.grant_late(&grant(5, 300), Duration::from_millis(100), FenceCheck::WhenApplied).await;
     });
     sleep(Duration::from_millis(30)).await;
     world.release(0, 6).await;
@@ -91,10 +97,30 @@
 async fn late_grant_with_a_low_fence_is_refused() {
     let world = World::new();
     world.grant(0, 7, 1);
-    world.servers[0].grant_late(&grant(5, GRANT_MS), Duration::from_millis(20)).await;
+    world.grant_late(0, 5, FenceCheck::WhenApplied).await;
     assert!(!world.is_held(0).await);
 }
 
+#[tokio::test]
+async fn late_grant_with_a_low_fence_is_carried_out() {
+    let world = World::new();
+    world.grant(0, 7, 1);
+    world.grant(1, 8, GRANT_MS);
+    world.grant_late(0, 5, FenceCheck::Never).await;
+    assert!(world.is_held(0).await);
+    let violations = world.checker.violations();
+    assert!(violations.iter().any(|violation| violation.contains("holds")), "{violations:?}");
+}
+
+#[tokio::test]
+async fn late_grant_with_a_low_fence_leaves_held_keys_alone() {
+    let world = World::new();
+    world.grant(0, 7, 200);
+    world.grant_late(0, 5, FenceCheck::Never).await;
+    sleep(Duration::from_millis(250)).await;
+    assert!(!world.is_held(0).await, "the earlier grant has ended");
+}
+
 #[tokio::test]
 async fn checker_finds_fences_that_are_not_above_earlier_ones() {
     for (fence, violations) in [(4, 1), (5, 1), (6, 0)] {
--- a/crates/soak/src/order_faults.rs
+++ b/crates/soak/src/order_faults.rs
@@ -14,6 +14,8 @@
 pub(crate) struct OrderFaults {
     random: StdRng,
     servers: AffectedServers,
+    /// Which servers carry out queued grants whatever their fences.
+    ignoring_fences: AffectedServers,
     /// One in so many grants is queued.
     queued_one_in: u32,
     /// One in so many grants is carried out and not answered.
@@ -37,6 +39,8 @@
 const FORCED_ONE_IN: (u32, u32) = (4, 16);
 /// Keeps the draws apart from those of other faults of a seed.
 const SEED_MASK: u64 = 0x6f72_6465_7273_0000;
+/// Keeps the draw of the servers that ignore late fences apart from the other draws.
+const FENCE_SEED_MASK: u64 = 0x6665_6e63_6573_0000;
 
 impl OrderFaults {
     /// Draws the faults of a seed; `is_forced` chooses all servers throughout.
@@ -53,10 +57,34 @@
         } else {
             (random.random_range(3..8), random.random_range(8..24))
         };
+        let mut fence_random = StdRng::seed_from_u64(seed ^ FENCE_SEED_MASK);
+        let ignoring_fences = match fence_random.random_range(0..3) {
+            _ if is_forced => AffectedServers::All,
+            0 => AffectedServers::None,
+            1 => AffectedServers::EverySecond(fence_random.random_range(0..2)),
+            _ => AffectedServers::All,
+        };
         let is_throughout = is_forced || random.random_bool(0.5);
         let next_change_at = (!is_throughout).then(Instant::now);
         let is_active = is_throughout;
-        Self { random, servers, queued_one_in, unanswered_one_in, is_active, next_change_at }
+        Self {
+            random,
+            servers,
+            ignoring_fences,
+            queued_one_in,
+            unanswered_one_in,
+            is_active,
+            next_change_at,
+        }
+    }
+
+    /// Sets which servers carry out queued grants whatever their fences, for the whole run.
+    pub(crate) fn set_fence_checks(&self, cluster: &Cluster) {
+        for (index, server) in cluster.servers.iter().enumerate() {
+            let ignores_fences = self.ignoring_fences.contains(index);
+            server.faults.ignores_late_fences.store(ignores_fences, Ordering::Relaxed);
+        }
+        cluster.log_event(&format!("late grants ignore fences at: {:?}", self.ignoring_fences));
     }
 
     /// Sets the faults of all servers for which `has_other_faults` returns false.
--- a/crates/soak/tests/short_seed.rs
+++ b/crates/soak/tests/short_seed.rs
@@ -4,6 +4,6 @@
 mod program;
 
 #[test]
-fn breaks_no_rule() {
+fn short_seed_breaks_no_rule() {
     program::assert_breaks_no_rule("soak", &["--seed", "12", "--for", "6"]);
 }
