--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -50,6 +50,8 @@
     has_own_links: bool,
     route_times: RouteTimes,
     server_load: Option<ServerLoad>,
+    /// The number of servers; `None` for some more than daemons.
+    server_count: Option<usize>,
 }
 
 /// The times that the document states for all routes.
@@ -168,9 +170,26 @@
             has_own_links: false,
             route_times: DEFAULT_ROUTE_TIMES,
             server_load: None,
+            server_count: None,
         }
     }
 
+    /// Gives each daemon links of its own to all servers.
+    ///
+    /// Daemons of one data centre tell each other of these links, so it should have only one.
+    #[must_use]
+    pub fn own_links(mut self) -> Self {
+        self.has_own_links = true;
+        self
+    }
+
+    /// Sets the number of servers.
+    #[must_use]
+    pub fn servers(mut self, servers: usize) -> Self {
+        self.server_count = Some(servers);
+        self
+    }
+
     /// Sets the times of all routes.
     #[must_use]
     pub fn route_times(mut self, times: RouteTimes) -> Self {
@@ -210,8 +229,8 @@
         data_centres: &[&str],
         has_own_links: bool,
     ) -> Result<Self> {
-        let mut options = ClusterOptions::new(data_centres);
-        options.has_own_links = has_own_links;
+        let options = ClusterOptions::new(data_centres);
+        let options = if has_own_links { options.own_links() } else { options };
         Self::start_with(program, dir, options).await
     }
 
@@ -243,7 +262,7 @@
             let daemon = Daemon::create(program, dir, number, data_centre, &cluster.store).await?;
             cluster.daemons.push(daemon);
         }
-        for number in 0..daemons.max(4) + 3 {
+        for number in 0..options.server_count.unwrap_or(daemons.max(4) + 3) {
             let service = if number % 3 == 2 { "archive" } else { "ledger" };
             cluster.add_server(service).await?;
         }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -17,6 +17,10 @@
 const DEFAULT_CALLERS: u64 = 4;
 /// The number of callers of each daemon in a run of planned stops: more than servers have room for.
 const OVERLOAD_CALLERS: u64 = 48;
+/// The least number of servers with which each service has one.
+const MIN_SERVERS: u64 = 3;
+/// The maximum number of servers, each of which has a link of each daemon.
+const MAX_SERVERS: u64 = 256;
 
 type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -87,6 +91,14 @@
                         .value_parser(value_parser!(u64))
                         .help("The number of callers of each daemon [default: 4, or 48 with --planned-stops]"),
                 )
+                .arg(
+                    Arg::new("servers")
+                        .long("servers")
+                        .value_name("N")
+                        .value_parser(value_parser!(u64).range(MIN_SERVERS..=MAX_SERVERS))
+                        .conflicts_with("planned-stops")
+                        .help("The number of servers; --own-links adds four [default: 3 more than daemons, at least 7]"),
+                )
                 .arg(
                     Arg::new("planned-stops")
                         .long("planned-stops")
@@ -163,6 +175,7 @@
             planned_stops,
             own_links: matches.get_flag("own-links"),
             queues_grants: matches.get_flag("queue-grants"),
+            servers: matches.get_one::<u64>("servers").copied().map(usize::try_from).transpose()?,
             recovery_s: get_arg::<u64>(matches, "recover")?,
             previous: matches.get_one("previous").cloned(),
         };
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::callers::{Callers, Counts};
-use crate::cluster::{Cluster, Result};
+use crate::cluster::{Cluster, ClusterOptions, Result};
 use crate::faults::FaultSchedule;
 use crate::link_faults::{LinkFaults, data_centres};
 use crate::order_faults::OrderFaults;
@@ -46,6 +46,9 @@
     /// Otherwise the seed determines which servers do, how often and when.
     #[serde(default)]
     pub queues_grants: bool,
+    /// The number of servers; `None` for three more than daemons, and at least seven.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub servers: Option<usize>,
     /// The program with which the daemons start in a rolling upgrade.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub previous: Option<PathBuf>,
@@ -107,16 +110,20 @@
     if options.planned_stops {
         return planned_stops::run(options, program, dir).await;
     }
-    let mut cluster = if options.own_links {
-        let mut cluster =
-            Cluster::start_in(first_program, dir, &data_centres(options.daemons), true).await?;
+    let mut cluster_options = if options.own_links {
+        ClusterOptions::new(&data_centres(options.daemons)).own_links()
+    } else {
+        ClusterOptions::new(&vec!["a"; options.daemons])
+    };
+    if let Some(servers) = options.servers {
+        cluster_options = cluster_options.servers(servers);
+    }
+    let mut cluster = Cluster::start_with(first_program, dir, cluster_options).await?;
+    if options.own_links {
         for _ in 0..ADDED_POOLED_SERVERS {
             cluster.add_server("archive").await?;
         }
-        cluster
-    } else {
-        Cluster::start(first_program, dir, options.daemons).await?
-    };
+    }
     let callers = Callers::new(Arc::clone(&cluster.checker));
     let start_counts = start_callers(&cluster, &callers, options.callers);
     let latest = Arc::new(AtomicU64::new(0));
--- a/crates/soak/tests/queued_grants.rs
+++ b/crates/soak/tests/queued_grants.rs
@@ -5,6 +5,7 @@
 
 #[test]
 fn queued_grants_of_lost_leaders_do_no_harm() {
-    let args = ["--own-links", "--queue-grants", "--seed", "5", "--for", "40", "--recover", "1"];
+    let servers = ["--own-links", "--queue-grants", "--servers", "30"];
+    let args = [&servers[..], &["--seed", "5", "--for", "40", "--recover", "1"]].concat();
     program::assert_breaks_no_rule("soak-queued-grants", &args);
 }
--- a/crates/soak/tests/server_links.rs
+++ b/crates/soak/tests/server_links.rs
@@ -5,6 +5,6 @@
 
 #[test]
 fn breaks_no_rule() {
-    let args = ["--own-links", "--seed", "1", "--for", "8", "--recover", "5"];
+    let args = ["--own-links", "--servers", "30", "--seed", "1", "--for", "8", "--recover", "5"];
     program::assert_breaks_no_rule("soak-links", &args);
 }
--- a/crates/soak/tests/short_seed.rs
+++ b/crates/soak/tests/short_seed.rs
@@ -5,5 +5,6 @@
 
 #[test]
 fn short_seed_breaks_no_rule() {
-    program::assert_breaks_no_rule("soak", &["--seed", "12", "--for", "6"]);
+    let args = ["--servers", "30", "--seed", "12", "--for", "6"];
+    program::assert_breaks_no_rule("soak", &args);
 }
