Have the soak's servers answer queued grants with copies of earlier answers

Answers to orders do not name their order, and the page allows an extra answer at the point where the next one is expected.

The server serves no later order on that connection: it writes further copies or nothing. For the state of a connection, web::serve_each makes a handler for each connection.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -56,7 +56,7 @@
 pub use plot::{Timeline, plot};
 pub use range_server::{Execution, FenceCheck, OwnershipChecker, RangeServer, SLOTS, Work};
 pub use rule_checker::{RuleChecker, RuleViolations};
-pub use server_faults::{HeldRequest, ServerFaults};
+pub use server_faults::{Copies, HeldRequest, ServerFaults};
 pub use server_move::{MoveOptions, MoveReport, run_move};
 pub use site::{Error, ServerPlan, ServicePlan, Site, SitePlan};
 pub use store_server::serve_store;
--- a/crates/lab/src/server_faults.rs
+++ b/crates/lab/src/server_faults.rs
@@ -23,6 +23,9 @@
     pub queued_grant: AtomicU32,
     /// Whether queued grants are carried out whatever their fences.
     pub ignores_late_fences: AtomicBool,
+    /// Queued grants in whose place the answer to an earlier order of the connection is written
+    /// once more.
+    pub repeated_answer: AtomicU32,
     /// Whether the server's clock runs slow, so that grants last longer.
     pub has_slow_clock: AtomicBool,
     /// Whether all answers say that the server is leaving.
@@ -57,6 +60,17 @@
 /// How much longer a grant lasts by a slow clock, as a divisor: the users' page allows two percent.
 const CLOCK_DRIFT_DIVISOR: u64 = 49;
 
+/// What a server writes on a connection on which it leaves a grant unanswered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Copies {
+    /// Nothing.
+    None,
+    /// The earlier answer once more in place of that to the grant, then nothing.
+    One,
+    /// The earlier answer once more for the grant and for each later request.
+    Many,
+}
+
 /// A request that a server holds, until this is dropped.
 #[derive(Debug)]
 pub struct HeldRequest<'a>(&'a ServerFaults);
@@ -108,6 +122,15 @@
         }
     }
 
+    /// Draws whether earlier answers are written in place of that to the next queued grant.
+    pub fn draw_copies(&self) -> Copies {
+        match should_fail(&self.repeated_answer) {
+            false => Copies::None,
+            true if rand::random() => Copies::One,
+            true => Copies::Many,
+        }
+    }
+
     /// Returns how long a grant lasts by the server's clock.
     pub fn held_ms(&self, grant_ms: u64) -> u64 {
         let is_slow = self.has_slow_clock.load(Ordering::Relaxed);
--- a/crates/soak/src/order_faults.rs
+++ b/crates/soak/src/order_faults.rs
@@ -20,6 +20,8 @@
     queued_one_in: u32,
     /// One in so many grants is carried out and not answered.
     unanswered_one_in: u32,
+    /// One in so many queued grants is answered with a copy of an earlier answer; 0 for none.
+    repeated_one_in: u32,
     is_active: bool,
     /// When the servers begin or stop; `None` if they go on until the faults end.
     next_change_at: Option<Instant>,
@@ -41,6 +43,10 @@
 const SEED_MASK: u64 = 0x6f72_6465_7273_0000;
 /// Keeps the draw of the servers that ignore late fences apart from the other draws.
 const FENCE_SEED_MASK: u64 = 0x6665_6e63_6573_0000;
+/// Keeps the draw of repeated answers apart from the other draws.
+const REPEATED_SEED_MASK: u64 = 0x7265_7065_6174_0000;
+/// How often a queued grant is answered with a copy, in the seeds in which any is.
+const REPEATED_ONE_IN: std::ops::Range<u32> = 2..16;
 
 impl OrderFaults {
     /// Draws the faults of a seed; `is_forced` chooses all servers throughout.
@@ -64,6 +70,10 @@
             1 => AffectedServers::EverySecond(fence_random.random_range(0..2)),
             _ => AffectedServers::All,
         };
+        let mut repeated_random = StdRng::seed_from_u64(seed ^ REPEATED_SEED_MASK);
+        let has_repeated = repeated_random.random_bool(0.5);
+        let repeated_one_in =
+            if has_repeated { repeated_random.random_range(REPEATED_ONE_IN) } else { 0 };
         let is_throughout = is_forced || random.random_bool(0.5);
         let next_change_at = (!is_throughout).then(Instant::now);
         let is_active = is_throughout;
@@ -73,18 +83,24 @@
             ignoring_fences,
             queued_one_in,
             unanswered_one_in,
+            repeated_one_in,
             is_active,
             next_change_at,
         }
     }
 
-    /// Sets which servers carry out queued grants whatever their fences, for the whole run.
-    pub(crate) fn set_fence_checks(&self, cluster: &Cluster) {
+    /// Sets how servers carry out and answer queued grants, for the whole run.
+    pub(crate) fn set_queues(&self, cluster: &Cluster) {
         for (index, server) in cluster.servers.iter().enumerate() {
             let ignores_fences = self.ignoring_fences.contains(index);
             server.faults.ignores_late_fences.store(ignores_fences, Ordering::Relaxed);
+            server.faults.repeated_answer.store(self.repeated_one_in, Ordering::Relaxed);
         }
         cluster.log_event(&format!("late grants ignore fences at: {:?}", self.ignoring_fences));
+        if self.repeated_one_in > 0 {
+            let one_in = self.repeated_one_in;
+            cluster.log_event(&format!("one in {one_in} queued grants is answered with a copy"));
+        }
     }
 
     /// Sets the faults of all servers for which `has_other_faults` returns false.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -138,7 +138,7 @@
     let mut schedule = FaultSchedule::new(options.seed);
     schedule.draw_clocks(&cluster);
     let mut order_faults = OrderFaults::new(options.seed, options.queues_grants);
-    order_faults.set_fence_checks(&cluster);
+    order_faults.set_queues(&cluster);
     let first_fault_at = Instant::now() + STARTUP_TIME;
     let mut link_faults = options
         .own_links
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -38,4 +38,6 @@
 pub use client::{Call, Client};
 pub use error::{Category, Ending, Error, Result};
 pub use query::encode_query;
-pub use server::{AcceptedAt, ResetHandle, json, read_body, serve, serve_limited, status};
+pub use server::{
+    AcceptedAt, ResetHandle, json, read_body, serve, serve_each, serve_limited, status,
+};
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -66,6 +66,25 @@
     B: Body + Send + 'static,
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    serve_each(listener, stop, max_connections, move || handler.clone()).await;
+}
+
+/// Answers requests like [`serve_limited`], those of each connection with a handler of its own.
+///
+/// So a handler can keep state of its connection.
+pub async fn serve_each<M, H, F, B>(
+    listener: TcpListener,
+    stop: CancellationToken,
+    max_connections: usize,
+    make_handler: M,
+) where
+    M: Fn() -> H,
+    H: Fn(Request<Incoming>) -> F + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let mut connections = JoinSet::new();
     loop {
@@ -80,7 +99,7 @@
         }
         // Nagle's algorithm would delay small answers. If this call fails, answers are only slower.
         drop(stream.set_nodelay(true));
-        let handler = handler.clone();
+        let handler = make_handler();
         let accepted_at = AcceptedAt(Instant::now());
         let reset = CancellationToken::new();
         let reset_handle = ResetHandle(reset.clone());
