--- a/crates/soak/tests/short_seed.rs
+++ b/crates/soak/tests/short_seed.rs
@@ -4,6 +4,7 @@
 mod program;
 
 #[test]
-fn breaks_no_rule() {
-    program::assert_breaks_no_rule("soak", &["--seed", "12", "--for", "6"]);
+fn short_seed_breaks_no_rule() {
+    let args = ["--servers", "30", "--seed", "12", "--for", "6"];
+    program::assert_breaks_no_rule("soak", &args);
 }
