Hand over from a leader that gets no new connections

What callers saw: 503 no-owner for some keys, at every daemon, for about 3 s, while the leader's links refused new connections and those that it had went on.

Cause: a leader asked other daemons only when most servers were silent. Without new connections servers become silent one by one, whenever something has to be sent on one.

Change: every 500 ms the leader connects to one server that answers its orders. If that fails, it tries up to twelve of these, and if three quarters fail, it asks other daemons about four of them and hands over to the first that reaches two. Servers that do not answer orders are not tried, so that crashed servers and a data centre that is cut off cost no samples.

--- a/crates/gateway/src/control/input.rs
+++ b/crates/gateway/src/control/input.rs
@@ -35,6 +35,8 @@
     StoreReached { leader: Name, epoch: Epoch },
     /// The silent servers that the leader of this epoch could not connect to.
     ServersUnreached { epoch: Epoch, unreached: Vec<Incarnation> },
+    /// The leader's attempts to get new connections have ended.
+    ConnectionsTried { epoch: Epoch, tried: usize, unreached: Vec<Incarnation> },
     /// This daemon reaches servers that the leader of this epoch does not reach.
     ServersReached { leader: Name, epoch: Epoch },
     /// A server's answer to an order, or the failure of the order.
--- a/crates/gateway/src/control/node.rs
+++ b/crates/gateway/src/control/node.rs
@@ -284,6 +284,9 @@
             Input::ServersUnreached { epoch, unreached } => {
                 self.on_servers_unreached(epoch, unreached);
             }
+            Input::ConnectionsTried { epoch, tried, unreached } => {
+                self.on_connections_tried(epoch, tried, unreached);
+            }
             Input::ServersReached { leader, epoch } => self.send_servers_reached(&leader, epoch),
             Input::LeaseEnded => {
                 self.resign("the lease ended");
@@ -320,6 +323,7 @@
         }
         self.check_lease_renewal(now_ms);
         self.check_silent_servers(now_ms);
+        self.check_new_connections(now_ms);
         self.report_leaving_servers();
         self.step(Event::Tick);
         self.update_relay(now_ms);
--- a/crates/gateway/src/leader/cut_leader.rs
+++ b/crates/gateway/src/leader/cut_leader.rs
@@ -4,7 +4,8 @@
 //! Only the leader's own links may be lost. The store renews its lease, but no grant arrives, so
 //! that every key soon has no owner, at daemons that reach all servers too. A leader that most
 //! servers do not answer tries to connect to some of them. It asks other daemons to connect to
-//! those that it cannot reach, and resigns in favour of the first that can.
+//! those that it cannot reach, and resigns in favour of the first that can. A leader that gets no
+//! new connections does the same ([`ConnectionCheck`](crate::ConnectionCheck)).
 
 use std::net::SocketAddr;
 
@@ -26,7 +27,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct ReachQueries {
     next_at_ms: u64,
-    /// How many daemons were asked since most servers are silent.
+    /// How many daemons were asked since most servers are silent or accept no new connections.
     queried_daemons: usize,
 }
 
@@ -58,7 +59,9 @@
         let Some(leading) = &mut self.leading else { return };
         let tried = silent_servers(&leading.leader, &self.registry);
         if tried.is_empty() {
-            leading.reach_queries = ReachQueries::default();
+            if !leading.connection_check.are_most_unreached() {
+                leading.reach_queries = ReachQueries::default();
+            }
             return;
         }
         if now_ms < leading.reach_queries.next_at_ms {
@@ -67,21 +70,67 @@
         leading.reach_queries.next_at_ms = now_ms + QUERY_INTERVAL_MS;
         let (epoch, inputs) = (leading.leader.epoch(), self.inputs.clone());
         tokio::spawn(async move {
-            let reached = connect_to(&tried).await;
-            let servers = tried.into_iter().map(|(server, _)| server);
-            let unreached = servers.filter(|server| !reached.contains(server)).collect();
+            let unreached = unreached_of(tried).await;
             // The receiver is closed only while the process exits.
             drop(inputs.send(Input::ServersUnreached { epoch, unreached }).await);
         });
     }
 
-    /// Asks other daemons whether they reach servers that the leader does not reach.
-    pub(crate) fn on_servers_unreached(&mut self, epoch: Epoch, unreached: Vec<Incarnation>) {
-        let order = candidacy::campaign_order(epoch.0, self.candidates());
+    /// Asks other daemons about silent servers that the leader does not reach.
+    pub(crate) fn on_servers_unreached(&mut self, epoch: Epoch, servers: Vec<Incarnation>) {
+        let unreached = servers.len();
+        if let Some(queried) = self.query_reach(epoch, servers) {
+            spdlog::info!(
+                "most servers are silent",
+                kv: { epoch = epoch.0, unreached, queried }
+            );
+        }
+    }
+
+    /// Tries to get new connections to servers if it is due.
+    pub(crate) fn check_new_connections(&mut self, now_ms: u64) {
+        let Some(leading) = &mut self.leading else { return };
+        let start = rand::random_range(0..usize::MAX);
+        let tried = leading.connection_check.to_try(now_ms, &leading.leader, &self.registry, start);
+        if tried.is_empty() {
+            return;
+        }
+        let (epoch, inputs) = (leading.leader.epoch(), self.inputs.clone());
+        tokio::spawn(async move {
+            let (tried, unreached) = (tried.len(), unreached_of(tried).await);
+            // The receiver is closed only while the process exits.
+            drop(inputs.send(Input::ConnectionsTried { epoch, tried, unreached }).await);
+        });
+    }
+
+    /// Asks other daemons about servers of which most accepted no new connection.
+    pub(crate) fn on_connections_tried(
+        &mut self,
+        epoch: Epoch,
+        tried: usize,
+        unreached: Vec<Incarnation>,
+    ) {
         let Some(leading) = &mut self.leading else { return };
-        if leading.leader.epoch() != epoch || unreached.len() < MIN_REACHED {
+        if leading.leader.epoch() != epoch {
             return;
         }
+        let failed = unreached.len();
+        let servers = leading.connection_check.on_tried(tried, unreached);
+        if let Some(queried) = self.query_reach(epoch, servers) {
+            spdlog::info!(
+                "most servers accept no new connection",
+                kv: { epoch = epoch.0, tried, unreached = failed, queried }
+            );
+        }
+    }
+
+    /// Asks other daemons whether they reach servers; returns how many are asked.
+    fn query_reach(&mut self, epoch: Epoch, servers: Vec<Incarnation>) -> Option<usize> {
+        let order = candidacy::campaign_order(epoch.0, self.candidates());
+        let leading = self.leading.as_mut()?;
+        if leading.leader.epoch() != epoch || servers.len() < MIN_REACHED {
+            return None;
+        }
         let others: Vec<Name> =
             order.into_iter().filter(|name| *name != self.settings.instance).collect();
         let skipped = leading.reach_queries.queried_daemons;
@@ -93,11 +142,8 @@
             .take(QUERIED_DAEMONS.min(others.len()))
             .cloned()
             .collect();
-        spdlog::info!(
-            "most servers are silent",
-            kv: { epoch = epoch.0, unreached = unreached.len(), queried = queried.len() }
-        );
-        self.send_to(&queried, &FleetBody::ReachQuery(ReachQuery { epoch, servers: unreached }));
+        self.send_to(&queried, &FleetBody::ReachQuery(ReachQuery { epoch, servers }));
+        Some(queried.len())
     }
 
     /// Connects to servers for a leader that does not reach them.
@@ -126,7 +172,9 @@
     /// Resigns in favour of a daemon that reaches silent servers.
     pub(crate) fn on_servers_reached(&mut self, daemon: &Name, epoch: Epoch) {
         let is_cut_off = self.leading.as_ref().is_some_and(|leading| {
-            leading.leader.epoch() == epoch && leading.leader.is_majority_silent()
+            leading.leader.epoch() == epoch
+                && (leading.leader.is_majority_silent()
+                    || leading.connection_check.are_most_unreached())
         });
         if is_cut_off {
             self.resign_to(Some(daemon), "another daemon reaches the servers");
@@ -134,6 +182,13 @@
     }
 }
 
+/// Returns the servers that do not accept a connection.
+async fn unreached_of(tried: Vec<(Incarnation, SocketAddr)>) -> Vec<Incarnation> {
+    let reached = connect_to(&tried).await;
+    let servers = tried.into_iter().map(|(server, _)| server);
+    servers.filter(|server| !reached.contains(server)).collect()
+}
+
 /// Returns the servers that accept a connection.
 pub(crate) async fn connect_to(servers: &[(Incarnation, SocketAddr)]) -> Vec<Incarnation> {
     let mut attempts = JoinSet::new();
--- a/crates/gateway/src/leader/leader_state.rs
+++ b/crates/gateway/src/leader/leader_state.rs
@@ -11,6 +11,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::Distribution;
+use crate::leader::connection_check::ConnectionCheck;
 use crate::leader::cut_leader::ReachQueries;
 
 /// The state of the leader.
@@ -39,6 +40,7 @@
     pub(crate) published_at_ms: u64,
     pub(crate) distribution: Distribution,
     pub(crate) reach_queries: ReachQueries,
+    pub(crate) connection_check: ConnectionCheck,
     /// When the first renewal of the lease failed since the last one that succeeded.
     pub(crate) renewal_failed_at_ms: Option<u64>,
     /// How many daemons were asked since then whether they reach the store.
@@ -82,6 +84,7 @@
             published_at_ms: 0,
             distribution: Distribution::default(),
             reach_queries: ReachQueries::default(),
+            connection_check: ConnectionCheck::default(),
             renewal_failed_at_ms: None,
             queried_daemons: 0,
             renewed_authority_ms,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -63,6 +63,7 @@
 pub use control::relay::{MessageAction, MessageHeader, Relay, Role};
 pub use gateway::{Gateway, Ports};
 pub use leader::candidacy::{Candidate, campaign_order, campaign_wait_ms};
+pub use leader::connection_check::ConnectionCheck;
 pub use leader::cut_leader::silent_servers;
 pub use leader::distribution::{Distribution, Recipients, daemon_groups, publication_transit_ms};
 pub use log_sampler::{LogSampler, is_sampled};
--- a/crates/gateway/tests/cut_leaders.rs
+++ b/crates/gateway/tests/cut_leaders.rs
@@ -4,7 +4,7 @@
 mod fixture;
 
 use document::HashMap;
-use gateway::silent_servers;
+use gateway::{ConnectionCheck, silent_servers};
 use registry::{Incarnation, Registry};
 use shard::{Config, Epoch, Event, Leader, Output, Reply, Servers};
 
@@ -127,3 +127,45 @@
     harness.run(1_500);
     assert_eq!(harness.asked_about(), 0);
 }
+
+/// Guards against a leader that does not notice that it gets no new connections, or that asks others
+/// because of a server that has crashed.
+#[test]
+fn most_of_a_sample_has_to_accept_no_connection() {
+    let mut harness = Harness::new();
+    let mut check = ConnectionCheck::default();
+    let mut try_next = |harness: &mut Harness, closed: &[u16]| {
+        harness.now_ms += 1_000;
+        let tried = check.to_try(harness.now_ms, &harness.leader, &harness.registry, 0);
+        let count = tried.len();
+        let unreached: Vec<Incarnation> = tried
+            .into_iter()
+            .map(|(tried, _)| tried)
+            .filter(|tried| closed.iter().any(|number| server(*number) == *tried))
+            .collect();
+        (count, check.on_tried(count, unreached).len())
+    };
+    let all: Vec<u16> = (0..SERVERS).collect();
+    assert_eq!(try_next(&mut harness, &[]), (1, 0));
+    assert_eq!(try_next(&mut harness, &all), (1, 0));
+    assert_eq!(try_next(&mut harness, &all[..4]), (6, 0));
+    assert_eq!(try_next(&mut harness, &all), (1, 0));
+    assert_eq!(try_next(&mut harness, &all), (6, 3));
+    assert_eq!(try_next(&mut harness, &[]), (6, 0));
+    assert_eq!(try_next(&mut harness, &[]), (1, 0));
+}
+
+#[test]
+fn silent_servers_are_not_tried() {
+    let mut harness = Harness::new();
+    harness.lose(0..SERVERS / 3);
+    harness.run(1_000);
+    let mut check = ConnectionCheck::default();
+    for start in 0..20 {
+        harness.now_ms += 1_000;
+        let tried = check.to_try(harness.now_ms, &harness.leader, &harness.registry, start);
+        assert!(tried.iter().all(|(server, _)| !harness.lost.contains(server)), "{tried:?}");
+        let unreached = tried.into_iter().map(|(tried, _)| tried).collect::<Vec<_>>();
+        let _ = check.on_tried(unreached.len(), unreached);
+    }
+}
