Believe no record of before the store came back from an older copy

Cause: a leader takes a record as proof of who may hold keys, which it is only as long as no acknowledged write is lost. The leader elected after the return granted the keys again to the server that the older record names. Also, epochs are revisions, which are given out again, an election expected the earlier leader's entry by its revision, and a resigning leader ended a lease by a number that may be another daemon's by then.

Change: records name the era in which their leader was elected, and count in no other. A leader resigns when an answer names a new era; if its authority has not ended, no other leader acted in the earlier era, and it tells all daemons who may hold keys. Whichever leads then goes on from that, also if it was elected before. Without that message no key is granted until all earlier grants have ended. An epoch is the revision plus 2^20 for each era. A campaign fails if the era changes during it.

--- a/crates/gateway/src/control/era.rs
+++ b/crates/gateway/src/control/era.rs
@@ -58,12 +58,15 @@
         for entry in self.fleet_entries.values_mut() {
             entry.revision = Revision(0);
         }
+        // An election must not expect an entry by a revision that another one may have now.
+        self.leader = None;
         self.entry_missing_since.send_replace(Revision(0));
         self.evacuations.on_new_era();
         self.operators.on_new_era();
         self.relay = Relay::default();
         // Servers whose entries are newer than the copy write them again.
         self.registry.on_list_restored(self.clock.now_ms());
+        self.resign_in_new_era(newest);
     }
 
     /// Returns the era for a message to the group, if the store has eras.
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -10,7 +10,7 @@
 use crate::control::follow::{DAEMONS_PREFIX, DaemonEntry, LEADER_KEY};
 use crate::control::node::Node;
 use crate::leader::distribution::first_of_groups;
-use crate::leader::election::Campaign;
+use crate::leader::election::{Campaign, to_epoch};
 use crate::{Orders, Source};
 
 impl<S: Store, O: Orders, R: Source> Node<S, O, R> {
@@ -119,6 +119,7 @@
             counters: Arc::clone(&self.shared.counters),
             inputs: self.inputs.clone(),
             clock: self.clock,
+            era: self.era,
         }
     }
 
@@ -126,9 +127,10 @@
     pub(crate) fn campaign_if_needed(&mut self) {
         // An entry of this instance is left from an earlier process or epoch. No other daemon
         // acts under it, so its lease need not expire first.
-        let resigned_epoch = self.resigned.as_ref().map(|resigned| resigned.epoch.0);
+        let resigned_epoch = self.resigned.as_ref().map(|resigned| resigned.epoch);
         let has_other_leader = self.leader.as_ref().is_some_and(|(leader, revision)| {
-            *leader != self.settings.instance && Some(revision.0) != resigned_epoch
+            *leader != self.settings.instance
+                && Some(to_epoch(self.era, *revision)) != resigned_epoch
         });
         let is_needed = self.is_fleet_known && !has_other_leader && self.leading.is_none();
         let can_campaign = self.store_answers && !self.is_campaigning && !self.shared.is_stopping();
--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -277,7 +277,8 @@
         if record.is_none() {
             spdlog::error!("invalid record in the store", kv: { service = service.as_str(), revision = entry.revision.0 });
         }
-        Some(StoredRecord { service, revision: entry.revision, record })
+        let era = entry.text.as_deref().map_or(0, Record::era_of);
+        Some(StoredRecord { service, revision: entry.revision, era, record })
     });
     Ok(records.collect())
 }
--- a/crates/gateway/src/control/input.rs
+++ b/crates/gateway/src/control/input.rs
@@ -78,8 +78,12 @@
 /// The result of an election that this daemon won.
 #[derive(Debug)]
 pub(crate) struct WonElection {
-    /// The epoch, which is the revision of the new leader's entry.
+    /// The epoch, which follows from the era and the revision of the new leader's entry.
     pub(crate) epoch: Epoch,
+    /// The era in which the store answered all calls of the campaign; `None` if it has no eras.
+    pub(crate) era: Option<Era>,
+    /// The revision of the new leader's entry.
+    pub(crate) entry_revision: Revision,
     /// The epoch of the leader whose entry was replaced, if there was one.
     pub(crate) predecessor: Option<Epoch>,
     pub(crate) lease: LeaseId,
@@ -93,7 +97,9 @@
 pub(crate) struct StoredRecord {
     pub(crate) service: Name,
     pub(crate) revision: Revision,
-    /// The record; `None` if it cannot be read.
+    /// The era in which the leader that wrote the record was elected.
+    pub(crate) era: u64,
+    /// The record; `None` if it cannot be read, or does not tell who may hold keys.
     pub(crate) record: Option<Record>,
 }
 
--- a/crates/gateway/src/control/node.rs
+++ b/crates/gateway/src/control/node.rs
@@ -22,6 +22,7 @@
 use crate::control::relay::{Relay, Role};
 use crate::leader::cut_leader::connect_to;
 use crate::leader::leader_state::LeaderState;
+use crate::leader::older_store::PassedOn;
 use crate::leader::succession::Resignation;
 use crate::request::detour::Peer;
 use crate::request::report::ServiceState;
@@ -47,6 +48,10 @@
     pub(crate) relay: Relay,
     /// The newest era of the store; `None` as long as no answer has named one.
     pub(crate) era: Option<Era>,
+    /// The newest era that an answer of the store has named.
+    pub(crate) newest_era: watch::Receiver<Option<Era>>,
+    /// Who may hold keys, as the leader told that led until the store came back.
+    pub(crate) passed_on: Option<PassedOn>,
     /// The store's revision up to which servers' entries are known here.
     pub(crate) entries_revision: Revision,
     /// When servers' entries were last read here; `None` while they are not read here.
@@ -150,6 +155,8 @@
 impl<S: Store, O: Orders, R: Source> Node<S, O, R> {
     pub(crate) fn new(parts: NodeParts<S, O, R>) -> Self {
         Self {
+            newest_era: parts.store.era(),
+            passed_on: None,
             settings: parts.settings,
             store: parts.store,
             orders: parts.orders,
@@ -245,6 +252,7 @@
     }
 
     fn on_input(&mut self, input: Input) {
+        self.check_era();
         match input {
             Input::Listed(topic, entries, read) => {
                 if self.is_newest_era(read.era) {
@@ -263,7 +271,9 @@
             Input::CampaignEnded(election) => {
                 self.is_campaigning = false;
                 match election {
-                    Some(election) if self.shared.is_stopping() => self.decline(&election),
+                    Some(election) if self.shared.is_stopping() || election.era != self.era => {
+                        self.decline(&election);
+                    }
                     Some(election) => {
                         self.failed_campaigns = 0;
                         self.start_leading(election);
--- a/crates/gateway/src/leader/election.rs
+++ b/crates/gateway/src/leader/election.rs
@@ -6,9 +6,9 @@
 
 use document::{Name, Revision};
 use shard::Epoch;
-use store::{Category, Expect, LeaseId, Store, Transaction};
+use store::{Category, Era, Expect, LeaseId, Store, Transaction};
 use telemetry::{Counter, Counters};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
 use crate::BootClock;
@@ -23,6 +23,11 @@
 const RENEW_TIMEOUT_MS: u64 = 350;
 /// Subtracted from the lease for clocks that differ by two percent and for a late timer.
 const LEASE_MARGIN_MS: u64 = 120;
+/// An era adds 2^20 to epochs, more than the revisions that a store gives out in the seconds that its
+/// copy lacks.
+const ERA_SHIFT: u32 = 20;
+/// Later eras do not raise epochs, whose fences would not fit into 63 bits.
+const MAX_ERA: u64 = 1 << 22;
 
 /// Attempts to become the leader, and keeps the lease afterwards.
 #[derive(Clone, Debug)]
@@ -32,6 +37,8 @@
     pub(crate) min_lease_ms: u64,
     /// The expected entry of the leader: none, or this instance's own.
     pub(crate) expected_leader: Expect,
+    /// The era of the store that is known; the campaign fails in any other.
+    pub(crate) era: Option<Era>,
     pub(crate) counters: Arc<Counters>,
     pub(crate) inputs: mpsc::Sender<Input>,
     pub(crate) clock: BootClock,
@@ -50,9 +57,12 @@
 
     async fn try_election(&self) -> store::Result<WonElection> {
         let lease_ms = self.lease_ms();
+        let era = self.store.era();
+        self.check_era(&era)?;
         let sent_at_ms = self.clock.now_ms();
         self.counters.add(Counter::StoreCalls, 2);
         let lease = self.store.open_lease(lease_ms).await?;
+        self.check_era(&era)?;
         // The random text identifies this campaign's write when the reply is lost.
         let text = format!("{} {:016x}", self.instance, rand::random::<u64>());
         let transaction = Transaction::new().expect(LEADER_KEY, self.expected_leader).put(
@@ -72,13 +82,31 @@
             }
         };
         let records = list_records(&self.store, &self.counters).await?;
+        // An entry or lease of an earlier era is gone, and its records are older than the grants.
+        self.check_era(&era)?;
         let authority_deadline_ms = sent_at_ms + lease_ms - LEASE_MARGIN_MS;
         let predecessor = match self.expected_leader {
-            Expect::At(revision) => Some(Epoch(revision.0)),
+            Expect::At(revision) => Some(to_epoch(self.era, revision)),
             Expect::Missing | Expect::Anything => None,
         };
-        let epoch = Epoch(revision.0);
-        Ok(WonElection { epoch, predecessor, lease, authority_deadline_ms, records })
+        let epoch = to_epoch(self.era, revision);
+        Ok(WonElection {
+            epoch,
+            era: self.era,
+            entry_revision: revision,
+            predecessor,
+            lease,
+            authority_deadline_ms,
+            records,
+        })
+    }
+
+    /// Fails if an answer has named another era than the known one.
+    fn check_era(&self, newest: &watch::Receiver<Option<Era>>) -> store::Result<()> {
+        if *newest.borrow() == self.era {
+            return Ok(());
+        }
+        store::Error::fail(Category::Unknown, "the store came back from an older copy")
     }
 
     /// Returns the revision of the leader's entry if this campaign wrote it.
@@ -99,11 +127,14 @@
         renewed_authority_ms: Arc<AtomicU64>,
     ) {
         let renew_timeout = Duration::from_millis(RENEW_TIMEOUT_MS);
+        let era = self.store.era();
         while self.clock.now_ms() < authority_deadline_ms {
             sleep(Duration::from_millis(jittered(RENEW_INTERVAL_MS))).await;
             let sent_at_ms = self.clock.now_ms();
             self.counters.count(Counter::StoreCalls);
             let input = match timeout(renew_timeout, self.store.renew_lease(lease)).await {
+                // The number of the lease may be another daemon's in the next era.
+                _ if *era.borrow() != self.era => break,
                 Ok(Ok(())) => {
                     authority_deadline_ms = sent_at_ms + self.lease_ms() - LEASE_MARGIN_MS;
                     renewed_authority_ms.store(authority_deadline_ms, Ordering::Relaxed);
@@ -126,6 +157,27 @@
     }
 
     fn lease_ms(&self) -> u64 {
-        LEASE_MS.max(self.min_lease_ms)
+        lease_ms(self.min_lease_ms)
     }
 }
+
+/// Returns the length of the leader's lease.
+pub(crate) fn lease_ms(min_lease_ms: u64) -> u64 {
+    LEASE_MS.max(min_lease_ms)
+}
+
+/// Returns the epoch of a leader whose entry has a revision.
+///
+/// It rises over eras too, in which revisions are given out again.
+pub(crate) fn to_epoch(era: Option<Era>, entry_revision: Revision) -> Epoch {
+    Epoch(entry_revision.0.saturating_add(first_of_era(era)))
+}
+
+/// Returns the revision of the entry of a leader that was elected in an era.
+pub(crate) fn to_entry_revision(era: Option<Era>, epoch: Epoch) -> Revision {
+    Revision(epoch.0.saturating_sub(first_of_era(era)))
+}
+
+fn first_of_era(era: Option<Era>) -> u64 {
+    era.map_or(0, |era| era.0.min(MAX_ERA) << ERA_SHIFT)
+}
--- a/crates/gateway/src/leader/leader_state.rs
+++ b/crates/gateway/src/leader/leader_state.rs
@@ -7,7 +7,7 @@
 use peer::Tables;
 use registry::Incarnation;
 use shard::{Epoch, Leader, Table};
-use store::LeaseId;
+use store::{Era, LeaseId};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::Distribution;
@@ -18,6 +18,12 @@
 pub(crate) struct LeaderState {
     pub(crate) leader: Leader,
     pub(crate) lease: LeaseId,
+    /// The era of the store in which the leader was elected.
+    pub(crate) era: Option<Era>,
+    /// The revision of the leader's entry.
+    pub(crate) entry_revision: Revision,
+    /// When grants that no record tells of may still have been made; `None` if all are recorded.
+    pub(crate) unknown_from_ms: Option<u64>,
     /// The revisions of the records in the store.
     pub(crate) revisions: HashMap<Name, Revision>,
     /// The speeds of servers, relative to a typical server, as far as their rate limits allow them
@@ -63,7 +69,7 @@
 impl LeaderState {
     pub(crate) fn new(
         leader: Leader,
-        lease: LeaseId,
+        (lease, era, entry_revision): (LeaseId, Option<Era>, Revision),
         revisions: HashMap<Name, Revision>,
         renewed_authority_ms: Arc<AtomicU64>,
         lease_keeper: AbortOnDropHandle<()>,
@@ -71,6 +77,9 @@
         Self {
             leader,
             lease,
+            era,
+            entry_revision,
+            unknown_from_ms: None,
             revisions,
             speeds: HashMap::default(),
             measured_speeds: HashMap::default(),
@@ -89,6 +98,16 @@
         }
     }
 
+    /// Starts to assign the keys of a service without a record, unless it has an assignment.
+    pub(crate) fn add_service(&mut self, service: &Name) {
+        match self.unknown_from_ms {
+            Some(from_ms) if !self.leader.services().any(|known| known == service) => {
+                self.leader.add_unknown_service(from_ms, service);
+            }
+            _ => self.leader.add_service(service),
+        }
+    }
+
     /// Continues from the tables that the previous leader published, as this daemon knows them.
     pub(crate) fn continue_from(&mut self, version: (Epoch, u64), tables: HashMap<Name, Table>) {
         self.published_version = Some(version);
@@ -103,6 +122,8 @@
         let leader = &self.leader;
         let tables: HashMap<Name, Table> = leader
             .services()
+            // Daemons keep the tables of the predecessor, which are all that is known of the holders.
+            .filter(|service| !leader.is_unknown_service(service, now_ms))
             .filter_map(|service| Some((service.clone(), leader.table(service, now_ms)?)))
             .collect();
         let base = self.published_version;
--- a/crates/gateway/src/leader/leader_tasks.rs
+++ b/crates/gateway/src/leader/leader_tasks.rs
@@ -29,9 +29,18 @@
 
 impl<S: Store, O: Orders, R: Source> Node<S, O, R> {
     /// Starts to lead after a won election.
-    pub(crate) fn start_leading(&mut self, election: WonElection) {
+    pub(crate) fn start_leading(&mut self, mut election: WonElection) {
         let now_ms = self.clock.now_ms();
-        let WonElection { epoch, predecessor, lease, authority_deadline_ms, records } = election;
+        self.drop_older_records(&mut election);
+        let WonElection {
+            epoch,
+            era,
+            entry_revision,
+            predecessor,
+            lease,
+            authority_deadline_ms,
+            records,
+        } = election;
         let resigned = self.resigned.take().filter(|resigned| Some(resigned.epoch) == predecessor);
         spdlog::info!(
             "elected leader",
@@ -62,13 +71,19 @@
         );
         let lease_keeper = tokio::spawn(lease_keeper);
         let lease_keeper = AbortOnDropHandle::new(lease_keeper);
-        let mut leading =
-            LeaderState::new(leader, lease, revisions, renewed_authority_ms, lease_keeper);
+        let mut leading = LeaderState::new(
+            leader,
+            (lease, era, entry_revision),
+            revisions,
+            renewed_authority_ms,
+            lease_keeper,
+        );
         if let Some(version) = self.tables_version {
             let known = self.tables.iter().map(|(name, table)| (name.clone(), (**table).clone()));
             leading.continue_from(version, known.collect());
         }
         self.leading = Some(leading);
+        self.continue_in_era(now_ms);
         self.add_keyed_services();
         self.step(Event::Tick);
     }
@@ -86,7 +101,7 @@
     pub(crate) fn add_keyed_services(&mut self) {
         let (Some(leading), Some(site)) = (&mut self.leading, &self.site) else { return };
         for service in site.services().filter(|service| service.is_keyed) {
-            leading.leader.add_service(&service.name);
+            leading.add_service(&service.name);
         }
     }
 
@@ -168,13 +183,14 @@
 
     fn write_record(&self, service: Name, record: Record) {
         let Some(leading) = &self.leading else { return };
-        let epoch = leading.leader.epoch();
+        let (epoch, era, entry_revision) =
+            (leading.leader.epoch(), leading.era, leading.entry_revision);
         let expect = leading.revisions.get(&service).copied().map_or(Expect::Missing, Expect::At);
         let key = format!("{RECORDS_PREFIX}{service}");
         let transaction = Transaction::new()
-            .expect(LEADER_KEY, Expect::At(Revision(epoch.0)))
+            .expect(LEADER_KEY, Expect::At(entry_revision))
             .expect(&key, expect)
-            .put(&key, &record.to_text(), None);
+            .put(&key, &record.to_text_in_era(era.map_or(0, |era| era.0)), None);
         let (store, inputs) = (self.store.clone(), self.inputs.clone());
         let counters = std::sync::Arc::clone(&self.shared.counters);
         tokio::spawn(async move {
@@ -189,7 +205,14 @@
                         }
                         Category::Conflict | Category::Missing | Category::Unknown => {
                             counters.add(Counter::StoreCalls, u64::from(MAX_OUTCOME_READS));
-                            read_write_outcome(&store, &key, epoch, expect, &record).await
+                            read_write_outcome(
+                                &store,
+                                &key,
+                                (epoch, entry_revision),
+                                expect,
+                                &record,
+                            )
+                            .await
                         }
                     }
                 }
@@ -278,13 +301,13 @@
 async fn read_write_outcome<S: Store>(
     store: &S,
     key: &str,
-    epoch: Epoch,
+    (epoch, entry_revision): (Epoch, Revision),
     expected: Expect,
     record: &Record,
 ) -> WriteOutcome {
     let unknown = WriteOutcome::Failed { revision: None, is_ruled_out: false };
     let Ok(leader) = store.read(LEADER_KEY).await else { return unknown };
-    if leader.is_none_or(|leader| leader.revision.0 != epoch.0) {
+    if leader.is_none_or(|leader| leader.revision != entry_revision) {
         return WriteOutcome::Deposed;
     }
     match store.read(key).await {
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -6,4 +6,5 @@
 pub(crate) mod election;
 pub(crate) mod leader_state;
 pub(crate) mod leader_tasks;
+pub(crate) mod older_store;
 pub(crate) mod succession;
--- a/crates/gateway/src/leader/succession.rs
+++ b/crates/gateway/src/leader/succession.rs
@@ -7,10 +7,10 @@
 
 use std::sync::atomic::Ordering;
 
-use document::{Name, Revision};
+use document::Name;
 use peer::{FleetBody, Resigned};
 use shard::{Epoch, Event};
-use store::{LeaseId, Store};
+use store::{Era, LeaseId, Store};
 use telemetry::Counter;
 use tokio::time::{Duration, sleep};
 
@@ -18,7 +18,9 @@
 use crate::control::input::{Input, WonElection};
 use crate::control::node::Node;
 use crate::leader::candidacy::{self, Candidate};
+use crate::leader::election::{to_entry_revision, to_epoch};
 use crate::leader::leader_tasks::log_unanswered;
+use crate::leader::older_store::PassedOn;
 use crate::{Orders, Source};
 
 /// What a leader that resigned told.
@@ -52,12 +54,12 @@
 
     pub(crate) fn resign_to(&mut self, successor: Option<&Name>, cause: &'static str) {
         let Some(leading) = self.leading.take() else { return };
-        let (epoch, lease) = (leading.leader.epoch(), leading.lease);
+        let (epoch, era, lease) = (leading.leader.epoch(), leading.era, leading.lease);
         let now_ms = self.clock.now_ms();
         let grants_deadline_ms = leading.leader.grants_deadline_ms(now_ms);
         let unanswered = leading.leader.unanswered_grants(now_ms);
         log_unanswered(epoch, &unanswered, now_ms);
-        self.hand_over(epoch, lease, grants_deadline_ms, successor, cause);
+        self.hand_over(epoch, era, lease, grants_deadline_ms, successor, cause);
     }
 
     /// Hands over leadership that this daemon has won while its process stops.
@@ -67,18 +69,31 @@
         let resigned = self.resigned.as_ref();
         let resigned = resigned.filter(|resigned| Some(resigned.epoch) == election.predecessor);
         // It has granted nothing, so only grants of earlier leaders count.
-        let grants_deadline_ms = match resigned {
-            Some(resigned) => resigned.grants_deadline_ms,
-            None => self.shard_config().earlier_grants_deadline_ms(self.clock.now_ms()),
+        let from_ms = self.earlier_leader_deadline_ms(election.era);
+        let grants_deadline_ms = resigned.map_or_else(
+            || self.shard_config().earlier_grants_deadline_ms(from_ms),
+            |resigned| resigned.grants_deadline_ms,
+        );
+        let cause = if election.era == self.era {
+            "the process is stopping"
+        } else {
+            "the store came back from an older copy"
         };
-        let cause = "the process is stopping";
-        self.hand_over(election.epoch, election.lease, grants_deadline_ms, None, cause);
+        self.hand_over(
+            election.epoch,
+            election.era,
+            election.lease,
+            grants_deadline_ms,
+            None,
+            cause,
+        );
     }
 
     /// Tells the other daemons that an epoch of this one has ended, and ends its lease.
     fn hand_over(
         &mut self,
         epoch: Epoch,
+        era: Option<Era>,
         lease: LeaseId,
         grants_deadline_ms: u64,
         successor: Option<&Name>,
@@ -88,9 +103,23 @@
         let named = successor.as_deref().unwrap_or("-").to_owned();
         spdlog::info!("no longer leader", kv: { epoch = epoch.0, cause, successor = named });
         let grants_left_ms = grants_deadline_ms.saturating_sub(self.clock.now_ms());
-        let resigned = Resigned { epoch, successor: successor.clone(), grants_left_ms };
+        let elected_era = era.map_or(0, |era| era.0);
+        let passed_on = self.passed_on.as_ref();
+        let passed_on =
+            passed_on.filter(|passed_on| elected_era.checked_add(1) == Some(passed_on.era.0));
+        let resigned = Resigned {
+            epoch,
+            successor: successor.clone(),
+            grants_left_ms,
+            era: elected_era,
+            holders: passed_on.map(PassedOn::to_message),
+        };
         self.send_all(&FleetBody::Resigned(resigned));
         self.resigned = Some(Resignation { epoch, successor, grants_deadline_ms });
+        if era != self.era {
+            // The number of the lease may be another daemon's now.
+            return;
+        }
         let store = self.store.clone();
         tokio::spawn(async move {
             sleep(Duration::from_millis(LEASE_END_DELAY_MS)).await;
@@ -101,14 +130,18 @@
 
     /// Handles the resignation of another leader.
     pub(crate) fn on_resigned(&mut self, from: Name, resigned: Resigned) {
-        let Resigned { epoch, successor, grants_left_ms } = resigned;
+        let Resigned { epoch, successor, grants_left_ms, era, holders } = resigned;
+        if let Some(holders) = holders {
+            self.on_passed_on(PassedOn::from_message(era, &holders));
+        }
         if self.resigned.as_ref().is_some_and(|known| known.epoch >= epoch) {
             return;
         }
         let entry = self.fleet_entries.get(LEADER_KEY);
-        if entry.is_none_or(|entry| entry.revision.0 < epoch.0) {
+        let entry_revision = to_entry_revision(self.era, epoch);
+        if era == self.era_number() && entry.is_none_or(|entry| entry.revision < entry_revision) {
             // It has led so briefly that its entry has not been read yet.
-            self.leader = Some((from, Revision(epoch.0)));
+            self.leader = Some((from, entry_revision));
         }
         let named = successor.as_deref().unwrap_or("-").to_owned();
         spdlog::info!("leader resigned", kv: { epoch = epoch.0, successor = named, grants_left_ms });
@@ -194,10 +227,11 @@
             return;
         }
         let (store, inputs) = (self.store.clone(), self.inputs.clone());
+        let era = self.era;
         self.shared.counters.count(Counter::StoreCalls);
         tokio::spawn(async move {
             let Ok(Some(entry)) = store.read(LEADER_KEY).await else { return };
-            if entry.revision.0 == epoch.0 {
+            if to_epoch(era, entry.revision) == epoch {
                 // The receiver is closed only while the process exits.
                 drop(inputs.send(Input::StoreReached { leader, epoch }).await);
             }
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -90,6 +90,13 @@
     pub successor: Option<Name>,
     /// How much longer the leader's grants may be valid.
     pub grants_left_ms: u64,
+    /// The era of the store in which the leader was elected; 0 from an earlier version.
+    pub era: u64,
+    /// The servers that may hold keys, by service, as the texts of records; empty texts say that none does.
+    ///
+    /// Present if the leader led until the store came back from an older copy, so that no other one has
+    /// acted since, apart from those of the next era.
+    pub holders: Option<Vec<(Name, Name)>>,
 }
 
 /// The servers' entries from the store, relayed to daemons that do not read them.
@@ -506,15 +513,30 @@
         epoch: resigned.epoch.0,
         successor: resigned.successor.as_ref().map(ToString::to_string).unwrap_or_default(),
         grants_left_ms: resigned.grants_left_ms,
+        era: resigned.era,
+        has_led_through: resigned.holders.is_some(),
+        holders: resigned
+            .holders
+            .iter()
+            .flatten()
+            .map(|(service, record)| wire::ServiceHolders {
+                service: service.to_string(),
+                record: record.to_string(),
+            })
+            .collect(),
     }
 }
 
 fn to_resigned(resigned: wire::Resigned) -> Resigned {
     let successor = Some(resigned.successor).filter(|name| !name.is_empty());
+    let holders = resigned.holders.into_iter();
+    let holders = holders.map(|holders| (holders.service.into(), holders.record.into()));
     Resigned {
         epoch: Epoch(resigned.epoch),
         successor: successor.map(Name::from),
         grants_left_ms: bounded(resigned.grants_left_ms),
+        era: resigned.era,
+        holders: resigned.has_led_through.then(|| holders.collect()),
     }
 }
 
--- a/crates/peer/tests/fleet_frames.rs
+++ b/crates/peer/tests/fleet_frames.rs
@@ -68,8 +68,14 @@
 
 #[test]
 fn messages_round_trip() {
-    let resigned =
-        Resigned { epoch: Epoch(7), successor: Some("edge-2".into()), grants_left_ms: 3_000 };
+    let resigned = Resigned {
+        epoch: Epoch(7),
+        successor: Some("edge-2".into()),
+        grants_left_ms: 3_000,
+        era: 2,
+        holders: None,
+    };
+    let holders = vec![("ledger".into(), "text".into()), ("archive".into(), "".into())];
     let leaving = Leaving {
         servers: vec![Incarnation { server: "s1".into(), born_ms: 3 }],
         is_relayed: true,
@@ -83,6 +89,8 @@
         FleetBody::StoreQuery(Epoch(7)),
         FleetBody::StoreReached(Epoch(7)),
         FleetBody::Resigned(Resigned { successor: None, ..resigned.clone() }),
+        FleetBody::Resigned(Resigned { holders: Some(holders), ..resigned.clone() }),
+        FleetBody::Resigned(Resigned { holders: Some(Vec::new()), ..resigned.clone() }),
         FleetBody::Resigned(resigned),
         FleetBody::Leaving(leaving),
         FleetBody::ReachQuery(reach_query()),
@@ -172,7 +180,8 @@
         added_later: Some(resigned),
         ..OtherFrame::default()
     };
-    let expected = Resigned { epoch: Epoch(7), successor: None, grants_left_ms: 0 };
+    let expected =
+        Resigned { epoch: Epoch(7), successor: None, grants_left_ms: 0, era: 0, holders: None };
     assert_eq!(read_other(&frame).unwrap(), FleetBody::Resigned(expected));
 }
 
@@ -199,7 +208,13 @@
     let servers = Servers { grace_left_ms: u64::MAX, ..servers() };
     let body = decode(FleetBody::Servers(servers));
     assert!(matches!(body, FleetBody::Servers(Servers { grace_left_ms: DAY_MS, .. })));
-    let resigned = Resigned { epoch: Epoch(1), successor: None, grants_left_ms: u64::MAX };
+    let resigned = Resigned {
+        epoch: Epoch(1),
+        successor: None,
+        grants_left_ms: u64::MAX,
+        era: 0,
+        holders: None,
+    };
     let body = decode(FleetBody::Resigned(resigned));
     assert!(matches!(body, FleetBody::Resigned(Resigned { grants_left_ms: DAY_MS, .. })));
     let body = decode(FleetBody::TurnReply(1, Turn::In { wait_ms: u64::MAX }));
--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -108,6 +108,11 @@
         known_ms.max(self.unknown_grants_deadline_ms)
     }
 
+    /// Returns whether no key is assigned since any server may hold any key.
+    pub(crate) fn is_unknown(&self, now_ms: u64) -> bool {
+        self.is_unassigned() && now_ms < self.unknown_grants_deadline_ms
+    }
+
     /// Returns whether new owners have to be published or orders may have become due.
     pub(crate) fn is_changed(&self) -> bool {
         self.is_changed
--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -18,11 +18,11 @@
 #[derive(Debug)]
 pub struct Leader {
     epoch: Epoch,
-    fences: FenceCounter,
+    pub(crate) fences: FenceCounter,
     authority_deadline_ms: u64,
-    assignments: BTreeMap<Name, Assignment>,
+    pub(crate) assignments: BTreeMap<Name, Assignment>,
     orders: OrderTracker,
-    config: Config,
+    pub(crate) config: Config,
     store_answers: bool,
     balance_at_ms: u64,
     passed_at_ms: u64,
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -55,6 +55,7 @@
 mod handover_time;
 mod leader;
 mod load;
+mod older_store;
 mod order;
 mod pass;
 mod planning;
--- a/crates/shard/src/record.rs
+++ b/crates/shard/src/record.rs
@@ -38,6 +38,8 @@
 #[derive(Deserialize, Serialize)]
 struct Stored {
     epoch: u64,
+    #[serde(default, skip_serializing_if = "is_first_era")]
+    era: u64,
     number: u64,
     #[serde(default, rename = "previous_left", skip_serializing_if = "Option::is_none")]
     previous_left_ms: Option<u64>,
@@ -47,9 +49,15 @@
 }
 
 impl Record {
-    /// Returns the text to store.
+    /// Returns the text to store in the first era.
     #[must_use]
     pub fn to_text(&self) -> String {
+        self.to_text_in_era(0)
+    }
+
+    /// Returns the text to store; `era` counts how often the store came back from an older copy.
+    #[must_use]
+    pub fn to_text_in_era(&self, era: u64) -> String {
         let mut positions: HashMap<&Incarnation, usize> = HashMap::default();
         let mut incarnations = Vec::new();
         let mut position = |incarnation| {
@@ -68,6 +76,7 @@
             .collect();
         let stored = Stored {
             epoch: self.epoch,
+            era,
             number: self.number,
             previous_left_ms: self.previous_left_ms,
             incarnations,
@@ -103,6 +112,14 @@
         record.covers_all_keys().then_some(record)
     }
 
+    /// Returns the era in which the leader that wrote a stored text was elected.
+    ///
+    /// It is 0 if the text names none, as that of an earlier version.
+    #[must_use]
+    pub fn era_of(text: &str) -> u64 {
+        serde_json::from_str(text).map_or(0, |stored: Stored| stored.era)
+    }
+
     /// Returns whether the leader of an epoch wrote the record.
     #[must_use]
     pub fn is_by(&self, epoch: Epoch) -> bool {
@@ -120,3 +137,8 @@
         next.is_none()
     }
 }
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_first_era(era: &u64) -> bool {
+    *era == 0
+}
--- a/crates/shard/src/recording.rs
+++ b/crates/shard/src/recording.rs
@@ -49,6 +49,11 @@
         Self { has_obsolete_holders, ..Self::default() }
     }
 
+    /// Has the record written once all previous holders are done, even if it says nothing new.
+    pub(crate) fn require_rewrite(&mut self) {
+        self.has_obsolete_holders = true;
+    }
+
     /// Returns whether a durable record names a successor.
     pub(crate) fn is_durable(&self, successor: &Successor) -> bool {
         successor.record_number.is_some_and(|number| self.durable >= number)
