Wait for unanswered grants before a released shard is granted again

A server that compares an order with its grants when it arrives, and carries it out later, may grant itself a shard again after it reported the release. The controller of crates/control took that report for the end of the grant, so two servers held the shard. The model's servers can now check orders on arrival only (check_on_arrival), and answer with a copy of their previous answer.

Cause: a grant counted as ended because of the answer to another order. Now only its own answer or its time ends it: a released shard is free when each order that granted it without releasing it was answered or has expired. A move waits for that before it closes the shard, and does not renew the shard meanwhile.

--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -464,7 +464,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in due {
-            let mut order = self.build_order(&name);
+            let mut order = self.build_order(now_ms, &name);
             let Some(link) = self.servers.get_mut(&name) else {
                 continue;
             };
@@ -474,6 +474,16 @@
             let is_empty = order.grants.is_empty();
             let deadline_ms = if is_empty { None } else { link.bound.extend(grant_ms) };
             order.deadline_ms = deadline_ms.unwrap_or(0);
+            if !is_empty {
+                link.on_grants_sent(now_ms, order.number);
+            }
+            for (shard, record) in self.shards.iter_mut().zip(&self.known.record.shards) {
+                if let ShardState::Moving { epoch, phase, .. } = shard
+                    && order.grants.contains(&ShardEpoch { shard: record.id, epoch: *epoch })
+                {
+                    phase.on_granted(order.number);
+                }
+            }
             let needs_progress_orders = !order.prepares.is_empty() || !order.releases.is_empty();
             link.on_order_sent(now_ms, order.number, needs_progress_orders, &self.config);
             out.push(Action::Order(name, link.address, order));
@@ -481,8 +491,14 @@
         self.next_order_number = next_order_number;
     }
 
+    /// Returns whether a server may still carry out unanswered grants of orders up to a number.
+    pub(crate) fn awaits_answers(&self, now_ms: u64, server: &Name, last_number: u64) -> bool {
+        let link = self.servers.get(server);
+        link.is_some_and(|link| now_ms < link.unanswered_deadline_ms(last_number))
+    }
+
     /// Builds an order without its number, incarnation and deadline.
-    fn build_order(&self, server: &Name) -> Order {
+    fn build_order(&self, now_ms: u64, server: &Name) -> Order {
         let mut order = Order {
             service: self.service.clone(),
             term: self.term,
@@ -508,6 +524,9 @@
                     ShardState::Moving { phase: Phase::Expiring { .. }, .. } => {
                         order.releases.push(target);
                     }
+                    // A renewal would lengthen the wait for the unanswered grants.
+                    ShardState::Moving { phase, .. }
+                        if self.awaits_answers(now_ms, server, phase.last_number()) => {}
                     _ => order.grants.push(target),
                 }
             }
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -26,7 +26,7 @@
     /// The number of the order that the last report answered.
     last_reported_number: u64,
     /// The number of the last order sent.
-    last_sent_number: u64,
+    pub(crate) last_sent_number: u64,
     /// The number of the last order sent before the last report arrived.
     last_sent_before_report: u64,
     last_report_at_ms: Option<u64>,
@@ -36,6 +36,10 @@
     next_order_at_ms: u64,
     /// The number of the last order sent to an earlier address, until the current one answers.
     last_number_at_old_address: Option<u64>,
+    /// The orders with grants that were not answered, with the time when their grants have expired.
+    ///
+    /// The server may carry them out after later orders, also after a release.
+    unanswered_grants: Vec<(u64, u64)>,
 }
 
 /// Whether a report comes from a new server process.
@@ -65,6 +69,7 @@
             report_deadline_ms: None,
             next_order_at_ms: now_ms,
             last_number_at_old_address: None,
+            unanswered_grants: Vec::new(),
         }
     }
 
@@ -117,12 +122,27 @@
         self.next_order_at_ms = now_ms + interval_ms;
     }
 
+    /// Records that an order sent now grants shards, after [`ServerLink::bound`] was extended.
+    pub(crate) fn on_grants_sent(&mut self, now_ms: u64, number: u64) {
+        self.unanswered_grants.retain(|(_, deadline_ms)| now_ms < *deadline_ms);
+        self.unanswered_grants.push((number, self.bound.deadline_ms()));
+    }
+
+    /// Returns when all unanswered grants of orders up to a number have expired.
+    ///
+    /// Until then, the server may carry them out.
+    pub(crate) fn unanswered_deadline_ms(&self, max_number: u64) -> u64 {
+        let unanswered = self.unanswered_grants.iter().filter(|(number, _)| *number <= max_number);
+        unanswered.map(|(_, deadline_ms)| *deadline_ms).max().unwrap_or(0)
+    }
+
     pub(crate) fn on_order_unanswered(&mut self) {
         self.report_deadline_ms = None;
     }
 
     /// Updates the link from a report, unless the report is older than the last one.
     pub(crate) fn on_report(&mut self, now_ms: u64, report: &Report) -> ProcessChange {
+        self.unanswered_grants.retain(|(number, _)| *number != report.number);
         let is_known = self.incarnation == Some(report.incarnation);
         let is_first = self.incarnation.is_none();
         // Orders and reports may overtake each other. Another process is known to be the later
@@ -152,6 +172,7 @@
                 self.bound.forget_clock();
             } else {
                 self.bound.reset();
+                self.unanswered_grants.clear();
             }
             self.incarnation = Some(report.incarnation);
             self.needs_order = true;
@@ -168,9 +189,10 @@
         self.reported.get(&shard).is_some_and(|last| last.is_live && last.epoch == epoch)
     }
 
-    /// Returns whether the server can no longer serve a shard with an epoch.
+    /// Returns whether the server reported that it gave up a shard with an epoch.
     ///
-    /// It has released the shard, or was granted it again with a later epoch.
+    /// It has released the shard, or was granted it again with a later epoch. Until
+    /// [`ServerLink::unanswered_deadline_ms`], it may carry out an earlier grant of the shard.
     pub(crate) fn is_released(&self, shard: ShardId, epoch: Epoch) -> bool {
         self.reported
             .get(&shard)
--- a/crates/control/src/reconcile.rs
+++ b/crates/control/src/reconcile.rs
@@ -88,14 +88,16 @@
                     // A report without the grant is no proof: the server may carry out an earlier
                     // renewal after it.
                     let is_grant_expired = matches!(phase,
-                        Phase::Expiring { deadline_ms } if now_ms >= *deadline_ms);
-                    (is_grant_expired || self.is_released_by(id, server, *epoch))
-                        .then_some(ShardState::Free { not_before_ms: now_ms })
+                        Phase::Expiring { deadline_ms, .. } if now_ms >= *deadline_ms);
+                    if is_grant_expired {
+                        Some(ShardState::Free { not_before_ms: now_ms })
+                    } else {
+                        self.state_after_release(now_ms, id, server, *epoch, phase.last_number())
+                    }
                 }
                 ShardState::Held { server, epoch } | ShardState::Moving { server, epoch, .. } => {
-                    self.is_released_by(id, server, *epoch).then(|| ShardState::Free {
-                        not_before_ms: self.reassignable_at_ms(now_ms, server),
-                    })
+                    let reassignable_at_ms = self.reassignable_at_ms(now_ms, server);
+                    self.state_after_release(reassignable_at_ms, id, server, *epoch, u64::MAX)
                 }
                 ShardState::Free { .. } => None,
             };
@@ -120,14 +122,29 @@
         server: &Name,
         epoch: Epoch,
     ) -> Option<ShardState> {
-        if self.is_released_by(id, server, epoch) {
-            return Some(ShardState::Free { not_before_ms: now_ms });
+        let released = self.state_after_release(now_ms, id, server, epoch, u64::MAX);
+        if released.is_some() {
+            return released;
         }
         self.is_live(id, server, epoch).then(|| ShardState::Held { server: server.clone(), epoch })
     }
 
-    fn is_released_by(&self, id: ShardId, server: &Name, epoch: Epoch) -> bool {
-        self.servers.get(server).is_some_and(|link| link.is_released(id, epoch))
+    /// Returns the next state of a shard that its server has released, free from `free_at_ms` on.
+    ///
+    /// Only its own answer or its time ends a grant. So the shard is free when all grants have
+    /// expired that the server may carry out after the release: those of unanswered orders, up to
+    /// `last_number` if the later ones release the shard.
+    fn state_after_release(
+        &self,
+        free_at_ms: u64,
+        id: ShardId,
+        server: &Name,
+        epoch: Epoch,
+        last_number: u64,
+    ) -> Option<ShardState> {
+        let link = self.servers.get(server).filter(|link| link.is_released(id, epoch))?;
+        let unanswered_ms = link.unanswered_deadline_ms(last_number);
+        Some(ShardState::Free { not_before_ms: free_at_ms.max(unanswered_ms) })
     }
 
     fn is_live(&self, id: ShardId, server: &Name, epoch: Epoch) -> bool {
@@ -204,12 +221,13 @@
         if self.lost_servers.contains(server) || !self.is_move_possible(now_ms, index, target) {
             return None;
         }
+        let last_number = self.servers.get(server)?.last_sent_number;
         let deadline_ms = now_ms + self.document.timing.prepare_ms;
         Some(ShardState::Moving {
             server: server.clone(),
             epoch,
             target: target.clone(),
-            phase: Phase::Preparing { deadline_ms },
+            phase: Phase::Preparing { last_number, deadline_ms },
         })
     }
 
@@ -236,29 +254,33 @@
         }
         let id = self.known.record.shards[index].id;
         match phase {
-            Phase::Preparing { deadline_ms } => {
+            Phase::Preparing { last_number, deadline_ms } => {
                 let is_prepared = self.servers[target].prepared.contains(&id);
-                let is_due =
-                    (is_prepared || now_ms >= deadline_ms) && !self.has_pending_change(index);
+                let is_due = !self.awaits_answers(now_ms, server, last_number)
+                    && (is_prepared || now_ms >= deadline_ms)
+                    && !self.has_pending_change(index);
                 let sequence = self.sequence + 1;
                 let close_deadline_ms = now_ms + self.config.drain_timeout_ms;
                 is_due.then_some(Transition::Enter(Phase::Closing {
+                    last_number,
                     sequence,
                     deadline_ms: close_deadline_ms,
                 }))
             }
-            Phase::Closing { sequence, deadline_ms } => {
+            Phase::Closing { last_number, sequence, deadline_ms } => {
                 let is_closed = if self.checks_fence(server) {
                     now_ms >= deadline_ms || self.have_daemons_drained(now_ms, sequence)
                 } else {
                     self.are_routes_closed(now_ms, sequence)
                 };
                 let deadline_ms = now_ms + self.max_request_timeout_ms();
-                is_closed.then_some(Transition::Enter(Phase::Releasing { deadline_ms }))
+                is_closed
+                    .then_some(Transition::Enter(Phase::Releasing { last_number, deadline_ms }))
             }
-            Phase::Releasing { deadline_ms } => {
+            Phase::Releasing { last_number, deadline_ms } => {
                 let deadline_of_grants_ms = self.servers[server].bound.deadline_ms();
                 (now_ms >= deadline_ms).then_some(Transition::Enter(Phase::Expiring {
+                    last_number,
                     deadline_ms: deadline_of_grants_ms,
                 }))
             }
--- a/crates/control/src/shard.rs
+++ b/crates/control/src/shard.rs
@@ -22,15 +22,19 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Phase {
     /// The target prepares to take over the shard.
-    Preparing { deadline_ms: u64 },
+    ///
+    /// The server goes on serving until the last order that grants the shard is answered, or its
+    /// grants have expired, so that the shard need not wait for them without an owner.
+    Preparing { last_number: u64, deadline_ms: u64 },
     /// Daemons stop sending requests once they have the table with this sequence.
-    Closing { sequence: u64, deadline_ms: u64 },
+    Closing { last_number: u64, sequence: u64, deadline_ms: u64 },
     /// The server finishes its requests and releases the shard.
     ///
-    /// The grant of the shard is renewed until the deadline, and then left to expire.
-    Releasing { deadline_ms: u64 },
+    /// The grant of the shard is renewed until the deadline, and then left to expire. Orders after
+    /// `last_number` release the shard as well, so that none of them leaves it granted.
+    Releasing { last_number: u64, deadline_ms: u64 },
     /// The grant is no longer renewed; all that were sent have expired at the deadline.
-    Expiring { deadline_ms: u64 },
+    Expiring { last_number: u64, deadline_ms: u64 },
 }
 
 impl Phase {
@@ -38,6 +42,23 @@
     pub(crate) fn is_releasing(self) -> bool {
         matches!(self, Self::Releasing { .. } | Self::Expiring { .. })
     }
+
+    /// Returns the number of the last order that may grant the shard without releasing it.
+    pub(crate) fn last_number(self) -> u64 {
+        match self {
+            Self::Preparing { last_number, .. }
+            | Self::Closing { last_number, .. }
+            | Self::Releasing { last_number, .. }
+            | Self::Expiring { last_number, .. } => last_number,
+        }
+    }
+
+    /// Records that an order with this number grants the shard without releasing it.
+    pub(crate) fn on_granted(&mut self, number: u64) {
+        if let Self::Preparing { last_number, .. } | Self::Closing { last_number, .. } = self {
+            *last_number = number;
+        }
+    }
 }
 
 impl ShardState {
--- a/crates/control/tests/world/faults.rs
+++ b/crates/control/tests/world/faults.rs
@@ -1,10 +1,13 @@
 //! Servers that queue orders, daemons that stop, requests in flight, and events in batches.
 
+use std::collections::BTreeSet;
+
 use control::Event;
+use document::Name;
 use lease::{Admission, Order, ShardEpoch, ShardId};
 use rand::RngExt;
 
-use super::{Delivery, World};
+use super::{Check, Delivery, World};
 
 /// Faults of servers and daemons that only some schedules draw.
 #[derive(Debug, Default)]
@@ -13,6 +16,10 @@
     pub queue_permille: u32,
     /// The longest time that an order stays queued.
     pub max_queue_ms: u64,
+    /// The servers that check an order when it arrives, but not when they carry it out.
+    pub check_on_arrival: BTreeSet<Name>,
+    /// The probability, in 1/1000, that a server's answer is a copy of its previous one.
+    pub copy_permille: u32,
     /// The probability, in 1/1000, that a daemon reconciles only after its next event.
     pub batch_permille: u32,
 }
@@ -53,9 +60,15 @@
             return false;
         }
         let delay_ms = self.rng.random_range(1..=self.faults.max_queue_ms);
-        let incarnation = self.servers[index].incarnation;
+        let server = &self.servers[index];
+        let incarnation = server.incarnation;
+        let is_accepted = self.faults.check_on_arrival.contains(&server.name)
+            && self.now_ms >= server.resumes_at_ms
+            && server.accepts(order);
+        let check = if is_accepted { Check::OnArrival } else { Check::Late };
         let order = order.clone();
-        self.queue_in(delay_ms, Delivery::QueuedOrder { server: index, incarnation, from, order });
+        let delivery = Delivery::QueuedOrder { server: index, incarnation, from, order, check };
+        self.queue_in(delay_ms, delivery);
         true
     }
 }
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod faults;
+pub mod late_orders;
 pub mod schedule;
 
 use std::cmp::Reverse;
@@ -25,6 +26,7 @@
 use route::Table;
 
 use faults::Faults;
+use late_orders::LateOrders;
 
 /// Addresses a message to whichever process of the daemon runs when the message arrives.
 const ANY_INCARNATION: u64 = 0;
@@ -95,6 +97,7 @@
     pub is_alive: bool,
     pub resumes_at_ms: u64,
     grant_table: GrantTable,
+    late_orders: LateOrders,
     prepared_at_ms: BTreeMap<ShardId, u64>,
     clock: Clock,
     incarnation: u64,
@@ -147,6 +150,7 @@
         incarnation: u64,
         from: usize,
         order: Order,
+        check: Check,
     },
     /// A request at a server process ends.
     RequestEnd {
@@ -165,6 +169,15 @@
     },
 }
 
+/// When a server compares an order with those that it has carried out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Check {
+    /// When it carries the order out.
+    Late,
+    /// When the order arrives; an order that it has queued is carried out in any case.
+    OnArrival,
+}
+
 struct QueuedDelivery {
     at_ms: u64,
     sequence: u64,
@@ -308,6 +321,7 @@
         server.resumes_at_ms = 0;
         server.clock = clock;
         server.grant_table = GrantTable::new(server.incarnation);
+        server.late_orders = LateOrders::default();
         server.prepared_at_ms.clear();
     }
 
@@ -360,6 +374,7 @@
                     is_alive: true,
                     resumes_at_ms: 0,
                     grant_table: GrantTable::new(incarnation),
+                    late_orders: LateOrders::default(),
                     prepared_at_ms: BTreeMap::new(),
                     clock,
                     incarnation,
@@ -443,9 +458,7 @@
         let id = ShardId(shard);
         self.servers
             .iter()
-            .find(|s| {
-                s.is_alive && s.grant_table.owned_epoch(s.clock.read(self.now_ms), id).is_some()
-            })
+            .find(|s| s.is_alive && s.owned_epoch(self.now_ms, id).is_some())
             .map(|s| s.name.clone())
     }
 
@@ -535,12 +548,12 @@
             }
             Delivery::ToServer { server, from, order } => {
                 if !self.queue_order(server, from, &order) {
-                    self.deliver_order(server, from, &order);
+                    self.deliver_order(server, from, &order, Check::Late);
                 }
             }
-            Delivery::QueuedOrder { server, incarnation, from, order } => {
+            Delivery::QueuedOrder { server, incarnation, from, order, check } => {
                 if self.servers[server].incarnation == incarnation {
-                    self.deliver_order(server, from, &order);
+                    self.deliver_order(server, from, &order, check);
                 }
             }
             Delivery::RequestEnd { server, incarnation, target } => {
@@ -730,7 +743,7 @@
         }
     }
 
-    fn deliver_order(&mut self, index: usize, from: usize, order: &Order) {
+    fn deliver_order(&mut self, index: usize, from: usize, order: &Order, check: Check) {
         let server = &mut self.servers[index];
         if !server.is_alive {
             return;
@@ -738,11 +751,17 @@
         if self.now_ms < server.resumes_at_ms {
             let delay_ms = server.resumes_at_ms - self.now_ms;
             let order = order.clone();
-            self.queue_in(delay_ms, Delivery::ToServer { server: index, from, order });
+            let incarnation = server.incarnation;
+            let delivery = match check {
+                Check::Late => Delivery::ToServer { server: index, from, order },
+                Check::OnArrival => {
+                    Delivery::QueuedOrder { server: index, incarnation, from, order, check }
+                }
+            };
+            self.queue_in(delay_ms, delivery);
             return;
         }
-        let local_ms = server.clock.read(self.now_ms);
-        let mut report = server.grant_table.on_order(local_ms, order);
+        let mut report = server.carry_out(self.now_ms, order, check);
         let text = format!(
             "{} process {}: order {} for {:?}: {:?}",
             server.name, server.incarnation, order.number, order.incarnation, report.verdict
@@ -754,10 +773,11 @@
         let now_ms = self.now_ms;
         let ready = &server.prepared_at_ms;
         report.prepared.retain(|shard| ready.get(shard).is_some_and(|at_ms| *at_ms <= now_ms));
-        let event = Event::Reported(server.name.clone(), report);
         let location = server.data_centre.clone();
         let target_data_centre = self.daemons[from].data_centre.clone();
         let incarnation = self.daemons[from].incarnation;
+        let report = self.replace_report(index, (from, incarnation), report);
+        let event = Event::Reported(self.servers[index].name.clone(), report);
         if self.traces_reports {
             self.trace_line(&text);
         }
@@ -840,8 +860,7 @@
         for shard in &copy.record.shards {
             self.check_one_owner(shard.id);
             let server = &self.servers[index];
-            let local_ms = server.clock.read(self.now_ms);
-            let Some(epoch) = server.grant_table.owned_epoch(local_ms, shard.id) else {
+            let Some(epoch) = server.owned_epoch(self.now_ms, shard.id) else {
                 continue;
             };
             let max_epoch = self.max_epochs.entry(shard.id).or_default();
@@ -870,8 +889,7 @@
     fn check_one_owner(&self, shard: ShardId) {
         let mut owners: BTreeSet<(Name, SocketAddr)> = BTreeSet::new();
         for server in self.servers.iter().filter(|server| server.checks_fence) {
-            let local_ms = server.clock.read(self.now_ms);
-            if server.is_alive && server.grant_table.owned_epoch(local_ms, shard).is_some() {
+            if server.is_alive && server.owned_epoch(self.now_ms, shard).is_some() {
                 owners.insert((server.name.clone(), server.address));
             }
         }
@@ -903,7 +921,7 @@
             let is_owned = self.servers.iter().any(|server| {
                 server.is_alive
                     && self.now_ms >= server.resumes_at_ms
-                    && server.grant_table.owned_epoch(server.clock.read(self.now_ms), id).is_some()
+                    && server.owned_epoch(self.now_ms, id).is_some()
             });
             if is_owned {
                 if let Some(unowned_since_ms) = self.gaps.unowned_since_ms.remove(&id) {
--- a/crates/control/tests/world/schedule.rs
+++ b/crates/control/tests/world/schedule.rs
@@ -1,7 +1,7 @@
 //! Runs schedules of faults and edits, both random ones and those of known regressions.
 
 use super::faults::Faults;
-use super::{World, document_text};
+use super::{World, document_text, name};
 
 /// How long everything may take to settle after the faults end.
 pub const SETTLE_TIMEOUT_MS: u64 = 20_000;
@@ -38,6 +38,10 @@
     Edit(u8),
     /// Sets the probability that a server queues an order, in 1/1000, and the longest such time.
     Queue(u32, u64),
+    /// Makes the servers of the set bits check orders on arrival, but not when they carry them out.
+    CheckOnArrival(u8),
+    /// Sets the probability, in 1/1000, that a server's answer is a copy of its previous one.
+    Copies(u32),
     /// Sets the probability, in 1/1000, that a daemon reconciles only after its next event.
     Batch(u32),
     /// Stops the controller, which returns its promises.
@@ -117,6 +121,11 @@
             world.faults.queue_permille = *permille;
             world.faults.max_queue_ms = *ms;
         }
+        Step::CheckOnArrival(bits) => {
+            let servers = SERVERS.iter().enumerate().filter(|(index, _)| bits & (1 << index) != 0);
+            world.faults.check_on_arrival = servers.map(|(_, server)| name(server)).collect();
+        }
+        Step::Copies(permille) => world.faults.copy_permille = *permille,
         Step::Batch(permille) => world.faults.batch_permille = *permille,
         Step::StopController | Step::KillController => match (world.controller(), step) {
             (Some(index), Step::StopController) => world.stop_daemon(index),
