Return a shard to its earlier owner only after a settled report of the successor

A new controller that found the owner's grant expired gave the shard back to the owner with the earlier epoch, because the successor had reported that it had never been granted it. A server that compares an order with its grants only when it arrives could carry out the earlier controller's grant after that report, so the shard's epoch fell (epochs-rise). No two servers held the shard at once.

--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -68,6 +68,8 @@
     voters: BTreeMap<Name, VoterLink>,
     next_request_at_ms: u64,
     next_order_number: u64,
+    /// The number of the first order after all grants of earlier controllers had expired.
+    first_settled_number: Option<u64>,
 }
 
 /// When placement is planned next, and whether a plan and measured loads exist.
@@ -178,6 +180,7 @@
             voters: BTreeMap::new(),
             next_request_at_ms: now_ms,
             next_order_number: 1,
+            first_settled_number: None,
         };
         controller.update_server_links(now_ms);
         controller
@@ -457,6 +460,9 @@
         }
         let grant_ms = self.grant_ms();
         let mut next_order_number = self.next_order_number;
+        if self.first_settled_number.is_none() && now_ms >= self.inherited_grants_expire_at_ms() {
+            self.first_settled_number = Some(next_order_number);
+        }
         let due: Vec<Name> = self
             .servers
             .iter()
@@ -491,6 +497,16 @@
         self.next_order_number = next_order_number;
     }
 
+    /// Returns whether a server has reported after all grants of earlier controllers had expired.
+    ///
+    /// An earlier report does not tell which of their grants the server carries out later.
+    pub(crate) fn has_settled_report(&self, server: &Name) -> bool {
+        let link = self.servers.get(server);
+        self.first_settled_number
+            .zip(link)
+            .is_some_and(|(number, link)| link.last_reported_number >= number)
+    }
+
     /// Returns whether a server may still carry out unanswered grants of orders up to a number.
     pub(crate) fn awaits_answers(&self, now_ms: u64, server: &Name, last_number: u64) -> bool {
         let link = self.servers.get(server);
--- a/crates/control/src/draft.rs
+++ b/crates/control/src/draft.rs
@@ -17,6 +17,8 @@
 pub(crate) enum NextOwner {
     /// The record allows a grant to this server with this epoch.
     Recorded(Name, Epoch),
+    /// The successor must first report whether it was granted the shard.
+    Unreported(Name),
     /// The record must first name a server and reserve an epoch.
     Unrecorded,
 }
@@ -61,7 +63,14 @@
             && self.max_released[index] < record.epoch
             && !self.servers[owner].is_released(record.id, record.epoch)
         {
-            return NextOwner::Recorded(owner.clone(), record.epoch);
+            if self.is_successor_settled(record) {
+                return NextOwner::Recorded(owner.clone(), record.epoch);
+            }
+            if let Some(successor) = &record.successor
+                && self.is_reachable(now_ms, successor)
+            {
+                return NextOwner::Unreported(successor.clone());
+            }
         }
         if let Some(successor) = &record.successor
             && self.is_usable(now_ms, successor)
@@ -143,7 +152,7 @@
 
     /// Records the successor as the last owner if it may have been granted the shard.
     fn promote_successor(&self, index: usize, shard: &mut ShardRecord) {
-        if !self.is_successor_ungranted(index, shard) {
+        if !self.is_successor_ungranted(index, shard) || !self.is_successor_settled(shard) {
             shard.owner = shard.successor.take();
             shard.epoch = shard.successor_epoch;
         }
@@ -229,11 +238,19 @@
             && reported.is_some_and(|reported| reported < record.successor_epoch)
     }
 
+    /// Returns whether the successor, if there is one, has a [`Controller::has_settled_report`].
+    fn is_successor_settled(&self, record: &ShardRecord) -> bool {
+        record.successor.as_ref().is_none_or(|successor| self.has_settled_report(successor))
+    }
+
+    fn is_reachable(&self, now_ms: u64, server: &Name) -> bool {
+        self.servers.get(server).is_some_and(|link| link.is_reachable(now_ms, &self.config))
+    }
+
     /// Returns whether a server may be granted shards now.
     pub(crate) fn is_usable(&self, now_ms: u64, server: &Name) -> bool {
-        let is_reachable =
-            self.servers.get(server).is_some_and(|link| link.is_reachable(now_ms, &self.config));
-        is_reachable && self.document.server(server).is_some_and(document::Server::accepts_new_work)
+        self.is_reachable(now_ms, server)
+            && self.document.server(server).is_some_and(document::Server::accepts_new_work)
     }
 
     fn placement_request(&self) -> Request {
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -24,7 +24,7 @@
     /// The shards that the server reported as prepared.
     pub(crate) prepared: HashSet<ShardId>,
     /// The number of the order that the last report answered.
-    last_reported_number: u64,
+    pub(crate) last_reported_number: u64,
     /// The number of the last order sent.
     pub(crate) last_sent_number: u64,
     /// The number of the last order sent before the last report arrived.
--- a/crates/control/src/reconcile.rs
+++ b/crates/control/src/reconcile.rs
@@ -341,11 +341,19 @@
             if now_ms < not_before_ms {
                 continue;
             }
-            if let NextOwner::Recorded(server, epoch) = self.next_owner(now_ms, index) {
-                self.max_granted[index] = self.max_granted[index].max(epoch);
-                let next = ShardState::Granting { server, epoch };
-                self.mark_order_due(&next);
-                self.shards[index] = next;
+            match self.next_owner(now_ms, index) {
+                NextOwner::Recorded(server, epoch) => {
+                    self.max_granted[index] = self.max_granted[index].max(epoch);
+                    let next = ShardState::Granting { server, epoch };
+                    self.mark_order_due(&next);
+                    self.shards[index] = next;
+                }
+                NextOwner::Unreported(successor) => {
+                    if let Some(link) = self.servers.get_mut(&successor) {
+                        link.needs_order = true;
+                    }
+                }
+                NextOwner::Unrecorded => {}
             }
         }
     }
--- a/crates/control/tests/unanswered_orders.rs
+++ b/crates/control/tests/unanswered_orders.rs
@@ -51,3 +51,33 @@
         world.run_until_settled(10_000);
     }
 }
+
+/// Guards against an epoch that falls when a successor is granted a shard after it reported none.
+#[test]
+fn unanswered_grant_of_earlier_controller_to_successor() {
+    for seed in 0..100 {
+        let mut world = World::new(seed);
+        let servers = [("s1", "a", "serving", true), ("s2", "c", "serving", true)];
+        world.edit(&document_text(6, &servers));
+        world.start_all();
+        world.run_until_settled(10_000);
+        world.faults.check_on_arrival = servers.iter().map(|server| name(server.0)).collect();
+        world.pause_server("s1", 2_700);
+        world.run_for(1_290);
+        world.store.is_down = true;
+        world.faults.queue_permille = 1_000;
+        world.faults.max_queue_ms = 1_400;
+        world.run_for(60 + seed % 60);
+        let controller = world.controller().expect("a controller");
+        world.stop_daemon(controller);
+        world.start_daemon(controller);
+        world.faults.queue_permille = 0;
+        world.run_for(300 + 10 * (seed % 40));
+        world.cut("c", "a");
+        world.cut("c", "b");
+        world.run_for(3_000);
+        world.heal();
+        world.store.is_down = false;
+        world.run_until_settled(20_000);
+    }
+}
