--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -68,6 +68,8 @@
     voters: BTreeMap<Name, VoterLink>,
     next_request_at_ms: u64,
     next_order_number: u64,
+    /// The number of the first order after all grants of earlier controllers had expired.
+    first_settled_number: Option<u64>,
 }
 
 /// When placement is planned next, and whether a plan and measured loads exist.
@@ -178,6 +180,7 @@
             voters: BTreeMap::new(),
             next_request_at_ms: now_ms,
             next_order_number: 1,
+            first_settled_number: None,
         };
         controller.update_server_links(now_ms);
         controller
@@ -457,6 +460,9 @@
         }
         let grant_ms = self.grant_ms();
         let mut next_order_number = self.next_order_number;
+        if self.first_settled_number.is_none() && now_ms >= self.inherited_grants_expire_at_ms() {
+            self.first_settled_number = Some(next_order_number);
+        }
         let due: Vec<Name> = self
             .servers
             .iter()
@@ -464,7 +470,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in due {
-            let mut order = self.build_order(&name);
+            let mut order = self.build_order(now_ms, &name);
             let Some(link) = self.servers.get_mut(&name) else {
                 continue;
             };
@@ -474,6 +480,16 @@
             let is_empty = order.grants.is_empty();
             let deadline_ms = if is_empty { None } else { link.bound.extend(grant_ms) };
             order.deadline_ms = deadline_ms.unwrap_or(0);
+            if !is_empty {
+                link.on_grants_sent(now_ms, order.number);
+            }
+            for (shard, record) in self.shards.iter_mut().zip(&self.known.record.shards) {
+                if let ShardState::Moving { epoch, phase, .. } = shard
+                    && order.grants.contains(&ShardEpoch { shard: record.id, epoch: *epoch })
+                {
+                    phase.on_granted(order.number);
+                }
+            }
             let needs_progress_orders = !order.prepares.is_empty() || !order.releases.is_empty();
             link.on_order_sent(now_ms, order.number, needs_progress_orders, &self.config);
             out.push(Action::Order(name, link.address, order));
@@ -481,8 +497,24 @@
         self.next_order_number = next_order_number;
     }
 
+    /// Returns whether a server has reported after all grants of earlier controllers had expired.
+    ///
+    /// An earlier report does not tell which of their grants the server carries out later.
+    pub(crate) fn has_settled_report(&self, server: &Name) -> bool {
+        let link = self.servers.get(server);
+        self.first_settled_number
+            .zip(link)
+            .is_some_and(|(number, link)| link.last_reported_number >= number)
+    }
+
+    /// Returns whether a server may still carry out unanswered grants of orders up to a number.
+    pub(crate) fn awaits_answers(&self, now_ms: u64, server: &Name, last_number: u64) -> bool {
+        let link = self.servers.get(server);
+        link.is_some_and(|link| now_ms < link.unanswered_deadline_ms(last_number))
+    }
+
     /// Builds an order without its number, incarnation and deadline.
-    fn build_order(&self, server: &Name) -> Order {
+    fn build_order(&self, now_ms: u64, server: &Name) -> Order {
         let mut order = Order {
             service: self.service.clone(),
             term: self.term,
@@ -508,6 +540,9 @@
                     ShardState::Moving { phase: Phase::Expiring { .. }, .. } => {
                         order.releases.push(target);
                     }
+                    // A renewal would lengthen the wait for the unanswered grants.
+                    ShardState::Moving { phase, .. }
+                        if self.awaits_answers(now_ms, server, phase.last_number()) => {}
                     _ => order.grants.push(target),
                 }
             }
