Close a connection whose answer to an order may be a copy

What callers could see: two servers at work on the same keys. Cause: releases of a server follow its grants on their connection. After an extra copy of an earlier answer the first release took the copy, without a token, for its answer, and the connection went back to the pool with the real one due; the next release took that one's token for its own. A token in the answer to a grant was not noted either. Now a connection is kept only if the answer to a release has a new token and that to a grant has none; it keeps the tokens that it has carried, and ends after 64 of them instead of leaving later moves to time. A grant waits 10 ms for its connection instead of its whole timeout, which counted as a failure of the server. A release has its own connection while a grant of its range is under way, and shows the end of the grants of its own connection only.

--- a/crates/shard/src/assignment.rs
+++ b/crates/shard/src/assignment.rs
@@ -435,7 +435,11 @@
         if is_due && next.as_ref() != Some(&previous.incarnation) {
             let deadline_ms =
                 pass.grant_deadline_ms(&previous.incarnation, range, previous.grants.deadline_ms());
-            let (fence, connection) = (pass.fences.next(), previous.grants.connection());
+            // A grant that is under way may be answered after the release was sent.
+            let connection = previous.grants.connection();
+            let connection =
+                connection.filter(|_| !pass.awaits_grant(&previous.incarnation, range));
+            let fence = pass.fences.next();
             previous.release = ReleaseState::Awaited { fence, connection };
             let release = Release { range, fence };
             pass.send_release(&previous.incarnation, release, deadline_ms, connection);
--- a/crates/shard/src/grant_ends.rs
+++ b/crates/shard/src/grant_ends.rs
@@ -70,9 +70,9 @@
         }
     }
 
-    /// Removes the grants of the connection, on which a later release got an answer of its own.
-    pub(crate) fn on_released(&mut self) {
-        self.answered = None;
+    /// Removes the grants of a connection, on which a later release got an answer of its own.
+    pub(crate) fn on_released(&mut self, connection: ConnectionId) {
+        self.answered = self.answered.filter(|(answered, _)| *answered != connection);
     }
 
     /// Leaves the end of all grants to time, as no later order can be sent on the connection.
--- a/crates/shard/src/pass.rs
+++ b/crates/shard/src/pass.rs
@@ -491,6 +491,11 @@
         PendingRanges(ranges)
     }
 
+    /// Returns whether the answer to a grant of a range to a server is awaited.
+    pub(crate) fn awaits_grant(&self, incarnation: &Incarnation, range: KeyRange) -> bool {
+        self.orders.pending.values().any(|order| order.is_grant_to(incarnation, range))
+    }
+
     /// Returns whether a grant to a server that was not answered may still take effect.
     pub(crate) fn may_grant_apply(&self, incarnation: &Incarnation, range: KeyRange) -> bool {
         let orders = &self.orders;
--- a/crates/shard/src/previous_holder.rs
+++ b/crates/shard/src/previous_holder.rs
@@ -85,10 +85,10 @@
             _ => connection.is_none() && reply.is_done(),
         };
         if is_answered {
-            let ends_grants = connection.is_some();
-            if ends_grants {
-                self.grants.on_released();
+            if let Some(connection) = connection {
+                self.grants.on_released(connection);
             }
+            let ends_grants = connection.is_some();
             self.release = ReleaseState::Answered { fence, ends_grants };
             return true;
         }
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -6,14 +6,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 
 use bytes::{Bytes, BytesMut};
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
-use tokio::time::{Duration, Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Duration, Instant, sleep, sleep_until, timeout, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{BoundedStream, ByteBound, Category, Error, Result};
@@ -57,6 +57,7 @@
     /// Whether the connection is closed unless the answer has status 200.
     closes_on_refusal: bool,
     choice: Choice,
+    mark: Option<Mark>,
     /// Whether the kernel may end the connection while the call waits.
     is_probed: bool,
 }
@@ -74,6 +75,15 @@
     Own,
 }
 
+/// A header by which the answer to a call is told from copies of earlier answers.
+#[derive(Clone, Copy, Debug)]
+enum Mark {
+    /// The answer has a value of it that no earlier answer on the connection had.
+    New(&'static str),
+    /// The answer does not have it.
+    Absent(&'static str),
+}
+
 /// How long the body of an answer may take.
 #[derive(Clone, Copy, Debug)]
 struct BodyTime {
@@ -89,6 +99,8 @@
     bound: ByteBound,
     /// The number of failed calls when it was opened.
     failures: u64,
+    /// The values of the marking header in the answers so far.
+    marks: Vec<HeaderValue>,
     /// Whether the kernel sends keepalive probes.
     is_probed: bool,
     /// The time from which the connection, while idle, is no longer used.
@@ -102,6 +114,10 @@
     id: ConnectionId,
 }
 
+/// The number of marked answers after which a connection is closed.
+const MAX_MARKS: usize = 64;
+/// How long a call waits for the connection that it prefers.
+const MAX_PREFERRED_WAIT: Duration = Duration::from_millis(10);
 /// How often a call looks whether the connection that it requires is idle.
 const USED_POLL_INTERVAL: Duration = Duration::from_millis(2);
 const MAX_IDLE_CONNECTIONS: usize = 32;
@@ -138,6 +154,7 @@
             max_answer_bytes: DEFAULT_MAX_ANSWER_BYTES,
             closes_on_refusal: false,
             choice: Choice::Any,
+            mark: None,
             is_probed: true,
         }
     }
@@ -221,6 +238,23 @@
         self
     }
 
+    /// Closes the connection unless the answer has a new value of a header.
+    ///
+    /// Without one, the answer may be a copy of an earlier answer. The next call would take the one
+    /// that is due.
+    #[must_use]
+    pub fn marked_by(mut self, header: &'static str) -> Self {
+        self.mark = Some(Mark::New(header));
+        self
+    }
+
+    /// Closes the connection if the answer has a header, as it may be a copy of an earlier answer.
+    #[must_use]
+    pub fn unmarked_by(mut self, header: &'static str) -> Self {
+        self.mark = Some(Mark::Absent(header));
+        self
+    }
+
     /// Lets only the call's own deadline or the peer end the connection.
     ///
     /// Keepalive probes may have the kernel end the connection of a peer that is cut off. Then there
@@ -299,7 +333,12 @@
         let is_refused = call.closes_on_refusal && answer.status() != StatusCode::OK;
         let id = connection.id;
         let is_own = matches!(call.choice, Choice::Own);
-        if !is_refused && !is_own && self.return_idle(connection) {
+        if is_refused || is_own || !connection.admits(call.mark, answer.headers()) {
+            return Ok(answer);
+        }
+        // A new mark tells the answer from copies even if the connection ends with it.
+        let is_marked = matches!(call.mark, Some(Mark::New(_)));
+        if self.return_idle(connection) || is_marked {
             answer.extensions_mut().insert(id);
         }
         Ok(answer)
@@ -309,7 +348,8 @@
         match choice {
             Choice::Required(id) => return self.wait_for(id).await,
             Choice::Preferred(id) => {
-                if let Ok(connection) = self.wait_for(id).await {
+                let kept = timeout(MAX_PREFERRED_WAIT, self.wait_for(id)).await;
+                if let Ok(Ok(connection)) = kept {
                     return Ok(connection);
                 }
             }
@@ -346,6 +386,7 @@
         });
         Ok(Connection {
             id,
+            marks: Vec::new(),
             sender,
             bound,
             failures,
@@ -387,7 +428,9 @@
     fn return_idle(&self, mut connection: Connection) -> bool {
         connection.reuse_deadline = Instant::now() + MAX_UNPROBED_IDLE;
         let mut idle = self.lock();
-        let is_usable = connection.failures == idle.failures && !connection.sender.is_closed();
+        let is_usable = connection.failures == idle.failures
+            && !connection.sender.is_closed()
+            && connection.marks.len() < MAX_MARKS;
         if !is_usable || idle.connections.len() >= MAX_IDLE_CONNECTIONS {
             return false;
         }
@@ -406,6 +449,21 @@
     }
 }
 
+impl Connection {
+    /// Returns whether an answer is the one that is due, as far as its mark tells.
+    fn admits(&mut self, mark: Option<Mark>, headers: &HeaderMap) -> bool {
+        match mark {
+            None => true,
+            Some(Mark::Absent(header)) => !headers.contains_key(header),
+            Some(Mark::New(header)) => {
+                let value = headers.get(header).filter(|value| !self.marks.contains(value));
+                self.marks.extend(value.cloned());
+                value.is_some()
+            }
+        }
+    }
+}
+
 impl Drop for Usage<'_> {
     fn drop(&mut self) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
