--- a/crates/shard/src/order.rs
+++ b/crates/shard/src/order.rs
@@ -32,7 +32,7 @@
     pub range: KeyRange,
     /// The fence of the grant.
     ///
-    /// Renewals keep it, except after a refusal or a merge of ranges.
+    /// Renewals keep it, except after a refusal, a merge of ranges, or a grant that was given up.
     pub fence: Fence,
     /// Length of the grant, counted from its arrival.
     pub grant_ms: u64,
