--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -32,6 +32,7 @@
 mod float;
 mod load;
 mod measure;
+mod order_connection;
 mod plot;
 mod range_server;
 mod rule_checker;
@@ -53,6 +54,7 @@
     Association, Row, Rows, measure_cost, measure_failover, measure_overload, measure_placement,
     measure_slopes,
 };
+pub use order_connection::OrderConnection;
 pub use plot::{Timeline, plot};
 pub use range_server::{Execution, FenceCheck, OwnershipChecker, RangeServer, SLOTS, Work};
 pub use rule_checker::{RuleChecker, RuleViolations};
