Record a move that its holder keeps putting off

What callers would see: keys of a server that drains stay with it for as long as it leaves one grant of their range unanswered every two seconds.

Cause: a move was recorded only when a release could end all grants or a renewal would last longer than all of them. An unanswered grant may last 5.6 s, a renewal 3.1 s, so one more such grant within 2.5 s put both off.

Evidence: the new test of recorded_moves fails without the change ("the move is not recorded" within 8.1 s, the time that one unanswered grant may last and the outcome of another).

Change: a move that has waited as long as an unanswered grant may last is recorded at the next moment at which no answer is awaited. From then on the holder gets no grants, so the wait has a bound; the next holder still waits for the time of every grant, as the record says.

--- a/crates/shard/src/config.rs
+++ b/crates/shard/src/config.rs
@@ -80,6 +80,13 @@
         arrived_at_ms + Self::longest_ms(grant_ms) + ARRIVAL_SLACK_MS
     }
 
+    /// Returns the latest time at which a grant that is sent now and left unanswered may be valid.
+    #[must_use]
+    pub fn unanswered_grant_deadline_ms(&self, now_ms: u64, grant_ms: u64) -> u64 {
+        let arrived_at_ms = now_ms + self.order_timeout_ms + self.max_transit_ms;
+        self.grant_deadline_ms(arrived_at_ms, grant_ms)
+    }
+
     /// Returns how long a time may last that another clock measured.
     pub(crate) fn longest_ms(measured_ms: u64) -> u64 {
         measured_ms + measured_ms.div_ceil(CLOCK_DRIFT_DIVISOR)
@@ -88,9 +95,7 @@
     /// Returns the time until which grants of earlier leaders may be valid.
     #[must_use]
     pub fn earlier_grants_deadline_ms(&self, now_ms: u64) -> u64 {
-        // The last grants may not have arrived yet.
-        let arrived_at_ms = now_ms + self.order_timeout_ms + self.max_transit_ms;
-        self.grant_deadline_ms(arrived_at_ms, self.max_grant_ms)
+        self.unanswered_grant_deadline_ms(now_ms, self.max_grant_ms)
     }
 }
 
--- a/crates/shard/src/recording.rs
+++ b/crates/shard/src/recording.rs
@@ -1,9 +1,9 @@
 //! What the record of an assignment says, and when it is written.
 //!
 //! A move is recorded once no answer to a grant of the range is awaited, and a release can end all
-//! grants or a renewal would make the next holder wait longer. From then on the servers that may
-//! hold the range are sent none. The record says for how long their grants may be valid at most, so
-//! whichever leader reads it knows when they end.
+//! grants, a renewal would make the next holder wait longer, or the move is overdue. From then on the
+//! servers that may hold the range are sent none. The record says for how long their grants may be
+//! valid at most, so whichever leader reads it knows when they end.
 
 use registry::Incarnation;
 
@@ -202,16 +202,22 @@
 
     /// Returns whether a holder may be sent no more grants.
     fn is_ready(&self, state: &RangeState, holder: &Holder) -> bool {
+        let pass = self.pass;
         let successor = state.successor.as_ref();
         let is_patience_over =
-            successor.is_none_or(|next| self.pass.now_ms >= next.patience_deadline_ms);
+            successor.is_none_or(|next| pass.now_ms >= next.patience_deadline_ms);
+        // A holder that leaves grants unanswered again and again would keep the range.
+        let is_overdue = successor.is_some_and(|next| {
+            let longest_ms = pass.config.unanswered_grant_deadline_ms(0, pass.grant_ms);
+            pass.now_ms >= next.patience_deadline_ms + longest_ms
+        });
         // While the store does not answer, a move would have to wait without grants.
-        (self.pass.store_answers || holder.is_frozen())
+        (pass.store_answers || holder.is_frozen())
             && !self.pending.include(&holder.incarnation, state.range)
-            && (self.pass.can_be_released(holder, state.range)
+            && (pass.can_be_released(holder, state.range)
                 || is_patience_over
                     && holder.lease_end_ms > 0
-                    && self.pass.would_renewal_delay(holder, state.range))
+                    && (is_overdue || pass.would_renewal_delay(holder, state.range)))
     }
 
     /// Returns whether the answer to a grant of a previous holder is awaited.
--- a/crates/shard/tests/recorded_moves.rs
+++ b/crates/shard/tests/recorded_moves.rs
@@ -191,3 +191,43 @@
         assert!(is_answered || have_ended, "given on after answers that may be those of others");
     }
 }
+
+/// Guards against a server that keeps the keys it is to give up for as long as it goes on leaving
+/// some grants unanswered.
+#[test]
+fn holder_that_leaves_grants_unanswered_again_and_again_gives_its_keys_up() {
+    let config = Config::default();
+    // The time that one unanswered grant may last, and the outcome of another.
+    let longest_ms = config.unanswered_grant_deadline_ms(0, config.grant_ms)
+        + config.order_timeout_ms
+        + config.max_transit_ms;
+    let mut harness = Harness::new(record("s1", &[], Some(0)));
+    harness.settle();
+    let (mut unanswered, mut next_unanswered_ms, mut is_draining) = (Vec::new(), 0, false);
+    let drain_at_ms = harness.now_ms + 2 * longest_ms;
+    let has_moved = |record: &Record| record.ranges[0].owner == incarnation("s2");
+    while !harness.writes.iter().any(has_moved) {
+        assert!(harness.now_ms < drain_at_ms + longest_ms, "the move is not recorded");
+        harness.confirm_writes();
+        if harness.now_ms >= drain_at_ms && !is_draining {
+            is_draining = true;
+            harness.drain_first();
+        }
+        for (id, kind, connection) in std::mem::take(&mut harness.orders) {
+            let is_full =
+                matches!(&kind, OrderKind::Grant(grant) if grant.grant_ms == config.grant_ms);
+            if is_full && harness.now_ms >= next_unanswered_ms {
+                next_unanswered_ms = harness.now_ms + config.renew_interval_ms;
+                unanswered.push((harness.now_ms + config.order_timeout_ms, id));
+            } else {
+                harness.step(Event::Answered(id, carry_out(&kind, connection)));
+            }
+        }
+        harness.run(TICK_MS);
+        let now_ms = harness.now_ms;
+        let timed_out: Vec<_> = unanswered.extract_if(.., |(at_ms, _)| now_ms >= *at_ms).collect();
+        for (_, id) in timed_out {
+            harness.step(Event::Answered(id, Reply::Unknown));
+        }
+    }
+}
