--- a/crates/shard/src/abandoned.rs
+++ b/crates/shard/src/abandoned.rs
@@ -3,7 +3,7 @@
 use document::Name;
 use registry::Incarnation;
 
-use crate::pass::PendingOrder;
+use crate::order_tracker::PendingOrder;
 use crate::{Config, Fence, Grant, KeyRange};
 
 /// A grant that was given up unanswered.
--- a/crates/shard/src/answers.rs
+++ b/crates/shard/src/answers.rs
@@ -4,7 +4,7 @@
 
 use crate::assignment::Assignment;
 use crate::order::LogEvent;
-use crate::pass::PendingOrder;
+use crate::order_tracker::PendingOrder;
 use crate::previous_holder::ReleaseState;
 use crate::{Config, Grant, OrderKind, Output, Release, Reply};
 
--- a/crates/shard/src/leader.rs
+++ b/crates/shard/src/leader.rs
@@ -7,7 +7,8 @@
 
 use crate::assignment::Assignment;
 use crate::order::LogEvent;
-use crate::pass::{FenceCounter, OrderTracker, PassContext, Servers};
+use crate::order_tracker::OrderTracker;
+use crate::pass::{FenceCounter, PassContext, Servers};
 use crate::{
     Config, Epoch, Event, KeyLoad, OrderId, Output, Record, Reply, Table, UnansweredGrant,
 };
--- a/crates/shard/src/recording.rs
+++ b/crates/shard/src/recording.rs
@@ -8,7 +8,8 @@
 use registry::Incarnation;
 
 use crate::assignment::Assignment;
-use crate::pass::{PassContext, PendingRanges};
+use crate::order_tracker::PendingRanges;
+use crate::pass::PassContext;
 use crate::previous_holder::PreviousHolder;
 use crate::range_state::{Holder, Listed, RangeState, Successor};
 use crate::{Output, Record, RecordedRange};
