Stop and continue processes of servers in the soak

No stand-in played a server whose process is stopped for seconds, as by SIGSTOP, and then carries out what arrived meanwhile.

lab::ServerProcess is the process of one incarnation of a stand-in. While it is stopped no call begins, no work ends, nothing is answered, and the entry is not renewed. When it goes on, the calls that arrived are begun in the order of their arrival, also those whose caller has given up. The time of a grant counts from its arrival, as PROTOCOL.md says.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,7 +7,7 @@
 //!    [`StandIn`] is a server that takes the controller's orders over HTTP and into which
 //!    [`StandInFaults`] can be injected. [`RangeServer`] is an in-process server that owns ranges
 //!    of keys; its [`OwnershipChecker`] finds keys with two owners and requests that ran twice, and its [`VisitLog`] tells when
-//!    requests were at servers. [`ServerFaults`] and [`WorkTimes`] set how servers answer.
+//!    requests were at servers. Its [`ServerProcess`] can be stopped and continued. [`ServerFaults`] and [`WorkTimes`] set how servers answer.
 //! 2. **Site.** A [`SitePlan`] lists services, servers and daemons. [`Site::start_open`] starts
 //!    them in one process and waits until all shards are served. The servers report to one
 //!    [`RuleChecker`], which counts [`RuleViolations`].
@@ -38,6 +38,7 @@
 mod rule_checker;
 mod server_faults;
 mod server_move;
+mod server_process;
 mod site;
 mod store_server;
 mod upstream;
@@ -60,6 +61,7 @@
 pub use rule_checker::{RuleChecker, RuleViolations};
 pub use server_faults::{Copies, HeldRequest, ServerFaults};
 pub use server_move::{MoveOptions, MoveReport, run_move};
+pub use server_process::{ArrivedCall, ServerProcess};
 pub use site::{Error, ServerPlan, ServicePlan, Site, SitePlan};
 pub use store_server::serve_store;
 pub use upstream::{REQUEST_ID, StandIn, StandInConfig, StandInFaults};
--- a/crates/lab/src/range_server.rs
+++ b/crates/lab/src/range_server.rs
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::visits::OpenVisit;
-use crate::{VisitEnd, VisitLog};
+use crate::{ServerProcess, VisitEnd, VisitLog};
 
 /// One incarnation of a server.
 #[derive(Debug)]
@@ -23,6 +23,8 @@
     pub incarnation: Incarnation,
     /// Whether the server runs only requests whose key it holds.
     pub is_keyed: bool,
+    /// Its process.
+    pub process: ServerProcess,
     /// Permits for the requests that the server holds, running and waiting.
     room: Semaphore,
     slots: Semaphore,
@@ -141,6 +143,7 @@
         Arc::new(Self {
             incarnation,
             is_keyed,
+            process: ServerProcess::default(),
             room: Semaphore::new(slots + max_waiting),
             slots: Semaphore::new(slots),
             stopped: CancellationToken::new(),
@@ -151,22 +154,32 @@
 
     /// Records that the server stops; the requests that it holds end with it.
     pub fn stop(&self) {
+        self.process.end();
         self.stopped.cancel();
     }
 
     /// Accepts a grant unless the server has seen a higher fence for one of the keys.
     pub fn grant(&self, grant: &Grant) -> Reply {
-        self.apply_grant(grant, Instant::now())
+        self.grant_at(grant, Instant::now())
     }
 
     /// Applies a grant after a delay, unless the server has stopped by then.
     ///
-    /// The time of the grant counts from now. The fence is checked when the grant is applied, or
-    /// not at all.
-    pub async fn grant_late(&self, grant: &Grant, delay: Duration, fence_check: FenceCheck) {
-        let arrived_at = Instant::now();
-        if self.stopped.run_until_cancelled(sleep(delay)).await.is_some()
-            && self.apply_grant(grant, arrived_at) == Reply::Fenced
+    /// The time of the grant counts from its arrival. The fence is checked when the grant is applied,
+    /// or not at all.
+    pub async fn grant_late(
+        &self,
+        grant: &Grant,
+        arrived_at: Instant,
+        delay: Duration,
+        fence_check: FenceCheck,
+    ) {
+        let waiting = async {
+            sleep(delay).await;
+            self.process.running().await;
+        };
+        if self.stopped.run_until_cancelled(waiting).await.is_some()
+            && self.grant_at(grant, arrived_at) == Reply::Fenced
             && fence_check == FenceCheck::Never
         {
             self.apply_fenced_grant(grant, arrived_at);
@@ -191,7 +204,9 @@
         }
     }
 
-    fn apply_grant(&self, grant: &Grant, arrived_at: Instant) -> Reply {
+    /// Accepts a grant whose time counts from its arrival, unless the server has seen a higher fence
+    /// for one of the keys.
+    pub fn grant_at(&self, grant: &Grant, arrived_at: Instant) -> Reply {
         let now = Instant::now();
         let deadline = arrived_at + Duration::from_millis(grant.grant_ms);
         let mut state = self.lock();
@@ -227,6 +242,7 @@
         while self.lock().running.keys().any(|run_number| running.contains(run_number)) {
             sleep(POLL_INTERVAL).await;
         }
+        self.process.running().await;
         let state = self.lock();
         // The server may have been granted keys again meanwhile.
         for range in state.without_held(release.range) {
@@ -265,6 +281,7 @@
             None => self.slots.acquire().await,
         };
         let Ok(_slot) = slot else { return Execution::Overloaded };
+        self.process.running().await;
         // The key may have been released while the request waited.
         let held = self.find_held(work.key);
         if self.is_keyed && held.is_none() {
@@ -275,6 +292,7 @@
         let end_at = Instant::now() + Duration::from_millis(work.run_ms);
         let deadline = work.deadline.filter(|deadline| *deadline < end_at);
         sleep_until(deadline.unwrap_or(end_at)).await;
+        self.process.running().await;
         drop(running);
         if deadline.is_some() {
             return Execution::TimedOut;
--- a/crates/lab/tests/range_server.rs
+++ b/crates/lab/tests/range_server.rs
@@ -6,7 +6,7 @@
 use registry::Incarnation;
 use shard::{Fence, Grant, KeyRange, Release, Reply};
 use tokio::task::JoinHandle;
-use tokio::time::{Duration, sleep};
+use tokio::time::{Duration, Instant, sleep};
 
 const RANGE: KeyRange = KeyRange::FIRST;
 const GRANT_MS: u64 = 60_000;
@@ -33,7 +33,9 @@
     /// Grants the range to a server, which carries it out 20 ms later.
     async fn grant_late(&self, server: usize, fence: u64, fence_check: FenceCheck) {
         let delay = Duration::from_millis(20);
-        self.servers[server].grant_late(&grant(fence, GRANT_MS), delay, fence_check).await;
+        self.servers[server]
+            .grant_late(&grant(fence, GRANT_MS), Instant::now(), delay, fence_check)
+            .await;
     }
 
     async fn release(&self, server: usize, fence: u64) {
@@ -83,7 +85,13 @@
     let world = World::new();
     let late = Arc::clone(&world.servers[0]);
     let late = tokio::spawn(async move {
-        late.grant_late(&grant(5, 300), Duration::from_millis(100), FenceCheck::WhenApplied).await;
+        late.grant_late(
+            &grant(5, 300),
+            Instant::now(),
+            Duration::from_millis(100),
+            FenceCheck::WhenApplied,
+        )
+        .await;
     });
     sleep(Duration::from_millis(30)).await;
     world.release(0, 6).await;
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use document::Name;
-use lab::{OwnershipChecker, RangeServer, SLOTS, ServerFaults, WorkTimes};
+use lab::{OwnershipChecker, RangeServer, SLOTS, ServerFaults, ServerProcess, WorkTimes};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use platform_standin::{
@@ -131,6 +131,7 @@
     key: String,
     is_draining: Arc<AtomicBool>,
     is_unlisted: Arc<AtomicBool>,
+    process: ServerProcess,
     stop: CancellationToken,
 }
 
@@ -463,6 +464,7 @@
                 key: format!("servers/{}", handle.name),
                 is_draining: Arc::clone(&handle.is_draining),
                 is_unlisted: Arc::clone(&handle.is_unlisted),
+                process: server.process.clone(),
                 stop: stop.clone(),
             }
             .run(),
@@ -540,6 +542,11 @@
 }
 
 impl ServerHandle {
+    /// Returns the running incarnation, whose process may be suspended.
+    pub(crate) fn process(&self) -> Option<&Arc<RangeServer>> {
+        self.running.as_ref().map(|(server, _)| server)
+    }
+
     /// Returns whether the server is to end and not to start again.
     pub(crate) fn is_leaving(&self) -> bool {
         [&self.is_draining, &self.is_unlisted].iter().any(|flag| flag.load(Ordering::Relaxed))
@@ -549,7 +556,7 @@
 impl HeartbeatTask {
     async fn run(mut self) {
         let mut lease: Option<LeaseId> = None;
-        while !self.stop.is_cancelled() {
+        while self.stop.run_until_cancelled(self.process.running()).await.is_some() {
             let renewed = match lease {
                 Some(lease) => self.store.renew_lease(lease).await.map(|()| lease),
                 None => self.store.open_lease(ENTRY_LEASE_MS).await,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,7 +5,7 @@
 //! by [`Link`]s. [`Callers`] send requests meanwhile.
 //!
 //! Faults are drawn from a seed and injected from outside: signals to daemons, links that
-//! delay or hold back bytes or reset connections, and stand-ins that misbehave. With links of
+//! delay or hold back bytes or reset connections, and stand-ins that misbehave or are suspended. With links of
 //! their own to the servers, daemons lose these as well. The run checks what callers and servers
 //! see:
 //!
@@ -37,6 +37,7 @@
 mod probes;
 mod rotation;
 mod run;
+mod server_stops;
 mod upgrade;
 
 pub use callers::{Callers, Counts};
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -14,6 +14,7 @@
 use crate::link_faults::{LinkFaults, data_centres};
 use crate::order_faults::OrderFaults;
 use crate::planned_stops;
+use crate::server_stops::ServerStops;
 use crate::upgrade::{Upgrade, VersionStart};
 
 /// The parameters of a run, written to `options.json` in the folder of its logs.
@@ -143,6 +144,7 @@
     let mut link_faults = options
         .own_links
         .then(|| LinkFaults::new(options.seed, data_centres(options.daemons), first_fault_at));
+    let mut server_stops = ServerStops::new(options.seed, first_fault_at);
     let period = Duration::from_secs(options.for_s);
     let faults_deadline = first_fault_at + period;
     let mut upgrade = options.previous.is_some().then(|| {
@@ -160,6 +162,7 @@
         if let Some(faults) = &mut link_faults {
             faults.step(&cluster).await;
         }
+        server_stops.step(&cluster).await;
         cluster.restart_exited_daemons()?;
         if let Some(upgrade) = &mut upgrade {
             upgrade.advance(&mut cluster);
@@ -173,6 +176,7 @@
     if let Some(faults) = &mut link_faults {
         faults.undo_all(&cluster);
     }
+    server_stops.undo_all(&cluster);
     let recovery_deadline = Instant::now() + Duration::from_secs(options.recovery_s);
     while Instant::now() < recovery_deadline {
         sleep(Duration::from_millis(100)).await;
