Have orders of the model wait for their connection, and list what that finds

What callers would see: keys of a server that leaves have no owner for 4.5 to 5.6 s if the store is lost meanwhile, without any other fault, and keys whose release waits for another one have none until both have ended.

Cause: ranges of a server share connections. The client waits 10 ms for the connection that a grant prefers and then takes another one, so that only time ends the grants of before; a release waits for the work of the one before it on its connection. In the model no connection was ever busy.

Change: the model's orders wait for their connection as they do in the client, a release until its deadline, a grant for 10 ms. Servers may begin to leave one grant unanswered every 1 to 2.5 s (steady_unanswered).

--- a/crates/shard/tests/random_moves.rs
+++ b/crates/shard/tests/random_moves.rs
@@ -76,6 +76,7 @@
     suspend: 0,
     repeat_answer: 0,
     close_connection: 20,
+    steady_unanswered: 0,
     late_fences: LateFences::CheckedBySome,
 };
 
@@ -217,13 +218,22 @@
     assert_schedules(Faults { resign: 30, stop_leader: 10, ..faults });
 }
 
+/// Guards against holders that leave single grants unanswered again and again, and against moves
+/// that such a holder puts off or that end too early.
+#[test]
+fn steady_unanswered_grants() {
+    let faults = Faults { steady_unanswered: 40, ..ONLY_DRAINS };
+    assert_schedules(faults);
+    assert_schedules(Faults { resign: 30, stop_leader: 10, evacuate: 20, ..faults });
+}
+
 /// Draws which faults occur in a schedule, and how often.
 fn drawn_faults(seed: u64) -> Faults {
     let mut random = StdRng::seed_from_u64(seed ^ 0x5eed);
     let mut rate = |max: u32| {
         if random.random_range(0..3) > 0 { 0 } else { random.random_range(1..=max) }
     };
-    Faults {
+    let faults = Faults {
         lose_message: rate(60),
         apply_late: rate(60),
         cut: rate(50),
@@ -247,7 +257,12 @@
             1 => LateFences::CheckedBySome,
             _ => LateFences::Ignored,
         },
-    }
+        steady_unanswered: 0,
+    };
+    // Drawn last, so that the other faults of a seed stay the same.
+    let steady_unanswered =
+        if random.random_range(0..3) > 0 { 0 } else { random.random_range(1..=40) };
+    Faults { steady_unanswered, ..faults }
 }
 
 #[test]
@@ -285,6 +300,7 @@
     suspend: 0,
     repeat_answer: 0,
     close_connection: 20,
+    steady_unanswered: 0,
     late_fences: LateFences::Checked,
 };
 
--- a/crates/shard/tests/world/connections.rs
+++ b/crates/shard/tests/world/connections.rs
@@ -27,9 +27,8 @@
 }
 
 impl Connections {
-    /// Takes the preferred connection to a process or, if it has ended, another one or a new one.
-    ///
-    /// A connection that is in use is waited for, which is left out here.
+    /// Takes the preferred connection to a process or, if it has ended or is in use, another one or a
+    /// new one.
     pub(super) fn take_any(
         &mut self,
         leader: usize,
@@ -39,7 +38,7 @@
     ) -> ConnectionId {
         let kept = self.kept.entry((leader, server.clone())).or_default();
         kept.retain(|connection| connection.born_ms == born_ms);
-        let preferred = kept.iter().position(|kept| Some(kept.id) == preferred);
+        let preferred = kept.iter().position(|kept| Some(kept.id) == preferred && !kept.is_used);
         let any = preferred.or_else(|| kept.iter().rposition(|kept| !kept.is_used));
         if let Some(connection) = any.map(|index| &mut kept[index]) {
             connection.is_used = true;
@@ -51,6 +50,18 @@
         id
     }
 
+    /// Returns whether another order uses a connection to a process.
+    pub(super) fn is_in_use(
+        &mut self,
+        leader: usize,
+        server: &Name,
+        born_ms: u64,
+        id: ConnectionId,
+    ) -> bool {
+        let connection = self.find(leader, server, id);
+        connection.is_some_and(|kept| kept.born_ms == born_ms && kept.is_used)
+    }
+
     /// Takes a connection to a process, and returns whether it has not ended.
     pub(super) fn take(
         &mut self,
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -41,6 +41,10 @@
 const MAX_SUSPENDED_MS: u64 = 5_000;
 /// Longest time for which a server queues a grant.
 const MAX_QUEUED_MS: u64 = 6_000;
+/// Longest time for which a grant waits for the connection that it prefers.
+const MAX_PREFERRED_WAIT_MS: u64 = 10;
+/// How often a server that does so at a steady pace leaves a grant unanswered.
+const UNANSWERED_INTERVAL_MS: std::ops::Range<u64> = 1_000..2_500;
 /// Longest time that a key may be without an owner while its range moves: the work of a
 /// release and three messages.
 const MAX_HANDOVER_MS: u64 = 250;
@@ -59,6 +63,8 @@
         /// `None` if the order has a connection of its own.
         connection: Option<ConnectionId>,
     },
+    /// An order that waits for its connection.
+    Waiting(PendingOrder),
     Reply {
         leader: usize,
         id: OrderId,
@@ -91,6 +97,21 @@
     },
 }
 
+/// An order that was not sent yet.
+#[derive(Debug)]
+struct PendingOrder {
+    leader: usize,
+    id: OrderId,
+    /// The process that has the address.
+    server: Name,
+    kind: OrderKind,
+    deadline_ms: u64,
+    /// For a grant the preferred connection, for a release the required one.
+    connection: Option<ConnectionId>,
+    /// When the leader gave the order.
+    since_ms: u64,
+}
+
 /// What a leader learns of a write.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum WriteOutcome {
@@ -132,6 +153,8 @@
     pub repeat_answer: u32,
     /// The answer to a grant closes its connection.
     pub close_connection: u32,
+    /// A server begins to leave a grant unanswered at a steady pace, or stops doing so.
+    pub steady_unanswered: u32,
     /// The servers that carry out unanswered grants whatever their fences.
     pub late_fences: LateFences,
 }
@@ -251,10 +274,12 @@
             suspend: 0,
             repeat_answer: 0,
             close_connection: 0,
+            steady_unanswered: 0,
             late_fences: self.faults.late_fences,
         };
         for server in self.servers.values_mut() {
             server.is_cut = false;
+            server.unanswered_interval_ms = None;
         }
         self.store_outage_deadline_ms = 0;
         self.registry.set_evacuated([]);
@@ -513,6 +538,14 @@
             server.link_free_at_ms = server.link_free_at_ms.max(free_at_ms);
             self.log(&format!("the link to {name} is busy until {free_at_ms}"));
         }
+        if faults.steady_unanswered > 0 && self.occurs(faults.steady_unanswered) {
+            let interval_ms = self.random.random_range(UNANSWERED_INTERVAL_MS);
+            let server = self.servers.get_mut(&name).expect("a server");
+            let is_steady = server.unanswered_interval_ms.is_none();
+            server.unanswered_interval_ms = is_steady.then_some(interval_ms);
+            let interval_ms = server.unanswered_interval_ms;
+            self.log(&format!("{name} leaves a grant unanswered every {interval_ms:?} ms"));
+        }
         if faults.evacuate > 0 && self.occurs(faults.evacuate) {
             let choices: [&[&str]; 4] = [&[], &["a"], &["b"], &["a", "b"]];
             let evacuated = choices[self.random.random_range(0..choices.len())];
@@ -538,6 +571,7 @@
             is_cut: server.is_cut,
             is_draining: server.is_draining,
             ignores_late_fences: server.ignores_late_fences,
+            unanswered_interval_ms: server.unanswered_interval_ms,
             address: server.address,
             link_free_at_ms: server.link_free_at_ms,
             ..Server::default()
@@ -621,47 +655,19 @@
             match output {
                 Output::Order { id, server, kind, deadline_ms, connection } => {
                     let mut processes = self.servers.iter();
-                    let (process, target) = processes
+                    let (process, _) = processes
                         .find(|(_, process)| process.address == server.address)
                         .expect("a process at each address");
-                    let server = process.clone();
-                    let (is_cut, born_ms) = (target.is_cut, target.born_ms);
-                    let connection = match (&kind, connection) {
-                        (OrderKind::Grant(_), preferred) => {
-                            Some(self.connections.take_any(index, &server, born_ms, preferred))
-                        }
-                        (OrderKind::Release(_), Some(required))
-                            if !self.connections.take(index, &server, born_ms, required) =>
-                        {
-                            let reply = Reply::NotSent;
-                            self.send(
-                                0,
-                                Message::Reply { leader: index, id, server, connection, reply },
-                            );
-                            continue;
-                        }
-                        (OrderKind::Release(_), required) => required,
-                    };
-                    let free_at_ms = self.link_free_at_ms.max(target.link_free_at_ms);
-                    let queued_ms = free_at_ms.saturating_sub(self.now_ms);
-                    let order = Message::Order {
+                    let (server, since_ms) = (process.clone(), self.now_ms);
+                    self.send_order(PendingOrder {
                         leader: index,
                         id,
-                        server: server.clone(),
+                        server,
                         kind,
                         deadline_ms,
-                        is_cut,
                         connection,
-                    };
-                    let delay_ms = queued_ms + self.random.random_range(0..15);
-                    if self.now_ms + delay_ms > deadline_ms {
-                        // The connection is reset, but the reset waits behind the order.
-                        let timeout_ms = deadline_ms - self.now_ms;
-                        let reply = Reply::Unknown;
-                        let reply = Message::Reply { leader: index, id, server, connection, reply };
-                        self.send(timeout_ms, reply);
-                    }
-                    self.send(delay_ms, order);
+                        since_ms,
+                    });
                 }
                 Output::Write { record, .. } => {
                     let is_answered = !self.occurs(self.faults.lose_message);
@@ -701,6 +707,52 @@
         }
     }
 
+    /// Sends an order once its connection is idle.
+    ///
+    /// A server carries out the orders of a connection one after the other, so a release waits until
+    /// the work of the one before it has ended. A grant takes another connection after a short wait.
+    fn send_order(&mut self, order: PendingOrder) {
+        let target = &self.servers[&order.server];
+        let (is_cut, born_ms) = (target.is_cut, target.born_ms);
+        let free_at_ms = self.link_free_at_ms.max(target.link_free_at_ms);
+        let is_in_use = order.connection.is_some_and(|connection| {
+            self.connections.is_in_use(order.leader, &order.server, born_ms, connection)
+        });
+        let wait_deadline_ms = match &order.kind {
+            OrderKind::Grant(_) => order.since_ms + MAX_PREFERRED_WAIT_MS,
+            OrderKind::Release(_) => order.deadline_ms,
+        };
+        if is_in_use && self.now_ms < wait_deadline_ms {
+            self.send(STEP_MS, Message::Waiting(order));
+            return;
+        }
+        let PendingOrder { leader, id, server, kind, deadline_ms, connection, .. } = order;
+        let connection = match (&kind, connection) {
+            (OrderKind::Grant(_), preferred) => {
+                Some(self.connections.take_any(leader, &server, born_ms, preferred))
+            }
+            (OrderKind::Release(_), Some(required))
+                if is_in_use || !self.connections.take(leader, &server, born_ms, required) =>
+            {
+                // The connection is not touched by an order that was not sent.
+                let (reply, connection) = (Reply::NotSent, None);
+                self.send(0, Message::Reply { leader, id, server, connection, reply });
+                return;
+            }
+            (OrderKind::Release(_), required) => required,
+        };
+        let queued_ms = free_at_ms.saturating_sub(self.now_ms);
+        let delay_ms = queued_ms + self.random.random_range(0..15);
+        if self.now_ms + delay_ms > deadline_ms {
+            // The connection is reset, but the reset waits behind the order.
+            let timeout_ms = deadline_ms.saturating_sub(self.now_ms);
+            let (server, reply) = (server.clone(), Reply::Unknown);
+            self.send(timeout_ms, Message::Reply { leader, id, server, connection, reply });
+        }
+        let order = Message::Order { leader, id, server, kind, deadline_ms, is_cut, connection };
+        self.send(delay_ms, order);
+    }
+
     fn deliver(&mut self) {
         while let Some(entry) = self.messages.first_entry() {
             if entry.key().0 > self.now_ms {
@@ -716,7 +768,8 @@
                 Message::Order { leader, id, server, kind, deadline_ms, connection, .. } => {
                     self.on_order((leader, id, connection), &server, &kind, deadline_ms);
                 }
-                Message::Reply { leader, .. }
+                Message::Waiting(PendingOrder { leader, .. })
+                | Message::Reply { leader, .. }
                 | Message::Written { leader, .. }
                 | Message::LeaseRenewed { leader, .. }
                     if self.suspended_until_ms(leader).is_some() =>
@@ -724,6 +777,7 @@
                     let until_ms = self.suspended_until_ms(leader).expect("a suspended leader");
                     self.send(until_ms - self.now_ms, message);
                 }
+                Message::Waiting(order) => self.send_order(order),
                 Message::Reply { leader, id, server, connection, reply } => {
                     self.return_connection(leader, &server, connection, &reply);
                     self.step(leader, Event::Answered(id, reply));
@@ -850,7 +904,10 @@
             }
             return;
         }
-        if is_grant && self.faults.queue_grant > 0 && self.occurs(self.faults.queue_grant) {
+        let server = self.servers.get_mut(name).expect("servers are never removed");
+        let is_due = is_grant && server.leaves_unanswered(now_ms);
+        if is_due || is_grant && self.faults.queue_grant > 0 && self.occurs(self.faults.queue_grant)
+        {
             let (server, kind) = (name.clone(), kind.clone());
             self.send(timeout_ms, answer(Reply::Unknown));
             let delay_ms = self.random.random_range(0..MAX_QUEUED_MS);
--- a/crates/shard/tests/world/server.rs
+++ b/crates/shard/tests/world/server.rs
@@ -27,6 +27,10 @@
     pub(super) held: Vec<Held>,
     /// Whether it carries out grants that it has not answered whatever their fences.
     pub(super) ignores_late_fences: bool,
+    /// How often it leaves a grant unanswered, if it does so at a steady pace.
+    pub(super) unanswered_interval_ms: Option<u64>,
+    /// When it left the last one unanswered.
+    pub(super) last_unanswered_ms: u64,
     /// The ranges and fences of all grants accepted so far.
     pub(super) seen_fences: Vec<(KeyRange, Fence)>,
 }
@@ -44,12 +48,26 @@
             link_free_at_ms: 0,
             held: Vec::new(),
             ignores_late_fences: false,
+            unanswered_interval_ms: None,
+            last_unanswered_ms: 0,
             seen_fences: Vec::new(),
         }
     }
 }
 
 impl Server {
+    /// Returns whether the server leaves a grant that arrives now unanswered, as it does at a
+    /// steady pace.
+    pub(super) fn leaves_unanswered(&mut self, now_ms: u64) -> bool {
+        let interval_ms = self.unanswered_interval_ms;
+        let is_due =
+            interval_ms.is_some_and(|interval| now_ms >= self.last_unanswered_ms + interval);
+        if is_due {
+            self.last_unanswered_ms = now_ms;
+        }
+        is_due
+    }
+
     /// Returns whether the server holds a key.
     pub(super) fn holds(&self, key: u16, now_ms: u64) -> bool {
         self.held.iter().any(|held| held.range.contains(key) && held.deadline_ms > now_ms)
