--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -111,15 +111,7 @@
     if options.planned_stops {
         return planned_stops::run(options, program, dir).await;
     }
-    let mut cluster_options = if options.own_links {
-        ClusterOptions::new(&data_centres(options.daemons)).own_links()
-    } else {
-        ClusterOptions::new(&vec!["a"; options.daemons])
-    };
-    if let Some(servers) = options.servers {
-        cluster_options = cluster_options.servers(servers);
-    }
-    let mut cluster = Cluster::start_with(first_program, dir, cluster_options).await?;
+    let mut cluster = Cluster::start_with(first_program, dir, cluster_options(&options)).await?;
     if options.own_links {
         for _ in 0..ADDED_POOLED_SERVERS {
             cluster.add_server("archive").await?;
@@ -202,6 +194,18 @@
     Ok(Report { options, counts: callers.counts(), served_part_at_end, broken, starts, stops: 0 })
 }
 
+fn cluster_options(options: &Options) -> ClusterOptions<'static> {
+    let cluster_options = if options.own_links {
+        ClusterOptions::new(&data_centres(options.daemons)).own_links()
+    } else {
+        ClusterOptions::new(&vec!["a"; options.daemons])
+    };
+    match options.servers {
+        Some(servers) => cluster_options.servers(servers),
+        None => cluster_options,
+    }
+}
+
 /// Starts the callers of all daemons, and returns a start count for each daemon.
 ///
 /// [`update_version_check_inputs`] sets the counts.
