--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -14,6 +14,7 @@
 use crate::link_faults::{LinkFaults, data_centres};
 use crate::order_faults::OrderFaults;
 use crate::planned_stops;
+use crate::server_stops::ServerStops;
 use crate::upgrade::{Upgrade, VersionStart};
 
 /// The parameters of a run, written to `options.json` in the folder of its logs.
@@ -110,15 +111,7 @@
     if options.planned_stops {
         return planned_stops::run(options, program, dir).await;
     }
-    let mut cluster_options = if options.own_links {
-        ClusterOptions::new(&data_centres(options.daemons)).own_links()
-    } else {
-        ClusterOptions::new(&vec!["a"; options.daemons])
-    };
-    if let Some(servers) = options.servers {
-        cluster_options = cluster_options.servers(servers);
-    }
-    let mut cluster = Cluster::start_with(first_program, dir, cluster_options).await?;
+    let mut cluster = Cluster::start_with(first_program, dir, cluster_options(&options)).await?;
     if options.own_links {
         for _ in 0..ADDED_POOLED_SERVERS {
             cluster.add_server("archive").await?;
@@ -143,6 +136,7 @@
     let mut link_faults = options
         .own_links
         .then(|| LinkFaults::new(options.seed, data_centres(options.daemons), first_fault_at));
+    let mut server_stops = ServerStops::new(options.seed, first_fault_at);
     let period = Duration::from_secs(options.for_s);
     let faults_deadline = first_fault_at + period;
     let mut upgrade = options.previous.is_some().then(|| {
@@ -160,6 +154,7 @@
         if let Some(faults) = &mut link_faults {
             faults.step(&cluster).await;
         }
+        server_stops.step(&cluster).await;
         cluster.restart_exited_daemons()?;
         if let Some(upgrade) = &mut upgrade {
             upgrade.advance(&mut cluster);
@@ -173,6 +168,7 @@
     if let Some(faults) = &mut link_faults {
         faults.undo_all(&cluster);
     }
+    server_stops.undo_all(&cluster);
     let recovery_deadline = Instant::now() + Duration::from_secs(options.recovery_s);
     while Instant::now() < recovery_deadline {
         sleep(Duration::from_millis(100)).await;
@@ -198,6 +194,18 @@
     Ok(Report { options, counts: callers.counts(), served_part_at_end, broken, starts, stops: 0 })
 }
 
+fn cluster_options(options: &Options) -> ClusterOptions<'static> {
+    let cluster_options = if options.own_links {
+        ClusterOptions::new(&data_centres(options.daemons)).own_links()
+    } else {
+        ClusterOptions::new(&vec!["a"; options.daemons])
+    };
+    match options.servers {
+        Some(servers) => cluster_options.servers(servers),
+        None => cluster_options,
+    }
+}
+
 /// Starts the callers of all daemons, and returns a start count for each daemon.
 ///
 /// [`update_version_check_inputs`] sets the counts.
