Keep connections of the model stuck until its faults are over

A server of the model that leaves an order unanswered answers no later one on that connection, but did so again as soon as the schedule drew no more faults, while the order was still to be carried out.

--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -883,8 +883,9 @@
         }
         let is_grant = matches!(kind, OrderKind::Grant(_));
         let born_ms = server.born_ms;
-        let is_repeated = self.faults.repeat_answer > 0
-            && (is_stuck || is_grant && self.occurs(self.faults.repeat_answer));
+        // A connection stays stuck when no more faults are drawn: its queued grants are still to come.
+        let is_repeated = is_stuck
+            || self.faults.repeat_answer > 0 && is_grant && self.occurs(self.faults.repeat_answer);
         if is_repeated {
             let (Some(id), true) = (connection, !is_stuck || self.occurs(500)) else {
                 self.send(timeout_ms, answer(Reply::Unknown));
