Have grants wait longer for the connection of those before

What callers would see: keys of a server that leaves have no owner for up to 5.6 s if the store is lost meanwhile; without that, their move waits up to 3 s for the end of grants.

Cause: renewals of a server are sent together and prefer the same connection. One that found it in use for 10 ms, less than a round trip between distant data centres, took another, and only time ends the grants of before.

--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -116,8 +116,9 @@
 
 /// The number of marked answers after which a connection is closed.
 const MAX_MARKS: usize = 64;
-/// How long a call waits for the connection that it prefers.
-const MAX_PREFERRED_WAIT: Duration = Duration::from_millis(10);
+/// How long a call waits for the connection that it prefers: several round trips between distant data
+/// centres, as calls that are sent together may prefer the same one.
+const MAX_PREFERRED_WAIT: Duration = Duration::from_millis(100);
 /// How often a call looks whether the connection that it requires is idle.
 const USED_POLL_INTERVAL: Duration = Duration::from_millis(2);
 const MAX_IDLE_CONNECTIONS: usize = 32;
