Count the grants of a resigned leader as unknown if it does not tell their time

What callers saw: nothing on record.

Cause: the field was a plain number of the wire format, and a missing one reads as 0, which says that no grant is valid. No build leaves the field out so far, as it came with its message.

Change: the field is optional on the wire, with the same number and the same bytes for other values. Without it the longest time that earlier grants may last counts, as after a leader that was lost. An earlier build that tells 0 leaves it out, so the next leader waits after it.

Evidence: with the meaning of before (a missing number reads as 0) shard/recorded_moves::grants_of_unknown_time_are_waited_for_longest and peer/fleet_frames::other_fields_are_skipped fail; the latter demanded the 0 and now demands that it is unknown. With the change 25 of 25 tests of peer/{fleet_frames,frames,generated_code} and shard/{recorded_moves,unreadable_records,slow_clocks} pass (one run).

--- a/crates/gateway/src/leader/succession.rs
+++ b/crates/gateway/src/leader/succession.rs
@@ -43,8 +43,6 @@
 /// How long the lease of a leader that resigned goes on, so that its successor can replace the
 /// leader's entry and so show that there was no other leader in between.
 const LEASE_END_DELAY_MS: u64 = 400;
-/// A clock that is two percent slow measures 49/50 of the time.
-const CLOCK_DRIFT_DIVISOR: u64 = 49;
 
 impl<S: Store, O: Orders, R: Source> Node<S, O, R> {
     /// Stops leading and lets another daemon take over at once.
@@ -110,7 +108,7 @@
         let resigned = Resigned {
             epoch,
             successor: successor.clone(),
-            grants_left_ms,
+            grants_left_ms: Some(grants_left_ms),
             era: elected_era,
             holders: passed_on.map(PassedOn::to_message),
         };
@@ -144,9 +142,20 @@
             self.leader = Some((from, entry_revision));
         }
         let named = successor.as_deref().unwrap_or("-").to_owned();
-        spdlog::info!("leader resigned", kv: { epoch = epoch.0, successor = named, grants_left_ms });
-        let drift_ms = grants_left_ms.div_ceil(CLOCK_DRIFT_DIVISOR);
-        let grants_deadline_ms = self.clock.now_ms() + grants_left_ms + drift_ms;
+        let now_ms = self.clock.now_ms();
+        let from_ms = match grants_left_ms {
+            Some(_) => now_ms,
+            None => self.earlier_leader_deadline_ms(self.era),
+        };
+        let config = self.shard_config();
+        let grants_deadline_ms = config.resigned_grants_deadline_ms(from_ms, grants_left_ms);
+        spdlog::info!(
+            "leader resigned",
+            kv: {
+                epoch = epoch.0, successor = named, is_told = grants_left_ms.is_some(),
+                grants_left_ms = grants_deadline_ms.saturating_sub(now_ms)
+            }
+        );
         self.resigned = Some(Resignation { epoch, successor, grants_deadline_ms });
         self.campaign_if_needed();
     }
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -88,8 +88,8 @@
     pub epoch: Epoch,
     /// The daemon that may campaign first.
     pub successor: Option<Name>,
-    /// How much longer the leader's grants may be valid.
-    pub grants_left_ms: u64,
+    /// How much longer grants of the leader or of earlier ones may be valid; `None` if it is unknown.
+    pub grants_left_ms: Option<u64>,
     /// The era of the store in which the leader was elected; 0 from an earlier version.
     pub era: u64,
     /// The servers that may hold keys, by service, as the texts of records; empty texts say that none does.
@@ -534,7 +534,7 @@
     Resigned {
         epoch: Epoch(resigned.epoch),
         successor: successor.map(Name::from),
-        grants_left_ms: bounded(resigned.grants_left_ms),
+        grants_left_ms: resigned.grants_left_ms.map(bounded),
         era: resigned.era,
         holders: resigned.has_led_through.then(|| holders.collect()),
     }
--- a/crates/peer/tests/fleet_frames.rs
+++ b/crates/peer/tests/fleet_frames.rs
@@ -71,7 +71,7 @@
     let resigned = Resigned {
         epoch: Epoch(7),
         successor: Some("edge-2".into()),
-        grants_left_ms: 3_000,
+        grants_left_ms: Some(3_000),
         era: 2,
         holders: None,
     };
@@ -89,6 +89,8 @@
         FleetBody::StoreQuery(Epoch(7)),
         FleetBody::StoreReached(Epoch(7)),
         FleetBody::Resigned(Resigned { successor: None, ..resigned.clone() }),
+        FleetBody::Resigned(Resigned { grants_left_ms: None, ..resigned.clone() }),
+        FleetBody::Resigned(Resigned { grants_left_ms: Some(0), ..resigned.clone() }),
         FleetBody::Resigned(Resigned { holders: Some(holders), ..resigned.clone() }),
         FleetBody::Resigned(Resigned { holders: Some(Vec::new()), ..resigned.clone() }),
         FleetBody::Resigned(resigned),
@@ -180,8 +182,9 @@
         added_later: Some(resigned),
         ..OtherFrame::default()
     };
+    // No time told is no time of 0, after which a successor would wait for no grants.
     let expected =
-        Resigned { epoch: Epoch(7), successor: None, grants_left_ms: 0, era: 0, holders: None };
+        Resigned { epoch: Epoch(7), successor: None, grants_left_ms: None, era: 0, holders: None };
     assert_eq!(read_other(&frame).unwrap(), FleetBody::Resigned(expected));
 }
 
@@ -211,12 +214,12 @@
     let resigned = Resigned {
         epoch: Epoch(1),
         successor: None,
-        grants_left_ms: u64::MAX,
+        grants_left_ms: Some(u64::MAX),
         era: 0,
         holders: None,
     };
     let body = decode(FleetBody::Resigned(resigned));
-    assert!(matches!(body, FleetBody::Resigned(Resigned { grants_left_ms: DAY_MS, .. })));
+    assert!(matches!(body, FleetBody::Resigned(Resigned { grants_left_ms: Some(DAY_MS), .. })));
     let body = decode(FleetBody::TurnReply(1, Turn::In { wait_ms: u64::MAX }));
     assert!(matches!(body, FleetBody::TurnReply(1, Turn::In { wait_ms: DAY_MS })));
     let fingerprint = route::Fingerprint(1);
--- a/crates/shard/src/config.rs
+++ b/crates/shard/src/config.rs
@@ -97,6 +97,17 @@
     pub fn earlier_grants_deadline_ms(&self, now_ms: u64) -> u64 {
         self.unanswered_grant_deadline_ms(now_ms, self.max_grant_ms)
     }
+
+    /// Returns the time until which grants of a leader that resigned, or of earlier ones, may be valid.
+    ///
+    /// `left_ms` is how much longer they may be valid by that leader's clock; `None` if it is unknown.
+    #[must_use]
+    pub fn resigned_grants_deadline_ms(&self, now_ms: u64, left_ms: Option<u64>) -> u64 {
+        left_ms.map_or_else(
+            || self.earlier_grants_deadline_ms(now_ms),
+            |left_ms| now_ms + Self::longest_ms(left_ms),
+        )
+    }
 }
 
 /// A clock that is two percent slow measures 49/50 of the time, so a grant lasts 50/49 of its length.
--- a/crates/shard/tests/recorded_moves.rs
+++ b/crates/shard/tests/recorded_moves.rs
@@ -27,10 +27,15 @@
 
 impl Harness {
     fn new(record: Record) -> Self {
+        Self::after(record, EARLIER_MS)
+    }
+
+    /// Returns a leader after one whose grants, or those of earlier ones, may be valid until then.
+    fn after(record: Record, earlier_ms: u64) -> Self {
         let has_second = record.ranges[0].owner == incarnation("s2");
         let records = [(SERVICE.into(), record)];
         let mut leader = Leader::new(Epoch(5), 0, u64::MAX, &records, Config::default());
-        leader.limit_earlier_grants(EARLIER_MS);
+        leader.limit_earlier_grants(earlier_ms);
         let names = if has_second { vec!["s1", "s2"] } else { vec!["s1"] };
         let registry = registry(names.into_iter().map(String::from));
         let (orders, writes) = (Vec::new(), Vec::new());
@@ -154,6 +159,16 @@
     assert_eq!(harness.given_on_after(EARLIER_MS), EARLIER_MS);
 }
 
+/// Guards against a resignation that leaves the time of its grants open and counts as one without grants.
+#[test]
+fn grants_of_unknown_time_are_waited_for_longest() {
+    let config = Config::default();
+    let deadline_ms = config.resigned_grants_deadline_ms(0, None);
+    assert!(deadline_ms >= config.order_timeout_ms + config.max_transit_ms + config.max_grant_ms);
+    let mut harness = Harness::after(record("s2", &["s1"], None), deadline_ms);
+    assert_eq!(harness.given_on_after(deadline_ms), deadline_ms);
+}
+
 /// Guards against a release that counts as the end of a grant that it does not end.
 #[test]
 fn recorded_time_of_previous_holders_is_waited_for() {
