Remember crashes of a message without their time as long as possible

What callers saw: nothing on record. By reading: a request that has crashed servers is sent to one again if a message of counts lacks `left_ms`.

Cause: a missing number reads as 0, so that the mark ends on arrival. The second stack also added any number to its clock, which overflows.

Evidence: peer/fleet_frames::crashes_without_a_time_are_remembered_longest and peer/frames::times_of_crashes_are_within_bounds fail on the code before (0 read, 60,000 wanted) and pass now, as do the other 22 tests of peer (one run).

--- a/crates/peer/src/convert.rs
+++ b/crates/peer/src/convert.rs
@@ -11,6 +11,7 @@
 use route::{CrashCount, Fingerprint, Group, Route, Table};
 use wire::envelope::Message as WireMessage;
 
+use crate::fleet::crash_left_ms;
 use crate::packet::{DocumentText, Message, Packet, Presence};
 use crate::{Error, Result, wire};
 
@@ -356,7 +357,7 @@
             .map(|suspect| CrashCount {
                 fingerprint: Fingerprint(suspect.fingerprint),
                 crashes: suspect.crashes,
-                deadline_ms: suspect.left_ms,
+                deadline_ms: crash_left_ms(suspect.left_ms),
             })
             .collect(),
     })
--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -4,7 +4,7 @@
 use document::{HashMap, Name, Revision};
 use prost::Message as _;
 use registry::{Incarnation, Registration, Stage};
-use route::{CrashCount, Fingerprint, Rate, Turn};
+use route::{CRASH_RETENTION_MS, CrashCount, Fingerprint, Rate, Turn};
 use shard::{Epoch, KeyRange, Owner, Span, Table};
 
 use crate::{Error, Result, fleet_wire as wire};
@@ -552,6 +552,13 @@
     CrashCount {
         fingerprint: Fingerprint(suspect.fingerprint),
         crashes: suspect.crashes,
-        deadline_ms: bounded(suspect.left_ms),
+        deadline_ms: crash_left_ms(suspect.left_ms),
     }
 }
+
+/// Returns how much longer crashes are remembered: as long as possible if a message does not tell.
+///
+/// Daemons send no crashes whose time is over.
+pub(crate) fn crash_left_ms(left_ms: u64) -> u64 {
+    if left_ms == 0 { CRASH_RETENTION_MS } else { bounded(left_ms) }
+}
--- a/crates/peer/tests/fleet_frames.rs
+++ b/crates/peer/tests/fleet_frames.rs
@@ -9,7 +9,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use prost::Message as _;
 use registry::{Incarnation, Registration, Stage};
-use route::{Rate, Turn};
+use route::{CRASH_RETENTION_MS, CrashCount, Fingerprint, Rate, Turn};
 use shard::{Epoch, KeyRange, Owner, Span, Table};
 
 const SEED: [u8; 32] = [12; 32];
@@ -233,6 +233,14 @@
     assert_eq!(tables.tables[0].1.spans[0].owner, Owner::Nobody { until_ms: DAY_MS });
 }
 
+/// Guards against a mark of a request that crashes servers that ends because a message does not tell its time.
+#[test]
+fn crashes_without_a_time_are_remembered_longest() {
+    let count = CrashCount { fingerprint: Fingerprint(1), crashes: 2, deadline_ms: 0 };
+    let FleetBody::Crashes(counts) = decode(FleetBody::Crashes(vec![count])) else { panic!() };
+    assert_eq!(counts[0].deadline_ms, CRASH_RETENTION_MS);
+}
+
 /// Guards against a message that its receiver drops because of the form of one address.
 #[test]
 fn every_address_is_decoded() {
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -10,7 +10,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use prost::Message as _;
-use route::{CrashCount, Fingerprint, Group, Route, Table};
+use route::{CRASH_RETENTION_MS, CrashCount, Fingerprint, Group, Route, Table};
 
 const SEED: [u8; 32] = [11; 32];
 
@@ -140,6 +140,25 @@
     assert_eq!((heartbeat.incarnation, heartbeat.sequence), (5, 0));
 }
 
+/// Guards against a mark of a request that crashes servers that ends because a message does not tell its
+/// time, and against a sum that overflows: receivers add the time to their clock.
+#[test]
+fn times_of_crashes_are_within_bounds() {
+    for (sent_ms, read_ms) in [(0, CRASH_RETENTION_MS), (u64::MAX, 86_400_000)] {
+        let count = CrashCount { fingerprint: Fingerprint(9), crashes: 1, deadline_ms: sent_ms };
+        let presence = Presence {
+            data_centre: name("zurich"),
+            address: "127.0.0.1:8101".parse().unwrap(),
+            in_force: Vec::new(),
+            crash_counts: vec![count],
+        };
+        let packet = Packet::new(name("entry-1"), name(""), Message::Presence(presence));
+        let read = Packet::from_bytes(packet.to_bytes()).unwrap();
+        let Message::Presence(presence) = read.message else { panic!("expected a presence") };
+        assert_eq!(presence.crash_counts[0].deadline_ms, read_ms);
+    }
+}
+
 #[test]
 fn arbitrary_frames_do_not_panic() {
     let config = Config { cases: 4_000, failure_persistence: None, ..Config::default() };
--- a/crates/route/src/crash_tracker.rs
+++ b/crates/route/src/crash_tracker.rs
@@ -38,7 +38,7 @@
 /// The number of crashes at which a request is refused.
 pub const MAX_CRASHES: u32 = 2;
 /// How long the crashes of a request count after the last of them.
-const CRASH_RETENTION_MS: u64 = 60_000;
+pub const CRASH_RETENTION_MS: u64 = 60_000;
 /// The largest number of requests that are counted for each daemon.
 const MAX_REQUESTS_PER_DAEMON: usize = 256;
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -53,7 +53,7 @@
 pub use attempts::{Attempts, Failure, Next};
 pub use budget::Budget;
 pub use cold::{ColdLimit, ColdTime, Share, SharedTurns, Warmth};
-pub use crash_tracker::{CrashCount, CrashTracker, Fingerprint, MAX_CRASHES};
+pub use crash_tracker::{CRASH_RETENTION_MS, CrashCount, CrashTracker, Fingerprint, MAX_CRASHES};
 pub use failure_share::{Exclusions, FailureShare};
 pub use fair_share::{Caller, FairShare};
 pub use limit::Limit;
