Give every order an outcome, also one whose task panics

What callers saw: nothing on record. By reading: 503 for the keys of a range for the rest of a leader's term after the task of one order to its server ended by a panic.

Cause: the task told the outcome in its last step, so a panic before it left none, and the leader sends a server nothing more for a range while it waits.

Change: the order is sent in a task of its own that is awaited; without an outcome it is Unknown, so that a grant counts as one that may still arrive.

--- a/crates/gateway/src/leader/leader_tasks.rs
+++ b/crates/gateway/src/leader/leader_tasks.rs
@@ -149,6 +149,9 @@
         self.publish_if_due(now_ms);
     }
 
+    /// Sends an order in a task of its own, so that it has an outcome even if that task panics.
+    ///
+    /// Without one, its server would get no more grants of the range in this epoch.
     fn send_order(
         &self,
         id: shard::OrderId,
@@ -166,15 +169,16 @@
             let reply = if now_ms >= authority_deadline_ms || now_ms >= deadline_ms {
                 shard::Reply::NotSent
             } else {
-                orders
-                    .send(
-                        server.address,
-                        &server.incarnation.server,
-                        &kind,
-                        deadline_ms.saturating_sub(now_ms),
-                        connection,
-                    )
-                    .await
+                let timeout_ms = deadline_ms.saturating_sub(now_ms);
+                let name = server.incarnation.server.clone();
+                let sending = tokio::spawn(async move {
+                    orders.send(server.address, &name, &kind, timeout_ms, connection).await
+                });
+                sending.await.unwrap_or_else(|error| {
+                    let cause = error.to_string();
+                    spdlog::error!("order ended without an outcome", kv: { epoch = id.epoch.0, number = id.number, cause });
+                    shard::Reply::Unknown
+                })
             };
             // The receiver is closed only while the process exits.
             drop(inputs.send(Input::OrderAnswered(id, reply)).await);
--- a/crates/gateway/tests/ended_tasks.rs
+++ b/crates/gateway/tests/ended_tasks.rs
@@ -1,15 +1,17 @@
-//! Guards against a process that goes on without its control task, with what it knew until then.
+//! Guards against a process that goes on without its control task, with what it knew until then, and
+//! against a leader that waits for ever for the outcome of a task that has ended.
 
 use std::net::{SocketAddr, TcpListener};
-use std::sync::mpsc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, mpsc};
 use std::time::Duration;
 
 use document::Name;
 use gateway::{Dialect, EntryText, Gateway, Orders, Ports, Settings, Source, Unreadable};
 use http::HeaderName;
-use registry::Registration;
+use registry::{Incarnation, Registration, Stage};
 use shard::{ConnectionId, OrderKind, Reply};
-use site::Site;
+use site::{Limits, ServiceSpec, Site, Version};
 use store::{Expect, MemoryStore, Store};
 
 #[derive(Clone)]
@@ -58,6 +60,75 @@
     }
 }
 
+/// Orders of which the first one ends its task.
+#[derive(Clone)]
+struct FaultyOrders {
+    sent: mpsc::Sender<()>,
+    count: Arc<AtomicUsize>,
+}
+
+impl Orders for FaultyOrders {
+    async fn send(
+        &self,
+        _: SocketAddr,
+        _: &Name,
+        _: &OrderKind,
+        _: u64,
+        _: Option<ConnectionId>,
+    ) -> Reply {
+        assert_ne!(self.count.fetch_add(1, Ordering::Relaxed), 0, "bug in the sender of orders");
+        // The test may have seen enough.
+        let _is_awaited = self.sent.send(()).is_ok();
+        Reply::Done(None)
+    }
+}
+
+/// A site with one server that owns keys.
+#[derive(Clone)]
+struct KeyedSource;
+
+impl Source for KeyedSource {
+    fn site_key(&self) -> &'static str {
+        "operators/site"
+    }
+
+    fn operators_prefix(&self) -> &'static str {
+        "operators/"
+    }
+
+    fn evacuations_prefix(&self) -> &'static str {
+        "operators/evacuations/"
+    }
+
+    fn servers_prefix(&self) -> &'static str {
+        "servers/"
+    }
+
+    fn read_site(&self, _: &str) -> Result<Site, Unreadable> {
+        let limits = Limits {
+            max_head_bytes: 1 << 14,
+            max_body_bytes: 1 << 14,
+            head_timeout_ms: 1_000,
+            idle_timeout_ms: 1_000,
+        };
+        let services = vec![ServiceSpec::keyed("ledger")];
+        Ok(Site::new(Version(1), Vec::new(), services, limits).unwrap())
+    }
+
+    fn read_server(&self, entry: EntryText<'_>) -> Result<Registration, Unreadable> {
+        Ok(Registration {
+            incarnation: Incarnation { server: entry.server.into(), born_ms: 1 },
+            service: "ledger".into(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            data_centre: "a".into(),
+            slots: 4,
+            stage: Stage::Ready,
+            warm_at_ms: 0,
+            heartbeat: 1,
+        })
+    }
+}
+
 fn dialect() -> Dialect {
     let header = HeaderName::from_static;
     Dialect {
@@ -99,3 +170,21 @@
     // The wait for a reader of the group, the read of the list, and the grace period.
     assert_eq!(result.recv_timeout(Duration::from_secs(10)), Ok(true));
 }
+
+/// Guards against a server that gets no further grants for the whole term of a leader because the task
+/// of one order ended without an outcome.
+#[test]
+fn server_gets_grants_after_an_order_whose_task_panics() {
+    let store = MemoryStore::default();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    for key in ["operators/site", "servers/i-1"] {
+        runtime.block_on(store.write(key, Expect::Anything, "{}", None)).unwrap();
+    }
+    let (sent, orders) = mpsc::channel();
+    let orders_port = FaultyOrders { sent, count: Arc::default() };
+    let ports = Ports { store, orders: orders_port, source: KeyedSource, dialect: dialect() };
+    let gateway = Gateway::new(settings(), "test.ini".into(), ports);
+    std::thread::spawn(move || gateway.run());
+    // The election, the wait for more servers, and the wait after an order without an outcome.
+    assert_eq!(orders.recv_timeout(Duration::from_secs(20)), Ok(()));
+}
