Take requests for passed on only if they name the receiver's token

What callers saw: nothing on record. A caller that sends `verbena-relayed` itself had its request sent to one server although its route allows two, not passed on, and not counted for its fair share, the retry budget or the load of its key. Headers of daemons never reached servers.

Cause: callers and daemons use the same address, and any sender of that header counted as a daemon.

Change: each process writes a random token into its entry in the store, which callers cannot read; a daemon names the token of the one that it passes a request on to. The header without a token is a caller's, unless a daemon of an earlier build runs. Another token is refused as not run, and a daemon that has an old one sends the request through another daemon.

--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -61,6 +61,10 @@
     /// sends it to as many as the route allows.
     #[serde(default)]
     pub(crate) sends_once: bool,
+    /// What a request that is passed on to it has to name; `None` in the entry of an earlier version,
+    /// which also names none itself.
+    #[serde(default)]
+    pub(crate) relay_token: Option<Name>,
 }
 
 /// Watches one topic of the store and passes changes to the control thread.
--- a/crates/gateway/src/control/view_builder.rs
+++ b/crates/gateway/src/control/view_builder.rs
@@ -10,6 +10,7 @@
 use site::{ServiceSpec, Site};
 use store::Store;
 
+use crate::control::follow::DaemonEntry;
 use crate::control::node::Node;
 use crate::request::detour::Peer;
 use crate::request::report::ServiceState;
@@ -149,15 +150,18 @@
     /// Adds new daemons to which requests can be passed on, and removes those that are gone.
     fn update_peers(&mut self) {
         let others = self.daemons.iter().filter(|(name, _)| **name != self.settings.instance);
-        let live: HashMap<SocketAddr, (&Name, bool)> = others
-            .filter_map(|(name, daemon)| Some((daemon.front?, (name, daemon.sends_once))))
-            .collect();
+        let live: HashMap<SocketAddr, (&Name, &DaemonEntry)> =
+            others.filter_map(|(name, daemon)| Some((daemon.front?, (name, daemon)))).collect();
         self.peers.retain(|front, _| live.contains_key(front));
-        for (front, (name, sends_once)) in live {
+        let names_no_token = |(_, daemon): &(&Name, &DaemonEntry)| daemon.relay_token.is_none();
+        let has_earlier_daemons = !self.is_fleet_known || live.values().any(names_no_token);
+        self.shared.set_earlier_daemons(has_earlier_daemons);
+        for (front, (name, daemon)) in live {
             let clock = self.shared.clock;
             let peer = self.peers.entry(front);
             let peer = peer.or_insert_with(|| Arc::new(Peer::new(name, front, clock)));
-            peer.set_sends_once(sends_once);
+            peer.set_sends_once(daemon.sends_once);
+            peer.set_token(daemon.relay_token.as_deref());
         }
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -284,6 +284,7 @@
         link_mbps: settings.link_mbps,
         front: Some(front_address(settings)),
         sends_once: true,
+        relay_token: Some(shared.relay_token.clone()),
     };
     let key = format!("{DAEMONS_PREFIX}{}", settings.instance);
     let counters = Arc::clone(&shared.counters);
--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -14,7 +14,7 @@
 use telemetry::Counter;
 
 use crate::Shared;
-use crate::request::detour::earlier_refusals;
+use crate::request::detour::{Sender, earlier_refusals, sender};
 use crate::request::earlier_refusals::EarlierRefusals;
 use crate::request::in_flight::Tracked;
 use crate::request::refusal::stop_retry_after_ms;
@@ -34,6 +34,8 @@
     pub(crate) service: Name,
     /// Whether another daemon passed the request on.
     pub(crate) is_relayed: bool,
+    /// Whether the sender passes it on to another process than this one, or is no daemon.
+    pub(crate) is_misdirected: bool,
     /// The servers that the daemon that passed the request on has tried.
     pub(crate) tried: Vec<Incarnation>,
     /// The servers that refused earlier attempts.
@@ -110,9 +112,13 @@
     let picked = route.pick_service(rand::random()).cloned();
     let service = picked.ok_or(Refusal::not_run(Reason::NoRoute))?;
     let caller_deadline_ms = arrived_at_ms.saturating_add(time_left_ms);
-    let refusals = earlier_refusals(&head.headers);
-    let is_relayed = refusals.is_some();
-    let tried = if is_relayed { tried(&head.headers) } else { Vec::new() };
+    let sender = sender(shared, &head.headers);
+    let is_relayed = sender != Sender::Caller;
+    let (refusals, tried) = if is_relayed {
+        (earlier_refusals(&head.headers), tried(&head.headers))
+    } else {
+        Default::default()
+    };
     let caller = head.extensions.get().copied().filter(|_| !is_relayed);
     proxy::strip_request_headers(&mut head.headers);
     let deadline = shared.clock.to_instant(deadline_ms);
@@ -144,8 +150,9 @@
         route_state,
         service,
         is_relayed,
+        is_misdirected: sender == Sender::Unknown,
         tried,
-        refusals: refusals.unwrap_or_default(),
+        refusals,
         caller,
         tracked: Arc::new(tracked),
         arrived_at_ms,
--- a/crates/gateway/src/request/detour.rs
+++ b/crates/gateway/src/request/detour.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::SystemTime;
 
+use arc_swap::ArcSwapOption;
 use document::{Name, Server as Description, ServerState};
 use http::header::HeaderName;
 use http::response::Parts;
@@ -41,6 +42,20 @@
 /// The header of a refusal of such a request, with the reason.
 pub(crate) const REASON: HeaderName = HeaderName::from_static("verbena-reason");
 
+/// The header of such a request with the token of the daemon that is to get it.
+const TOKEN: HeaderName = HeaderName::from_static("verbena-relay-token");
+
+/// Who sent a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Sender {
+    /// A caller.
+    Caller,
+    /// Another daemon, which passes it on.
+    Daemon,
+    /// Another daemon, which passes it on to the process that was at this address before, or anyone.
+    Unknown,
+}
+
 /// Another daemon, to which requests can be passed on.
 #[derive(Debug)]
 pub struct Peer {
@@ -53,6 +68,8 @@
     ///
     /// A daemon of an earlier version sends it to as many servers as the route allows.
     sends_once: AtomicBool,
+    /// What requests that are passed on to it have to name; `None` for an earlier version.
+    token: ArcSwapOption<HeaderValue>,
 }
 
 /// What passing a request on to one daemon came to.
@@ -96,6 +113,7 @@
             clock,
             avoidance_deadline_ms: AtomicU64::new(0),
             sends_once: AtomicBool::new(false),
+            token: ArcSwapOption::empty(),
         }
     }
 
@@ -111,6 +129,17 @@
         self.sends_once.store(sends_once, Ordering::Relaxed);
     }
 
+    /// Sets what requests that are passed on to the daemon have to name.
+    pub fn set_token(&self, token: Option<&str>) {
+        let is_known =
+            self.token.load().as_deref().map(HeaderValue::as_bytes) == token.map(str::as_bytes);
+        if !is_known {
+            // A token that a header cannot hold was not written by a daemon.
+            let token = token.and_then(|token| HeaderValue::from_str(token).ok());
+            self.token.store(token.map(Arc::new));
+        }
+    }
+
     /// Returns what a request may have reached through this daemon if its answer does not tell.
     fn unreported(&self) -> Reached {
         let sends_once = self.sends_once.load(Ordering::Relaxed);
@@ -176,7 +205,7 @@
         peer.upstream.on_connection_loss();
         return Relayed::NotRun { retry_after_ms: None };
     };
-    let Some(request) = to_relayed_request(shared, call, tried) else {
+    let Some(request) = to_relayed_request(shared, peer, call, tried) else {
         return Relayed::NotRun { retry_after_ms: None };
     };
     let response = match shared.stop.bound(deadline, 0, link.send(request)).await {
@@ -293,6 +322,7 @@
 
 fn to_relayed_request(
     shared: &Shared,
+    peer: &Peer,
     call: &Call,
     tried: &[Incarnation],
 ) -> Option<Request<Full<bytes::Bytes>>> {
@@ -300,18 +330,33 @@
     let is_first = call.refusals.is_empty();
     let value = HeaderValue::from_static(if is_first { "1" } else { REFUSED_BEFORE });
     request.headers_mut().insert(RELAYED, value);
+    if let Some(token) = peer.token.load().as_deref() {
+        request.headers_mut().insert(TOKEN, token.clone());
+    }
     sent_to::add_tried(request.headers_mut(), tried);
     Some(request)
 }
 
-/// Returns the servers that may have refused a request; `None` if no daemon passed it on.
-pub(crate) fn earlier_refusals(headers: &HeaderMap) -> Option<EarlierRefusals> {
-    let value = headers.get(RELAYED)?;
+/// Returns who sent a request with these headers.
+pub(crate) fn sender(shared: &Shared, headers: &HeaderMap) -> Sender {
+    if !headers.contains_key(RELAYED) {
+        return Sender::Caller;
+    }
+    match headers.get(TOKEN) {
+        Some(token) if token.as_bytes() == shared.relay_token.as_bytes() => Sender::Daemon,
+        Some(_) => Sender::Unknown,
+        None if shared.has_earlier_daemons() => Sender::Daemon,
+        None => Sender::Caller,
+    }
+}
+
+/// Returns the servers that may have refused a request that another daemon passes on.
+pub(crate) fn earlier_refusals(headers: &HeaderMap) -> EarlierRefusals {
     let refusals = EarlierRefusals::default();
-    if value == REFUSED_BEFORE {
+    if headers.get(RELAYED).is_some_and(|value| value == REFUSED_BEFORE) {
         refusals.add_unknown();
     }
-    Some(refusals)
+    refusals
 }
 
 /// Adds the reason of a refusal, and the request's id, for the daemon that passed the request on.
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -151,6 +151,11 @@
         Ok(call) => Arc::new(call),
         Err(refusal) => return Handled { call: None, last_sent: None, result: Err(refusal) },
     };
+    if call.is_misdirected {
+        // The daemon that passed it on, if it was one, sends it through another one now.
+        let refusal = Refusal::not_run(Reason::Unreachable).with_retry_after(ABSENT_RETRY_AFTER_MS);
+        return Handled { call: Some(call), last_sent: None, result: Err(refusal) };
+    }
     let mut tries = Tries::new(new_attempts(&call), call.tried.clone());
     let result = run(shared, &call, &mut tries).await;
     Handled { call: Some(call), last_sent: tries.last_sent, result }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -49,6 +49,11 @@
     /// This daemon's position among them, in the order of their names.
     position: AtomicU32,
     is_ready: AtomicBool,
+    /// What a request that another daemon passes on has to name: callers can send any header, but only
+    /// daemons read this one's entry in the store.
+    pub(crate) relay_token: Name,
+    /// Whether there may be daemons of an earlier version, which name no token.
+    has_earlier_daemons: AtomicBool,
     /// Bounds the waits of requests while the process stops.
     pub(crate) stop: Stop,
     /// The memory for the bodies of all requests and answers.
@@ -91,6 +96,8 @@
             daemons: AtomicU32::new(1),
             position: AtomicU32::new(0),
             is_ready: AtomicBool::new(false),
+            relay_token: format!("{:032x}", rand::random::<u128>()).into(),
+            has_earlier_daemons: AtomicBool::new(true),
             stop: Stop::new(clock),
             buffers,
         }
@@ -142,6 +149,16 @@
         self.inputs.try_send(input).is_ok()
     }
 
+    /// Returns whether there may be daemons that pass requests on without a token.
+    pub(crate) fn has_earlier_daemons(&self) -> bool {
+        self.has_earlier_daemons.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether there may be daemons that pass requests on without a token.
+    pub(crate) fn set_earlier_daemons(&self, has_earlier_daemons: bool) {
+        self.has_earlier_daemons.store(has_earlier_daemons, Ordering::Relaxed);
+    }
+
     /// Returns the number of daemons, including this one.
     pub(crate) fn daemons(&self) -> u32 {
         self.daemons.load(Ordering::Relaxed)
