--- a/crates/peer/src/fleet.rs
+++ b/crates/peer/src/fleet.rs
@@ -4,7 +4,7 @@
 use document::{HashMap, Name, Revision};
 use prost::Message as _;
 use registry::{Incarnation, Registration, Stage};
-use route::{CrashCount, Fingerprint, Rate, Turn};
+use route::{CRASH_RETENTION_MS, CrashCount, Fingerprint, Rate, Turn};
 use shard::{Epoch, KeyRange, Owner, Span, Table};
 
 use crate::{Error, Result, fleet_wire as wire};
@@ -88,8 +88,8 @@
     pub epoch: Epoch,
     /// The daemon that may campaign first.
     pub successor: Option<Name>,
-    /// How much longer the leader's grants may be valid.
-    pub grants_left_ms: u64,
+    /// How much longer grants of the leader or of earlier ones may be valid; `None` if it is unknown.
+    pub grants_left_ms: Option<u64>,
     /// The era of the store in which the leader was elected; 0 from an earlier version.
     pub era: u64,
     /// The servers that may hold keys, by service, as the texts of records; empty texts say that none does.
@@ -534,7 +534,7 @@
     Resigned {
         epoch: Epoch(resigned.epoch),
         successor: successor.map(Name::from),
-        grants_left_ms: bounded(resigned.grants_left_ms),
+        grants_left_ms: resigned.grants_left_ms.map(bounded),
         era: resigned.era,
         holders: resigned.has_led_through.then(|| holders.collect()),
     }
@@ -552,6 +552,13 @@
     CrashCount {
         fingerprint: Fingerprint(suspect.fingerprint),
         crashes: suspect.crashes,
-        deadline_ms: bounded(suspect.left_ms),
+        deadline_ms: crash_left_ms(suspect.left_ms),
     }
 }
+
+/// Returns how much longer crashes are remembered: as long as possible if a message does not tell.
+///
+/// Daemons send no crashes whose time is over.
+pub(crate) fn crash_left_ms(left_ms: u64) -> u64 {
+    if left_ms == 0 { CRASH_RETENTION_MS } else { bounded(left_ms) }
+}
