Make a list of the store again beside one without an answer

Cause: the answers that servers send to callers' requests fill a link of 18 Mbit/s, and the store's answers wait behind them. A list without an answer after 0.5 s was ended; the next one began anew, after a backoff and on a new connection, which needs the link's delay twice. With a delay of more than 0.25 s none succeeds.

Ruled out: a store that is slow or unreachable (daemons with 200 Mbit/s, 10 to 17 ms a call at the same time), a cut (the daemons concerned are in no cut), passing requests on as the main load (answers from servers are).

At edge-thun-b-8 2,006 kB/s arrive from 32.5 to 35.5 s, of 2,250; calls take 218, 252, 379 ms, then four fail after 0.5 s; up to 50 servers count as lost, as connecting takes more than 250 ms.

Change: a list is made again each 0.5 s beside those without an answer, up to three times, on a new connection; the answer that begins first is read. On a connection that a cut has made useless the next one goes out after the timeout and without the backoff. Why it works: an answer that takes longer than the timeout is no longer thrown away. Renewals, reads of single keys and writes are as before.

--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -21,7 +21,8 @@
 use web::{Call, Client};
 
 use crate::{
-    Category, Changes, Error, LeaseId, Page, Result, Store, Transaction, Value, call_store,
+    AnswerTime, Category, Changes, Error, LeaseId, Page, Result, Store, Transaction, Value,
+    call_store,
 };
 
 /// A client of the platform's key-value service; clones share a few connections.
@@ -44,7 +45,8 @@
 impl HttpStore {
     /// Creates a client of a service at an address.
     ///
-    /// A call fails after `timeout_ms`; a watch may take its wait plus `timeout_ms`.
+    /// A call fails after `timeout_ms`; a watch may take its wait plus `timeout_ms`, and a list four
+    /// times as long, as it is made again beside those without an answer.
     #[must_use]
     pub fn new(address: SocketAddr, timeout_ms: u64) -> Self {
         Self { client: Client::new(address), timeout_ms }
@@ -55,11 +57,11 @@
         method: Method,
         path: &str,
         body: &str,
-        wait_ms: u64,
+        answer_time: AnswerTime,
     ) -> Result<(StatusCode, Bytes)> {
         let body = Bytes::copy_from_slice(body.as_bytes());
-        let call = Call::new(method, path).body(body).timeout_ms(self.timeout_ms + wait_ms);
-        let answer = call_store(&self.client, call, self.timeout_ms).await?;
+        let call = Call::new(method, path).body(body);
+        let answer = call_store(&self.client, call, self.timeout_ms, answer_time).await?;
         Ok((answer.status(), answer.into_body()))
     }
 }
@@ -67,7 +69,7 @@
 impl Store for HttpStore {
     async fn read(&self, key: &str) -> Result<Option<Value>> {
         let path = format!("/v1/values/{key}");
-        let (status, body) = self.call(Method::GET, &path, "", 0).await?;
+        let (status, body) = self.call(Method::GET, &path, "", AnswerTime::Once).await?;
         if status == StatusCode::NOT_FOUND {
             return Ok(None);
         }
@@ -77,38 +79,40 @@
     async fn list(&self, prefix: &str, after: Option<&str>) -> Result<Page> {
         let after = after.map_or_else(String::new, |after| format!("&after={after}"));
         let path = format!("/v1/list?prefix={prefix}{after}");
-        let (status, body) = self.call(Method::GET, &path, "", 0).await?;
+        let (status, body) = self.call(Method::GET, &path, "", AnswerTime::Repeated).await?;
         from_json(status, &body)
     }
 
     async fn commit(&self, transaction: &Transaction) -> Result<Revision> {
         let body = serde_json::to_string(transaction)
             .map_err(|error| Report::new(Error::new(Category::Refused, error.to_string())))?;
-        let (status, body) = self.call(Method::POST, "/v1/transactions", &body, 0).await?;
+        let (status, body) =
+            self.call(Method::POST, "/v1/transactions", &body, AnswerTime::Once).await?;
         from_json::<CommitAnswer>(status, &body).map(|answer| answer.revision)
     }
 
     async fn open_lease(&self, length_ms: u64) -> Result<LeaseId> {
         let path = format!("/v1/leases?ms={length_ms}");
-        let (status, body) = self.call(Method::POST, &path, "", 0).await?;
+        let (status, body) = self.call(Method::POST, &path, "", AnswerTime::Once).await?;
         from_json::<OpenLeaseAnswer>(status, &body).map(|answer| answer.lease)
     }
 
     async fn renew_lease(&self, lease: LeaseId) -> Result<()> {
         let path = format!("/v1/leases/{}", lease.0);
-        let (status, body) = self.call(Method::PUT, &path, "", 0).await?;
+        let (status, body) = self.call(Method::PUT, &path, "", AnswerTime::Once).await?;
         check_status(status, &body)
     }
 
     async fn end_lease(&self, lease: LeaseId) -> Result<()> {
         let path = format!("/v1/leases/{}", lease.0);
-        let (status, body) = self.call(Method::DELETE, &path, "", 0).await?;
+        let (status, body) = self.call(Method::DELETE, &path, "", AnswerTime::Once).await?;
         check_status(status, &body)
     }
 
     async fn watch(&self, prefix: &str, after: Revision, wait_ms: u64) -> Result<Changes> {
         let path = format!("/v1/watch?prefix={prefix}&after={after}&ms={wait_ms}");
-        let (status, body) = self.call(Method::GET, &path, "", wait_ms).await?;
+        let (status, body) =
+            self.call(Method::GET, &path, "", AnswerTime::After { wait_ms }).await?;
         from_json(status, &body)
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -31,7 +31,7 @@
 mod transaction;
 mod value;
 
-pub use crate::call::call_store;
+pub use crate::call::{AnswerTime, call_store};
 pub use crate::era::{Era, EraTracker};
 pub use crate::error::{Category, Error, Result};
 pub use crate::http::HttpStore;
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -6,6 +6,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 
 use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -51,6 +54,8 @@
     headers: Vec<(&'static str, String)>,
     body: Bytes,
     timeout_ms: u64,
+    /// How often the request is sent again beside those without an answer.
+    max_repeats: u32,
     /// How long a body may take that goes on arriving; `None` if the timeout applies to it.
     body_time: Option<BodyTime>,
     max_answer_bytes: u64,
@@ -108,6 +113,14 @@
     _driver_task: AbortOnDropHandle<()>,
 }
 
+/// An answer whose head has arrived.
+struct Begun<'a> {
+    connection: Connection,
+    usage: Usage<'a>,
+    head: Parts,
+    body: Incoming,
+}
+
 /// Removes a connection from those in use when its call ends.
 struct Usage<'a> {
     idle: &'a Mutex<Idle>,
@@ -150,6 +163,7 @@
             headers: Vec::new(),
             body: Bytes::new(),
             timeout_ms: DEFAULT_TIMEOUT_MS,
+            max_repeats: 0,
             body_time: None,
             max_answer_bytes: DEFAULT_MAX_ANSWER_BYTES,
             closes_on_refusal: false,
@@ -186,6 +200,18 @@
         self
     }
 
+    /// Sends the request again each time the timeout passes without an answer, `max_repeats` times at
+    /// most, and takes the answer that begins first.
+    ///
+    /// The earlier ones go on. A call that is ended after the timeout and made again never succeeds on
+    /// a link with a longer delay; without another one, it never ends on a silent connection. Only for
+    /// requests that may be carried out more than once.
+    #[must_use]
+    pub fn repeat_beside(mut self, max_repeats: u32) -> Self {
+        self.max_repeats = max_repeats;
+        self
+    }
+
     /// Gives the body of the answer `max_ms` to arrive, as long as the next part follows soon.
     ///
     /// A long answer takes longer on a slow link than a short timeout allows, and a call that is
@@ -299,32 +325,14 @@
             !is_required || report.current_context().category() != Category::NotSent
         });
         if is_failure {
-            let mut idle = self.lock();
-            idle.connections.clear();
-            idle.failures += 1;
+            self.lock().on_failure();
         }
         answer
     }
 
     async fn send(&self, call: Call) -> Result<Response<Bytes>> {
-        let deadline = Instant::now() + Duration::from_millis(call.timeout_ms);
-        let mut connection = timeout_at(deadline, self.connect(call.choice, call.is_probed))
-            .await
-            .map_err(|_elapsed| Error::elapsed(Category::NotSent, "connecting timed out"))??;
-        let _usage = Usage { idle: &self.idle, id: connection.id };
-        let mut request = Request::builder()
-            .method(call.method)
-            .uri(call.path)
-            .header("host", self.address.to_string());
-        for (name, value) in &call.headers {
-            request = request.header(*name, value);
-        }
-        let request = request
-            .body(Full::new(call.body))
-            .map_err(|error| Error::report(Category::NotSent, error))?;
-        connection.bound.allow(call.max_answer_bytes);
-        let response = in_time(deadline, connection.sender.send_request(request)).await?;
-        let (head, body) = response.into_parts();
+        let (begun, deadline) = self.begin_first(&call).await?;
+        let Begun { mut connection, usage: _usage, head, body } = begun;
         let body = match call.body_time {
             Some(body_time) => read_parts(body, deadline, body_time).await?,
             None => in_time(deadline, body.collect()).await?.to_bytes(),
@@ -344,6 +352,48 @@
         Ok(answer)
     }
 
+    /// Sends a request, and again while there is no answer, as far as the call allows it.
+    ///
+    /// Returns the first answer with the deadline for the start of its body.
+    async fn begin_first(&self, call: &Call) -> Result<(Begun<'_>, Instant)> {
+        let timeout = Duration::from_millis(call.timeout_ms);
+        let started_at = Instant::now();
+        let last_deadline = started_at + timeout * (call.max_repeats + 1);
+        let mut begun = FuturesUnordered::new();
+        for sent in 1..=call.max_repeats {
+            begun.push(self.begin(call, last_deadline));
+            if let Ok(first) = timeout_at(started_at + timeout * sent, first_of(&mut begun)).await {
+                return Ok((first?, Instant::now() + timeout));
+            }
+            // The idle connections may have gone silent too, so that the next request needs a new one.
+            self.lock().on_failure();
+        }
+        begun.push(self.begin(call, last_deadline));
+        Ok((first_of(&mut begun).await?, last_deadline))
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    async fn begin(&self, call: &Call, deadline: Instant) -> Result<Begun<'_>> {
+        let mut connection = timeout_at(deadline, self.connect(call.choice, call.is_probed))
+            .await
+            .map_err(|_elapsed| Error::elapsed(Category::NotSent, "connecting timed out"))??;
+        let usage = Usage { idle: &self.idle, id: connection.id };
+        let mut request = Request::builder()
+            .method(call.method.clone())
+            .uri(call.path.as_str())
+            .header("host", self.address.to_string());
+        for (name, value) in &call.headers {
+            request = request.header(*name, value);
+        }
+        let request = request
+            .body(Full::new(call.body.clone()))
+            .map_err(|error| Error::report(Category::NotSent, error))?;
+        connection.bound.allow(call.max_answer_bytes);
+        let response = in_time(deadline, connection.sender.send_request(request)).await?;
+        let (head, body) = response.into_parts();
+        Ok(Begun { connection, usage, head, body })
+    }
+
     async fn connect(&self, choice: Choice, is_probed: bool) -> Result<Connection> {
         match choice {
             Choice::Required(id) => return self.wait_for(id).await,
@@ -481,6 +531,12 @@
         Some(connection)
     }
 
+    /// Closes all connections; those in use carry no further call.
+    fn on_failure(&mut self) {
+        self.connections.clear();
+        self.failures += 1;
+    }
+
     /// Removes a connection from those in use.
     fn end_use(&mut self, id: ConnectionId) {
         if let Some(position) = self.used.iter().position(|used| *used == id) {
@@ -497,6 +553,24 @@
     }
 }
 
+/// Returns the first answer to begin, or the last failure once no request is left.
+async fn first_of<T>(
+    requests: &mut FuturesUnordered<impl Future<Output = Result<T>>>,
+) -> Result<T> {
+    let mut failure = Error::elapsed(Category::NotSent, "no request was sent");
+    while let Some(begun) = requests.next().await {
+        match begun {
+            Ok(begun) => return Ok(begun),
+            // A request that may have been carried out is the one to report.
+            Err(report) if failure.current_context().category() == Category::NotSent => {
+                failure = report;
+            }
+            Err(_) => {}
+        }
+    }
+    Err(failure)
+}
+
 /// Waits for a part of the answer until a deadline.
 async fn in_time<T>(deadline: Instant, part: impl Future<Output = hyper::Result<T>>) -> Result<T> {
     timeout_at(deadline, part)
