Draw returns of the store from older copies in the model tests

The store is now away for up to 3 s and goes on from one of the copies of the last seconds, also several times in a schedule. Leaders of before the return act until an answer names the era or their authority ends, beside those of after it; such answers and what they pass on are lost or late. Leaders of after it do as gateway/leader/older_store.rs does: they believe records of their own era only, go on from holders passed on for it, and otherwise wait. Keys have to have an owner 20 s after the last fault, since a lease of the copy, the wait of 14.7 s and the first assignment come one after the other.

--- a/crates/shard/tests/random_moves.rs
+++ b/crates/shard/tests/random_moves.rs
@@ -17,6 +17,13 @@
 const SCHEDULE_MS: u64 = 25_000;
 /// Time for recovery: the longest grant with clock drift, a takeover and a handover.
 const RECOVERY_MS: u64 = 16_000;
+/// The same after the store came back older: a lease that the copy has, the wait for earlier grants and
+/// a leader that may still act, and the first assignment.
+const RESTORE_RECOVERY_MS: u64 = 20_000;
+
+fn recovery_ms(faults: Faults) -> u64 {
+    if faults.restore_store > 0 { RESTORE_RECOVERY_MS } else { RECOVERY_MS }
+}
 
 fn cases() -> u64 {
     std::env::var("VERBENA_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(CASES)
@@ -36,7 +43,8 @@
     let first = seed();
     for seed in first..first + cases() {
         let mut world = World::new(seed, faults);
-        let result = world.run(SCHEDULE_MS).and_then(|()| world.check_recovery(RECOVERY_MS));
+        let result =
+            world.run(SCHEDULE_MS).and_then(|()| world.check_recovery(recovery_ms(faults)));
         if let Err(error) = result {
             if std::env::var("VERBENA_TRACE").is_ok() {
                 println!("{}", world.trace);
@@ -76,6 +84,7 @@
     suspend: 0,
     repeat_answer: 0,
     close_connection: 20,
+    restore_store: 0,
     late_fences: LateFences::CheckedBySome,
 };
 
@@ -217,6 +226,26 @@
     assert_schedules(Faults { resign: 30, stop_leader: 10, ..faults });
 }
 
+/// Guards against two holders after the store came back from a copy that lacks moves.
+#[test]
+fn restores() {
+    assert_schedules(Faults { restore_store: 15, drain: 20, ..ONLY_DRAINS });
+}
+
+/// Guards against two holders when a leader of before the return still acts, is lost or cannot pass on.
+#[test]
+fn restores_and_lost_leaders() {
+    let faults = Faults { restore_store: 15, drain: 20, lose_message: 40, ..ONLY_DRAINS };
+    assert_schedules(Faults { stop_leader: 15, resign: 20, suspend: 15, ..faults });
+}
+
+/// Guards against grants and writes of before the return that take effect after it.
+#[test]
+fn restores_queued_grants_and_slow_writes() {
+    let faults = Faults { restore_store: 15, queue_grant: 60, slow_write: 100, ..ONLY_DRAINS };
+    assert_schedules(Faults { crash: 20, cut: 20, unlist: 10, relocate: 10, resign: 10, ..faults });
+}
+
 /// Draws which faults occur in a schedule, and how often.
 fn drawn_faults(seed: u64) -> Faults {
     let mut random = StdRng::seed_from_u64(seed ^ 0x5eed);
@@ -247,6 +276,7 @@
             1 => LateFences::CheckedBySome,
             _ => LateFences::Ignored,
         },
+        restore_store: if random.random_range(0..3) > 0 { 0 } else { random.random_range(1..=15) },
     }
 }
 
@@ -256,7 +286,8 @@
     for seed in first..first + cases() {
         let faults = drawn_faults(seed);
         let mut world = World::new(seed, faults);
-        let result = world.run(SCHEDULE_MS).and_then(|()| world.check_recovery(RECOVERY_MS));
+        let result =
+            world.run(SCHEDULE_MS).and_then(|()| world.check_recovery(recovery_ms(faults)));
         if let Err(error) = result {
             if std::env::var("VERBENA_TRACE").is_ok() {
                 println!("{}", world.trace);
@@ -285,6 +316,7 @@
     suspend: 0,
     repeat_answer: 0,
     close_connection: 20,
+    restore_store: 0,
     late_fences: LateFences::Checked,
 };
 
@@ -300,7 +332,8 @@
             [ALL_FAULTS, Faults { lose_message: 10, stop_leader: 30, cut: 20, ..ONLY_DRAINS }]
         {
             let mut world = World::new(seed, faults);
-            let result = world.run(SCHEDULE_MS).and_then(|()| world.check_recovery(RECOVERY_MS));
+            let result =
+                world.run(SCHEDULE_MS).and_then(|()| world.check_recovery(recovery_ms(faults)));
             assert!(result.is_ok(), "seed {seed}, once failed because {cause}: {result:?}");
         }
     }
--- a/crates/shard/tests/store_outages.rs
+++ b/crates/shard/tests/store_outages.rs
@@ -27,6 +27,7 @@
     suspend: 0,
     repeat_answer: 0,
     close_connection: 0,
+    restore_store: 0,
     late_fences: LateFences::Checked,
 };
 /// Time for the first assignment, with a margin.
--- a/crates/shard/tests/world/mod.rs
+++ b/crates/shard/tests/world/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 mod connections;
+mod restores;
 mod server;
 
 use std::collections::BTreeMap;
@@ -19,6 +20,7 @@
 };
 
 use connections::Connections;
+use restores::{Content, Eras, PassedOn};
 use server::{Held, Server, apply, apply_late};
 
 const SERVICE: &str = "ledger";
@@ -89,6 +91,12 @@
         leader: usize,
         sent_at_ms: u64,
     },
+    /// An answer of the store that names its era.
+    EraNamed {
+        leader: usize,
+        era: u64,
+    },
+    PassedOn(PassedOn),
 }
 
 /// What a leader learns of a write.
@@ -132,6 +140,8 @@
     pub repeat_answer: u32,
     /// The answer to a grant closes its connection.
     pub close_connection: u32,
+    /// The store goes away for up to some seconds, and comes back from an older copy in a later era.
+    pub restore_store: u32,
     /// The servers that carry out unanswered grants whatever their fences.
     pub late_fences: LateFences,
 }
@@ -167,9 +177,8 @@
     messages: BTreeMap<(u64, u64), Message>,
     connections: Connections,
     next_message: u64,
-    record: Option<Record>,
-    epoch: u64,
-    lease_deadline_ms: u64,
+    store: Content,
+    eras: Eras,
     /// The leader that is suspended, and until when.
     suspended: Option<(usize, u64)>,
     /// Until when grants may be valid, if the last leader resigned and told it.
@@ -196,9 +205,8 @@
             messages: BTreeMap::new(),
             connections: Connections::default(),
             next_message: 0,
-            record: None,
-            epoch: 10,
-            lease_deadline_ms: 0,
+            store: Content { revision: 10, epoch: 10, ..Content::default() },
+            eras: Eras::default(),
             suspended: None,
             resigned_grants_deadline_ms: None,
             store_outage_deadline_ms: 0,
@@ -219,6 +227,7 @@
         while self.now_ms < deadline_ms {
             self.now_ms += STEP_MS;
             self.inject_faults();
+            self.restore_if_due();
             self.elect();
             self.deliver();
             self.check_single_holders()?;
@@ -251,6 +260,7 @@
             suspend: 0,
             repeat_answer: 0,
             close_connection: 0,
+            restore_store: 0,
             late_fences: self.faults.late_fences,
         };
         for server in self.servers.values_mut() {
@@ -370,10 +380,15 @@
     /// Orders that it has sent go on, and records that it writes are refused.
     fn resign(&mut self) {
         let Some(Some(leader)) = self.leaders.last() else { return };
+        if self.is_of_earlier_era(self.leaders.len() - 1) {
+            // Its lease is not the one that the store has.
+            self.stop_leader();
+            return;
+        }
         let deadline_ms = leader.grants_deadline_ms(self.now_ms);
         let is_lost = self.occurs(LOST_RESIGNATION_PER_MILLE);
         self.resigned_grants_deadline_ms = (!is_lost).then_some(deadline_ms);
-        self.lease_deadline_ms = self.now_ms;
+        self.store.lease_deadline_ms = self.now_ms;
         self.log(&format!("the leader resigns; its message is lost: {is_lost}"));
         self.leaders.iter_mut().for_each(|leader| *leader = None);
     }
@@ -500,6 +515,7 @@
             let for_ms = self.random.random_range(500..8_000);
             self.stop_store(for_ms);
         }
+        self.draw_restore();
         // No number is drawn without this fault, so that earlier seeds play as before.
         if faults.slow_link > 0 && self.occurs(faults.slow_link) {
             let free_at_ms = self.now_ms + self.random.random_range(600..1_800);
@@ -553,24 +569,28 @@
     /// Elects a leader if there is none and the lease of the last one has expired.
     fn elect(&mut self) {
         let last = self.leaders.len().saturating_sub(1);
-        let has_leader =
-            matches!(self.leaders.last(), Some(Some(_))) && self.suspended_until_ms(last).is_none();
-        if self.now_ms < self.lease_deadline_ms || !self.store_answers() || has_leader {
+        let has_leader = matches!(self.leaders.last(), Some(Some(_)))
+            && self.suspended_until_ms(last).is_none()
+            && !self.is_of_earlier_era(last);
+        if self.now_ms < self.store.lease_deadline_ms || !self.store_answers() || has_leader {
             return;
         }
-        self.epoch += 1;
-        self.lease_deadline_ms = self.now_ms + LEASE_MS;
+        let epoch = self.next_epoch();
+        self.store.lease_deadline_ms = self.now_ms + LEASE_MS;
+        // Records of earlier eras do not tell who may hold keys.
+        let known = self.store.record.iter().filter(|(era, _)| *era == self.eras.current);
         let records: Vec<(Name, Record)> =
-            self.record.iter().map(|record| (SERVICE.into(), record.clone())).collect();
-        let epoch = Epoch(self.epoch);
+            known.map(|(_, record)| (SERVICE.into(), record.clone())).collect();
         let mut leader =
-            Leader::new(epoch, self.now_ms, self.lease_deadline_ms, &records, config());
+            Leader::new(epoch, self.now_ms, self.store.lease_deadline_ms, &records, config());
         leader.add_service(&SERVICE.into());
         if let Some(deadline_ms) = self.resigned_grants_deadline_ms.take() {
             leader.limit_earlier_grants(deadline_ms);
         }
         self.leaders.push(Some(leader));
-        self.log(&format!("elected {}", self.epoch));
+        self.eras.of_leaders.push(self.eras.current);
+        self.log(&format!("elected {}", epoch.0));
+        self.continue_in_era(self.leaders.len() - 1);
     }
 
     fn tick(&mut self) {
@@ -598,8 +618,12 @@
     /// Renews the lease if the store answers and no later leader was elected.
     fn renew_lease(&mut self, index: usize) {
         let is_latest = index + 1 == self.leaders.len();
-        if self.store_answers() && is_latest && self.now_ms < self.lease_deadline_ms {
-            self.lease_deadline_ms = self.now_ms + LEASE_MS;
+        if self.store_answers() && self.is_of_earlier_era(index) {
+            if !self.occurs(self.faults.lose_message) {
+                self.send(2, Message::EraNamed { leader: index, era: self.eras.current });
+            }
+        } else if self.store_answers() && is_latest && self.now_ms < self.store.lease_deadline_ms {
+            self.store.lease_deadline_ms = self.now_ms + LEASE_MS;
             self.send(2, Message::LeaseRenewed { leader: index, sent_at_ms: self.now_ms });
         } else {
             self.step(index, Event::StoreAnswers(false));
@@ -719,6 +743,7 @@
                 Message::Reply { leader, .. }
                 | Message::Written { leader, .. }
                 | Message::LeaseRenewed { leader, .. }
+                | Message::EraNamed { leader, .. }
                     if self.suspended_until_ms(leader).is_some() =>
                 {
                     let until_ms = self.suspended_until_ms(leader).expect("a suspended leader");
@@ -757,23 +782,27 @@
                     self.step(leader, Event::LeaseRenewed { authority_deadline_ms });
                     self.step(leader, Event::StoreAnswers(true));
                 }
+                Message::EraNamed { leader, era } => self.on_era_named(leader, era),
+                Message::PassedOn(passed_on) => self.on_passed_on(passed_on),
             }
         }
     }
 
     /// Applies a write in the store, which accepts records from the leader alone and in order.
     fn on_write(&mut self, leader: usize, epoch: Epoch, record: Record, is_answered: bool) {
-        let is_leader = epoch.0 == self.epoch && self.now_ms < self.lease_deadline_ms;
-        let is_next = self
-            .record
-            .as_ref()
-            .is_none_or(|known| (known.epoch, known.number) < (record.epoch, record.number));
+        let is_leader = epoch.0 == self.store.epoch && self.now_ms < self.store.lease_deadline_ms;
+        let is_next =
+            self.store.record.as_ref().is_none_or(|(_, known)| {
+                (known.epoch, known.number) < (record.epoch, record.number)
+            });
         let number = record.number;
         let is_done = self.store_answers() && is_leader && is_next;
         if is_done {
-            self.record = Some(record);
+            self.store.record = Some((self.eras.of_leaders[leader], record));
         }
-        if is_answered {
+        if is_answered && self.store_answers() && self.is_of_earlier_era(leader) {
+            self.send(2, Message::EraNamed { leader, era: self.eras.current });
+        } else if is_answered {
             let outcome = if is_done { WriteOutcome::Done } else { WriteOutcome::Refused };
             self.send(2, Message::Written { leader, epoch, number, outcome });
         }
