Keep the leader's authority while the store is away for 1.5 s

A leader without authority cannot tell who may hold keys, since another may have been elected and have ended meanwhile. So its successor waited 14.7 s for all earlier grants.

The lease is now renewed each 200 ms instead of 450, and a failed renewal is repeated after 50 ms. At least 1.66 s of authority, less one renewal, are left when an outage begins. A renewal counts as a read at a tenth of its price, five a second at one daemon. Other daemons are asked, and grants made longer, after two failures in a row and 450 ms, so that more renewals do not mean more needless resignations.

--- a/crates/gateway/src/leader/election.rs
+++ b/crates/gateway/src/leader/election.rs
@@ -17,10 +17,20 @@
 
 /// The length of the leader's lease, which is how long a lost leader delays the next election.
 const LEASE_MS: u64 = 2_000;
-/// How often the lease is renewed: four times within its length.
-const RENEW_INTERVAL_MS: u64 = 450;
+/// How often the lease is renewed.
+///
+/// A store that comes back older is without a leader that knows the holders if it was away for longer
+/// than the authority that is left, which is least just before a renewal.
+const RENEW_INTERVAL_MS: u64 = 200;
+/// How long after a failed renewal the next one is sent.
+const RETRY_INTERVAL_MS: u64 = 50;
 /// How long a renewal may take before it counts as failed.
 const RENEW_TIMEOUT_MS: u64 = 350;
+/// How many renewals in a row have to fail until the store counts as not answering; one answer may be lost.
+const MIN_FAILURES: u32 = 2;
+/// How long the store has not renewed the lease when it counts as not answering, and how often this is
+/// reported.
+const FAILURE_INTERVAL_MS: u64 = 450;
 /// Subtracted from the lease for clocks that differ by two percent and for a late timer.
 const LEASE_MARGIN_MS: u64 = 120;
 /// An era adds 2^20 to epochs, more than the revisions that a store gives out in the seconds that its
@@ -116,8 +126,8 @@
         Ok(value.filter(|value| value.text == text).map(|value| value.revision))
     }
 
-    /// Renews the lease until it expires or the store no longer has it, and reports each attempt to
-    /// the control thread.
+    /// Renews the lease until it expires or the store no longer has it, and reports to the control thread
+    /// each renewal, and when renewals fail.
     ///
     /// The time until which the lease is renewed is in `renewed_authority_ms` at once.
     pub(crate) async fn keep_lease(
@@ -128,8 +138,9 @@
     ) {
         let renew_timeout = Duration::from_millis(RENEW_TIMEOUT_MS);
         let era = self.store.era();
+        let mut failures = RenewalFailures::since(self.clock.now_ms());
         while self.clock.now_ms() < authority_deadline_ms {
-            sleep(Duration::from_millis(jittered(RENEW_INTERVAL_MS))).await;
+            sleep(Duration::from_millis(jittered(failures.renewal_delay_ms()))).await;
             let sent_at_ms = self.clock.now_ms();
             self.counters.count(Counter::StoreCalls);
             let input = match timeout(renew_timeout, self.store.renew_lease(lease)).await {
@@ -138,6 +149,7 @@
                 Ok(Ok(())) => {
                     authority_deadline_ms = sent_at_ms + self.lease_ms() - LEASE_MARGIN_MS;
                     renewed_authority_ms.store(authority_deadline_ms, Ordering::Relaxed);
+                    failures = RenewalFailures::since(sent_at_ms);
                     Input::LeaseRenewed { authority_deadline_ms }
                 }
                 Ok(Err(report)) if report.current_context().category() == Category::Missing => {
@@ -145,7 +157,10 @@
                 }
                 Ok(Err(_)) | Err(_) => {
                     self.counters.count(Counter::StoreFailures);
-                    Input::LeaseRenewalFailed
+                    match failures.add(self.clock.now_ms()) {
+                        Failure::Retry => continue,
+                        Failure::Report => Input::LeaseRenewalFailed,
+                    }
                 }
             };
             if self.inputs.send(input).await.is_err() {
@@ -161,6 +176,40 @@
     }
 }
 
+/// The renewals that have failed since the last one that succeeded.
+#[derive(Debug)]
+struct RenewalFailures {
+    count: u32,
+    report_at_ms: u64,
+}
+
+/// What follows from a failed renewal.
+enum Failure {
+    Retry,
+    /// The store does not answer, which the control thread is to know.
+    Report,
+}
+
+impl RenewalFailures {
+    /// Starts to count at a renewal that succeeded.
+    fn since(renewed_ms: u64) -> Self {
+        Self { count: 0, report_at_ms: renewed_ms + FAILURE_INTERVAL_MS }
+    }
+
+    fn renewal_delay_ms(&self) -> u64 {
+        if self.count == 0 { RENEW_INTERVAL_MS } else { RETRY_INTERVAL_MS }
+    }
+
+    fn add(&mut self, now_ms: u64) -> Failure {
+        self.count = self.count.saturating_add(1);
+        if self.count < MIN_FAILURES || now_ms < self.report_at_ms {
+            return Failure::Retry;
+        }
+        self.report_at_ms = now_ms + FAILURE_INTERVAL_MS;
+        Failure::Report
+    }
+}
+
 /// Returns the length of the leader's lease.
 pub(crate) fn lease_ms(min_lease_ms: u64) -> u64 {
     LEASE_MS.max(min_lease_ms)
