--- a/crates/shard/tests/golden_sessions.rs
+++ b/crates/shard/tests/golden_sessions.rs
@@ -28,6 +28,7 @@
     repeat_answer: 0,
     close_connection: 0,
     steady_unanswered: 0,
+    restore_store: 0,
     late_fences: LateFences::Checked,
 };
 const SEED: u64 = 42;
