Share the fixture of gateway's tests with the test of panics

The test of an order whose task panics wrote out a source and a registration of its own. It uses the fixture of its neighbours now; both tests of the file pass.

--- a/crates/gateway/tests/ended_tasks.rs
+++ b/crates/gateway/tests/ended_tasks.rs
@@ -1,6 +1,8 @@
 //! Guards against a process that goes on without its control task, with what it knew until then, and
 //! against a leader that waits for ever for the outcome of a task that has ended.
 
+mod fixture;
+
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, mpsc};
@@ -9,11 +11,13 @@
 use document::Name;
 use gateway::{Dialect, EntryText, Gateway, Orders, Ports, Settings, Source, Unreadable};
 use http::HeaderName;
-use registry::{Incarnation, Registration, Stage};
+use registry::Registration;
 use shard::{ConnectionId, OrderKind, Reply};
 use site::{Limits, ServiceSpec, Site, Version};
 use store::{Expect, MemoryStore, Store};
 
+use crate::fixture::{SERVICE, registry, server};
+
 #[derive(Clone)]
 struct NoOrders;
 
@@ -30,11 +34,14 @@
     }
 }
 
-/// A parser with a bug that some entry shows.
+/// A site with one service whose servers own keys.
 #[derive(Clone)]
-struct FaultySource;
+struct TestSource {
+    /// Whether the parser has a bug that each server's entry shows.
+    is_faulty: bool,
+}
 
-impl Source for FaultySource {
+impl Source for TestSource {
     fn site_key(&self) -> &'static str {
         "operators/site"
     }
@@ -52,11 +59,13 @@
     }
 
     fn read_site(&self, _: &str) -> Result<Site, Unreadable> {
-        Err(Unreadable("no document".into()))
+        let services = vec![ServiceSpec::keyed(SERVICE)];
+        Ok(Site::new(Version(1), Vec::new(), services, Limits::default()).unwrap())
     }
 
     fn read_server(&self, entry: EntryText<'_>) -> Result<Registration, Unreadable> {
-        panic!("bug in the parser of {}", entry.server)
+        assert!(!self.is_faulty, "bug in the parser of {}", entry.server);
+        Ok((**registry(1).get(&server(0)).unwrap()).clone())
     }
 }
 
@@ -83,52 +92,6 @@
     }
 }
 
-/// A site with one server that owns keys.
-#[derive(Clone)]
-struct KeyedSource;
-
-impl Source for KeyedSource {
-    fn site_key(&self) -> &'static str {
-        "operators/site"
-    }
-
-    fn operators_prefix(&self) -> &'static str {
-        "operators/"
-    }
-
-    fn evacuations_prefix(&self) -> &'static str {
-        "operators/evacuations/"
-    }
-
-    fn servers_prefix(&self) -> &'static str {
-        "servers/"
-    }
-
-    fn read_site(&self, _: &str) -> Result<Site, Unreadable> {
-        let limits = Limits {
-            max_head_bytes: 1 << 14,
-            max_body_bytes: 1 << 14,
-            head_timeout_ms: 1_000,
-            idle_timeout_ms: 1_000,
-        };
-        let services = vec![ServiceSpec::keyed("ledger")];
-        Ok(Site::new(Version(1), Vec::new(), services, limits).unwrap())
-    }
-
-    fn read_server(&self, entry: EntryText<'_>) -> Result<Registration, Unreadable> {
-        Ok(Registration {
-            incarnation: Incarnation { server: entry.server.into(), born_ms: 1 },
-            service: "ledger".into(),
-            address: "127.0.0.1:1".parse().unwrap(),
-            data_centre: "a".into(),
-            slots: 4,
-            stage: Stage::Ready,
-            warm_at_ms: 0,
-            heartbeat: 1,
-        })
-    }
-}
-
 fn dialect() -> Dialect {
     let header = HeaderName::from_static;
     Dialect {
@@ -163,7 +126,12 @@
     let store = MemoryStore::default();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(store.write("servers/i-1", Expect::Anything, "{}", None)).unwrap();
-    let ports = Ports { store, orders: NoOrders, source: FaultySource, dialect: dialect() };
+    let ports = Ports {
+        store,
+        orders: NoOrders,
+        source: TestSource { is_faulty: true },
+        dialect: dialect(),
+    };
     let gateway = Gateway::new(settings(), "test.ini".into(), ports);
     let (ended, result) = mpsc::channel();
     std::thread::spawn(move || ended.send(gateway.run().is_err()));
@@ -177,12 +145,17 @@
 fn server_gets_grants_after_an_order_whose_task_panics() {
     let store = MemoryStore::default();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    for key in ["operators/site", "servers/i-1"] {
-        runtime.block_on(store.write(key, Expect::Anything, "{}", None)).unwrap();
+    for key in ["operators/site".to_owned(), format!("servers/{}", server(0).server)] {
+        runtime.block_on(store.write(&key, Expect::Anything, "{}", None)).unwrap();
     }
     let (sent, orders) = mpsc::channel();
     let orders_port = FaultyOrders { sent, count: Arc::default() };
-    let ports = Ports { store, orders: orders_port, source: KeyedSource, dialect: dialect() };
+    let ports = Ports {
+        store,
+        orders: orders_port,
+        source: TestSource { is_faulty: false },
+        dialect: dialect(),
+    };
     let gateway = Gateway::new(settings(), "test.ini".into(), ports);
     std::thread::spawn(move || gateway.run());
     // The election, the wait for more servers, and the wait after an order without an outcome.
