--- a/crates/gateway/src/request/call.rs
+++ b/crates/gateway/src/request/call.rs
@@ -34,7 +34,7 @@
     pub(crate) service: Name,
     /// Whether another daemon passed the request on.
     pub(crate) is_relayed: bool,
-    /// Whether the sender passes it on to another process than this one, or is no daemon.
+    /// Whether it names another token than this process's, so that it may be meant for an earlier process.
     pub(crate) is_misdirected: bool,
     /// The servers that the daemon that passed the request on has tried.
     pub(crate) tried: Vec<Incarnation>,
--- a/crates/gateway/src/request/detour.rs
+++ b/crates/gateway/src/request/detour.rs
@@ -52,7 +52,7 @@
     Caller,
     /// Another daemon, which passes it on.
     Daemon,
-    /// Another daemon, which passes it on to the process that was at this address before, or anyone.
+    /// A daemon that knows only an earlier process at this address, or a caller that made a token up.
     Unknown,
 }
 
