Remember that a daemon of an earlier build ran, also without its entry

A request that a daemon of an earlier build passes on while it is cut off from the store reaches more servers than its route allows.

Cause: takes the header of daemons without a token for a caller's unless some entry in the store lacks a token. The entry of a daemon that is cut off from the store ends, while the daemon goes on passing requests on.

Change: once such an entry was read, the header alone counts as a daemon's until the process ends.

--- a/crates/gateway/src/control/node.rs
+++ b/crates/gateway/src/control/node.rs
@@ -89,6 +89,9 @@
     /// The leader and the revision of its entry.
     pub(crate) leader: Option<(Name, Revision)>,
     pub(crate) is_fleet_known: bool,
+    /// Whether the entry of a daemon of an earlier version was ever read: one that is cut off from the store
+    /// has no entry, but may still pass requests on.
+    pub(crate) has_seen_earlier_daemon: bool,
     pub(crate) is_campaigning: bool,
     /// The resignation of the last leader that told of one.
     pub(crate) resigned: Option<Resignation>,
@@ -192,6 +195,7 @@
             entry_missing_since: parts.entry_missing_since,
             leader: None,
             is_fleet_known: false,
+            has_seen_earlier_daemon: false,
             is_campaigning: false,
             resigned: None,
             no_leader_since_ms: None,
--- a/crates/gateway/src/control/view_builder.rs
+++ b/crates/gateway/src/control/view_builder.rs
@@ -154,7 +154,8 @@
             others.filter_map(|(name, daemon)| Some((daemon.front?, (name, daemon)))).collect();
         self.peers.retain(|front, _| live.contains_key(front));
         let names_no_token = |(_, daemon): &(&Name, &DaemonEntry)| daemon.relay_token.is_none();
-        let has_earlier_daemons = !self.is_fleet_known || live.values().any(names_no_token);
+        self.has_seen_earlier_daemon |= live.values().any(names_no_token);
+        let has_earlier_daemons = !self.is_fleet_known || self.has_seen_earlier_daemon;
         self.shared.set_earlier_daemons(has_earlier_daemons);
         for (front, (name, daemon)) in live {
             let clock = self.shared.clock;
