Name the known time of a resignation and a retried list in usual terms

The log field `is_told` of `leader resigned` is `is_known` now, as it says whether the time is known, and the comment on calls that are made again says that a list is retried.

--- a/crates/gateway/src/leader/succession.rs
+++ b/crates/gateway/src/leader/succession.rs
@@ -152,7 +152,7 @@
         spdlog::info!(
             "leader resigned",
             kv: {
-                epoch = epoch.0, successor = named, is_told = grants_left_ms.is_some(),
+                epoch = epoch.0, successor = named, is_known = grants_left_ms.is_some(),
                 grants_left_ms = grants_deadline_ms.saturating_sub(now_ms)
             }
         );
--- a/crates/store/src/call.rs
+++ b/crates/store/src/call.rs
@@ -19,8 +19,8 @@
     Once,
     /// The timeout, and again as often as the call is made again beside the ones before.
     ///
-    /// For calls that only read. A list that fails begins anew after a backoff, which never succeeds
-    /// on a link whose delay is longer than the timeout.
+    /// For calls that only read. A list that is ended at the timeout and retried after a backoff always
+    /// fails on a link whose delay is longer than the timeout.
     Repeated,
     /// The time for which the store waits for changes, and the timeout.
     After {
