--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -225,7 +225,7 @@
     };
     for number in 1..=4 {
         let name = format!("i-{number}");
-        let fault = if number == 1 { Arc::clone(&fault) } else { no_fault() };
+        let fault = if number <= 2 { Arc::clone(&fault) } else { no_fault() };
         let (service, is_keyed, work_ms) = ("catalogue", false, 20);
         play.server(Start { name: &name, service, is_keyed, work_ms, failing: "", fault });
     }
